--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,54 @@
+/** Airbnb's rules for TypeScript; layout is left to the formatter, set to Airbnb's style. */
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+
+const nodeGlobals = Object.fromEntries(
+  ['process', 'performance', 'setTimeout', 'clearTimeout', 'URL'].map((name) => [name, 'readonly']),
+);
+const TESTS = ['**/*.test.ts', '**/*.fixtures.ts', 'vitest.config.ts', 'eslint.config.js'];
+
+export default [
+  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.base.typescript,
+  prettier,
+  {
+    files: ['**/*.ts'],
+    languageOptions: {
+      parserOptions: {
+        projectService: false,
+        project: ['packages/*/tsconfig.json', 'tsconfig.test.json'],
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    rules: {
+      // The house style prefers type over interface.
+      '@typescript-eslint/consistent-type-definitions': ['error', 'type'],
+    },
+  },
+  {
+    rules: {
+      // Steps of a control turn, of a settlement and of a set-up depend on each other.
+      'no-await-in-loop': 'off',
+      // `void` marks a promise that is left to itself on purpose.
+      'no-void': ['error', { allowAsStatement: true }],
+      'no-continue': 'off',
+      // The parts of an entry refer to each other inside functions that run later.
+      'no-use-before-define': 'off',
+      '@typescript-eslint/no-use-before-define': 'off',
+      'import-x/prefer-default-export': 'off',
+      'import-x/extensions': 'off',
+    },
+  },
+  {
+    files: ['bin/**/*.js', 'packages/*/bin/*.js'],
+    languageOptions: { globals: nodeGlobals },
+  },
+  {
+    files: TESTS,
+    rules: { 'import-x/no-extraneous-dependencies': 'off' },
+  },
+];
--- /dev/null
+++ b/packages/core/src/control/draft.ts
@@ -0,0 +1,274 @@
+/**
+ * The working copy of a pool's world during one control turn. Each step of the turn sees what the
+ * steps before it have decided, and every decision becomes one change with its preconditions.
+ */
+import type { PlacementHost, PlaceableJob } from '../placement/placeable.js';
+import { addResources, noResources } from '../placement/placeable.js';
+import {
+  rowKey,
+  type HostRow,
+  type JobRow,
+  type PlacementRow,
+  type WaveRow,
+} from '../rows/rows.js';
+import type { RowCheck, RowWrite } from '../rows/transaction.js';
+import type { HostId, JobId, WaveId } from '../shared/ids.js';
+import { placementHosts, sizeOfPlacement, type PoolWorld } from './world.js';
+
+/** One decision of a turn: a set of writes that happen together or not at all. */
+export type ControlChange = {
+  readonly kind: 'write';
+  /** What it is about, for logs and explanations. */
+  readonly subject: string;
+  readonly reason: string;
+  readonly checks: readonly RowCheck[];
+  readonly writes: readonly RowWrite[];
+};
+
+/** A request to the platform to reboot a host; it is idempotent by its request name. */
+export type RebootRequest = {
+  readonly kind: 'reboot';
+  readonly hostId: HostId;
+  readonly requestName: string;
+};
+
+export type ControlAction = ControlChange | RebootRequest;
+
+/** Something that was considered and not done, with the reason. */
+export type Withheld = { readonly subject: string; readonly reason: string };
+
+/** The working copy. It changes in place during one turn. */
+export type Draft = {
+  readonly world: PoolWorld;
+  readonly nowMs: number;
+  readonly hosts: Map<HostId, PlacementHost>;
+  readonly placements: Map<JobId, PlacementRow>;
+  readonly actions: ControlAction[];
+  readonly withheld: Withheld[];
+  nextEpoch: number;
+};
+
+/**
+ * Starts a turn.
+ *
+ * @param world - What is known.
+ * @param nowMs - The time by the watcher's monotonic clock.
+ * @returns The working copy.
+ */
+export const createDraft = (world: PoolWorld, nowMs: number): Draft => ({
+  world,
+  nowMs,
+  hosts: new Map(placementHosts(world).map((host) => [host.spec.hostId, host])),
+  placements: new Map(Array.from(world.placements, ([id, { value }]) => [id, value])),
+  actions: [],
+  withheld: [],
+  nextEpoch: world.nextEpoch,
+});
+
+type Versions = ReadonlyMap<string, { readonly version: number }>;
+
+const checkOf = (rows: Versions, id: string, key: string): RowCheck => ({
+  key,
+  version: rows.get(id)?.version ?? 0,
+});
+
+const pushChange = (draft: Draft, change: Omit<ControlChange, 'kind'>): void => {
+  const { fence } = draft.world;
+  draft.actions.push({ ...change, kind: 'write', checks: [fence, ...change.checks] });
+};
+
+/**
+ * Writes a host's row.
+ *
+ * @param draft - The working copy, changed in place.
+ * @param row - The row.
+ */
+export const writeHost = (draft: Draft, row: HostRow): void => {
+  const { hostId } = row;
+  const key = rowKey.host(hostId);
+  const host = draft.hosts.get(hostId);
+  const spec = host?.spec ?? draft.world.specs.get(hostId);
+  if (!spec) return;
+  draft.hosts.set(hostId, {
+    spec,
+    row,
+    isLive: host?.isLive ?? true,
+    used: host?.used ?? noResources,
+    executors: host?.executors ?? new Map(),
+  });
+  pushChange(draft, {
+    subject: key,
+    reason: row.reason,
+    checks: [checkOf(draft.world.hosts, hostId, key)],
+    writes: [{ key, value: row }],
+  });
+};
+
+/** Options for placing a job. */
+export type PlaceOptions = {
+  readonly job: PlaceableJob;
+  readonly hostId: HostId;
+  readonly reason: string;
+};
+
+const standOn = (draft: Draft, hostId: HostId, job: PlaceableJob): void => {
+  const host = draft.hosts.get(hostId);
+  if (!host) return;
+  const executors = new Map(host.executors);
+  if (job.service !== null) {
+    executors.set(job.service, (executors.get(job.service) ?? 0) + 1);
+  }
+  draft.hosts.set(hostId, { ...host, used: addResources(host.used, job), executors });
+};
+
+/**
+ * Places a job. The transaction depends on the version of the host's row, so that a job cannot
+ * land on a host that has just changed its pool.
+ *
+ * @param draft - The working copy, changed in place.
+ * @param options - The job, its host and the reason.
+ */
+export const placeOn = (draft: Draft, { job, hostId, reason }: PlaceOptions): void => {
+  const state = draft;
+  const key = rowKey.placement(job.jobId);
+  const row: PlacementRow = {
+    jobId: job.jobId,
+    service: job.service,
+    pool: job.pool,
+    hostId,
+    epoch: state.nextEpoch,
+    phase: 'assigned',
+    outcome: 'none',
+    leaseMs: job.leaseMs,
+    revision: state.world.configuration.revision,
+    reason,
+  };
+  state.nextEpoch += 1;
+  standOn(state, hostId, job);
+  state.placements.set(job.jobId, row);
+  pushChange(state, {
+    subject: key,
+    reason,
+    checks: [
+      checkOf(state.world.placements, job.jobId, key),
+      checkOf(state.world.hosts, hostId, rowKey.host(hostId)),
+    ],
+    writes: [{ key, value: row }],
+  });
+};
+
+/**
+ * Changes a placement that stands.
+ *
+ * @param draft - The working copy, changed in place.
+ * @param row - The placement with its new phase.
+ * @param reason - Why.
+ */
+export const writePlacement = (draft: Draft, row: PlacementRow, reason: string): void => {
+  const key = rowKey.placement(row.jobId);
+  draft.placements.set(row.jobId, row);
+  pushChange(draft, {
+    subject: key,
+    reason,
+    checks: [checkOf(draft.world.placements, row.jobId, key)],
+    writes: [{ key, value: { ...row, reason } }],
+  });
+};
+
+const freeRoom = (draft: Draft, row: PlacementRow): void => {
+  const host = draft.hosts.get(row.hostId);
+  if (!host) return;
+  const size = sizeOfPlacement(draft.world, row);
+  const executors = new Map(host.executors);
+  const { service } = row;
+  if (service !== null) executors.set(service, (executors.get(service) ?? 1) - 1);
+  draft.hosts.set(row.hostId, {
+    ...host,
+    executors,
+    used: {
+      cores: host.used.cores - size.cores,
+      memoryMb: host.used.memoryMb - size.memoryMb,
+      accelerators: host.used.accelerators - size.accelerators,
+    },
+  });
+};
+
+/** Options for taking a placement away. */
+export type RemoveOptions = {
+  readonly row: PlacementRow;
+  readonly reason: string;
+  /** The job's row, where the end of the placement changes it too. */
+  readonly jobRow?: JobRow;
+};
+
+/**
+ * Takes a placement away, together with what its end means for the job.
+ *
+ * @param draft - The working copy, changed in place.
+ * @param options - The placement, the reason and the job's new row.
+ */
+export const removePlacement = (draft: Draft, { row, reason, jobRow }: RemoveOptions): void => {
+  const key = rowKey.placement(row.jobId);
+  const jobKey = rowKey.job(row.jobId);
+  freeRoom(draft, row);
+  draft.placements.delete(row.jobId);
+  const placementCheck = checkOf(draft.world.placements, row.jobId, key);
+  pushChange(draft, {
+    subject: jobRow ? jobKey : key,
+    reason,
+    checks: jobRow
+      ? [placementCheck, checkOf(draft.world.jobs, row.jobId, jobKey)]
+      : [placementCheck],
+    writes: jobRow
+      ? [
+          { key, value: null },
+          { key: jobKey, value: jobRow },
+        ]
+      : [{ key, value: null }],
+  });
+};
+
+/**
+ * Writes a job's row.
+ *
+ * @param draft - The working copy, changed in place.
+ * @param jobId - The job.
+ * @param row - The row.
+ */
+export const writeJob = (draft: Draft, jobId: JobId, row: JobRow): void => {
+  const key = rowKey.job(jobId);
+  pushChange(draft, {
+    subject: key,
+    reason: row.reason,
+    checks: [checkOf(draft.world.jobs, jobId, key)],
+    writes: [{ key, value: row }],
+  });
+};
+
+/**
+ * Writes a wave's row.
+ *
+ * @param draft - The working copy, changed in place.
+ * @param waveId - The wave.
+ * @param row - The row.
+ */
+export const writeWave = (draft: Draft, waveId: WaveId, row: WaveRow): void => {
+  const key = rowKey.wave(waveId);
+  pushChange(draft, {
+    subject: key,
+    reason: row.reason,
+    checks: [checkOf(draft.world.waves, waveId, key)],
+    writes: [{ key, value: row }],
+  });
+};
+
+/**
+ * Notes what was considered and not done.
+ *
+ * @param draft - The working copy, changed in place.
+ * @param subject - What it is about, in the form of a row key.
+ * @param reason - Why not, in the operator's terms.
+ */
+export const withhold = (draft: Draft, subject: string, reason: string): void => {
+  draft.withheld.push({ subject, reason });
+};
--- /dev/null
+++ b/packages/core/src/control/hosts.ts
@@ -0,0 +1,130 @@
+/** The way of a host through its phases: into use, drained, emptied, rebooted and back. */
+import type { DrainPurpose, HostRow, HostSpec, PlacementRow } from '../rows/rows.js';
+import { groupBy } from '../shared/group-by.js';
+import { writeHost, type Draft } from './draft.js';
+
+const newRow = ({ hostId, firstPool }: HostSpec): HostRow => ({
+  hostId,
+  pool: firstPool,
+  phase: 'assigned',
+  reason: `declared for pool=${firstPool}`,
+  drain: null,
+  bootsBefore: 0,
+  maintainedBy: null,
+});
+
+const addDeclared = (draft: Draft): void => {
+  draft.world.specs.forEach((spec) => {
+    if (spec.firstPool !== draft.world.pool || draft.world.hosts.has(spec.hostId)) return;
+    writeHost(draft, newRow(spec));
+  });
+};
+
+const holdsNothing = (placements: readonly PlacementRow[]): boolean =>
+  placements.every(({ phase }) => phase === 'parked');
+
+const backInUse = (row: HostRow, reason: string): HostRow => ({
+  ...row,
+  phase: 'assigned',
+  drain: null,
+  reason,
+});
+
+type PurposeOf<Kind extends DrainPurpose['kind']> = Extract<DrainPurpose, { kind: Kind }>;
+
+/** What becomes of a host that is verified empty. */
+const whenEmpty: {
+  readonly [Kind in DrainPurpose['kind']]: (
+    draft: Draft,
+    row: HostRow,
+    purpose: PurposeOf<Kind>,
+  ) => HostRow;
+} = {
+  wave: (draft, row, { waveId }) => {
+    const wave = draft.world.waves.get(waveId)?.value;
+    if (wave?.phase === 'paused') return row;
+    if (!wave || wave.phase === 'cancelled') return backInUse(row, `wave ${waveId} was cancelled`);
+    const bootsBefore = draft.world.sightings.get(row.hostId)?.boots ?? 0;
+    return { ...row, phase: 'rebooting', bootsBefore, reason: `wave ${waveId}: empty, reboots` };
+  },
+  transfer: (_, row, { toPool }) => ({
+    ...backInUse(row, `moved from pool=${row.pool} to pool=${toPool}, verified empty`),
+    pool: toPool,
+  }),
+  operator: (_, row) => row,
+  platform: (draft, row) =>
+    draft.world.sightings.get(row.hostId)?.state === 'live'
+      ? backInUse(row, 'the platform lists it as live again')
+      : row,
+};
+
+const afterEmpty = (draft: Draft, row: HostRow): HostRow => {
+  if (row.drain === null) return backInUse(row, 'no reason to keep it empty');
+  const handler = whenEmpty[row.drain.kind] as (
+    one: Draft,
+    host: HostRow,
+    purpose: DrainPurpose,
+  ) => HostRow;
+  return handler(draft, row, row.drain);
+};
+
+const afterReboot = (draft: Draft, row: HostRow): HostRow => {
+  const boots = draft.world.sightings.get(row.hostId)?.boots ?? 0;
+  if (boots > row.bootsBefore) {
+    return { ...row, phase: 'verifying', reason: 'rebooted, being verified' };
+  }
+  const waveId = row.drain?.kind === 'wave' ? row.drain.waveId : 'none';
+  draft.actions.push({
+    kind: 'reboot',
+    hostId: row.hostId,
+    requestName: `${waveId}/${row.hostId}/${row.bootsBefore}`,
+  });
+  return row;
+};
+
+const afterVerify = (draft: Draft, row: HostRow): HostRow => {
+  if (draft.world.sightings.get(row.hostId)?.state !== 'live') return row;
+  const waveId = row.drain?.kind === 'wave' ? row.drain.waveId : row.maintainedBy;
+  return { ...backInUse(row, `maintained by wave ${waveId}`), maintainedBy: waveId };
+};
+
+const isCancelled = (draft: Draft, row: HostRow): boolean =>
+  row.drain?.kind === 'wave' &&
+  draft.world.waves.get(row.drain.waveId)?.value.phase === 'cancelled';
+
+type Advance = (draft: Draft, row: HostRow, placements: readonly PlacementRow[]) => HostRow;
+
+const advanceByPhase: Record<HostRow['phase'], Advance> = {
+  assigned: (draft, row) =>
+    draft.world.sightings.get(row.hostId)?.state === 'leaving'
+      ? {
+          ...row,
+          phase: 'draining',
+          drain: { kind: 'platform' },
+          reason: 'the platform lists it as leaving',
+        }
+      : row,
+  draining: (draft, row, placements) => {
+    if (isCancelled(draft, row)) return backInUse(row, 'its wave was cancelled');
+    return holdsNothing(placements) ? { ...row, phase: 'empty', reason: 'verified empty' } : row;
+  },
+  empty: (draft, row) => afterEmpty(draft, row),
+  rebooting: (draft, row) => afterReboot(draft, row),
+  verifying: (draft, row) => afterVerify(draft, row),
+  quarantined: (_, row) => row,
+};
+
+/**
+ * Takes declared hosts into use and moves each host of the pool to its next phase, if it is due.
+ *
+ * @param draft - The working copy, changed in place.
+ */
+export const planHosts = (draft: Draft): void => {
+  addDeclared(draft);
+  const byHost = groupBy(draft.placements.values(), ({ hostId }) => hostId);
+  draft.world.hosts.forEach(({ value: row }, hostId) => {
+    if (row.pool !== draft.world.pool) return;
+    const next = advanceByPhase[row.phase](draft, row, byHost.get(hostId) ?? []);
+    if (next !== row) writeHost(draft, next);
+  });
+};
--- /dev/null
+++ b/packages/core/src/control/jobs.ts
@@ -0,0 +1,193 @@
+/** Submitted jobs: from pending to placed, ended, refused or tried again. */
+import type { Urgency } from '../declarations/schema.js';
+import { findDeclaration } from '../configuration/configuration.js';
+import { chooseHost } from '../placement/choose-host.js';
+import { submittedJob, teamQuotaCores, type PlaceableJob } from '../placement/placeable.js';
+import { rowKey, type JobRow, type PlacementRow } from '../rows/rows.js';
+import type { HostId, JobId, TeamName } from '../shared/ids.js';
+import { groupBy } from '../shared/group-by.js';
+import {
+  placeOn,
+  removePlacement,
+  withhold,
+  writeHost,
+  writeJob,
+  writePlacement,
+  type Draft,
+} from './draft.js';
+import { sizeOfPlacement } from './world.js';
+
+const order: Record<Urgency, number> = { urgent: 0, normal: 1, batch: 2 };
+const FIRST_BACKOFF_MS = 1000;
+const LONGEST_BACKOFF_MS = 60_000;
+/** How many of its last hosts a job remembers as those it failed on. */
+const REMEMBERED_FAILURES = 3;
+/** So many distinct jobs must fail on a host before the host is blamed. */
+const QUARANTINE_AFTER_JOBS = 3;
+/** No more than this share of a pool's hosts is quarantined. */
+const MOST_QUARANTINED_SHARE = 0.1;
+
+/**
+ * Gives the wait before a job that failed is tried again.
+ *
+ * @param failures - How often it has failed.
+ * @returns The wait in milliseconds.
+ */
+export const retryDelayMs = (failures: number): number =>
+  failures === 0 ? 0 : Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (failures - 1));
+
+type Ended = (row: JobRow, placement: PlacementRow) => JobRow;
+
+const afterEnd: Record<PlacementRow['outcome'], Ended> = {
+  none: (row) => ({ ...row, reason: 'stopped on its host, to be placed again' }),
+  lost: (row, { hostId }) => ({
+    ...row,
+    reason: `lost with its task on ${hostId}, to be placed again`,
+  }),
+  done: (row, { hostId }) => ({ ...row, phase: 'done', reason: `done on ${hostId}` }),
+  failed: (row, { hostId }) => ({
+    ...row,
+    failures: row.failures + 1,
+    failedOn: [hostId, ...row.failedOn.filter((one) => one !== hostId)].slice(
+      0,
+      REMEMBERED_FAILURES,
+    ),
+    reason: `failed on ${hostId}, ${row.failures + 1} times in all`,
+  }),
+};
+
+const endStopped = (draft: Draft, placement: PlacementRow, jobRow: JobRow): void => {
+  const next = afterEnd[placement.outcome](jobRow, placement);
+  removePlacement(draft, { row: placement, reason: next.reason, jobRow: next });
+};
+
+const mayInterrupt = (draft: Draft): boolean =>
+  findDeclaration(draft.world.configuration, 'Pool', draft.world.pool)?.spec.prefer !== 'moves';
+
+const planPlaced = (draft: Draft, placement: PlacementRow, jobRow: JobRow): void => {
+  if (placement.phase === 'stopped') {
+    endStopped(draft, placement, jobRow);
+    return;
+  }
+  if (placement.phase === 'stopping') return;
+  if (jobRow.phase === 'cancelled') {
+    writePlacement(draft, { ...placement, phase: 'stopping' }, 'the job was cancelled');
+    return;
+  }
+  const host = draft.hosts.get(placement.hostId);
+  if (!host?.isLive || host.row.phase === 'assigned') return;
+  if (mayInterrupt(draft)) {
+    writePlacement(
+      draft,
+      { ...placement, phase: 'stopping' },
+      `its host ${placement.hostId} drains`,
+    );
+  } else {
+    withhold(
+      draft,
+      rowKey.host(placement.hostId),
+      `waits for ${placement.jobId} to end (prefer: moves)`,
+    );
+  }
+};
+
+const coresByTeam = (draft: Draft): Map<TeamName, number> => {
+  const used = new Map<TeamName, number>();
+  draft.placements.forEach((placement) => {
+    const team = draft.world.jobs.get(placement.jobId)?.value.job.spec.team as TeamName | undefined;
+    if (team === undefined) return;
+    used.set(team, (used.get(team) ?? 0) + sizeOfPlacement(draft.world, placement).cores);
+  });
+  return used;
+};
+
+const placePending = (
+  draft: Draft,
+  job: PlaceableJob,
+  row: JobRow,
+  used: Map<TeamName, number>,
+): void => {
+  const subject = rowKey.job(job.jobId);
+  const chosen = chooseHost(job, Array.from(draft.hosts.values()));
+  if (chosen.isErr() && chosen.error.never) {
+    writeJob(draft, job.jobId, { ...row, phase: 'refused', reason: chosen.error.reason });
+    return;
+  }
+  const quota = teamQuotaCores(draft.world.configuration, job.team);
+  const usedCores = used.get(job.team) ?? 0;
+  if (usedCores + job.cores > quota) {
+    const over = `team=${job.team} uses ${usedCores} of its ${quota} cores, ${job.jobId} wants ${job.cores}`;
+    withhold(draft, subject, over);
+    return;
+  }
+  if (chosen.isErr()) {
+    withhold(draft, subject, chosen.error.reason);
+    return;
+  }
+  used.set(job.team, usedCores + job.cores);
+  placeOn(draft, { job, hostId: chosen.value.hostId, reason: chosen.value.reason });
+};
+
+const isDue = (draft: Draft, jobId: JobId): boolean =>
+  draft.nowMs >= (draft.world.retryAtMs.get(jobId) ?? 0);
+
+const ofThisPool = (draft: Draft): readonly (readonly [JobId, JobRow])[] =>
+  Array.from(draft.world.jobs)
+    .filter(([, { value }]) => value.job.spec.pool === draft.world.pool)
+    .map(([jobId, { value }]) => [jobId, value] as const);
+
+/**
+ * Plans the submitted jobs of the pool, the urgent ones first.
+ *
+ * @param draft - The working copy, changed in place.
+ */
+export const planJobs = (draft: Draft): void => {
+  const jobs = ofThisPool(draft);
+  jobs.forEach(([jobId, row]) => {
+    const placement = draft.placements.get(jobId);
+    if (placement) planPlaced(draft, placement, row);
+  });
+  const used = coresByTeam(draft);
+  jobs
+    .filter(([jobId, { phase }]) => phase === 'pending' && !draft.world.placements.has(jobId))
+    .filter(([jobId]) => isDue(draft, jobId))
+    .map(([, row]) => ({ row, job: submittedJob(row.job, row.failedOn) }))
+    .sort((a, b) => order[a.job.urgency] - order[b.job.urgency])
+    .forEach(({ row, job }) => placePending(draft, job, row, used));
+};
+
+const failedJobsByHost = (draft: Draft): ReadonlyMap<HostId, readonly JobId[]> => {
+  const failures = Array.from(draft.world.jobs).flatMap(([jobId, { value }]) =>
+    value.failedOn.map((hostId) => ({ hostId, jobId })),
+  );
+  const groups = groupBy(failures, ({ hostId }) => hostId);
+  return new Map(Array.from(groups, ([hostId, all]) => [hostId, all.map(({ jobId }) => jobId)]));
+};
+
+/**
+ * Takes hosts out of use on which several distinct jobs have failed.
+ *
+ * @param draft - The working copy, changed in place.
+ */
+export const planQuarantine = (draft: Draft): void => {
+  const inPool = Array.from(draft.hosts.values()).filter(
+    ({ row }) => row.pool === draft.world.pool,
+  );
+  let quarantined = inPool.filter(({ row }) => row.phase === 'quarantined').length;
+  const failed = failedJobsByHost(draft);
+  inPool.forEach(({ spec, row }) => {
+    const jobs = failed.get(spec.hostId) ?? [];
+    if (row.phase !== 'assigned' || jobs.length < QUARANTINE_AFTER_JOBS) return;
+    if (quarantined + 1 > Math.max(1, inPool.length * MOST_QUARANTINED_SHARE)) {
+      withhold(
+        draft,
+        rowKey.host(spec.hostId),
+        'too many hosts of the pool are quarantined already',
+      );
+      return;
+    }
+    quarantined += 1;
+    const reason = `${jobs.length} distinct jobs failed on it: ${jobs.join(', ')}`;
+    writeHost(draft, { ...row, phase: 'quarantined', reason });
+  });
+};
--- /dev/null
+++ b/packages/core/src/declarations/read-declarations.ts
@@ -0,0 +1,118 @@
+/** Reading declarations from YAML text: each fault is told with its file, place and reason. */
+import { Err, Ok, type Result } from 'ts-results-es';
+import { parseAllDocuments, type Document } from 'yaml';
+import type { z } from 'zod';
+
+import { checkReferences } from './check-references.js';
+import {
+  declarationKey,
+  declarationSchema,
+  jobDeclarationSchema,
+  type Declaration,
+  type JobDeclaration,
+} from './schema.js';
+
+/** One fault in a declaration. */
+export type DeclarationFault = {
+  readonly file: string;
+  /** Where in the file, for example `document 2: spec.cores`. */
+  readonly path: string;
+  readonly reason: string;
+};
+
+/** A file with declarations, as text. */
+export type DeclarationFile = { readonly file: string; readonly text: string };
+
+type Located<Value> = { readonly value: Value; readonly file: string; readonly path: string };
+
+const isPresent = (document: Document.Parsed): boolean => document.contents !== null;
+
+const readDocuments = (
+  { file, text }: DeclarationFile,
+  faults: DeclarationFault[],
+): readonly Located<unknown>[] => {
+  const documents = parseAllDocuments(text, { maxAliasCount: 0 } as object);
+  return Array.from(documents as Iterable<Document.Parsed>).flatMap((document, index) => {
+    const path = `document ${index + 1}`;
+    const [fault] = document.errors;
+    if (fault) {
+      faults.push({ file, path, reason: fault.message.split('\n')[0] ?? 'unreadable YAML' });
+      return [];
+    }
+    return isPresent(document) ? [{ value: document.toJS() as unknown, file, path }] : [];
+  });
+};
+
+const toFaults = (
+  error: z.ZodError,
+  { file, path }: Located<unknown>,
+): readonly DeclarationFault[] =>
+  error.issues.map((issue) => ({
+    file,
+    path: issue.path.length > 0 ? `${path}: ${issue.path.join('.')}` : path,
+    reason: issue.message,
+  }));
+
+const parseEach = <Value>(
+  schema: z.ZodType<Value>,
+  files: readonly DeclarationFile[],
+  faults: DeclarationFault[],
+): readonly Located<Value>[] =>
+  files
+    .flatMap((file) => readDocuments(file, faults))
+    .flatMap((located) => {
+      const parsed = schema.safeParse(located.value);
+      if (parsed.success) return [{ ...located, value: parsed.data }];
+      faults.push(...toFaults(parsed.error, located));
+      return [];
+    });
+
+const findDuplicates = (declarations: readonly Located<Declaration>[]): DeclarationFault[] => {
+  const seen = new Set<string>();
+  return declarations.flatMap(({ value, file, path }) => {
+    const key = declarationKey(value);
+    if (seen.has(key)) return [{ file, path, reason: `${key} is declared twice` }];
+    seen.add(key);
+    return [];
+  });
+};
+
+const locateReferenceFaults = (declarations: readonly Located<Declaration>[]): DeclarationFault[] =>
+  checkReferences(declarations.map(({ value }) => value)).map((fault) => {
+    const place = declarations.find(({ value }) => declarationKey(value) === fault.key);
+    return {
+      file: place?.file ?? '',
+      path: `${place?.path ?? ''}: ${fault.path}`,
+      reason: fault.reason,
+    };
+  });
+
+/**
+ * Reads a whole set of declarations. It is taken whole or refused whole.
+ *
+ * @param files - The files, as text.
+ * @returns The declarations, or every fault that was found.
+ */
+export const readDeclarations = (
+  files: readonly DeclarationFile[],
+): Result<readonly Declaration[], readonly DeclarationFault[]> => {
+  const faults: DeclarationFault[] = [];
+  const declarations = parseEach(declarationSchema, files, faults);
+  faults.push(...findDuplicates(declarations));
+  if (faults.length === 0) faults.push(...locateReferenceFaults(declarations));
+  return faults.length > 0 ? Err(faults) : Ok(declarations.map(({ value }) => value));
+};
+
+/**
+ * Reads job declarations.
+ *
+ * @param files - The files, as text.
+ * @returns The jobs, or every fault that was found.
+ */
+export const readJobs = (
+  files: readonly DeclarationFile[],
+): Result<readonly JobDeclaration[], readonly DeclarationFault[]> => {
+  const faults: DeclarationFault[] = [];
+  const jobs = parseEach(jobDeclarationSchema, files, faults);
+  return faults.length > 0 ? Err(faults) : Ok(jobs.map(({ value }) => value));
+};
--- /dev/null
+++ b/packages/core/src/leases/lease.ts
@@ -0,0 +1,142 @@
+/**
+ * Leases with fencing. No clocks are compared between hosts: the taker waits until it has itself
+ * watched the row unchanged for the whole duration plus a margin, and the holder counts from
+ * before it sent the renewal.
+ */
+import type { EntryId } from '../shared/ids.js';
+
+/** The row of a lease. `renewals` changes at each renewal, so that watchers see life. */
+export type LeaseRow = {
+  readonly holder: EntryId | null;
+  readonly epoch: number;
+  readonly renewals: number;
+  readonly durationMs: number;
+};
+
+/** What one entry knows of a lease. Times are of its own monotonic clock. */
+export type LeaseState = {
+  readonly self: EntryId;
+  readonly durationMs: number;
+  readonly marginMs: number;
+  /** The row as last read, with its version in the table. */
+  readonly seen: { readonly row: LeaseRow | null; readonly version: number };
+  /** When the row was first seen with this content. */
+  readonly unchangedSinceMs: number;
+  /** Until when this entry may act as the holder. */
+  readonly heldUntilMs: number;
+};
+
+/** What to do about a lease at this moment. */
+export type LeaseStep =
+  | { readonly kind: 'wait' }
+  | { readonly kind: 'write'; readonly row: LeaseRow; readonly expectedVersion: number };
+
+/** Options for a lease state. */
+export type LeaseOptions = {
+  readonly self: EntryId;
+  readonly durationMs?: number;
+  readonly marginMs?: number;
+};
+
+const DEFAULT_DURATION_MS = 6000;
+const DEFAULT_MARGIN_MS = 1500;
+/** A holder renews when this share of the duration is left. */
+const RENEW_FRACTION = 0.67;
+
+/**
+ * Builds the state of an entry that has not read the row yet.
+ *
+ * @param options - Who asks, the duration, and the margin for drift of clocks, in milliseconds.
+ * @returns The state.
+ */
+export const createLeaseState = ({
+  self,
+  durationMs = DEFAULT_DURATION_MS,
+  marginMs = DEFAULT_MARGIN_MS,
+}: LeaseOptions): LeaseState => ({
+  self,
+  durationMs,
+  marginMs,
+  seen: { row: null, version: -1 },
+  unchangedSinceMs: 0,
+  heldUntilMs: -Infinity,
+});
+
+/**
+ * Takes in a reading of the row.
+ *
+ * @param state - What was known.
+ * @param reading - The row and its version; version 0 means that there is no row.
+ * @param nowMs - The monotonic time at which the reading came in.
+ * @returns What is known now.
+ */
+export const observeLease = (
+  state: LeaseState,
+  reading: { readonly row: LeaseRow | null; readonly version: number },
+  nowMs: number,
+): LeaseState => {
+  if (reading.version === state.seen.version) return state;
+  const lost = reading.row?.holder !== state.self;
+  return {
+    ...state,
+    seen: reading,
+    unchangedSinceMs: nowMs,
+    heldUntilMs: lost ? -Infinity : state.heldUntilMs,
+  };
+};
+
+/**
+ * Tells whether the entry may act as the holder.
+ *
+ * @param state - What is known.
+ * @param nowMs - The monotonic time.
+ * @returns True while the lease surely has not been taken by another.
+ */
+export const holdsLease = (state: LeaseState, nowMs: number): boolean => nowMs < state.heldUntilMs;
+
+const isFree = (state: LeaseState, nowMs: number): boolean => {
+  const { row } = state.seen;
+  if (!row || row.holder === null) return true;
+  return nowMs - state.unchangedSinceMs >= row.durationMs + state.marginMs;
+};
+
+/**
+ * Decides whether to take or renew the lease now.
+ *
+ * @param state - What is known; the row must have been read.
+ * @param nowMs - The monotonic time.
+ * @returns A write with the version that it depends on, or a wait.
+ */
+export const nextLeaseStep = (state: LeaseState, nowMs: number): LeaseStep => {
+  const { row, version } = state.seen;
+  if (version < 0) return { kind: 'wait' };
+  const { durationMs, self } = state;
+  if (row && row.holder === self && holdsLease(state, nowMs)) {
+    if (state.heldUntilMs - nowMs > durationMs * RENEW_FRACTION) return { kind: 'wait' };
+    const renewed = { ...row, durationMs, renewals: row.renewals + 1 };
+    return { kind: 'write', row: renewed, expectedVersion: version };
+  }
+  if (row?.holder !== self && !isFree(state, nowMs)) return { kind: 'wait' };
+  // A former holder that lost its lease takes a new epoch too: its old writes must not pass.
+  const taken = { holder: self, epoch: (row?.epoch ?? 0) + 1, renewals: 0, durationMs };
+  return { kind: 'write', row: taken, expectedVersion: version };
+};
+
+/**
+ * Takes in that a write of this entry was committed.
+ *
+ * @param state - What was known.
+ * @param written - The row and its new version.
+ * @param sentAtMs - The monotonic time before the write was sent.
+ * @returns The state of the holder.
+ */
+export const confirmLease = (
+  state: LeaseState,
+  written: { readonly row: LeaseRow; readonly version: number },
+  sentAtMs: number,
+): LeaseState => ({
+  ...state,
+  seen: written,
+  unchangedSinceMs: sentAtMs,
+  heldUntilMs: sentAtMs + written.row.durationMs,
+});
--- /dev/null
+++ b/packages/core/src/selectors/selector.ts
@@ -0,0 +1,81 @@
+/** Label selectors: the parsed form and its matching. */
+
+/** The labels of a host, a job or a service. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** One condition on one label. All conditions of a selector must hold. */
+export type Requirement =
+  | { readonly operator: 'exists'; readonly key: string }
+  | { readonly operator: 'does-not-exist'; readonly key: string }
+  | { readonly operator: 'in'; readonly key: string; readonly values: readonly string[] }
+  | { readonly operator: 'not-in'; readonly key: string; readonly values: readonly string[] };
+
+/** A parsed selector, together with the operator's own text of it. */
+export type Selector = {
+  readonly text: string;
+  readonly requirements: readonly Requirement[];
+};
+
+type Operator = Requirement['operator'];
+type RequirementOf<Name extends Operator> = Extract<Requirement, { operator: Name }>;
+
+const matchers: {
+  readonly [Name in Operator]: (requirement: RequirementOf<Name>, value?: string) => boolean;
+} = {
+  exists: (_, value) => value !== undefined,
+  'does-not-exist': (_, value) => value === undefined,
+  in: ({ values }, value) => value !== undefined && values.includes(value),
+  'not-in': ({ values }, value) => value === undefined || !values.includes(value),
+};
+
+/**
+ * Tells whether labels meet one requirement.
+ *
+ * @param requirement - The requirement.
+ * @param labels - The labels.
+ * @returns True if it is met.
+ */
+export const meetsRequirement = (requirement: Requirement, labels: Labels): boolean => {
+  const matcher = matchers[requirement.operator] as (one: Requirement, value?: string) => boolean;
+  return matcher(requirement, labels[requirement.key]);
+};
+
+/**
+ * Finds the first requirement that labels fail to meet.
+ *
+ * @param selector - The selector.
+ * @param labels - The labels.
+ * @returns The requirement that ruled the labels out, or undefined if they match.
+ */
+export const firstUnmet = (selector: Selector, labels: Labels): Requirement | undefined =>
+  selector.requirements.find((requirement) => !meetsRequirement(requirement, labels));
+
+/**
+ * Tells whether labels match a selector.
+ *
+ * @param selector - The selector.
+ * @param labels - The labels.
+ * @returns True if each requirement is met.
+ */
+export const matches = (selector: Selector, labels: Labels): boolean =>
+  firstUnmet(selector, labels) === undefined;
+
+const writers: {
+  readonly [Name in Operator]: (requirement: RequirementOf<Name>) => string;
+} = {
+  exists: ({ key }) => key,
+  'does-not-exist': ({ key }) => `!${key}`,
+  in: ({ key, values }) =>
+    values.length === 1 ? `${key}=${values[0]}` : `${key} in (${values.join(',')})`,
+  'not-in': ({ key, values }) =>
+    values.length === 1 ? `${key}!=${values[0]}` : `${key} notin (${values.join(',')})`,
+};
+
+/**
+ * Writes a requirement in the operators' own grammar.
+ *
+ * @param requirement - The requirement.
+ * @returns Its text, for example `rack in (r1,r2)`.
+ */
+export const requirementText = (requirement: Requirement): string =>
+  (writers[requirement.operator] as (one: Requirement) => string)(requirement);
--- /dev/null
+++ b/packages/core/src/verdict/verdict.ts
@@ -0,0 +1,112 @@
+/**
+ * The verdict type: every refused or failed request says whether it may have run.
+ *
+ * `notRun` is a promise. It is given only where no byte of the request left for an endpoint, or
+ * where the endpoint itself said that it did not run it.
+ */
+import type { RequestId } from '../shared/ids.js';
+
+/** Whether a request may have taken effect. */
+export type Verdict = 'notRun' | 'mayHaveRun' | 'ran';
+
+/** Why a request was refused or failed. */
+export type RefusalReason =
+  | 'malformed-request'
+  | 'unknown-service'
+  | 'no-configuration'
+  | 'no-endpoint'
+  | 'overloaded'
+  | 'caller-over-share'
+  | 'deadline-too-short'
+  | 'deadline-passed'
+  | 'key-required'
+  | 'already-running'
+  | 'already-ran'
+  | 'claim-unavailable'
+  | 'claim-unknown'
+  | 'endpoint-refused'
+  | 'endpoint-unreachable'
+  | 'endpoint-failed'
+  | 'answer-incomplete'
+  | 'answer-too-large'
+  | 'entry-stopping'
+  | 'seat-missing';
+
+/** A refusal or failure in the form in which the caller gets it. */
+export type Refusal = {
+  readonly verdict: Verdict;
+  readonly reason: RefusalReason;
+  /** One sentence for people. */
+  readonly detail: string;
+  /** When the caller should come back, in whole seconds. */
+  readonly retryAfterS: number;
+  readonly requestId: RequestId;
+};
+
+const statusByReason: Record<RefusalReason, number> = {
+  'malformed-request': 400,
+  'unknown-service': 404,
+  'no-configuration': 503,
+  'no-endpoint': 503,
+  overloaded: 503,
+  'caller-over-share': 429,
+  'deadline-too-short': 503,
+  'deadline-passed': 504,
+  'key-required': 400,
+  'already-running': 409,
+  'already-ran': 409,
+  'claim-unavailable': 503,
+  'claim-unknown': 409,
+  'endpoint-refused': 503,
+  'endpoint-unreachable': 503,
+  'endpoint-failed': 502,
+  'answer-incomplete': 502,
+  'answer-too-large': 502,
+  'entry-stopping': 503,
+  'seat-missing': 503,
+};
+
+/**
+ * Gives the HTTP status of a refusal.
+ *
+ * @param reason - The reason of the refusal.
+ * @returns The status code.
+ */
+export const statusOfRefusal = (reason: RefusalReason): number => statusByReason[reason];
+
+/** What one attempt at an endpoint has shown about whether the request ran. */
+export type AttemptEvidence =
+  | { readonly kind: 'nothing-sent' }
+  | { readonly kind: 'endpoint-said-not-run' }
+  | { readonly kind: 'bytes-may-have-left' }
+  | { readonly kind: 'answer-began' };
+
+const verdictByEvidence: Record<AttemptEvidence['kind'], Verdict> = {
+  'nothing-sent': 'notRun',
+  'endpoint-said-not-run': 'notRun',
+  'bytes-may-have-left': 'mayHaveRun',
+  'answer-began': 'ran',
+};
+
+/**
+ * Derives the verdict of one attempt.
+ *
+ * @param evidence - What was seen of the attempt.
+ * @returns The verdict that may honestly be told.
+ */
+export const verdictOfAttempt = (evidence: AttemptEvidence): Verdict =>
+  verdictByEvidence[evidence.kind];
+
+const certainty: Record<Verdict, number> = { notRun: 0, mayHaveRun: 1, ran: 2 };
+
+/**
+ * Combines the verdicts of several attempts at one request.
+ *
+ * @param verdicts - The verdict of each attempt.
+ * @returns `notRun` only if each attempt was `notRun`; else the strongest sign that it ran.
+ */
+export const combineVerdicts = (verdicts: readonly Verdict[]): Verdict =>
+  verdicts.reduce<Verdict>(
+    (sum, next) => (certainty[next] > certainty[sum] ? next : sum),
+    'notRun',
+  );
--- /dev/null
+++ b/packages/daemon/src/data-path/serve-request.ts
@@ -0,0 +1,391 @@
+/**
+ * The way of one request through this entry: checks, claim, slot, attempts, answer. Each end is
+ * either a whole answer or a refusal with an honest verdict.
+ */
+import {
+  brand,
+  combineVerdicts,
+  earnRetry,
+  findDeclaration,
+  mayRetry,
+  noteOutcome,
+  spendRetry,
+  verdictOfAttempt,
+  type AttemptOutcome,
+  type CallerId,
+  type Configuration,
+  type Endpoint,
+  type EndpointId,
+  type KeptAnswer,
+  type Refusal,
+  type RefusalReason,
+  type RequestId,
+  type ServiceName,
+  type Verdict,
+} from '@valvelatch/core';
+import type { IncomingHttpHeaders } from 'node:http';
+
+import type { Metrics } from '../observe/metrics.js';
+import type { TraceHeaders, Tracing } from '../observe/tracing.js';
+import { attempt, endpointHeader, type AttemptResult, type WholeAnswer } from './attempt.js';
+import type { ClaimKeeper, ClaimOutcome, HeldClaim } from './claim-keeper.js';
+import type { Connections } from './connections.js';
+import { callerHeader, headersToSend } from './headers.js';
+import type { ServiceGate } from './service-gate.js';
+
+/** A request as it was read from the caller. */
+export type CallerRequest = {
+  readonly requestId: RequestId;
+  readonly service: ServiceName;
+  readonly method: string;
+  /** Path and query behind the service's name, beginning with a slash. */
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer | null;
+  readonly callerId: CallerId;
+  readonly isRepeatable: boolean;
+  readonly key: string | null;
+  readonly isFirstAttempt: boolean;
+  /** True if another entry passed the request on; it has claimed it, if that was needed. */
+  readonly isForwarded: boolean;
+  /** The caller's own bound on time, if it gave one. */
+  readonly wantedMs: number | null;
+};
+
+/** How a request ended. */
+export type RequestOutcome =
+  | { readonly kind: 'answer'; readonly answer: WholeAnswer }
+  | { readonly kind: 'replay'; readonly answer: KeptAnswer }
+  | { readonly kind: 'refusal'; readonly refusal: Refusal; readonly tried: readonly string[] };
+
+/** An entry of another data centre that can serve a service. */
+export type RemoteEntry = { readonly entryId: string; readonly callersUrl: string };
+
+/** What the way of a request depends on. */
+export type ServeContext = {
+  readonly configuration: () => Configuration;
+  readonly isConfigurationKnown: () => boolean;
+  readonly isStopping: () => boolean;
+  readonly gate: (service: ServiceName) => ServiceGate;
+  readonly connections: Connections;
+  readonly connectionShare: (service: ServiceName, endpoint: Endpoint) => number;
+  readonly claims: ClaimKeeper;
+  readonly remoteEntries: (service: ServiceName) => readonly RemoteEntry[];
+  /** Proves to another entry that a request was passed on by one of its own. */
+  readonly forwardProof: (requestId: RequestId) => string;
+  readonly mostAnswerBytes: number;
+  readonly tracing: Tracing;
+  readonly metrics: Metrics;
+  readonly nowMs: () => number;
+};
+
+const FIRST_SERVER_ERROR = 500;
+const OUTAGE_RETRY_AFTER_S = 2;
+const PROMPT_RETRY_AFTER_S = 1;
+const REMOTE_CONNECTIONS = 64;
+
+/** The state of one request under way. */
+type Run = {
+  readonly context: ServeContext;
+  readonly request: CallerRequest;
+  readonly deadlineMs: number;
+  readonly tried: string[];
+  readonly verdicts: Verdict[];
+  readonly triedEndpoints: EndpointId[];
+  /** The last whole answer that was an error of the endpoint's own. */
+  lastError: WholeAnswer | null;
+};
+
+type RefusalOptions = {
+  readonly reason: RefusalReason;
+  readonly detail: string;
+  readonly verdict?: Verdict;
+  readonly retryAfterS?: number;
+};
+
+const refuse = (
+  run: Pick<Run, 'request' | 'tried'>,
+  { reason, detail, verdict = 'notRun', retryAfterS = PROMPT_RETRY_AFTER_S }: RefusalOptions,
+): RequestOutcome => ({
+  kind: 'refusal',
+  refusal: { reason, detail, verdict, retryAfterS, requestId: run.request.requestId },
+  tried: run.tried,
+});
+
+const remainingMs = ({ context, deadlineMs }: Run): number => deadlineMs - context.nowMs();
+
+type Classified =
+  | { readonly kind: 'good'; readonly answer: WholeAnswer }
+  | {
+      readonly kind: 'bad';
+      readonly verdict: Verdict;
+      readonly outcome: AttemptOutcome;
+      readonly reason: RefusalReason;
+      readonly detail: string;
+      readonly answer: WholeAnswer | null;
+    };
+
+const reasonOfFailure: Record<Extract<AttemptResult, { kind: 'failed' }>['reason'], RefusalReason> =
+  {
+    unreachable: 'endpoint-unreachable',
+    incomplete: 'answer-incomplete',
+    'not-its-own': 'answer-incomplete',
+    'too-large': 'answer-too-large',
+    timeout: 'deadline-passed',
+  };
+
+const saysNotRun = ({ headers }: WholeAnswer): boolean => headers[endpointHeader.notRun] === 'true';
+
+/** Another entry says itself whether the request ran; its refusals are not the endpoint's answers. */
+const classifyRemote = (answer: WholeAnswer): Classified => {
+  const told = answer.headers[callerHeader.verdict];
+  if (told === 'ran') return { kind: 'good', answer };
+  return {
+    kind: 'bad',
+    verdict: told === 'notRun' ? 'notRun' : 'mayHaveRun',
+    outcome: 'refused',
+    reason: (answer.headers[callerHeader.reason] as RefusalReason | undefined) ?? 'endpoint-failed',
+    detail: `another entry answered ${answer.status}`,
+    answer: null,
+  };
+};
+
+const classify = (result: AttemptResult, isRemote: boolean): Classified => {
+  if (result.kind === 'failed') {
+    return {
+      kind: 'bad',
+      verdict: verdictOfAttempt({ kind: result.evidence }),
+      outcome: 'failed',
+      reason: reasonOfFailure[result.reason],
+      detail: result.detail,
+      answer: null,
+    };
+  }
+  const { answer } = result;
+  if (isRemote) return classifyRemote(answer);
+  if (answer.status < FIRST_SERVER_ERROR) return { kind: 'good', answer };
+  if (saysNotRun(answer)) {
+    return {
+      kind: 'bad',
+      verdict: 'notRun',
+      outcome: 'refused',
+      reason: 'endpoint-refused',
+      detail: `the endpoint answered ${answer.status} and that it did not run the request`,
+      answer: null,
+    };
+  }
+  return {
+    kind: 'bad',
+    verdict: 'ran',
+    outcome: 'failed',
+    reason: 'endpoint-failed',
+    detail: `the endpoint answered ${answer.status}`,
+    answer,
+  };
+};
+
+const sendTo = async (run: Run, address: string, most: number, added: Record<string, string>) => {
+  const { context, request } = run;
+  const isRemote = added[callerHeader.forwarded] !== undefined;
+  const { traceparent } = request.headers as TraceHeaders;
+  const hop = context.tracing.startHop(
+    `${request.method} ${request.service}`,
+    traceparent === undefined ? {} : { traceparent },
+    { address, requestId: request.requestId },
+  );
+  const headers = headersToSend(request.headers, {
+    ...added,
+    ...hop.headers,
+    [callerHeader.requestId]: request.requestId,
+    [callerHeader.deadlineMs]: String(Math.max(1, Math.floor(remainingMs(run)))),
+  });
+  const result = await attempt(context.connections.to(address, most), {
+    method: request.method,
+    path: isRemote ? `/services/${request.service}${request.path}` : request.path,
+    headers,
+    body: request.body,
+    requestId: request.requestId,
+    timeoutMs: Math.max(1, remainingMs(run)),
+    mostAnswerBytes: context.mostAnswerBytes,
+  });
+  const classified = classify(result, isRemote);
+  hop.end({
+    outcome: classified.kind === 'good' ? 'answered' : classified.reason,
+    isError: classified.kind === 'bad',
+  });
+  return classified;
+};
+
+const tryEndpoint = async (run: Run, gate: ServiceGate, endpoint: Endpoint) => {
+  const { context, request } = run;
+  const one = endpoint;
+  const startedMs = context.nowMs();
+  const most = context.connectionShare(request.service, one);
+  const classified = await sendTo(run, one.address, most, {});
+  const nowMs = context.nowMs();
+  const outcome = classified.kind === 'good' ? 'answered' : classified.outcome;
+  noteOutcome(one, outcome, nowMs - startedMs, gate.endpoints(), nowMs);
+  gate.release(one, request.callerId);
+  return classified;
+};
+
+const noteBad = (run: Run, where: string, bad: Extract<Classified, { kind: 'bad' }>): void => {
+  const state = run;
+  state.tried.push(`${where}: ${bad.reason} (${bad.verdict}): ${bad.detail}`);
+  state.verdicts.push(bad.verdict);
+  if (bad.answer) state.lastError = bad.answer;
+};
+
+const giveUp = (run: Run, options: RefusalOptions): RequestOutcome => {
+  const verdict = combineVerdicts(run.verdicts);
+  // An endpoint's own whole answer says more than a refusal made up here.
+  if (run.lastError && verdict === 'ran') return { kind: 'answer', answer: run.lastError };
+  return refuse(run, { ...options, verdict });
+};
+
+const mayGoOn = (run: Run, gate: ServiceGate, verdict: Verdict): boolean =>
+  mayRetry({
+    isRepeatable: run.request.isRepeatable,
+    verdict,
+    attemptsMade: run.verdicts.length,
+    remainingMs: remainingMs(run),
+    expectedAttemptMs: gate.usualMs(),
+  }) && spendRetry(gate.retryBudget);
+
+/** Passes a request on to a data centre that can serve it, where this one cannot. */
+const tryRemote = async (run: Run): Promise<RequestOutcome | undefined> => {
+  const { context, request } = run;
+  if (request.isForwarded) return undefined;
+  const [remote] = context.remoteEntries(request.service);
+  if (!remote) return undefined;
+  context.metrics.count('forwarded');
+  const classified = await sendTo(run, remote.callersUrl, REMOTE_CONNECTIONS, {
+    [callerHeader.forwarded]: context.forwardProof(request.requestId),
+    [callerHeader.caller]: request.callerId,
+  });
+  if (classified.kind === 'good') return { kind: 'answer', answer: classified.answer };
+  noteBad(run, `entry ${remote.entryId}`, classified);
+  return giveUp(run, classified);
+};
+
+const attemptUntilDone = async (run: Run, gate: ServiceGate): Promise<RequestOutcome> => {
+  earnRetry(gate.retryBudget);
+  for (;;) {
+    const slot = await gate.acquire({
+      callerId: run.request.callerId,
+      deadlineMs: run.deadlineMs,
+      exclude: run.triedEndpoints,
+    });
+    if (slot.isErr()) {
+      const isNowhere = slot.error.reason === 'no-endpoint' && run.verdicts.length === 0;
+      const remote = isNowhere ? await tryRemote(run) : undefined;
+      return remote ?? giveUp(run, slot.error);
+    }
+    const endpoint = slot.value;
+    const classified = await tryEndpoint(run, gate, endpoint);
+    if (classified.kind === 'good') return { kind: 'answer', answer: classified.answer };
+    noteBad(run, endpoint.endpointId, classified);
+    run.triedEndpoints.push(endpoint.endpointId);
+    if (!mayGoOn(run, gate, classified.verdict)) return giveUp(run, classified);
+    run.context.metrics.count('retries');
+  }
+};
+
+/** Waits for a claim no longer than the request may take; a claim that comes later is released. */
+const claimInTime = async (run: Run, key: string): Promise<ClaimOutcome> => {
+  const { context, request } = run;
+  const pending = context.claims.claim({ ...request, key });
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<'late'>((resolve) => {
+    timer = setTimeout(() => resolve('late'), Math.max(1, remainingMs(run)));
+  });
+  const first = await Promise.race([pending, late]);
+  clearTimeout(timer);
+  if (first !== 'late') return first;
+  void pending.then((outcome) => (outcome.kind === 'claimed' ? outcome.claim.release() : null));
+  return {
+    kind: 'refused',
+    verdict: 'notRun',
+    reason: 'claim-unavailable',
+    detail: 'the claim could not be written before the deadline',
+  };
+};
+
+const settled = (claim: HeldClaim, outcome: RequestOutcome): Promise<void> => {
+  if (outcome.kind === 'answer') return claim.finish(outcome.answer);
+  if (outcome.kind === 'refusal' && outcome.refusal.verdict === 'notRun') return claim.release();
+  return Promise.resolve();
+};
+
+const settleClaim = (claim: HeldClaim, outcome: RequestOutcome): void => {
+  // Without its outcome the claim stands, and a resend is told that it may have run.
+  settled(claim, outcome).catch(() => undefined);
+};
+
+const serveOnce = async (run: Run, gate: ServiceGate): Promise<RequestOutcome> => {
+  const { key } = run.request;
+  if (key === null) {
+    return refuse(run, {
+      reason: 'key-required',
+      detail: `a request that is not repeatable needs the header ${callerHeader.key}`,
+    });
+  }
+  const claimed = await claimInTime(run, key);
+  if (claimed.kind === 'replay') return claimed;
+  if (claimed.kind === 'refused') {
+    const retryAfterS = OUTAGE_RETRY_AFTER_S;
+    return refuse(run, { ...claimed, retryAfterS });
+  }
+  const outcome = await attemptUntilDone(run, gate);
+  settleClaim(claimed.claim, outcome);
+  return outcome;
+};
+
+const openingRefusal = (
+  context: ServeContext,
+  request: CallerRequest,
+): RefusalOptions | undefined => {
+  if (context.isStopping()) {
+    return { reason: 'entry-stopping', detail: 'this entry is being stopped; another will serve' };
+  }
+  if (!context.isConfigurationKnown()) {
+    const detail = 'this entry does not know the configuration yet';
+    return { reason: 'no-configuration', detail, retryAfterS: OUTAGE_RETRY_AFTER_S };
+  }
+  if (!findDeclaration(context.configuration(), 'Service', request.service)) {
+    const { revision } = context.configuration();
+    const detail = `no service named '${request.service}' is declared at revision ${revision}`;
+    return { reason: 'unknown-service', detail };
+  }
+  return undefined;
+};
+
+/**
+ * Serves one request.
+ *
+ * @param context - What this entry has and knows.
+ * @param request - The request.
+ * @returns The whole answer, or the refusal with its verdict; it never rejects for a fault outside.
+ */
+export const serveRequest = async (
+  context: ServeContext,
+  request: CallerRequest,
+): Promise<RequestOutcome> => {
+  const tried: string[] = [];
+  const opening = openingRefusal(context, request);
+  if (opening) return refuse({ request, tried }, opening);
+  const service = findDeclaration(context.configuration(), 'Service', request.service);
+  const longestMs = service?.spec.requestTimeoutMs ?? 0;
+  const run: Run = {
+    context,
+    request,
+    deadlineMs: context.nowMs() + Math.min(longestMs, request.wantedMs ?? longestMs),
+    tried,
+    verdicts: [],
+    triedEndpoints: [],
+    lastError: null,
+  };
+  const gate = context.gate(brand<ServiceName>(request.service));
+  const needsClaim = !request.isRepeatable && !request.isForwarded;
+  return needsClaim ? serveOnce(run, gate) : attemptUntilDone(run, gate);
+};
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,3 @@
+/** An entry as a library: the daemon is a thin process around it. */
+export * from './entry.js';
+export * from './settings/settings.js';
--- /dev/null
+++ b/packages/daemon/src/leases/lease-keeper.ts
@@ -0,0 +1,108 @@
+/** Keeps one lease of the platform's table: reads, takes, renews and gives it up. */
+import {
+  confirmLease,
+  createLeaseState,
+  holdsLease,
+  nextLeaseStep,
+  observeLease,
+  rowKey,
+  type EntryId,
+  type LeaseRow,
+} from '@valvelatch/core';
+import type { TableClient } from '@valvelatch/platform';
+
+/** A lease as its owner uses it. */
+export type LeaseKeeper = {
+  /** Reads the row and takes or renews the lease if it is due. */
+  readonly tick: () => Promise<void>;
+  readonly holds: () => boolean;
+  readonly epoch: () => number;
+  /** The version of the fence row, which changes with each new holder. */
+  readonly fence: () => { readonly key: string; readonly version: number };
+  readonly lastRow: () => LeaseRow | null;
+  /** How long the row has been watched without a change, in milliseconds. */
+  readonly unchangedForMs: () => number;
+  readonly release: () => Promise<void>;
+};
+
+/** Options for a keeper. */
+export type LeaseKeeperOptions = {
+  readonly table: TableClient;
+  readonly name: string;
+  readonly self: EntryId;
+  readonly durationMs: number;
+  readonly marginMs?: number;
+  /** False for one that only watches. */
+  readonly mayTake?: () => boolean;
+  readonly nowMs?: () => number;
+};
+
+const MARGIN_FRACTION = 0.25;
+
+/**
+ * Builds a keeper.
+ *
+ * @param options - The table, the lease's name and duration, and who wants it.
+ * @returns The keeper.
+ */
+export const createLeaseKeeper = ({
+  table,
+  name,
+  self,
+  durationMs,
+  marginMs = durationMs * MARGIN_FRACTION,
+  mayTake = () => true,
+  nowMs = () => performance.now(),
+}: LeaseKeeperOptions): LeaseKeeper => {
+  const key = rowKey.lease(name);
+  const fenceKey = rowKey.fence(name);
+  let state = createLeaseState({ self, durationMs, marginMs });
+  let fenceVersion = 0;
+
+  const write = async (row: LeaseRow, expectedVersion: number): Promise<void> => {
+    const sentAtMs = nowMs();
+    const isTaking = row.renewals === 0;
+    const outcome = await table.transact({
+      checks: [{ key, version: expectedVersion }],
+      writes: [
+        { key, value: row },
+        ...(isTaking ? [{ key: fenceKey, value: { epoch: row.epoch } }] : []),
+      ],
+    });
+    if (outcome.isErr() || outcome.value.kind === 'conflict') return;
+    const { version } = outcome.value;
+    if (isTaking) fenceVersion = version;
+    state = confirmLease(state, { row, version }, sentAtMs);
+  };
+
+  const tick = async (): Promise<void> => {
+    const rows = await table.read([key]);
+    if (rows.isErr()) return;
+    const [row] = rows.value;
+    const value = (row?.value ?? null) as LeaseRow | null;
+    state = observeLease(state, { row: value, version: row?.version ?? 0 }, nowMs());
+    if (!mayTake() && !holdsLease(state, nowMs())) return;
+    const step = nextLeaseStep(state, nowMs());
+    if (step.kind === 'write') await write(step.row, step.expectedVersion);
+  };
+
+  const release = async (): Promise<void> => {
+    const { row, version } = state.seen;
+    if (!row || !holdsLease(state, nowMs())) return;
+    state = { ...state, heldUntilMs: -Infinity };
+    await table.transact({
+      checks: [{ key, version }],
+      writes: [{ key, value: { ...row, holder: null, renewals: row.renewals + 1 } }],
+    });
+  };
+
+  return {
+    tick,
+    holds: () => holdsLease(state, nowMs()),
+    epoch: () => state.seen.row?.epoch ?? 0,
+    fence: () => ({ key: fenceKey, version: fenceVersion }),
+    lastRow: () => state.seen.row,
+    unchangedForMs: () => (state.seen.version < 0 ? 0 : nowMs() - state.unchangedSinceMs),
+    release,
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/operators/operators-server.ts
@@ -0,0 +1,77 @@
+/** The port towards operators: closed without their key; answers in JSON. */
+import { createHash, timingSafeEqual } from 'node:crypto';
+
+import fastify, { type FastifyInstance } from 'fastify';
+
+import type { Metrics } from '../observe/metrics.js';
+import type { OperatorHandlers, OperatorResult } from './operator-handlers.js';
+
+/** Options for the server. */
+export type OperatorsServerOptions = {
+  readonly operatorKey: string;
+  readonly handlers: OperatorHandlers;
+  readonly metrics: Metrics;
+  readonly beforeMetrics: () => void;
+  readonly onFault: (method: string, detail: string) => void;
+};
+
+const UNAUTHORIZED = 401;
+const NOT_FOUND = 404;
+const FAULT = 500;
+const LARGEST_BODY_BYTES = 64 * 1024 * 1024;
+
+const digest = (text: string): Buffer => createHash('sha256').update(text).digest();
+
+const statusOf: Record<OperatorResult['kind'], number> = {
+  ok: 200,
+  invalid: 422,
+  conflict: 409,
+  'not-found': 404,
+  unavailable: 503,
+};
+
+/**
+ * Builds the server; it is not listening yet.
+ *
+ * @param options - The key, the handlers by name, and the metrics.
+ * @returns The server.
+ */
+export const createOperatorsServer = ({
+  operatorKey,
+  handlers,
+  metrics,
+  beforeMetrics,
+  onFault,
+}: OperatorsServerOptions): FastifyInstance => {
+  const app = fastify({ bodyLimit: LARGEST_BODY_BYTES });
+  const wanted = digest(`Bearer ${operatorKey}`);
+
+  app.addHook('onRequest', async (request, reply) => {
+    const given = digest(request.headers.authorization ?? '');
+    if (timingSafeEqual(given, wanted)) return undefined;
+    return reply
+      .code(UNAUTHORIZED)
+      .send({ kind: 'unauthorized', detail: 'the operator key is missing or wrong' });
+  });
+
+  app.get('/metrics', (_, reply) => {
+    beforeMetrics();
+    return reply.type('text/plain; version=0.0.4').send(metrics.text());
+  });
+
+  app.post<{ Params: { method: string } }>('/v1/:method', async (request, reply) => {
+    const { method } = request.params;
+    if (!Object.hasOwn(handlers, method)) {
+      return reply.code(NOT_FOUND).send({ kind: 'not-found', detail: `no method '${method}'` });
+    }
+    try {
+      const result = await handlers[method as keyof OperatorHandlers](request.body ?? {});
+      return await reply.code(statusOf[result.kind]).send(result);
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      onFault(method, detail);
+      return reply.code(FAULT).send({ kind: 'fault', detail });
+    }
+  });
+  return app;
+};
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,6 @@
+/** Clients of the platform: table, objects, hosts and workers. */
+export * from './group-commit.js';
+export * from './http-json.js';
+export * from './platform-clients.js';
+export * from './platform-error.js';
+export * from './table-client.js';
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,5 @@
+/** Small stand-ins for what surrounds the entries; for tests, benchmarks and the quickstart. */
+export * from './executor.js';
+export * from './platform.js';
+export * from './relay.js';
+export * from './workers.js';
--- /dev/null
+++ b/packages/stand-ins/src/workers.ts
@@ -0,0 +1,307 @@
+/** A stand-in for the workers of one data centre: hosts that run tasks under leases. */
+import fastify from 'fastify';
+import { request } from 'undici';
+
+import { startExecutor, type ExecutorFault, type StandInExecutor } from './executor.js';
+
+type TaskSpec = {
+  readonly slots: number;
+  readonly connections: number;
+  readonly runTimeMs: number;
+  readonly cores: number;
+};
+
+type StartRequest = {
+  readonly jobId: string;
+  readonly epoch: number;
+  readonly hostId: string;
+  readonly leaseMs: number;
+  readonly service: string | null;
+  readonly spec: TaskSpec;
+};
+
+type Task = StartRequest & {
+  phase: 'starting' | 'running' | 'leaving' | 'done' | 'failed';
+  leaseUntilMs: number;
+  executor: StandInExecutor | null;
+  timer: NodeJS.Timeout | null;
+};
+
+type Host = {
+  state: 'up' | 'rebooting' | 'dead';
+  boots: number;
+  failsTasks: boolean;
+  leaving: boolean;
+};
+
+/** Options for the stand-in. */
+export type WorkersOptions = {
+  readonly dataCentre: string;
+  readonly hostIds: readonly string[];
+  readonly platformUrl: string;
+  readonly host?: string;
+  readonly port?: number;
+  readonly rebootMs?: number;
+  readonly workMs?: number;
+};
+
+/** What the stand-in has seen, for the checks of tests and of the quickstart. */
+export type WorkersReport = {
+  readonly dataCentre: string;
+  readonly executions: Readonly<Record<string, number>>;
+  readonly served: number;
+  readonly overSlots: number;
+  readonly cutRequests: number;
+  /** Starts that were refused because the job was running under another epoch. */
+  readonly doubleStarts: number;
+};
+
+/** A running stand-in. */
+export type StandInWorkers = {
+  readonly url: string;
+  readonly report: () => WorkersReport;
+  readonly setHost: (hostId: string, change: Partial<Host>) => Promise<void>;
+  readonly setExecutorFault: (jobId: string, fault: ExecutorFault) => void;
+  readonly close: () => Promise<void>;
+};
+
+const HEARTBEAT_MS = 300;
+const LEASE_SWEEP_MS = 200;
+
+type Ended = { served: number; overSlots: number; cutRequests: number };
+
+/**
+ * Starts the stand-in.
+ *
+ * @param options - The data centre, its hosts and the platform's address; times in milliseconds.
+ * @returns The running stand-in.
+ */
+export const startWorkers = async ({
+  dataCentre,
+  hostIds,
+  platformUrl,
+  host: listenHost = '127.0.0.1',
+  port = 0,
+  rebootMs = 1000,
+  workMs = 5,
+}: WorkersOptions): Promise<StandInWorkers> => {
+  const app = fastify();
+  const hosts = new Map<string, Host>(
+    hostIds.map((hostId) => [hostId, { state: 'up', boots: 1, failsTasks: false, leaving: false }]),
+  );
+  const tasks = new Map<string, Task>();
+  const endedEpochs = new Map<string, number>();
+  const executions = new Map<string, number>();
+  const ended: Ended = { served: 0, overSlots: 0, cutRequests: 0 };
+  let doubleStarts = 0;
+
+  const collect = (executor: StandInExecutor) => {
+    ended.served += executor.stats.served;
+    ended.overSlots += executor.stats.overSlots;
+    executor.executions.forEach((count, key) =>
+      executions.set(key, (executions.get(key) ?? 0) + count),
+    );
+  };
+
+  const endTask = async (task: Task, isPlanned: boolean): Promise<void> => {
+    tasks.delete(task.jobId);
+    endedEpochs.set(task.jobId, Math.max(task.epoch, endedEpochs.get(task.jobId) ?? 0));
+    if (task.timer) clearTimeout(task.timer);
+    if (!task.executor) return;
+    collect(task.executor);
+    const cut = await task.executor.close();
+    if (isPlanned) ended.cutRequests += cut;
+  };
+
+  const runJob = (task: Task): void => {
+    const one = task;
+    one.phase = 'running';
+    one.timer = setTimeout(() => {
+      one.phase = hosts.get(one.hostId)?.failsTasks ? 'failed' : 'done';
+    }, one.spec.runTimeMs);
+  };
+
+  const runExecutor = async (task: Task): Promise<void> => {
+    const one = task;
+    one.executor = await startExecutor({ name: one.jobId, slots: one.spec.slots, workMs });
+    one.phase = 'running';
+  };
+
+  const refuseStart = (start: StartRequest): string | null => {
+    if (hosts.get(start.hostId)?.state !== 'up') return 'host is not up';
+    if (start.epoch <= (endedEpochs.get(start.jobId) ?? 0)) return 'this epoch has ended';
+    const running = tasks.get(start.jobId);
+    if (running && running.epoch !== start.epoch) {
+      doubleStarts += 1;
+      return `epoch ${running.epoch} is running`;
+    }
+    return null;
+  };
+
+  app.post('/tasks/start', async (incoming, reply) => {
+    const start = incoming.body as StartRequest;
+    const refusal = refuseStart(start);
+    if (refusal !== null) return reply.code(409).send({ reason: refusal });
+    if (tasks.has(start.jobId)) return reply.send(null);
+    const task: Task = {
+      ...start,
+      phase: 'starting',
+      leaseUntilMs: performance.now() + start.leaseMs,
+      executor: null,
+      timer: null,
+    };
+    tasks.set(start.jobId, task);
+    if (start.service === null) runJob(task);
+    else await runExecutor(task);
+    return reply.send(null);
+  });
+
+  const named = (body: unknown): Task | undefined => {
+    const { jobId, epoch } = body as { jobId: string; epoch: number };
+    const task = tasks.get(jobId);
+    return task?.epoch === epoch ? task : undefined;
+  };
+
+  app.post('/tasks/drain', (incoming, reply) => {
+    const task = named(incoming.body);
+    if (task && task.phase === 'running') {
+      task.phase = 'leaving';
+    }
+    return reply.send(null);
+  });
+
+  app.post('/tasks/stop', async (incoming, reply) => {
+    const { jobId, epoch } = incoming.body as { jobId: string; epoch: number };
+    const task = named(incoming.body);
+    if (task) await endTask(task, true);
+    endedEpochs.set(jobId, Math.max(epoch, endedEpochs.get(jobId) ?? 0));
+    return reply.send(null);
+  });
+
+  app.post('/tasks/renew', (incoming, reply) => {
+    const { tasks: wanted } = incoming.body as { tasks: readonly unknown[] };
+    wanted.forEach((one) => {
+      const task = named(one);
+      if (task) task.leaseUntilMs = performance.now() + task.leaseMs;
+    });
+    return reply.send(null);
+  });
+
+  app.get('/tasks', (_, reply) =>
+    reply.send({
+      tasks: Array.from(tasks.values(), ({ jobId, epoch, hostId, phase, service, executor }) => ({
+        jobId,
+        epoch,
+        hostId,
+        phase,
+        service,
+        address: executor?.address ?? null,
+      })),
+    }),
+  );
+
+  app.get('/usage', (_, reply) =>
+    reply.send({
+      usage: Array.from(tasks.values(), ({ jobId, hostId, spec }) => ({
+        jobId,
+        hostId,
+        usedCores: spec.cores / 2,
+      })),
+    }),
+  );
+
+  const loseTasksOf = async (hostId: string): Promise<void> => {
+    const lost = Array.from(tasks.values()).filter((task) => task.hostId === hostId);
+    await Promise.all(lost.map((task) => endTask(task, false)));
+  };
+
+  const reboot = async (hostId: string): Promise<void> => {
+    const host = hosts.get(hostId);
+    if (!host || host.state !== 'up') return;
+    host.state = 'rebooting';
+    await loseTasksOf(hostId);
+    setTimeout(() => {
+      host.state = 'up';
+      host.boots += 1;
+    }, rebootMs);
+  };
+
+  const heartbeat = async (): Promise<void> => {
+    const alive = Array.from(hosts).filter(([, { state }]) => state !== 'dead');
+    const body = alive.map(([hostId, { state, boots, leaving }]) => ({
+      hostId,
+      boots,
+      state: leaving || state === 'rebooting' ? 'leaving' : 'live',
+    }));
+    const answer = await request(`${platformUrl}/hosts/heartbeat`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ hosts: body }),
+      signal: AbortSignal.timeout(1000),
+    });
+    const { reboot: due } = (await answer.body.json()) as { reboot: readonly string[] };
+    await Promise.all(due.map(reboot));
+  };
+
+  const sweepLeases = (): void => {
+    const nowMs = performance.now();
+    tasks.forEach((task) => {
+      if (task.phase !== 'done' && task.phase !== 'failed' && nowMs > task.leaseUntilMs) {
+        void endTask(task, false);
+      }
+    });
+  };
+
+  const setHost = async (hostId: string, change: Partial<Host>): Promise<void> => {
+    const host = hosts.get(hostId);
+    if (!host) return;
+    Object.assign(host, change);
+    if (host.state === 'dead') await loseTasksOf(hostId);
+  };
+
+  const setExecutorFault = (jobId: string, fault: ExecutorFault): void => {
+    tasks.forEach((task) => {
+      if (jobId === '*' || task.jobId === jobId) task.executor?.setFault(fault);
+    });
+  };
+
+  const report = (): WorkersReport => {
+    const sums = new Map(executions);
+    const totals = { ...ended };
+    tasks.forEach(({ executor }) => {
+      if (!executor) return;
+      totals.served += executor.stats.served;
+      totals.overSlots += executor.stats.overSlots;
+      executor.executions.forEach((count, key) => sums.set(key, (sums.get(key) ?? 0) + count));
+    });
+    return { dataCentre, executions: Object.fromEntries(sums), ...totals, doubleStarts };
+  };
+
+  app.get('/stand-in/report', (_, reply) => reply.send(report()));
+  app.post('/stand-in/host', async (incoming, reply) => {
+    const { hostId, ...change } = incoming.body as { hostId: string } & Partial<Host>;
+    await setHost(hostId, change);
+    return reply.send(null);
+  });
+  app.post('/stand-in/executor', (incoming, reply) => {
+    const { jobId, fault } = incoming.body as { jobId: string; fault: ExecutorFault };
+    setExecutorFault(jobId, fault);
+    return reply.send(null);
+  });
+
+  const url = await app.listen({ host: listenHost, port });
+  // A heartbeat that finds the platform away is simply the next one's business.
+  const beat = () => {
+    heartbeat().catch(() => undefined);
+  };
+  beat();
+  const timers = [setInterval(beat, HEARTBEAT_MS), setInterval(sweepLeases, LEASE_SWEEP_MS)];
+
+  const close = async (): Promise<void> => {
+    timers.forEach(clearInterval);
+    await Promise.all(Array.from(tasks.values(), (task) => endTask(task, false)));
+    app.server.closeAllConnections();
+    await app.close();
+  };
+  return { url, report, setHost, setExecutorFault, close };
+};
