--- a/packages/core/src/claims/claim.ts
+++ b/packages/core/src/claims/claim.ts
@@ -18,6 +18,8 @@
   /** A hash of method, path and body, so that a key used for another request is noticed. */
   readonly fingerprint: string;
   readonly entryId: EntryId;
+  /** Tells this claim from another under the same key: the request that made it. */
+  readonly claimId: string;
   readonly state: 'claimed' | 'released' | 'done';
   readonly answer: KeptAnswer | null;
   readonly claimedAtMs: number;
--- a/packages/core/src/control/hosts.ts
+++ b/packages/core/src/control/hosts.ts
@@ -114,6 +114,14 @@
   quarantined: (_, row) => row,
 };
 
+/** A host whose next phase is due already passes through several phases in one turn. */
+const advance = (draft: Draft, row: HostRow, placements: readonly PlacementRow[]): HostRow => {
+  const next = advanceByPhase[row.phase](draft, row, placements);
+  // The request to reboot waits until the row that says so has been committed.
+  if (next === row || next.phase === 'rebooting') return next;
+  return advance(draft, next, placements);
+};
+
 /**
  * Takes declared hosts into use and moves each host of the pool to its next phase, if it is due.
  *
@@ -124,7 +132,7 @@
   const byHost = groupBy(draft.placements.values(), ({ hostId }) => hostId);
   draft.world.hosts.forEach(({ value: row }, hostId) => {
     if (row.pool !== draft.world.pool) return;
-    const next = advanceByPhase[row.phase](draft, row, byHost.get(hostId) ?? []);
+    const next = advance(draft, row, byHost.get(hostId) ?? []);
     if (next !== row) writeHost(draft, next);
   });
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** The decisions of valvelatch, free of transport: what the daemon, the tests and replay share. */
 export * from './admission/admission-queue.js';
 export * from './claims/claim.js';
+export * from './claims/doubt.js';
 export * from './configuration/configuration.js';
 export * from './configuration/difference.js';
 export * from './control/draft.js';
--- a/packages/core/src/routing/choose-endpoint.ts
+++ b/packages/core/src/routing/choose-endpoint.ts
@@ -1,7 +1,7 @@
 /** The choice of an endpoint: the less loaded of two drawn at random. */
 import { pick, type Rng } from '../shared/rng.js';
 import type { EndpointId } from '../shared/ids.js';
-import { isEjected, type Endpoint } from './endpoint.js';
+import { failureShareNow, isEjected, type Endpoint } from './endpoint.js';
 
 /** Options for a choice. */
 export type ChooseEndpointOptions = {
@@ -9,9 +9,18 @@
   readonly exclude?: readonly EndpointId[];
 };
 
-/** Expected time to get an answer: the queue that would stand there, times the usual time. */
-const expectedMs = ({ inFlight, slotShare, smoothedMs }: Endpoint): number =>
-  ((inFlight + 1) / slotShare) * smoothedMs;
+/** An endpoint that always fails counts as so many times slower than one that never does. */
+const FAILURE_WEIGHT = 20;
+
+/**
+ * Expected time to get a good answer: the queue that would stand there, times the usual time. A
+ * fast failure must not look like a fast answer.
+ */
+const expectedMs = (endpoint: Endpoint, nowMs: number): number => {
+  const { inFlight, slotShare, smoothedMs } = endpoint;
+  const penalty = 1 + FAILURE_WEIGHT * failureShareNow(endpoint, nowMs);
+  return ((inFlight + 1) / slotShare) * smoothedMs * penalty;
+};
 
 /**
  * Lists the endpoints that may take a request now.
@@ -53,5 +62,5 @@
   if (usable.length < 2) return usable[0];
   const first = pick(usable, rng) as Endpoint;
   const second = pick(usable, rng) as Endpoint;
-  return expectedMs(second) < expectedMs(first) ? second : first;
+  return expectedMs(second, nowMs) < expectedMs(first, nowMs) ? second : first;
 };
--- a/packages/core/src/routing/endpoint.ts
+++ b/packages/core/src/routing/endpoint.ts
@@ -17,9 +17,12 @@
   inFlight: number;
   /** Smoothed time of a good answer, in milliseconds. */
   smoothedMs: number;
-  /** Smoothed share of attempts that failed, from 0 to 1. */
+  /** Smoothed share of attempts that failed, from 0 to 1, as of its last outcome. */
   failureShare: number;
+  lastOutcomeMs: number;
   ejectedUntilMs: number;
+  /** When it last answered, or got its first request after being idle. */
+  lastProgressMs: number;
   /** How often it was ejected in a row; the ejection grows with it. */
   ejections: number;
 };
@@ -57,7 +60,9 @@
   inFlight: 0,
   smoothedMs: FIRST_GUESS_MS,
   failureShare: 0,
+  lastOutcomeMs: 0,
   ejectedUntilMs: 0,
+  lastProgressMs: 0,
   ejections: 0,
 });
 
@@ -74,10 +79,28 @@
 /** No more than this share of a service's endpoints is ejected at a time. */
 export const MOST_EJECTED_SHARE = 0.5;
 
-const peerFailureShare = (endpoint: Endpoint, peers: readonly Endpoint[]): number => {
+/** Old failures count for less and less: this is the time after which they count half. */
+const FAILURE_HALF_LIFE_MS = 2000;
+
+/**
+ * Gives the share of attempts that failed, with old failures counting for less.
+ *
+ * @param endpoint - The endpoint.
+ * @param nowMs - The time.
+ * @returns The share, from 0 to 1.
+ */
+export const failureShareNow = (endpoint: Endpoint, nowMs: number): number =>
+  endpoint.failureShare * 0.5 ** ((nowMs - endpoint.lastOutcomeMs) / FAILURE_HALF_LIFE_MS);
+
+const peerFailureShare = (
+  endpoint: Endpoint,
+  peers: readonly Endpoint[],
+  nowMs: number,
+): number => {
   const others = peers.filter((peer) => peer !== endpoint);
   if (others.length === 0) return 1;
-  return others.reduce((sum, peer) => sum + peer.failureShare, 0) / others.length;
+  const sum = others.reduce((total, peer) => total + failureShareNow(peer, nowMs), 0);
+  return sum / others.length;
 };
 
 /**
@@ -90,6 +113,53 @@
 export const isEjected = (endpoint: Endpoint, nowMs: number): boolean =>
   nowMs < endpoint.ejectedUntilMs;
 
+const LEAST_STALL_MS = 500;
+const STALL_FACTOR = 10;
+
+/**
+ * Notes that a request goes to the endpoint.
+ *
+ * @param endpoint - The endpoint, changed in place.
+ * @param nowMs - The time.
+ */
+export const noteSent = (endpoint: Endpoint, nowMs: number): void => {
+  const one = endpoint;
+  if (one.inFlight === 0) one.lastProgressMs = nowMs;
+  one.inFlight += 1;
+};
+
+/**
+ * Tells whether an endpoint has requests under way and has answered none for far longer than usual.
+ *
+ * @param endpoint - The endpoint.
+ * @param usualMs - The usual time of a request of the service.
+ * @param nowMs - The time.
+ * @returns True if it is likely to be frozen or cut off.
+ */
+export const isStalled = (endpoint: Endpoint, usualMs: number, nowMs: number): boolean =>
+  endpoint.inFlight > 0 &&
+  nowMs - endpoint.lastProgressMs > Math.max(LEAST_STALL_MS, usualMs * STALL_FACTOR);
+
+/**
+ * Ejects endpoints that are stalled, but never more than the allowed share.
+ *
+ * @param endpoints - All endpoints of the service.
+ * @param usualMs - The usual time of a request.
+ * @param nowMs - The time.
+ */
+export const ejectStalled = (
+  endpoints: readonly Endpoint[],
+  usualMs: number,
+  nowMs: number,
+): void => {
+  endpoints.forEach((endpoint) => {
+    const one = endpoint;
+    if (isEjected(one, nowMs) || !isStalled(one, usualMs, nowMs)) return;
+    if (!mayEjectOneMore(endpoints, nowMs)) return;
+    one.ejectedUntilMs = nowMs + FIRST_EJECTION_MS;
+  });
+};
+
 const mayEjectOneMore = (peers: readonly Endpoint[], nowMs: number): boolean => {
   const ejected = peers.filter((peer) => isEjected(peer, nowMs)).length;
   return ejected + 1 <= peers.length * MOST_EJECTED_SHARE;
@@ -98,7 +168,7 @@
 const ejectIfWorse = (endpoint: Endpoint, peers: readonly Endpoint[], nowMs: number): void => {
   const one = endpoint;
   if (one.failureShare < EJECT_ABOVE || isEjected(one, nowMs)) return;
-  if (one.failureShare < peerFailureShare(one, peers) + EJECT_OVER_PEERS) return;
+  if (one.failureShare < peerFailureShare(one, peers, nowMs) + EJECT_OVER_PEERS) return;
   if (!mayEjectOneMore(peers, nowMs)) return;
   const durationMs = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** one.ejections);
   one.ejectedUntilMs = nowMs + durationMs;
@@ -124,6 +194,9 @@
   nowMs: number,
 ): void => {
   const one = endpoint;
+  one.lastProgressMs = nowMs;
+  one.failureShare = failureShareNow(one, nowMs);
+  one.lastOutcomeMs = nowMs;
   if (outcome === 'answered') {
     one.smoothedMs += SMOOTHING * (tookMs - one.smoothedMs);
     one.failureShare *= 1 - FAILURE_SMOOTHING;
--- a/packages/core/src/rows/rows.ts
+++ b/packages/core/src/rows/rows.ts
@@ -107,6 +107,12 @@
   readonly hosts: readonly HostId[];
 };
 
+/**
+ * The row that says that claims taken in memory may have been lost for good: the entries of a data
+ * centre were all replaced while they were without the platform.
+ */
+export type DoubtRow = { readonly dataCentres: readonly string[] };
+
 /** Keys of rows, by kind. */
 export const rowKey = {
   configHead: 'config/head',
@@ -118,7 +124,7 @@
   lease: (name: string) => `lease/${name}`,
   fence: (name: string) => `fence/${name}`,
   claim: (key: string) => `claim/${key}`,
-  flushed: (dataCentre: string) => `flushed/${dataCentre}`,
+  doubt: 'doubt',
 } as const;
 
 /** Prefixes for reading all rows of a kind. */
@@ -128,8 +134,7 @@
   placement: 'placement/',
   job: 'job/',
   wave: 'wave/',
-  lease: 'lease/',
-  flushed: 'flushed/',
+  seat: 'lease/seat/',
 } as const;
 
 /** A row with its version; version 0 means that there is no row. */
--- a/packages/core/src/seats/seat.ts
+++ b/packages/core/src/seats/seat.ts
@@ -2,12 +2,13 @@
  * Seats: who may use which part of an endpoint's slots. The sum of what all entries use never
  * exceeds the slots, also while entries are cut off from each other or from the platform.
  *
- * A seat is a lease of the platform's table. A holder that cannot renew because the platform is
- * away goes on with half of its part while every other holder of the data centre promises, again
- * and again, that it is without the platform too. A seat whose lease has lapsed is taken over whole
- * only with the consent of each other holder; one that has consented never promises again, and one
- * that has promised does not consent until the promise has run out. Without consent the taker gets
- * the other half, until it is sure that the former holder has stopped.
+ * A seat is a lease of the platform's table. A holder that cannot renew goes on with half of its
+ * part while every other holder of the data centre promises, again and again, not to let another
+ * take the seat. A seat whose lease has lapsed is taken over whole only with the consent of each
+ * other holder; one that has consented never promises again, and one that has promised does not
+ * consent until the promise has run out. Without consent the taker gets the other half, until it
+ * is sure that the former holder has stopped. The consent of one that holds its own seat without
+ * consent does not count: the former holder may still count on the promises of the one before it.
  */
 import type { EntryId } from '../shared/ids.js';
 
@@ -43,18 +44,12 @@
  *
  * @param book - What this entry has promised so far.
  * @param term - The term of the one that asks.
- * @param isFresh - Whether this entry's own lease is in force, so that it has the platform.
  * @param nowMs - The time.
  * @returns The promise, if it can be given.
  */
-export const answerPromise = (
-  book: SeatBook,
-  term: SeatTerm,
-  isFresh: boolean,
-  nowMs: number,
-): SeatAnswer => {
+export const answerPromise = (book: SeatBook, term: SeatTerm, nowMs: number): SeatAnswer => {
   const key = termKey(term);
-  if (isFresh || book.consented.has(key)) return { isGranted: false, book };
+  if (book.consented.has(key)) return { isGranted: false, book };
   const promisedUntilMs = new Map(book.promisedUntilMs).set(key, nowMs + PROMISE_MS);
   return { isGranted: true, book: { ...book, promisedUntilMs } };
 };
@@ -64,23 +59,45 @@
  *
  * @param book - What this entry has promised so far.
  * @param term - The term that has lapsed.
- * @param isFresh - Whether this entry's own lease is in force.
+ * @param isEntitled - Whether this entry's own lease is in force and was taken with consent.
  * @param nowMs - The time.
  * @returns The consent, if it can be given.
  */
 export const answerConsent = (
   book: SeatBook,
   term: SeatTerm,
-  isFresh: boolean,
+  isEntitled: boolean,
   nowMs: number,
 ): SeatAnswer => {
   const key = termKey(term);
-  if (!isFresh || nowMs < (book.promisedUntilMs.get(key) ?? -Infinity)) {
+  if (!isEntitled || nowMs < (book.promisedUntilMs.get(key) ?? -Infinity)) {
     return { isGranted: false, book };
   }
   return { isGranted: true, book: { ...book, consented: new Set(book.consented).add(key) } };
 };
 
+/**
+ * Tells whether this entry has consented to the end of a term; its holder's word counts no more.
+ *
+ * @param book - What this entry has consented to.
+ * @param term - The term.
+ * @returns True if the term may have been taken over.
+ */
+export const hasConsented = (book: SeatBook, term: SeatTerm): boolean =>
+  book.consented.has(termKey(term));
+
+/**
+ * Tells until when this entry's promise may carry a holder.
+ *
+ * @param book - What this entry has promised.
+ * @param holder - The holder.
+ * @returns The end of the last promise to it, or minus infinity.
+ */
+export const promisedUntilMs = (book: SeatBook, holder: EntryId): number =>
+  Array.from(book.promisedUntilMs)
+    .filter(([key]) => key.endsWith(`/${holder}`))
+    .reduce((latest, [, untilMs]) => Math.max(latest, untilMs), -Infinity);
+
 const portions: Record<SeatPortion, (share: number) => number> = {
   full: (share) => share,
   continuing: (share) => Math.ceil(share / 2),
--- a/packages/daemon/src/control/data-centre-agent.ts
+++ b/packages/daemon/src/control/data-centre-agent.ts
@@ -95,7 +95,8 @@
       else log.info('task-not-started', { jobId: placement.jobId, detail: started.error.detail });
     },
     drain: async ({ task }) => {
-      await workers.drain(task);
+      const drained = await workers.drain(task);
+      if (drained.isOk()) await handlers.stop({ kind: 'stop', task });
     },
     stop: async ({ task }) => {
       if (task.service !== null && !(await isQuiet(endpointIdOf(task)))) return;
--- a/packages/daemon/src/control/pool-control.ts
+++ b/packages/daemon/src/control/pool-control.ts
@@ -59,6 +59,8 @@
 const EPOCHS_PER_LEASE = 2 ** 24;
 /** Changes that share one transaction. */
 const MOST_CHANGES_PER_TRANSACTION = 32;
+/** A turn that has changed something is followed by another at once, but not without end. */
+const MOST_TURNS_PER_TICK = 4;
 
 type Rows = ReadonlyMap<string, Versioned<unknown>>;
 
@@ -178,55 +180,59 @@
     };
   };
 
-  const commit = async (group: readonly ControlChange[]): Promise<void> => {
+  /** Gives the number of changes that were committed. */
+  const commit = async (group: readonly ControlChange[]): Promise<number> => {
     const outcome = await table.transact({
       checks: mergeChecks(group),
       writes: group.flatMap(({ writes }) => writes),
     });
     if (outcome.isErr()) {
       log.warn('control-write-failed', { pool, detail: outcome.error.detail });
-      return;
+      return 0;
     }
     if (outcome.value.kind === 'committed') {
       metrics.count('control_changes', group.length);
       group.forEach(({ subject, reason }) => log.info('control-change', { pool, subject, reason }));
-      return;
+      return group.length;
     }
     metrics.count('control_conflicts');
     log.info('control-conflict', { pool, key: outcome.value.key });
     // One conflict must not hold up the others.
-    if (group.length > 1) {
-      for (let index = 0; index < group.length; index += 1) {
-        await commit([group[index] as ControlChange]);
-      }
+    let committed = 0;
+    for (let index = 0; group.length > 1 && index < group.length; index += 1) {
+      committed += await commit([group[index] as ControlChange]);
     }
+    return committed;
   };
 
-  const carryOut = async (actions: readonly ControlAction[]): Promise<void> => {
+  const carryOut = async (actions: readonly ControlAction[]): Promise<number> => {
+    let committed = 0;
     const changes = actions.filter((one): one is ControlChange => one.kind === 'write');
     const groups = toGroups(changes);
     for (let index = 0; index < groups.length; index += 1) {
-      if (!lease.holds()) return;
-      await commit(groups[index] as readonly ControlChange[]);
+      if (!lease.holds()) return committed;
+      committed += await commit(groups[index] as readonly ControlChange[]);
     }
     const reboots = actions.flatMap((one) => (one.kind === 'reboot' ? [one] : []));
     await Promise.all(
       reboots.map(({ hostId, requestName }) => hostList.reboot(hostId, requestName)),
     );
+    return committed;
   };
 
-  const turn = async (): Promise<void> => {
+  /** Gives the number of changes that were committed. */
+  const turn = async (): Promise<number> => {
     const listed = await hostList.list();
-    if (listed.isErr()) return;
+    if (listed.isErr()) return 0;
     takeSightings(listed.value);
     const rows = await readRows();
-    if (!rows || !lease.holds()) return;
+    if (!rows || !lease.holds()) return 0;
     const startedMs = nowMs();
     const plan = planPoolTurn(toWorld(rows), nowMs());
     metrics.time('control_turn', (nowMs() - startedMs) * 1000);
     withheld = plan.withheld;
     nextEpoch = plan.nextEpoch;
-    await carryOut(plan.actions);
+    return carryOut(plan.actions);
   };
 
   const tick = async (): Promise<void> => {
@@ -235,8 +241,12 @@
     if (lease.holds() !== heldBefore) {
       log.info(lease.holds() ? 'control-taken' : 'control-lost', { pool, epoch: lease.epoch() });
     }
-    if (lease.holds()) await turn();
-    else withheld = [];
+    if (!lease.holds()) withheld = [];
+    let turns = 0;
+    while (lease.holds() && turns < MOST_TURNS_PER_TICK) {
+      turns += 1;
+      if ((await turn()) === 0) return;
+    }
   };
 
   return {
--- /dev/null
+++ b/packages/daemon/src/data-path/attempts.test.ts
@@ -0,0 +1,135 @@
+import { randomUUID } from 'node:crypto';
+
+import type { ExecutorFault, StandInWorkers } from '@valvelatch/stand-ins';
+import { afterAll, afterEach, beforeAll, describe, expect, it } from 'vitest';
+
+import {
+  executionsOf,
+  send,
+  startDeployment,
+  waitUntil,
+  type Deployment,
+  type TestEntry,
+} from '../testing/deployment.fixtures.js';
+
+describe('attempts at endpoints that fail', () => {
+  let deployment: Deployment;
+  let at: TestEntry;
+  let workers: StandInWorkers;
+
+  beforeAll(async () => {
+    deployment = await startDeployment({ executors: 3, requestTimeoutMs: 1500 });
+    [at] = deployment.entries as [TestEntry];
+    workers = deployment.workers.get('east') as StandInWorkers;
+  });
+  afterEach(async () => {
+    workers.setExecutorFault('*', 'none');
+    // Good answers earn the retries that the case before has spent, and clear the endpoints.
+    await waitUntil('many good answers', async () => {
+      const answers = await Promise.all(Array.from({ length: 250 }, () => send(at)));
+      return answers.every(({ status }) => status === 200);
+    });
+  });
+  afterAll(() => deployment.close());
+
+  const sendOnce = (key: string, headers: Record<string, string> = {}) =>
+    send(at, { body: key, headers: { 'idempotency-key': key, ...headers } });
+
+  describe('a request that is not repeatable', () => {
+    const cases: readonly [ExecutorFault, number, string, string, number][] = [
+      ['not-run', 503, 'notRun', 'endpoint-refused', 0],
+      ['fail-fast', 500, 'ran', '', 0],
+      ['half-answer', 502, 'ran', 'answer-incomplete', 1],
+      ['wrong-answer', 502, 'ran', 'answer-incomplete', 1],
+      ['reset-before', 503, 'mayHaveRun', 'endpoint-unreachable', 0],
+      ['reset-after', 503, 'mayHaveRun', 'endpoint-unreachable', 1],
+    ];
+
+    it.each(cases)(
+      'meets %s: status %i, verdict %s',
+      async (fault, status, verdict, reason, executions) => {
+        workers.setExecutorFault('*', fault);
+        const key = randomUUID();
+        expect(await sendOnce(key)).toMatchObject({ status, verdict, reason });
+        expect(executionsOf(deployment, key)).toBe(executions);
+      },
+    );
+
+    it('gets its final answer at the deadline, not later than that', async () => {
+      workers.setExecutorFault('*', 'hang');
+      const key = randomUUID();
+      const startedMs = performance.now();
+      const answer = await sendOnce(key, { 'valvelatch-deadline-ms': '300' });
+      expect(answer).toMatchObject({
+        status: 504,
+        verdict: 'mayHaveRun',
+        reason: 'deadline-passed',
+      });
+      expect(performance.now() - startedMs).toBeGreaterThanOrEqual(295);
+      expect(executionsOf(deployment, key)).toBe(1);
+    });
+
+    it('is sent on where an endpoint says that it did not run it', async () => {
+      workers.setExecutorFault('routing-0', 'not-run');
+      const keys = Array.from({ length: 12 }, () => randomUUID());
+      const answers = await Promise.all(keys.map((key) => sendOnce(key)));
+      expect(answers.map(({ status }) => status)).toEqual(keys.map(() => 200));
+      expect(keys.map((key) => executionsOf(deployment, key))).toEqual(keys.map(() => 1));
+    });
+  });
+
+  describe('a repeatable request', () => {
+    it.each(['fail-fast', 'half-answer', 'wrong-answer', 'reset-before', 'reset-after'] as const)(
+      'is answered by another endpoint where one meets %s',
+      async (fault) => {
+        workers.setExecutorFault('routing-1', fault);
+        const bodies = Array.from({ length: 20 }, () => randomUUID());
+        const answers = await Promise.all(bodies.map((body) => send(at, { body })));
+        expect(answers.filter(({ status }) => status !== 200)).toEqual([]);
+        expect(answers.map(({ text }) => text)).toEqual(bodies);
+      },
+    );
+
+    it('is not retried without end where all endpoints fail', async () => {
+      const before = workers.report().served;
+      workers.setExecutorFault('*', 'reset-before');
+      const answers = await Promise.all(Array.from({ length: 40 }, () => send(at)));
+      expect(answers.every(({ status }) => status === 503)).toBe(true);
+      expect(workers.report().served).toBe(before);
+    });
+  });
+
+  describe('whole answers', () => {
+    it('gives each of many callers exactly its own answer or an honest error', async () => {
+      const [first, second] = deployment.entries as [TestEntry, TestEntry];
+      const faults: readonly ExecutorFault[] = [
+        'none',
+        'half-answer',
+        'none',
+        'wrong-answer',
+        'reset-after',
+        'none',
+      ];
+      const timer = setInterval(() => {
+        const fault = faults[Math.floor(performance.now() / 20) % faults.length] as ExecutorFault;
+        workers.setExecutorFault('routing-2', fault);
+      }, 20);
+      const bodies = Array.from({ length: 1500 }, (_, index) => `${index}/${randomUUID()}`);
+      const answers = await Promise.all(
+        bodies.map((body, index) =>
+          send(index % 2 === 0 ? first : second, {
+            body,
+            headers: { 'x-work-ms': String(index % 17), 'valvelatch-deadline-ms': '30000' },
+          }),
+        ),
+      );
+      clearInterval(timer);
+      const wrong = answers.filter(
+        ({ status, text }, index) => status === 200 && text !== bodies[index],
+      );
+      expect(wrong).toEqual([]);
+      expect(answers.every(({ status, verdict }) => status === 200 || verdict !== '')).toBe(true);
+      expect(answers.filter(({ status }) => status === 200).length).toBeGreaterThan(100);
+    });
+  });
+});
--- a/packages/daemon/src/data-path/callers-server.ts
+++ b/packages/daemon/src/data-path/callers-server.ts
@@ -28,6 +28,7 @@
 
 const PREFIX = '/services/';
 const MOST_NAME_LENGTH = 128;
+const NOT_FOUND = 404;
 const KEY_PATTERN = /^[\x21-\x7e]{1,200}$/;
 const methods = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'] as const;
 
@@ -62,11 +63,16 @@
  *
  * @param reply - The reply.
  * @param refusal - The refusal.
+ * @param status - The HTTP status, where it is not the usual one of the reason.
  * @returns The reply, sent.
  */
-export const sendRefusal = (reply: FastifyReply, refusal: Refusal): FastifyReply =>
+export const sendRefusal = (
+  reply: FastifyReply,
+  refusal: Refusal,
+  status = statusOfRefusal(refusal.reason),
+): FastifyReply =>
   reply
-    .code(statusOfRefusal(refusal.reason))
+    .code(status)
     .header('retry-after', String(refusal.retryAfterS))
     .header(callerHeader.verdict, refusal.verdict)
     .header(callerHeader.reason, refusal.reason)
@@ -124,29 +130,21 @@
   app.removeAllContentTypeParsers();
   app.addContentTypeParser('*', { parseAs: 'buffer' }, (_, body, done) => done(null, body));
 
-  const malformed = (reply: FastifyReply, requestId: RequestId, detail: string) =>
-    sendRefusal(reply, {
-      verdict: 'notRun',
-      reason: 'malformed-request',
-      detail,
-      retryAfterS: 1,
-      requestId,
-    });
-
-  app.setErrorHandler((error: { statusCode?: number; message: string }, request, reply) => {
-    const status = error.statusCode ?? 500;
-    // Only faults in reading the request get here; a server error would be one of ours.
-    return malformed(reply, brand<RequestId>(String(request.id)), error.message).code(
-      status < 500 ? status : 500,
-    );
-  });
-  app.setNotFoundHandler((request, reply) =>
-    malformed(
+  const malformed = (reply: FastifyReply, requestId: RequestId, detail: string, status?: number) =>
+    sendRefusal(
       reply,
-      brand<RequestId>(String(request.id)),
-      `expected a path of the form ${PREFIX}NAME/...`,
-    ).code(404),
+      { verdict: 'notRun', reason: 'malformed-request', detail, retryAfterS: 1, requestId },
+      status,
+    );
+
+  // Only faults in reading the request get here; nothing has been sent to an endpoint yet.
+  app.setErrorHandler((error: { statusCode?: number; message: string }, request, reply) =>
+    malformed(reply, brand<RequestId>(String(request.id)), error.message, error.statusCode ?? 500),
   );
+  app.setNotFoundHandler((request, reply) => {
+    const detail = `expected a path of the form ${PREFIX}NAME/...`;
+    return malformed(reply, brand<RequestId>(String(request.id)), detail, NOT_FOUND);
+  });
 
   app.get('/healthz', (_, reply) =>
     isHealthy() ? reply.send('ok\n') : reply.code(503).send('stopping\n'),
--- a/packages/daemon/src/data-path/claim-keeper.ts
+++ b/packages/daemon/src/data-path/claim-keeper.ts
@@ -1,4 +1,4 @@
-/** Claims of requests that are not repeatable, kept in the platform's table. */
+/** Claims of requests that are not repeatable: in the platform's table, or in memory without it. */
 import { createHash } from 'node:crypto';
 
 import {
@@ -8,14 +8,17 @@
   type EntryId,
   type KeptAnswer,
   type RefusalReason,
+  type RequestId,
   type Verdict,
 } from '@valvelatch/core';
 import type { GroupCommit, TableClient } from '@valvelatch/platform';
 
 import type { WholeAnswer } from './attempt.js';
+import type { OutageClaims } from './outage-claims.js';
 
 /** A request that wants to be claimed. */
 export type ClaimRequest = {
+  readonly requestId: RequestId;
   readonly key: string;
   readonly service: string;
   readonly method: string;
@@ -45,17 +48,29 @@
 };
 
 /** The keeper of claims. */
-export type ClaimKeeper = { readonly claim: (request: ClaimRequest) => Promise<ClaimOutcome> };
+export type ClaimKeeper = {
+  readonly claim: (request: ClaimRequest) => Promise<ClaimOutcome>;
+  /** Releases claims whose writing was in doubt and whose requests were refused. */
+  readonly releaseStrays: () => Promise<void>;
+};
 
 /** Options for the keeper. */
 export type ClaimKeeperOptions = {
   readonly table: TableClient;
   readonly commits: GroupCommit;
+  readonly outage: OutageClaims;
+  /** Data centres that may hold claims which the table does not show. */
+  readonly inDoubt: () => readonly string[];
   readonly self: EntryId;
   /** Larger answers are not kept; a resend is told that the request ran. */
   readonly mostKeptBytes?: number;
 };
 
+type Stray = { readonly key: string; readonly row: ClaimRow };
+type WriteResult = ClaimOutcome | 'raced' | 'away';
+
+const MOST_STRAYS = 10_000;
+
 const fingerprintOf = ({ method, path, body }: ClaimRequest): string => {
   const hash = createHash('sha256').update(`${method} ${path}\n`);
   return (body === null ? hash : hash.update(body)).digest('base64url');
@@ -71,21 +86,44 @@
   };
 };
 
+const unknownClaim = (where: string): ClaimOutcome => ({
+  kind: 'refused',
+  verdict: 'mayHaveRun',
+  reason: 'claim-unknown',
+  detail:
+    `${where} may hold an earlier claim of this key that cannot be seen now; ` +
+    'a request that was never sent before may say valvelatch-attempt: first',
+});
+
+const raceLost: ClaimOutcome = {
+  kind: 'refused',
+  verdict: 'mayHaveRun',
+  reason: 'already-running',
+  detail: 'the same key is being sent through another entry at this moment',
+};
+
 /**
  * Builds the keeper.
  *
- * @param options - The table, the group commit, and who claims.
+ * @param options - The table, the group commit, the claims in memory, and who claims.
  * @returns The keeper.
  */
 export const createClaimKeeper = ({
   table,
   commits,
+  outage,
+  inDoubt,
   self,
   mostKeptBytes = 16_384,
 }: ClaimKeeperOptions): ClaimKeeper => {
-  const hold = (key: string, row: ClaimRow, version: number): HeldClaim => {
+  const strays: Stray[] = [];
+
+  const holdInTable = (key: string, row: ClaimRow, version: number): HeldClaim => {
     const write = async (next: ClaimRow): Promise<void> => {
-      await commits.submit({ checks: [{ key, version }], writes: [{ key, value: next }] });
+      await commits.submit({
+        checks: [{ key: rowKey.claim(key), version }],
+        writes: [{ key: rowKey.claim(key), value: next }],
+      });
     };
     return {
       release: () => write({ ...row, state: 'released' }),
@@ -93,61 +131,131 @@
     };
   };
 
-  const readClaim = async (key: string) =>
-    (await table.read([key])).map(([row]) => ({
-      row: (row?.value ?? null) as ClaimRow | null,
-      version: row?.version ?? 0,
-    }));
-
-  const unavailable = (detail: string): ClaimOutcome => ({
-    kind: 'refused',
-    verdict: 'notRun',
-    reason: 'claim-unavailable',
-    detail: `the claim cannot be written: ${detail}`,
+  const holdInMemory = (key: string, row: ClaimRow): HeldClaim => ({
+    release: async () => outage.settle({ key, row: { ...row, state: 'released' } }),
+    finish: async (answer) =>
+      outage.settle({ key, row: { ...row, state: 'done', answer: keep(answer, mostKeptBytes) } }),
   });
 
-  const writeClaim = async (
-    key: string,
+  const newRow = (request: ClaimRequest, fingerprint: string): ClaimRow => ({
+    service: request.service,
+    fingerprint,
+    entryId: self,
+    claimId: request.requestId,
+    state: 'claimed',
+    answer: null,
+    claimedAtMs: Date.now(),
+  });
+
+  const write = async (
+    { key, isFirstAttempt }: ClaimRequest,
     row: ClaimRow,
     version: number,
-  ): Promise<ClaimOutcome | 'raced'> => {
+  ): Promise<WriteResult> => {
+    const doubtCheck = isFirstAttempt ? [] : [{ key: rowKey.doubt, version: 0 }];
     const outcome = await commits.submit({
-      checks: [{ key, version }],
-      writes: [{ key, value: row }],
+      checks: [{ key: rowKey.claim(key), version }, ...doubtCheck],
+      writes: [{ key: rowKey.claim(key), value: row }],
     });
-    if (outcome.isErr()) return unavailable(outcome.error.detail);
-    if (outcome.value.kind === 'conflict') return 'raced';
-    return { kind: 'claimed', claim: hold(key, row, outcome.value.version) };
+    if (outcome.isErr()) {
+      // The request will not be sent; the claim may stand all the same and is released later.
+      if (outcome.error.kind === 'unknown' && strays.length < MOST_STRAYS)
+        strays.push({ key, row });
+      return 'away';
+    }
+    if (outcome.value.kind === 'committed') {
+      return { kind: 'claimed', claim: holdInTable(key, row, outcome.value.version) };
+    }
+    return outcome.value.key === rowKey.doubt ? unknownClaim('a replaced data centre') : 'raced';
   };
 
-  const claim = async (request: ClaimRequest): Promise<ClaimOutcome> => {
-    const key = rowKey.claim(request.key);
-    const fingerprint = fingerprintOf(request);
-    const row: ClaimRow = {
-      service: request.service,
-      fingerprint,
-      entryId: self,
-      state: 'claimed',
-      answer: null,
-      claimedAtMs: Date.now(),
-    };
-    // A first attempt is written blind: one trip to the table where nothing stands in its way.
-    const written = await writeClaim(key, row, 0);
-    if (written !== 'raced') return written;
-    const read = await readClaim(key);
-    if (read.isErr()) return unavailable(read.error.detail);
-    const decision = decideClaim(read.value.row, fingerprint);
-    if (decision.kind === 'refuse') return { ...decision, kind: 'refused' };
-    if (decision.kind === 'replay') return decision;
-    const again = await writeClaim(key, row, read.value.version);
-    if (again !== 'raced') return again;
+  const decide = (row: ClaimRow | null, fingerprint: string): ClaimOutcome | 'claim' => {
+    const decision = decideClaim(row, fingerprint);
+    if (decision.kind === 'claim') return 'claim';
+    return decision.kind === 'refuse' ? { ...decision, kind: 'refused' } : decision;
+  };
+
+  const claimInMemory = async (request: ClaimRequest, row: ClaimRow): Promise<ClaimOutcome> => {
+    if (!outage.isOpen()) {
+      return {
+        kind: 'refused',
+        verdict: 'notRun',
+        reason: 'claim-unavailable',
+        detail: 'the platform is away and the claim cannot be kept safely without it',
+      };
+    }
+    if (!request.isFirstAttempt) return unknownClaim('another data centre');
+    const { key } = request;
+    if (await outage.take({ key, row })) {
+      return { kind: 'claimed', claim: holdInMemory(key, row) };
+    }
     return {
       kind: 'refused',
-      verdict: 'mayHaveRun',
-      reason: 'already-running',
-      detail: 'the same key is being sent through another entry at this moment',
+      verdict: 'notRun',
+      reason: 'claim-unavailable',
+      detail: 'another entry of this data centre could not keep the claim',
     };
   };
 
-  return { claim };
+  const claimOverExisting = async (
+    request: ClaimRequest,
+    row: ClaimRow,
+  ): Promise<ClaimOutcome | 'away'> => {
+    const read = await table.read([rowKey.claim(request.key)]);
+    if (read.isErr()) return 'away';
+    const [stored] = read.value;
+    const known = (stored?.value ?? null) as ClaimRow | null;
+    const decision = decide(known, row.fingerprint);
+    if (decision !== 'claim') return decision;
+    const [centre] = request.isFirstAttempt || known !== null ? [] : inDoubt();
+    if (centre !== undefined) return unknownClaim(`data centre ${centre}`);
+    const again = await write(request, row, stored?.version ?? 0);
+    return again === 'raced' ? raceLost : again;
+  };
+
+  const claimInTable = async (
+    request: ClaimRequest,
+    row: ClaimRow,
+  ): Promise<ClaimOutcome | 'away'> => {
+    // Without doubt it is written blind: one trip to the table where nothing stands in its way.
+    const mayWriteBlind = request.isFirstAttempt || inDoubt().length === 0;
+    if (!mayWriteBlind) return claimOverExisting(request, row);
+    const written = await write(request, row, 0);
+    return written === 'raced' ? claimOverExisting(request, row) : written;
+  };
+
+  const claim = async (request: ClaimRequest): Promise<ClaimOutcome> => {
+    const fingerprint = fingerprintOf(request);
+    const row = newRow(request, fingerprint);
+    const remembered = outage.find(request.key);
+    if (remembered) {
+      const decision = decide(remembered, fingerprint);
+      if (decision !== 'claim') return decision;
+    }
+    if (outage.isOpen()) return claimInMemory(request, row);
+    const inTable = await claimInTable(request, row);
+    return inTable === 'away' ? claimInMemory(request, row) : inTable;
+  };
+
+  const releaseStray = async ({ key, row }: Stray): Promise<boolean> => {
+    const read = await table.read([rowKey.claim(key)]);
+    if (read.isErr()) return false;
+    const [stored] = read.value;
+    const known = (stored?.value ?? null) as ClaimRow | null;
+    if (!stored || known?.claimId !== row.claimId || known.state !== 'claimed') return true;
+    const outcome = await table.transact({
+      checks: [{ key: rowKey.claim(key), version: stored.version }],
+      writes: [{ key: rowKey.claim(key), value: { ...row, state: 'released' } }],
+    });
+    return outcome.isOk();
+  };
+
+  const releaseStrays = async (): Promise<void> => {
+    while (strays.length > 0) {
+      if (!(await releaseStray(strays[0] as Stray))) return;
+      strays.shift();
+    }
+  };
+
+  return { claim, releaseStrays };
 };
--- a/packages/daemon/src/data-path/service-gate.ts
+++ b/packages/daemon/src/data-path/service-gate.ts
@@ -4,9 +4,11 @@
   createAdmissionQueue,
   createRetryBudget,
   dequeue,
+  ejectStalled,
   enqueue,
   isEjected,
   noteFinished,
+  noteSent,
   noteStarted,
   usableEndpoints,
   type AdmissionQueue,
@@ -92,11 +94,12 @@
     return { slots, requestMs: slots === 0 ? 0 : totalMs / slots };
   };
 
+  const usualMs = (): number => capacity().requestMs;
+
   const give = (endpoint: Endpoint, callerId: CallerId): Slot => {
-    const one = endpoint;
-    one.inFlight += 1;
+    noteSent(endpoint, nowMs());
     noteStarted(queue, callerId);
-    return Ok(one);
+    return Ok(endpoint);
   };
 
   const refuse = (reason: RefusalReason, detail: string): Slot => {
@@ -176,6 +179,7 @@
   };
 
   const pump = (): void => {
+    ejectStalled(endpoints, usualMs(), nowMs());
     if (queue.waitingCount === 0) return;
     refuseAllIfNoEndpoint();
     while (queue.waitingCount > 0 && giveNext());
@@ -199,6 +203,6 @@
     },
     pump,
     waitingCount: () => queue.waitingCount,
-    usualMs: () => capacity().requestMs,
+    usualMs,
   };
 };
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -41,7 +41,9 @@
 import { createCallersServer } from './data-path/callers-server.js';
 import { createClaimKeeper } from './data-path/claim-keeper.js';
 import { createConnections } from './data-path/connections.js';
+import { createDoubtWatch } from './data-path/doubt-watch.js';
 import { createEndpointDirectory } from './data-path/endpoint-directory.js';
+import { createOutageClaims, type SharedClaim } from './data-path/outage-claims.js';
 import { createServiceGate, type ServiceGate } from './data-path/service-gate.js';
 import { serveRequest, type ServeContext } from './data-path/serve-request.js';
 import { createLeaseKeeper } from './leases/lease-keeper.js';
@@ -73,8 +75,12 @@
 const PUMP_MS = 20;
 const MESH_TICK_MS = 1000;
 const CONFIG_POLL_MS = 500;
-const SEAT_TICK_MS = 500;
+/** Each lease on a seat is looked at so often, and the seats of others so often. */
+const SEAT_TICKS_PER_LEASE = 12;
+const DOUBT_TICKS_PER_LEASE = 6;
+const CLAIMS_TICK_MS = 1000;
 const AGENT_TICK_MS = 250;
+const LONGEST_WARM_UP_MS = 15_000;
 const POLLERS_PER_DATA_CENTRE = 2;
 const ASK_MS = 1500;
 /** The balancer needs to see the health answer change before the entry stops to listen. */
@@ -179,6 +185,7 @@
     },
     'promise-seat': (term: SeatTerm) => seatKeeper.onPromiseAsked(term),
     'consent-seat': (term: SeatTerm) => seatKeeper.onConsentAsked(term),
+    'keep-claim': (claim: SharedClaim) => outage.keepFor(claim),
   };
 
   const readyServices = (): readonly ServiceName[] =>
@@ -215,12 +222,25 @@
         self,
         durationMs: settings['seat-lease-ms'],
         mayTake,
+        // A renewed seat says that this entry holds no claims which the table does not show.
+        beforeWrite: () => outage.flush(),
       }),
     askPromise: (holder, term) => askEntry(holder, 'promise-seat', term),
     askConsent: (holder, term) => askEntry(holder, 'consent-seat', term),
+    beforeUnconsented: () => doubtWatch.raise(dataCentre),
     log,
   });
 
+  const outage = createOutageClaims({
+    table,
+    lapsedForMs: seatKeeper.lapsedForMs,
+    isContinuing: () => seatKeeper.held()?.portion === 'continuing',
+    leaseMs: settings['seat-lease-ms'],
+    otherHolders: seatKeeper.otherHolders,
+    askKeep: (holder, claim) => askEntry(holder, 'keep-claim', claim),
+  });
+  const doubtWatch = createDoubtWatch({ table });
+
   const directory = createEndpointDirectory({
     configuration: configSync.current,
     seat: seatKeeper.held,
@@ -238,7 +258,7 @@
   const isQuiet = async (endpointId: string): Promise<boolean> => {
     directory.markLeaving(endpointId);
     if (directory.inFlightAt(endpointId) > 0) return false;
-    const others = seatKeeper.holders().filter((holder) => holder !== self);
+    const others = seatKeeper.otherHolders();
     const answers = await Promise.all(
       others.map(
         async (holder) =>
@@ -307,6 +327,18 @@
     return wanted.length === given.length && timingSafeEqual(wanted, given);
   };
 
+  const startedMs = performance.now();
+  /** A new entry watches the seats for a while before it can vouch for claims. */
+  const isWarm = (): boolean =>
+    doubtWatch.inDoubt().length === 0 || performance.now() - startedMs > LONGEST_WARM_UP_MS;
+
+  const claims = createClaimKeeper({
+    table,
+    commits: createGroupCommit({ table }),
+    outage,
+    inDoubt: doubtWatch.inDoubt,
+    self,
+  });
   const connections = createConnections();
   const context: ServeContext = {
     configuration: configSync.current,
@@ -321,7 +353,7 @@
       const share = shareOfSeat(spec.connections, held.seats, held.seat, endpoint.endpointId);
       return Math.min(share, endpoint.slotShare);
     },
-    claims: createClaimKeeper({ table, commits: createGroupCommit({ table }), self }),
+    claims,
     remoteEntries: meshLink.remoteEntries,
     forwardProof,
     mostAnswerBytes: settings['most-body-bytes'],
@@ -339,18 +371,18 @@
 
   const callers = createCallersServer({
     serve: async (request) => {
-      const startedMs = performance.now();
+      const receivedMs = performance.now();
       inFlight += 1;
       try {
         return await serveRequest(context, request);
       } finally {
         inFlight -= 1;
-        metrics.time('request', (performance.now() - startedMs) * 1000);
+        metrics.time('request', (performance.now() - receivedMs) * 1000);
       }
     },
     newRequestId,
     isForwardProof,
-    isHealthy: () => !isStopping && configSync.isKnown(),
+    isHealthy: () => !isStopping && configSync.isKnown() && isWarm(),
     onRefusal: (refusal, tried, service) => {
       metrics.count(`refused_${refusal.verdict}`);
       rememberDecision(decisions, {
@@ -427,7 +459,24 @@
         if (isPoller || !configSync.isKnown()) await configSync.poll();
       },
     },
-    { name: 'seat', everyMs: SEAT_TICK_MS, run: seatKeeper.tick },
+    {
+      name: 'seat',
+      everyMs: settings['seat-lease-ms'] / SEAT_TICKS_PER_LEASE,
+      run: seatKeeper.tick,
+    },
+    {
+      name: 'doubt',
+      everyMs: settings['seat-lease-ms'] / DOUBT_TICKS_PER_LEASE,
+      run: doubtWatch.tick,
+    },
+    {
+      name: 'claims',
+      everyMs: CLAIMS_TICK_MS,
+      run: async () => {
+        await outage.flush();
+        await claims.releaseStrays();
+      },
+    },
     {
       name: 'agent',
       everyMs: AGENT_TICK_MS,
@@ -451,6 +500,7 @@
     await closed;
     await running.stop();
     await Promise.all(Array.from(controls.values(), (control) => control.release()));
+    await outage.flush();
     await seatKeeper.release();
     meshLink.leave();
     await operators.close();
--- a/packages/daemon/src/leases/lease-keeper.ts
+++ b/packages/daemon/src/leases/lease-keeper.ts
@@ -16,6 +16,8 @@
   /** Reads the row and takes or renews the lease if it is due. */
   readonly tick: () => Promise<void>;
   readonly holds: () => boolean;
+  /** Until when the lease is held, by this entry's clock; in the past once it has lapsed. */
+  readonly heldUntilMs: () => number;
   readonly epoch: () => number;
   /** The version of the fence row, which changes with each new holder. */
   readonly fence: () => { readonly key: string; readonly version: number };
@@ -34,6 +36,8 @@
   readonly marginMs?: number;
   /** False for one that only watches. */
   readonly mayTake?: () => boolean;
+  /** Work that must be done before each taking or renewal; false puts it off. */
+  readonly beforeWrite?: () => Promise<boolean>;
   readonly nowMs?: () => number;
 };
 
@@ -52,6 +56,7 @@
   durationMs,
   marginMs = durationMs * MARGIN_FRACTION,
   mayTake = () => true,
+  beforeWrite = async () => true,
   nowMs = () => performance.now(),
 }: LeaseKeeperOptions): LeaseKeeper => {
   const key = rowKey.lease(name);
@@ -81,9 +86,12 @@
     const [row] = rows.value;
     const value = (row?.value ?? null) as LeaseRow | null;
     state = observeLease(state, { row: value, version: row?.version ?? 0 }, nowMs());
-    if (!mayTake() && !holdsLease(state, nowMs())) return;
+    // A lapsed lease that nobody has taken since may be taken again by its last holder.
+    if (!mayTake() && value?.holder !== self) return;
     const step = nextLeaseStep(state, nowMs());
-    if (step.kind === 'write') await write(step.row, step.expectedVersion);
+    if (step.kind === 'write' && (await beforeWrite())) {
+      await write(step.row, step.expectedVersion);
+    }
   };
 
   const release = async (): Promise<void> => {
@@ -99,6 +107,7 @@
   return {
     tick,
     holds: () => holdsLease(state, nowMs()),
+    heldUntilMs: () => state.heldUntilMs,
     epoch: () => state.seen.row?.epoch ?? 0,
     fence: () => ({ key: fenceKey, version: fenceVersion }),
     lastRow: () => state.seen.row,
--- a/packages/daemon/src/operators/operator-handlers.ts
+++ b/packages/daemon/src/operators/operator-handlers.ts
@@ -79,6 +79,7 @@
     | 'job-cancel'
     | 'wave-start'
     | 'wave-change'
+    | 'doubt-clear'
     | 'explain'
     | 'status',
     Handler
@@ -366,6 +367,22 @@
         : `job ${name} is ${row.phase} already`,
     );
 
+  /** An operator vouches that no claim of a replaced data centre matters any more. */
+  const clearDoubt = async (): Promise<OperatorResult> => {
+    const rows = await table.read([rowKey.doubt]);
+    if (rows.isErr()) return unavailable(rows.error);
+    const [row] = rows.value;
+    if (!row || row.value === null) return { kind: 'not-found', detail: 'there is no doubt' };
+    const outcome = await table.transact({
+      checks: [{ key: rowKey.doubt, version: row.version }],
+      writes: [{ key: rowKey.doubt, value: null }],
+    });
+    if (outcome.isErr()) return unavailable(outcome.error);
+    return outcome.value.kind === 'committed'
+      ? ok(row.value)
+      : { kind: 'conflict', detail: 'the doubt has changed; look at it again' };
+  };
+
   const askAllWithheld = async (subject: string): Promise<readonly Withheld[]> => {
     const others = context.members().filter(({ entryId }) => entryId !== context.self);
     const answers = await Promise.all(
@@ -457,6 +474,7 @@
     'job-cancel': withBody(nameBody, cancelJob),
     'wave-start': withBody(waveStartBody, startWave),
     'wave-change': withBody(waveChangeBody, changeWave),
+    'doubt-clear': withBody(z.strictObject({}), clearDoubt),
     explain: withBody(explainBody, ({ kind, name }) => explainers[kind](name)),
     status: withBody(z.strictObject({}), status),
   };
--- a/packages/daemon/src/seats/seat-keeper.ts
+++ b/packages/daemon/src/seats/seat-keeper.ts
@@ -3,8 +3,10 @@
   answerConsent,
   answerPromise,
   emptySeatBook,
+  hasConsented,
   LONGEST_CONTINUING_MS,
   PROMISE_USE_MS,
+  promisedUntilMs,
   type EntryId,
   type LeaseRow,
   type SeatBook,
@@ -29,8 +31,10 @@
   readonly held: () => HeldSeat | null;
   readonly onPromiseAsked: (term: SeatTerm) => boolean;
   readonly onConsentAsked: (term: SeatTerm) => boolean;
-  /** The holders of all seats of the data centre, as last read. */
-  readonly holders: () => readonly EntryId[];
+  /** The holders of the other seats of the data centre, as last read. */
+  readonly otherHolders: () => readonly EntryId[];
+  /** How long the own lease has lapsed, in milliseconds; negative while it is held. */
+  readonly lapsedForMs: () => number;
   /** True if the holder has surely stopped sending: its lease has lapsed for long enough. */
   readonly hasLapsed: (holder: EntryId, graceMs: number) => boolean;
   readonly release: () => Promise<void>;
@@ -45,6 +49,8 @@
   /** Asks another entry; false where it refuses or cannot be reached. */
   readonly askPromise: (holder: EntryId, term: SeatTerm) => Promise<boolean>;
   readonly askConsent: (holder: EntryId, term: SeatTerm) => Promise<boolean>;
+  /** Called before a seat is taken without consent; false puts the taking off. */
+  readonly beforeUnconsented: () => Promise<boolean>;
   readonly log: Log;
   readonly nowMs?: () => number;
 };
@@ -63,6 +69,7 @@
   createLease,
   askPromise,
   askConsent,
+  beforeUnconsented,
   log,
   nowMs = () => performance.now(),
 }: SeatKeeperOptions): SeatKeeper => {
@@ -84,11 +91,8 @@
 
   const holderOf = ({ lease }: Seat): EntryId | null => lease.lastRow()?.holder ?? null;
 
-  const otherHolders = (except: Seat): readonly EntryId[] =>
-    seats
-      .filter((seat) => seat !== except)
-      .flatMap((seat) => holderOf(seat) ?? [])
-      .filter((holder) => holder !== self);
+  const otherSeats = (except: Seat | null): readonly Seat[] =>
+    seats.filter((seat) => seat !== except && (holderOf(seat) ?? self) !== self);
 
   const termOf = (seat: Seat, row: LeaseRow): SeatTerm => ({
     seat: seat.index,
@@ -101,10 +105,11 @@
     term: SeatTerm,
     ask: (holder: EntryId, one: SeatTerm) => Promise<boolean>,
   ): Promise<boolean> => {
-    const others = otherHolders(seat);
+    const others = otherSeats(seat).map((one) => termOf(one, one.lease.lastRow() as LeaseRow));
     // With no other holder there is nobody who could rule out that two use the seat.
     if (others.length === 0) return false;
-    const answers = await Promise.all(others.map((holder) => ask(holder, term)));
+    if (others.some((other) => hasConsented(book, other))) return false;
+    const answers = await Promise.all(others.map(({ holder }) => ask(holder, term)));
     return answers.every(Boolean);
   };
 
@@ -116,6 +121,7 @@
     if (former !== null && !isLapsed) return false;
     const consent =
       former === null || (await allAgree(seat, termOf(seat, row as LeaseRow), askConsent));
+    if (!consent && !(await beforeUnconsented())) return false;
     const one = seat;
     one.mayTake = true;
     await one.lease.tick();
@@ -180,23 +186,27 @@
     return own && usable ? { seats: seats.length, seat: own.index, portion: usable } : null;
   };
 
-  const isFresh = (): boolean => own !== null && own.lease.holds();
+  const isEntitled = (): boolean => own !== null && own.lease.holds() && isConsented;
 
   return {
     tick,
     held,
     onPromiseAsked: (term) => {
-      const answer = answerPromise(book, term, isFresh(), nowMs());
+      const answer = answerPromise(book, term, nowMs());
       book = answer.book;
       return answer.isGranted;
     },
     onConsentAsked: (term) => {
-      const answer = answerConsent(book, term, isFresh(), nowMs());
+      const answer = answerConsent(book, term, isEntitled(), nowMs());
       book = answer.book;
       return answer.isGranted;
     },
-    holders: () => seats.flatMap((seat) => holderOf(seat) ?? []),
+    otherHolders: () => otherSeats(own).map((seat) => holderOf(seat) as EntryId),
+    lapsedForMs: () => (own ? nowMs() - own.lease.heldUntilMs() : -Infinity),
     hasLapsed: (holder, graceMs) =>
+      // Without a promise of this entry the holder cannot go on past its lease.
+      own !== null &&
+      nowMs() > promisedUntilMs(book, holder) + graceMs &&
       seats
         .filter((seat) => holderOf(seat) === holder)
         .every(({ lease }) => {
--- /dev/null
+++ b/packages/daemon/src/settings/settings.test.ts
@@ -0,0 +1,44 @@
+import { describe, expect, it } from 'vitest';
+
+import { checkSettings, environmentName, settingsTable } from './settings.js';
+
+const good = {
+  'entry-id': 'one',
+  'data-centre': 'east',
+  'platform-url': 'http://127.0.0.1:1',
+  'workers-url': 'http://127.0.0.1:2',
+  'operator-key': 'an-operator-key-00',
+  'mesh-key': 'a-mesh-key-0000000',
+};
+
+describe('settings', () => {
+  it('fills in the defaults', () => {
+    const settings = checkSettings(good).unwrap();
+    expect(settings['callers-port']).toBe(0);
+    expect(settings['trace-exporter']).toBe('none');
+    expect(settings.seeds).toEqual([]);
+  });
+
+  it.each([
+    ['callers-port', '70000'],
+    ['callers-port', 'eighty'],
+    ['entry-id', 'Not A Name'],
+    ['platform-url', 'ftp://somewhere'],
+    ['seeds', 'http://not-a-socket'],
+    ['operator-key', 'short'],
+    ['log-level', 'loud'],
+    ['listen-host', 'example'],
+  ] as const)('names flag, value and what is accepted for --%s %s', (flag, value) => {
+    const fault = checkSettings({ ...good, [flag]: value }).unwrapErr();
+    expect(fault).toBe(
+      `--${flag} (${environmentName(flag)}): got '${value}', expected ${settingsTable[flag].accepts}`,
+    );
+  });
+
+  it('says so when a setting without a default is missing', () => {
+    const { 'mesh-key': _, ...rest } = good;
+    expect(checkSettings(rest).unwrapErr()).toContain(
+      '--mesh-key (VALVELATCH_MESH_KEY): got nothing',
+    );
+  });
+});
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -18,7 +18,8 @@
   /** Unknown until the peer has said hello. */
   peer: EntryId | null;
   heardAtMs: number;
-  readonly isOutgoing: boolean;
+  /** Questions that wait for an answer over this link. */
+  readonly asked: Set<number>;
 };
 
 type PendingAsk = {
@@ -132,12 +133,17 @@
     }
   };
 
-  const adopt = (socket: WebSocket, isOutgoing: boolean): Link => {
-    const link: Link = { socket, peer: null, heardAtMs: nowMs(), isOutgoing };
+  const forget = (link: Link): void => {
+    links.delete(link);
+    link.asked.forEach((askId) => settleAsk(askId, false, 'the link was closed'));
+  };
+
+  const adopt = (socket: WebSocket): Link => {
+    const link: Link = { socket, peer: null, heardAtMs: nowMs(), asked: new Set() };
     links.add(link);
     socket.on('message', (data: Buffer) => receive(link, data));
     socket.on('error', () => socket.terminate());
-    socket.on('close', () => links.delete(link));
+    socket.on('close', () => forget(link));
     return link;
   };
 
@@ -149,7 +155,7 @@
   });
   await once(server, 'listening');
   server.on('connection', (socket) => {
-    sendOn(adopt(socket, false), { type: 'hello', member: self() });
+    sendOn(adopt(socket), { type: 'hello', member: self() });
   });
 
   const open = (url: string): WebSocket =>
@@ -163,7 +169,7 @@
     if (dialling.has(url)) return;
     dialling.add(url);
     const socket = open(url);
-    const link = adopt(socket, true);
+    const link = adopt(socket);
     socket.on('open', () => {
       link.heardAtMs = nowMs();
       sendOn(link, { type: 'hello', member: self() });
@@ -181,7 +187,11 @@
     const askId = lastAskId;
     return new Promise((resolve, reject) => {
       const timer = setTimeout(() => settleAsk(askId, false, `no answer in ${ms} ms`), ms);
-      const settled = () => clearTimeout(timer);
+      const settled = () => {
+        clearTimeout(timer);
+        link.asked.delete(askId);
+      };
+      link.asked.add(askId);
       asks.set(askId, {
         resolve: (value) => {
           settled();
@@ -192,7 +202,6 @@
           reject(error);
         },
       });
-      link.socket.once('close', () => settleAsk(askId, false, 'the link was closed'));
       sendOn(link, { type: 'ask', askId, method, payload });
     });
   };
@@ -201,7 +210,7 @@
     const link = linkTo(member.entryId);
     if (link) return askOver(link, method, payload, ms);
     const socket = open(member.meshUrl);
-    const temporary = adopt(socket, true);
+    const temporary = adopt(socket);
     try {
       await once(socket, 'open');
       return await askOver(temporary, method, payload, ms);
