Leaving, planned stops, frozen entries: found by tests with real processes

Cause and change, each with its test failing first: - A frozen entry that woke up used its old share of the slots (5 over): shares now carry the time until which they may be relied on, checked again in the moment before a request goes out. - A planned stop hung on connections that were kept alive: idle ones are closed until the server has ended; one in use is never cut. - A new entry without a seat refused while its neighbours could serve: it passes requests on to entries of its own data centre first. - A configuration that came from a peer as deltas did not count as known. Ruled out for the first: a shorter poll of the tasks (it only narrows the gap).

--- a/bin/quickstart.js
+++ b/bin/quickstart.js
@@ -19,7 +19,7 @@
 
 import { readFiles } from '@valvelatch/cli';
 
-import { runCli, startProcess, stopProcess } from './processes.js';
+import { runCli, startProcess, stopProcess } from '@valvelatch/stand-ins';
 
 const root = fileURLToPath(new URL('..', import.meta.url));
 const OPERATOR_KEY = 'quickstart-operator-key';
--- a/packages/core/src/routing/choose-endpoint.ts
+++ b/packages/core/src/routing/choose-endpoint.ts
@@ -39,6 +39,7 @@
     (one) =>
       !one.isLeaving &&
       one.inFlight < one.slotShare &&
+      nowMs < one.shareUntilMs &&
       !isEjected(one, nowMs) &&
       !exclude.includes(one.endpointId),
   );
--- a/packages/core/src/routing/endpoint.ts
+++ b/packages/core/src/routing/endpoint.ts
@@ -13,6 +13,8 @@
   readonly address: string;
   /** How many requests this entry may have at the endpoint at one time. */
   slotShare: number;
+  /** Until when the share may be relied on; an entry that was frozen finds it run out. */
+  shareUntilMs: number;
   isLeaving: boolean;
   inFlight: number;
   /** Smoothed time of a good answer, in milliseconds. */
@@ -34,6 +36,7 @@
   readonly hostId: HostId;
   readonly address: string;
   readonly slotShare?: number;
+  readonly shareUntilMs?: number;
 };
 
 const FIRST_GUESS_MS = 20;
@@ -50,12 +53,14 @@
   hostId,
   address,
   slotShare = 1,
+  shareUntilMs = Infinity,
 }: EndpointOptions): Endpoint => ({
   endpointId,
   service,
   hostId,
   address,
   slotShare,
+  shareUntilMs,
   isLeaving: false,
   inFlight: 0,
   smoothedMs: FIRST_GUESS_MS,
--- a/packages/daemon/src/config-sync/config-sync.ts
+++ b/packages/daemon/src/config-sync/config-sync.ts
@@ -217,6 +217,7 @@
     deltasAfter,
     takeFromPeer: (deltas) => {
       takeAll(deltas);
+      isKnown ||= configuration.revision > 0;
     },
     takeSnapshotFromPeer: (snapshot) => {
       isKnown = true;
--- /dev/null
+++ b/packages/daemon/src/config-sync/configuration.test.ts
@@ -0,0 +1,161 @@
+import { fc, test } from '@fast-check/vitest';
+import {
+  emptyConfiguration,
+  takeDeltas,
+  takeSnapshot,
+  toSnapshot,
+  type Configuration,
+  type ConfigurationDelta,
+  type Declaration,
+} from '@valvelatch/core';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import {
+  pause,
+  send,
+  startDeployment,
+  waitUntil,
+  type Deployment,
+  type TestEntry,
+} from '../testing/deployment.fixtures.js';
+
+const team = (name: string, quotaCores: number): Declaration => ({
+  kind: 'Team',
+  name,
+  labels: {},
+  spec: { quotaCores, quotaAccelerators: 0 },
+});
+
+const history: readonly ConfigurationDelta[] = Array.from({ length: 12 }, (_, index) => ({
+  revision: index + 1,
+  changeId: `c${index}` as never,
+  author: 'test',
+  upserts: [team(`t${index % 3}`, index + 1)],
+  deletes: index % 5 === 4 ? [`Team/t${(index + 1) % 3}` as const] : [],
+}));
+const states: readonly Configuration[] = history.reduce<Configuration[]>(
+  (sum, delta) => [...sum, takeDeltas(sum[sum.length - 1] as Configuration, [delta])],
+  [emptyConfiguration],
+);
+
+describe('configuration', () => {
+  describe('in force at one entry', () => {
+    const step = fc.oneof(
+      fc.record({ kind: fc.constant('deltas' as const), from: fc.nat(11), count: fc.nat(6) }),
+      fc.record({
+        kind: fc.constant('snapshot' as const),
+        from: fc.nat(12),
+        count: fc.constant(0),
+      }),
+      fc.record({ kind: fc.constant('restart' as const), from: fc.nat(12), count: fc.constant(0) }),
+    );
+    test.prop([fc.array(step, { maxLength: 30 })], { seed: 31 })(
+      'never reverts and is always one that was accepted, whatever comes in which order',
+      (steps) => {
+        let state = emptyConfiguration;
+        steps.forEach(({ kind, from, count }) => {
+          const before = state;
+          if (kind === 'restart') state = emptyConfiguration;
+          if (kind === 'snapshot') {
+            state = takeSnapshot(state, toSnapshot(states[from] as Configuration));
+          }
+          if (kind === 'deltas') {
+            state = takeDeltas(state, history.slice(from, from + count).reverse());
+          }
+          if (kind !== 'restart') expect(state.revision).toBeGreaterThanOrEqual(before.revision);
+          expect(toSnapshot(state)).toEqual(toSnapshot(states[state.revision] as Configuration));
+        });
+      },
+    );
+  });
+
+  describe('among entries', () => {
+    let deployment: Deployment;
+    beforeEach(async () => {
+      deployment = await startDeployment({ dataCentres: ['east', 'west'] });
+    });
+    afterEach(() => deployment.close());
+
+    const withTeam = (quota: number) => [
+      {
+        file: 'all.yaml',
+        text: `${deployment.declarations}---\nkind: Team\nname: late\nspec: { quotaCores: ${quota} }\n`,
+      },
+    ];
+    const revisions = async (): Promise<readonly number[]> => {
+      const [at] = deployment.entries as [TestEntry];
+      const { value } = await deployment.operate(at, 'status', {});
+      return (value as { entries: readonly { revision: number }[] }).entries.map(
+        ({ revision }) => revision,
+      );
+    };
+
+    it('accepts one of two racing operators and shows the other the difference', async () => {
+      const answers = await Promise.all(
+        deployment.entries.slice(0, 2).map((at, index) =>
+          deployment.operate(at, 'apply', {
+            files: withTeam(index + 1),
+            baseRevision: 1,
+            waitMs: 3000,
+          }),
+        ),
+      );
+      expect(answers.map(({ kind }) => kind).sort()).toEqual(['conflict', 'ok']);
+      const loser = answers.find(({ kind }) => kind === 'conflict');
+      expect(loser?.value).toMatchObject({ revision: 2, difference: { changed: ['Team/late'] } });
+      expect(await revisions()).toEqual([2, 2, 2, 2]);
+    });
+
+    it('reaches a new entry from its peers while the platform is away', async () => {
+      deployment.platform.setFault({ mode: 'down' });
+      await pause(100);
+      const added = await deployment.addEntry('east', 'east-entry-new');
+      await waitUntil('the configuration', async () => {
+        const { value } = await deployment.operate(added, 'get', { kind: 'config' });
+        return (value as { revision: number }).revision === 1;
+      });
+      // It holds no seat, but another data centre's entry can serve.
+      await waitUntil('an answer', async () => (await send(added)).status === 200);
+    });
+
+    it('is refused as not run by an entry that knows none', async () => {
+      const alone = await startDeployment({ dataCentres: ['east'], seats: 1, executors: 1 });
+      const [at] = alone.entries as [TestEntry];
+      alone.platform.setFault({ mode: 'down' });
+      await at.entry.stop();
+      await at.platformRelay.close();
+      alone.entries.pop();
+      const added = await alone.addEntry('east', 'east-entry-new');
+      expect(await send(added)).toMatchObject({
+        status: 503,
+        verdict: 'notRun',
+        reason: 'no-configuration',
+      });
+      await alone.close();
+    });
+
+    it('is in force everywhere though entries are replaced and the platform is away for a while', async () => {
+      const [first] = deployment.entries as [TestEntry];
+      const seen: number[] = [];
+      for (let change = 1; change <= 6; change += 1) {
+        if (change === 3) deployment.platform.setFault({ mode: 'down' });
+        if (change === 4) deployment.platform.setFault({ mode: 'none' });
+        const answer = await deployment.operate(first, 'apply', {
+          files: withTeam(change),
+          waitMs: 3000,
+        });
+        if (change === 3) expect(answer.kind).toBe('unavailable');
+        else expect(answer).toMatchObject({ kind: 'ok', value: { unreachable: [] } });
+        seen.push(Math.min(...(await revisions())));
+        if (change === 5) {
+          const [old] = deployment.entries.splice(3, 1) as [TestEntry];
+          await old.entry.stop();
+          await old.platformRelay.close();
+          await deployment.addEntry('west', 'west-entry-new');
+        }
+      }
+      expect(seen).toEqual([...seen].sort((a, b) => a - b));
+      expect(await revisions()).toEqual([6, 6, 6, 6]);
+    });
+  });
+});
--- a/packages/daemon/src/data-path/attempt.ts
+++ b/packages/daemon/src/data-path/attempt.ts
@@ -14,6 +14,8 @@
   readonly requestId: string;
   readonly timeoutMs: number;
   readonly mostAnswerBytes: number;
+  /** Asked once more in the moment before the request goes out. */
+  readonly mayStillSend?: () => boolean;
 };
 
 /** A whole answer of an endpoint. */
@@ -29,7 +31,8 @@
   | {
       readonly kind: 'failed';
       readonly evidence: AttemptEvidence['kind'];
-      readonly reason: 'unreachable' | 'incomplete' | 'too-large' | 'timeout' | 'not-its-own';
+      readonly reason:
+        'not-sent' | 'unreachable' | 'incomplete' | 'too-large' | 'timeout' | 'not-its-own';
       readonly detail: string;
     };
 
@@ -106,6 +109,10 @@
             started.abort(new Error(TIMEOUT_DETAIL));
             return;
           }
+          if (request.mayStillSend?.() === false) {
+            fail('not-sent', 'the share of the endpoint ran out before the request was sent');
+            return;
+          }
           evidence = 'bytes-may-have-left';
         },
         onResponseStart: (_, code, received) => {
--- a/packages/daemon/src/data-path/claims.test.ts
+++ b/packages/daemon/src/data-path/claims.test.ts
@@ -19,7 +19,8 @@
 
   const sendOnce = (at: TestEntry, key: string, headers: Record<string, string> = {}) =>
     send(at, { body: key, headers: { 'idempotency-key': key, ...headers } });
-  const newKeys = (count: number) => Array.from({ length: count }, () => randomUUID());
+  const newKeys = (count: number): readonly string[] =>
+    Array.from({ length: count }, () => randomUUID() as string);
 
   beforeEach(async () => {
     deployment = await startDeployment({ dataCentres: ['east', 'west'] });
--- a/packages/daemon/src/data-path/endpoint-directory.ts
+++ b/packages/daemon/src/data-path/endpoint-directory.ts
@@ -91,6 +91,7 @@
         address: task.address as string,
       });
     endpoint.slotShare = shareAt(endpoint.service, endpointId);
+    endpoint.shareUntilMs = seat()?.untilMs ?? -Infinity;
     endpoint.isLeaving ||= task.phase === 'leaving' || leaving.has(endpointId);
     endpoints.set(endpointId, endpoint);
     return endpoint;
--- a/packages/daemon/src/data-path/serve-request.ts
+++ b/packages/daemon/src/data-path/serve-request.ts
@@ -58,7 +58,7 @@
   | { readonly kind: 'replay'; readonly answer: KeptAnswer }
   | { readonly kind: 'refusal'; readonly refusal: Refusal; readonly tried: readonly string[] };
 
-/** An entry of another data centre that can serve a service. */
+/** Another entry that can serve a service. */
 export type RemoteEntry = { readonly entryId: string; readonly callersUrl: string };
 
 /** What the way of a request depends on. */
@@ -70,7 +70,8 @@
   readonly connections: Connections;
   readonly connectionShare: (service: ServiceName, endpoint: Endpoint) => number;
   readonly claims: ClaimKeeper;
-  readonly remoteEntries: (service: ServiceName) => readonly RemoteEntry[];
+  /** An entry that has endpoints of the service: of this data centre if there is one. */
+  readonly otherEntry: (service: ServiceName) => RemoteEntry | undefined;
   /** Proves to another entry that a request was passed on by one of its own. */
   readonly forwardProof: (requestId: RequestId) => string;
   readonly mostAnswerBytes: number;
@@ -127,6 +128,7 @@
 
 const reasonOfFailure: Record<Extract<AttemptResult, { kind: 'failed' }>['reason'], RefusalReason> =
   {
+    'not-sent': 'seat-missing',
     unreachable: 'endpoint-unreachable',
     incomplete: 'answer-incomplete',
     'not-its-own': 'answer-incomplete',
@@ -184,7 +186,15 @@
   };
 };
 
-const sendTo = async (run: Run, address: string, most: number, added: Record<string, string>) => {
+/** Where an attempt goes, and with which headers besides the caller's. */
+type Target = {
+  readonly address: string;
+  readonly mostConnections: number;
+  readonly added: Readonly<Record<string, string>>;
+  readonly mayStillSend?: () => boolean;
+};
+
+const sendTo = async (run: Run, { address, mostConnections, added, mayStillSend }: Target) => {
   const { context, request } = run;
   const isRemote = added[callerHeader.forwarded] !== undefined;
   const { traceparent } = request.headers as TraceHeaders;
@@ -199,7 +209,7 @@
     [callerHeader.requestId]: request.requestId,
     [callerHeader.deadlineMs]: String(Math.max(1, Math.floor(remainingMs(run)))),
   });
-  const result = await attempt(context.connections.to(address, most), {
+  const result = await attempt(context.connections.to(address, mostConnections), {
     method: request.method,
     path: isRemote ? `/services/${request.service}${request.path}` : request.path,
     headers,
@@ -207,6 +217,7 @@
     requestId: request.requestId,
     timeoutMs: Math.max(1, remainingMs(run)),
     mostAnswerBytes: context.mostAnswerBytes,
+    mayStillSend,
   });
   const classified = classify(result, isRemote);
   hop.end({
@@ -220,8 +231,12 @@
   const { context, request } = run;
   const one = endpoint;
   const startedMs = context.nowMs();
-  const most = context.connectionShare(request.service, one);
-  const classified = await sendTo(run, one.address, most, {});
+  const classified = await sendTo(run, {
+    address: one.address,
+    mostConnections: context.connectionShare(request.service, one),
+    added: {},
+    mayStillSend: () => context.nowMs() < one.shareUntilMs,
+  });
   const nowMs = context.nowMs();
   const outcome = classified.kind === 'good' ? 'answered' : classified.outcome;
   noteOutcome(one, outcome, nowMs - startedMs, gate.endpoints(), nowMs);
@@ -252,16 +267,20 @@
     expectedAttemptMs: gate.usualMs(),
   }) && spendRetry(gate.retryBudget);
 
-/** Passes a request on to a data centre that can serve it, where this one cannot. */
+/** Passes a request on to an entry that can serve it, where this one cannot. */
 const tryRemote = async (run: Run): Promise<RequestOutcome | undefined> => {
   const { context, request } = run;
   if (request.isForwarded) return undefined;
-  const [remote] = context.remoteEntries(request.service);
+  const remote = context.otherEntry(request.service);
   if (!remote) return undefined;
   context.metrics.count('forwarded');
-  const classified = await sendTo(run, remote.callersUrl, REMOTE_CONNECTIONS, {
-    [callerHeader.forwarded]: context.forwardProof(request.requestId),
-    [callerHeader.caller]: request.callerId,
+  const classified = await sendTo(run, {
+    address: remote.callersUrl,
+    mostConnections: REMOTE_CONNECTIONS,
+    added: {
+      [callerHeader.forwarded]: context.forwardProof(request.requestId),
+      [callerHeader.caller]: request.callerId,
+    },
   });
   if (classified.kind === 'good') return { kind: 'answer', answer: classified.answer };
   noteBad(run, `entry ${remote.entryId}`, classified);
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -202,6 +202,7 @@
     configSync,
     readyServices,
     askHandlers,
+    rng,
     log,
   });
 
@@ -354,7 +355,7 @@
       return Math.min(share, endpoint.slotShare);
     },
     claims,
-    remoteEntries: meshLink.remoteEntries,
+    otherEntry: meshLink.otherEntry,
     forwardProof,
     mostAnswerBytes: settings['most-body-bytes'],
     tracing,
@@ -490,14 +491,25 @@
     log.error('loop-failed', { loop: name, detail: String(error) }),
   );
 
+  /** A connection that is kept alive would hold up the end; one that is in use is never cut. */
+  const closeWhenIdle = async (): Promise<void> => {
+    let isClosed = false;
+    const closed = callers.close().then(() => {
+      isClosed = true;
+    });
+    while (!isClosed) {
+      callers.server.closeIdleConnections();
+      await pause(DRAIN_CHECK_MS);
+    }
+    await closed;
+  };
+
   const stop = async (): Promise<void> => {
     isStopping = true;
     log.info('stopping', { inFlight });
     await pause(BALANCER_NOTICE_MS);
     refusesNew = true;
-    const closed = callers.close();
-    while (inFlight > 0) await pause(DRAIN_CHECK_MS);
-    await closed;
+    await closeWhenIdle();
     await running.stop();
     await Promise.all(Array.from(controls.values(), (control) => control.release()));
     await outage.flush();
--- a/packages/daemon/src/mesh-link/mesh-link.ts
+++ b/packages/daemon/src/mesh-link/mesh-link.ts
@@ -5,6 +5,7 @@
   leaveMembership,
   liveMembers,
   noteSilent,
+  pick,
   rendezvousOrder,
   takeGossip,
   tickMembership,
@@ -14,6 +15,7 @@
   type Member,
   type MembershipStep,
   type MeshMessage,
+  type Rng,
   toSnapshot,
   type ServiceName,
 } from '@valvelatch/core';
@@ -31,7 +33,8 @@
   readonly hasDuty: (duty: string, count: number) => boolean;
   /** Like `hasDuty`, over all data centres. */
   readonly hasGlobalDuty: (duty: string) => boolean;
-  readonly remoteEntries: (service: ServiceName) => readonly RemoteEntry[];
+  /** A linked entry that has endpoints of a service: of the own data centre if there is one. */
+  readonly otherEntry: (service: ServiceName) => RemoteEntry | undefined;
   readonly spreadDeltas: (deltas: readonly ConfigurationDelta[]) => void;
   /** Begins to join: the own addresses are known from now on. */
   readonly join: () => void;
@@ -50,6 +53,7 @@
   readonly configSync: ConfigSync;
   readonly readyServices: () => readonly ServiceName[];
   readonly askHandlers: Readonly<Record<string, (payload: never) => unknown>>;
+  readonly rng: Rng;
   readonly log: Log;
 };
 
@@ -77,6 +81,7 @@
   configSync,
   readyServices,
   askHandlers,
+  rng,
   log,
 }: MeshLinkOptions): Promise<MeshLink> => {
   const nowMs = () => performance.now();
@@ -183,8 +188,11 @@
     sayHeartbeat();
   };
 
-  const isRemote = ({ entryId, dataCentre }: Member): boolean =>
-    entryId !== membership.self && dataCentre !== member().dataCentre;
+  const otherEntry = (service: ServiceName): RemoteEntry | undefined => {
+    const able = members().filter(({ entryId }) => heard.get(entryId)?.ready.has(service));
+    const local = able.filter(({ dataCentre }) => dataCentre === member().dataCentre);
+    return pick(local.length > 0 ? local : able, rng);
+  };
 
   return {
     port: mesh.port,
@@ -198,10 +206,7 @@
       )
         .slice(0, GLOBAL_DUTY_CANDIDATES)
         .includes(membership.self),
-    remoteEntries: (service) =>
-      members()
-        .filter((one) => isRemote(one) && heard.get(one.entryId)?.ready.has(service))
-        .map(({ entryId, callersUrl }) => ({ entryId, callersUrl })),
+    otherEntry,
     spreadDeltas: (deltas) => {
       if (deltas.length > 0) mesh.broadcast({ type: 'deltas', deltas });
     },
--- a/packages/daemon/src/seats/seat-keeper.ts
+++ b/packages/daemon/src/seats/seat-keeper.ts
@@ -22,6 +22,8 @@
   readonly seats: number;
   readonly seat: number;
   readonly portion: SeatPortion;
+  /** Until when it may be used, unless it is renewed. */
+  readonly untilMs: number;
 };
 
 /** The keeper of the seat. */
@@ -183,7 +185,9 @@
 
   const held = (): HeldSeat | null => {
     const usable = own && portion(own);
-    return own && usable ? { seats: seats.length, seat: own.index, portion: usable } : null;
+    if (!own || !usable) return null;
+    const untilMs = usable === 'continuing' ? carriedUntilMs : own.lease.heldUntilMs();
+    return { seats: seats.length, seat: own.index, portion: usable, untilMs };
   };
 
   const isEntitled = (): boolean => own !== null && own.lease.holds() && isConsented;
--- a/packages/daemon/src/settings/settings.test.ts
+++ b/packages/daemon/src/settings/settings.test.ts
@@ -36,8 +36,7 @@
   });
 
   it('says so when a setting without a default is missing', () => {
-    const { 'mesh-key': _, ...rest } = good;
-    expect(checkSettings(rest).unwrapErr()).toContain(
+    expect(checkSettings({ ...good, 'mesh-key': undefined }).unwrapErr()).toContain(
       '--mesh-key (VALVELATCH_MESH_KEY): got nothing',
     );
   });
--- a/packages/daemon/src/testing/deployment.fixtures.ts
+++ b/packages/daemon/src/testing/deployment.fixtures.ts
@@ -176,11 +176,11 @@
   });
   if (applied.kind !== 'ok') throw new Error(JSON.stringify(applied));
 
-  type EntryStatus = { seat: number | null; endpoints: Record<string, number> };
+  type EntryStatus = { seat: number | null; endpoints: { routing?: number } };
   await waitUntil('endpoints at every entry', async () => {
     const status = await operate(first, 'status', {});
     const { entries: all } = status.value as { entries: readonly EntryStatus[] };
-    const placed = all.reduce((sum, { endpoints }) => sum + (endpoints?.['routing'] ?? 0), 0);
+    const placed = all.reduce((sum, { endpoints }) => sum + (endpoints?.routing ?? 0), 0);
     return all.every(({ seat }) => seat !== null) && placed === executors * seats;
   });
   await waitUntil('healthy entries', async () => {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,3 +3,4 @@
 export * from './platform.js';
 export * from './relay.js';
 export * from './workers.js';
+export * from './processes.js';
--- /dev/null
+++ b/packages/stand-ins/src/processes.ts
@@ -0,0 +1,124 @@
+/** Starting and stopping the programs of the workspace as processes on the loopback address. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createInterface } from 'node:readline';
+import { fileURLToPath } from 'node:url';
+
+const PACKAGES = new URL('../../', import.meta.url);
+const START_TIMEOUT_MS = 15_000;
+const LISTENING = 'event=listening';
+const KEPT_LINES = 200;
+const SHOWN_LINES = 5;
+
+const programs = {
+  entry: 'daemon/bin/valvelatchd.js',
+  standIn: 'stand-ins/bin/stand-in.js',
+  cli: 'cli/bin/valvelatch.js',
+} as const;
+
+/** A process that has said that it listens. */
+export type RunningProcess = {
+  readonly name: string;
+  readonly child: ChildProcess;
+  /** Resolves with the exit code, or with the signal that ended it. */
+  readonly ended: Promise<number | string>;
+  /** Its last lines. */
+  readonly recent: readonly string[];
+  /** The fields of its line about listening. */
+  readonly fields: Readonly<Record<string, string>>;
+};
+
+/** What a run of the command line gave. */
+export type CliResult = {
+  readonly code: number | null;
+  readonly stdout: string;
+  readonly stderr: string;
+};
+
+const pathOf = (program: keyof typeof programs): string =>
+  fileURLToPath(new URL(programs[program], PACKAGES));
+
+const fieldsOf = (line: string): Record<string, string> =>
+  Object.fromEntries(
+    line
+      .split(' ')
+      .filter((pair) => pair.includes('='))
+      .map((pair) => [pair.slice(0, pair.indexOf('=')), pair.slice(pair.indexOf('=') + 1)]),
+  );
+
+/**
+ * Starts a program and waits until it says that it listens.
+ *
+ * @param program - The program.
+ * @param args - Its arguments.
+ * @returns The running process; rejects if it ends or is silent for 15 seconds.
+ */
+export const startProcess = (
+  program: keyof typeof programs,
+  args: readonly string[],
+): Promise<RunningProcess> =>
+  new Promise((resolve, reject) => {
+    const child = spawn(process.execPath, [pathOf(program), ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const recent: string[] = [];
+    const note = (line: string): void => {
+      recent.push(line);
+      if (recent.length > KEPT_LINES) recent.shift();
+    };
+    const fail = (why: string): void =>
+      reject(new Error(`${program} ${why}\n${recent.slice(-SHOWN_LINES).join('\n')}`));
+    const timer = setTimeout(() => fail('did not start in time'), START_TIMEOUT_MS);
+    const ended = new Promise<number | string>((done) => {
+      child.once('exit', (code, signal) => {
+        clearTimeout(timer);
+        fail(`ended with ${code ?? signal}`);
+        done(code ?? signal ?? 'unknown');
+      });
+    });
+    createInterface({ input: child.stderr }).on('line', note);
+    createInterface({ input: child.stdout }).on('line', (line) => {
+      note(line);
+      if (!line.includes(LISTENING)) return;
+      clearTimeout(timer);
+      const name = `${program} ${args[0] ?? ''}`;
+      resolve({ name, child, ended, recent, fields: fieldsOf(line) });
+    });
+  });
+
+/**
+ * Stops a process as planned.
+ *
+ * @param running - The process.
+ * @returns Its exit code, or the signal that ended it.
+ */
+export const stopProcess = async (running: RunningProcess): Promise<number | string> => {
+  running.child.kill('SIGTERM');
+  return running.ended;
+};
+
+/**
+ * Runs the command line.
+ *
+ * @param args - Its arguments.
+ * @param environment - Variables to add.
+ * @returns The exit code and what was printed.
+ */
+export const runCli = (
+  args: readonly string[],
+  environment: Readonly<Record<string, string>>,
+): Promise<CliResult> =>
+  new Promise((resolve) => {
+    const child = spawn(process.execPath, [pathOf('cli'), ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, ...environment },
+    });
+    let stdout = '';
+    let stderr = '';
+    child.stdout.on('data', (chunk: Buffer) => {
+      stdout += chunk.toString();
+    });
+    child.stderr.on('data', (chunk: Buffer) => {
+      stderr += chunk.toString();
+    });
+    child.once('close', (code) => resolve({ code, stdout, stderr }));
+  });
--- a/packages/stand-ins/src/workers.ts
+++ b/packages/stand-ins/src/workers.ts
@@ -60,6 +60,7 @@
 export type StandInWorkers = {
   readonly url: string;
   readonly report: () => WorkersReport;
+  readonly servedBy: (jobId: string) => number;
   readonly setHost: (hostId: string, change: Partial<Host>) => Promise<void>;
   readonly setExecutorFault: (jobId: string, fault: ExecutorFault) => void;
   readonly close: () => Promise<void>;
@@ -303,5 +304,6 @@
     app.server.closeAllConnections();
     await app.close();
   };
-  return { url, report, setHost, setExecutorFault, close };
+  const servedBy = (jobId: string): number => tasks.get(jobId)?.executor?.stats.served ?? 0;
+  return { url, report, servedBy, setHost, setExecutorFault, close };
 };
