Benchmarks of the data path and of overload; membership repairs lost news

Cause: the property test on membership found members that disagreed for good after news was lost with a member that died before passing it on. Change: heartbeats carry a hash of the live members; where it differs the whole list is sent. The model of members keeps derived links until they change.

--- /dev/null
+++ b/packages/bench/bin/bare-forward.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/data-path/bare-forward.js';
--- /dev/null
+++ b/packages/bench/bin/bench.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/bench/src/control/membership-model.ts
@@ -0,0 +1,241 @@
+/** Many members in one process: each has its own state, and messages take one step of time. */
+import {
+  brand,
+  createMembership,
+  leaveMembership,
+  liveMembers,
+  membershipHash,
+  noteSilent,
+  takeGossip,
+  tickMembership,
+  wantedLinks,
+  type DataCentreId,
+  type EntryId,
+  type Member,
+  type Membership,
+  type MembershipStep,
+} from '@valvelatch/core';
+import { encodeFrame } from '@valvelatch/mesh';
+
+/** What one member has sent so far. */
+export type Traffic = { messages: number; bytes: number };
+
+type Node = {
+  readonly id: EntryId;
+  membership: Membership;
+  isUp: boolean;
+  inbox: { readonly from: EntryId; readonly members: readonly Member[] }[];
+  readonly heardMs: Map<EntryId, number>;
+  readonly traffic: Traffic;
+  /** What follows from the membership, as long as that has not changed. */
+  derived: { readonly from: Membership; readonly links: readonly EntryId[]; readonly hash: number };
+};
+
+/** The members under way. */
+export type MembershipModel = {
+  /** Lets one step of time pass for all. */
+  readonly step: () => void;
+  readonly nowMs: () => number;
+  readonly add: (dataCentre: number) => EntryId;
+  readonly kill: (id: EntryId) => void;
+  readonly leave: (id: EntryId) => void;
+  readonly ids: () => readonly EntryId[];
+  /** True if each live member takes exactly the live members for alive. */
+  readonly isAgreed: () => boolean;
+  readonly mostLinks: () => number;
+  readonly traffic: () => readonly Traffic[];
+};
+
+const STEP_MS = 250;
+const SILENT_MS = 3000;
+/** A heartbeat goes over each link once a second. */
+const STEPS_PER_HEARTBEAT = 4;
+const HEARTBEAT_BYTES = encodeFrame({
+  type: 'heartbeat',
+  revision: 81_000,
+  membersHash: 2 ** 31,
+  ready: [],
+}).length;
+
+/**
+ * Builds a model.
+ *
+ * @param dataCentres - How many data centres there are.
+ * @param membersEach - How many members each has at the start.
+ * @returns The model, in which all know all.
+ */
+export const createMembershipModel = (
+  dataCentres: number,
+  membersEach: number,
+): MembershipModel => {
+  const nodes = new Map<EntryId, Node>();
+  let nowMs = 0;
+  let steps = 0;
+  let lastName = 0;
+
+  const toMember = (dataCentre: number): Member => {
+    lastName += 1;
+    const entryId = brand<EntryId>(`dc${dataCentre}-entry-${lastName}`);
+    return {
+      entryId,
+      dataCentre: brand<DataCentreId>(`dc${dataCentre}`),
+      incarnation: 1,
+      status: 'alive',
+      meshUrl: `ws://10.0.${dataCentre}.1:7003`,
+      callersUrl: `http://10.0.${dataCentre}.1:7001`,
+      operatorsUrl: `http://10.0.${dataCentre}.1:7002`,
+    };
+  };
+
+  const derive = (membership: Membership): Node['derived'] => ({
+    from: membership,
+    links: wantedLinks(membership),
+    hash: membershipHash(membership),
+  });
+
+  const derivedOf = (node: Node): Node['derived'] => {
+    const one = node;
+    if (one.derived.from !== one.membership) one.derived = derive(one.membership);
+    return one.derived;
+  };
+
+  const toNode = (member: Member, known: readonly Member[]): Node => {
+    const membership = takeGossip(createMembership(member, nowMs), known, nowMs).state;
+    return {
+      id: member.entryId,
+      membership,
+      isUp: true,
+      inbox: [],
+      heardMs: new Map(),
+      traffic: { messages: 0, bytes: 0 },
+      derived: derive(membership),
+    };
+  };
+
+  /** Links hold in both directions. */
+  const neighbours = (): Map<EntryId, Set<EntryId>> => {
+    const all = new Map<EntryId, Set<EntryId>>(Array.from(nodes.keys(), (id) => [id, new Set()]));
+    nodes.forEach((node) => {
+      if (!node.isUp) return;
+      derivedOf(node).links.forEach((peer) => {
+        if (!nodes.get(peer)?.isUp) return;
+        all.get(node.id)?.add(peer);
+        all.get(peer)?.add(node.id);
+      });
+    });
+    return all;
+  };
+
+  const initial = Array.from({ length: dataCentres * membersEach }, (_, index) =>
+    toMember(index % dataCentres),
+  );
+  initial.forEach((member) => nodes.set(member.entryId, toNode(member, initial)));
+  let links = neighbours();
+
+  const sendTo = (node: Node, peers: Iterable<EntryId>, members: readonly Member[]): void => {
+    const bytes = encodeFrame({ type: 'gossip', members }).length;
+    Array.from(peers).forEach((peer) => {
+      const { traffic } = node;
+      traffic.messages += 1;
+      traffic.bytes += bytes;
+      nodes.get(peer)?.inbox.push({ from: node.id, members });
+    });
+  };
+
+  const send = (node: Node, members: readonly Member[], except?: EntryId): void =>
+    sendTo(
+      node,
+      Array.from(links.get(node.id) ?? []).filter((peer) => peer !== except),
+      members,
+    );
+
+  const take = (node: Node, step: MembershipStep, from?: EntryId): void => {
+    const one = node;
+    one.membership = step.state;
+    if (step.news.length > 0) send(one, step.news, from);
+  };
+
+  const watchLinks = (node: Node): void => {
+    derivedOf(node).links.forEach((peer) => {
+      const heardMs = node.heardMs.get(peer) ?? nowMs;
+      node.heardMs.set(peer, nodes.get(peer)?.isUp ? nowMs : heardMs);
+      if (nowMs - heardMs >= SILENT_MS) take(node, noteSilent(node.membership, peer, nowMs));
+    });
+  };
+
+  const heartbeat = (node: Node): void => {
+    const { traffic } = node;
+    const peers = Array.from(links.get(node.id) ?? []);
+    traffic.messages += peers.length;
+    traffic.bytes += peers.length * HEARTBEAT_BYTES;
+    const differing = peers.filter((peer) => {
+      const other = nodes.get(peer);
+      return other !== undefined && derivedOf(other).hash !== derivedOf(node).hash;
+    });
+    const known = Array.from(node.membership.members.values(), (one) => one.member);
+    if (differing.length > 0) sendTo(node, differing, known);
+  };
+
+  const step = (): void => {
+    nowMs += STEP_MS;
+    steps += 1;
+    links = neighbours();
+    const up = Array.from(nodes.values()).filter(({ isUp }) => isUp);
+    const inboxes = up.map((node) => {
+      const one = node;
+      const { inbox } = one;
+      one.inbox = [];
+      return { node: one, inbox };
+    });
+    inboxes.forEach(({ node, inbox }) =>
+      inbox.forEach(({ from, members }) =>
+        take(node, takeGossip(node.membership, members, nowMs), from),
+      ),
+    );
+    up.forEach((node) => {
+      watchLinks(node);
+      take(node, tickMembership(node.membership, nowMs));
+      if (steps % STEPS_PER_HEARTBEAT === 0) heartbeat(node);
+    });
+  };
+
+  const upNodes = (): readonly Node[] => Array.from(nodes.values()).filter(({ isUp }) => isUp);
+
+  return {
+    step,
+    nowMs: () => nowMs,
+    add: (dataCentre) => {
+      const member = toMember(dataCentre);
+      const [seed] = upNodes();
+      const known = seed ? Array.from(seed.membership.members.values(), (one) => one.member) : [];
+      nodes.set(member.entryId, toNode(member, known));
+      if (seed) take(seed, takeGossip(seed.membership, [member], nowMs));
+      return member.entryId;
+    },
+    kill: (id) => {
+      const node = nodes.get(id);
+      if (node) node.isUp = false;
+    },
+    leave: (id) => {
+      const node = nodes.get(id);
+      if (!node) return;
+      take(node, leaveMembership(node.membership, nowMs));
+      node.isUp = false;
+    },
+    ids: () => upNodes().map(({ id }) => id),
+    isAgreed: () => {
+      const wanted = upNodes()
+        .map(({ id }) => id)
+        .sort()
+        .join();
+      return upNodes().every(
+        ({ membership }) =>
+          liveMembers(membership)
+            .map(({ entryId }) => entryId)
+            .join() === wanted,
+      );
+    },
+    mostLinks: () => Math.max(...Array.from(links.values(), (peers) => peers.size)),
+    traffic: () => Array.from(nodes.values(), ({ traffic }) => traffic),
+  };
+};
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,25 @@
+/** The benchmarks: `bench data-path`, `bench overload`, `bench waves`, `bench control`. */
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+
+import { benchDataPath } from './data-path/data-path.js';
+import { benchOverload } from './overload/overload.js';
+import { printRows } from './report.js';
+
+await yargs(hideBin(process.argv))
+  .scriptName('bench')
+  .command(
+    'data-path',
+    'the cost of a hop, against a bare forward',
+    {
+      requests: { type: 'number', default: 20_000, describe: 'requests a round' },
+      rounds: { type: 'number', default: 5 },
+    } as const,
+    async ({ requests, rounds }) => printRows(await benchDataPath({ requests, rounds })),
+  )
+  .command('overload', 'goodput and isolation beyond capacity', {}, async () =>
+    printRows(await benchOverload()),
+  )
+  .demandCommand(1)
+  .strict()
+  .parseAsync();
--- /dev/null
+++ b/packages/bench/src/overload/policies.ts
@@ -0,0 +1,116 @@
+/** The policies that are compared: the gate of an entry, no limits, and static shares. */
+import {
+  brand,
+  createEndpoint,
+  noteOutcome,
+  pick,
+  portionOfShare,
+  shareOfSeat,
+  type CallerId,
+  type EndpointId,
+  type HostId,
+  type Rng,
+  type ServiceName,
+} from '@valvelatch/core';
+import { createServiceGate } from '@valvelatch/daemon';
+
+import type { VirtualExecutor } from './executors.js';
+import type { VirtualTime } from './virtual-time.js';
+
+/** A request under way. */
+export type VirtualRequest = {
+  readonly caller: string;
+  readonly deadlineMs: number;
+  readonly onAnswer: () => void;
+  readonly onRefused: () => void;
+};
+
+/** A way to deal with requests. */
+export type Policy = { readonly submit: (request: VirtualRequest) => void };
+
+/** What a policy works with. */
+export type PolicyOptions = {
+  readonly time: VirtualTime;
+  readonly rng: Rng;
+  readonly executors: readonly VirtualExecutor[];
+  readonly slots: number;
+  readonly callers: readonly string[];
+};
+
+const ENTRIES = 2;
+const PUMP_MS = 20;
+const LONGEST_MS = 120_000;
+
+const createEntry = ({ time, rng, executors, slots }: PolicyOptions, seat: number): Policy => {
+  const gate = createServiceGate({
+    service: brand<ServiceName>('service'),
+    rng,
+    nowMs: time.nowMs,
+  });
+  const endpoints = executors.map((_, index) => {
+    const endpointId = brand<EndpointId>(`executor-${index}`);
+    const share = shareOfSeat(slots, ENTRIES, seat, endpointId);
+    return createEndpoint({
+      endpointId,
+      service: brand<ServiceName>('service'),
+      hostId: brand<HostId>(`host-${index}`),
+      address: '',
+      slotShare: portionOfShare(share, 'full'),
+    });
+  });
+  gate.setEndpoints(endpoints);
+  for (let atMs = PUMP_MS; atMs < LONGEST_MS; atMs += PUMP_MS) time.at(atMs, gate.pump);
+
+  const submit = async ({ caller, deadlineMs, onAnswer, onRefused }: VirtualRequest) => {
+    const callerId = brand<CallerId>(caller);
+    const slot = await gate.acquire({ callerId, deadlineMs, exclude: [] });
+    if (slot.isErr()) {
+      onRefused();
+      return;
+    }
+    const endpoint = slot.value;
+    const startedMs = time.nowMs();
+    executors[endpoints.indexOf(endpoint)]?.accept(() => {
+      noteOutcome(endpoint, 'answered', time.nowMs() - startedMs, endpoints, time.nowMs());
+      gate.release(endpoint, callerId);
+      onAnswer();
+    });
+  };
+  return { submit: (request) => void submit(request) };
+};
+
+const valvelatch = (options: PolicyOptions): Policy => {
+  const entries = Array.from({ length: ENTRIES }, (_, seat) => createEntry(options, seat));
+  return { submit: (request) => pick(entries, options.rng)?.submit(request) };
+};
+
+const noLimits = ({ rng, executors }: PolicyOptions): Policy => ({
+  submit: ({ onAnswer }) => pick(executors, rng)?.accept(onAnswer),
+});
+
+const staticShares = ({ executors, slots, callers }: PolicyOptions): Policy => {
+  const share = Math.floor((executors.length * slots) / callers.length);
+  const inFlight = new Map<string, number>();
+  return {
+    submit: ({ caller, onAnswer, onRefused }) => {
+      const own = inFlight.get(caller) ?? 0;
+      const free = executors.find((executor) => executor.load() < slots);
+      if (own >= share || !free) {
+        onRefused();
+        return;
+      }
+      inFlight.set(caller, own + 1);
+      free.accept(() => {
+        inFlight.set(caller, (inFlight.get(caller) ?? 1) - 1);
+        onAnswer();
+      });
+    },
+  };
+};
+
+/** The policies by the name that is printed. */
+export const policies: Readonly<Record<string, (options: PolicyOptions) => Policy>> = {
+  valvelatch,
+  'no-limits': noLimits,
+  'static-shares': staticShares,
+};
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -4,7 +4,7 @@
  * with a higher incarnation.
  */
 import type { DataCentreId, EntryId } from '../shared/ids.js';
-import { rendezvousOrder } from '../shared/hash.js';
+import { hash32, rendezvousOrder } from '../shared/hash.js';
 
 /** How a member is doing, as far as is known. */
 export type MemberStatus = 'alive' | 'suspect' | 'dead' | 'left';
@@ -159,6 +159,19 @@
     .filter(({ status }) => rank[status] < rank.dead)
     .sort((a, b) => (a.entryId < b.entryId ? -1 : 1));
 
+/**
+ * Sums up who is taken to be alive, so that two entries can see whether they agree.
+ *
+ * @param state - What is known.
+ * @returns A hash of the live members and their incarnations.
+ */
+export const membershipHash = (state: Membership): number =>
+  hash32(
+    liveMembers(state)
+      .map(({ entryId, incarnation }) => `${entryId}/${incarnation}`)
+      .join(),
+  );
+
 const idsOf = (members: readonly Member[]): readonly EntryId[] =>
   members.map(({ entryId }) => entryId);
 
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -10,6 +10,8 @@
 export type HeartbeatMessage = {
   readonly type: 'heartbeat';
   readonly revision: number;
+  /** Sums up whom the sender takes to be alive; where it differs, the whole list is sent. */
+  readonly membersHash: number;
   /** The services that the sender has endpoints for. */
   readonly ready: readonly ServiceName[];
 };
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -422,6 +422,9 @@
       metrics.gauge('configuration_revision', configSync.current().revision);
       metrics.gauge('requests_in_flight', inFlight);
       metrics.gauge('members', meshLink.members().length);
+      const { user, system } = process.cpuUsage();
+      metrics.gauge('process_cpu_us', user + system);
+      metrics.gauge('process_resident_bytes', process.memoryUsage.rss());
     },
     onFault: (method, detail) => log.error('operator-fault', { method, detail }),
   });
--- a/packages/daemon/src/mesh-link/mesh-link.ts
+++ b/packages/daemon/src/mesh-link/mesh-link.ts
@@ -4,6 +4,7 @@
   hasDuty,
   leaveMembership,
   liveMembers,
+  membershipHash,
   noteSilent,
   pick,
   rendezvousOrder,
@@ -12,6 +13,7 @@
   wantedLinks,
   type ConfigurationDelta,
   type EntryId,
+  type HeartbeatMessage,
   type Member,
   type MembershipStep,
   type MeshMessage,
@@ -98,6 +100,12 @@
     mesh.broadcast({ type: 'gossip', members: step.news }, from);
   };
 
+  /** Repairs what news that was lost has left different. */
+  const sendWholeList = (peer: EntryId): void => {
+    const known = Array.from(membership.members.values(), (one) => one.member);
+    mesh.send(peer, { type: 'gossip', members: known });
+  };
+
   const catchUpPeer = (peer: EntryId, have: number): void => {
     const deltas = configSync.deltasAfter(have);
     if (deltas === undefined) {
@@ -116,9 +124,10 @@
     hello: () => undefined,
     ask: () => undefined,
     answer: () => undefined,
-    heartbeat: (peer, { revision, ready }) => {
+    heartbeat: (peer, { revision, ready, membersHash }) => {
       heard.set(peer, { revision, ready: new Set(ready) });
       askIfBehind(peer, revision);
+      if (membersHash !== membershipHash(membership)) sendWholeList(peer);
     },
     gossip: (peer, { members }) => take(takeGossip(membership, members, nowMs()), peer),
     deltas: (peer, { deltas }) => {
@@ -130,10 +139,12 @@
     snapshot: (_, { snapshot }) => configSync.takeSnapshotFromPeer(snapshot),
   };
 
-  const sayHeartbeat = (): void => {
-    const { revision } = configSync.current();
-    mesh.broadcast({ type: 'heartbeat', revision, ready: readyServices() });
-  };
+  const heartbeat = (): HeartbeatMessage => ({
+    type: 'heartbeat',
+    revision: configSync.current().revision,
+    membersHash: membershipHash(membership),
+    ready: readyServices(),
+  });
 
   const mesh: Mesh = await createMesh({
     host,
@@ -145,10 +156,8 @@
         (handlers[message.type] as (from: EntryId, one: MeshMessage) => void)(peer, message),
       onPeer: (peer) => {
         take(takeGossip(membership, [peer], nowMs()));
-        const known = Array.from(membership.members.values(), (one) => one.member);
-        mesh.send(peer.entryId, { type: 'gossip', members: known });
-        const { revision } = configSync.current();
-        mesh.send(peer.entryId, { type: 'heartbeat', revision, ready: readyServices() });
+        sendWholeList(peer.entryId);
+        mesh.send(peer.entryId, heartbeat());
       },
       onSilent: (peer) => take(noteSilent(membership, peer, nowMs())),
       answer: async (method, payload) => {
@@ -185,7 +194,7 @@
     take(tickMembership(membership, nowMs()));
     forgetUnlinked();
     dialWanted();
-    sayHeartbeat();
+    mesh.broadcast(heartbeat());
   };
 
   const otherEntry = (service: ServiceName): RemoteEntry | undefined => {
--- a/packages/stand-ins/src/executor.ts
+++ b/packages/stand-ins/src/executor.ts
@@ -58,7 +58,7 @@
 };
 
 const workThenAnswer = async ({ workMs, answer }: Exchange) => {
-  await pause(workMs);
+  if (workMs > 0) await pause(workMs);
   answer();
 };
 
--- a/packages/stand-ins/src/processes.ts
+++ b/packages/stand-ins/src/processes.ts
@@ -13,6 +13,7 @@
   entry: 'daemon/bin/valvelatchd.js',
   standIn: 'stand-ins/bin/stand-in.js',
   cli: 'cli/bin/valvelatch.js',
+  bareForward: 'bench/bin/bare-forward.js',
 } as const;
 
 /** A process that has said that it listens. */
