Control under any interleaving: a fleet in virtual time, and what it found

Cause: control had no test with paused holders, cuts and returning hosts. Also: jobs are not renewed without the platform; a start is not sent on a placement that was read long ago; executors prefer hosts a wave has been through and the fullest host that fits, so that empty hosts are maintained for free. Conclusion: rows alone never prove that a host is empty.

--- a/packages/core/src/control/executors.ts
+++ b/packages/core/src/control/executors.ts
@@ -6,7 +6,7 @@
 import type { DeclarationOf } from '../declarations/schema.js';
 import { declarationsOf } from '../configuration/configuration.js';
 import { chooseHost } from '../placement/choose-host.js';
-import { executorJob } from '../placement/placeable.js';
+import { executorJob, type PlaceableJob, type PlacementHost } from '../placement/placeable.js';
 import { rowKey, type PlacementPhase, type PlacementRow } from '../rows/rows.js';
 import { brand, type HostId, type JobId, type ServiceName } from '../shared/ids.js';
 import { placeOn, removePlacement, withhold, writePlacement, type Draft } from './draft.js';
@@ -40,22 +40,40 @@
   return brand<JobId>(`${service}-${index}`);
 };
 
-/** Hosts that a running wave has already been through come first, so that a job moves once. */
-const maintainedHosts = (draft: Draft): ReadonlySet<HostId> =>
+/** Hosts that a running wave still has to take down: what is moved there would move again. */
+const hostsAhead = (draft: Draft): ReadonlySet<HostId> =>
   new Set(
-    Array.from(draft.hosts.values())
-      .filter(({ row }) => row.maintainedBy !== null)
-      .filter(
-        ({ row }) => draft.world.waves.get(row.maintainedBy as never)?.value.phase === 'running',
-      )
-      .map(({ spec }) => spec.hostId),
+    Array.from(draft.world.waves.values())
+      .filter(({ value }) => value.phase === 'running')
+      .flatMap(({ value }) =>
+        value.hosts.filter((id) => draft.hosts.get(id)?.row.maintainedBy !== value.waveId),
+      ),
   );
 
+/**
+ * Chooses the host for an executor: one that no running wave is still to take down, if there is
+ * one that fits.
+ *
+ * @param draft - The working copy.
+ * @param job - The executor.
+ * @param hosts - The hosts to choose from.
+ * @returns The choice, or why there is none.
+ */
+export const chooseForExecutor = (
+  draft: Draft,
+  job: PlaceableJob,
+  hosts: readonly PlacementHost[],
+): ReturnType<typeof chooseHost> => {
+  const ahead = hostsAhead(draft);
+  if (ahead.size === 0) return chooseHost(job, hosts);
+  const settled = hosts.filter(({ spec }) => !ahead.has(spec.hostId));
+  const first = chooseHost(job, settled);
+  return first.isOk() ? first : chooseHost(job, hosts);
+};
+
 const placeOne = (draft: Draft, service: ServiceDeclaration, why: string): boolean => {
   const job = executorJob(service, firstFreeId(draft, service.name));
-  const chosen = chooseHost(job, Array.from(draft.hosts.values()), {
-    preferred: maintainedHosts(draft),
-  });
+  const chosen = chooseForExecutor(draft, job, Array.from(draft.hosts.values()));
   if (chosen.isErr()) {
     withhold(draft, rowKey.placement(job.jobId), chosen.error.reason);
     return false;
--- a/packages/core/src/control/hosts.ts
+++ b/packages/core/src/control/hosts.ts
@@ -1,6 +1,5 @@
 /** The way of a host through its phases: into use, drained, emptied, rebooted and back. */
-import type { DrainPurpose, HostRow, HostSpec, PlacementRow } from '../rows/rows.js';
-import { groupBy } from '../shared/group-by.js';
+import type { DrainPurpose, HostRow, HostSpec } from '../rows/rows.js';
 import { writeHost, type Draft } from './draft.js';
 
 const newRow = ({ hostId, firstPool }: HostSpec): HostRow => ({
@@ -20,9 +19,6 @@
   });
 };
 
-const holdsNothing = (placements: readonly PlacementRow[]): boolean =>
-  placements.every(({ phase }) => phase === 'parked');
-
 const backInUse = (row: HostRow, reason: string): HostRow => ({
   ...row,
   phase: 'assigned',
@@ -68,7 +64,20 @@
   return handler(draft, row, row.drain);
 };
 
+/** A host that has not come back after so long is taken for broken. */
+export const REBOOT_TIMEOUT_MS = 15 * 60 * 1000;
+
+const isOverdue = (draft: Draft, row: HostRow): boolean =>
+  draft.nowMs - (draft.world.hostSinceMs.get(row.hostId) ?? draft.nowMs) > REBOOT_TIMEOUT_MS;
+
+const brokenInWave = (row: HostRow): HostRow => ({
+  ...row,
+  phase: 'quarantined',
+  reason: `did not come back from its reboot in ${REBOOT_TIMEOUT_MS / 60_000} minutes`,
+});
+
 const afterReboot = (draft: Draft, row: HostRow): HostRow => {
+  if (isOverdue(draft, row)) return brokenInWave(row);
   const boots = draft.world.sightings.get(row.hostId)?.boots ?? 0;
   if (boots > row.bootsBefore) {
     return { ...row, phase: 'verifying', reason: 'rebooted, being verified' };
@@ -83,6 +92,7 @@
 };
 
 const afterVerify = (draft: Draft, row: HostRow): HostRow => {
+  if (isOverdue(draft, row)) return brokenInWave(row);
   if (draft.world.sightings.get(row.hostId)?.state !== 'live') return row;
   const waveId = row.drain?.kind === 'wave' ? row.drain.waveId : row.maintainedBy;
   return { ...backInUse(row, `maintained by wave ${waveId}`), maintainedBy: waveId };
@@ -92,7 +102,7 @@
   row.drain?.kind === 'wave' &&
   draft.world.waves.get(row.drain.waveId)?.value.phase === 'cancelled';
 
-type Advance = (draft: Draft, row: HostRow, placements: readonly PlacementRow[]) => HostRow;
+type Advance = (draft: Draft, row: HostRow) => HostRow;
 
 const advanceByPhase: Record<HostRow['phase'], Advance> = {
   assigned: (draft, row) =>
@@ -104,10 +114,9 @@
           reason: 'the platform lists it as leaving',
         }
       : row,
-  draining: (draft, row, placements) => {
-    if (isCancelled(draft, row)) return backInUse(row, 'its wave was cancelled');
-    return holdsNothing(placements) ? { ...row, phase: 'empty', reason: 'verified empty' } : row;
-  },
+  // The agent of its data centre tells when it is empty: rows alone do not show what runs there.
+  draining: (draft, row) =>
+    isCancelled(draft, row) ? backInUse(row, 'its wave was cancelled') : row,
   empty: (draft, row) => afterEmpty(draft, row),
   rebooting: (draft, row) => afterReboot(draft, row),
   verifying: (draft, row) => afterVerify(draft, row),
@@ -115,11 +124,11 @@
 };
 
 /** A host whose next phase is due already passes through several phases in one turn. */
-const advance = (draft: Draft, row: HostRow, placements: readonly PlacementRow[]): HostRow => {
-  const next = advanceByPhase[row.phase](draft, row, placements);
+const advance = (draft: Draft, row: HostRow): HostRow => {
+  const next = advanceByPhase[row.phase](draft, row);
   // The request to reboot waits until the row that says so has been committed.
   if (next === row || next.phase === 'rebooting') return next;
-  return advance(draft, next, placements);
+  return advance(draft, next);
 };
 
 /**
@@ -129,10 +138,9 @@
  */
 export const planHosts = (draft: Draft): void => {
   addDeclared(draft);
-  const byHost = groupBy(draft.placements.values(), ({ hostId }) => hostId);
-  draft.world.hosts.forEach(({ value: row }, hostId) => {
+  draft.world.hosts.forEach(({ value: row }) => {
     if (row.pool !== draft.world.pool) return;
-    const next = advance(draft, row, byHost.get(hostId) ?? []);
+    const next = advance(draft, row);
     if (next !== row) writeHost(draft, next);
   });
 };
--- /dev/null
+++ b/packages/core/src/control/pool-turn.test.ts
@@ -0,0 +1,278 @@
+import { fc, test } from '@fast-check/vitest';
+import { describe, expect, it } from 'vitest';
+
+import { createFleetModel, type FleetModel, type PausedTurn } from '../replay/fleet-model.js';
+import { rowKey, rowPrefix, type JobRow, type PlacementRow } from '../rows/rows.js';
+import { brand, type DataCentreId, type HostId, type PoolName } from '../shared/ids.js';
+import { createRng, pick } from '../shared/rng.js';
+import {
+  changeHost,
+  configurationOf,
+  hostRows,
+  jobOf,
+  moveHost,
+  run,
+  startWave,
+  submit,
+  twoPools,
+  wavePhase,
+} from './control.fixtures.js';
+
+const configuration = configurationOf(twoPools);
+const allHosts = (fleet: FleetModel): readonly HostId[] => Array.from(fleet.workers.hosts.keys());
+const newFleet = (): FleetModel => {
+  const fleet = createFleetModel({ configuration, rebootMs: 3000, stepMs: 250 });
+  run(fleet, 5000);
+  return fleet;
+};
+const jobRow = (fleet: FleetModel, name: string): JobRow =>
+  fleet.table.read(rowKey.job(name)).value as JobRow;
+const placements = (fleet: FleetModel): readonly PlacementRow[] =>
+  fleet.rows<PlacementRow>(rowPrefix.placement);
+
+describe('control of pools', () => {
+  describe('executors', () => {
+    it('are all placed, spread over data centres and racks', () => {
+      const fleet = newFleet();
+      expect(fleet.readyOf('routing')).toBe(4);
+      const racks = placements(fleet)
+        .filter(({ service }) => service === 'routing')
+        .map(({ hostId }) => hostId.slice(0, 2));
+      expect(new Set(racks).size).toBe(3);
+    });
+
+    it('move off a drained host without fewer being ready', () => {
+      const fleet = newFleet();
+      const { hostId } = placements(fleet)[0] as PlacementRow;
+      changeHost(fleet, hostId, (row) => ({
+        ...row,
+        phase: 'draining',
+        drain: { kind: 'operator' },
+        reason: 'test',
+      }));
+      for (let step = 0; step < 60; step += 1) {
+        fleet.step();
+        expect(fleet.readyOf('routing')).toBeGreaterThanOrEqual(4);
+      }
+      expect(placements(fleet).filter((one) => one.hostId === hostId)).toEqual([]);
+    });
+
+    it('are replaced when their host is lost, and none stays in excess when it comes back', () => {
+      const fleet = newFleet();
+      const { hostId } = placements(fleet)[0] as PlacementRow;
+      fleet.workers.kill(hostId);
+      run(fleet, 15_000);
+      expect(fleet.readyOf('routing')).toBe(4);
+      fleet.workers.revive(hostId);
+      run(fleet, 60_000);
+      expect(fleet.readyOf('routing')).toBe(4);
+      expect(fleet.workers.faults.doubleRuns).toBe(0);
+    });
+  });
+
+  describe('jobs', () => {
+    it('are refused at once where no host can ever take them, with counts by reason', () => {
+      const fleet = newFleet();
+      submit(fleet, jobOf('huge', 'pool: main, team: crew, cores: 17, memoryMb: 1'));
+      submit(
+        fleet,
+        jobOf('odd', "pool: main, team: crew, cores: 1, memoryMb: 1, selector: 'disk=tape'"),
+      );
+      run(fleet, 1000);
+      expect(jobRow(fleet, 'huge')).toMatchObject({ phase: 'refused' });
+      expect(jobRow(fleet, 'huge').reason).toContain('9 hosts: has fewer than 17 cores');
+      expect(jobRow(fleet, 'odd').reason).toContain('9 hosts: selector disk=tape not met');
+      expect(jobRow(fleet, 'odd').reason).toContain('3 hosts: pool is not main');
+    });
+
+    it('start urgent ones first where there is not room for all', () => {
+      const fleet = newFleet();
+      const size = 'pool: spare, team: crew, cores: 16, memoryMb: 1, runTimeS: 60';
+      ['a', 'b', 'c', 'd'].forEach((name) =>
+        submit(fleet, jobOf(name, `${size}, urgency: ${name === 'd' ? 'urgent' : 'batch'}`)),
+      );
+      run(fleet, 500);
+      expect(fleet.table.read(rowKey.placement('d')).value).not.toBeNull();
+      expect(placements(fleet).filter(({ service }) => service === null)).toHaveLength(3);
+    });
+
+    it('wait for the quota of their team, and say so', () => {
+      const fleet = newFleet();
+      ['a', 'b', 'c', 'd'].forEach((name) =>
+        submit(fleet, jobOf(name, 'pool: spare, team: crew, cores: 14, memoryMb: 1, runTimeS: 60')),
+      );
+      run(fleet, 2000);
+      expect(fleet.withheld().map(({ reason }) => reason)).toContain(
+        'team=crew uses 42 of its 48 cores, d wants 14',
+      );
+    });
+
+    it('are tried again elsewhere, and a host on which distinct jobs fail is quarantined', () => {
+      const fleet = newFleet();
+      const bad = brand<HostId>('w2-1');
+      (fleet.workers.hosts.get(bad) as { failsTasks: boolean }).failsTasks = true;
+      for (let index = 0; index < 12; index += 1) {
+        submit(
+          fleet,
+          jobOf(`j${index}`, 'pool: spare, team: crew, cores: 1, memoryMb: 1, runTimeS: 1'),
+        );
+      }
+      run(fleet, 40_000);
+      const row = hostRows(fleet).find(({ hostId }) => hostId === bad);
+      expect(row).toMatchObject({ phase: 'quarantined' });
+      expect(row?.reason).toMatch(/distinct jobs failed on it/);
+      const phases = Array.from({ length: 12 }, (_, index) => jobRow(fleet, `j${index}`).phase);
+      expect(phases).toEqual(phases.map(() => 'done'));
+    });
+
+    it('are not started again while the lease of a lost host may run', () => {
+      const fleet = newFleet();
+      submit(
+        fleet,
+        jobOf('a', 'pool: spare, team: crew, cores: 1, memoryMb: 1, runTimeS: 300, leaseS: 20'),
+      );
+      run(fleet, 3000);
+      const { hostId } = fleet.table.read(rowKey.placement('a')).value as PlacementRow;
+      fleet.setCut(brand<DataCentreId>('west'), true);
+      run(fleet, 15_000);
+      expect((fleet.table.read(rowKey.placement('a')).value as PlacementRow).hostId).toBe(hostId);
+      fleet.setCut(brand<DataCentreId>('west'), false);
+      run(fleet, 10_000);
+      expect(fleet.workers.faults.doubleRuns).toBe(0);
+    });
+  });
+
+  describe('waves', () => {
+    it('bring every host through once, within every budget, and cut nothing', () => {
+      const fleet = newFleet();
+      startWave(fleet, 'all', allHosts(fleet));
+      let steps = 0;
+      while (wavePhase(fleet, 'all') !== 'done' && steps < 2000) {
+        fleet.step();
+        steps += 1;
+        expect(fleet.readyOf('routing')).toBeGreaterThanOrEqual(4);
+        expect(fleet.readyOf('convoy')).toBeGreaterThanOrEqual(3);
+      }
+      expect(wavePhase(fleet, 'all')).toBe('done');
+      expect(Array.from(fleet.workers.hosts.values(), ({ boots }) => boots)).toEqual(
+        allHosts(fleet).map(() => 2),
+      );
+      expect(fleet.workers.faults).toEqual({ cutTasks: 0, doubleRuns: 0 });
+    });
+
+    it('begin with a single host', () => {
+      const fleet = newFleet();
+      startWave(
+        fleet,
+        'all',
+        allHosts(fleet).filter((id) => !id.startsWith('w2')),
+      );
+      run(fleet, 500);
+      expect(hostRows(fleet).filter(({ drain }) => drain !== null)).toHaveLength(1);
+    });
+
+    it('hold when an operator says so, go on, and give hosts back when cancelled', () => {
+      const fleet = newFleet();
+      startWave(fleet, 'all', allHosts(fleet));
+      run(fleet, 2000);
+      const change = (phase: string) => {
+        const { value } = fleet.table.read(rowKey.wave('all'));
+        fleet.table.transact(
+          [],
+          [{ key: rowKey.wave('all'), value: { ...(value as object), phase } }],
+        );
+      };
+      change('held');
+      run(fleet, 20_000);
+      const done = hostRows(fleet).filter(({ maintainedBy }) => maintainedBy !== null).length;
+      expect(hostRows(fleet).filter(({ phase }) => phase !== 'assigned')).toEqual([]);
+      expect(done).toBeLessThan(12);
+      change('running');
+      run(fleet, 3000);
+      change('cancelled');
+      run(fleet, 20_000);
+      expect(hostRows(fleet).filter(({ phase }) => phase !== 'assigned')).toEqual([]);
+    });
+
+    it('pause when a host does not come back, and say which', () => {
+      const fleet = createFleetModel({ configuration, rebootMs: 60 * 60 * 1000, stepMs: 2000 });
+      run(fleet, 10_000);
+      startWave(fleet, 'all', allHosts(fleet));
+      run(fleet, 20 * 60 * 1000);
+      expect(fleet.table.read(rowKey.wave('all')).value).toMatchObject({ phase: 'paused' });
+    });
+  });
+
+  describe('under any interleaving', () => {
+    type Operation = (fleet: FleetModel, draw: () => number) => void;
+    const paused: PausedTurn[] = [];
+    const someHost = (fleet: FleetModel, draw: () => number) =>
+      pick(allHosts(fleet), draw) as HostId;
+    const somePool = (draw: () => number) => brand<PoolName>(draw() < 0.5 ? 'main' : 'spare');
+    const operations: readonly Operation[] = [
+      (fleet, draw) => moveHost(fleet, someHost(fleet, draw), somePool(draw)),
+      (fleet, draw) => fleet.workers.kill(someHost(fleet, draw)),
+      (fleet) => allHosts(fleet).forEach(fleet.workers.revive),
+      (fleet, draw) => void paused.push(fleet.planOnly(somePool(draw))),
+      (fleet) => paused.splice(0).forEach(fleet.write),
+      (fleet, draw) => fleet.takeControl(somePool(draw)),
+      (fleet, draw) => fleet.setPlatformAway(draw() < 0.5),
+      (fleet, draw) => fleet.setCut(brand<DataCentreId>('west'), draw() < 0.5),
+      (fleet, draw) => {
+        const name = `j${Math.floor(draw() * 1e6)}`;
+        const pool = somePool(draw);
+        submit(
+          fleet,
+          jobOf(name, `pool: ${pool}, team: crew, cores: 4, memoryMb: 1, runTimeS: 20, leaseS: 6`),
+        );
+      },
+      (fleet, draw) => startWave(fleet, `wave-${Math.floor(draw() * 3)}`, allHosts(fleet)),
+    ];
+
+    /** Plain checks, since they are made after each of very many steps. */
+    const faultsOf = (fleet: FleetModel): readonly string[] => {
+      const { cutTasks, doubleRuns } = fleet.workers.faults;
+      const pools = new Map(hostRows(fleet).map(({ hostId, pool }) => [hostId, pool]));
+      return [
+        ...(cutTasks > 0 ? ['a task was cut by a planned reboot'] : []),
+        ...(doubleRuns > 0 ? ['a job ran twice'] : []),
+        ...(pools.size === 12 ? [] : ['a host has no row']),
+        ...placements(fleet)
+          .filter(({ hostId, pool }) => pools.get(hostId) !== pool)
+          .map(({ jobId }) => `${jobId} stands on a host of another pool`),
+        ...hostRows(fleet)
+          .filter(({ phase, drain }) => (phase === 'draining' || phase === 'empty') && !drain)
+          .map(({ hostId }) => `${hostId} is being emptied for nothing`),
+      ];
+    };
+    const checkAll = (fleet: FleetModel): void => {
+      const faults = faultsOf(fleet);
+      if (faults.length > 0) expect(faults).toEqual([]);
+    };
+
+    test.prop([fc.integer()], { seed: 51, numRuns: 60 })(
+      'no job runs twice, no host is in two pools, none is lost from sight, nothing is cut',
+      (seed) => {
+        const draw = createRng(seed);
+        const fleet = newFleet();
+        paused.length = 0;
+        for (let change = 0; change < 25; change += 1) {
+          (pick(operations, draw) as Operation)(fleet, draw);
+          const steps = 1 + Math.floor(draw() * 16);
+          for (let step = 0; step < steps; step += 1) {
+            fleet.step();
+            checkAll(fleet);
+          }
+        }
+        fleet.setPlatformAway(false);
+        fleet.setCut(brand<DataCentreId>('west'), false);
+        allHosts(fleet).forEach(fleet.workers.revive);
+        run(fleet, 120_000);
+        checkAll(fleet);
+        // A move to the spare pool may leave too little room for all; what can be there is there.
+        expect(fleet.readyOf('routing')).toBeLessThanOrEqual(4);
+        expect(fleet.readyOf('convoy')).toBeLessThanOrEqual(3);
+      },
+    );
+  });
+});
--- a/packages/core/src/control/reconcile.ts
+++ b/packages/core/src/control/reconcile.ts
@@ -2,7 +2,13 @@
  * Reconciling the workers of one data centre with the placements: what to start, drain, stop,
  * renew and report. Starting is idempotent by job and epoch, so two entries may do it at once.
  */
-import type { PlacementPhase, PlacementRow, TaskOutcome, Versioned } from '../rows/rows.js';
+import type {
+  HostRow,
+  PlacementPhase,
+  PlacementRow,
+  TaskOutcome,
+  Versioned,
+} from '../rows/rows.js';
 import type { HostId, JobId } from '../shared/ids.js';
 
 /** A task as its worker tells of it. */
@@ -77,6 +83,8 @@
     if (!task) return [report(pair, endPhase, placement.value.outcome)];
     if (task.phase === 'done') return [report(pair, 'stopped', 'done')];
     if (task.phase === 'failed') return [report(pair, 'stopped', 'failed')];
+    // A job that is given up may be placed again once its lease has ended, so it is not renewed.
+    if (task.service === null) return [{ kind: 'stop', task }];
     const renewal: ReconcileAction = { kind: 'renew', task };
     return task.phase === 'leaving'
       ? [renewal, { kind: 'stop', task }]
@@ -129,8 +137,29 @@
 };
 
 /**
- * Lists the tasks whose leases are to be renewed while the table cannot be read: those that were
- * wanted when it was last read.
+ * Lists the draining hosts that are empty: no placement but parked ones, and no task.
+ *
+ * @param hosts - The rows of hosts of the data centre, read first.
+ * @param placements - The placements, read after them.
+ * @param tasks - The tasks, read last: so nothing can have come in between.
+ * @returns The hosts that are verified empty.
+ */
+export const emptyHosts = (
+  hosts: readonly Versioned<HostRow>[],
+  placements: readonly Versioned<PlacementRow>[],
+  tasks: readonly ObservedTask[],
+): readonly Versioned<HostRow>[] => {
+  const inUse = new Set<HostId>([
+    ...placements.filter(({ value }) => value.phase !== 'parked').map(({ value }) => value.hostId),
+    ...tasks.map(({ hostId }) => hostId),
+  ]);
+  return hosts.filter(({ value }) => value.phase === 'draining' && !inUse.has(value.hostId));
+};
+
+/**
+ * Lists the tasks whose leases are to be renewed while the table cannot be read: the executors
+ * that were wanted when it was last read. A submitted job is not renewed: it may be placed again
+ * elsewhere, and must have ended here by then.
  *
  * @param placements - The placements as last read.
  * @param tasks - The tasks of the data centre's workers.
@@ -140,6 +169,10 @@
   placements: readonly Versioned<PlacementRow>[],
   tasks: readonly ObservedTask[],
 ): readonly ObservedTask[] => {
-  const known = new Set(placements.map(({ value }) => taskKey(value.jobId, value.epoch)));
+  const known = new Set(
+    placements
+      .filter(({ value }) => value.service !== null)
+      .map(({ value }) => taskKey(value.jobId, value.epoch)),
+  );
   return tasks.filter((task) => !isEnded(task) && known.has(taskKey(task.jobId, task.epoch)));
 };
--- a/packages/core/src/control/waves.ts
+++ b/packages/core/src/control/waves.ts
@@ -5,7 +5,6 @@
  */
 import { declarationsOf, findDeclaration } from '../configuration/configuration.js';
 import type { DeclarationOf } from '../declarations/schema.js';
-import { chooseHost } from '../placement/choose-host.js';
 import {
   addResources,
   executorJob,
@@ -15,7 +14,9 @@
 import { rowKey, type HostRow, type PlacementRow, type WaveRow } from '../rows/rows.js';
 import { countBy, groupBy } from '../shared/group-by.js';
 import type { HostId, JobId, ServiceName, WaveId } from '../shared/ids.js';
+import { chooseForExecutor } from './executors.js';
 import { withhold, writeHost, writePlacement, writeWave, type Draft } from './draft.js';
+import type { WaveStrategy } from './world.js';
 
 type Reserve = DeclarationOf<'Pool'>['spec']['reserveFor'];
 
@@ -164,7 +165,7 @@
   const unplaced = executorsOn(draft, host.spec.hostId).flatMap((placement) => {
     const job = jobOf(draft, placement);
     if (!job) return [];
-    const chosen = chooseHost(job, Array.from(trial.values()));
+    const chosen = chooseForExecutor(draft, job, Array.from(trial.values()));
     if (chosen.isErr()) return [`${placement.jobId} finds no room: ${chosen.error.reason}`];
     settleInTrial(trial, chosen.value.hostId, job);
     return [];
@@ -222,16 +223,37 @@
   return { obstacle: obstacles[obstacles.length - 1] ?? 'no way to drain it' };
 };
 
-/** A canary first; then no more at a time than twice what has been verified. */
-const allowedUnderWay = (maintained: number): number => Math.max(1, maintained * 2);
+/**
+ * How many hosts may be under way at one time, besides what the budgets allow. A canary comes
+ * first. Operators who weigh roll-out most then go as far as the budgets allow; the others grow.
+ */
+const allowedUnderWay: Record<WaveStrategy, (draft: Draft, view: WaveView) => number> = {
+  growing: (draft, { maintained }) => {
+    if (maintained === 0) return 1;
+    return poolSpec(draft)?.prefer === 'moves' ? maintained * 2 : Infinity;
+  },
+  'one-host': () => 1,
+  rack: () => Infinity,
+};
+
+/** The hosts that come into question next, in their order. */
+const candidates: Record<WaveStrategy, (view: WaveView) => readonly PlacementHost[]> = {
+  growing: ({ remaining }) => [...remaining].sort(byFewestExecutors),
+  'one-host': ({ remaining }) => remaining,
+  rack: ({ remaining, underWay }) => {
+    const rack = (underWay[0] ?? remaining[0])?.spec.rack;
+    return remaining.filter(({ spec }) => spec.rack === rack);
+  },
+};
 
 const byFewestExecutors = (a: PlacementHost, b: PlacementHost): number =>
   a.used.cores - b.used.cores || (a.spec.hostId < b.spec.hostId ? -1 : 1);
 
 const drainNext = (draft: Draft, view: WaveView): void => {
   let trial: Trial = readyTrial(draft);
-  let room = allowedUnderWay(view.maintained) - view.underWay.length;
-  [...view.remaining].sort(byFewestExecutors).forEach((host) => {
+  const { waveStrategy } = draft.world;
+  let room = allowedUnderWay[waveStrategy](draft, view) - view.underWay.length;
+  candidates[waveStrategy](view).forEach((host) => {
     const { hostId } = host.spec;
     if (room <= 0) {
       withhold(draft, rowKey.host(hostId), `wave ${view.waveId}: waits for the hosts before it`);
@@ -254,8 +276,21 @@
     return !host || !host.isLive || host.row.maintainedBy === waveId;
   });
 
+/** A host that was broken by its maintenance stops the wave until an operator has looked. */
+const brokenHosts = (draft: Draft, row: WaveRow, waveId: WaveId): readonly HostId[] =>
+  row.hosts.filter((hostId) => {
+    const host = draft.hosts.get(hostId)?.row;
+    return host?.phase === 'quarantined' && isUnderWay(host, waveId);
+  });
+
 const planWave = (draft: Draft, waveId: WaveId, row: WaveRow): void => {
   if (row.phase !== 'running') return;
+  const broken = brokenHosts(draft, row, waveId);
+  if (broken.length > 0) {
+    const reason = `${broken.join(', ')} did not come back; return or replace it, then resume`;
+    writeWave(draft, waveId, { ...row, phase: 'paused', reason });
+    return;
+  }
   if (isFinished(draft, row, waveId)) {
     const missed = row.hosts.filter(
       (hostId) => draft.hosts.get(hostId)?.row.maintainedBy !== waveId,
--- a/packages/core/src/control/world.ts
+++ b/packages/core/src/control/world.ts
@@ -19,6 +19,9 @@
   readonly sinceMs: number;
 };
 
+/** How a wave chooses its next hosts. */
+export type WaveStrategy = 'growing' | 'one-host' | 'rack';
+
 /** All that a control turn of one pool depends on. */
 export type PoolWorld = {
   readonly pool: PoolName;
@@ -33,6 +36,12 @@
   readonly jobs: ReadonlyMap<JobId, Versioned<JobRow>>;
   readonly waves: ReadonlyMap<WaveId, Versioned<WaveRow>>;
   readonly sightings: ReadonlyMap<HostId, HostSighting>;
+  /** Since when each host's row has been as it is, by the clock of the watcher. */
+  readonly hostSinceMs: ReadonlyMap<HostId, number>;
+  /** Since when each placement's row has been as it is, by the clock of the watcher. */
+  readonly placementSinceMs: ReadonlyMap<JobId, number>;
+  /** How waves choose their hosts; others than the usual one serve as baselines. */
+  readonly waveStrategy: WaveStrategy;
   /** When a job may be tried again, by the clock of the watcher. */
   readonly retryAtMs: ReadonlyMap<JobId, number>;
 };
--- a/packages/core/src/placement/choose-host.ts
+++ b/packages/core/src/placement/choose-host.ts
@@ -1,6 +1,6 @@
 /**
  * The choice of a host for one job: ruled out by pool, phase, selector and room, in that order,
- * then ranked by spread over data centres, racks and hosts, then by free cores.
+ * then ranked by spread over data centres, racks and hosts, then the fullest first.
  */
 import { Err, Ok, type Result } from 'ts-results-es';
 
@@ -84,18 +84,13 @@
   return { byDataCentre, byRack };
 };
 
-const rankOf = (
-  job: PlaceableJob,
-  host: PlacementHost,
-  spread: Spread,
-  preferred: ReadonlySet<HostId>,
-): readonly number[] => [
+const rankOf = (job: PlaceableJob, host: PlacementHost, spread: Spread): readonly number[] => [
   job.avoid.includes(host.spec.hostId) ? 1 : 0,
   spread.byDataCentre.get(host.spec.dataCentre) ?? 0,
   spread.byRack.get(host.spec.rack) ?? 0,
   job.service === null ? 0 : (host.executors.get(job.service) ?? 0),
-  preferred.has(host.spec.hostId) ? 0 : 1,
-  (host.used.cores + job.cores) / host.spec.cores,
+  // The fullest host that fits: hosts that stay empty are maintained without moving anything.
+  -host.used.cores / host.spec.cores,
 ];
 
 const isBefore = (a: Candidate, b: Candidate): boolean => {
@@ -126,24 +121,16 @@
   return `${start} (${counts || `no hosts for pool=${job.pool}`})`;
 };
 
-/** Options for a choice. */
-export type ChooseHostOptions = {
-  /** Hosts that come before others of the same spread, such as those already maintained. */
-  readonly preferred?: ReadonlySet<HostId>;
-};
-
 /**
  * Chooses the host for a job.
  *
  * @param job - The job.
  * @param hosts - All hosts that may come into question, as they are now.
- * @param options - Preferences.
  * @returns The host with the reason, or the counts of what ruled the hosts out.
  */
 export const chooseHost = (
   job: PlaceableJob,
   hosts: readonly PlacementHost[],
-  { preferred = new Set() }: ChooseHostOptions = {},
 ): Result<ChosenHost, NoHost> => {
   const ruledOut = new Map<string, number>();
   const spread = spreadOf(job, hosts);
@@ -159,7 +146,7 @@
       return;
     }
     candidates += 1;
-    const candidate = { host, rank: rankOf(job, host, spread, preferred) };
+    const candidate = { host, rank: rankOf(job, host, spread) };
     if (!best || isBefore(candidate, best)) best = candidate;
   });
   if (best) return Ok({ hostId: best.host.spec.hostId, reason: reasonFor(job, best, candidates) });
--- /dev/null
+++ b/packages/core/src/replay/table-model.ts
@@ -0,0 +1,50 @@
+/** A transactional table in memory, with the rules of the platform's own. */
+import type { RowCheck, RowWrite, TableRow } from '../rows/transaction.js';
+
+/** How a transaction ended. */
+export type TableOutcome =
+  | { readonly kind: 'committed'; readonly version: number }
+  | { readonly kind: 'conflict'; readonly key: string };
+
+/** The table. */
+export type TableModel = {
+  readonly read: (key: string) => TableRow;
+  readonly scan: (prefix: string) => readonly TableRow[];
+  /** All writes happen, or none; all rows of a transaction get the same version. */
+  readonly transact: (checks: readonly RowCheck[], writes: readonly RowWrite[]) => TableOutcome;
+};
+
+/**
+ * Builds an empty table.
+ *
+ * @returns The table.
+ */
+export const createTableModel = (): TableModel => {
+  const rows = new Map<string, { readonly value: unknown; readonly version: number }>();
+  let lastVersion = 0;
+
+  const read = (key: string): TableRow => ({
+    key,
+    value: rows.get(key)?.value ?? null,
+    version: rows.get(key)?.version ?? 0,
+  });
+
+  return {
+    read,
+    scan: (prefix) =>
+      Array.from(rows.keys())
+        .filter((key) => key.startsWith(prefix))
+        .sort()
+        .map(read),
+    transact: (checks, writes) => {
+      const conflict = checks.find(({ key, version }) => read(key).version !== version);
+      if (conflict) return { kind: 'conflict', key: conflict.key };
+      lastVersion += 1;
+      writes.forEach(({ key, value }) => {
+        if (value === null) rows.delete(key);
+        else rows.set(key, { value, version: lastVersion });
+      });
+      return { kind: 'committed', version: lastVersion };
+    },
+  };
+};
--- a/packages/daemon/src/control/data-centre-agent.ts
+++ b/packages/daemon/src/control/data-centre-agent.ts
@@ -4,8 +4,12 @@
  * goes on. A task is stopped only once no entry has anything in flight there.
  */
 import {
+  emptyHosts,
   reconcile,
   renewals,
+  START_WINDOW_MS,
+  type HostRow,
+  type TableRow,
   rowKey,
   rowPrefix,
   type Configuration,
@@ -36,6 +40,12 @@
   readonly isQuiet: (endpointId: string) => Promise<boolean>;
   readonly log: Log;
   readonly metrics: Metrics;
+  readonly nowMs?: () => number;
+};
+
+type LocalRows = {
+  readonly hosts: readonly Versioned<HostRow>[];
+  readonly placements: readonly Versioned<PlacementRow>[];
 };
 
 /** The agent. */
@@ -64,8 +74,10 @@
   isQuiet,
   log,
   metrics,
+  nowMs = () => performance.now(),
 }: DataCentreAgentOptions): DataCentreAgent => {
   let lastRead: readonly Versioned<PlacementRow>[] = [];
+  let startBeforeMs = -Infinity;
 
   const specOfService = (service: string): TaskSpec | undefined => {
     const spec = findDeclaration(configuration(), 'Service', service)?.spec;
@@ -85,6 +97,8 @@
 
   const handlers: Handlers = {
     start: async ({ placement }) => {
+      // A placement that was read too long ago may have been given up since.
+      if (nowMs() > startBeforeMs) return;
       const spec =
         placement.service === null
           ? await specOfJob(placement.jobId)
@@ -140,21 +154,43 @@
     );
   };
 
+  const reportEmpty = async ({ value, version }: Versioned<HostRow>): Promise<void> => {
+    const key = rowKey.host(value.hostId);
+    const row: HostRow = { ...value, phase: 'empty', reason: 'verified empty' };
+    await table.transact({ checks: [{ key, version }], writes: [{ key, value: row }] });
+  };
+
+  /** Reads the rows of this data centre, hosts before placements. */
+  const readRows = async (): Promise<LocalRows | undefined> => {
+    const hostRows = await table.scan(rowPrefix.host);
+    const placementRows = await table.scan(rowPrefix.placement);
+    if (hostRows.isErr() || placementRows.isErr()) return undefined;
+    const local = localHosts();
+    const ofLocal = <Row extends { readonly hostId: HostId }>(rows: readonly TableRow[]) =>
+      rows
+        .map(({ value, version }) => ({ value: value as Row, version }))
+        .filter(({ value }) => local.has(value.hostId));
+    return {
+      hosts: ofLocal<HostRow>(hostRows.value),
+      placements: ofLocal<PlacementRow>(placementRows.value),
+    };
+  };
+
   const tick = async (): Promise<void> => {
+    const readAtMs = nowMs();
+    const rows = await readRows();
     const observed = await workers.tasks();
     if (observed.isErr()) return;
-    const scan = await table.scan(rowPrefix.placement);
-    if (scan.isErr()) {
+    if (!rows) {
       await renewAll(renewals(lastRead, observed.value));
       return;
     }
-    const hosts = localHosts();
-    lastRead = scan.value
-      .map(({ value, version }) => ({ value: value as PlacementRow, version }))
-      .filter(({ value }) => hosts.has(value.hostId));
-    const actions = reconcile(lastRead, observed.value);
+    lastRead = rows.placements;
+    startBeforeMs = readAtMs + START_WINDOW_MS / 2;
+    const actions = reconcile(rows.placements, observed.value);
     await renewAll(actions.flatMap((one) => (one.kind === 'renew' ? [one.task] : [])));
     await Promise.all(actions.map(carryOut));
+    await Promise.all(emptyHosts(rows.hosts, rows.placements, observed.value).map(reportEmpty));
     await drainOnLeavingHosts();
   };
 
--- a/packages/daemon/src/control/pool-control.ts
+++ b/packages/daemon/src/control/pool-control.ts
@@ -5,6 +5,7 @@
  */
 import {
   brand,
+  createRowAges,
   declaredHosts,
   planPoolTurn,
   retryDelayMs,
@@ -111,6 +112,8 @@
 }: PoolControlOptions): PoolControl => {
   const sightings = new Map<HostId, HostSighting>();
   const failuresSeen = new Map<JobId, { failures: number; retryAtMs: number }>();
+  const hostAges = createRowAges<HostId>();
+  const placementAges = createRowAges<JobId>();
   let withheld: readonly Withheld[] = [];
   let epochBase = 0;
   let nextEpoch = 0;
@@ -165,17 +168,22 @@
 
   const toWorld = (rows: Rows): PoolWorld => {
     const jobs = byId<JobId, JobRow>(rows, rowPrefix.job);
+    const hosts = byId<HostId, HostRow>(rows, rowPrefix.host);
+    const placements = byId<JobId, PlacementRow>(rows, rowPrefix.placement);
     return {
       pool,
       configuration: configuration(),
       fence: lease.fence(),
       nextEpoch: epochs(),
       specs: currentSpecs(),
-      hosts: byId<HostId, HostRow>(rows, rowPrefix.host),
-      placements: byId<JobId, PlacementRow>(rows, rowPrefix.placement),
+      hosts,
+      placements,
       jobs,
       waves: byId<WaveId, WaveRow>(rows, rowPrefix.wave),
       sightings,
+      hostSinceMs: hostAges.see(hosts, nowMs()),
+      placementSinceMs: placementAges.see(placements, nowMs()),
+      waveStrategy: 'growing',
       retryAtMs: retryTimes(jobs),
     };
   };
--- a/packages/stand-ins/src/platform.ts
+++ b/packages/stand-ins/src/platform.ts
@@ -1,9 +1,7 @@
 /** A small stand-in for the platform's table, object store and lagging list of hosts. */
+import { createTableModel, type RowCheck, type RowWrite } from '@valvelatch/core';
 import fastify, { type FastifyInstance } from 'fastify';
 
-type StoredRow = { readonly value: unknown; readonly version: number };
-type RowCheck = { readonly key: string; readonly version: number };
-type RowWrite = { readonly key: string; readonly value: unknown };
 type HostReport = {
   readonly hostId: string;
   readonly state: 'live' | 'leaving';
@@ -34,32 +32,6 @@
   readonly close: () => Promise<void>;
 };
 
-const createTable = () => {
-  const rows = new Map<string, StoredRow>();
-  let sequence = 0;
-  const read = (key: string) => ({
-    key,
-    value: rows.get(key)?.value ?? null,
-    version: rows.get(key)?.version ?? 0,
-  });
-  const transact = (checks: readonly RowCheck[], writes: readonly RowWrite[]) => {
-    const conflict = checks.find(({ key, version }) => read(key).version !== version);
-    if (conflict) return { kind: 'conflict', key: conflict.key };
-    sequence += 1;
-    writes.forEach(({ key, value }) => {
-      if (value === null) rows.delete(key);
-      else rows.set(key, { value, version: sequence });
-    });
-    return { kind: 'committed', version: sequence };
-  };
-  const scan = (prefix: string) =>
-    Array.from(rows.keys())
-      .filter((key) => key.startsWith(prefix))
-      .sort()
-      .map(read);
-  return { read, transact, scan };
-};
-
 const createHostList = (lagMs: number, goneAfterMs: number) => {
   const known = new Map<string, KnownHost>();
   const reboots = new Map<string, string>();
@@ -125,7 +97,7 @@
   hostGoneAfterMs = 3000,
 }: PlatformOptions = {}): Promise<StandInPlatform> => {
   const app = fastify({ bodyLimit: 64 * 1024 * 1024 });
-  const table = createTable();
+  const table = createTableModel();
   const hosts = createHostList(listLagMs, hostGoneAfterMs);
   const objects = new Map<string, unknown>();
   const counts = { transactions: 0, rowsWritten: 0, reads: 0 };
