Waves near the bound, replay of traces, slopes of control

Cause: the first plan moved 50 executors where 40 stood on hosts of the wave, as some went to hosts that were still to be taken down; pools that weigh moves moved where they could have waited.

--- /dev/null
+++ b/packages/bench/src/control/control.ts
@@ -0,0 +1,174 @@
+/** The slopes of control: what a host, a member, a change and a turn cost. */
+import {
+  brand,
+  planPoolTurn,
+  takeDeltas,
+  toSnapshot,
+  type Configuration,
+  type ConfigurationDelta,
+  type HostId,
+  type PoolName,
+  type Versioned,
+  type WaveId,
+  type WaveRow,
+} from '@valvelatch/core';
+import { encodeFrame } from '@valvelatch/mesh';
+
+import { median, rounded, type BenchRow } from '../report.js';
+import { bigConfiguration, bigWorld, pendingJobs, twoYears } from './big-world.js';
+import { createMembershipModel } from './membership-model.js';
+
+const CHANGES_PER_DAY = 81_000;
+const SECONDS_PER_DAY = 86_400;
+const TURNS = 15;
+const MEASURED_CHANGES = 400;
+const QUIET_STEPS = 80;
+const BUSY_STEPS = 160;
+
+const slope = (name: string, value: number, unit: string): BenchRow => ({
+  bench: 'control',
+  slope: name,
+  value: rounded(value),
+  unit,
+});
+
+const collect = (): void => {
+  const { gc } = globalThis as { gc?: () => void };
+  gc?.();
+};
+
+const heapOf = <Value>(build: () => Value): { readonly bytes: number; readonly value: Value } => {
+  collect();
+  const before = process.memoryUsage().heapUsed;
+  const value = build();
+  collect();
+  return { bytes: process.memoryUsage().heapUsed - before, value };
+};
+
+const cpuMs = (run: () => void): number => {
+  const before = process.cpuUsage();
+  run();
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / 1000;
+};
+
+const medianCpuMs = (run: () => void): number =>
+  median(Array.from({ length: TURNS }, () => cpuMs(run)));
+
+const pool = brand<PoolName>('pool-0');
+
+const measureHosts = (): readonly BenchRow[] => {
+  const small = heapOf(() => bigConfiguration(twoYears));
+  const world = heapOf(() => bigWorld(small.value, pool));
+  const hosts = world.value.hosts.size;
+  return [
+    slope('bytes-per-declared-host', small.bytes / twoYears.hosts, 'bytes'),
+    slope('bytes-per-host-of-held-pool', world.bytes / hosts, 'bytes'),
+    slope('hosts-of-one-pool', hosts, 'hosts'),
+    slope(
+      'snapshot-bytes',
+      encodeFrame({ type: 'snapshot', snapshot: toSnapshot(small.value) }).length,
+      'bytes',
+    ),
+  ];
+};
+
+const deltaOf = (configuration: Configuration, revision: number): ConfigurationDelta => {
+  const one = configuration.declarations.get(`Service/service-0-${revision % 5}`);
+  return {
+    revision,
+    changeId: brand(`change-${revision}`),
+    author: 'bench',
+    upserts: one ? [one] : [],
+    deletes: [],
+  };
+};
+
+const measureChanges = (): readonly BenchRow[] => {
+  const configuration = bigConfiguration(twoYears);
+  const deltas = Array.from({ length: MEASURED_CHANGES }, (_, index) =>
+    deltaOf(configuration, index + 2),
+  );
+  const bytes = encodeFrame({ type: 'deltas', deltas: [deltas[0] as ConfigurationDelta] }).length;
+  let state = configuration;
+  const tookMs = cpuMs(() => {
+    deltas.forEach((delta) => {
+      state = takeDeltas(state, [delta]);
+    });
+  });
+  const cpuUs = (tookMs * 1000) / MEASURED_CHANGES;
+  const perS = CHANGES_PER_DAY / SECONDS_PER_DAY;
+  return [
+    slope('bytes-per-change', bytes, 'bytes on a link'),
+    slope('cpu-us-per-change', cpuUs, 'us'),
+    slope('cpu-percent-of-changes', (perS * cpuUs) / 10_000, '% of a core at 81,000 a day'),
+  ];
+};
+
+const waveOver = (hosts: readonly HostId[]): ReadonlyMap<WaveId, Versioned<WaveRow>> => {
+  const waveId = brand<WaveId>('wave');
+  const row: WaveRow = { waveId, selector: '', phase: 'running', reason: '', hosts };
+  return new Map([[waveId, { value: row, version: 1 }]]);
+};
+
+const measureTurns = (): readonly BenchRow[] => {
+  const configuration = bigConfiguration(twoYears);
+  const idle = bigWorld(configuration, pool);
+  const one = bigWorld(configuration, pool, pendingJobs(pool, 1));
+  const many = bigWorld(configuration, pool, pendingJobs(pool, 200));
+  const wave = { ...idle, waves: waveOver(Array.from(idle.hosts.keys())) };
+  const turn = (world: typeof idle) => () => {
+    planPoolTurn(world, 0);
+  };
+  const idleMs = medianCpuMs(turn(idle));
+  return [
+    slope('cpu-ms-per-idle-turn', idleMs, 'ms, one pool'),
+    slope('cpu-ms-per-turn-with-one-urgent-job', medianCpuMs(turn(one)), 'ms, one pool'),
+    slope('cpu-ms-per-turn-with-200-jobs', medianCpuMs(turn(many)), 'ms, one pool'),
+    slope('cpu-ms-per-turn-with-a-wave', medianCpuMs(turn(wave)), 'ms, one pool'),
+    slope('cpu-ms-per-turn-of-all-pools', idleMs * twoYears.pools, 'ms, 21,000 hosts'),
+  ];
+};
+
+const measureMembership = (dataCentres: number, membersEach: number): readonly BenchRow[] => {
+  const model = createMembershipModel(dataCentres, membersEach);
+  const members = dataCentres * membersEach;
+  const sent = () => model.traffic().map(({ bytes }) => bytes);
+  const perS = (steps: number, run: () => void): number => {
+    const before = sent();
+    const startedMs = model.nowMs();
+    run();
+    const after = sent();
+    const total = after.reduce((sum, bytes, index) => sum + bytes - (before[index] ?? 0), 0);
+    return total / members / ((model.nowMs() - startedMs) / 1000) || steps * 0;
+  };
+  const run = (steps: number) => () => {
+    for (let step = 0; step < steps; step += 1) model.step();
+  };
+  const quiet = perS(QUIET_STEPS, run(QUIET_STEPS));
+  const busy = perS(BUSY_STEPS, () => {
+    model.kill(model.ids()[1] as never);
+    model.add(0);
+    run(BUSY_STEPS)();
+  });
+  return [
+    slope(`member-bytes-per-s-quiet-${members}`, quiet, 'bytes/s sent by a member'),
+    slope(`member-bytes-per-s-one-replaced-in-40-s-${members}`, busy, 'bytes/s sent by a member'),
+    slope(`most-links-${members}`, model.mostLinks(), 'links'),
+  ];
+};
+
+/**
+ * Measures all slopes. Run with `--expose-gc` for the memory figures.
+ *
+ * @returns One row a slope.
+ */
+export const benchControl = (): readonly BenchRow[] => [
+  ...measureHosts(),
+  ...measureChanges(),
+  ...measureTurns(),
+  ...measureMembership(2, 3),
+  ...measureMembership(6, 10),
+  ...measureMembership(20, 6),
+  ...measureMembership(20, 30),
+];
--- a/packages/bench/src/data-path/bare-forward.ts
+++ b/packages/bench/src/data-path/bare-forward.ts
@@ -12,7 +12,7 @@
 app.get('/usage', (_, reply) => reply.send(process.cpuUsage()));
 app.all('/*', async (request, reply) => {
   const answer = await pool.request({
-    method: request.method as 'POST',
+    method: request.method,
     path: request.url,
     headers: { 'content-type': 'application/octet-stream' },
     body: request.body as Buffer,
--- a/packages/bench/src/data-path/data-path.ts
+++ b/packages/bench/src/data-path/data-path.ts
@@ -92,7 +92,7 @@
 };
 
 const entryCpuUs = async (entry: RunningProcess): Promise<number> => {
-  const answer = await request(`${entry.fields['operatorsUrl'] as string}/metrics`, {
+  const answer = await request(`${entry.fields.operatorsUrl as string}/metrics`, {
     headers: { authorization: `Bearer ${OPERATOR_KEY}` },
   });
   const text = await answer.body.text();
@@ -100,7 +100,7 @@
 };
 
 const forwardCpuUs = async (forward: RunningProcess): Promise<number> => {
-  const answer = await request(`${forward.fields['url'] as string}/usage`);
+  const answer = await request(`${forward.fields.url as string}/usage`);
   const { user, system } = (await answer.body.json()) as NodeJS.CpuUsage;
   return user + system;
 };
@@ -110,7 +110,7 @@
   const file = join(folder, 'all.yaml');
   await writeFile(file, declarations);
   const environment = {
-    VALVELATCH_URL: entry.fields['operatorsUrl'] as string,
+    VALVELATCH_URL: entry.fields.operatorsUrl as string,
     VALVELATCH_KEY: OPERATOR_KEY,
   };
   const applied = await runCli(['apply', '-f', file], environment);
@@ -131,7 +131,7 @@
 };
 
 const executorAddress = async (workers: RunningProcess): Promise<string> => {
-  const answer = await request(`${workers.fields['url'] as string}/tasks`);
+  const answer = await request(`${workers.fields.url as string}/tasks`);
   const { tasks } = (await answer.body.json()) as { tasks: readonly { address: string }[] };
   return tasks[0]?.address ?? '';
 };
@@ -143,7 +143,7 @@
     return process;
   };
   const platform = await start('standIn', ['platform']);
-  const platformUrl = platform.fields['url'] as string;
+  const platformUrl = platform.fields.url as string;
   const workers = await start('standIn', [
     'workers',
     '--data-centre=east',
@@ -154,12 +154,12 @@
     '--entry-id=bench',
     '--data-centre=east',
     `--platform-url=${platformUrl}`,
-    `--workers-url=${workers.fields['url'] as string}`,
+    `--workers-url=${workers.fields.url as string}`,
     `--operator-key=${OPERATOR_KEY}`,
     '--mesh-key=bench-mesh-key-0000',
   ]);
   await applyAll(entry);
-  const entryUrl = entry.fields['callersUrl'] as string;
+  const entryUrl = entry.fields.callersUrl as string;
   await waitForAnswer(entryUrl);
   const address = await executorAddress(workers);
   const forward = await start('bareForward', [address]);
@@ -167,7 +167,7 @@
     { name: 'direct', url: address, prefix: '', cpuUs: async () => 0 },
     {
       name: 'forward',
-      url: forward.fields['url'] as string,
+      url: forward.fields.url as string,
       prefix: '',
       cpuUs: () => forwardCpuUs(forward),
     },
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,9 +2,11 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
+import { benchControl } from './control/control.js';
 import { benchDataPath } from './data-path/data-path.js';
 import { benchOverload } from './overload/overload.js';
 import { printRows } from './report.js';
+import { benchWaves } from './waves/waves.js';
 
 await yargs(hideBin(process.argv))
   .scriptName('bench')
@@ -20,6 +22,17 @@
   .command('overload', 'goodput and isolation beyond capacity', {}, async () =>
     printRows(await benchOverload()),
   )
+  .command(
+    'waves',
+    'roll-out time, moves and buffer cost of the planner and its baselines',
+    {
+      example: { choices: ['kutch-hills', 'be-central'] as const, default: 'kutch-hills' as const },
+    },
+    async ({ example }) => printRows(await benchWaves(example)),
+  )
+  .command('control', 'what a host, a member, a change and a turn cost', {}, () =>
+    printRows(benchControl()),
+  )
   .demandCommand(1)
   .strict()
   .parseAsync();
--- a/packages/bench/src/overload/policies.ts
+++ b/packages/bench/src/overload/policies.ts
@@ -64,11 +64,11 @@
   const submit = async ({ caller, deadlineMs, onAnswer, onRefused }: VirtualRequest) => {
     const callerId = brand<CallerId>(caller);
     const slot = await gate.acquire({ callerId, deadlineMs, exclude: [] });
-    if (slot.isErr()) {
+    if (slot.kind === 'none') {
       onRefused();
       return;
     }
-    const endpoint = slot.value;
+    const { endpoint } = slot;
     const startedMs = time.nowMs();
     executors[endpoints.indexOf(endpoint)]?.accept(() => {
       noteOutcome(endpoint, 'answered', time.nowMs() - startedMs, endpoints, time.nowMs());
@@ -76,7 +76,11 @@
       onAnswer();
     });
   };
-  return { submit: (request) => void submit(request) };
+  return {
+    submit: (request) => {
+      void submit(request);
+    },
+  };
 };
 
 const valvelatch = (options: PolicyOptions): Policy => {
--- /dev/null
+++ b/packages/bench/src/waves/waves.ts
@@ -0,0 +1,208 @@
+/** Roll-out time, moves and buffer cost of the planner and its baselines, in virtual time. */
+import { readdir, readFile } from 'node:fs/promises';
+import { fileURLToPath } from 'node:url';
+
+import {
+  createFleetModel,
+  declarationsOf,
+  emptyConfiguration,
+  readDeclarations,
+  rowKey,
+  rowPrefix,
+  takeSnapshot,
+  type Configuration,
+  type FleetModel,
+  type HostId,
+  type HostRow,
+  type HostSpec,
+  declaredHosts,
+  type WaveRow,
+  type WaveStrategy,
+} from '@valvelatch/core';
+
+import { rounded, type BenchRow } from '../report.js';
+
+/** What is lost in the middle of the wave, for good. */
+export type Losses = 'none' | 'host' | 'rack' | 'data-centre';
+
+const EXAMPLES = new URL('../../../../examples/', import.meta.url);
+const REBOOT_MS = 300_000;
+const START_MS = 2000;
+const STEP_MS = 1000;
+const SETTLE_STEPS = 20;
+const MOST_STEPS = 15_000;
+const WAVE = 'bench';
+/** The loss strikes once this share of the hosts has been maintained. */
+const LOSS_AT_SHARE = 0.25;
+
+const planners: Readonly<Record<string, WaveStrategy>> = {
+  valvelatch: 'growing',
+  'one-host': 'one-host',
+  rack: 'rack',
+};
+const allLosses: readonly Losses[] = ['none', 'host', 'rack', 'data-centre'];
+
+const readExample = async (example: string): Promise<Configuration> => {
+  const folder = new URL(`${example}/declarations/`, EXAMPLES);
+  const names = await readdir(fileURLToPath(folder));
+  const files = await Promise.all(
+    names.map(async (file) => ({ file, text: await readFile(new URL(file, folder), 'utf8') })),
+  );
+  const declarations = readDeclarations(files).unwrap();
+  return takeSnapshot(emptyConfiguration, { revision: 1, declarations });
+};
+
+const sum = (values: readonly number[]): number => values.reduce((a, b) => a + b, 0);
+
+/**
+ * The shortest roll-out that any plan could have: a canary must be through first, then each pool
+ * can be without no more hosts at a time than leave room for its executors.
+ */
+const boundS = (configuration: Configuration): number => {
+  const hosts = declaredHosts(configuration);
+  const rounds = declarationsOf(configuration, 'Pool').map(({ name }) => {
+    const inPool = hosts.filter(({ firstPool }) => firstPool === name);
+    const needed = sum(
+      declarationsOf(configuration, 'Service')
+        .filter(({ spec }) => spec.pool === name)
+        .map(({ spec }) => spec.cores * spec.executors),
+    );
+    const coresEach = Math.max(...inPool.map(({ cores }) => cores));
+    const free = Math.floor((sum(inPool.map(({ cores }) => cores)) - needed) / coresEach);
+    return inPool.length === 0 ? 0 : 1 + Math.ceil((inPool.length - 1) / Math.max(1, free));
+  });
+  return (Math.max(...rounds) * REBOOT_MS) / 1000;
+};
+
+const startWave = (fleet: FleetModel, hosts: readonly HostId[]): void => {
+  const row: WaveRow = {
+    waveId: WAVE as WaveRow['waveId'],
+    selector: '',
+    phase: 'running',
+    reason: 'started',
+    hosts,
+  };
+  fleet.table.transact([], [{ key: rowKey.wave(WAVE), value: row }]);
+};
+
+const victims: Record<Losses, (specs: readonly HostSpec[], used: HostSpec) => readonly HostSpec[]> =
+  {
+    none: () => [],
+    host: (_, used) => [used],
+    rack: (specs, used) => specs.filter(({ rack }) => rack === used.rack),
+    'data-centre': (specs, used) =>
+      specs.filter(({ dataCentre }) => dataCentre === used.dataCentre),
+  };
+
+const usedHost = (fleet: FleetModel, specs: readonly HostSpec[]): HostSpec => {
+  const [task] = fleet.workers.tasks().filter(({ service }) => service !== null);
+  return specs.find(({ hostId }) => hostId === task?.hostId) ?? (specs[0] as HostSpec);
+};
+
+/** Cores of hosts that are being maintained, and cores that are used twice during a move. */
+const heldBackCores = (fleet: FleetModel, specs: ReadonlyMap<HostId, HostSpec>): number =>
+  sum(
+    fleet
+      .rows<HostRow>(rowPrefix.host)
+      .filter(({ phase }) => phase !== 'assigned')
+      .map(({ hostId }) => specs.get(hostId)?.cores ?? 0),
+  );
+
+type Outcome = {
+  readonly rollOutS: number;
+  readonly moves: number;
+  readonly heldBackCoreS: number;
+  readonly peakCores: number;
+  readonly budgetViolations: number;
+  readonly cutRequests: number;
+  readonly phase: string;
+};
+
+const runOne = (configuration: Configuration, strategy: WaveStrategy, losses: Losses): Outcome => {
+  const fleet = createFleetModel({
+    configuration,
+    startMs: START_MS,
+    rebootMs: REBOOT_MS,
+    stepMs: STEP_MS,
+    waveStrategy: strategy,
+  });
+  const list = declaredHosts(configuration);
+  const specs = new Map(list.map((spec) => [spec.hostId, spec]));
+  const services = declarationsOf(configuration, 'Service');
+  for (let step = 0; step < SETTLE_STEPS; step += 1) fleet.step();
+  const startedMs = fleet.nowMs();
+  const decided = fleet.decisions.length;
+  startWave(
+    fleet,
+    list.map(({ hostId }) => hostId),
+  );
+  let heldBackCoreS = 0;
+  let peakCores = 0;
+  let budgetViolations = 0;
+  let isLost = false;
+  const wave = (): WaveRow => fleet.table.read(rowKey.wave(WAVE)).value as WaveRow;
+  const maintained = (): number =>
+    fleet.rows<HostRow>(rowPrefix.host).filter(({ maintainedBy }) => maintainedBy !== null).length;
+  for (let step = 0; step < MOST_STEPS && wave().phase === 'running'; step += 1) {
+    fleet.step();
+    if (!isLost && maintained() >= list.length * LOSS_AT_SHARE) {
+      isLost = true;
+      victims[losses](list, usedHost(fleet, list)).forEach(({ hostId }) =>
+        fleet.workers.kill(hostId),
+      );
+    }
+    const held = heldBackCores(fleet, specs);
+    heldBackCoreS += (held * STEP_MS) / 1000;
+    peakCores = Math.max(peakCores, held);
+    budgetViolations += services.filter(
+      ({ name, spec }) => fleet.readyOf(name) < spec.minReady,
+    ).length;
+  }
+  const placed = fleet.decisions
+    .slice(decided)
+    .filter(({ subject, reason }) => /^placement/.test(subject) && /best of/.test(reason));
+  return {
+    rollOutS: (fleet.nowMs() - startedMs) / 1000,
+    moves: placed.length,
+    heldBackCoreS,
+    peakCores,
+    budgetViolations,
+    cutRequests: fleet.workers.faults.cutTasks,
+    phase: wave().phase,
+  };
+};
+
+/**
+ * Runs the planner and its baselines on an example, with each kind of loss.
+ *
+ * @param example - The folder under `examples/`.
+ * @returns One row a run.
+ */
+export const benchWaves = async (example: string): Promise<readonly BenchRow[]> => {
+  const configuration = await readExample(example);
+  const hosts = declaredHosts(configuration);
+  const totalCores = sum(hosts.map(({ cores }) => cores));
+  const bound = boundS(configuration);
+  return allLosses.flatMap((losses) => {
+    const outcomes = Object.entries(planners).map(
+      ([planner, strategy]) => [planner, runOne(configuration, strategy, losses)] as const,
+    );
+    // All planners are charged over the same time, so that a short wave is not held against it.
+    const horizonS = Math.max(...outcomes.map(([, { rollOutS }]) => rollOutS));
+    return outcomes.map(([planner, outcome]) => ({
+      bench: 'waves',
+      example,
+      planner,
+      losses,
+      hosts: hosts.length,
+      rollOutS: outcome.rollOutS,
+      boundS: bound,
+      moves: outcome.moves,
+      bufferCoreFraction: rounded(outcome.heldBackCoreS / (totalCores * horizonS)),
+      peakCoreFraction: rounded(outcome.peakCores / totalCores),
+      budgetViolations: outcome.budgetViolations,
+      cutRequests: outcome.cutRequests,
+      end: outcome.phase,
+    }));
+  });
+};
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,10 +1,12 @@
 /** The operators' command line. */
+import { Err } from 'ts-results-es';
 import yargs, { type Argv } from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
 import { callEntry, type Answer } from './client.js';
 import { readFiles } from './files.js';
 import { exitCode, printAnswer, type OutputForm, type TableWriter } from './output.js';
+import { replayFile, replayLines } from './replay-command.js';
 import {
   applyLines,
   differenceLines,
@@ -209,6 +211,28 @@
         explanationLines as TableWriter,
       ),
   )
+  .command(
+    'replay <file>',
+    'replay a recorded trace against the decisions and check its stated outcomes',
+    (argv) =>
+      argv
+        .positional('file', { type: 'string', demandOption: true })
+        .option('decisions', { type: 'boolean', default: true, describe: 'show each decision' }),
+    async ({ file, decisions, output }) => {
+      const report = await replayFile(file).catch((error: Error) => Err(error.message));
+      if (report.isErr()) {
+        process.stderr.write(`valvelatch: ${report.error}\n`);
+        process.exitCode = exitCode.invalid;
+        return;
+      }
+      process.exitCode = report.value.broken.length === 0 ? exitCode.ok : exitCode.fault;
+      const lines =
+        output === 'json'
+          ? [JSON.stringify(report.value, null, 2)]
+          : replayLines(report.value, decisions);
+      process.stdout.write(`${lines.join('\n')}\n`);
+    },
+  )
   .command('status', 'how the entries stand', {}, (args) =>
     run(args as never, 'status', {}, statusLines as TableWriter),
   )
--- a/packages/core/src/control/draft.ts
+++ b/packages/core/src/control/draft.ts
@@ -45,9 +45,20 @@
   readonly placements: Map<JobId, PlacementRow>;
   readonly actions: ControlAction[];
   readonly withheld: Withheld[];
+  /** Hosts that a running wave still has to take down: what is moved there would move again. */
+  readonly hostsAhead: ReadonlySet<HostId>;
   nextEpoch: number;
 };
 
+const hostsAhead = (world: PoolWorld): ReadonlySet<HostId> =>
+  new Set(
+    Array.from(world.waves.values())
+      .filter(({ value }) => value.phase === 'running')
+      .flatMap(({ value }) =>
+        value.hosts.filter((id) => world.hosts.get(id)?.value.maintainedBy !== value.waveId),
+      ),
+  );
+
 /**
  * Starts a turn.
  *
@@ -62,6 +73,7 @@
   placements: new Map(Array.from(world.placements, ([id, { value }]) => [id, value])),
   actions: [],
   withheld: [],
+  hostsAhead: hostsAhead(world),
   nextEpoch: world.nextEpoch,
 });
 
--- a/packages/core/src/control/executors.ts
+++ b/packages/core/src/control/executors.ts
@@ -5,7 +5,7 @@
  */
 import type { DeclarationOf } from '../declarations/schema.js';
 import { declarationsOf } from '../configuration/configuration.js';
-import { chooseHost } from '../placement/choose-host.js';
+import { chooseHost, type HostChoice } from '../placement/choose-host.js';
 import { executorJob, type PlaceableJob, type PlacementHost } from '../placement/placeable.js';
 import { rowKey, type PlacementPhase, type PlacementRow } from '../rows/rows.js';
 import { brand, type HostId, type JobId, type ServiceName } from '../shared/ids.js';
@@ -40,15 +40,17 @@
   return brand<JobId>(`${service}-${index}`);
 };
 
-/** Hosts that a running wave still has to take down: what is moved there would move again. */
-const hostsAhead = (draft: Draft): ReadonlySet<HostId> =>
-  new Set(
-    Array.from(draft.world.waves.values())
-      .filter(({ value }) => value.phase === 'running')
-      .flatMap(({ value }) =>
-        value.hosts.filter((id) => draft.hosts.get(id)?.row.maintainedBy !== value.waveId),
-      ),
-  );
+/**
+ * Leaves out the hosts that a running wave is still to take down.
+ *
+ * @param draft - The working copy.
+ * @param hosts - The hosts.
+ * @returns Those from which an executor need not move again.
+ */
+export const settledHosts = (
+  draft: Draft,
+  hosts: readonly PlacementHost[],
+): readonly PlacementHost[] => hosts.filter(({ spec }) => !draft.hostsAhead.has(spec.hostId));
 
 /**
  * Chooses the host for an executor: one that no running wave is still to take down, if there is
@@ -63,22 +65,20 @@
   draft: Draft,
   job: PlaceableJob,
   hosts: readonly PlacementHost[],
-): ReturnType<typeof chooseHost> => {
-  const ahead = hostsAhead(draft);
-  if (ahead.size === 0) return chooseHost(job, hosts);
-  const settled = hosts.filter(({ spec }) => !ahead.has(spec.hostId));
-  const first = chooseHost(job, settled);
-  return first.isOk() ? first : chooseHost(job, hosts);
+): HostChoice => {
+  if (draft.hostsAhead.size === 0) return chooseHost(job, hosts);
+  const first = chooseHost(job, settledHosts(draft, hosts));
+  return first.kind === 'chosen' ? first : chooseHost(job, hosts);
 };
 
 const placeOne = (draft: Draft, service: ServiceDeclaration, why: string): boolean => {
   const job = executorJob(service, firstFreeId(draft, service.name));
   const chosen = chooseForExecutor(draft, job, Array.from(draft.hosts.values()));
-  if (chosen.isErr()) {
-    withhold(draft, rowKey.placement(job.jobId), chosen.error.reason);
+  if (chosen.kind === 'none') {
+    withhold(draft, rowKey.placement(job.jobId), chosen.reason);
     return false;
   }
-  placeOn(draft, { job, hostId: chosen.value.hostId, reason: `${why}; ${chosen.value.reason}` });
+  placeOn(draft, { job, hostId: chosen.hostId, reason: `${why}; ${chosen.reason}` });
   return true;
 };
 
--- a/packages/core/src/control/jobs.ts
+++ b/packages/core/src/control/jobs.ts
@@ -109,8 +109,8 @@
 ): void => {
   const subject = rowKey.job(job.jobId);
   const chosen = chooseHost(job, Array.from(draft.hosts.values()));
-  if (chosen.isErr() && chosen.error.never) {
-    writeJob(draft, job.jobId, { ...row, phase: 'refused', reason: chosen.error.reason });
+  if (chosen.kind === 'none' && chosen.never) {
+    writeJob(draft, job.jobId, { ...row, phase: 'refused', reason: chosen.reason });
     return;
   }
   const quota = teamQuotaCores(draft.world.configuration, job.team);
@@ -120,12 +120,12 @@
     withhold(draft, subject, over);
     return;
   }
-  if (chosen.isErr()) {
-    withhold(draft, subject, chosen.error.reason);
+  if (chosen.kind === 'none') {
+    withhold(draft, subject, chosen.reason);
     return;
   }
   used.set(job.team, usedCores + job.cores);
-  placeOn(draft, { job, hostId: chosen.value.hostId, reason: chosen.value.reason });
+  placeOn(draft, { job, hostId: chosen.hostId, reason: chosen.reason });
 };
 
 const isDue = (draft: Draft, jobId: JobId): boolean =>
--- a/packages/core/src/control/pool-turn.test.ts
+++ b/packages/core/src/control/pool-turn.test.ts
@@ -213,7 +213,9 @@
       (fleet, draw) => moveHost(fleet, someHost(fleet, draw), somePool(draw)),
       (fleet, draw) => fleet.workers.kill(someHost(fleet, draw)),
       (fleet) => allHosts(fleet).forEach(fleet.workers.revive),
-      (fleet, draw) => void paused.push(fleet.planOnly(somePool(draw))),
+      (fleet, draw) => {
+        paused.push(fleet.planOnly(somePool(draw)));
+      },
       (fleet) => paused.splice(0).forEach(fleet.write),
       (fleet, draw) => fleet.takeControl(somePool(draw)),
       (fleet, draw) => fleet.setPlatformAway(draw() < 0.5),
--- a/packages/core/src/control/waves.ts
+++ b/packages/core/src/control/waves.ts
@@ -5,6 +5,7 @@
  */
 import { declarationsOf, findDeclaration } from '../configuration/configuration.js';
 import type { DeclarationOf } from '../declarations/schema.js';
+import { chooseHost } from '../placement/choose-host.js';
 import {
   addResources,
   executorJob,
@@ -14,12 +15,15 @@
 import { rowKey, type HostRow, type PlacementRow, type WaveRow } from '../rows/rows.js';
 import { countBy, groupBy } from '../shared/group-by.js';
 import type { HostId, JobId, ServiceName, WaveId } from '../shared/ids.js';
-import { chooseForExecutor } from './executors.js';
+import { chooseForExecutor, settledHosts } from './executors.js';
 import { withhold, writeHost, writePlacement, writeWave, type Draft } from './draft.js';
 import type { WaveStrategy } from './world.js';
 
 type Reserve = DeclarationOf<'Pool'>['spec']['reserveFor'];
 
+/** A turn is bounded: after so many hosts that cannot be emptied now, the others wait. */
+const MOST_OBSTACLES_PER_TURN = 16;
+
 /** The domain that is lost together, for each kind of reserve; none is never lost. */
 const domainOf: Record<Reserve, (host: PlacementHost) => string | null> = {
   none: () => null,
@@ -31,6 +35,14 @@
 /** The hosts as they would be if some more were emptied. */
 type Trial = Map<HostId, PlacementHost>;
 
+/** Empties a host in a trial, and tells what stands in the way. */
+type TryInTrial = (
+  draft: Draft,
+  trial: Trial,
+  host: PlacementHost,
+  mayMoveTwice: boolean,
+) => string | undefined;
+
 /** The state of one wave in one turn. */
 type WaveView = {
   readonly waveId: WaveId;
@@ -159,29 +171,35 @@
   });
 };
 
-/** Moves all that stands on a host elsewhere in the trial; tells what finds no room. */
-const moveInTrial = (draft: Draft, trial: Trial, host: PlacementHost): string | undefined => {
+/**
+ * Moves all that stands on a host elsewhere in the trial; tells what finds no room. An executor
+ * goes only where it need not move again, unless the wave could not go on otherwise.
+ */
+const moveInTrial: TryInTrial = (draft, trial, host, mayMoveTwice) => {
   emptyInTrial(trial, host);
   const unplaced = executorsOn(draft, host.spec.hostId).flatMap((placement) => {
     const job = jobOf(draft, placement);
     if (!job) return [];
-    const chosen = chooseForExecutor(draft, job, Array.from(trial.values()));
-    if (chosen.isErr()) return [`${placement.jobId} finds no room: ${chosen.error.reason}`];
-    settleInTrial(trial, chosen.value.hostId, job);
+    const all = Array.from(trial.values());
+    const chosen = mayMoveTwice
+      ? chooseForExecutor(draft, job, all)
+      : chooseHost(job, settledHosts(draft, all));
+    if (chosen.kind === 'none') return [`${placement.jobId} finds no room: ${chosen.reason}`];
+    settleInTrial(trial, chosen.hostId, job);
     return [];
   });
   return unplaced[0];
 };
 
 /** Keeps the executors on their host, which counts as not serving until it is back. */
-const parkInTrial = (_: Draft, trial: Trial, host: PlacementHost): string | undefined => {
+const parkInTrial: TryInTrial = (_, trial, host) => {
   emptyInTrial(trial, host);
   return undefined;
 };
 
 type DrainMode = 'move' | 'park';
 
-const tryInTrial: Record<DrainMode, typeof moveInTrial> = { move: moveInTrial, park: parkInTrial };
+const tryInTrial: Record<DrainMode, TryInTrial> = { move: moveInTrial, park: parkInTrial };
 
 const startDrain = (draft: Draft, host: PlacementHost, waveId: WaveId, mode: DrainMode): void => {
   const { hostId } = host.spec;
@@ -201,22 +219,29 @@
   });
 };
 
-/** Operators who weigh moves most keep executors on their host where the budget allows. */
-const modesFor = (draft: Draft): readonly DrainMode[] =>
-  poolSpec(draft)?.prefer === 'moves' ? ['park', 'move'] : ['move'];
+/**
+ * Operators who weigh moves most keep executors on their host where the budget allows, and wait
+ * for that; they are moved only where the wave could not go on otherwise.
+ */
+const modesFor = (draft: Draft, isOnly: boolean): readonly DrainMode[] => {
+  if (poolSpec(draft)?.prefer !== 'moves') return ['move'];
+  return isOnly ? ['park', 'move'] : ['park'];
+};
 
 const attempt = (
   draft: Draft,
   trial: Trial,
   host: PlacementHost,
+  isOnly: boolean,
 ): { readonly mode: DrainMode; readonly trial: Trial } | { readonly obstacle: string } => {
   const reserve = poolSpec(draft)?.reserveFor ?? 'rack';
   const obstacles: string[] = [];
-  const modes = modesFor(draft);
+  const modes = modesFor(draft, isOnly);
   for (let index = 0; index < modes.length; index += 1) {
     const mode = modes[index] as DrainMode;
     const next: Trial = new Map(trial);
-    const obstacle = tryInTrial[mode](draft, next, host) ?? budgetObstacle(draft, next, reserve);
+    const obstacle =
+      tryInTrial[mode](draft, next, host, isOnly) ?? budgetObstacle(draft, next, reserve);
     if (obstacle === undefined) return { mode, trial: next };
     obstacles.push(obstacle);
   }
@@ -250,22 +275,27 @@
   a.used.cores - b.used.cores || (a.spec.hostId < b.spec.hostId ? -1 : 1);
 
 const drainNext = (draft: Draft, view: WaveView): void => {
-  let trial: Trial = readyTrial(draft);
   const { waveStrategy } = draft.world;
-  let room = allowedUnderWay[waveStrategy](draft, view) - view.underWay.length;
+  let trial: Trial = readyTrial(draft);
+  let underWay = view.underWay.length;
+  let room = allowedUnderWay[waveStrategy](draft, view) - underWay;
+  let obstacles = 0;
+  const hold = ({ spec }: PlacementHost, why: string): void =>
+    withhold(draft, rowKey.host(spec.hostId), `wave ${view.waveId}: ${why}`);
   candidates[waveStrategy](view).forEach((host) => {
-    const { hostId } = host.spec;
-    if (room <= 0) {
-      withhold(draft, rowKey.host(hostId), `wave ${view.waveId}: waits for the hosts before it`);
+    if (room <= 0 || obstacles >= MOST_OBSTACLES_PER_TURN) {
+      hold(host, 'waits for the hosts before it');
       return;
     }
-    const result = attempt(draft, trial, host);
+    const result = attempt(draft, trial, host, underWay === 0);
     if ('obstacle' in result) {
-      withhold(draft, rowKey.host(hostId), `wave ${view.waveId}: ${result.obstacle}`);
+      obstacles += 1;
+      hold(host, result.obstacle);
       return;
     }
     trial = result.trial;
     room -= 1;
+    underWay += 1;
     startDrain(draft, host, view.waveId, result.mode);
   });
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,3 +40,5 @@
 export * from './replay/fleet-model.js';
 export * from './replay/table-model.js';
 export * from './replay/workers-model.js';
+export * from './replay/replay.js';
+export * from './replay/trace.js';
--- a/packages/core/src/placement/choose-host.ts
+++ b/packages/core/src/placement/choose-host.ts
@@ -2,9 +2,8 @@
  * The choice of a host for one job: ruled out by pool, phase, selector and room, in that order,
  * then ranked by spread over data centres, racks and hosts, then the fullest first.
  */
-import { Err, Ok, type Result } from 'ts-results-es';
-
-import { firstUnmet, requirementText, type Labels } from '../selectors/selector.js';
+import { firstUnmet, requirementText } from '../selectors/selector.js';
+import { builtInLabel } from '../fleet/fleet.js';
 import type { HostId } from '../shared/ids.js';
 import type { PlaceableJob, PlacementHost } from './placeable.js';
 
@@ -12,16 +11,24 @@
 export type RuledOut = Readonly<Record<string, number>>;
 
 /** A chosen host, with the reason in terms of the operator's labels and selectors. */
-export type ChosenHost = { readonly hostId: HostId; readonly reason: string };
+export type ChosenHost = {
+  readonly kind: 'chosen';
+  readonly hostId: HostId;
+  readonly reason: string;
+};
 
 /** Why no host was chosen. */
 export type NoHost = {
+  readonly kind: 'none';
   /** True if no host could take the job even if all of them were idle. */
   readonly never: boolean;
   readonly ruledOut: RuledOut;
   readonly reason: string;
 };
 
+/** The outcome of a choice. Thousands may fail in one turn, so a failure costs no stack trace. */
+export type HostChoice = ChosenHost | NoHost;
+
 /** Counts of the executors of one service by place. */
 type Spread = {
   readonly byDataCentre: ReadonlyMap<string, number>;
@@ -30,11 +37,6 @@
 
 type Candidate = { readonly host: PlacementHost; readonly rank: readonly number[] };
 
-const effectiveLabels = ({ spec, row }: PlacementHost): Labels => ({
-  ...spec.labels,
-  pool: row.pool,
-});
-
 const lacksSize = (job: PlaceableJob, { spec }: PlacementHost): string | undefined => {
   if (spec.cores < job.cores) return `has fewer than ${job.cores} cores`;
   if (spec.memoryMb < job.memoryMb) return `has less than ${job.memoryMb} MB`;
@@ -48,7 +50,10 @@
 const lastingObstacle = (job: PlaceableJob, host: PlacementHost): string | undefined => {
   if (host.row.pool !== job.pool) return `pool is not ${job.pool}`;
   if (job.selector.requirements.length > 0) {
-    const unmet = firstUnmet(job.selector, effectiveLabels(host));
+    const { labels } = host.spec;
+    const unmet = firstUnmet(job.selector, (key) =>
+      key === builtInLabel.pool ? host.row.pool : labels[key],
+    );
     if (unmet) return `selector ${requirementText(unmet)} not met`;
   }
   return lacksSize(job, host);
@@ -128,10 +133,7 @@
  * @param hosts - All hosts that may come into question, as they are now.
  * @returns The host with the reason, or the counts of what ruled the hosts out.
  */
-export const chooseHost = (
-  job: PlaceableJob,
-  hosts: readonly PlacementHost[],
-): Result<ChosenHost, NoHost> => {
+export const chooseHost = (job: PlaceableJob, hosts: readonly PlacementHost[]): HostChoice => {
   const ruledOut = new Map<string, number>();
   const spread = spreadOf(job, hosts);
   let fitting = 0;
@@ -149,8 +151,11 @@
     const candidate = { host, rank: rankOf(job, host, spread) };
     if (!best || isBefore(candidate, best)) best = candidate;
   });
-  if (best) return Ok({ hostId: best.host.spec.hostId, reason: reasonFor(job, best, candidates) });
+  if (best) {
+    const { hostId } = best.host.spec;
+    return { kind: 'chosen', hostId, reason: reasonFor(job, best, candidates) };
+  }
   const counts = Object.fromEntries(ruledOut);
   const never = fitting === 0;
-  return Err({ never, ruledOut: counts, reason: explainNone(job, counts, never) });
+  return { kind: 'none', never, ruledOut: counts, reason: explainNone(job, counts, never) };
 };
--- a/packages/core/src/replay/fleet-model.ts
+++ b/packages/core/src/replay/fleet-model.ts
@@ -4,13 +4,12 @@
  */
 import type { Configuration } from '../configuration/configuration.js';
 import { declarationsOf } from '../configuration/configuration.js';
-import type { ControlAction } from '../control/draft.js';
+import type { ControlAction, Withheld } from '../control/draft.js';
 import { retryDelayMs } from '../control/jobs.js';
 import { planPoolTurn } from '../control/plan-turn.js';
 import { createRowAges } from '../control/row-ages.js';
 import { emptyHosts, reconcile, renewals, type ReconcileAction } from '../control/reconcile.js';
 import type { HostSighting, PoolWorld, WaveStrategy } from '../control/world.js';
-import type { Withheld } from '../control/draft.js';
 import { declaredHosts } from '../fleet/fleet.js';
 import {
   rowKey,
--- /dev/null
+++ b/packages/core/src/replay/trace.ts
@@ -0,0 +1,105 @@
+/** Recorded traces: one JSON line an event, with the outcomes that are stated for them. */
+import { Err, Ok, type Result } from 'ts-results-es';
+import { z } from 'zod';
+
+import { jobDeclarationSchema } from '../declarations/schema.js';
+
+const at = { atS: z.number().min(0) };
+const name = z.string().min(1);
+const event = <Type extends string, Shape extends z.ZodRawShape>(type: Type, shape: Shape) =>
+  z.strictObject({ type: z.literal(type), ...at, ...shape });
+
+const expectation = event('expect', {
+  /** Executors that must be ready, by service. */
+  ready: z.record(z.string(), z.number().int()).optional(),
+  jobs: z.record(z.string(), z.enum(['pending', 'refused', 'done', 'cancelled'])).optional(),
+  waves: z
+    .record(z.string(), z.enum(['running', 'held', 'paused', 'done', 'cancelled']))
+    .optional(),
+  pools: z.record(z.string(), z.string()).optional(),
+  phases: z.record(z.string(), z.string()).optional(),
+  /** A text that the reason for something withheld must contain. */
+  withheld: z.string().optional(),
+});
+
+/** One line of a trace. */
+export const traceEventSchema = z.discriminatedUnion('type', [
+  z.strictObject({
+    type: z.literal('fleet'),
+    /** Folders with declarations, from the folder of the trace. */
+    declarations: z.array(name).min(1),
+    rebootS: z.number().positive().default(60),
+    startS: z.number().positive().default(1),
+    /** True for a trace whose losses are larger than the budgets provide for. */
+    budgetsMayBreak: z.boolean().default(false),
+  }),
+  event('job-submit', { job: jobDeclarationSchema }),
+  event('job-cancel', { job: name }),
+  event('host-kill', { hosts: z.array(name) }),
+  event('host-revive', { hosts: z.array(name) }),
+  event('host-fails-tasks', { hosts: z.array(name) }),
+  event('host-leaving', { hosts: z.array(name) }),
+  event('rack-kill', { rack: name }),
+  event('data-centre-cut', { dataCentre: name }),
+  event('data-centre-heal', { dataCentre: name }),
+  event('platform-away', {}),
+  event('platform-back', {}),
+  event('wave-start', { wave: name, selector: z.string() }),
+  event('wave-change', { wave: name, to: z.enum(['held', 'running', 'cancelled']) }),
+  event('host-move', { host: name, toPool: name }),
+  /** The holder of a pool's control plans a turn and is paused before it writes. */
+  event('control-paused', { pool: name }),
+  event('control-taken', { pool: name }),
+  event('control-woken', { pool: name }),
+  expectation,
+]);
+
+export type TraceEvent = z.infer<typeof traceEventSchema>;
+export type FleetLine = Extract<TraceEvent, { type: 'fleet' }>;
+export type TimedEvent = Exclude<TraceEvent, { type: 'fleet' }>;
+export type Expectation = Extract<TraceEvent, { type: 'expect' }>;
+
+/** A trace that was read. */
+export type Trace = { readonly fleet: FleetLine; readonly events: readonly TimedEvent[] };
+
+/** A line that cannot be read. */
+export type TraceFault = { readonly line: number; readonly reason: string };
+
+const parseLine = (text: string, line: number): Result<TraceEvent, TraceFault> => {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    return Err({ line, reason: (error as Error).message });
+  }
+  const parsed = traceEventSchema.safeParse(value);
+  if (parsed.success) return Ok(parsed.data);
+  const [issue] = parsed.error.issues;
+  return Err({ line, reason: `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}` });
+};
+
+const isTimed = (one: TraceEvent): one is TimedEvent => one.type !== 'fleet';
+
+/**
+ * Reads a trace.
+ *
+ * @param text - The lines; empty ones are passed over.
+ * @returns The trace with its events in order of time, or the first line that is wrong.
+ */
+export const readTrace = (text: string): Result<Trace, TraceFault> => {
+  const events: TraceEvent[] = [];
+  const lines = text.split('\n');
+  for (let index = 0; index < lines.length; index += 1) {
+    const line = lines[index] as string;
+    if (line.trim() !== '') {
+      const parsed = parseLine(line, index + 1);
+      if (parsed.isErr()) return parsed;
+      events.push(parsed.value);
+    }
+  }
+  const [first] = events;
+  if (first?.type !== 'fleet')
+    return Err({ line: 1, reason: 'the first line must be of type fleet' });
+  const timed = events.filter(isTimed).sort((a, b) => a.atS - b.atS);
+  return Ok({ fleet: first, events: timed });
+};
--- a/packages/core/src/selectors/selector.test.ts
+++ b/packages/core/src/selectors/selector.test.ts
@@ -24,7 +24,8 @@
     });
 
     it('names the condition that ruled the labels out', () => {
-      const unmet = firstUnmet(parsed('a,b notin (x,y)'), { a: '1', b: 'y' });
+      const labels: Record<string, string> = { a: '1', b: 'y' };
+      const unmet = firstUnmet(parsed('a,b notin (x,y)'), (key) => labels[key]);
       expect(unmet && requirementText(unmet)).toBe('b notin (x,y)');
     });
 
--- a/packages/core/src/selectors/selector.ts
+++ b/packages/core/src/selectors/selector.ts
@@ -28,27 +28,23 @@
   'not-in': ({ values }, value) => value === undefined || !values.includes(value),
 };
 
-/**
- * Tells whether labels meet one requirement.
- *
- * @param requirement - The requirement.
- * @param labels - The labels.
- * @returns True if it is met.
- */
-export const meetsRequirement = (requirement: Requirement, labels: Labels): boolean => {
+/** Gives the value of a label, or undefined where there is none. */
+export type LabelLookup = (key: string) => string | undefined;
+
+const meets = (requirement: Requirement, value: string | undefined): boolean => {
   const matcher = matchers[requirement.operator] as (one: Requirement, value?: string) => boolean;
-  return matcher(requirement, labels[requirement.key]);
+  return matcher(requirement, value);
 };
 
 /**
- * Finds the first requirement that labels fail to meet.
+ * Finds the first requirement that is not met.
  *
  * @param selector - The selector.
- * @param labels - The labels.
+ * @param lookup - Gives the values of labels.
  * @returns The requirement that ruled the labels out, or undefined if they match.
  */
-export const firstUnmet = (selector: Selector, labels: Labels): Requirement | undefined =>
-  selector.requirements.find((requirement) => !meetsRequirement(requirement, labels));
+export const firstUnmet = (selector: Selector, lookup: LabelLookup): Requirement | undefined =>
+  selector.requirements.find((requirement) => !meets(requirement, lookup(requirement.key)));
 
 /**
  * Tells whether labels match a selector.
@@ -58,7 +54,7 @@
  * @returns True if each requirement is met.
  */
 export const matches = (selector: Selector, labels: Labels): boolean =>
-  firstUnmet(selector, labels) === undefined;
+  firstUnmet(selector, (key) => labels[key]) === undefined;
 
 const writers: {
   readonly [Name in Operator]: (requirement: RequirementOf<Name>) => string;
--- a/packages/daemon/src/data-path/serve-request.ts
+++ b/packages/daemon/src/data-path/serve-request.ts
@@ -295,12 +295,12 @@
       deadlineMs: run.deadlineMs,
       exclude: run.triedEndpoints,
     });
-    if (slot.isErr()) {
-      const isNowhere = slot.error.reason === 'no-endpoint' && run.verdicts.length === 0;
+    if (slot.kind === 'none') {
+      const isNowhere = slot.reason === 'no-endpoint' && run.verdicts.length === 0;
       const remote = isNowhere ? await tryRemote(run) : undefined;
-      return remote ?? giveUp(run, slot.error);
+      return remote ?? giveUp(run, slot);
     }
-    const endpoint = slot.value;
+    const { endpoint } = slot;
     const classified = await tryEndpoint(run, gate, endpoint);
     if (classified.kind === 'good') return { kind: 'answer', answer: classified.answer };
     noteBad(run, endpoint.endpointId, classified);
--- a/packages/daemon/src/data-path/service-gate.ts
+++ b/packages/daemon/src/data-path/service-gate.ts
@@ -21,10 +21,10 @@
   type Rng,
   type ServiceName,
 } from '@valvelatch/core';
-import { Err, Ok, type Result } from 'ts-results-es';
 
 /** Why no slot was given. */
 export type NoSlot = {
+  readonly kind: 'none';
   readonly reason: RefusalReason;
   readonly detail: string;
   readonly retryAfterS: number;
@@ -38,7 +38,8 @@
   readonly exclude: readonly EndpointId[];
 };
 
-type Slot = Result<Endpoint, NoSlot>;
+/** The outcome of asking for a slot. Under overload most are refused, without a stack trace. */
+export type Slot = { readonly kind: 'slot'; readonly endpoint: Endpoint } | NoSlot;
 type Waiter = SlotRequest & { readonly resolve: (slot: Slot) => void };
 
 /** The gate. */
@@ -99,13 +100,13 @@
   const give = (endpoint: Endpoint, callerId: CallerId): Slot => {
     noteSent(endpoint, nowMs());
     noteStarted(queue, callerId);
-    return Ok(endpoint);
+    return { kind: 'slot', endpoint };
   };
 
   const refuse = (reason: RefusalReason, detail: string): Slot => {
     const { slots, requestMs } = capacity();
     const waitMs = ((queue.waitingCount + 1) * requestMs) / Math.max(1, slots);
-    return Err({ reason, detail, retryAfterS: toRetryAfterS(waitMs) });
+    return { kind: 'none', reason, detail, retryAfterS: toRetryAfterS(waitMs) };
   };
 
   const join = (request: SlotRequest): Promise<Slot> =>
