--- a/packages/core/src/control/executors.ts
+++ b/packages/core/src/control/executors.ts
@@ -98,9 +98,12 @@
   service: ServiceDeclaration,
   staying: readonly PlacementRow[],
   leaving: readonly PlacementRow[],
+  parked: number,
 ): void => {
+  // Those that are parked are missing by plan, within the budget; nobody stays on for them.
+  const wanted = service.spec.executors - parked;
   const readyElsewhere = staying.filter(isRunning).length;
-  const stillNeeded = Math.max(0, service.spec.executors - readyElsewhere);
+  const stillNeeded = Math.max(0, wanted - readyElsewhere);
   leaving.slice(0, Math.max(0, leaving.length - stillNeeded)).forEach((placement) => {
     writePlacement(
       draft,
@@ -167,7 +170,7 @@
     missing,
     leaving.length > 0 ? `replaces one on draining ${leaving[0]?.hostId}` : 'fills up the service',
   );
-  retireReplaced(draft, service, staying, leaving);
+  retireReplaced(draft, service, staying, leaving, parked.length);
   if (leaving.length === 0) retireExcess(draft, service, staying);
 };
 
--- a/packages/core/src/control/waves.ts
+++ b/packages/core/src/control/waves.ts
@@ -274,12 +274,20 @@
 const byFewestExecutors = (a: PlacementHost, b: PlacementHost): number =>
   a.used.cores - b.used.cores || (a.spec.hostId < b.spec.hostId ? -1 : 1);
 
+/** While executors start or stop, what stands in the way of a wave may be gone in a moment. */
+const isSettled = (draft: Draft): boolean =>
+  Array.from(draft.placements.values()).every(
+    ({ service, phase, hostId }) =>
+      service === null || phase === 'running' || !draft.hosts.get(hostId)?.isLive,
+  );
+
 const drainNext = (draft: Draft, view: WaveView): void => {
   const { waveStrategy } = draft.world;
   let trial: Trial = readyTrial(draft);
   let underWay = view.underWay.length;
   let room = allowedUnderWay[waveStrategy](draft, view) - underWay;
   let obstacles = 0;
+  const isStuck = underWay === 0 && isSettled(draft);
   const hold = ({ spec }: PlacementHost, why: string): void =>
     withhold(draft, rowKey.host(spec.hostId), `wave ${view.waveId}: ${why}`);
   candidates[waveStrategy](view).forEach((host) => {
@@ -287,7 +295,7 @@
       hold(host, 'waits for the hosts before it');
       return;
     }
-    const result = attempt(draft, trial, host, underWay === 0);
+    const result = attempt(draft, trial, host, isStuck && underWay === 0);
     if ('obstacle' in result) {
       obstacles += 1;
       hold(host, result.obstacle);
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -28,6 +28,7 @@
   createObjectClient,
   createTableClient,
   createWorkerClient,
+  withBatchedReads,
 } from '@valvelatch/platform';
 
 import { createConfigSync } from './config-sync/config-sync.js';
@@ -111,7 +112,7 @@
   const tracing = createTracing(settings, log);
   const decisions = createDecisionMemory();
   const platform = { url: settings['platform-url'], timeoutMs: settings['platform-timeout-ms'] };
-  const table = createTableClient(platform);
+  const table = withBatchedReads(createTableClient(platform));
   const objects = createObjectClient(platform);
   const hostList = createHostListClient(platform);
   const workers = createWorkerClient({
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,4 +1,5 @@
 /** Clients of the platform: table, objects, hosts and workers. */
+export * from './batched-reads.js';
 export * from './group-commit.js';
 export * from './http-json.js';
 export * from './platform-clients.js';
