Measured use corrects declared sizes; large files are split by subject

Change: agents report use every 5 s in one row a data centre; a task that uses more counts with it and a quarter more, a submitted job that uses less gives half back at most; on a host that is over-used the least urgent job gives way, one at a time. Executors never count with less than declared: their use rises when others fail. The entry is put together from clients, request plane and control plane; operators' handlers stand by subject; trials of a wave and the classification of attempts have files of their own. Orders are fp-ts Ord.

--- a/packages/bench/src/control/big-world.ts
+++ b/packages/bench/src/control/big-world.ts
@@ -171,6 +171,7 @@
     hostSinceMs: new Map(),
     placementSinceMs: new Map(),
     waveStrategy: 'growing',
+    usedCores: new Map(),
     retryAtMs: new Map(),
   };
 };
--- a/packages/core/src/configuration/configuration.ts
+++ b/packages/core/src/configuration/configuration.ts
@@ -2,6 +2,14 @@
  * Configuration as a log of revisions. A state moves only to a higher revision, so whatever a
  * stale peer or a late message brings, nothing reverts.
  */
+import { pipe } from 'fp-ts/lib/function.js';
+import * as N from 'fp-ts/lib/number.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as RM from 'fp-ts/lib/ReadonlyMap.js';
+import * as RT from 'fp-ts/lib/ReadonlyTuple.js';
+import * as S from 'fp-ts/lib/string.js';
+
 import {
   declarationKey,
   type Declaration,
@@ -42,6 +50,11 @@
   return { revision: delta.revision, declarations };
 };
 
+const byRevision: Ord.Ord<ConfigurationDelta> = pipe(
+  N.Ord,
+  Ord.contramap(({ revision }) => revision),
+);
+
 /**
  * Takes in deltas in any order, with repeats and gaps.
  *
@@ -53,12 +66,13 @@
   state: Configuration,
   deltas: readonly ConfigurationDelta[],
 ): Configuration =>
-  [...deltas]
-    .sort((a, b) => a.revision - b.revision)
-    .reduce(
-      (sum, delta) => (delta.revision === sum.revision + 1 ? applyDelta(sum, delta) : sum),
-      state,
-    );
+  pipe(
+    deltas,
+    RA.sort(byRevision),
+    RA.reduce(state, (sum, delta) =>
+      delta.revision === sum.revision + 1 ? applyDelta(sum, delta) : sum,
+    ),
+  );
 
 /**
  * Takes in a snapshot, if it is newer.
@@ -86,9 +100,7 @@
  */
 export const toSnapshot = (state: Configuration): ConfigurationSnapshot => ({
   revision: state.revision,
-  declarations: Array.from(state.declarations)
-    .sort(([a], [b]) => (a < b ? -1 : 1))
-    .map(([, one]) => one),
+  declarations: pipe(state.declarations, RM.toReadonlyArray(S.Ord), RA.map(RT.snd)),
 });
 
 /**
--- a/packages/core/src/control/executors.ts
+++ b/packages/core/src/control/executors.ts
@@ -3,6 +3,12 @@
  * its own and is ready before the one it replaces is stopped, so that a planned move never lowers
  * the number that is ready.
  */
+import * as B from 'fp-ts/lib/boolean.js';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as N from 'fp-ts/lib/number.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+
 import type { DeclarationOf } from '../declarations/schema.js';
 import { declarationsOf } from '../configuration/configuration.js';
 import { chooseHost, type HostChoice } from '../placement/choose-host.js';
@@ -113,6 +119,19 @@
   });
 };
 
+/** Those that do not run yet go first, then those that share a host, then the youngest. */
+const firstToGo = (staying: readonly PlacementRow[]): readonly Ord.Ord<PlacementRow>[] => [
+  pipe(B.Ord, Ord.contramap(isRunning)),
+  pipe(
+    N.Ord,
+    Ord.contramap((one: PlacementRow) => -countIn(staying, one.hostId)),
+  ),
+  pipe(
+    N.Ord,
+    Ord.contramap((one: PlacementRow) => -one.epoch),
+  ),
+];
+
 const retireExcess = (
   draft: Draft,
   service: ServiceDeclaration,
@@ -120,13 +139,7 @@
 ): void => {
   const excess = staying.length - service.spec.executors;
   if (excess <= 0) return;
-  [...staying]
-    .sort(
-      (a, b) =>
-        Number(isRunning(a)) - Number(isRunning(b)) ||
-        countIn(staying, b.hostId) - countIn(staying, a.hostId) ||
-        b.epoch - a.epoch,
-    )
+  pipe(staying, RA.sortBy(firstToGo(staying)))
     .slice(0, excess)
     .forEach((placement) => {
       writePlacement(
--- a/packages/core/src/control/jobs.ts
+++ b/packages/core/src/control/jobs.ts
@@ -1,4 +1,9 @@
 /** Submitted jobs: from pending to placed, ended, refused or tried again. */
+import { pipe } from 'fp-ts/lib/function.js';
+import * as N from 'fp-ts/lib/number.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+
 import type { Urgency } from '../declarations/schema.js';
 import { findDeclaration } from '../configuration/configuration.js';
 import { chooseHost } from '../placement/choose-host.js';
@@ -15,9 +20,14 @@
   writePlacement,
   type Draft,
 } from './draft.js';
-import { sizeOfPlacement } from './world.js';
 
-const order: Record<Urgency, number> = { urgent: 0, normal: 1, batch: 2 };
+const urgencyRank: Record<Urgency, number> = { urgent: 0, normal: 1, batch: 2 };
+
+const byUrgency: Ord.Ord<{ readonly job: PlaceableJob }> = pipe(
+  N.Ord,
+  Ord.contramap(({ job }) => urgencyRank[job.urgency]),
+);
+
 const FIRST_BACKOFF_MS = 1000;
 const LONGEST_BACKOFF_MS = 60_000;
 /** How many of its last hosts a job remembers as those it failed on. */
@@ -96,7 +106,8 @@
   draft.placements.forEach((placement) => {
     const team = draft.world.jobs.get(placement.jobId)?.value.job.spec.team as TeamName | undefined;
     if (team === undefined) return;
-    used.set(team, (used.get(team) ?? 0) + sizeOfPlacement(draft.world, placement).cores);
+    const declared = draft.world.jobs.get(placement.jobId)?.value.job.spec.cores ?? 0;
+    used.set(team, (used.get(team) ?? 0) + declared);
   });
   return used;
 };
@@ -148,12 +159,15 @@
     if (placement) planPlaced(draft, placement, row);
   });
   const used = coresByTeam(draft);
-  jobs
-    .filter(([jobId, { phase }]) => phase === 'pending' && !draft.world.placements.has(jobId))
-    .filter(([jobId]) => isDue(draft, jobId))
-    .map(([, row]) => ({ row, job: submittedJob(row.job, row.failedOn) }))
-    .sort((a, b) => order[a.job.urgency] - order[b.job.urgency])
-    .forEach(({ row, job }) => placePending(draft, job, row, used));
+  pipe(
+    jobs,
+    RA.filter(
+      ([jobId, { phase }]) =>
+        phase === 'pending' && !draft.world.placements.has(jobId) && isDue(draft, jobId),
+    ),
+    RA.map(([, row]) => ({ row, job: submittedJob(row.job, row.failedOn) })),
+    RA.sort(byUrgency),
+  ).forEach(({ row, job }) => placePending(draft, job, row, used));
 };
 
 const failedJobsByHost = (draft: Draft): ReadonlyMap<HostId, readonly JobId[]> => {
--- a/packages/core/src/control/plan-turn.ts
+++ b/packages/core/src/control/plan-turn.ts
@@ -4,6 +4,7 @@
 import { planHosts } from './hosts.js';
 import { planJobs, planQuarantine } from './jobs.js';
 import { planLostHosts } from './lost-hosts.js';
+import { planOveruse } from './overuse.js';
 import { planWaves } from './waves.js';
 import type { PoolWorld } from './world.js';
 
@@ -22,6 +23,7 @@
   planQuarantine,
   planUndeclared,
   planExecutors,
+  planOveruse,
   planJobs,
   planWaves,
 ] as const;
--- a/packages/core/src/control/pool-turn.test.ts
+++ b/packages/core/src/control/pool-turn.test.ts
@@ -3,8 +3,9 @@
 
 import { createFleetModel, type FleetModel, type PausedTurn } from '../replay/fleet-model.js';
 import { rowKey, rowPrefix, type JobRow, type PlacementRow } from '../rows/rows.js';
-import { brand, type DataCentreId, type HostId, type PoolName } from '../shared/ids.js';
+import { brand, type DataCentreId, type HostId, type JobId, type PoolName } from '../shared/ids.js';
 import { createRng, pick } from '../shared/rng.js';
+import { correctedSize } from '../placement/corrected-size.js';
 import {
   changeHost,
   configurationOf,
@@ -125,6 +126,35 @@
       expect(phases).toEqual(phases.map(() => 'done'));
     });
 
+    it('give way, the least urgent first, where a host is over-used', () => {
+      const fleet = newFleet();
+      const size = 'pool: spare, team: crew, cores: 4, memoryMb: 1, runTimeS: 500, leaseS: 6';
+      ['normal', 'batch', 'urgent'].forEach((urgency) => {
+        submit(fleet, jobOf(urgency, `${size}, urgency: ${urgency}, selector: 'host=w2-1'`));
+        fleet.setUse(brand<JobId>(urgency), 6);
+      });
+      run(fleet, 3000);
+      const phases = ['normal', 'batch', 'urgent'].map(
+        (name) => (fleet.table.read(rowKey.placement(name)).value as PlacementRow | null)?.phase,
+      );
+      expect(phases).toEqual(['running', undefined, 'running']);
+      const told = fleet.decisions.map(({ reason }) => reason);
+      expect(told).toContain(
+        'host w2-1 is over-used, its tasks use 18.0 of 16 cores; batch (urgency batch) gives way',
+      );
+      expect(fleet.withheld().some(({ reason }) => /fewer than 4 cores free/.test(reason))).toBe(
+        true,
+      );
+    });
+
+    it('count with what they use: less room where they use more, more where they use less', () => {
+      const declared = { cores: 4, memoryMb: 1, accelerators: 0 };
+      expect(correctedSize(declared, 8, false).cores).toBe(10);
+      expect(correctedSize(declared, 0.1, false).cores).toBe(2);
+      expect(correctedSize(declared, 0.1, true).cores).toBe(4);
+      expect(correctedSize(declared, undefined, false)).toEqual(declared);
+    });
+
     it('are not started again while the lease of a lost host may run', () => {
       const fleet = newFleet();
       submit(
--- a/packages/core/src/control/waves.ts
+++ b/packages/core/src/control/waves.ts
@@ -3,46 +3,30 @@
  * finds room elsewhere and if, for every service, the largest correlated loss that the pool
  * reserves for would still leave the availability budget.
  */
-import { declarationsOf, findDeclaration } from '../configuration/configuration.js';
-import type { DeclarationOf } from '../declarations/schema.js';
-import { chooseHost } from '../placement/choose-host.js';
-import {
-  addResources,
-  executorJob,
-  type PlacementHost,
-  type PlaceableJob,
-} from '../placement/placeable.js';
-import { rowKey, type HostRow, type PlacementRow, type WaveRow } from '../rows/rows.js';
-import { countBy, groupBy } from '../shared/group-by.js';
-import type { HostId, JobId, ServiceName, WaveId } from '../shared/ids.js';
-import { chooseForExecutor, settledHosts } from './executors.js';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as N from 'fp-ts/lib/number.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as S from 'fp-ts/lib/string.js';
+
+import type { PlacementHost } from '../placement/placeable.js';
+import { rowKey, type HostRow, type WaveRow } from '../rows/rows.js';
+import { countBy } from '../shared/group-by.js';
+import type { HostId, WaveId } from '../shared/ids.js';
 import { withhold, writeHost, writePlacement, writeWave, type Draft } from './draft.js';
+import {
+  executorsOn,
+  poolSpec,
+  readyTrial,
+  tryDrain,
+  type DrainMode,
+  type Trial,
+} from './wave-trial.js';
 import type { WaveStrategy } from './world.js';
 
-type Reserve = DeclarationOf<'Pool'>['spec']['reserveFor'];
-
 /** A turn is bounded: after so many hosts that cannot be emptied now, the others wait. */
 const MOST_OBSTACLES_PER_TURN = 16;
 
-/** The domain that is lost together, for each kind of reserve; none is never lost. */
-const domainOf: Record<Reserve, (host: PlacementHost) => string | null> = {
-  none: () => null,
-  host: ({ spec }) => `host=${spec.hostId}`,
-  rack: ({ spec }) => `rack=${spec.rack}`,
-  'data-centre': ({ spec }) => `data-centre=${spec.dataCentre}`,
-};
-
-/** The hosts as they would be if some more were emptied. */
-type Trial = Map<HostId, PlacementHost>;
-
-/** Empties a host in a trial, and tells what stands in the way. */
-type TryInTrial = (
-  draft: Draft,
-  trial: Trial,
-  host: PlacementHost,
-  mayMoveTwice: boolean,
-) => string | undefined;
-
 /** The state of one wave in one turn. */
 type WaveView = {
   readonly waveId: WaveId;
@@ -52,9 +36,6 @@
   readonly maintained: number;
 };
 
-const poolSpec = (draft: Draft) =>
-  findDeclaration(draft.world.configuration, 'Pool', draft.world.pool)?.spec;
-
 const isUnderWay = (row: HostRow, waveId: WaveId): boolean =>
   row.drain?.kind === 'wave' && row.drain.waveId === waveId;
 
@@ -72,135 +53,6 @@
   };
 };
 
-const isServing = (host: PlacementHost): boolean => host.isLive && host.row.phase === 'assigned';
-
-const executorCounts = (placements: readonly PlacementRow[]): Map<ServiceName, number> => {
-  const counts = new Map<ServiceName, number>();
-  placements.forEach(({ service }) => {
-    if (service !== null) counts.set(service, (counts.get(service) ?? 0) + 1);
-  });
-  return counts;
-};
-
-/**
- * Counts what is ready. An executor that still starts counts only if the one that it replaces is
- * running yet on a draining host; after a loss it does not count until it runs.
- */
-const readyTrial = (draft: Draft): Trial => {
-  const executors = Array.from(draft.placements.values()).filter(({ service }) => service !== null);
-  const onServing = ({ hostId }: PlacementRow): boolean => {
-    const host = draft.hosts.get(hostId);
-    return host !== undefined && isServing(host);
-  };
-  const running = executors.filter(({ phase }) => phase === 'running');
-  const yetToReplace = countBy(
-    running.filter((one) => draft.hosts.get(one.hostId)?.isLive && !onServing(one)),
-    ({ service }) => service as string,
-  );
-  const replacing = executors.filter(({ phase, service }) => {
-    const left = yetToReplace[service as string] ?? 0;
-    if (phase !== 'assigned' || left === 0) return false;
-    yetToReplace[service as string] = left - 1;
-    return true;
-  });
-  const ready = groupBy([...running.filter(onServing), ...replacing], ({ hostId }) => hostId);
-  return new Map(
-    Array.from(draft.hosts, ([hostId, host]) => [
-      hostId,
-      {
-        ...host,
-        executors: executorCounts(ready.get(hostId) ?? []),
-      },
-    ]),
-  );
-};
-
-/** How many executors of a service stand on hosts in use, in all and in the worst domain. */
-const standingOf = (trial: Trial, service: ServiceName, reserve: Reserve) => {
-  const byDomain = new Map<string, number>();
-  let total = 0;
-  trial.forEach((host) => {
-    const here = isServing(host) ? (host.executors.get(service) ?? 0) : 0;
-    if (here === 0) return;
-    total += here;
-    const domain = domainOf[reserve](host);
-    if (domain !== null) byDomain.set(domain, (byDomain.get(domain) ?? 0) + here);
-  });
-  const [worst = ['no loss', 0] as const] = Array.from(byDomain).sort((a, b) => b[1] - a[1]);
-  return { total, worstDomain: worst[0], worstLoss: worst[1] };
-};
-
-const budgetObstacle = (draft: Draft, trial: Trial, reserve: Reserve): string | undefined => {
-  const broken = declarationsOf(draft.world.configuration, 'Service')
-    .filter(({ spec }) => spec.pool === draft.world.pool)
-    .map((service) => ({ service, ...standingOf(trial, service.name as ServiceName, reserve) }))
-    .find(({ service, total, worstLoss }) => total - worstLoss < service.spec.minReady);
-  if (!broken) return undefined;
-  const { service, total, worstDomain, worstLoss } = broken;
-  return (
-    `${service.name} would have ${total} executors and could lose ${worstLoss} ` +
-    `with ${worstDomain}; its minReady is ${service.spec.minReady}`
-  );
-};
-
-const executorsOn = (draft: Draft, hostId: HostId): readonly PlacementRow[] =>
-  Array.from(draft.placements.values()).filter(
-    (one) => one.hostId === hostId && one.service !== null && one.phase !== 'stopped',
-  );
-
-const jobOf = (draft: Draft, placement: PlacementRow): PlaceableJob | undefined => {
-  const { service: name } = placement;
-  if (name === null) return undefined;
-  const service = findDeclaration(draft.world.configuration, 'Service', name);
-  return service && executorJob(service, `trial/${placement.jobId}` as JobId);
-};
-
-const settleInTrial = (trial: Trial, hostId: HostId, job: PlaceableJob): void => {
-  const host = trial.get(hostId) as PlacementHost;
-  const executors = new Map(host.executors);
-  const service = job.service as ServiceName;
-  executors.set(service, (executors.get(service) ?? 0) + 1);
-  trial.set(hostId, { ...host, used: addResources(host.used, job), executors });
-};
-
-const emptyInTrial = (trial: Trial, host: PlacementHost): void => {
-  trial.set(host.spec.hostId, {
-    ...host,
-    row: { ...host.row, phase: 'draining' },
-    executors: new Map(),
-  });
-};
-
-/**
- * Moves all that stands on a host elsewhere in the trial; tells what finds no room. An executor
- * goes only where it need not move again, unless the wave could not go on otherwise.
- */
-const moveInTrial: TryInTrial = (draft, trial, host, mayMoveTwice) => {
-  emptyInTrial(trial, host);
-  const unplaced = executorsOn(draft, host.spec.hostId).flatMap((placement) => {
-    const job = jobOf(draft, placement);
-    if (!job) return [];
-    const all = Array.from(trial.values());
-    const chosen = mayMoveTwice
-      ? chooseForExecutor(draft, job, all)
-      : chooseHost(job, settledHosts(draft, all));
-    if (chosen.kind === 'none') return [`${placement.jobId} finds no room: ${chosen.reason}`];
-    settleInTrial(trial, chosen.hostId, job);
-    return [];
-  });
-  return unplaced[0];
-};
-
-/** Keeps the executors on their host, which counts as not serving until it is back. */
-const parkInTrial: TryInTrial = (_, trial, host) => {
-  emptyInTrial(trial, host);
-  return undefined;
-};
-
-type DrainMode = 'move' | 'park';
-
-const tryInTrial: Record<DrainMode, TryInTrial> = { move: moveInTrial, park: parkInTrial };
-
 const startDrain = (draft: Draft, host: PlacementHost, waveId: WaveId, mode: DrainMode): void => {
   const { hostId } = host.spec;
   writeHost(draft, {
@@ -219,35 +71,6 @@
   });
 };
 
-/**
- * Operators who weigh moves most keep executors on their host where the budget allows, and wait
- * for that; they are moved only where the wave could not go on otherwise.
- */
-const modesFor = (draft: Draft, isOnly: boolean): readonly DrainMode[] => {
-  if (poolSpec(draft)?.prefer !== 'moves') return ['move'];
-  return isOnly ? ['park', 'move'] : ['park'];
-};
-
-const attempt = (
-  draft: Draft,
-  trial: Trial,
-  host: PlacementHost,
-  isOnly: boolean,
-): { readonly mode: DrainMode; readonly trial: Trial } | { readonly obstacle: string } => {
-  const reserve = poolSpec(draft)?.reserveFor ?? 'rack';
-  const obstacles: string[] = [];
-  const modes = modesFor(draft, isOnly);
-  for (let index = 0; index < modes.length; index += 1) {
-    const mode = modes[index] as DrainMode;
-    const next: Trial = new Map(trial);
-    const obstacle =
-      tryInTrial[mode](draft, next, host, isOnly) ?? budgetObstacle(draft, next, reserve);
-    if (obstacle === undefined) return { mode, trial: next };
-    obstacles.push(obstacle);
-  }
-  return { obstacle: obstacles[obstacles.length - 1] ?? 'no way to drain it' };
-};
-
 /**
  * How many hosts may be under way at one time, besides what the budgets allow. A canary comes
  * first. Operators who weigh roll-out most then go as far as the budgets allow; the others grow.
@@ -263,7 +86,7 @@
 
 /** The hosts that come into question next, in their order. */
 const candidates: Record<WaveStrategy, (view: WaveView) => readonly PlacementHost[]> = {
-  growing: ({ remaining }) => [...remaining].sort(byFewestExecutors),
+  growing: ({ remaining }) => pipe(remaining, RA.sortBy(byFewestExecutors)),
   'one-host': ({ remaining }) => remaining,
   rack: ({ remaining, underWay }) => {
     const rack = (underWay[0] ?? remaining[0])?.spec.rack;
@@ -271,8 +94,16 @@
   },
 };
 
-const byFewestExecutors = (a: PlacementHost, b: PlacementHost): number =>
-  a.used.cores - b.used.cores || (a.spec.hostId < b.spec.hostId ? -1 : 1);
+const byFewestExecutors: readonly Ord.Ord<PlacementHost>[] = [
+  pipe(
+    N.Ord,
+    Ord.contramap((host: PlacementHost) => host.used.cores),
+  ),
+  pipe(
+    S.Ord,
+    Ord.contramap((host: PlacementHost) => host.spec.hostId as string),
+  ),
+];
 
 /** While executors start or stop, what stands in the way of a wave may be gone in a moment. */
 const isSettled = (draft: Draft): boolean =>
@@ -295,7 +126,7 @@
       hold(host, 'waits for the hosts before it');
       return;
     }
-    const result = attempt(draft, trial, host, isStuck && underWay === 0);
+    const result = tryDrain(draft, trial, host, isStuck && underWay === 0);
     if ('obstacle' in result) {
       obstacles += 1;
       hold(host, result.obstacle);
--- a/packages/core/src/control/world.ts
+++ b/packages/core/src/control/world.ts
@@ -1,5 +1,6 @@
 /** What the holder of a pool's control lease knows when it takes a turn. */
 import type { Configuration } from '../configuration/configuration.js';
+import { correctedSize } from '../placement/corrected-size.js';
 import {
   addResources,
   noResources,
@@ -42,26 +43,31 @@
   readonly placementSinceMs: ReadonlyMap<JobId, number>;
   /** How waves choose their hosts; others than the usual one serve as baselines. */
   readonly waveStrategy: WaveStrategy;
+  /** Cores that tasks were measured to use; the reports lag. */
+  readonly usedCores: ReadonlyMap<JobId, number>;
   /** When a job may be tried again, by the clock of the watcher. */
   readonly retryAtMs: ReadonlyMap<JobId, number>;
 };
 
 /**
- * Gives what a placed job takes, from its declaration.
+ * Gives what a placed job takes: its declared size, corrected by its measured use.
  *
  * @param world - The world.
  * @param placement - The placement.
- * @returns Its declared size.
+ * @returns The size to count with.
  */
 export const sizeOfPlacement = (
-  world: Pick<PoolWorld, 'configuration' | 'jobs'>,
+  world: Pick<PoolWorld, 'configuration' | 'jobs' | 'usedCores'>,
   placement: PlacementRow,
 ): Resources => {
+  const { service, jobId } = placement;
   const spec =
-    placement.service === null
-      ? world.jobs.get(placement.jobId)?.value.job.spec
-      : findDeclaration(world.configuration, 'Service', placement.service)?.spec;
-  return spec ?? noResources;
+    service === null
+      ? world.jobs.get(jobId)?.value.job.spec
+      : findDeclaration(world.configuration, 'Service', service)?.spec;
+  const { cores, memoryMb, accelerators } = spec ?? noResources;
+  const declared = { cores, memoryMb, accelerators };
+  return correctedSize(declared, world.usedCores.get(jobId), service !== null);
 };
 
 type Load = { used: Resources; readonly executors: Map<ServiceName, number> };
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -3,6 +3,11 @@
  * that it has links to; only changes travel further. A suspect that is alive refutes the suspicion
  * with a higher incarnation.
  */
+import { pipe } from 'fp-ts/lib/function.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as S from 'fp-ts/lib/string.js';
+
 import type { DataCentreId, EntryId } from '../shared/ids.js';
 import { hash32, rendezvousOrder } from '../shared/hash.js';
 
@@ -147,6 +152,11 @@
   return { ...step, state: { ...step.state, members: new Map(kept) } };
 };
 
+const byEntryId: Ord.Ord<Member> = pipe(
+  S.Ord,
+  Ord.contramap(({ entryId }) => entryId as string),
+);
+
 /**
  * Lists the members that are taken to be alive; a suspect still is.
  *
@@ -154,10 +164,11 @@
  * @returns The members, the entry itself among them, in the order of their ids.
  */
 export const liveMembers = (state: Membership): readonly Member[] =>
-  Array.from(state.members.values())
-    .map(({ member }) => member)
-    .filter(({ status }) => rank[status] < rank.dead)
-    .sort((a, b) => (a.entryId < b.entryId ? -1 : 1));
+  pipe(
+    Array.from(state.members.values(), ({ member }) => member),
+    RA.filter(({ status }) => rank[status] < rank.dead),
+    RA.sort(byEntryId),
+  );
 
 /**
  * Sums up who is taken to be alive, so that two entries can see whether they agree.
--- a/packages/core/src/replay/fleet-model.ts
+++ b/packages/core/src/replay/fleet-model.ts
@@ -63,6 +63,8 @@
   readonly write: (turn: PausedTurn) => number;
   /** Another holder takes the control of a pool: what the former one writes fails. */
   readonly takeControl: (pool: PoolName) => void;
+  /** Sets what a job uses from now on; without it nothing is reported of it. */
+  readonly setUse: (jobId: JobId, cores: number) => void;
   readonly pools: readonly PoolName[];
   readonly decisions: readonly Decision[];
   readonly withheld: () => readonly Withheld[];
@@ -104,6 +106,7 @@
   const cut = new Set<DataCentreId>();
   const lastPlacements = new Map<DataCentreId, readonly Versioned<PlacementRow>[]>();
   const heardMs = new Map<HostId, number>(Array.from(specs.keys(), (id) => [id, 0]));
+  const uses = new Map<JobId, number>();
   const failuresSeen = new Map<JobId, { readonly failures: number; readonly atMs: number }>();
   const hostAges = createRowAges<HostId>();
   const placementAges = createRowAges<JobId>();
@@ -170,6 +173,17 @@
       }
     });
 
+  const usedCores = (): ReadonlyMap<JobId, number> =>
+    new Map(
+      workers
+        .tasks()
+        .filter(({ phase }) => phase === 'running')
+        .flatMap(({ jobId }) => {
+          const cores = uses.get(jobId);
+          return cores === undefined ? [] : [[jobId, cores] as const];
+        }),
+    );
+
   const worldOf = (control: Control): PoolWorld => {
     const hosts = rowsOf<HostId, HostRow>(rowPrefix.host);
     const jobs = rowsOf<JobId, JobRow>(rowPrefix.job);
@@ -189,6 +203,7 @@
       hostSinceMs: hostAges.see(hosts, nowMs),
       placementSinceMs: placementAges.see(placements, nowMs),
       waveStrategy,
+      usedCores: usedCores(),
       retryAtMs: new Map(Array.from(failuresSeen, ([id, { atMs }]) => [id, atMs])),
     };
   };
@@ -289,6 +304,9 @@
     planOnly,
     write,
     takeControl,
+    setUse: (jobId, cores) => {
+      uses.set(jobId, cores);
+    },
     pools: Array.from(controls.keys()),
     decisions,
     withheld: () => Array.from(controls.values()).flatMap(({ withheld }) => withheld),
--- a/packages/core/src/replay/replay.ts
+++ b/packages/core/src/replay/replay.ts
@@ -8,6 +8,7 @@
   brand,
   type DataCentreId,
   type HostId,
+  type JobId,
   type PoolName,
   type WaveId,
 } from '../shared/ids.js';
@@ -132,6 +133,7 @@
         ? { ...row, phase: 'cancelled', reason: 'an operator cancelled it' }
         : row,
     ),
+  'job-uses': ({ fleet }, { job, cores }) => fleet.setUse(brand<JobId>(job), cores),
   'host-kill': (run, { hosts }) => eachHost(run, hosts, run.fleet.workers.kill),
   'host-revive': (run, { hosts }) => eachHost(run, hosts, run.fleet.workers.revive),
   'host-fails-tasks': (run, { hosts }) => setHosts(run, hosts, { failsTasks: true }),
--- a/packages/core/src/replay/trace.ts
+++ b/packages/core/src/replay/trace.ts
@@ -35,6 +35,7 @@
   }),
   event('job-submit', { job: jobDeclarationSchema }),
   event('job-cancel', { job: name }),
+  event('job-uses', { job: name, cores: z.number().min(0) }),
   event('host-kill', { hosts: z.array(name) }),
   event('host-revive', { hosts: z.array(name) }),
   event('host-fails-tasks', { hosts: z.array(name) }),
--- a/packages/core/src/rows/rows.ts
+++ b/packages/core/src/rows/rows.ts
@@ -113,6 +113,9 @@
  */
 export type DoubtRow = { readonly dataCentres: readonly string[] };
 
+/** What the tasks of one data centre were measured to use, in cores, by job. */
+export type UsageRow = { readonly usedCores: Readonly<Record<string, number>> };
+
 /** Keys of rows, by kind. */
 export const rowKey = {
   configHead: 'config/head',
@@ -125,6 +128,7 @@
   fence: (name: string) => `fence/${name}`,
   claim: (key: string) => `claim/${key}`,
   doubt: 'doubt',
+  usage: (dataCentre: string) => `usage/${dataCentre}`,
 } as const;
 
 /** Prefixes for reading all rows of a kind. */
@@ -135,6 +139,7 @@
   job: 'job/',
   wave: 'wave/',
   seat: 'lease/seat/',
+  usage: 'usage/',
 } as const;
 
 /** A row with its version; version 0 means that there is no row. */
--- a/packages/daemon/src/control/data-centre-agent.ts
+++ b/packages/daemon/src/control/data-centre-agent.ts
@@ -8,7 +8,9 @@
   reconcile,
   renewals,
   START_WINDOW_MS,
+  type DataCentreId,
   type HostRow,
+  type UsageRow,
   type TableRow,
   rowKey,
   rowPrefix,
@@ -29,6 +31,7 @@
 
 /** Options for the agent. */
 export type DataCentreAgentOptions = {
+  readonly dataCentre: DataCentreId;
   readonly table: TableClient;
   readonly workers: WorkerClient;
   readonly hostList: HostListClient;
@@ -52,6 +55,7 @@
 export type DataCentreAgent = { readonly tick: () => Promise<void> };
 
 const MS_PER_S = 1000;
+const USAGE_EVERY_MS = 5000;
 
 type ActionOf<Kind extends ReconcileAction['kind']> = Extract<ReconcileAction, { kind: Kind }>;
 type Handlers = {
@@ -65,6 +69,7 @@
  * @returns The agent.
  */
 export const createDataCentreAgent = ({
+  dataCentre,
   table,
   workers,
   hostList,
@@ -78,6 +83,7 @@
 }: DataCentreAgentOptions): DataCentreAgent => {
   let lastRead: readonly Versioned<PlacementRow>[] = [];
   let startBeforeMs = -Infinity;
+  let nextUsageMs = -Infinity;
 
   const specOfService = (service: string): TaskSpec | undefined => {
     const spec = findDeclaration(configuration(), 'Service', service)?.spec;
@@ -176,6 +182,18 @@
     };
   };
 
+  /** Usage lags and changes slowly, so it is written seldom, in one row for the data centre. */
+  const reportUsage = async (): Promise<void> => {
+    if (nowMs() < nextUsageMs) return;
+    nextUsageMs = nowMs() + USAGE_EVERY_MS;
+    const usage = await workers.usage();
+    if (usage.isErr()) return;
+    const value: UsageRow = {
+      usedCores: Object.fromEntries(usage.value.map((one) => [one.jobId, one.usedCores])),
+    };
+    await table.transact({ checks: [], writes: [{ key: rowKey.usage(dataCentre), value }] });
+  };
+
   const tick = async (): Promise<void> => {
     const readAtMs = nowMs();
     const rows = await readRows();
@@ -192,6 +210,7 @@
     await Promise.all(actions.map(carryOut));
     await Promise.all(emptyHosts(rows.hosts, rows.placements, observed.value).map(reportEmpty));
     await drainOnLeavingHosts();
+    await reportUsage();
   };
 
   return { tick };
--- a/packages/daemon/src/control/pool-control.ts
+++ b/packages/daemon/src/control/pool-control.ts
@@ -23,6 +23,7 @@
   type PoolName,
   type PoolWorld,
   type TableRow,
+  type UsageRow,
   type Versioned,
   type WaveId,
   type WaveRow,
@@ -72,6 +73,13 @@
       .map(([key, row]) => [key.slice(prefix.length) as Id, row as Versioned<Row>]),
   );
 
+const usedCoresIn = (rows: Rows): ReadonlyMap<JobId, number> =>
+  new Map(
+    Array.from(byId<string, UsageRow>(rows, rowPrefix.usage).values()).flatMap(({ value }) =>
+      Object.entries(value.usedCores).map(([jobId, cores]) => [jobId as JobId, cores] as const),
+    ),
+  );
+
 const conflictsWith = (written: ReadonlySet<string>, change: ControlChange): boolean =>
   change.checks.some(({ key }) => written.has(key));
 
@@ -129,7 +137,13 @@
   };
 
   const readRows = async (): Promise<Rows | undefined> => {
-    const prefixes = [rowPrefix.host, rowPrefix.placement, rowPrefix.job, rowPrefix.wave];
+    const prefixes = [
+      rowPrefix.host,
+      rowPrefix.placement,
+      rowPrefix.job,
+      rowPrefix.wave,
+      rowPrefix.usage,
+    ];
     const scans = await Promise.all(prefixes.map((prefix) => table.scan(prefix)));
     const rows = new Map<string, Versioned<unknown>>();
     const areAllRead = scans.every((scan) => {
@@ -184,6 +198,7 @@
       hostSinceMs: hostAges.see(hosts, nowMs()),
       placementSinceMs: placementAges.see(placements, nowMs()),
       waveStrategy: 'growing',
+      usedCores: usedCoresIn(rows),
       retryAtMs: retryTimes(jobs),
     };
   };
--- a/packages/daemon/src/data-path/serve-request.ts
+++ b/packages/daemon/src/data-path/serve-request.ts
@@ -10,8 +10,6 @@
   mayRetry,
   noteOutcome,
   spendRetry,
-  verdictOfAttempt,
-  type AttemptOutcome,
   type CallerId,
   type Configuration,
   type Endpoint,
@@ -27,8 +25,9 @@
 
 import type { Metrics } from '../observe/metrics.js';
 import type { TraceHeaders, Tracing } from '../observe/tracing.js';
-import { attempt, endpointHeader, type AttemptResult, type WholeAnswer } from './attempt.js';
+import { attempt, type WholeAnswer } from './attempt.js';
 import type { ClaimKeeper, ClaimOutcome, HeldClaim } from './claim-keeper.js';
+import { classify, type Classified } from './classify.js';
 import type { Connections } from './connections.js';
 import { callerHeader, headersToSend } from './headers.js';
 import type { ServiceGate } from './service-gate.js';
@@ -80,7 +79,6 @@
   readonly nowMs: () => number;
 };
 
-const FIRST_SERVER_ERROR = 500;
 const OUTAGE_RETRY_AFTER_S = 2;
 const PROMPT_RETRY_AFTER_S = 1;
 const REMOTE_CONNECTIONS = 64;
@@ -115,77 +113,6 @@
 
 const remainingMs = ({ context, deadlineMs }: Run): number => deadlineMs - context.nowMs();
 
-type Classified =
-  | { readonly kind: 'good'; readonly answer: WholeAnswer }
-  | {
-      readonly kind: 'bad';
-      readonly verdict: Verdict;
-      readonly outcome: AttemptOutcome;
-      readonly reason: RefusalReason;
-      readonly detail: string;
-      readonly answer: WholeAnswer | null;
-    };
-
-const reasonOfFailure: Record<Extract<AttemptResult, { kind: 'failed' }>['reason'], RefusalReason> =
-  {
-    'not-sent': 'seat-missing',
-    unreachable: 'endpoint-unreachable',
-    incomplete: 'answer-incomplete',
-    'not-its-own': 'answer-incomplete',
-    'too-large': 'answer-too-large',
-    timeout: 'deadline-passed',
-  };
-
-const saysNotRun = ({ headers }: WholeAnswer): boolean => headers[endpointHeader.notRun] === 'true';
-
-/** Another entry says itself whether the request ran; its refusals are not the endpoint's answers. */
-const classifyRemote = (answer: WholeAnswer): Classified => {
-  const told = answer.headers[callerHeader.verdict];
-  if (told === 'ran') return { kind: 'good', answer };
-  return {
-    kind: 'bad',
-    verdict: told === 'notRun' ? 'notRun' : 'mayHaveRun',
-    outcome: 'refused',
-    reason: (answer.headers[callerHeader.reason] as RefusalReason | undefined) ?? 'endpoint-failed',
-    detail: `another entry answered ${answer.status}`,
-    answer: null,
-  };
-};
-
-const classify = (result: AttemptResult, isRemote: boolean): Classified => {
-  if (result.kind === 'failed') {
-    return {
-      kind: 'bad',
-      verdict: verdictOfAttempt({ kind: result.evidence }),
-      outcome: 'failed',
-      reason: reasonOfFailure[result.reason],
-      detail: result.detail,
-      answer: null,
-    };
-  }
-  const { answer } = result;
-  if (isRemote) return classifyRemote(answer);
-  if (answer.status < FIRST_SERVER_ERROR) return { kind: 'good', answer };
-  if (saysNotRun(answer)) {
-    return {
-      kind: 'bad',
-      verdict: 'notRun',
-      outcome: 'refused',
-      reason: 'endpoint-refused',
-      detail: `the endpoint answered ${answer.status} and that it did not run the request`,
-      answer: null,
-    };
-  }
-  return {
-    kind: 'bad',
-    verdict: 'ran',
-    outcome: 'failed',
-    reason: 'endpoint-failed',
-    detail: `the endpoint answered ${answer.status}`,
-    answer,
-  };
-};
-
 /** Where an attempt goes, and with which headers besides the caller's. */
 type Target = {
   readonly address: string;
--- a/packages/daemon/src/entry-processes.test.ts
+++ b/packages/daemon/src/entry/entry-processes.test.ts
@@ -4,8 +4,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { request } from 'undici';
 
-import { pause, waitUntil } from './testing/deployment.fixtures.js';
-import { startProcesses, type ProcessDeployment } from './testing/processes.fixtures.js';
+import { pause, waitUntil } from '../testing/deployment.fixtures.js';
+import { startProcesses, type ProcessDeployment } from '../testing/processes.fixtures.js';
 
 const declarations = `
 kind: DataCentre
--- a/packages/daemon/src/entry.test.ts
+++ b/packages/daemon/src/entry/entry.test.ts
@@ -9,7 +9,7 @@
   startDeployment,
   type Deployment,
   type TestEntry,
-} from './testing/deployment.fixtures.js';
+} from '../testing/deployment.fixtures.js';
 
 const sendRaw = async (at: TestEntry, text: string): Promise<string> => {
   const { hostname, port } = new URL(at.entry.addresses.callersUrl);
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,5 +1,5 @@
 /** The daemon: reads its settings, runs one entry, and stops as planned on a signal. */
-import { startEntry } from './entry.js';
+import { startEntry } from './entry/entry.js';
 import { readSettings } from './settings/settings.js';
 
 const WRONG_SETTING = 2;
--- /dev/null
+++ b/packages/daemon/src/operators/explain-handlers.ts
@@ -0,0 +1,114 @@
+/** Answers to "why?", and how the entries stand. */
+import {
+  recallDecision,
+  rowKey,
+  type DecisionRecord,
+  type HostRow,
+  type JobRow,
+  type Member,
+  type PlacementRow,
+  type WaveRow,
+  type Withheld,
+} from '@valvelatch/core';
+import { z } from 'zod';
+
+import { ASK_MS, otherMembers, type OperatorContext } from './operator-context.js';
+import { ok, unavailable, withBody, type Handler, type OperatorResult } from './operator-result.js';
+
+const explainBody = z.strictObject({
+  kind: z.enum(['job', 'host', 'request', 'wave']),
+  name: z.string(),
+});
+
+const askAllWithheld = async (
+  context: OperatorContext,
+  subject: string,
+): Promise<readonly Withheld[]> => {
+  const answers = await Promise.all(
+    otherMembers(context).map((member) =>
+      context.ask(member, 'withheld', { subject }, ASK_MS).catch(() => [] as Withheld[]),
+    ),
+  );
+  const own = context.withheld().filter((one) => one.subject === subject);
+  return [...own, ...(answers.flat() as Withheld[])];
+};
+
+const explainRow = async (
+  context: OperatorContext,
+  key: string,
+  more: readonly string[],
+): Promise<OperatorResult> => {
+  const rows = await context.table.read([key, ...more]);
+  if (rows.isErr()) return unavailable(rows.error);
+  const found = rows.value.filter(({ value }) => value !== null);
+  const withheldNow = await askAllWithheld(context, key);
+  if (found.length === 0 && withheldNow.length === 0) {
+    return { kind: 'not-found', detail: `nothing is known of ${key}` };
+  }
+  return ok({
+    subject: key,
+    revision: context.configSync.current().revision,
+    reasons: [
+      ...found.map(({ key: rowName, value }) => ({
+        of: rowName,
+        reason: (value as { reason: string }).reason,
+      })),
+      ...withheldNow.map(({ reason }) => ({ of: 'withheld now', reason })),
+    ],
+    rows: found.map(({ value }) => value as PlacementRow | HostRow | JobRow | WaveRow),
+  });
+};
+
+const explainRequest = async (context: OperatorContext, name: string): Promise<OperatorResult> => {
+  const subject = `request/${name}`;
+  const [entryId] = name.split('.');
+  const member = context.members().find((one) => one.entryId === entryId);
+  const isOwn = entryId === context.self;
+  if (!isOwn && !member) {
+    return { kind: 'not-found', detail: `entry ${entryId ?? ''} that decided is not there` };
+  }
+  const record = isOwn
+    ? recallDecision(context.decisions, subject)
+    : ((await context
+        .ask(member as Member, 'recall', { subject }, ASK_MS)
+        .catch(() => undefined)) as DecisionRecord | undefined);
+  return record ? ok(record) : { kind: 'not-found', detail: `nothing is remembered of ${subject}` };
+};
+
+type Explainer = (context: OperatorContext, name: string) => Promise<OperatorResult>;
+
+const explainers: Record<z.infer<typeof explainBody>['kind'], Explainer> = {
+  job: (context, name) => explainRow(context, rowKey.placement(name), [rowKey.job(name)]),
+  host: (context, name) => explainRow(context, rowKey.host(name), []),
+  wave: (context, name) => explainRow(context, rowKey.wave(name), []),
+  request: explainRequest,
+};
+
+const status = async (context: OperatorContext): Promise<OperatorResult> => {
+  const entries = await Promise.all(
+    otherMembers(context).map(async (member) => {
+      const { entryId, dataCentre } = member;
+      const answer = await context
+        .ask(member, 'status', {}, ASK_MS)
+        .catch(() => ({ entryId, dataCentre, isUnreachable: true }));
+      return answer;
+    }),
+  );
+  return ok({
+    revision: context.configSync.current().revision,
+    entries: [context.ownStatus(), ...entries],
+  });
+};
+
+/**
+ * Builds the handlers for questions.
+ *
+ * @param context - What they depend on.
+ * @returns The handlers, by method.
+ */
+export const explainHandlers = (
+  context: OperatorContext,
+): Readonly<Record<'explain' | 'status', Handler>> => ({
+  explain: withBody(explainBody, ({ kind, name }) => explainers[kind](context, name)),
+  status: withBody(z.strictObject({}), () => status(context)),
+});
--- /dev/null
+++ b/packages/daemon/src/operators/list-handlers.ts
@@ -0,0 +1,85 @@
+/** Lists of what is in force. */
+import {
+  declaredHosts,
+  declarationsOf,
+  matches,
+  parseSelector,
+  rowPrefix,
+  type HostRow,
+} from '@valvelatch/core';
+import { z } from 'zod';
+
+import type { OperatorContext } from './operator-context.js';
+import {
+  ok,
+  scanRows,
+  selectorFault,
+  unavailable,
+  withBody,
+  type Handler,
+  type OperatorResult,
+} from './operator-result.js';
+
+const getBody = z.strictObject({
+  kind: z.enum(['config', 'pools', 'hosts', 'jobs', 'placements', 'waves']),
+  selector: z.string().default(''),
+});
+
+type Lister = (context: OperatorContext, selector: string) => Promise<OperatorResult>;
+
+const listHosts: Lister = async ({ table, configSync }, selectorText) => {
+  const selector = parseSelector(selectorText);
+  if (selector.isErr()) return selectorFault(selector.error);
+  const rows = await scanRows<HostRow>(table, rowPrefix.host);
+  if (rows.isErr()) return unavailable(rows.error);
+  const specs = new Map(declaredHosts(configSync.current()).map((spec) => [spec.hostId, spec]));
+  return ok(
+    rows.value
+      .map(({ value }) => ({ ...specs.get(value.hostId), ...value }))
+      .filter(({ labels = {}, pool }) => matches(selector.value, { ...labels, pool })),
+  );
+};
+
+const listPools: Lister = async ({ table, configSync }) => {
+  const rows = await scanRows<HostRow>(table, rowPrefix.host);
+  if (rows.isErr()) return unavailable(rows.error);
+  return ok(
+    declarationsOf(configSync.current(), 'Pool').map(({ name, spec }) => ({
+      pool: name,
+      ...spec,
+      hosts: rows.value.filter(({ value }) => value.pool === name).length,
+      inUse: rows.value.filter(({ value }) => value.pool === name && value.phase === 'assigned')
+        .length,
+    })),
+  );
+};
+
+const listRows =
+  (prefix: string): Lister =>
+  async ({ table }) => {
+    const rows = await scanRows(table, prefix);
+    return rows.isErr() ? unavailable(rows.error) : ok(rows.value.map(({ value }) => value));
+  };
+
+const listers: Record<z.infer<typeof getBody>['kind'], Lister> = {
+  config: async ({ configSync }) =>
+    ok({
+      revision: configSync.current().revision,
+      declarations: Array.from(configSync.current().declarations.values()),
+    }),
+  pools: listPools,
+  hosts: listHosts,
+  jobs: listRows(rowPrefix.job),
+  placements: listRows(rowPrefix.placement),
+  waves: listRows(rowPrefix.wave),
+};
+
+/**
+ * Builds the handler for lists.
+ *
+ * @param context - What it depends on.
+ * @returns The handler, by method.
+ */
+export const listHandlers = (context: OperatorContext): Readonly<Record<'get', Handler>> => ({
+  get: withBody(getBody, ({ kind, selector }) => listers[kind](context, selector)),
+});
--- a/packages/daemon/src/operators/operators-server.ts
+++ b/packages/daemon/src/operators/operators-server.ts
@@ -4,7 +4,8 @@
 import fastify, { type FastifyInstance } from 'fastify';
 
 import type { Metrics } from '../observe/metrics.js';
-import type { OperatorHandlers, OperatorResult } from './operator-handlers.js';
+import type { OperatorHandlers } from './operator-handlers.js';
+import type { OperatorResult } from './operator-result.js';
 
 /** Options for the server. */
 export type OperatorsServerOptions = {
--- /dev/null
+++ b/packages/daemon/src/operators/wave-handlers.ts
@@ -0,0 +1,94 @@
+/** Starting, holding, resuming and cancelling waves. */
+import {
+  brand,
+  declaredHosts,
+  matches,
+  parseSelector,
+  rowKey,
+  rowPrefix,
+  type HostRow,
+  type WaveId,
+  type WavePhase,
+  type WaveRow,
+} from '@valvelatch/core';
+import { z } from 'zod';
+
+import type { OperatorContext } from './operator-context.js';
+import {
+  changeRow,
+  ok,
+  scanRows,
+  selectorFault,
+  unavailable,
+  withBody,
+  type Handler,
+  type OperatorResult,
+} from './operator-result.js';
+
+const waveStartBody = z.strictObject({
+  name: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/),
+  selector: z.string(),
+});
+const waveChangeBody = z.strictObject({
+  name: z.string(),
+  change: z.enum(['hold', 'resume', 'cancel']),
+});
+
+const startWave = async (
+  { table, configSync }: OperatorContext,
+  { name, selector: text }: z.infer<typeof waveStartBody>,
+): Promise<OperatorResult> => {
+  const selector = parseSelector(text);
+  if (selector.isErr()) return selectorFault(selector.error);
+  const hostRows = await scanRows<HostRow>(table, rowPrefix.host);
+  if (hostRows.isErr()) return unavailable(hostRows.error);
+  const pools = new Map(hostRows.value.map(({ value }) => [value.hostId, value.pool]));
+  const hosts = declaredHosts(configSync.current())
+    .filter(({ hostId, labels }) =>
+      matches(selector.value, { ...labels, pool: pools.get(hostId) ?? '' }),
+    )
+    .map(({ hostId }) => hostId);
+  if (hosts.length === 0) {
+    return { kind: 'invalid', detail: `selector '${text}' matches no host` };
+  }
+  const waveId = brand<WaveId>(name);
+  const key = rowKey.wave(name);
+  const row: WaveRow = { waveId, selector: text, phase: 'running', reason: 'started', hosts };
+  const outcome = await table.transact({
+    checks: [{ key, version: 0 }],
+    writes: [{ key, value: row }],
+  });
+  if (outcome.isErr()) return unavailable(outcome.error);
+  return outcome.value.kind === 'committed'
+    ? ok(row)
+    : { kind: 'conflict', detail: `a wave named ${name} exists already` };
+};
+
+const phaseAfter: Record<z.infer<typeof waveChangeBody>['change'], WavePhase> = {
+  hold: 'held',
+  resume: 'running',
+  cancel: 'cancelled',
+};
+
+const changeWave = (
+  { table }: OperatorContext,
+  { name, change }: z.infer<typeof waveChangeBody>,
+): Promise<OperatorResult> =>
+  changeRow<WaveRow>(table, rowKey.wave(name), (row) =>
+    row.phase === 'done' || row.phase === 'cancelled'
+      ? `wave ${name} is ${row.phase} already`
+      : { ...row, phase: phaseAfter[change], reason: `an operator: ${change}` },
+  );
+
+/**
+ * Builds the handlers for waves.
+ *
+ * @param context - What they depend on.
+ * @returns The handlers, by method.
+ */
+export const waveHandlers = (
+  context: OperatorContext,
+): Readonly<Record<'wave-start' | 'wave-change', Handler>> => ({
+  'wave-start': withBody(waveStartBody, (body) => startWave(context, body)),
+  'wave-change': withBody(waveChangeBody, (body) => changeWave(context, body)),
+});
--- a/packages/daemon/src/testing/deployment.fixtures.ts
+++ b/packages/daemon/src/testing/deployment.fixtures.ts
@@ -9,7 +9,7 @@
 } from '@valvelatch/stand-ins';
 import { request, type Dispatcher } from 'undici';
 
-import { startEntry, type Entry } from '../entry.js';
+import { startEntry, type Entry } from '../entry/entry.js';
 import { checkSettings } from '../settings/settings.js';
 
 export const OPERATOR_KEY = 'operator-key-for-tests';
--- a/packages/platform/src/batched-reads.ts
+++ b/packages/platform/src/batched-reads.ts
@@ -36,7 +36,7 @@
   const read = (keys: readonly string[]): Promise<Rows> =>
     new Promise((resolve) => {
       waiting.push({ keys, resolve });
-      if (waiting.length === 1) queueMicrotask(() => void flush());
+      if (waiting.length === 1) queueMicrotask(flush);
     });
 
   return { ...table, read };
