--- a/bin/quickstart.js
+++ b/bin/quickstart.js
@@ -4,26 +4,14 @@
  * example, serves requests, places jobs, runs a wave of maintenance under load, asks why.
  */
 import { randomUUID } from 'node:crypto';
-import { fileURLToPath } from 'node:url';
 
-import {
-  declaredHosts,
-  declarationsOf,
-  emptyConfiguration,
-  takeSnapshot,
-  readDeclarations,
-} from '@valvelatch/core';
+import { declarationsOf } from '@valvelatch/core';
 import { Agent, request } from 'undici';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
-import { readFiles } from '@valvelatch/cli';
+import { runCli, startExample, stopProcess } from '@valvelatch/stand-ins';
 
-import { runCli, startProcess, stopProcess } from '@valvelatch/stand-ins';
-
-const root = fileURLToPath(new URL('..', import.meta.url));
-const OPERATOR_KEY = 'quickstart-operator-key';
-const MESH_KEY = 'quickstart-mesh-key-0000';
 const WAIT_STEP_MS = 100;
 const SENDERS_PER_ENTRY = 6;
 
@@ -34,7 +22,7 @@
   .strict()
   .parseAsync();
 
-const running = [];
+let deployment;
 const failures = [];
 const report = [];
 
@@ -57,60 +45,10 @@
   throw new Error(`${what} did not come about in ${ms} ms`);
 };
 
-const configurationOf = async () => {
-  const files = await readFiles([`${root}examples/${example}/declarations`]);
-  const declarations = readDeclarations(files).unwrap();
-  return takeSnapshot(emptyConfiguration, { revision: 1, declarations });
-};
-
-const inTurn = (items, run) =>
-  items.reduce((before, item) => before.then(() => run(item)), Promise.resolve());
-
-const startAll = async () => {
-  const configuration = await configurationOf();
-  const platform = await startProcess('standIn', ['platform']);
-  running.push(platform);
-  const platformUrl = platform.fields.url;
-  const centres = declarationsOf(configuration, 'DataCentre');
-  const hosts = declaredHosts(configuration);
-  const workersOf = {};
-  await inTurn(centres, async ({ name }) => {
-    const local = hosts.filter(({ dataCentre }) => dataCentre === name);
-    const workers = await startProcess('standIn', [
-      'workers',
-      `--data-centre=${name}`,
-      `--hosts=${local.map(({ hostId }) => hostId).join(',')}`,
-      `--platform-url=${platformUrl}`,
-      '--reboot-ms=500',
-    ]);
-    running.push(workers);
-    workersOf[name] = workers.fields.url;
-  });
-  const entries = [];
-  const seats = centres.flatMap(({ name, spec }) =>
-    Array.from({ length: spec.entrySeats }, (_, seat) => ({ name, seat })),
-  );
-  // Each entry joins those that were started before it.
-  await inTurn(seats, async ({ name, seat }) => {
-    const entry = await startProcess('entry', [
-      `--entry-id=${name}-entry-${seat}`,
-      `--data-centre=${name}`,
-      `--platform-url=${platformUrl}`,
-      `--workers-url=${workersOf[name]}`,
-      `--operator-key=${OPERATOR_KEY}`,
-      `--mesh-key=${MESH_KEY}`,
-      `--seeds=${entries.map(({ fields }) => fields.meshUrl).join(',')}`,
-    ]);
-    running.push(entry);
-    entries.push(entry);
-  });
-  return { configuration, entries, workersOf, processes: running.length };
-};
-
-const cliFor = (entries) => {
+const cliFor = ({ entries, operatorKey }) => {
   const environment = {
     VALVELATCH_URL: entries.map(({ fields }) => fields.operatorsUrl).join(','),
-    VALVELATCH_KEY: OPERATOR_KEY,
+    VALVELATCH_KEY: operatorKey,
   };
   const cli = async (...args) => runCli(args, environment);
   const json = async (...args) => {
@@ -186,17 +124,12 @@
 const runAll = async () => {
   const startedMs = performance.now();
   say(`starting ${example} on the loopback address`);
-  const { configuration, entries, workersOf, processes } = await startAll();
-  const { cli, json } = cliFor(entries);
-  report.push(`figure processes: ${processes}`);
+  deployment = await startExample(example);
+  const { configuration, entries, workersUrls } = deployment;
+  const { cli, json } = cliFor(deployment);
+  report.push(`figure processes: ${deployment.processes.length}`);
 
-  const applied = await json(
-    'apply',
-    '-f',
-    `${root}examples/${example}/declarations`,
-    '--wait-ms',
-    '8000',
-  );
+  const applied = await json('apply', '-f', deployment.declarationsFolder, '--wait-ms', '8000');
   check(
     'the configuration is in force on every entry',
     applied.kind === 'ok' && applied.value.unreachable.length === 0,
@@ -226,7 +159,7 @@
     entries,
     services.map(({ name }) => name),
   );
-  const submitted = await json('job', 'submit', '-f', `${root}examples/${example}/jobs`);
+  const submitted = await json('job', 'submit', '-f', deployment.jobsFolder);
   check('jobs are accepted', submitted.kind === 'ok', submitted.detail ?? '');
 
   const wave = await json('wave', 'start', 'winter-1', '--selector', waves[example]);
@@ -263,7 +196,7 @@
   check('no request was cut by the wave', load.mayHaveRun + load.ran === 0);
 
   const reports = await Promise.all(
-    Object.values(workersOf).map(async (url) =>
+    Object.values(workersUrls).map(async (url) =>
       (await request(`${url}/stand-in/report`)).body.json(),
     ),
   );
@@ -291,9 +224,11 @@
   await runAll();
 } catch (error) {
   failures.push(error.message);
-  running.forEach(({ name, recent }) => say(`--- ${name}\n${recent.slice(-12).join('\n')}`));
+  deployment?.processes.forEach(({ name, recent }) =>
+    say(`--- ${name}\n${recent.slice(-12).join('\n')}`),
+  );
 } finally {
-  await Promise.all(running.map(stopProcess));
+  await deployment?.stop();
 }
 say('');
 report.forEach(say);
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -4,6 +4,7 @@
 
 import { benchControl } from './control/control.js';
 import { benchDataPath } from './data-path/data-path.js';
+import { benchIdle } from './idle/idle.js';
 import { benchOverload } from './overload/overload.js';
 import { printRows } from './report.js';
 import { benchWaves } from './waves/waves.js';
@@ -33,6 +34,14 @@
   .command('control', 'what a host, a member, a change and a turn cost', {}, () =>
     printRows(benchControl()),
   )
+  .command(
+    'idle',
+    'what an entry costs while nobody sends requests',
+    {
+      example: { choices: ['kutch-hills', 'be-central'] as const, default: 'kutch-hills' as const },
+    },
+    async ({ example }) => printRows(await benchIdle(example)),
+  )
   .demandCommand(1)
   .strict()
   .parseAsync();
--- a/packages/bench/src/waves/waves.ts
+++ b/packages/bench/src/waves/waves.ts
@@ -1,15 +1,9 @@
 /** Roll-out time, moves and buffer cost of the planner and its baselines, in virtual time. */
-import { readdir, readFile } from 'node:fs/promises';
-import { fileURLToPath } from 'node:url';
-
 import {
   createFleetModel,
   declarationsOf,
-  emptyConfiguration,
-  readDeclarations,
   rowKey,
   rowPrefix,
-  takeSnapshot,
   type Configuration,
   type FleetModel,
   type HostId,
@@ -20,12 +14,13 @@
   type WaveStrategy,
 } from '@valvelatch/core';
 
+import { readExample } from '@valvelatch/stand-ins';
+
 import { rounded, type BenchRow } from '../report.js';
 
 /** What is lost in the middle of the wave, for good. */
 export type Losses = 'none' | 'host' | 'rack' | 'data-centre';
 
-const EXAMPLES = new URL('../../../../examples/', import.meta.url);
 const REBOOT_MS = 300_000;
 const START_MS = 2000;
 const STEP_MS = 1000;
@@ -42,16 +37,6 @@
 };
 const allLosses: readonly Losses[] = ['none', 'host', 'rack', 'data-centre'];
 
-const readExample = async (example: string): Promise<Configuration> => {
-  const folder = new URL(`${example}/declarations/`, EXAMPLES);
-  const names = await readdir(fileURLToPath(folder));
-  const files = await Promise.all(
-    names.map(async (file) => ({ file, text: await readFile(new URL(file, folder), 'utf8') })),
-  );
-  const declarations = readDeclarations(files).unwrap();
-  return takeSnapshot(emptyConfiguration, { revision: 1, declarations });
-};
-
 const sum = (values: readonly number[]): number => values.reduce((a, b) => a + b, 0);
 
 /**
@@ -105,6 +90,7 @@
     fleet
       .rows<HostRow>(rowPrefix.host)
       .filter(({ phase }) => phase !== 'assigned')
+      .filter(({ hostId }) => fleet.workers.hosts.get(hostId)?.state !== 'dead')
       .map(({ hostId }) => specs.get(hostId)?.cores ?? 0),
   );
 
--- a/packages/core/src/rows/rows.ts
+++ b/packages/core/src/rows/rows.ts
@@ -128,6 +128,8 @@
   fence: (name: string) => `fence/${name}`,
   claim: (key: string) => `claim/${key}`,
   doubt: 'doubt',
+  /** Written with each change of a row that control reads, so that an unchanged table is seen. */
+  pulse: 'pulse',
   usage: (dataCentre: string) => `usage/${dataCentre}`,
 } as const;
 
@@ -142,5 +144,14 @@
   usage: 'usage/',
 } as const;
 
+/** The prefixes of the rows that control reads. */
+export const controlPrefixes: readonly string[] = [
+  rowPrefix.host,
+  rowPrefix.placement,
+  rowPrefix.job,
+  rowPrefix.wave,
+  rowPrefix.usage,
+];
+
 /** A row with its version; version 0 means that there is no row. */
 export type Versioned<Row> = { readonly value: Row; readonly version: number };
--- a/packages/daemon/src/control/data-centre-agent.ts
+++ b/packages/daemon/src/control/data-centre-agent.ts
@@ -23,7 +23,13 @@
   type ReconcileAction,
   type Versioned,
 } from '@valvelatch/core';
-import type { HostListClient, TableClient, TaskSpec, WorkerClient } from '@valvelatch/platform';
+import {
+  createPulsedReader,
+  type HostListClient,
+  type TableClient,
+  type TaskSpec,
+  type WorkerClient,
+} from '@valvelatch/platform';
 
 import { endpointIdOf } from '../data-path/endpoint-directory.js';
 import type { Log } from '../observe/log.js';
@@ -56,6 +62,8 @@
 
 const MS_PER_S = 1000;
 const USAGE_EVERY_MS = 5000;
+/** Far below the shortest lease that is of use. */
+const RENEW_EVERY_MS = 1000;
 
 type ActionOf<Kind extends ReconcileAction['kind']> = Extract<ReconcileAction, { kind: Kind }>;
 type Handlers = {
@@ -81,9 +89,11 @@
   metrics,
   nowMs = () => performance.now(),
 }: DataCentreAgentOptions): DataCentreAgent => {
+  const rowReader = createPulsedReader(table, [rowPrefix.host, rowPrefix.placement]);
   let lastRead: readonly Versioned<PlacementRow>[] = [];
   let startBeforeMs = -Infinity;
   let nextUsageMs = -Infinity;
+  let nextRenewalMs = -Infinity;
 
   const specOfService = (service: string): TaskSpec | undefined => {
     const spec = findDeclaration(configuration(), 'Service', service)?.spec;
@@ -141,7 +151,9 @@
     (handlers[action.kind] as (one: ReconcileAction) => Promise<void>)(action);
 
   const renewAll = async (known: readonly ObservedTask[]): Promise<void> => {
-    if (known.length > 0) await workers.renew(known);
+    if (known.length === 0 || nowMs() < nextRenewalMs) return;
+    nextRenewalMs = nowMs() + RENEW_EVERY_MS;
+    await workers.renew(known);
   };
 
   const drainOnLeavingHosts = async (): Promise<void> => {
@@ -168,17 +180,17 @@
 
   /** Reads the rows of this data centre, hosts before placements. */
   const readRows = async (): Promise<LocalRows | undefined> => {
-    const hostRows = await table.scan(rowPrefix.host);
-    const placementRows = await table.scan(rowPrefix.placement);
-    if (hostRows.isErr() || placementRows.isErr()) return undefined;
+    const read = await rowReader.read();
+    if (read.isErr()) return undefined;
+    const [hostRows = [], placementRows = []] = read.value;
     const local = localHosts();
     const ofLocal = <Row extends { readonly hostId: HostId }>(rows: readonly TableRow[]) =>
       rows
         .map(({ value, version }) => ({ value: value as Row, version }))
         .filter(({ value }) => local.has(value.hostId));
     return {
-      hosts: ofLocal<HostRow>(hostRows.value),
-      placements: ofLocal<PlacementRow>(placementRows.value),
+      hosts: ofLocal<HostRow>(hostRows),
+      placements: ofLocal<PlacementRow>(placementRows),
     };
   };
 
--- a/packages/daemon/src/control/pool-control.ts
+++ b/packages/daemon/src/control/pool-control.ts
@@ -22,14 +22,13 @@
   type PlacementRow,
   type PoolName,
   type PoolWorld,
-  type TableRow,
   type UsageRow,
   type Versioned,
   type WaveId,
   type WaveRow,
   type Withheld,
 } from '@valvelatch/core';
-import type { HostListClient, ListedHost, TableClient } from '@valvelatch/platform';
+import type { HostListClient, ListedHost, PulsedReader, TableClient } from '@valvelatch/platform';
 
 import type { LeaseKeeper } from '../leases/lease-keeper.js';
 import type { Log } from '../observe/log.js';
@@ -40,6 +39,8 @@
   readonly pool: PoolName;
   readonly lease: LeaseKeeper;
   readonly table: TableClient;
+  /** Reads the rows of control; pools of one entry share it. */
+  readonly rowReader: PulsedReader;
   readonly hostList: HostListClient;
   readonly configuration: () => Configuration;
   readonly log: Log;
@@ -112,6 +113,7 @@
   pool,
   lease,
   table,
+  rowReader,
   hostList,
   configuration,
   log,
@@ -137,21 +139,11 @@
   };
 
   const readRows = async (): Promise<Rows | undefined> => {
-    const prefixes = [
-      rowPrefix.host,
-      rowPrefix.placement,
-      rowPrefix.job,
-      rowPrefix.wave,
-      rowPrefix.usage,
-    ];
-    const scans = await Promise.all(prefixes.map((prefix) => table.scan(prefix)));
-    const rows = new Map<string, Versioned<unknown>>();
-    const areAllRead = scans.every((scan) => {
-      if (scan.isErr()) return false;
-      scan.value.forEach(({ key, value, version }: TableRow) => rows.set(key, { value, version }));
-      return true;
-    });
-    return areAllRead ? rows : undefined;
+    const read = await rowReader.read();
+    if (read.isErr()) return undefined;
+    return new Map(
+      read.value.flat().map(({ key, value, version }) => [key, { value, version }] as const),
+    );
   };
 
   const retryTimes = (jobs: ReadonlyMap<JobId, Versioned<JobRow>>): Map<JobId, number> => {
--- a/packages/daemon/src/entry/control-plane.ts
+++ b/packages/daemon/src/entry/control-plane.ts
@@ -1,5 +1,6 @@
 /** The control work of an entry: the pools whose leases it holds, and its data centre's workers. */
 import {
+  controlPrefixes,
   declaredHosts,
   declarationsOf,
   type Configuration,
@@ -10,6 +11,8 @@
   type Withheld,
 } from '@valvelatch/core';
 
+import { createPulsedReader, type HostListClient } from '@valvelatch/platform';
+
 import { createDataCentreAgent, type DataCentreAgent } from '../control/data-centre-agent.js';
 import {
   controlLeaseName,
@@ -52,6 +55,25 @@
   readonly metrics: Metrics;
 };
 
+/** The list lags anyway; the pools of one entry and its agent share one reading for so long. */
+const LIST_KEPT_MS = 400;
+
+const withSharedList = (client: HostListClient): HostListClient => {
+  let readAtMs = -Infinity;
+  let last: ReturnType<HostListClient['list']> | undefined;
+  return {
+    ...client,
+    list: () => {
+      const nowMs = performance.now();
+      if (!last || nowMs - readAtMs > LIST_KEPT_MS) {
+        readAtMs = nowMs;
+        last = client.list();
+      }
+      return last;
+    },
+  };
+};
+
 const longestRequestMs = (configuration: Configuration): number =>
   Math.max(0, ...declarationsOf(configuration, 'Service').map(({ spec }) => spec.requestTimeoutMs));
 
@@ -74,8 +96,10 @@
   log,
   metrics,
 }: ControlPlaneOptions): ControlPlane => {
-  const { table, hostList, workers } = clients;
+  const { table, workers } = clients;
+  const hostList = withSharedList(clients.hostList);
   const controls = new Map<PoolName, PoolControl>();
+  const rowReader = createPulsedReader(table, controlPrefixes);
 
   /** Every entry that may send to an endpoint has a seat here; each must say that it is quiet. */
   const isQuiet = async (endpointId: string): Promise<boolean> => {
@@ -118,7 +142,16 @@
     if (known) return known;
     const name = controlLeaseName(pool);
     const lease = createLeaseKeeper({ table, name, self, durationMs: leaseMs });
-    const built = createPoolControl({ pool, lease, table, hostList, configuration, log, metrics });
+    const built = createPoolControl({
+      pool,
+      lease,
+      table,
+      rowReader,
+      hostList,
+      configuration,
+      log,
+      metrics,
+    });
     controls.set(pool, built);
     return built;
   };
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -48,14 +48,15 @@
   readonly stop: () => Promise<void>;
 };
 
-const TASK_POLL_MS = 200;
-const PUMP_MS = 20;
+const TASK_POLL_MS = 400;
+const BUSY_PUMP_MS = 20;
+const IDLE_PUMP_MS = 200;
 const MESH_TICK_MS = 1000;
-const CONFIG_POLL_MS = 500;
+const CONFIG_POLL_MS = 1000;
 const CLAIMS_TICK_MS = 1000;
-const AGENT_TICK_MS = 250;
+const AGENT_TICK_MS = 400;
 /** Each lease on a seat is looked at so often, and the seats of others so often. */
-const SEAT_TICKS_PER_LEASE = 12;
+const SEAT_TICKS_PER_LEASE = 8;
 const DOUBT_TICKS_PER_LEASE = 6;
 const POLLERS_PER_DATA_CENTRE = 2;
 const ASK_MS = 1500;
@@ -104,7 +105,7 @@
   const leaseMs = settings['seat-lease-ms'];
   const log = createLog({ level: settings['log-level'], common: { entry: self } });
   const metrics = createMetrics();
-  const tracing = createTracing(settings, log);
+  const tracing = await createTracing(settings, log);
   const decisions = createDecisionMemory();
   const rng = createRng(hash32(self) % 2 ** 31);
   const clients = createClients(settings);
@@ -302,7 +303,7 @@
     },
     {
       name: 'pump',
-      everyMs: PUMP_MS,
+      everyMs: () => (requestPlane.inFlight() > 0 ? BUSY_PUMP_MS : IDLE_PUMP_MS),
       run: async () => requestPlane.gates().forEach((gate) => gate.pump()),
     },
     { name: 'mesh', everyMs: MESH_TICK_MS, run: async () => meshLink.tick() },
--- a/packages/daemon/src/leases/lease-keeper.ts
+++ b/packages/daemon/src/leases/lease-keeper.ts
@@ -42,6 +42,8 @@
 };
 
 const MARGIN_FRACTION = 0.25;
+/** Above this share of the duration a held lease is neither read nor renewed. */
+const SECURE_FRACTION = 0.7;
 
 /**
  * Builds a keeper.
@@ -80,7 +82,12 @@
     state = confirmLease(state, { row, version }, sentAtMs);
   };
 
+  /** Far from its end a lease that is held needs no reading: nobody else can take it. */
+  const isSecure = (): boolean =>
+    state.heldUntilMs - nowMs() > durationMs * SECURE_FRACTION && state.seen.row?.holder === self;
+
   const tick = async (): Promise<void> => {
+    if (isSecure()) return;
     const rows = await table.read([key]);
     if (rows.isErr()) return;
     const [row] = rows.value;
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -90,7 +90,7 @@
   ),
   'seat-lease-ms': milliseconds('duration of the lease on a seat', 6000, 600_000),
   'control-lease-ms': milliseconds('duration of the lease on the control of a pool', 4000, 600_000),
-  'control-turn-ms': milliseconds('pause between control turns', 500, 60_000),
+  'control-turn-ms': milliseconds('pause between control turns', 1000, 60_000),
   'log-level': setting(
     'least level of events that are logged',
     'one of trace, debug, info, warn, error',
--- a/packages/daemon/src/shared/loops.ts
+++ b/packages/daemon/src/shared/loops.ts
@@ -3,7 +3,8 @@
 /** A piece of work to repeat. */
 export type Loop = {
   readonly name: string;
-  readonly everyMs: number;
+  /** The pause after each run. */
+  readonly everyMs: number | (() => number);
   readonly run: () => Promise<void>;
 };
 
@@ -41,7 +42,7 @@
   const repeat = async ({ name, everyMs, run }: Loop): Promise<void> => {
     while (!isStopped) {
       await run().catch((error: unknown) => onFault(name, error));
-      if (!isStopped) await pause(everyMs);
+      if (!isStopped) await pause(typeof everyMs === 'number' ? everyMs : everyMs());
     }
   };
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -4,3 +4,4 @@
 export * from './relay.js';
 export * from './workers.js';
 export * from './processes.js';
+export * from './example-deployment.js';
