Why a job stands where it does is kept; what has ended can be asked about

A change of phase overwrote why the host was chosen. Change: the reason of the host and the reason of the phase are two fields. The holder of a pool remembers what it decided, so that explain answers for a row that is gone. Ruled out: a looser check in the quickstart.

--- a/packages/bench/src/control/big-world.ts
+++ b/packages/bench/src/control/big-world.ts
@@ -120,6 +120,7 @@
           leaseMs,
           revision: 1,
           reason: 'measured',
+          phaseReason: '',
         }),
       );
     });
--- a/packages/core/src/control/draft.ts
+++ b/packages/core/src/control/draft.ts
@@ -154,6 +154,7 @@
     leaseMs: job.leaseMs,
     revision: state.world.configuration.revision,
     reason,
+    phaseReason: '',
   };
   state.nextEpoch += 1;
   standOn(state, hostId, job);
@@ -174,7 +175,7 @@
  *
  * @param draft - The working copy, changed in place.
  * @param row - The placement with its new phase.
- * @param reason - Why.
+ * @param reason - Why it changes; why it stands on its host is kept.
  */
 export const writePlacement = (draft: Draft, row: PlacementRow, reason: string): void => {
   const key = rowKey.placement(row.jobId);
@@ -183,7 +184,7 @@
     subject: key,
     reason,
     checks: [checkOf(draft.world.placements, row.jobId, key)],
-    writes: [{ key, value: { ...row, reason } }],
+    writes: [{ key, value: { ...row, phaseReason: reason } }],
   });
 };
 
--- a/packages/core/src/control/pool-turn.test.ts
+++ b/packages/core/src/control/pool-turn.test.ts
@@ -190,6 +190,20 @@
       expect(fleet.workers.faults).toEqual({ cutTasks: 0, doubleRuns: 0 });
     });
 
+    it('keep why an executor stands where it does when it starts again there', () => {
+      const parking = configurationOf(
+        twoPools.replace('spec: { reserveFor: rack }', 'spec: { reserveFor: none, prefer: moves }'),
+      );
+      const fleet = createFleetModel({ configuration: parking, rebootMs: 3000, stepMs: 250 });
+      run(fleet, 5000);
+      startWave(fleet, 'all', allHosts(fleet));
+      run(fleet, 60_000);
+      expect(fleet.decisions.some(({ reason }) => /starts again on/.test(reason))).toBe(true);
+      placements(fleet).forEach(({ reason }) =>
+        expect(reason).toMatch(/best of \d+ hosts of pool=main/),
+      );
+    });
+
     it('begin with a single host', () => {
       const fleet = newFleet();
       startWave(
--- a/packages/core/src/rows/rows.ts
+++ b/packages/core/src/rows/rows.ts
@@ -79,6 +79,8 @@
   readonly revision: number;
   /** Why this host, in terms of labels and selectors. */
   readonly reason: string;
+  /** Why it is in its phase; empty where the reason says it. */
+  readonly phaseReason: string;
 };
 
 /** The state of a submitted job. */
--- a/packages/daemon/src/control/pool-control.ts
+++ b/packages/daemon/src/control/pool-control.ts
@@ -45,6 +45,8 @@
   readonly configuration: () => Configuration;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Told of each change that was committed. */
+  readonly onChange: (change: ControlChange) => void;
   readonly nowMs?: () => number;
 };
 
@@ -118,6 +120,7 @@
   configuration,
   log,
   metrics,
+  onChange,
   nowMs = () => performance.now(),
 }: PoolControlOptions): PoolControl => {
   const sightings = new Map<HostId, HostSighting>();
@@ -207,7 +210,11 @@
     }
     if (outcome.value.kind === 'committed') {
       metrics.count('control_changes', group.length);
-      group.forEach(({ subject, reason }) => log.info('control-change', { pool, subject, reason }));
+      group.forEach((change) => {
+        const { subject, reason } = change;
+        log.info('control-change', { pool, subject, reason });
+        onChange(change);
+      });
       return group.length;
     }
     metrics.count('control_conflicts');
--- a/packages/daemon/src/entry/control-plane.ts
+++ b/packages/daemon/src/entry/control-plane.ts
@@ -3,8 +3,11 @@
   controlPrefixes,
   declaredHosts,
   declarationsOf,
+  rememberDecision,
   type Configuration,
+  type ControlChange,
   type DataCentreId,
+  type DecisionMemory,
   type EntryId,
   type HostId,
   type PoolName,
@@ -51,6 +54,7 @@
   /** Whether this entry is one of the few that contend for a duty. */
   readonly isCandidate: (duty: string) => boolean;
   readonly leaseMs: number;
+  readonly decisions: DecisionMemory;
   readonly log: Log;
   readonly metrics: Metrics;
 };
@@ -93,6 +97,7 @@
   askQuiet,
   isCandidate,
   leaseMs,
+  decisions,
   log,
   metrics,
 }: ControlPlaneOptions): ControlPlane => {
@@ -137,6 +142,17 @@
     metrics,
   });
 
+  /** So that an operator can ask about what has ended, too. */
+  const remember = ({ subject, reason }: ControlChange): void =>
+    rememberDecision(decisions, {
+      subject,
+      outcome: 'decided',
+      reason,
+      revision: configuration().revision,
+      tried: [],
+      atMs: Date.now(),
+    });
+
   const controlOf = (pool: PoolName): PoolControl => {
     const known = controls.get(pool);
     if (known) return known;
@@ -151,6 +167,7 @@
       configuration,
       log,
       metrics,
+      onChange: remember,
     });
     controls.set(pool, built);
     return built;
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -252,6 +252,7 @@
     askQuiet: (holder, endpointId) => askEntry(holder, 'quiet-at', { endpointId }),
     isCandidate: meshLink.hasGlobalDuty,
     leaseMs: settings['control-lease-ms'],
+    decisions,
     log,
     metrics,
   });
--- a/packages/daemon/src/leaving.test.ts
+++ b/packages/daemon/src/leaving.test.ts
@@ -63,7 +63,7 @@
 
   it('moves executors off a host that an operator drains, and cuts nothing', async () => {
     const [at] = deployment.entries as [TestEntry];
-    const { hostId } = (await placements())[0] as Placement;
+    const { hostId, jobId } = (await placements())[0] as Placement;
     const drained = await deployment.operate(at, 'host-drain', { hostId });
     expect(drained.kind).toBe('ok');
     await waitUntil('the host to be empty', async () => {
@@ -73,6 +73,8 @@
     });
     expect(await runningOn(hostId)).toEqual([]);
     expect((await placements()).filter(({ phase }) => phase === 'running')).toHaveLength(2);
+    const why = await deployment.operate(at, 'explain', { kind: 'job', name: jobId });
+    expect(why).toMatchObject({ kind: 'ok', value: { reason: 'its executor has stopped' } });
     expect(sums.failed).toEqual([]);
     expect(workers.report().cutRequests).toBe(0);
   });
--- a/packages/daemon/src/operators/explain-handlers.ts
+++ b/packages/daemon/src/operators/explain-handlers.ts
@@ -33,6 +33,25 @@
   return [...own, ...(answers.flat() as Withheld[])];
 };
 
+/** What the entries remember of something whose row is gone; the last decision counts. */
+const recallEnded = async (
+  context: OperatorContext,
+  subject: string,
+): Promise<DecisionRecord | undefined> => {
+  const answers = await Promise.all(
+    otherMembers(context).map((member) =>
+      context.ask(member, 'recall', { subject }, ASK_MS).catch(() => undefined),
+    ),
+  );
+  const known = [recallDecision(context.decisions, subject), ...answers] as DecisionRecord[];
+  return known.filter(Boolean).sort((a, b) => b.atMs - a.atMs)[0];
+};
+
+type Reasoned = { readonly reason: string; readonly phaseReason?: string };
+
+const reasonsOf = (of: string, { reason, phaseReason = '' }: Reasoned) =>
+  [reason, phaseReason].filter((text) => text !== '').map((text) => ({ of, reason: text }));
+
 const explainRow = async (
   context: OperatorContext,
   key: string,
@@ -43,16 +62,14 @@
   const found = rows.value.filter(({ value }) => value !== null);
   const withheldNow = await askAllWithheld(context, key);
   if (found.length === 0 && withheldNow.length === 0) {
-    return { kind: 'not-found', detail: `nothing is known of ${key}` };
+    const ended = await recallEnded(context, key);
+    return ended ? ok(ended) : { kind: 'not-found', detail: `nothing is known of ${key}` };
   }
   return ok({
     subject: key,
     revision: context.configSync.current().revision,
     reasons: [
-      ...found.map(({ key: rowName, value }) => ({
-        of: rowName,
-        reason: (value as { reason: string }).reason,
-      })),
+      ...found.flatMap(({ key: rowName, value }) => reasonsOf(rowName, value as Reasoned)),
       ...withheldNow.map(({ reason }) => ({ of: 'withheld now', reason })),
     ],
     rows: found.map(({ value }) => value as PlacementRow | HostRow | JobRow | WaveRow),
