Settings pass over variables of the other program; doubt-clear is a command

Cause: with VALVELATCH_URL set, as operators have it, the daemon ended with 'unknown argument', and the command line did with the daemon's variables. Change: each program reads its own variables only; flags go before them.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -128,14 +128,18 @@
   .usage(
     '$0 <command>\n\nExit codes: 0 done, 1 fault, 2 usage, 3 invalid, 4 conflict, 5 not found, 6 unavailable, 7 key refused.',
   )
-  .env('VALVELATCH')
   .options({
     url: {
       type: 'string',
-      default: 'http://127.0.0.1:7002',
+      default: process.env.VALVELATCH_URL ?? 'http://127.0.0.1:7002',
       describe: "operators' addresses of entries, joined by commas (VALVELATCH_URL)",
     },
-    key: { type: 'string', describe: "the operators' key (VALVELATCH_KEY)" },
+    key: {
+      type: 'string',
+      default: process.env.VALVELATCH_KEY,
+      defaultDescription: 'VALVELATCH_KEY',
+      describe: "the operators' key (VALVELATCH_KEY)",
+    },
     output: { choices: ['table', 'json'] as const, default: 'table', describe: 'form of output' },
   })
   .command(
@@ -193,6 +197,12 @@
   .command('host', 'hosts', (argv) => hostCommands(argv as never))
   .command('job', 'jobs', (argv) => jobCommands(argv as never))
   .command('wave', 'waves of maintenance', (argv) => waveCommands(argv as never))
+  .command(
+    'doubt-clear',
+    'vouch that no claim of a replaced data centre matters any more',
+    {},
+    (args) => run(args as never, 'doubt-clear', {}, asJsonLine),
+  )
   .command(
     'explain <kind> <name>',
     'why a job runs where it does, a host is withheld, a request was refused',
--- a/packages/daemon/src/settings/settings.test.ts
+++ b/packages/daemon/src/settings/settings.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import { checkSettings, environmentName, settingsTable } from './settings.js';
+import { checkSettings, environmentName, readSettings, settingsTable } from './settings.js';
 
 const good = {
   'entry-id': 'one',
@@ -35,6 +35,23 @@
     );
   });
 
+  it('come from flags first, then from the environment, whatever else is in it', async () => {
+    const argv = ['node', 'valvelatchd', '--callers-port=7001', '--log-level=warn'];
+    const environment = {
+      ...Object.fromEntries(
+        Object.entries(good).map(([flag, value]) => [environmentName(flag), value]),
+      ),
+      VALVELATCH_LOG_LEVEL: 'debug',
+      VALVELATCH_URL: 'http://127.0.0.1:7002',
+    };
+    const settings = (await readSettings(argv, environment)).unwrap();
+    expect(settings).toMatchObject({
+      'callers-port': 7001,
+      'log-level': 'warn',
+      'entry-id': 'one',
+    });
+  });
+
   it('says so when a setting without a default is missing', () => {
     expect(checkSettings({ ...good, 'mesh-key': undefined }).unwrapErr()).toContain(
       '--mesh-key (VALVELATCH_MESH_KEY): got nothing',
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -148,18 +148,29 @@
   return faulty === undefined ? Ok(checked as Settings) : Err(faultOf(faulty, raw[faulty]));
 };
 
+const fromEnvironment = (environment: NodeJS.ProcessEnv): Record<string, string> =>
+  Object.fromEntries(
+    flags.flatMap((flag) => {
+      const value = environment[environmentName(flag)];
+      return value === undefined ? [] : [[flag, value]];
+    }),
+  );
+
 /**
  * Reads the settings of the process from its flags and its environment.
  *
- * @param argv - The arguments of the process, as Node gives them.
+ * @param argv - The arguments of the process, as Node gives them; they go before the environment.
+ * @param environment - The environment; variables that belong to no flag are passed over.
  * @returns The settings, or one line about the first that is wrong.
  */
-export const readSettings = async (argv: readonly string[]): Promise<Result<Settings, string>> => {
+export const readSettings = async (
+  argv: readonly string[],
+  environment: NodeJS.ProcessEnv = process.env,
+): Promise<Result<Settings, string>> => {
   let fault: string | undefined;
   const parser = yargs(hideBin([...argv]))
     .scriptName('valvelatchd')
     .usage('$0: an entry of valvelatch. Each flag is an environment variable too.')
-    .env(ENVIRONMENT_PREFIX)
     .parserConfiguration({ 'camel-case-expansion': false, 'parse-numbers': false })
     .options(
       Object.fromEntries(
@@ -178,6 +189,8 @@
     .fail((message, error) => {
       fault = message ?? error?.message ?? 'settings cannot be read';
     });
-  const raw = await parser.parseAsync();
-  return fault === undefined ? checkSettings(raw) : Err(fault);
+  const given = await parser.parseAsync();
+  return fault === undefined
+    ? checkSettings({ ...fromEnvironment(environment), ...given })
+    : Err(fault);
 };
