--- a/packages/bench/src/data-path/data-path.ts
+++ b/packages/bench/src/data-path/data-path.ts
@@ -27,6 +27,7 @@
   readonly prefix: string;
   /** Processor time of the hop so far, in microseconds. */
   readonly cpuUs: () => Promise<number>;
+  readonly residentBytes?: () => Promise<number>;
 };
 
 const OPERATOR_KEY = 'bench-operator-key';
@@ -91,12 +92,12 @@
   };
 };
 
-const entryCpuUs = async (entry: RunningProcess): Promise<number> => {
+const entryMetric = async (entry: RunningProcess, name: string): Promise<number> => {
   const answer = await request(`${entry.fields.operatorsUrl as string}/metrics`, {
     headers: { authorization: `Bearer ${OPERATOR_KEY}` },
   });
   const text = await answer.body.text();
-  return Number(/valvelatch_process_cpu_us (\d+)/.exec(text)?.[1] ?? 0);
+  return Number(new RegExp(`valvelatch_${name} (\\d+)`).exec(text)?.[1] ?? 0);
 };
 
 const forwardCpuUs = async (forward: RunningProcess): Promise<number> => {
@@ -175,7 +176,8 @@
       name: 'valvelatch',
       url: entryUrl,
       prefix: '/services/routing',
-      cpuUs: () => entryCpuUs(entry),
+      cpuUs: () => entryMetric(entry, 'process_cpu_us'),
+      residentBytes: () => entryMetric(entry, 'process_resident_bytes'),
     },
   ];
 };
@@ -213,3 +215,28 @@
     await Promise.all(running.map(stopProcess));
   }
 };
+
+const BYTES_PER_MB = 1024 * 1024;
+
+/**
+ * Sends many requests through one entry and looks at its memory on the way.
+ *
+ * @param requests - How many requests.
+ * @param steps - How often the memory is read.
+ * @returns One row a step, with the resident memory in megabytes.
+ */
+export const benchMemory = async (requests: number, steps = 10): Promise<readonly BenchRow[]> => {
+  const running: RunningProcess[] = [];
+  try {
+    const path = (await startAll(running)).find(({ residentBytes }) => residentBytes);
+    const rows: BenchRow[] = [];
+    for (let step = 1; path?.residentBytes && step <= steps; step += 1) {
+      await measure(path, { requests: Math.floor(requests / steps) });
+      const residentMB = rounded((await path.residentBytes()) / BYTES_PER_MB);
+      rows.push({ bench: 'memory', requests: Math.floor((requests * step) / steps), residentMB });
+    }
+    return rows;
+  } finally {
+    await Promise.all(running.map(stopProcess));
+  }
+};
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,7 +3,7 @@
 import { hideBin } from 'yargs/helpers';
 
 import { benchControl } from './control/control.js';
-import { benchDataPath } from './data-path/data-path.js';
+import { benchDataPath, benchMemory } from './data-path/data-path.js';
 import { benchIdle } from './idle/idle.js';
 import { benchOverload } from './overload/overload.js';
 import { printRows } from './report.js';
@@ -42,6 +42,12 @@
     },
     async ({ example }) => printRows(await benchIdle(example)),
   )
+  .command(
+    'memory',
+    'the memory of an entry over many requests',
+    { requests: { type: 'number', default: 1_000_000 } } as const,
+    async ({ requests }) => printRows(await benchMemory(requests)),
+  )
   .demandCommand(1)
   .strict()
   .parseAsync();
