--- a/packages/core/src/fleet/fleet.ts
+++ b/packages/core/src/fleet/fleet.ts
@@ -2,7 +2,8 @@
 import type { Configuration } from '../configuration/configuration.js';
 import { declarationsOf } from '../configuration/configuration.js';
 import type { DeclarationOf } from '../declarations/schema.js';
-import type { HostSpec } from '../rows/rows.js';
+import type { HostRow, HostSpec } from '../rows/rows.js';
+import { matches, type Selector } from '../selectors/selector.js';
 import {
   brand,
   type DataCentreId,
@@ -47,3 +48,24 @@
  */
 export const declaredHosts = (configuration: Configuration): readonly HostSpec[] =>
   declarationsOf(configuration, 'HostGroup').flatMap(toHosts);
+
+/**
+ * Lists the declared hosts that a selector names; the pool label is the pool that a host is in now.
+ *
+ * @param configuration - The configuration.
+ * @param rows - The rows of hosts.
+ * @param selector - The selector.
+ * @returns The hosts' identifiers.
+ */
+export const hostsNamedBy = (
+  configuration: Configuration,
+  rows: readonly HostRow[],
+  selector: Selector,
+): readonly HostId[] => {
+  const pools = new Map(rows.map(({ hostId, pool }) => [hostId, pool]));
+  return declaredHosts(configuration)
+    .filter(({ hostId, labels }) =>
+      matches(selector, { ...labels, [builtInLabel.pool]: pools.get(hostId) ?? '' }),
+    )
+    .map(({ hostId }) => hostId);
+};
--- a/packages/core/src/replay/replay.ts
+++ b/packages/core/src/replay/replay.ts
@@ -1,9 +1,8 @@
 /** Replay of a trace against the real decisions, with its stated outcomes checked. */
 import { declarationsOf, type Configuration } from '../configuration/configuration.js';
-import { declaredHosts } from '../fleet/fleet.js';
+import { declaredHosts, hostsNamedBy } from '../fleet/fleet.js';
 import { rowKey, rowPrefix, type HostRow, type JobRow, type WaveRow } from '../rows/rows.js';
 import { parseSelector } from '../selectors/parse-selector.js';
-import { matches } from '../selectors/selector.js';
 import {
   brand,
   type DataCentreId,
@@ -84,12 +83,7 @@
 
 const startWave = ({ fleet, configuration }: Run, wave: string, selectorText: string): void => {
   const selector = parseSelector(selectorText).unwrap();
-  const pools = new Map(
-    fleet.rows<HostRow>(rowPrefix.host).map(({ hostId, pool }) => [hostId, pool]),
-  );
-  const hosts = declaredHosts(configuration)
-    .filter(({ hostId, labels }) => matches(selector, { ...labels, pool: pools.get(hostId) ?? '' }))
-    .map(({ hostId }) => hostId);
+  const hosts = hostsNamedBy(configuration, fleet.rows<HostRow>(rowPrefix.host), selector);
   const waveId = brand<WaveId>(wave);
   const row: WaveRow = {
     waveId,
--- a/packages/daemon/src/operators/wave-handlers.ts
+++ b/packages/daemon/src/operators/wave-handlers.ts
@@ -1,8 +1,7 @@
 /** Starting, holding, resuming and cancelling waves. */
 import {
   brand,
-  declaredHosts,
-  matches,
+  hostsNamedBy,
   parseSelector,
   rowKey,
   rowPrefix,
@@ -42,12 +41,8 @@
   if (selector.isErr()) return selectorFault(selector.error);
   const hostRows = await scanRows<HostRow>(table, rowPrefix.host);
   if (hostRows.isErr()) return unavailable(hostRows.error);
-  const pools = new Map(hostRows.value.map(({ value }) => [value.hostId, value.pool]));
-  const hosts = declaredHosts(configSync.current())
-    .filter(({ hostId, labels }) =>
-      matches(selector.value, { ...labels, pool: pools.get(hostId) ?? '' }),
-    )
-    .map(({ hostId }) => hostId);
+  const rows = hostRows.value.map(({ value }) => value);
+  const hosts = hostsNamedBy(configSync.current(), rows, selector.value);
   if (hosts.length === 0) {
     return { kind: 'invalid', detail: `selector '${text}' matches no host` };
   }
