The words of the request path have a file of their own

Ruled out: splitting the way itself, which reads top to bottom. Change: request-types.ts; no behaviour changes.

--- a/packages/daemon/src/data-path/callers-server.ts
+++ b/packages/daemon/src/data-path/callers-server.ts
@@ -11,7 +11,7 @@
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
 
 import { callerHeader, headersToReturn, isRepeatable } from './headers.js';
-import type { CallerRequest, RequestOutcome } from './serve-request.js';
+import type { CallerRequest, RequestOutcome } from './request-types.js';
 
 /** Options for the server. */
 export type CallersServerOptions = {
--- a/packages/daemon/src/entry/request-plane.ts
+++ b/packages/daemon/src/entry/request-plane.ts
@@ -26,13 +26,13 @@
   type EndpointDirectory,
 } from '../data-path/endpoint-directory.js';
 import type { OutageClaims } from '../data-path/outage-claims.js';
-import {
-  serveRequest,
-  type CallerRequest,
-  type RemoteEntry,
-  type RequestOutcome,
-  type ServeContext,
-} from '../data-path/serve-request.js';
+import type {
+  CallerRequest,
+  RemoteEntry,
+  RequestOutcome,
+  ServeContext,
+} from '../data-path/request-types.js';
+import { serveRequest } from '../data-path/serve-request.js';
 import { createServiceGate, type ServiceGate } from '../data-path/service-gate.js';
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
--- a/packages/daemon/src/mesh-link/mesh-link.ts
+++ b/packages/daemon/src/mesh-link/mesh-link.ts
@@ -24,7 +24,7 @@
 import { createMesh, type Mesh } from '@valvelatch/mesh';
 
 import type { ConfigSync } from '../config-sync/config-sync.js';
-import type { RemoteEntry } from '../data-path/serve-request.js';
+import type { RemoteEntry } from '../data-path/request-types.js';
 import type { Log } from '../observe/log.js';
 
 /** The link of one entry to the others. */
