--- a/eslint.config.js
+++ b/eslint.config.js
@@ -20,7 +20,7 @@
     languageOptions: {
       parserOptions: {
         projectService: false,
-        project: ['packages/*/tsconfig.json', 'tsconfig.test.json'],
+        project: ['packages/*/tsconfig.json', 'platform/tsconfig.json', 'tsconfig.test.json'],
         tsconfigRootDir: import.meta.dirname,
       },
     },
--- /dev/null
+++ b/packages/core/src/batch/endpoints.ts
@@ -0,0 +1,76 @@
+/** Endpoints as they come, change and go, by the platform's list. */
+import type { EndpointId, HostId, PoolName } from '../shared/ids.js';
+import { poolOf, type BatchState, type Capacity, type EndpointState } from './state.js';
+
+/** An endpoint as it describes itself. */
+export type EndpointSighting = {
+  readonly endpointId: EndpointId;
+  readonly pool: PoolName;
+  readonly hostId: HostId | null;
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly labels: readonly string[];
+  readonly capacity: Capacity;
+  readonly isDraining: boolean;
+};
+
+/**
+ * Takes in a sighting of an endpoint. Capacity and labels of one endpoint never change.
+ *
+ * @param state - All that is known, changed in place.
+ * @param sighting - The endpoint.
+ * @param nowMs - The time.
+ * @returns Its state.
+ */
+export const seeEndpoint = (
+  state: BatchState,
+  sighting: EndpointSighting,
+  nowMs: number,
+): EndpointState => {
+  const known = state.endpoints.get(sighting.endpointId);
+  if (known) {
+    known.isDraining = sighting.isDraining;
+    known.hostId = sighting.hostId ?? known.hostId;
+    return known;
+  }
+  const endpoint: EndpointState = {
+    endpointId: sighting.endpointId,
+    pool: sighting.pool,
+    hostId: sighting.hostId,
+    dataCentre: sighting.dataCentre,
+    labels: sighting.labels,
+    capacity: sighting.capacity,
+    used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+    runs: new Map(),
+    isKnown: false,
+    isDraining: sighting.isDraining,
+    withheldUntilMs: 0,
+    withheldReason: '',
+    isClosing: false,
+    leaseEndsAtMs: 0,
+    idleSinceMs: nowMs,
+    reportedAtMs: 0,
+    health: { failedJobs: new Set(), strikes: 0 },
+  };
+  state.endpoints.set(endpoint.endpointId, endpoint);
+  return endpoint;
+};
+
+/**
+ * Notes the endpoints that may run tasks of an earlier holder.
+ *
+ * @param state - All that is known, changed in place.
+ * @param endpoints - The endpoints by pool, also those without an address.
+ * @param leasesEndAtMs - When every lease granted by an earlier holder has surely ended.
+ */
+export const expectReports = (
+  state: BatchState,
+  endpoints: readonly { readonly endpointId: EndpointId; readonly pool: PoolName }[],
+  leasesEndAtMs: number,
+): void => {
+  endpoints.forEach(({ endpointId, pool }) => {
+    const known = poolOf(state, pool);
+    known.inheritedLeasesEndAtMs = leasesEndAtMs;
+    if (!state.endpoints.get(endpointId)?.isKnown) known.unheard.add(endpointId);
+  });
+};
--- /dev/null
+++ b/packages/core/src/batch/hosts.ts
@@ -0,0 +1,70 @@
+/** Hosts by the platform's list, and what may be done to them without breaking a budget. */
+import type { EndpointId, HostId, PoolName } from '../shared/ids.js';
+import type { BatchState, Capacity, EndpointState, RunState, StepRun } from './state.js';
+
+/** A host as the platform lists it. */
+export type HostView = {
+  readonly hostId: HostId;
+  readonly pool: PoolName;
+  /** `up`: it can be ordered to move or to go down for maintenance. */
+  readonly state: 'up' | 'moving' | 'maintenance' | 'down';
+  readonly dataCentre: string;
+  readonly labels: readonly string[];
+  readonly capacity: Capacity;
+  /** The endpoint that lives on it; null while there is none. */
+  readonly endpointId: EndpointId | null;
+};
+
+/** A pool as the configuration declares it. */
+export type PoolView = {
+  readonly name: PoolName;
+  /** Its hosts are switched off. */
+  readonly isSpare: boolean;
+};
+
+const isAtWork = ({ phase, percent }: RunState): boolean => phase === 'running' && percent >= 100;
+
+/** How many tasks of a lasting step are at work anywhere. */
+const atWork = (state: BatchState, step: StepRun): number => {
+  let count = 0;
+  step.perEndpoint.forEach((_, endpointId) => {
+    state.endpoints.get(endpointId)?.runs.forEach((run) => {
+      if (run.step === step && isAtWork(run)) count += 1;
+    });
+  });
+  return count;
+};
+
+const lastingSteps = ({ runs }: EndpointState): ReadonlySet<StepRun> =>
+  new Set(
+    Array.from(runs.values(), ({ step }) => step).filter(
+      ({ spec, job }) => spec.isLasting && spec.mayMiss > 0 && job.phase === 'running',
+    ),
+  );
+
+/**
+ * Finds the lasting step whose budget forbids that an endpoint goes now.
+ *
+ * @param state - All that is known.
+ * @param endpoint - The endpoint.
+ * @returns The step, or undefined if the endpoint may go.
+ */
+export const findBudgetObstacle = (
+  state: BatchState,
+  endpoint: EndpointState,
+): StepRun | undefined =>
+  Array.from(lastingSteps(endpoint)).find((step) => {
+    const here = Array.from(endpoint.runs.values()).filter((run) => run.step === step);
+    const away = step.spec.taskCount - atWork(state, step);
+    const hereAtWork = here.filter(isAtWork).length;
+    return hereAtWork > 0 && away + hereAtWork > step.spec.mayMiss;
+  });
+
+/**
+ * Tells whether only lasting tasks, or none, run on an endpoint.
+ *
+ * @param endpoint - The endpoint.
+ * @returns True if nothing that ends by itself would be cut.
+ */
+export const isQuiet = ({ runs }: EndpointState): boolean =>
+  Array.from(runs.values()).every(({ step }) => step.spec.isLasting);
--- /dev/null
+++ b/packages/core/src/batch/jobs.ts
@@ -0,0 +1,255 @@
+/** The life of a job: taken in, its steps opened one after the other, ended or cancelled. */
+import type { JobId } from '../shared/ids.js';
+import {
+  taskKey,
+  type BatchJob,
+  type BatchPhase,
+  type QueuePolicy,
+  type StepSpec,
+  type TaskKey,
+  type TaskName,
+} from './job.js';
+import { isFinal, poolOf, type BatchState, type JobState, type OccurrenceState, type StepRun, type Task } from './state.js';
+import { stopRun } from './runs.js';
+
+const newTask = (key: TaskKey, index: number): Task => ({
+  key,
+  index,
+  phase: 'waiting',
+  failures: 0,
+  lastFailedRun: 0,
+  lastRun: 0,
+  checkpoint: '',
+  avoid: null,
+  awaySinceMs: 0,
+});
+
+const newStep = (
+  job: JobState,
+  occurrence: OccurrenceState,
+  number: number,
+  spec: StepSpec,
+): StepRun => ({
+  job,
+  occurrence,
+  number,
+  spec,
+  tasks: Array.from({ length: spec.taskCount }, (_, index) =>
+    newTask(taskKey(job.job.jobId, occurrence.number, number, index), index),
+  ),
+  waiting: Array.from({ length: spec.taskCount }, (_, index) => index),
+  isOpen: false,
+  doneCount: 0,
+  perEndpoint: new Map(),
+  retryAtMs: 0,
+});
+
+/**
+ * Builds an occurrence of a job that is not there yet.
+ *
+ * @param job - The job, changed in place.
+ * @param number - Which occurrence.
+ * @param dueAtMs - When it is due, by the monotonic clock.
+ * @returns The occurrence.
+ */
+export const addOccurrence = (job: JobState, number: number, dueAtMs: number): OccurrenceState => {
+  const occurrence: OccurrenceState = { number, dueAtMs, steps: [] };
+  job.job.steps.forEach((spec, index) => {
+    occurrence.steps.push(newStep(job, occurrence, index, spec));
+  });
+  job.occurrences.set(number, occurrence);
+  return occurrence;
+};
+
+const isStepDone = (step: StepRun | undefined): boolean =>
+  step !== undefined && step.doneCount === step.spec.taskCount;
+
+/**
+ * Opens the steps of an occurrence whose predecessors are done.
+ *
+ * @param state - All that is known, changed in place.
+ * @param occurrence - The occurrence.
+ */
+export const openSteps = (state: BatchState, occurrence: OccurrenceState): void => {
+  occurrence.steps.forEach((step) => {
+    const one = step;
+    if (one.isOpen || isStepDone(one)) return;
+    if (!one.spec.after.every((number) => isStepDone(occurrence.steps[number]))) return;
+    one.isOpen = true;
+    if (one.waiting.length > 0) poolOf(state, one.job.job.pool).open.add(one);
+  });
+};
+
+const occurrenceCount = ({ repeats }: BatchJob): number => Math.max(1, repeats);
+
+/** Times of day jump on some hosts; an occurrence is begun this much after its time, not before. */
+const DUE_MARGIN_MS = 20;
+
+/**
+ * Begins the occurrences of a job whose time has come.
+ *
+ * @param state - All that is known, changed in place.
+ * @param job - The job.
+ * @param nowMs - The monotonic time.
+ * @param todayMs - The time of day, in milliseconds since 1970.
+ */
+export const beginDue = (
+  state: BatchState,
+  job: JobState,
+  nowMs: number,
+  todayMs: number,
+): void => {
+  const one = job;
+  const { firstDueAtMs, intervalMs, repeats } = one.job;
+  while (one.nextOccurrence < occurrenceCount(one.job)) {
+    const number = one.nextOccurrence;
+    const dueAtMs = repeats > 0 ? firstDueAtMs + number * intervalMs : todayMs;
+    if (repeats > 0 && todayMs < dueAtMs + DUE_MARGIN_MS) break;
+    one.nextOccurrence += 1;
+    const occurrence =
+      one.occurrences.get(number) ?? addOccurrence(one, number, nowMs - (todayMs - dueAtMs));
+    openSteps(state, occurrence);
+  }
+  if (one.nextOccurrence >= occurrenceCount(one.job)) state.timed.delete(one);
+  else state.timed.add(one);
+};
+
+/** Options for taking in a job. */
+export type TakeInOptions = {
+  readonly job: BatchJob;
+  readonly policy: QueuePolicy;
+  readonly nowMs: number;
+  readonly todayMs: number;
+  readonly isInherited?: boolean;
+};
+
+/**
+ * Builds the state of a job, with none of its occurrences begun.
+ *
+ * @param options - The job, its policy and the times.
+ * @returns The state.
+ */
+export const createJobState = ({
+  job,
+  policy,
+  nowMs,
+  todayMs,
+  isInherited = false,
+}: TakeInOptions): JobState => ({
+  job,
+  policy,
+  phase: 'pending',
+  reason: `queue=${job.queue} pool=${job.pool}: waits for room`,
+  occurrences: new Map(),
+  nextOccurrence: 0,
+  sinceMs: nowMs - Math.max(0, Math.min(todayMs - job.acceptedAtMs, MOST_BELIEVED_AGE_MS)),
+  isInherited,
+  hasBegun: false,
+});
+
+/** Clocks of entries differ and jump: an age above this is not believed. */
+const MOST_BELIEVED_AGE_MS = 120_000;
+
+/**
+ * Takes in an accepted job. One that is there already stays as it is.
+ *
+ * @param state - All that is known, changed in place.
+ * @param options - The job, its policy and the times.
+ * @returns The job's state.
+ */
+export const takeInJob = (state: BatchState, options: TakeInOptions): JobState => {
+  const known = state.jobs.get(options.job.jobId);
+  if (known) return known;
+  const job = createJobState(options);
+  state.jobs.set(options.job.jobId, job);
+  beginDue(state, job, options.nowMs, options.todayMs);
+  return job;
+};
+
+/**
+ * Finds a task.
+ *
+ * @param state - All that is known.
+ * @param name - The parts of its key.
+ * @returns The step and the task, or undefined.
+ */
+export const findTask = (
+  state: BatchState,
+  { jobId, occurrence, step, index }: TaskName,
+): { readonly step: StepRun; readonly task: Task } | undefined => {
+  const found = state.jobs.get(jobId)?.occurrences.get(occurrence)?.steps[step];
+  const task = found?.tasks[index];
+  return found && task ? { step: found, task } : undefined;
+};
+
+/**
+ * Ends a job: nothing of it is started any more, and what runs is stopped.
+ *
+ * @param state - All that is known, changed in place.
+ * @param job - The job.
+ * @param phase - Its final phase.
+ * @param reason - Why.
+ */
+export const endJob = (
+  state: BatchState,
+  job: JobState,
+  phase: BatchPhase,
+  reason: string,
+): void => {
+  const one = job;
+  if (isFinal(one.phase)) return;
+  one.phase = phase;
+  one.reason = reason;
+  state.timed.delete(one);
+  const { open } = poolOf(state, one.job.pool);
+  one.occurrences.forEach(({ steps }) => steps.forEach((step) => open.delete(step)));
+  state.endpoints.forEach((endpoint) => {
+    endpoint.runs.forEach((run) => {
+      if (run.step.job === one) stopRun(state, endpoint, run, reason);
+    });
+  });
+  state.effects.push({ kind: 'save', jobId: one.job.jobId, isUrgent: true });
+};
+
+/**
+ * Cancels a job.
+ *
+ * @param state - All that is known, changed in place.
+ * @param jobId - The job.
+ * @returns The phase that it is in now, or undefined for a job that is not known.
+ */
+export const cancelJob = (state: BatchState, jobId: JobId): BatchPhase | undefined => {
+  const job = state.jobs.get(jobId);
+  if (job) endJob(state, job, 'cancelled', 'cancelled by its client');
+  return job?.phase;
+};
+
+const isOccurrenceDone = ({ steps }: OccurrenceState): boolean => steps.every(isStepDone);
+
+/**
+ * Marks a task as done and opens what was waiting for it.
+ *
+ * @param state - All that is known, changed in place.
+ * @param step - The task's step.
+ * @param task - The task.
+ */
+export const markDone = (state: BatchState, step: StepRun, task: Task): void => {
+  const one = step;
+  const done = task;
+  if (done.phase === 'done') return;
+  if (done.phase === 'waiting') one.waiting = one.waiting.filter((index) => index !== done.index);
+  done.phase = 'done';
+  done.checkpoint = '';
+  one.doneCount += 1;
+  const { job, occurrence } = one;
+  const isEnd =
+    isOccurrenceDone(occurrence) &&
+    job.nextOccurrence >= occurrenceCount(job.job) &&
+    Array.from(job.occurrences.values()).every(isOccurrenceDone);
+  if (one.waiting.length === 0) poolOf(state, job.job.pool).open.delete(one);
+  if (isEnd) endJob(state, job, 'completed', 'all tasks are done');
+  else {
+    state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
+    openSteps(state, occurrence);
+  }
+};
--- /dev/null
+++ b/packages/core/src/batch/progress.ts
@@ -0,0 +1,139 @@
+/**
+ * The rows of a job: how it was accepted, how far it is, and how it ended. What is in them is what
+ * the next holder starts from; starts are not written, since endpoints report what runs.
+ */
+import { addOccurrence, beginDue, createJobState, endJob, markDone } from './jobs.js';
+import type { BatchJob, FinalPhase, QueuePolicy } from './job.js';
+import { isFinal, type BatchState, type JobState, type OccurrenceState, type StepRun } from './state.js';
+
+/** The row of a job: whole while it is live, small once it has ended. */
+export type BatchJobRow =
+  | { readonly kind: 'live'; readonly job: BatchJob; readonly policy: QueuePolicy }
+  | {
+      readonly kind: 'ended';
+      readonly phase: FinalPhase;
+      readonly reason: string;
+      readonly endedAtMs: number;
+      readonly queue: string;
+    };
+
+/** How far one step is: done tasks as hexadecimal digits of four bits, failures by index. */
+type StepProgress = {
+  readonly done: string;
+  /** Index, failures, and the run that was counted last. */
+  readonly failed?: readonly (readonly [number, number, number])[];
+};
+
+/** The progress row: occurrence, then step. Those with nothing to tell are left out. */
+export type ProgressRow = Readonly<Record<string, Readonly<Record<string, StepProgress>>>>;
+
+const BITS_PER_DIGIT = 4;
+
+const doneDigits = ({ tasks }: StepRun): string =>
+  Array.from({ length: Math.ceil(tasks.length / BITS_PER_DIGIT) }, (_, digit) =>
+    tasks
+      .slice(digit * BITS_PER_DIGIT, (digit + 1) * BITS_PER_DIGIT)
+      .reduce((sum, { phase }, bit) => sum + (phase === 'done' ? 2 ** bit : 0), 0)
+      .toString(16),
+  ).join('');
+
+const isDoneIn = (digits: string, index: number): boolean => {
+  const digit = parseInt(digits[Math.floor(index / BITS_PER_DIGIT)] ?? '0', 16);
+  return Math.floor(digit / 2 ** (index % BITS_PER_DIGIT)) % 2 === 1;
+};
+
+const stepProgress = (step: StepRun): StepProgress | undefined => {
+  const failed = step.tasks
+    .filter(({ failures }) => failures > 0)
+    .map(({ index, failures, lastFailedRun }) => [index, failures, lastFailedRun] as const);
+  if (step.doneCount === 0 && failed.length === 0) return undefined;
+  return { done: doneDigits(step), ...(failed.length > 0 ? { failed } : {}) };
+};
+
+const occurrenceProgress = ({ steps }: OccurrenceState): Record<string, StepProgress> =>
+  Object.fromEntries(
+    steps.flatMap((step) => {
+      const progress = step.spec.isLasting ? undefined : stepProgress(step);
+      return progress ? [[step.number, progress]] : [];
+    }),
+  );
+
+/**
+ * Writes down how far a job is.
+ *
+ * @param job - The job.
+ * @returns The row.
+ */
+export const progressOf = (job: JobState): ProgressRow =>
+  Object.fromEntries(
+    Array.from(job.occurrences.values(), (occurrence) => [
+      occurrence.number,
+      occurrenceProgress(occurrence),
+    ]),
+  );
+
+/**
+ * Writes down a job as it stands: whole, or only its end.
+ *
+ * @param job - The job.
+ * @param todayMs - The time of day.
+ * @returns The row.
+ */
+export const jobRowOf = ({ job, policy, phase, reason }: JobState, todayMs: number): BatchJobRow =>
+  isFinal(phase)
+    ? { kind: 'ended', phase: phase as FinalPhase, reason, endedAtMs: todayMs, queue: job.queue }
+    : { kind: 'live', job, policy };
+
+const restoreStep = (state: BatchState, step: StepRun, { done, failed = [] }: StepProgress): void => {
+  failed.forEach(([index, failures, lastFailedRun]) => {
+    const task = step.tasks[index];
+    if (task) Object.assign(task, { failures, lastFailedRun, lastRun: lastFailedRun });
+  });
+  step.tasks.forEach((task) => {
+    if (isDoneIn(done, task.index)) markDone(state, step, task);
+  });
+};
+
+/** Options for restoring a job. */
+export type RestoreOptions = {
+  readonly job: BatchJob;
+  readonly policy: QueuePolicy;
+  readonly progress: ProgressRow | undefined;
+  readonly nowMs: number;
+  readonly todayMs: number;
+};
+
+/**
+ * Takes in a job that an earlier holder worked on.
+ *
+ * @param state - All that is known, changed in place.
+ * @param options - The rows of the job and the times.
+ * @returns The job's state.
+ */
+export const restoreJob = (
+  state: BatchState,
+  { job, policy, progress = {}, nowMs, todayMs }: RestoreOptions,
+): JobState => {
+  const known = state.jobs.get(job.jobId);
+  if (known) return known;
+  const restored = createJobState({ job, policy, nowMs, todayMs, isInherited: true });
+  state.jobs.set(job.jobId, restored);
+  beginDue(state, restored, nowMs, todayMs);
+  Object.entries(progress).forEach(([number, steps]) => {
+    const occurrence =
+      restored.occurrences.get(Number(number)) ?? addOccurrence(restored, Number(number), nowMs);
+    Object.entries(steps).forEach(([stepNumber, one]) => {
+      const step = occurrence.steps[Number(stepNumber)];
+      if (step && !isFinal(restored.phase)) restoreStep(state, step, one);
+    });
+    if (Object.keys(steps).length > 0) restored.hasBegun = true;
+  });
+  if (restored.hasBegun && restored.phase === 'pending') restored.phase = 'running';
+  const overdue = Array.from(restored.occurrences.values())
+    .flatMap(({ steps }) => steps)
+    .filter(({ spec }) => !spec.isLasting)
+    .flatMap(({ tasks }) => tasks)
+    .find(({ failures }) => failures >= policy.maxAttempts);
+  if (overdue) endJob(state, restored, 'failed', `task ${overdue.key} failed maxAttempts times`);
+  return restored;
+};
--- /dev/null
+++ b/packages/core/src/batch/reports.ts
@@ -0,0 +1,284 @@
+/** What endpoints report: which tasks run, which have ended and how. */
+import type { EndpointId } from '../shared/ids.js';
+import { parseTaskKey, type TaskKey } from './job.js';
+import { endJob, findTask, markDone } from './jobs.js';
+import { learnRunTime } from './run-times.js';
+import { addRun, dropRun, requeue, stopRun } from './runs.js';
+import { isFinal, poolOf, type BatchState, type EndpointState, type RunState, type StepRun, type Task } from './state.js';
+import { noteDone, noteFailure } from './health.js';
+
+/** How a run ended, by the endpoint's word. */
+export type EndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
+
+/** A run as an endpoint lists it. */
+export type RunningReport = {
+  readonly task: TaskKey;
+  readonly run: number;
+  readonly checkpoint: string;
+  /** How far the work is; a lasting task is at work at 100. */
+  readonly percent: number;
+  /** A serving task's tail of answer times in milliseconds, another's processors in use. */
+  readonly figure: number;
+};
+
+/** An end as an endpoint lists it, again and again until it is acknowledged. */
+export type EndReport = {
+  /** Rises by one with each end in the endpoint's life. */
+  readonly number: number;
+  readonly task: TaskKey;
+  readonly run: number;
+  readonly kind: EndKind;
+  readonly checkpoint: string;
+};
+
+/** An answer of an endpoint. */
+export type EndpointReport = {
+  readonly running: readonly RunningReport[];
+  readonly ended: readonly EndReport[];
+  /** When the question was sent: runs that were started later may be missing from the answer. */
+  readonly askedAtMs: number;
+  readonly nowMs: number;
+};
+
+/**
+ * Names what a task's run time is alike to.
+ *
+ * @param step - The task's step.
+ * @returns The kind.
+ */
+export const runTimeKind = (step: StepRun): string => `${step.job.job.queue}/${step.spec.image}`;
+
+type EndHandler = (
+  state: BatchState,
+  context: { readonly step: StepRun; readonly task: Task; readonly end: EndReport; readonly endpoint: EndpointState; readonly ranMs: number },
+) => void;
+
+const giveBack: EndHandler = (state, { step, task, end }) => {
+  const one = task;
+  if (end.checkpoint !== '') one.checkpoint = end.checkpoint;
+  if (one.lastRun <= end.run) requeue(state, step, task);
+};
+
+const fail: EndHandler = (state, context) => {
+  const { step, task, end, endpoint } = context;
+  const one = task;
+  if (end.run <= one.lastFailedRun) return;
+  one.lastFailedRun = end.run;
+  one.failures += 1;
+  one.avoid = endpoint.endpointId;
+  noteFailure(state, endpoint, step.job.job.jobId);
+  const { job } = step;
+  if (!step.spec.isLasting && one.failures >= job.policy.maxAttempts) {
+    endJob(state, job, 'failed', `task ${one.key} failed ${one.failures} times, which is maxAttempts`);
+    return;
+  }
+  if (!step.spec.isLasting) {
+    state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
+  }
+  giveBack(state, context);
+};
+
+const finish: EndHandler = (state, { step, task, endpoint, ranMs }) => {
+  noteDone(endpoint);
+  if (step.spec.isLasting) {
+    requeue(state, step, task);
+    return;
+  }
+  if (ranMs > 0 && task.checkpoint === '') learnRunTime(state.runTimes, runTimeKind(step), ranMs);
+  if (step.spec.isGang) step.tasks.forEach((member) => markDone(state, step, member));
+  else markDone(state, step, task);
+};
+
+const endHandlers: Readonly<Record<EndKind, EndHandler>> = {
+  done: finish,
+  failed: fail,
+  stopped: giveBack,
+  lapsed: giveBack,
+  broken: giveBack,
+  alone: giveBack,
+};
+
+const applyEnd = (
+  state: BatchState,
+  endpoint: EndpointState,
+  end: EndReport,
+  nowMs: number,
+): void => {
+  const run = endpoint.runs.get(end.task);
+  const isOfRun = run?.run === end.run;
+  const ranMs = isOfRun ? nowMs - run.startedAtMs : 0;
+  if (run && isOfRun) dropRun(endpoint, run, nowMs);
+  const name = parseTaskKey(end.task);
+  const found = name && findTask(state, name);
+  if (!found || isFinal(found.step.job.phase)) return;
+  endHandlers[end.kind](state, { ...found, end, endpoint, ranMs });
+};
+
+const updateRun = (run: RunState, report: RunningReport, nowMs: number): void => {
+  const one = run;
+  one.confirmedAtMs = Math.min(one.confirmedAtMs, nowMs);
+  if (report.checkpoint !== '') one.task.checkpoint = report.checkpoint;
+  if (one.phase !== 'stopping') one.phase = 'running';
+  if (report.percent > one.percent) one.progressAtMs = nowMs;
+  one.percent = report.percent;
+  one.figure = report.figure;
+  if (!one.step.spec.isLasting) return;
+  if (report.percent >= 100) one.task.awaySinceMs = 0;
+};
+
+const mayAdopt = (found: { readonly step: StepRun; readonly task: Task } | undefined): boolean =>
+  found !== undefined && found.task.phase === 'waiting' && !isFinal(found.step.job.phase);
+
+/** A run that is not known here was begun by an earlier holder: it is taken over or stopped. */
+const applyUnknownRun = (
+  state: BatchState,
+  endpoint: EndpointState,
+  report: RunningReport,
+  nowMs: number,
+): void => {
+  const name = parseTaskKey(report.task);
+  const found = name && findTask(state, name);
+  if (found && mayAdopt(found)) {
+    const run = addRun(state, { endpoint, ...found, run: report.run, phase: 'running', nowMs });
+    updateRun(run, report, nowMs);
+    return;
+  }
+  state.effects.push({
+    kind: 'stop',
+    endpointId: endpoint.endpointId,
+    task: report.task,
+    run: report.run,
+    reason: found ? `job is ${found.step.job.phase} or the task runs elsewhere` : 'job is not known',
+  });
+};
+
+/**
+ * Takes in what an endpoint answered. Ends come first: a run that has ended is not running.
+ *
+ * @param state - All that is known, changed in place.
+ * @param endpointId - Who answered.
+ * @param report - Its answer.
+ */
+export const applyReport = (
+  state: BatchState,
+  endpointId: EndpointId,
+  { running, ended, askedAtMs, nowMs }: EndpointReport,
+): void => {
+  const endpoint = state.endpoints.get(endpointId);
+  if (!endpoint) return;
+  ended.forEach((end) => applyEnd(state, endpoint, end, nowMs));
+  const listed = new Set<TaskKey>();
+  running.forEach((report) => {
+    listed.add(report.task);
+    const run = endpoint.runs.get(report.task);
+    if (run && run.run === report.run) updateRun(run, report, nowMs);
+    else if (!run) applyUnknownRun(state, endpoint, report, nowMs);
+  });
+  endpoint.runs.forEach((run) => {
+    // Asked after it was known to be there, or barred, and neither running nor listed as ended.
+    const isSettled = Math.min(run.confirmedAtMs, run.stopAnsweredAtMs) < askedAtMs;
+    if (isSettled && !listed.has(run.task.key)) loseRun(state, endpoint, run, nowMs);
+  });
+  endpoint.isKnown = true;
+  endpoint.reportedAtMs = askedAtMs;
+  poolOf(state, endpoint.pool).unheard.delete(endpointId);
+};
+
+/**
+ * Takes a run for ended without a report: the endpoint is gone or its lease has surely ended.
+ *
+ * @param state - All that is known, changed in place.
+ * @param endpoint - Where it ran.
+ * @param run - The run.
+ * @param nowMs - The time.
+ */
+export const loseRun = (
+  state: BatchState,
+  endpoint: EndpointState,
+  run: RunState,
+  nowMs: number,
+): void => {
+  const { task, step } = run;
+  dropRun(endpoint, run, nowMs);
+  if (step.spec.isLasting && task.awaySinceMs === 0) task.awaySinceMs = nowMs;
+  requeue(state, step, task);
+};
+
+/**
+ * Takes an endpoint for gone, with all that ran there.
+ *
+ * @param state - All that is known, changed in place.
+ * @param endpointId - The endpoint.
+ * @param nowMs - The time.
+ */
+export const removeEndpoint = (
+  state: BatchState,
+  endpointId: EndpointId,
+  nowMs: number,
+): void => {
+  const endpoint = state.endpoints.get(endpointId);
+  if (!endpoint) return;
+  endpoint.runs.forEach((run) => loseRun(state, endpoint, run, nowMs));
+  state.endpoints.delete(endpointId);
+  poolOf(state, endpoint.pool).unheard.delete(endpointId);
+};
+
+/** What became of an order to start a run. */
+export type StartOutcome = 'started' | 'rejected' | 'unknown';
+
+/**
+ * Takes in the answer to an order to start.
+ *
+ * @param state - All that is known, changed in place.
+ * @param endpointId - Where it was sent.
+ * @param task - The task.
+ * @param run - The run.
+ * @param outcome - The answer; unknown if there was none.
+ * @param nowMs - The time.
+ */
+export const applyStartOutcome = (
+  state: BatchState,
+  endpointId: EndpointId,
+  task: TaskKey,
+  run: number,
+  outcome: StartOutcome,
+  nowMs: number,
+): void => {
+  const endpoint = state.endpoints.get(endpointId);
+  const known = endpoint?.runs.get(task);
+  if (!endpoint || !known || known.run !== run || known.phase !== 'starting') return;
+  if (outcome === 'started') {
+    known.phase = 'running';
+    known.confirmedAtMs = nowMs;
+  }
+  if (outcome === 'rejected') {
+    dropRun(endpoint, known, nowMs);
+    requeue(state, known.step, known.task);
+  }
+  if (outcome === 'unknown') {
+    known.phase = 'unsure';
+    // A stop also bars a start that arrives after it.
+    stopRun(state, endpoint, known, 'the order to start had no answer');
+  }
+};
+
+/**
+ * Takes in that an endpoint answered an order to stop. The run is dropped once a later answer shows
+ * that it is not there: it may have ended before, and then its end is listed.
+ *
+ * @param state - All that is known, changed in place.
+ * @param endpointId - The endpoint.
+ * @param task - The task.
+ * @param run - The run.
+ * @param nowMs - The time.
+ */
+export const applyStopAnswer = (
+  state: BatchState,
+  endpointId: EndpointId,
+  task: TaskKey,
+  run: number,
+  nowMs: number,
+): void => {
+  const known = state.endpoints.get(endpointId)?.runs.get(task);
+  if (known && known.run === run) known.stopAnsweredAtMs = nowMs;
+};
--- /dev/null
+++ b/packages/core/src/batch/runs.ts
@@ -0,0 +1,155 @@
+/** Runs of tasks on endpoints: the room that they take, how they begin and how they are ended. */
+import type { EndpointId } from '../shared/ids.js';
+import type { StepSpec } from './job.js';
+import { poolOf, type BatchState, type EndpointState, type RunState, type StepRun, type Task } from './state.js';
+
+/**
+ * Run numbers rise over holders without a write: the fence, then a count within it. More starts of
+ * one task under one fence than this are not made.
+ */
+const RUNS_PER_FENCE = 1000;
+
+/**
+ * Gives the next run number of a task.
+ *
+ * @param fence - The holder's fence.
+ * @param lastRun - The highest number used so far.
+ * @returns The number.
+ */
+export const nextRunNumber = (fence: number, lastRun: number): number =>
+  Math.max(fence * RUNS_PER_FENCE, lastRun) + 1;
+
+/** The processors that a task takes of an endpoint's room. */
+const reservedCpu = (spec: StepSpec): number => (spec.fillsGaps ? 0 : spec.cpuMillis);
+
+/**
+ * Tells whether a task of a step fits into the free room of an endpoint.
+ *
+ * @param endpoint - The endpoint.
+ * @param spec - The step.
+ * @returns True if it fits.
+ */
+export const fitsIn = ({ capacity, used }: EndpointState, spec: StepSpec): boolean =>
+  used.cpuMillis + reservedCpu(spec) <= capacity.cpuMillis &&
+  used.memoryMb + spec.memoryMb <= capacity.memoryMb &&
+  used.accelerators + spec.accelerators <= capacity.accelerators;
+
+const changeRoom = ({ used }: EndpointState, spec: StepSpec, sign: 1 | -1): void => {
+  const room = used;
+  room.cpuMillis += sign * reservedCpu(spec);
+  room.memoryMb += sign * spec.memoryMb;
+  room.accelerators += sign * spec.accelerators;
+};
+
+const changePerEndpoint = (step: StepRun, endpointId: EndpointId, by: 1 | -1): void => {
+  const count = (step.perEndpoint.get(endpointId) ?? 0) + by;
+  if (count > 0) step.perEndpoint.set(endpointId, count);
+  else step.perEndpoint.delete(endpointId);
+};
+
+/** Options for a run that begins or is found. */
+export type AddRunOptions = {
+  readonly endpoint: EndpointState;
+  readonly step: StepRun;
+  readonly task: Task;
+  readonly run: number;
+  readonly phase: RunState['phase'];
+  readonly nowMs: number;
+};
+
+/**
+ * Notes a run on an endpoint and takes its room.
+ *
+ * @param state - All that is known, changed in place.
+ * @param options - The run.
+ * @returns The run.
+ */
+export const addRun = (
+  state: BatchState,
+  { endpoint, step, task, run, phase, nowMs }: AddRunOptions,
+): RunState => {
+  const one = step;
+  const placed = task;
+  const begun: RunState = {
+    task,
+    step,
+    run,
+    phase,
+    startedAtMs: nowMs,
+    confirmedAtMs: phase === 'running' ? nowMs : Infinity,
+    stopAnsweredAtMs: Infinity,
+    percent: 0,
+    figure: 0,
+    pacePercent: 100,
+    pacedAtMs: 0,
+    progressAtMs: nowMs,
+  };
+  if (placed.phase === 'waiting') one.waiting = one.waiting.filter((index) => index !== placed.index);
+  placed.phase = 'placed';
+  placed.lastRun = Math.max(placed.lastRun, run);
+  changeRoom(endpoint, step.spec, 1);
+  changePerEndpoint(step, endpoint.endpointId, 1);
+  endpoint.runs.set(task.key, begun);
+  if (one.waiting.length === 0) poolOf(state, one.job.job.pool).open.delete(one);
+  one.job.hasBegun = true;
+  if (one.job.phase === 'pending') one.job.phase = 'running';
+  return begun;
+};
+
+/**
+ * Forgets a run that has surely ended and gives its room back.
+ *
+ * @param endpoint - The endpoint, changed in place.
+ * @param run - The run.
+ * @param nowMs - The time.
+ */
+export const dropRun = (endpoint: EndpointState, run: RunState, nowMs: number): void => {
+  const one = endpoint;
+  if (!one.runs.delete(run.task.key)) return;
+  changeRoom(one, run.step.spec, -1);
+  changePerEndpoint(run.step, one.endpointId, -1);
+  if (one.runs.size === 0) one.idleSinceMs = nowMs;
+};
+
+/**
+ * Puts a task back to those that wait, unless its job has ended.
+ *
+ * @param state - All that is known, changed in place.
+ * @param step - Its step.
+ * @param task - The task.
+ */
+export const requeue = (state: BatchState, step: StepRun, task: Task): void => {
+  const one = step;
+  const again = task;
+  if (again.phase !== 'placed') return;
+  again.phase = 'waiting';
+  one.waiting.push(again.index);
+  const isLive = one.job.phase === 'running' || one.job.phase === 'pending';
+  if (isLive && one.isOpen) poolOf(state, one.job.job.pool).open.add(one);
+};
+
+/**
+ * Orders a run to be stopped. Its room stays taken until its end is listed.
+ *
+ * @param state - All that is known, changed in place.
+ * @param endpoint - Where it runs.
+ * @param run - The run.
+ * @param reason - Why.
+ */
+export const stopRun = (
+  state: BatchState,
+  endpoint: EndpointState,
+  run: RunState,
+  reason: string,
+): void => {
+  const one = run;
+  if (one.phase === 'stopping') return;
+  one.phase = 'stopping';
+  state.effects.push({
+    kind: 'stop',
+    endpointId: endpoint.endpointId,
+    task: run.task.key,
+    run: run.run,
+    reason,
+  });
+};
--- /dev/null
+++ b/packages/core/src/batch/schedule.ts
@@ -0,0 +1,213 @@
+/** Places waiting tasks on endpoints: the fullest endpoint that fits, so that others stand empty. */
+import type { EndpointId, PoolName } from '../shared/ids.js';
+import { byRank, rankStep, type Rank } from './order.js';
+import { addRun, fitsIn, nextRunNumber } from './runs.js';
+import { poolOf, type BatchState, type EndpointState, type PoolState, type StepRun, type Task } from './state.js';
+
+/**
+ * A turn is bounded: after so many steps that fit nowhere, the smaller ones behind them wait for
+ * the next turn.
+ */
+const MOST_MISFITS_PER_TURN = 40;
+/** A step that fitted nowhere is not tried again before this time, unless room came free. */
+const RETRY_MS = 25;
+
+const isUsable = (endpoint: EndpointState, nowMs: number): boolean =>
+  endpoint.isKnown &&
+  !endpoint.isDraining &&
+  !endpoint.isClosing &&
+  endpoint.withheldUntilMs <= nowMs;
+
+/**
+ * Lists the endpoints of a pool that take new work.
+ *
+ * @param state - All that is known.
+ * @param pool - The pool.
+ * @param nowMs - The time.
+ * @returns The endpoints.
+ */
+export const usableEndpoints = (
+  state: BatchState,
+  pool: PoolName,
+  nowMs: number,
+): readonly EndpointState[] =>
+  Array.from(state.endpoints.values()).filter(
+    (endpoint) => endpoint.pool === pool && isUsable(endpoint, nowMs),
+  );
+
+const hasLabel = ({ labels }: EndpointState, label: string): boolean =>
+  label === '' || labels.includes(label);
+
+const mayHold = (endpoint: EndpointState, { spec, perEndpoint }: StepRun): boolean =>
+  hasLabel(endpoint, spec.requiredLabel) &&
+  fitsIn(endpoint, spec) &&
+  (spec.mostPerEndpoint === 0 ||
+    (perEndpoint.get(endpoint.endpointId) ?? 0) < spec.mostPerEndpoint);
+
+/** How good an endpoint is for a task: larger is better. */
+const scoreOf = (endpoint: EndpointState, step: StepRun, task: Task): number => {
+  const { capacity, used } = endpoint;
+  const fullness = used.cpuMillis / Math.max(1, capacity.cpuMillis);
+  const isNear = step.spec.nearRack !== '' && endpoint.labels.includes(step.spec.nearRack);
+  const isAvoided = task.avoid === endpoint.endpointId;
+  // Being near its data outweighs fullness, and a place that has not failed it outweighs both.
+  return fullness + (isNear ? 2 : 0) - (isAvoided ? 4 : 0);
+};
+
+const bestFor = (
+  endpoints: readonly EndpointState[],
+  step: StepRun,
+  task: Task,
+): EndpointState | undefined => {
+  let best: EndpointState | undefined;
+  let bestScore = -Infinity;
+  endpoints.forEach((endpoint) => {
+    if (!mayHold(endpoint, step)) return;
+    const score = scoreOf(endpoint, step, task);
+    if (score <= bestScore) return;
+    best = endpoint;
+    bestScore = score;
+  });
+  return best;
+};
+
+type Placing = { readonly state: BatchState; readonly step: StepRun; readonly nowMs: number };
+
+const startOn = (
+  { state, step, nowMs }: Placing,
+  task: Task,
+  endpoint: EndpointState,
+  run: number,
+): void => {
+  addRun(state, { endpoint, step, task, run, phase: 'starting', nowMs });
+  state.effects.push({
+    kind: 'start',
+    endpointId: endpoint.endpointId,
+    task: task.key,
+    run,
+    spec: step.job.job.spec,
+    checkpoint: task.checkpoint,
+    reason: `fullest of pool=${endpoint.pool} with room`,
+  });
+};
+
+const placeEach = (placing: Placing, endpoints: readonly EndpointState[]): boolean => {
+  const { state, step } = placing;
+  const waiting = [...step.waiting];
+  return waiting.every((index) => {
+    const task = step.tasks[index];
+    if (!task) return true;
+    const endpoint = bestFor(endpoints, step, task);
+    if (!endpoint) return false;
+    startOn(placing, task, endpoint, nextRunNumber(state.fence, task.lastRun));
+    return true;
+  });
+};
+
+const rackOf = ({ labels }: EndpointState): string => labels.find((one) => one.includes('-')) ?? '';
+
+/** The endpoints that a gang may be spread over: one rack, if it must stay together and fits. */
+const gangSets = (
+  step: StepRun,
+  endpoints: readonly EndpointState[],
+): readonly (readonly EndpointState[])[] => {
+  if (!step.spec.isRackLocal) return [endpoints];
+  const racks = new Set(endpoints.map(rackOf));
+  const perRack = Array.from(racks, (rack) => endpoints.filter((one) => rackOf(one) === rack));
+  return [...perRack, endpoints];
+};
+
+/** Finds places for all members at once, or none. */
+const placesForGang = (
+  step: StepRun,
+  endpoints: readonly EndpointState[],
+): readonly EndpointState[] | undefined => {
+  const { spec } = step;
+  const places: EndpointState[] = [];
+  endpoints.forEach((endpoint) => {
+    const { capacity, used } = endpoint;
+    const free = [
+      spec.fillsGaps || spec.cpuMillis === 0
+        ? Infinity
+        : (capacity.cpuMillis - used.cpuMillis) / spec.cpuMillis,
+      spec.memoryMb === 0 ? Infinity : (capacity.memoryMb - used.memoryMb) / spec.memoryMb,
+      spec.accelerators === 0
+        ? Infinity
+        : (capacity.accelerators - used.accelerators) / spec.accelerators,
+      spec.mostPerEndpoint === 0 ? Infinity : spec.mostPerEndpoint,
+      spec.taskCount,
+    ];
+    const members = hasLabel(endpoint, spec.requiredLabel) ? Math.floor(Math.min(...free)) : 0;
+    for (let one = 0; one < members && places.length < spec.taskCount; one += 1) {
+      places.push(endpoint);
+    }
+  });
+  return places.length === spec.taskCount ? places : undefined;
+};
+
+const placeGang = (placing: Placing, endpoints: readonly EndpointState[]): boolean => {
+  const { state, step } = placing;
+  // Members that were lost take the others with them: wait until all have ended.
+  if (step.waiting.length < step.spec.taskCount) return true;
+  const places = gangSets(step, endpoints)
+    .map((set) => placesForGang(step, set))
+    .find((found) => found !== undefined);
+  if (!places) return false;
+  const lastRun = Math.max(...step.tasks.map((task) => task.lastRun));
+  const run = nextRunNumber(state.fence, lastRun);
+  const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
+  step.tasks.forEach((task, index) => {
+    const member = task;
+    member.checkpoint = checkpoint;
+    startOn(placing, member, places[index] as EndpointState, run);
+  });
+  return true;
+};
+
+const isBlocked = (pool: PoolState, { job }: StepRun, nowMs: number): boolean =>
+  job.isInherited && pool.unheard.size > 0 && nowMs < pool.inheritedLeasesEndAtMs;
+
+/** Open steps of a pool in the order in which they get places. */
+const ranked = (state: BatchState, pool: PoolState, nowMs: number): readonly Rank[] =>
+  Array.from(pool.open)
+    .filter((step) => step.retryAtMs <= nowMs && !isBlocked(pool, step, nowMs))
+    .map((step) => rankStep(state, step, nowMs))
+    .sort(byRank.compare);
+
+/**
+ * Places what waits in one pool.
+ *
+ * @param state - All that is known, changed in place.
+ * @param name - The pool.
+ * @param nowMs - The time.
+ */
+export const schedulePool = (state: BatchState, name: PoolName, nowMs: number): void => {
+  const pool = poolOf(state, name);
+  if (pool.open.size === 0) return;
+  const endpoints = usableEndpoints(state, name, nowMs);
+  if (endpoints.length === 0) return;
+  let misfits = 0;
+  ranked(state, pool, nowMs).some(({ step }) => {
+    const placing: Placing = { state, step, nowMs };
+    const isPlaced = step.spec.isGang
+      ? placeGang(placing, endpoints)
+      : placeEach(placing, endpoints);
+    if (!isPlaced) {
+      misfits += 1;
+      step.retryAtMs = nowMs + RETRY_MS;
+    }
+    return misfits >= MOST_MISFITS_PER_TURN;
+  });
+};
+
+/**
+ * Tells where a task stands, for tests and for operators.
+ *
+ * @param state - All that is known.
+ * @param task - The task.
+ * @returns The endpoints that hold a run of it.
+ */
+export const endpointsOf = (state: BatchState, { key }: Task): readonly EndpointId[] =>
+  Array.from(state.endpoints.values())
+    .filter(({ runs }) => runs.has(key))
+    .map(({ endpointId }) => endpointId);
--- /dev/null
+++ b/packages/core/src/batch/state.ts
@@ -0,0 +1,231 @@
+/**
+ * What the holder of control knows of batch work. The records change in place: an endpoint reports
+ * many ends a second, and nothing else reads them meanwhile. Times are of the holder's monotonic
+ * clock unless a name says otherwise.
+ */
+import type { EndpointId, HostId, JobId, PoolName } from '../shared/ids.js';
+import type { BatchJob, BatchPhase, QueuePolicy, StepSpec, TaskKey } from './job.js';
+import { createRunTimes, type RunTimes } from './run-times.js';
+
+/** One task. */
+export type Task = {
+  readonly key: TaskKey;
+  readonly index: number;
+  phase: 'waiting' | 'placed' | 'done';
+  failures: number;
+  /** The run whose failure was counted last: reports come again until they are acknowledged. */
+  lastFailedRun: number;
+  /** The highest run number that was used. */
+  lastRun: number;
+  /** Where the work can be resumed; '' for the start. */
+  checkpoint: string;
+  /** The endpoint of the last failure: the next run goes elsewhere if it can. */
+  avoid: EndpointId | null;
+  /** For lasting tasks: since when it has not been at work; 0 while it is. */
+  awaySinceMs: number;
+};
+
+/** A step of one occurrence of a job. */
+export type StepRun = {
+  readonly job: JobState;
+  readonly occurrence: OccurrenceState;
+  readonly number: number;
+  readonly spec: StepSpec;
+  readonly tasks: readonly Task[];
+  /** Indices of tasks that wait for a place; meaningful once the step is open. */
+  waiting: number[];
+  isOpen: boolean;
+  doneCount: number;
+  /** How many tasks of the step stand on an endpoint. */
+  readonly perEndpoint: Map<EndpointId, number>;
+  /** Not tried again before this time. */
+  retryAtMs: number;
+};
+
+/** One repetition of a job's steps. */
+export type OccurrenceState = {
+  readonly number: number;
+  readonly dueAtMs: number;
+  readonly steps: StepRun[];
+};
+
+/** A job with the state of its tasks. */
+export type JobState = {
+  readonly job: BatchJob;
+  policy: QueuePolicy;
+  phase: BatchPhase;
+  /** In terms of the operator's labels: why it stands where it does. */
+  reason: string;
+  readonly occurrences: Map<number, OccurrenceState>;
+  nextOccurrence: number;
+  /** When it came in, by the monotonic clock. */
+  readonly sinceMs: number;
+  /** Accepted under an earlier holder: a task may be running where nobody has answered yet. */
+  readonly isInherited: boolean;
+  hasBegun: boolean;
+};
+
+/** A run of a task on an endpoint. */
+export type RunState = {
+  readonly task: Task;
+  readonly step: StepRun;
+  readonly run: number;
+  /** `unsure`: the order to start it had no answer. */
+  phase: 'starting' | 'running' | 'unsure' | 'stopping';
+  readonly startedAtMs: number;
+  /** When the endpoint confirmed it; infinite before. */
+  confirmedAtMs: number;
+  /** When an order to stop it was answered; infinite before. */
+  stopAnsweredAtMs: number;
+  percent: number;
+  /** A serving task's tail of answer times in milliseconds; another's processors in use. */
+  figure: number;
+  /** The share of its work that it is let to do; 100 unless it was paced. */
+  pacePercent: number;
+  pacedAtMs: number;
+  /** When the percentage last rose. */
+  progressAtMs: number;
+};
+
+/** What an endpoint has room for. */
+export type Capacity = {
+  readonly cpuMillis: number;
+  readonly memoryMb: number;
+  readonly accelerators: number;
+};
+
+/** An endpoint of a pool. */
+export type EndpointState = {
+  readonly endpointId: EndpointId;
+  readonly pool: PoolName;
+  hostId: HostId | null;
+  readonly dataCentre: string;
+  readonly labels: readonly string[];
+  readonly capacity: Capacity;
+  readonly used: { cpuMillis: number; memoryMb: number; accelerators: number };
+  readonly runs: Map<TaskKey, RunState>;
+  /** It has answered under the present fence, so all that runs there is known. */
+  isKnown: boolean;
+  isDraining: boolean;
+  /** Withheld from new work until then, with the reason. */
+  withheldUntilMs: number;
+  withheldReason: string;
+  /** Kept empty for maintenance or a move. */
+  isClosing: boolean;
+  /** When nothing that it may have been told to run can still be running. */
+  leaseEndsAtMs: number;
+  idleSinceMs: number;
+  /** When the question was sent whose answer was taken in last. */
+  reportedAtMs: number;
+  health: EndpointHealth;
+};
+
+/** Signs that an endpoint fails or hangs what it is given. */
+export type EndpointHealth = {
+  /** Distinct jobs whose tasks failed here since the last task that was done. */
+  readonly failedJobs: Set<JobId>;
+  /** How often it was withheld in a row. */
+  strikes: number;
+};
+
+/** A pool with its open steps. */
+export type PoolState = {
+  readonly name: PoolName;
+  readonly open: Set<StepRun>;
+  /** Endpoints that may run inherited tasks and have not answered yet. */
+  readonly unheard: Set<EndpointId>;
+  /** When every lease granted by an earlier holder has surely ended. */
+  inheritedLeasesEndAtMs: number;
+};
+
+/** What the runtime has to do. */
+export type BatchEffect =
+  | {
+      readonly kind: 'start';
+      readonly endpointId: EndpointId;
+      readonly task: TaskKey;
+      readonly run: number;
+      readonly spec: string;
+      readonly checkpoint: string;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'stop';
+      readonly endpointId: EndpointId;
+      readonly task: TaskKey;
+      readonly run: number;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'pace';
+      readonly endpointId: EndpointId;
+      readonly task: TaskKey;
+      readonly run: number;
+      readonly percent: number;
+      readonly reason: string;
+    }
+  | { readonly kind: 'save'; readonly jobId: JobId; readonly isUrgent: boolean }
+  | { readonly kind: 'note'; readonly event: string; readonly fields: Record<string, string | number> };
+
+/** All that a holder knows. */
+export type BatchState = {
+  readonly fence: number;
+  /** The monotonic time of the event that is being taken in. */
+  clockMs: number;
+  readonly jobs: Map<JobId, JobState>;
+  readonly pools: Map<PoolName, PoolState>;
+  readonly endpoints: Map<EndpointId, EndpointState>;
+  readonly effects: BatchEffect[];
+  readonly runTimes: RunTimes;
+  /** Jobs with occurrences still to come. */
+  readonly timed: Set<JobState>;
+};
+
+/**
+ * Builds the state of a new holder.
+ *
+ * @param fence - The holder's fencing token.
+ * @returns The state.
+ */
+export const createBatchState = (fence: number): BatchState => ({
+  fence,
+  clockMs: 0,
+  jobs: new Map(),
+  pools: new Map(),
+  endpoints: new Map(),
+  effects: [],
+  runTimes: createRunTimes(),
+  timed: new Set(),
+});
+
+/**
+ * Gives the state of a pool.
+ *
+ * @param state - All that is known.
+ * @param name - The pool.
+ * @returns Its state; built at the first use.
+ */
+export const poolOf = (state: BatchState, name: PoolName): PoolState => {
+  const known = state.pools.get(name);
+  if (known) return known;
+  const built: PoolState = { name, open: new Set(), unheard: new Set(), inheritedLeasesEndAtMs: 0 };
+  state.pools.set(name, built);
+  return built;
+};
+
+/**
+ * Takes what is to be done.
+ *
+ * @param state - All that is known; its effects are empty afterwards.
+ * @returns The effects in order.
+ */
+export const takeEffects = (state: BatchState): readonly BatchEffect[] =>
+  state.effects.splice(0, state.effects.length);
+
+/**
+ * Tells whether a phase is final.
+ *
+ * @param phase - The phase of a job.
+ * @returns True for completed, failed and cancelled.
+ */
+export const isFinal = (phase: BatchPhase): boolean => phase !== 'pending' && phase !== 'running';
--- /dev/null
+++ b/packages/core/src/batch/upkeep.ts
@@ -0,0 +1,213 @@
+/**
+ * Maintenance waves over hosts: spare and empty hosts first, then those whose short tasks have
+ * drained, within every lasting step's budget and the wave's maximum.
+ */
+import type { HostId } from '../shared/ids.js';
+import { findBudgetObstacle, isQuiet, type HostView, type PoolView } from './hosts.js';
+import type { BatchState, EndpointState } from './state.js';
+
+/** A wave as it was ordered. */
+export type UpkeepOrder = {
+  readonly waveNumber: number;
+  readonly hosts: readonly HostId[];
+  readonly withinMs: number;
+  /** How many hosts may be down for it at once. */
+  readonly maximum: number;
+};
+
+/** What is known of one host of a wave. */
+export type UpkeepHost = {
+  /** `asked`: an order was sent and its answer is not known. */
+  phase: 'waiting' | 'closing' | 'asked' | 'down' | 'done';
+  sinceMs: number;
+};
+
+/** A wave with its progress. */
+export type UpkeepWave = {
+  readonly order: UpkeepOrder;
+  readonly seenAtMs: number;
+  readonly hosts: Map<HostId, UpkeepHost>;
+};
+
+/** What is to be done about a host of a wave. */
+export type UpkeepStep = {
+  readonly wave: UpkeepWave;
+  readonly hostId: HostId;
+  readonly reason: string;
+};
+
+/** Short tasks on a host get this long to end before the host is taken down all the same. */
+const DRAIN_PATIENCE_MS = 3000;
+/** Hosts that drain while others are down, so that the next one is ready. */
+const CLOSING_AHEAD = 2;
+/** An order without an answer is sent again after this time. */
+const ASK_AGAIN_MS = 1000;
+
+/**
+ * Builds the progress of a wave.
+ *
+ * @param order - The wave.
+ * @param done - The hosts that an earlier holder saw through.
+ * @param nowMs - The time.
+ * @returns The wave.
+ */
+export const createUpkeepWave = (
+  order: UpkeepOrder,
+  done: readonly HostId[],
+  nowMs: number,
+): UpkeepWave => ({
+  order,
+  seenAtMs: nowMs,
+  hosts: new Map(
+    order.hosts.map((hostId) => [
+      hostId,
+      { phase: done.includes(hostId) ? 'done' : 'waiting', sinceMs: nowMs },
+    ]),
+  ),
+});
+
+/** What planning needs to know of hosts. */
+export type UpkeepWorld = {
+  readonly state: BatchState;
+  readonly hosts: ReadonlyMap<HostId, HostView>;
+  readonly pools: readonly PoolView[];
+  /** How long a host is down, with a margin for the list's lag. */
+  readonly downMs: number;
+  /** When the list of hosts was asked for. */
+  readonly listedAtMs: number;
+};
+
+const endpointOf = ({ state, hosts }: UpkeepWorld, hostId: HostId): EndpointState | undefined => {
+  const endpointId = hosts.get(hostId)?.endpointId;
+  return endpointId ? state.endpoints.get(endpointId) : undefined;
+};
+
+/** Settles hosts that are back, and gives up those that are gone for good. */
+const settle = (world: UpkeepWorld, wave: UpkeepWave): void => {
+  wave.hosts.forEach((host, hostId) => {
+    const one = host;
+    const view = world.hosts.get(hostId);
+    if (one.phase !== 'down') return;
+    const isBack = view?.state === 'up' && world.listedAtMs - one.sinceMs > world.downMs;
+    if (!isBack) return;
+    one.phase = 'done';
+    one.sinceMs = world.listedAtMs;
+  });
+};
+
+/** Fewer runs first; spare and empty hosts before all. */
+const weightOf = (world: UpkeepWorld, hostId: HostId): number => {
+  const endpoint = endpointOf(world, hostId);
+  if (!endpoint) return 0;
+  const { used, capacity, runs } = endpoint;
+  const lasting = Array.from(runs.values()).filter(({ step }) => step.spec.isLasting).length;
+  return runs.size === 0 ? 0 : 1 + lasting + used.cpuMillis / Math.max(1, capacity.cpuMillis);
+};
+
+const close = (world: UpkeepWorld, host: UpkeepHost, hostId: HostId, nowMs: number): void => {
+  const endpoint = endpointOf(world, hostId);
+  const one = host;
+  if (one.phase === 'waiting') one.sinceMs = nowMs;
+  one.phase = 'closing';
+  if (endpoint) endpoint.isClosing = true;
+};
+
+const isReadyToGo = (
+  world: UpkeepWorld,
+  hostId: HostId,
+  host: UpkeepHost,
+  nowMs: number,
+): boolean => {
+  const endpoint = endpointOf(world, hostId);
+  if (!endpoint) return true;
+  if (findBudgetObstacle(world.state, endpoint)) return false;
+  return isQuiet(endpoint) || nowMs - host.sinceMs > DRAIN_PATIENCE_MS;
+};
+
+/** Tasks on a host that was ordered down are away from now on, for the budgets of the others. */
+const countAsAway = (world: UpkeepWorld, hostId: HostId): void => {
+  endpointOf(world, hostId)?.runs.forEach((run) => {
+    Object.assign(run, { percent: 0 });
+  });
+};
+
+/**
+ * Plans the next steps of a wave.
+ *
+ * @param world - Hosts and endpoints; endpoints that drain are marked as closing.
+ * @param wave - The wave, changed in place.
+ * @param nowMs - The time.
+ * @returns The hosts to order down now.
+ */
+export const planUpkeep = (
+  world: UpkeepWorld,
+  wave: UpkeepWave,
+  nowMs: number,
+): readonly UpkeepStep[] => {
+  settle(world, wave);
+  const entries = Array.from(wave.hosts);
+  const again = entries
+    .filter(([, host]) => host.phase === 'asked' && nowMs - host.sinceMs > ASK_AGAIN_MS)
+    .map(([hostId]) => ({ wave, hostId, reason: 'the order had no answer' }));
+  const under = entries.filter(([, { phase }]) => phase === 'down' || phase === 'asked').length;
+  const candidates = entries
+    .filter(([hostId, { phase }]) => {
+      const isOpen = phase === 'waiting' || phase === 'closing';
+      return isOpen && world.hosts.get(hostId)?.state === 'up';
+    })
+    .sort(
+      ([left, { phase: leftPhase }], [right, { phase: rightPhase }]) =>
+        Number(rightPhase === 'closing') - Number(leftPhase === 'closing') ||
+        weightOf(world, left) - weightOf(world, right),
+    );
+  const free = Math.max(0, wave.order.maximum - under);
+  const ahead = candidates.slice(0, wave.order.maximum + CLOSING_AHEAD);
+  ahead.forEach(([hostId, host]) => close(world, host, hostId, nowMs));
+  const going: UpkeepStep[] = [];
+  ahead.some(([hostId, host]) => {
+    if (going.length >= free) return true;
+    if (isReadyToGo(world, hostId, host, nowMs)) {
+      going.push({ wave, hostId, reason: `wave ${wave.order.waveNumber}: no budget forbids it` });
+      Object.assign(host, { phase: 'asked', sinceMs: nowMs });
+      countAsAway(world, hostId);
+    }
+    return false;
+  });
+  return [...again, ...going];
+};
+
+/** What an order to a host was answered. */
+export type HostOrderOutcome = 'done' | 'busy' | 'refused' | 'unknown';
+
+/**
+ * Takes in the answer to an order of a wave.
+ *
+ * @param wave - The wave, changed in place.
+ * @param hostId - The host.
+ * @param outcome - The answer.
+ * @param nowMs - The time.
+ */
+export const applyUpkeepAnswer = (
+  wave: UpkeepWave,
+  hostId: HostId,
+  outcome: HostOrderOutcome,
+  nowMs: number,
+): void => {
+  const host = wave.hosts.get(hostId);
+  if (!host || host.phase !== 'asked') return;
+  const next = { done: 'down', busy: 'closing', refused: 'done', unknown: 'asked' } as const;
+  host.phase = next[outcome];
+  host.sinceMs = nowMs;
+};
+
+/**
+ * Tells whether a wave is complete: every host has been down, or is no longer listed.
+ *
+ * @param world - The hosts.
+ * @param wave - The wave.
+ * @returns True if it may be reported as completed.
+ */
+export const isUpkeepComplete = (world: UpkeepWorld, wave: UpkeepWave): boolean =>
+  Array.from(wave.hosts).every(
+    ([hostId, { phase }]) => phase === 'done' || phase === 'down' || !world.hosts.has(hostId),
+  );
--- /dev/null
+++ b/packages/core/src/batch/watch-runs.ts
@@ -0,0 +1,58 @@
+/** Runs that stand still, and endpoints whose lease has surely ended. */
+import type { EndpointId } from '../shared/ids.js';
+import { withholdEndpoint } from './health.js';
+import { loseRun, runTimeKind } from './reports.js';
+import { expectRunTime } from './run-times.js';
+import { stopRun } from './runs.js';
+import type { BatchState, EndpointState, RunState } from './state.js';
+
+/**
+ * A run whose percentage has not risen for so many times its expected time, but at least for
+ * `LEAST_STILL_MS`, stands still. Tasks far from their data take `farFactor` (2 or 3) as long, on
+ * slow endpoints up to 7 times; percentages still rise there.
+ */
+const STILL_FACTOR = 1;
+const LEAST_STILL_MS = 2000;
+
+/** Judged by what the endpoint last reported: an endpoint that is silent tells nothing of its runs. */
+const isStill = (state: BatchState, run: RunState, { reportedAtMs }: EndpointState): boolean => {
+  const nowMs = reportedAtMs;
+  const { step, phase, progressAtMs, percent } = run;
+  if (phase !== 'running' || step.spec.isGang) return false;
+  if (step.spec.isLasting) return percent < 100 && nowMs - progressAtMs > LEAST_STILL_MS * 2;
+  const expectedMs = expectRunTime(state.runTimes, runTimeKind(step), step.spec.estimateMs);
+  // A step of one hundredth must be longer than the time between two answers to be seen.
+  return nowMs - progressAtMs > Math.max(LEAST_STILL_MS, expectedMs * STILL_FACTOR);
+};
+
+const stopStill = (state: BatchState, endpoint: EndpointState, nowMs: number): void => {
+  const still = Array.from(endpoint.runs.values()).filter((run) => isStill(state, run, endpoint));
+  if (still.length === 0) return;
+  still.forEach((run) => {
+    const { task } = run;
+    task.avoid = endpoint.endpointId;
+    stopRun(state, endpoint, run, `has stood still at ${run.percent} %`);
+  });
+  if (endpoint.withheldUntilMs <= nowMs) {
+    withholdEndpoint(state, endpoint, `${still.length} tasks stand still here`, nowMs);
+  }
+};
+
+/**
+ * Looks for runs that stand still and for endpoints whose runs have surely ended.
+ *
+ * @param state - All that is known, changed in place.
+ * @param nowMs - The time.
+ * @returns The endpoints whose leases ended unheard.
+ */
+export const watchRuns = (state: BatchState, nowMs: number): readonly EndpointId[] => {
+  const lapsed: EndpointId[] = [];
+  state.endpoints.forEach((endpoint) => {
+    if (endpoint.runs.size === 0) return;
+    stopStill(state, endpoint, nowMs);
+    if (nowMs < endpoint.leaseEndsAtMs) return;
+    lapsed.push(endpoint.endpointId);
+    endpoint.runs.forEach((run) => loseRun(state, endpoint, run, nowMs));
+  });
+  return lapsed;
+};
--- a/packages/core/src/verdict/verdict.ts
+++ b/packages/core/src/verdict/verdict.ts
@@ -30,7 +30,11 @@
   | 'answer-incomplete'
   | 'answer-too-large'
   | 'entry-stopping'
-  | 'seat-missing';
+  | 'seat-missing'
+  | 'unknown-queue'
+  | 'unknown-job'
+  | 'store-unavailable'
+  | 'outcome-unknown';
 
 /** A refusal or failure in the form in which the caller gets it. */
 export type Refusal = {
@@ -64,6 +68,10 @@
   'answer-too-large': 502,
   'entry-stopping': 503,
   'seat-missing': 503,
+  'unknown-queue': 404,
+  'unknown-job': 410,
+  'store-unavailable': 503,
+  'outcome-unknown': 504,
 };
 
 /**
--- /dev/null
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -0,0 +1,166 @@
+/**
+ * One entry of a fleet that runs batch work: takes jobs from clients, and holds control of the
+ * fleet while it has the lease. All entries are alike and keep nothing.
+ */
+import { newerConfiguration, type QueueIndex } from '@valvelatch/core/batch';
+import type { EntryId } from '@valvelatch/core/shared/ids';
+import { createGroupCommit } from '@valvelatch/platform/group-commit';
+
+import type { Log } from '../observe/log.js';
+import type { Metrics } from '../observe/metrics.js';
+import { startLoops, type RunningLoops } from '../shared/loops.js';
+import { createControl, type Control } from './control.js';
+import { createIntake, type Intake } from './intake.js';
+import { createPeers, type Peers } from './peers.js';
+import type { BatchPlatform } from './ports.js';
+import { answerRelay, createRelayedTable, RELAY_METHOD, type RelayCall } from './relayed-table.js';
+
+const LEASE_TICK_MS = 500;
+/** A waiting read of the operator's orders: a change is in force within 2 s also if one is lost. */
+const OPERATOR_WAIT_MS = 1000;
+const OPERATOR_RETRY_MS = 100;
+const PEERS_MS = 5000;
+const BEAT_MS = 1000;
+/** Submissions that come within this time share a transaction. */
+const GROUP_MS = 4;
+const GROUP_SIZE = 30;
+/** Without the table for so long, an entry sends new clients elsewhere. */
+const READY_WITHOUT_TABLE_MS = 2500;
+
+export type BatchEntryOptions = {
+  readonly self: EntryId;
+  readonly dataCentre: string;
+  readonly meshHost: string;
+  readonly meshPort: number;
+  readonly meshKey: string;
+  readonly platform: BatchPlatform;
+  readonly log: Log;
+  readonly metrics: Metrics;
+};
+
+export type BatchEntry = {
+  readonly configuration: () => QueueIndex | undefined;
+  readonly intake: Intake;
+  readonly control: Control;
+  /** True if new clients should be sent here. */
+  readonly isReady: () => boolean;
+  /** Gives up control at once and takes no new clients; those connected are served on. */
+  readonly drain: () => Promise<void>;
+  readonly stop: () => Promise<void>;
+};
+
+/**
+ * Starts an entry.
+ *
+ * @param options - Its name, its place, its platform.
+ * @returns The entry.
+ * @throws Where the mesh address cannot be listened on.
+ */
+export const startBatchEntry = async ({
+  self,
+  dataCentre,
+  meshHost,
+  meshPort,
+  meshKey,
+  platform,
+  log,
+  metrics,
+}: BatchEntryOptions): Promise<BatchEntry> => {
+  let index: QueueIndex | undefined;
+  let peers: Peers | undefined;
+  let isDraining = false;
+
+  const table = createRelayedTable({
+    table: platform.table,
+    neighbours: () => peers?.others() ?? [],
+    ask: (entryId, method, payload, ms) => {
+      if (!peers) throw new Error('the mesh is not open yet');
+      return peers.ask(entryId, method, payload, ms);
+    },
+    log,
+    metrics,
+  });
+
+  const control = createControl({
+    self,
+    platform,
+    table,
+    peers: () => peers,
+    configuration: () => index,
+    log,
+    metrics,
+  });
+
+  peers = await createPeers({
+    self,
+    dataCentre,
+    host: meshHost,
+    port: meshPort,
+    meshKey,
+    log,
+    answer: async (method, payload) =>
+      method === RELAY_METHOD
+        ? answerRelay(platform.table, payload as RelayCall)
+        : control.answer(method, payload),
+  });
+  const openPeers = peers;
+
+  const followOperator = async (): Promise<void> => {
+    const news = await platform.operator.next(index ? OPERATOR_WAIT_MS : 0);
+    if (news.isErr()) {
+      log.warn('operator-feed-failed', news.error);
+      return;
+    }
+    const { configuration, waves } = news.value;
+    if (configuration) {
+      const before = index;
+      index = newerConfiguration(index, configuration);
+      log.info('configuration-read', {
+        version: configuration.version,
+        queues: configuration.queues.length,
+        isInForce: index !== before,
+      });
+    }
+    if (waves.length > 0) control.takeWaves(waves);
+  };
+
+  const intake = createIntake({
+    table,
+    group: createGroupCommit({ table, windowMs: GROUP_MS, mostPerGroup: GROUP_SIZE }),
+    control,
+    log,
+    metrics,
+  });
+
+  const loops: RunningLoops = startLoops(
+    [
+      { name: 'operator', everyMs: OPERATOR_RETRY_MS, run: followOperator },
+      { name: 'lease', everyMs: LEASE_TICK_MS, run: control.tick },
+      { name: 'peers', everyMs: PEERS_MS, run: () => openPeers.refresh(table) },
+      { name: 'beat', everyMs: BEAT_MS, run: async () => openPeers.beat() },
+    ],
+    (name, error) => {
+      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      log.error('loop-failed', { name, detail });
+    },
+  );
+
+  const hasTable = (): boolean =>
+    performance.now() - table.answeredAtMs() < READY_WITHOUT_TABLE_MS;
+
+  return {
+    configuration: () => index,
+    intake,
+    control,
+    isReady: () => !isDraining && index !== undefined && hasTable(),
+    drain: async () => {
+      isDraining = true;
+      await control.resign();
+    },
+    stop: async () => {
+      void loops.stop();
+      await openPeers.close();
+      platform.close();
+    },
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/batch/control.ts
@@ -0,0 +1,212 @@
+/** The lease on control at one entry: takes it, runs a term under it, and finds who holds it. */
+import type { BatchJobRow, BatchPhase, QueueIndex, UpkeepOrder } from '@valvelatch/core/batch';
+import { brand, type EntryId, type JobId } from '@valvelatch/core/shared/ids';
+import type { TableClient } from '@valvelatch/platform';
+
+import { createLeaseKeeper } from '../leases/lease-keeper.js';
+import type { Log } from '../observe/log.js';
+import type { Metrics } from '../observe/metrics.js';
+import type { ControlView } from './intake.js';
+import { CONTROL_LEASE } from './keys.js';
+import type { Peers } from './peers.js';
+import type { BatchPlatform } from './ports.js';
+import type { RelayedTable } from './relayed-table.js';
+import { createTerm, type Term } from './term.js';
+
+/**
+ * The lease on control. A holder that is lost is missed for this time and the margin; a holder
+ * without the platform goes on for as long. An outage of 4 to 5 s is common, so is a lost entry.
+ */
+const CONTROL_LEASE_MS = 4000;
+/** Clocks of entries may differ by 2 % over the lease; the rest is for late timers. */
+const CONTROL_MARGIN_MS = 500;
+/** How long the holder is waited for before the rows are read instead. */
+const ASK_MS = 500;
+/** Counts of waiting jobs may be 2 s old; clients ask all entries. */
+const WAITING_FRESH_MS = 700;
+
+/** Methods of the mesh that a holder answers. */
+export const CONTROL_METHOD = {
+  phase: 'phase',
+  waiting: 'waiting',
+  accepted: 'accepted',
+  cancelled: 'cancelled',
+} as const;
+
+export type ControlOptions = {
+  readonly self: EntryId;
+  readonly platform: BatchPlatform;
+  readonly table: RelayedTable;
+  readonly peers: () => Peers | undefined;
+  readonly configuration: () => QueueIndex | undefined;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly nowMs?: () => number;
+};
+
+export type Control = ControlView & {
+  /** Keeps the lease; to be called several times within it. */
+  readonly tick: () => Promise<void>;
+  readonly takeWaves: (orders: readonly UpkeepOrder[]) => void;
+  readonly answer: (method: string, payload: unknown) => unknown;
+  readonly term: () => Term | undefined;
+  readonly holder: () => EntryId | null;
+  /** Gives control up at once, for a planned stop. */
+  readonly resign: () => Promise<void>;
+};
+
+type Accepted = { readonly row: BatchJobRow; readonly version: number };
+
+/**
+ * Builds the control of an entry.
+ *
+ * @param options - The entry, its platform and its peers.
+ * @returns The control.
+ */
+export const createControl = ({
+  self,
+  platform,
+  table,
+  peers,
+  configuration,
+  log,
+  metrics,
+  nowMs = () => performance.now(),
+}: ControlOptions): Control => {
+  const keeper = createLeaseKeeper({
+    table: table as unknown as TableClient,
+    name: CONTROL_LEASE,
+    self,
+    durationMs: CONTROL_LEASE_MS,
+    marginMs: CONTROL_MARGIN_MS,
+    mayTake: () => !isResigned && configuration() !== undefined,
+    nowMs,
+  });
+  const orders = new Map<number, UpkeepOrder>();
+  let term: Term | undefined;
+  let isResigned = false;
+  let lostFence = -1;
+  let lastHolder: EntryId | null = null;
+  let waitingCache: { readonly atMs: number; readonly counts: ReadonlyMap<string, number> } | undefined;
+
+  const endTerm = async (reason: string): Promise<void> => {
+    const ending = term;
+    term = undefined;
+    if (!ending) return;
+    log.warn('control-lost', { fence: ending.state.fence, reason });
+    await ending.stop();
+  };
+
+  const beginTerm = (fence: number): void => {
+    const { key, version } = keeper.fence();
+    const begun = createTerm({
+      self,
+      fence,
+      fenceCheck: { key, version },
+      platform: { ...platform, table: { ...table, feed: platform.table.feed } },
+      log,
+      metrics,
+      nowMs,
+      holds: keeper.holds,
+      configuration,
+      onLost: (reason) => {
+        lostFence = fence;
+        void endTerm(reason).then(() => keeper.release());
+      },
+    });
+    term = begun;
+    begun.fleet.takeWaves(Array.from(orders.values()));
+    void begun.start().catch((error: unknown) => {
+      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      log.error('term-failed', { fence, detail });
+      void endTerm('it could not be started');
+    });
+  };
+
+  const tick = async (): Promise<void> => {
+    await keeper.tick();
+    const fence = keeper.epoch();
+    const isHeld = keeper.holds() && keeper.lastRow()?.holder === self;
+    if (term && (!isHeld || term.state.fence !== fence)) await endTerm('the lease has lapsed');
+    if (!term && isHeld && !isResigned && fence !== lostFence) beginTerm(fence);
+    const holder = keeper.lastRow()?.holder ?? null;
+    if (holder !== lastHolder) log.info('control-holder', { holder: holder ?? 'none', fence });
+    lastHolder = holder;
+    if (holder !== null && holder !== self) peers()?.keepLink(holder);
+  };
+
+  const askHolder = async (method: string, payload: unknown): Promise<unknown> => {
+    const known = peers();
+    if (lastHolder === null || lastHolder === self || !known?.knows(lastHolder)) return undefined;
+    try {
+      return await known.ask(lastHolder, method, payload, ASK_MS);
+    } catch (error) {
+      metrics.count('holder_unheard');
+      log.debug('holder-unheard', { holder: lastHolder, method, detail: String(error) });
+      return undefined;
+    }
+  };
+
+  const ownWaiting = (): Record<string, number> | undefined => {
+    const counts = term?.waiting();
+    return counts && Object.fromEntries(counts);
+  };
+
+  const waitingCounts = async (): Promise<ReadonlyMap<string, number> | undefined> => {
+    if (waitingCache && nowMs() - waitingCache.atMs < WAITING_FRESH_MS) return waitingCache.counts;
+    const atMs = nowMs();
+    const counts =
+      ownWaiting() ??
+      ((await askHolder(CONTROL_METHOD.waiting, null)) as Record<string, number> | undefined);
+    if (!counts) return undefined;
+    waitingCache = { atMs, counts: new Map(Object.entries(counts)) };
+    return waitingCache.counts;
+  };
+
+  const acceptHere = ({ row, version }: Accepted): void => {
+    if (row.kind === 'live') term?.accept(row, version);
+  };
+
+  const handlers: Readonly<Record<string, (payload: unknown) => unknown>> = {
+    [CONTROL_METHOD.phase]: (payload) => term?.phaseOf(brand<JobId>(String(payload))) ?? null,
+    [CONTROL_METHOD.waiting]: () => ownWaiting() ?? null,
+    [CONTROL_METHOD.accepted]: (payload) => {
+      acceptHere(payload as Accepted);
+      return term !== undefined;
+    },
+    [CONTROL_METHOD.cancelled]: (payload) => term?.cancel(brand<JobId>(String(payload))) ?? null,
+  };
+
+  return {
+    tick,
+    takeWaves: (waves) => {
+      waves.forEach((order) => orders.set(order.waveNumber, order));
+      term?.fleet.takeWaves(waves);
+    },
+    answer: (method, payload) => handlers[method]?.(payload),
+    term: () => term,
+    holder: () => lastHolder,
+    resign: async () => {
+      isResigned = true;
+      if (!term) return;
+      await endTerm('this entry stops as planned');
+      await keeper.release();
+    },
+    phaseOf: async (jobId) => {
+      if (term) return term.phaseOf(jobId);
+      return ((await askHolder(CONTROL_METHOD.phase, jobId)) as BatchPhase | null) ?? undefined;
+    },
+    waitingOf: async (queue) => {
+      const counts = await waitingCounts();
+      return counts && (counts.get(queue) ?? 0);
+    },
+    tellAccepted: (row, version) => {
+      if (term) acceptHere({ row, version });
+      else void askHolder(CONTROL_METHOD.accepted, { row, version });
+    },
+    tellCancelled: async (jobId) => {
+      if (term) term.cancel(jobId);
+      else await askHolder(CONTROL_METHOD.cancelled, jobId);
+    },
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/batch/fleet-turn.ts
@@ -0,0 +1,229 @@
+/** Hosts: moves between pools and maintenance waves, ordered by the holder alone. */
+import {
+  applyUpkeepAnswer,
+  createUpkeepWave,
+  isUpkeepComplete,
+  planMoves,
+  planUpkeep,
+  type BatchState,
+  type HostView,
+  type PoolMove,
+  type QueueIndex,
+  type UpkeepOrder,
+  type UpkeepStep,
+  type UpkeepWave,
+  type UpkeepWorld,
+} from '@valvelatch/core/batch';
+import type { RowCheck } from '@valvelatch/core/rows/transaction';
+import type { EndpointId, EntryId, HostId } from '@valvelatch/core/shared/ids';
+
+import type { Log } from '../observe/log.js';
+import type { Metrics } from '../observe/metrics.js';
+import { batchKey } from './keys.js';
+import type { BatchPlatform } from './ports.js';
+
+/** Pause between turns: a wave of 26 s over 15 hosts leaves no second idle. */
+const TURN_MS = 250;
+/** The list is read at least so often; while hosts change, at each turn. */
+const LIST_EVERY_MS = 2000;
+const LIST_BUSY_MS = 400;
+/** The platform's list of hosts may lag. */
+const LIST_LAG_MS = 300;
+/** A host that was ordered to move is left alone for so long. */
+const MOVE_SETTLES_MS = 3000;
+/** Another holder's last order to a host must lie this much further back than the bound. */
+const TURN_MARGIN_MS = 300;
+
+export type FleetTurnOptions = {
+  readonly self: EntryId;
+  readonly fence: number;
+  readonly fenceCheck: RowCheck;
+  readonly platform: BatchPlatform;
+  readonly state: BatchState;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly nowMs: () => number;
+  readonly mayOrder: () => boolean;
+  readonly configuration: () => QueueIndex | undefined;
+  readonly dropEndpoint: (endpointId: EndpointId, reason: string) => void;
+};
+
+export type FleetTurn = {
+  readonly everyMs: number;
+  readonly run: () => Promise<void>;
+  readonly refreshHosts: () => Promise<readonly HostView[]>;
+  readonly takeWaves: (orders: readonly UpkeepOrder[]) => void;
+  readonly hosts: () => ReadonlyMap<HostId, HostView>;
+  readonly waves: () => readonly UpkeepWave[];
+};
+
+type WaveRow = { readonly done: readonly HostId[] };
+
+/**
+ * Builds the turn over hosts of one term.
+ *
+ * @param options - The term.
+ * @returns The turn.
+ */
+export const createFleetTurn = ({
+  self,
+  fence,
+  fenceCheck,
+  platform,
+  state,
+  log,
+  metrics,
+  nowMs,
+  mayOrder,
+  configuration,
+  dropEndpoint,
+}: FleetTurnOptions): FleetTurn => {
+  const bornAtMs = nowMs();
+  const orderer = { holder: self, fence };
+  const hosts = new Map<HostId, HostView>();
+  const waves = new Map<number, UpkeepWave>();
+  const waiting = new Map<number, UpkeepOrder>();
+  const reported = new Map<number, 'running' | 'completed'>();
+  const savedDone = new Map<number, number>();
+  const movedAtMs = new Map<HostId, number>();
+  let listedAtMs = -Infinity;
+
+  const refreshHosts = async (): Promise<readonly HostView[]> => {
+    const askedAtMs = nowMs();
+    const list = await platform.hosts.list();
+    metrics.count('host_lists');
+    if (list.isErr()) {
+      log.warn('host-list-failed', list.error);
+      return Array.from(hosts.values());
+    }
+    hosts.clear();
+    list.value.forEach((host) => {
+      hosts.set(host.hostId, host);
+      const endpoint = host.endpointId && state.endpoints.get(host.endpointId);
+      if (endpoint) endpoint.hostId = host.hostId;
+    });
+    listedAtMs = askedAtMs;
+    return list.value;
+  };
+
+  const isBusy = (): boolean =>
+    Array.from(movedAtMs.values()).some((atMs) => nowMs() - atMs < MOVE_SETTLES_MS) ||
+    Array.from(waves.values()).some((wave) => !isComplete(wave));
+
+  const world = (): UpkeepWorld => ({
+    state,
+    hosts,
+    pools: configuration()?.configuration.pools ?? [],
+    downMs: platform.bounds().maintenanceMs + LIST_LAG_MS,
+    listedAtMs,
+  });
+
+  const isComplete = (wave: UpkeepWave): boolean => isUpkeepComplete(world(), wave);
+
+  const openWave = async (order: UpkeepOrder): Promise<void> => {
+    const rows = await platform.table.read([batchKey.wave(order.waveNumber)]);
+    if (rows.isErr()) return;
+    const row = rows.value[0]?.value as WaveRow | undefined;
+    waiting.delete(order.waveNumber);
+    waves.set(order.waveNumber, createUpkeepWave(order, row?.done ?? [], nowMs()));
+    log.info('wave-taken', {
+      wave: order.waveNumber,
+      hosts: order.hosts.length,
+      maximum: order.maximum,
+      withinMs: order.withinMs,
+      done: row?.done.length ?? 0,
+    });
+  };
+
+  const report = async (wave: UpkeepWave): Promise<void> => {
+    const { waveNumber } = wave.order;
+    const now = isComplete(wave) ? 'completed' : 'running';
+    if (reported.get(waveNumber) === now) return;
+    const done = Array.from(wave.hosts)
+      .filter(([, { phase }]) => phase === 'done' || phase === 'down')
+      .map(([hostId]) => hostId);
+    if (now === 'completed' && !(await saveDone(wave, done))) return;
+    const answer = await platform.hosts.reportWave(waveNumber, now);
+    if (answer.isOk()) reported.set(waveNumber, now);
+    log.info('wave-reported', { wave: waveNumber, state: now, isWritten: answer.isOk() });
+  };
+
+  const saveDone = async (wave: UpkeepWave, done: readonly HostId[]): Promise<boolean> => {
+    const { waveNumber } = wave.order;
+    if (savedDone.get(waveNumber) === done.length) return true;
+    const outcome = await platform.table.transact({
+      checks: [fenceCheck],
+      writes: [{ key: batchKey.wave(waveNumber), value: { done } }],
+    });
+    const isSaved = outcome.isOk() && outcome.value.kind === 'committed';
+    if (isSaved) savedDone.set(waveNumber, done.length);
+    return isSaved;
+  };
+
+  const take = async ({ wave, hostId, reason }: UpkeepStep): Promise<void> => {
+    const { waveNumber } = wave.order;
+    const endpointId = hosts.get(hostId)?.endpointId ?? null;
+    const outcome = await platform.hosts.maintain(orderer, { hostId, waveNumber });
+    metrics.count(`host_maintain_${outcome}`);
+    log.info('host-maintained', { wave: waveNumber, host: hostId, outcome, reason });
+    applyUpkeepAnswer(wave, hostId, outcome, nowMs());
+    if (outcome === 'done' && endpointId) dropEndpoint(endpointId, `wave ${waveNumber}`);
+  };
+
+  const move = async ({ hostId, fromPool, toPool, reason }: PoolMove): Promise<void> => {
+    movedAtMs.set(hostId, nowMs());
+    const endpointId = hosts.get(hostId)?.endpointId ?? null;
+    const outcome = await platform.hosts.move(orderer, { hostId, toPool });
+    metrics.count(`host_move_${outcome}`);
+    log.info('host-moved', { host: hostId, fromPool, toPool, outcome, reason });
+    if (outcome !== 'done') return;
+    const known = hosts.get(hostId);
+    if (known) hosts.set(hostId, { ...known, pool: toPool, state: 'moving', endpointId: null });
+    if (endpointId) dropEndpoint(endpointId, `moved to pool=${toPool}`);
+  };
+
+  /** Hosts of waves that are not through: a move would only delay them. */
+  const busyHosts = (): ReadonlySet<HostId> => {
+    const inWaves = Array.from(waves.values()).flatMap((wave) =>
+      Array.from(wave.hosts)
+        .filter(([, { phase }]) => phase === 'closing' || phase === 'asked' || phase === 'down')
+        .map(([hostId]) => hostId),
+    );
+    const moving = Array.from(movedAtMs)
+      .filter(([, atMs]) => nowMs() - atMs < MOVE_SETTLES_MS)
+      .map(([hostId]) => hostId);
+    return new Set([...inWaves, ...moving]);
+  };
+
+  const moveHosts = async (): Promise<void> => {
+    const pools = configuration()?.configuration.pools;
+    if (!pools) return;
+    const moves = planMoves({ state, hosts, pools, busyHosts: busyHosts(), nowMs: nowMs() });
+    await Promise.all(moves.map(move));
+  };
+
+  const run = async (): Promise<void> => {
+    const ageMs = nowMs() - listedAtMs;
+    if (ageMs > (isBusy() ? LIST_BUSY_MS : LIST_EVERY_MS)) await refreshHosts();
+    await Promise.all(Array.from(waiting.values()).map(openWave));
+    // Holders that are all in touch must not order hosts shortly one after the other.
+    const mayStart = nowMs() - bornAtMs > platform.bounds().holderTurnMs + TURN_MARGIN_MS;
+    if (!mayOrder() || !mayStart) return;
+    const steps = Array.from(waves.values()).flatMap((wave) => planUpkeep(world(), wave, nowMs()));
+    await Promise.all(steps.map(take));
+    if (mayOrder()) await moveHosts();
+    await Promise.all(Array.from(waves.values()).map(report));
+  };
+
+  return {
+    everyMs: TURN_MS,
+    run,
+    refreshHosts,
+    takeWaves: (orders) =>
+      orders.forEach((order) => {
+        if (!waves.has(order.waveNumber)) waiting.set(order.waveNumber, order);
+      }),
+    hosts: () => hosts,
+    waves: () => Array.from(waves.values()),
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/batch/keys.ts
@@ -0,0 +1,26 @@
+/** Keys of the rows of batch work, by kind. */
+export const batchKey = {
+  job: (jobId: string) => `job/${jobId}`,
+  /** Beside the job's row, so that one feed tells of both. */
+  cancel: (jobId: string) => `job/${jobId}.cancel`,
+  progress: (jobId: string) => `progress/${jobId}`,
+  entry: (entryId: string) => `entry/${entryId}`,
+  wave: (waveNumber: number) => `wave/${waveNumber}`,
+} as const;
+
+const CANCEL_SUFFIX = '.cancel';
+
+/**
+ * Tells what a row of the kind `job` is about.
+ *
+ * @param key - Its key.
+ * @returns The job, and whether the row says that it is to be cancelled.
+ */
+export const parseJobKey = (key: string): { readonly jobId: string; readonly isCancel: boolean } => {
+  const name = key.slice(key.indexOf('/') + 1);
+  const isCancel = name.endsWith(CANCEL_SUFFIX);
+  return { jobId: isCancel ? name.slice(0, -CANCEL_SUFFIX.length) : name, isCancel };
+};
+
+/** The name of the lease on control; a fleet that is divided will have one a cell. */
+export const CONTROL_LEASE = 'control';
--- /dev/null
+++ b/packages/daemon/src/batch/peers.ts
@@ -0,0 +1,140 @@
+/** The other entries: found in the table, asked over the mesh. Nothing safe depends on them. */
+import type { Member } from '@valvelatch/core/membership/membership';
+import type { DataCentreId, EntryId } from '@valvelatch/core/shared/ids';
+import { createMesh, type Mesh } from '@valvelatch/mesh';
+
+import type { Log } from '../observe/log.js';
+import { batchKey } from './keys.js';
+import type { BatchTable } from './ports.js';
+
+/** An entry's row. */
+type EntryRow = { readonly meshUrl: string; readonly dataCentre: string; readonly startedAtMs: number };
+
+export type PeersOptions = {
+  readonly self: EntryId;
+  readonly dataCentre: string;
+  readonly host: string;
+  readonly port: number;
+  readonly meshKey: string;
+  readonly log: Log;
+  /** Answers questions of other entries, by method. */
+  readonly answer: (method: string, payload: unknown) => Promise<unknown>;
+};
+
+export type Peers = {
+  /** Writes this entry's own row and reads the others'; to be called now and then. */
+  readonly refresh: (table: Pick<BatchTable, 'scan' | 'transact'>) => Promise<void>;
+  readonly ask: (entryId: EntryId, method: string, payload: unknown, ms: number) => Promise<unknown>;
+  /** Keeps a link open to an entry that is asked often. */
+  readonly keepLink: (entryId: EntryId) => void;
+  /** Other entries, those of the own data centre first. */
+  readonly others: () => readonly EntryId[];
+  readonly knows: (entryId: EntryId) => boolean;
+  readonly beat: () => void;
+  readonly close: () => Promise<void>;
+};
+
+const withTimeout = async <Value>(promise: Promise<Value>, ms: number): Promise<Value> => {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<never>((_, reject) => {
+    timer = setTimeout(() => reject(new Error(`no answer in ${ms} ms`)), ms);
+  });
+  try {
+    return await Promise.race([promise, late]);
+  } finally {
+    clearTimeout(timer);
+  }
+};
+
+/**
+ * Opens the mesh.
+ *
+ * @param options - Where to listen and how questions are answered.
+ * @returns The peers.
+ * @throws Where the address cannot be listened on.
+ */
+export const createPeers = async ({
+  self,
+  dataCentre,
+  host,
+  port,
+  meshKey,
+  log,
+  answer,
+}: PeersOptions): Promise<Peers> => {
+  const members = new Map<EntryId, Member>();
+  const startedAtMs = Date.now();
+  let isRegistered = false;
+
+  const memberOf = (entryId: EntryId, { meshUrl, ...row }: EntryRow): Member => ({
+    entryId,
+    dataCentre: row.dataCentre as DataCentreId,
+    incarnation: row.startedAtMs,
+    status: 'alive',
+    meshUrl,
+    callersUrl: '',
+    operatorsUrl: '',
+  });
+
+  const ownRow: EntryRow = { meshUrl: `ws://${host}:${port}`, dataCentre, startedAtMs };
+
+  const mesh: Mesh = await createMesh({
+    host,
+    port,
+    key: meshKey,
+    self: () => memberOf(self, ownRow),
+    handlers: {
+      onMessage: () => undefined,
+      onPeer: (member) => {
+        if (member.entryId !== self) members.set(member.entryId, member);
+      },
+      onSilent: (peer) => log.info('peer-silent', { peer }),
+      answer,
+    },
+  });
+
+  const register = async (table: Pick<BatchTable, 'transact'>): Promise<void> => {
+    const outcome = await table.transact({
+      checks: [],
+      writes: [{ key: batchKey.entry(self), value: ownRow }],
+    });
+    isRegistered = outcome.isOk() && outcome.value.kind === 'committed';
+  };
+
+  return {
+    refresh: async (table) => {
+      if (!isRegistered) await register(table);
+      const rows = await table.scan('entry/');
+      if (rows.isErr()) {
+        log.warn('entry-list-failed', rows.error);
+        return;
+      }
+      rows.value.forEach(({ key, value }) => {
+        const entryId = key.slice('entry/'.length) as EntryId;
+        if (entryId !== self) members.set(entryId, memberOf(entryId, value as EntryRow));
+      });
+    },
+    ask: async (entryId, method, payload, ms) => {
+      const member = members.get(entryId);
+      if (!member) throw new Error(`entry ${entryId} is not known`);
+      return withTimeout(mesh.ask(member, method, payload, ms), ms);
+    },
+    keepLink: (entryId) => {
+      const member = members.get(entryId);
+      if (member) mesh.dial(member.meshUrl);
+    },
+    others: () =>
+      Array.from(members.values())
+        .sort(
+          (left, right) =>
+            Number(right.dataCentre === dataCentre) - Number(left.dataCentre === dataCentre),
+        )
+        .map(({ entryId }) => entryId),
+    knows: (entryId) => members.has(entryId),
+    beat: () => {
+      mesh.broadcast({ type: 'heartbeat', revision: 0, membersHash: 0, ready: [] });
+      mesh.sweep();
+    },
+    close: mesh.close,
+  };
+};
--- /dev/null
+++ b/packages/daemon/src/batch/ports.ts
@@ -0,0 +1,169 @@
+/**
+ * What batch work needs from a platform. An adapter implements these ports and translates; it
+ * decides nothing. All times are milliseconds.
+ */
+import type {
+  BatchConfiguration,
+  EndpointReport,
+  EndpointSighting,
+  HostOrderOutcome,
+  HostView,
+  TaskKey,
+  UpkeepOrder,
+} from '@valvelatch/core/batch';
+import type { EndpointId, EntryId, HostId, PoolName } from '@valvelatch/core/shared/ids';
+import type { TableRow } from '@valvelatch/core/rows/transaction';
+import type { PlatformError, TableClient } from '@valvelatch/platform';
+import type { Result } from 'ts-results-es';
+
+/** A row that changed; a value of null says that it was deleted. */
+export type ChangedRow = TableRow;
+
+/** Changes of the rows of one kind since the last call. */
+export type TableFeed = {
+  /**
+   * Waits for changes. The first call gives all rows. Where the table has forgotten what came
+   * since, all rows are read again.
+   *
+   * @param waitMs - How long to wait if nothing has changed.
+   * @returns The rows that changed, in order.
+   */
+  readonly next: (waitMs: number) => Promise<Result<readonly ChangedRow[], PlatformError>>;
+};
+
+/** The product's own rows. */
+export type BatchTable = Pick<TableClient, 'read' | 'scan' | 'transact'> & {
+  readonly feed: (kind: string) => TableFeed;
+};
+
+/** What the operator has ordered. */
+export type OperatorNews = {
+  readonly configuration?: BatchConfiguration;
+  readonly waves: readonly UpkeepOrder[];
+};
+
+/** The operator's orders as they come. */
+export type OperatorFeed = {
+  readonly next: (waitMs: number) => Promise<Result<OperatorNews, PlatformError>>;
+};
+
+/** Endpoints as they come, change and go. */
+export type EndpointNews = {
+  readonly seen: readonly EndpointSighting[];
+  readonly gone: readonly EndpointId[];
+};
+
+export type EndpointFeed = {
+  readonly next: (waitMs: number) => Promise<Result<EndpointNews, PlatformError>>;
+};
+
+/** Why an endpoint did nothing. */
+export type OrderRefusal =
+  | 'fence'
+  | 'late'
+  | 'old'
+  | 'room'
+  | 'ticket'
+  | 'unhealthy'
+  | 'other-endpoint'
+  | 'malformed'
+  | 'unreachable';
+
+/** An order that was not carried out, or may have been. */
+export type OrderError = {
+  /** Whether the order may have had an effect, now or within seconds. */
+  readonly verdict: 'notRun' | 'mayHaveRun';
+  readonly reason: OrderRefusal | 'no-answer';
+  readonly detail: string;
+};
+
+/** Which endpoint an order is meant for. */
+export type OrderTarget = { readonly endpointId: EndpointId; readonly address: string };
+
+/** The endpoint's own steady clock, at some time before the answer came in. */
+export type EndpointClock = { readonly clockMs: number };
+
+/** An order to list what runs and what has ended. */
+export type ListOrder = {
+  readonly fence: number;
+  /** Ends up to this number are forgotten by the endpoint. */
+  readonly acknowledged: number;
+  /** All that runs there is kept until then, by the endpoint's clock. */
+  readonly keepUntilMs?: number;
+  /** How long the answer may wait for an end. */
+  readonly waitMs: number;
+};
+
+export type StartOrder = {
+  readonly task: TaskKey;
+  readonly run: number;
+  readonly spec: string;
+  readonly keepUntilMs: number;
+  readonly fence: number;
+  readonly checkpoint: string;
+};
+
+export type StopOrder = { readonly task: TaskKey; readonly run: number; readonly fence: number };
+
+export type PaceOrder = StopOrder & { readonly percent: number };
+
+/** Orders to endpoints. */
+export type EndpointOrders = {
+  readonly list: (
+    target: OrderTarget,
+    order: ListOrder,
+  ) => Promise<Result<EndpointClock & Pick<EndpointReport, 'running' | 'ended'>, OrderError>>;
+  readonly start: (
+    target: OrderTarget,
+    order: StartOrder,
+  ) => Promise<Result<EndpointClock, OrderError>>;
+  readonly stop: (
+    target: OrderTarget,
+    order: StopOrder,
+  ) => Promise<Result<EndpointClock, OrderError>>;
+  readonly pace: (
+    target: OrderTarget,
+    order: PaceOrder,
+  ) => Promise<Result<EndpointClock, OrderError>>;
+  readonly forget: (target: OrderTarget) => void;
+};
+
+/** Who orders, for orders to hosts. */
+export type HostOrderer = { readonly holder: EntryId; readonly fence: number };
+
+/** The platform's hosts. */
+export type HostPort = {
+  readonly list: () => Promise<Result<readonly HostView[], PlatformError>>;
+  readonly move: (
+    by: HostOrderer,
+    order: { readonly hostId: HostId; readonly toPool: PoolName },
+  ) => Promise<HostOrderOutcome>;
+  readonly maintain: (
+    by: HostOrderer,
+    order: { readonly hostId: HostId; readonly waveNumber: number },
+  ) => Promise<HostOrderOutcome>;
+  /** Tells the operator how a wave stands. */
+  readonly reportWave: (
+    waveNumber: number,
+    state: 'running' | 'completed',
+  ) => Promise<Result<unknown, PlatformError>>;
+};
+
+/** Bounds of the platform that decisions depend on. */
+export type PlatformBounds = {
+  /** How long a host is down for maintenance. */
+  readonly maintenanceMs: number;
+  /** Holders that order hosts one after the other keep this distance. */
+  readonly holderTurnMs: number;
+};
+
+/** The whole platform. */
+export type BatchPlatform = {
+  readonly table: BatchTable;
+  readonly operator: OperatorFeed;
+  readonly endpoints: () => EndpointFeed;
+  readonly orders: EndpointOrders;
+  readonly hosts: HostPort;
+  readonly bounds: () => PlatformBounds;
+  readonly close: () => void;
+};
--- a/packages/daemon/src/leases/lease-keeper.ts
+++ b/packages/daemon/src/leases/lease-keeper.ts
@@ -5,10 +5,10 @@
   holdsLease,
   nextLeaseStep,
   observeLease,
-  rowKey,
-  type EntryId,
   type LeaseRow,
-} from '@valvelatch/core';
+} from '@valvelatch/core/leases/lease';
+import { rowKey } from '@valvelatch/core/rows/rows';
+import type { EntryId } from '@valvelatch/core/shared/ids';
 import type { TableClient } from '@valvelatch/platform';
 
 /** A lease as its owner uses it. */
--- a/packages/daemon/src/observe/log.ts
+++ b/packages/daemon/src/observe/log.ts
@@ -36,6 +36,8 @@
   readonly level?: loglevel.LogLevelDesc;
   /** Fields that each event carries. */
   readonly common?: LogFields;
+  /** Where lines go; the console if left out. */
+  readonly sink?: (line: string) => void;
 };
 
 /**
@@ -44,8 +46,9 @@
  * @param options - The least level and the common fields.
  * @returns The log.
  */
-export const createLog = ({ level = 'info', common = {} }: LogOptions = {}): Log => {
+export const createLog = ({ level = 'info', common = {}, sink }: LogOptions = {}): Log => {
   const logger = loglevel.getLogger(`valvelatch/${JSON.stringify(common)}`);
+  if (sink) logger.methodFactory = () => sink;
   logger.setLevel(level, false);
   const write =
     (name: keyof Log) =>
--- a/packages/platform/src/table-client.ts
+++ b/packages/platform/src/table-client.ts
@@ -14,7 +14,12 @@
 /** How a transaction ended. All rows of a transaction get the same version. */
 export type TransactionOutcome =
   | { readonly kind: 'committed'; readonly version: number }
-  | { readonly kind: 'conflict'; readonly key: string };
+  | {
+      readonly kind: 'conflict';
+      readonly key: string;
+      /** The rows of the checks as they are, where the table tells them. */
+      readonly rows?: readonly TableRow[];
+    };
 
 /** A transaction as the callers of the client write it. */
 export type TableTransaction = {
