--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/progress.ts
@@ -26,8 +26,8 @@
 /** How far one step is: done tasks as hexadecimal digits of four bits, failures by index. */
 type StepProgress = {
   readonly done: string;
-  /** Index, failures, and the run that was counted last. */
-  readonly failed?: readonly (readonly [number, number, number])[];
+  /** Index, and the runs that failed. */
+  readonly failed?: readonly (readonly [number, readonly number[]])[];
 };
 
 /** The progress row: occurrence, then step. Those with nothing to tell are left out. */
@@ -50,8 +50,8 @@
 
 const stepProgress = (step: StepRun): StepProgress | undefined => {
   const failed = step.tasks
-    .filter(({ failures }) => failures > 0)
-    .map(({ index, failures, lastFailedRun }) => [index, failures, lastFailedRun] as const);
+    .filter(({ failedRuns }) => failedRuns.length > 0)
+    .map(({ index, failedRuns }) => [index, failedRuns] as const);
   if (step.doneCount === 0 && failed.length === 0) return undefined;
   return { done: doneDigits(step), ...(failed.length > 0 ? { failed } : {}) };
 };
@@ -95,9 +95,9 @@
   step: StepRun,
   { done, failed = [] }: StepProgress,
 ): void => {
-  failed.forEach(([index, failures, lastFailedRun]) => {
+  failed.forEach(([index, failedRuns]) => {
     const task = step.tasks[index];
-    if (task) Object.assign(task, { failures, lastFailedRun, lastRun: lastFailedRun });
+    if (task) Object.assign(task, { failedRuns, lastRun: Math.max(...failedRuns) });
   });
   step.tasks.forEach((task) => {
     if (isDoneIn(done, task.index)) markDone(state, step, task);
@@ -143,7 +143,7 @@
     .flatMap(({ steps }) => steps)
     .filter(({ spec }) => !spec.isLasting)
     .flatMap(({ tasks }) => tasks)
-    .find(({ failures }) => failures >= policy.maxAttempts);
+    .find(({ failedRuns }) => failedRuns.length >= policy.maxAttempts);
   if (overdue) endJob(state, restored, 'failed', `task ${overdue.key} failed maxAttempts times`);
   return restored;
 };
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -76,24 +76,21 @@
 const fail: EndHandler = (state, context) => {
   const { step, task, end, endpoint } = context;
   const one = task;
-  if (end.run <= one.lastFailedRun) return;
-  one.lastFailedRun = end.run;
-  one.failures += 1;
+  if (one.failedRuns.includes(end.run)) return;
   one.avoid = endpoint.endpointId;
   noteFailure(state, endpoint, step.job.job.jobId);
-  const { job } = step;
-  if (!step.spec.isLasting && one.failures >= job.policy.maxAttempts) {
-    endJob(
-      state,
-      job,
-      'failed',
-      `task ${one.key} failed ${one.failures} times, which is maxAttempts`,
-    );
+  if (step.spec.isLasting) {
+    giveBack(state, context);
     return;
   }
-  if (!step.spec.isLasting) {
-    state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
+  one.failedRuns = [...one.failedRuns, end.run];
+  const { job } = step;
+  const failures = one.failedRuns.length;
+  if (failures >= job.policy.maxAttempts) {
+    endJob(state, job, 'failed', `task ${one.key} failed ${failures} times, which is maxAttempts`);
+    return;
   }
+  state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
   giveBack(state, context);
 };
 
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -12,9 +12,11 @@
   readonly key: TaskKey;
   readonly index: number;
   phase: 'waiting' | 'placed' | 'done';
-  failures: number;
-  /** The run whose failure was counted last: reports come again until they are acknowledged. */
-  lastFailedRun: number;
+  /**
+   * The runs that failed. Numbers rather than a count: reports come again until they are
+   * acknowledged, from several endpoints in any order.
+   */
+  failedRuns: readonly number[];
   /** The highest run number that was used. */
   lastRun: number;
   /** Where the work can be resumed; '' for the start. */
--- /dev/null
+++ b/packages/daemon/src/batch/batch-control.test.ts
@@ -0,0 +1,295 @@
+/** Control of batch work in virtual time: what must hold at endpoints, under faults of all kinds. */
+import fc from 'fast-check';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { EndpointId, HostId, JobId } from '@valvelatch/core/shared/ids';
+
+import { createSimFleet, type SimEntry, type SimFleet } from './testing/sim-fleet.fixtures.js';
+
+const FAKED = [
+  'setTimeout',
+  'clearTimeout',
+  'setInterval',
+  'clearInterval',
+  'setImmediate',
+  'clearImmediate',
+  'performance',
+  'Date',
+] as const;
+
+/** A source of chance that repeats. */
+const chance = (seed: number): (() => number) => {
+  let state = seed % 2147483647 || 1;
+  return () => {
+    state = (state * 48271) % 2147483647;
+    return state / 2147483647;
+  };
+};
+
+const advance = async (ms: number): Promise<void> => {
+  await vi.advanceTimersByTimeAsync(ms);
+};
+
+const phaseOf = (fleet: SimFleet, jobId: JobId): string => {
+  const row = fleet.rowOf(jobId);
+  return row?.kind === 'ended' ? row.phase : (row?.kind ?? 'missing');
+};
+
+const started = async (
+  options: { hostsPerPool?: number; sparePool?: string; seed?: number } = {},
+) => {
+  const { seed = 7, ...rest } = options;
+  const fleet = createSimFleet({ ...rest, random: chance(seed) });
+  ['a', 'b', 'c'].forEach((name) => fleet.addEntry(name));
+  await advance(1500);
+  return fleet;
+};
+
+const runningOf = (fleet: SimFleet, jobId: JobId): readonly string[] =>
+  Array.from(fleet.endpoints.values())
+    .flatMap(({ runs }) => Array.from(runs.keys()))
+    .filter((key) => key.startsWith(jobId));
+
+const holderOf = (fleet: SimFleet): SimEntry => {
+  const holder = fleet.holder();
+  if (!holder) throw new Error('nobody holds control');
+  return holder;
+};
+
+describe('control of batch work', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: [...FAKED] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  describe('on a calm day', () => {
+    it('runs the steps of a job in order and writes its end', async () => {
+      const fleet = await started();
+      const job = fleet.submit({
+        pool: 'alpha',
+        steps: [{ taskCount: 6 }, { taskCount: 3, after: [0] }],
+      });
+      await advance(4000);
+      expect(phaseOf(fleet, job)).toBe('completed');
+      expect(fleet.broken).toEqual([]);
+    });
+
+    it('fails a job whose task fails as often as its queue allows', async () => {
+      const fleet = await started();
+      const job = fleet.submit({ pool: 'alpha', steps: [{}], fails: true });
+      await advance(6000);
+      expect(phaseOf(fleet, job)).toBe('failed');
+      expect(fleet.broken).toEqual([]);
+    });
+
+    it('cancels a job and stops what runs of it', async () => {
+      const fleet = await started();
+      const job = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 4 }], runMs: 20_000 });
+      await advance(1500);
+      fleet.cancel(job);
+      await advance(2500);
+      expect(phaseOf(fleet, job)).toBe('cancelled');
+      expect(runningOf(fleet, job)).toEqual([]);
+    });
+
+    it('starts the members of a gang under one run number, all or none', async () => {
+      const fleet = await started();
+      const job = fleet.submit({
+        pool: 'alpha',
+        steps: [{ taskCount: 5, cpuMillis: 4000, isGang: true }],
+        runMs: 2000,
+      });
+      await advance(1000);
+      const numbers = Array.from(fleet.endpoints.values()).flatMap(({ runs }) =>
+        Array.from(runs.values(), ({ run }) => run),
+      );
+      expect(new Set(numbers).size).toBe(1);
+      expect(numbers).toHaveLength(5);
+      await advance(4000);
+      expect(phaseOf(fleet, job)).toBe('completed');
+    });
+  });
+
+  describe('maintenance', () => {
+    const allHosts = (fleet: SimFleet, pool: string): HostId[] =>
+      Array.from(fleet.hosts.values())
+        .filter((host) => host.pool === pool)
+        .map(({ hostId }) => hostId);
+
+    it('takes no living endpoint for dead when an order was carried out under an earlier holder', async () => {
+      const fleet = await started({ hostsPerPool: 4 });
+      const hosts = allHosts(fleet, 'alpha');
+      // Done before by a holder that could not write it down: the order is answered alike.
+      hosts.forEach((hostId) => fleet.maintained.add(`1/${hostId}`));
+      const job = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 8, isLasting: true }] });
+      await advance(4000);
+      fleet.order({ waveNumber: 1, hosts, withinMs: 30_000, maximum: 2 });
+      await advance(25_000);
+      expect(fleet.broken).toEqual([]);
+      expect(runningOf(fleet, job)).toHaveLength(8);
+      expect(fleet.waveStatus.get(1)).toBe('completed');
+    });
+
+    it('keeps no host empty while a budget forbids to take it down', async () => {
+      const fleet = await started({ hostsPerPool: 2 });
+      // One task a host: while one is away for good, no other may go, and both hosts are needed.
+      const job = fleet.submit({
+        pool: 'alpha',
+        steps: [{ taskCount: 3, isLasting: true, mayMiss: 1, mostPerEndpoint: 1 }],
+      });
+      await advance(4000);
+      fleet.order({ waveNumber: 1, hosts: allHosts(fleet, 'alpha'), withinMs: 30_000, maximum: 2 });
+      await advance(3000);
+      const other = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 4 }] });
+      await advance(3000);
+      expect(phaseOf(fleet, other)).toBe('completed');
+      expect(phaseOf(fleet, job)).toBe('live');
+      expect(fleet.broken).toEqual([]);
+    });
+  });
+
+  describe('inherited tasks', () => {
+    it('waits for the lease of an endpoint that fell out of the list before it was heard', async () => {
+      const fleet = await started();
+      const job = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 3, isLasting: true }] });
+      await advance(2000);
+      const first = holderOf(fleet);
+      const [endpointId] = Array.from(fleet.endpoints.values())
+        .filter(({ runs }) => runs.size > 0)
+        .map((one) => one.endpointId) as [EndpointId];
+      fleet.entries.forEach((entry) => {
+        if (entry !== first) entry.cutFrom.add(endpointId);
+      });
+      // The last word of the first holder keeps the tasks for 6 s; the next takes over after 4.5 s.
+      fleet.kill(first);
+      await advance(4800);
+      expect(fleet.holder()).toBeDefined();
+      fleet.unlist(endpointId);
+      await advance(20_000);
+      expect(fleet.broken).toEqual([]);
+      expect(phaseOf(fleet, job)).toBe('live');
+    });
+  });
+
+  describe('under faults, in any order', () => {
+    type Fault = {
+      readonly kind: string;
+      readonly atMs: number;
+      readonly forMs: number;
+      readonly pick: number;
+    };
+    const fault = fc.record({
+      kind: fc.constantFrom(
+        'kill',
+        'freeze',
+        'cutTable',
+        'cutEndpoint',
+        'crash',
+        'hang',
+        'tableDown',
+        'killAll',
+      ),
+      atMs: fc.integer({ min: 0, max: 14_000 }),
+      forMs: fc.integer({ min: 200, max: 7000 }),
+      pick: fc.nat(1000),
+    });
+
+    const strike = (fleet: SimFleet, { kind, forMs, pick }: Fault): void => {
+      const entry = fleet.entries[pick % Math.max(1, fleet.entries.length)];
+      const endpoint = Array.from(fleet.endpoints.values()).filter((one) => one.isUp())[pick % 4];
+      const acts: Readonly<Record<string, () => void>> = {
+        kill: () => {
+          if (!entry) return;
+          fleet.kill(entry);
+          setTimeout(() => fleet.addEntry(entry.entryId), forMs);
+        },
+        killAll: () => {
+          Array.from(fleet.entries).forEach((one) => {
+            fleet.kill(one);
+            setTimeout(() => fleet.addEntry(one.entryId), 700 + forMs / 4);
+          });
+        },
+        freeze: () => {
+          if (!entry) return;
+          entry.isFrozen = true;
+          setTimeout(() => Object.assign(entry, { isFrozen: false }), forMs);
+        },
+        cutTable: () => {
+          if (!entry) return;
+          entry.isCutFromTable = true;
+          setTimeout(() => Object.assign(entry, { isCutFromTable: false }), forMs);
+        },
+        cutEndpoint: () => {
+          if (!endpoint) return;
+          Array.from(fleet.entries).forEach(({ cutFrom }) => {
+            cutFrom.add(endpoint.endpointId);
+            setTimeout(() => cutFrom.delete(endpoint.endpointId), forMs);
+          });
+        },
+        crash: () => endpoint && fleet.crash(endpoint.endpointId),
+        hang: () => {
+          if (!endpoint) return;
+          endpoint.mood = 'hangs';
+          setTimeout(() => Object.assign(endpoint, { mood: 'sound' }), forMs);
+        },
+        tableDown: () => {
+          fleet.faults.isTableDown = true;
+          setTimeout(() => Object.assign(fleet.faults, { isTableDown: false }), forMs);
+        },
+      };
+      acts[kind]?.();
+    };
+
+    const play = async (seed: number, faults: readonly Fault[], noise: number): Promise<void> => {
+      const random = chance(seed + 1);
+      const fleet = await started({ sparePool: 'off', seed: seed + 1 });
+      Object.assign(fleet.faults, {
+        lostAnswers: noise,
+        lateOrders: noise / 2,
+        lostWrites: noise / 2,
+      });
+      faults.forEach((one) => setTimeout(() => strike(fleet, one), one.atMs));
+      const jobs: JobId[] = [];
+      for (let turn = 0; turn < 30; turn += 1) {
+        jobs.push(
+          fleet.submit({
+            pool: random() < 0.6 ? 'alpha' : 'beta',
+            steps: [{ taskCount: 1 + Math.floor(random() * 5) }, { taskCount: 2, after: [0] }],
+            runMs: 200 + random() * 1500,
+            fails: random() < 0.1,
+          }),
+        );
+        if (random() < 0.1) fleet.cancel(jobs[Math.floor(random() * jobs.length)] as JobId);
+        await advance(500);
+      }
+      Object.assign(fleet.faults, {
+        lostAnswers: 0,
+        lateOrders: 0,
+        lostWrites: 0,
+        isTableDown: false,
+      });
+      await advance(45_000);
+      expect(fleet.broken).toEqual([]);
+      const open = jobs.filter((jobId) => phaseOf(fleet, jobId) === 'live');
+      expect(open).toEqual([]);
+    };
+
+    it('runs no task twice at once or after its noted end, keeps order, ends each job', async () => {
+      await fc.assert(
+        fc.asyncProperty(
+          fc.integer({ min: 1, max: 1_000_000 }),
+          fc.array(fault, { maxLength: 6 }),
+          fc.constantFrom(0, 0.02, 0.1),
+          async (seed, faults, noise) => {
+            vi.useRealTimers();
+            vi.useFakeTimers({ toFake: [...FAKED] });
+            await play(seed, faults, noise);
+          },
+        ),
+        { numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 25) },
+      );
+    }, 300_000);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/batch/testing/sim-endpoint.fixtures.ts
@@ -0,0 +1,245 @@
+/** An endpoint in virtual time: leases by its own clock, fences, ends that wait to be acknowledged. */
+import type { Capacity, EndKind, EndReport, RunningReport, TaskKey } from '@valvelatch/core/batch';
+import type { EndpointId, HostId, PoolName } from '@valvelatch/core/shared/ids';
+import { Err, Ok, type Result } from 'ts-results-es';
+
+import type { EndpointClock, ListOrder, OrderError, StartOrder, StopOrder } from '../ports.js';
+
+/** What a task needs, as the simulated endpoint is told by the simulated fleet. */
+export type SimTask = {
+  readonly cpuMillis: number;
+  readonly memoryMb: number;
+  readonly runMs: number;
+  readonly isLasting: boolean;
+  readonly fails: boolean;
+};
+
+type SimRun = {
+  readonly task: TaskKey;
+  readonly run: number;
+  readonly needs: SimTask;
+  readonly startedAtMs: number;
+  isStopping: boolean;
+  timer: NodeJS.Timeout | undefined;
+};
+
+/** Told of all that happens on endpoints, to check what must always hold. */
+export type SimObserver = {
+  readonly onStart: (endpoint: SimEndpoint, task: TaskKey, run: number) => void;
+  readonly onEnd: (
+    endpoint: SimEndpoint,
+    task: TaskKey,
+    run: number,
+    kind: EndKind | 'died',
+  ) => void;
+  readonly onAcknowledged: (end: EndReport) => void;
+  readonly needsOf: (task: TaskKey) => SimTask;
+};
+
+export type SimEndpoint = {
+  readonly endpointId: EndpointId;
+  readonly hostId: HostId;
+  readonly pool: PoolName;
+  readonly capacity: Capacity;
+  readonly isUp: () => boolean;
+  readonly runs: ReadonlyMap<TaskKey, { readonly run: number }>;
+  readonly list: (
+    order: ListOrder,
+  ) => Promise<
+    Result<EndpointClock & { running: RunningReport[]; ended: EndReport[] }, OrderError>
+  >;
+  readonly start: (order: StartOrder) => Result<EndpointClock, OrderError>;
+  readonly stop: (order: StopOrder) => Result<EndpointClock, OrderError>;
+  /** All that runs here dies, nothing is reported any more. */
+  readonly die: () => void;
+  /** Tasks stand still or fail from now on. */
+  mood: 'sound' | 'hangs' | 'fails';
+};
+
+const STOP_MS = 300;
+const START_MS = 200;
+
+const refuse = (reason: OrderError['reason']): Err<OrderError> =>
+  Err({ verdict: 'notRun', reason, detail: `the endpoint said ${reason}` });
+
+export type SimEndpointOptions = {
+  readonly endpointId: EndpointId;
+  readonly hostId: HostId;
+  readonly pool: PoolName;
+  readonly capacity: Capacity;
+  /** How fast its clock runs: 0.98 is 2 % slow. */
+  readonly clockRate: number;
+  readonly observer: SimObserver;
+};
+
+/**
+ * Builds an endpoint.
+ *
+ * @param options - Its names, room and clock.
+ * @returns The endpoint.
+ */
+export const createSimEndpoint = ({
+  endpointId,
+  hostId,
+  pool,
+  capacity,
+  clockRate,
+  observer,
+}: SimEndpointOptions): SimEndpoint => {
+  const bornAtMs = performance.now();
+  const runs = new Map<TaskKey, SimRun>();
+  const highestEnded = new Map<TaskKey, number>();
+  let ends: EndReport[] = [];
+  let lastNumber = 0;
+  let fence = 0;
+  let untilMs = 0;
+  let isUp = true;
+  let leaseTimer: NodeJS.Timeout | undefined;
+  const waiters = new Set<() => void>();
+
+  const clockMs = (): number => 1000 + (performance.now() - bornAtMs) * clockRate;
+
+  const finish = (run: SimRun, kind: EndKind): void => {
+    if (!isUp || runs.get(run.task) !== run) return;
+    clearTimeout(run.timer);
+    runs.delete(run.task);
+    highestEnded.set(run.task, Math.max(run.run, highestEnded.get(run.task) ?? 0));
+    lastNumber += 1;
+    ends.push({ number: lastNumber, task: run.task, run: run.run, kind, checkpoint: '' });
+    observer.onEnd(self, run.task, run.run, kind);
+    waiters.forEach((wake) => wake());
+  };
+
+  const lapse = (): void => {
+    if (clockMs() < untilMs) {
+      planLapse();
+      return;
+    }
+    Array.from(runs.values()).forEach((run) => finish(run, 'lapsed'));
+  };
+
+  const planLapse = (): void => {
+    clearTimeout(leaseTimer);
+    leaseTimer = setTimeout(lapse, Math.max(1, (untilMs - clockMs()) / clockRate));
+  };
+
+  const keep = (wantedMs: number | undefined): void => {
+    if (wantedMs === undefined || wantedMs <= untilMs) return;
+    untilMs = wantedMs;
+    planLapse();
+  };
+
+  const checkFence = (given: number): boolean => {
+    if (given < fence) return false;
+    fence = given;
+    return true;
+  };
+
+  const used = () =>
+    Array.from(runs.values()).reduce(
+      (sum, { needs }) => ({
+        cpuMillis: sum.cpuMillis + needs.cpuMillis,
+        memoryMb: sum.memoryMb + needs.memoryMb,
+      }),
+      { cpuMillis: 0, memoryMb: 0 },
+    );
+
+  const percentOf = ({ startedAtMs, needs, isStopping }: SimRun): number => {
+    const ranMs = performance.now() - startedAtMs;
+    if (self.mood === 'hangs' || isStopping) return 0;
+    const wholeMs = needs.isLasting ? START_MS : needs.runMs;
+    return Math.min(needs.isLasting ? 100 : 99, Math.floor((ranMs / wholeMs) * 100));
+  };
+
+  const start: SimEndpoint['start'] = ({ task, run, keepUntilMs, fence: given }) => {
+    if (!checkFence(given)) return refuse('fence');
+    if (keepUntilMs <= clockMs()) return refuse('late');
+    keep(keepUntilMs);
+    if (runs.get(task)?.run === run) return Ok({ clockMs: clockMs() });
+    if (run <= (highestEnded.get(task) ?? 0) || runs.has(task)) return refuse('old');
+    const needs = observer.needsOf(task);
+    const room = used();
+    if (
+      room.cpuMillis + needs.cpuMillis > capacity.cpuMillis ||
+      room.memoryMb + needs.memoryMb > capacity.memoryMb
+    ) {
+      return refuse('room');
+    }
+    const begun: SimRun = {
+      task,
+      run,
+      needs,
+      startedAtMs: performance.now(),
+      isStopping: false,
+      timer: undefined,
+    };
+    runs.set(task, begun);
+    observer.onStart(self, task, run);
+    const fails = needs.fails || self.mood === 'fails';
+    if (self.mood !== 'hangs' && (!needs.isLasting || fails)) {
+      begun.timer = setTimeout(() => finish(begun, fails ? 'failed' : 'done'), needs.runMs);
+    }
+    return Ok({ clockMs: clockMs() });
+  };
+
+  const stop: SimEndpoint['stop'] = ({ task, run, fence: given }) => {
+    if (!checkFence(given)) return refuse('fence');
+    const known = runs.get(task);
+    if (known && known.run <= run && !known.isStopping) {
+      known.isStopping = true;
+      clearTimeout(known.timer);
+      known.timer = setTimeout(() => finish(known, 'stopped'), STOP_MS);
+    }
+    highestEnded.set(task, Math.max(run, highestEnded.get(task) ?? 0));
+    return Ok({ clockMs: clockMs() });
+  };
+
+  const list: SimEndpoint['list'] = async ({ fence: given, acknowledged, keepUntilMs, waitMs }) => {
+    if (!checkFence(given)) return refuse('fence');
+    ends.filter(({ number }) => number <= acknowledged).forEach(observer.onAcknowledged);
+    ends = ends.filter(({ number }) => number > acknowledged);
+    keep(keepUntilMs);
+    if (ends.length === 0 && waitMs > 0) {
+      await new Promise<void>((resolve) => {
+        const wake = (): void => {
+          waiters.delete(wake);
+          clearTimeout(timer);
+          resolve();
+        };
+        const timer = setTimeout(wake, waitMs);
+        waiters.add(wake);
+      });
+    }
+    const running = Array.from(runs.values(), (run) => ({
+      task: run.task,
+      run: run.run,
+      checkpoint: '',
+      percent: percentOf(run),
+      figure: 0,
+    }));
+    return Ok({ clockMs: clockMs(), running, ended: [...ends] });
+  };
+
+  const self: SimEndpoint = {
+    endpointId,
+    hostId,
+    pool,
+    capacity,
+    isUp: () => isUp,
+    runs,
+    list,
+    start,
+    stop,
+    die: () => {
+      isUp = false;
+      clearTimeout(leaseTimer);
+      runs.forEach((run) => {
+        clearTimeout(run.timer);
+        observer.onEnd(self, run.task, run.run, 'died');
+      });
+      runs.clear();
+    },
+    mood: 'sound',
+  };
+  return self;
+};
--- /dev/null
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -0,0 +1,568 @@
+/**
+ * A fleet in virtual time: the entries' own code for control, against a table, endpoints and hosts
+ * in memory, with faults on every way between them. What must always hold is checked at the
+ * endpoints while it happens.
+ */
+import {
+  indexQueues,
+  parseTaskKey,
+  type BatchJob,
+  type BatchJobRow,
+  type EndReport,
+  type HostView,
+  type QueuePolicy,
+  type StepSpec,
+  type TaskKey,
+  type UpkeepOrder,
+} from '@valvelatch/core/batch';
+import { createTableModel } from '@valvelatch/core/replay/table-model';
+import {
+  brand,
+  type EndpointId,
+  type EntryId,
+  type HostId,
+  type JobId,
+  type PoolName,
+} from '@valvelatch/core/shared/ids';
+import type { TableRow } from '@valvelatch/core/rows/transaction';
+import type { PlatformError, TableTransaction } from '@valvelatch/platform';
+import { Err, Ok, type Result } from 'ts-results-es';
+
+import type { Log } from '../../observe/log.js';
+import { createMetrics } from '../../observe/metrics.js';
+import { createControl, type Control } from '../control.js';
+import { batchKey } from '../keys.js';
+import type { BatchPlatform, EndpointNews, OrderError, TableFeed } from '../ports.js';
+import { createRelayedTable } from '../relayed-table.js';
+import {
+  createSimEndpoint,
+  type SimEndpoint,
+  type SimObserver,
+  type SimTask,
+} from './sim-endpoint.fixtures.js';
+
+const HOP_MS = 1;
+const STORE_MS = 4;
+const CALL_TIMEOUT_MS = 900;
+const MAINTENANCE_MS = 2000;
+const MOVE_MS = 1500;
+const TICK_MS = 500;
+
+export const SIM_POLICY: QueuePolicy = {
+  priority: 0,
+  maxAttempts: 3,
+  stretch: 2,
+  targetLatencyMs: 600,
+};
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+const never = <Value>(): Promise<Value> => new Promise(() => undefined);
+
+/** What an entry can reach, and whether it runs. */
+export type SimEntry = {
+  readonly entryId: EntryId;
+  readonly control: Control;
+  isDead: boolean;
+  isFrozen: boolean;
+  isCutFromTable: boolean;
+  /** Endpoints that it cannot reach. */
+  readonly cutFrom: Set<EndpointId>;
+};
+
+export type SimFleetOptions = {
+  readonly hostsPerPool?: number;
+  readonly pools?: readonly string[];
+  readonly sparePool?: string;
+  readonly random: () => number;
+};
+
+export type SimFleet = {
+  readonly entries: SimEntry[];
+  readonly endpoints: Map<EndpointId, SimEndpoint>;
+  readonly hosts: Map<HostId, HostView>;
+  readonly broken: string[];
+  readonly logged: { readonly event: string; readonly fields: object }[];
+  readonly addEntry: (name: string) => SimEntry;
+  readonly kill: (entry: SimEntry) => void;
+  readonly submit: (options: {
+    readonly pool: string;
+    readonly steps: readonly Partial<StepSpec>[];
+    readonly runMs?: number;
+    readonly fails?: boolean;
+  }) => JobId;
+  readonly cancel: (jobId: JobId) => void;
+  readonly order: (wave: UpkeepOrder) => void;
+  readonly crash: (endpointId: EndpointId) => void;
+  /** The endpoint falls out of the list of endpoints, and lives on. */
+  readonly unlist: (endpointId: EndpointId) => void;
+  readonly rowOf: (jobId: JobId) => BatchJobRow | undefined;
+  readonly holder: () => SimEntry | undefined;
+  /** Share of orders to endpoints whose answers are lost, and of those carried out late. */
+  readonly faults: {
+    lostAnswers: number;
+    lateOrders: number;
+    isTableDown: boolean;
+    lostWrites: number;
+  };
+  readonly waveStatus: Map<number, string>;
+  /** Orders for maintenance that were carried out, as wave/host. */
+  readonly maintained: Set<string>;
+};
+
+const defaultStep: StepSpec = {
+  taskCount: 1,
+  cpuMillis: 1000,
+  memoryMb: 100,
+  accelerators: 0,
+  estimateMs: 500,
+  after: [],
+  isGang: false,
+  isRackLocal: false,
+  requiredLabel: '',
+  nearRack: '',
+  mostPerEndpoint: 0,
+  isSpeculative: false,
+  isLasting: false,
+  mayMiss: 0,
+  image: '',
+  targetMs: 0,
+  fillsGaps: false,
+  savesProgress: false,
+};
+
+type Submitted = { readonly job: BatchJob; readonly runMs: number; readonly fails: boolean };
+
+/**
+ * Builds a fleet without entries.
+ *
+ * @param options - Its size and its source of chance.
+ * @returns The fleet.
+ */
+export const createSimFleet = ({
+  hostsPerPool = 3,
+  pools = ['alpha', 'beta'],
+  sparePool,
+  random,
+}: SimFleetOptions): SimFleet => {
+  const table = createTableModel();
+  const changes: { readonly key: string; readonly value: unknown; readonly version: number }[] = [];
+  const endpoints = new Map<EndpointId, SimEndpoint>();
+  const hosts = new Map<HostId, HostView>();
+  const jobs = new Map<JobId, Submitted>();
+  const done = new Set<TaskKey>();
+  const noted = new Set<TaskKey>();
+  const failures = new Map<TaskKey, number>();
+  const broken: string[] = [];
+  const logged: { readonly event: string; readonly fields: object }[] = [];
+  const faults = { lostAnswers: 0, lateOrders: 0, isTableDown: false, lostWrites: 0 };
+  const maintained = new Set<string>();
+  const unlisted = new Set<EndpointId>();
+  const isListed = (one: SimEndpoint): boolean => one.isUp() && !unlisted.has(one.endpointId);
+  const waveStatus = new Map<number, string>();
+  let lastJob = 0;
+  let lastEndpoint = 0;
+
+  const breaks = (text: string): void => {
+    broken.push(`${Math.round(performance.now())} ms: ${text}`);
+  };
+
+  const needsOf = (key: TaskKey): SimTask => {
+    const name = parseTaskKey(key);
+    const submitted = name && jobs.get(name.jobId);
+    const step = submitted?.job.steps[name?.step ?? 0];
+    return {
+      cpuMillis: step?.cpuMillis ?? 0,
+      memoryMb: step?.memoryMb ?? 0,
+      runMs: submitted?.runMs ?? 100,
+      isLasting: step?.isLasting ?? false,
+      fails: submitted?.fails ?? false,
+    };
+  };
+
+  const checkOrder = (key: TaskKey): void => {
+    const name = parseTaskKey(key);
+    const job = name && jobs.get(name.jobId)?.job;
+    if (!name || !job) {
+      breaks(`${key} was asked for by no client`);
+      return;
+    }
+    job.steps[name.step]?.after.forEach((before) => {
+      const count = job.steps[before]?.taskCount ?? 0;
+      const isDone = Array.from({ length: count }).every((_, index) =>
+        done.has(`${name.jobId}.${name.occurrence}.${before}.${index}` as TaskKey),
+      );
+      if (!isDone) breaks(`${key} began before step ${before} was done`);
+    });
+  };
+
+  const observer: SimObserver = {
+    needsOf,
+    onStart: (endpoint, task, run) => {
+      Array.from(endpoints.values())
+        .filter((other) => other !== endpoint && other.isUp() && other.runs.has(task))
+        .forEach((other) =>
+          breaks(`${task} run ${run} on ${endpoint.endpointId}: also on ${other.endpointId}`),
+        );
+      if (noted.has(task)) breaks(`${task} run ${run} began after its end was noted`);
+      if ((failures.get(task) ?? 0) >= SIM_POLICY.maxAttempts) breaks(`${task} began too often`);
+      checkOrder(task);
+    },
+    onEnd: (_, task, __, kind) => {
+      if (kind === 'done') done.add(task);
+    },
+    onAcknowledged: ({ task, kind }: EndReport) => {
+      if (kind === 'done') noted.add(task);
+      if (kind === 'failed' && !needsOf(task).isLasting) {
+        failures.set(task, (failures.get(task) ?? 0) + 1);
+      }
+    },
+  };
+
+  const liveOn = (host: HostView): void => {
+    lastEndpoint += 1;
+    const endpointId = brand<EndpointId>(`i-${lastEndpoint}`);
+    endpoints.set(
+      endpointId,
+      createSimEndpoint({
+        endpointId,
+        hostId: host.hostId,
+        pool: host.pool,
+        capacity: host.capacity,
+        clockRate: 0.98 + random() * 0.02,
+        observer,
+      }),
+    );
+    hosts.set(host.hostId, { ...host, state: 'up', endpointId });
+  };
+
+  const isSpare = (pool: string): boolean => pool === sparePool;
+
+  /** The host's life ends; another begins after a time, unless its pool is switched off. */
+  const relive = (host: HostView, afterMs: number): void => {
+    const old = host.endpointId && endpoints.get(host.endpointId);
+    if (old) old.die();
+    hosts.set(host.hostId, { ...host, endpointId: null });
+    setTimeout(() => {
+      const now = hosts.get(host.hostId);
+      if (!now) return;
+      if (isSpare(now.pool)) hosts.set(now.hostId, { ...now, state: 'up' });
+      else liveOn(now);
+    }, afterMs);
+  };
+
+  [...pools, ...(sparePool ? [sparePool] : [])].forEach((pool) => {
+    Array.from({ length: hostsPerPool }).forEach((_, index) => {
+      const host: HostView = {
+        hostId: brand<HostId>(`h-${pool}-${index}`),
+        pool: brand<PoolName>(pool),
+        state: 'up',
+        dataCentre: `dc-${index % 2}`,
+        labels: [`rack-${index % 2}`],
+        capacity: { cpuMillis: 8000, memoryMb: 16_000, accelerators: 0 },
+        endpointId: null,
+      };
+      if (isSpare(pool)) hosts.set(host.hostId, host);
+      else liveOn(host);
+    });
+  });
+
+  const readAll = (keys: readonly string[]): readonly TableRow[] =>
+    keys.map(table.read).filter(({ version }) => version > 0);
+
+  const commit = ({ checks, writes }: TableTransaction) => {
+    const outcome = table.transact(checks, writes);
+    if (outcome.kind === 'committed') {
+      writes.forEach(({ key, value }) => changes.push({ key, value, version: outcome.version }));
+    }
+    return outcome;
+  };
+
+  const configuration = indexQueues({
+    version: 1,
+    queues: pools.map((pool) => ({
+      name: brand(`q-${pool}`),
+      hostName: 'h',
+      pathPrefix: `/${pool}/`,
+      pool: brand(pool),
+      policy: SIM_POLICY,
+      timeoutMs: 3000,
+    })),
+    pools: [
+      ...pools.map((name) => ({ name: brand<PoolName>(name), isSpare: false })),
+      ...(sparePool ? [{ name: brand<PoolName>(sparePool), isSpare: true }] : []),
+    ],
+  });
+
+  const log: Log = {
+    debug: () => undefined,
+    info: (event, fields = {}) => logged.push({ event, fields }),
+    warn: (event, fields = {}) => logged.push({ event, fields }),
+    error: (event, fields = {}) => {
+      logged.push({ event, fields });
+      breaks(`${event} ${JSON.stringify(fields)}`);
+    },
+  };
+
+  const addEntry = (name: string): SimEntry => {
+    const cutFrom = new Set<EndpointId>();
+    const entry = {
+      entryId: brand<EntryId>(name),
+      isDead: false,
+      isFrozen: false,
+      isCutFromTable: false,
+      cutFrom,
+    } as { -readonly [Key in keyof SimEntry]: SimEntry[Key] };
+
+    /** A process that does not run sends nothing and takes nothing in. */
+    const awake = async (): Promise<void> => {
+      while (entry.isFrozen) await sleep(20);
+      if (entry.isDead) await never();
+    };
+
+    const toTable = async <Value>(call: () => Value): Promise<Result<Value, PlatformError>> => {
+      await awake();
+      await sleep(STORE_MS);
+      if (entry.isCutFromTable || faults.isTableDown) {
+        await sleep(CALL_TIMEOUT_MS);
+        await awake();
+        return Err({ kind: 'unknown', detail: 'no answer' });
+      }
+      const isLost = random() < faults.lostWrites;
+      if (isLost && random() < 0.5) {
+        setTimeout(call, 1000 + random() * 5000);
+        await sleep(CALL_TIMEOUT_MS);
+        return Err({ kind: 'unknown', detail: 'no answer' });
+      }
+      const value = call();
+      await sleep(HOP_MS);
+      await awake();
+      return isLost ? Err({ kind: 'unknown', detail: 'no answer' }) : Ok(value);
+    };
+
+    const noAnswer: OrderError = { verdict: 'mayHaveRun', reason: 'no-answer', detail: 'silence' };
+
+    const toEndpoint = async <Value>(
+      endpointId: EndpointId,
+      call: (
+        endpoint: SimEndpoint,
+      ) => Promise<Result<Value, OrderError>> | Result<Value, OrderError>,
+    ): Promise<Result<Value, OrderError>> => {
+      await awake();
+      await sleep(HOP_MS);
+      const endpoint = endpoints.get(endpointId);
+      if (!endpoint?.isUp() || cutFrom.has(endpointId)) {
+        await sleep(CALL_TIMEOUT_MS);
+        await awake();
+        return Err(noAnswer);
+      }
+      if (random() < faults.lateOrders) {
+        setTimeout(
+          () => {
+            if (endpoint.isUp()) void call(endpoint);
+          },
+          2000 + random() * 10_000,
+        );
+        await sleep(CALL_TIMEOUT_MS);
+        await awake();
+        return Err(noAnswer);
+      }
+      const answer = await call(endpoint);
+      await sleep(HOP_MS + random() * 2);
+      await awake();
+      if (cutFrom.has(endpointId) || random() < faults.lostAnswers) return Err(noAnswer);
+      return answer;
+    };
+
+    const feed = (kind: string): TableFeed => {
+      let after = -1;
+      return {
+        next: async () => {
+          const from = after;
+          const read = await toTable(() => ({
+            end: changes.length,
+            rows: from < 0 ? table.scan(`${kind}/`) : changes.slice(from),
+          }));
+          return read.map(({ end, rows }) => {
+            after = end;
+            return rows.filter(({ key }) => key.startsWith(`${kind}/`));
+          });
+        },
+      };
+    };
+
+    const endpointFeed = () => {
+      const told = new Set<EndpointId>();
+      return {
+        next: (): Promise<Result<EndpointNews, PlatformError>> =>
+          toTable(() => {
+            const live = Array.from(endpoints.values()).filter(isListed);
+            const gone = Array.from(told).filter(
+              (id) => !live.some((one) => one.endpointId === id),
+            );
+            gone.forEach((id) => told.delete(id));
+            live.forEach(({ endpointId }) => told.add(endpointId));
+            const seen = live.map((one) => ({
+              endpointId: one.endpointId,
+              pool: one.pool,
+              hostId: one.hostId,
+              address: one.endpointId,
+              dataCentre: 'dc',
+              labels: [],
+              capacity: one.capacity,
+              isDraining: false,
+            }));
+            return { seen, gone };
+          }),
+      };
+    };
+
+    const orderHost = async (
+      hostId: HostId,
+      act: (host: HostView) => void,
+      isDone: (host: HostView) => boolean,
+    ) => {
+      const result = await toTable(() => {
+        const host = hosts.get(hostId);
+        if (!host) return 'refused' as const;
+        if (isDone(host)) return 'done' as const;
+        if (host.state !== 'up') return 'busy' as const;
+        act(host);
+        return 'done' as const;
+      });
+      return result.unwrapOr('unknown' as const);
+    };
+
+    const platform: BatchPlatform = {
+      table: {
+        read: (keys) => toTable(() => readAll(keys)),
+        scan: (prefix) => toTable(() => table.scan(prefix)),
+        transact: (transaction) =>
+          toTable(() => {
+            const outcome = commit(transaction);
+            return outcome.kind === 'committed'
+              ? outcome
+              : { ...outcome, rows: transaction.checks.map(({ key }) => table.read(key)) };
+          }),
+        feed,
+      },
+      operator: { next: async () => Ok({ waves: [] }) },
+      endpoints: endpointFeed,
+      orders: {
+        list: ({ endpointId }, order) => toEndpoint(endpointId, (one) => one.list(order)),
+        start: ({ endpointId }, order) => toEndpoint(endpointId, (one) => one.start(order)),
+        stop: ({ endpointId }, order) => toEndpoint(endpointId, (one) => one.stop(order)),
+        pace: async () => Ok({ clockMs: 0 }),
+        forget: () => undefined,
+      },
+      hosts: {
+        list: () => toTable(() => Array.from(hosts.values())),
+        move: (_, { hostId, toPool }) =>
+          orderHost(
+            hostId,
+            (host) => {
+              hosts.set(hostId, { ...host, pool: toPool, state: 'moving' });
+              relive({ ...host, pool: toPool, state: 'moving' }, MOVE_MS);
+            },
+            (host) => host.pool === toPool,
+          ),
+        maintain: (_, { hostId, waveNumber }) =>
+          orderHost(
+            hostId,
+            (host) => {
+              maintained.add(`${waveNumber}/${hostId}`);
+              relive({ ...host, state: 'maintenance' }, MAINTENANCE_MS);
+            },
+            () => maintained.has(`${waveNumber}/${hostId}`),
+          ),
+        reportWave: (waveNumber, state) => toTable(() => waveStatus.set(waveNumber, state)),
+      },
+      bounds: () => ({ maintenanceMs: MAINTENANCE_MS, holderTurnMs: 3000 }),
+      close: () => undefined,
+    };
+
+    const metrics = createMetrics();
+    const control = createControl({
+      self: entry.entryId,
+      platform,
+      table: createRelayedTable({
+        table: platform.table,
+        neighbours: () => [],
+        ask: never,
+        log,
+        metrics,
+      }),
+      peers: () => undefined,
+      configuration: () => configuration,
+      log,
+      metrics,
+    });
+    entry.control = control;
+    const loop = async (): Promise<void> => {
+      while (!entry.isDead) {
+        await control.tick();
+        await sleep(TICK_MS);
+      }
+    };
+    void loop();
+    entries.push(entry);
+    return entry;
+  };
+
+  const entries: SimEntry[] = [];
+
+  return {
+    entries,
+    endpoints,
+    hosts,
+    broken,
+    logged,
+    faults,
+    waveStatus,
+    maintained,
+    addEntry,
+    kill: (entry) => {
+      Object.assign(entry, { isDead: true });
+      // Timers of a dead process do not run; its calls go nowhere.
+      void entry.control.term()?.stop();
+      entries.splice(entries.indexOf(entry), 1);
+    },
+    submit: ({ pool, steps, runMs = 300, fails = false }) => {
+      lastJob += 1;
+      const jobId = brand<JobId>(lastJob.toString(16).padStart(16, '0'));
+      const job: BatchJob = {
+        jobId,
+        queue: brand(`q-${pool}`),
+        pool: brand(pool),
+        spec: '',
+        steps: steps.map((step) => ({ ...defaultStep, ...step })),
+        repeats: 0,
+        firstDueAtMs: 0,
+        intervalMs: 0,
+        acceptedAtMs: Date.now(),
+      };
+      jobs.set(jobId, { job, runMs, fails });
+      const row: BatchJobRow = { kind: 'live', job, policy: SIM_POLICY };
+      commit({ checks: [], writes: [{ key: batchKey.job(jobId), value: row }] });
+      return jobId;
+    },
+    cancel: (jobId) => {
+      commit({ checks: [], writes: [{ key: batchKey.cancel(jobId), value: {} }] });
+    },
+    order: (wave) => {
+      entries.forEach(({ control }) => control.takeWaves([wave]));
+    },
+    crash: (endpointId) => {
+      const endpoint = endpoints.get(endpointId);
+      const host = endpoint && hosts.get(endpoint.hostId);
+      if (endpoint?.isUp() && host) relive({ ...host, state: 'down' }, 3000);
+    },
+    unlist: (endpointId) => unlisted.add(endpointId),
+    rowOf: (jobId) =>
+      (table.read(batchKey.job(jobId)).value ?? undefined) as BatchJobRow | undefined,
+    holder: () => entries.find(({ control }) => control.term() !== undefined),
+  };
+};
