Jobs are accepted through the holder, one transaction at a time

Ruled out: hashing jobs over parts, since each entry would then write to all of them. Change: the holder writes what others accept, at first ends, then progress; rows of control are in a part of their own under their own guard; relays stop when neighbours are turned away too; a submission waits a second for the next holder.

--- a/packages/daemon/src/batch/batch-control.test.ts
+++ b/packages/daemon/src/batch/batch-control.test.ts
@@ -235,7 +235,7 @@
           setTimeout(() => Object.assign(endpoint, { mood: 'sound' }), forMs);
         },
         tableDown: () => {
-          fleet.faults.isTableDown = true;
+          Object.assign(fleet.faults, { isTableDown: true });
           setTimeout(() => Object.assign(fleet.faults, { isTableDown: false }), forMs);
         },
       };
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -7,6 +7,7 @@
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
 import type { ControlView } from './intake.js';
+import type { AcceptOutcome } from './job-saver.js';
 import { CONTROL_LEASE } from './keys.js';
 import type { Peers } from './peers.js';
 import type { BatchPlatform } from './ports.js';
@@ -22,6 +23,10 @@
 const CONTROL_MARGIN_MS = 500;
 /** How long the holder is waited for before the rows are read instead. */
 const ASK_MS = 500;
+/** A slow table takes well over a second for what the holder writes for others. */
+const ACCEPT_ASK_MS = 1600;
+/** A holder that did not answer in time is not asked to accept for so long; rows are written here. */
+const PASS_OVER_MS = 1500;
 /** Counts of waiting jobs may be 2 s old; clients ask all entries. */
 const WAITING_FRESH_MS = 700;
 
@@ -29,7 +34,7 @@
 export const CONTROL_METHOD = {
   phase: 'phase',
   waiting: 'waiting',
-  accepted: 'accepted',
+  accept: 'accept',
   cancelled: 'cancelled',
 } as const;
 
@@ -48,6 +53,7 @@
   /** Keeps the lease; to be called several times within it. */
   readonly tick: () => Promise<void>;
   readonly takeWaves: (orders: readonly UpkeepOrder[]) => void;
+  /** Answers another entry, perhaps later. */
   readonly answer: (method: string, payload: unknown) => unknown;
   readonly term: () => Term | undefined;
   readonly holder: () => EntryId | null;
@@ -55,8 +61,6 @@
   readonly resign: () => Promise<void>;
 };
 
-type Accepted = { readonly row: BatchJobRow; readonly version: number };
-
 /**
  * Builds the control of an entry.
  *
@@ -85,6 +89,7 @@
   const orders = new Map<number, UpkeepOrder>();
   let term: Term | undefined;
   let isResigned = false;
+  let passedOverUntilMs = 0;
   let lostFence = -1;
   let lastHolder: EntryId | null = null;
   let waitingCache:
@@ -136,11 +141,14 @@
     if (holder !== null && holder !== self) peers()?.keepLink(holder);
   };
 
-  const askHolder = async (method: string, payload: unknown): Promise<unknown> => {
+  const knowsHolder = (): boolean =>
+    lastHolder !== null && lastHolder !== self && (peers()?.knows(lastHolder) ?? false);
+
+  const askHolder = async (method: string, payload: unknown, ms = ASK_MS): Promise<unknown> => {
     const known = peers();
-    if (lastHolder === null || lastHolder === self || !known?.knows(lastHolder)) return undefined;
+    if (!known || lastHolder === null || !knowsHolder()) return undefined;
     try {
-      return await known.ask(lastHolder, method, payload, ASK_MS);
+      return await known.ask(lastHolder, method, payload, ms);
     } catch (error) {
       metrics.count('holder_unheard');
       log.debug('holder-unheard', { holder: lastHolder, method, detail: String(error) });
@@ -164,17 +172,21 @@
     return waitingCache.counts;
   };
 
-  const acceptHere = ({ row, version }: Accepted): void => {
-    if (row.kind === 'live') term?.accept(row, version);
+  const acceptHere = async (row: BatchJobRow): Promise<AcceptOutcome | null> =>
+    (row.kind === 'live' ? await term?.accept(row) : undefined) ?? null;
+
+  const acceptThere = async (row: BatchJobRow): Promise<AcceptOutcome | null> => {
+    if (nowMs() < passedOverUntilMs) return null;
+    const answer = await askHolder(CONTROL_METHOD.accept, row, ACCEPT_ASK_MS);
+    if (answer !== undefined) return answer as AcceptOutcome | null;
+    passedOverUntilMs = nowMs() + PASS_OVER_MS;
+    return knowsHolder() ? { kind: 'unheard' } : null;
   };
 
   const handlers: Readonly<Record<string, (payload: unknown) => unknown>> = {
     [CONTROL_METHOD.phase]: (payload) => term?.phaseOf(brand<JobId>(String(payload))) ?? null,
     [CONTROL_METHOD.waiting]: () => ownWaiting() ?? null,
-    [CONTROL_METHOD.accepted]: (payload) => {
-      acceptHere(payload as Accepted);
-      return term !== undefined;
-    },
+    [CONTROL_METHOD.accept]: (payload) => acceptHere(payload as BatchJobRow),
     [CONTROL_METHOD.cancelled]: (payload) => term?.cancel(brand<JobId>(String(payload))) ?? null,
   };
 
@@ -201,10 +213,7 @@
       const counts = await waitingCounts();
       return counts && (counts.get(queue) ?? 0);
     },
-    tellAccepted: (row, version) => {
-      if (term) acceptHere({ row, version });
-      else void askHolder(CONTROL_METHOD.accepted, { row, version });
-    },
+    accept: async (row) => (await (term ? acceptHere(row) : acceptThere(row))) ?? undefined,
     tellCancelled: async (jobId) => {
       if (term) term.cancel(jobId);
       else await askHolder(CONTROL_METHOD.cancelled, jobId);
--- a/packages/daemon/src/batch/intake.ts
+++ b/packages/daemon/src/batch/intake.ts
@@ -20,14 +20,23 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import type { AcceptOutcome, LiveRow } from './job-saver.js';
 import { batchKey } from './keys.js';
 import type { RelayedTable } from './relayed-table.js';
 
 /** The part of a client's time within which an unanswered write is pursued. */
-const PURSUE_SHARE = 0.5;
-const PURSUE_PAUSE_MS = 120;
+const PURSUE_SHARE = 0.6;
+const PURSUE_PAUSE_MS = 200;
+/**
+ * How long a submission waits for the next holder before its row is written here. Control changes
+ * hands within 0.6 s at a planned stop; rows written by all entries would slow that down.
+ */
+const HOLDER_WAIT_MS = 1000;
+const HOLDER_PAUSE_MS = 150;
 /** Clients come back after this many seconds: about the time of a takeover, or of a short outage. */
 const RETRY_AFTER_S = 2;
+/** With less time left than this, a write is not begun. */
+const LEAST_WRITE_MS = 600;
 const DEFAULT_DEADLINE_MS = 3000;
 /** Final phases that an entry remembers, so that clients who ask again cost no message. */
 const MOST_FINALS = 20_000;
@@ -51,7 +60,8 @@
 export type ControlView = {
   readonly phaseOf: (jobId: JobId) => Promise<BatchPhase | undefined>;
   readonly waitingOf: (queue: string) => Promise<number | undefined>;
-  readonly tellAccepted: (row: BatchJobRow, version: number) => void;
+  /** Has the holder write a job and begin it; undefined if it cannot be asked. */
+  readonly accept: (row: BatchJobRow) => Promise<AcceptOutcome | undefined>;
   /** Resolves once the holder has answered, or has not in time. */
   readonly tellCancelled: (jobId: JobId) => Promise<void>;
 };
@@ -92,6 +102,11 @@
 const unknownJob = (jobId: JobId): IntakeAnswer =>
   refuse('notRun', 'unknown-job', `no job named ${jobId} was accepted`);
 
+const pause = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
 type Written =
   | { readonly kind: 'committed'; readonly version: number }
   | { readonly kind: 'conflict' }
@@ -126,31 +141,59 @@
       if (nowMs() + PURSUE_PAUSE_MS >= untilMs) {
         return { kind: isUnknown ? 'unknown' : 'unreachable', detail: outcome.error.detail };
       }
-      await new Promise((resolve) => {
-        setTimeout(resolve, PURSUE_PAUSE_MS);
-      });
+      // Entries that are turned away together must not come back together.
+      await pause(PURSUE_PAUSE_MS * (1 + Math.random()));
     }
   };
 
+  /** While control changes hands nothing could begin anyway: the next holder is waited for. */
+  const askHolder = async (row: LiveRow, untilMs: number): Promise<AcceptOutcome | undefined> => {
+    const answer = await control.accept(row);
+    if (answer || nowMs() + HOLDER_PAUSE_MS > untilMs) return answer;
+    await pause(HOLDER_PAUSE_MS);
+    return askHolder(row, untilMs);
+  };
+
+  /** Without a holder the row is written here, and the next holder finds it. */
+  const writeUnlessDone = async (
+    byHolder: AcceptOutcome | undefined,
+    row: LiveRow,
+    untilMs: number,
+  ): Promise<Written | { readonly kind: 'full' }> => {
+    if (byHolder && byHolder.kind !== 'unheard') return byHolder;
+    if (byHolder && nowMs() + LEAST_WRITE_MS > untilMs) {
+      return { kind: 'unknown', detail: 'the holder of control did not answer' };
+    }
+    const key = batchKey.job(row.job.jobId);
+    const written = await writeUntil(
+      { checks: [{ key, version: 0 }], writes: [{ key, value: row }] },
+      untilMs,
+    );
+    // A holder that was asked and did not answer may have written it, or may yet.
+    const isUnknown = written.kind === 'unreachable' && byHolder !== undefined;
+    return isUnknown ? { kind: 'unknown', detail: written.detail } : written;
+  };
+
   const submit: Intake['submit'] = async (queue, job, deadlineMs = DEFAULT_DEADLINE_MS) => {
     const startedAtMs = nowMs();
     const fault = findJobFault(job);
     if (fault !== undefined) return refuse('notRun', 'malformed-request', fault);
-    const key = batchKey.job(job.jobId);
-    const row: BatchJobRow = { kind: 'live', job, policy: queue.policy };
-    const written = await writeUntil(
-      { checks: [{ key, version: 0 }], writes: [{ key, value: row }] },
-      startedAtMs + deadlineMs * PURSUE_SHARE,
-    );
+    const row: LiveRow = { kind: 'live', job, policy: queue.policy };
+    const untilMs = startedAtMs + deadlineMs * PURSUE_SHARE;
+    const byHolder = await askHolder(row, startedAtMs + HOLDER_WAIT_MS);
+    const written = await writeUnlessDone(byHolder, row, untilMs);
     metrics.time('job_accept', (nowMs() - startedAtMs) * 1000);
     log.info('job-submitted', {
       job: job.jobId,
       queue: queue.name,
       steps: job.steps.length,
       outcome: written.kind,
+      isByHolder: byHolder !== undefined && byHolder.kind !== 'unheard',
       tookMs: Math.round(nowMs() - startedAtMs),
     });
-    if (written.kind === 'committed') control.tellAccepted(row, written.version);
+    if (written.kind === 'full') {
+      return refuse('notRun', 'overloaded', 'too many jobs wait to be written');
+    }
     if (written.kind === 'unreachable') {
       return refuse('notRun', 'store-unavailable', `the platform's table: ${written.detail}`);
     }
--- a/packages/daemon/src/batch/job-saver.ts
+++ b/packages/daemon/src/batch/job-saver.ts
@@ -1,15 +1,18 @@
 /**
- * Writes what changed of jobs, many in one transaction, under the holder's fence. An end that an
- * endpoint listed is acknowledged only after the transaction that holds it was committed.
+ * Writes accepted jobs and what changed of jobs, many in one transaction, under the holder's fence.
+ * There is one transaction at a time: the table takes those of one part in turn, so a slow table
+ * does more with few large ones. An end that an endpoint listed is acknowledged only after the
+ * transaction that holds it was committed.
  */
 import {
   isFinal,
   jobRowOf,
   progressOf,
+  type BatchJobRow,
   type BatchState,
   type JobState,
 } from '@valvelatch/core/batch';
-import type { RowCheck, RowWrite } from '@valvelatch/core/rows/transaction';
+import type { RowCheck, RowWrite, TableRow } from '@valvelatch/core/rows/transaction';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
 import type { Log } from '../observe/log.js';
@@ -17,8 +20,12 @@
 import { batchKey } from './keys.js';
 import type { BatchTable } from './ports.js';
 
-/** Jobs of one transaction: the platform takes 100 entries, a job needs up to six. */
-const JOBS_PER_TRANSACTION = 15;
+/** The platform takes 100 entries in one transaction; one is the fence. */
+const ENTRIES_PER_TRANSACTION = 98;
+/** Submissions that come within this time share a transaction. */
+const ACCEPT_MS = 3;
+/** Above so many that wait, new ones are turned away: a slow table writes some 60 a second. */
+const MOST_WAITING = 300;
 /** Pause between two transactions: ends that come meanwhile share the next one. */
 const SAVE_EVERY_MS = 40;
 const RETRY_MS = 150;
@@ -26,11 +33,26 @@
 /** The versions of a job's rows; 0 for a row that is not there. */
 export type JobVersions = { job: number; progress: number };
 
-/** A row to write, with what must hold for it. */
+/** Rows to write, with what must hold for them. */
 type JobWrite = { readonly checks: readonly RowCheck[]; readonly writes: readonly RowWrite[] };
 
+/** What became of a submission. */
+export type AcceptOutcome =
+  | { readonly kind: 'committed'; readonly version: number }
+  /** The job was accepted before. */
+  | { readonly kind: 'conflict' }
+  | { readonly kind: 'full' }
+  /** The holder was asked and did not say: the job may be accepted. */
+  | { readonly kind: 'unheard' };
+
+/** The row of a job that has not ended. */
+export type LiveRow = Extract<BatchJobRow, { kind: 'live' }>;
+type Submission = { readonly row: LiveRow; readonly resolve: (outcome: AcceptOutcome) => void };
+
 export type JobSaver = {
   readonly versions: Map<JobId, JobVersions>;
+  /** Writes an accepted job; resolves once it is committed or cannot be known. */
+  readonly accept: (row: LiveRow) => Promise<AcceptOutcome>;
   /** Asks for a job to be written. */
   readonly mark: (jobId: JobId, isUrgent: boolean) => void;
   /** Asks for a round even if no job changed, so that ends can be acknowledged. */
@@ -41,12 +63,14 @@
 export type JobSaverOptions = {
   readonly table: Pick<BatchTable, 'transact'>;
   readonly state: BatchState;
-  readonly fence: RowCheck;
+  /** The guard row as this holder wrote it. */
+  readonly fence: () => RowCheck;
   readonly log: Log;
   readonly metrics: Metrics;
   /** Called before a round; the answer is called after all of it was committed. */
   readonly beginRound: () => () => void;
   readonly onSaved: (job: JobState) => void;
+  readonly onAccepted: (row: LiveRow, version: number) => void;
   readonly onFenceLost: () => void;
   readonly todayMs: () => number;
 };
@@ -63,7 +87,7 @@
     };
   }
   return {
-    checks: [{ key: jobKey, version: versions.job }, progressCheck],
+    checks: [{ key: jobKey, version: versions.job }],
     writes: [
       { key: jobKey, value: jobRowOf(job, todayMs) },
       ...(versions.progress > 0 ? [{ key: progressKey, value: null }] : []),
@@ -85,6 +109,7 @@
   metrics,
   beginRound,
   onSaved,
+  onAccepted,
   onFenceLost,
   todayMs,
 }: JobSaverOptions): JobSaver => {
@@ -94,6 +119,8 @@
   let isRunning = false;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
+  let plannedAtMs = 0;
+  let submissions: readonly Submission[] = [];
 
   const versionsOf = (jobId: JobId): JobVersions => {
     const known = versions.get(jobId);
@@ -113,36 +140,74 @@
   };
 
   /** Takes the versions that the table tells after a conflict; false if the fence is lost. */
-  const takeVersions = (
-    rows: readonly { readonly key: string; readonly version: number }[],
-  ): boolean =>
+  const takeVersions = (rows: readonly TableRow[]): boolean =>
     rows.every(({ key, version }) => {
-      if (key === fence.key) return version === fence.version;
+      if (key === fence().key) return version === fence().version;
       const [kind, jobId] = key.split('/') as ['job' | 'progress', JobId];
       versionsOf(jobId)[kind] = version;
       return true;
     });
 
-  const saveSome = async (jobIds: readonly JobId[]): Promise<boolean> => {
-    const jobs = jobIds.flatMap((jobId) => state.jobs.get(jobId) ?? []);
-    const finals = jobs.map(({ phase }) => isFinal(phase));
-    const parts = jobs.map((job) => writeOf(job, versionsOf(job.job.jobId), todayMs()));
+  /** Submissions whose row is there already were accepted before. */
+  const settleKnown = (rows: readonly TableRow[]): void => {
+    const there = new Set(rows.filter(({ version }) => version > 0).map(({ key }) => key));
+    submissions = submissions.filter(({ row, resolve }) => {
+      const isKnown = there.has(batchKey.job(row.job.jobId));
+      if (isKnown) resolve({ kind: 'conflict' });
+      return !isKnown;
+    });
+  };
+
+  const submissionWrite = ({ row }: Submission): JobWrite => {
+    const key = batchKey.job(row.job.jobId);
+    return { checks: [{ key, version: 0 }], writes: [{ key, value: row }] };
+  };
+
+  /** What goes into the next transaction: submissions first, then ends of jobs, then progress. */
+  const takeNext = () => {
+    const parts: JobWrite[] = [];
+    let entries = 0;
+    const fits = (part: JobWrite): boolean => {
+      const size = part.checks.length + part.writes.length;
+      if (entries + size > ENTRIES_PER_TRANSACTION) return false;
+      entries += size;
+      parts.push(part);
+      return true;
+    };
+    const accepted = submissions.filter((one) => fits(submissionWrite(one)));
+    const due = Array.from(dirty).flatMap((jobId) => state.jobs.get(jobId) ?? []);
+    const ordered = [
+      ...due.filter(({ phase }) => isFinal(phase)),
+      ...due.filter(({ phase }) => !isFinal(phase)),
+    ];
+    const jobs = ordered.filter((job) => fits(writeOf(job, versionsOf(job.job.jobId), todayMs())));
+    return { parts, accepted, jobs, finals: jobs.map(({ phase }) => isFinal(phase)) };
+  };
+
+  const saveSome = async (): Promise<boolean> => {
+    const { parts, accepted, jobs, finals } = takeNext();
+    if (parts.length === 0) {
+      dirty.clear();
+      return true;
+    }
+    jobs.forEach(({ job }) => dirty.delete(job.jobId));
     const outcome = await table.transact({
-      checks: [fence, ...parts.flatMap(({ checks }) => checks)],
+      checks: [fence(), ...parts.flatMap(({ checks }) => checks)],
       writes: parts.flatMap(({ writes }) => writes),
     });
     metrics.count('job_saves');
+    const isSaved = outcome.isOk() && outcome.value.kind === 'committed';
+    if (!isSaved) jobs.forEach(({ job }) => dirty.add(job.jobId));
     if (outcome.isErr()) {
-      log.warn('save-failed', {
-        jobs: jobs.length,
-        kind: outcome.error.kind,
-        detail: outcome.error.detail,
-      });
+      const { kind, detail } = outcome.error;
+      log.warn('save-failed', { jobs: jobs.length, accepted: accepted.length, kind, detail });
       return false;
     }
     if (outcome.value.kind === 'conflict') {
-      log.info('save-conflict', { jobs: jobs.length, key: outcome.value.key });
-      if (!takeVersions(outcome.value.rows ?? [])) {
+      const { key, rows = [] } = outcome.value;
+      log.info('save-conflict', { jobs: jobs.length, accepted: accepted.length, key });
+      settleKnown(rows);
+      if (!takeVersions(rows)) {
         isStopped = true;
         onFenceLost();
       }
@@ -150,22 +215,21 @@
     }
     const { version } = outcome.value;
     jobs.forEach((job, index) => noteCommitted(job, finals[index] ?? false, version));
+    submissions = submissions.filter((one) => !accepted.includes(one));
+    accepted.forEach(({ row, resolve }) => {
+      onAccepted(row, version);
+      resolve({ kind: 'committed', version });
+    });
     return true;
   };
 
   const saveRound = async (): Promise<boolean> => {
     const finishRound = beginRound();
-    const due = Array.from(dirty);
-    dirty.clear();
-    let isWhole = true;
-    for (let start = 0; start < due.length; start += JOBS_PER_TRANSACTION) {
-      const some = due.slice(start, start + JOBS_PER_TRANSACTION);
-      const isSaved = !isStopped && (await saveSome(some));
-      if (!isSaved) some.forEach((jobId) => dirty.add(jobId));
-      isWhole &&= isSaved;
-    }
-    if (isWhole) finishRound();
-    return isWhole;
+    do {
+      if (isStopped || !(await saveSome())) return false;
+    } while (dirty.size > 0 || submissions.length > 0);
+    finishRound();
+    return true;
   };
 
   const run = async (): Promise<void> => {
@@ -176,12 +240,16 @@
     isRunning = false;
     if (isStopped) return;
     if (!isWhole) plan(RETRY_MS);
+    else if (submissions.length > 0) plan(ACCEPT_MS);
     else if (dirty.size > 0 || isWanted) plan(SAVE_EVERY_MS);
   };
 
   const plan = (afterMs: number): void => {
     isWanted = true;
-    if (timer || isRunning || isStopped) return;
+    const atMs = performance.now() + afterMs;
+    if (isRunning || isStopped || (timer && plannedAtMs <= atMs)) return;
+    clearTimeout(timer);
+    plannedAtMs = atMs;
     timer = setTimeout(() => {
       timer = undefined;
       void run();
@@ -190,6 +258,15 @@
 
   return {
     versions,
+    accept: (row) =>
+      new Promise((resolve) => {
+        if (submissions.length >= MOST_WAITING) {
+          resolve({ kind: 'full' });
+          return;
+        }
+        submissions = [...submissions, { row, resolve }];
+        plan(ACCEPT_MS);
+      }),
     mark: (jobId, isUrgent) => {
       dirty.add(jobId);
       plan(isUrgent ? 1 : SAVE_EVERY_MS / 2);
@@ -198,6 +275,8 @@
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
+      submissions.forEach(({ resolve }) => resolve({ kind: 'unheard' }));
+      submissions = [];
     },
   };
 };
--- a/packages/daemon/src/batch/keys.ts
+++ b/packages/daemon/src/batch/keys.ts
@@ -1,9 +1,15 @@
-/** Keys of the rows of batch work, by kind. */
+/**
+ * Keys of the rows of batch work, by kind. Rows of the kinds job, progress and guard are written
+ * together, and so are those of lease, fence, wave and entry, never both in one transaction: the
+ * renewal of a lease must not wait behind jobs.
+ */
 export const batchKey = {
   job: (jobId: string) => `job/${jobId}`,
   /** Beside the job's row, so that one feed tells of both. */
   cancel: (jobId: string) => `job/${jobId}.cancel`,
   progress: (jobId: string) => `progress/${jobId}`,
+  /** Changed by each new holder; every write of jobs depends on it. */
+  guard: 'guard/jobs',
   entry: (entryId: string) => `entry/${entryId}`,
   wave: (waveNumber: number) => `wave/${waveNumber}`,
 } as const;
--- a/packages/daemon/src/batch/relayed-table.ts
+++ b/packages/daemon/src/batch/relayed-table.ts
@@ -11,12 +11,19 @@
 import type { Metrics } from '../observe/metrics.js';
 import type { BatchTable } from './ports.js';
 
-/** After so many failures in a row the neighbours are asked first, for a while. */
-const FAILURES_TO_TURN = 2;
+/**
+ * After a failure the neighbours are asked first for this time: an entry that is turned away in
+ * silence loses a time-out with each try, and a lease with a few of them.
+ */
 const TURNED_MS = 1500;
-const RELAY_MS = 700;
+const RELAY_MS = 1000;
 /** So many neighbours are asked before a call is given up. */
 const MOST_NEIGHBOURS = 2;
+/**
+ * Neighbours that are turned away as well show that the table is overloaded or away for all: more
+ * calls would only add to that. They are not asked for this time.
+ */
+const ALL_AWAY_MS = 1000;
 
 /** The calls that neighbours make for each other. */
 export type RelayCall =
@@ -83,27 +90,34 @@
 }: RelayedTableOptions): RelayedTable => {
   let failures = 0;
   let turnedUntilMs = 0;
+  let allAwayUntilMs = 0;
   let answeredAtMs = -Infinity;
 
   const direct = async (call: RelayCall): Promise<AnyResult> => {
     const result = await callDirectly(table, call);
     if (result.isOk() || result.error.kind === 'rejected') {
-      if (failures >= FAILURES_TO_TURN) log.info('table-regained', {});
+      if (failures > 0) log.info('table-regained', {});
       failures = 0;
       answeredAtMs = nowMs();
       return result;
     }
     failures += 1;
-    if (failures === FAILURES_TO_TURN) log.warn('table-lost', { detail: result.error.detail });
-    if (failures >= FAILURES_TO_TURN) turnedUntilMs = nowMs() + TURNED_MS;
+    if (failures === 1) log.warn('table-lost', { detail: result.error.detail });
+    turnedUntilMs = nowMs() + TURNED_MS;
     return result;
   };
 
   const relayBy = async (neighbour: EntryId, call: RelayCall): Promise<AnyResult> => {
+    if (nowMs() < allAwayUntilMs) {
+      return Err({ kind: 'unreachable', detail: 'neighbours are turned away too' });
+    }
     metrics.count('table_relays');
     try {
       const answer = (await ask(neighbour, RELAY_METHOD, call, RELAY_MS)) as RelayAnswer;
-      if (!answer.isOk) return Err(answer.value as PlatformError);
+      if (!answer.isOk) {
+        allAwayUntilMs = nowMs() + ALL_AWAY_MS;
+        return Err(answer.value as PlatformError);
+      }
       answeredAtMs = nowMs();
       return Ok(answer.value);
     } catch (error) {
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -34,8 +34,8 @@
 import { startLoops, type RunningLoops } from '../shared/loops.js';
 import { createEndpointLink, KEEP_MS, type EndpointLink } from './endpoint-link.js';
 import { createFleetTurn, type FleetTurn } from './fleet-turn.js';
-import { createJobSaver, type JobSaver } from './job-saver.js';
-import { parseJobKey } from './keys.js';
+import { createJobSaver, type AcceptOutcome, type JobSaver, type LiveRow } from './job-saver.js';
+import { batchKey, parseJobKey } from './keys.js';
 import type { BatchPlatform, EndpointNews } from './ports.js';
 
 const TICK_MS = 100;
@@ -50,7 +50,7 @@
 export type TermOptions = {
   readonly self: EntryId;
   readonly fence: number;
-  /** The row that a new holder changes; each write depends on it. */
+  /** The row that a taker of the lease changes; writes of waves depend on it. */
   readonly fenceCheck: RowCheck;
   readonly platform: BatchPlatform;
   readonly log: Log;
@@ -72,10 +72,8 @@
   /** The phase of a job; undefined if the holder cannot tell. */
   readonly phaseOf: (jobId: JobId) => BatchPhase | undefined;
   readonly waiting: () => ReadonlyMap<string, number> | undefined;
-  readonly accept: (
-    row: { readonly job: BatchJob; readonly policy: QueuePolicy },
-    version: number,
-  ) => void;
+  /** Writes and takes in a job; undefined if this entry cannot. */
+  readonly accept: (row: LiveRow) => Promise<AcceptOutcome | undefined>;
   readonly cancel: (jobId: JobId) => BatchPhase | undefined;
 };
 
@@ -105,6 +103,7 @@
   const goneForGood = new Set<EndpointId>();
   const jobFeed = platform.table.feed('job');
   const endpointFeed = platform.endpoints();
+  let guard: RowCheck = { key: batchKey.guard, version: -1 };
   let isStopped = false;
   let isReady = false;
   let isPoked = false;
@@ -122,7 +121,7 @@
   const saver: JobSaver = createJobSaver({
     table: platform.table,
     state,
-    fence: fenceCheck,
+    fence: () => guard,
     log,
     metrics,
     todayMs,
@@ -135,6 +134,7 @@
       state.jobs.delete(job.jobId);
       saver.versions.delete(job.jobId);
     },
+    onAccepted: (row, version) => takeIn(row, version),
     onFenceLost: () => lose('another holder changed the fence row'),
   });
 
@@ -287,7 +287,7 @@
     }
     if (ended.has(jobId as JobId)) return;
     if (!progress) {
-      accept(row, version);
+      takeIn(row, version);
       return;
     }
     const progressRow = progress.get(jobId);
@@ -308,7 +308,7 @@
     });
   };
 
-  const accept: Term['accept'] = ({ job, policy }, version) => {
+  const takeIn = ({ job, policy }: LiveRow, version: number): void => {
     if (ended.has(job.jobId) || state.jobs.has(job.jobId)) return;
     saver.versions.set(job.jobId, { job: version, progress: 0 });
     takeInJob(state, {
@@ -345,8 +345,33 @@
     return undefined;
   };
 
+  /** From here on no earlier holder writes jobs; false if there is a later one, or no answer. */
+  const takeGuard = async (): Promise<true | undefined> => {
+    const rows = await platform.table.read([guard.key]);
+    if (rows.isErr()) return undefined;
+    const [row] = rows.value;
+    const value = (row?.value ?? { fence: 0 }) as { readonly fence: number };
+    if (row && value.fence === fence) {
+      // An earlier try took effect without an answer.
+      guard = { key: guard.key, version: row.version };
+      return true;
+    }
+    if (value.fence > fence) {
+      lose('a later holder has written the guard row');
+      return undefined;
+    }
+    const outcome = await platform.table.transact({
+      checks: [{ key: guard.key, version: row?.version ?? 0 }],
+      writes: [{ key: guard.key, value: { fence } }],
+    });
+    if (outcome.isErr() || outcome.value.kind === 'conflict') return undefined;
+    guard = { key: guard.key, version: outcome.value.version };
+    return true;
+  };
+
   const recover = async (): Promise<void> => {
     const startedAtMs = nowMs();
+    await until(takeGuard);
     const [jobRows, progressRows, endpoints, hosts] = await Promise.all([
       until(async () => (await jobFeed.next(0)).unwrapOr(undefined)),
       until(async () => (await platform.table.scan('progress/')).unwrapOr(undefined)),
@@ -425,8 +450,11 @@
     phaseOf: (jobId) =>
       isStopped || !isReady ? undefined : (ended.get(jobId) ?? savedPhase(state.jobs.get(jobId))),
     waiting: () => (isStopped || !isReady ? undefined : countWaiting(state)),
-    accept: (row, version) => {
-      if (isReady && !isStopped) accept(row, version);
+    accept: async (row) => {
+      if (isStopped || !isReady || !holds()) return undefined;
+      const { jobId } = row.job;
+      if (state.jobs.has(jobId) || ended.has(jobId)) return { kind: 'conflict' };
+      return saver.accept(row);
     },
     cancel: (jobId) => {
       if (isStopped || !isReady) return undefined;
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -60,7 +60,7 @@
     setTimeout(resolve, ms);
   });
 
-const never = <Value>(): Promise<Value> => new Promise(() => undefined);
+const never = <Value>(): Promise<Value> => new Promise<Value>(() => {});
 
 /** What an entry can reach, and whether it runs. */
 export type SimEntry = {
