--- a/packages/core/src/batch/hosts.ts
+++ b/packages/core/src/batch/hosts.ts
@@ -43,18 +43,18 @@
     })
     .map(({ endpointId }) => endpointId);
 
+/** Endpoints with lasting tasks are asked each second and answer within another. */
+const FRESH_MS = 2600;
+
 const isAtWork = ({ phase, percent }: RunState): boolean => phase === 'running' && percent >= 100;
 
-/** How many tasks of a lasting step are at work anywhere. */
-const atWork = (state: BatchState, step: StepRun): number => {
-  let count = 0;
-  step.perEndpoint.forEach((_, endpointId) => {
-    state.endpoints.get(endpointId)?.runs.forEach((run) => {
-      if (run.step === step && isAtWork(run)) count += 1;
-    });
-  });
-  return count;
-};
+/** How many tasks of a lasting step are at work anywhere, by answers that are fresh. */
+const atWork = (state: BatchState, step: StepRun): number =>
+  Array.from(step.perEndpoint.keys())
+    .flatMap((endpointId) => state.endpoints.get(endpointId) ?? [])
+    .filter(({ reportedAtMs }) => state.clockMs - reportedAtMs < FRESH_MS)
+    .flatMap(({ runs }) => Array.from(runs.values()))
+    .filter((run) => run.step === step && isAtWork(run)).length;
 
 /**
  * Lists the lasting steps with a budget that have tasks on an endpoint.
--- a/packages/core/src/batch/upkeep.ts
+++ b/packages/core/src/batch/upkeep.ts
@@ -140,7 +140,9 @@
   nowMs: number,
 ): boolean => {
   const endpoint = endpointOf(world, hostId);
-  if (!endpoint) return true;
+  // What an endpoint runs is known once it has answered this holder.
+  if (!endpoint) return (world.hosts.get(hostId)?.endpointId ?? null) === null;
+  if (!endpoint.isKnown) return false;
   return isQuiet(endpoint) || nowMs - host.sinceMs > DRAIN_PATIENCE_MS;
 };
 
--- a/packages/daemon/src/batch/batch-control.test.ts
+++ b/packages/daemon/src/batch/batch-control.test.ts
@@ -132,6 +132,28 @@
       expect(fleet.waveStatus.get(1)).toBe('completed');
     });
 
+    it('takes down no host whose endpoint it has not heard yet', async () => {
+      // After a kill of all entries the first turn over hosts came before the first answers.
+      const fleet = await started({ hostsPerPool: 5 });
+      fleet.faults.answerMs = 150;
+      fleet.submit({
+        pool: 'alpha',
+        steps: [{ taskCount: 4, isLasting: true, mayMiss: 1, mostPerEndpoint: 1 }],
+      });
+      await advance(4000);
+      const wave = { waveNumber: 1, hosts: allHosts(fleet, 'alpha'), withinMs: 60_000, maximum: 3 };
+      for (let turn = 0; turn < 10; turn += 1) {
+        await advance(1300);
+        const names = fleet.entries.map(({ entryId }) => entryId);
+        Array.from(fleet.entries).forEach(fleet.kill);
+        names.forEach((name) => fleet.addEntry(name));
+        fleet.order(wave);
+      }
+      await advance(30_000);
+      expect(fleet.broken).toEqual([]);
+      expect(fleet.waveStatus.get(1)).toBe('completed');
+    });
+
     it('keeps no host empty while a budget forbids to take it down', async () => {
       const fleet = await started({ hostsPerPool: 2 });
       // One task a host: while one is away for good, no other may go, and both hosts are needed.
--- a/packages/daemon/src/batch/fleet-turn.ts
+++ b/packages/daemon/src/batch/fleet-turn.ts
@@ -222,6 +222,7 @@
     if (ageMs > (isBusy() ? LIST_BUSY_MS : LIST_EVERY_MS)) await refreshHosts();
     await Promise.all(Array.from(waiting.values()).map(openWave));
     if (!mayOrder() || nowMs() - bornAtMs < orderAfterMs) return;
+    state.clockMs = nowMs();
     const steps = Array.from(waves.values()).flatMap((wave) => planUpkeep(world(), wave, nowMs()));
     await Promise.all(steps.map(take));
     // An order to a host that was ordered so before is answered alike: the list shows what it did.
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -110,6 +110,8 @@
     lostWrites: number;
     /** How long an order to a host is under way. */
     hostOrderMs: number;
+    /** How long endpoints take to answer. */
+    answerMs: number;
   };
   readonly waveStatus: Map<number, string>;
   /** Orders for maintenance that were carried out, as wave/host. */
@@ -167,6 +169,7 @@
     isTableDown: false,
     lostWrites: 0,
     hostOrderMs: 0,
+    answerMs: 0,
   };
   const maintained = new Set<string>();
   const unlisted = new Set<EndpointId>();
@@ -404,7 +407,7 @@
         return Err(noAnswer);
       }
       const answer = await call(endpoint);
-      await sleep(HOP_MS + random() * 2);
+      await sleep(HOP_MS + random() * 2 + faults.answerMs);
       await awake();
       if (cutFrom.has(endpointId) || random() < faults.lostAnswers) return Err(noAnswer);
       return answer;
