--- a/packages/core/src/batch/pools.ts
+++ b/packages/core/src/batch/pools.ts
@@ -123,13 +123,28 @@
   return [...spare, ...empty];
 };
 
+/** Above this ratio of the fast rate to the slow one demand rises. */
+const RISING = 1.1;
+
+/**
+ * Tells whether demand has been seen and does not rise: before the first work nothing tells which
+ * pool will have its turn, and while it rises a parked host would have to come back.
+ */
+const isSettled = ({ state, nowMs }: PoolWorld): boolean => {
+  const demands = Array.from(state.pools.values(), ({ demand }) => demand);
+  const expected = demands.reduce((sum, demand) => sum + expectCores(demand, nowMs), 0);
+  const fast = demands.reduce((sum, { fastCores }) => sum + fastCores, 0);
+  const slow = demands.reduce((sum, { slowCores }) => sum + slowCores, 0);
+  return expected > 0 && fast <= slow * RISING;
+};
+
 const parkings = (
   world: PoolWorld,
   needs: readonly PoolNeed[],
   policy: PoolPolicy,
 ): readonly PoolMove[] => {
   const spare = world.pools.find(({ isSpare }) => isSpare);
-  if (!spare) return [];
+  if (!spare || !isSettled(world)) return [];
   return needs
     .filter(({ shortCpu }) => shortCpu < 0)
     .flatMap((need) => {
@@ -148,6 +163,21 @@
     });
 };
 
+/**
+ * Tells whether any pool is short of room for what runs, waits and is expected.
+ *
+ * @param world - Pools, hosts and what waits.
+ * @param policy - How moves are weighed.
+ * @returns True if one is.
+ */
+export const isAnyPoolShort = (
+  world: PoolWorld,
+  policy: PoolPolicy = DEFAULT_POOL_POLICY,
+): boolean =>
+  world.pools
+    .filter(({ isSpare }) => !isSpare)
+    .some((pool) => needOf(world, pool, policy).shortCpu > 0);
+
 /**
  * Decides which hosts change their pool now.
  *
--- a/packages/core/src/batch/upkeep.ts
+++ b/packages/core/src/batch/upkeep.ts
@@ -48,6 +48,10 @@
 
 /** Short tasks on a host get this long to end before the host is taken down all the same. */
 const DRAIN_PATIENCE_MS = 3000;
+/** A host drains for up to 3 s, is down for 2 s, and its lasting tasks take a second to be back. */
+const ROUND_MS = 4000;
+/** Kept for budgets that have to wait for each other, and for a change of the holder. */
+const RESERVE_MS = 9000;
 /** Hosts that drain while others are down, so that the next one is ready. */
 const CLOSING_AHEAD = 2;
 /** An order without an answer is sent again after this time. */
@@ -83,6 +87,8 @@
   readonly pools: readonly PoolView[];
   /** How long a host is down, with a margin for the list's lag. */
   readonly downMs: number;
+  /** Some pool is short of room. */
+  readonly isShort: boolean;
   /** When the list of hosts was asked for. */
   readonly listedAtMs: number;
 };
@@ -137,6 +143,12 @@
   if (endpoint) endpoint.isClosing = false;
 };
 
+/** Tells whether hosts can be left for later: the rest must take no longer than what is left then. */
+const hasTimeLeft = ({ order, seenAtMs }: UpkeepWave, left: number, nowMs: number): boolean => {
+  const neededMs = Math.ceil(left / order.maximum) * ROUND_MS + RESERVE_MS;
+  return seenAtMs + order.withinMs - nowMs > neededMs;
+};
+
 /** What has to end on a host before it goes; '' if nothing has to. */
 const findDelay = (world: UpkeepWorld, hostId: HostId, host: UpkeepHost, nowMs: number): string => {
   const endpoint = endpointOf(world, hostId);
@@ -203,10 +215,17 @@
   const free = Math.max(0, wave.order.maximum - under);
   const going: UpkeepStep[] = [];
   const claimed = new Set<StepRun>();
+  const isRelaxed = hasTimeLeft(wave, candidates.length, nowMs);
   let closing = 0;
   candidates.forEach(([hostId, host]) => {
     const endpoint = endpointOf(world, hostId);
     const lasting = endpoint ? lastingSteps(endpoint) : new Set<StepRun>();
+    if (isRelaxed && (world.isShort || (endpoint && !isQuiet(endpoint)))) {
+      const what = world.isShort ? 'room is short' : 'it is at work';
+      Object.assign(host, { reason: `${what}, and there is time left` });
+      reopen(world, host, hostId);
+      return;
+    }
     const isFull = closing >= wave.order.maximum + CLOSING_AHEAD;
     const obstacle = endpoint && findBudgetObstacle(world.state, endpoint);
     if (endpoint && obstacle && !isFull && isOvercrowded(endpoint, obstacle)) {
--- a/packages/daemon/src/batch/fleet-turn.ts
+++ b/packages/daemon/src/batch/fleet-turn.ts
@@ -3,6 +3,7 @@
   applyUpkeepAnswer,
   createUpkeepWave,
   findDeadEndpoints,
+  isAnyPoolShort,
   isUpkeepComplete,
   planMoves,
   planUpkeep,
@@ -10,6 +11,7 @@
   type EndpointState,
   type HostView,
   type PoolMove,
+  type PoolWorld,
   type QueueIndex,
   type UpkeepOrder,
   type UpkeepStep,
@@ -123,12 +125,21 @@
     Array.from(movedAtMs.values()).some((atMs) => nowMs() - atMs < MOVE_SETTLES_MS) ||
     Array.from(waves.values()).some((wave) => !isComplete(wave));
 
+  const poolWorld = (): PoolWorld => ({
+    state,
+    hosts,
+    pools: configuration()?.configuration.pools ?? [],
+    busyHosts: busyHosts(),
+    nowMs: nowMs(),
+  });
+
   const world = (): UpkeepWorld => ({
     state,
     hosts,
     pools: configuration()?.configuration.pools ?? [],
     downMs: platform.bounds().maintenanceMs + LIST_LAG_MS,
     listedAtMs,
+    isShort: isAnyPoolShort(poolWorld()),
   });
 
   const isComplete = (wave: UpkeepWave): boolean => isUpkeepComplete(world(), wave);
@@ -218,9 +229,8 @@
 
   /** Moves hosts; true if any order was sent. */
   const moveHosts = async (): Promise<boolean> => {
-    const pools = configuration()?.configuration.pools;
-    if (!pools) return false;
-    const planned = planMoves({ state, hosts, pools, busyHosts: busyHosts(), nowMs: nowMs() });
+    if (!configuration()) return false;
+    const planned = planMoves(poolWorld());
     // An order without an answer is repeated: it may be carried out late, whatever is decided now.
     const moves = [...Array.from(unsettled.values()), ...planned];
     await Promise.all(moves.map(move));
