--- a/packages/daemon/src/batch/testing/sim-endpoint.fixtures.ts
+++ b/packages/core/src/batch/endpoint-model.ts
@@ -1,12 +1,17 @@
-/** An endpoint in virtual time: leases by its own clock, fences, ends that wait to be acknowledged. */
-import type { Capacity, EndKind, EndReport, RunningReport, TaskKey } from '@valvelatch/core/batch';
-import type { EndpointId, HostId, PoolName } from '@valvelatch/core/shared/ids';
+/**
+ * A model of an endpoint: leases by its own clock, fences, ends that wait to be acknowledged. Tests
+ * in virtual time and the stand-in with real processes run the same one.
+ */
 import { Err, Ok, type Result } from 'ts-results-es';
 
-import type { EndpointClock, ListOrder, OrderError, StartOrder, StopOrder } from '../ports.js';
+import type { EndpointId, HostId, PoolName } from '../shared/ids.js';
+import type { TaskKey } from './job.js';
+import type { EndpointClock, ListOrder, OrderError, StartOrder, StopOrder } from './orders.js';
+import type { EndKind, EndReport, RunningReport } from './reports.js';
+import type { Capacity } from './state.js';
 
 /** What a task needs, as the simulated endpoint is told by the simulated fleet. */
-export type SimTask = {
+export type ModelTask = {
   readonly cpuMillis: number;
   readonly memoryMb: number;
   readonly runMs: number;
@@ -14,29 +19,29 @@
   readonly fails: boolean;
 };
 
-type SimRun = {
+type ModelRun = {
   readonly task: TaskKey;
   readonly run: number;
-  readonly needs: SimTask;
+  readonly needs: ModelTask;
   readonly startedAtMs: number;
   isStopping: boolean;
   timer: NodeJS.Timeout | undefined;
 };
 
 /** Told of all that happens on endpoints, to check what must always hold. */
-export type SimObserver = {
-  readonly onStart: (endpoint: SimEndpoint, task: TaskKey, run: number) => void;
+export type EndpointObserver = {
+  readonly onStart: (endpoint: EndpointModel, task: TaskKey, run: number) => void;
   readonly onEnd: (
-    endpoint: SimEndpoint,
+    endpoint: EndpointModel,
     task: TaskKey,
     run: number,
     kind: EndKind | 'died',
   ) => void;
   readonly onAcknowledged: (end: EndReport) => void;
-  readonly needsOf: (task: TaskKey) => SimTask;
+  readonly needsOf: (task: TaskKey) => ModelTask;
 };
 
-export type SimEndpoint = {
+export type EndpointModel = {
   readonly endpointId: EndpointId;
   readonly hostId: HostId;
   readonly pool: PoolName;
@@ -62,14 +67,14 @@
 const refuse = (reason: OrderError['reason']): Err<OrderError> =>
   Err({ verdict: 'notRun', reason, detail: `the endpoint said ${reason}` });
 
-export type SimEndpointOptions = {
+export type EndpointModelOptions = {
   readonly endpointId: EndpointId;
   readonly hostId: HostId;
   readonly pool: PoolName;
   readonly capacity: Capacity;
   /** How fast its clock runs: 0.98 is 2 % slow. */
   readonly clockRate: number;
-  readonly observer: SimObserver;
+  readonly observer: EndpointObserver;
 };
 
 /**
@@ -78,16 +83,16 @@
  * @param options - Its names, room and clock.
  * @returns The endpoint.
  */
-export const createSimEndpoint = ({
+export const createEndpointModel = ({
   endpointId,
   hostId,
   pool,
   capacity,
   clockRate,
   observer,
-}: SimEndpointOptions): SimEndpoint => {
+}: EndpointModelOptions): EndpointModel => {
   const bornAtMs = performance.now();
-  const runs = new Map<TaskKey, SimRun>();
+  const runs = new Map<TaskKey, ModelRun>();
   const highestEnded = new Map<TaskKey, number>();
   let ends: EndReport[] = [];
   let lastNumber = 0;
@@ -99,7 +104,7 @@
 
   const clockMs = (): number => 1000 + (performance.now() - bornAtMs) * clockRate;
 
-  const finish = (run: SimRun, kind: EndKind): void => {
+  const finish = (run: ModelRun, kind: EndKind): void => {
     if (!isUp || runs.get(run.task) !== run) return;
     clearTimeout(run.timer);
     runs.delete(run.task);
@@ -144,14 +149,14 @@
       { cpuMillis: 0, memoryMb: 0 },
     );
 
-  const percentOf = ({ startedAtMs, needs, isStopping }: SimRun): number => {
+  const percentOf = ({ startedAtMs, needs, isStopping }: ModelRun): number => {
     const ranMs = performance.now() - startedAtMs;
     if (self.mood === 'hangs' || isStopping) return 0;
     const wholeMs = needs.isLasting ? START_MS : needs.runMs;
     return Math.min(needs.isLasting ? 100 : 99, Math.floor((ranMs / wholeMs) * 100));
   };
 
-  const start: SimEndpoint['start'] = ({ task, run, keepUntilMs, fence: given }) => {
+  const start: EndpointModel['start'] = ({ task, run, keepUntilMs, fence: given }) => {
     if (!checkFence(given)) return refuse('fence');
     if (keepUntilMs <= clockMs()) return refuse('late');
     keep(keepUntilMs);
@@ -165,7 +170,7 @@
     ) {
       return refuse('room');
     }
-    const begun: SimRun = {
+    const begun: ModelRun = {
       task,
       run,
       needs,
@@ -182,7 +187,7 @@
     return Ok({ clockMs: clockMs() });
   };
 
-  const stop: SimEndpoint['stop'] = ({ task, run, fence: given }) => {
+  const stop: EndpointModel['stop'] = ({ task, run, fence: given }) => {
     if (!checkFence(given)) return refuse('fence');
     const known = runs.get(task);
     if (known && known.run <= run && !known.isStopping) {
@@ -194,7 +199,12 @@
     return Ok({ clockMs: clockMs() });
   };
 
-  const list: SimEndpoint['list'] = async ({ fence: given, acknowledged, keepUntilMs, waitMs }) => {
+  const list: EndpointModel['list'] = async ({
+    fence: given,
+    acknowledged,
+    keepUntilMs,
+    waitMs,
+  }) => {
     if (!checkFence(given)) return refuse('fence');
     ends.filter(({ number }) => number <= acknowledged).forEach(observer.onAcknowledged);
     ends = ends.filter(({ number }) => number > acknowledged);
@@ -220,7 +230,7 @@
     return Ok({ clockMs: clockMs(), running, ended: [...ends] });
   };
 
-  const self: SimEndpoint = {
+  const self: EndpointModel = {
     endpointId,
     hostId,
     pool,
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -1,5 +1,6 @@
 /** Batch work: jobs, their tasks, endpoints, pools and maintenance. Decisions only, no transport. */
 export * from './demand.js';
+export * from './endpoint-model.js';
 export * from './endpoints.js';
 export * from './health.js';
 export * from './hosts.js';
@@ -7,6 +8,7 @@
 export * from './jobs.js';
 export * from './lookup-queue.js';
 export * from './order.js';
+export * from './orders.js';
 export * from './pools.js';
 export * from './progress.js';
 export * from './reports.js';
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -9,13 +9,14 @@
   type BatchEffect,
   type BatchState,
   type EndpointState,
+  type OrderError,
   type StartOutcome,
 } from '@valvelatch/core/batch';
 import type { EndpointId } from '@valvelatch/core/shared/ids';
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
-import type { EndpointOrders, OrderError, OrderTarget } from './ports.js';
+import type { EndpointOrders, OrderTarget } from './ports.js';
 
 /**
  * For how long an endpoint keeps what runs there without word from the holder. Longer than a
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -4,12 +4,17 @@
  * endpoints while it happens.
  */
 import {
+  createEndpointModel,
   indexQueues,
   parseTaskKey,
   type BatchJob,
   type BatchJobRow,
   type EndReport,
+  type EndpointModel,
+  type EndpointObserver,
   type HostView,
+  type ModelTask,
+  type OrderError,
   type QueuePolicy,
   type StepSpec,
   type TaskKey,
@@ -33,14 +38,8 @@
 import { createMetrics } from '../../observe/metrics.js';
 import { createControl, type Control } from '../control.js';
 import { batchKey } from '../keys.js';
-import type { BatchPlatform, EndpointNews, OrderError, TableFeed } from '../ports.js';
+import type { BatchPlatform, EndpointNews, TableFeed } from '../ports.js';
 import { createRelayedTable } from '../relayed-table.js';
-import {
-  createSimEndpoint,
-  type SimEndpoint,
-  type SimObserver,
-  type SimTask,
-} from './sim-endpoint.fixtures.js';
 
 const HOP_MS = 1;
 const STORE_MS = 4;
@@ -83,7 +82,7 @@
 
 export type SimFleet = {
   readonly entries: SimEntry[];
-  readonly endpoints: Map<EndpointId, SimEndpoint>;
+  readonly endpoints: Map<EndpointId, EndpointModel>;
   readonly hosts: Map<HostId, HostView>;
   readonly broken: string[];
   readonly logged: { readonly event: string; readonly fields: object }[];
@@ -155,7 +154,7 @@
 }: SimFleetOptions): SimFleet => {
   const table = createTableModel();
   const changes: { readonly key: string; readonly value: unknown; readonly version: number }[] = [];
-  const endpoints = new Map<EndpointId, SimEndpoint>();
+  const endpoints = new Map<EndpointId, EndpointModel>();
   const hosts = new Map<HostId, HostView>();
   const jobs = new Map<JobId, Submitted>();
   const done = new Set<TaskKey>();
@@ -173,7 +172,7 @@
   };
   const maintained = new Set<string>();
   const unlisted = new Set<EndpointId>();
-  const isListed = (one: SimEndpoint): boolean => one.isUp() && !unlisted.has(one.endpointId);
+  const isListed = (one: EndpointModel): boolean => one.isUp() && !unlisted.has(one.endpointId);
   const waveStatus = new Map<number, string>();
   let lastJob = 0;
   let lastEndpoint = 0;
@@ -182,7 +181,7 @@
     broken.push(`${Math.round(performance.now())} ms: ${text}`);
   };
 
-  const needsOf = (key: TaskKey): SimTask => {
+  const needsOf = (key: TaskKey): ModelTask => {
     const name = parseTaskKey(key);
     const submitted = name && jobs.get(name.jobId);
     const step = submitted?.job.steps[name?.step ?? 0];
@@ -211,7 +210,7 @@
     });
   };
 
-  const observer: SimObserver = {
+  const observer: EndpointObserver = {
     needsOf,
     onStart: (endpoint, task, run) => {
       Array.from(endpoints.values())
@@ -239,7 +238,7 @@
     const endpointId = brand<EndpointId>(`i-${lastEndpoint}`);
     endpoints.set(
       endpointId,
-      createSimEndpoint({
+      createEndpointModel({
         endpointId,
         hostId: host.hostId,
         pool: host.pool,
@@ -384,7 +383,7 @@
     const toEndpoint = async <Value>(
       endpointId: EndpointId,
       call: (
-        endpoint: SimEndpoint,
+        endpoint: EndpointModel,
       ) => Promise<Result<Value, OrderError>> | Result<Value, OrderError>,
     ): Promise<Result<Value, OrderError>> => {
       await awake();
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,3 +5,4 @@
 export * from './workers.js';
 export * from './processes.js';
 export * from './example-deployment.js';
+export * from './users-platform/users-platform.js';
--- /dev/null
+++ b/packages/stand-ins/src/users-platform/executor-service.ts
@@ -0,0 +1,85 @@
+/** A stand-in for one executor of the users' platform, over the model of an endpoint. */
+import {
+  createEndpointModel,
+  type EndpointModel,
+  type EndpointModelOptions,
+  type OrderError,
+  type TaskKey,
+} from '@valvelatch/core/batch';
+import fastify, { type FastifyReply } from 'fastify';
+import type { Result } from 'ts-results-es';
+
+/** A running executor. */
+export type StandInExecutor = {
+  readonly model: EndpointModel;
+  readonly address: string;
+  readonly close: () => Promise<void>;
+};
+
+const OTHER_INSTANCE = 421;
+const REFUSED = 409;
+
+type Order = {
+  readonly task: TaskKey;
+  readonly run: number;
+  readonly spec?: string;
+  readonly untilMs?: number;
+  readonly fence?: number;
+  readonly checkpoint?: string;
+};
+
+const send = async <Value>(
+  result: Result<Value, OrderError>,
+  reply: FastifyReply,
+): Promise<unknown> => {
+  if (result.isOk()) return result.value;
+  await reply.code(REFUSED).send({ clockMs: 0, reason: result.error.reason });
+  return reply;
+};
+
+/**
+ * Starts an executor.
+ *
+ * @param options - The names, the room and the clock of its endpoint.
+ * @returns The executor.
+ */
+export const startExecutor = async (options: EndpointModelOptions): Promise<StandInExecutor> => {
+  const model = createEndpointModel(options);
+  const server = fastify();
+
+  server.addHook('onRequest', async ({ headers }, reply) => {
+    const expected = headers['x-expected-instance'];
+    if (expected !== model.endpointId) await reply.code(OTHER_INSTANCE).send();
+  });
+  server.post<{ Body: Order }>('/-/run-start', async ({ body }, reply) => {
+    const { task, run, spec = '', untilMs = 0, fence = 0, checkpoint = '' } = body;
+    return send(model.start({ task, run, spec, keepUntilMs: untilMs, fence, checkpoint }), reply);
+  });
+  server.post<{ Body: Order }>('/-/run-stop', async ({ body }, reply) =>
+    send(model.stop({ task: body.task, run: body.run, fence: body.fence ?? 0 }), reply),
+  );
+  server.post<{
+    Body: { fence?: number; lastSeen?: number; untilMs?: number; waitMs?: number };
+  }>('/-/hold', async ({ body }, reply) => {
+    const { fence = 0, lastSeen = 0, untilMs, waitMs = 0 } = body;
+    const keep = untilMs === undefined ? {} : { keepUntilMs: untilMs };
+    const answer = await model.list({ fence, acknowledged: lastSeen, waitMs, ...keep });
+    const wire = answer.map(({ clockMs, running, ended }) => ({
+      clockMs,
+      running: running.map((one) => [one.task, one.run, one.checkpoint, one.percent, one.figure]),
+      ended: ended.map((one) => [one.number, one.task, one.run, one.kind, one.checkpoint]),
+    }));
+    return send(wire, reply);
+  });
+
+  const url = await server.listen({ host: '127.0.0.1', port: 0 });
+  return {
+    model,
+    address: url.replace('http://', ''),
+    close: async () => {
+      model.die();
+      server.server.closeAllConnections();
+      await server.close();
+    },
+  };
+};
--- /dev/null
+++ b/packages/stand-ins/src/users-platform/users-platform.ts
@@ -0,0 +1,214 @@
+/**
+ * A stand-in for the users' platform: the store of rows, the list of machines and the executors on
+ * them, small enough to read. What must always hold is checked at the executors while it happens.
+ */
+import {
+  parseTaskKey,
+  type EndpointObserver,
+  type EndReport,
+  type ModelTask,
+  type TaskKey,
+} from '@valvelatch/core/batch';
+import type { EndpointId, HostId, PoolName } from '@valvelatch/core/shared/ids';
+import fastify from 'fastify';
+
+import { startExecutor, type StandInExecutor } from './executor-service.js';
+import { createRowsService, type RowsService } from './rows-service.js';
+
+/** Executors write their entry this often. */
+const BEAT_MS = 500;
+const MAINTENANCE_MS = 800;
+const MOVE_MS = 600;
+
+type Machine = {
+  readonly machine: string;
+  pool: string;
+  state: 'up' | 'moving' | 'upkeep' | 'down';
+  executor: StandInExecutor | null;
+};
+
+export type UsersPlatformOptions = {
+  readonly pools?: readonly string[];
+  readonly machinesPerPool?: number;
+  /** What the tasks of a job need, by the text in its spec's place; the same for all by default. */
+  readonly needs?: ModelTask;
+};
+
+export type UsersPlatform = {
+  readonly storeAddress: string;
+  readonly machinesAddress: string;
+  readonly rows: RowsService;
+  readonly executors: () => readonly StandInExecutor[];
+  /** What was broken: a task twice at once, or again after its end was noted. */
+  readonly broken: readonly string[];
+  readonly maintained: ReadonlySet<string>;
+  readonly close: () => Promise<void>;
+};
+
+const DEFAULT_NEEDS: ModelTask = {
+  cpuMillis: 1000,
+  memoryMb: 100,
+  runMs: 150,
+  isLasting: false,
+  fails: false,
+};
+
+const CAPACITY = { cpuMillis: 8000, memoryMb: 16_000, accelerators: 0 };
+
+const watchTasks = (
+  executors: () => readonly StandInExecutor[],
+  broken: string[],
+  needs: ModelTask,
+): EndpointObserver => {
+  const noted = new Set<TaskKey>();
+  return {
+    needsOf: () => needs,
+    onStart: (endpoint, task, run) => {
+      const others = executors().filter(
+        ({ model }) => model !== endpoint && model.isUp() && model.runs.has(task),
+      );
+      if (others.length > 0) broken.push(`${task} run ${run} is on two executors`);
+      if (noted.has(task)) broken.push(`${task} run ${run} began after its end was noted`);
+      if (!parseTaskKey(task)) broken.push(`${task} is no task`);
+    },
+    onEnd: () => undefined,
+    onAcknowledged: ({ task, kind }: EndReport) => {
+      if (kind === 'done') noted.add(task);
+    },
+  };
+};
+
+/**
+ * Starts a platform on the loopback address.
+ *
+ * @param options - Its pools and what their tasks need.
+ * @returns The platform.
+ */
+export const startUsersPlatform = async ({
+  pools = ['routing', 'convoy'],
+  machinesPerPool = 2,
+  needs = DEFAULT_NEEDS,
+}: UsersPlatformOptions = {}): Promise<UsersPlatform> => {
+  const rows = createRowsService();
+  const machines = new Map<string, Machine>();
+  const broken: string[] = [];
+  const maintained = new Set<string>();
+  let lastLife = 0;
+
+  const executors = (): readonly StandInExecutor[] =>
+    Array.from(machines.values()).flatMap(({ executor }) => executor ?? []);
+  const observer = watchTasks(executors, broken, needs);
+
+  const write = ({ machine, pool }: Machine, { model, address }: StandInExecutor): void =>
+    rows.put('servers', model.endpointId, {
+      service: pool,
+      address,
+      zone: 'hall',
+      state: 'ready',
+      machine,
+      capacity: { cpu: CAPACITY.cpuMillis, memMb: CAPACITY.memoryMb },
+      labels: ['a', 'r1-1'],
+      seq: Math.round(performance.now()),
+    });
+
+  const live = async (machine: Machine): Promise<void> => {
+    lastLife += 1;
+    const executor = await startExecutor({
+      endpointId: `i-${lastLife}` as EndpointId,
+      hostId: machine.machine as HostId,
+      pool: machine.pool as PoolName,
+      capacity: CAPACITY,
+      clockRate: 1,
+      observer,
+    });
+    Object.assign(machine, { executor, state: 'up' });
+    write(machine, executor);
+  };
+
+  const end = async (machine: Machine, state: Machine['state'], afterMs: number): Promise<void> => {
+    const { executor } = machine;
+    Object.assign(machine, { executor: null, state });
+    if (executor) {
+      rows.drop('servers', executor.model.endpointId);
+      await executor.close();
+    }
+    setTimeout(() => {
+      void live(machine);
+    }, afterMs);
+  };
+
+  const store = fastify();
+  rows.register(store);
+  const list = fastify();
+  list.get('/-/machines', async () => ({
+    machines: Array.from(machines.values(), ({ machine, pool, state, executor }) => ({
+      machine,
+      pool,
+      state,
+      zone: 'hall',
+      labels: ['a', 'r1-1'],
+      capacity: { cpu: CAPACITY.cpuMillis, memMb: CAPACITY.memoryMb },
+      id: executor?.model.endpointId ?? null,
+    })),
+    nextToken: null,
+  }));
+  list.post<{ Body: { machine: string; wave: number } }>(
+    '/-/machine-upkeep',
+    async ({ body }, reply) => {
+      const machine = machines.get(body.machine);
+      if (!machine) return reply.code(400).send();
+      if (maintained.has(`${body.wave}/${body.machine}`)) return {};
+      if (machine.state !== 'up') return reply.code(409).send({ reason: 'busy' });
+      maintained.add(`${body.wave}/${body.machine}`);
+      await end(machine, 'upkeep', MAINTENANCE_MS);
+      return {};
+    },
+  );
+  list.post<{ Body: { machine: string; pool: string } }>(
+    '/-/machine-move',
+    async ({ body }, reply) => {
+      const machine = machines.get(body.machine);
+      if (!machine) return reply.code(400).send();
+      if (machine.pool === body.pool) return {};
+      if (machine.state !== 'up') return reply.code(409).send({ reason: 'busy' });
+      machine.pool = body.pool;
+      await end(machine, 'moving', MOVE_MS);
+      return {};
+    },
+  );
+
+  const [storeUrl, listUrl] = await Promise.all([
+    store.listen({ host: '127.0.0.1', port: 0 }),
+    list.listen({ host: '127.0.0.1', port: 0 }),
+  ]);
+  const names = pools.flatMap((pool) =>
+    Array.from({ length: machinesPerPool }, (_, index) => ({ pool, name: `m-${pool}-${index}` })),
+  );
+  await Promise.all(
+    names.map(async ({ pool, name }) => {
+      const machine: Machine = { machine: name, pool, state: 'up', executor: null };
+      machines.set(name, machine);
+      await live(machine);
+    }),
+  );
+  const beats = setInterval(() => {
+    machines.forEach((machine) => {
+      if (machine.executor) write(machine, machine.executor);
+    });
+  }, BEAT_MS);
+
+  return {
+    storeAddress: storeUrl.replace('http://', ''),
+    machinesAddress: listUrl.replace('http://', ''),
+    rows,
+    executors,
+    broken,
+    maintained,
+    close: async () => {
+      clearInterval(beats);
+      await Promise.all(executors().map((executor) => executor.close()));
+      [store, list].forEach(({ server }) => server.closeAllConnections());
+      await Promise.all([store.close(), list.close()]);
+    },
+  };
+};
