Operators ask any entry about batch jobs, hosts, pools and waves

valvelatch get, explain and status work on the users' platform: the holder answers in the operator's queues, jobs, hosts and racks; other entries pass the question on. Metrics are on the same port.

--- a/packages/cli/src/tables.ts
+++ b/packages/cli/src/tables.ts
@@ -40,7 +40,7 @@
 
 /** The columns of each kind of list. */
 export const columns = {
-  pools: ['pool', 'hosts', 'inUse', 'prefer', 'reserveFor'],
+  pools: ['pool', 'hosts', 'inUse', 'prefer', 'reserveFor', 'waitingSteps'],
   hosts: ['hostId', 'pool', 'phase', 'dataCentre', 'rack', 'cores', 'reason'],
   placements: ['jobId', 'hostId', 'pool', 'phase', 'epoch', 'reason'],
   jobs: ['name', 'pool', 'team', 'phase', 'failures', 'reason'],
--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -8,10 +8,12 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import type { OperatorResult } from '../operators/operator-result.js';
 import { startLoops, type RunningLoops } from '../shared/loops.js';
 import { createControl, type Control } from './control.js';
 import { createIntake, type Intake } from './intake.js';
 import { createPeers, type Peers } from './peers.js';
+import { answerOperator, OPERATORS_METHOD, type OperatorQuestion } from './operators.js';
 import type { BatchPlatform } from './ports.js';
 import { answerRelay, createRelayedTable, RELAY_METHOD, type RelayCall } from './relayed-table.js';
 
@@ -24,6 +26,8 @@
 /** Submissions that come within this time share a transaction. */
 const GROUP_MS = 4;
 const GROUP_SIZE = 30;
+/** A list of a whole fleet takes the holder some hundred milliseconds. */
+const OPERATORS_MS = 3000;
 /** Without the table for so long, an entry sends new clients elsewhere. */
 const READY_WITHOUT_TABLE_MS = 2500;
 
@@ -42,6 +46,8 @@
   readonly configuration: () => QueueIndex | undefined;
   readonly intake: Intake;
   readonly control: Control;
+  /** Answers an operator, through the holder of control. */
+  readonly askOperators: (question: OperatorQuestion) => Promise<OperatorResult>;
   /** True if new clients should be sent here. */
   readonly isReady: () => boolean;
   /** Gives up control at once and takes no new clients; those connected are served on. */
@@ -91,6 +97,23 @@
     metrics,
   });
 
+  const answerHere = (question: OperatorQuestion): OperatorResult | undefined =>
+    answerOperator(control, question, index?.configuration.version ?? 0);
+
+  const askOperators = async (question: OperatorQuestion): Promise<OperatorResult> => {
+    const own = answerHere(question);
+    const holder = control.holder();
+    if (own) return own;
+    try {
+      if (!peers || holder === null) throw new Error('nobody holds control');
+      const answer = await peers.ask(holder, OPERATORS_METHOD, question, OPERATORS_MS);
+      if (answer) return answer as OperatorResult;
+      throw new Error(`${holder} does not hold control any more`);
+    } catch (error) {
+      return { kind: 'unavailable', detail: `the holder of control: ${String(error)}` };
+    }
+  };
+
   peers = await createPeers({
     self,
     dataCentre,
@@ -98,10 +121,11 @@
     port: meshPort,
     meshKey,
     log,
-    answer: async (method, payload) =>
-      method === RELAY_METHOD
-        ? answerRelay(platform.table, payload as RelayCall)
-        : control.answer(method, payload),
+    answer: async (method, payload) => {
+      if (method === RELAY_METHOD) return answerRelay(platform.table, payload as RelayCall);
+      if (method === OPERATORS_METHOD) return answerHere(payload as OperatorQuestion) ?? null;
+      return control.answer(method, payload);
+    },
   });
   const openPeers = peers;
 
@@ -151,6 +175,7 @@
     configuration: () => index,
     intake,
     control,
+    askOperators,
     isReady: () => !isDraining && index !== undefined && hasTable(),
     drain: async () => {
       isDraining = true;
--- /dev/null
+++ b/packages/daemon/src/batch/operators-http.ts
@@ -0,0 +1,96 @@
+/**
+ * The port towards operators where batch work runs: metrics for all who reach it, questions for
+ * those with the key. Node's own server: a library would be loaded at each start.
+ */
+import { createHash, timingSafeEqual } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server } from 'node:http';
+
+import type { Metrics } from '../observe/metrics.js';
+import type { OperatorResult } from '../operators/operator-result.js';
+import type { OperatorQuestion } from './operators.js';
+
+const STATUS: Record<OperatorResult['kind'], number> = {
+  ok: 200,
+  invalid: 422,
+  conflict: 409,
+  'not-found': 404,
+  unavailable: 503,
+};
+const UNAUTHORIZED = 401;
+const METHOD = /^\/v1\/([a-z-]+)$/;
+const MOST_BODY_CHARACTERS = 64 * 1024;
+
+export type OperatorsHttpOptions = {
+  /** The secret that operators show; without one, only metrics are served. */
+  readonly operatorKey: string | undefined;
+  readonly metrics: Metrics;
+  readonly ask: (question: OperatorQuestion) => Promise<OperatorResult>;
+};
+
+const digest = (text: string): Buffer => createHash('sha256').update(text).digest();
+
+const readText = async (request: IncomingMessage): Promise<string> => {
+  let text = '';
+  request.setEncoding('utf8');
+  request.on('data', (chunk: string) => {
+    if (text.length < MOST_BODY_CHARACTERS) text += chunk;
+  });
+  await new Promise((resolve, reject) => {
+    request.on('end', resolve);
+    request.on('error', reject);
+  });
+  return text;
+};
+
+const parseBody = (text: string): object | undefined => {
+  try {
+    const value = JSON.parse(text === '' ? '{}' : text) as unknown;
+    return typeof value === 'object' && value !== null ? value : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+/**
+ * Builds the server; it does not listen yet.
+ *
+ * @param options - The key, the metrics, and who answers.
+ * @returns The server.
+ */
+export const createOperatorsHttp = ({
+  operatorKey,
+  metrics,
+  ask,
+}: OperatorsHttpOptions): Server => {
+  const isAllowed = ({ headers }: IncomingMessage): boolean =>
+    operatorKey !== undefined &&
+    timingSafeEqual(digest(headers.authorization ?? ''), digest(`Bearer ${operatorKey}`));
+
+  const answer = async (request: IncomingMessage): Promise<readonly [number, object]> => {
+    const method = METHOD.exec(request.url ?? '')?.[1];
+    if (!isAllowed(request)) {
+      return [
+        UNAUTHORIZED,
+        { kind: 'unauthorized', detail: 'the operator key is missing or wrong' },
+      ];
+    }
+    const body = parseBody(await readText(request));
+    if (!method || !body) return [STATUS.invalid, { kind: 'invalid', detail: 'not a question' }];
+    const result = await ask({ method, body });
+    return [STATUS[result.kind], result];
+  };
+
+  return createServer((request, response) => {
+    if (request.method === 'GET') {
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(metrics.text());
+      return;
+    }
+    answer(request).then(
+      ([status, body]) =>
+        response
+          .writeHead(status, { 'content-type': 'application/json' })
+          .end(JSON.stringify(body)),
+      () => response.destroy(),
+    );
+  });
+};
--- /dev/null
+++ b/packages/daemon/src/batch/operators.ts
@@ -0,0 +1,200 @@
+/**
+ * What operators may ask about batch work, at any entry: the holder of control answers, in the
+ * operator's own names. The answers have the shapes that the command line shows.
+ */
+import { isFinal, type EndpointState, type JobState, type StepRun } from '@valvelatch/core/batch';
+import type { HostId, JobId } from '@valvelatch/core/shared/ids';
+
+import type { OperatorResult } from '../operators/operator-result.js';
+import type { Control } from './control.js';
+import type { Term } from './term.js';
+
+type Body = { readonly kind?: string; readonly name?: string };
+type View = (term: Term) => readonly object[];
+
+const MILLIS = 1000;
+/** A list for people; a fleet has more jobs than anybody reads. */
+const MOST_ROWS = 1000;
+
+const rackOf = (labels: readonly string[]): string => labels.at(-1) ?? '';
+
+const endpointOn = (term: Term, hostId: HostId): EndpointState | undefined => {
+  const endpointId = term.fleet.hosts().get(hostId)?.endpointId;
+  return endpointId ? term.state.endpoints.get(endpointId) : undefined;
+};
+
+/** Why a host is withheld from something, or ''. */
+const hostReason = (term: Term, hostId: HostId): string => {
+  const waiting = term.fleet
+    .waves()
+    .map(({ order, hosts }) => ({ wave: order.waveNumber, host: hosts.get(hostId) }))
+    .find(({ host }) => host && host.phase !== 'done');
+  if (waiting?.host) {
+    const { phase, reason } = waiting.host;
+    return `wave ${waiting.wave}: ${phase}${reason === '' ? '' : `, ${reason}`}`;
+  }
+  const endpoint = endpointOn(term, hostId);
+  if (!endpoint) return 'no endpoint lives on it';
+  if (!endpoint.isKnown) return 'its endpoint has not answered this holder yet';
+  if (endpoint.isDraining) return 'its endpoint leaves or is not listed any more';
+  if (endpoint.withheldUntilMs > performance.now()) return `withheld: ${endpoint.withheldReason}`;
+  return `${endpoint.runs.size} tasks run on it`;
+};
+
+const jobReason = (job: JobState): string =>
+  job.phase === 'running' ? `queue=${job.job.queue}: tasks run` : job.reason;
+
+const views: Readonly<Record<string, View>> = {
+  pools: (term) =>
+    Array.from(term.state.pools.values(), ({ name, open }) => {
+      const hosts = Array.from(term.fleet.hosts().values()).filter(({ pool }) => pool === name);
+      const inUse = hosts.filter(({ hostId }) => (endpointOn(term, hostId)?.runs.size ?? 0) > 0);
+      return { pool: name, hosts: hosts.length, inUse: inUse.length, waitingSteps: open.size };
+    }),
+  hosts: (term) =>
+    Array.from(term.fleet.hosts().values(), (host) => ({
+      hostId: host.hostId,
+      pool: host.pool,
+      phase: host.state,
+      dataCentre: host.dataCentre,
+      rack: rackOf(host.labels),
+      cores: host.capacity.cpuMillis / MILLIS,
+      reason: hostReason(term, host.hostId),
+    })),
+  jobs: (term) =>
+    Array.from(term.state.jobs.values())
+      .slice(0, MOST_ROWS)
+      .map((job) => ({
+        name: job.job.jobId,
+        pool: job.job.pool,
+        team: job.job.queue,
+        phase: job.phase,
+        reason: jobReason(job),
+      })),
+  placements: (term) =>
+    Array.from(term.state.endpoints.values())
+      .flatMap((endpoint) =>
+        Array.from(endpoint.runs.values(), ({ task, run, phase, percent }) => ({
+          jobId: task.key,
+          hostId: endpoint.hostId,
+          pool: endpoint.pool,
+          phase,
+          epoch: run,
+          reason: `${percent} % on endpoint ${endpoint.endpointId}`,
+        })),
+      )
+      .slice(0, MOST_ROWS),
+  waves: (term) =>
+    term.fleet.waves().map(({ order, hosts }) => {
+      const phases = Array.from(hosts.values(), ({ phase }) => phase);
+      const done = phases.filter((phase) => phase === 'done').length;
+      return {
+        waveId: order.waveNumber,
+        phase: done === phases.length ? 'done' : 'running',
+        selector: `${phases.length} hosts, ${order.maximum} at once`,
+        reason: `${done} done`,
+      };
+    }),
+};
+
+const stepReason = (term: Term, step: StepRun): string => {
+  const { spec, waiting, doneCount, isOpen } = step;
+  const places = Array.from(step.perEndpoint.keys()).map((id) => {
+    const endpoint = term.state.endpoints.get(id);
+    return `host=${endpoint?.hostId ?? 'unknown'} rack=${rackOf(endpoint?.labels ?? [])}`;
+  });
+  const state = isOpen
+    ? `${waiting.length} wait for room`
+    : `waits for steps ${spec.after.join(',')}`;
+  const needs = `${spec.cpuMillis / MILLIS} cores, ${spec.memoryMb} MB`;
+  return `${doneCount} of ${spec.taskCount} done, ${state} (${needs} each)${places.length > 0 ? `, on ${places.join('; ')}` : ''}`;
+};
+
+const explainers: Readonly<Record<string, (term: Term, name: string) => object | undefined>> = {
+  job: (term, name) => {
+    const job = term.state.jobs.get(name as JobId);
+    const phase = term.phaseOf(name as JobId);
+    if (!job) return phase && { outcome: phase, reason: 'it has ended; its reason is in its row' };
+    const steps = Array.from(job.occurrences.values()).flatMap((one) => one.steps);
+    return {
+      outcome: job.phase,
+      reason: jobReason(job),
+      reasons: isFinal(job.phase)
+        ? []
+        : steps.map((step) => ({
+            of: `occurrence ${step.occurrence.number} step ${step.number}`,
+            reason: stepReason(term, step),
+          })),
+    };
+  },
+  host: (term, name) => {
+    const host = term.fleet.hosts().get(name as HostId);
+    return host && { outcome: host.state, reason: hostReason(term, host.hostId) };
+  },
+  wave: (term, name) => {
+    const wave = term.fleet.waves().find(({ order }) => String(order.waveNumber) === name);
+    return (
+      wave && {
+        outcome: `${wave.order.hosts.length} hosts`,
+        reasons: Array.from(wave.hosts, ([hostId, { phase, reason }]) => ({
+          of: `host ${hostId}`,
+          reason: reason === '' ? phase : `${phase}: ${reason}`,
+        })),
+      }
+    );
+  },
+};
+
+type Handler = (term: Term, body: Body, version: number) => OperatorResult;
+
+const handlers: Readonly<Record<string, Handler>> = {
+  get: (term, { kind = '' }) => {
+    const view = views[kind];
+    if (!view) return { kind: 'not-found', detail: `nothing named '${kind}' is kept here` };
+    return { kind: 'ok', value: view(term) };
+  },
+  explain: (term, { kind = '', name = '' }, version) => {
+    const found = explainers[kind]?.(term, name);
+    if (!found) return { kind: 'not-found', detail: `no ${kind} named '${name}' is known` };
+    return { kind: 'ok', value: { subject: `${kind}/${name}`, revision: version, ...found } };
+  },
+  status: (term, _, version) => ({
+    kind: 'ok',
+    value: {
+      revision: version,
+      entries: [
+        {
+          entryId: term.self,
+          controls: `fence ${term.state.fence}`,
+          endpoints: term.state.endpoints.size,
+        },
+      ],
+    },
+  }),
+};
+
+/** The method of the mesh by which entries pass operators' questions to the holder. */
+export const OPERATORS_METHOD = 'operators';
+
+/** A question of an operator. */
+export type OperatorQuestion = { readonly method: string; readonly body: Body };
+
+/**
+ * Answers an operator where control is held.
+ *
+ * @param control - The control of this entry.
+ * @param question - The method and its body.
+ * @param version - The version of the configuration in force.
+ * @returns The answer, or undefined where control is not held.
+ */
+export const answerOperator = (
+  control: Pick<Control, 'term'>,
+  { method, body }: OperatorQuestion,
+  version: number,
+): OperatorResult | undefined => {
+  const term = control.term();
+  if (!term) return undefined;
+  const handler = handlers[method];
+  if (!handler) return { kind: 'not-found', detail: `no method '${method}'` };
+  return handler(term, body, version);
+};
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -69,6 +69,7 @@
 
 /** What others may ask a holder. */
 export type Term = {
+  readonly self: EntryId;
   readonly state: BatchState;
   readonly fleet: FleetTurn;
   readonly start: () => Promise<void>;
@@ -450,6 +451,7 @@
   };
 
   return {
+    self,
     state,
     fleet,
     start,
