Relays pass over neighbours that are turned away; recovery reads beside taking the guard

Ruled out: the lease's length. Change: neighbours served last come first, three are asked, all are left alone only if all failed; rows are read beside the guard, and once more after it for what an earlier holder still wrote.

--- /dev/null
+++ b/packages/daemon/src/batch/relayed-table.test.ts
@@ -0,0 +1,82 @@
+/** The table through neighbours, while the platform turns some entries away. */
+import { brand, type EntryId } from '@valvelatch/core/shared/ids';
+import { Err } from 'ts-results-es';
+import { describe, expect, it } from 'vitest';
+
+import { createMetrics } from '../observe/metrics.js';
+import type { BatchTable } from './ports.js';
+import { createRelayedTable } from './relayed-table.js';
+
+const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
+const AWAY = { kind: 'unreachable', detail: 'the store answered 503' } as const;
+
+const turnedAway: BatchTable = {
+  read: async () => Err(AWAY),
+  scan: async () => Err(AWAY),
+  transact: async () => Err(AWAY),
+  feed: () => ({ next: async () => Err(AWAY) }),
+};
+
+const served = { isOk: true, value: { kind: 'committed', version: 7 } };
+const refused = { isOk: false, value: AWAY };
+
+const relayed = (answers: Readonly<Record<string, object>>, nowMs = () => 1000) => {
+  const asked: string[] = [];
+  const table = createRelayedTable({
+    table: turnedAway,
+    neighbours: () => Object.keys(answers).map((name) => brand<EntryId>(name)),
+    ask: async (entryId) => {
+      asked.push(entryId);
+      return answers[entryId];
+    },
+    log,
+    metrics: createMetrics(),
+    nowMs,
+  });
+  return { table, asked };
+};
+
+const write = { checks: [], writes: [] };
+
+describe('a table that turns this entry away', () => {
+  it('is reached through the next neighbour where the first is turned away too', async () => {
+    // An incident: one neighbour in three was turned away as well, and control lapsed.
+    const { table } = relayed({ b: refused, c: served, d: served });
+    const outcome = await table.transact(write);
+    expect(outcome.isOk() && outcome.value).toEqual({ kind: 'committed', version: 7 });
+  });
+
+  it('is next asked through the neighbour that was served', async () => {
+    const { table, asked } = relayed({ b: refused, c: served });
+    await table.transact(write);
+    asked.length = 0;
+    await table.transact(write);
+    expect(asked[0]).toBe('c');
+  });
+
+  it('is left alone for a while where all that were asked are turned away', async () => {
+    const { table, asked } = relayed({ b: refused, c: refused, d: refused, e: refused });
+    await table.transact(write);
+    const first = asked.length;
+    await table.transact(write);
+    expect(asked).toHaveLength(first);
+  });
+
+  it('is unknown in its outcome where one neighbour did not answer', async () => {
+    const { table } = relayed({ b: refused });
+    const failing = createRelayedTable({
+      table: turnedAway,
+      neighbours: () => [brand<EntryId>('b')],
+      ask: async () => {
+        throw new Error('no answer');
+      },
+      log,
+      metrics: createMetrics(),
+      nowMs: () => 1000,
+    });
+    const lost = await failing.transact(write);
+    const known = await table.transact(write);
+    expect(lost.isErr() && lost.error.kind).toBe('unknown');
+    expect(known.isErr() && known.error.kind).toBe('unreachable');
+  });
+});
--- a/packages/daemon/src/batch/relayed-table.ts
+++ b/packages/daemon/src/batch/relayed-table.ts
@@ -18,7 +18,7 @@
 const TURNED_MS = 1500;
 const RELAY_MS = 1000;
 /** So many neighbours are asked before a call is given up. */
-const MOST_NEIGHBOURS = 2;
+const MOST_NEIGHBOURS = 3;
 /**
  * Neighbours that are turned away as well show that the table is overloaded or away for all: more
  * calls would only add to that. They are not asked for this time.
@@ -91,6 +91,7 @@
   let failures = 0;
   let turnedUntilMs = 0;
   let allAwayUntilMs = 0;
+  const failedAtMs = new Map<EntryId, number>();
   let answeredAtMs = -Infinity;
 
   const direct = async (call: RelayCall): Promise<AnyResult> => {
@@ -108,33 +109,43 @@
   };
 
   const relayBy = async (neighbour: EntryId, call: RelayCall): Promise<AnyResult> => {
-    if (nowMs() < allAwayUntilMs) {
-      return Err({ kind: 'unreachable', detail: 'neighbours are turned away too' });
-    }
     metrics.count('table_relays');
     try {
       const answer = (await ask(neighbour, RELAY_METHOD, call, RELAY_MS)) as RelayAnswer;
       if (!answer.isOk) {
-        allAwayUntilMs = nowMs() + ALL_AWAY_MS;
+        failedAtMs.set(neighbour, nowMs());
         return Err(answer.value as PlatformError);
       }
+      failedAtMs.delete(neighbour);
       answeredAtMs = nowMs();
       return Ok(answer.value);
     } catch (error) {
+      failedAtMs.set(neighbour, nowMs());
       return Err({ kind: 'unknown', detail: `relay by ${neighbour}: ${String(error)}` });
     }
   };
 
+  /** Neighbours that were served last come before those that failed last. */
+  const byTrust = (): readonly EntryId[] =>
+    [...neighbours()]
+      .sort((left, right) => (failedAtMs.get(left) ?? 0) - (failedAtMs.get(right) ?? 0))
+      .slice(0, MOST_NEIGHBOURS);
+
   const relay = async (call: RelayCall): Promise<AnyResult> => {
-    const [first, ...others] = neighbours().slice(0, MOST_NEIGHBOURS);
+    if (nowMs() < allAwayUntilMs) {
+      return Err({ kind: 'unreachable', detail: 'neighbours are turned away too' });
+    }
+    const [first, ...others] = byTrust();
     if (!first) return Err({ kind: 'unreachable', detail: 'no neighbour' });
-    return others.reduce<Promise<AnyResult>>(
+    const result = await others.reduce<Promise<AnyResult>>(
       async (before, neighbour) => {
-        const result = await before;
-        return isAnswered(result) ? result : join(result, await relayBy(neighbour, call));
+        const last = await before;
+        return isAnswered(last) ? last : join(last, await relayBy(neighbour, call));
       },
       relayBy(first, call),
     );
+    if (!isAnswered(result)) allAwayUntilMs = nowMs() + ALL_AWAY_MS;
+    return result;
   };
 
   const isAnswered = (result: AnyResult): boolean =>
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -36,7 +36,7 @@
 import { createFleetTurn, type FleetTurn } from './fleet-turn.js';
 import { createJobSaver, type AcceptOutcome, type JobSaver, type LiveRow } from './job-saver.js';
 import { batchKey, parseJobKey } from './keys.js';
-import type { BatchPlatform, EndpointNews } from './ports.js';
+import type { BatchPlatform, EndpointNews, TableFeed } from './ports.js';
 
 const TICK_MS = 100;
 /** New jobs are told over the mesh; the feed finds what was lost there. */
@@ -298,11 +298,14 @@
       return;
     }
     const progressRow = progress.get(jobId);
-    saver.versions.set(jobId as JobId, { job: version, progress: progressRow?.version ?? 0 });
+    saver.versions.set(jobId as JobId, {
+      job: version,
+      progress: progressRow?.value ? progressRow.version : 0,
+    });
     restoreJob(state, {
       job: row.job,
       policy: policyOf(row.job.queue, row.policy),
-      progress: progressRow?.value as ProgressRow | undefined,
+      progress: (progressRow?.value ?? undefined) as ProgressRow | undefined,
       nowMs: nowMs(),
       todayMs: todayMs(),
     });
@@ -378,15 +381,23 @@
 
   const recover = async (): Promise<void> => {
     const startedAtMs = nowMs();
-    await until(takeGuard);
-    const [jobRows, progressRows, endpoints, hosts] = await Promise.all([
-      until(async () => (await jobFeed.next(0)).unwrapOr(undefined)),
-      until(async () => (await platform.table.scan('progress/')).unwrapOr(undefined)),
+    const progressFeed = platform.table.feed('progress');
+    const read = (feed: TableFeed) => until(async () => (await feed.next(0)).unwrapOr(undefined));
+    // What an earlier holder wrote between the first reading and the guard is in the second.
+    const [, earlyJobs, earlyProgress, endpoints, hosts] = await Promise.all([
+      until(takeGuard),
+      read(jobFeed),
+      read(progressFeed),
       until(async () => (await endpointFeed.next(0)).unwrapOr(undefined)),
       fleet.refreshHosts(),
     ]);
-    if (isStopped || !jobRows || !progressRows || !endpoints) return;
-    const progress = new Map(progressRows.map((row) => [row.key.slice('progress/'.length), row]));
+    const [lateJobs, lateProgress] = await Promise.all([read(jobFeed), read(progressFeed)]);
+    if (isStopped || !earlyJobs || !lateJobs || !earlyProgress || !lateProgress || !endpoints)
+      return;
+    const progress = new Map(
+      [...earlyProgress, ...lateProgress].map((row) => [row.key.slice('progress/'.length), row]),
+    );
+    const jobRows = newestRows([...earlyJobs, ...lateJobs]);
     state.clockMs = nowMs();
     jobRows.forEach((row) => takeRow(row, progress));
     takeCancels(jobRows);
@@ -474,6 +485,12 @@
   };
 };
 
+/** Of several readings of a row the last one counts; a deleted one is left out. */
+const newestRows = (rows: readonly TableRow[]): readonly TableRow[] =>
+  Array.from(new Map(rows.map((row) => [row.key, row])).values()).filter(
+    ({ value }) => value !== null,
+  );
+
 /** An end is told only once it is written: what nobody could find again is not told. */
 const savedPhase = (job: JobState | undefined): BatchPhase | undefined => {
   if (!job) return undefined;
