Submissions are turned away at once, and truly, while the table does not answer the holder

Ruled out: a shorter time-out of transactions, which adds calls to a slow table. Change: what was surely not sent is refused as not run with a time to come back; what may have been is pursued.

--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -24,7 +24,7 @@
 /** How long the holder is waited for before the rows are read instead. */
 const ASK_MS = 500;
 /** A slow table takes well over a second for what the holder writes for others. */
-const ACCEPT_ASK_MS = 1600;
+const ACCEPT_ASK_MS = 2200;
 /** A holder that did not answer in time is not asked to accept for so long; rows are written here. */
 const PASS_OVER_MS = 1500;
 /** Counts of waiting jobs may be 2 s old; clients ask all entries. */
--- a/packages/daemon/src/batch/intake.ts
+++ b/packages/daemon/src/batch/intake.ts
@@ -25,7 +25,7 @@
 import type { RelayedTable } from './relayed-table.js';
 
 /** The part of a client's time within which an unanswered write is pursued. */
-const PURSUE_SHARE = 0.6;
+const PURSUE_SHARE = 0.8;
 const PURSUE_PAUSE_MS = 200;
 /**
  * How long a submission waits for the next holder before its row is written here. Control changes
@@ -160,8 +160,11 @@
     row: LiveRow,
     untilMs: number,
   ): Promise<Written | { readonly kind: 'full' }> => {
-    if (byHolder && byHolder.kind !== 'unheard') return byHolder;
-    if (byHolder && nowMs() + LEAST_WRITE_MS > untilMs) {
+    if (byHolder?.kind === 'away' && !table.isServed()) {
+      return { kind: 'unreachable', detail: 'the table answers neither the holder nor this entry' };
+    }
+    if (byHolder && byHolder.kind !== 'unheard' && byHolder.kind !== 'away') return byHolder;
+    if (byHolder?.kind === 'unheard' && nowMs() + LEAST_WRITE_MS > untilMs) {
       return { kind: 'unknown', detail: 'the holder of control did not answer' };
     }
     const key = batchKey.job(row.job.jobId);
@@ -170,7 +173,7 @@
       untilMs,
     );
     // A holder that was asked and did not answer may have written it, or may yet.
-    const isUnknown = written.kind === 'unreachable' && byHolder !== undefined;
+    const isUnknown = written.kind === 'unreachable' && byHolder?.kind === 'unheard';
     return isUnknown ? { kind: 'unknown', detail: written.detail } : written;
   };
 
--- /dev/null
+++ b/packages/daemon/src/batch/job-saver.test.ts
@@ -0,0 +1,93 @@
+/** Submissions at the holder while the table does not answer. */
+import { createBatchState, type BatchJob } from '@valvelatch/core/batch';
+import { brand } from '@valvelatch/core/shared/ids';
+import { Err, Ok } from 'ts-results-es';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+import { createMetrics } from '../observe/metrics.js';
+import { createJobSaver, type AcceptOutcome, type JobSaver, type LiveRow } from './job-saver.js';
+import type { BatchTable } from './ports.js';
+
+const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
+const policy = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
+
+const rowOf = (name: string): LiveRow => {
+  const job: BatchJob = {
+    jobId: brand(name),
+    queue: brand('q'),
+    pool: brand('p'),
+    spec: '',
+    steps: [],
+    repeats: 0,
+    firstDueAtMs: 0,
+    intervalMs: 0,
+    acceptedAtMs: 0,
+  };
+  return { kind: 'live', job, policy };
+};
+
+describe('submissions at the holder', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  const saverOn = (transact: BatchTable['transact']): JobSaver =>
+    createJobSaver({
+      table: { transact },
+      state: createBatchState(1),
+      fence: () => ({ key: 'guard/jobs', version: 1 }),
+      log,
+      metrics: createMetrics(),
+      beginRound: () => () => undefined,
+      onSaved: () => undefined,
+      onAccepted: () => undefined,
+      onFenceLost: () => undefined,
+      todayMs: () => 0,
+    });
+
+  const outcomeOf = (promise: Promise<AcceptOutcome>): { kind: string } => {
+    const told = { kind: 'waits' };
+    void promise.then(({ kind }) => Object.assign(told, { kind }));
+    return told;
+  };
+
+  it('are turned away at once while a transaction stands still, if they were not in it', async () => {
+    const saver = saverOn(() => new Promise(() => {}));
+    const sent = outcomeOf(saver.accept(rowOf('a')));
+    await vi.advanceTimersByTimeAsync(1300);
+    const late = outcomeOf(saver.accept(rowOf('b')));
+    const later = outcomeOf(saver.accept(rowOf('c')));
+    await vi.advanceTimersByTimeAsync(1);
+    expect(later.kind).toBe('away');
+    expect(sent.kind).toBe('waits');
+    expect(['waits', 'away']).toContain(late.kind);
+  });
+
+  it('that may have been written are never told to be not taken', async () => {
+    const saver = saverOn(async () => Err({ kind: 'unknown', detail: 'no answer' }));
+    const sent = outcomeOf(saver.accept(rowOf('a')));
+    await vi.advanceTimersByTimeAsync(5000);
+    expect(sent.kind).toBe('waits');
+    saver.stop();
+    await vi.advanceTimersByTimeAsync(1);
+    expect(sent.kind).toBe('unheard');
+  });
+
+  it('are taken again as soon as the table answers', async () => {
+    let isAway = true;
+    const saver = saverOn(async () =>
+      isAway ? Err({ kind: 'unreachable', detail: '503' }) : Ok({ kind: 'committed', version: 5 }),
+    );
+    const first = outcomeOf(saver.accept(rowOf('a')));
+    await vi.advanceTimersByTimeAsync(3000);
+    expect(first.kind).toBe('away');
+    isAway = false;
+    const next = outcomeOf(saver.accept(rowOf('b')));
+    await vi.advanceTimersByTimeAsync(100);
+    expect(next.kind).toBe('committed');
+  });
+});
--- a/packages/daemon/src/batch/job-saver.ts
+++ b/packages/daemon/src/batch/job-saver.ts
@@ -24,6 +24,13 @@
 const ENTRIES_PER_TRANSACTION = 98;
 /** Submissions that come within this time share a transaction. */
 const ACCEPT_MS = 3;
+/**
+ * A transaction that is under way for so long, or failures for as long, show that the table is away:
+ * what was not sent yet is turned away at once. A slow table takes up to 0.9 s.
+ */
+const AWAY_AFTER_MS = 1200;
+/** While the table is away one submission at a time is let through to try. */
+const TRY_EVERY_MS = 400;
 /** Above so many that wait, new ones are turned away: a slow table writes some 60 a second. */
 const MOST_WAITING = 300;
 /** Pause between two transactions: ends that come meanwhile share the next one. */
@@ -42,12 +49,19 @@
   /** The job was accepted before. */
   | { readonly kind: 'conflict' }
   | { readonly kind: 'full' }
+  /** The table does not answer the holder; the job was surely not written. */
+  | { readonly kind: 'away' }
   /** The holder was asked and did not say: the job may be accepted. */
   | { readonly kind: 'unheard' };
 
 /** The row of a job that has not ended. */
 export type LiveRow = Extract<BatchJobRow, { kind: 'live' }>;
-type Submission = { readonly row: LiveRow; readonly resolve: (outcome: AcceptOutcome) => void };
+type Submission = {
+  readonly row: LiveRow;
+  readonly resolve: (outcome: AcceptOutcome) => void;
+  /** It was in a transaction whose outcome is not known. */
+  mayBeWritten: boolean;
+};
 
 export type JobSaver = {
   readonly versions: Map<JobId, JobVersions>;
@@ -121,6 +135,10 @@
   let timer: NodeJS.Timeout | undefined;
   let plannedAtMs = 0;
   let submissions: readonly Submission[] = [];
+  let sentAtMs = Infinity;
+  let failingSinceMs = Infinity;
+  let lastTryAtMs = 0;
+  const inFlight = new Set<Submission>();
 
   const versionsOf = (jobId: JobId): JobVersions => {
     const known = versions.get(jobId);
@@ -184,6 +202,30 @@
     return { parts, accepted, jobs, finals: jobs.map(({ phase }) => isFinal(phase)) };
   };
 
+  /** Turns away what was surely not written; what may have been is pursued. */
+  const turnAway = (): void => {
+    submissions = submissions.filter((one) => {
+      if (!one.mayBeWritten && !inFlight.has(one)) one.resolve({ kind: 'away' });
+      return one.mayBeWritten || inFlight.has(one);
+    });
+  };
+
+  const isAway = (): boolean => {
+    const nowMs = performance.now();
+    return nowMs - failingSinceMs > AWAY_AFTER_MS || nowMs - sentAtMs > AWAY_AFTER_MS;
+  };
+
+  const noteTable = (
+    isAnswered: boolean,
+    sent: readonly Submission[],
+    isUnknown: boolean,
+  ): void => {
+    inFlight.clear();
+    if (isUnknown) sent.forEach((one) => Object.assign(one, { mayBeWritten: true }));
+    failingSinceMs = isAnswered ? Infinity : Math.min(failingSinceMs, performance.now());
+    if (isAway()) turnAway();
+  };
+
   const saveSome = async (): Promise<boolean> => {
     const { parts, accepted, jobs, finals } = takeNext();
     if (parts.length === 0) {
@@ -191,11 +233,15 @@
       return true;
     }
     jobs.forEach(({ job }) => dirty.delete(job.jobId));
+    sentAtMs = performance.now();
+    accepted.forEach((one) => inFlight.add(one));
     const outcome = await table.transact({
       checks: [fence(), ...parts.flatMap(({ checks }) => checks)],
       writes: parts.flatMap(({ writes }) => writes),
     });
     metrics.count('job_saves');
+    sentAtMs = Infinity;
+    noteTable(outcome.isOk(), accepted, outcome.isErr() && outcome.error.kind === 'unknown');
     const isSaved = outcome.isOk() && outcome.value.kind === 'committed';
     if (!isSaved) jobs.forEach(({ job }) => dirty.add(job.jobId));
     if (outcome.isErr()) {
@@ -264,7 +310,16 @@
           resolve({ kind: 'full' });
           return;
         }
-        submissions = [...submissions, { row, resolve }];
+        const nowMs = performance.now();
+        if (isAway()) {
+          turnAway();
+          if (nowMs - lastTryAtMs < TRY_EVERY_MS) {
+            resolve({ kind: 'away' });
+            return;
+          }
+          lastTryAtMs = nowMs;
+        }
+        submissions = [...submissions, { row, resolve, mayBeWritten: false }];
         plan(ACCEPT_MS);
       }),
     mark: (jobId, isUrgent) => {
--- a/packages/daemon/src/batch/relayed-table.ts
+++ b/packages/daemon/src/batch/relayed-table.ts
@@ -52,6 +52,8 @@
 export type RelayedTable = Pick<BatchTable, 'read' | 'scan' | 'transact'> & {
   /** When the table answered last, directly or through a neighbour. */
   readonly answeredAtMs: () => number;
+  /** True if the last call on the own way was answered. */
+  readonly isServed: () => boolean;
 };
 
 type AnyResult = Result<unknown, PlatformError>;
@@ -175,5 +177,6 @@
     transact: (transaction) =>
       call({ kind: 'transact', transaction }) as Promise<Result<TransactionOutcome, PlatformError>>,
     answeredAtMs: () => answeredAtMs,
+    isServed: () => failures === 0,
   };
 };
