--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,7 @@
 const TESTS = ['**/*.test.ts', '**/*.fixtures.ts', 'vitest.config.ts', 'eslint.config.js'];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**', 'target/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.typescriptEslint,
