--- a/packages/daemon/src/batch/batch-control.test.ts
+++ b/packages/daemon/src/batch/batch-control.test.ts
@@ -187,6 +187,44 @@
     });
   });
 
+  describe('a wave under several holders', () => {
+    const busyWave = async () => {
+      const fleet = await started({ hostsPerPool: 4 });
+      const hosts = Array.from(fleet.hosts.values())
+        .filter(({ pool }) => pool === 'alpha')
+        .map(({ hostId }) => hostId);
+      const work = setInterval(() => {
+        fleet.submit({ pool: 'alpha', steps: [{ taskCount: 16 }], runMs: 900 });
+      }, 400);
+      await advance(4000);
+      fleet.order({ waveNumber: 1, hosts, withinMs: 40_000, maximum: 2 });
+      return { fleet, work };
+    };
+
+    it('is done in its own time, not in that of the last holder', async () => {
+      // swrc trouble-3: each new holder counted the time anew, left hosts for later, and was late.
+      const { fleet, work } = await busyWave();
+      await advance(19_000);
+      fleet.kill(holderOf(fleet));
+      await advance(19_000);
+      clearInterval(work);
+      expect(fleet.waveStatus.get(1)).toBe('completed');
+      expect(fleet.broken).toEqual([]);
+    });
+
+    it('is done in its own time by entries that were started after it was ordered', async () => {
+      const { fleet, work } = await busyWave();
+      await advance(19_000);
+      Array.from(fleet.entries).forEach(fleet.kill);
+      ['d', 'e'].forEach((name) => fleet.addEntry(name));
+      fleet.reorder();
+      await advance(19_000);
+      clearInterval(work);
+      expect(fleet.waveStatus.get(1)).toBe('completed');
+      expect(fleet.broken).toEqual([]);
+    });
+  });
+
   describe('hosts that change their pool', () => {
     it('places nothing on a host whose move is under way', async () => {
       // Both hunts' trouble-3 lost lasting tasks so: they were placed between order and answer.
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -8,6 +8,7 @@
 import type { Metrics } from '../observe/metrics.js';
 import type { ControlView } from './intake.js';
 import type { AcceptOutcome } from './job-saver.js';
+import type { KnownWave } from './fleet-turn.js';
 import { CONTROL_LEASE } from './keys.js';
 import type { Peers } from './peers.js';
 import type { BatchPlatform } from './ports.js';
@@ -107,7 +108,7 @@
     mayTake: () => !isResigned && configuration() !== undefined,
     nowMs,
   });
-  const orders = new Map<number, UpkeepOrder>();
+  const knownWaves = new Map<number, KnownWave>();
   let term: Term | undefined;
   let isResigned = false;
   let passedOverUntilMs = 0;
@@ -157,7 +158,7 @@
       },
     });
     term = begun;
-    begun.fleet.takeWaves(Array.from(orders.values()));
+    begun.fleet.takeWaves(Array.from(knownWaves.values()));
     void begun.start().catch((error: unknown) => {
       const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
       log.error('term-failed', { fence, detail });
@@ -249,8 +250,10 @@
   return {
     tick,
     takeWaves: (waves) => {
-      waves.forEach((order) => orders.set(order.waveNumber, order));
-      term?.fleet.takeWaves(waves);
+      waves
+        .filter(({ waveNumber }) => !knownWaves.has(waveNumber))
+        .forEach((order) => knownWaves.set(order.waveNumber, { order, seenAtMs: nowMs() }));
+      term?.fleet.takeWaves(Array.from(knownWaves.values()));
     },
     answer: (method, payload) => handlers[method]?.(payload),
     term: () => term,
--- a/packages/daemon/src/batch/fleet-turn.ts
+++ b/packages/daemon/src/batch/fleet-turn.ts
@@ -45,6 +45,7 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly nowMs: () => number;
+  readonly todayMs: () => number;
   readonly mayOrder: () => boolean;
   /** No order is sent before this time of the term. */
   readonly orderAfterMs: number;
@@ -54,14 +55,25 @@
 
 export type FleetTurn = {
   readonly everyMs: number;
+  /** Orders what is due of moves and waves. */
   readonly run: () => Promise<void>;
+  /** Reads and writes how waves stand; apart from `run`, which must not wait for the table. */
+  readonly follow: () => Promise<void>;
   readonly refreshHosts: () => Promise<readonly HostView[]>;
-  readonly takeWaves: (orders: readonly UpkeepOrder[]) => void;
+  readonly takeWaves: (known: readonly KnownWave[]) => void;
   readonly hosts: () => ReadonlyMap<HostId, HostView>;
   readonly waves: () => readonly UpkeepWave[];
 };
 
-type WaveRow = { readonly done: readonly HostId[] };
+/** `takenAtTodayMs` is by the time of day: entries share no other clock. */
+type WaveRow = { readonly done: readonly HostId[]; readonly takenAtTodayMs?: number };
+
+/** A wave as this entry learned of it. */
+export type KnownWave = {
+  readonly order: UpkeepOrder;
+  /** By this entry's monotonic clock. */
+  readonly seenAtMs: number;
+};
 
 /**
  * Builds the turn over hosts of one term.
@@ -78,6 +90,7 @@
   log,
   metrics,
   nowMs,
+  todayMs,
   mayOrder,
   orderAfterMs,
   configuration,
@@ -87,7 +100,7 @@
   const orderer = { holder: self, fence };
   const hosts = new Map<HostId, HostView>();
   const waves = new Map<number, UpkeepWave>();
-  const waiting = new Map<number, UpkeepOrder>();
+  const waiting = new Map<number, KnownWave>();
   const reported = new Map<number, 'running' | 'completed'>();
   const savedDone = new Map<number, number>();
   const movedAtMs = new Map<HostId, number>();
@@ -144,18 +157,29 @@
 
   const isComplete = (wave: UpkeepWave): boolean => isUpkeepComplete(world(), wave);
 
-  const openWave = async (order: UpkeepOrder): Promise<void> => {
+  /** When the wave was ordered: as this entry saw it, or earlier by the word of the first holder. */
+  const orderedAtMs = ({ order, seenAtMs }: KnownWave, row: WaveRow | undefined): number => {
+    if (row?.takenAtTodayMs === undefined) return seenAtMs;
+    // The time of day jumps on some hosts: what it says is believed within the wave's own time.
+    const ageMs = Math.max(0, Math.min(order.withinMs, todayMs() - row.takenAtTodayMs));
+    return Math.min(seenAtMs, nowMs() - ageMs);
+  };
+
+  const openWave = async (known: KnownWave): Promise<void> => {
+    const { order } = known;
     const rows = await platform.table.read([batchKey.wave(order.waveNumber)]);
     if (rows.isErr()) return;
-    const row = rows.value[0]?.value as WaveRow | undefined;
+    const row = (rows.value[0]?.value ?? undefined) as WaveRow | undefined;
     waiting.delete(order.waveNumber);
-    waves.set(order.waveNumber, createUpkeepWave(order, row?.done ?? [], nowMs()));
+    const wave = createUpkeepWave(order, row?.done ?? [], orderedAtMs(known, row));
+    waves.set(order.waveNumber, wave);
     log.info('wave-taken', {
       wave: order.waveNumber,
       hosts: order.hosts.length,
       maximum: order.maximum,
       withinMs: order.withinMs,
       done: row?.done.length ?? 0,
+      ageMs: Math.round(nowMs() - wave.seenAtMs),
     });
   };
 
@@ -175,9 +199,10 @@
   const saveDone = async (wave: UpkeepWave, done: readonly HostId[]): Promise<boolean> => {
     const { waveNumber } = wave.order;
     if (savedDone.get(waveNumber) === done.length) return true;
+    const row: WaveRow = { done, takenAtTodayMs: todayMs() - (nowMs() - wave.seenAtMs) };
     const outcome = await platform.table.transact({
       checks: [fenceCheck],
-      writes: [{ key: batchKey.wave(waveNumber), value: { done } }],
+      writes: [{ key: batchKey.wave(waveNumber), value: row }],
     });
     const isSaved = outcome.isOk() && outcome.value.kind === 'committed';
     if (isSaved) savedDone.set(waveNumber, done.length);
@@ -240,7 +265,6 @@
   const run = async (): Promise<void> => {
     const ageMs = nowMs() - listedAtMs;
     if (ageMs > (isBusy() ? LIST_BUSY_MS : LIST_EVERY_MS)) await refreshHosts();
-    await Promise.all(Array.from(waiting.values()).map(openWave));
     if (!mayOrder() || nowMs() - bornAtMs < orderAfterMs) return;
     Object.assign(state, { clockMs: nowMs() });
     const steps = Array.from(waves.values()).flatMap((wave) => planUpkeep(world(), wave, nowMs()));
@@ -249,16 +273,22 @@
     // An order to a host that was ordered so before is answered alike: the list shows what it did.
     if (steps.length > 0) await refreshHosts();
     if (mayOrder() && (await moveHosts())) await refreshHosts();
+  };
+
+  const follow = async (): Promise<void> => {
+    await Promise.all(Array.from(waiting.values()).map(openWave));
     await Promise.all(Array.from(waves.values()).map(report));
   };
 
   return {
     everyMs: TURN_MS,
     run,
+    follow,
     refreshHosts,
-    takeWaves: (orders) =>
-      orders.forEach((order) => {
-        if (!waves.has(order.waveNumber)) waiting.set(order.waveNumber, order);
+    takeWaves: (known) =>
+      known.forEach((one) => {
+        const { waveNumber } = one.order;
+        if (!waves.has(waveNumber)) waiting.set(waveNumber, one);
       }),
     hosts: () => hosts,
     waves: () => Array.from(waves.values()),
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -430,6 +430,7 @@
     log,
     metrics,
     nowMs,
+    todayMs,
     mayOrder: () => !isStopped && isReady && holds() && mayOrderHosts(),
     orderAfterMs: hostOrdersAfterMs,
     configuration,
@@ -446,6 +447,7 @@
         { name: 'endpoints', everyMs: ENDPOINT_FEED_MS, run: followEndpoints },
         { name: 'jobs', everyMs: JOB_FEED_MS, run: followJobs },
         { name: 'fleet', everyMs: fleet.everyMs, run: fleet.run },
+        { name: 'waves', everyMs: fleet.everyMs, run: fleet.follow },
       ],
       (name, error) => {
         const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -96,6 +96,8 @@
   }) => JobId;
   readonly cancel: (jobId: JobId) => void;
   readonly order: (wave: UpkeepOrder) => void;
+  /** All waves are read by the entries that are there now, as at their start. */
+  readonly reorder: () => void;
   readonly crash: (endpointId: EndpointId) => void;
   /** The endpoint falls out of the list of endpoints, and lives on. */
   readonly unlist: (endpointId: EndpointId) => void;
@@ -174,6 +176,7 @@
   const unlisted = new Set<EndpointId>();
   const isListed = (one: EndpointModel): boolean => one.isUp() && !unlisted.has(one.endpointId);
   const waveStatus = new Map<number, string>();
+  const waves = new Map<number, UpkeepOrder>();
   let lastJob = 0;
   let lastEndpoint = 0;
 
@@ -592,8 +595,10 @@
       commit({ checks: [], writes: [{ key: batchKey.cancel(jobId), value: {} }] });
     },
     order: (wave) => {
+      waves.set(wave.waveNumber, wave);
       entries.forEach(({ control }) => control.takeWaves([wave]));
     },
+    reorder: () => entries.forEach(({ control }) => control.takeWaves(Array.from(waves.values()))),
     crash: (endpointId) => {
       const endpoint = endpoints.get(endpointId);
       const host = endpoint && hosts.get(endpoint.hostId);
