The strongest entries hold control; links that go silent are found in 1.6 s

Cause: on the grown sites entries have 0.324 or 1.35 cores and links of 10 or 200 Mbit/s. Change: entries tell their processor in their row; a weak one leaves a free lease to others for 1.2 s and hands control to a strong one that answers. Tests: entries of different strength (2 of 4 failed first), mesh: links stay open (failed first).

--- a/packages/daemon/src/batch/batch-control.test.ts
+++ b/packages/daemon/src/batch/batch-control.test.ts
@@ -243,6 +243,52 @@
     });
   });
 
+  describe('entries of different strength', () => {
+    it('leave control to a strong one, whoever looks first', async () => {
+      // On the grown site a weak entry took control after all had lost power, and could not carry it.
+      const fleet = createSimFleet({ random: chance(3) });
+      ['weak-1', 'weak-2'].forEach((name) => fleet.addEntry(name, 0.3));
+      fleet.addEntry('strong', 1.3);
+      await advance(3000);
+      expect(holderOf(fleet).entryId).toBe('strong');
+    });
+
+    it('leave control to a strong one after an outage that all saw', async () => {
+      const fleet = createSimFleet({ random: chance(3) });
+      ['weak-1', 'weak-2'].forEach((name) => fleet.addEntry(name, 0.3));
+      fleet.addEntry('strong', 1.3);
+      await advance(3000);
+      fleet.faults.isTableDown = true;
+      await advance(6300);
+      fleet.faults.isTableDown = false;
+      await advance(2500);
+      expect(holderOf(fleet).entryId).toBe('strong');
+      expect(fleet.logged.filter(({ event }) => event === 'term-started')).toHaveLength(2);
+    });
+
+    it('have a weak holder where no strong one is left', async () => {
+      const fleet = createSimFleet({ random: chance(3) });
+      fleet.addEntry('weak', 0.3);
+      fleet.kill(fleet.addEntry('strong', 1.3));
+      await advance(3000);
+      expect(holderOf(fleet).entryId).toBe('weak');
+    });
+
+    it('hand control over to a strong one that comes later, and go on', async () => {
+      const fleet = createSimFleet({ random: chance(3) });
+      fleet.addEntry('weak', 0.3);
+      await advance(3000);
+      const job = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 4 }], runMs: 9000 });
+      await advance(1000);
+      fleet.addEntry('strong', 1.3);
+      await advance(7000);
+      expect(holderOf(fleet).entryId).toBe('strong');
+      await advance(9000);
+      expect(phaseOf(fleet, job)).toBe('completed');
+      expect(fleet.broken).toEqual([]);
+    });
+  });
+
   describe('inherited tasks', () => {
     it('waits for the lease of an endpoint that fell out of the list before it was heard', async () => {
       const fleet = await started();
--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -10,10 +10,11 @@
 import type { Metrics } from '../observe/metrics.js';
 import type { OperatorResult } from '../operators/operator-result.js';
 import { startLoops, type RunningLoops } from '../shared/loops.js';
-import { createControl, type Control } from './control.js';
+import { CONTROL_METHOD, createControl, type Control } from './control.js';
 import { createIntake, type Intake } from './intake.js';
-import { createPeers, type Peers } from './peers.js';
+import { BEAT_MS, createPeers, type Peers } from './peers.js';
 import { answerOperator, OPERATORS_METHOD, type OperatorQuestion } from './operators.js';
+import { createStanding } from './standing.js';
 import type { BatchPlatform } from './ports.js';
 import { answerRelay, createRelayedTable, RELAY_METHOD, type RelayCall } from './relayed-table.js';
 
@@ -22,7 +23,8 @@
 const OPERATOR_WAIT_MS = 1000;
 const OPERATOR_RETRY_MS = 100;
 const PEERS_MS = 5000;
-const BEAT_MS = 1000;
+/** A stronger entry that takes longer to say whether it would take control is no better off. */
+const WILLING_MS = 500;
 /** Submissions that come within this time share a transaction. */
 const GROUP_MS = 4;
 const GROUP_SIZE = 30;
@@ -34,6 +36,8 @@
 export type BatchEntryOptions = {
   readonly self: EntryId;
   readonly dataCentre: string;
+  /** How many cores this entry may use: the strongest entries hold control. */
+  readonly cores: number;
   readonly meshHost: string;
   readonly meshPort: number;
   readonly meshKey: string;
@@ -65,6 +69,7 @@
 export const startBatchEntry = async ({
   self,
   dataCentre,
+  cores,
   meshHost,
   meshPort,
   meshKey,
@@ -95,6 +100,11 @@
     configuration: () => index,
     log,
     metrics,
+    standing: createStanding({
+      cores,
+      othersCores: () => peers?.cores(),
+      ask: async (entryId) => peers?.ask(entryId, CONTROL_METHOD.willing, null, WILLING_MS),
+    }),
   });
 
   const answerHere = (question: OperatorQuestion): OperatorResult | undefined =>
@@ -116,6 +126,7 @@
 
   peers = await createPeers({
     self,
+    cores,
     dataCentre,
     host: meshHost,
     port: meshPort,
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -13,6 +13,7 @@
 import type { Peers } from './peers.js';
 import type { BatchPlatform } from './ports.js';
 import type { RelayedTable } from './relayed-table.js';
+import { createYielding, EQUAL_STANDING, HAND_OVER_LOOK_MS, type Standing } from './standing.js';
 import { createTerm, type Term } from './term.js';
 
 /**
@@ -56,6 +57,7 @@
   accept: 'accept',
   taken: 'taken',
   cancelled: 'cancelled',
+  willing: 'willing',
 } as const;
 
 export type ControlOptions = {
@@ -66,6 +68,8 @@
   readonly configuration: () => QueueIndex | undefined;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** How this entry stands among the others. */
+  readonly standing?: Standing;
   readonly nowMs?: () => number;
 };
 
@@ -97,6 +101,7 @@
   configuration,
   log,
   metrics,
+  standing = EQUAL_STANDING,
   nowMs = () => performance.now(),
 }: ControlOptions): Control => {
   const keeper = createLeaseKeeper({
@@ -105,18 +110,29 @@
     self,
     durationMs: CONTROL_LEASE_MS,
     marginMs: CONTROL_MARGIN_MS,
-    mayTake: () => !isResigned && configuration() !== undefined,
+    mayTake: () => isWilling() && (standing.isStrong() || isLeftToUs()),
     nowMs,
   });
   const knownWaves = new Map<number, KnownWave>();
   let term: Term | undefined;
   let isResigned = false;
+  const hasYielded = createYielding();
+  let lookedAtMs = 0;
   let passedOverUntilMs = 0;
   let lostFence = -1;
   let lastHolder: EntryId | null = null;
   let waitingCache:
     { readonly atMs: number; readonly counts: ReadonlyMap<string, number> } | undefined;
 
+  const isWilling = (): boolean => !isResigned && configuration() !== undefined;
+
+  /** Stronger entries have had their time to take the lease. */
+  const isLeftToUs = (): boolean => {
+    const isHeld = (keeper.lastRow()?.holder ?? null) !== null;
+    const freeAfterMs = isHeld ? CONTROL_LEASE_MS + CONTROL_MARGIN_MS : 0;
+    return hasYielded(keeper.unchangedForMs() >= freeAfterMs, nowMs());
+  };
+
   const endTerm = async (reason: string): Promise<void> => {
     const ending = term;
     term = undefined;
@@ -166,7 +182,17 @@
     });
   };
 
+  /** A weak holder gives control to a stronger entry that is there. */
+  const handOver = async (): Promise<void> => {
+    if (!term || standing.isStrong() || nowMs() - lookedAtMs < HAND_OVER_LOOK_MS) return;
+    lookedAtMs = nowMs();
+    const stronger = await standing.findStronger();
+    if (!stronger || !(await keeper.release())) return;
+    await endTerm(`it is left to ${stronger}, which has more processor`);
+  };
+
   const tick = async (): Promise<void> => {
+    await handOver();
     await keeper.tick();
     const fence = keeper.epoch();
     const isHeld = keeper.holds() && keeper.lastRow()?.holder === self;
@@ -241,6 +267,7 @@
 
   const handlers: Readonly<Record<string, (payload: unknown) => unknown>> = {
     [CONTROL_METHOD.phase]: (payload) => term?.phaseOf(brand<JobId>(String(payload))) ?? null,
+    [CONTROL_METHOD.willing]: () => isWilling(),
     [CONTROL_METHOD.waiting]: () => ownWaiting() ?? null,
     [CONTROL_METHOD.taken]: (payload) => takenHere(payload as Taken),
     [CONTROL_METHOD.accept]: (payload) => acceptHere(payload as BatchJobRow),
--- a/packages/daemon/src/batch/peers.ts
+++ b/packages/daemon/src/batch/peers.ts
@@ -12,9 +12,12 @@
   readonly meshUrl: string;
   readonly dataCentre: string;
   readonly startedAtMs: number;
+  /** How many cores the entry may use. */
+  readonly cores: number;
 };
 
 export type PeersOptions = {
+  readonly cores: number;
   readonly self: EntryId;
   readonly dataCentre: string;
   readonly host: string;
@@ -38,6 +41,8 @@
   readonly keepLink: (entryId: EntryId) => void;
   /** Other entries, those of the own data centre first. */
   readonly others: () => readonly EntryId[];
+  /** How many cores each other entry may use; undefined until they were read. */
+  readonly cores: () => ReadonlyMap<EntryId, number> | undefined;
   readonly knows: (entryId: EntryId) => boolean;
   /** How long a linked entry has been silent; each says something every second. */
   readonly silentForMs: (entryId: EntryId) => number;
@@ -45,6 +50,14 @@
   readonly close: () => Promise<void>;
 };
 
+/** Pause between two words on each link. */
+export const BEAT_MS = 500;
+/**
+ * Connections may go silent for good while new ones work. Three words missed in a row end a link;
+ * it is dialled again when its peer is next asked. A slowed entry misses one or two.
+ */
+const LINK_SILENT_MS = 3 * BEAT_MS + 100;
+
 const withTimeout = async <Value>(promise: Promise<Value>, ms: number): Promise<Value> => {
   let timer: NodeJS.Timeout | undefined;
   const late = new Promise<never>((_, reject) => {
@@ -66,6 +79,7 @@
  */
 export const createPeers = async ({
   self,
+  cores,
   dataCentre,
   host,
   port,
@@ -74,6 +88,7 @@
   answer,
 }: PeersOptions): Promise<Peers> => {
   const members = new Map<EntryId, Member>();
+  let othersCores: ReadonlyMap<EntryId, number> | undefined;
   const startedAtMs = Date.now();
   let isRegistered = false;
 
@@ -87,13 +102,14 @@
     operatorsUrl: '',
   });
 
-  const ownRow: EntryRow = { meshUrl: `ws://${host}:${port}`, dataCentre, startedAtMs };
+  const ownRow: EntryRow = { meshUrl: `ws://${host}:${port}`, dataCentre, startedAtMs, cores };
 
   const mesh: Mesh = await createMesh({
     host,
     port,
     key: meshKey,
     self: () => memberOf(self, ownRow),
+    silentAfterMs: LINK_SILENT_MS,
     handlers: {
       onMessage: () => undefined,
       onPeer: (member) => {
@@ -120,10 +136,13 @@
         log.warn('entry-list-failed', rows.error);
         return;
       }
-      rows.value.forEach(({ key, value }) => {
-        const entryId = key.slice('entry/'.length) as EntryId;
-        if (entryId !== self) members.set(entryId, memberOf(entryId, value as EntryRow));
-      });
+      const others = rows.value
+        .map(
+          ({ key, value }) => [key.slice('entry/'.length) as EntryId, value as EntryRow] as const,
+        )
+        .filter(([entryId]) => entryId !== self);
+      others.forEach(([entryId, row]) => members.set(entryId, memberOf(entryId, row)));
+      othersCores = new Map(others.map(([entryId, row]) => [entryId, row.cores]));
     },
     ask: async (entryId, method, payload, ms) => {
       const member = members.get(entryId);
@@ -132,7 +151,7 @@
     },
     keepLink: (entryId) => {
       const member = members.get(entryId);
-      if (member) mesh.dial(member.meshUrl);
+      if (member && !mesh.linkedPeers().includes(entryId)) mesh.dial(member.meshUrl);
     },
     others: () =>
       Array.from(members.values())
@@ -141,10 +160,11 @@
             Number(right.dataCentre === dataCentre) - Number(left.dataCentre === dataCentre),
         )
         .map(({ entryId }) => entryId),
+    cores: () => othersCores,
     knows: (entryId) => members.has(entryId),
     silentForMs: (entryId) => performance.now() - mesh.heardAtMs(entryId),
     beat: () => {
-      mesh.broadcast({ type: 'heartbeat', revision: 0, membersHash: 0, ready: [] });
+      mesh.beat({ type: 'heartbeat', revision: 0, membersHash: 0, ready: [] });
       mesh.sweep();
     },
     close: mesh.close,
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -40,6 +40,7 @@
 import { batchKey } from '../keys.js';
 import type { BatchPlatform, EndpointNews, TableFeed } from '../ports.js';
 import { createRelayedTable } from '../relayed-table.js';
+import { createStanding } from '../standing.js';
 
 const HOP_MS = 1;
 const STORE_MS = 4;
@@ -86,7 +87,7 @@
   readonly hosts: Map<HostId, HostView>;
   readonly broken: string[];
   readonly logged: { readonly event: string; readonly fields: object }[];
-  readonly addEntry: (name: string) => SimEntry;
+  readonly addEntry: (name: string, cores?: number) => SimEntry;
   readonly kill: (entry: SimEntry) => void;
   readonly submit: (options: {
     readonly pool: string;
@@ -345,7 +346,7 @@
     },
   };
 
-  const addEntry = (name: string): SimEntry => {
+  const addEntry = (name: string, cores = 1): SimEntry => {
     const cutFrom = new Set<EndpointId>();
     const entry = {
       entryId: brand<EntryId>(name),
@@ -541,7 +542,13 @@
       configuration: () => configuration,
       log,
       metrics,
+      standing: createStanding({
+        cores,
+        othersCores: () => new Map(registered),
+        ask: async (entryId) => entries.some((other) => other.entryId === entryId),
+      }),
     });
+    registered.set(entry.entryId, cores);
     entry.control = control;
     const loop = async (): Promise<void> => {
       while (!entry.isDead) {
@@ -555,6 +562,8 @@
   };
 
   const entries: SimEntry[] = [];
+  /** Rows of entries: those of the dead stay. */
+  const registered = new Map<EntryId, number>();
 
   return {
     entries,
--- /dev/null
+++ b/packages/mesh/src/mesh.test.ts
@@ -0,0 +1,118 @@
+/** Links between entries whose connections go silent. */
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+
+import type { EntryId, Member } from '@valvelatch/core';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { createMesh, type Mesh } from './mesh.js';
+
+const SILENT_AFTER_MS = 150;
+const BEAT_MS = 40;
+
+const memberOf = (entryId: string, meshUrl: string): Member => ({
+  entryId: entryId as EntryId,
+  dataCentre: 'dc' as Member['dataCentre'],
+  incarnation: 1,
+  status: 'alive',
+  meshUrl,
+  callersUrl: '',
+  operatorsUrl: '',
+});
+
+describe('links of the mesh', () => {
+  const closers: (() => unknown)[] = [];
+
+  afterEach(async () => {
+    await Promise.all(closers.splice(0).map((close) => close()));
+  });
+
+  const open = async (name: string, silent: string[] = []): Promise<Mesh> => {
+    const mesh = await createMesh({
+      host: '127.0.0.1',
+      port: 0,
+      key: 'k',
+      self: () => memberOf(name, 'ws://127.0.0.1:1'),
+      silentAfterMs: SILENT_AFTER_MS,
+      handlers: {
+        onMessage: () => undefined,
+        onPeer: () => undefined,
+        onSilent: (peer) => silent.push(peer),
+        answer: async (_, payload) => payload,
+      },
+    });
+    const beats = setInterval(() => {
+      mesh.beat({ type: 'heartbeat', revision: 0, membersHash: 0, ready: [] });
+      mesh.sweep();
+    }, BEAT_MS);
+    closers.push(() => {
+      clearInterval(beats);
+      return mesh.close();
+    });
+    return mesh;
+  };
+
+  /** Passes connections on to a port; `silence` stops those that are open, and no later ones. */
+  const openWay = async (port: number) => {
+    const pairs = new Set<readonly [Socket, Socket]>();
+    const server: Server = createServer((near) => {
+      const far = connect(port, '127.0.0.1');
+      near.pipe(far);
+      far.pipe(near);
+      [near, far].forEach((socket) => socket.on('error', () => undefined));
+      pairs.add([near, far]);
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    closers.push(() => {
+      pairs.forEach((pair) => pair.forEach((socket) => socket.destroy()));
+      server.close();
+    });
+    return {
+      url: `ws://127.0.0.1:${(server.address() as AddressInfo).port}`,
+      silence: () =>
+        pairs.forEach(([near, far]) => {
+          near.unpipe(far);
+          far.unpipe(near);
+          near.resume();
+          far.resume();
+        }),
+    };
+  };
+
+  const until = async (check: () => boolean): Promise<void> => {
+    const untilMs = performance.now() + 5000;
+    while (!check() && performance.now() < untilMs) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 10);
+      });
+    }
+  };
+
+  it('stay open while both sides beat, whoever dialled', async () => {
+    const silent: string[] = [];
+    const [left, right] = [await open('left', silent), await open('right', silent)];
+    left.dial(`ws://127.0.0.1:${right.port}`);
+    right.dial(`ws://127.0.0.1:${left.port}`);
+    await until(() => left.linkedPeers().length === 1 && right.linkedPeers().length === 1);
+    const opened = left.linkCount() + right.linkCount();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 4 * SILENT_AFTER_MS);
+    });
+    expect([silent, left.linkCount() + right.linkCount()]).toEqual([[], opened]);
+  });
+
+  it('are replaced when they go silent without a reset', async () => {
+    const silent: string[] = [];
+    const [left, right] = [await open('left', silent), await open('right')];
+    const way = await openWay(right.port);
+    left.dial(way.url);
+    await until(() => left.linkedPeers().length === 1);
+    way.silence();
+    await until(() => silent.length > 0);
+    left.dial(way.url);
+    await until(() => left.linkedPeers().length === 1);
+    const answer = await left.ask(memberOf('right', way.url), 'echo', 5, 1000);
+    expect([silent, answer]).toEqual([['right'], 5]);
+  });
+});
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -55,6 +55,9 @@
   readonly linkedPeers: () => readonly EntryId[];
   readonly send: (peer: EntryId, message: MeshMessage) => void;
   readonly broadcast: (message: MeshMessage, except?: EntryId) => void;
+  /** Sends on every link, so that each is seen to live by both sides. */
+  readonly beat: (message: MeshMessage) => void;
+  readonly linkCount: () => number;
   readonly dial: (url: string) => void;
   /** Asks a member, over its link or over a connection of its own. */
   readonly ask: (member: Member, method: string, payload: unknown, ms: number) => Promise<unknown>;
@@ -253,6 +256,8 @@
         sendOn(link, message);
       });
     },
+    beat: (message) => links.forEach((link) => sendOn(link, message)),
+    linkCount: () => links.size,
     dial,
     ask,
     heardAtMs: (peer) =>
