--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -167,11 +167,21 @@
     metrics,
   });
 
+  /** Who else is there is read before control is taken for the first time: see `Standing`. */
+  const keepControl = async (): Promise<void> => {
+    if (openPeers.cores() === undefined) await openPeers.refresh(table);
+    await control.tick();
+  };
+
+  const refreshPeers = async (): Promise<void> => {
+    if (openPeers.cores() !== undefined) await openPeers.refresh(table);
+  };
+
   const loops: RunningLoops = startLoops(
     [
       { name: 'operator', everyMs: OPERATOR_RETRY_MS, run: followOperator },
-      { name: 'lease', everyMs: LEASE_TICK_MS, run: control.tick },
-      { name: 'peers', everyMs: PEERS_MS, run: () => openPeers.refresh(table) },
+      { name: 'lease', everyMs: LEASE_TICK_MS, run: keepControl },
+      { name: 'peers', everyMs: PEERS_MS, run: refreshPeers },
       { name: 'beat', everyMs: BEAT_MS, run: async () => openPeers.beat() },
     ],
     (name, error) => {
