A holder that the table turns away hands control over; leases are renewed over two ways

It asked neighbours of its own data centre, cut off as well, one after the other, lost its lease at 5.2 s, and took it back through another neighbour; but feeds come on the own way only, so it recovered nothing until 13 s. Ruled out: want of processor (0.21 of 1.35 cores at the peak), pools (moves stopped because the term never recovered). Change: calls that a lease hangs on take the second way after 0.7 s and ask neighbours 0.25 s apart, those of any data centre; an entry that is turned away answers neighbours so at once. A holder without its own way for 1.2 s, while neighbours are served, gives control up; entries without it take none, nor their own back.

--- a/packages/daemon/src/batch/batch-control.test.ts
+++ b/packages/daemon/src/batch/batch-control.test.ts
@@ -289,6 +289,33 @@
     });
   });
 
+  describe('a holder that the table turns away while it serves others', () => {
+    it('hands control over to one that is served', async () => {
+      // speelveilig-grown scale-2: a holder that was cut off kept its lease through neighbours for
+      // 28 s, could follow no feed, and started next to nothing.
+      const fleet = await started();
+      const first = holderOf(fleet);
+      first.isCutFromTable = true;
+      await advance(4500);
+      const job = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 3 }] });
+      await advance(2500);
+      expect(holderOf(fleet)).not.toBe(first);
+      expect(phaseOf(fleet, job)).toBe('completed');
+      expect(fleet.broken).toEqual([]);
+    });
+
+    it('does not take its own lapsed lease back through a neighbour', async () => {
+      const fleet = await started();
+      const first = holderOf(fleet);
+      first.isFrozen = true;
+      await advance(4200);
+      Object.assign(first, { isFrozen: false, isCutFromTable: true });
+      await advance(6000);
+      expect(holderOf(fleet)).not.toBe(first);
+      expect(fleet.broken).toEqual([]);
+    });
+  });
+
   describe('inherited tasks', () => {
     it('waits for the lease of an endpoint that fell out of the list before it was heard', async () => {
       const fleet = await started();
--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -16,7 +16,7 @@
 import { answerOperator, OPERATORS_METHOD, type OperatorQuestion } from './operators.js';
 import { createStanding } from './standing.js';
 import type { BatchPlatform } from './ports.js';
-import { answerRelay, createRelayedTable, RELAY_METHOD, type RelayCall } from './relayed-table.js';
+import { createRelayedTable, RELAY_METHOD, type RelayCall } from './relayed-table.js';
 
 const LEASE_TICK_MS = 400;
 /** A waiting read of the operator's orders: a change is in force within 2 s also if one is lost. */
@@ -133,7 +133,7 @@
     meshKey,
     log,
     answer: async (method, payload) => {
-      if (method === RELAY_METHOD) return answerRelay(platform.table, payload as RelayCall);
+      if (method === RELAY_METHOD) return table.answerNeighbour(payload as RelayCall);
       if (method === OPERATORS_METHOD) return answerHere(payload as OperatorQuestion) ?? null;
       return control.answer(method, payload);
     },
--- a/packages/daemon/src/batch/control.test.ts
+++ b/packages/daemon/src/batch/control.test.ts
@@ -17,6 +17,7 @@
 
 const table = {
   read: async () => Ok([{ key: 'lease/control', value: lease, version: 4 }]),
+  isServed: () => true,
 } as unknown as RelayedTable;
 
 describe('submissions to a holder elsewhere', () => {
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -45,6 +45,13 @@
 const HOST_ORDERS_WITHIN_MS = 1800;
 const TURN_MARGIN_MS = 300;
 
+/**
+ * A holder whose own way to the table is lost for so long, while neighbours are served, gives
+ * control up: shorter, and a lost connection would cost a change of the holder (0.5 s); longer, and
+ * accepted jobs wait for it.
+ */
+const TURNED_AWAY_MS = 1200;
+
 const pause = (ms: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, ms);
@@ -111,6 +118,7 @@
     durationMs: CONTROL_LEASE_MS,
     marginMs: CONTROL_MARGIN_MS,
     mayTake: () => isWilling() && (standing.isStrong() || isLeftToUs()),
+    mayRetake: () => isWilling(),
     nowMs,
   });
   const knownWaves = new Map<number, KnownWave>();
@@ -124,7 +132,8 @@
   let waitingCache:
     { readonly atMs: number; readonly counts: ReadonlyMap<string, number> } | undefined;
 
-  const isWilling = (): boolean => !isResigned && configuration() !== undefined;
+  /** Feeds come on the own way only: an entry without it could hold control, and not exert it. */
+  const isWilling = (): boolean => !isResigned && configuration() !== undefined && table.isServed();
 
   /** Stronger entries have had their time to take the lease. */
   const isLeftToUs = (): boolean => {
@@ -182,13 +191,23 @@
     });
   };
 
-  /** A weak holder gives control to a stronger entry that is there. */
-  const handOver = async (): Promise<void> => {
-    if (!term || standing.isStrong() || nowMs() - lookedAtMs < HAND_OVER_LOOK_MS) return;
+  /** The table turns this entry away and serves others: they must hold control. */
+  const isTurnedAway = (): boolean =>
+    nowMs() - table.lostSinceMs() > TURNED_AWAY_MS &&
+    nowMs() - table.answeredAtMs() < CONTROL_LEASE_MS / 2;
+
+  /** Why control should go to another entry now, if it should. */
+  const findSuccession = async (): Promise<string | undefined> => {
+    if (isTurnedAway()) return 'the table turns this entry away and serves others';
+    if (standing.isStrong() || nowMs() - lookedAtMs < HAND_OVER_LOOK_MS) return undefined;
     lookedAtMs = nowMs();
     const stronger = await standing.findStronger();
-    if (!stronger || !(await keeper.release())) return;
-    await endTerm(`it is left to ${stronger}, which has more processor`);
+    return stronger && `it is left to ${stronger}, which has more processor`;
+  };
+
+  const handOver = async (): Promise<void> => {
+    const reason = term && (await findSuccession());
+    if (reason !== undefined && (await keeper.release())) await endTerm(reason);
   };
 
   const tick = async (): Promise<void> => {
--- a/packages/daemon/src/batch/keys.ts
+++ b/packages/daemon/src/batch/keys.ts
@@ -32,3 +32,5 @@
 
 /** The name of the lease on control; a fleet that is divided will have one a cell. */
 export const CONTROL_LEASE = 'control';
+/** Rows that control hangs on begin so. */
+export const LEASE_PREFIX = 'lease/';
--- a/packages/daemon/src/batch/relayed-table.test.ts
+++ b/packages/daemon/src/batch/relayed-table.test.ts
@@ -62,6 +62,46 @@
     expect(asked).toHaveLength(first);
   });
 
+  it('keeps a lease alive through a neighbour before the own way has timed out', async () => {
+    const slow = new Promise<never>(() => {});
+    const table = createRelayedTable({
+      table: { ...turnedAway, transact: () => slow },
+      neighbours: () => ['b', 'c'].map((name) => brand<EntryId>(name)),
+      ask: (entryId) => (entryId === 'b' ? slow : Promise.resolve(served)),
+      log,
+      metrics: createMetrics(),
+      random: () => 0,
+    });
+    const beganAtMs = performance.now();
+    const outcome = await table.transact({
+      checks: [],
+      writes: [{ key: 'lease/control', value: {} }],
+    });
+    expect(outcome.isOk()).toBe(true);
+    expect(performance.now() - beganAtMs).toBeLessThan(1500);
+  });
+
+  it('answers neighbours at once while it is turned away itself', async () => {
+    let calls = 0;
+    const table = createRelayedTable({
+      table: {
+        ...turnedAway,
+        read: async () => {
+          calls += 1;
+          return Err(AWAY);
+        },
+      },
+      neighbours: () => [],
+      ask: async () => served,
+      log,
+      metrics: createMetrics(),
+      nowMs: () => 1000,
+    });
+    await table.read(['lease/control']);
+    const answer = await table.answerNeighbour({ kind: 'read', keys: ['job/a'] });
+    expect([answer.isOk, calls]).toEqual([false, 1]);
+  });
+
   it('is unknown in its outcome where one neighbour did not answer', async () => {
     const { table } = relayed({ b: refused });
     const failing = createRelayedTable({
--- a/packages/daemon/src/batch/relayed-table.ts
+++ b/packages/daemon/src/batch/relayed-table.ts
@@ -9,6 +9,7 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import { LEASE_PREFIX } from './keys.js';
 import type { BatchTable } from './ports.js';
 
 /**
@@ -17,6 +18,14 @@
  */
 const TURNED_MS = 1500;
 const RELAY_MS = 1000;
+/** Where control hangs on it, the next neighbour is asked too after this: a served one takes 20 ms. */
+const STAGGER_MS = 250;
+/**
+ * A lease of 4 s is lost with two time-outs, so what keeps control takes both ways after this time.
+ * A slow table takes up to 610 ms, and only control's few calls may be made twice there.
+ */
+const HEDGE_MS = 700;
+const NEVER_MS = 2 ** 31 - 1;
 /** So many neighbours are asked before a call is given up. */
 const MOST_NEIGHBOURS = 3;
 /**
@@ -47,13 +56,36 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly nowMs?: () => number;
+  readonly random?: () => number;
 };
 
 export type RelayedTable = Pick<BatchTable, 'read' | 'scan' | 'transact'> & {
   /** When the table answered last, directly or through a neighbour. */
   readonly answeredAtMs: () => number;
+  /** Answers a neighbour's call, at once if the table turns this entry away as well. */
+  readonly answerNeighbour: (call: RelayCall) => Promise<RelayAnswer>;
   /** True if the last call on the own way was answered. */
   readonly isServed: () => boolean;
+  /** Since when the own way has not been answered; Infinity while it is. */
+  readonly lostSinceMs: () => number;
+};
+
+const TURNED_AWAY: PlatformError = {
+  kind: 'unreachable',
+  detail: 'the table turns this neighbour away too',
+};
+
+/** Stands before those that were never asked, which stand before those that failed. */
+const SERVED = -1;
+
+/** Calls that a lease hangs on. */
+const keepsControl = (call: RelayCall): boolean => {
+  const keys = {
+    read: () => (call.kind === 'read' ? call.keys : []),
+    scan: () => [],
+    transact: () => (call.kind === 'transact' ? call.transaction.writes.map(({ key }) => key) : []),
+  }[call.kind]();
+  return keys.some((key) => key.startsWith(LEASE_PREFIX));
 };
 
 type AnyResult = Result<unknown, PlatformError>;
@@ -64,17 +96,57 @@
   return table.transact(call.transaction);
 };
 
+const isAnswered = (result: AnyResult): boolean =>
+  result.isOk() || result.error.kind === 'rejected';
+
+const join = (first: AnyResult, second: AnyResult): AnyResult => {
+  if (isAnswered(second) || first.isOk() || second.isOk()) return second;
+  const isUnknown = first.error.kind === 'unknown' || second.error.kind === 'unknown';
+  return Err({
+    kind: isUnknown ? 'unknown' : 'unreachable',
+    detail: `${first.error.detail}; ${second.error.detail}`,
+  });
+};
+
 /**
- * Answers a neighbour's call.
- *
- * @param table - The own way to the table.
- * @param call - The neighbour's call.
- * @returns The answer for it.
+ * Makes several tries at one call and takes the first answer. The next try begins once the one
+ * before has failed, or has had its time; the calls must be safe to make twice.
  */
-export const answerRelay = async (table: BatchTable, call: RelayCall): Promise<RelayAnswer> => {
-  const result = await callDirectly(table, call);
-  return result.isOk() ? { isOk: true, value: result.value } : { isOk: false, value: result.error };
-};
+const firstAnswered = (
+  tries: readonly (() => Promise<AnyResult>)[],
+  staggerMs: number,
+): Promise<AnyResult> =>
+  new Promise((resolve) => {
+    let begun = 0;
+    let pending = 0;
+    let isDone = false;
+    let failed: AnyResult | undefined;
+    let timer: NodeJS.Timeout | undefined;
+
+    const settle = (result: AnyResult): void => {
+      isDone = true;
+      clearTimeout(timer);
+      resolve(result);
+    };
+
+    const begin = (): void => {
+      clearTimeout(timer);
+      const one = tries[begun];
+      if (!one || isDone) return;
+      begun += 1;
+      pending += 1;
+      timer = setTimeout(begin, staggerMs);
+      void one().then((result) => {
+        pending -= 1;
+        if (isDone) return;
+        failed = failed ? join(failed, result) : result;
+        if (isAnswered(result)) settle(result);
+        else if (begun < tries.length) begin();
+        else if (pending === 0) settle(failed);
+      });
+    };
+    begin();
+  });
 
 /**
  * Puts neighbours beside the own way to the table.
@@ -89,8 +161,10 @@
   log,
   metrics,
   nowMs = () => performance.now(),
+  random = Math.random,
 }: RelayedTableOptions): RelayedTable => {
   let failures = 0;
+  let lostSinceMs = Infinity;
   let turnedUntilMs = 0;
   let allAwayUntilMs = 0;
   const failedAtMs = new Map<EntryId, number>();
@@ -101,10 +175,12 @@
     if (result.isOk() || result.error.kind === 'rejected') {
       if (failures > 0) log.info('table-regained', {});
       failures = 0;
+      lostSinceMs = Infinity;
       answeredAtMs = nowMs();
       return result;
     }
     failures += 1;
+    if (failures === 1) lostSinceMs = nowMs();
     if (failures === 1) log.warn('table-lost', { detail: result.error.detail });
     turnedUntilMs = nowMs() + TURNED_MS;
     return result;
@@ -118,7 +194,7 @@
         failedAtMs.set(neighbour, nowMs());
         return Err(answer.value as PlatformError);
       }
-      failedAtMs.delete(neighbour);
+      failedAtMs.set(neighbour, SERVED);
       answeredAtMs = nowMs();
       return Ok(answer.value);
     } catch (error) {
@@ -127,49 +203,47 @@
     }
   };
 
-  /** Neighbours that were served last come before those that failed last. */
+  /**
+   * Neighbours that were served last come before those that failed last, and of equal ones any: a
+   * cut often takes all entries of one data centre.
+   */
   const byTrust = (): readonly EntryId[] =>
-    [...neighbours()]
-      .sort((left, right) => (failedAtMs.get(left) ?? 0) - (failedAtMs.get(right) ?? 0))
-      .slice(0, MOST_NEIGHBOURS);
+    neighbours()
+      .map((entryId) => ({ entryId, failedMs: failedAtMs.get(entryId) ?? 0, chance: random() }))
+      .sort((left, right) => left.failedMs - right.failedMs || left.chance - right.chance)
+      .slice(0, MOST_NEIGHBOURS)
+      .map(({ entryId }) => entryId);
 
   const relay = async (call: RelayCall): Promise<AnyResult> => {
     if (nowMs() < allAwayUntilMs) {
       return Err({ kind: 'unreachable', detail: 'neighbours are turned away too' });
     }
-    const [first, ...others] = byTrust();
-    if (!first) return Err({ kind: 'unreachable', detail: 'no neighbour' });
-    const result = await others.reduce<Promise<AnyResult>>(
-      async (before, neighbour) => {
-        const last = await before;
-        return isAnswered(last) ? last : join(last, await relayBy(neighbour, call));
-      },
-      relayBy(first, call),
-    );
+    const tries = byTrust().map((neighbour) => () => relayBy(neighbour, call));
+    if (tries.length === 0) return Err({ kind: 'unreachable', detail: 'no neighbour' });
+    const result = await firstAnswered(tries, keepsControl(call) ? STAGGER_MS : NEVER_MS);
     if (!isAnswered(result)) allAwayUntilMs = nowMs() + ALL_AWAY_MS;
     return result;
   };
 
-  const isAnswered = (result: AnyResult): boolean =>
-    result.isOk() || result.error.kind === 'rejected';
-
-  const join = (first: AnyResult, second: AnyResult): AnyResult => {
-    if (isAnswered(second) || first.isOk() || second.isOk()) return second;
-    const isUnknown = first.error.kind === 'unknown' || second.error.kind === 'unknown';
-    return Err({
-      kind: isUnknown ? 'unknown' : 'unreachable',
-      detail: `${first.error.detail}; ${second.error.detail}`,
-    });
+  const call = async (one: RelayCall): Promise<AnyResult> => {
+    const isTurned = nowMs() < turnedUntilMs;
+    const ways = isTurned ? [relay, direct] : [direct, relay];
+    const staggerMs = keepsControl(one) ? HEDGE_MS : NEVER_MS;
+    return firstAnswered(
+      ways.map((way) => () => way(one)),
+      staggerMs,
+    );
   };
 
-  const call = async (one: RelayCall): Promise<AnyResult> => {
-    const order = nowMs() < turnedUntilMs ? [relay, direct] : [direct, relay];
-    const first = await (order[0] as typeof direct)(one);
-    if (isAnswered(first)) return first;
-    return join(first, await (order[1] as typeof direct)(one));
+  const answerNeighbour = async (one: RelayCall): Promise<RelayAnswer> => {
+    const result = nowMs() < turnedUntilMs ? Err(TURNED_AWAY) : await direct(one);
+    return result.isOk()
+      ? { isOk: true, value: result.value }
+      : { isOk: false, value: result.error };
   };
 
   return {
+    answerNeighbour,
     read: (keys) =>
       call({ kind: 'read', keys }) as Promise<Result<readonly TableRow[], PlatformError>>,
     scan: (prefix) =>
@@ -178,5 +252,6 @@
       call({ kind: 'transact', transaction }) as Promise<Result<TransactionOutcome, PlatformError>>,
     answeredAtMs: () => answeredAtMs,
     isServed: () => failures === 0,
+    lostSinceMs: () => lostSinceMs,
   };
 };
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -39,7 +39,7 @@
 import { createControl, type Control } from '../control.js';
 import { batchKey } from '../keys.js';
 import type { BatchPlatform, EndpointNews, TableFeed } from '../ports.js';
-import { createRelayedTable } from '../relayed-table.js';
+import { createRelayedTable, type RelayCall, type RelayedTable } from '../relayed-table.js';
 import { createStanding } from '../standing.js';
 
 const HOP_MS = 1;
@@ -67,6 +67,7 @@
 export type SimEntry = {
   readonly entryId: EntryId;
   readonly control: Control;
+  readonly table: RelayedTable;
   isDead: boolean;
   isFrozen: boolean;
   isCutFromTable: boolean;
@@ -528,16 +529,24 @@
     };
 
     const metrics = createMetrics();
+    const relayed = createRelayedTable({
+      table: platform.table,
+      neighbours: () => entries.filter((other) => other !== entry).map((other) => other.entryId),
+      ask: async (entryId, _, payload, ms) => {
+        await awake();
+        const other = entries.find((one) => one.entryId === entryId);
+        const answer = other ? other.table.answerNeighbour(payload as RelayCall) : never();
+        return Promise.race([answer, sleep(ms).then(() => Promise.reject(new Error('silence')))]);
+      },
+      log,
+      metrics,
+      random,
+    });
+    entry.table = relayed;
     const control = createControl({
       self: entry.entryId,
       platform,
-      table: createRelayedTable({
-        table: platform.table,
-        neighbours: () => [],
-        ask: never,
-        log,
-        metrics,
-      }),
+      table: relayed,
       peers: () => undefined,
       configuration: () => configuration,
       log,
--- a/packages/daemon/src/leases/lease-keeper.ts
+++ b/packages/daemon/src/leases/lease-keeper.ts
@@ -39,6 +39,8 @@
   readonly marginMs?: number;
   /** False for one that only watches. */
   readonly mayTake?: () => boolean;
+  /** False for one that may not take back even its own lease once that has lapsed. */
+  readonly mayRetake?: () => boolean;
   /** Work that must be done before each taking or renewal; false puts it off. */
   readonly beforeWrite?: () => Promise<boolean>;
   readonly nowMs?: () => number;
@@ -61,6 +63,7 @@
   durationMs,
   marginMs = durationMs * MARGIN_FRACTION,
   mayTake = () => true,
+  mayRetake = () => true,
   beforeWrite = async () => true,
   nowMs = () => performance.now(),
 }: LeaseKeeperOptions): LeaseKeeper => {
@@ -98,7 +101,9 @@
     const value = (row?.value ?? null) as LeaseRow | null;
     state = observeLease(state, { row: value, version: row?.version ?? 0 }, nowMs());
     // A lapsed lease that nobody has taken since may be taken again by its last holder.
-    if (!mayTake() && value?.holder !== self) return;
+    const isOwn = value?.holder === self;
+    const isHeld = isOwn && holdsLease(state, nowMs());
+    if (!isHeld && !(isOwn && mayRetake()) && !mayTake()) return;
     const step = nextLeaseStep(state, nowMs());
     if (step.kind === 'write' && (await beforeWrite())) {
       if (step.row.renewals === 0) lastHolder = value?.holder ?? null;
