Queues that need advice are served: tickets are asked for few endpoints, once a step

Change: steps of such queues are placed on endpoints with a ticket; the service is asked about twice as many endpoints as are needed, at most 30, two questions at a time; what it refused is not asked again, a ticket that an endpoint does not take is forgotten. Tests: queues that need advice, in virtual time, also with lost answers.

--- a/packages/core/src/batch/endpoint-model.ts
+++ b/packages/core/src/batch/endpoint-model.ts
@@ -17,6 +17,8 @@
   readonly runMs: number;
   readonly isLasting: boolean;
   readonly fails: boolean;
+  /** What a start must show; undefined where none is needed. */
+  readonly ticket?: string | undefined;
 };
 
 type ModelRun = {
@@ -156,13 +158,14 @@
     return Math.min(needs.isLasting ? 100 : 99, Math.floor((ranMs / wholeMs) * 100));
   };
 
-  const start: EndpointModel['start'] = ({ task, run, keepUntilMs, fence: given }) => {
+  const start: EndpointModel['start'] = ({ task, run, keepUntilMs, fence: given, ticket }) => {
     if (!checkFence(given)) return refuse('fence');
     if (keepUntilMs <= clockMs()) return refuse('late');
     keep(keepUntilMs);
     if (runs.get(task)?.run === run) return Ok({ clockMs: clockMs() });
     if (run <= (highestEnded.get(task) ?? 0) || runs.has(task)) return refuse('old');
     const needs = observer.needsOf(task);
+    if (needs.ticket !== undefined && needs.ticket !== ticket) return refuse('ticket');
     const room = used();
     if (
       room.cpuMillis + needs.cpuMillis > capacity.cpuMillis ||
--- a/packages/core/src/batch/job.ts
+++ b/packages/core/src/batch/job.ts
@@ -47,6 +47,8 @@
   /** The objective is this many times the longest chain of work, plus `targetLatencyMs`. */
   readonly stretch: number;
   readonly targetLatencyMs: number;
+  /** Only endpoints with a ticket may run the queue's steps: see `advice.ts`. */
+  readonly needsAdvice?: boolean;
 };
 
 /** A job as a client handed it in. */
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -18,6 +18,7 @@
   type StepRun,
   type Task,
 } from './state.js';
+import { createStepAdvice } from './advice.js';
 import { noteArrival, workOf } from './demand.js';
 import { expectStepTime } from './run-times.js';
 import { stopRun } from './runs.js';
@@ -51,6 +52,7 @@
   doneCount: 0,
   perEndpoint: new Map(),
   retryAtMs: 0,
+  advice: job.policy.needsAdvice ? createStepAdvice() : null,
 });
 
 /**
--- a/packages/core/src/batch/orders.ts
+++ b/packages/core/src/batch/orders.ts
@@ -42,6 +42,8 @@
   readonly keepUntilMs: number;
   readonly fence: number;
   readonly checkpoint: string;
+  /** '' where the queue needs no advice. */
+  readonly ticket: string;
 };
 
 export type StopOrder = { readonly task: TaskKey; readonly run: number; readonly fence: number };
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -1,5 +1,6 @@
 /** Places waiting tasks on endpoints: the fullest endpoint that fits, so that others stand empty. */
 import type { EndpointId, PoolName } from '../shared/ids.js';
+import { admittedEndpoints, ticketOf, wantAdvice } from './advice.js';
 import { byRank, rankStep, type Rank } from './order.js';
 import { addRun, fitsIn, nextRunNumber } from './runs.js';
 import {
@@ -102,6 +103,7 @@
     run,
     spec: step.job.job.spec,
     checkpoint: task.checkpoint,
+    ticket: ticketOf(step, endpoint.endpointId),
     reason: `fullest of pool=${endpoint.pool} with room`,
   });
 };
@@ -179,6 +181,15 @@
   return true;
 };
 
+const wantAdviceFor = (
+  { state, step, nowMs }: Placing,
+  endpoints: readonly EndpointState[],
+): void => {
+  if (step.advice === null) return;
+  const withRoom = endpoints.filter((endpoint) => mayHold(endpoint, step));
+  wantAdvice(state, step, withRoom, nowMs);
+};
+
 const isBlocked = (pool: PoolState, { job }: StepRun, nowMs: number): boolean =>
   job.isInherited && pool.unheard.size > 0 && nowMs < pool.inheritedLeasesEndAtMs;
 
@@ -205,10 +216,10 @@
   ranked(state, pool, nowMs).some(({ step: ranking }) => {
     const step = ranking;
     const placing: Placing = { state, step, nowMs };
-    const isPlaced = step.spec.isGang
-      ? placeGang(placing, endpoints)
-      : placeEach(placing, endpoints);
+    const admitted = admittedEndpoints(step, endpoints, nowMs);
+    const isPlaced = step.spec.isGang ? placeGang(placing, admitted) : placeEach(placing, admitted);
     if (!isPlaced) {
+      wantAdviceFor(placing, endpoints);
       misfits += 1;
       step.retryAtMs = nowMs + RETRY_MS;
     }
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -28,6 +28,15 @@
   awaySinceMs: number;
 };
 
+/** Which endpoints may run a step, as far as it was asked. */
+export type StepAdvice = {
+  readonly tickets: Map<EndpointId, { readonly ticket: string; readonly validUntilMs: number }>;
+  readonly refused: Set<EndpointId>;
+  isAsking: boolean;
+  /** After a question without an answer. */
+  notBeforeMs: number;
+};
+
 /** A step of one occurrence of a job. */
 export type StepRun = {
   readonly job: JobState;
@@ -43,6 +52,8 @@
   readonly perEndpoint: Map<EndpointId, number>;
   /** Not tried again before this time. */
   retryAtMs: number;
+  /** Null where the queue needs no advice. */
+  readonly advice: StepAdvice | null;
 };
 
 /** One repetition of a job's steps. */
@@ -154,8 +165,17 @@
       readonly run: number;
       readonly spec: string;
       readonly checkpoint: string;
+      /** '' where the queue needs no advice. */
+      readonly ticket: string;
       readonly reason: string;
     }
+  | {
+      readonly kind: 'advise';
+      readonly jobId: JobId;
+      readonly occurrence: number;
+      readonly step: number;
+      readonly endpoints: readonly EndpointId[];
+    }
   | {
       readonly kind: 'stop';
       readonly endpointId: EndpointId;
--- a/packages/daemon/src/batch/batch-control.test.ts
+++ b/packages/daemon/src/batch/batch-control.test.ts
@@ -187,6 +187,34 @@
     });
   });
 
+  describe('queues that need advice', () => {
+    it('start tasks with a ticket, and only where the service allows it', async () => {
+      const fleet = await started({ hostsPerPool: 4 });
+      const job = fleet.submit({
+        pool: 'alpha',
+        steps: [{ taskCount: 5 }, { taskCount: 3, after: [0] }],
+        needsAdvice: true,
+      });
+      await advance(4000);
+      expect(phaseOf(fleet, job)).toBe('completed');
+      expect(fleet.broken).toEqual([]);
+    });
+
+    it('ask again where tickets have run out or answers were lost', async () => {
+      const fleet = await started({ hostsPerPool: 4 });
+      fleet.faults.lostAnswers = 0.3;
+      const job = fleet.submit({
+        pool: 'alpha',
+        steps: [{ taskCount: 40, cpuMillis: 4000 }],
+        runMs: 1500,
+        needsAdvice: true,
+      });
+      await advance(60_000);
+      expect(phaseOf(fleet, job)).toBe('completed');
+      expect(fleet.broken).toEqual([]);
+    });
+  });
+
   describe('a wave under several holders', () => {
     const busyWave = async () => {
       const fleet = await started({ hostsPerPool: 4 });
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -6,6 +6,7 @@
   applyReport,
   applyStartOutcome,
   applyStopAnswer,
+  dropTicket,
   type BatchEffect,
   type BatchState,
   type EndpointState,
@@ -135,12 +136,12 @@
 
   const start = async (effect: Extract<BatchEffect, { kind: 'start' }>): Promise<void> => {
     const keepUntilMs = keepUntil();
-    const { task, run, spec, checkpoint } = effect;
+    const { task, run, spec, checkpoint, ticket } = effect;
     if (keepUntilMs === undefined || !context.mayOrder() || isClosed) {
       applyStartOutcome(state, endpointId, task, run, 'rejected', nowMs());
       return;
     }
-    const order = { task, run, spec, checkpoint, keepUntilMs, fence: state.fence };
+    const order = { task, run, spec, checkpoint, ticket, keepUntilMs, fence: state.fence };
     const sentAtMs = nowMs();
     const answer = await orders.start(target, order);
     metrics.time('order_start', (nowMs() - sentAtMs) * 1000);
@@ -151,6 +152,7 @@
       return;
     }
     noteError('start', answer.error, { task, run });
+    if (answer.error.reason === 'ticket') dropTicket(state, task, endpointId);
     applyStartOutcome(state, endpointId, task, run, outcomeOf(answer.error), nowMs());
     context.poke();
   };
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -3,6 +3,8 @@
  * decides nothing. All times are milliseconds.
  */
 import type {
+  AdviceAnswer,
+  AdviceQuestion,
   BatchConfiguration,
   EndpointClock,
   EndpointReport,
@@ -86,6 +88,17 @@
   readonly forget: (target: OrderTarget) => void;
 };
 
+/** The service that knows which endpoints may run a step of a queue that needs advice. */
+export type AdvicePort = {
+  /**
+   * Asks about some endpoints.
+   *
+   * @param question - The step and the endpoints, 100 at most.
+   * @returns Those that may run it; `unreachable` where the service was too busy.
+   */
+  readonly ask: (question: AdviceQuestion) => Promise<Result<AdviceAnswer, PlatformError>>;
+};
+
 /** Who orders, for orders to hosts. */
 export type HostOrderer = { readonly holder: EntryId; readonly fence: number };
 
@@ -122,6 +135,7 @@
   readonly endpoints: () => EndpointFeed;
   readonly orders: EndpointOrders;
   readonly hosts: HostPort;
+  readonly advice: AdvicePort;
   readonly bounds: () => PlatformBounds;
   readonly close: () => void;
 };
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -32,6 +32,7 @@
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
 import { startLoops, type RunningLoops } from '../shared/loops.js';
+import { createAdvisor } from './advisor.js';
 import { createEndpointLink, KEEP_MS, type EndpointLink } from './endpoint-link.js';
 import { createFleetTurn, type FleetTurn } from './fleet-turn.js';
 import { createJobSaver, type AcceptOutcome, type JobSaver, type LiveRow } from './job-saver.js';
@@ -186,12 +187,15 @@
     poke();
   };
 
+  const advisor = createAdvisor({ state, port: platform.advice, log, metrics, nowMs, poke });
+
   const effectHandlers: {
     readonly [Kind in BatchEffect['kind']]: (effect: Extract<BatchEffect, { kind: Kind }>) => void;
   } = {
     start: (effect) => links.get(effect.endpointId)?.perform(effect),
     stop: (effect) => links.get(effect.endpointId)?.perform(effect),
     pace: (effect) => links.get(effect.endpointId)?.perform(effect),
+    advise: (effect) => advisor.ask(effect),
     save: ({ jobId, isUrgent }) => {
       const job = state.jobs.get(jobId);
       if (job && isUrgent)
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -47,6 +47,7 @@
 const CALL_TIMEOUT_MS = 900;
 const MAINTENANCE_MS = 2000;
 const MOVE_MS = 1500;
+const ADVICE_MS = 60;
 const TICK_MS = 500;
 
 export const SIM_POLICY: QueuePolicy = {
@@ -56,6 +57,9 @@
   targetLatencyMs: 600,
 };
 
+const queueOf = (pool: string, needsAdvice: boolean): string =>
+  `${needsAdvice ? 'advised' : 'q'}-${pool}`;
+
 const sleep = (ms: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, ms);
@@ -95,6 +99,8 @@
     readonly steps: readonly Partial<StepSpec>[];
     readonly runMs?: number;
     readonly fails?: boolean;
+    /** Only endpoints with an even number may run it, and only with a ticket. */
+    readonly needsAdvice?: boolean;
   }) => JobId;
   readonly cancel: (jobId: JobId) => void;
   readonly order: (wave: UpkeepOrder) => void;
@@ -142,7 +148,17 @@
   savesProgress: false,
 };
 
-type Submitted = { readonly job: BatchJob; readonly runMs: number; readonly fails: boolean };
+type Submitted = {
+  readonly job: BatchJob;
+  readonly runMs: number;
+  readonly fails: boolean;
+  readonly needsAdvice: boolean;
+};
+
+const TICKET = 'ticket';
+
+/** What the service of advice of the fleet knows. */
+const mayRunAdvised = (endpointId: EndpointId): boolean => Number(endpointId.slice(2)) % 2 === 0;
 
 /**
  * Builds a fleet without entries.
@@ -196,6 +212,7 @@
       runMs: submitted?.runMs ?? 100,
       isLasting: step?.isLasting ?? false,
       fails: submitted?.fails ?? false,
+      ticket: submitted?.needsAdvice ? TICKET : undefined,
     };
   };
 
@@ -225,6 +242,11 @@
         );
       if (noted.has(task)) breaks(`${task} run ${run} began after its end was noted`);
       if ((failures.get(task) ?? 0) >= SIM_POLICY.maxAttempts) breaks(`${task} began too often`);
+      const name = parseTaskKey(task);
+      const isAdvised = name !== undefined && jobs.get(name.jobId)?.needsAdvice === true;
+      if (isAdvised && !mayRunAdvised(endpoint.endpointId)) {
+        breaks(`${task} began on ${endpoint.endpointId}, which may not run it`);
+      }
       checkOrder(task);
     },
     onEnd: (_, task, __, kind) => {
@@ -323,14 +345,16 @@
 
   const configuration = indexQueues({
     version: 1,
-    queues: pools.map((pool) => ({
-      name: brand(`q-${pool}`),
-      hostName: 'h',
-      pathPrefix: `/${pool}/`,
-      pool: brand(pool),
-      policy: SIM_POLICY,
-      timeoutMs: 3000,
-    })),
+    queues: pools.flatMap((pool) =>
+      [false, true].map((needsAdvice) => ({
+        name: brand(queueOf(pool, needsAdvice)),
+        hostName: 'h',
+        pathPrefix: `/${queueOf(pool, needsAdvice)}/`,
+        pool: brand(pool),
+        policy: { ...SIM_POLICY, needsAdvice },
+        timeoutMs: 3000,
+      })),
+    ),
     pools: [
       ...pools.map((name) => ({ name: brand<PoolName>(name), isSpare: false })),
       ...(sparePool ? [{ name: brand<PoolName>(sparePool), isSpare: true }] : []),
@@ -524,6 +548,17 @@
           ),
         reportWave: (waveNumber, state) => toTable(() => waveStatus.set(waveNumber, state)),
       },
+      advice: {
+        ask: async ({ endpoints: asked }) => {
+          await awake();
+          await sleep(ADVICE_MS);
+          if (random() < faults.lostAnswers) return Err({ kind: 'unknown', detail: 'no answer' });
+          const good = asked
+            .filter(mayRunAdvised)
+            .map((endpointId) => [endpointId, TICKET] as const);
+          return Ok({ good, validMs: 3000 });
+        },
+      },
       bounds: () => ({ maintenanceMs: MAINTENANCE_MS, holderTurnMs: 3000 }),
       close: () => undefined,
     };
@@ -590,12 +625,12 @@
       void entry.control.term()?.stop();
       entries.splice(entries.indexOf(entry), 1);
     },
-    submit: ({ pool, steps, runMs = 300, fails = false }) => {
+    submit: ({ pool, steps, runMs = 300, fails = false, needsAdvice = false }) => {
       lastJob += 1;
       const jobId = brand<JobId>(lastJob.toString(16).padStart(16, '0'));
       const job: BatchJob = {
         jobId,
-        queue: brand(`q-${pool}`),
+        queue: brand(queueOf(pool, needsAdvice)),
         pool: brand(pool),
         spec: '',
         steps: steps.map((step) => ({ ...defaultStep, ...step })),
@@ -604,7 +639,7 @@
         intervalMs: 0,
         acceptedAtMs: Date.now(),
       };
-      jobs.set(jobId, { job, runMs, fails });
+      jobs.set(jobId, { job, runMs, fails, needsAdvice });
       const row: BatchJobRow = { kind: 'live', job, policy: SIM_POLICY };
       commit({ checks: [], writes: [{ key: batchKey.job(jobId), value: row }] });
       return jobId;
--- a/packages/stand-ins/src/users-platform/executor-service.ts
+++ b/packages/stand-ins/src/users-platform/executor-service.ts
@@ -26,6 +26,7 @@
   readonly untilMs?: number;
   readonly fence?: number;
   readonly checkpoint?: string;
+  readonly ticket?: string;
 };
 
 const send = async <Value>(
@@ -52,8 +53,9 @@
     if (expected !== model.endpointId) await reply.code(OTHER_INSTANCE).send();
   });
   server.post<{ Body: Order }>('/-/run-start', async ({ body }, reply) => {
-    const { task, run, spec = '', untilMs = 0, fence = 0, checkpoint = '' } = body;
-    return send(model.start({ task, run, spec, keepUntilMs: untilMs, fence, checkpoint }), reply);
+    const { task, run, spec = '', untilMs = 0, fence = 0, checkpoint = '', ticket = '' } = body;
+    const order = { task, run, spec, keepUntilMs: untilMs, fence, checkpoint, ticket };
+    return send(model.start(order), reply);
   });
   server.post<{ Body: Order }>('/-/run-stop', async ({ body }, reply) =>
     send(model.stop({ task: body.task, run: body.run, fence: body.fence ?? 0 }), reply),
