--- a/packages/core/src/batch/advice.ts
+++ b/packages/core/src/batch/advice.ts
@@ -6,7 +6,7 @@
 import type { EndpointId } from '../shared/ids.js';
 import { parseTaskKey, type TaskKey } from './job.js';
 import { findTask } from './jobs.js';
-import type { BatchState, EndpointState, StepAdvice, StepRun } from './state.js';
+import type { BatchState, EndpointState, StepRun } from './state.js';
 
 /** The objective of a job counts one question about so many endpoints a step. */
 const MOST_ASKED = 30;
@@ -18,18 +18,6 @@
 /** A question without an answer is asked again after this time. */
 const ASK_AGAIN_MS = 400;
 
-/**
- * Builds the advice of a step that nothing was asked about yet.
- *
- * @returns The advice.
- */
-export const createStepAdvice = (): StepAdvice => ({
-  tickets: new Map(),
-  refused: new Set(),
-  isAsking: false,
-  notBeforeMs: 0,
-});
-
 /**
  * Gives the ticket of an endpoint.
  *
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -10,6 +10,7 @@
   type TaskName,
 } from './job.js';
 import {
+  createStepAdvice,
   isFinal,
   poolOf,
   type BatchState,
@@ -18,7 +19,6 @@
   type StepRun,
   type Task,
 } from './state.js';
-import { createStepAdvice } from './advice.js';
 import { noteArrival, workOf } from './demand.js';
 import { expectStepTime } from './run-times.js';
 import { stopRun } from './runs.js';
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -37,6 +37,18 @@
   notBeforeMs: number;
 };
 
+/**
+ * Builds the advice of a step that nothing was asked about yet.
+ *
+ * @returns The advice.
+ */
+export const createStepAdvice = (): StepAdvice => ({
+  tickets: new Map(),
+  refused: new Set(),
+  isAsking: false,
+  notBeforeMs: 0,
+});
+
 /** A step of one occurrence of a job. */
 export type StepRun = {
   readonly job: JobState;
