--- a/packages/core/src/batch/demand.ts
+++ b/packages/core/src/batch/demand.ts
@@ -9,6 +9,13 @@
 const FAST_MS = 900;
 const SLOW_MS = 2500;
 
+/**
+ * Of a steady rise the fast rate is 0.9 s behind and the slow one 2.5 s. A factor of 1.8 reaches 2 s
+ * ahead, a decision and a move of 1.5 s; 5 was better over 12 days of both prod sites (1: 0.555 of
+ * worth in the mean, 1.8: 0.570, 3: 0.586, 5: 0.598), since a turn begins steeper than it goes on.
+ */
+const RISE_FACTOR = 5;
+
 /** The rates at one moment. */
 export type Demand = { fastCores: number; slowCores: number; atMs: number };
 
@@ -51,7 +58,7 @@
 export const expectCores = (demand: Demand, nowMs: number): number => {
   settle(demand, nowMs);
   const { fastCores, slowCores } = demand;
-  return Math.max(slowCores, fastCores + Math.max(0, fastCores - slowCores));
+  return Math.max(slowCores, fastCores + RISE_FACTOR * Math.max(0, fastCores - slowCores));
 };
 
 /**
