A term in parts: guard, rows of jobs, roster of endpoints, ended jobs; their rows are swept

Moved without change of behaviour: the guard, reading and following rows, the roster of endpoints, the way to a holder elsewhere. New: rows of ended jobs are deleted 1.5 times the promised time after the end (120 s on the prod sites); a new holder read the rows of all jobs that ever were.

--- a/packages/daemon/src/batch/batch-control.test.ts
+++ b/packages/daemon/src/batch/batch-control.test.ts
@@ -94,6 +94,17 @@
       expect(runningOf(fleet, job)).toEqual([]);
     });
 
+    it('keeps the row of an ended job while clients may ask for it, and sweeps it after that', async () => {
+      const fleet = await started();
+      const jobs = [0, 1].map(() => fleet.submit({ pool: 'alpha', steps: [{}] }));
+      fleet.cancel(jobs[1] as JobId);
+      await advance(120_000);
+      expect(jobs.map((job) => phaseOf(fleet, job))).toEqual(['completed', 'cancelled']);
+      await advance(80_000);
+      expect(jobs.map((job) => phaseOf(fleet, job))).toEqual(['missing', 'missing']);
+      expect(fleet.broken).toEqual([]);
+    });
+
     it('starts the members of a gang under one run number, all or none', async () => {
       const fleet = await started();
       const job = fleet.submit({
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -9,6 +9,7 @@
 import type { ControlView } from './intake.js';
 import type { AcceptOutcome } from './job-saver.js';
 import type { KnownWave } from './fleet-turn.js';
+import { CONTROL_METHOD, createHolderClient, HOLDER_SILENT_MS } from './holder-client.js';
 import { CONTROL_LEASE } from './keys.js';
 import type { Peers } from './peers.js';
 import type { BatchPlatform } from './ports.js';
@@ -23,12 +24,6 @@
 const CONTROL_LEASE_MS = 4000;
 /** Clocks of entries may differ by 2 % over the lease; the rest is for late timers. */
 const CONTROL_MARGIN_MS = 500;
-/** How long the holder is waited for before the rows are read instead. */
-const ASK_MS = 500;
-/** A slow table takes well over a second for what the holder writes for others. */
-const ACCEPT_ASK_MS = 2200;
-/** Entries say something on each link every 0.5 s. */
-const HOLDER_SILENT_MS = 1400;
 /**
  * The lease of a holder that is silent on the mesh too is taken after this time. It renews each 1.3
  * to 1.8 s. It may still think that it holds control: endpoints and rows are fenced, hosts are
@@ -40,9 +35,6 @@
  * accepted are its own to start. Less than `EARLY_TAKE_MS`, by more than clocks differ in it.
  */
 const FRESH_MS = 2400;
-const SILENCE_LOOK_MS = 100;
-/** A holder that did not answer in time is not asked to accept for so long; rows are written here. */
-const PASS_OVER_MS = 1500;
 /** Counts of waiting jobs may be 2 s old; clients ask all entries. */
 const WAITING_FRESH_MS = 700;
 
@@ -68,16 +60,6 @@
     setTimeout(resolve, ms);
   });
 
-/** Methods of the mesh that a holder answers. */
-export const CONTROL_METHOD = {
-  phase: 'phase',
-  waiting: 'waiting',
-  accept: 'accept',
-  taken: 'taken',
-  cancelled: 'cancelled',
-  willing: 'willing',
-} as const;
-
 export type ControlOptions = {
   readonly self: EntryId;
   readonly platform: BatchPlatform;
@@ -141,7 +123,6 @@
   let isResigned = false;
   const hasYielded = createYielding();
   let lookedAtMs = 0;
-  let passedOverUntilMs = 0;
   let lostFence = -1;
   let lastHolder: EntryId | null = null;
   let waitingCache:
@@ -253,20 +234,14 @@
     if (holder !== null && holder !== self) peers()?.keepLink(holder);
   };
 
-  const knowsHolder = (): boolean =>
-    lastHolder !== null && lastHolder !== self && (peers()?.knows(lastHolder) ?? false);
-
-  const askHolder = async (method: string, payload: unknown, ms = ASK_MS): Promise<unknown> => {
-    const known = peers();
-    if (!known || lastHolder === null || !knowsHolder()) return undefined;
-    try {
-      return await known.ask(lastHolder, method, payload, ms);
-    } catch (error) {
-      metrics.count('holder_unheard');
-      log.debug('holder-unheard', { holder: lastHolder, method, detail: String(error) });
-      return undefined;
-    }
-  };
+  const holderThere = createHolderClient({
+    self,
+    peers,
+    holder: () => lastHolder,
+    log,
+    metrics,
+    nowMs,
+  });
 
   const ownWaiting = (): Record<string, number> | undefined => {
     const counts = term?.waiting();
@@ -278,7 +253,7 @@
     const atMs = nowMs();
     const counts =
       ownWaiting() ??
-      ((await askHolder(CONTROL_METHOD.waiting, null)) as Record<string, number> | undefined);
+      ((await holderThere.ask(CONTROL_METHOD.waiting, null)) as Record<string, number> | undefined);
     if (!counts) return undefined;
     waitingCache = { atMs, counts: new Map(Object.entries(counts)) };
     return waitingCache.counts;
@@ -292,28 +267,6 @@
   const acceptHere = async (row: BatchJobRow): Promise<AcceptOutcome | null> =>
     (row.kind === 'live' ? await term?.accept(row) : undefined) ?? null;
 
-  /** Resolves once a holder that had a link is silent: a slow table is waited for, a dead entry not. */
-  const holderFallsSilent = async (): Promise<undefined> => {
-    const untilMs = nowMs() + ACCEPT_ASK_MS;
-    while (nowMs() < untilMs) {
-      await pause(SILENCE_LOOK_MS);
-      const silentMs = lastHolder === null ? 0 : (peers()?.silentForMs(lastHolder) ?? 0);
-      if (silentMs > HOLDER_SILENT_MS && silentMs < Infinity) return undefined;
-    }
-    return undefined;
-  };
-
-  const acceptThere = async (row: BatchJobRow): Promise<AcceptOutcome | null> => {
-    if (nowMs() < passedOverUntilMs) return null;
-    const answer = await Promise.race([
-      askHolder(CONTROL_METHOD.accept, row, ACCEPT_ASK_MS),
-      holderFallsSilent(),
-    ]);
-    if (answer !== undefined) return answer as AcceptOutcome | null;
-    passedOverUntilMs = nowMs() + PASS_OVER_MS;
-    return knowsHolder() ? { kind: 'unheard' } : null;
-  };
-
   const handlers: Readonly<Record<string, (payload: unknown) => unknown>> = {
     [CONTROL_METHOD.phase]: (payload) => term?.phaseOf(brand<JobId>(String(payload))) ?? null,
     [CONTROL_METHOD.willing]: () => isWilling(),
@@ -343,7 +296,9 @@
     },
     phaseOf: async (jobId) => {
       if (term) return term.phaseOf(jobId);
-      return ((await askHolder(CONTROL_METHOD.phase, jobId)) as BatchPhase | null) ?? undefined;
+      return (
+        ((await holderThere.ask(CONTROL_METHOD.phase, jobId)) as BatchPhase | null) ?? undefined
+      );
     },
     waitingOf: async (queue) => {
       const counts = await waitingCounts();
@@ -351,12 +306,12 @@
     },
     tellTaken: (row, version) => {
       if (term) takenHere({ row, version });
-      else void askHolder(CONTROL_METHOD.taken, { row, version });
+      else void holderThere.ask(CONTROL_METHOD.taken, { row, version });
     },
-    accept: async (row) => (await (term ? acceptHere(row) : acceptThere(row))) ?? undefined,
+    accept: async (row) => (await (term ? acceptHere(row) : holderThere.accept(row))) ?? undefined,
     tellCancelled: async (jobId) => {
       if (term) term.cancel(jobId);
-      else await askHolder(CONTROL_METHOD.cancelled, jobId);
+      else await holderThere.ask(CONTROL_METHOD.cancelled, jobId);
     },
   };
 };
--- /dev/null
+++ b/packages/daemon/src/batch/endpoint-roster.ts
@@ -0,0 +1,134 @@
+/** The endpoints that a term knows: seen, followed, and dropped once nothing can run there. */
+import {
+  removeEndpoint,
+  seeEndpoint,
+  type BatchEffect,
+  type BatchState,
+} from '@valvelatch/core/batch';
+import type { EndpointId } from '@valvelatch/core/shared/ids';
+
+import { createEndpointLink, type EndpointLink, type LinkContext } from './endpoint-link.js';
+import type { EndpointFeed, EndpointNews } from './ports.js';
+
+export type EndpointRosterOptions = {
+  readonly state: BatchState;
+  readonly feed: EndpointFeed;
+  readonly linkContext: Omit<LinkContext, 'onReplaced'>;
+  /** For how long what an earlier holder began may run on an endpoint that is not heard. */
+  readonly inheritedLeasesMs: number;
+  readonly isStopped: () => boolean;
+};
+
+export type EndpointRoster = {
+  /** Reads who is there, for recovery; undefined without an answer. */
+  readonly read: () => Promise<EndpointNews | undefined>;
+  readonly take: (news: EndpointNews) => void;
+  /** Reads and takes in what has changed. */
+  readonly follow: () => Promise<void>;
+  readonly drop: (endpointId: EndpointId, reason: string) => void;
+  readonly perform: (effect: Extract<BatchEffect, { kind: 'start' | 'stop' | 'pace' }>) => void;
+  /** Marks the ends taken in so far; the answer acknowledges them. */
+  readonly mark: () => () => void;
+  readonly close: () => void;
+};
+
+/**
+ * Builds the roster of a term.
+ *
+ * @param options - The state, the list of endpoints, and what links need.
+ * @returns The roster.
+ */
+export const createEndpointRoster = ({
+  state,
+  feed,
+  linkContext,
+  inheritedLeasesMs,
+  isStopped,
+}: EndpointRosterOptions): EndpointRoster => {
+  const { log, nowMs, poke } = linkContext;
+  const links = new Map<EndpointId, EndpointLink>();
+  const listed = new Set<EndpointId>();
+  /** Ids are never used again; late news of these is passed over. */
+  const goneForGood = new Set<EndpointId>();
+
+  const drop = (endpointId: EndpointId, reason: string): void => {
+    const endpoint = state.endpoints.get(endpointId);
+    if (!endpoint) return;
+    log.info('endpoint-gone', {
+      endpoint: endpointId,
+      pool: endpoint.pool,
+      runs: endpoint.runs.size,
+      reason,
+    });
+    links.get(endpointId)?.close();
+    links.delete(endpointId);
+    goneForGood.add(endpointId);
+    removeEndpoint(state, endpointId, nowMs());
+    poke();
+  };
+
+  const context: LinkContext = {
+    ...linkContext,
+    onReplaced: (endpointId) => drop(endpointId, 'another endpoint has its address'),
+  };
+
+  const take = ({ seen, gone }: EndpointNews): void => {
+    seen.forEach(({ endpointId }) => listed.add(endpointId));
+    gone.forEach((endpointId) => listed.delete(endpointId));
+    seen.forEach((sighting) => {
+      const { endpointId, address, pool, dataCentre } = sighting;
+      if (goneForGood.has(endpointId)) return;
+      const isNew = !state.endpoints.has(endpointId);
+      const endpoint = seeEndpoint(state, sighting, nowMs());
+      if (!isNew) return;
+      endpoint.leaseEndsAtMs = nowMs() + inheritedLeasesMs;
+      const link = createEndpointLink({ endpointId, address }, context);
+      links.set(endpointId, link);
+      log.info('endpoint-seen', { endpoint: endpointId, pool, dataCentre });
+      link.watch();
+    });
+    gone.forEach((endpointId) => {
+      // A silent entry may be of an endpoint that is only cut off: its lease decides.
+      const endpoint = state.endpoints.get(endpointId);
+      if (endpoint) endpoint.isDraining = true;
+    });
+    poke();
+  };
+
+  /** Endpoints that are no longer listed go once nothing can be running there. */
+  const dropUnlisted = (): void => {
+    Array.from(state.endpoints.values())
+      .filter(({ endpointId, pool, runs }) => {
+        // One that was never heard may run what an earlier holder began: its lease decides.
+        const isUnheard = state.pools.get(pool)?.unheard.has(endpointId) ?? false;
+        return !listed.has(endpointId) && runs.size === 0 && !isUnheard;
+      })
+      .forEach(({ endpointId }) => {
+        drop(endpointId, 'no longer listed');
+        // It may only have been silent: it is taken in again if it is listed again.
+        goneForGood.delete(endpointId);
+      });
+  };
+
+  return {
+    read: async () => (await feed.next(0)).unwrapOr(undefined),
+    take,
+    follow: async () => {
+      const news = await feed.next(0);
+      if (news.isErr()) {
+        log.warn('endpoint-list-failed', news.error);
+        return;
+      }
+      if (isStopped()) return;
+      take(news.value);
+      dropUnlisted();
+    },
+    drop,
+    perform: (effect) => links.get(effect.endpointId)?.perform(effect),
+    mark: () => {
+      const marks = Array.from(links.values(), (link) => [link, link.takenNumber()] as const);
+      return () => marks.forEach(([link, number]) => link.acknowledge(number));
+    },
+    close: () => links.forEach((link) => link.close()),
+  };
+};
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -124,6 +124,8 @@
 export type PlatformBounds = {
   /** How long a host is down for maintenance. */
   readonly maintenanceMs: number;
+  /** For how long clients may ask for a job that has ended. */
+  readonly answerableMs: number;
   /** Holders that order hosts one after the other keep this distance. */
   readonly holderTurnMs: number;
 };
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -49,6 +49,7 @@
 const MAINTENANCE_MS = 2000;
 const MOVE_MS = 1500;
 const ADVICE_MS = 60;
+const ANSWERABLE_MS = 120_000;
 const TICK_MS = 500;
 
 export const SIM_POLICY: QueuePolicy = {
@@ -576,7 +577,11 @@
           return Ok({ good, validMs: 3000 });
         },
       },
-      bounds: () => ({ maintenanceMs: MAINTENANCE_MS, holderTurnMs: 3000 }),
+      bounds: () => ({
+        maintenanceMs: MAINTENANCE_MS,
+        holderTurnMs: 3000,
+        answerableMs: ANSWERABLE_MS,
+      }),
       close: () => undefined,
     };
 
