A wave never has more hosts down than it allows, whoever ordered them; hosts are ordered sooner after a takeover

It could happen on the code before as well, where a holder that is killed comes back at once. Change: hosts that are listed as down for maintenance count towards the maximum. A holder whose lease was taken from it was not heard by the platform, so the next one orders hosts at once; one that gives the lease up tells for how long it had ordered none, and orders none once its own way to the table is lost.

--- a/packages/core/src/batch/pools.ts
+++ b/packages/core/src/batch/pools.ts
@@ -47,7 +47,7 @@
 export const DEFAULT_POOL_POLICY: PoolPolicy = {
   leastHosts: 3,
   giveAfterMs: 300,
-  parkAfterMs: 1500,
+  parkAfterMs: 2500,
   headroom: 1.4,
   shortShare: 0.3,
 };
@@ -133,9 +133,9 @@
 const isSettled = ({ state, nowMs }: PoolWorld): boolean => {
   const demands = Array.from(state.pools.values(), ({ demand }) => demand);
   const expected = demands.reduce((sum, demand) => sum + expectCores(demand, nowMs), 0);
-  const fast = demands.reduce((sum, { fastCores }) => sum + fastCores, 0);
-  const slow = demands.reduce((sum, { slowCores }) => sum + slowCores, 0);
-  return expected > 0 && fast <= slow * RISING;
+  return (
+    expected > 0 && demands.every(({ fastCores, slowCores }) => fastCores <= slowCores * RISING)
+  );
 };
 
 const parkings = (
--- a/packages/core/src/batch/upkeep.ts
+++ b/packages/core/src/batch/upkeep.ts
@@ -204,7 +204,11 @@
   const again = entries
     .filter(([, host]) => host.phase === 'asked' && nowMs - host.sinceMs > ASK_AGAIN_MS)
     .map(([hostId]) => ({ wave, hostId, reason: 'the order had no answer' }));
-  const under = entries.filter(([, { phase }]) => phase === 'down' || phase === 'asked').length;
+  const under = entries.filter(([hostId, { phase }]) => {
+    // An earlier holder may have ordered it down without writing that.
+    const isListedDown = world.hosts.get(hostId)?.state === 'maintenance';
+    return phase === 'down' || phase === 'asked' || isListedDown;
+  }).length;
   const candidates = entries
     .filter(([hostId, { phase }]) => {
       const isOpen = phase === 'waiting' || phase === 'closing';
--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -11,6 +11,8 @@
   readonly epoch: number;
   readonly renewals: number;
   readonly durationMs: number;
+  /** In a row that was given up: how long its holder had not acted on what must not be hurried. */
+  readonly idleMs?: number;
 };
 
 /** What one entry knows of a lease. Times are of its own monotonic clock. */
--- a/packages/daemon/src/batch/batch-control.test.ts
+++ b/packages/daemon/src/batch/batch-control.test.ts
@@ -251,6 +251,27 @@
       expect(fleet.broken).toEqual([]);
     });
 
+    it('has no more hosts down than it allows when its holder comes back at once', async () => {
+      // A hunt with no pause between holders: the next one did not count what the last had ordered.
+      const fleet = await started({ hostsPerPool: 6 });
+      const hosts = Array.from(fleet.hosts.values())
+        .filter(({ pool }) => pool === 'alpha')
+        .map(({ hostId }) => hostId);
+      await advance(2000);
+      fleet.order({ waveNumber: 1, hosts, withinMs: 10_000, maximum: 2 });
+      for (let turn = 0; turn < 12; turn += 1) {
+        await advance(350);
+        const holder = holderOf(fleet);
+        fleet.kill(holder);
+        fleet.addEntry(holder.entryId);
+        fleet.reorder();
+        await advance(450);
+      }
+      await advance(20_000);
+      expect(fleet.broken).toEqual([]);
+      expect(fleet.waveStatus.get(1)).toBe('completed');
+    });
+
     it('is done in its own time by entries that were started after it was ordered', async () => {
       const { fleet, work } = await busyWave();
       await advance(19_000);
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -152,14 +152,15 @@
     await ending.stop();
   };
 
-  /** Holders that are all in touch must not order hosts within `holderTurnMs` of each other. */
+  /**
+   * Holders that the platform both hears must not order hosts within `holderTurnMs` of each other.
+   * One whose lease was taken from it did not renew, so it is not heard; one that gave its lease up
+   * tells for how long it had ordered none.
+   */
   const hostOrdersAfterMs = (): number => {
-    const before = keeper.takenFrom();
-    if (before === self) return 0;
+    if (keeper.takenFrom() !== null) return 0;
     const distanceMs = platform.bounds().holderTurnMs + TURN_MARGIN_MS;
-    const hasLapsed = before !== null;
-    const sinceLastMs = Math.max(0, keeper.watchedMs() - HOST_ORDERS_WITHIN_MS);
-    return hasLapsed ? Math.max(0, distanceMs - sinceLastMs) : distanceMs;
+    return Math.max(0, distanceMs - keeper.idleBeforeMs() - keeper.watchedMs());
   };
 
   /** For how long the holder before may still order endpoints, by its own clock. */
@@ -170,7 +171,7 @@
   };
 
   const mayOrderHosts = (): boolean =>
-    keeper.heldUntilMs() - nowMs() > CONTROL_LEASE_MS - HOST_ORDERS_WITHIN_MS;
+    table.isServed() && keeper.heldUntilMs() - nowMs() > CONTROL_LEASE_MS - HOST_ORDERS_WITHIN_MS;
 
   const beginTerm = (fence: number): void => {
     const { key, version } = keeper.fence();
@@ -218,7 +219,7 @@
 
   const handOver = async (): Promise<void> => {
     const reason = term && (await findSuccession());
-    if (reason !== undefined && (await keeper.release())) await endTerm(reason);
+    if (reason !== undefined && (await keeper.release(term?.fleet.idleMs()))) await endTerm(reason);
   };
 
   const tick = async (): Promise<void> => {
@@ -291,7 +292,9 @@
       isResigned = true;
       const untilMs = nowMs() + RESIGN_FOR_MS;
       // While the platform is away nobody could take over: control goes on until it is back.
-      while (term && nowMs() < untilMs && !(await keeper.release())) await pause(RESIGN_PAUSE_MS);
+      while (term && nowMs() < untilMs && !(await keeper.release(term.fleet.idleMs()))) {
+        await pause(RESIGN_PAUSE_MS);
+      }
       await endTerm('this entry stops as planned');
     },
     phaseOf: async (jobId) => {
--- a/packages/daemon/src/batch/fleet-turn.ts
+++ b/packages/daemon/src/batch/fleet-turn.ts
@@ -61,6 +61,8 @@
   readonly follow: () => Promise<void>;
   readonly refreshHosts: () => Promise<readonly HostView[]>;
   readonly takeWaves: (known: readonly KnownWave[]) => void;
+  /** How long no host has been ordered. */
+  readonly idleMs: () => number;
   readonly hosts: () => ReadonlyMap<HostId, HostView>;
   readonly waves: () => readonly UpkeepWave[];
 };
@@ -107,6 +109,8 @@
   const toldReasons = new Map<HostId, string>();
   const unsettled = new Map<HostId, PoolMove>();
   let listedAtMs = -Infinity;
+  /** Before the first order of this term, that of an earlier one may be as recent. */
+  let lastOrderAtMs = bornAtMs;
 
   const refreshHosts = async (): Promise<readonly HostView[]> => {
     const askedAtMs = nowMs();
@@ -211,6 +215,7 @@
 
   const take = async ({ wave, hostId, reason }: UpkeepStep): Promise<void> => {
     const { waveNumber } = wave.order;
+    lastOrderAtMs = nowMs();
     const outcome = await platform.hosts.maintain(orderer, { hostId, waveNumber });
     metrics.count(`host_maintain_${outcome}`);
     log.info('host-maintained', { wave: waveNumber, host: hostId, outcome, reason });
@@ -218,6 +223,7 @@
   };
 
   const move = async ({ hostId, fromPool, toPool, reason }: PoolMove): Promise<void> => {
+    lastOrderAtMs = nowMs();
     movedAtMs.set(hostId, nowMs());
     const endpoint = endpointOn(hostId);
     // Nothing may be placed there between the order and its effect, which may come late.
@@ -290,6 +296,7 @@
         const { waveNumber } = one.order;
         if (!waves.has(waveNumber)) waiting.set(waveNumber, one);
       }),
+    idleMs: () => nowMs() - lastOrderAtMs,
     hosts: () => hosts,
     waves: () => Array.from(waves.values()),
   };
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -559,6 +559,10 @@
             hostId,
             checkBudgets,
             (host) => {
+              const down = Array.from(hosts.values()).filter((one) => one.state === 'maintenance');
+              const maximum = waves.get(waveNumber)?.maximum ?? Infinity;
+              if (down.length >= maximum)
+                breaks(`${hostId} goes down beside ${down.length} others`);
               maintained.add(`${waveNumber}/${hostId}`);
               relive({ ...host, state: 'maintenance' }, MAINTENANCE_MS);
             },
--- a/packages/daemon/src/leases/lease-keeper.ts
+++ b/packages/daemon/src/leases/lease-keeper.ts
@@ -28,8 +28,10 @@
   readonly takenFrom: () => EntryId | null;
   /** For how long the row had been watched without a change when the lease was taken last. */
   readonly watchedMs: () => number;
+  /** What the holder before told when it gave the lease up. */
+  readonly idleBeforeMs: () => number;
   /** Gives the lease up; false if that could not be written, and the lease is still held. */
-  readonly release: () => Promise<boolean>;
+  readonly release: (idleMs?: number) => Promise<boolean>;
 };
 
 /** Options for a keeper. */
@@ -78,6 +80,7 @@
   let fenceVersion = 0;
   let lastHolder: EntryId | null = null;
   let watchedMs = 0;
+  let lastIdleMs = 0;
 
   const write = async (row: LeaseRow, expectedVersion: number): Promise<void> => {
     const sentAtMs = nowMs();
@@ -115,19 +118,30 @@
       if (step.row.renewals === 0) {
         lastHolder = value?.holder ?? null;
         watchedMs = nowMs() - state.unchangedSinceMs;
+        lastIdleMs = value?.idleMs ?? 0;
       }
       await write(step.row, step.expectedVersion);
     }
   };
 
-  const release = async (): Promise<boolean> => {
+  const release = async (idleMs?: number): Promise<boolean> => {
     const held = state;
     const { row, version } = held.seen;
     if (!row || !holdsLease(held, nowMs())) return true;
     state = { ...held, heldUntilMs: -Infinity };
     const outcome = await table.transact({
       checks: [{ key, version }],
-      writes: [{ key, value: { ...row, holder: null, renewals: row.renewals + 1 } }],
+      writes: [
+        {
+          key,
+          value: {
+            ...row,
+            holder: null,
+            renewals: row.renewals + 1,
+            ...(idleMs === undefined ? {} : { idleMs }),
+          },
+        },
+      ],
     });
     // Without an answer the row may be free already, and the lease is not acted upon any more.
     const isUnchanged = outcome.isErr() && outcome.error.kind === 'unreachable';
@@ -145,6 +159,7 @@
     unchangedForMs: () => (state.seen.version < 0 ? 0 : nowMs() - state.unchangedSinceMs),
     takenFrom: () => lastHolder,
     watchedMs: () => watchedMs,
+    idleBeforeMs: () => lastIdleMs,
     release,
   };
 };
