--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
 const nodeGlobals = Object.fromEntries(
   ['process', 'performance', 'setTimeout', 'clearTimeout', 'URL'].map((name) => [name, 'readonly']),
 );
-const TESTS = ['**/*.test.ts', '**/*.fixtures.ts', 'vitest.config.ts', 'eslint.config.js'];
+const TESTS = ['**/*.test.ts', '**/*.fixtures.ts', 'vitest.*.ts', 'eslint.config.js'];
 
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**', 'coverage/**', 'target/**'] },
