--- a/packages/stand-ins/src/users-platform/users-platform.ts
+++ b/packages/stand-ins/src/users-platform/users-platform.ts
@@ -41,6 +41,8 @@
   readonly executors: () => readonly StandInExecutor[];
   /** What was broken: a task twice at once, or again after its end was noted. */
   readonly broken: readonly string[];
+  /** Jobs of which a task began. */
+  readonly begun: ReadonlySet<string>;
   readonly maintained: ReadonlySet<string>;
   readonly close: () => Promise<void>;
 };
@@ -58,6 +60,7 @@
 const watchTasks = (
   executors: () => readonly StandInExecutor[],
   broken: string[],
+  begun: Set<string>,
   needs: ModelTask,
 ): EndpointObserver => {
   const noted = new Set<TaskKey>();
@@ -69,7 +72,9 @@
       );
       if (others.length > 0) broken.push(`${task} run ${run} is on two executors`);
       if (noted.has(task)) broken.push(`${task} run ${run} began after its end was noted`);
-      if (!parseTaskKey(task)) broken.push(`${task} is no task`);
+      const name = parseTaskKey(task);
+      if (name) begun.add(name.jobId);
+      else broken.push(`${task} is no task`);
     },
     onEnd: () => undefined,
     onAcknowledged: ({ task, kind }: EndReport) => {
@@ -97,7 +102,8 @@
 
   const executors = (): readonly StandInExecutor[] =>
     Array.from(machines.values()).flatMap(({ executor }) => executor ?? []);
-  const observer = watchTasks(executors, broken, needs);
+  const begun = new Set<string>();
+  const observer = watchTasks(executors, broken, begun, needs);
 
   const write = ({ machine, pool }: Machine, { model, address }: StandInExecutor): void =>
     rows.put('servers', model.endpointId, {
@@ -203,6 +209,7 @@
     rows,
     executors,
     broken,
+    begun,
     maintained,
     close: async () => {
       clearInterval(beats);
