A refused request waits for another endpoint instead of going back to the one that refused it

Cause: 'is sent on where an endpoint says that it did not run it' was red in 4 of 14 runs on. The printed reason was endpoint-refused after the last attempt. A retry that had to wait for a slot fell back to the endpoint it had been refused by, if only that one had a slot free, and was refused there until its three attempts were gone. Ruled out: the retry budget, the expected time of an attempt. Change: it waits until another endpoint has a slot free.

--- a/packages/daemon/src/data-path/service-gate.ts
+++ b/packages/daemon/src/data-path/service-gate.ts
@@ -160,12 +160,20 @@
     });
     if (!next) return false;
     const { payload } = next;
-    const endpoint =
-      chooseEndpoint(endpoints, nowMs(), rng, { exclude: payload.exclude }) ??
-      chooseEndpoint(endpoints, nowMs(), rng);
-    if (endpoint) payload.resolve(give(endpoint, payload.callerId));
-    else payload.resolve(refuse('no-endpoint', `no endpoint of ${service} is ready at this entry`));
-    return true;
+    const endpoint = chooseEndpoint(endpoints, nowMs(), rng, { exclude: payload.exclude });
+    if (endpoint) {
+      payload.resolve(give(endpoint, payload.callerId));
+      return true;
+    }
+    const none = noEndpoint(payload);
+    if (none) {
+      payload.resolve(none);
+      return true;
+    }
+    // Only endpoints that it was tried at have a slot free: it waits for the others, which are busy
+    // and call here again when they are done.
+    void join(payload).then(payload.resolve);
+    return false;
   };
 
   const refuseAllIfNoEndpoint = (): void => {
