--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,6 +3,7 @@
 export default defineConfig({
   test: {
     include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts'],
+    globalSetup: ['./vitest.bundle.ts'],
     setupFiles: ['./vitest.known-red.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
