A replaced holder does not begin anew what the next one keeps running

Cause: the holder of control is replaced 2.6 s after its last renewal, and may order endpoints for 4 s. In between the next holder prolongs the leases of the endpoints that it reaches. Leases of 6 s hid it: they ended after the 4 s. Ruled out: an order delivered late after the cut, a slow clock of the endpoint, the wrong moment of counting at the new holder (it had started nothing). Change: a lease is believed to have ended only while no other entry can have become the holder, 2.4 s from a renewal; so is the end of inherited leases.

--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -190,13 +190,21 @@
   wantAdvice(state, step, withRoom, nowMs);
 };
 
-const isBlocked = (pool: PoolState, { job }: StepRun, nowMs: number): boolean =>
-  job.isInherited && pool.unheard.size > 0 && nowMs < pool.inheritedLeasesEndAtMs;
+/** A task of an earlier holder may still run on an endpoint that has not reported yet. */
+const isBlocked = (
+  { soleHolderUntilMs }: BatchState,
+  { unheard, inheritedLeasesEndAtMs }: PoolState,
+  { job }: StepRun,
+  nowMs: number,
+): boolean => {
+  if (!job.isInherited || unheard.size === 0) return false;
+  return nowMs < inheritedLeasesEndAtMs || nowMs >= soleHolderUntilMs;
+};
 
 /** Open steps of a pool in the order in which they get places. */
 const ranked = (state: BatchState, pool: PoolState, nowMs: number): readonly Rank[] =>
   Array.from(pool.open)
-    .filter((step) => step.retryAtMs <= nowMs && !isBlocked(pool, step, nowMs))
+    .filter((step) => step.retryAtMs <= nowMs && !isBlocked(state, pool, step, nowMs))
     .map((step) => rankStep(state, step, nowMs))
     .sort(byRank.compare);
 
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -215,6 +215,11 @@
   readonly fence: number;
   /** The monotonic time of the event that is being taken in. */
   clockMs: number;
+  /**
+   * Until then no other entry can have become the holder. Later another holder may have prolonged
+   * leases on endpoints, so that none is believed to have ended.
+   */
+  soleHolderUntilMs: number;
   readonly jobs: Map<JobId, JobState>;
   readonly pools: Map<PoolName, PoolState>;
   readonly endpoints: Map<EndpointId, EndpointState>;
@@ -233,6 +238,7 @@
 export const createBatchState = (fence: number): BatchState => ({
   fence,
   clockMs: 0,
+  soleHolderUntilMs: Infinity,
   jobs: new Map(),
   pools: new Map(),
   endpoints: new Map(),
--- a/packages/core/src/batch/watch-runs.ts
+++ b/packages/core/src/batch/watch-runs.ts
@@ -39,7 +39,8 @@
 };
 
 /**
- * Looks for runs that stand still and for endpoints whose runs have surely ended.
+ * Looks for runs that stand still and for endpoints whose runs have surely ended: their lease is
+ * over, and no other holder can have prolonged it.
  *
  * @param state - All that is known, changed in place.
  * @param nowMs - The time.
@@ -50,7 +51,7 @@
   state.endpoints.forEach((endpoint) => {
     if (endpoint.runs.size === 0) return;
     stopStill(state, endpoint, nowMs);
-    if (nowMs < endpoint.leaseEndsAtMs) return;
+    if (nowMs < endpoint.leaseEndsAtMs || nowMs >= state.soleHolderUntilMs) return;
     lapsed.push(endpoint.endpointId);
     endpoint.runs.forEach((run) => loseRun(state, endpoint, run, nowMs));
   });
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -9,6 +9,7 @@
 import type { ControlView } from './intake.js';
 import type { AcceptOutcome } from './job-saver.js';
 import type { KnownWave } from './fleet-turn.js';
+import { ENDPOINT_LEASE_MS } from './endpoint-link.js';
 import { CONTROL_METHOD, createHolderClient, HOLDER_SILENT_MS } from './holder-client.js';
 import { CONTROL_LEASE } from './keys.js';
 import type { Peers } from './peers.js';
@@ -27,14 +28,16 @@
 /**
  * The lease of a holder that is silent on the mesh too is taken after this time. It renews each 1.3
  * to 1.8 s. It may still think that it holds control: endpoints and rows are fenced, hosts are
- * ordered only shortly after a renewal, and jobs are taken in only so too (`FRESH_MS`).
+ * ordered only shortly after a renewal, and jobs are taken in only so too (`SOLE_HOLDER_MS`).
  */
 const EARLY_TAKE_MS = 2600;
 /**
- * Jobs that others wrote are taken in only so shortly after a renewal: those that a next holder
- * accepted are its own to start. Less than `EARLY_TAKE_MS`, by more than clocks differ in it.
+ * For so long after a renewal no other entry can have taken the lease. Jobs that others wrote are
+ * taken in only then, since those that a next holder accepted are its own to start; and a lease on
+ * an endpoint is believed to have ended only then, since a next holder may have prolonged it. Less
+ * than `EARLY_TAKE_MS`, by more than clocks differ in it.
  */
-const FRESH_MS = 2400;
+const SOLE_HOLDER_MS = 2400;
 /** Counts of waiting jobs may be 2 s old; clients ask all entries. */
 const WAITING_FRESH_MS = 700;
 
@@ -70,6 +73,8 @@
   readonly metrics: Metrics;
   /** How this entry stands among the others. */
   readonly standing?: Standing;
+  /** For how long endpoints keep what runs there without contact with the holder. */
+  readonly endpointLeaseMs?: number;
   /** For how long another entry has been silent on the mesh; Infinity without a link to it. */
   readonly silentForMs?: (entryId: EntryId) => number;
   readonly nowMs?: () => number;
@@ -104,6 +109,7 @@
   log,
   metrics,
   standing = EQUAL_STANDING,
+  endpointLeaseMs = ENDPOINT_LEASE_MS,
   silentForMs = (entryId) => peers()?.silentForMs(entryId) ?? 0,
   nowMs = () => performance.now(),
 }: ControlOptions): Control => {
@@ -187,7 +193,8 @@
       mayOrderHosts,
       hostOrdersAfterMs: hostOrdersAfterMs(),
       holderBeforeMs: holderBeforeMs(),
-      isFresh: () => keeper.heldUntilMs() - nowMs() > CONTROL_LEASE_MS - FRESH_MS,
+      endpointLeaseMs,
+      soleHolderUntilMs: () => keeper.heldUntilMs() - CONTROL_LEASE_MS + SOLE_HOLDER_MS,
       configuration,
       onLost: (reason) => {
         lostFence = fence;
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -24,7 +24,7 @@
  * takeover of control, so that tasks outlive their holder; shorter than the platform's longest
  * (`holdMaxMs`, 10,000), so that work of a lost host is soon begun again.
  */
-export const KEEP_MS = 6000;
+export const ENDPOINT_LEASE_MS = 6000;
 /** An endpoint's clock may be 2 % slow, and its reading is as old as the last answer. */
 const CLOCK_SLACK = 1.05;
 const CLOCK_MARGIN_MS = 200;
@@ -49,6 +49,7 @@
 export type LinkContext = {
   readonly state: BatchState;
   readonly orders: EndpointOrders;
+  readonly endpointLeaseMs: number;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly nowMs: () => number;
@@ -93,7 +94,7 @@
  * @returns The link.
  */
 export const createEndpointLink = (target: OrderTarget, context: LinkContext): EndpointLink => {
-  const { state, orders, log, metrics, nowMs } = context;
+  const { state, orders, endpointLeaseMs, log, metrics, nowMs } = context;
   const { endpointId } = target;
   let clock: { readonly clockMs: number; readonly atMs: number } | undefined;
   let taken = 0;
@@ -113,9 +114,9 @@
     const known = endpoint();
     if (!clock || !known) return undefined;
     const ageMs = nowMs() - clock.atMs;
-    const leaseEndsAtMs = nowMs() + KEEP_MS * CLOCK_SLACK + ageMs * 0.05 + CLOCK_MARGIN_MS;
+    const leaseEndsAtMs = nowMs() + endpointLeaseMs * CLOCK_SLACK + ageMs * 0.05 + CLOCK_MARGIN_MS;
     known.leaseEndsAtMs = Math.max(known.leaseEndsAtMs, leaseEndsAtMs);
-    return Math.floor(clock.clockMs + ageMs + KEEP_MS);
+    return Math.floor(clock.clockMs + ageMs + endpointLeaseMs);
   };
 
   const noteError = (
--- a/packages/daemon/src/batch/holders.test.ts
+++ b/packages/daemon/src/batch/holders.test.ts
@@ -172,6 +172,32 @@
     });
   });
 
+  describe('a data centre that is cut off with the holder in it', () => {
+    /** The holder and one endpoint on one side; the other entries and the other endpoint elsewhere. */
+    const cutOff = async (afterMs: number) => {
+      const fleet = await started({ hostsPerPool: 2, endpointLeaseMs: 3400 });
+      fleet.submit({ pool: 'alpha', steps: [{ taskCount: 1, isLasting: true }] });
+      await advance(2000 + afterMs);
+      const first = holderOf(fleet);
+      Array.from(fleet.endpoints.values()).forEach(({ endpointId, runs }) => {
+        const sides = fleet.entries.filter((entry) => (entry === first) === runs.size > 0);
+        sides.forEach((entry) => entry.cutFrom.add(endpointId));
+      });
+      Object.assign(first, { isCutFromTable: true, isSilent: true });
+      return fleet;
+    };
+
+    it('does not begin anew what the next holder keeps running, whenever the cut comes', async () => {
+      // The next holder prolongs the leases of the endpoints that it reaches before the first
+      // holder's own lease has ended: what the first one counts as lapsed may run on.
+      for (let afterMs = 0; afterMs < 1600; afterMs += 200) {
+        const fleet = await cutOff(afterMs);
+        await advance(12_000);
+        expect(fleet.broken, `cut off after ${afterMs} ms`).toEqual([]);
+      }
+    });
+  });
+
   describe('inherited tasks', () => {
     it('waits for the lease of an endpoint that fell out of the list before it was heard', async () => {
       const fleet = await started();
--- a/packages/daemon/src/batch/job-rows.ts
+++ b/packages/daemon/src/batch/job-rows.ts
@@ -26,7 +26,7 @@
   readonly ended: EndedJobs;
   readonly configuration: () => QueueIndex | undefined;
   /** True while no other entry can have become the holder: see `TermOptions`. */
-  readonly isFresh: () => boolean;
+  readonly isSoleHolder: () => boolean;
   readonly isStopped: () => boolean;
   /** Something changed: places may be found. */
   readonly poke: () => void;
@@ -80,7 +80,7 @@
   versions,
   ended,
   configuration,
-  isFresh,
+  isSoleHolder,
   isStopped,
   poke,
   log,
@@ -156,7 +156,7 @@
     takeIn,
     follow: async () => {
       // What is read now is taken in only if the term is still the last one after the answer.
-      if (!isFresh()) return;
+      if (!isSoleHolder()) return;
       const rows = await jobFeed.next(0);
       if (rows.isErr()) {
         log.warn('job-feed-failed', rows.error);
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -26,7 +26,6 @@
 import { startLoops, type RunningLoops } from '../shared/loops.js';
 import { createAdvisor } from './advisor.js';
 import { createEndedJobs } from './ended-jobs.js';
-import { KEEP_MS } from './endpoint-link.js';
 import { createEndpointRoster } from './endpoint-roster.js';
 import { createFleetTurn, type FleetTurn } from './fleet-turn.js';
 import { takeGuard } from './guard.js';
@@ -40,8 +39,9 @@
 const JOB_FEED_MS = 500;
 /** Each endpoint writes its entry every 1.5 s, so a waiting feed would wake all the time. */
 const ENDPOINT_FEED_MS = 400;
-/** An earlier holder's leases on endpoints: their length, slow clocks and late answers included. */
-const INHERITED_LEASES_MS = KEEP_MS * 1.05 + 500;
+/** A lease on an endpoint ends so much later by an endpoint's slow clock and a late answer. */
+const LEASE_SLACK = 1.05;
+const LEASE_MARGIN_MS = 500;
 const FEED_RETRY_MS = 300;
 /** 40 jobs a sweep: 57 a second, and the grown sites take in 50. */
 const SWEEP_MS = 700;
@@ -62,8 +62,10 @@
   readonly hostOrdersAfterMs: number;
   /** For how long after the start of the term the holder before may still order endpoints. */
   readonly holderBeforeMs: number;
-  /** True while no other entry can have become the holder, so that all jobs in the rows are ours. */
-  readonly isFresh: () => boolean;
+  /** For how long an endpoint keeps what runs there without contact with the holder. */
+  readonly endpointLeaseMs: number;
+  /** Until then no other entry can have become the holder: all jobs in the rows are ours to start. */
+  readonly soleHolderUntilMs: () => number;
   readonly configuration: () => QueueIndex | undefined;
   readonly onLost: (reason: string) => void;
   readonly nowMs?: () => number;
@@ -104,20 +106,23 @@
   mayOrderHosts,
   hostOrdersAfterMs,
   holderBeforeMs,
-  isFresh,
+  endpointLeaseMs,
+  soleHolderUntilMs,
   configuration,
   onLost,
   nowMs = () => performance.now(),
   todayMs = () => Date.now(),
 }: TermOptions): Term => {
   const state = createBatchState(fence);
-  const inheritedLeasesMs = INHERITED_LEASES_MS + holderBeforeMs;
+  const inheritedLeasesMs = endpointLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS + holderBeforeMs;
   let guard: RowCheck = { key: batchKey.guard, version: -1 };
   let isStopped = false;
   let isReady = false;
   let isPoked = false;
   let loops: RunningLoops | undefined;
 
+  const isSoleHolder = (): boolean => nowMs() < soleHolderUntilMs();
+
   const lose = (reason: string): void => {
     if (isStopped) return;
     isStopped = true;
@@ -139,6 +144,7 @@
     linkContext: {
       state,
       orders: platform.orders,
+      endpointLeaseMs,
       log,
       metrics,
       nowMs,
@@ -182,7 +188,7 @@
     versions: saver.versions,
     ended,
     configuration,
-    isFresh,
+    isSoleHolder,
     isStopped: () => isStopped,
     poke,
     log,
@@ -221,12 +227,14 @@
       return;
     }
     state.clockMs = nowMs();
+    state.soleHolderUntilMs = soleHolderUntilMs();
     state.pools.forEach(({ name }) => schedulePool(state, name, nowMs()));
     perform();
   };
 
   const tick = async (): Promise<void> => {
     if (isStopped || !isReady) return;
+    state.soleHolderUntilMs = soleHolderUntilMs();
     state.timed.forEach((job) => beginDue(state, job, nowMs(), todayMs()));
     watchRuns(state, nowMs()).forEach((endpoint) => log.warn('lease-ended-unheard', { endpoint }));
     paceFillers(state, nowMs());
@@ -345,7 +353,7 @@
       return saver.accept(row);
     },
     takeIn: (row, version) => {
-      if (isReady && !isStopped && isFresh()) jobRows.takeIn(row, version);
+      if (isReady && !isStopped && isSoleHolder()) jobRows.takeIn(row, version);
     },
     cancel: (jobId) => {
       if (isStopped || !isReady) return undefined;
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -77,6 +77,8 @@
   isDead: boolean;
   isFrozen: boolean;
   isCutFromTable: boolean;
+  /** The mesh between it and the other entries is cut. */
+  isSilent: boolean;
   /** Endpoints that it cannot reach. */
   readonly cutFrom: Set<EndpointId>;
 };
@@ -85,6 +87,8 @@
   readonly hostsPerPool?: number;
   readonly pools?: readonly string[];
   readonly sparePool?: string;
+  /** For how long an endpoint keeps what runs there; the entries' default if left out. */
+  readonly endpointLeaseMs?: number;
   readonly random: () => number;
 };
 
@@ -172,6 +176,7 @@
   hostsPerPool = 3,
   pools = ['alpha', 'beta'],
   sparePool,
+  endpointLeaseMs,
   random,
 }: SimFleetOptions): SimFleet => {
   const table = createTableModel();
@@ -389,6 +394,7 @@
       isDead: false,
       isFrozen: false,
       isCutFromTable: false,
+      isSilent: false,
       cutFrom,
     } as { -readonly [Key in keyof SimEntry]: SimEntry[Key] };
 
@@ -596,7 +602,8 @@
       ask: async (entryId, _, payload, ms) => {
         await awake();
         const other = entries.find((one) => one.entryId === entryId);
-        const answer = other ? other.table.answerNeighbour(payload as RelayCall) : never();
+        const isCut = !other || other.isSilent || entry.isSilent;
+        const answer = isCut ? never() : other.table.answerNeighbour(payload as RelayCall);
         return Promise.race([answer, sleep(ms).then(() => Promise.reject(new Error('silence')))]);
       },
       log,
@@ -612,9 +619,10 @@
       configuration: () => configuration,
       log,
       metrics,
+      ...(endpointLeaseMs === undefined ? {} : { endpointLeaseMs }),
       silentForMs: (entryId) => {
         const other = entries.find((one) => one.entryId === entryId);
-        return !other || other.isFrozen ? Infinity : 0;
+        return !other || other.isFrozen || other.isSilent ? Infinity : 0;
       },
       standing: createStanding({
         cores,
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -34,7 +34,12 @@
 };
 
 export const started = async (
-  options: { hostsPerPool?: number; sparePool?: string; seed?: number } = {},
+  options: {
+    hostsPerPool?: number;
+    sparePool?: string;
+    endpointLeaseMs?: number;
+    seed?: number;
+  } = {},
 ) => {
   const { seed = 7, ...rest } = options;
   const fleet = createSimFleet({ ...rest, random: chance(seed) });
