--- /dev/null
+++ b/packages/core/src/batch/pool-needs.ts
@@ -0,0 +1,175 @@
+/** What each pool has and needs: room, work that runs and waits, work that is expected. */
+import type { HostId, PoolName } from '../shared/ids.js';
+import { expectCores } from './demand.js';
+import type { HostView, PoolView } from './hosts.js';
+import { isSound } from './schedule.js';
+import { poolOf, type BatchState, type EndpointState, type StepRun } from './state.js';
+
+/** What moves are decided on. */
+export type PoolWorld = {
+  readonly state: BatchState;
+  readonly hosts: ReadonlyMap<HostId, HostView>;
+  readonly pools: readonly PoolView[];
+  /** Hosts that must not be moved now: ordered already, or about to go down. */
+  readonly busyHosts: ReadonlySet<HostId>;
+  readonly nowMs: number;
+};
+
+/** How moves are weighed. */
+export type PoolPolicy = {
+  /** A pool keeps at least so many hosts, for the first jobs of a demand peak. */
+  readonly minHosts: number;
+  /** An empty host is given away only after this time. */
+  readonly releaseAfterMs: number;
+  /** An empty host that is not expected to be needed is switched off after this time. */
+  readonly parkAfterMs: number;
+  /** Room is held for this many times the work that is expected. */
+  readonly headroom: number;
+  /** Of the room that is short, this share of a host is worth a host. */
+  readonly shortShare: number;
+  /** Hosts at work are emptied for pools that are short of room. */
+  readonly releasesBusyHosts: boolean;
+};
+
+/**
+ * A host in a pool costs 0.078 a second, and work in time earns some 1.2 a host and second: room is
+ * held generously where work arrives, and none where it does not.
+ */
+export const DEFAULT_POOL_POLICY: PoolPolicy = {
+  minHosts: 3,
+  releaseAfterMs: 300,
+  parkAfterMs: 2500,
+  headroom: 1.4,
+  shortShare: 0.3,
+  releasesBusyHosts: false,
+};
+
+/** What a pool has and needs, in thousandths of a core where a name does not say otherwise. */
+export type PoolNeed = {
+  readonly name: PoolName;
+  readonly hosts: readonly HostView[];
+  readonly hostCpu: number;
+  readonly endpoints: readonly EndpointState[];
+  readonly empty: readonly EndpointState[];
+  readonly roomCpu: number;
+  readonly comingCpu: number;
+  readonly usedCpu: number;
+  readonly waitingCpu: number;
+  readonly expectedCpu: number;
+  /** Room that is missing for what runs, waits and is expected; negative for room left over. */
+  readonly shortCpu: number;
+  /** Room that is missing for what waits already. */
+  readonly urgentCpu: number;
+  /** The most urgent priority among tasks that end by themselves; Infinity without any. */
+  readonly priority: number;
+};
+
+const sum = (values: readonly number[]): number => values.reduce((total, one) => total + one, 0);
+
+const waitingCpuOf = (steps: readonly StepRun[]): number =>
+  sum(steps.map(({ waiting, spec }) => waiting.length * spec.cpuMillis));
+
+/** Long-running tasks stand on their hosts all day and say nothing about a peak. */
+const mostUrgent = (steps: readonly StepRun[]): number =>
+  Math.min(
+    ...steps.filter(({ spec }) => !spec.isLasting).map(({ job }) => job.policy.priority),
+    Infinity,
+  );
+
+const needOf = (
+  { state, hosts, nowMs }: PoolWorld,
+  { name }: PoolView,
+  { headroom }: PoolPolicy,
+): PoolNeed => {
+  const inPool = Array.from(hosts.values()).filter(
+    (host) => host.pool === name && host.state !== 'down',
+  );
+  const endpoints = Array.from(state.endpoints.values()).filter(
+    (endpoint) => endpoint.pool === name && isSound(endpoint, nowMs),
+  );
+  const coming = inPool.filter(
+    ({ endpointId }) => !endpointId || !state.endpoints.get(endpointId)?.isKnown,
+  );
+  const pool = poolOf(state, name);
+  const waiting = Array.from(pool.open);
+  const running = endpoints.flatMap(({ runs }) => Array.from(runs.values(), ({ step }) => step));
+  const roomCpu = sum(endpoints.map(({ capacity }) => capacity.cpuMillis));
+  const comingCpu = sum(coming.map(({ capacity }) => capacity.cpuMillis));
+  const usedCpu = sum(endpoints.map(({ used }) => used.cpuMillis));
+  const waitingCpu = waitingCpuOf(waiting);
+  const expectedCpu = expectCores(pool.demand, nowMs) * 1000 * headroom;
+  const urgentCpu = usedCpu + waitingCpu - roomCpu - comingCpu;
+  return {
+    name,
+    hosts: inPool,
+    hostCpu: inPool[0]?.capacity.cpuMillis ?? 1,
+    endpoints,
+    empty: endpoints.filter(({ runs, hostId }) => runs.size === 0 && hostId !== null),
+    roomCpu,
+    comingCpu,
+    usedCpu,
+    waitingCpu,
+    expectedCpu,
+    shortCpu: Math.max(urgentCpu, expectedCpu - roomCpu - comingCpu),
+    urgentCpu,
+    priority: mostUrgent([...waiting, ...running]),
+  };
+};
+
+/**
+ * Tells what each pool in use has and needs.
+ *
+ * @param world - Pools, hosts and what waits.
+ * @param policy - How moves are weighed.
+ * @returns The needs.
+ */
+export const needsOfPools = (
+  world: PoolWorld,
+  policy: PoolPolicy = DEFAULT_POOL_POLICY,
+): readonly PoolNeed[] =>
+  world.pools.filter(({ isSpare }) => !isSpare).map((pool) => needOf(world, pool, policy));
+
+/**
+ * Tells whether any pool is short of room for what runs, waits and is expected.
+ *
+ * @param world - Pools, hosts and what waits.
+ * @param policy - How moves are weighed.
+ * @returns True if one is.
+ */
+export const isAnyPoolShort = (
+  world: PoolWorld,
+  policy: PoolPolicy = DEFAULT_POOL_POLICY,
+): boolean => needsOfPools(world, policy).some(({ shortCpu }) => shortCpu > 0);
+
+/**
+ * Tells whether a host may be moved now.
+ *
+ * @param world - Which hosts are busy.
+ * @param host - The host.
+ * @returns True if it is up and nothing else was ordered for it.
+ */
+export const isFree = ({ busyHosts }: PoolWorld, host: HostView): boolean =>
+  host.state === 'up' && !busyHosts.has(host.hostId);
+
+/**
+ * Counts how many hosts a pool can do without.
+ *
+ * @param need - What the pool has and needs.
+ * @param policy - How moves are weighed.
+ * @returns The number of hosts.
+ */
+export const surplusHosts = (
+  { hosts, hostCpu, shortCpu }: PoolNeed,
+  { minHosts }: PoolPolicy,
+): number => Math.max(0, Math.min(hosts.length - minHosts, Math.floor(-shortCpu / hostCpu)));
+
+/**
+ * Orders pools that are short of room: what is more urgent first, then what is shorter.
+ *
+ * @param left - A pool.
+ * @param right - Another.
+ * @returns Below 0 if the left one goes first.
+ */
+export const byClaim = (left: PoolNeed, right: PoolNeed): number =>
+  (left.priority === right.priority ? 0 : left.priority - right.priority) ||
+  right.shortCpu - left.shortCpu;
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -20,7 +20,14 @@
 /** A step that fitted nowhere is not tried again before this time, unless room came free. */
 const RETRY_MS = 25;
 
-const isUsable = (endpoint: EndpointState, nowMs: number): boolean =>
+/**
+ * Tells whether an endpoint serves its pool: it has answered, stays, and is not withheld.
+ *
+ * @param endpoint - The endpoint.
+ * @param nowMs - The time.
+ * @returns True if its room counts.
+ */
+export const isSound = (endpoint: EndpointState, nowMs: number): boolean =>
   endpoint.isKnown &&
   !endpoint.isDraining &&
   !endpoint.isClosing &&
@@ -40,7 +47,7 @@
   nowMs: number,
 ): readonly EndpointState[] =>
   Array.from(state.endpoints.values()).filter(
-    (endpoint) => endpoint.pool === pool && isUsable(endpoint, nowMs),
+    (endpoint) => endpoint.pool === pool && !endpoint.isReleasing && isSound(endpoint, nowMs),
   );
 
 const hasLabel = ({ labels }: EndpointState, label: string): boolean =>
--- a/packages/daemon/src/batch/fleet-turn.ts
+++ b/packages/daemon/src/batch/fleet-turn.ts
@@ -7,6 +7,7 @@
   isUpkeepComplete,
   needsOfPools,
   planMoves,
+  planReleases,
   planUpkeep,
   type BatchState,
   type EndpointState,
@@ -280,10 +281,24 @@
     });
   };
 
+  /** Has hosts at work fall empty for pools that are short of room. */
+  const releaseHosts = (): void => {
+    const released = planReleases(poolWorld());
+    state.endpoints.forEach((endpoint) => {
+      const { endpointId, pool, runs, isReleasing } = endpoint;
+      const isWanted = released.has(endpointId);
+      if (isWanted === isReleasing) return;
+      Object.assign(endpoint, { isReleasing: isWanted });
+      const event = isWanted ? 'endpoint-releasing' : 'endpoint-kept';
+      log.info(event, { endpoint: endpointId, pool, runs: runs.size });
+    });
+  };
+
   /** Moves hosts; true if any order was sent. */
   const moveHosts = async (): Promise<boolean> => {
     if (!configuration()) return false;
     notePools();
+    releaseHosts();
     const planned = planMoves(poolWorld());
     // An order without an answer is repeated: it may be carried out late, whatever is decided now.
     const moves = [...Array.from(unsettled.values()), ...planned];
