The next of peaks that follow each other is expected; what a holder has learned is kept

Hosts were moved once the rise was seen and served 2.5 to 4 s later, while quick work leaves a second of slack; meanwhile 9 to 12 hosts stood empty in the pool whose peak was over, or had just been parked. After each change of the holder its successor knew neither demand nor run times. Measured: peaks come by turns, one queue after the other every 10 s, each queue again after 40 s. Change: the beginnings of peaks are noted; where two distances in a row are even, the pool that had none for the longest is given the room of its last peak from 4 s before. Peaks, heights and run times are written to a row every 2 s where they changed.

--- a/packages/core/src/batch/pool-moves.ts
+++ b/packages/core/src/batch/pool-moves.ts
@@ -37,15 +37,12 @@
       Array.from(world.hosts.values()).filter((host) => host.pool === name && isFree(world, host)),
     );
 
-/** Empty hosts that a pool gives away: those released for others, and those it has no need of. */
+/** Empty hosts that a pool has no need of. */
 const givenAway = (world: PoolWorld, need: PoolNeed, policy: PoolPolicy): readonly HostView[] => {
-  const released = need.empty.filter(({ isReleasing }) => isReleasing);
   const idle = need.empty.filter(
-    ({ isReleasing, idleSinceMs }) =>
-      !isReleasing && world.nowMs - idleSinceMs >= policy.releaseAfterMs,
+    ({ idleSinceMs }) => world.nowMs - idleSinceMs >= policy.releaseAfterMs,
   );
-  const surplus = Math.max(0, surplusHosts(need, policy) - released.length);
-  return [...freeHostsOn(world, released), ...freeHostsOn(world, idle).slice(0, surplus)];
+  return freeHostsOn(world, idle).slice(0, surplusHosts(need, policy));
 };
 
 /** Above this ratio of the fast rate to the slow one demand rises. */
--- a/packages/core/src/batch/pool-needs.ts
+++ b/packages/core/src/batch/pool-needs.ts
@@ -1,6 +1,7 @@
 /** What each pool has and needs: room, work that runs and waits, work that is expected. */
 import type { HostId, PoolName } from '../shared/ids.js';
 import { expectCores } from './demand.js';
+import { expectPeak, observeDemand } from './demand-peaks.js';
 import type { HostView, PoolView } from './hosts.js';
 import { isSound } from './schedule.js';
 import { poolOf, type BatchState, type EndpointState, type StepRun } from './state.js';
@@ -27,8 +28,8 @@
   readonly headroom: number;
   /** Of the room that is short, this share of a host is worth a host. */
   readonly shortShare: number;
-  /** Hosts at work are emptied for pools that are short of room. */
-  readonly releasesBusyHosts: boolean;
+  /** Room is held for the next of peaks that follow each other evenly. */
+  readonly expectsPeaks: boolean;
 };
 
 /**
@@ -41,7 +42,7 @@
   parkAfterMs: 2500,
   headroom: 1.4,
   shortShare: 0.3,
-  releasesBusyHosts: false,
+  expectsPeaks: true,
 };
 
 /** What a pool has and needs, in thousandths of a core where a name does not say otherwise. */
@@ -80,6 +81,7 @@
   { state, hosts, nowMs }: PoolWorld,
   { name }: PoolView,
   { headroom }: PoolPolicy,
+  peakCores: number,
 ): PoolNeed => {
   const inPool = Array.from(hosts.values()).filter(
     (host) => host.pool === name && host.state !== 'down',
@@ -97,7 +99,8 @@
   const comingCpu = sum(coming.map(({ capacity }) => capacity.cpuMillis));
   const usedCpu = sum(endpoints.map(({ used }) => used.cpuMillis));
   const waitingCpu = waitingCpuOf(waiting);
-  const expectedCpu = expectCores(pool.demand, nowMs) * 1000 * headroom;
+  const expectedCores = Math.max(expectCores(pool.demand, nowMs), peakCores);
+  const expectedCpu = expectedCores * 1000 * headroom;
   const urgentCpu = usedCpu + waitingCpu - roomCpu - comingCpu;
   return {
     name,
@@ -126,8 +129,39 @@
 export const needsOfPools = (
   world: PoolWorld,
   policy: PoolPolicy = DEFAULT_POOL_POLICY,
-): readonly PoolNeed[] =>
-  world.pools.filter(({ isSpare }) => !isSpare).map((pool) => needOf(world, pool, policy));
+): readonly PoolNeed[] => {
+  const inUse = world.pools.filter(({ isSpare }) => !isSpare);
+  const names = inUse.map(({ name }) => name);
+  const expected = policy.expectsPeaks
+    ? expectPeak(world.state.peaks, names, world.nowMs)
+    : new Map<PoolName, number>();
+  return inUse.map((pool) => needOf(world, pool, policy, expected.get(pool.name) ?? 0));
+};
+
+/**
+ * Takes in the demand of all pools, so that peaks are seen to begin. A peak is what needs more hosts
+ * than a pool keeps in any case.
+ *
+ * @param world - Pools and hosts; the state's memory of peaks is changed in place.
+ * @param policy - How moves are weighed.
+ * @returns The pools whose peak has begun.
+ */
+export const observePeaks = (
+  { state, pools, hosts, nowMs }: PoolWorld,
+  { minHosts, headroom }: PoolPolicy = DEFAULT_POOL_POLICY,
+): readonly PoolName[] => {
+  const inUse = pools.filter(({ isSpare }) => !isSpare);
+  const sizes = Array.from(hosts.values(), ({ capacity }) => capacity.cpuMillis);
+  const hostCores = sum(sizes) / Math.max(1, sizes.length) / 1000;
+  const leastCores = (minHosts * hostCores) / headroom;
+  return inUse
+    .map(({ name }) => name)
+    .filter((name) => {
+      const { demand } = poolOf(state, name);
+      expectCores(demand, nowMs);
+      return observeDemand(state.peaks, name, { cores: demand.slowCores, leastCores }, nowMs);
+    });
+};
 
 /**
  * Tells whether any pool is short of room for what runs, waits and is expected.
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -47,7 +47,7 @@
   nowMs: number,
 ): readonly EndpointState[] =>
   Array.from(state.endpoints.values()).filter(
-    (endpoint) => endpoint.pool === pool && !endpoint.isReleasing && isSound(endpoint, nowMs),
+    (endpoint) => endpoint.pool === pool && isSound(endpoint, nowMs),
   );
 
 const hasLabel = ({ labels }: EndpointState, label: string): boolean =>
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -6,6 +6,7 @@
 import type { EndpointId, HostId, JobId, PoolName } from '../shared/ids.js';
 import type { BatchJob, BatchPhase, QueuePolicy, StepSpec, TaskKey } from './job.js';
 import { createDemand, type Demand } from './demand.js';
+import { createDemandPeaks, type DemandPeaks } from './demand-peaks.js';
 import { createRunTimes, type RunTimes } from './run-times.js';
 
 /** One task. */
@@ -138,8 +139,6 @@
   withheldReason: string;
   /** Kept empty for maintenance or a move. */
   isClosing: boolean;
-  /** Takes no new work, so that its host can change its pool. */
-  isReleasing: boolean;
   /** Its host has maintenance ahead: what lasts and is begun here would move again. */
   isAwaited: boolean;
   /** When nothing that it may have been told to run can still be running. */
@@ -227,6 +226,7 @@
   readonly endpoints: Map<EndpointId, EndpointState>;
   readonly effects: BatchEffect[];
   readonly runTimes: RunTimes;
+  readonly peaks: DemandPeaks;
   /** Jobs with occurrences still to come. */
   readonly timed: Set<JobState>;
 };
@@ -246,6 +246,7 @@
   endpoints: new Map(),
   effects: [],
   runTimes: createRunTimes(),
+  peaks: createDemandPeaks(),
   timed: new Set(),
 });
 
--- a/packages/daemon/src/batch/fleet-turn.ts
+++ b/packages/daemon/src/batch/fleet-turn.ts
@@ -6,8 +6,8 @@
   isAnyPoolShort,
   isUpkeepComplete,
   needsOfPools,
+  observePeaks,
   planMoves,
-  planReleases,
   planUpkeep,
   type BatchState,
   type EndpointState,
@@ -281,24 +281,10 @@
     });
   };
 
-  /** Has hosts at work fall empty for pools that are short of room. */
-  const releaseHosts = (): void => {
-    const released = planReleases(poolWorld());
-    state.endpoints.forEach((endpoint) => {
-      const { endpointId, pool, runs, isReleasing } = endpoint;
-      const isWanted = released.has(endpointId);
-      if (isWanted === isReleasing) return;
-      Object.assign(endpoint, { isReleasing: isWanted });
-      const event = isWanted ? 'endpoint-releasing' : 'endpoint-kept';
-      log.info(event, { endpoint: endpointId, pool, runs: runs.size });
-    });
-  };
-
   /** Moves hosts; true if any order was sent. */
   const moveHosts = async (): Promise<boolean> => {
     if (!configuration()) return false;
     notePools();
-    releaseHosts();
     const planned = planMoves(poolWorld());
     // An order without an answer is repeated: it may be carried out late, whatever is decided now.
     const moves = [...Array.from(unsettled.values()), ...planned];
@@ -309,6 +295,7 @@
   const run = async (): Promise<void> => {
     const ageMs = nowMs() - listedAtMs;
     if (ageMs > (isBusy() ? LIST_BUSY_MS : LIST_EVERY_MS)) await refreshHosts();
+    observePeaks(poolWorld()).forEach((pool) => log.info('peak-begun', { pool }));
     if (!mayOrder() || nowMs() - bornAtMs < orderAfterMs) return;
     Object.assign(state, { clockMs: nowMs() });
     const steps = Array.from(waves.values()).flatMap((wave) => planUpkeep(world(), wave, nowMs()));
--- a/packages/daemon/src/batch/keys.ts
+++ b/packages/daemon/src/batch/keys.ts
@@ -12,6 +12,8 @@
   guard: 'guard/jobs',
   entry: (entryId: string) => `entry/${entryId}`,
   wave: (waveNumber: number) => `wave/${waveNumber}`,
+  /** What holders have learned of demand and run times. */
+  learned: 'learned/control',
 } as const;
 
 const CANCEL_SUFFIX = '.cancel';
--- /dev/null
+++ b/packages/daemon/src/batch/learned-keeper.ts
@@ -0,0 +1,67 @@
+/** Keeps what a holder has learned in a row, for the next one. */
+import {
+  learnedOf,
+  restoreLearned,
+  type BatchState,
+  type LearnedRow,
+} from '@valvelatch/core/batch';
+
+import type { Log } from '../observe/log.js';
+import { batchKey } from './keys.js';
+import type { BatchTable } from './ports.js';
+
+export type LearnedKeeperOptions = {
+  readonly table: Pick<BatchTable, 'read' | 'transact'>;
+  readonly state: BatchState;
+  readonly log: Log;
+  readonly nowMs: () => number;
+  readonly todayMs: () => number;
+};
+
+export type LearnedKeeper = {
+  /** Takes in what the holder before has learned; without an answer it is done without. */
+  readonly restore: () => Promise<void>;
+  /** Writes what has been learned, if anything is new. */
+  readonly save: () => Promise<void>;
+};
+
+/**
+ * Builds the keeper of a term.
+ *
+ * @param options - The state and the table.
+ * @returns The keeper.
+ */
+export const createLearnedKeeper = ({
+  table,
+  state,
+  log,
+  nowMs,
+  todayMs,
+}: LearnedKeeperOptions): LearnedKeeper => {
+  let savedText = '';
+
+  return {
+    restore: async () => {
+      const rows = await table.read([batchKey.learned]);
+      if (rows.isErr()) {
+        log.warn('learned-not-read', rows.error);
+        return;
+      }
+      const row = rows.value[0]?.value as LearnedRow | null | undefined;
+      if (!row) return;
+      restoreLearned(state, row, nowMs(), todayMs());
+      log.info('learned-read', { peaks: row.onsets.length, kinds: row.runTimes.length });
+    },
+    save: async () => {
+      const row = learnedOf(state, nowMs(), todayMs());
+      const text = JSON.stringify([row.heights, row.runTimes, row.onsets.length]);
+      if (text === savedText) return;
+      const outcome = await table.transact({
+        checks: [],
+        writes: [{ key: batchKey.learned, value: row }],
+      });
+      if (outcome.isOk()) savedText = text;
+      else log.debug('learned-not-written', outcome.error);
+    },
+  };
+};
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -32,6 +32,7 @@
 import { createJobRows, type Until } from './job-rows.js';
 import { createJobSaver, type AcceptOutcome, type JobSaver, type LiveRow } from './job-saver.js';
 import { batchKey } from './keys.js';
+import { createLearnedKeeper } from './learned-keeper.js';
 import type { BatchPlatform } from './ports.js';
 
 const TICK_MS = 100;
@@ -45,6 +46,8 @@
 const FEED_RETRY_MS = 300;
 /** 40 jobs a sweep: 57 a second, and the grown sites take in 50. */
 const SWEEP_MS = 700;
+/** A change of the holder costs the learning of so long; each writing is one call of the table. */
+const LEARNED_MS = 2000;
 
 export type TermOptions = {
   readonly self: EntryId;
@@ -203,6 +206,8 @@
     todayMs,
   });
 
+  const learned = createLearnedKeeper({ table: platform.table, state, log, nowMs, todayMs });
+
   const advisor = createAdvisor({ state, port: platform.advice, log, metrics, nowMs, poke });
 
   const effectHandlers: {
@@ -276,6 +281,7 @@
       jobRows.read(until),
       until(roster.read),
       fleet.refreshHosts(),
+      learned.restore(),
     ]);
     const late = await jobRows.read(until);
     if (isStopped || !early || !late || !endpoints) return;
@@ -326,6 +332,7 @@
         { name: 'fleet', everyMs: fleet.everyMs, run: fleet.run },
         { name: 'waves', everyMs: fleet.everyMs, run: fleet.follow },
         { name: 'sweep', everyMs: SWEEP_MS, run: ended.sweep },
+        { name: 'learned', everyMs: LEARNED_MS, run: learned.save },
       ],
       (name, error) => {
         const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
