--- a/packages/core/src/batch/endpoints.ts
+++ b/packages/core/src/batch/endpoints.ts
@@ -73,6 +73,6 @@
   endpoints.forEach(({ endpointId, pool }) => {
     const known = poolOf(state, pool);
     known.inheritedLeasesEndAtMs = leasesEndAtMs;
-    if (!state.endpoints.get(endpointId)?.isKnown) known.unheard.add(endpointId);
+    if (!state.endpoints.get(endpointId)?.isKnown) known.notReported.add(endpointId);
   });
 };
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -192,7 +192,7 @@
   });
   endpoint.isKnown = true;
   endpoint.reportedAtMs = askedAtMs;
-  poolOf(state, endpoint.pool).unheard.delete(endpointId);
+  poolOf(state, endpoint.pool).notReported.delete(endpointId);
 };
 
 /**
@@ -227,7 +227,7 @@
   if (!endpoint) return;
   endpoint.runs.forEach((run) => loseRun(state, endpoint, run, nowMs));
   state.endpoints.delete(endpointId);
-  poolOf(state, endpoint.pool).unheard.delete(endpointId);
+  poolOf(state, endpoint.pool).notReported.delete(endpointId);
 };
 
 /** What became of an order to start a run. */
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -16,7 +16,7 @@
  * A turn is bounded: after so many steps that fit nowhere, the smaller ones behind them wait for
  * the next turn.
  */
-const MOST_MISFITS_PER_TURN = 40;
+const MAX_MISFITS_PER_CYCLE = 40;
 /** A step that fitted nowhere is not tried again before this time, unless room came free. */
 const RETRY_MS = 25;
 
@@ -200,11 +200,11 @@
 /** A task of an earlier holder may still run on an endpoint that has not reported yet. */
 const isBlocked = (
   { soleHolderUntilMs }: BatchState,
-  { unheard, inheritedLeasesEndAtMs }: PoolState,
+  { notReported, inheritedLeasesEndAtMs }: PoolState,
   { job }: StepRun,
   nowMs: number,
 ): boolean => {
-  if (!job.isInherited || unheard.size === 0) return false;
+  if (!job.isInherited || notReported.size === 0) return false;
   return nowMs < inheritedLeasesEndAtMs || nowMs >= soleHolderUntilMs;
 };
 
@@ -238,7 +238,7 @@
       misfits += 1;
       step.retryAtMs = nowMs + RETRY_MS;
     }
-    return misfits >= MOST_MISFITS_PER_TURN;
+    return misfits >= MAX_MISFITS_PER_CYCLE;
   });
 };
 
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -164,7 +164,7 @@
   readonly open: Set<StepRun>;
   readonly demand: Demand;
   /** Endpoints that may run inherited tasks and have not answered yet. */
-  readonly unheard: Set<EndpointId>;
+  readonly notReported: Set<EndpointId>;
   /** When every lease granted by an earlier holder has surely ended. */
   inheritedLeasesEndAtMs: number;
 };
@@ -264,7 +264,7 @@
     name,
     open: new Set(),
     demand: createDemand(),
-    unheard: new Set(),
+    notReported: new Set(),
     inheritedLeasesEndAtMs: 0,
   };
   state.pools.set(name, built);
--- a/packages/core/src/batch/watch-runs.ts
+++ b/packages/core/src/batch/watch-runs.ts
@@ -44,7 +44,7 @@
  *
  * @param state - All that is known, changed in place.
  * @param nowMs - The time.
- * @returns The endpoints whose leases ended unheard.
+ * @returns The endpoints whose leases ended.
  */
 export const watchRuns = (state: BatchState, nowMs: number): readonly EndpointId[] => {
   const lapsed: EndpointId[] = [];
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -14,7 +14,7 @@
 import type { Metrics } from '../observe/metrics.js';
 import type { ControlView } from './intake.js';
 import type { AcceptOutcome } from './job-saver.js';
-import type { KnownWave } from './fleet-turn.js';
+import type { KnownWave } from './fleet-cycle.js';
 import { ENDPOINT_LEASE_MS } from './endpoint-link.js';
 import { CONTROL_METHOD, createHolderClient, HOLDER_SILENT_MS } from './holder-client.js';
 import { CONTROL_LEASE } from './keys.js';
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -108,7 +108,7 @@
   const answerTimes = createAnswerTimes();
   const stopsUnderWay = new Set<string>();
 
-  const isHeard = (): boolean => misses < MISSES_TO_WITHHOLD;
+  const isResponsive = (): boolean => misses < MISSES_TO_WITHHOLD;
 
   const endpoint = (): EndpointState | undefined => state.endpoints.get(endpointId);
 
@@ -255,7 +255,7 @@
   const noteMiss = (error: OrderError): void => {
     misses += 1;
     noteError('list', error, { misses });
-    if (isHeard()) return;
+    if (isResponsive()) return;
     const known = endpoint();
     if (misses === MISSES_TO_WITHHOLD) {
       log.warn('endpoint-silent', { endpoint: endpointId, runs: known?.runs.size });
@@ -266,7 +266,7 @@
   /** Asks once. An endpoint that does not answer is asked without keeping what runs there. */
   const ask = async (patienceMs: number): Promise<boolean> => {
     const askedAtMs = nowMs();
-    const keepUntilMs = isHeard() ? keepUntil() : undefined;
+    const keepUntilMs = isResponsive() ? keepUntil() : undefined;
     const order = {
       fence: state.fence,
       acknowledged,
@@ -280,7 +280,7 @@
       noteMiss(answer.error);
       return false;
     }
-    if (!isHeard()) log.info('endpoint-heard', { endpoint: endpointId });
+    if (!isResponsive()) log.info('endpoint-answers', { endpoint: endpointId });
     misses = 0;
     noteClock(answer.value);
     // Answers on different connections may pass each other: an older one tells nothing new.
@@ -307,7 +307,7 @@
 
   const pauseAfter = async (isAnswered: boolean): Promise<void> => {
     if (!isAnswered) {
-      if (!isHeard()) await pause(RETRY_MS);
+      if (!isResponsive()) await pause(RETRY_MS);
       return;
     }
     const isStopping = Array.from(endpoint()?.runs.values() ?? []).some(
--- a/packages/daemon/src/batch/endpoint-roster.ts
+++ b/packages/daemon/src/batch/endpoint-roster.ts
@@ -100,8 +100,8 @@
     Array.from(state.endpoints.values())
       .filter(({ endpointId, pool, runs }) => {
         // One that was never heard may run what an earlier holder began: its lease decides.
-        const isUnheard = state.pools.get(pool)?.unheard.has(endpointId) ?? false;
-        return !listed.has(endpointId) && runs.size === 0 && !isUnheard;
+        const hasNotReported = state.pools.get(pool)?.notReported.has(endpointId) ?? false;
+        return !listed.has(endpointId) && runs.size === 0 && !hasNotReported;
       })
       .forEach(({ endpointId }) => {
         drop(endpointId, 'no longer listed');
--- a/packages/daemon/src/batch/fleet-turn.ts
+++ b/packages/daemon/src/batch/fleet-cycle.ts
@@ -39,7 +39,7 @@
 /** A host that was ordered to move is left alone for so long. */
 const MOVE_SETTLES_MS = 3000;
 
-export type FleetTurnOptions = {
+export type FleetCycleOptions = {
   readonly self: EntryId;
   readonly fence: number;
   readonly fenceCheck: RowCheck;
@@ -56,7 +56,7 @@
   readonly dropEndpoint: (endpointId: EndpointId, reason: string) => void;
 };
 
-export type FleetTurn = {
+export type FleetCycle = {
   readonly everyMs: number;
   /** Orders what is due of moves and waves. */
   readonly run: () => Promise<void>;
@@ -86,7 +86,7 @@
  * @param options - The term.
  * @returns The turn.
  */
-export const createFleetTurn = ({
+export const createFleetCycle = ({
   self,
   fence,
   fenceCheck,
@@ -100,7 +100,7 @@
   orderAfterMs,
   configuration,
   dropEndpoint,
-}: FleetTurnOptions): FleetTurn => {
+}: FleetCycleOptions): FleetCycle => {
   const bornAtMs = nowMs();
   const orderer = { holder: self, fence };
   const hosts = new Map<HostId, HostView>();
--- a/packages/daemon/src/batch/holder-client.ts
+++ b/packages/daemon/src/batch/holder-client.ts
@@ -85,8 +85,8 @@
     try {
       return await peers()?.ask(entryId, method, payload, ms);
     } catch (error) {
-      metrics.count('holder_unheard');
-      log.debug('holder-unheard', { holder: entryId, method, detail: String(error) });
+      metrics.count('holder_unanswered');
+      log.debug('holder-unanswered', { holder: entryId, method, detail: String(error) });
       return undefined;
     }
   };
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -27,7 +27,7 @@
 import { createAdvisor } from './advisor.js';
 import { createEndedJobs } from './ended-jobs.js';
 import { createEndpointRoster } from './endpoint-roster.js';
-import { createFleetTurn, type FleetTurn } from './fleet-turn.js';
+import { createFleetCycle, type FleetCycle } from './fleet-cycle.js';
 import { takeGuard } from './guard.js';
 import { createJobRows, type Until } from './job-rows.js';
 import { createJobSaver, type AcceptOutcome, type JobSaver, type LiveRow } from './job-saver.js';
@@ -81,7 +81,7 @@
 export type Term = {
   readonly self: EntryId;
   readonly state: BatchState;
-  readonly fleet: FleetTurn;
+  readonly fleet: FleetCycle;
   readonly start: () => Promise<void>;
   readonly stop: () => Promise<void>;
   /** The phase of a job; undefined if the holder cannot tell. */
@@ -249,7 +249,7 @@
     state.soleHolderUntilMs = soleHolderUntilMs();
     saver.lookAtTable();
     state.timed.forEach((job) => beginDue(state, job, nowMs(), todayMs()));
-    watchRuns(state, nowMs()).forEach((endpoint) => log.warn('lease-ended-unheard', { endpoint }));
+    watchRuns(state, nowMs()).forEach((endpoint) => log.warn('endpoint-lease-ended', { endpoint }));
     paceFillers(state, nowMs());
     turn();
   };
@@ -304,7 +304,7 @@
     perform();
   };
 
-  const fleet = createFleetTurn({
+  const fleet = createFleetCycle({
     self,
     fence,
     fenceCheck,
