--- a/packages/core/src/batch/order.ts
+++ b/packages/core/src/batch/order.ts
@@ -10,7 +10,7 @@
 import type { BatchState, StepRun } from './state.js';
 import { expectStepTime } from './step-times.js';
 
-/** A success is worth something until this many times the objective (page of rules, "Credit"). */
+/** A late success is still worth something to its client until this many times the objective. */
 export const LATE_FACTOR = 3;
 
 /** What decides the place of a step in the queue. */
--- a/packages/core/src/batch/reports.test.ts
+++ b/packages/core/src/batch/reports.test.ts
@@ -79,7 +79,7 @@
 
 describe('reports of endpoints', () => {
   it('count each failed run once, in whatever order endpoints list them again', () => {
-    // A holder was lost before it wrote three failures; a hunt broke the budget of attempts so.
+    // Guards the budget of attempts where a holder is lost before it has written three failures.
     const state = stateWith('first', 'second');
     report(state, 'second', [failed(1, 1003)]);
     report(state, 'first', [failed(1, 1001), failed(2, 1002)]);
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -23,9 +23,9 @@
 import type { EndpointOrders, OrderTarget } from './ports.js';
 
 /**
- * For how long an endpoint keeps what runs there without word from the holder. Longer than a
- * takeover of control, so that tasks outlive their holder; shorter than the platform's longest
- * (`holdMaxMs`, 10,000), so that work of a lost host is soon begun again.
+ * For how long an endpoint keeps what runs there without contact with the holder. Longer than a
+ * takeover of control, so that tasks outlive their holder; no longer than the shortest bound that
+ * platforms set (6 s), so that work of a lost host is soon begun again.
  */
 export const ENDPOINT_LEASE_MS = 6000;
 /** An endpoint's clock may be 2 % slow, and its reading is as old as the last answer. */
--- a/packages/daemon/src/batch/holders.test.ts
+++ b/packages/daemon/src/batch/holders.test.ts
@@ -36,7 +36,7 @@
     };
 
     it('is done in its own time, not in that of the last holder', async () => {
-      // swrc trouble-3: each new holder counted the time anew, left hosts for later, and was late.
+      // Guards against each new holder counting the time anew: 3 to 5 of 22 hosts were late.
       const { fleet, work } = await busyWave();
       await advance(19_000);
       fleet.kill(holderOf(fleet));
@@ -47,7 +47,7 @@
     });
 
     it('has no more hosts down than it allows when its holder comes back at once', async () => {
-      // A hunt with no pause between holders: the next one did not count what the last had ordered.
+      // Without a pause between holders the next one must count what the last has ordered.
       const fleet = await started({ hostsPerPool: 6 });
       const hosts = Array.from(fleet.hosts.values())
         .filter(({ pool }) => pool === 'alpha')
@@ -82,7 +82,7 @@
 
   describe('entries of different strength', () => {
     it('leave control to a strong one, whoever looks first', async () => {
-      // On the grown site a weak entry took control after all had lost power, and could not carry it.
+      // An entry of 0.3 cores does not carry the control of 250 endpoints.
       const fleet = createSimFleet({ random: chance(3) });
       ['weak-1', 'weak-2'].forEach((name) => fleet.addEntry(name, 0.3));
       fleet.addEntry('strong', 1.3);
@@ -164,8 +164,8 @@
 
   describe('a holder that the table turns away while it serves others', () => {
     it('hands control over to one that is served', async () => {
-      // speelveilig-grown scale-2: a holder that was cut off kept its lease through neighbours for
-      // 28 s, could follow no feed, and started next to nothing.
+      // Guards against a holder that keeps its lease through neighbours and can follow no feed: it
+      // started next to nothing for 28 s.
       const fleet = await started();
       const first = holderOf(fleet);
       first.isCutFromTable = true;
--- a/packages/daemon/src/batch/intake.test.ts
+++ b/packages/daemon/src/batch/intake.test.ts
@@ -59,7 +59,8 @@
 
 describe('a job that the holder cannot write', () => {
   it('is written here and told to the holder, whose own reading may be turned away', async () => {
-    // A hunt: 34 jobs waited, and the holder, turned away by the store, counted one (MIXED).
+    // Without it the holder starts and counts such a job only after its next reading: 34 waited, 1
+    // was counted.
     const { intake, told } = intakeWith({ kind: 'away' }, true);
     expect(await intake.submit(queue, job)).toEqual({ kind: 'accepted' });
     expect(told).toEqual([12]);
--- a/packages/daemon/src/batch/relayed-table.test.ts
+++ b/packages/daemon/src/batch/relayed-table.test.ts
@@ -40,7 +40,7 @@
 
 describe('a table that turns this entry away', () => {
   it('is reached through the next neighbour where the first is turned away too', async () => {
-    // An incident: one neighbour in three was turned away as well, and control lapsed.
+    // With one neighbour asked, control lapsed where that one was turned away as well.
     const { table } = relayed({ b: refused, c: served, d: served });
     const outcome = await table.transact(write);
     expect(outcome.isOk() && outcome.value).toEqual({ kind: 'committed', version: 7 });
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -44,7 +44,7 @@
 const LEASE_SLACK = 1.05;
 const LEASE_MARGIN_MS = 500;
 const FEED_RETRY_MS = 300;
-/** 40 jobs a sweep: 57 a second, and the grown sites take in 50. */
+/** A sweep takes 40 jobs: 57 a second, above the 50 that a fleet of 250 endpoints takes in. */
 const SWEEP_MS = 700;
 /** A change of the holder costs the learning of so long; each writing is one call of the table. */
 const LEARNED_MS = 2000;
