--- a/packages/core/src/batch/admission.ts
+++ b/packages/core/src/batch/admission.ts
@@ -13,7 +13,7 @@
 /** Entries send a heartbeat each 0.5 s: a holder that has missed one may be cut off. */
 export const HOLDER_DOUBTFUL_MS = 800;
 
-/** The ways on which a submission could be written, by their last signs of life. */
+/** The routes on which a submission could be written, by when each last answered. */
 export type WritePaths = {
   /** For how long the table has answered nothing that this entry asked, by itself or by others. */
   readonly tableSilentMs: number;
@@ -22,9 +22,9 @@
 };
 
 /**
- * Tells whether any way is left on which a submission could be written.
+ * Tells whether any route is left on which a submission could be written.
  *
- * @param paths - The last signs of life of each.
+ * @param paths - For how long each has not answered.
  * @returns False where neither the table nor the holder answers.
  */
 export const hasWritePath = ({ tableSilentMs, holderSilentMs }: WritePaths): boolean =>
--- a/packages/daemon/src/batch/batch-control.test.ts
+++ b/packages/daemon/src/batch/batch-control.test.ts
@@ -178,7 +178,7 @@
 
   describe('hosts that change their pool', () => {
     it('places nothing on a host whose move is under way', async () => {
-      // Both hunts' trouble-3 lost lasting tasks so: they were placed between order and answer.
+      // Guards tasks that are placed between the order to a host and its answer: the move ends them.
       const fleet = await started({ hostsPerPool: 6 });
       fleet.faults.hostOrderMs = 700;
       await advance(4000);
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -37,7 +37,7 @@
 /**
  * The lease of a holder that is silent on the mesh too is taken after this time. It renews each 1.3
  * to 1.8 s. It may still think that it holds control: endpoints and rows are fenced, hosts are
- * ordered only shortly after a renewal, and jobs are taken in only so too (`SOLE_HOLDER_MS`).
+ * ordered only shortly after a renewal, and jobs are admitted only then too (`SOLE_HOLDER_MS`).
  */
 const EARLY_TAKE_MS = 2600;
 /**
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -154,7 +154,7 @@
 
   /**
    * Sends a start. One without an answer is sent again: the endpoint begins a run once, however
-   * often it is told, so the task need not be barred here and begun elsewhere.
+   * often it is ordered to, so the task need not be barred here and begun elsewhere.
    */
   const sendStart = async (
     order: StartOrder,
--- a/packages/daemon/src/batch/holders.test.ts
+++ b/packages/daemon/src/batch/holders.test.ts
@@ -234,6 +234,26 @@
     });
   });
 
+  describe('what a holder has learned', () => {
+    it('is known to the next one from its start', async () => {
+      // Without it the next holder counts on the clients' estimates, off by half and more.
+      const fleet = await started();
+      for (let index = 0; index < 6; index += 1) {
+        fleet.submit({ pool: 'alpha', steps: [{ taskCount: 2, estimateMs: 100 }], runMs: 700 });
+        await advance(500);
+      }
+      await advance(4000);
+      const first = holderOf(fleet);
+      fleet.kill(first);
+      await advance(9500);
+      const next = holderOf(fleet);
+      expect(next).not.toBe(first);
+      const kinds = Array.from(next.control.term()?.state.runTimes.byKind.values() ?? []);
+      expect(kinds.map(({ ends }) => ends)).toEqual([12]);
+      expect(kinds[0]?.meanMs).toBeGreaterThan(650);
+    });
+  });
+
   describe('inherited tasks', () => {
     it('waits for the lease of an endpoint that fell out of the list before it was heard', async () => {
       const fleet = await started();
--- a/packages/daemon/src/batch/submission.ts
+++ b/packages/daemon/src/batch/submission.ts
@@ -67,10 +67,10 @@
 const AWAY = 'neither the table nor the holder of control answers';
 
 /**
- * Builds the way on which submissions are written.
+ * Builds the writer of submissions.
  *
  * @param options - The table, the holder and the clock.
- * @returns The way.
+ * @returns The writer.
  */
 export const createSubmission = ({
   table,
