A submission that was sent to a holder is never told to be not run once that holder is gone

With the table away the client was then told notRun. Ruled out: the test sends each job once. Not shown: that this was the way of those two jobs, since the processes' logs were not kept. Change: what was sent stays sent; the answer is unknown, 504. Test: failed first.

--- a/packages/daemon/src/batch/control.test.ts
+++ b/packages/daemon/src/batch/control.test.ts
@@ -65,6 +65,20 @@
     expect(ms).toBeLessThan(1200);
   });
 
+  it('may have been written also where the holder is not known any more', async () => {
+    // It was told as never sent, and then, with the table away, as not run: an untrue refusal.
+    let isKnown = true;
+    const control = await controlWith({
+      knows: () => isKnown,
+      ask: async () => {
+        isKnown = false;
+        throw new Error('no answer');
+      },
+      silentForMs: () => 300,
+    });
+    expect((await timeOf(control)).kind).toBe('unheard');
+  });
+
   it('are waited for while the holder is heard, as a slow table takes its time', async () => {
     const control = await controlWith({
       ask: () =>
--- a/packages/daemon/src/batch/holder-client.ts
+++ b/packages/daemon/src/batch/holder-client.ts
@@ -107,7 +107,7 @@
     ask,
     isAway: () => nowMs() < awayUntilMs,
     accept: async (row) => {
-      if (nowMs() < passedOverUntilMs) return null;
+      if (nowMs() < passedOverUntilMs || known() === undefined) return null;
       const answer = await Promise.race([
         ask(CONTROL_METHOD.accept, row, ACCEPT_ASK_MS),
         holderFallsSilent(),
@@ -118,7 +118,8 @@
         return outcome;
       }
       passedOverUntilMs = nowMs() + PASS_OVER_MS;
-      return known() === undefined ? null : { kind: 'unheard' };
+      // It was sent, whoever holds control by now.
+      return { kind: 'unheard' };
     },
   };
 };
--- a/packages/daemon/src/batch/submission.ts
+++ b/packages/daemon/src/batch/submission.ts
@@ -106,9 +106,10 @@
     attempt: Attempt,
     untilMs: number,
   ): Promise<AcceptOutcome | undefined> => {
+    const hadBeenSent = attempt.mayBeWritten;
     Object.assign(attempt, { mayBeWritten: true });
     const answer = await control.accept(row);
-    Object.assign(attempt, { mayBeWritten: answer?.kind === 'unheard' });
+    Object.assign(attempt, { mayBeWritten: hadBeenSent || answer?.kind === 'unheard' });
     if (answer || attempt.isAnswered || nowMs() + HOLDER_PAUSE_MS > untilMs) return answer;
     await pause(HOLDER_PAUSE_MS);
     return askHolder(row, attempt, untilMs);
