A reading of the configuration tells its bytes, how long they took, and how far behind it was

Cause: what kept an entry behind could not be told from its logs: a feed that brings every version there was, a time-out that cuts off an answer, or a way that is silent. Counters: operator_feed_bytes, operator_feed_failed, operator_feed_arriving, configuration_version. No change of what is decided.

--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -144,20 +144,34 @@
   });
   const openPeers = peers;
 
+  let operatorReadAtMs = performance.now();
+
   const followOperator = async (): Promise<void> => {
     const news = await platform.operator.next(index ? OPERATOR_WAIT_MS : 0);
+    const silentMs = Math.round(performance.now() - operatorReadAtMs);
     if (news.isErr()) {
-      log.warn('operator-feed-failed', news.error);
+      metrics.count('operator_feed_failed');
+      log.warn('operator-feed-failed', {
+        ...news.error,
+        version: index?.configuration.version,
+        silentMs,
+      });
       return;
     }
-    const { configuration, waves } = news.value;
+    operatorReadAtMs = performance.now();
+    const { configuration, waves, reading } = news.value;
+    metrics.count('operator_feed_bytes', reading.bytes);
+    metrics.time('operator_feed_arriving', reading.arrivingMs * 1000);
     if (configuration) {
       const before = index;
       index = newerConfiguration(index, configuration);
+      metrics.gauge('configuration_version', index.configuration.version);
       log.info('configuration-read', {
         version: configuration.version,
         queues: configuration.queues.length,
         isInForce: index !== before,
+        silentMs,
+        ...reading,
       });
     }
     if (waves.length > 0) control.takeWaves(waves);
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -43,10 +43,22 @@
   readonly feed: (kind: string) => TableFeed;
 };
 
+/** How an answer of a feed came; told in logs and metrics. */
+export type FeedReading = {
+  /** `changes`: what came since the last answer. `whole`: all that is there. */
+  readonly scope: 'changes' | 'whole';
+  /** How many rows of the answer a later row of the same answer replaces. */
+  readonly replaced: number;
+  readonly bytes: number;
+  /** From its first byte to its last. */
+  readonly arrivingMs: number;
+};
+
 /** What the operator has ordered. */
 export type OperatorNews = {
   readonly configuration?: BatchConfiguration;
   readonly waves: readonly UpkeepOrder[];
+  readonly reading: FeedReading;
 };
 
 /** The operator's orders as they come. */
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -39,7 +39,7 @@
 import { createMetrics } from '../../observe/metrics.js';
 import { createControl, type Control } from '../control.js';
 import { batchKey } from '../keys.js';
-import type { BatchPlatform, EndpointNews, HostOrderer, TableFeed } from '../ports.js';
+import type { BatchPlatform, EndpointNews, FeedReading, HostOrderer, TableFeed } from '../ports.js';
 import { createRelayedTable, type RelayCall, type RelayedTable } from '../relayed-table.js';
 import { createStanding } from '../standing.js';
 
@@ -50,6 +50,7 @@
 const MOVE_MS = 1500;
 const ADVICE_MS = 60;
 const ANSWERABLE_MS = 120_000;
+const NO_READING: FeedReading = { scope: 'changes', replaced: 0, bytes: 0, arrivingMs: 0 };
 const TICK_MS = 500;
 
 export const SIM_POLICY: QueuePolicy = {
@@ -538,7 +539,7 @@
           }),
         feed,
       },
-      operator: { next: async () => Ok({ waves: [] }) },
+      operator: { next: async () => Ok({ waves: [], reading: NO_READING }) },
       endpoints: endpointFeed,
       orders: {
         list: ({ endpointId }, order, timeoutMs) =>
