--- a/packages/stand-ins/src/users-platform/rows-service.ts
+++ b/packages/stand-ins/src/users-platform/rows-service.ts
@@ -36,11 +36,24 @@
 };
 
 const MOST_WAIT_MS = 30_000;
+/** An answer holds no more than this, but at least one row. */
+const PAGE_BYTES = 1_000_000;
 
 const idOf = ({ table, part, key }: Place): string => JSON.stringify([table, part, key]);
 
 const encode = (value: unknown): string => Buffer.from(JSON.stringify(value)).toString('base64');
 
+/** The rows that one answer holds. */
+const firstPage = (rows: readonly Row[], mostRows = Infinity): readonly Row[] => {
+  let bytes = 0;
+  const isOver = ({ value = '' }: Row, index: number): boolean => {
+    bytes += value.length;
+    return index >= mostRows || (index > 0 && bytes > PAGE_BYTES);
+  };
+  const end = rows.findIndex(isOver);
+  return end < 0 ? rows : rows.slice(0, end);
+};
+
 /**
  * Builds the service.
  *
@@ -111,7 +124,8 @@
           .filter(({ table, part }) => table === query.table && part === (query.part ?? ''))
           .filter(({ key }) => key >= (query.from ?? ''))
           .sort((left, right) => (left.key < right.key ? -1 : 1));
-        return { rows: found.slice(0, limit), hasMore: found.length > limit, ver: version };
+        const page = firstPage(found, limit);
+        return { rows: page, hasMore: found.length > page.length, ver: version };
       },
     );
 
@@ -124,7 +138,11 @@
         while (changesOf(query.table, after).length === 0 && performance.now() < untilMs) {
           await waitForChange(Math.max(1, untilMs - performance.now()));
         }
-        return { rows: changesOf(query.table, after), ver: version };
+        const changes = changesOf(query.table, after);
+        const page = firstPage(changes);
+        // What does not fit is asked for after the last row of this answer.
+        const upTo = page.length < changes.length ? page.at(-1)?.ver : version;
+        return { rows: page, ver: upTo ?? version };
       },
     );
   };
