--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -6,6 +6,7 @@
 export * from './answer-times.js';
 export * from './endpoint-model.js';
 export * from './endpoints.js';
+export * from './feed-scope.js';
 export * from './health.js';
 export * from './hosts.js';
 export * from './job.js';
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -9,6 +9,7 @@
   EndpointClock,
   EndpointReport,
   EndpointSighting,
+  FeedScope,
   HostOrderOutcome,
   HostView,
   ListOrder,
@@ -45,8 +46,7 @@
 
 /** How an answer of a feed came; told in logs and metrics. */
 export type FeedReading = {
-  /** `changes`: what came since the last answer. `whole`: all that is there. */
-  readonly scope: 'changes' | 'whole';
+  readonly scope: FeedScope;
   /** How many rows of the answer a later row of the same answer replaces. */
   readonly replaced: number;
   readonly bytes: number;
