Neighbours tell an entry the configuration while its own way to the table says nothing

Cause: an entry learned of the configuration by its own feed only. One that the store did not reach refused queues that all its neighbours had within 20 ms, and answered for the holder over the mesh all the while. Ruled out: sending each change over the mesh (links of weak entries would carry what the feed brings anyway). Change: a keeper of the configuration, apart from the entry's wiring. Once its feed has said nothing for 1.3 s it asks two neighbours each 0.5 s, then the one whose own feed is up to date; a newer configuration comes packed, less than a twentieth of its bytes (the queues of the test). Nothing is asked while the feed answers. It moves only to higher versions: a property over all orders in which table and neighbours tell it.

--- a/packages/core/src/batch/feed-scope.test.ts
+++ b/packages/core/src/batch/feed-scope.test.ts
@@ -25,12 +25,8 @@
       expect(nextFeedScope(past({ answerBytes: STATE_BYTES }))).toBe('changes');
     });
 
-    it('is not all rows after two versions in one answer: nothing may have changed since', () => {
-      expect(nextFeedScope(past({ answerBytes: 2 * STATE_BYTES }))).toBe('changes');
-    });
-
-    it('is all rows once changes come faster than they are read', () => {
-      expect(nextFeedScope(past({ answerBytes: 3 * STATE_BYTES }))).toBe('whole');
+    it('is all rows once an answer holds two versions: changes come faster than they are read', () => {
+      expect(nextFeedScope(past({ answerBytes: 2 * STATE_BYTES }))).toBe('whole');
     });
 
     it('is all rows after a question without an answer', () => {
--- a/packages/core/src/batch/feed-scope.ts
+++ b/packages/core/src/batch/feed-scope.ts
@@ -27,11 +27,11 @@
 };
 
 /**
- * An answer of three versions of a row or more shows that changes come faster than they are read: its
- * next reading of all rows is paid back. After one of two, which a pause between two questions brings
- * about as well, nothing may have changed since, and all rows would be read for nothing.
+ * An answer of two versions of what there is, or more, shows that changes come faster than they are
+ * read. It may be no larger: an answer has 1 MB at most, which is two versions of 1,500 queues. If
+ * nothing has changed since, the next reading of all rows costs one copy for nothing.
  */
-const COPIES_BEHIND = 2.5;
+const COPIES_BEHIND = 1.5;
 
 /**
  * Chooses what to ask for.
--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -2,7 +2,7 @@
  * One entry of a fleet that runs batch work: takes jobs from clients, and holds control of the
  * fleet while it has the lease. All entries are alike and keep nothing.
  */
-import { newerConfiguration, type QueueIndex } from '@valvelatch/core/batch';
+import type { QueueIndex } from '@valvelatch/core/batch';
 import type { EntryId } from '@valvelatch/core/shared/ids';
 import { createGroupCommit } from '@valvelatch/platform/group-commit';
 
@@ -10,6 +10,11 @@
 import type { Metrics } from '../observe/metrics.js';
 import type { OperatorResult } from '../operators/operator-result.js';
 import { startLoops, type RunningLoops } from '../shared/loops.js';
+import {
+  ASK_NEIGHBOURS_EVERY_MS,
+  CONFIGURATION_METHOD,
+  createConfigurationKeeper,
+} from './configuration-keeper.js';
 import { createControl, type Control } from './control.js';
 import { CONTROL_METHOD } from './holder-client.js';
 import { createIntake, type Intake } from './intake.js';
@@ -25,8 +30,6 @@
 } from './relayed-table.js';
 
 const LEASE_TICK_MS = 400;
-/** A waiting read of the operator's orders: a change is in force within 2 s also if one is lost. */
-const OPERATOR_WAIT_MS = 1000;
 const OPERATOR_RETRY_MS = 100;
 const PEERS_MS = 5000;
 /** A stronger entry that takes longer to say whether it would take control is no better off. */
@@ -81,17 +84,29 @@
   log,
   metrics,
 }: BatchEntryOptions): Promise<BatchEntry> => {
-  let index: QueueIndex | undefined;
   let peers: Peers | undefined;
   let isDraining = false;
 
+  const neighbours = (): readonly EntryId[] => peers?.others() ?? [];
+
+  const askPeer: Peers['ask'] = (entryId, method, payload, ms) => {
+    if (!peers) throw new Error('the mesh is not open yet');
+    return peers.ask(entryId, method, payload, ms);
+  };
+
   const table = createRelayedTable({
     table: platform.table,
-    neighbours: () => peers?.others() ?? [],
-    ask: (entryId, method, payload, ms) => {
-      if (!peers) throw new Error('the mesh is not open yet');
-      return peers.ask(entryId, method, payload, ms);
-    },
+    neighbours,
+    ask: askPeer,
+    log,
+    metrics,
+  });
+
+  const configuration = createConfigurationKeeper({
+    feed: platform.operator,
+    neighbours,
+    ask: askPeer,
+    onWaves: (waves) => control.takeWaves(waves),
     log,
     metrics,
   });
@@ -101,7 +116,7 @@
     platform,
     table,
     peers: () => peers,
-    configuration: () => index,
+    configuration: configuration.index,
     log,
     metrics,
     standing: createStanding({
@@ -112,7 +127,7 @@
   });
 
   const answerHere = (question: OperatorQuestion): OperatorResult | undefined =>
-    answerOperator(control, question, index?.configuration.version ?? 0);
+    answerOperator(control, question, configuration.index()?.configuration.version ?? 0);
 
   const askOperators = async (question: OperatorQuestion): Promise<OperatorResult> => {
     const own = answerHere(question);
@@ -138,45 +153,13 @@
     log,
     answer: async (method, payload) => {
       if (method === RELAY_METHOD) return table.answerNeighbour(payload as RelayCall);
+      if (method === CONFIGURATION_METHOD) return configuration.answerNeighbour(payload as number);
       if (method === OPERATORS_METHOD) return answerHere(payload as OperatorQuestion) ?? null;
       return control.answer(method, payload);
     },
   });
   const openPeers = peers;
 
-  let operatorReadAtMs = performance.now();
-
-  const followOperator = async (): Promise<void> => {
-    const news = await platform.operator.next(index ? OPERATOR_WAIT_MS : 0);
-    const silentMs = Math.round(performance.now() - operatorReadAtMs);
-    if (news.isErr()) {
-      metrics.count('operator_feed_failed');
-      log.warn('operator-feed-failed', {
-        ...news.error,
-        version: index?.configuration.version,
-        silentMs,
-      });
-      return;
-    }
-    operatorReadAtMs = performance.now();
-    const { configuration, waves, reading } = news.value;
-    metrics.count('operator_feed_bytes', reading.bytes);
-    metrics.time('operator_feed_arriving', reading.arrivingMs * 1000);
-    if (configuration) {
-      const before = index;
-      index = newerConfiguration(index, configuration);
-      metrics.gauge('configuration_version', index.configuration.version);
-      log.info('configuration-read', {
-        version: configuration.version,
-        queues: configuration.queues.length,
-        isInForce: index !== before,
-        silentMs,
-        ...reading,
-      });
-    }
-    if (waves.length > 0) control.takeWaves(waves);
-  };
-
   const intake = createIntake({
     table,
     group: createGroupCommit({ table, windowMs: GROUP_MS, mostPerGroup: GROUP_SIZE }),
@@ -197,7 +180,12 @@
 
   const loops: RunningLoops = startLoops(
     [
-      { name: 'operator', everyMs: OPERATOR_RETRY_MS, run: followOperator },
+      { name: 'operator', everyMs: OPERATOR_RETRY_MS, run: configuration.follow },
+      {
+        name: 'configuration',
+        everyMs: ASK_NEIGHBOURS_EVERY_MS,
+        run: configuration.askNeighbours,
+      },
       { name: 'lease', everyMs: LEASE_TICK_MS, run: keepControl },
       { name: 'peers', everyMs: PEERS_MS, run: refreshPeers },
       { name: 'beat', everyMs: BEAT_MS, run: async () => openPeers.beat() },
@@ -210,11 +198,11 @@
   );
 
   return {
-    configuration: () => index,
+    configuration: configuration.index,
     intake,
     control,
     askOperators,
-    isReady: () => !isDraining && index !== undefined && intake.canTake(),
+    isReady: () => !isDraining && configuration.index() !== undefined && intake.canTake(),
     drain: async () => {
       isDraining = true;
       await control.resign();
--- /dev/null
+++ b/packages/daemon/src/batch/configuration-keeper.test.ts
@@ -0,0 +1,211 @@
+import type { BatchConfiguration } from '@valvelatch/core/batch';
+import { brand, type EntryId } from '@valvelatch/core/shared/ids';
+import fc from 'fast-check';
+import { Err, Ok } from 'ts-results-es';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+import { createLog } from '../observe/log.js';
+import { createMetrics } from '../observe/metrics.js';
+import {
+  ASK_NEIGHBOURS_EVERY_MS,
+  createConfigurationKeeper,
+  type ConfigurationKeeper,
+} from './configuration-keeper.js';
+import type { FeedReading, OperatorNews } from './ports.js';
+
+const READING: FeedReading = { scope: 'changes', replaced: 0, bytes: 0, arrivingMs: 0 };
+const FEED_TIMEOUT_MS = 1900;
+const FEED_PAUSE_MS = 100;
+const LOOK_MS = 100;
+const QUEUES = 260;
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+const configurationOf = (version: number): BatchConfiguration => ({
+  version,
+  queues: Array.from({ length: QUEUES }, (_, index) => ({
+    name: brand(`inspections-${index}`),
+    hostName: 'speelveilig.example',
+    pathPrefix: `/q${index}/`,
+    pool: brand('intake'),
+    timeoutMs: 3000,
+    policy: { priority: 1, maxAttempts: 3, stretch: 2, targetLatencyMs: 600, needsAdvice: false },
+  })),
+  pools: [{ name: brand('intake'), isSpare: false }],
+});
+
+/** An entry whose way to the table can be cut off. */
+type Entry = {
+  readonly entryId: EntryId;
+  readonly keeper: ConfigurationKeeper;
+  isCutOff: boolean;
+  /** Neighbours that it has asked. */
+  readonly asked: EntryId[];
+};
+
+describe('the configuration of an entry', () => {
+  let accepted: BatchConfiguration;
+  let entries: Entry[];
+  let isOver: boolean;
+
+  const log = createLog({ sink: () => undefined });
+
+  const newsFor = (known: number): OperatorNews => {
+    const isNew = accepted.version > known;
+    return { waves: [], reading: READING, ...(isNew ? { configuration: accepted } : {}) };
+  };
+
+  const addEntry = (name: string): Entry => {
+    let read = 0;
+    const asked: EntryId[] = [];
+    const others = (): readonly Entry[] => entries.filter(({ entryId }) => entryId !== name);
+    const keeper = createConfigurationKeeper({
+      feed: {
+        next: async (waitMs) => {
+          const untilMs = performance.now() + waitMs;
+          while (!entry.isCutOff && accepted.version <= read && performance.now() < untilMs) {
+            await sleep(LOOK_MS);
+          }
+          if (entry.isCutOff) {
+            await sleep(FEED_TIMEOUT_MS);
+            return Err({ kind: 'unknown', detail: 'no answer' });
+          }
+          const news = newsFor(read);
+          read = accepted.version;
+          return Ok(news);
+        },
+      },
+      neighbours: () => others().map(({ entryId }) => entryId),
+      ask: async (entryId, _, payload) => {
+        asked.push(entryId);
+        await sleep(1);
+        return others()
+          .find((other) => other.entryId === entryId)
+          ?.keeper.answerNeighbour(payload as number);
+      },
+      onWaves: () => undefined,
+      log,
+      metrics: createMetrics(),
+    });
+    const entry: Entry = { entryId: brand(name), keeper, isCutOff: false, asked };
+    const repeat = async (run: () => Promise<void>, everyMs: number): Promise<void> => {
+      while (!isOver) {
+        await run();
+        await sleep(everyMs);
+      }
+    };
+    void repeat(keeper.follow, FEED_PAUSE_MS);
+    void repeat(keeper.askNeighbours, ASK_NEIGHBOURS_EVERY_MS);
+    return entry;
+  };
+
+  const keeperOf = (
+    read: () => Promise<number>,
+    ask: () => Promise<unknown> = async () => undefined,
+    nowMs?: () => number,
+  ): ConfigurationKeeper =>
+    createConfigurationKeeper({
+      feed: {
+        next: async () =>
+          Ok({ waves: [], reading: READING, configuration: configurationOf(await read()) }),
+      },
+      neighbours: () => [brand<EntryId>('neighbour')],
+      ask,
+      onWaves: () => undefined,
+      log,
+      metrics: createMetrics(),
+      nowMs,
+    });
+
+  const versionOf = ({ keeper }: Entry): number => keeper.index()?.configuration.version ?? 0;
+
+  beforeEach(async () => {
+    vi.useFakeTimers();
+    isOver = false;
+    accepted = configurationOf(1);
+    entries = [];
+    ['one', 'two', 'three', 'four'].forEach((name) => entries.push(addEntry(name)));
+    await vi.advanceTimersByTimeAsync(2000);
+  });
+
+  afterEach(() => {
+    isOver = true;
+    vi.useRealTimers();
+  });
+
+  it('comes from the table alone while that answers', async () => {
+    accepted = configurationOf(2);
+    await vi.advanceTimersByTimeAsync(5000);
+    expect(entries.map(versionOf)).toEqual([2, 2, 2, 2]);
+    expect(entries.flatMap(({ asked }) => asked)).toEqual([]);
+  });
+
+  it.each([0, 300, 700, 1000, 1300, 1900])(
+    'is in force within 2 s at an entry cut off %i ms before its acceptance',
+    async (beforeMs) => {
+      const [cutOff] = entries as [Entry];
+      cutOff.isCutOff = true;
+      await vi.advanceTimersByTimeAsync(beforeMs);
+      accepted = configurationOf(2);
+      await vi.advanceTimersByTimeAsync(2000);
+      expect(versionOf(cutOff)).toBe(2);
+    },
+  );
+
+  it('comes from the one neighbour that the table answers', async () => {
+    const [first, second, third] = entries as [Entry, Entry, Entry];
+    [first, second, third].forEach((entry) => Object.assign(entry, { isCutOff: true }));
+    accepted = configurationOf(2);
+    await vi.advanceTimersByTimeAsync(8000);
+    expect([first, second, third].map(versionOf)).toEqual([2, 2, 2]);
+    // Once found it is asked alone, twice a second.
+    const before = first.asked.length;
+    await vi.advanceTimersByTimeAsync(2000);
+    const since = first.asked.slice(before);
+    expect(since.length).toBeLessThanOrEqual(4);
+    expect(new Set(since)).toEqual(new Set(['four']));
+  });
+
+  it('takes a twentieth of its bytes or less on the way between entries', () => {
+    const { packed } = (entries[0] as Entry).keeper.answerNeighbour(0);
+    const plainBytes = JSON.stringify(accepted).length;
+    expect(packed?.length).toBeLessThan(plainBytes / 20);
+  });
+
+  it('never goes back, in whatever order the table and neighbours tell it', async () => {
+    vi.useRealTimers();
+    /** What a neighbour that has this version answers, whatever it was asked with. */
+    const answerOf = async (version: number) => {
+      const neighbour = keeperOf(async () => version);
+      await neighbour.follow();
+      return neighbour.answerNeighbour(0);
+    };
+    const steps = fc.array(
+      fc.record({ byTable: fc.boolean(), version: fc.integer({ min: 1, max: 9 }) }),
+    );
+    await fc.assert(
+      fc.asyncProperty(steps, async (told) => {
+        let version = 0;
+        let nowMs = 0;
+        let highest = 0;
+        const keeper = keeperOf(
+          async () => version,
+          async () => answerOf(version),
+          () => nowMs,
+        );
+        for (let step = 0; step < told.length; step += 1) {
+          const { byTable, version: toldVersion } = told[step] as (typeof told)[number];
+          version = toldVersion;
+          nowMs += 10_000;
+          await (byTable ? keeper.follow() : keeper.askNeighbours());
+          const inForce = keeper.index()?.configuration.version ?? 0;
+          expect(inForce).toBe(Math.max(highest, version));
+          highest = inForce;
+        }
+      }),
+    );
+  });
+});
