What is answered and what is sent are one step: nothing of a submission leaves after "not run"

Cause: an attempt was three functions that set its flags and a watcher that raced them; the answer was decided by what had been sent up to then, and the loser of the race went on: after a pause it asked the holder or wrote without looking. The class: work that outlives the answer given for it. Ruled out of this class, by reading: the holder's saver (what is under way or of unknown outcome is never turned away; a conflict leaves in its list what was not written; a stopped one answers unknown); a holder that is replaced while it is asked (its saver answers unknown, or it says that it holds nothing and nothing was sent); relayed and hedged calls (all outcomes are joined, and one that is not known makes the whole unknown; a neighbour's call that is still under way ends as unknown); a client that leaves and a drain (no answer is given beside the work); orders to endpoints and hosts (a call that is given up in its queue is destroyed unsent, and its outcome is unknown). Change: `Attempt` is the only place from which anything is sent. A call gets `leave`, asked at the moment at which it leaves: false once the attempt is closed. Closing gives the answer in the same step, by what has left and has no outcome. The line of the group commit asks it too, so what still waits there is withdrawn and told as not run; it was answered 504, unknown, before.

--- a/packages/daemon/src/batch/intake.ts
+++ b/packages/daemon/src/batch/intake.ts
@@ -21,10 +21,11 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import type { Written } from './attempt.js';
 import type { AcceptOutcome, LiveRow } from './job-saver.js';
 import { batchKey } from './keys.js';
 import type { RelayedTable } from './relayed-table.js';
-import { createSubmission, type Written } from './submission.js';
+import { createSubmission } from './submission.js';
 
 /** The part of a client's time within which an unanswered write is pursued. */
 const PURSUE_SHARE = 0.8;
--- a/packages/daemon/src/batch/submission.ts
+++ b/packages/daemon/src/batch/submission.ts
@@ -6,6 +6,7 @@
 import { hasWritePath } from '@valvelatch/core/batch';
 import type { GroupCommit } from '@valvelatch/platform';
 
+import { openAttempt, type Attempt, type Ending, type Written } from './attempt.js';
 import type { ControlView } from './intake.js';
 import type { AcceptOutcome, LiveRow } from './job-saver.js';
 import { batchKey } from './keys.js';
@@ -23,28 +24,12 @@
 /** How often a submission under way looks whether anything can still answer it. */
 const PATH_LOOK_MS = 50;
 
-/** What became of a submission. */
-export type Written =
-  | { readonly kind: 'committed'; readonly version: number }
-  | { readonly kind: 'conflict' }
-  | { readonly kind: 'full' }
-  /** `unreachable`: surely not written. */
-  | { readonly kind: 'unknown' | 'unreachable'; readonly detail: string };
-
-/** A submission under way. */
-type Attempt = {
-  readonly untilMs: number;
-  /** Something was sent whose effect is not known. */
-  mayBeWritten: boolean;
-  /** Its client has its answer: nothing more is sent. */
-  isAnswered: boolean;
-};
-
 export type SubmissionOptions = {
   readonly table: Pick<RelayedTable, 'isServed' | 'silentForMs'>;
   readonly group: GroupCommit;
   readonly control: Pick<ControlView, 'accept' | 'holderSilentMs' | 'tellTaken'>;
   readonly nowMs: () => number;
+  readonly pause?: (ms: number) => Promise<void>;
 };
 
 export type Submission = {
@@ -59,7 +44,7 @@
   readonly submit: (row: LiveRow, untilMs: number) => Promise<Written>;
 };
 
-const pause = (ms: number): Promise<void> =>
+const sleep = (ms: number): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, ms);
   });
@@ -77,6 +62,7 @@
   group,
   control,
   nowMs,
+  pause = sleep,
 }: SubmissionOptions): Submission => {
   const isPossible = (): boolean =>
     hasWritePath({ tableSilentMs: table.silentForMs(), holderSilentMs: control.holderSilentMs() });
@@ -84,20 +70,19 @@
   const write = async (
     transaction: Parameters<GroupCommit['submit']>[0],
     attempt: Attempt,
-  ): Promise<Written> => {
-    for (;;) {
-      const hadBeenSent = attempt.mayBeWritten;
-      Object.assign(attempt, { mayBeWritten: true });
-      const outcome = await group.submit(transaction);
-      if (outcome.isOk()) return outcome.value;
-      const { kind, detail } = outcome.error;
-      Object.assign(attempt, { mayBeWritten: hadBeenSent || kind === 'unknown' });
-      if (attempt.isAnswered || nowMs() + PURSUE_PAUSE_MS >= attempt.untilMs) {
-        return { kind: attempt.mayBeWritten ? 'unknown' : 'unreachable', detail };
-      }
-      // Entries that are turned away together must not come back together.
-      await pause(PURSUE_PAUSE_MS * (1 + Math.random()));
+    untilMs: number,
+  ): Promise<Ending> => {
+    const outcome = await attempt.send({
+      run: (leave) => group.submit(transaction, leave),
+      isUnknown: (result) => result.isErr() && result.error.kind === 'unknown',
+    });
+    if (outcome.isOk()) return outcome.value;
+    if (attempt.isClosed() || nowMs() + PURSUE_PAUSE_MS >= untilMs) {
+      return { kind: 'failed', detail: outcome.error.detail };
     }
+    // Entries that are turned away together must not come back together.
+    await pause(PURSUE_PAUSE_MS * (1 + Math.random()));
+    return write(transaction, attempt, untilMs);
   };
 
   /** While control changes hands nothing could begin anyway: the next holder is waited for. */
@@ -106,54 +91,46 @@
     attempt: Attempt,
     untilMs: number,
   ): Promise<AcceptOutcome | undefined> => {
-    const hadBeenSent = attempt.mayBeWritten;
-    Object.assign(attempt, { mayBeWritten: true });
-    const answer = await control.accept(row);
-    Object.assign(attempt, { mayBeWritten: hadBeenSent || answer?.kind === 'unheard' });
-    if (answer || attempt.isAnswered || nowMs() + HOLDER_PAUSE_MS > untilMs) return answer;
+    const answer = await attempt.send({
+      run: async (leave) => (leave() ? control.accept(row) : undefined),
+      isUnknown: (outcome) => outcome?.kind === 'unheard',
+    });
+    if (answer || attempt.isClosed() || nowMs() + HOLDER_PAUSE_MS > untilMs) return answer;
     await pause(HOLDER_PAUSE_MS);
     return askHolder(row, attempt, untilMs);
   };
 
-  const submitOnce = async (row: LiveRow, attempt: Attempt): Promise<Written> => {
+  const submitOnce = async (row: LiveRow, attempt: Attempt, untilMs: number): Promise<Ending> => {
     const byHolder = await askHolder(row, attempt, nowMs() + HOLDER_WAIT_MS);
-    if (attempt.isAnswered || (byHolder?.kind === 'away' && !table.isServed())) {
-      return { kind: 'unreachable', detail: AWAY };
-    }
+    if (byHolder?.kind === 'away' && !table.isServed()) return { kind: 'failed', detail: AWAY };
     if (byHolder && byHolder.kind !== 'unheard' && byHolder.kind !== 'away') return byHolder;
-    if (byHolder?.kind === 'unheard' && nowMs() + LEAST_WRITE_MS > attempt.untilMs) {
-      return { kind: 'unknown', detail: 'the holder of control did not answer' };
+    if (byHolder?.kind === 'unheard' && nowMs() + LEAST_WRITE_MS > untilMs) {
+      return { kind: 'failed', detail: 'the holder of control did not answer' };
     }
     const key = batchKey.job(row.job.jobId);
-    const written = await write(
-      { checks: [{ key, version: 0 }], writes: [{ key, value: row }] },
-      attempt,
-    );
-    if (written.kind === 'committed') control.tellTaken(row, written.version);
-    return written;
+    const transaction = { checks: [{ key, version: 0 }], writes: [{ key, value: row }] };
+    const ending = await write(transaction, attempt, untilMs);
+    if (ending.kind === 'committed') control.tellTaken(row, ending.version);
+    return ending;
   };
 
-  /** Ends the attempt once nothing can answer it any more. */
-  const watchPath = async (attempt: Attempt): Promise<Written> => {
-    while (!attempt.isAnswered && isPossible()) await pause(PATH_LOOK_MS);
-    return { kind: attempt.mayBeWritten ? 'unknown' : 'unreachable', detail: AWAY };
+  /** Waits until nothing can answer an attempt any more. */
+  const pathIsLost = async (attempt: Attempt): Promise<Ending> => {
+    while (!attempt.isClosed() && isPossible()) await pause(PATH_LOOK_MS);
+    return { kind: 'failed', detail: AWAY };
   };
 
-  const firstOf = async (
-    untilMs: number,
-    run: (attempt: Attempt) => Promise<Written>,
-  ): Promise<Written> => {
-    const attempt: Attempt = { untilMs, mayBeWritten: false, isAnswered: false };
-    if (!isPossible()) return { kind: 'unreachable', detail: AWAY };
-    const written = await Promise.race([run(attempt), watchPath(attempt)]);
-    attempt.isAnswered = true;
-    return written;
+  const answer = async (run: (attempt: Attempt) => Promise<Ending>): Promise<Written> => {
+    const attempt = openAttempt();
+    if (!isPossible()) return attempt.close({ kind: 'failed', detail: AWAY });
+    return Promise.race(
+      [run(attempt), pathIsLost(attempt)].map((work) => work.then(attempt.close)),
+    );
   };
 
   return {
     isPossible,
-    writeUntil: (transaction, untilMs) =>
-      firstOf(untilMs, (attempt) => write(transaction, attempt)),
-    submit: (row, untilMs) => firstOf(untilMs, (attempt) => submitOnce(row, attempt)),
+    writeUntil: (transaction, untilMs) => answer((attempt) => write(transaction, attempt, untilMs)),
+    submit: (row, untilMs) => answer((attempt) => submitOnce(row, attempt, untilMs)),
   };
 };
--- a/packages/platform/src/group-commit.ts
+++ b/packages/platform/src/group-commit.ts
@@ -2,13 +2,19 @@
  * Group commit: transactions that come within a few milliseconds share one transaction of the
  * table, so that many claims stay far under the table's limit on writes.
  */
-import { Ok, type Result } from 'ts-results-es';
+import { Err, Ok, type Result } from 'ts-results-es';
 
 import type { PlatformError } from './platform-error.js';
 import type { TableClient, TableTransaction, TransactionOutcome } from './table-client.js';
 
 type Outcome = Result<TransactionOutcome, PlatformError>;
-type Pending = { readonly transaction: TableTransaction; readonly resolve: (one: Outcome) => void };
+type Pending = {
+  readonly transaction: TableTransaction;
+  readonly leave: () => boolean;
+  readonly resolve: (one: Outcome) => void;
+};
+
+const WITHDRAWN: PlatformError = { kind: 'unreachable', detail: 'it was withdrawn unsent' };
 
 /** Options for the grouping. */
 export type GroupCommitOptions = {
@@ -19,7 +25,15 @@
 
 /** A way to the table that groups what comes together. */
 export type GroupCommit = {
-  readonly submit: (transaction: TableTransaction) => Promise<Outcome>;
+  /**
+   * Puts a transaction in the line.
+   *
+   * @param transaction - What to write, and under which conditions.
+   * @param leave - Called at the moment at which it is sent; false withdraws it instead, so that a
+   *   caller who has been answered meanwhile is not contradicted by what still waited.
+   * @returns What became of it.
+   */
+  readonly submit: (transaction: TableTransaction, leave?: () => boolean) => Promise<Outcome>;
 };
 
 const touches = ({ transaction }: Pending, key: string): boolean =>
@@ -75,18 +89,25 @@
     if (others.length > 0) await commit(others);
   };
 
+  const commitNext = async (): Promise<void> => {
+    const group = takeGroup(line, mostPerGroup);
+    const leaving = group.filter(({ leave }) => leave());
+    group.filter((one) => !leaving.includes(one)).forEach(({ resolve }) => resolve(Err(WITHDRAWN)));
+    if (leaving.length > 0) await commit(leaving);
+  };
+
   const run = async (): Promise<void> => {
     isBusy = true;
     await new Promise((resolve) => {
       setTimeout(resolve, windowMs);
     });
-    while (line.length > 0) await commit(takeGroup(line, mostPerGroup));
+    while (line.length > 0) await commitNext();
     isBusy = false;
   };
 
-  const submit = (transaction: TableTransaction): Promise<Outcome> =>
+  const submit: GroupCommit['submit'] = (transaction, leave = () => true) =>
     new Promise((resolve) => {
-      line.push({ transaction, resolve });
+      line.push({ transaction, leave, resolve });
       if (!isBusy) void run();
     });
 
