What a holder knows is changed by name, not through an alias of it

Twenty aliases (const one = task; one.phase = ...) in the batch decisions, made so that the linter did not see a parameter change, are gone: fields are changed by `change(task, { phase: 'done' })`, found by one search. The removal of a task from those that wait stood twice and is one function. Nothing is decided otherwise.

--- a/packages/core/src/batch/health.ts
+++ b/packages/core/src/batch/health.ts
@@ -3,6 +3,7 @@
  * can never be done does not condemn an endpoint.
  */
 import type { JobId } from '../shared/ids.js';
+import { change } from '../shared/change.js';
 import type { BatchState, EndpointState } from './state.js';
 
 /** So many distinct jobs must have failed on an endpoint since the last task that was done there. */
@@ -25,16 +26,15 @@
   reason: string,
   nowMs: number,
 ): void => {
-  const one = endpoint;
-  const forMs = Math.min(LONGEST_WITHHOLD_MS, FIRST_WITHHOLD_MS * 2 ** one.health.strikes);
-  one.health.strikes += 1;
-  one.health.failedJobs.clear();
-  one.withheldUntilMs = nowMs + forMs;
-  one.withheldReason = reason;
+  const { endpointId, pool, health } = endpoint;
+  const forMs = Math.min(LONGEST_WITHHOLD_MS, FIRST_WITHHOLD_MS * 2 ** health.strikes);
+  health.strikes += 1;
+  health.failedJobs.clear();
+  change(endpoint, { withheldUntilMs: nowMs + forMs, withheldReason: reason });
   state.effects.push({
     kind: 'note',
     event: 'endpoint-withheld',
-    fields: { endpoint: one.endpointId, pool: one.pool, forMs, reason },
+    fields: { endpoint: endpointId, pool, forMs, reason },
   });
 };
 
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -1,5 +1,6 @@
 /** The life of a job: taken in, its steps opened one after the other, ended or cancelled. */
 import type { JobId } from '../shared/ids.js';
+import { change } from '../shared/change.js';
 import {
   taskKey,
   type BatchJob,
@@ -19,7 +20,7 @@
   type StepRun,
   type Task,
 } from './state.js';
-import { stopRun } from './runs.js';
+import { stopRun, leaveWaiting } from './runs.js';
 import { expectStepWork } from './step-times.js';
 
 const newTask = (key: TaskKey, index: number): Task => ({
@@ -82,11 +83,10 @@
  */
 export const openSteps = (state: BatchState, occurrence: OccurrenceState): void => {
   occurrence.steps.forEach((step) => {
-    const one = step;
-    if (one.isOpen || isStepDone(one)) return;
-    if (!one.spec.after.every((number) => isStepDone(occurrence.steps[number]))) return;
-    one.isOpen = true;
-    if (one.waiting.length > 0) poolOf(state, one.job.job.pool).open.add(one);
+    if (step.isOpen || isStepDone(step)) return;
+    if (!step.spec.after.every((number) => isStepDone(occurrence.steps[number]))) return;
+    change(step, { isOpen: true });
+    if (step.waiting.length > 0) poolOf(state, step.job.job.pool).open.add(step);
   });
 };
 
@@ -109,21 +109,20 @@
   nowMs: number,
   todayMs: number,
 ): void => {
-  const one = job;
-  const { firstDueAtMs, intervalMs, repeats } = one.job;
-  while (one.nextOccurrence < occurrenceCount(one.job)) {
-    const number = one.nextOccurrence;
+  const { firstDueAtMs, intervalMs, repeats, pool } = job.job;
+  while (job.nextOccurrence < occurrenceCount(job.job)) {
+    const number = job.nextOccurrence;
     const dueAtMs = repeats > 0 ? firstDueAtMs + number * intervalMs : todayMs;
     if (repeats > 0 && todayMs < dueAtMs + DUE_MARGIN_MS) break;
-    one.nextOccurrence += 1;
+    change(job, { nextOccurrence: number + 1 });
     const occurrence =
-      one.occurrences.get(number) ?? addOccurrence(one, number, nowMs - (todayMs - dueAtMs));
+      job.occurrences.get(number) ?? addOccurrence(job, number, nowMs - (todayMs - dueAtMs));
     const coreMs = occurrence.steps.reduce((sum, step) => sum + expectStepWork(state, step), 0);
-    if (!one.isInherited) poolOf(state, one.job.pool).demand.recordArrival(coreMs, nowMs);
+    if (!job.isInherited) poolOf(state, pool).demand.recordArrival(coreMs, nowMs);
     openSteps(state, occurrence);
   }
-  if (one.nextOccurrence >= occurrenceCount(one.job)) state.timed.delete(one);
-  else state.timed.add(one);
+  if (job.nextOccurrence >= occurrenceCount(job.job)) state.timed.delete(job);
+  else state.timed.add(job);
 };
 
 /** Options for taking in a job. */
@@ -208,19 +207,17 @@
   phase: BatchPhase,
   reason: string,
 ): void => {
-  const one = job;
-  if (isFinal(one.phase)) return;
-  one.phase = phase;
-  one.reason = reason;
-  state.timed.delete(one);
-  const { open } = poolOf(state, one.job.pool);
-  one.occurrences.forEach(({ steps }) => steps.forEach((step) => open.delete(step)));
+  if (isFinal(job.phase)) return;
+  change(job, { phase, reason });
+  state.timed.delete(job);
+  const { open } = poolOf(state, job.job.pool);
+  job.occurrences.forEach(({ steps }) => steps.forEach((step) => open.delete(step)));
   state.endpoints.forEach((endpoint) => {
     endpoint.runs.forEach((run) => {
-      if (run.step.job === one) stopRun(state, endpoint, run, reason);
+      if (run.step.job === job) stopRun(state, endpoint, run, reason);
     });
   });
-  state.effects.push({ kind: 'save', jobId: one.job.jobId, isUrgent: true });
+  state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: true });
 };
 
 /**
@@ -246,19 +243,16 @@
  * @param task - The task.
  */
 export const markDone = (state: BatchState, step: StepRun, task: Task): void => {
-  const one = step;
-  const done = task;
-  if (done.phase === 'done') return;
-  if (done.phase === 'waiting') one.waiting = one.waiting.filter((index) => index !== done.index);
-  done.phase = 'done';
-  done.checkpoint = '';
-  one.doneCount += 1;
-  const { job, occurrence } = one;
+  if (task.phase === 'done') return;
+  if (task.phase === 'waiting') leaveWaiting(step, task);
+  change(task, { phase: 'done', checkpoint: '' });
+  change(step, { doneCount: step.doneCount + 1 });
+  const { job, occurrence } = step;
   const isEnd =
     isOccurrenceDone(occurrence) &&
     job.nextOccurrence >= occurrenceCount(job.job) &&
     Array.from(job.occurrences.values()).every(isOccurrenceDone);
-  if (one.waiting.length === 0) poolOf(state, job.job.pool).open.delete(one);
+  if (step.waiting.length === 0) poolOf(state, job.job.pool).open.delete(step);
   if (isEnd) endJob(state, job, 'completed', 'all tasks are done');
   else {
     state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -1,5 +1,6 @@
 /** What endpoints report: which tasks run, which have ended and how. */
 import type { EndpointId } from '../shared/ids.js';
+import { change } from '../shared/change.js';
 import { parseTaskKey, type TaskKey } from './job.js';
 import { endJob, findTask, markDone } from './jobs.js';
 import { learnRunTime } from './run-times.js';
@@ -61,26 +62,24 @@
 ) => void;
 
 const giveBack: EndHandler = (state, { step, task, end }) => {
-  const one = task;
-  if (end.checkpoint !== '') one.checkpoint = end.checkpoint;
-  if (one.lastRun <= end.run) requeue(state, step, task);
+  if (end.checkpoint !== '') change(task, { checkpoint: end.checkpoint });
+  if (task.lastRun <= end.run) requeue(state, step, task);
 };
 
 const fail: EndHandler = (state, context) => {
   const { step, task, end, endpoint } = context;
-  const one = task;
-  if (one.failedRuns.includes(end.run)) return;
-  one.avoid = endpoint.endpointId;
+  if (task.failedRuns.includes(end.run)) return;
+  change(task, { avoid: endpoint.endpointId });
   noteFailure(state, endpoint, step.job.job.jobId);
   if (step.spec.isLasting) {
     giveBack(state, context);
     return;
   }
-  one.failedRuns = [...one.failedRuns, end.run];
+  change(task, { failedRuns: [...task.failedRuns, end.run] });
   const { job } = step;
-  const failures = one.failedRuns.length;
+  const failures = task.failedRuns.length;
   if (failures >= job.policy.maxAttempts) {
-    endJob(state, job, 'failed', `task ${one.key} failed ${failures} times, which is maxAttempts`);
+    endJob(state, job, 'failed', `task ${task.key} failed ${failures} times, which is maxAttempts`);
     return;
   }
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
@@ -124,15 +123,16 @@
 };
 
 const updateRun = (run: RunState, report: RunningReport, nowMs: number): void => {
-  const one = run;
-  one.confirmedAtMs = Math.min(one.confirmedAtMs, nowMs);
-  if (report.checkpoint !== '') one.task.checkpoint = report.checkpoint;
-  if (one.phase !== 'stopping') one.phase = 'running';
-  if (report.percent > one.percent) one.progressAtMs = nowMs;
-  one.percent = report.percent;
-  one.figure = report.figure;
-  if (!one.step.spec.isLasting) return;
-  if (report.percent >= 100) one.task.awaySinceMs = 0;
+  const { task, step, phase, percent, progressAtMs, confirmedAtMs } = run;
+  change(run, {
+    confirmedAtMs: Math.min(confirmedAtMs, nowMs),
+    phase: phase === 'stopping' ? phase : 'running',
+    progressAtMs: report.percent > percent ? nowMs : progressAtMs,
+    percent: report.percent,
+    figure: report.figure,
+  });
+  if (report.checkpoint !== '') task.checkpoint = report.checkpoint;
+  if (step.spec.isLasting && report.percent >= 100) task.awaySinceMs = 0;
 };
 
 const mayAdopt = (found: { readonly step: StepRun; readonly task: Task } | undefined): boolean =>
--- a/packages/core/src/batch/runs.ts
+++ b/packages/core/src/batch/runs.ts
@@ -1,5 +1,6 @@
 /** Runs of tasks on endpoints: the room that they take, how they begin and how they are ended. */
 import type { EndpointId } from '../shared/ids.js';
+import { change } from '../shared/change.js';
 import type { StepSpec } from './job.js';
 import {
   poolOf,
@@ -41,12 +42,12 @@
   used.memoryMb + spec.memoryMb <= capacity.memoryMb &&
   used.accelerators + spec.accelerators <= capacity.accelerators;
 
-const changeRoom = ({ used }: EndpointState, spec: StepSpec, sign: 1 | -1): void => {
-  const room = used;
-  room.cpuMillis += sign * reservedCpu(spec);
-  room.memoryMb += sign * spec.memoryMb;
-  room.accelerators += sign * spec.accelerators;
-};
+const changeRoom = ({ used }: EndpointState, spec: StepSpec, sign: 1 | -1): void =>
+  change(used, {
+    cpuMillis: used.cpuMillis + sign * reservedCpu(spec),
+    memoryMb: used.memoryMb + sign * spec.memoryMb,
+    accelerators: used.accelerators + sign * spec.accelerators,
+  });
 
 const changePerEndpoint = (step: StepRun, endpointId: EndpointId, by: 1 | -1): void => {
   const count = (step.perEndpoint.get(endpointId) ?? 0) + by;
@@ -54,6 +55,15 @@
   else step.perEndpoint.delete(endpointId);
 };
 
+/**
+ * Takes a task from those of its step that wait.
+ *
+ * @param step - The step, changed in place.
+ * @param task - The task.
+ */
+export const leaveWaiting = (step: StepRun, task: Task): void =>
+  change(step, { waiting: step.waiting.filter((index) => index !== task.index) });
+
 /** Options for a run that begins or is found. */
 export type AddRunOptions = {
   readonly endpoint: EndpointState;
@@ -75,8 +85,7 @@
   state: BatchState,
   { endpoint, step, task, run, phase, nowMs }: AddRunOptions,
 ): RunState => {
-  const one = step;
-  const placed = task;
+  const { job } = step;
   const begun: RunState = {
     task,
     step,
@@ -91,16 +100,14 @@
     pacedAtMs: 0,
     progressAtMs: nowMs,
   };
-  if (placed.phase === 'waiting')
-    one.waiting = one.waiting.filter((index) => index !== placed.index);
-  placed.phase = 'placed';
-  placed.lastRun = Math.max(placed.lastRun, run);
+  if (task.phase === 'waiting') leaveWaiting(step, task);
+  change(task, { phase: 'placed', lastRun: Math.max(task.lastRun, run) });
   changeRoom(endpoint, step.spec, 1);
   changePerEndpoint(step, endpoint.endpointId, 1);
   endpoint.runs.set(task.key, begun);
-  if (one.waiting.length === 0) poolOf(state, one.job.job.pool).open.delete(one);
-  one.job.hasBegun = true;
-  if (one.job.phase === 'pending') one.job.phase = 'running';
+  if (step.waiting.length === 0) poolOf(state, job.job.pool).open.delete(step);
+  job.hasBegun = true;
+  if (job.phase === 'pending') job.phase = 'running';
   return begun;
 };
 
@@ -112,11 +119,10 @@
  * @param nowMs - The time.
  */
 export const dropRun = (endpoint: EndpointState, run: RunState, nowMs: number): void => {
-  const one = endpoint;
-  if (!one.runs.delete(run.task.key)) return;
-  changeRoom(one, run.step.spec, -1);
-  changePerEndpoint(run.step, one.endpointId, -1);
-  if (one.runs.size === 0) one.idleSinceMs = nowMs;
+  if (!endpoint.runs.delete(run.task.key)) return;
+  changeRoom(endpoint, run.step.spec, -1);
+  changePerEndpoint(run.step, endpoint.endpointId, -1);
+  if (endpoint.runs.size === 0) change(endpoint, { idleSinceMs: nowMs });
 };
 
 /**
@@ -127,13 +133,12 @@
  * @param task - The task.
  */
 export const requeue = (state: BatchState, step: StepRun, task: Task): void => {
-  const one = step;
-  const again = task;
-  if (again.phase !== 'placed') return;
-  again.phase = 'waiting';
-  one.waiting.push(again.index);
-  const isLive = one.job.phase === 'running' || one.job.phase === 'pending';
-  if (isLive && one.isOpen) poolOf(state, one.job.job.pool).open.add(one);
+  if (task.phase !== 'placed') return;
+  change(task, { phase: 'waiting' });
+  step.waiting.push(task.index);
+  const { job } = step;
+  const isLive = job.phase === 'running' || job.phase === 'pending';
+  if (isLive && step.isOpen) poolOf(state, job.job.pool).open.add(step);
 };
 
 /**
@@ -150,9 +155,8 @@
   run: RunState,
   reason: string,
 ): void => {
-  const one = run;
-  if (one.phase === 'stopping') return;
-  one.phase = 'stopping';
+  if (run.phase === 'stopping') return;
+  change(run, { phase: 'stopping' });
   state.effects.push({
     kind: 'stop',
     endpointId: endpoint.endpointId,
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -1,5 +1,6 @@
 /** Places waiting tasks on endpoints: the fullest endpoint that fits, so that others stand empty. */
 import type { EndpointId, PoolName } from '../shared/ids.js';
+import { change } from '../shared/change.js';
 import { admittedEndpoints, ticketOf, wantAdvice } from './advice.js';
 import { byRank, rankStep, type Rank } from './order.js';
 import { addRun, fitsIn, nextRunNumber } from './runs.js';
@@ -181,9 +182,8 @@
   const run = nextRunNumber(state.fence, lastRun);
   const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
   step.tasks.forEach((task, index) => {
-    const member = task;
-    member.checkpoint = checkpoint;
-    startOn(placing, member, places[index] as EndpointState, run);
+    change(task, { checkpoint });
+    startOn(placing, task, places[index] as EndpointState, run);
   });
   return true;
 };
@@ -228,15 +228,14 @@
   const endpoints = usableEndpoints(state, name, nowMs);
   if (endpoints.length === 0) return;
   let misfits = 0;
-  ranked(state, pool, nowMs).some(({ step: ranking }) => {
-    const step = ranking;
+  ranked(state, pool, nowMs).some(({ step }) => {
     const placing: Placing = { state, step, nowMs };
     const admitted = admittedEndpoints(step, endpoints, nowMs);
     const isPlaced = step.spec.isGang ? placeGang(placing, admitted) : placeEach(placing, admitted);
     if (!isPlaced) {
       wantAdviceFor(placing, endpoints);
       misfits += 1;
-      step.retryAtMs = nowMs + RETRY_MS;
+      change(step, { retryAtMs: nowMs + RETRY_MS });
     }
     return misfits >= MAX_MISFITS_PER_CYCLE;
   });
--- a/packages/core/src/batch/sharing.ts
+++ b/packages/core/src/batch/sharing.ts
@@ -2,6 +2,7 @@
  * Tasks that fill gaps disturb the tasks that serve beside them. A serving task that is over its
  * target has its neighbours paced down at once; they come back slowly while it stays well under.
  */
+import { change } from '../shared/change.js';
 import type { BatchState, EndpointState, RunState } from './state.js';
 
 /** Under this share of its target a serving task has room for a disturbance. */
@@ -35,17 +36,15 @@
   const shares = runs.filter(isServing).map(({ figure, step }) => figure / step.spec.targetMs);
   const worst = Math.max(0, ...shares);
   filling.forEach((run) => {
-    const one = run;
-    if (nowMs - one.pacedAtMs < PACE_EVERY_MS) return;
-    const percent = nextPace(one.pacePercent, worst);
-    if (percent === one.pacePercent) return;
-    one.pacePercent = percent;
-    one.pacedAtMs = nowMs;
+    if (nowMs - run.pacedAtMs < PACE_EVERY_MS) return;
+    const percent = nextPace(run.pacePercent, worst);
+    if (percent === run.pacePercent) return;
+    change(run, { pacePercent: percent, pacedAtMs: nowMs });
     state.effects.push({
       kind: 'pace',
       endpointId: endpoint.endpointId,
-      task: one.task.key,
-      run: one.run,
+      task: run.task.key,
+      run: run.run,
       percent,
       reason: `worst serving neighbour at ${worst.toFixed(2)} of its target`,
     });
--- a/packages/core/src/batch/upkeep.ts
+++ b/packages/core/src/batch/upkeep.ts
@@ -3,6 +3,7 @@
  * drained, within every lasting step's budget and the wave's maximum.
  */
 import type { HostId } from '../shared/ids.js';
+import { change } from '../shared/change.js';
 import {
   findBudgetObstacle,
   isQuiet,
@@ -104,13 +105,10 @@
 /** Settles hosts that are back, and gives up those that are gone for good. */
 const settle = (world: UpkeepWorld, wave: UpkeepWave): void => {
   wave.hosts.forEach((host, hostId) => {
-    const one = host;
     const view = world.hosts.get(hostId);
-    if (one.phase !== 'down') return;
-    const isBack = view?.state === 'up' && world.listedAtMs - one.sinceMs > world.downMs;
-    if (!isBack) return;
-    one.phase = 'done';
-    one.sinceMs = world.listedAtMs;
+    if (host.phase !== 'down') return;
+    const isBack = view?.state === 'up' && world.listedAtMs - host.sinceMs > world.downMs;
+    if (isBack) change(host, { phase: 'done', sinceMs: world.listedAtMs });
   });
 };
 
@@ -132,17 +130,15 @@
 
 const close = (world: UpkeepWorld, host: UpkeepHost, hostId: HostId, nowMs: number): void => {
   const endpoint = endpointOf(world, hostId);
-  const one = host;
-  if (one.phase === 'waiting') one.sinceMs = nowMs;
-  one.phase = 'closing';
+  const sinceMs = host.phase === 'waiting' ? nowMs : host.sinceMs;
+  change(host, { phase: 'closing', sinceMs });
   if (endpoint) endpoint.isClosing = true;
 };
 
 /** A host that may not go now must not be kept empty: what others need room for could be it. */
 const reopen = (world: UpkeepWorld, host: UpkeepHost, hostId: HostId): void => {
   const endpoint = endpointOf(world, hostId);
-  const one = host;
-  if (one.phase === 'closing') one.phase = 'waiting';
+  if (host.phase === 'closing') change(host, { phase: 'waiting' });
   if (endpoint) endpoint.isClosing = false;
 };
 
