--- a/packages/bench/src/control/membership-model.ts
+++ b/packages/bench/src/control/membership-model.ts
@@ -15,6 +15,7 @@
   type Membership,
   type MembershipStep,
 } from '@valvelatch/core';
+import { change } from '@valvelatch/core/shared/change';
 import { encodeFrame } from '@valvelatch/mesh';
 
 /** What one member has sent so far. */
@@ -94,9 +95,9 @@
   });
 
   const derivedOf = (node: Node): Node['derived'] => {
-    const one = node;
-    if (one.derived.from !== one.membership) one.derived = derive(one.membership);
-    return one.derived;
+    const { membership } = node;
+    if (node.derived.from !== membership) change(node, { derived: derive(membership) });
+    return node.derived;
   };
 
   const toNode = (member: Member, known: readonly Member[]): Node => {
@@ -150,9 +151,8 @@
     );
 
   const take = (node: Node, step: MembershipStep, from?: EntryId): void => {
-    const one = node;
-    one.membership = step.state;
-    if (step.news.length > 0) send(one, step.news, from);
+    change(node, { membership: step.state });
+    if (step.news.length > 0) send(node, step.news, from);
   };
 
   const watchLinks = (node: Node): void => {
@@ -182,10 +182,9 @@
     links = neighbours();
     const up = Array.from(nodes.values()).filter(({ isUp }) => isUp);
     const inboxes = up.map((node) => {
-      const one = node;
-      const { inbox } = one;
-      one.inbox = [];
-      return { node: one, inbox };
+      const { inbox } = node;
+      change(node, { inbox: [] });
+      return { node, inbox };
     });
     inboxes.forEach(({ node, inbox }) =>
       inbox.forEach(({ from, members }) =>
--- a/packages/core/src/replay/workers-model.ts
+++ b/packages/core/src/replay/workers-model.ts
@@ -1,4 +1,5 @@
 /** Workers in virtual time: hosts that run tasks under leases, reboot, fail and come back. */
+import { change } from '../shared/change.js';
 import type { ObservedTask } from '../control/reconcile.js';
 import type { PlacementRow } from '../rows/rows.js';
 import type { DataCentreId, HostId, JobId } from '../shared/ids.js';
@@ -125,15 +126,17 @@
   const tasksOn = (hostId: HostId) => tasks.filter((task) => task.hostId === hostId);
 
   const changePhase = (task: ModelTask, nowMs: number): void => {
-    const one = task;
-    if (nowMs < one.changesAtMs || !isLive(one)) return;
-    if (one.phase === 'starting') {
-      const runTimeMs = runTimes.get(keyOf(one)) ?? 0;
-      one.phase = 'running';
-      one.changesAtMs = one.service === null ? nowMs + runTimeMs : LONG;
+    if (nowMs < task.changesAtMs || !isLive(task)) return;
+    if (task.phase === 'starting') {
+      const runTimeMs = runTimes.get(keyOf(task)) ?? 0;
+      change(task, {
+        phase: 'running',
+        changesAtMs: task.service === null ? nowMs + runTimeMs : LONG,
+      });
       return;
     }
-    if (one.service === null) one.phase = hosts.get(one.hostId)?.failsTasks ? 'failed' : 'done';
+    const { failsTasks = false } = hosts.get(task.hostId) ?? {};
+    if (task.service === null) change(task, { phase: failsTasks ? 'failed' : 'done' });
   };
 
   return {
@@ -190,10 +193,8 @@
       tasks.forEach((task) => changePhase(task, nowMs));
       end(tasks.filter((task) => isLive(task) && nowMs > task.leaseUntilMs));
       hosts.forEach((host) => {
-        const one = host;
-        if (one.state !== 'rebooting' || nowMs < one.backAtMs) return;
-        one.state = 'up';
-        one.boots += 1;
+        if (host.state !== 'rebooting' || nowMs < host.backAtMs) return;
+        change(host, { state: 'up', boots: host.boots + 1 });
       });
     },
     faults,
--- a/packages/core/src/routing/endpoint.ts
+++ b/packages/core/src/routing/endpoint.ts
@@ -2,6 +2,7 @@
  * Endpoints as one entry sees them: load, health and ejection. The records change in place, since
  * each request touches them; all functions take the time as an argument.
  */
+import { change } from '../shared/change.js';
 import type { EndpointId, HostId, ServiceName } from '../shared/ids.js';
 
 /** One executor of a service, with what this entry has seen of it. */
@@ -128,9 +129,8 @@
  * @param nowMs - The time.
  */
 export const noteSent = (endpoint: Endpoint, nowMs: number): void => {
-  const one = endpoint;
-  if (one.inFlight === 0) one.lastProgressMs = nowMs;
-  one.inFlight += 1;
+  const lastProgressMs = endpoint.inFlight === 0 ? nowMs : endpoint.lastProgressMs;
+  change(endpoint, { lastProgressMs, inFlight: endpoint.inFlight + 1 });
 };
 
 /**
@@ -158,10 +158,9 @@
   nowMs: number,
 ): void => {
   endpoints.forEach((endpoint) => {
-    const one = endpoint;
-    if (isEjected(one, nowMs) || !isStalled(one, usualMs, nowMs)) return;
+    if (isEjected(endpoint, nowMs) || !isStalled(endpoint, usualMs, nowMs)) return;
     if (!mayEjectOneMore(endpoints, nowMs)) return;
-    one.ejectedUntilMs = nowMs + FIRST_EJECTION_MS;
+    change(endpoint, { ejectedUntilMs: nowMs + FIRST_EJECTION_MS });
   });
 };
 
@@ -171,15 +170,17 @@
 };
 
 const ejectIfWorse = (endpoint: Endpoint, peers: readonly Endpoint[], nowMs: number): void => {
-  const one = endpoint;
-  if (one.failureShare < EJECT_ABOVE || isEjected(one, nowMs)) return;
-  if (one.failureShare < peerFailureShare(one, peers, nowMs) + EJECT_OVER_PEERS) return;
+  const { failureShare, ejections } = endpoint;
+  if (failureShare < EJECT_ABOVE || isEjected(endpoint, nowMs)) return;
+  if (failureShare < peerFailureShare(endpoint, peers, nowMs) + EJECT_OVER_PEERS) return;
   if (!mayEjectOneMore(peers, nowMs)) return;
-  const durationMs = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** one.ejections);
-  one.ejectedUntilMs = nowMs + durationMs;
-  one.ejections += 1;
-  // It comes back on probation: one more failure ejects it again, one success clears it.
-  one.failureShare = EJECT_ABOVE;
+  const durationMs = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** ejections);
+  change(endpoint, {
+    ejectedUntilMs: nowMs + durationMs,
+    ejections: ejections + 1,
+    // It comes back on probation: one more failure ejects it again, one success clears it.
+    failureShare: EJECT_ABOVE,
+  });
 };
 
 /**
@@ -198,19 +199,23 @@
   peers: readonly Endpoint[],
   nowMs: number,
 ): void => {
-  const one = endpoint;
-  one.lastProgressMs = nowMs;
-  one.failureShare = failureShareNow(one, nowMs);
-  one.lastOutcomeMs = nowMs;
+  const { smoothedMs, ejections } = endpoint;
+  const shareBefore = failureShareNow(endpoint, nowMs);
+  change(endpoint, { lastProgressMs: nowMs, lastOutcomeMs: nowMs, failureShare: shareBefore });
   if (outcome === 'answered') {
-    one.smoothedMs += SMOOTHING * (tookMs - one.smoothedMs);
-    one.failureShare *= 1 - FAILURE_SMOOTHING;
-    if (one.failureShare < EJECT_ABOVE / 2) one.ejections = 0;
+    const failureShare = shareBefore * (1 - FAILURE_SMOOTHING);
+    change(endpoint, {
+      smoothedMs: smoothedMs + SMOOTHING * (tookMs - smoothedMs),
+      failureShare,
+      ejections: failureShare < EJECT_ABOVE / 2 ? 0 : ejections,
+    });
     return;
   }
   if (outcome === 'failed') {
-    one.failureShare += FAILURE_SMOOTHING * (1 - one.failureShare);
-    one.smoothedMs = Math.max(one.smoothedMs, tookMs);
-    ejectIfWorse(one, peers, nowMs);
+    change(endpoint, {
+      failureShare: shareBefore + FAILURE_SMOOTHING * (1 - shareBefore),
+      smoothedMs: Math.max(smoothedMs, tookMs),
+    });
+    ejectIfWorse(endpoint, peers, nowMs);
   }
 };
--- a/packages/daemon/src/data-path/endpoint-directory.ts
+++ b/packages/daemon/src/data-path/endpoint-directory.ts
@@ -15,6 +15,7 @@
   type ObservedTask,
   type ServiceName,
 } from '@valvelatch/core';
+import { change } from '@valvelatch/core/shared/change';
 
 import type { HeldSeat } from '../seats/seat-keeper.js';
 import type { ServiceGate } from './service-gate.js';
@@ -100,9 +101,8 @@
   const dropAbsent = (present: ReadonlySet<EndpointId>): void => {
     endpoints.forEach((endpoint, endpointId) => {
       if (present.has(endpointId)) return;
-      const one = endpoint;
-      one.isLeaving = true;
-      if (one.inFlight === 0) endpoints.delete(endpointId);
+      change(endpoint, { isLeaving: true });
+      if (endpoint.inFlight === 0) endpoints.delete(endpointId);
     });
     leaving.forEach((endpointId) => {
       if (!present.has(endpointId as EndpointId)) leaving.delete(endpointId);
--- a/packages/daemon/src/data-path/serve-request.ts
+++ b/packages/daemon/src/data-path/serve-request.ts
@@ -102,18 +102,17 @@
 
 const tryEndpoint = async (run: Run, gate: ServiceGate, endpoint: Endpoint) => {
   const { context, request } = run;
-  const one = endpoint;
   const startedMs = context.nowMs();
   const classified = await sendTo(run, {
-    address: one.address,
-    mostConnections: context.connectionShare(request.service, one),
+    address: endpoint.address,
+    mostConnections: context.connectionShare(request.service, endpoint),
     added: {},
-    mayStillSend: () => context.nowMs() < one.shareUntilMs,
+    mayStillSend: () => context.nowMs() < endpoint.shareUntilMs,
   });
   const nowMs = context.nowMs();
   const outcome = classified.kind === 'good' ? 'answered' : classified.outcome;
-  noteOutcome(one, outcome, nowMs - startedMs, gate.endpoints(), nowMs);
-  gate.release(one, request.callerId);
+  noteOutcome(endpoint, outcome, nowMs - startedMs, gate.endpoints(), nowMs);
+  gate.release(endpoint, request.callerId);
   return classified;
 };
 
--- a/packages/daemon/src/data-path/service-gate.ts
+++ b/packages/daemon/src/data-path/service-gate.ts
@@ -21,6 +21,7 @@
   type Rng,
   type ServiceName,
 } from '@valvelatch/core';
+import { change } from '@valvelatch/core/shared/change';
 
 /** Why no slot was given. */
 export type NoSlot = {
@@ -205,8 +206,7 @@
     isReady: () => inUse().length > 0,
     acquire,
     release: (endpoint, callerId) => {
-      const one = endpoint;
-      one.inFlight -= 1;
+      change(endpoint, { inFlight: endpoint.inFlight - 1 });
       noteFinished(queue, callerId);
       pump();
     },
--- a/packages/daemon/src/seats/seat-keeper.ts
+++ b/packages/daemon/src/seats/seat-keeper.ts
@@ -13,6 +13,7 @@
   type SeatPortion,
   type SeatTerm,
 } from '@valvelatch/core';
+import { change } from '@valvelatch/core/shared/change';
 
 import type { LeaseKeeper } from '../leases/lease-keeper.js';
 import type { Log } from '../observe/log.js';
@@ -124,14 +125,13 @@
     const consent =
       former === null || (await allAgree(seat, termOf(seat, row as LeaseRow), askConsent));
     if (!consent && !(await beforeUnconsented())) return false;
-    const one = seat;
-    one.mayTake = true;
-    await one.lease.tick();
-    one.mayTake = false;
-    if (!one.lease.holds()) return false;
-    own = one;
+    change(seat, { mayTake: true });
+    await seat.lease.tick();
+    change(seat, { mayTake: false });
+    if (!seat.lease.holds()) return false;
+    own = seat;
     isConsented = consent;
-    log.info('seat-taken', { seat: one.index, epoch: one.lease.epoch(), isConsented });
+    log.info('seat-taken', { seat: seat.index, epoch: seat.lease.epoch(), isConsented });
     return true;
   };
 
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -8,6 +8,7 @@
 import type { AddressInfo } from 'node:net';
 
 import type { EntryId, Member, MeshMessage } from '@valvelatch/core';
+import { change } from '@valvelatch/core/shared/change';
 import { WebSocket, WebSocketServer } from 'ws';
 
 import { decodeFrame, encodeFrame } from './frame.js';
@@ -122,19 +123,18 @@
   };
 
   const receive = (link: Link, bytes: Uint8Array): void => {
-    const one = link;
-    one.heardAtMs = nowMs();
+    change(link, { heardAtMs: nowMs() });
     const message = decodeFrame(bytes);
     if (!message) return;
     if (message.type === 'hello') {
-      one.peer = message.member.entryId;
+      change(link, { peer: message.member.entryId });
       handlers.onPeer(message.member);
     } else if (message.type === 'ask') {
-      void answerAsk(one, message.askId, message.method, message.payload);
+      void answerAsk(link, message.askId, message.method, message.payload);
     } else if (message.type === 'answer') {
       settleAsk(message.askId, message.isOk, message.payload);
-    } else if (one.peer !== null) {
-      handlers.onMessage(one.peer, message);
+    } else if (link.peer !== null) {
+      handlers.onMessage(link.peer, message);
     }
   };
 
--- a/packages/stand-ins/src/workers.ts
+++ b/packages/stand-ins/src/workers.ts
@@ -1,4 +1,5 @@
 /** A stand-in for the workers of one data centre: hosts that run tasks under leases. */
+import { change } from '@valvelatch/core/shared/change';
 import fastify from 'fastify';
 import { request } from 'undici';
 
@@ -115,17 +116,15 @@
   };
 
   const runJob = (task: Task): void => {
-    const one = task;
-    one.phase = 'running';
-    one.timer = setTimeout(() => {
-      one.phase = hosts.get(one.hostId)?.failsTasks ? 'failed' : 'done';
-    }, one.spec.runTimeMs);
+    const timer = setTimeout(() => {
+      change(task, { phase: hosts.get(task.hostId)?.failsTasks ? 'failed' : 'done' });
+    }, task.spec.runTimeMs);
+    change(task, { phase: 'running', timer });
   };
 
   const runExecutor = async (task: Task): Promise<void> => {
-    const one = task;
-    one.executor = await startExecutor({ name: one.jobId, slots: one.spec.slots, workMs });
-    one.phase = 'running';
+    const executor = await startExecutor({ name: task.jobId, slots: task.spec.slots, workMs });
+    change(task, { executor, phase: 'running' });
   };
 
   const refuseStart = (start: StartRequest): string | null => {
@@ -253,10 +252,10 @@
     });
   };
 
-  const setHost = async (hostId: string, change: Partial<Host>): Promise<void> => {
+  const setHost = async (hostId: string, changes: Partial<Host>): Promise<void> => {
     const host = hosts.get(hostId);
     if (!host) return;
-    Object.assign(host, change);
+    change(host, changes);
     if (host.state === 'dead') await loseTasksOf(hostId);
   };
 
@@ -280,8 +279,8 @@
 
   app.get('/stand-in/report', (_, reply) => reply.send(report()));
   app.post('/stand-in/host', async (incoming, reply) => {
-    const { hostId, ...change } = incoming.body as { hostId: string } & Partial<Host>;
-    await setHost(hostId, change);
+    const { hostId, ...changes } = incoming.body as { hostId: string } & Partial<Host>;
+    await setHost(hostId, changes);
     return reply.send(null);
   });
   app.post('/stand-in/executor', (incoming, reply) => {
