--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -18,7 +18,7 @@
 import { createControl, type Control } from './control.js';
 import { CONTROL_METHOD } from './holder-client.js';
 import { createIntake, type Intake } from './intake.js';
-import { BEAT_MS, createPeers, type Peers } from './peers.js';
+import { BEAT_MS, createPeers, type AskPeer, type Peers } from './peers.js';
 import { answerOperator, OPERATORS_METHOD, type OperatorQuestion } from './operators.js';
 import { createStanding } from './standing.js';
 import type { BatchPlatform } from './ports.js';
@@ -89,7 +89,7 @@
 
   const neighbours = (): readonly EntryId[] => peers?.others() ?? [];
 
-  const askPeer: Peers['ask'] = (entryId, method, payload, ms) => {
+  const askPeer: AskPeer = (entryId, method, payload, ms) => {
     if (!peers) throw new Error('the mesh is not open yet');
     return peers.ask(entryId, method, payload, ms);
   };
--- a/packages/daemon/src/batch/configuration-keeper.ts
+++ b/packages/daemon/src/batch/configuration-keeper.ts
@@ -15,6 +15,7 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import type { AskPeer } from './peers.js';
 import type { OperatorFeed } from './ports.js';
 
 /** A waiting read of the operator's orders: a change is in force within 2 s also if one is lost. */
@@ -47,13 +48,7 @@
 export type ConfigurationKeeperOptions = {
   readonly feed: OperatorFeed;
   readonly neighbours: () => readonly EntryId[];
-  /** Asks a neighbour; rejects without an answer in time. */
-  readonly ask: (
-    entryId: EntryId,
-    method: string,
-    payload: unknown,
-    ms: number,
-  ) => Promise<unknown>;
+  readonly ask: AskPeer;
   readonly onWaves: (waves: readonly UpkeepOrder[]) => void;
   readonly log: Log;
   readonly metrics: Metrics;
--- a/packages/daemon/src/batch/peers.ts
+++ b/packages/daemon/src/batch/peers.ts
@@ -28,15 +28,18 @@
   readonly answer: (method: string, payload: unknown) => Promise<unknown>;
 };
 
+/** Asks another entry by method; rejects without an answer in time. */
+export type AskPeer = (
+  entryId: EntryId,
+  method: string,
+  payload: unknown,
+  ms: number,
+) => Promise<unknown>;
+
 export type Peers = {
   /** Writes this entry's own row and reads the others'; to be called now and then. */
   readonly refresh: (table: Pick<BatchTable, 'scan' | 'transact'>) => Promise<void>;
-  readonly ask: (
-    entryId: EntryId,
-    method: string,
-    payload: unknown,
-    ms: number,
-  ) => Promise<unknown>;
+  readonly ask: AskPeer;
   /** Keeps a link open to an entry that is asked often. */
   readonly keepLink: (entryId: EntryId) => void;
   /** Other entries, those of the own data centre first. */
--- a/packages/daemon/src/batch/relayed-table.ts
+++ b/packages/daemon/src/batch/relayed-table.ts
@@ -10,6 +10,7 @@
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
 import { LEASE_PREFIX } from './keys.js';
+import type { AskPeer } from './peers.js';
 import type { BatchTable } from './ports.js';
 
 /**
@@ -56,12 +57,7 @@
 export type RelayedTableOptions = {
   readonly table: BatchTable;
   readonly neighbours: () => readonly EntryId[];
-  readonly ask: (
-    entryId: EntryId,
-    method: string,
-    payload: unknown,
-    ms: number,
-  ) => Promise<unknown>;
+  readonly ask: AskPeer;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly nowMs?: () => number;
