A full link of the holder: time-outs that see it, a window of starts, questions that gather

Cause: over a link of 250 KB a second, calls of 102 endpoints took longer than time-outs of 0.25 to 0.9 s that never backed off and learned from answers in time alone. Change: the time-out of an endpoint doubles with each miss (RFC 6298); a second memory holds what delays the answers of all, and counts misses only once a quarter of calls miss, so that a dark rack or 6 of 100 lost orders do not slow the others; a window bounds the starts under way by the delay of their answers (delay-based, as LEDBAT, RFC 6817); questions are asked as much less often as answers are late.

--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -14,6 +14,7 @@
 export * from './learned.js';
 export * from './lookup-queue.js';
 export * from './order.js';
+export * from './order-window.js';
 export * from './orders.js';
 export * from './pool-moves.js';
 export * from './pool-needs.js';
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -104,6 +104,7 @@
   run: number,
 ): void => {
   addRun(state, { endpoint, step, task, run, phase: 'starting', nowMs });
+  change(state, { startsLeft: state.startsLeft - 1 });
   state.effects.push({
     kind: 'start',
     endpointId: endpoint.endpointId,
@@ -121,7 +122,7 @@
   const waiting = [...step.waiting];
   return waiting.every((index) => {
     const task = step.tasks[index];
-    if (!task) return true;
+    if (!task || state.startsLeft <= 0) return true;
     const endpoint = bestFor(endpoints, step, task);
     if (!endpoint) return false;
     startOn(placing, task, endpoint, nextRunNumber(state.fence, task.lastRun));
@@ -229,6 +230,7 @@
   if (endpoints.length === 0) return;
   let misfits = 0;
   ranked(state, pool, nowMs).some(({ step }) => {
+    if (state.startsLeft <= 0) return true;
     const placing: Placing = { state, step, nowMs };
     const admitted = admittedEndpoints(step, endpoints, nowMs);
     const isPlaced = step.spec.isGang ? placeGang(placing, admitted) : placeEach(placing, admitted);
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -225,6 +225,8 @@
   readonly pools: Map<PoolName, PoolState>;
   readonly endpoints: Map<EndpointId, EndpointState>;
   readonly effects: BatchEffect[];
+  /** How many more starts may be sent now: what the holder's link carries. */
+  startsLeft: number;
   readonly runTimes: RunTimes;
   readonly peaks: DemandPeaks;
   /** Jobs with occurrences still to come. */
@@ -245,6 +247,7 @@
   pools: new Map(),
   endpoints: new Map(),
   effects: [],
+  startsLeft: Infinity,
   runTimes: createRunTimes(),
   peaks: createDemandPeaks(),
   timed: new Set(),
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -11,6 +11,8 @@
   type BatchEffect,
   type BatchState,
   type EndpointState,
+  type LinkDelay,
+  type OrderWindow,
   type OrderError,
   type StartOrder,
   type StartOutcome,
@@ -38,6 +40,14 @@
 const WAIT_START_MS = 200;
 /** Ends that come within this time share one question. */
 const GATHER_MS = 20;
+/**
+ * Where answers are late, endpoints are asked as much less often: ends gather there, and a question
+ * answers for more of them. No longer than this, or leases of 6 s would hang on a question or two.
+ */
+const MOST_GATHER_MS = 1000;
+
+const gatherForMs = (delayMs: number): number =>
+  Math.min(MOST_GATHER_MS, Math.max(GATHER_MS, delayMs));
 const RETRY_MS = 250;
 /** An order to start is sent again under the same run number before the task goes elsewhere. */
 const START_TRIES = 2;
@@ -56,6 +66,10 @@
 export type LinkContext = {
   readonly state: BatchState;
   readonly orders: EndpointOrders;
+  /** What delays the answers of all endpoints alike. */
+  readonly linkDelay: LinkDelay;
+  /** Starts under way at all endpoints. */
+  readonly window: OrderWindow;
   readonly endpointLeaseMs: number;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -105,7 +119,7 @@
   let isClosed = false;
   /** Questions without an answer since the last answer. */
   let misses = 0;
-  const answerTimes = createAnswerTimes();
+  const answerTimes = createAnswerTimes(context.linkDelay);
   const stopsUnderWay = new Set<string>();
 
   const isResponsive = (): boolean => misses < MISSES_TO_WITHHOLD;
@@ -142,13 +156,26 @@
     known.withheldReason = error.reason;
   };
 
-  /** Sends an order and learns how long its answer takes. */
+  /** Sends an order and learns how long its answer takes; a refusal is an answer too. */
   const timed = async <Answer>(
     send: (timeoutMs: number) => Promise<Result<Answer, OrderError>>,
   ): Promise<Result<Answer, OrderError>> => {
     const sentAtMs = nowMs();
     const answer = await send(answerTimes.timeoutMs());
-    if (answer.isOk()) answerTimes.note(nowMs() - sentAtMs);
+    const tookMs = nowMs() - sentAtMs;
+    if (answer.isErr() && answer.error.reason === 'no-answer') answerTimes.noteMiss(tookMs);
+    else if (answer.isOk()) answerTimes.note(tookMs);
+    return answer;
+  };
+
+  /** Sends a start as one of those under way. */
+  const sendCounted = async (order: StartOrder): ReturnType<EndpointOrders['start']> => {
+    const sentAtMs = nowMs();
+    context.window.begin();
+    const answer = await timed((timeoutMs) => orders.start(target, order, timeoutMs));
+    const tookMs = nowMs() - sentAtMs;
+    context.window.end(tookMs, nowMs());
+    metrics.time('order_start', tookMs * 1000);
     return answer;
   };
 
@@ -161,7 +188,7 @@
   ): Promise<{ readonly outcome: StartOutcome; readonly error?: OrderError }> => {
     let isFirstLost = false;
     for (let attempt = 1; ; attempt += 1) {
-      const answer = await timed((timeoutMs) => orders.start(target, order, timeoutMs));
+      const answer = await sendCounted(order);
       if (answer.isOk()) {
         noteClock(answer.value);
         return { outcome: 'started' };
@@ -187,9 +214,7 @@
       return;
     }
     const order = { task, run, spec, checkpoint, ticket, keepUntilMs, fence: state.fence };
-    const sentAtMs = nowMs();
     const { outcome, error } = await sendStart(order);
-    metrics.time('order_start', (nowMs() - sentAtMs) * 1000);
     if (error?.reason === 'ticket') dropTicket(state, task, endpointId);
     applyStartOutcome(state, endpointId, task, run, outcome, nowMs());
     if (outcome !== 'started') {
@@ -273,13 +298,18 @@
       waitMs: misses === 0 ? patienceMs : 0,
       ...(keepUntilMs === undefined ? {} : { keepUntilMs }),
     };
-    const answer = await orders.list(target, order, answerTimes.timeoutMs());
+    const timeoutMs = answerTimes.timeoutMs();
+    const answer = await orders.list(target, order, timeoutMs);
     metrics.count('endpoint_looks');
     if (isClosed) return false;
+    const overMs = nowMs() - askedAtMs - order.waitMs;
     if (answer.isErr()) {
+      if (answer.error.reason === 'no-answer') answerTimes.noteMiss(Math.max(0, overMs));
       noteMiss(answer.error);
       return false;
     }
+    // One that came sooner did not wait for its time: how long it was under way is not known.
+    if (overMs >= 0) answerTimes.note(overMs);
     if (!isResponsive()) log.info('endpoint-answers', { endpoint: endpointId });
     misses = 0;
     noteClock(answer.value);
@@ -313,8 +343,9 @@
     const isStopping = Array.from(endpoint()?.runs.values() ?? []).some(
       ({ phase }) => phase === 'stopping',
     );
-    await pause(isStopping ? STOPPING_MS : GATHER_MS);
-    const untilMs = nowMs() + SAVE_PATIENCE_MS;
+    const gatherMs = gatherForMs(context.linkDelay.meanMs());
+    await pause(isStopping ? Math.max(STOPPING_MS, gatherMs) : gatherMs);
+    const untilMs = nowMs() + Math.max(SAVE_PATIENCE_MS, gatherMs);
     while (acknowledged < taken && nowMs() < untilMs) await pause(GATHER_MS);
   };
 
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -7,6 +7,8 @@
   cancelJob,
   countWaiting,
   createBatchState,
+  createLinkDelay,
+  createOrderWindow,
   expectReports,
   paceFillers,
   schedulePool,
@@ -121,6 +123,9 @@
 }: TermOptions): Term => {
   const state = createBatchState(fence);
   const inheritedLeasesMs = endpointLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS + holderBeforeMs;
+  const window = createOrderWindow();
+  /** The pool that is looked at first: each in its turn, or the first would take what may be sent. */
+  let firstPool = 0;
   let guard: RowCheck = { key: batchKey.guard, version: -1 };
   let isStopped = false;
   let isReady = false;
@@ -153,6 +158,8 @@
     linkContext: {
       state,
       orders: platform.orders,
+      linkDelay: createLinkDelay(),
+      window,
       endpointLeaseMs,
       log,
       metrics,
@@ -240,7 +247,12 @@
     }
     state.clockMs = nowMs();
     state.soleHolderUntilMs = soleHolderUntilMs();
-    state.pools.forEach(({ name }) => schedulePool(state, name, nowMs()));
+    state.startsLeft = window.left();
+    const pools = Array.from(state.pools.keys());
+    firstPool = (firstPool + 1) % Math.max(1, pools.length);
+    [...pools.slice(firstPool), ...pools.slice(0, firstPool)].forEach((name) =>
+      schedulePool(state, name, nowMs()),
+    );
     perform();
   };
 
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -65,6 +65,8 @@
     readonly fails?: boolean;
     /** Only endpoints with an even number may run it, and only with a ticket. */
     readonly needsAdvice?: boolean;
+    /** How long the text is that goes with each start. */
+    readonly specBytes?: number;
   }) => JobId;
   readonly cancel: (jobId: JobId) => void;
   readonly order: (wave: UpkeepOrder) => void;
@@ -156,6 +158,7 @@
       isFrozen: false,
       isCutFromTable: false,
       isSilent: false,
+      orderBytes: { out: 0, in: 0 },
       cutFrom: new Set<EndpointId>(),
     } as { -readonly [Key in keyof SimEntry]: SimEntry[Key] };
 
@@ -228,14 +231,14 @@
       void entry.control.term()?.stop();
       entries.splice(entries.indexOf(entry), 1);
     },
-    submit: ({ pool, steps, runMs = 300, fails = false, needsAdvice = false }) => {
+    submit: ({ pool, steps, runMs = 300, fails = false, needsAdvice = false, specBytes = 0 }) => {
       lastJob += 1;
       const jobId = brand<JobId>(lastJob.toString(16).padStart(16, '0'));
       const job: BatchJob = {
         jobId,
         queue: brand(queueOf(pool, needsAdvice)),
         pool: brand(pool),
-        spec: '',
+        spec: 'x'.repeat(specBytes),
         steps: steps.map((step) => ({ ...defaultStep, ...step })),
         repeats: 0,
         firstDueAtMs: 0,
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -37,8 +37,33 @@
  */
 export const never = <Value>(): Promise<Value> => new Promise<Value>(() => {});
 
+/** A link that queues: each direction carries one message after the other. */
+export type SimLink = {
+  readonly bytesPerMs: number;
+  /** Resolves once all that was queued has passed. */
+  queue: { out: Promise<void>; in: Promise<void> };
+};
+
+/**
+ * Builds a link with nothing under way.
+ *
+ * @param bytesPerMs - What each direction carries.
+ * @returns The link.
+ */
+export const createSimLink = (bytesPerMs: number): SimLink => ({
+  bytesPerMs,
+  queue: { out: Promise.resolve(), in: Promise.resolve() },
+});
+
+/** Request line, headers and their kin of a call or an answer. */
+const FRAME_BYTES = 250;
+
 /** What an entry can reach, and whether it runs. */
 export type SimReach = {
+  /** Without a limit if left out. */
+  link?: SimLink;
+  /** What its calls to endpoints have put on the link. */
+  orderBytes: { out: number; in: number };
   isDead: boolean;
   isFrozen: boolean;
   isCutFromTable: boolean;
@@ -83,8 +108,31 @@
     if (entry.isDead) await never();
   };
 
+  /** Waits for the link's turn and for what is sent to pass; what was given up by then is not sent. */
+  const carry = async (
+    direction: 'out' | 'in',
+    bytes: number,
+    isGivenUp: () => boolean = () => false,
+  ): Promise<void> => {
+    const { link } = entry;
+    if (!link) return;
+    const passes = link.queue[direction].then(async () => {
+      if (!isGivenUp()) await sleep(bytes / link.bytesPerMs);
+    });
+    link.queue[direction] = passes;
+    await passes;
+  };
+
+  const noteBytes = (direction: 'out' | 'in', bytes: number): void => {
+    const { orderBytes } = entry;
+    orderBytes[direction] += bytes;
+  };
+
+  const sizeOf = (value: unknown): number => FRAME_BYTES + (JSON.stringify(value) ?? '').length;
+
   const toTable = async <Value>(call: () => Value): Promise<Result<Value, PlatformError>> => {
     await awake();
+    await carry('out', FRAME_BYTES);
     await sleep(STORE_MS);
     if (entry.isCutFromTable || faults.isTableDown) {
       await sleep(CALL_TIMEOUT_MS);
@@ -99,21 +147,28 @@
     }
     const value = call();
     await sleep(HOP_MS);
+    if (entry.link) await carry('in', sizeOf(value));
     await awake();
     return isLost ? Err({ kind: 'unknown', detail: 'no answer' }) : Ok(value);
   };
 
   const noAnswer: OrderError = { verdict: 'mayHaveRun', reason: 'no-answer', detail: 'silence' };
 
-  const toEndpoint = async <Value>(
+  const callEndpoint = async <Value>(
     endpointId: EndpointId,
+    order: unknown,
+    isGivenUp: () => boolean,
     call: (
       endpoint: EndpointModel,
     ) => Promise<Result<Value, OrderError>> | Result<Value, OrderError>,
     timeoutMs: number,
   ): Promise<Result<Value, OrderError>> => {
     await awake();
+    noteBytes('out', sizeOf(order));
+    await carry('out', sizeOf(order), isGivenUp);
     await sleep(HOP_MS);
+    // A connection that was reset delivers nothing.
+    if (isGivenUp()) return Err(noAnswer);
     const endpoint = endpoints.get(endpointId);
     if (!endpoint?.isUp() || cutFrom.has(endpointId)) {
       await sleep(timeoutMs);
@@ -132,12 +187,33 @@
       return Err(noAnswer);
     }
     const answer = await call(endpoint);
+    const answerBytes = sizeOf(answer.isOk() ? answer.value : null);
+    noteBytes('in', answerBytes);
+    await carry('in', answerBytes, isGivenUp);
     await sleep(HOP_MS + random() * 2 + faults.answerMs);
     await awake();
     if (cutFrom.has(endpointId) || random() < faults.lostAnswers) return Err(noAnswer);
     return answer;
   };
 
+  /** Only over a link that queues can an answer come after its time: elsewhere it is lost or quick. */
+  const toEndpoint = async <Value>(
+    endpointId: EndpointId,
+    order: unknown,
+    call: (
+      endpoint: EndpointModel,
+    ) => Promise<Result<Value, OrderError>> | Result<Value, OrderError>,
+    timeoutMs: number,
+  ): Promise<Result<Value, OrderError>> => {
+    if (!entry.link) return callEndpoint(endpointId, order, () => false, call, timeoutMs);
+    const givesUpAtMs = performance.now() + timeoutMs;
+    const isGivenUp = (): boolean => performance.now() >= givesUpAtMs;
+    return Promise.race([
+      callEndpoint(endpointId, order, isGivenUp, call, timeoutMs),
+      sleep(timeoutMs).then(() => Err(noAnswer)),
+    ]);
+  };
+
   const feed = (kind: string): TableFeed => {
     let after = -1;
     return {
@@ -219,11 +295,11 @@
     endpoints: endpointFeed,
     orders: {
       list: ({ endpointId }, order, timeoutMs) =>
-        toEndpoint(endpointId, (one) => one.list(order), order.waitMs + timeoutMs),
+        toEndpoint(endpointId, order, (one) => one.list(order), order.waitMs + timeoutMs),
       start: ({ endpointId }, order, timeoutMs) =>
-        toEndpoint(endpointId, (one) => one.start(order), timeoutMs),
+        toEndpoint(endpointId, order, (one) => one.start(order), timeoutMs),
       stop: ({ endpointId }, order, timeoutMs) =>
-        toEndpoint(endpointId, (one) => one.stop(order), timeoutMs),
+        toEndpoint(endpointId, order, (one) => one.stop(order), timeoutMs),
       pace: async () => Ok({ clockMs: 0 }),
       forget: () => undefined,
     },
