Orders of a busy holder are carried by entries of the endpoints' data centre

Cause: one holder's link carries every order. Ways weighed: the entry that took the job sends its starts (it has the text, but 97 entries times 380 endpoints are 36,860 connections, and an endpoint takes 64); a holder a pool (ownership of hosts, waves and rows is to be divided first); three of the strongest entries of each data centre carry orders, and the holder goes on deciding all: taken. A relay keeps nothing that matters: orders carry their fence, run and time, so a relay that is lost, frozen or cut off costs what a lost answer costs; the next order of that endpoint goes directly for 3 s. The text goes once to each relay. Only a holder that has put a fifth of its link's bytes on it in a second uses relays: on 1,000 Mbit/s nothing changes. Tests: relays killed, frozen for 3 s, cut from endpoints; 25 drawn plays of all faults over relays.

--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -19,6 +19,7 @@
 export * from './pool-moves.js';
 export * from './pool-needs.js';
 export * from './progress.js';
+export * from './relay-choice.js';
 export * from './reports.js';
 export * from './run-times.js';
 export * from './runs.js';
--- a/packages/core/src/batch/order-window.ts
+++ b/packages/core/src/batch/order-window.ts
@@ -12,10 +12,10 @@
  * Answers take 3 to 10 ms where nothing waits; a delay of this much more is a queue that is being
  * filled. Below it a short burst would be cut into rounds for nothing.
  */
-const TARGET_MS = 120;
+const TARGET_MS = 250;
 /** A window that has never been late: the largest burst seen, a demand peak of a queue after a takeover. */
 const FIRST = 256;
-const LEAST = 4;
+const LEAST = 16;
 const MOST = 2048;
 /** Never less than this share of what it was, so that one late answer does not close it. */
 const LEAST_SHARE = 0.5;
@@ -37,6 +37,7 @@
    */
   readonly end: (tookMs: number, nowMs: number) => void;
   readonly size: () => number;
+  readonly underWay: () => number;
 };
 
 /**
@@ -49,7 +50,7 @@
   let size = first;
   let underWay = 0;
   let lateInRow = 0;
-  let shrunkAtMs = -Infinity;
+  let before = { size: first, shrunkAtMs: -Infinity };
 
   const grow = (tookMs: number): void => {
     lateInRow = 0;
@@ -59,12 +60,13 @@
     size = Math.min(MOST, size + (isIdleLink ? 1 : 1 / size));
   };
 
-  /** Once for all that was sent before the last change took effect. */
+  /** What was sent before the window shrank tells of the size that it had then. */
   const shrink = (tookMs: number, nowMs: number): void => {
     lateInRow += 1;
-    if (lateInRow < LATE_TO_SHRINK || nowMs - shrunkAtMs < tookMs) return;
-    shrunkAtMs = nowMs;
-    size = Math.max(LEAST, size * Math.max(LEAST_SHARE, TARGET_MS / tookMs));
+    if (lateInRow < LATE_TO_SHRINK) return;
+    if (nowMs - tookMs >= before.shrunkAtMs) before = { size, shrunkAtMs: nowMs };
+    const share = Math.max(LEAST_SHARE, TARGET_MS / tookMs);
+    size = Math.min(size, Math.max(LEAST, before.size * share));
   };
 
   return {
@@ -78,5 +80,6 @@
       underWay -= 1;
     },
     size: () => Math.floor(size),
+    underWay: () => underWay,
   };
 };
--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -20,7 +20,9 @@
 import { createIntake, type Intake } from './intake.js';
 import { BEAT_MS, createPeers, type AskPeer, type Peers } from './peers.js';
 import { answerOperator, OPERATORS_METHOD, type OperatorQuestion } from './operators.js';
-import { createStanding } from './standing.js';
+import { createOrderAgent } from './order-agent.js';
+import { createRelayedOrders, ORDER_METHOD, RELAYS_EVERY_MS } from './relayed-orders.js';
+import { createStanding, strengthOf } from './standing.js';
 import type { BatchPlatform } from './ports.js';
 import {
   createRelayedTable,
@@ -45,6 +47,8 @@
   readonly dataCentre: string;
   /** How many cores this entry may use: the strongest entries hold control. */
   readonly cores: number;
+  /** What its link carries each way. */
+  readonly linkBytesPerS: number;
   readonly meshHost: string;
   readonly meshPort: number;
   readonly meshKey: string;
@@ -77,6 +81,7 @@
   self,
   dataCentre,
   cores,
+  linkBytesPerS,
   meshHost,
   meshPort,
   meshKey,
@@ -111,17 +116,26 @@
     metrics,
   });
 
+  const orders = createRelayedOrders({
+    orders: platform.orders,
+    peers: () => peers,
+    linkUse: platform.linkUse,
+    log,
+    metrics,
+  });
+  const agent = createOrderAgent(platform.orders, metrics);
+
   const control = createControl({
     self,
-    platform,
+    platform: { ...platform, orders },
     table,
     peers: () => peers,
     configuration: configuration.index,
     log,
     metrics,
     standing: createStanding({
-      cores,
-      othersCores: () => peers?.cores(),
+      strength: strengthOf(cores, linkBytesPerS),
+      othersStrength: () => peers?.strengths(),
       ask: async (entryId) => peers?.ask(entryId, CONTROL_METHOD.willing, null, WILLING_MS),
     }),
   });
@@ -146,12 +160,15 @@
   peers = await createPeers({
     self,
     cores,
+    linkBytesPerS,
     dataCentre,
     host: meshHost,
     port: meshPort,
     meshKey,
     log,
+    onFrame: platform.noteMeshFrame,
     answer: async (method, payload) => {
+      if (method === ORDER_METHOD) return agent.answer(payload);
       if (method === RELAY_METHOD) return table.answerNeighbour(payload as RelayCall);
       if (method === CONFIGURATION_METHOD) return configuration.answerNeighbour(payload as number);
       if (method === OPERATORS_METHOD) return answerHere(payload as OperatorQuestion) ?? null;
@@ -170,12 +187,16 @@
 
   /** Who else is there is read before control is taken for the first time: see `Standing`. */
   const keepControl = async (): Promise<void> => {
-    if (openPeers.cores() === undefined) await openPeers.refresh(table);
+    if (openPeers.strengths() === undefined) await openPeers.refresh(table);
     await control.tick();
   };
 
   const refreshPeers = async (): Promise<void> => {
-    if (openPeers.cores() !== undefined) await openPeers.refresh(table);
+    if (openPeers.strengths() !== undefined) await openPeers.refresh(table);
+  };
+
+  const refreshRelays = async (): Promise<void> => {
+    if (control.term()) orders.refresh();
   };
 
   const loops: RunningLoops = startLoops(
@@ -187,6 +208,7 @@
         run: configuration.askNeighbours,
       },
       { name: 'lease', everyMs: LEASE_TICK_MS, run: keepControl },
+      { name: 'relays', everyMs: RELAYS_EVERY_MS, run: refreshRelays },
       { name: 'peers', everyMs: PEERS_MS, run: refreshPeers },
       { name: 'beat', everyMs: BEAT_MS, run: async () => openPeers.beat() },
       { name: 'probe', everyMs: PROBE_EVERY_MS, run: async () => table.probe() },
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -243,7 +243,7 @@
     if (standing.isStrong() || nowMs() - lookedAtMs < HAND_OVER_LOOK_MS) return undefined;
     lookedAtMs = nowMs();
     const stronger = await standing.findStronger();
-    return stronger && `it is left to ${stronger}, which has more processor`;
+    return stronger && `it is left to ${stronger}, which is stronger`;
   };
 
   const handOver = async (): Promise<void> => {
--- a/packages/daemon/src/batch/endpoint-roster.ts
+++ b/packages/daemon/src/batch/endpoint-roster.ts
@@ -82,7 +82,7 @@
       const endpoint = seeEndpoint(state, sighting, nowMs());
       if (!isNew) return;
       endpoint.leaseEndsAtMs = nowMs() + inheritedLeasesMs;
-      const link = createEndpointLink({ endpointId, address }, context);
+      const link = createEndpointLink({ endpointId, address, dataCentre }, context);
       links.set(endpointId, link);
       log.info('endpoint-seen', { endpoint: endpointId, pool, dataCentre });
       link.watch();
--- a/packages/daemon/src/batch/fleet-cycle.ts
+++ b/packages/daemon/src/batch/fleet-cycle.ts
@@ -25,6 +25,7 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import { createPacedReading } from '../shared/paced.js';
 import { batchKey } from './keys.js';
 import type { BatchPlatform } from './ports.js';
 
@@ -102,6 +103,7 @@
   dropEndpoint,
 }: FleetCycleOptions): FleetCycle => {
   const bornAtMs = nowMs();
+  const listing = createPacedReading(nowMs);
   const orderer = { holder: self, fence };
   const hosts = new Map<HostId, HostView>();
   const waves = new Map<number, UpkeepWave>();
@@ -118,7 +120,7 @@
 
   const refreshHosts = async (): Promise<readonly HostView[]> => {
     const askedAtMs = nowMs();
-    const list = await platform.hosts.list();
+    const list = await listing.run(platform.hosts.list);
     metrics.count('host_lists');
     if (list.isErr()) {
       log.warn('host-list-failed', list.error);
@@ -294,7 +296,7 @@
 
   const run = async (): Promise<void> => {
     const ageMs = nowMs() - listedAtMs;
-    if (ageMs > (isBusy() ? LIST_BUSY_MS : LIST_EVERY_MS)) await refreshHosts();
+    if (ageMs > listing.pauseMs(isBusy() ? LIST_BUSY_MS : LIST_EVERY_MS)) await refreshHosts();
     observePeaks(poolWorld()).forEach((pool) => log.info('peak-begun', { pool }));
     if (!mayOrder() || nowMs() - bornAtMs < orderAfterMs) return;
     Object.assign(state, { clockMs: nowMs() });
--- a/packages/daemon/src/batch/peers.ts
+++ b/packages/daemon/src/batch/peers.ts
@@ -6,6 +6,7 @@
 import type { Log } from '../observe/log.js';
 import { batchKey } from './keys.js';
 import type { BatchTable } from './ports.js';
+import { strengthOf } from './standing.js';
 
 /** An entry's row. */
 type EntryRow = {
@@ -14,10 +15,21 @@
   readonly startedAtMs: number;
   /** How many cores the entry may use. */
   readonly cores: number;
+  /** What its link carries each way; not in rows of entries that do not know it. */
+  readonly linkBytesPerS?: number;
+};
+
+/** Another entry. */
+export type PeerView = {
+  readonly entryId: EntryId;
+  readonly dataCentre: string;
+  /** How much it can carry, by `strengthOf`. */
+  readonly strength: number;
 };
 
 export type PeersOptions = {
   readonly cores: number;
+  readonly linkBytesPerS: number;
   readonly self: EntryId;
   readonly dataCentre: string;
   readonly host: string;
@@ -26,6 +38,8 @@
   readonly log: Log;
   /** Answers questions of other entries, by method. */
   readonly answer: (method: string, payload: unknown) => Promise<unknown>;
+  /** Told what the mesh puts on the link. */
+  readonly onFrame?: (direction: 'sent' | 'received', bytes: number) => void;
 };
 
 /** Asks another entry by method; rejects without an answer in time. */
@@ -44,8 +58,9 @@
   readonly keepLink: (entryId: EntryId) => void;
   /** Other entries, those of the own data centre first. */
   readonly others: () => readonly EntryId[];
-  /** How many cores each other entry may use; undefined until they were read. */
-  readonly cores: () => ReadonlyMap<EntryId, number> | undefined;
+  /** How strong each other entry is; undefined until they were read. */
+  readonly strengths: () => ReadonlyMap<EntryId, number> | undefined;
+  readonly members: () => readonly PeerView[];
   readonly knows: (entryId: EntryId) => boolean;
   /** How long a linked entry has been silent; each says something every second. */
   readonly silentForMs: (entryId: EntryId) => number;
@@ -83,15 +98,17 @@
 export const createPeers = async ({
   self,
   cores,
+  linkBytesPerS,
   dataCentre,
   host,
   port,
   meshKey,
   log,
   answer,
+  onFrame = () => undefined,
 }: PeersOptions): Promise<Peers> => {
   const members = new Map<EntryId, Member>();
-  let othersCores: ReadonlyMap<EntryId, number> | undefined;
+  let strengths: ReadonlyMap<EntryId, number> | undefined;
   const startedAtMs = Date.now();
   let isRegistered = false;
 
@@ -105,7 +122,13 @@
     operatorsUrl: '',
   });
 
-  const ownRow: EntryRow = { meshUrl: `ws://${host}:${port}`, dataCentre, startedAtMs, cores };
+  const ownRow: EntryRow = {
+    meshUrl: `ws://${host}:${port}`,
+    dataCentre,
+    startedAtMs,
+    cores,
+    linkBytesPerS,
+  };
 
   const mesh: Mesh = await createMesh({
     host,
@@ -120,6 +143,7 @@
       },
       onSilent: (peer) => log.info('peer-silent', { peer }),
       answer,
+      onFrame,
     },
   });
 
@@ -145,7 +169,12 @@
         )
         .filter(([entryId]) => entryId !== self);
       others.forEach(([entryId, row]) => members.set(entryId, memberOf(entryId, row)));
-      othersCores = new Map(others.map(([entryId, row]) => [entryId, row.cores]));
+      strengths = new Map(
+        others.map(([entryId, row]) => [
+          entryId,
+          strengthOf(row.cores, row.linkBytesPerS ?? Infinity),
+        ]),
+      );
     },
     ask: async (entryId, method, payload, ms) => {
       const member = members.get(entryId);
@@ -163,7 +192,13 @@
             Number(right.dataCentre === dataCentre) - Number(left.dataCentre === dataCentre),
         )
         .map(({ entryId }) => entryId),
-    cores: () => othersCores,
+    strengths: () => strengths,
+    members: () =>
+      Array.from(strengths ?? [], ([entryId, strength]) => ({
+        entryId,
+        dataCentre: members.get(entryId)?.dataCentre ?? '',
+        strength,
+      })),
     knows: (entryId) => members.has(entryId),
     silentForMs: (entryId) => performance.now() - mesh.heardAtMs(entryId),
     beat: () => {
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -12,6 +12,7 @@
   FeedScope,
   HostOrderOutcome,
   HostView,
+  LinkUse,
   ListOrder,
   OrderError,
   PaceOrder,
@@ -77,7 +78,11 @@
 };
 
 /** Which endpoint an order is meant for. */
-export type OrderTarget = { readonly endpointId: EndpointId; readonly address: string };
+export type OrderTarget = {
+  readonly endpointId: EndpointId;
+  readonly address: string;
+  readonly dataCentre: string;
+};
 
 /**
  * Orders to endpoints. An order without an answer within its time-out may be carried out later; the
@@ -156,6 +161,10 @@
   readonly orders: EndpointOrders;
   readonly hosts: HostPort;
   readonly advice: AdvicePort;
+  /** What this entry's calls have put on its link. */
+  readonly linkUse: () => LinkUse;
+  /** Tells what the mesh between entries puts on it. */
+  readonly noteMeshFrame: (direction: 'sent' | 'received', bytes: number) => void;
   readonly bounds: () => PlatformBounds;
   readonly close: () => void;
 };
--- a/packages/daemon/src/batch/standing.ts
+++ b/packages/daemon/src/batch/standing.ts
@@ -1,10 +1,26 @@
 /**
  * Which entry should hold control. The holder's work grows with the fleet, and entries differ in
- * processor: one of the strongest takes the lease, a weaker one only if none of them does.
+ * processor and link: one of the strongest takes the lease, a weaker one only if none of them does.
  */
 import type { EntryId } from '@valvelatch/core/shared/ids';
 
-/** An entry with this share of the strongest one's processor counts as strong. */
+/**
+ * What goes with one core: a holder of 380 endpoints put 1.5 MB a second on its link and used 0.44 of a
+ * core. An entry is as strong as what it has less of.
+ */
+const LINK_BYTES_PER_S_AND_CORE = 3_400_000;
+
+/**
+ * Tells how much of a holder's work an entry can carry.
+ *
+ * @param cores - How many cores it may use.
+ * @param linkBytesPerS - What its link carries each way.
+ * @returns Its strength, in cores.
+ */
+export const strengthOf = (cores: number, linkBytesPerS: number): number =>
+  Math.min(cores, linkBytesPerS / LINK_BYTES_PER_S_AND_CORE);
+
+/** An entry with this share of the strongest one's strength counts as strong. */
 const STRONG_SHARE = 0.8;
 /**
  * A free lease is left to stronger entries for this time: they look each 400 ms, and one that has
@@ -29,10 +45,10 @@
 };
 
 export type StandingOptions = {
-  /** How many cores this entry may use. */
-  readonly cores: number;
-  /** The cores of all others; undefined until they were read once. */
-  readonly othersCores: () => ReadonlyMap<EntryId, number> | undefined;
+  /** How much this entry can carry, by `strengthOf`. */
+  readonly strength: number;
+  /** The same of all others; undefined until they were read once. */
+  readonly othersStrength: () => ReadonlyMap<EntryId, number> | undefined;
   /** Asks another entry whether it would take control; rejects without an answer. */
   readonly ask: (entryId: EntryId) => Promise<unknown>;
 };
@@ -40,13 +56,13 @@
 /**
  * Builds the standing of an entry.
  *
- * @param options - Its processor and the others'.
+ * @param options - Its strength and the others'.
  * @returns The standing.
  */
-export const createStanding = ({ cores, othersCores, ask }: StandingOptions): Standing => {
+export const createStanding = ({ strength, othersStrength, ask }: StandingOptions): Standing => {
   const stronger = (): readonly EntryId[] =>
-    Array.from(othersCores() ?? [])
-      .filter(([, others]) => cores < others * STRONG_SHARE)
+    Array.from(othersStrength() ?? [])
+      .filter(([, others]) => strength < others * STRONG_SHARE)
       .sort(([, left], [, right]) => right - left)
       .map(([entryId]) => entryId);
 
@@ -60,7 +76,7 @@
   };
 
   return {
-    isStrong: () => othersCores() !== undefined && stronger().length === 0,
+    isStrong: () => othersStrength() !== undefined && stronger().length === 0,
     findStronger: async () => {
       const names = stronger();
       const willing = await Promise.all(names.map(isWilling));
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -26,6 +26,7 @@
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
 import { startLoops, type RunningLoops } from '../shared/loops.js';
+import { createPacedReading } from '../shared/paced.js';
 import { createAdvisor } from './advisor.js';
 import { createEndedJobs } from './ended-jobs.js';
 import { createEndpointRoster } from './endpoint-roster.js';
@@ -50,6 +51,7 @@
 const SWEEP_MS = 700;
 /** A change of the holder costs the learning of so long; each writing is one call of the table. */
 const LEARNED_MS = 2000;
+const NOTE_LOAD_MS = 1000;
 
 export type TermOptions = {
   readonly self: EntryId;
@@ -124,6 +126,8 @@
   const state = createBatchState(fence);
   const inheritedLeasesMs = endpointLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS + holderBeforeMs;
   const window = createOrderWindow();
+  const linkDelay = createLinkDelay();
+  const endpointReading = createPacedReading(nowMs);
   /** The pool that is looked at first: each in its turn, or the first would take what may be sent. */
   let firstPool = 0;
   let guard: RowCheck = { key: batchKey.guard, version: -1 };
@@ -158,7 +162,7 @@
     linkContext: {
       state,
       orders: platform.orders,
-      linkDelay: createLinkDelay(),
+      linkDelay,
       window,
       endpointLeaseMs,
       log,
@@ -256,6 +260,24 @@
     perform();
   };
 
+  /** What control carries now: the figures by which starts are held back. */
+  const noteLoad = async (): Promise<void> => {
+    const waiting = Array.from(state.pools.values()).flatMap(({ open }) => Array.from(open));
+    const tasks = waiting.reduce((sum, step) => sum + step.waiting.length, 0);
+    if (tasks === 0) return;
+    const oldestMs = Math.max(...waiting.map(({ job }) => nowMs() - job.sinceMs));
+    log.info('control-load', {
+      jobs: state.jobs.size,
+      openSteps: waiting.length,
+      waitingTasks: tasks,
+      oldestMs: Math.round(oldestMs),
+      window: window.size(),
+      underWay: window.underWay(),
+      answerMs: Math.round(linkDelay.meanMs()),
+      timeoutMs: Math.round(linkDelay.limitMs()),
+    });
+  };
+
   const tick = async (): Promise<void> => {
     if (isStopped || !isReady) return;
     state.soleHolderUntilMs = soleHolderUntilMs();
@@ -339,11 +361,16 @@
     loops = startLoops(
       [
         { name: 'tick', everyMs: TICK_MS, run: tick },
-        { name: 'endpoints', everyMs: ENDPOINT_FEED_MS, run: roster.follow },
+        {
+          name: 'endpoints',
+          everyMs: () => endpointReading.pauseMs(ENDPOINT_FEED_MS),
+          run: () => endpointReading.run(roster.follow),
+        },
         { name: 'jobs', everyMs: JOB_FEED_MS, run: jobRows.follow },
         { name: 'fleet', everyMs: fleet.everyMs, run: fleet.run },
         { name: 'waves', everyMs: fleet.everyMs, run: fleet.follow },
         { name: 'sweep', everyMs: SWEEP_MS, run: ended.sweep },
+        { name: 'load', everyMs: NOTE_LOAD_MS, run: noteLoad },
         { name: 'learned', everyMs: LEARNED_MS, run: learned.save },
       ],
       (name, error) => {
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -14,6 +14,8 @@
 } from './sim-world.fixtures.js';
 
 const HOP_MS = 1;
+/** All entries and endpoints are in one. */
+export const SIM_DATA_CENTRE = 'dc';
 const STORE_MS = 4;
 const CALL_TIMEOUT_MS = 900;
 const ADVICE_MS = 60;
@@ -57,6 +59,8 @@
 
 /** Request line, headers and their kin of a call or an answer. */
 const FRAME_BYTES = 250;
+/** Names of fields and the frame of a message between entries. */
+const MESH_FRAME_BYTES = 60;
 
 /** What an entry can reach, and whether it runs. */
 export type SimReach = {
@@ -78,7 +82,7 @@
  *
  * @param world - What all entries work on.
  * @param entry - What this one reaches, at the time of each call.
- * @returns The platform, and a way to wait until the entry runs.
+ * @returns The platform, a way to wait until the entry runs, and its link for messages.
  */
 export const createSimPlatform = (world: SimWorld, entry: SimReach) => {
   const {
@@ -245,7 +249,7 @@
             pool: one.pool,
             hostId: one.hostId,
             address: one.endpointId,
-            dataCentre: 'dc',
+            dataCentre: SIM_DATA_CENTRE,
             labels: [],
             capacity: one.capacity,
             isDraining: false,
@@ -341,6 +345,12 @@
         return Ok({ good, validMs: 3000 });
       },
     },
+    linkUse: () => ({
+      sentBytes: entry.orderBytes.out,
+      receivedBytes: entry.orderBytes.in,
+      bytesPerS: (entry.link?.bytesPerMs ?? Infinity) * 1000,
+    }),
+    noteMeshFrame: () => undefined,
     bounds: () => ({
       maintenanceMs: MAINTENANCE_MS,
       holderTurnMs: 3000,
@@ -349,5 +359,9 @@
     close: () => undefined,
   };
 
-  return { platform, awake };
+  /** Passes a message between entries over this one's link. */
+  const carryMessage = (direction: 'out' | 'in', payload: unknown): Promise<void> =>
+    carry(direction, MESH_FRAME_BYTES + (JSON.stringify(payload) ?? '').length);
+
+  return { platform, awake, carryMessage };
 };
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -38,6 +38,7 @@
     hostsPerPool?: number;
     sparePool?: string;
     endpointLeaseMs?: number;
+    linkBytesPerMs?: number;
     seed?: number;
   } = {},
 ) => {
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -34,6 +34,8 @@
   readonly onPeer: (member: Member) => void;
   readonly onSilent: (peer: EntryId) => void;
   readonly answer: (method: string, payload: unknown) => Promise<unknown>;
+  /** Told of each frame that was sent or came in. */
+  readonly onFrame?: (direction: 'sent' | 'received', bytes: number) => void;
 };
 
 /** Options for a mesh. */
@@ -102,7 +104,10 @@
   let lastAskId = 0;
 
   const sendOn = (link: Link, message: MeshMessage): void => {
-    if (link.socket.readyState === WebSocket.OPEN) link.socket.send(encodeFrame(message));
+    if (link.socket.readyState !== WebSocket.OPEN) return;
+    const frame = encodeFrame(message);
+    handlers.onFrame?.('sent', frame.length);
+    link.socket.send(frame);
   };
 
   const answerAsk = async (link: Link, askId: number, method: string, payload: unknown) => {
@@ -124,6 +129,7 @@
 
   const receive = (link: Link, bytes: Uint8Array): void => {
     change(link, { heardAtMs: nowMs() });
+    handlers.onFrame?.('received', bytes.length);
     const message = decodeFrame(bytes);
     if (!message) return;
     if (message.type === 'hello') {
