Hosts that are busy with late work alone are emptied for pools with work in time

Cause: a pool whose peak is over keeps its hosts busy with a backlog that is late already, so none stands empty, and the pool whose peak has begun waits for it. Change: needs of pools tell work that can be in time from late work; where the former lacks room that idle hosts do not give, up to four in ten hosts of a pool without such need, and without tasks that last, get nothing new and change their pool once they stand empty.

--- a/packages/daemon/src/batch/fleet-cycle.ts
+++ b/packages/daemon/src/batch/fleet-cycle.ts
@@ -5,6 +5,7 @@
   findDeadEndpoints,
   isAnyPoolShort,
   isUpkeepComplete,
+  markReleased,
   needsOfPools,
   observePeaks,
   planMoves,
@@ -287,6 +288,7 @@
   const moveHosts = async (): Promise<boolean> => {
     if (!configuration()) return false;
     notePools();
+    markReleased(poolWorld());
     const planned = planMoves(poolWorld());
     // An order without an answer is repeated: it may be carried out late, whatever is decided now.
     const moves = [...Array.from(unsettled.values()), ...planned];
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -271,6 +271,11 @@
       openSteps: waiting.length,
       waitingTasks: tasks,
       oldestMs: Math.round(oldestMs),
+      notReported: Array.from(state.pools.values()).reduce(
+        (sum, { notReported }) => sum + notReported.size,
+        0,
+      ),
+      soleForMs: Math.round(soleHolderUntilMs() - nowMs()),
       window: window.size(),
       underWay: window.underWay(),
       answerMs: Math.round(linkDelay.meanMs()),
