Scheduling passes and the note of the load are modules; the operators' table is told lost and regained once

An entry that the table turns away wrote operator-feed-failed nine times a second: 2,818 lines from 35 entries in 10 s.

--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -25,6 +25,7 @@
 export * from './run-times.js';
 export * from './runs.js';
 export * from './schedule.js';
+export * from './schedule-cycle.js';
 export * from './sharing.js';
 export * from './state.js';
 export * from './step-times.js';
--- a/packages/daemon/src/batch/configuration-keeper.test.ts
+++ b/packages/daemon/src/batch/configuration-keeper.test.ts
@@ -208,4 +208,28 @@
       }),
     );
   });
+
+  it('tells the loss of the table and its return once each, however often it was asked', async () => {
+    // 35 entries that a table turned away wrote 2,818 lines in 10 s.
+    const lines: string[] = [];
+    let isAway = true;
+    const keeper = createConfigurationKeeper({
+      feed: {
+        next: async () =>
+          isAway ? Err({ kind: 'unreachable', detail: 'the store answered 503' }) : Ok(newsFor(0)),
+      },
+      neighbours: () => [],
+      ask: async () => undefined,
+      onWaves: () => undefined,
+      log: createLog({ sink: (line) => lines.push(line) }),
+      metrics: createMetrics(),
+    });
+    for (let one = 0; one < 90; one += 1) await keeper.follow();
+    isAway = false;
+    await keeper.follow();
+    const told = lines.filter((line) => line.includes('operator-feed'));
+    expect(told).toHaveLength(2);
+    expect(told[0]).toContain('event=operator-feed-lost');
+    expect(told[1]).toContain('failures=90');
+  });
 });
--- a/packages/daemon/src/batch/configuration-keeper.ts
+++ b/packages/daemon/src/batch/configuration-keeper.ts
@@ -13,6 +13,8 @@
 } from '@valvelatch/core/batch';
 import type { EntryId } from '@valvelatch/core/shared/ids';
 
+import type { PlatformError } from '@valvelatch/platform';
+
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
 import type { AskPeer } from './peers.js';
@@ -94,6 +96,8 @@
   let readAtMs = nowMs();
   /** Packed once for all neighbours that ask. */
   let packed: { readonly version: number; readonly bytes: Uint8Array } | undefined;
+  /** Readings without an answer since the last answer. */
+  let failures = 0;
   /** Asked again, and alone, while its own feed is up to date. */
   let goodNeighbour: EntryId | undefined;
 
@@ -115,17 +119,31 @@
     });
   };
 
+  /** A table that turns an entry away does so nine times a second: the first and the last are told. */
+  const noteFailure = (error: PlatformError): void => {
+    metrics.count('operator_feed_failed');
+    failures += 1;
+    if (failures > 1) return;
+    log.warn('operator-feed-lost', {
+      ...error,
+      version: versionInForce(),
+      silentMs: silentMs(),
+    });
+  };
+
+  const noteAnswer = (): void => {
+    if (failures === 0) return;
+    log.info('operator-feed-regained', { failures, silentMs: silentMs() });
+    failures = 0;
+  };
+
   const follow = async (): Promise<void> => {
     const news = await feed.next(index ? OPERATOR_WAIT_MS : 0);
     if (news.isErr()) {
-      metrics.count('operator_feed_failed');
-      log.warn('operator-feed-failed', {
-        ...news.error,
-        version: versionInForce(),
-        silentMs: silentMs(),
-      });
+      noteFailure(news.error);
       return;
     }
+    noteAnswer();
     const { configuration, waves, reading } = news.value;
     metrics.count('operator_feed_bytes', reading.bytes);
     metrics.time('operator_feed_arriving', reading.arrivingMs * 1000);
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -9,9 +9,9 @@
   createBatchState,
   createLinkDelay,
   createOrderWindow,
+  createScheduleCycle,
   expectReports,
   paceFillers,
-  schedulePool,
   takeEffects,
   watchRuns,
   type BatchEffect,
@@ -36,6 +36,7 @@
 import { createJobSaver, type AcceptOutcome, type JobSaver, type LiveRow } from './job-saver.js';
 import { batchKey } from './keys.js';
 import { createLearnedKeeper } from './learned-keeper.js';
+import { noteLoad, type LoadNoteOptions } from './load-note.js';
 import type { BatchPlatform } from './ports.js';
 
 const TICK_MS = 100;
@@ -124,12 +125,11 @@
   todayMs = () => Date.now(),
 }: TermOptions): Term => {
   const state = createBatchState(fence);
+  const schedulePools = createScheduleCycle(state);
   const inheritedLeasesMs = endpointLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS + holderBeforeMs;
   const window = createOrderWindow();
   const linkDelay = createLinkDelay();
   const endpointReading = createPacedReading(nowMs);
-  /** The pool that is looked at first: each in its turn, or the first would take what may be sent. */
-  let firstPool = 0;
   let guard: RowCheck = { key: batchKey.guard, version: -1 };
   let isStopped = false;
   let isReady = false;
@@ -152,7 +152,7 @@
     isPoked = true;
     setImmediate(() => {
       isPoked = false;
-      turn();
+      cycle();
     });
   };
 
@@ -244,43 +244,24 @@
     });
   };
 
-  const turn = (): void => {
+  const cycle = (): void => {
     if (isStopped || !isReady || !holds()) {
       perform();
       return;
     }
     state.clockMs = nowMs();
     state.soleHolderUntilMs = soleHolderUntilMs();
-    state.startsLeft = window.left();
-    const pools = Array.from(state.pools.keys());
-    firstPool = (firstPool + 1) % Math.max(1, pools.length);
-    [...pools.slice(firstPool), ...pools.slice(0, firstPool)].forEach((name) =>
-      schedulePool(state, name, nowMs()),
-    );
+    schedulePools(window.left(), nowMs());
     perform();
   };
 
-  /** What control carries now: the figures by which starts are held back. */
-  const noteLoad = async (): Promise<void> => {
-    const waiting = Array.from(state.pools.values()).flatMap(({ open }) => Array.from(open));
-    const tasks = waiting.reduce((sum, step) => sum + step.waiting.length, 0);
-    if (tasks === 0) return;
-    const oldestMs = Math.max(...waiting.map(({ job }) => nowMs() - job.sinceMs));
-    log.info('control-load', {
-      jobs: state.jobs.size,
-      openSteps: waiting.length,
-      waitingTasks: tasks,
-      oldestMs: Math.round(oldestMs),
-      notReported: Array.from(state.pools.values()).reduce(
-        (sum, { notReported }) => sum + notReported.size,
-        0,
-      ),
-      soleForMs: Math.round(soleHolderUntilMs() - nowMs()),
-      window: window.size(),
-      underWay: window.underWay(),
-      answerMs: Math.round(linkDelay.meanMs()),
-      timeoutMs: Math.round(linkDelay.limitMs()),
-    });
+  const loadNote: LoadNoteOptions = {
+    state,
+    window,
+    linkDelay,
+    soleForMs: () => soleHolderUntilMs() - nowMs(),
+    nowMs,
+    log,
   };
 
   const tick = async (): Promise<void> => {
@@ -290,7 +271,7 @@
     state.timed.forEach((job) => beginDue(state, job, nowMs(), todayMs()));
     watchRuns(state, nowMs()).forEach((endpoint) => log.warn('endpoint-lease-ended', { endpoint }));
     paceFillers(state, nowMs());
-    turn();
+    cycle();
   };
 
   const until: Until = async (attempt) => {
@@ -375,7 +356,7 @@
         { name: 'fleet', everyMs: fleet.everyMs, run: fleet.run },
         { name: 'waves', everyMs: fleet.everyMs, run: fleet.follow },
         { name: 'sweep', everyMs: SWEEP_MS, run: ended.sweep },
-        { name: 'load', everyMs: NOTE_LOAD_MS, run: noteLoad },
+        { name: 'load', everyMs: NOTE_LOAD_MS, run: async () => noteLoad(loadNote) },
         { name: 'learned', everyMs: LEARNED_MS, run: learned.save },
       ],
       (name, error) => {
