Silence is counted by endpoints; relays are off until they are proved; emptied hosts and paced readings taken back

Misses were counted in a row: 63 endpoints of a data centre that is cut off made up a quarter of the last calls, and time-outs of all others went up to 2.5 s. Now the endpoints that miss are counted, four in ten; a start that is lost while others answer says nothing to the window. Relays went on where nothing needs them: rows read after a takeover are a fifth of a link in a second.

--- a/packages/core/src/batch/answer-times.ts
+++ b/packages/core/src/batch/answer-times.ts
@@ -10,6 +10,8 @@
  * 4 of 10 calls were sent more than once, and the link stayed full after the load had gone.
  */
 
+import { change } from '../shared/change.js';
+
 /** Weights of a new time in the mean and in the deviation, as in RFC 6298. */
 const MEAN_WEIGHT = 1 / 8;
 const DEVIATION_WEIGHT = 1 / 4;
@@ -19,13 +21,12 @@
 const LEAST_MS = 250;
 /** An endpoint that is back is noticed within this and a pause between two questions. */
 const MOST_OF_ENDPOINT_MS = 900;
-/** Weight of one more answer or miss in the share of calls that miss. */
-const SHARE_WEIGHT = 1 / 16;
 /**
- * Above this share the misses are this entry's own. A rack that is gone is 12 of 100 endpoints, and
- * orders that endpoints leave unanswered were up to 6 of 100.
+ * Once so many of the endpoints have not answered their last call, the misses are this entry's own. A
+ * data centre that is cut off beside a rack that is gone is 3 of 10 endpoints. Endpoints are counted,
+ * not misses: those of a data centre miss together, dozens in a row.
  */
-const OWN_MISS_SHARE = 0.25;
+const OWN_MISS_SHARE = 0.4;
 /** Two questions in a row fit into the lease of an endpoint (6 s), whatever the link delays. */
 const MOST_OF_LINK_MS = 2500;
 
@@ -45,11 +46,17 @@
 
 const clamp = (ms: number, mostMs: number): number => Math.min(mostMs, Math.max(LEAST_MS, ms));
 
+/** One endpoint, as far as its last call is concerned. */
+export type CallState = { isMissing: boolean };
+
 /** How long the answers of all endpoints take: what they share is this entry's link and processor. */
 export type LinkDelay = {
-  readonly note: (tookMs: number) => void;
+  readonly note: (endpoint: CallState, tookMs: number) => void;
   /** Takes in that an answer was waited for so long in vain. */
-  readonly noteMiss: (waitedMs: number) => void;
+  readonly noteMiss: (endpoint: CallState, waitedMs: number) => void;
+  readonly forget: (endpoint: CallState) => void;
+  /** So many endpoints miss that the cause is this entry's link or processor. */
+  readonly isAtFault: () => boolean;
   /** How long an answer may take by what all others take; 0 before the first. */
   readonly limitMs: () => number;
   /** How long answers take; 0 before the first. */
@@ -57,24 +64,38 @@
 };
 
 /**
- * Builds the memory of what delays all answers. Once many miss, a miss counts as an answer of twice the
- * time that was waited: it took longer than that, and without it only the quick answers would be seen.
+ * Builds the memory of what delays all answers. Once many endpoints miss, a miss counts as an answer of
+ * twice the time that was waited: it took longer than that, and without it only the quick answers would
+ * be seen.
  *
  * @returns The memory.
  */
 export const createLinkDelay = (): LinkDelay => {
+  const known = new Set<CallState>();
+  let missing = 0;
   let all: Smoothed | undefined;
-  let missShare = 0;
+
+  const noteState = (endpoint: CallState, isMissing: boolean): void => {
+    known.add(endpoint);
+    if (endpoint.isMissing !== isMissing) missing += isMissing ? 1 : -1;
+    change(endpoint, { isMissing });
+  };
+
+  const isAtFault = (): boolean => missing > known.size * OWN_MISS_SHARE;
+
   return {
-    note: (tookMs) => {
-      missShare -= SHARE_WEIGHT * missShare;
+    note: (endpoint, tookMs) => {
+      noteState(endpoint, false);
       all = smooth(all, tookMs);
     },
-    noteMiss: (waitedMs) => {
-      missShare += SHARE_WEIGHT * (1 - missShare);
-      if (missShare < OWN_MISS_SHARE) return;
-      all = smooth(all, Math.min(MOST_OF_LINK_MS, waitedMs * BACK_OFF));
+    noteMiss: (endpoint, waitedMs) => {
+      noteState(endpoint, true);
+      if (isAtFault()) all = smooth(all, Math.min(MOST_OF_LINK_MS, waitedMs * BACK_OFF));
+    },
+    forget: (endpoint) => {
+      if (known.delete(endpoint) && endpoint.isMissing) missing -= 1;
     },
+    isAtFault,
     limitMs: () => (all ? Math.min(MOST_OF_LINK_MS, limitOf(all)) : 0),
     meanMs: () => all?.meanMs ?? 0,
   };
@@ -88,6 +109,8 @@
   readonly noteMiss: (waitedMs: number) => void;
   /** How long to wait for the next one. */
   readonly timeoutMs: () => number;
+  /** The endpoint is not called any more. */
+  readonly close: () => void;
 };
 
 /**
@@ -97,21 +120,23 @@
  * @returns The memory; before the first answer it allows the longest time of an endpoint.
  */
 export const createAnswerTimes = (link: LinkDelay = createLinkDelay()): AnswerTimes => {
+  const state: CallState = { isMissing: false };
   let own: Smoothed | undefined;
   let backOff = 1;
   return {
     note: (tookMs) => {
       own = smooth(own, tookMs);
       backOff = 1;
-      link.note(tookMs);
+      link.note(state, tookMs);
     },
     noteMiss: (waitedMs) => {
       backOff *= BACK_OFF;
-      link.noteMiss(waitedMs);
+      link.noteMiss(state, waitedMs);
     },
     timeoutMs: () => {
       const ownMs = own ? clamp(limitOf(own) * backOff, MOST_OF_ENDPOINT_MS) : MOST_OF_ENDPOINT_MS;
       return clamp(Math.max(ownMs, link.limitMs()), MOST_OF_LINK_MS);
     },
+    close: () => link.forget(state),
   };
 };
--- a/packages/core/src/batch/endpoints.ts
+++ b/packages/core/src/batch/endpoints.ts
@@ -47,7 +47,6 @@
     withheldUntilMs: 0,
     withheldReason: '',
     isClosing: false,
-    isReleased: false,
     isAwaited: false,
     leaseEndsAtMs: 0,
     idleSinceMs: nowMs,
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -18,7 +18,6 @@
 export * from './orders.js';
 export * from './pool-moves.js';
 export * from './pool-needs.js';
-export * from './pool-reclaims.js';
 export * from './progress.js';
 export * from './relay-choice.js';
 export * from './reports.js';
--- a/packages/core/src/batch/order-window.ts
+++ b/packages/core/src/batch/order-window.ts
@@ -36,6 +36,8 @@
    * @param nowMs - The time.
    */
   readonly end: (tookMs: number, nowMs: number) => void;
+  /** Ends one that tells nothing of the link: its endpoint is gone, and others answer. */
+  readonly drop: () => void;
   readonly size: () => number;
   readonly underWay: () => number;
 };
@@ -79,6 +81,9 @@
       else shrink(tookMs, nowMs);
       underWay -= 1;
     },
+    drop: () => {
+      underWay -= 1;
+    },
     size: () => Math.floor(size),
     underWay: () => underWay,
   };
--- a/packages/core/src/batch/pool-moves.ts
+++ b/packages/core/src/batch/pool-moves.ts
@@ -4,16 +4,18 @@
  */
 import type { HostId, PoolName } from '../shared/ids.js';
 import { expectCores } from './demand.js';
+import type { HostView } from './hosts.js';
 import {
   byClaim,
   DEFAULT_POOL_POLICY,
+  isFree,
   needsOfPools,
   surplusHosts,
   type PoolNeed,
   type PoolPolicy,
   type PoolWorld,
 } from './pool-needs.js';
-import { freeHostsOn, idleHosts, reclaimedHosts } from './pool-idle-hosts.js';
+import type { EndpointState } from './state.js';
 
 /** A host that changes its pool. */
 export type PoolMove = {
@@ -23,6 +25,26 @@
   readonly reason: string;
 };
 
+const freeHostsOn = (world: PoolWorld, endpoints: readonly EndpointState[]): readonly HostView[] =>
+  endpoints
+    .flatMap(({ hostId }) => (hostId && world.hosts.get(hostId)) ?? [])
+    .filter((host) => isFree(world, host));
+
+const spareHosts = (world: PoolWorld): readonly HostView[] =>
+  world.pools
+    .filter(({ isSpare }) => isSpare)
+    .flatMap(({ name }) =>
+      Array.from(world.hosts.values()).filter((host) => host.pool === name && isFree(world, host)),
+    );
+
+/** Empty hosts that a pool has no need of. */
+const givenAway = (world: PoolWorld, need: PoolNeed, policy: PoolPolicy): readonly HostView[] => {
+  const idle = need.empty.filter(
+    ({ idleSinceMs }) => world.nowMs - idleSinceMs >= policy.releaseAfterMs,
+  );
+  return freeHostsOn(world, idle).slice(0, surplusHosts(need, policy));
+};
+
 /** Above this ratio of the fast rate to the slow one demand rises. */
 const RISING = 1.1;
 
@@ -60,11 +82,6 @@
     });
 };
 
-const lateClaim = (need: PoolNeed): PoolNeed => ({
-  ...need,
-  shortCpu: need.shortCpu - Math.max(0, need.inTimeShortCpu),
-});
-
 /**
  * Decides which hosts change their pool now.
  *
@@ -77,14 +94,10 @@
   policy: PoolPolicy = DEFAULT_POOL_POLICY,
 ): readonly PoolMove[] => {
   const needs = needsOfPools(world, policy);
-  const free = [...idleHosts(world, needs, policy), ...reclaimedHosts(world)];
-  // What is late already gets what nothing in time has a claim to.
-  const claims = [
-    ...needs.map((need) => ({ ...need, shortCpu: need.inTimeShortCpu })).sort(byClaim),
-    ...needs.map(lateClaim).sort(byClaim),
-  ];
-  const wanted = claims
+  const free = [...spareHosts(world), ...needs.flatMap((need) => givenAway(world, need, policy))];
+  const wanted = needs
     .filter(({ shortCpu }) => shortCpu > 0)
+    .sort(byClaim)
     .flatMap(({ name, shortCpu }) => {
       const moves: PoolMove[] = [];
       let missing = shortCpu;
--- a/packages/core/src/batch/pool-needs.ts
+++ b/packages/core/src/batch/pool-needs.ts
@@ -3,7 +3,6 @@
 import { expectCores } from './demand.js';
 import { expectPeak, observeDemand } from './demand-peaks.js';
 import type { HostView, PoolView } from './hosts.js';
-import { rankStep } from './order.js';
 import { isSound } from './schedule.js';
 import { poolOf, type BatchState, type EndpointState, type StepRun } from './state.js';
 
@@ -62,8 +61,6 @@
   readonly shortCpu: number;
   /** Room that is missing for what waits already. */
   readonly urgentCpu: number;
-  /** The same as `shortCpu` without work that is late already. */
-  readonly inTimeShortCpu: number;
   /** The most urgent priority among tasks that end by themselves; Infinity without any. */
   readonly priority: number;
 };
@@ -73,16 +70,6 @@
 const waitingCpuOf = (steps: readonly StepRun[]): number =>
   sum(steps.map(({ waiting, spec }) => waiting.length * spec.cpuMillis));
 
-/** Tells of each step once whether its job can still be in time. */
-const createInTime = (state: BatchState, nowMs: number): ((step: StepRun) => boolean) => {
-  const known = new Map<StepRun, boolean>();
-  return (step) => {
-    const isInTime = known.get(step) ?? rankStep(state, step, nowMs).tier === 0;
-    known.set(step, isInTime);
-    return isInTime;
-  };
-};
-
 /** Long-running tasks stand on their hosts all day and say nothing about a peak. */
 const mostUrgent = (steps: readonly StepRun[]): number =>
   Math.min(
@@ -115,10 +102,6 @@
   const expectedCores = Math.max(expectCores(pool.demand.rates(nowMs)), peakCores);
   const expectedCpu = expectedCores * 1000 * headroom;
   const urgentCpu = usedCpu + waitingCpu - roomCpu - comingCpu;
-  const isInTime = createInTime(state, nowMs);
-  const inTimeCpu =
-    waitingCpuOf(waiting.filter(isInTime)) +
-    sum(running.filter(isInTime).map(({ spec }) => spec.cpuMillis));
   return {
     name,
     hosts: inPool,
@@ -132,7 +115,6 @@
     expectedCpu,
     shortCpu: Math.max(urgentCpu, expectedCpu - roomCpu - comingCpu),
     urgentCpu,
-    inTimeShortCpu: Math.max(inTimeCpu, expectedCpu) - roomCpu - comingCpu,
     priority: mostUrgent([...waiting, ...running]),
   };
 };
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -32,7 +32,6 @@
   endpoint.isKnown &&
   !endpoint.isDraining &&
   !endpoint.isClosing &&
-  !endpoint.isReleased &&
   endpoint.withheldUntilMs <= nowMs;
 
 /**
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -139,8 +139,6 @@
   withheldReason: string;
   /** Kept empty for maintenance or a move. */
   isClosing: boolean;
-  /** Gets nothing new, so that its host can change its pool once what runs there has ended. */
-  isReleased: boolean;
   /** Its host has maintenance ahead: what lasts and is begun here would move again. */
   isAwaited: boolean;
   /** When nothing that it may have been told to run can still be running. */
--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -49,6 +49,8 @@
   readonly cores: number;
   /** What its link carries each way. */
   readonly linkBytesPerS: number;
+  /** True if a holder whose link is busy may have others carry its orders. */
+  readonly mayRelayOrders: boolean;
   readonly meshHost: string;
   readonly meshPort: number;
   readonly meshKey: string;
@@ -82,6 +84,7 @@
   dataCentre,
   cores,
   linkBytesPerS,
+  mayRelayOrders,
   meshHost,
   meshPort,
   meshKey,
@@ -120,6 +123,7 @@
     orders: platform.orders,
     peers: () => peers,
     linkUse: platform.linkUse,
+    isAllowed: mayRelayOrders,
     log,
     metrics,
   });
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -174,7 +174,9 @@
     context.window.begin();
     const answer = await timed((timeoutMs) => orders.start(target, order, timeoutMs));
     const tookMs = nowMs() - sentAtMs;
-    context.window.end(tookMs, nowMs());
+    const isLost = answer.isErr() && answer.error.reason === 'no-answer';
+    if (isLost && !context.linkDelay.isAtFault()) context.window.drop();
+    else context.window.end(tookMs, nowMs());
     metrics.time('order_start', tookMs * 1000);
     return answer;
   };
@@ -382,6 +384,7 @@
     watch,
     close: () => {
       isClosed = true;
+      answerTimes.close();
       orders.forget(target);
     },
   };
--- a/packages/daemon/src/batch/fleet-cycle.ts
+++ b/packages/daemon/src/batch/fleet-cycle.ts
@@ -5,7 +5,6 @@
   findDeadEndpoints,
   isAnyPoolShort,
   isUpkeepComplete,
-  markReleased,
   needsOfPools,
   observePeaks,
   planMoves,
@@ -26,7 +25,6 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
-import { createPacedReading } from '../shared/paced.js';
 import { batchKey } from './keys.js';
 import type { BatchPlatform } from './ports.js';
 
@@ -104,7 +102,6 @@
   dropEndpoint,
 }: FleetCycleOptions): FleetCycle => {
   const bornAtMs = nowMs();
-  const listing = createPacedReading(nowMs);
   const orderer = { holder: self, fence };
   const hosts = new Map<HostId, HostView>();
   const waves = new Map<number, UpkeepWave>();
@@ -121,7 +118,7 @@
 
   const refreshHosts = async (): Promise<readonly HostView[]> => {
     const askedAtMs = nowMs();
-    const list = await listing.run(platform.hosts.list);
+    const list = await platform.hosts.list();
     metrics.count('host_lists');
     if (list.isErr()) {
       log.warn('host-list-failed', list.error);
@@ -288,7 +285,6 @@
   const moveHosts = async (): Promise<boolean> => {
     if (!configuration()) return false;
     notePools();
-    markReleased(poolWorld());
     const planned = planMoves(poolWorld());
     // An order without an answer is repeated: it may be carried out late, whatever is decided now.
     const moves = [...Array.from(unsettled.values()), ...planned];
@@ -298,7 +294,7 @@
 
   const run = async (): Promise<void> => {
     const ageMs = nowMs() - listedAtMs;
-    if (ageMs > listing.pauseMs(isBusy() ? LIST_BUSY_MS : LIST_EVERY_MS)) await refreshHosts();
+    if (ageMs > (isBusy() ? LIST_BUSY_MS : LIST_EVERY_MS)) await refreshHosts();
     observePeaks(poolWorld()).forEach((pool) => log.info('peak-begun', { pool }));
     if (!mayOrder() || nowMs() - bornAtMs < orderAfterMs) return;
     Object.assign(state, { clockMs: nowMs() });
--- a/packages/daemon/src/batch/relayed-orders.ts
+++ b/packages/daemon/src/batch/relayed-orders.ts
@@ -47,6 +47,8 @@
   readonly orders: EndpointOrders;
   readonly peers: () => Pick<Peers, 'ask' | 'keepLink' | 'members' | 'silentForMs'> | undefined;
   readonly linkUse: () => LinkUse;
+  /** False: all orders go directly, however busy the link is. */
+  readonly isAllowed: boolean;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly nowMs?: () => number;
@@ -67,6 +69,7 @@
   orders,
   peers,
   linkUse,
+  isAllowed,
   log,
   metrics,
   nowMs = () => performance.now(),
@@ -93,7 +96,7 @@
 
   const refresh = (): void => {
     const wasRelaying = isRelaying;
-    isRelaying = isNeeded(linkUse(), nowMs());
+    isRelaying = isAllowed && isNeeded(linkUse(), nowMs());
     if (!isRelaying) return;
     if (!wasRelaying) log.info('orders-relayed', { reason: 'the link of the holder is busy' });
     const all = candidates();
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -26,7 +26,6 @@
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
 import { startLoops, type RunningLoops } from '../shared/loops.js';
-import { createPacedReading } from '../shared/paced.js';
 import { createAdvisor } from './advisor.js';
 import { createEndedJobs } from './ended-jobs.js';
 import { createEndpointRoster } from './endpoint-roster.js';
@@ -129,7 +128,6 @@
   const inheritedLeasesMs = endpointLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS + holderBeforeMs;
   const window = createOrderWindow();
   const linkDelay = createLinkDelay();
-  const endpointReading = createPacedReading(nowMs);
   let guard: RowCheck = { key: batchKey.guard, version: -1 };
   let isStopped = false;
   let isReady = false;
@@ -347,11 +345,7 @@
     loops = startLoops(
       [
         { name: 'tick', everyMs: TICK_MS, run: tick },
-        {
-          name: 'endpoints',
-          everyMs: () => endpointReading.pauseMs(ENDPOINT_FEED_MS),
-          run: () => endpointReading.run(roster.follow),
-        },
+        { name: 'endpoints', everyMs: ENDPOINT_FEED_MS, run: roster.follow },
         { name: 'jobs', everyMs: JOB_FEED_MS, run: jobRows.follow },
         { name: 'fleet', everyMs: fleet.everyMs, run: fleet.run },
         { name: 'waves', everyMs: fleet.everyMs, run: fleet.follow },
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -60,6 +60,8 @@
   readonly endpointLeaseMs?: number;
   /** What the link of each entry carries; without a limit if left out. */
   readonly linkBytesPerMs?: number;
+  /** True if entries may carry orders for a holder whose link is busy. */
+  readonly mayRelayOrders?: boolean;
   readonly random: () => number;
 };
 
@@ -129,6 +131,7 @@
   sparePool,
   endpointLeaseMs,
   linkBytesPerMs,
+  mayRelayOrders = false,
   random,
 }: SimFleetOptions): SimFleet => {
   const world = createSimWorld({ hostsPerPool, pools, sparePool, random });
@@ -223,6 +226,7 @@
         silentForMs,
       }),
       linkUse: platform.linkUse,
+      isAllowed: mayRelayOrders,
       log,
       metrics,
     });
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -39,6 +39,7 @@
     sparePool?: string;
     endpointLeaseMs?: number;
     linkBytesPerMs?: number;
+    mayRelayOrders?: boolean;
     seed?: number;
   } = {},
 ) => {
