--- a/packages/core/src/batch/order-window.ts
+++ b/packages/core/src/batch/order-window.ts
@@ -4,8 +4,8 @@
  * neither ordered by rank nor taken back, until its time is over and it is sent again. So the window
  * follows the delay of answers, as delay-based congestion control does (TCP Vegas, LEDBAT, RFC 6817):
  * it grows by one for each window that is answered in time and shrinks at once when answers are late.
- * Weighed against control by losses alone: a loss here is a time-out of 0.25 s or more, ten times what
- * a full link of 250 KB a second needs to hold back the renewals of leases behind it.
+ * Weighed against control by losses alone: a loss is seen after a time-out of 0.25 s and more, while what
+ * was sent goes on filling the queue in which renewals of leases wait.
  */
 
 /**
@@ -13,8 +13,12 @@
  * filled. Below it a short burst would be cut into rounds for nothing.
  */
 const TARGET_MS = 250;
-/** A window that has never been late: the largest burst seen, a demand peak of a queue after a takeover. */
+/** Holds nothing back where nothing is late: up to 150 were under way with 102 endpoints. */
 const FIRST = 256;
+/**
+ * A delay that other calls cause does not go away with fewer starts: with 4 at least 14 of 60 jobs were in
+ * time over a link of half the load and relays, with 16 24 were.
+ */
 const LEAST = 16;
 const MOST = 2048;
 /** Never less than this share of what it was, so that one late answer does not close it. */
--- a/packages/daemon/src/batch/order-message.ts
+++ b/packages/daemon/src/batch/order-message.ts
@@ -1,7 +1,4 @@
-/**
- * Orders as entries pass them on, and their answers. Rows without field names: a question and its
- * answer take 110 and 45 bytes and 40 a run, where HTTP takes 190 and 150 and 75 a run.
- */
+/** Orders as entries pass them on, and their answers: rows without field names, one message each. */
 import type {
   EndKind,
   EndpointClock,
--- a/packages/daemon/src/batch/standing.ts
+++ b/packages/daemon/src/batch/standing.ts
@@ -5,8 +5,8 @@
 import type { EntryId } from '@valvelatch/core/shared/ids';
 
 /**
- * What goes with one core: a holder of 380 endpoints put 1.5 MB a second on its link and used 0.44 of a
- * core. An entry is as strong as what it has less of.
+ * Some 3 to 5 MB a second go with one core: a holder of 300 endpoints put 1.04 MB a second on its link
+ * and used 0.25 of a core. An entry is as strong as what it has less of.
  */
 const LINK_BYTES_PER_S_AND_CORE = 3_400_000;
 
