Tests, failing: a wave is reported as completed before its hosts have gone down

The simulated world checks each report of a wave from now on, in every test that plays it: completed only once each host that stays has gone down.

--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -99,6 +99,7 @@
     breaks,
     checkBudgets,
     checkEmpty,
+    checkReport,
     newestFence,
     relive,
     readAll,
@@ -265,12 +266,13 @@
     checkTaken: (host: HostView) => void,
     act: (host: HostView) => void,
     isDone: (host: HostView) => boolean,
+    isRefused: (hostId: HostId) => boolean = () => false,
   ) => {
     await sleep(faults.hostOrderMs);
     const sentAtMs = performance.now();
     const result = await toTable(() => {
       const host = hosts.get(hostId);
-      if (!host) return 'refused' as const;
+      if (!host || isRefused(hostId)) return 'refused' as const;
       if (isDone(host)) return 'done' as const;
       if (host.state !== 'up') return 'busy' as const;
       // What a former holder ordered and the platform held up is nobody's to prevent.
@@ -308,7 +310,13 @@
       forget: () => undefined,
     },
     hosts: {
-      list: () => toTable(() => Array.from(hosts.values())),
+      list: async () => {
+        await awake();
+        if (faults.isHostListDown) return Err({ kind: 'unknown', detail: 'no answer' });
+        return toTable(() =>
+          Array.from(hosts.values()).filter(({ hostId }) => !faults.leftOut.has(hostId)),
+        );
+      },
       move: (by, { hostId, toPool }) =>
         orderHost(
           by,
@@ -333,8 +341,13 @@
             relive({ ...host, state: 'maintenance' }, MAINTENANCE_MS);
           },
           () => maintained.has(`${waveNumber}/${hostId}`),
+          (refused) => faults.refused.has(refused),
         ),
-      reportWave: (waveNumber, state) => toTable(() => waveStatus.set(waveNumber, state)),
+      reportWave: (waveNumber, state) =>
+        toTable(() => {
+          checkReport(waveNumber, state);
+          return waveStatus.set(waveNumber, state);
+        }),
     },
     advice: {
       ask: async ({ endpoints: asked }) => {
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -68,6 +68,12 @@
   hostOrderMs: number;
   /** How long endpoints take to answer. */
   answerMs: number;
+  /** The list of hosts answers nobody. */
+  isHostListDown: boolean;
+  /** Hosts that the list leaves out although they stay. */
+  readonly leftOut: Set<HostId>;
+  /** Hosts whose orders for maintenance are refused. */
+  readonly refused: Set<HostId>;
 };
 
 export type SimWorldOptions = {
@@ -100,6 +106,9 @@
     lostWrites: 0,
     hostOrderMs: 0,
     answerMs: 0,
+    isHostListDown: false,
+    leftOut: new Set(),
+    refused: new Set(),
   };
   const maintained = new Set<string>();
   const unlisted = new Set<EndpointId>();
@@ -219,6 +228,15 @@
     checkBudgets(host);
   };
 
+  /** Checks what the operator is told of a wave: completed, once each of its hosts that stays has gone down. */
+  const checkReport = (waveNumber: number, state: string): void => {
+    if (state !== 'completed') return;
+    const open = (waves.get(waveNumber)?.hosts ?? []).filter(
+      (hostId) => hosts.has(hostId) && !maintained.has(`${waveNumber}/${hostId}`),
+    );
+    if (open.length > 0) breaks(`wave ${waveNumber} is completed without ${open.join(', ')}`);
+  };
+
   const newestFence = (): number =>
     (table.read('lease/control').value as LeaseRow | null)?.epoch ?? 0;
 
@@ -279,6 +297,7 @@
     breaks,
     checkBudgets,
     checkEmpty,
+    checkReport,
     newestFence,
     relive,
     readAll,
