What was learned is not written over unread, and an unread list is not told as a fleet without hosts

A new holder whose reading of the learned row failed wrote its own, nearly empty one over it 2 s later: what 200 ends had taught was lost for good. Operators who asked that holder for hosts and pools were told that there are none; now that nothing can be said yet, and explain wave says of each host whether the list was never read, does not show it, or has lost it for good.

--- a/packages/core/src/batch/upkeep-progress.ts
+++ b/packages/core/src/batch/upkeep-progress.ts
@@ -1,6 +1,6 @@
 /** How far a maintenance wave is, host by host, and when it is completed. */
 import type { HostId } from '../shared/ids.js';
-import { presenceOf, type HostInventory } from './host-inventory.js';
+import { presenceOf, type HostInventory, type HostPresence } from './host-inventory.js';
 
 /** A wave as it was ordered. */
 export type UpkeepOrder = {
@@ -101,14 +101,14 @@
 };
 
 /**
- * Tells whether a host that is not listed has left for good.
+ * Tells whether a host of a wave is there.
  *
  * @param sight - What is known of hosts.
  * @param hostId - The host.
- * @returns False also where nothing can be said, since the list was never read.
+ * @returns `gone` only after it has been missing for longer than any host that is down for a wave.
  */
-export const isGoneForGood = ({ inventory, downMs }: HostSight, hostId: HostId): boolean =>
-  presenceOf(inventory, hostId, downMs + GONE_MARGIN_MS) === 'gone';
+export const presenceInWave = ({ inventory, downMs }: HostSight, hostId: HostId): HostPresence =>
+  presenceOf(inventory, hostId, downMs + GONE_MARGIN_MS);
 
 /**
  * Tells whether a host may be down for its wave, so that it counts against the maximum.
@@ -120,7 +120,7 @@
  */
 export const mayBeDown = (sight: HostSight, hostId: HostId, { phase }: UpkeepHost): boolean => {
   // One that died while it was down would hold up the others for good.
-  if (isGoneForGood(sight, hostId)) return false;
+  if (presenceInWave(sight, hostId) === 'gone') return false;
   if (phase === 'down' || phase === 'asked') return true;
   const listed = sight.inventory.hosts.get(hostId);
   return listed ? listed.state === 'maintenance' : phase !== 'done';
@@ -136,5 +136,5 @@
 export const isUpkeepComplete = (sight: HostSight, wave: UpkeepWave): boolean =>
   Array.from(wave.hosts).every(([hostId, { phase }]) => {
     const isBack = phase === 'done' && sight.inventory.hosts.get(hostId)?.state !== 'maintenance';
-    return isBack || isGoneForGood(sight, hostId);
+    return isBack || presenceInWave(sight, hostId) === 'gone';
   });
--- a/packages/core/src/batch/upkeep.ts
+++ b/packages/core/src/batch/upkeep.ts
@@ -4,6 +4,7 @@
  */
 import type { HostId } from '../shared/ids.js';
 import { change } from '../shared/change.js';
+import type { HostPresence } from './host-inventory.js';
 import {
   findBudgetObstacle,
   isQuiet,
@@ -13,8 +14,8 @@
 } from './hosts.js';
 import type { BatchState, EndpointState, StepRun } from './state.js';
 import {
-  isGoneForGood,
   mayBeDown,
+  presenceInWave,
   type HostSight,
   type UpkeepHost,
   type UpkeepWave,
@@ -73,14 +74,18 @@
   });
 };
 
-/** Says of hosts that cannot be ordered what is known of them. */
+/** What is said of a host that cannot be ordered since it is not listed. */
+const unlistedReasons: Readonly<Record<Exclude<HostPresence, 'listed'>, string>> = {
+  unknown: 'the list of hosts has not been read yet',
+  missing: 'the list of hosts does not show it',
+  gone: 'it has left the list of hosts for good',
+};
+
 const noteUnlisted = (world: UpkeepWorld, wave: UpkeepWave): void => {
   wave.hosts.forEach((host, hostId) => {
-    if (host.phase === 'done' || world.inventory.hosts.has(hostId)) return;
-    const reason = isGoneForGood(world, hostId)
-      ? 'it has left the list of hosts for good'
-      : 'the list of hosts does not show it';
-    change(host, { reason });
+    const presence = presenceInWave(world, hostId);
+    if (host.phase === 'done' || presence === 'listed') return;
+    change(host, { reason: unlistedReasons[presence] });
   });
 };
 
--- a/packages/daemon/src/batch/learned-keeper.ts
+++ b/packages/daemon/src/batch/learned-keeper.ts
@@ -19,7 +19,7 @@
 };
 
 export type LearnedKeeper = {
-  /** Takes in what the holder before has learned; without an answer it is done without. */
+  /** Takes in what the holder before has learned; without an answer the next `save` tries again. */
   readonly restore: () => Promise<void>;
   /** Writes what has been learned, if anything is new. */
   readonly save: () => Promise<void>;
@@ -39,29 +39,35 @@
   todayMs,
 }: LearnedKeeperOptions): LearnedKeeper => {
   let savedText = '';
+  /** A row that was not read holds what others have learned: it must not be written over. */
+  let isRead = false;
 
-  return {
-    restore: async () => {
-      const rows = await table.read([batchKey.learned]);
-      if (rows.isErr()) {
-        log.warn('learned-not-read', rows.error);
-        return;
-      }
-      const row = rows.value[0]?.value as LearnedRow | null | undefined;
-      if (!row) return;
-      restoreLearned(state, row, nowMs(), todayMs());
-      log.info('learned-read', { peaks: row.onsets.length, kinds: row.runTimes.length });
-    },
-    save: async () => {
-      const row = learnedOf(state, nowMs(), todayMs());
-      const text = JSON.stringify([row.heights, row.runTimes, row.onsets.length]);
-      if (text === savedText) return;
-      const outcome = await table.transact({
-        checks: [],
-        writes: [{ key: batchKey.learned, value: row }],
-      });
-      if (outcome.isOk()) savedText = text;
-      else log.debug('learned-not-written', outcome.error);
-    },
+  const restore = async (): Promise<void> => {
+    const rows = await table.read([batchKey.learned]);
+    if (rows.isErr()) {
+      log.warn('learned-not-read', rows.error);
+      return;
+    }
+    isRead = true;
+    const row = rows.value[0]?.value as LearnedRow | null | undefined;
+    if (!row) return;
+    restoreLearned(state, row, nowMs(), todayMs());
+    log.info('learned-read', { peaks: row.onsets.length, kinds: row.runTimes.length });
   };
+
+  const save = async (): Promise<void> => {
+    if (!isRead) await restore();
+    if (!isRead) return;
+    const row = learnedOf(state, nowMs(), todayMs());
+    const text = JSON.stringify([row.heights, row.runTimes, row.onsets.length]);
+    if (text === savedText) return;
+    const outcome = await table.transact({
+      checks: [],
+      writes: [{ key: batchKey.learned, value: row }],
+    });
+    if (outcome.isOk()) savedText = text;
+    else log.debug('learned-not-written', outcome.error);
+  };
+
+  return { restore, save };
 };
--- a/packages/daemon/src/batch/operators.ts
+++ b/packages/daemon/src/batch/operators.ts
@@ -149,6 +149,13 @@
 
 type Handler = (term: Term, body: Body, version: number) => OperatorResult;
 
+/** What is answered from the list of hosts. */
+const HOST_KINDS: ReadonlySet<string> = new Set(['host', 'hosts', 'pools']);
+
+/** A list that was not read says nothing: it must not look like a fleet without hosts. */
+const isUnreadable = (term: Term, { kind = '' }: Body): boolean =>
+  HOST_KINDS.has(kind) && term.fleet.inventory().listedAtMs === -Infinity;
+
 const handlers: Readonly<Record<string, Handler>> = {
   get: (term, { kind = '' }) => {
     const view = views[kind];
@@ -198,5 +205,8 @@
   if (!term) return undefined;
   const handler = handlers[method];
   if (!handler) return { kind: 'not-found', detail: `no method '${method}'` };
+  if (isUnreadable(term, body)) {
+    return { kind: 'unavailable', detail: 'the list of hosts has not been read yet' };
+  }
   return handler(term, body, version);
 };
