A wave ends without a host only once the platform has not seen it for a quarter of an hour

The incident's cause on the request path: a wave was done for good as soon as the hosts it had left were not to be seen at that moment: silent for longer than the list waits (also while they rebooted for the wave itself), or not declared in the configuration of a holder that was behind the entry which had named them. Change: a host has left when it has been gone for as long as a reboot may take (15 min), never while the wave itself has it down (then the wave is paused after that time, as before), and for want of a declaration only if the configuration is at least the one that named it (the row of a wave keeps its revision). withheld says how long a host has been silent and until when the wave waits.

--- a/packages/core/src/control/control.fixtures.ts
+++ b/packages/core/src/control/control.fixtures.ts
@@ -76,9 +76,21 @@
   fleet.table.transact([], [{ key: rowKey.job(job.name), value: row }]);
 };
 
-export const startWave = (fleet: FleetModel, name: string, hosts: readonly HostId[]): void => {
+export const startWave = (
+  fleet: FleetModel,
+  name: string,
+  hosts: readonly HostId[],
+  revision = 1,
+): void => {
   const waveId = brand<WaveId>(name);
-  const row: WaveRow = { waveId, selector: 'test', phase: 'running', reason: 'started', hosts };
+  const row: WaveRow = {
+    waveId,
+    selector: 'test',
+    revision,
+    phase: 'running',
+    reason: 'started',
+    hosts,
+  };
   fleet.table.transact([], [{ key: rowKey.wave(name), value: row }]);
 };
 
--- a/packages/core/src/control/waves.ts
+++ b/packages/core/src/control/waves.ts
@@ -13,6 +13,7 @@
 import { rowKey, type HostRow, type WaveRow } from '../rows/rows.js';
 import { countBy } from '../shared/group-by.js';
 import type { HostId, WaveId } from '../shared/ids.js';
+import { REBOOT_TIMEOUT_MS } from './hosts.js';
 import { withhold, writeHost, writePlacement, writeWave, type Draft } from './draft.js';
 import {
   executorsOn,
@@ -24,6 +25,7 @@
 } from './wave-trial.js';
 import type { WaveStrategy } from './world.js';
 
+const MS_PER_S = 1000;
 /** A turn is bounded: after so many hosts that cannot be emptied now, the others wait. */
 const MOST_OBSTACLES_PER_TURN = 16;
 
@@ -139,11 +141,49 @@
   });
 };
 
+/**
+ * A host that the platform has not seen for so long does not hold up its wave: as long as one may take
+ * to reboot. The list lags, and a host that is silent for a moment comes back.
+ */
+const GONE_AFTER_MS = REBOOT_TIMEOUT_MS;
+
+/** For how long the platform has not seen a host; 0 while it does. */
+const silentForMs = ({ world, nowMs }: Draft, hostId: HostId): number => {
+  const sighting = world.sightings.get(hostId);
+  return sighting?.state === 'gone' ? nowMs - sighting.sinceMs : 0;
+};
+
+/** Tells whether a host will not be maintained by its wave: it is gone, or not declared any more. */
+const hasLeft = (
+  draft: Draft,
+  { revision = 0 }: WaveRow,
+  waveId: WaveId,
+  hostId: HostId,
+): boolean => {
+  const host = draft.hosts.get(hostId);
+  // A configuration from before the wave may not declare its hosts yet.
+  if (!host) return draft.world.configuration.revision >= revision;
+  // One that reboots is silent meanwhile; if it stays so, the wave is paused for it.
+  return !isUnderWay(host.row, waveId) && silentForMs(draft, hostId) >= GONE_AFTER_MS;
+};
+
 const isFinished = (draft: Draft, row: WaveRow, waveId: WaveId): boolean =>
-  row.hosts.every((hostId) => {
-    const host = draft.hosts.get(hostId);
-    return !host || !host.isLive || host.row.maintainedBy === waveId;
-  });
+  row.hosts.every(
+    (hostId) =>
+      draft.hosts.get(hostId)?.row.maintainedBy === waveId || hasLeft(draft, row, waveId, hostId),
+  );
+
+/** Says of hosts that cannot be taken down how long they have been silent. */
+const holdSilent = (draft: Draft, row: WaveRow, waveId: WaveId): void => {
+  row.hosts
+    .filter((hostId) => draft.hosts.get(hostId)?.row.maintainedBy !== waveId)
+    .forEach((hostId) => {
+      const silentS = Math.round(silentForMs(draft, hostId) / MS_PER_S);
+      if (silentS === 0) return;
+      const why = `the platform has not seen it for ${silentS} s; after ${GONE_AFTER_MS / MS_PER_S} s the wave goes on without it`;
+      withhold(draft, rowKey.host(hostId), `wave ${waveId}: ${why}`);
+    });
+};
 
 /** A host that was broken by its maintenance stops the wave until an operator has looked. */
 const brokenHosts = (draft: Draft, row: WaveRow, waveId: WaveId): readonly HostId[] =>
@@ -171,6 +211,7 @@
     writeWave(draft, waveId, { ...row, phase: 'done', reason });
     return;
   }
+  holdSilent(draft, row, waveId);
   drainNext(draft, viewOf(draft, waveId, row));
 };
 
--- a/packages/core/src/rows/rows.ts
+++ b/packages/core/src/rows/rows.ts
@@ -103,6 +103,8 @@
 export type WaveRow = {
   readonly waveId: WaveId;
   readonly selector: string;
+  /** Of the configuration by which the selector named them; rows from before it was kept have none. */
+  readonly revision?: number;
   readonly phase: WavePhase;
   readonly reason: string;
   /** The hosts that the selector named when the wave was declared. */
--- a/packages/daemon/src/operators/wave-handlers.ts
+++ b/packages/daemon/src/operators/wave-handlers.ts
@@ -42,13 +42,22 @@
   const hostRows = await scanRows<HostRow>(table, rowPrefix.host);
   if (hostRows.isErr()) return unavailable(hostRows.error);
   const rows = hostRows.value.map(({ value }) => value);
-  const hosts = hostsNamedBy(configSync.current(), rows, selector.value);
+  const configuration = configSync.current();
+  const hosts = hostsNamedBy(configuration, rows, selector.value);
   if (hosts.length === 0) {
     return { kind: 'invalid', detail: `selector '${text}' matches no host` };
   }
   const waveId = brand<WaveId>(name);
   const key = rowKey.wave(name);
-  const row: WaveRow = { waveId, selector: text, phase: 'running', reason: 'started', hosts };
+  const { revision } = configuration;
+  const row: WaveRow = {
+    waveId,
+    selector: text,
+    revision,
+    phase: 'running',
+    reason: 'started',
+    hosts,
+  };
   const outcome = await table.transact({
     checks: [{ key, version: 0 }],
     writes: [{ key, value: row }],
