--- a/packages/stand-ins/src/users-platform/rows-service.ts
+++ b/packages/stand-ins/src/users-platform/rows-service.ts
@@ -10,7 +10,8 @@
   readonly deleted?: boolean;
 };
 
-type Place = { readonly table: string; readonly part: string; readonly key: string };
+/** Where a row is. */
+export type Place = { readonly table: string; readonly part: string; readonly key: string };
 
 type Transaction = {
   readonly expectedRev?: readonly (Place & { readonly ver: number })[];
@@ -24,6 +25,11 @@
   readonly kind: 'none' | 'unavailable' | 'silent' | 'lose';
 };
 
+export type RowsServiceOptions = {
+  /** Told of each row that is written, before its writer has an answer. */
+  readonly onPut?: (place: Place) => void;
+};
+
 export type RowsService = {
   readonly put: (table: string, key: string, value: unknown) => void;
   readonly drop: (table: string, key: string) => void;
@@ -57,9 +63,12 @@
 /**
  * Builds the service.
  *
+ * @param options - Who is told of writes.
  * @returns The service, to be put on a server.
  */
-export const createRowsService = (): RowsService => {
+export const createRowsService = ({
+  onPut = () => undefined,
+}: RowsServiceOptions = {}): RowsService => {
   const rows = new Map<string, Row>();
   let history: Row[] = [];
   let version = 0;
@@ -75,7 +84,10 @@
 
   const commit = ({ puts = [], remove = [] }: Transaction): number => {
     version += 1;
-    puts.forEach((put) => note({ ...put, ver: version }));
+    puts.forEach((put) => {
+      note({ ...put, ver: version });
+      onPut(put);
+    });
     remove
       .filter((place) => rows.has(idOf(place)))
       .forEach((place) => note({ ...place, ver: version, deleted: true }));
--- a/packages/stand-ins/src/users-platform/users-platform.ts
+++ b/packages/stand-ins/src/users-platform/users-platform.ts
@@ -13,7 +13,7 @@
 import fastify from 'fastify';
 
 import { startExecutor, type StandInExecutor } from './executor-service.js';
-import { createRowsService, type RowsService } from './rows-service.js';
+import { createRowsService, type Place, type RowsService } from './rows-service.js';
 
 /** Executors write their entry this often. */
 const BEAT_MS = 500;
@@ -27,6 +27,11 @@
   executor: StandInExecutor | null;
 };
 
+/** What is wrong with the list of machines at the moment. */
+export type MachinesFault = 'none' | 'unavailable' | 'silent';
+
+type WaveOrder = { readonly wave: number; readonly machines: readonly string[] };
+
 export type UsersPlatformOptions = {
   readonly pools?: readonly string[];
   readonly machinesPerPool?: number;
@@ -39,11 +44,13 @@
   readonly machinesAddress: string;
   readonly rows: RowsService;
   readonly executors: () => readonly StandInExecutor[];
-  /** What was broken: a task twice at once, or again after its end was noted. */
+  /** What was broken: a task twice at once or again after its noted end, a wave told as completed too soon. */
   readonly broken: readonly string[];
   /** Jobs of which a task began. */
   readonly begun: ReadonlySet<string>;
   readonly maintained: ReadonlySet<string>;
+  /** Takes the list of machines away, with the orders to them, or gives it back. */
+  readonly setMachinesFault: (fault: MachinesFault) => void;
   readonly close: () => Promise<void>;
 };
 
@@ -94,7 +101,7 @@
   machinesPerPool = 2,
   needs = DEFAULT_NEEDS,
 }: UsersPlatformOptions = {}): Promise<UsersPlatform> => {
-  const rows = createRowsService();
+  const rows = createRowsService({ onPut: (place) => checkReport(place) });
   const machines = new Map<string, Machine>();
   const broken: string[] = [];
   const maintained = new Set<string>();
@@ -103,6 +110,19 @@
   const executors = (): readonly StandInExecutor[] =>
     Array.from(machines.values()).flatMap(({ executor }) => executor ?? []);
   const begun = new Set<string>();
+  let machinesFault: MachinesFault = 'none';
+
+  /** A wave may be told as completed once each of its machines has gone down: none leaves here. */
+  const checkReport = ({ table, key }: Place): void => {
+    if (table !== 'status') return;
+    const { state } = rows.valueOf('status', '', key) as { state: string };
+    const { wave, machines: due } = rows.valueOf('op', '', key) as WaveOrder;
+    const open = due.filter((name) => !maintained.has(`${wave}/${name}`));
+    if (state === 'completed' && open.length > 0) {
+      broken.push(`wave ${wave} is completed without ${open.join(', ')}`);
+    }
+  };
+
   const observer = watchTasks(executors, broken, begun, needs);
 
   const write = ({ machine, pool }: Machine, { model, address }: StandInExecutor): void =>
@@ -146,6 +166,10 @@
   const store = fastify();
   rows.register(store);
   const list = fastify();
+  list.addHook('onRequest', async (_, reply) => {
+    if (machinesFault === 'unavailable') await reply.code(503).send();
+    if (machinesFault === 'silent') await new Promise<void>(() => {});
+  });
   list.get('/-/machines', async () => ({
     machines: Array.from(machines.values(), ({ machine, pool, state, executor }) => ({
       machine,
@@ -211,6 +235,9 @@
     broken,
     begun,
     maintained,
+    setMachinesFault: (fault) => {
+      machinesFault = fault;
+    },
     close: async () => {
       clearInterval(beats);
       await Promise.all(executors().map((executor) => executor.close()));
