--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -14,7 +14,6 @@
 import type { Metrics } from '../observe/metrics.js';
 import type { ControlView } from './intake.js';
 import type { AcceptOutcome } from './job-saver.js';
-import type { KnownWave } from './fleet-cycle.js';
 import { ENDPOINT_LEASE_MS } from './endpoint-link.js';
 import { CONTROL_METHOD, createHolderClient, HOLDER_SILENT_MS } from './holder-client.js';
 import { CONTROL_LEASE } from './keys.js';
@@ -23,6 +22,7 @@
 import type { RelayedTable } from './relayed-table.js';
 import { createYielding, EQUAL_STANDING, HAND_OVER_LOOK_MS, type Standing } from './standing.js';
 import { createTerm, type Term } from './term.js';
+import type { KnownWave } from './wave-keeper.js';
 
 /**
  * The lease on control: for so long from its last renewal a holder without the table goes on to
--- a/packages/daemon/src/batch/fleet-cycle.ts
+++ b/packages/daemon/src/batch/fleet-cycle.ts
@@ -1,9 +1,7 @@
-/** Hosts: moves between pools and maintenance waves, ordered by the holder alone. */
+/** Orders to hosts, by the holder alone: moves between pools, and maintenance of waves. */
 import {
   applyUpkeepAnswer,
-  createUpkeepWave,
   isAnyPoolShort,
-  isUpkeepComplete,
   needsOfPools,
   observePeaks,
   planMoves,
@@ -15,8 +13,6 @@
   type PoolMove,
   type PoolWorld,
   type QueueIndex,
-  type UpkeepHost,
-  type UpkeepOrder,
   type UpkeepStep,
   type UpkeepWave,
   type UpkeepWorld,
@@ -24,15 +20,15 @@
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
 import type { EndpointId, EntryId, HostId } from '@valvelatch/core/shared/ids';
 
-import type { Log, LogFields } from '../observe/log.js';
+import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
-import { ageText, createHostRoster } from './host-roster.js';
-import { batchKey } from './keys.js';
+import { createHostRoster } from './host-roster.js';
 import type { BatchPlatform } from './ports.js';
+import { createWaveKeeper, type KnownWave } from './wave-keeper.js';
 
-/** Pause between turns: a wave of 26 s over 15 hosts leaves no second idle. */
-const TURN_MS = 250;
-/** The list is read at least so often; while hosts change, at each turn. */
+/** Pause between cycles: a wave of 26 s over 15 hosts leaves no second idle. */
+const CYCLE_MS = 250;
+/** The list is read at least so often; while hosts change, at each cycle. */
 const LIST_EVERY_MS = 1000;
 const LIST_BUSY_MS = 400;
 /** The platform's list of hosts may lag. */
@@ -74,21 +70,11 @@
   readonly isComplete: (wave: UpkeepWave) => boolean;
 };
 
-/** `takenAtTodayMs` is by the time of day: entries share no other clock. */
-type WaveRow = { readonly done: readonly HostId[]; readonly takenAtTodayMs?: number };
-
-/** A wave as this entry learned of it. */
-export type KnownWave = {
-  readonly order: UpkeepOrder;
-  /** By this entry's monotonic clock. */
-  readonly seenAtMs: number;
-};
-
 /**
- * Builds the turn over hosts of one term.
+ * Builds the cycle over hosts of one term.
  *
  * @param options - The term.
- * @returns The turn.
+ * @returns The cycle.
  */
 export const createFleetCycle = ({
   self,
@@ -107,12 +93,7 @@
 }: FleetCycleOptions): FleetCycle => {
   const bornAtMs = nowMs();
   const orderer = { holder: self, fence };
-  const waves = new Map<number, UpkeepWave>();
-  const waiting = new Map<number, KnownWave>();
-  const reported = new Map<number, 'running' | 'completed'>();
-  const savedDone = new Map<number, number>();
   const movedAtMs = new Map<HostId, number>();
-  const toldReasons = new Map<HostId, string>();
   const unsettled = new Map<HostId, PoolMove>();
   let notedPoolsAtMs = -Infinity;
   /** Before the first order of this term, that of an earlier one may be as recent. */
@@ -134,7 +115,7 @@
 
   const isBusy = (): boolean =>
     Array.from(movedAtMs.values()).some((atMs) => nowMs() - atMs < MOVE_SETTLES_MS) ||
-    Array.from(waves.values()).some((wave) => !isComplete(wave));
+    waveKeeper.waves().some((wave) => !waveKeeper.isComplete(wave));
 
   const poolWorld = (): PoolWorld => ({
     state,
@@ -149,89 +130,14 @@
     downMs: platform.bounds().maintenanceMs + LIST_LAG_MS,
   });
 
+  const waveKeeper = createWaveKeeper({ platform, fenceCheck, sight, log, nowMs, todayMs });
+
   const world = (): UpkeepWorld => ({
     ...sight(),
     state,
     isShort: isAnyPoolShort(poolWorld()),
   });
 
-  const isComplete = (wave: UpkeepWave): boolean => isUpkeepComplete(sight(), wave);
-
-  /** When the wave was ordered: as this entry saw it, or earlier by the word of the first holder. */
-  const orderedAtMs = ({ order, seenAtMs }: KnownWave, row: WaveRow | undefined): number => {
-    if (row?.takenAtTodayMs === undefined) return seenAtMs;
-    // The time of day jumps on some hosts: what it says is believed within the wave's own time.
-    const ageMs = Math.max(0, Math.min(order.withinMs, todayMs() - row.takenAtTodayMs));
-    return Math.min(seenAtMs, nowMs() - ageMs);
-  };
-
-  const openWave = async (known: KnownWave): Promise<void> => {
-    const { order } = known;
-    const rows = await platform.table.read([batchKey.wave(order.waveNumber)]);
-    if (rows.isErr()) return;
-    const row = (rows.value[0]?.value ?? undefined) as WaveRow | undefined;
-    waiting.delete(order.waveNumber);
-    const wave = createUpkeepWave(order, row?.done ?? [], orderedAtMs(known, row));
-    waves.set(order.waveNumber, wave);
-    log.info('wave-taken', {
-      wave: order.waveNumber,
-      hosts: order.hosts.length,
-      maximum: order.maximum,
-      withinMs: order.withinMs,
-      done: row?.done.length ?? 0,
-      ageMs: Math.round(nowMs() - wave.seenAtMs),
-    });
-  };
-
-  /** On what a report rests: how many hosts are in which phase, and which list that was judged by. */
-  const groundsOf = ({ hosts: inWave }: UpkeepWave): LogFields => {
-    const { hosts: listed, listedAtMs } = roster.inventory();
-    const phases = Array.from(inWave.values(), ({ phase }) => phase);
-    const count = (wanted: UpkeepHost['phase']): number =>
-      phases.filter((phase) => phase === wanted).length;
-    return {
-      hosts: inWave.size,
-      done: count('done'),
-      down: count('down'),
-      asked: count('asked'),
-      refused: count('refused'),
-      unlisted: Array.from(inWave.keys()).filter((hostId) => !listed.has(hostId)).length,
-      listed: listed.size,
-      listAgeMs: ageText(nowMs() - listedAtMs),
-    };
-  };
-
-  const report = async (wave: UpkeepWave): Promise<void> => {
-    const { waveNumber } = wave.order;
-    const now = isComplete(wave) ? 'completed' : 'running';
-    const done = Array.from(wave.hosts)
-      .filter(([, { phase }]) => phase === 'done' || phase === 'down')
-      .map(([hostId]) => hostId);
-    const isSaved = await saveDone(wave, done);
-    if (reported.get(waveNumber) === now || (now === 'completed' && !isSaved)) return;
-    const answer = await platform.hosts.reportWave(waveNumber, now);
-    if (answer.isOk()) reported.set(waveNumber, now);
-    log.info('wave-reported', {
-      wave: waveNumber,
-      state: now,
-      isWritten: answer.isOk(),
-      ...groundsOf(wave),
-    });
-  };
-
-  const saveDone = async (wave: UpkeepWave, done: readonly HostId[]): Promise<boolean> => {
-    const { waveNumber } = wave.order;
-    if (savedDone.get(waveNumber) === done.length) return true;
-    const row: WaveRow = { done, takenAtTodayMs: todayMs() - (nowMs() - wave.seenAtMs) };
-    const outcome = await platform.table.transact({
-      checks: [fenceCheck],
-      writes: [{ key: batchKey.wave(waveNumber), value: row }],
-    });
-    const isSaved = outcome.isOk() && outcome.value.kind === 'committed';
-    if (isSaved) savedDone.set(waveNumber, done.length);
-    return isSaved;
-  };
-
   const take = async ({ wave, hostId, reason }: UpkeepStep): Promise<void> => {
     const { waveNumber } = wave.order;
     lastOrderAtMs = nowMs();
@@ -255,18 +161,9 @@
     if (endpoint && (outcome === 'busy' || outcome === 'refused')) endpoint.isClosing = false;
   };
 
-  /** Tells what a host waits for, once for each reason. */
-  const noteReasons = ({ order, hosts: inWave }: UpkeepWave): void => {
-    inWave.forEach(({ reason }, hostId) => {
-      if (toldReasons.get(hostId) === reason) return;
-      toldReasons.set(hostId, reason);
-      if (reason !== '') log.info('host-waits', { wave: order.waveNumber, host: hostId, reason });
-    });
-  };
-
   /** Hosts of waves that are not through: a move would only delay them. */
   const busyHosts = (): ReadonlySet<HostId> => {
-    const inWaves = Array.from(waves.values()).flatMap((wave) =>
+    const inWaves = waveKeeper.waves().flatMap((wave) =>
       Array.from(wave.hosts)
         .filter(([, { phase }]) => phase === 'closing' || phase === 'asked' || phase === 'down')
         .map(([hostId]) => hostId),
@@ -313,32 +210,23 @@
     observePeaks(poolWorld()).forEach((pool) => log.info('peak-begun', { pool }));
     if (!mayOrder() || nowMs() - bornAtMs < orderAfterMs) return;
     Object.assign(state, { clockMs: nowMs() });
-    const steps = Array.from(waves.values()).flatMap((wave) => planUpkeep(world(), wave, nowMs()));
-    Array.from(waves.values()).forEach(noteReasons);
+    const steps = waveKeeper.waves().flatMap((wave) => planUpkeep(world(), wave, nowMs()));
+    waveKeeper.noteReasons();
     await Promise.all(steps.map(take));
     // An order to a host that was ordered so before is answered alike: the list shows what it did.
     if (steps.length > 0) await roster.refresh();
     if (mayOrder() && (await moveHosts())) await roster.refresh();
   };
 
-  const follow = async (): Promise<void> => {
-    await Promise.all(Array.from(waiting.values()).map(openWave));
-    await Promise.all(Array.from(waves.values()).map(report));
-  };
-
   return {
-    everyMs: TURN_MS,
+    everyMs: CYCLE_MS,
     run,
-    follow,
+    follow: waveKeeper.follow,
     refreshHosts: roster.refresh,
-    takeWaves: (known) =>
-      known.forEach((one) => {
-        const { waveNumber } = one.order;
-        if (!waves.has(waveNumber)) waiting.set(waveNumber, one);
-      }),
+    takeWaves: waveKeeper.take,
     idleMs: () => nowMs() - lastOrderAtMs,
     inventory: roster.inventory,
-    waves: () => Array.from(waves.values()),
-    isComplete,
+    waves: waveKeeper.waves,
+    isComplete: waveKeeper.isComplete,
   };
 };
