--- a/packages/core/src/batch/endpoints.ts
+++ b/packages/core/src/batch/endpoints.ts
@@ -15,7 +15,7 @@
 };
 
 /**
- * Takes in a sighting of an endpoint. Capacity and labels of one endpoint never change.
+ * Applies a sighting of an endpoint. Capacity and labels of one endpoint never change.
  *
  * @param state - All that is known, changed in place.
  * @param sighting - The endpoint.
--- a/packages/core/src/batch/job.ts
+++ b/packages/core/src/batch/job.ts
@@ -68,7 +68,7 @@
   readonly acceptedAtMs: number;
 };
 
-/** What a client is told about a job. */
+/** What a client sees of a job. */
 export type BatchPhase = 'pending' | 'running' | 'completed' | 'failed' | 'cancelled';
 
 /** The phases that never change again. */
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -1,4 +1,4 @@
-/** The life of a job: taken in, its steps opened one after the other, ended or cancelled. */
+/** The life of a job: admitted, its steps opened one after the other, ended or cancelled. */
 import type { JobId } from '../shared/ids.js';
 import { change } from '../shared/change.js';
 import {
--- a/packages/core/src/batch/relay-choice.ts
+++ b/packages/core/src/batch/relay-choice.ts
@@ -113,7 +113,7 @@
  * Builds the decision whether orders are carried by others. Once taken it stands: what the link would
  * carry without relays cannot be seen any more.
  *
- * @returns A function that takes in the use of the link and the time, and gives the decision.
+ * @returns A function of the use of the link and the time that gives the decision.
  */
 export const createRelayDecision = (): ((use: LinkUse, nowMs: number) => boolean) => {
   let isNeeded = false;
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -164,7 +164,7 @@
 };
 
 /**
- * Takes in what an endpoint answered. Ends come first: a run that has ended is not running.
+ * Applies what an endpoint answered. Ends come first: a run that has ended is not running.
  *
  * @param state - All that is known, changed in place.
  * @param endpointId - Who answered.
@@ -234,7 +234,7 @@
 export type StartOutcome = 'started' | 'rejected' | 'unknown';
 
 /**
- * Takes in the answer to an order to start.
+ * Applies the answer to an order to start.
  *
  * @param state - All that is known, changed in place.
  * @param endpointId - Where it was sent.
@@ -270,7 +270,7 @@
 };
 
 /**
- * Takes in that an endpoint answered an order to stop. The run is dropped once a later answer shows
+ * Applies that an endpoint answered an order to stop. The run is dropped once a later answer shows
  * that it is not there: it may have ended before, and then its end is listed.
  *
  * @param state - All that is known, changed in place.
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -145,7 +145,7 @@
   leaseEndsAtMs: number;
   idleSinceMs: number;
   readonly seenAtMs: number;
-  /** When the question was sent whose answer was taken in last. */
+  /** When the question was sent whose answer was applied last. */
   reportedAtMs: number;
   health: EndpointHealth;
 };
@@ -212,7 +212,7 @@
 /** All that a holder knows. */
 export type BatchState = {
   readonly fence: number;
-  /** The monotonic time of the event that is being taken in. */
+  /** The monotonic time of the event that is being applied. */
   clockMs: number;
   /**
    * Until then no other entry can have become the holder. Later another holder may have prolonged
--- a/packages/daemon/src/batch/configuration-keeper.ts
+++ b/packages/daemon/src/batch/configuration-keeper.ts
@@ -119,7 +119,7 @@
     });
   };
 
-  /** A table that turns an entry away does so nine times a second: the first and the last are told. */
+  /** A table that refuses an entry does so nine times a second: the first and the last are logged. */
   const noteFailure = (error: PlatformError): void => {
     metrics.count('operator_feed_failed');
     failures += 1;
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -42,7 +42,7 @@
 const EARLY_TAKE_MS = 2600;
 /**
  * For so long after a renewal no other entry can have taken the lease. Jobs that others wrote are
- * taken in only then, since those that a next holder accepted are its own to start; and a lease on
+ * admitted only then, since those that a next holder accepted are its own to start; and a lease on
  * an endpoint is believed to have ended only then, since a next holder may have prolonged it. Less
  * than `EARLY_TAKE_MS`, by more than clocks differ in it.
  */
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -78,7 +78,7 @@
   readonly mayOrder: () => boolean;
   /** Something changed: places may be found. */
   readonly poke: () => void;
-  /** Ends were taken in and are to be written. */
+  /** Ends were applied and are to be written. */
   readonly wantSave: () => void;
   readonly onFenceLost: () => void;
   /** The address belongs to another endpoint now. */
@@ -87,7 +87,7 @@
 
 export type EndpointLink = {
   readonly target: OrderTarget;
-  /** The highest end that was taken in. */
+  /** The highest end that was applied. */
   readonly takenNumber: () => number;
   /** Tells that ends up to this number are written. */
   readonly acknowledge: (number: number) => void;
--- a/packages/daemon/src/batch/endpoint-roster.ts
+++ b/packages/daemon/src/batch/endpoint-roster.ts
@@ -23,11 +23,11 @@
   /** Reads who is there, for recovery; undefined without an answer. */
   readonly read: () => Promise<EndpointNews | undefined>;
   readonly take: (news: EndpointNews) => void;
-  /** Reads and takes in what has changed. */
+  /** Reads and applies what has changed. */
   readonly follow: () => Promise<void>;
   readonly drop: (endpointId: EndpointId, reason: string) => void;
   readonly perform: (effect: Extract<BatchEffect, { kind: 'start' | 'stop' | 'pace' }>) => void;
-  /** Marks the ends taken in so far; the answer acknowledges them. */
+  /** Marks the ends applied so far; the answer acknowledges them. */
   readonly mark: () => () => void;
   readonly close: () => void;
 };
@@ -105,7 +105,7 @@
       })
       .forEach(({ endpointId }) => {
         drop(endpointId, 'no longer listed');
-        // It may only have been silent: it is taken in again if it is listed again.
+        // It may only have been silent: it is added again if it is listed again.
         goneForGood.delete(endpointId);
       });
   };
--- a/packages/daemon/src/batch/intake.ts
+++ b/packages/daemon/src/batch/intake.ts
@@ -62,7 +62,7 @@
   /** Has the holder write a job and begin it; undefined if it cannot be asked. */
   readonly accept: (row: BatchJobRow) => Promise<AcceptOutcome | undefined>;
   /**
-   * Tells the holder of a row that was written here: its own reading of rows may be turned away
+   * Tells the holder of a row that was written here: its own reading of rows may be refused
    * while it is heard, and it would count and start the job only after that.
    */
   readonly tellTaken: (row: BatchJobRow, version: number) => void;
--- a/packages/daemon/src/batch/job-rows.ts
+++ b/packages/daemon/src/batch/job-rows.ts
@@ -53,7 +53,7 @@
   readonly restore: (readings: readonly JobReading[]) => void;
   /** Takes in an accepted job. */
   readonly takeIn: (row: LiveRow, version: number) => void;
-  /** Reads and takes in what other entries wrote. */
+  /** Reads and applies what other entries wrote. */
   readonly follow: () => Promise<void>;
 };
 
@@ -138,7 +138,7 @@
 
   return {
     read: async (until) => {
-      // Each by itself: what one feed has told is not told again when the other must be repeated.
+      // Each by itself: a feed does not repeat its answer when the other one must be read again.
       const [jobs, progress] = await Promise.all([
         until(() => readFeed(jobFeed)),
         until(() => readFeed(progressFeed)),
@@ -155,7 +155,7 @@
     },
     takeIn,
     follow: async () => {
-      // What is read now is taken in only if the term is still the last one after the answer.
+      // What is read now is applied only if the term is still the last one after the answer.
       if (!isSoleHolder()) return;
       const rows = await jobFeed.next(0);
       if (rows.isErr()) {
--- a/packages/daemon/src/batch/job-saver.ts
+++ b/packages/daemon/src/batch/job-saver.ts
@@ -26,12 +26,12 @@
 const ACCEPT_MS = 3;
 /**
  * A transaction that is under way for so long, or failures for as long, show that the table is away:
- * what was not sent yet is turned away at once. A slow table takes up to 0.9 s.
+ * what was not sent yet is refused at once. A slow table takes up to 0.9 s.
  */
 const AWAY_AFTER_MS = 1200;
 /** While the table is away one submission at a time is let through to try. */
 const TRY_EVERY_MS = 400;
-/** Above so many that wait, new ones are turned away: a slow table writes some 60 a second. */
+/** Above so many that wait, new ones are refused: a slow table writes some 60 a second. */
 const MOST_WAITING = 300;
 /** Pause between two transactions: ends that come meanwhile share the next one. */
 const SAVE_EVERY_MS = 40;
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -45,7 +45,7 @@
   readonly feed: (kind: string) => TableFeed;
 };
 
-/** How an answer of a feed came; told in logs and metrics. */
+/** How an answer of a feed came, for logs and metrics. */
 export type FeedReading = {
   readonly scope: FeedScope;
   /** How many rows of the answer a later row of the same answer replaces. */
--- a/packages/daemon/src/batch/relayed-table.ts
+++ b/packages/daemon/src/batch/relayed-table.ts
@@ -14,7 +14,7 @@
 import type { BatchTable } from './ports.js';
 
 /**
- * After a failure the neighbours are asked first for this time: an entry that is turned away in
+ * After a failure the neighbours are asked first for this time: an entry that is refused in
  * silence loses a time-out with each try, and a lease with a few of them.
  */
 const TURNED_MS = 1500;
@@ -30,7 +30,7 @@
 /** So many neighbours are asked before a call is given up. */
 const MOST_NEIGHBOURS = 3;
 /**
- * Neighbours that are turned away as well show that the table is overloaded or away for all: more
+ * Neighbours that are refused as well show that the table is overloaded or away for all: more
  * calls would only add to that. They are not asked for this time.
  */
 const ALL_AWAY_MS = 1000;
--- a/packages/daemon/src/batch/standing.ts
+++ b/packages/daemon/src/batch/standing.ts
@@ -92,7 +92,7 @@
  * Watches how long a lease has been seen free. Only looks that were answered count: after an outage
  * of the table all entries find the lease free at once, and the strong ones still go first.
  *
- * @returns A function that takes in one look and tells whether stronger entries have had their time.
+ * @returns A function that takes one look and says whether stronger entries have had their time.
  */
 export const createYielding = (): ((isFree: boolean, nowMs: number) => boolean) => {
   let freeSinceMs = Infinity;
--- a/packages/daemon/src/batch/submission.ts
+++ b/packages/daemon/src/batch/submission.ts
@@ -80,7 +80,7 @@
     if (attempt.isClosed() || nowMs() + PURSUE_PAUSE_MS >= untilMs) {
       return { kind: 'failed', detail: outcome.error.detail };
     }
-    // Entries that are turned away together must not come back together.
+    // Entries that are refused together must not come back together.
     await pause(PURSUE_PAUSE_MS * (1 + Math.random()));
     return write(transaction, attempt, untilMs);
   };
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -39,7 +39,7 @@
 import type { BatchPlatform } from './ports.js';
 
 const TICK_MS = 100;
-/** New jobs are told over the mesh; the feed finds what was lost there. */
+/** New jobs are announced over the mesh; the feed finds what was lost there. */
 const JOB_FEED_MS = 500;
 /** Each endpoint writes its entry every 1.5 s, so a waiting feed would wake all the time. */
 const ENDPOINT_FEED_MS = 400;
@@ -47,7 +47,7 @@
 const LEASE_SLACK = 1.05;
 const LEASE_MARGIN_MS = 500;
 const FEED_RETRY_MS = 300;
-/** A sweep takes 40 jobs: 57 a second, above the 50 that a fleet of 250 endpoints takes in. */
+/** A sweep takes 40 jobs: 57 a second, above the 50 that a fleet of 250 endpoints admits. */
 const SWEEP_MS = 700;
 /** A change of the holder costs the learning of so long; each writing is one call of the table. */
 const LEARNED_MS = 2000;
@@ -91,9 +91,9 @@
   /** The phase of a job; undefined if the holder cannot tell. */
   readonly phaseOf: (jobId: JobId) => BatchPhase | undefined;
   readonly waiting: () => ReadonlyMap<string, number> | undefined;
-  /** Writes and takes in a job; undefined if this entry cannot. */
+  /** Writes and admits a job; undefined if this entry cannot. */
   readonly accept: (row: LiveRow) => Promise<AcceptOutcome | undefined>;
-  /** Takes in a job whose row another entry wrote. */
+  /** Admits a job whose row another entry wrote. */
   readonly takeIn: (row: LiveRow, version: number) => void;
   readonly cancel: (jobId: JobId) => BatchPhase | undefined;
 };
@@ -395,7 +395,7 @@
   };
 };
 
-/** An end is told only once it is written: what nobody could find again is not told. */
+/** An end is reported only once it is written, so that any entry can find it again. */
 const savedPhase = (job: JobState | undefined): BatchPhase | undefined => {
   if (!job) return undefined;
   if (job.phase === 'completed' || job.phase === 'failed') return 'running';
--- a/packages/daemon/src/batch/wave-keeper.ts
+++ b/packages/daemon/src/batch/wave-keeper.ts
@@ -1,4 +1,4 @@
-/** The waves of a term: their rows, what the operator is told of them, and why hosts wait. */
+/** The waves of a term: their rows, reports to the operator, and why hosts wait. */
 import {
   createUpkeepWave,
   isUpkeepComplete,
