--- a/packages/core/src/batch/upkeep-progress.test.ts
+++ b/packages/core/src/batch/upkeep-progress.test.ts
@@ -74,7 +74,7 @@
     isCarriedOut: fc.boolean(),
   });
 
-  it('is complete only when each host that stays has gone down, and it gets there', () => {
+  it('is complete only when each host that stays has gone down and is back, and it gets there', () => {
     fc.assert(
       fc.property(
         fc.array(cycleOf, { maxLength: 60 }),
@@ -117,6 +117,8 @@
             if (!isUpkeepComplete(sight, wave)) return;
             const open = hostIds.filter((hostId) => isThere(hostId) && !downAtMs.has(hostId));
             expect(open).toEqual([]);
+            const stillDown = hostIds.filter((hostId) => isThere(hostId) && isDown(hostId, nowMs));
+            expect(stillDown).toEqual([]);
           };
 
           const calm = {
