A wave of the request path ends without a host after five minutes of silence; a set-up that repeats its first call

The recorded trace of a rack that is lost: its wave was to be done at 900 s and was still running. Cause: 15 minutes, and a host silent in its reboot never counted as gone; three hosts of the rack were in theirs. A set-up of claims.test.ts: the first call of 'apply' was answered 'unavailable', 'aborted due to timeout' (2 s to the table). The entry's answer is true; the set-up took it for the end. It is repeated now; any other answer ends the set-up as before.

--- a/packages/core/src/control/waves.ts
+++ b/packages/core/src/control/waves.ts
@@ -13,7 +13,6 @@
 import { rowKey, type HostRow, type WaveRow } from '../rows/rows.js';
 import { countBy } from '../shared/group-by.js';
 import type { HostId, WaveId } from '../shared/ids.js';
-import { REBOOT_TIMEOUT_MS } from './hosts.js';
 import { withhold, writeHost, writePlacement, writeWave, type Draft } from './draft.js';
 import {
   executorsOn,
@@ -142,10 +141,11 @@
 };
 
 /**
- * A host that the platform has not seen for so long does not hold up its wave: as long as one may take
- * to reboot. The list lags, and a host that is silent for a moment comes back.
+ * A host that the platform has not seen for so long does not hold up its wave. The list lags by seconds,
+ * and a host that reboots, by itself or for the wave, is silent for some 2 minutes: twice that, and a
+ * minute. A rack that is lost with three hosts in their reboot must not keep a wave from its end.
  */
-const GONE_AFTER_MS = REBOOT_TIMEOUT_MS;
+const GONE_AFTER_MS = 5 * 60 * 1000;
 
 /** For how long the platform has not seen a host; 0 while it does. */
 const silentForMs = ({ world, nowMs }: Draft, hostId: HostId): number => {
@@ -154,23 +154,16 @@
 };
 
 /** Tells whether a host will not be maintained by its wave: it is gone, or not declared any more. */
-const hasLeft = (
-  draft: Draft,
-  { revision = 0 }: WaveRow,
-  waveId: WaveId,
-  hostId: HostId,
-): boolean => {
+const hasLeft = (draft: Draft, { revision = 0 }: WaveRow, hostId: HostId): boolean => {
   const host = draft.hosts.get(hostId);
   // A configuration from before the wave may not declare its hosts yet.
   if (!host) return draft.world.configuration.revision >= revision;
-  // One that reboots is silent meanwhile; if it stays so, the wave is paused for it.
-  return !isUnderWay(host.row, waveId) && silentForMs(draft, hostId) >= GONE_AFTER_MS;
+  return silentForMs(draft, hostId) >= GONE_AFTER_MS;
 };
 
 const isFinished = (draft: Draft, row: WaveRow, waveId: WaveId): boolean =>
   row.hosts.every(
-    (hostId) =>
-      draft.hosts.get(hostId)?.row.maintainedBy === waveId || hasLeft(draft, row, waveId, hostId),
+    (hostId) => draft.hosts.get(hostId)?.row.maintainedBy === waveId || hasLeft(draft, row, hostId),
   );
 
 /** Says of hosts that cannot be taken down how long they have been silent. */
--- a/packages/daemon/src/testing/deployment.fixtures.ts
+++ b/packages/daemon/src/testing/deployment.fixtures.ts
@@ -170,11 +170,16 @@
     await addEntry(name, `${name}-entry-${seat}`);
   }
   const [first] = entries as [TestEntry];
-  const applied = await operate(first, 'apply', {
-    files: [{ file: 'all.yaml', text: declarations }],
-    waitMs: 5000,
+  // Beside much other work the first call may miss the time-out of 2 s to the table; it can be repeated.
+  await waitUntil('the declarations to be applied', async () => {
+    const applied = await operate(first, 'apply', {
+      files: [{ file: 'all.yaml', text: declarations }],
+      waitMs: 5000,
+    });
+    if (applied.kind === 'unavailable') return false;
+    if (applied.kind !== 'ok') throw new Error(JSON.stringify(applied));
+    return true;
   });
-  if (applied.kind !== 'ok') throw new Error(JSON.stringify(applied));
 
   type EntryStatus = { seat: number | null; endpoints: { routing?: number } };
   await waitUntil('endpoints at every entry', async () => {
