Tests, failing: a replaced holder starts again what was done, because an endpoint is gone

The order of events of the incident in virtual time, by hand and drawn: the holder cut off, the end noted by the next one on the other side, the endpoint gone, the list of hosts first. The same through an address that belongs to another, and for inherited tasks. The simulated hosts can be cut off apart from the table, and an address can belong to another endpoint.

--- /dev/null
+++ b/packages/daemon/src/batch/replaced-holder.test.ts
@@ -0,0 +1,200 @@
+/**
+ * What a holder may conclude once another entry may have replaced it, in virtual time.
+ *
+ * The failure: a task that had been done was started once more and stopped 2 s later; a dispatch went
+ * out twice. The order of events: a data centre is cut off, with the holder in it, while a task runs on
+ * an endpoint on the other side. Another entry takes control, hears that the task is done and
+ * acknowledges the end; then it has the endpoint's host moved. As the cut ends, the first holder, whose
+ * own lease is not over, reads the list of hosts before anything tells it that it was replaced. The
+ * endpoint is gone, so its runs count as lost, and the task is started again in the holder's own data
+ * centre.
+ *
+ * The cause: that an endpoint is gone shows that its runs no longer run, and not that none of them is
+ * done. Only the holder to which they reported knows that, and another may be that by now.
+ *
+ * The evidence: both starts carried one fence, so one holder gave the run up; the end was acknowledged
+ * while the endpoint's lease lasted, which asks for another holder; and with the list's answer first
+ * the order of events below does the same each time.
+ */
+import fc from 'fast-check';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { EndpointModel } from '@valvelatch/core/batch';
+import type { JobId } from '@valvelatch/core/shared/ids';
+
+import type { SimEntry, SimFleet } from './testing/sim-fleet.fixtures.js';
+import { advance, FAKED, holderOf, phaseOf, started } from './testing/virtual-time.fixtures.js';
+
+/** A call that was sent during a cut is given up, and another is sent, within this time. */
+const CALL_MS = 1300;
+
+const MORE_WORK_MS = 700;
+
+type Split = {
+  readonly fleet: SimFleet;
+  readonly job: JobId;
+  readonly first: SimEntry;
+  /** Where the task runs: on the side of the other entries. */
+  readonly far: EndpointModel;
+};
+
+const endpointOf = (fleet: SimFleet, jobId: JobId): EndpointModel => {
+  const found = Array.from(fleet.endpoints.values()).find(({ runs }) =>
+    Array.from(runs.keys()).some((key) => key.startsWith(jobId)),
+  );
+  if (!found) throw new Error(`nothing of ${jobId} runs`);
+  return found;
+};
+
+/** Cuts an entry off with one endpoint of each pool; all else is on the side of the others. */
+const cutOff = (fleet: SimFleet, entry: SimEntry, far: EndpointModel): void => {
+  Object.assign(entry, { isCutFromTable: true, isCutFromHosts: true, isSilent: true });
+  fleet.endpoints.forEach(({ endpointId, pool }) => {
+    const isFar = pool !== far.pool || endpointId === far.endpointId;
+    fleet.entries
+      .filter((one) => (one === entry) === isFar)
+      .forEach(({ cutFrom }) => cutFrom.add(endpointId));
+  });
+};
+
+const healTable = (entry: SimEntry): void => {
+  Object.assign(entry, { isCutFromTable: false, isSilent: false });
+};
+
+const healEndpoints = (fleet: SimFleet): void => {
+  fleet.entries.forEach(({ cutFrom }) => cutFrom.clear());
+};
+
+/** The next holder gives the endpoint other work: with its next question the end is acknowledged. */
+const passTime = async (fleet: SimFleet, ms: number): Promise<void> => {
+  await advance(ms - MORE_WORK_MS);
+  fleet.submit({ pool: 'alpha', steps: [{}], runMs: 200 });
+  await advance(MORE_WORK_MS);
+};
+
+/** A task begins, and its holder is cut off from where it runs before it is done. */
+const split = async ({ runMs = 1500, cutAfterMs = 500 } = {}): Promise<Split> => {
+  const fleet = await started({ hostsPerPool: 2 });
+  const job = fleet.submit({ pool: 'alpha', steps: [{}], runMs });
+  await advance(700);
+  const first = holderOf(fleet);
+  const far = endpointOf(fleet, job);
+  await advance(cutAfterMs);
+  cutOff(fleet, first, far);
+  return { fleet, job, first, far };
+};
+
+describe('a holder that was replaced and does not know it', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: [...FAKED] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  const expectDoneOnce = async ({ fleet, job, first }: Split): Promise<void> => {
+    await advance(CALL_MS);
+    healTable(first);
+    healEndpoints(fleet);
+    await advance(20_000);
+    expect(fleet.broken).toEqual([]);
+    expect(phaseOf(fleet, job)).toBe('completed');
+  };
+
+  it('starts nothing again because the list of hosts shows another life of a host', async () => {
+    const play = await split();
+    await passTime(play.fleet, 4000);
+    play.fleet.crash(play.far.endpointId);
+    await advance(300);
+    play.first.isCutFromHosts = false;
+    await expectDoneOnce(play);
+  });
+
+  it('starts nothing again because another endpoint has the address', async () => {
+    const play = await split();
+    await passTime(play.fleet, 4000);
+    play.fleet.crash(play.far.endpointId);
+    play.fleet.faults.reused.add(play.far.endpointId);
+    await advance(300);
+    play.first.cutFrom.delete(play.far.endpointId);
+    await expectDoneOnce(play);
+  });
+
+  it('starts nothing that it inherited because the endpoints that it never heard are gone', async () => {
+    const { fleet, job, first, far } = await split();
+    fleet.kill(first);
+    const others = Array.from(fleet.entries);
+    // The second holder reaches the table and never the far endpoint; the third one does.
+    others.forEach(({ cutFrom }) => cutFrom.clear());
+    await advance(10);
+    others.forEach(({ cutFrom }) => cutFrom.add(far.endpointId));
+    while (!fleet.holder()) await advance(100);
+    const second = holderOf(fleet);
+    await advance(600);
+    others.filter((one) => one !== second).forEach(({ cutFrom }) => cutFrom.clear());
+    cutOff(fleet, second, far);
+    await passTime(fleet, 4000);
+    fleet.crash(far.endpointId);
+    await advance(300);
+    second.isCutFromHosts = false;
+    await expectDoneOnce({ fleet, job, first: second, far });
+  });
+
+  it('starts nothing again in whatever order the cut ends for what it reaches', async () => {
+    const delayMs = fc.integer({ min: 0, max: 1500 });
+    await fc.assert(
+      fc.asyncProperty(
+        fc.record({
+          runMs: fc.integer({ min: 700, max: 6000 }),
+          cutAfterMs: fc.integer({ min: 0, max: 1800 }),
+          goneAfterMs: fc.integer({ min: 2000, max: 7500 }),
+          healAfterMs: fc.integer({ min: 3000, max: 8500 }),
+          isReused: fc.boolean(),
+          hostsMs: delayMs,
+          tableMs: delayMs,
+          farMs: delayMs,
+        }),
+        async ({ runMs, cutAfterMs, goneAfterMs, healAfterMs, isReused, ...heal }) => {
+          vi.useRealTimers();
+          vi.useFakeTimers({ toFake: [...FAKED] });
+          const { fleet, job, first, far } = await split({ runMs, cutAfterMs });
+          setTimeout(
+            () => fleet.submit({ pool: 'alpha', steps: [{}], runMs: 200 }),
+            goneAfterMs - MORE_WORK_MS,
+          );
+          setTimeout(() => {
+            fleet.crash(far.endpointId);
+            if (isReused) fleet.faults.reused.add(far.endpointId);
+          }, goneAfterMs);
+          setTimeout(
+            () => Object.assign(first, { isCutFromHosts: false }),
+            healAfterMs + heal.hostsMs,
+          );
+          setTimeout(() => healTable(first), healAfterMs + heal.tableMs);
+          setTimeout(() => healEndpoints(fleet), healAfterMs + heal.farMs);
+          await advance(40_000);
+          expect(fleet.broken).toEqual([]);
+          expect(phaseOf(fleet, job)).toBe('completed');
+        },
+      ),
+      {
+        numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 25),
+        // Found once in 60 drawn orders: the list of hosts answers 173 ms before the table.
+        examples: [
+          [
+            {
+              runMs: 1554,
+              cutAfterMs: 901,
+              goneAfterMs: 3689,
+              healAfterMs: 4657,
+              isReused: false,
+              hostsMs: 0,
+              tableMs: 173,
+              farMs: 386,
+            },
+          ],
+        ],
+      },
+    );
+  }, 120_000);
+});
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -71,6 +71,8 @@
   isDead: boolean;
   isFrozen: boolean;
   isCutFromTable: boolean;
+  /** Whether it is cut from the list of hosts and from orders to them; as from the table if left out. */
+  isCutFromHosts?: boolean;
   /** The mesh between it and the other entries is cut. */
   isSilent: boolean;
   /** Endpoints that it cannot reach. */
@@ -135,11 +137,14 @@
 
   const sizeOf = (value: unknown): number => FRAME_BYTES + (JSON.stringify(value) ?? '').length;
 
-  const toTable = async <Value>(call: () => Value): Promise<Result<Value, PlatformError>> => {
+  const toService = async <Value>(
+    isCut: () => boolean,
+    call: () => Value,
+  ): Promise<Result<Value, PlatformError>> => {
     await awake();
     await carry('out', FRAME_BYTES);
     await sleep(STORE_MS);
-    if (entry.isCutFromTable || faults.isTableDown) {
+    if (isCut() || faults.isTableDown) {
       await sleep(CALL_TIMEOUT_MS);
       await awake();
       return Err({ kind: 'unknown', detail: 'no answer' });
@@ -157,7 +162,18 @@
     return isLost ? Err({ kind: 'unknown', detail: 'no answer' }) : Ok(value);
   };
 
+  const toTable = <Value>(call: () => Value): Promise<Result<Value, PlatformError>> =>
+    toService(() => entry.isCutFromTable, call);
+
+  const toHosts = <Value>(call: () => Value): Promise<Result<Value, PlatformError>> =>
+    toService(() => entry.isCutFromHosts ?? entry.isCutFromTable, call);
+
   const noAnswer: OrderError = { verdict: 'mayHaveRun', reason: 'no-answer', detail: 'silence' };
+  const otherEndpoint: OrderError = {
+    verdict: 'notRun',
+    reason: 'other-endpoint',
+    detail: 'another endpoint has this address',
+  };
 
   const callEndpoint = async <Value>(
     endpointId: EndpointId,
@@ -175,6 +191,9 @@
     // A connection that was reset delivers nothing.
     if (isGivenUp()) return Err(noAnswer);
     const endpoint = endpoints.get(endpointId);
+    if (!endpoint?.isUp() && !cutFrom.has(endpointId) && faults.reused.has(endpointId)) {
+      return Err(otherEndpoint);
+    }
     if (!endpoint?.isUp() || cutFrom.has(endpointId)) {
       await sleep(timeoutMs);
       await awake();
@@ -270,7 +289,7 @@
   ) => {
     await sleep(faults.hostOrderMs);
     const sentAtMs = performance.now();
-    const result = await toTable(() => {
+    const result = await toHosts(() => {
       const host = hosts.get(hostId);
       if (!host || isRefused(hostId)) return 'refused' as const;
       if (isDone(host)) return 'done' as const;
@@ -314,7 +333,7 @@
         await awake();
         if (faults.hostListMs > 0) await sleep(faults.hostListMs);
         if (faults.isHostListDown) return Err({ kind: 'unknown', detail: 'no answer' });
-        return toTable(() =>
+        return toHosts(() =>
           Array.from(hosts.values()).filter(({ hostId }) => !faults.leftOut.has(hostId)),
         );
       },
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -72,6 +72,8 @@
   isHostListDown: boolean;
   /** How long the list of hosts takes to answer. */
   hostListMs: number;
+  /** Endpoints that are gone and whose address belongs to another. */
+  readonly reused: Set<EndpointId>;
   /** Hosts that the list leaves out although they stay. */
   readonly leftOut: Set<HostId>;
   /** Hosts whose orders for maintenance are refused. */
@@ -110,6 +112,7 @@
     answerMs: 0,
     isHostListDown: false,
     hostListMs: 0,
+    reused: new Set(),
     leftOut: new Set(),
     refused: new Set(),
   };
