A holder that may have been replaced gives up no run because its endpoint is gone

Cause: that an endpoint is gone (the list of hosts names another life, or another endpoint answers at its address) was taken for the end of its runs, and their tasks were started again at once. How they had ended was not known: after 2.6 s of silence another entry may be the holder, hear that a run is done, acknowledge it, and have the host moved. A lease that is over was believed only while no other entry can be the holder; a death was not. The same let inherited tasks begin, since an endpoint that was never heard and is gone no longer held them back. Ruled out as the mend: waiting for the first answer of the table or of an endpoint after a cut (the order of the three answers decides, and each may be late); refusing all starts once not sure (an entry that is cut off serves its own data centre for 8 s, and that is safe for tasks whose runs it has heard of). Change: one question, isSoleHolder, before anything is concluded from what was not heard: leases that are over, endpoints that are gone, inherited tasks. An endpoint that is gone leaves the endpoints at once; what ran there is given up at the next cycle in which this holder is surely the only one, and dropped with the term otherwise.

--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -7,6 +7,7 @@
 export * from './endpoint-model.js';
 export * from './endpoints.js';
 export * from './feed-scope.js';
+export * from './gone-endpoints.js';
 export * from './health.js';
 export * from './host-inventory.js';
 export * from './hosts.js';
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -238,34 +238,6 @@
   dropRun(state, { endpoint, run, evidence, nowMs, settle });
 };
 
-/** What shows that an endpoint is gone. */
-export type EndpointEnd = {
-  /** In a word, as `detail` of the evidence. */
-  readonly detail: string;
-  readonly atMs: number;
-  readonly nowMs: number;
-};
-
-/**
- * Takes an endpoint for gone, with all that ran there.
- *
- * @param state - All that is known, changed in place.
- * @param endpointId - The endpoint.
- * @param end - What shows it, and the time.
- */
-export const removeEndpoint = (
-  state: BatchState,
-  endpointId: EndpointId,
-  { detail, atMs, nowMs }: EndpointEnd,
-): void => {
-  const endpoint = state.endpoints.get(endpointId);
-  if (!endpoint) return;
-  const evidence: RunEvidence = { cause: 'endpoint-gone', atMs, detail };
-  endpoint.runs.forEach((run) => loseRun(state, { endpoint, run, evidence, nowMs }));
-  state.endpoints.delete(endpointId);
-  poolOf(state, endpoint.pool).notReported.delete(endpointId);
-};
-
 /** What became of an order to start a run. */
 export type StartOutcome = 'started' | 'rejected' | 'unknown';
 
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -6,6 +6,7 @@
 import { noteStartAgain } from './run-end.js';
 import { addRun, fitsIn, nextRunNumber } from './runs.js';
 import {
+  isSoleHolder,
   poolOf,
   type BatchState,
   type EndpointState,
@@ -205,13 +206,14 @@
  * list names: the list of endpoints loses some in an outage, and that of hosts may not have been read.
  */
 const isBlocked = (
-  { soleHolderUntilMs, inheritedLeasesEndAtMs, isHostListAwaited }: BatchState,
+  state: BatchState,
   { notReported }: PoolState,
   { job }: StepRun,
   nowMs: number,
 ): boolean => {
-  if (!job.isInherited || (notReported.size === 0 && !isHostListAwaited)) return false;
-  return nowMs < inheritedLeasesEndAtMs || nowMs >= soleHolderUntilMs;
+  const isAwaited = notReported.size > 0 || state.isHostListAwaited;
+  if (!job.isInherited || !isAwaited) return false;
+  return nowMs < state.inheritedLeasesEndAtMs || !isSoleHolder(state, nowMs);
 };
 
 /** Open steps of a pool in the order in which they get places. */
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -152,6 +152,15 @@
   health: EndpointHealth;
 };
 
+/** An endpoint whose life is over, until what ran there is given up. */
+export type GoneEndpoint = {
+  readonly endpoint: EndpointState;
+  /** What shows it, in a word. */
+  readonly detail: string;
+  /** When that held. */
+  readonly atMs: number;
+};
+
 /** Signs that an endpoint fails or hangs what it is given. */
 export type EndpointHealth = {
   /** Distinct jobs whose tasks failed here since the last task that was done. */
@@ -217,8 +226,8 @@
   /** The monotonic time of the event that is being applied. */
   clockMs: number;
   /**
-   * Until then no other entry can have become the holder. Later another holder may have prolonged
-   * leases on endpoints, so that none is believed to have ended.
+   * Until then no other entry can have become the holder. Later another may have prolonged leases on
+   * endpoints and heard how runs ended: nothing is concluded from what this one has not heard.
    */
   soleHolderUntilMs: number;
   /** When every lease granted by an earlier holder has surely ended. */
@@ -228,6 +237,7 @@
   readonly jobs: Map<JobId, JobState>;
   readonly pools: Map<PoolName, PoolState>;
   readonly endpoints: Map<EndpointId, EndpointState>;
+  readonly goneEndpoints: Map<EndpointId, GoneEndpoint>;
   readonly effects: BatchEffect[];
   /** How many more starts may be sent now: what the holder's link carries. */
   startsLeft: number;
@@ -252,6 +262,7 @@
   jobs: new Map(),
   pools: new Map(),
   endpoints: new Map(),
+  goneEndpoints: new Map(),
   effects: [],
   startsLeft: Infinity,
   runTimes: createRunTimes(),
@@ -259,6 +270,17 @@
   timed: new Set(),
 });
 
+/**
+ * Tells whether a run that was not heard to end may be given up and its task started again. A holder
+ * that may have been replaced must not: what it has not heard, the next one may have.
+ *
+ * @param state - All that is known.
+ * @param nowMs - The time.
+ * @returns True while no other entry can have become the holder.
+ */
+export const isSoleHolder = ({ soleHolderUntilMs }: BatchState, nowMs: number): boolean =>
+  nowMs < soleHolderUntilMs;
+
 /**
  * Gives the state of a pool.
  *
--- a/packages/core/src/batch/watch-runs.ts
+++ b/packages/core/src/batch/watch-runs.ts
@@ -4,7 +4,7 @@
 import { loseRun } from './reports.js';
 import type { RunEvidence } from './run-end.js';
 import { stopRun } from './runs.js';
-import type { BatchState, EndpointState, RunState } from './state.js';
+import { isSoleHolder, type BatchState, type EndpointState, type RunState } from './state.js';
 import { expectStepTime } from './step-times.js';
 
 /**
@@ -55,7 +55,7 @@
   state.endpoints.forEach((endpoint) => {
     if (endpoint.runs.size === 0) return;
     stopStill(state, endpoint, nowMs);
-    if (nowMs < endpoint.leaseEndsAtMs || nowMs >= state.soleHolderUntilMs) return;
+    if (nowMs < endpoint.leaseEndsAtMs || !isSoleHolder(state, nowMs)) return;
     const { endpointId, leaseEndsAtMs: atMs } = endpoint;
     lapsed.push({ endpointId, endedAtMs: atMs });
     const evidence: RunEvidence = { cause: 'lease-over', atMs, detail: 'not-extended' };
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -12,6 +12,7 @@
   createScheduleCycle,
   expectReports,
   paceFillers,
+  settleGoneEndpoints,
   soleForMs,
   takeEffects,
   watchRuns,
@@ -261,6 +262,7 @@
     }
     state.clockMs = nowMs();
     state.soleHolderUntilMs = soleHolderUntilMs();
+    settleGoneEndpoints(state, nowMs());
     schedulePools(window.left(), nowMs());
     perform();
   };
