A holder that may have been replaced begins nothing on an endpoint that came meanwhile

The next holder lets inherited tasks begin once the endpoints that were listed as it took over have answered under its fence. An endpoint that comes later has not seen that fence: the former holder, back from a cut, read it from the list before it learned of its replacement and began there a task that had waited for room, and that the next one had run and acknowledged. Ruled out: that the next holder waits for leases in any case (12.7 s for all inherited work after each takeover); that the former one starts nothing at all once not sure (its data centre is served for 8 s on). Change: an endpoint counts only if it was first seen before the end of the time in which no other entry can be the holder. The simulated list of endpoints can be away from one entry alone; the next holder's work acknowledges ends at all its endpoints.

--- a/packages/core/src/batch/gone-endpoints.test.ts
+++ b/packages/core/src/batch/gone-endpoints.test.ts
@@ -50,7 +50,7 @@
   acceptedAtMs: 0,
 };
 
-const see = (state: BatchState, endpointId: EndpointId): void => {
+const see = (state: BatchState, endpointId: EndpointId, nowMs = 0): void => {
   seeEndpoint(
     state,
     {
@@ -63,7 +63,7 @@
       capacity: { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 },
       isDraining: false,
     },
-    0,
+    nowMs,
   );
 };
 
@@ -164,3 +164,16 @@
     });
   });
 });
+
+describe('an endpoint that was first seen when another entry may be the holder', () => {
+  it('is used only once this holder is surely the only one again', () => {
+    const state = stateWith();
+    see(state, FIRST, SOLE_UNTIL_MS + 100);
+    answer(state, FIRST, SOLE_UNTIL_MS + 200);
+    cycle(state, SOLE_UNTIL_MS + 200);
+    expect(endpointsOf(state, taskOf(state))).toEqual([]);
+    state.soleHolderUntilMs = SOLE_UNTIL_MS + 3000;
+    cycle(state, SOLE_UNTIL_MS + 300);
+    expect(endpointsOf(state, taskOf(state))).toEqual([FIRST]);
+  });
+});
--- a/packages/core/src/batch/pool-needs.ts
+++ b/packages/core/src/batch/pool-needs.ts
@@ -87,7 +87,7 @@
     (host) => host.pool === name && host.state !== 'down',
   );
   const endpoints = Array.from(state.endpoints.values()).filter(
-    (endpoint) => endpoint.pool === name && isSound(endpoint, nowMs),
+    (endpoint) => endpoint.pool === name && isSound(state, endpoint, nowMs),
   );
   const coming = inPool.filter(
     ({ endpointId }) => !endpointId || !state.endpoints.get(endpointId)?.isKnown,
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -23,15 +23,25 @@
 /** A step that fitted nowhere is not tried again before this time, unless room came free. */
 const RETRY_MS = 25;
 
+/**
+ * Whoever has replaced this holder waits for the endpoints that were listed as it took over. One that
+ * came later would still take this holder's orders: nothing is begun there until this holder is sure
+ * again, or a task that waited here would run twice.
+ */
+const isKnownToNext = ({ seenAtMs }: EndpointState, { soleHolderUntilMs }: BatchState): boolean =>
+  seenAtMs < soleHolderUntilMs;
+
 /**
  * Tells whether an endpoint serves its pool: it has answered, stays, and is not withheld.
  *
+ * @param state - All that is known.
  * @param endpoint - The endpoint.
  * @param nowMs - The time.
  * @returns True if its room counts.
  */
-export const isSound = (endpoint: EndpointState, nowMs: number): boolean =>
+export const isSound = (state: BatchState, endpoint: EndpointState, nowMs: number): boolean =>
   endpoint.isKnown &&
+  isKnownToNext(endpoint, state) &&
   !endpoint.isDraining &&
   !endpoint.isClosing &&
   endpoint.withheldUntilMs <= nowMs;
@@ -50,7 +60,7 @@
   nowMs: number,
 ): readonly EndpointState[] =>
   Array.from(state.endpoints.values()).filter(
-    (endpoint) => endpoint.pool === pool && isSound(endpoint, nowMs),
+    (endpoint) => endpoint.pool === pool && isSound(state, endpoint, nowMs),
   );
 
 const hasLabel = ({ labels }: EndpointState, label: string): boolean =>
--- a/packages/daemon/src/batch/replaced-holder.test.ts
+++ b/packages/daemon/src/batch/replaced-holder.test.ts
@@ -64,10 +64,10 @@
   fleet.entries.forEach(({ cutFrom }) => cutFrom.clear());
 };
 
-/** The next holder gives the endpoint other work: with its next question the end is acknowledged. */
+/** The next holder gives its endpoints other work: with its next question ends are acknowledged. */
 const passTime = async (fleet: SimFleet, ms: number): Promise<void> => {
   await advance(ms - MORE_WORK_MS);
-  fleet.submit({ pool: 'alpha', steps: [{}], runMs: 200 });
+  fleet.submit({ pool: 'alpha', steps: [{ taskCount: 2, mostPerEndpoint: 1 }], runMs: 200 });
   await advance(MORE_WORK_MS);
 };
 
@@ -140,6 +140,37 @@
     await expectDoneOnce({ fleet, job, first: second, far });
   });
 
+  it('starts nothing that waited on an endpoint that came after it was replaced', async () => {
+    // The next holder waits for the endpoints that were listed as it took over, not for later ones.
+    const fleet = await started({ hostsPerPool: 3 });
+    const wholeHost = { cpuMillis: 8000 };
+    fleet.submit({ pool: 'alpha', steps: [{ ...wholeHost, taskCount: 3 }], runMs: 3000 });
+    await advance(600);
+    const job = fleet.submit({ pool: 'alpha', steps: [{}], runMs: 300 });
+    await advance(600);
+    const first = holderOf(fleet);
+    const [gone] = Array.from(fleet.endpoints.values());
+    if (!gone) throw new Error('there is no endpoint');
+    Object.assign(first, {
+      isCutFromTable: true,
+      isCutFromHosts: true,
+      isCutFromEndpointList: true,
+      isSilent: true,
+    });
+    fleet.endpoints.forEach(({ endpointId }) => first.cutFrom.add(endpointId));
+    await advance(1200);
+    fleet.crash(gone.endpointId);
+    await advance(2900);
+    const known = new Set(fleet.endpoints.keys());
+    while (fleet.endpoints.size === known.size) await advance(10);
+    const born = Array.from(fleet.endpoints.keys()).find((endpointId) => !known.has(endpointId));
+    if (!born) throw new Error('no endpoint was born');
+    fleet.entries.filter((one) => one !== first).forEach(({ cutFrom }) => cutFrom.add(born));
+    await passTime(fleet, 1000);
+    first.isCutFromEndpointList = false;
+    await expectDoneOnce({ fleet, job, first, far: gone });
+  });
+
   it('starts nothing again in whatever order the cut ends for what it reaches', async () => {
     const delayMs = fc.integer({ min: 0, max: 1500 });
     await fc.assert(
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -73,6 +73,8 @@
   isCutFromTable: boolean;
   /** Whether it is cut from the list of hosts and from orders to them; as from the table if left out. */
   isCutFromHosts?: boolean;
+  /** Whether the list of endpoints does not answer it; as the table if left out. */
+  isCutFromEndpointList?: boolean;
   /** The mesh between it and the other entries is cut. */
   isSilent: boolean;
   /** Endpoints that it cannot reach. */
@@ -165,6 +167,9 @@
   const toTable = <Value>(call: () => Value): Promise<Result<Value, PlatformError>> =>
     toService(() => entry.isCutFromTable, call);
 
+  const toEndpointList = <Value>(call: () => Value): Promise<Result<Value, PlatformError>> =>
+    toService(() => entry.isCutFromEndpointList ?? entry.isCutFromTable, call);
+
   const toHosts = <Value>(call: () => Value): Promise<Result<Value, PlatformError>> =>
     toService(() => entry.isCutFromHosts ?? entry.isCutFromTable, call);
 
@@ -259,7 +264,7 @@
     const told = new Set<EndpointId>();
     return {
       next: (): Promise<Result<EndpointNews, PlatformError>> =>
-        toTable(() => {
+        toEndpointList(() => {
           const live = Array.from(endpoints.values()).filter(isListed);
           const gone = Array.from(told).filter((id) => !live.some((one) => one.endpointId === id));
           gone.forEach((id) => told.delete(id));
