A list of ends that was cut short says nothing of the runs that it leaves out

An executor lists 500 ends at once; with more of them not acknowledged (the table away for 24 s at 21 ends a second of one endpoint) a run whose end is behind these is neither running nor listed, was given up, and its task started again after it had ended as done. Change: an answer says whether there are more ends; then no run is given up by it. The model of an endpoint lists 500 at once. Before: the unit test red. After: green.

--- a/packages/core/src/batch/endpoint-model.ts
+++ b/packages/core/src/batch/endpoint-model.ts
@@ -7,7 +7,7 @@
 import type { EndpointId, HostId, PoolName } from '../shared/ids.js';
 import type { TaskKey } from './job.js';
 import type { EndpointClock, ListOrder, OrderError, StartOrder, StopOrder } from './orders.js';
-import type { EndKind, EndReport, RunningReport } from './reports.js';
+import type { EndKind, EndpointReport, EndReport, RunningReport } from './reports.js';
 import type { Capacity } from './state.js';
 
 /** What a task needs, as the simulated endpoint is told by the simulated fleet. */
@@ -53,7 +53,7 @@
   readonly list: (
     order: ListOrder,
   ) => Promise<
-    Result<EndpointClock & { running: RunningReport[]; ended: EndReport[] }, OrderError>
+    Result<EndpointClock & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>, OrderError>
   >;
   readonly start: (order: StartOrder) => Result<EndpointClock, OrderError>;
   readonly stop: (order: StopOrder) => Result<EndpointClock, OrderError>;
@@ -65,6 +65,7 @@
 
 const STOP_MS = 300;
 const START_MS = 200;
+const ENDS_PER_ANSWER = 500;
 
 const refuse = (reason: OrderError['reason']): Err<OrderError> =>
   Err({ verdict: 'notRun', reason, detail: `the endpoint said ${reason}` });
@@ -77,6 +78,8 @@
   /** How fast its clock runs: 0.98 is 2 % slow. */
   readonly clockRate: number;
   readonly observer: EndpointObserver;
+  /** The most ends that it lists at once. */
+  readonly endsPerAnswer?: number;
 };
 
 /**
@@ -92,6 +95,7 @@
   capacity,
   clockRate,
   observer,
+  endsPerAnswer = ENDS_PER_ANSWER,
 }: EndpointModelOptions): EndpointModel => {
   const bornAtMs = performance.now();
   const runs = new Map<TaskKey, ModelRun>();
@@ -223,14 +227,15 @@
         waiters.add(wake);
       });
     }
-    const running = Array.from(runs.values(), (run) => ({
+    const running: readonly RunningReport[] = Array.from(runs.values(), (run) => ({
       task: run.task,
       run: run.run,
       checkpoint: '',
       percent: percentOf(run),
       figure: 0,
     }));
-    return Ok({ clockMs: clockMs(), running, ended: [...ends] });
+    const ended = ends.slice(0, endsPerAnswer);
+    return Ok({ clockMs: clockMs(), running, ended, hasMoreEnds: ended.length < ends.length });
   };
 
   const self: EndpointModel = {
--- a/packages/core/src/batch/gone-endpoints.test.ts
+++ b/packages/core/src/batch/gone-endpoints.test.ts
@@ -68,7 +68,13 @@
 };
 
 const answer = (state: BatchState, endpointId: EndpointId, nowMs: number): void =>
-  applyReport(state, endpointId, { running: [], ended: [], askedAtMs: nowMs - 1, nowMs });
+  applyReport(state, endpointId, {
+    running: [],
+    ended: [],
+    hasMoreEnds: false,
+    askedAtMs: nowMs - 1,
+    nowMs,
+  });
 
 const stateWith = ({ isInherited = false } = {}): BatchState => {
   const state = createBatchState(2);
--- a/packages/core/src/batch/reports.test.ts
+++ b/packages/core/src/batch/reports.test.ts
@@ -5,7 +5,7 @@
 import { seeEndpoint } from './endpoints.js';
 import { taskKey, type BatchJob, type StepSpec } from './job.js';
 import { takeInJob } from './jobs.js';
-import { applyReport, type EndReport } from './reports.js';
+import { applyReport, type EndReport, type RunningReport } from './reports.js';
 import { createBatchState, type BatchState } from './state.js';
 
 const step: StepSpec = {
@@ -66,16 +66,32 @@
   return state;
 };
 
+const TASK = taskKey(JOB, 0, 0, 0);
+
 const failed = (number: number, run: number): EndReport => ({
   number,
-  task: taskKey(JOB, 0, 0, 0),
+  task: TASK,
   run,
   kind: 'failed',
   checkpoint: '',
 });
 
+const running = (run: number): RunningReport => ({
+  task: TASK,
+  run,
+  checkpoint: '',
+  percent: 50,
+  figure: 0,
+});
+
 const report = (state: BatchState, name: string, ended: readonly EndReport[]): void =>
-  applyReport(state, brand<EndpointId>(name), { running: [], ended, askedAtMs: 1, nowMs: 2 });
+  applyReport(state, brand<EndpointId>(name), {
+    running: [],
+    ended,
+    hasMoreEnds: false,
+    askedAtMs: 1,
+    nowMs: 2,
+  });
 
 describe('reports of endpoints', () => {
   it('count each failed run once, in whatever order endpoints list them again', () => {
@@ -93,4 +109,25 @@
     report(state, 'first', [failed(1, 1001)]);
     expect(state.jobs.get(JOB)?.phase).not.toBe('failed');
   });
+
+  describe('that name neither the run nor its end', () => {
+    const answer = (hasMoreEnds: boolean) => {
+      const state = stateWith('first');
+      const endpointId = brand<EndpointId>('first');
+      const at = { ended: [], hasMoreEnds: false };
+      applyReport(state, endpointId, { ...at, running: [running(1001)], askedAtMs: 1, nowMs: 2 });
+      const later = { running: [], ended: [], hasMoreEnds, askedAtMs: 10, nowMs: 12 };
+      applyReport(state, endpointId, later);
+      return state.jobs.get(JOB)?.occurrences.get(0)?.steps[0]?.tasks[0]?.phase;
+    };
+
+    it('show that it is gone if they list all that has ended', () => {
+      expect(answer(false)).toBe('waiting');
+    });
+
+    it('show nothing if more has ended than they list', () => {
+      // While the table is away ends gather: 21 a second of tasks of 0.8 s on 32 cores.
+      expect(answer(true)).toBe('placed');
+    });
+  });
 });
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -46,6 +46,8 @@
 export type EndpointReport = {
   readonly running: readonly RunningReport[];
   readonly ended: readonly EndReport[];
+  /** The endpoint has more ends than it lists at once: a run that is not named may have ended. */
+  readonly hasMoreEnds: boolean;
   /** When the question was sent: runs that were started later may be missing from the answer. */
   readonly askedAtMs: number;
   readonly nowMs: number;
@@ -202,7 +204,7 @@
 export const applyReport = (
   state: BatchState,
   endpointId: EndpointId,
-  { running, ended, askedAtMs, nowMs }: EndpointReport,
+  { running, ended, hasMoreEnds, askedAtMs, nowMs }: EndpointReport,
 ): void => {
   const endpoint = state.endpoints.get(endpointId);
   if (!endpoint) return;
@@ -214,7 +216,7 @@
     if (run && run.run === report.run) updateRun(run, report, nowMs);
     else if (!run) applyUnknownRun(state, endpoint, report, nowMs);
   });
-  loseUnlisted(state, endpoint, listed, { askedAtMs, nowMs });
+  if (!hasMoreEnds) loseUnlisted(state, endpoint, listed, { askedAtMs, nowMs });
   endpoint.isKnown = true;
   endpoint.reportedAtMs = askedAtMs;
   poolOf(state, endpoint.pool).notReported.delete(endpointId);
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -325,13 +325,14 @@
     noteClock(answer.value);
     // Answers on different connections may pass each other: an older one tells nothing new.
     if (askedAtMs < (endpoint()?.reportedAtMs ?? 0)) return true;
-    const { running, ended } = answer.value;
+    const { running, ended, hasMoreEnds } = answer.value;
     const fresh = ended.filter(({ number }) => number > taken);
     fresh.forEach(({ number }) => {
       taken = Math.max(taken, number);
     });
     state.clockMs = nowMs();
-    applyReport(state, endpointId, { running, ended: fresh, askedAtMs, nowMs: nowMs() });
+    const report = { running, ended: fresh, hasMoreEnds, askedAtMs, nowMs: nowMs() };
+    applyReport(state, endpointId, report);
     if (taken > acknowledged) context.wantSave();
     context.poke();
     return true;
--- a/packages/daemon/src/batch/order-message.ts
+++ b/packages/daemon/src/batch/order-message.ts
@@ -26,7 +26,7 @@
 );
 
 /** What a list answers. */
-export type ListAnswer = EndpointClock & Pick<EndpointReport, 'running' | 'ended'>;
+export type ListAnswer = EndpointClock & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>;
 
 /** Each kind's letter and fields, in the order of the row. */
 const KIND = { list: 'l', start: 's', stop: 'x' } as const;
@@ -138,7 +138,7 @@
   }
   const { clockMs } = result.value;
   if (!('running' in result.value)) return [1, clockMs];
-  const { running, ended } = result.value;
+  const { running, ended, hasMoreEnds } = result.value;
   return [
     1,
     clockMs,
@@ -156,6 +156,7 @@
       SHORT[kind],
       checkpoint,
     ]),
+    hasMoreEnds,
   ];
 };
 
@@ -174,10 +175,11 @@
     const [isNotRun, reason, detail] = row as unknown as readonly [boolean, OrderRefusal, string];
     return Err({ verdict: isNotRun ? 'notRun' : 'mayHaveRun', reason, detail });
   }
-  const [clockMs, running = [], ended = []] = row as unknown as readonly [
+  const [clockMs, running = [], ended = [], hasMoreEnds = false] = row as unknown as readonly [
     number,
     (readonly RunRow[])?,
     (readonly EndRow[])?,
+    boolean?,
   ];
   return Ok({
     clockMs,
@@ -195,5 +197,6 @@
       kind: KINDS[kind] ?? 'failed',
       checkpoint,
     })),
+    hasMoreEnds,
   });
 };
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -93,7 +93,9 @@
     target: OrderTarget,
     order: ListOrder,
     timeoutMs: number,
-  ) => Promise<Result<EndpointClock & Pick<EndpointReport, 'running' | 'ended'>, OrderError>>;
+  ) => Promise<
+    Result<EndpointClock & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>, OrderError>
+  >;
   readonly start: (
     target: OrderTarget,
     order: StartOrder,
