--- /dev/null
+++ b/packages/daemon/src/batch/run-ends.test.ts
@@ -0,0 +1,117 @@
+/** What the log of a holder tells of runs that stop being known, and of tasks that it starts again. */
+import type { EndpointId } from '@valvelatch/core/shared/ids';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+import type { SimFleet } from './testing/sim-fleet.fixtures.js';
+import { advance, FAKED, holderOf, phaseOf, started } from './testing/virtual-time.fixtures.js';
+
+type Fields = Readonly<Record<string, string | number | undefined>>;
+
+const linesOf = (fleet: SimFleet, event: string): readonly Fields[] =>
+  fleet.logged.filter((line) => line.event === event).map(({ fields }) => fields as Fields);
+
+const ended = (fleet: SimFleet): readonly Fields[] => linesOf(fleet, 'run-ended');
+
+const nameOf = ({ task, run }: Fields): string => `${task}/${run}`;
+
+/** The endpoint with the most runs. */
+const busiest = (fleet: SimFleet): EndpointId => {
+  const [first] = Array.from(fleet.endpoints.values()).sort(
+    (one, other) => other.runs.size - one.runs.size,
+  );
+  if (!first || first.runs.size === 0) throw new Error('nothing runs');
+  return first.endpointId;
+};
+
+/** Nothing of the endpoint is heard any more, also not the answer to a question under way. */
+const silence = (fleet: SimFleet, endpointId: EndpointId): void =>
+  fleet.entries.forEach(({ cutFrom }) => cutFrom.add(endpointId));
+
+/** Two tasks that run on one endpoint for 30 s. */
+const running = async () => {
+  const fleet = await started();
+  fleet.submit({ pool: 'alpha', steps: [{ taskCount: 2 }], runMs: 30_000 });
+  await advance(1500);
+  return { fleet, endpointId: busiest(fleet) };
+};
+
+describe('the log of a holder', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: [...FAKED] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  it('has one line for each run of a calm day', async () => {
+    const fleet = await started();
+    const job = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 40 }] });
+    await advance(8000);
+    expect(phaseOf(fleet, job)).toBe('completed');
+    const lines = ended(fleet);
+    expect(new Set(lines.map(nameOf)).size).toBe(40);
+    expect(lines).toHaveLength(40);
+    lines.forEach((line) =>
+      expect(line).toMatchObject({ cause: 'reported', detail: 'done', next: 'done' }),
+    );
+  });
+
+  it('names the runs of an endpoint that the list of hosts shows as gone, by the age of the list', async () => {
+    const { fleet, endpointId } = await running();
+    fleet.faults.hostListMs = 300;
+    silence(fleet, endpointId);
+    fleet.crash(endpointId);
+    await advance(4000);
+    const gone = linesOf(fleet, 'endpoint-gone');
+    expect(gone).toMatchObject([{ endpoint: endpointId, runs: 2 }]);
+    const lines = ended(fleet);
+    expect(lines).toHaveLength(2);
+    lines.forEach((line) => {
+      expect(line).toMatchObject({ cause: 'endpoint-gone', detail: 'host-list', next: 'again' });
+      expect(line.evidenceAgeMs).toBeGreaterThanOrEqual(300);
+      expect(line.evidenceAgeMs).toBe(gone[0]?.evidenceAgeMs);
+      expect(line.soleForMs).toBe(gone[0]?.soleForMs);
+    });
+  });
+
+  it('tells which run a task had before it was started again', async () => {
+    const { fleet, endpointId } = await running();
+    fleet.crash(endpointId);
+    await advance(4000);
+    const again = linesOf(fleet, 'task-started-again');
+    const before = ended(fleet).map(nameOf);
+    expect(again.map(({ task, runBefore }) => `${task}/${runBefore}`)).toEqual(before);
+  });
+
+  it('names the runs of a silent endpoint, by the end of its lease', async () => {
+    const { fleet, endpointId } = await running();
+    silence(fleet, endpointId);
+    await advance(9000);
+    expect(linesOf(fleet, 'endpoint-lease-ended')).toMatchObject([{ endpoint: endpointId }]);
+    const lines = ended(fleet);
+    expect(lines).toHaveLength(2);
+    lines.forEach((line) => {
+      expect(line).toMatchObject({ endpoint: endpointId, cause: 'lease-over', next: 'again' });
+      expect(line.evidenceAgeMs).toBeGreaterThanOrEqual(0);
+      expect(line.evidenceAgeMs).toBeLessThanOrEqual(100);
+      expect(line.silentMs).toBeGreaterThan(6000);
+      expect(line.soleForMs).toBeGreaterThan(0);
+    });
+  });
+
+  it('names the runs of an endpoint whose death shows only after the end of the term', async () => {
+    const { fleet, endpointId } = await running();
+    fleet.faults.hostListMs = 300;
+    silence(fleet, endpointId);
+    fleet.crash(endpointId);
+    await advance(200);
+    const term = holderOf(fleet).control.term();
+    await term?.stop();
+    const toldBefore = ended(fleet).length;
+    await advance(400);
+    expect(toldBefore).toBe(0);
+    expect(linesOf(fleet, 'endpoint-gone')).toMatchObject([{ endpoint: endpointId, runs: 2 }]);
+    expect(ended(fleet)).toHaveLength(2);
+  });
+});
--- a/packages/daemon/src/observe/bounded-output.test.ts
+++ b/packages/daemon/src/observe/bounded-output.test.ts
@@ -1,4 +1,6 @@
 /** What is left of the log where its reader does not keep up. */
+import { createBatchState, noteRunEnd, seeEndpoint, takeEffects } from '@valvelatch/core/batch';
+import { brand } from '@valvelatch/core/shared/ids';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { createBoundedOutput, type WriteBytes } from './bounded-output.js';
@@ -71,4 +73,82 @@
       ]);
     });
   });
+
+  describe('with the ends of runs among other lines', () => {
+    const OTHERS = 5000;
+    /** Of a large fleet: 3,000 in a second, so 300 between two writings. */
+    const ENDS_A_WRITING = 300;
+
+    /** As long as they come: a run under the fence 999, of an endpoint that was never heard. */
+    const fieldsOfEnd = (index: number) => {
+      const state = createBatchState(999);
+      Object.assign(state, { soleHolderUntilMs: 0 });
+      const endpoint = seeEndpoint(
+        state,
+        {
+          endpointId: brand('i-0123456789'),
+          pool: brand('alpha'),
+          hostId: null,
+          address: '',
+          dataCentre: '',
+          labels: [],
+          capacity: { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 },
+          isDraining: false,
+        },
+        0,
+      );
+      noteRunEnd(state, {
+        endpoint,
+        task: brand(`0123456789abcdef.0.1.${index}`),
+        run: 999_001,
+        found: undefined,
+        startedAtMs: 0,
+        evidence: { cause: 'endpoint-gone', atMs: 89_000, detail: 'host-list' },
+        nowMs: 99_000,
+        settle: () => undefined,
+      });
+      return takeEffects(state).flatMap((one) => (one.kind === 'note' ? [one.fields] : []));
+    };
+
+    const play = async (mayWrite: boolean) => {
+      const { reader, writeBytes, linesOf } = createSlowReader();
+      Object.assign(reader, { isFull: !mayWrite });
+      const output = createBoundedOutput({ writeBytes });
+      const log = createLog({ common: { entry: 'edge-hall-mandvi-1' }, sink: output.line });
+      for (let writing = 0; writing < 10; writing += 1) {
+        for (let index = 0; index < OTHERS / 10; index += 1) {
+          const detail = `no job named ${index.toString(16).padStart(16, '0')} was accepted`;
+          log.info('request-refused', { method: 'GET', status: 410, verdict: 'notRun', detail });
+        }
+        if (mayWrite || writing === 0) {
+          for (let index = 0; index < ENDS_A_WRITING; index += 1) {
+            fieldsOfEnd(index).forEach((fields) => log.info('run-ended', fields));
+          }
+        }
+        await vi.advanceTimersByTimeAsync(110);
+      }
+      reader.isFull = false;
+      await vi.advanceTimersByTimeAsync(1000);
+      return linesOf;
+    };
+
+    it('drops none of them in a second with 3,000 of them and 5,000 others', async () => {
+      const linesOf = await play(true);
+      expect(linesOf('run-ended')).toHaveLength(ENDS_A_WRITING * 10);
+      expect(linesOf('log-lines-dropped')).toEqual([]);
+    });
+
+    it('drops none of 300 while the reader stands still for a second with 5,000 others', async () => {
+      const linesOf = await play(false);
+      expect(linesOf('run-ended')).toHaveLength(ENDS_A_WRITING);
+      expect(linesOf('log-lines-dropped')).toHaveLength(1);
+      expect(linesOf('log-lines-dropped')[0]).toContain(' of=request-refused ');
+    });
+
+    it('keeps a line of them under 260 characters', async () => {
+      const linesOf = await play(true);
+      const longest = Math.max(...linesOf('run-ended').map(({ length }) => length));
+      expect(longest).toBeLessThan(260);
+    });
+  });
 });
