--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -109,6 +109,23 @@
 
 type AnswerTimes = Pick<EndpointReport, 'askedAtMs' | 'nowMs'>;
 
+/** Tells whether an endpoint lists an end for the first time: one that is listed anew repeats its ends. */
+const isNewEnd = (
+  { lastEnds }: BatchState,
+  { endpointId }: EndpointState,
+  { number }: EndReport,
+): boolean => number > (lastEnds.get(endpointId) ?? 0);
+
+const noteEndNumbers = (
+  { lastEnds }: BatchState,
+  { endpointId }: EndpointState,
+  ended: readonly EndReport[],
+): void => {
+  if (ended.length === 0) return;
+  const numbers = ended.map(({ number }) => number);
+  lastEnds.set(endpointId, Math.max(lastEnds.get(endpointId) ?? 0, ...numbers));
+};
+
 const applyEnd = (
   state: BatchState,
   endpoint: EndpointState,
@@ -129,6 +146,7 @@
     dropRun(state, { endpoint, run: known, evidence, nowMs, settle });
     return;
   }
+  if (!found && !isNewEnd(state, endpoint, end)) return;
   const settle = (): void => settleAfter(0);
   const startedAtMs = undefined;
   noteRunEnd(state, { endpoint, task, run, found, startedAtMs, evidence, nowMs, settle });
@@ -207,6 +225,7 @@
   const endpoint = state.endpoints.get(endpointId);
   if (!endpoint) return;
   ended.forEach((end) => applyEnd(state, endpoint, end, { askedAtMs, nowMs }));
+  noteEndNumbers(state, endpoint, ended);
   const listed = new Set<TaskKey>();
   running.forEach((report) => {
     listed.add(report.task);
--- a/packages/core/src/batch/run-end.test.ts
+++ b/packages/core/src/batch/run-end.test.ts
@@ -201,6 +201,16 @@
       { task: TASK, run: 1001, silentMs: 'never', isKnown: false, next: 'none' },
     ]);
   });
+
+  it('is told once where its job is not known, though the endpoint is forgotten and lists it again', () => {
+    const state = createBatchState(2);
+    see(state, FIRST);
+    answer(state, { ended: [endOf(1001, 'stopped')], askedAtMs: 40, nowMs: 50 });
+    removeEndpoint(state, FIRST, { detail: 'unlisted', atMs: 60, nowMs: 60 });
+    see(state, FIRST);
+    answer(state, { ended: [endOf(1001, 'stopped')], askedAtMs: 70, nowMs: 80 });
+    expect(ended(state)).toHaveLength(1);
+  });
 });
 
 describe('a run that its endpoint lists no longer', () => {
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -228,6 +228,8 @@
   readonly jobs: Map<JobId, JobState>;
   readonly pools: Map<PoolName, PoolState>;
   readonly endpoints: Map<EndpointId, EndpointState>;
+  /** The highest end that each endpoint has listed, also of those that were forgotten meanwhile. */
+  readonly lastEnds: Map<EndpointId, number>;
   readonly effects: BatchEffect[];
   /** How many more starts may be sent now: what the holder's link carries. */
   startsLeft: number;
@@ -252,6 +254,7 @@
   jobs: new Map(),
   pools: new Map(),
   endpoints: new Map(),
+  lastEnds: new Map(),
   effects: [],
   startsLeft: Infinity,
   runTimes: createRunTimes(),
