--- a/packages/daemon/src/observe/bounded-output.test.ts
+++ b/packages/daemon/src/observe/bounded-output.test.ts
@@ -74,6 +74,44 @@
     });
   });
 
+  describe('of many lines at once', () => {
+    const LINES = 300;
+    const MOST_AT_ONCE_BYTES = 8192;
+
+    /** The writes of lines of some 250 bytes, and of one that is longer than a write. */
+    const writesOf = async (): Promise<readonly string[]> => {
+      const writes: string[] = [];
+      const writeBytes: WriteBytes = (bytes, done) => {
+        writes.push(bytes.toString());
+        setTimeout(() => done(null, bytes.length), 1);
+      };
+      const output = createBoundedOutput({ writeBytes });
+      for (let index = 0; index < LINES; index += 1) {
+        output.line(`event=run-ended index=${index} ${'ä'.repeat(110)}`, 'run-ended');
+      }
+      output.line(`event=wave ${'x'.repeat(MOST_AT_ONCE_BYTES)}`, 'wave');
+      await vi.advanceTimersByTimeAsync(1000);
+      return writes;
+    };
+
+    it('writes whole lines, no more than 8 KB of them at once', async () => {
+      const writes = await writesOf();
+      const short = writes.filter((text) => !text.includes('event=wave'));
+      writes.forEach((text) => expect(text.endsWith('\n')).toBe(true));
+      short.forEach((text) =>
+        expect(Buffer.byteLength(text)).toBeLessThanOrEqual(MOST_AT_ONCE_BYTES),
+      );
+      expect(writes.length).toBeLessThanOrEqual(12);
+    });
+
+    it('writes each line once and in order', async () => {
+      const lines = (await writesOf()).join('').trimEnd().split('\n');
+      const indices = lines.slice(0, LINES).map((line) => Number(/index=(\d+)/.exec(line)?.[1]));
+      expect(indices).toEqual(Array.from({ length: LINES }, (_, index) => index));
+      expect(lines).toHaveLength(LINES + 1);
+    });
+  });
+
   describe('with the ends of runs among other lines', () => {
     const OTHERS = 5000;
     /** Of a large fleet: 3,000 in a second, so 300 between two writings. */
--- a/packages/daemon/src/observe/bounded-output.ts
+++ b/packages/daemon/src/observe/bounded-output.ts
@@ -15,6 +15,12 @@
  */
 const MOST_WAITING_CHARACTERS = 128 * 1024;
 
+/**
+ * So many bytes are written at once, and whole lines only: collectors that take 8 KB at a time lose the
+ * rest of a larger write without a word, and the line that it begins with.
+ */
+const MOST_AT_ONCE_BYTES = 8192;
+
 /** Writes some bytes; calls back with how many were written. */
 export type WriteBytes = (
   bytes: Buffer,
@@ -39,6 +45,22 @@
   readonly flush: () => void;
 };
 
+/** Puts lines together up to `MOST_AT_ONCE_BYTES`; a longer line goes alone. */
+const inPieces = (lines: readonly string[]): readonly Buffer[] => {
+  const pieces: string[][] = [];
+  let bytes = Infinity;
+  lines.forEach((line) => {
+    const more = Buffer.byteLength(line) + 1;
+    bytes += more;
+    if (bytes > MOST_AT_ONCE_BYTES) {
+      pieces.push([]);
+      bytes = more;
+    }
+    pieces.at(-1)?.push(line);
+  });
+  return pieces.map((piece) => Buffer.from(`${piece.join('\n')}\n`));
+};
+
 /**
  * Opens the output.
  *
@@ -49,44 +71,59 @@
   writeBytes = toStdout,
 }: BoundedOutputOptions = {}): BoundedOutput => {
   let lines: string[] = [];
+  /** Since when the first of them waits. */
+  let waitsSinceMs = 0;
   const waiting = new Map<string, number>();
   const dropped = new Map<string, number>();
   let isWriting = false;
   let timer: NodeJS.Timeout | undefined;
 
-  const take = (): string => {
+  const take = (): readonly string[] => {
     const notes = Array.from(
       dropped,
       ([event, count]) => `event=log-lines-dropped of=${event} count=${count}`,
     );
-    const text = `${[...lines, ...notes].join('\n')}\n`;
+    const taken = [...lines, ...notes];
     lines = [];
     waiting.clear();
     dropped.clear();
-    return text;
+    return taken;
   };
 
-  const writeRest = (bytes: Buffer): void => {
+  const finish = (): void => {
+    isWriting = false;
+    if (lines.length > 0) plan();
+  };
+
+  const writePieces = ([bytes, ...others]: readonly Buffer[]): void => {
+    if (!bytes) {
+      finish();
+      return;
+    }
     writeBytes(bytes, (error, written) => {
       const isFull = error?.code === 'EAGAIN';
-      // Without a reader there is nobody to tell; the lines are given up.
-      if ((error && !isFull) || written === bytes.length) {
-        isWriting = false;
-        if (lines.length > 0) plan();
+      if (error && !isFull) {
+        // Without a reader there is nobody to tell; the lines are given up.
+        finish();
+        return;
+      }
+      if (written === bytes.length) {
+        writePieces(others);
         return;
       }
       const rest = isFull ? bytes : bytes.subarray(written);
-      setTimeout(() => writeRest(rest), FLUSH_MS);
+      setTimeout(() => writePieces([rest, ...others]), FLUSH_MS);
     });
   };
 
   const plan = (): void => {
     if (timer || isWriting) return;
+    const leftMs = Math.max(0, waitsSinceMs + FLUSH_MS - performance.now());
     timer = setTimeout(() => {
       timer = undefined;
       isWriting = true;
-      writeRest(Buffer.from(take()));
-    }, FLUSH_MS);
+      writePieces(inPieces(take()));
+    }, leftMs);
   };
 
   return {
@@ -96,6 +133,7 @@
         dropped.set(event, (dropped.get(event) ?? 0) + 1);
         return;
       }
+      if (lines.length === 0) waitsSinceMs = performance.now();
       lines.push(text);
       waiting.set(event, characters + text.length);
       plan();
@@ -103,7 +141,7 @@
     flush: () => {
       if (lines.length === 0) return;
       try {
-        writeSync(STDOUT, take());
+        writeSync(STDOUT, `${take().join('\n')}\n`);
       } catch {
         // The reader is gone, and so is the process in a moment.
       }
