--- /dev/null
+++ b/packages/core/src/batch/batch-state.fixtures.ts
@@ -0,0 +1,114 @@
+/** A small state for tests of decisions: one job of one task, two endpoints, and their answers. */
+import { brand, type EndpointId, type JobId, type PoolName } from '../shared/ids.js';
+import { seeEndpoint } from './endpoints.js';
+import { taskKey, type BatchJob, type QueuePolicy, type StepSpec } from './job.js';
+import { takeInJob } from './jobs.js';
+import { applyReport, type EndpointReport } from './reports.js';
+import { createBatchState, type BatchState, type Task } from './state.js';
+
+export const JOB = brand<JobId>('00000000000000aa');
+export const POOL = brand<PoolName>('alpha');
+export const FIRST = brand<EndpointId>('i-0000000001');
+export const SECOND = brand<EndpointId>('i-0000000002');
+export const TASK = taskKey(JOB, 0, 0, 0);
+/** The first run number of the holder of these tests. */
+export const FIRST_RUN = 2001;
+
+const FENCE = 2;
+
+const step: StepSpec = {
+  taskCount: 1,
+  cpuMillis: 1000,
+  memoryMb: 100,
+  accelerators: 0,
+  estimateMs: 500,
+  after: [],
+  isGang: false,
+  isRackLocal: false,
+  requiredLabel: '',
+  nearRack: '',
+  mostPerEndpoint: 0,
+  isSpeculative: false,
+  isLasting: false,
+  mayMiss: 0,
+  image: '',
+  targetMs: 0,
+  fillsGaps: false,
+  savesProgress: false,
+};
+
+const job: BatchJob = {
+  jobId: JOB,
+  queue: brand('q'),
+  pool: POOL,
+  spec: '',
+  steps: [step],
+  repeats: 0,
+  firstDueAtMs: 0,
+  intervalMs: 0,
+  acceptedAtMs: 0,
+};
+
+/**
+ * Builds the state of a holder that has taken the job in.
+ *
+ * @param options - Whether an earlier holder had it, and how often its task may fail.
+ * @returns The state, without endpoints.
+ */
+export const stateWithJob = ({ isInherited = false, maxAttempts = 3 } = {}): BatchState => {
+  const state = createBatchState(FENCE);
+  const policy: QueuePolicy = { priority: 0, maxAttempts, stretch: 2, targetLatencyMs: 600 };
+  takeInJob(state, { job, policy, nowMs: 0, todayMs: 0, isInherited });
+  return state;
+};
+
+/**
+ * Finds the job's task.
+ *
+ * @param state - The state.
+ * @returns The task.
+ */
+export const taskOf = (state: BatchState): Task => {
+  const task = state.jobs.get(JOB)?.occurrences.get(0)?.steps[0]?.tasks[0];
+  if (!task) throw new Error('there is no task');
+  return task;
+};
+
+/**
+ * Has an endpoint with room for eight tasks listed.
+ *
+ * @param state - The state, changed in place.
+ * @param endpointId - The endpoint.
+ * @param nowMs - The time.
+ */
+export const see = (state: BatchState, endpointId: EndpointId, nowMs = 0): void => {
+  seeEndpoint(
+    state,
+    {
+      endpointId,
+      pool: POOL,
+      hostId: null,
+      address: '',
+      dataCentre: '',
+      labels: [],
+      capacity: { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 },
+      isDraining: false,
+    },
+    nowMs,
+  );
+};
+
+/** An answer; what is left out is empty, and it comes from the first endpoint. */
+export type Answer = Pick<EndpointReport, 'askedAtMs' | 'nowMs'> &
+  Partial<EndpointReport> & { readonly endpointId?: EndpointId };
+
+/**
+ * Has an endpoint answer.
+ *
+ * @param state - The state, changed in place.
+ * @param answer - Who answers what.
+ */
+export const answer = (
+  state: BatchState,
+  { endpointId = FIRST, running = [], ended = [], hasMoreEnds = false, askedAtMs, nowMs }: Answer,
+): void => applyReport(state, endpointId, { running, ended, hasMoreEnds, askedAtMs, nowMs });
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -149,11 +149,7 @@
   };
 
   const poke = (): void => {
-    if (isPoked) return;
-    if (isStopped) {
-      writeNotes();
-      return;
-    }
+    if (isPoked || isStopped) return;
     isPoked = true;
     setImmediate(() => {
       isPoked = false;
@@ -249,12 +245,6 @@
     });
   };
 
-  /** After the term nothing is done any more, but what was found is still told. */
-  const writeNotes = (): void =>
-    takeEffects(state).forEach((effect) => {
-      if (effect.kind === 'note') effectHandlers.note(effect);
-    });
-
   const cycle = (): void => {
     if (isStopped || !isReady || !holds()) {
       perform();
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -1,5 +1,5 @@
 /** The platform as one entry of a simulated fleet meets it: with cuts, losses and late effects. */
-import type { EndpointModel, HostView, OrderError } from '@valvelatch/core/batch';
+import type { EndpointModel, EndpointReport, HostView, OrderError } from '@valvelatch/core/batch';
 import type { EndpointId, HostId } from '@valvelatch/core/shared/ids';
 import type { PlatformError } from '@valvelatch/platform';
 import { Err, Ok, type Result } from 'ts-results-es';
@@ -62,6 +62,12 @@
 /** Names of fields and the frame of a message between entries. */
 const MESH_FRAME_BYTES = 60;
 
+/** What an adapter works out of an answer is not on the wire. */
+const WORKED_OUT: ReadonlySet<string> = new Set<keyof EndpointReport>(['hasMoreEnds']);
+
+const toWire = (value: unknown): string =>
+  JSON.stringify(value, (key, field) => (WORKED_OUT.has(key) ? undefined : field)) ?? '';
+
 /** What an entry can reach, and whether it runs. */
 export type SimReach = {
   /** Without a limit if left out. */
@@ -137,7 +143,7 @@
     orderBytes[direction] += bytes;
   };
 
-  const sizeOf = (value: unknown): number => FRAME_BYTES + (JSON.stringify(value) ?? '').length;
+  const sizeOf = (value: unknown): number => FRAME_BYTES + toWire(value).length;
 
   const toService = async <Value>(
     isCut: () => boolean,
