--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -9,6 +9,7 @@
   createLinkDelay,
   createOrderWindow,
   createScheduleCycle,
+  parseTaskKey,
   takeEffects,
   takeInJob,
   watchRuns,
@@ -49,7 +50,6 @@
 const FENCE = 2;
 const ENDPOINT = brand<EndpointId>('i-1');
 const POOL = 'alpha';
-const JOB = brand<JobId>('00000000000000aa');
 /** The endpoint's clock at its birth. */
 const CLOCK_BORN_MS = 1000;
 
@@ -124,12 +124,12 @@
   readonly countedUntilMs: () => number;
   /** Sets whether the list of endpoints names it. */
   readonly list: (isListed: boolean) => void;
-  /** What becomes of the calls from now on. */
+  /** What becomes of the next calls, one after the other; those after them go through. */
   readonly meet: (fates: readonly Fate[]) => void;
   /** Adds a time of trouble that begins now. */
   readonly strike: (kind: Trouble['kind'], forMs: number) => void;
-  /** Hands a job in. */
-  readonly submit: (taskCount: number) => void;
+  /** Hands a job in whose tasks run for so long; Infinity for tasks that last. */
+  readonly submit: (taskCount: number, taskMs: number) => void;
   readonly close: () => void;
 };
 
@@ -190,7 +190,9 @@
   const lapsedAtMs: number[] = [];
   const doneAtMs = new Map<string, number>();
   const troubles: Trouble[] = planned.map((one) => ({ ...one, atMs: bornAtMs + one.atMs }));
+  const runMsOf = new Map<JobId, number>();
   let fates = firstFates;
+  let isOnce = false;
   let calls = 0;
   let isClosed = false;
   let isListed = true;
@@ -233,13 +235,11 @@
     capacity: { cpuMillis: 4000, memoryMb: 4000, accelerators: 0 },
     clockRate,
     observer: {
-      needsOf: () => ({
-        cpuMillis: 1000,
-        memoryMb: 100,
-        runMs: Number.isFinite(runMs) ? runMs : 1000,
-        isLasting: !Number.isFinite(runMs),
-        fails: false,
-      }),
+      needsOf: (task) => {
+        const taskMs = runMsOf.get(parseTaskKey(task)?.jobId ?? brand('')) ?? 0;
+        const isLasting = taskMs === Infinity;
+        return { cpuMillis: 1000, memoryMb: 100, runMs: taskMs, isLasting, fails: false };
+      },
       onStart: (_, task, run) => {
         if (givenUp.has(nameOf(task, run)))
           breaks(`${task} run ${run} began after it was given up`);
@@ -300,6 +300,12 @@
     },
   };
 
+  const nextFate = (): Fate => {
+    const fate = fates[isOnce ? calls : calls % fates.length] ?? QUICK;
+    calls += 1;
+    return fate;
+  };
+
   const call = async <Answer>(
     seen: Omit<SeenOrder, 'sentAtMs'>,
     act: () => Promise<Result<Answer, OrderError>> | Result<Answer, OrderError>,
@@ -307,15 +313,14 @@
   ): Promise<Result<Answer, OrderError>> => {
     sent.push({ ...seen, sentAtMs: nowMs() });
     await awake();
-    const { kind, toMs, backMs, lateMs } = fates[calls % fates.length] ?? QUICK;
-    calls += 1;
+    const { kind, toMs, backMs, lateMs } = nextFate();
     const deliver = async (): Promise<Result<Answer, OrderError>> => {
       // At least one: a refusal in no time at all would be answered by the next start for ever.
       await sleep(Math.max(1, toMs));
       if (isIn('refuse')) return Err(REFUSED);
       if (kind === 'request-lost' || isIn('cut')) return never();
       if (kind === 'carried-late') {
-        setTimeout(() => void act(), lateMs);
+        setTimeout(act, lateMs);
         return never();
       }
       const answer = await act();
@@ -409,7 +414,9 @@
       nowMs,
       mayOrder: holds,
       poke: () => setImmediate(cycle),
-      wantSave: () => void save(),
+      wantSave: () => {
+        void save();
+      },
       onFenceLost: () => {
         isTermOver = true;
       },
@@ -460,15 +467,17 @@
     }
   };
 
-  const submit = (count: number): void => {
+  const submit: LeasedEndpoint['submit'] = (count, taskMs) => {
     jobs += 1;
+    const jobId = brand<JobId>(`${jobs}`.padStart(16, '0'));
+    runMsOf.set(jobId, taskMs);
     takeInJob(state, {
       job: {
-        jobId: brand<JobId>(`${JOB.slice(0, -1)}${jobs}`),
+        jobId,
         queue: brand('q'),
         pool: brand(POOL),
         spec: '',
-        steps: [stepOf(count, !Number.isFinite(runMs))],
+        steps: [stepOf(count, taskMs === Infinity)],
         repeats: 0,
         firstDueAtMs: 0,
         intervalMs: 0,
@@ -487,10 +496,10 @@
     await roster.follow();
   };
 
-  const timers = [setInterval(tick, TICK_MS), setInterval(() => void follow(), FEED_MS)];
+  const timers = [setInterval(tick, TICK_MS), setInterval(follow, FEED_MS)];
   void follow();
   if (successor) void succeed(successor);
-  setTimeout(() => submit(taskCount), idleMs);
+  setTimeout(() => submit(taskCount, runMs), idleMs);
 
   return {
     state,
@@ -506,6 +515,7 @@
     meet: (next) => {
       fates = next;
       calls = 0;
+      isOnce = true;
     },
     strike: (kind, forMs) => {
       troubles.push({ kind, atMs: nowMs(), forMs });
