--- a/packages/daemon/src/batch/endpoint-leases.test.ts
+++ b/packages/daemon/src/batch/endpoint-leases.test.ts
@@ -357,13 +357,16 @@
         await advance(2000);
         const { endpointId } = await runOne(fleet);
         const first = holderOf(fleet);
+        // The second never hears the endpoint; the third, which replaces it, does.
+        othersOf(fleet, first).forEach(({ cutFrom }) => cutFrom.add(endpointId));
         void first.control.resign();
         const second = await nextHolder(fleet, first);
-        second.cutFrom.add(endpointId);
         await advance(afterMs);
-        Array.from(fleet.endpoints.keys())
-          .filter((other) => other !== endpointId)
-          .forEach((other) => othersOf(fleet, second).forEach(({ cutFrom }) => cutFrom.add(other)));
+        const elsewhere = Array.from(fleet.endpoints.keys()).filter((one) => one !== endpointId);
+        othersOf(fleet, second).forEach(({ cutFrom }) => {
+          cutFrom.delete(endpointId);
+          elsewhere.forEach((one) => cutFrom.add(one));
+        });
         Object.assign(second, { isCutFromTable: true, isSilent: true });
         await advance(12_000);
         expect(fleet.broken).toEqual([]);
