--- a/packages/daemon/src/batch/endpoint-leases.test.ts
+++ b/packages/daemon/src/batch/endpoint-leases.test.ts
@@ -85,7 +85,7 @@
       return pair.gaveUpAtMs.length;
     };
 
-    it('nothing is given up while the endpoint keeps it, and nothing comes back after that', async () => {
+    it('are over whenever their runs are given up, and none of those comes back', async () => {
       let givenUp = 0;
       await fc.assert(
         fc.asyncProperty(options, async (given) => {
@@ -191,6 +191,8 @@
     });
 
     describe('of an endpoint that the list loses and names again', () => {
+      // The holder forgets what it counted. A grant that counts on an old reading of a slow clock lasts
+      // longer by 2 % of the reading's age than what is counted for the endpoint anew.
       it.each(IDLE_MS)(
         'are counted from before, where its first run came after %i ms without any',
         async (idleMs) => {
@@ -280,6 +282,7 @@
     };
 
     describe('from one that gives control up right after a start', () => {
+      // The next holder does not know how old the reading was that the last grant counts on.
       it.each(IDLE_MS)(
         'are over before the run is begun elsewhere, if the endpoint was idle for %i ms',
         async (idleMs) => {
@@ -316,6 +319,7 @@
     };
 
     describe('from one that took control from one that still orders', () => {
+      // The third holder has to count with the first, whose name the row of the lease no longer tells.
       it('are over before the run is begun elsewhere, if it keeps control', async () => {
         const { fleet, jobId } = await cutOff();
         await advance(20_000);
