Leases that a new holder counts with: all holders before it, and no longer ones from an old clock

Only the holder just before counted. One that is cut off orders its data centre for 8 s; the next took control after 2.6 s and gave it up, or died and came back; the third began inherited tasks after 6.8 s, while they ran on. Now the lease's row tells for how long holders before may still act, whoever they were, and each taking and renewal carries that on. 2. A lease granted by a clock reading of 150 s ago (an endpoint that stood empty) lasted up to 3 s longer at an endpoint whose clock is 2 % slow than a new holder counts with. Now the clock is reckoned as the slowest it may be, and a reading of over 30 s is renewed before a start. Ruled out: that the next holder waits 12.7 s in any case; asking idle endpoints all the time.

--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -13,6 +13,11 @@
   readonly durationMs: number;
   /** In a row that was given up: how long its holder had not acted on what must not be hurried. */
   readonly idleMs?: number;
+  /**
+   * For how long after this row was written holders before this one may still act, by their own
+   * clocks. Left out for none.
+   */
+  readonly earlierMs?: number;
 };
 
 /** What one entry knows of a lease. Times are of its own monotonic clock. */
@@ -29,6 +34,8 @@
   readonly heldUntilMs: number;
   /** The epoch under which this process took the lease last; -1 before. */
   readonly ownEpoch: number;
+  /** Until when holders before may still act, by their own clocks. */
+  readonly earlierUntilMs: number;
 };
 
 /** What to do about a lease at this moment. */
@@ -70,6 +77,7 @@
   unchangedSinceMs: 0,
   heldUntilMs: -Infinity,
   ownEpoch: -1,
+  earlierUntilMs: -Infinity,
 });
 
 /**
@@ -111,6 +119,32 @@
   return nowMs - state.unchangedSinceMs >= neededMs;
 };
 
+/**
+ * For how long holders before may still act if the lease is taken now. All of them count, not only the
+ * last: one that was cut off may outlive two that took the lease early and gave it up or died.
+ */
+const earlierForMs = (
+  { seen: { row }, self, marginMs, unchangedSinceMs }: LeaseState,
+  nowMs: number,
+): number => {
+  if (!row) return 0;
+  const isOver = row.holder === null || row.holder === self;
+  const lastMs = isOver ? 0 : row.durationMs + marginMs;
+  const watchedMs = nowMs - unchangedSinceMs;
+  return Math.max(lastMs, row.earlierMs ?? 0) - watchedMs;
+};
+
+const withEarlier = (
+  { holder, epoch, renewals, durationMs }: LeaseRow,
+  earlierMs: number,
+): LeaseRow => ({
+  holder,
+  epoch,
+  renewals,
+  durationMs,
+  ...(earlierMs > 0 ? { earlierMs: Math.ceil(earlierMs) } : {}),
+});
+
 /**
  * Decides whether to take or renew the lease now.
  *
@@ -127,17 +161,19 @@
 ): LeaseStep => {
   const { row, version } = state.seen;
   if (version < 0) return { kind: 'wait' };
-  const { durationMs, renewAfterMs, self } = state;
+  const { durationMs, renewAfterMs, self, earlierUntilMs } = state;
   // The epoch is this process's own: nobody has held the lease since, however long ago it lapsed.
   if (row && row.holder === self && row.epoch === state.ownEpoch) {
     if (state.heldUntilMs - nowMs > durationMs - renewAfterMs) return { kind: 'wait' };
     const renewed = { ...row, durationMs, renewals: row.renewals + 1 };
-    return { kind: 'write', row: renewed, expectedVersion: version };
+    const renewal = withEarlier(renewed, earlierUntilMs - nowMs);
+    return { kind: 'write', row: renewal, expectedVersion: version };
   }
   if (row?.holder !== self && !isFree(state, nowMs, freeAfterMs)) return { kind: 'wait' };
   // A process that was started anew takes a new epoch: writes of its last life must not pass.
   const taken = { holder: self, epoch: (row?.epoch ?? 0) + 1, renewals: 0, durationMs };
-  return { kind: 'write', row: taken, expectedVersion: version };
+  const taking = withEarlier(taken, earlierForMs(state, nowMs));
+  return { kind: 'write', row: taking, expectedVersion: version };
 };
 
 /**
@@ -158,4 +194,5 @@
   unchangedSinceMs: sentAtMs,
   heldUntilMs: sentAtMs + written.row.durationMs,
   ownEpoch: written.row.epoch,
+  earlierUntilMs: sentAtMs + (written.row.earlierMs ?? 0),
 });
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -189,12 +189,8 @@
     return Math.max(0, distanceMs - keeper.idleBeforeMs() - keeper.watchedMs());
   };
 
-  /** For how long the holder before may still order endpoints, by its own clock. */
-  const holderBeforeMs = (): number => {
-    const before = keeper.takenFrom();
-    if (before === null || before === self) return 0;
-    return Math.max(0, CONTROL_LEASE_MS + CONTROL_MARGIN_MS - keeper.watchedMs());
-  };
+  /** For how long holders before may still order endpoints, by their own clocks. */
+  const holdersBeforeMs = (): number => Math.max(0, keeper.earlierUntilMs() - nowMs());
 
   const mayOrderHosts = (): boolean =>
     table.isServed() && keeper.heldUntilMs() - nowMs() > CONTROL_LEASE_MS - HOST_ORDERS_WITHIN_MS;
@@ -212,7 +208,7 @@
       holds: keeper.holds,
       mayOrderHosts,
       hostOrdersAfterMs: hostOrdersAfterMs(),
-      holderBeforeMs: holderBeforeMs(),
+      holdersBeforeMs: holdersBeforeMs(),
       endpointLeaseMs,
       isTableAway: () => table.silentForMs() >= TABLE_AWAY_MS,
       soleHolderUntilMs: () => keeper.heldUntilMs() - CONTROL_LEASE_MS + SOLE_HOLDER_MS,
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -30,7 +30,13 @@
  * platforms set (6 s), so that work of a lost host is soon begun again.
  */
 export const ENDPOINT_LEASE_MS = 6000;
-/** An endpoint's clock may be 2 % slow, and its reading is as old as the last answer. */
+/**
+ * An endpoint's clock may be 2 % slow. A time on it is reckoned as if it were, so that no lease is longer
+ * than 1.02 times what is meant, however old the reading is: whoever comes next counts with that.
+ */
+const SLOWEST_CLOCK = 0.98;
+/** On a clock that is not slow a lease is shorter by 2 % of the reading's age: no more than 0.6 s. */
+const CLOCK_FRESH_MS = 30_000;
 const CLOCK_SLACK = 1.05;
 const CLOCK_MARGIN_MS = 200;
 /** How long an answer may wait for an end. */
@@ -119,6 +125,8 @@
   let isClosed = false;
   /** Questions without an answer since the last answer. */
   let misses = 0;
+  /** The answer that the clock is to be read from, while one is awaited. */
+  let clockAnswer: Promise<boolean> | undefined;
   const answerTimes = createAnswerTimes(context.linkDelay);
   const stopsUnderWay = new Set<string>();
 
@@ -135,11 +143,13 @@
     const known = endpoint();
     if (!clock || !known) return undefined;
     const ageMs = nowMs() - clock.atMs;
-    const leaseEndsAtMs = nowMs() + endpointLeaseMs * CLOCK_SLACK + ageMs * 0.05 + CLOCK_MARGIN_MS;
+    const leaseEndsAtMs = nowMs() + endpointLeaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
     known.leaseEndsAtMs = Math.max(known.leaseEndsAtMs, leaseEndsAtMs);
-    return Math.floor(clock.clockMs + ageMs + endpointLeaseMs);
+    return Math.floor(clock.clockMs + ageMs * SLOWEST_CLOCK + endpointLeaseMs);
   };
 
+  const isClockOld = (): boolean => clock !== undefined && nowMs() - clock.atMs > CLOCK_FRESH_MS;
+
   const noteError = (
     order: string,
     error: OrderError,
@@ -208,7 +218,16 @@
     }
   };
 
+  /** An endpoint that stood empty was not asked for long: tasks that begin there together wait for one answer. */
+  const refreshClock = async (): Promise<void> => {
+    clockAnswer ??= ask(0).finally(() => {
+      clockAnswer = undefined;
+    });
+    await clockAnswer;
+  };
+
   const start = async (effect: Extract<BatchEffect, { kind: 'start' }>): Promise<void> => {
+    if (isClockOld()) await refreshClock();
     const keepUntilMs = keepUntil();
     const { task, run, spec, checkpoint, ticket } = effect;
     if (keepUntilMs === undefined || !context.mayOrder() || isClosed) {
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -70,8 +70,8 @@
   readonly mayOrderHosts: () => boolean;
   /** How long after its start the term may order hosts for the first time. */
   readonly hostOrdersAfterMs: number;
-  /** For how long after the start of the term the holder before may still order endpoints. */
-  readonly holderBeforeMs: number;
+  /** For how long after the start of the term holders before may still order endpoints. */
+  readonly holdersBeforeMs: number;
   /** For how long an endpoint keeps what runs there without contact with the holder. */
   readonly endpointLeaseMs: number;
   /** The table has answered nothing for so long that it is away. */
@@ -117,7 +117,7 @@
   holds,
   mayOrderHosts,
   hostOrdersAfterMs,
-  holderBeforeMs,
+  holdersBeforeMs,
   endpointLeaseMs,
   isTableAway,
   soleHolderUntilMs,
@@ -128,7 +128,7 @@
 }: TermOptions): Term => {
   const state = createBatchState(fence);
   const schedulePools = createScheduleCycle(state);
-  const inheritedLeasesMs = endpointLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS + holderBeforeMs;
+  const inheritedLeasesMs = endpointLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS + holdersBeforeMs;
   const window = createOrderWindow();
   const linkDelay = createLinkDelay();
   let guard: RowCheck = { key: batchKey.guard, version: -1 };
--- a/packages/daemon/src/leases/lease-keeper.ts
+++ b/packages/daemon/src/leases/lease-keeper.ts
@@ -30,6 +30,8 @@
   readonly takenFrom: () => EntryId | null;
   /** For how long the row had been watched without a change when the lease was taken last. */
   readonly watchedMs: () => number;
+  /** Until when holders before may still act, by their own clocks. */
+  readonly earlierUntilMs: () => number;
   /** What the holder before told when it gave the lease up. */
   readonly idleBeforeMs: () => number;
   /** Gives the lease up; false if that could not be written, and the lease is still held. */
@@ -200,6 +202,7 @@
     unchangedForMs: () => (state.seen.version < 0 ? 0 : nowMs() - state.unchangedSinceMs),
     takenFrom: () => lastHolder,
     watchedMs: () => watchedMs,
+    earlierUntilMs: () => state.earlierUntilMs,
     idleBeforeMs: () => lastIdleMs,
     release,
   };
