--- /dev/null
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -0,0 +1,472 @@
+/**
+ * One holder and one or two endpoints in virtual time, with a fate for each order: when it is carried
+ * out, when its answer comes, or neither. What must always hold is checked at the endpoints.
+ */
+import {
+  createBatchState,
+  createEndpointModel,
+  createLinkDelay,
+  createOrderWindow,
+  findTask,
+  isFinal,
+  parseTaskKey,
+  schedulePool,
+  stopRun,
+  takeEffects,
+  takeInJob,
+  watchRuns,
+  type BatchJob,
+  type BatchState,
+  type EndKind,
+  type EndReport,
+  type EndpointModel,
+  type EndpointSighting,
+  type JobState,
+  type OrderError,
+  type StepSpec,
+  type TaskKey,
+} from '@valvelatch/core/batch';
+import { brand, type EndpointId, type JobId, type PoolName } from '@valvelatch/core/shared/ids';
+import { Err, type Result } from 'ts-results-es';
+
+import type { Log } from '../../observe/log.js';
+import { createMetrics } from '../../observe/metrics.js';
+import { createEndpointRoster } from '../endpoint-roster.js';
+import type { EndpointOrders } from '../ports.js';
+
+/** What becomes of one order. */
+export type Fate = {
+  /** How long until the endpoint carries it out; null if it never does. */
+  readonly goMs: number | null;
+  /** How long its answer is under way; null if it is lost. */
+  readonly backMs: number | null;
+  /** How soon the connection breaks, so that no time-out is waited for; null if it does not. */
+  readonly breaksMs?: number | null;
+  /** The endpoint, or the way to it, says that nothing was done. */
+  readonly refusal?: 'unreachable' | 'unhealthy';
+};
+
+export type OrderKind = 'start' | 'stop' | 'list';
+
+/** The fates of orders of each kind, in the order in which they are sent; later ones are sound. */
+export type Fates = Readonly<Record<OrderKind, readonly Fate[]>>;
+
+export const SOUND: Fate = { goMs: 1, backMs: 1 };
+
+const POOL = brand<PoolName>('alpha');
+const FENCE = 2;
+const ENDPOINT_LEASE_MS = 6000;
+const INHERITED_LEASES_MS = 100;
+const TICK_MS = 100;
+const SAVE_AFTER_MS = 20;
+const POLICY = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
+
+const STEP: StepSpec = {
+  taskCount: 1,
+  cpuMillis: 1000,
+  memoryMb: 100,
+  accelerators: 0,
+  estimateMs: 500,
+  after: [],
+  isGang: false,
+  isRackLocal: false,
+  requiredLabel: '',
+  nearRack: '',
+  mostPerEndpoint: 0,
+  isSpeculative: false,
+  isLasting: false,
+  mayMiss: 0,
+  image: '',
+  targetMs: 0,
+  fillsGaps: false,
+  savesProgress: false,
+};
+
+const NO_ANSWER: OrderError = { verdict: 'mayHaveRun', reason: 'no-answer', detail: 'silence' };
+
+const REPLACED: OrderError = { verdict: 'notRun', reason: 'other-endpoint', detail: '421' };
+
+const SILENT_LOG: Log = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+export type HeldWorldOptions = {
+  /** How many tasks each endpoint has room for. */
+  readonly rooms: readonly number[];
+  /** How long tasks run, in turn. */
+  readonly runMs: readonly number[];
+  readonly steps: readonly Partial<StepSpec>[];
+  /** Tasks end as failed at these endpoints, by number. */
+  readonly failsOn?: readonly number[];
+  /** How fast the clocks of the endpoints run: 0.98 is 2 % slow. */
+  readonly clockRate?: number;
+  /** How long it takes to write ends, after which they are acknowledged. */
+  readonly saveMs?: number;
+  /** An endpoint lists so many ends at once. */
+  readonly mostEnds?: number;
+  readonly fates?: Partial<Fates>;
+};
+
+/** An end as done, and what followed it. */
+type DoneEnd = {
+  readonly endpointId: EndpointId;
+  readonly task: TaskKey;
+  readonly run: number;
+  readonly atMs: number;
+  followedBy: number | undefined;
+  isAcknowledged: boolean;
+};
+
+/** When the lease of an endpoint ends, by what it was told, and when one was last over. */
+const createLeaseMirror = (clockRate: number) => {
+  const bornAtMs = performance.now();
+  let untilMs = 0;
+  let lapsedAtMs = -Infinity;
+  return {
+    /** To be called with each order before it is carried out. */
+    note: (keepUntilMs: number | undefined): void => {
+      const clockMs = 1000 + (performance.now() - bornAtMs) * clockRate;
+      if (clockMs > untilMs) lapsedAtMs = performance.now() - (clockMs - untilMs) / clockRate;
+      untilMs = Math.max(untilMs, keepUntilMs ?? 0);
+    },
+    lapsedAtMs: () => lapsedAtMs,
+  };
+};
+
+type SimEndpoint = {
+  readonly model: EndpointModel;
+  readonly lease: ReturnType<typeof createLeaseMirror>;
+  /** The numbers of the ends that the holder was told of. */
+  readonly told: Set<number>;
+  /** Another life at its address answers what is meant for it. */
+  isReplaced: boolean;
+};
+
+/**
+ * Builds a holder with its endpoints, of which none has answered yet.
+ *
+ * @param options - The endpoints, the work, and the fates of orders.
+ * @returns The world; `stop` ends it.
+ */
+export const createHeldWorld = ({
+  rooms,
+  runMs,
+  steps,
+  failsOn = [],
+  clockRate = 1,
+  saveMs = 4,
+  mostEnds = Infinity,
+  fates = {},
+}: HeldWorldOptions) => {
+  const state: BatchState = createBatchState(FENCE);
+  const endpoints = new Map<EndpointId, SimEndpoint>();
+  const doneEnds: DoneEnd[] = [];
+  const broken: string[] = [];
+  const starts: { readonly task: TaskKey; readonly run: number; readonly on: EndpointId }[] = [];
+  const left: Record<OrderKind, Fate[]> = {
+    start: [...(fates.start ?? [])],
+    stop: [...(fates.stop ?? [])],
+    list: [...(fates.list ?? [])],
+  };
+  let isStopped = false;
+  let isPoked = false;
+  let isSavePlanned = false;
+  let lastEndpoint = 0;
+  const nowMs = (): number => performance.now();
+  const breaks = (text: string): void => {
+    broken.push(`${Math.round(nowMs())} ms: ${text}`);
+  };
+
+  const jobs: JobState[] = [];
+
+  const taskOf = (key: TaskKey) => {
+    const name = parseTaskKey(key);
+    return name && findTask(state, name);
+  };
+
+  const observeStart = (on: EndpointId, task: TaskKey, run: number): void => {
+    starts.push({ task, run, on });
+    endpoints.forEach(({ model }) => {
+      if (model.endpointId !== on && model.isUp() && model.runs.has(task))
+        breaks(`${task} run ${run} began on ${on} while a run is on ${model.endpointId}`);
+    });
+    doneEnds
+      .filter((end) => end.task === task)
+      .forEach((end) => {
+        const before = `${task} run ${end.run} had ended as done on ${end.endpointId}`;
+        if (end.isAcknowledged) breaks(`run ${run} began on ${on} after ${before}, acknowledged`);
+        Object.assign(end, { followedBy: run });
+      });
+  };
+
+  const observeEnd = (on: EndpointId, task: TaskKey, run: number, kind: EndKind | 'died'): void => {
+    if (kind !== 'done') return;
+    const atMs = nowMs();
+    const followedBy = undefined;
+    doneEnds.push({ endpointId: on, task, run, atMs, followedBy, isAcknowledged: false });
+  };
+
+  const isApplied = ({ task, run, kind }: EndReport): boolean => {
+    const found = taskOf(task);
+    if (!found) return false;
+    if (isFinal(found.step.job.phase)) return true;
+    if (kind === 'done') return found.task.phase === 'done';
+    return kind === 'failed' ? found.task.failedRuns.includes(run) : true;
+  };
+
+  const observeAcknowledged = (on: EndpointId, end: EndReport): void => {
+    const { number, task, run, kind } = end;
+    const endpoint = endpoints.get(on);
+    if (!endpoint) return;
+    const named = `the end ${number} of ${task} run ${run} as ${kind} on ${on}`;
+    if (!endpoint.told.has(number)) breaks(`${named} was acknowledged and never told`);
+    else if (!isApplied(end)) breaks(`${named} was acknowledged and not applied`);
+    const ended = doneEnds.find(
+      (one) => one.endpointId === on && one.task === task && one.run === run,
+    );
+    if (!ended || endpoint.lease.lapsedAtMs() > ended.atMs) return;
+    ended.isAcknowledged = true;
+    if (ended.followedBy !== undefined) breaks(`run ${ended.followedBy} had begun after ${named}`);
+  };
+
+  const addEndpoint = (room: number): EndpointSighting => {
+    const endpointId = brand<EndpointId>(`i-${lastEndpoint}`);
+    const index = lastEndpoint;
+    lastEndpoint += 1;
+    const capacity = { cpuMillis: room * 1000, memoryMb: 64_000, accelerators: 0 };
+    const model = createEndpointModel({
+      endpointId,
+      hostId: brand(`h-${index}`),
+      pool: POOL,
+      capacity,
+      clockRate,
+      observer: {
+        needsOf: (key) => {
+          const name = parseTaskKey(key);
+          return {
+            cpuMillis: 1000,
+            memoryMb: 100,
+            runMs: runMs[((name?.index ?? 0) + (name?.step ?? 0)) % runMs.length] ?? 300,
+            isLasting: false,
+            fails: failsOn.includes(index),
+          };
+        },
+        onStart: (_, task, run) => observeStart(endpointId, task, run),
+        onEnd: (_, task, run, kind) => observeEnd(endpointId, task, run, kind),
+        onAcknowledged: (end) => observeAcknowledged(endpointId, end),
+      },
+    });
+    endpoints.set(endpointId, {
+      model,
+      lease: createLeaseMirror(clockRate),
+      told: new Set(),
+      isReplaced: false,
+    });
+    return {
+      endpointId,
+      pool: POOL,
+      hostId: null,
+      address: endpointId,
+      dataCentre: 'dc',
+      labels: [],
+      capacity,
+      isDraining: false,
+    };
+  };
+
+  type Answer<Value> = Result<Value, OrderError>;
+
+  /** Sends an order to its fate. */
+  const send = <Value>(
+    kind: OrderKind,
+    endpointId: EndpointId,
+    timeoutMs: number,
+    carryOut: (endpoint: SimEndpoint) => Promise<Answer<Value>> | Answer<Value>,
+    onAnswer: (endpoint: SimEndpoint, answer: Answer<Value>) => void = () => undefined,
+  ): Promise<Answer<Value>> =>
+    new Promise((resolve) => {
+      const { goMs, backMs, breaksMs = null, refusal } = left[kind].shift() ?? SOUND;
+      const endpoint = endpoints.get(endpointId);
+      if (!endpoint || isStopped) return;
+      let isOver = false;
+      const settle = (answer: Answer<Value>): void => {
+        if (isOver) return;
+        isOver = true;
+        onAnswer(endpoint, answer);
+        resolve(answer);
+      };
+      const arrive = async (): Promise<void> => {
+        if (isStopped || (!endpoint.model.isUp() && !endpoint.isReplaced)) return;
+        const answer = endpoint.model.isUp() ? await carryOut(endpoint) : Err(REPLACED);
+        if (backMs === null) return;
+        await sleep(backMs);
+        settle(answer);
+      };
+      setTimeout(() => settle(Err(NO_ANSWER)), timeoutMs);
+      if (refusal !== undefined) {
+        const refused: OrderError = { verdict: 'notRun', reason: refusal, detail: 'refused' };
+        setTimeout(() => settle(Err(refused)), backMs ?? 1);
+        return;
+      }
+      if (breaksMs !== null) setTimeout(() => settle(Err(NO_ANSWER)), breaksMs);
+      if (goMs !== null) setTimeout(() => void arrive(), goMs);
+    });
+
+  const orders: EndpointOrders = {
+    list: ({ endpointId }, order, timeoutMs) =>
+      send(
+        'list',
+        endpointId,
+        order.waitMs + timeoutMs,
+        async ({ model, lease }) => {
+          lease.note(order.keepUntilMs);
+          const answer = await model.list(order);
+          return answer.map((told) => ({ ...told, ended: told.ended.slice(0, mostEnds) }));
+        },
+        ({ told }, answer) => {
+          if (answer.isOk()) answer.value.ended.forEach(({ number }) => told.add(number));
+        },
+      ),
+    start: ({ endpointId }, order, timeoutMs) =>
+      send('start', endpointId, timeoutMs, ({ model, lease }) => {
+        lease.note(order.keepUntilMs);
+        return model.start(order);
+      }),
+    stop: ({ endpointId }, order, timeoutMs) =>
+      send('stop', endpointId, timeoutMs, ({ model }) => model.stop(order)),
+    pace: async () => Err(NO_ANSWER),
+    forget: () => undefined,
+  };
+
+  const cycle = (): void => {
+    if (isStopped) return;
+    state.clockMs = nowMs();
+    schedulePool(state, POOL, nowMs());
+    takeEffects(state).forEach((effect) => {
+      if (effect.kind === 'start' || effect.kind === 'stop') roster.perform(effect);
+    });
+  };
+
+  const poke = (): void => {
+    if (isPoked) return;
+    isPoked = true;
+    setImmediate(() => {
+      isPoked = false;
+      cycle();
+    });
+  };
+
+  /** Ends are acknowledged once they are written, as far as they were applied when that began. */
+  const wantSave = (): void => {
+    if (isSavePlanned) return;
+    isSavePlanned = true;
+    setTimeout(() => {
+      isSavePlanned = false;
+      setTimeout(roster.mark(), saveMs);
+    }, SAVE_AFTER_MS);
+  };
+
+  const roster = createEndpointRoster({
+    state,
+    feed: { next: () => new Promise(() => {}) },
+    linkContext: {
+      state,
+      orders,
+      linkDelay: createLinkDelay(),
+      window: createOrderWindow(),
+      endpointLeaseMs: ENDPOINT_LEASE_MS,
+      log: SILENT_LOG,
+      metrics: createMetrics(),
+      nowMs,
+      mayOrder: () => !isStopped,
+      poke,
+      wantSave,
+      onFenceLost: () => breaks('the fence was lost'),
+    },
+    inheritedLeasesMs: INHERITED_LEASES_MS,
+    isStopped: () => isStopped,
+  });
+
+  const submit = (extra: Partial<BatchJob> = {}): JobState => {
+    const jobId = brand<JobId>((jobs.length + 1).toString(16).padStart(16, '0'));
+    const job: BatchJob = {
+      jobId,
+      queue: brand('q'),
+      pool: POOL,
+      spec: '',
+      steps: steps.map((step) => ({ ...STEP, ...step })),
+      repeats: 0,
+      firstDueAtMs: 0,
+      intervalMs: 0,
+      acceptedAtMs: 0,
+      ...extra,
+    };
+    const taken = takeInJob(state, { job, policy: POLICY, nowMs: nowMs(), todayMs: Date.now() });
+    jobs.push(taken);
+    poke();
+    return taken;
+  };
+
+  const stopOne = (pick: number): void => {
+    const running = Array.from(state.endpoints.values()).flatMap((endpoint) =>
+      Array.from(endpoint.runs.values(), (run) => ({ endpoint, run })),
+    );
+    const chosen = running[pick % Math.max(1, running.length)];
+    if (chosen) stopRun(state, chosen.endpoint, chosen.run, 'moved');
+    cycle();
+  };
+
+  /** An endpoint dies with all that runs there; another life comes up at its address. */
+  const crash = (pick: number, backAfterMs: number): void => {
+    const living = Array.from(endpoints.values()).filter(({ model }) => model.isUp());
+    const struck = living[pick % Math.max(1, living.length)];
+    if (!struck) return;
+    struck.model.die();
+    setTimeout(() => {
+      if (isStopped) return;
+      struck.isReplaced = true;
+      roster.take({ seen: [addEndpoint(struck.model.capacity.cpuMillis / 1000)], gone: [] });
+    }, backAfterMs);
+  };
+
+  const timer = setInterval(() => {
+    watchRuns(state, nowMs());
+    cycle();
+  }, TICK_MS);
+
+  roster.take({ seen: rooms.map(addEndpoint), gone: [] });
+
+  return {
+    state,
+    jobs,
+    endpoints,
+    broken,
+    starts,
+    submit,
+    /** Has a run stopped, wherever it is. */
+    stopOne,
+    crash,
+    /** Has the next order of a kind meet this fate, after those that are planned. */
+    plan: (kind: OrderKind, ...more: readonly Fate[]): void => {
+      left[kind].push(...more);
+    },
+    /** The names of the tasks that have not ended. */
+    open: (): readonly string[] =>
+      jobs.filter(({ phase }) => !isFinal(phase)).map(({ job }) => job.jobId),
+    stop: (): void => {
+      isStopped = true;
+      clearInterval(timer);
+      roster.close();
+    },
+  };
+};
+
+export type HeldWorld = ReturnType<typeof createHeldWorld>;
