Orders of answers: four mends with their tests, and a property over them

The occurrence is built when an endpoint reports it. - A stop that an unhealthy endpoint refused once was never sent again: the run stayed as being stopped. - An answer whose question was overtaken by an older one brought a run back that had ended: answers are ordered by the endpoint's clock, too. What is given up of endpoints that are gone is part of the pass over pools, so that whoever runs the pass has it.

--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -194,6 +194,26 @@
   return found && task ? { step: found, task } : undefined;
 };
 
+/**
+ * Finds a task that an endpoint reports. An occurrence that is not due here may have begun under an
+ * earlier holder, whose time of day was ahead: it is built, so that what became of it is not lost.
+ *
+ * @param state - All that is known; the occurrence is added to its job.
+ * @param name - The parts of the task's key.
+ * @returns The step and the task, or undefined.
+ */
+export const findReportedTask = (
+  state: BatchState,
+  name: TaskName,
+): { readonly step: StepRun; readonly task: Task } | undefined => {
+  const job = state.jobs.get(name.jobId);
+  const isMissing = job !== undefined && !job.occurrences.has(name.occurrence);
+  if (isMissing && name.occurrence < occurrenceCount(job.job)) {
+    addOccurrence(job, name.occurrence, state.clockMs);
+  }
+  return findTask(state, name);
+};
+
 /**
  * Ends a job: nothing of it is started any more, and what runs is stopped.
  *
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -2,7 +2,7 @@
 import type { EndpointId } from '../shared/ids.js';
 import { change } from '../shared/change.js';
 import { parseTaskKey, type TaskKey } from './job.js';
-import { endJob, findTask, markDone } from './jobs.js';
+import { endJob, findReportedTask, markDone } from './jobs.js';
 import { learnRunTime } from './run-times.js';
 import { noteRunEnd, type RunEvidence } from './run-end.js';
 import { addRun, dropRun, requeue, stopRun, type DropRunOptions } from './runs.js';
@@ -120,7 +120,7 @@
   const { task, run, kind } = end;
   const known = endpoint.runs.get(task);
   const name = parseTaskKey(task);
-  const found = name && findTask(state, name);
+  const found = name && findReportedTask(state, name);
   const evidence: RunEvidence = { cause: 'reported', atMs: askedAtMs, detail: kind };
   const settleAfter = (ranMs: number): void => {
     if (!found || isFinal(found.step.job.phase)) return;
@@ -160,7 +160,7 @@
   nowMs: number,
 ): void => {
   const name = parseTaskKey(report.task);
-  const found = name && findTask(state, name);
+  const found = name && findReportedTask(state, name);
   if (found && mayAdopt(found)) {
     const run = addRun(state, { endpoint, ...found, run: report.run, phase: 'running', nowMs });
     updateRun(run, report, nowMs);
--- a/packages/core/src/batch/schedule-cycle.ts
+++ b/packages/core/src/batch/schedule-cycle.ts
@@ -1,5 +1,6 @@
 /** One pass over all pools: each is first in its turn, or the first would take what may be sent. */
 import { change } from '../shared/change.js';
+import { settleGoneEndpoints } from './gone-endpoints.js';
 import { schedulePool } from './schedule.js';
 import type { BatchState } from './state.js';
 
@@ -15,6 +16,7 @@
   let first = 0;
   return (startsLeft, nowMs) => {
     change(state, { startsLeft });
+    settleGoneEndpoints(state, nowMs);
     const names = Array.from(state.pools.keys());
     first = (first + 1) % Math.max(1, names.length);
     [...names.slice(first), ...names.slice(0, first)].forEach((name) =>
--- a/packages/daemon/src/batch/endpoint-leases.test.ts
+++ b/packages/daemon/src/batch/endpoint-leases.test.ts
@@ -93,8 +93,23 @@
         }),
         {
           numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? DEFAULT_RUNS),
-          // Surely gives something up, so that the property says something in each run.
-          examples: [[{ troubles: [{ kind: 'cut', atMs: 3000, forMs: 9000 }] }]],
+          examples: [
+            // Surely gives something up, so that the property says something in each run.
+            [{ troubles: [{ kind: 'cut', atMs: 3000, forMs: 9000 }] }],
+            // A start that waited for a reading of the clock was sent after its run was given up.
+            [
+              {
+                fates: [
+                  { kind: 'carried', toMs: 0, backMs: 0, lateMs: 2000 },
+                  { kind: 'request-lost', toMs: 0, backMs: 0, lateMs: 2000 },
+                ],
+                troubles: [{ kind: 'cut', atMs: 0, forMs: 8818 }],
+                taskCount: 12,
+                runMs: 300,
+                idleMs: 150_000,
+              },
+            ],
+          ],
         },
       );
       expect(givenUp).toBeGreaterThan(0);
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -67,6 +67,12 @@
 const FULL_MS = 150;
 const UNHEALTHY_MS = 1000;
 const STOP_TRIES = 40;
+/** After these a stop is sent again: without it a run whose start had no answer would never be given up. */
+const STOP_AGAIN: ReadonlySet<OrderError['reason']> = new Set([
+  'no-answer',
+  'unreachable',
+  'unhealthy',
+]);
 
 /** What a link needs of the term that it belongs to. */
 export type LinkContext = {
@@ -119,6 +125,8 @@
   const { state, orders, endpointLeaseMs, log, metrics, nowMs } = context;
   const { endpointId } = target;
   let clock: { readonly clockMs: number; readonly atMs: number } | undefined;
+  /** The endpoint's own time of the answer that was applied last. */
+  let reportClockMs = 0;
   let taken = 0;
   let acknowledged = 0;
   let isWatching = false;
@@ -227,9 +235,11 @@
   };
 
   const start = async (effect: Extract<BatchEffect, { kind: 'start' }>): Promise<void> => {
+    const { task, run, spec, checkpoint, ticket } = effect;
     if (isClockOld()) await refreshClock();
+    // It may have been given up while the answer was awaited, and must not begin after that.
+    if (endpoint()?.runs.get(task)?.run !== run) return;
     const keepUntilMs = keepUntil();
-    const { task, run, spec, checkpoint, ticket } = effect;
     if (keepUntilMs === undefined || !context.mayOrder() || isClosed) {
       const reason = 'not-sent';
       applyStartOutcome(state, endpointId, {
@@ -270,7 +280,7 @@
         return;
       }
       noteError('stop', answer.error, { task, run });
-      if (answer.error.verdict === 'notRun' && answer.error.reason !== 'unreachable') return;
+      if (!STOP_AGAIN.has(answer.error.reason)) return;
       await pause(RETRY_MS);
     }
   };
@@ -342,8 +352,11 @@
     if (!isResponsive()) log.info('endpoint-answers', { endpoint: endpointId });
     misses = 0;
     noteClock(answer.value);
-    // Answers on different connections may pass each other: an older one tells nothing new.
-    if (askedAtMs < (endpoint()?.reportedAtMs ?? 0)) return true;
+    // Answers on different connections may pass each other, and so may the questions.
+    if (askedAtMs < (endpoint()?.reportedAtMs ?? 0) || answer.value.clockMs < reportClockMs) {
+      return true;
+    }
+    reportClockMs = answer.value.clockMs;
     const { running, ended, hasMoreEnds } = answer.value;
     const fresh = ended.filter(({ number }) => number > taken);
     fresh.forEach(({ number }) => {
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -12,7 +12,6 @@
   createScheduleCycle,
   expectReports,
   paceFillers,
-  settleGoneEndpoints,
   soleForMs,
   takeEffects,
   watchRuns,
@@ -252,7 +251,6 @@
     }
     state.clockMs = nowMs();
     state.soleHolderUntilMs = soleHolderUntilMs();
-    settleGoneEndpoints(state, nowMs());
     schedulePools(window.left(), nowMs());
     perform();
   };
