Waves: decide on each host by a table of small rules

planUpkeep was one function of 70 lines: it filtered, sorted, judged and changed hosts in one closure over six local variables. What the pass has used up so far is a record of its own (`UpkeepRound`). Sorting is two orders, as in `order.ts`.

--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -31,5 +31,6 @@
 export * from './step-times.js';
 export * from './upkeep.js';
 export * from './upkeep-progress.js';
+export type { UpkeepWorld } from './upkeep-rules.js';
 export * from './waiting.js';
 export * from './watch-runs.js';
--- /dev/null
+++ b/packages/core/src/batch/upkeep-rules.ts
@@ -0,0 +1,147 @@
+/**
+ * Whether a host of a maintenance wave may go down now. Each rule names one thing that holds a host
+ * up; the first rule that applies decides, and a host that none holds up is ordered down.
+ */
+import type { HostId } from '../shared/ids.js';
+import { findBudgetObstacle, isQuiet, type BudgetObstacle } from './hosts.js';
+import type { BatchState, EndpointState, StepRun } from './state.js';
+import type { HostSight, UpkeepHost, UpkeepWave } from './upkeep-progress.js';
+
+/** What planning needs to know of hosts. */
+export type UpkeepWorld = HostSight & {
+  readonly state: BatchState;
+  /** Some pool is short of room. */
+  readonly isShort: boolean;
+};
+
+/** A host of a wave that is up and has not been ordered down yet. */
+export type Candidate = {
+  readonly hostId: HostId;
+  readonly host: UpkeepHost;
+  readonly endpoint: EndpointState | undefined;
+  /** The lasting steps with a budget that have tasks on it. */
+  readonly lasting: ReadonlySet<StepRun>;
+};
+
+/** One pass over the candidates of a wave, with what was decided of those before. */
+export type UpkeepRound = {
+  readonly world: UpkeepWorld;
+  readonly wave: UpkeepWave;
+  readonly nowMs: number;
+  /** There is time to wait for hosts that become empty by themselves. */
+  readonly isRelaxed: boolean;
+  /** How many hosts may be ordered down in this pass. */
+  readonly freePlaces: number;
+  /** The hosts that were ordered down. */
+  readonly ordered: HostId[];
+  /** How many hosts were closed to new work. */
+  closingCount: number;
+  /** Steps of which a host that was closed takes tasks along. */
+  readonly claimed: Set<StepRun>;
+};
+
+/** What is decided of a candidate, and what it waits for; '' if nothing holds it up. */
+export type HostDecision =
+  /** It takes work as before. */
+  | { readonly kind: 'keep-open'; readonly reason: string }
+  /** It gets no new work, so that it can go soon. */
+  | { readonly kind: 'drain'; readonly reason: string }
+  /** It drains, and one task of a step that has too many of them on it moves away. */
+  | {
+      readonly kind: 'spread';
+      readonly endpoint: EndpointState;
+      readonly obstacle: BudgetObstacle;
+      readonly reason: string;
+    }
+  | { readonly kind: 'order-down'; readonly reason: '' };
+
+type Rule = (candidate: Candidate, round: UpkeepRound) => HostDecision | undefined;
+
+/** Short tasks on a host get this long to end before the host is taken down all the same. */
+const DRAIN_PATIENCE_MS = 3000;
+/** Hosts that drain while others are down, so that the next one is ready. */
+const CLOSING_AHEAD = 2;
+
+const keepOpen = (reason: string): HostDecision => ({ kind: 'keep-open', reason });
+
+const drain = (reason: string): HostDecision => ({ kind: 'drain', reason });
+
+const waitWhileRelaxed: Rule = ({ endpoint }, { world, isRelaxed }) => {
+  if (!isRelaxed) return undefined;
+  if (world.isShort) return keepOpen('room is short, and there is time left');
+  const isAtWork = endpoint !== undefined && !isQuiet(endpoint);
+  return isAtWork ? keepOpen('it is at work, and there is time left') : undefined;
+};
+
+const limitClosing: Rule = (_candidate, { wave, closingCount }) => {
+  const isFull = closingCount >= wave.order.maximum + CLOSING_AHEAD;
+  return isFull ? keepOpen('as many hosts as may go are before it') : undefined;
+};
+
+/** More tasks of one step stand here than may be missed: the host never goes with all of them. */
+const isOvercrowded = ({ runs }: EndpointState, { step }: BudgetObstacle): boolean => {
+  const staying = Array.from(runs.values()).filter(
+    (run) => run.step === step && run.phase !== 'stopping',
+  );
+  return staying.length > step.spec.mayMiss;
+};
+
+const keepWithinBudgets: Rule = ({ endpoint }, { world }) => {
+  if (!endpoint) return undefined;
+  const obstacle = findBudgetObstacle(world.state, endpoint);
+  if (!obstacle) return undefined;
+  const { reason } = obstacle;
+  if (!isOvercrowded(endpoint, obstacle)) return keepOpen(reason);
+  return { kind: 'spread', endpoint, obstacle, reason };
+};
+
+/** Two hosts that each fit a step's budget may break it together. */
+const takeOneHostPerStep: Rule = ({ lasting }, { claimed }) => {
+  const shared = Array.from(lasting).find((step) => claimed.has(step));
+  return shared && keepOpen(`job ${shared.job.job.jobId} gives another host first`);
+};
+
+const keepWithinMaximum: Rule = (_candidate, { wave, ordered, freePlaces }) => {
+  if (ordered.length < freePlaces) return undefined;
+  return drain(`${wave.order.maximum} hosts are down, which is the maximum`);
+};
+
+const awaitFirstAnswer: Rule = ({ hostId, endpoint }, { world }) => {
+  const endpointId = world.inventory.hosts.get(hostId)?.endpointId ?? null;
+  // What an endpoint runs is known once it has answered this holder.
+  const isUnknown = endpointId !== null && !endpoint?.isKnown;
+  return isUnknown ? drain('its endpoint has not answered yet') : undefined;
+};
+
+const awaitShortTasks: Rule = ({ host, endpoint }, { nowMs }) => {
+  if (!endpoint || isQuiet(endpoint)) return undefined;
+  const drainingSinceMs = host.phase === 'waiting' ? nowMs : host.sinceMs;
+  if (nowMs - drainingSinceMs > DRAIN_PATIENCE_MS) return undefined;
+  return drain(`${endpoint.runs.size} tasks are to end first`);
+};
+
+/** In the order in which they are asked: budgets go before what only delays a host. */
+const rules: readonly Rule[] = [
+  waitWhileRelaxed,
+  limitClosing,
+  keepWithinBudgets,
+  takeOneHostPerStep,
+  keepWithinMaximum,
+  awaitFirstAnswer,
+  awaitShortTasks,
+];
+
+/**
+ * Decides what is done about a host. Nothing is changed.
+ *
+ * @param candidate - The host.
+ * @param round - The pass so far.
+ * @returns The decision with its reason.
+ */
+export const decideOnHost = (candidate: Candidate, round: UpkeepRound): HostDecision => {
+  const decision = rules.reduce<HostDecision | undefined>(
+    (decided, rule) => decided ?? rule(candidate, round),
+    undefined,
+  );
+  return decision ?? { kind: 'order-down', reason: '' };
+};
--- a/packages/core/src/batch/upkeep.ts
+++ b/packages/core/src/batch/upkeep.ts
@@ -2,34 +2,33 @@
  * Maintenance waves over hosts: spare and empty hosts first, then those whose short tasks have
  * drained, within every lasting step's budget and the wave's maximum.
  */
+import * as B from 'fp-ts/lib/boolean.js';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as N from 'fp-ts/lib/number.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+
 import type { HostId } from '../shared/ids.js';
 import { change } from '../shared/change.js';
 import type { HostPresence } from './host-inventory.js';
+import { lastingSteps, moveOneAway } from './hosts.js';
+import type { EndpointState } from './state.js';
+import { mayBeDown, presenceInWave, type UpkeepHost, type UpkeepWave } from './upkeep-progress.js';
 import {
-  findBudgetObstacle,
-  isQuiet,
-  lastingSteps,
-  moveOneAway,
-  type BudgetObstacle,
-} from './hosts.js';
-import type { BatchState, EndpointState, StepRun } from './state.js';
-import {
-  mayBeDown,
-  presenceInWave,
-  type HostSight,
-  type UpkeepHost,
-  type UpkeepWave,
-} from './upkeep-progress.js';
-
-/** What is to be done about a host of a wave. */
+  decideOnHost,
+  type Candidate,
+  type HostDecision,
+  type UpkeepRound,
+  type UpkeepWorld,
+} from './upkeep-rules.js';
+
+/** A host of a wave that is to be ordered down. */
 export type UpkeepStep = {
   readonly wave: UpkeepWave;
   readonly hostId: HostId;
   readonly reason: string;
 };
 
-/** Short tasks on a host get this long to end before the host is taken down all the same. */
-const DRAIN_PATIENCE_MS = 3000;
 /** A host drains for up to 3 s, is down for 2 s, and its lasting tasks take a second to be back. */
 const ROUND_MS = 4000;
 /**
@@ -37,17 +36,10 @@
  * with 9 s, 3 to 5 of 22 hosts were late on a day with both.
  */
 const RESERVE_MS = 12_000;
-/** Hosts that drain while others are down, so that the next one is ready. */
-const CLOSING_AHEAD = 2;
 /** An order without an answer is sent again after this time. */
 const ASK_AGAIN_MS = 1000;
-
-/** What planning needs to know of hosts. */
-export type UpkeepWorld = HostSight & {
-  readonly state: BatchState;
-  /** Some pool is short of room. */
-  readonly isShort: boolean;
-};
+/** An order that was refused is sent again after this time: the platform may not know the wave yet. */
+const REFUSED_AGAIN_MS = 1500;
 
 const endpointOf = (
   { state, inventory: { hosts } }: UpkeepWorld,
@@ -57,9 +49,6 @@
   return endpointId ? state.endpoints.get(endpointId) : undefined;
 };
 
-/** An order that was refused is sent again after this time: the platform may not know the wave yet. */
-const REFUSED_AGAIN_MS = 1500;
-
 /** Moves hosts on by what the list and the time say. */
 const settle = ({ inventory, downMs }: UpkeepWorld, wave: UpkeepWave, nowMs: number): void => {
   const { hosts, listedAtMs } = inventory;
@@ -96,67 +85,109 @@
   });
 };
 
-/** Fewer runs first; spare and empty hosts before all. */
-const weightOf = (world: UpkeepWorld, hostId: HostId): number => {
-  const endpoint = endpointOf(world, hostId);
-  if (!endpoint) return 0;
+/** How much a host's loss would cost; 0 for spare and empty hosts. */
+const weightOf = ({ endpoint }: Candidate): number => {
+  if (!endpoint || endpoint.runs.size === 0) return 0;
   const { used, capacity, runs } = endpoint;
   const lasting = Array.from(runs.values()).filter(({ step }) => step.spec.isLasting).length;
-  return runs.size === 0 ? 0 : 1 + lasting + used.cpuMillis / Math.max(1, capacity.cpuMillis);
+  return 1 + lasting + used.cpuMillis / Math.max(1, capacity.cpuMillis);
 };
 
-const close = (world: UpkeepWorld, host: UpkeepHost, hostId: HostId, nowMs: number): void => {
-  const endpoint = endpointOf(world, hostId);
-  const sinceMs = host.phase === 'waiting' ? nowMs : host.sinceMs;
-  change(host, { phase: 'closing', sinceMs });
-  if (endpoint) endpoint.isClosing = true;
+const byClosingFirst = pipe(
+  B.Ord,
+  Ord.reverse,
+  Ord.contramap(({ host }: Candidate) => host.phase === 'closing'),
+);
+const byWeight = pipe(N.Ord, Ord.contramap(weightOf));
+const byPreference = Ord.getMonoid<Candidate>().concat(byClosingFirst, byWeight);
+
+const mayBeOrdered = (
+  { inventory }: UpkeepWorld,
+  hostId: HostId,
+  { phase }: UpkeepHost,
+): boolean => {
+  const isOpen = phase === 'waiting' || phase === 'closing';
+  return isOpen && inventory.hosts.get(hostId)?.state === 'up';
 };
 
-/** A host that may not go now must not be kept empty: what others need room for could be it. */
-const reopen = (world: UpkeepWorld, host: UpkeepHost, hostId: HostId): void => {
+const candidateOf = (world: UpkeepWorld, hostId: HostId, host: UpkeepHost): Candidate => {
   const endpoint = endpointOf(world, hostId);
-  if (host.phase === 'closing') change(host, { phase: 'waiting' });
-  if (endpoint) endpoint.isClosing = false;
+  return { hostId, host, endpoint, lasting: endpoint ? lastingSteps(endpoint) : new Set() };
 };
 
+const findCandidates = (world: UpkeepWorld, wave: UpkeepWave): readonly Candidate[] =>
+  pipe(
+    Array.from(wave.hosts),
+    RA.filter(([hostId, host]) => mayBeOrdered(world, hostId, host)),
+    RA.map(([hostId, host]) => candidateOf(world, hostId, host)),
+    RA.sort(byPreference),
+  );
+
 /** Tells whether hosts can be left for later: the rest must take no longer than what is left then. */
 const hasTimeLeft = ({ order, seenAtMs }: UpkeepWave, left: number, nowMs: number): boolean => {
   const neededMs = Math.ceil(left / order.maximum) * ROUND_MS + RESERVE_MS;
   return seenAtMs + order.withinMs - nowMs > neededMs;
 };
 
-/** What has to end on a host before it goes; '' if nothing has to. */
-const findDelay = (world: UpkeepWorld, hostId: HostId, host: UpkeepHost, nowMs: number): string => {
-  const endpoint = endpointOf(world, hostId);
-  const isLivedOn = (world.inventory.hosts.get(hostId)?.endpointId ?? null) !== null;
-  // What an endpoint runs is known once it has answered this holder.
-  if (isLivedOn && !endpoint?.isKnown) return 'its endpoint has not answered yet';
-  if (!endpoint || isQuiet(endpoint) || nowMs - host.sinceMs > DRAIN_PATIENCE_MS) return '';
-  return `${endpoint.runs.size} tasks are to end first`;
+const startRound = (
+  world: UpkeepWorld,
+  wave: UpkeepWave,
+  candidateCount: number,
+  nowMs: number,
+): UpkeepRound => {
+  const down = Array.from(wave.hosts).filter(([hostId, host]) => mayBeDown(world, hostId, host));
+  return {
+    world,
+    wave,
+    nowMs,
+    isRelaxed: hasTimeLeft(wave, candidateCount, nowMs),
+    freePlaces: Math.max(0, wave.order.maximum - down.length),
+    ordered: [],
+    closingCount: 0,
+    claimed: new Set(),
+  };
 };
 
-/** Tasks on a host that was ordered down are away from now on, for the budgets of the others. */
-const countAsAway = (world: UpkeepWorld, hostId: HostId): void => {
-  endpointOf(world, hostId)?.runs.forEach((run) => {
-    Object.assign(run, { percent: 0 });
-  });
+const close = (round: UpkeepRound, { host, endpoint }: Candidate): void => {
+  const sinceMs = host.phase === 'waiting' ? round.nowMs : host.sinceMs;
+  change(round, { closingCount: round.closingCount + 1 });
+  change(host, { phase: 'closing', sinceMs });
+  if (endpoint) change(endpoint, { isClosing: true });
 };
 
-/** Which budget forbids that a host goes now; '' if none does. */
-const findBar = (
-  obstacle: BudgetObstacle | undefined,
-  lasting: ReadonlySet<StepRun>,
-  claimed: ReadonlySet<StepRun>,
-): string => {
-  if (obstacle) return obstacle.reason;
-  const shared = Array.from(lasting).find((step) => claimed.has(step));
-  return shared ? `job ${shared.job.job.jobId} gives another host first` : '';
+/** A host that may not go now must not be kept empty: what others need room for could be it. */
+const reopen = ({ host, endpoint }: Candidate): void => {
+  if (host.phase === 'closing') change(host, { phase: 'waiting' });
+  if (endpoint) change(endpoint, { isClosing: false });
 };
 
-/** More tasks of one step stand here than may be missed: the host never goes with all of them. */
-const isOvercrowded = ({ runs }: EndpointState, { step }: BudgetObstacle): boolean =>
-  Array.from(runs.values()).filter((run) => run.step === step && run.phase !== 'stopping').length >
-  step.spec.mayMiss;
+const orderDown = ({ ordered, nowMs }: UpkeepRound, candidate: Candidate): void => {
+  const { hostId, host, endpoint } = candidate;
+  ordered.push(hostId);
+  change(host, { phase: 'asked', sinceMs: nowMs });
+  // Its tasks are away from now on, for the budgets of the others.
+  endpoint?.runs.forEach((run) => change(run, { percent: 0 }));
+};
+
+const carryOut = (round: UpkeepRound, candidate: Candidate, decision: HostDecision): void => {
+  change(candidate.host, { reason: decision.reason });
+  if (decision.kind === 'keep-open') {
+    reopen(candidate);
+    return;
+  }
+  close(round, candidate);
+  if (decision.kind === 'spread') {
+    moveOneAway(round.world.state, decision.endpoint, decision.obstacle, round.nowMs);
+    return;
+  }
+  candidate.lasting.forEach((step) => round.claimed.add(step));
+  if (decision.kind === 'order-down') orderDown(round, candidate);
+};
+
+const findUnanswered = (wave: UpkeepWave, nowMs: number): readonly HostId[] =>
+  Array.from(wave.hosts)
+    .filter(([, { phase, sinceMs }]) => phase === 'asked' && nowMs - sinceMs > ASK_AGAIN_MS)
+    .map(([hostId]) => hostId);
 
 /**
  * Plans the next steps of a wave.
@@ -174,64 +205,14 @@
   settle(world, wave, nowMs);
   noteUnlisted(world, wave);
   markAwaited(world, wave);
-  const entries = Array.from(wave.hosts);
-  const again = entries
-    .filter(([, host]) => host.phase === 'asked' && nowMs - host.sinceMs > ASK_AGAIN_MS)
-    .map(([hostId]) => ({ wave, hostId, reason: 'the order had no answer' }));
-  const under = entries.filter(([hostId, host]) => mayBeDown(world, hostId, host)).length;
-  const candidates = entries
-    .filter(([hostId, { phase }]) => {
-      const isOpen = phase === 'waiting' || phase === 'closing';
-      return isOpen && world.inventory.hosts.get(hostId)?.state === 'up';
-    })
-    .sort(
-      ([left, { phase: leftPhase }], [right, { phase: rightPhase }]) =>
-        Number(rightPhase === 'closing') - Number(leftPhase === 'closing') ||
-        weightOf(world, left) - weightOf(world, right),
-    );
-  const free = Math.max(0, wave.order.maximum - under);
-  const going: UpkeepStep[] = [];
-  const claimed = new Set<StepRun>();
-  const isRelaxed = hasTimeLeft(wave, candidates.length, nowMs);
-  let closing = 0;
-  candidates.forEach(([hostId, host]) => {
-    const endpoint = endpointOf(world, hostId);
-    const lasting = endpoint ? lastingSteps(endpoint) : new Set<StepRun>();
-    if (isRelaxed && (world.isShort || (endpoint && !isQuiet(endpoint)))) {
-      const what = world.isShort ? 'room is short' : 'it is at work';
-      Object.assign(host, { reason: `${what}, and there is time left` });
-      reopen(world, host, hostId);
-      return;
-    }
-    const isFull = closing >= wave.order.maximum + CLOSING_AHEAD;
-    const obstacle = endpoint && findBudgetObstacle(world.state, endpoint);
-    if (endpoint && obstacle && !isFull && isOvercrowded(endpoint, obstacle)) {
-      closing += 1;
-      close(world, host, hostId, nowMs);
-      moveOneAway(world.state, endpoint, obstacle, nowMs);
-      Object.assign(host, { reason: obstacle.reason });
-      return;
-    }
-    const bar = isFull
-      ? 'as many hosts as may go are before it'
-      : findBar(obstacle, lasting, claimed);
-    Object.assign(host, { reason: bar });
-    if (bar !== '') {
-      reopen(world, host, hostId);
-      return;
-    }
-    closing += 1;
-    lasting.forEach((step) => claimed.add(step));
-    close(world, host, hostId, nowMs);
-    const delay =
-      going.length >= free
-        ? `${wave.order.maximum} hosts are down, which is the maximum`
-        : findDelay(world, hostId, host, nowMs);
-    Object.assign(host, { reason: delay });
-    if (delay !== '') return;
-    going.push({ wave, hostId, reason: `wave ${wave.order.waveNumber}: no budget forbids it` });
-    Object.assign(host, { phase: 'asked', sinceMs: nowMs });
-    countAsAway(world, hostId);
-  });
-  return [...again, ...going];
+  const unanswered = findUnanswered(wave, nowMs);
+  const candidates = findCandidates(world, wave);
+  const round = startRound(world, wave, candidates.length, nowMs);
+  // One after the other: each decision depends on what those before took of the budgets.
+  candidates.forEach((candidate) => carryOut(round, candidate, decideOnHost(candidate, round)));
+  const reason = `wave ${wave.order.waveNumber}: no budget forbids it`;
+  return [
+    ...unanswered.map((hostId) => ({ wave, hostId, reason: 'the order had no answer' })),
+    ...round.ordered.map((hostId) => ({ wave, hostId, reason })),
+  ];
 };
