Saving jobs: the submissions, the changed jobs and the rounds stand in a module each

Now accept-queue.ts holds the submissions and what each is told, changed-jobs.ts the jobs that changed and the versions of their rows, and job-saver.ts fills one transaction from both, sends it and keeps the timing. Its types of submissions stand in accept-queue.ts; job-saver.ts passes them on.

No call to the table and no timing changed: job-saver.test.ts, submission.test.ts, intake.test.ts and all tests of packages/core and packages/daemon/src/batch pass unchanged (153 passed).

--- a/packages/daemon/src/batch/holder-client.ts
+++ b/packages/daemon/src/batch/holder-client.ts
@@ -4,7 +4,7 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
-import type { AcceptOutcome } from './job-saver.js';
+import type { AcceptOutcome } from './accept-queue.js';
 import type { Peers } from './peers.js';
 
 /** How long the holder is waited for before the rows are read instead. */
--- a/packages/daemon/src/batch/intake.ts
+++ b/packages/daemon/src/batch/intake.ts
@@ -22,7 +22,7 @@
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
 import type { Written } from './attempt.js';
-import type { AcceptOutcome, LiveRow } from './job-saver.js';
+import type { AcceptOutcome, LiveRow } from './accept-queue.js';
 import { batchKey } from './keys.js';
 import type { RelayedTable } from './relayed-table.js';
 import { createSubmission } from './submission.js';
--- a/packages/daemon/src/batch/job-saver.ts
+++ b/packages/daemon/src/batch/job-saver.ts
@@ -4,65 +4,33 @@
  * does more with few large ones. An end that an endpoint listed is acknowledged only after the
  * transaction that holds it was committed.
  */
-import {
-  isFinal,
-  jobRowOf,
-  progressOf,
-  type BatchJobRow,
-  type BatchState,
-  type JobState,
-} from '@valvelatch/core/batch';
-import type { RowCheck, RowWrite, TableRow } from '@valvelatch/core/rows/transaction';
+import type { BatchState, JobState } from '@valvelatch/core/batch';
+import type { RowCheck, TableRow } from '@valvelatch/core/rows/transaction';
 import type { JobId } from '@valvelatch/core/shared/ids';
+import type { PlatformError, TableTransaction, TransactionOutcome } from '@valvelatch/platform';
+import type { Result } from 'ts-results-es';
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
-import { batchKey } from './keys.js';
+import {
+  createAcceptQueue,
+  type AcceptOutcome,
+  type LiveRow,
+  type Submission,
+} from './accept-queue.js';
+import { createChangedJobs, type JobVersions, type SentJob } from './changed-jobs.js';
 import type { BatchTable } from './ports.js';
 
+export type { AcceptOutcome, LiveRow } from './accept-queue.js';
+
 /** The platform takes 100 entries in one transaction; one is the fence. */
 const ENTRIES_PER_TRANSACTION = 98;
 /** Submissions that come within this time share a transaction. */
 const ACCEPT_MS = 3;
-/**
- * A transaction that is under way for so long, or failures for as long, show that the table is away:
- * what was not sent yet is refused at once. A slow table takes up to 0.9 s.
- */
-const AWAY_AFTER_MS = 1200;
-/** While the table is away one submission at a time is let through to try. */
-const TRY_EVERY_MS = 400;
-/** Above so many that wait, new ones are refused: a slow table writes some 60 a second. */
-const MOST_WAITING = 300;
 /** Pause between two transactions: ends that come meanwhile share the next one. */
 const SAVE_EVERY_MS = 40;
 const RETRY_MS = 150;
 
-/** The versions of a job's rows; 0 for a row that is not there. */
-export type JobVersions = { job: number; progress: number };
-
-/** Rows to write, with what must hold for them. */
-type JobWrite = { readonly checks: readonly RowCheck[]; readonly writes: readonly RowWrite[] };
-
-/** What became of a submission. */
-export type AcceptOutcome =
-  | { readonly kind: 'committed'; readonly version: number }
-  /** The job was accepted before. */
-  | { readonly kind: 'conflict' }
-  | { readonly kind: 'full' }
-  /** The table does not answer the holder; the job was surely not written. */
-  | { readonly kind: 'away' }
-  /** The holder was asked and did not say: the job may be accepted. */
-  | { readonly kind: 'unheard' };
-
-/** The row of a job that has not ended. */
-export type LiveRow = Extract<BatchJobRow, { kind: 'live' }>;
-type Submission = {
-  readonly row: LiveRow;
-  readonly resolve: (outcome: AcceptOutcome) => void;
-  /** It was in a transaction whose outcome is not known. */
-  mayBeWritten: boolean;
-};
-
 export type JobSaver = {
   readonly versions: Map<JobId, JobVersions>;
   /** Writes an accepted job; resolves once it is committed or cannot be known. */
@@ -71,7 +39,7 @@
   readonly mark: (jobId: JobId, isUrgent: boolean) => void;
   /** Asks for a round even if no job changed, so that ends can be acknowledged. */
   readonly poke: () => void;
-  /** Turns away what waits for a table that is away; to be called several times a second. */
+  /** Refuses what waits for a table that is away; to be called several times a second. */
   readonly lookAtTable: () => void;
   readonly stop: () => void;
 };
@@ -93,26 +61,36 @@
   readonly todayMs: () => number;
 };
 
-const writeOf = (job: JobState, versions: JobVersions, todayMs: number): JobWrite => {
-  const { jobId } = job.job;
-  const jobKey = batchKey.job(jobId);
-  const progressKey = batchKey.progress(jobId);
-  const progressCheck = { key: progressKey, version: versions.progress };
-  if (!isFinal(job.phase)) {
-    return {
-      checks: [progressCheck],
-      writes: [{ key: progressKey, value: progressOf(job) }],
-    };
-  }
+/** What one transaction holds. */
+type Batch = {
+  readonly parts: readonly TableTransaction[];
+  readonly submissions: readonly Submission[];
+  readonly jobs: readonly SentJob[];
+};
+
+/** Collects parts up to what one transaction may hold. */
+const createParts = () => {
+  const parts: TableTransaction[] = [];
+  let entries = 0;
   return {
-    checks: [{ key: jobKey, version: versions.job }],
-    writes: [
-      { key: jobKey, value: jobRowOf(job, todayMs) },
-      ...(versions.progress > 0 ? [{ key: progressKey, value: null }] : []),
-    ],
+    parts,
+    fits: (part: TableTransaction): boolean => {
+      const size = part.checks.length + part.writes.length;
+      if (entries + size > ENTRIES_PER_TRANSACTION) return false;
+      entries += size;
+      parts.push(part);
+      return true;
+    },
   };
 };
 
+type TableAnswer = Result<TransactionOutcome, PlatformError>;
+
+const answerKindOf = (answer: TableAnswer): 'answered' | 'failed' | 'unknown' => {
+  if (answer.isOk()) return 'answered';
+  return answer.error.kind === 'unknown' ? 'unknown' : 'failed';
+};
+
 /**
  * Starts to save jobs.
  *
@@ -132,154 +110,78 @@
   isTableAway = () => false,
   todayMs,
 }: JobSaverOptions): JobSaver => {
-  const versions = new Map<JobId, JobVersions>();
-  const dirty = new Set<JobId>();
   let isWanted = false;
   let isRunning = false;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
   let plannedAtMs = 0;
-  let submissions: readonly Submission[] = [];
-  let sentAtMs = Infinity;
-  let failingSinceMs = Infinity;
-  let lastTryAtMs = 0;
-  const inFlight = new Set<Submission>();
-
-  const versionsOf = (jobId: JobId): JobVersions => {
-    const known = versions.get(jobId);
-    if (known) return known;
-    const built = { job: 0, progress: 0 };
-    versions.set(jobId, built);
-    return built;
-  };
-
-  const noteCommitted = (job: JobState, wasFinal: boolean, version: number): void => {
-    const known = versionsOf(job.job.jobId);
-    if (wasFinal) {
-      known.job = version;
-      known.progress = 0;
-      onSaved(job);
-    } else known.progress = version;
-  };
-
-  /** Takes the versions that the table tells after a conflict; false if the fence is lost. */
-  const takeVersions = (rows: readonly TableRow[]): boolean =>
-    rows.every(({ key, version }) => {
-      if (key === fence().key) return version === fence().version;
-      const [kind, jobId] = key.split('/') as ['job' | 'progress', JobId];
-      versionsOf(jobId)[kind] = version;
-      return true;
-    });
-
-  /** Submissions whose row is there already were accepted before. */
-  const settleKnown = (rows: readonly TableRow[]): void => {
-    const there = new Set(rows.filter(({ version }) => version > 0).map(({ key }) => key));
-    submissions = submissions.filter(({ row, resolve }) => {
-      const isKnown = there.has(batchKey.job(row.job.jobId));
-      if (isKnown) resolve({ kind: 'conflict' });
-      return !isKnown;
-    });
-  };
 
-  const submissionWrite = ({ row }: Submission): JobWrite => {
-    const key = batchKey.job(row.job.jobId);
-    return { checks: [{ key, version: 0 }], writes: [{ key, value: row }] };
-  };
+  const queue = createAcceptQueue({ isTableAway, onWaiting: () => plan(ACCEPT_MS), onAccepted });
+  const changed = createChangedJobs({ state, onSaved, todayMs });
 
-  /** What goes into the next transaction: submissions first, then ends of jobs, then progress. */
-  const takeNext = () => {
-    const parts: JobWrite[] = [];
-    let entries = 0;
-    const fits = (part: JobWrite): boolean => {
-      const size = part.checks.length + part.writes.length;
-      if (entries + size > ENTRIES_PER_TRANSACTION) return false;
-      entries += size;
-      parts.push(part);
-      return true;
-    };
-    const accepted = submissions.filter((one) => fits(submissionWrite(one)));
-    const due = Array.from(dirty).flatMap((jobId) => state.jobs.get(jobId) ?? []);
-    const ordered = [
-      ...due.filter(({ phase }) => isFinal(phase)),
-      ...due.filter(({ phase }) => !isFinal(phase)),
-    ];
-    const jobs = ordered.filter((job) => fits(writeOf(job, versionsOf(job.job.jobId), todayMs())));
-    return { parts, accepted, jobs, finals: jobs.map(({ phase }) => isFinal(phase)) };
+  /** Submissions first, then ends of jobs, then progress. */
+  const takeBatch = (): Batch => {
+    const { parts, fits } = createParts();
+    const submissions = queue.takeFitting(fits);
+    const jobs = changed.takeFitting(fits);
+    return { parts, submissions, jobs };
   };
 
-  /** Turns away what was surely not written; what may have been is pursued. */
-  const turnAway = (): void => {
-    submissions = submissions.filter((one) => {
-      if (!one.mayBeWritten && !inFlight.has(one)) one.resolve({ kind: 'away' });
-      return one.mayBeWritten || inFlight.has(one);
-    });
+  /** The rows as they are tell what has to be written anew, and whether the fence is lost. */
+  const takeConflict = (rows: readonly TableRow[]): void => {
+    const { key: fenceKey, version: fenceVersion } = fence();
+    queue.settleKnown(rows);
+    changed.takeVersions(rows.filter(({ key }) => key !== fenceKey));
+    if (rows.every(({ key, version }) => key !== fenceKey || version === fenceVersion)) return;
+    isStopped = true;
+    onFenceLost();
   };
 
-  const isAway = (): boolean => {
-    const nowMs = performance.now();
-    if (isTableAway()) return true;
-    return nowMs - failingSinceMs > AWAY_AFTER_MS || nowMs - sentAtMs > AWAY_AFTER_MS;
-  };
-
-  const noteTable = (
-    isAnswered: boolean,
-    sent: readonly Submission[],
-    isUnknown: boolean,
-  ): void => {
-    inFlight.clear();
-    if (isUnknown) sent.forEach((one) => Object.assign(one, { mayBeWritten: true }));
-    failingSinceMs = isAnswered ? Infinity : Math.min(failingSinceMs, performance.now());
-    if (isAway()) turnAway();
+  /** Applies an answer of the table; true if nothing has to be tried again. */
+  const settle = ({ submissions, jobs }: Batch, outcome: TableAnswer): boolean => {
+    const counts = { jobs: jobs.length, accepted: submissions.length };
+    if (outcome.isErr()) {
+      const { kind, detail } = outcome.error;
+      changed.putBack(jobs);
+      log.warn('save-failed', { ...counts, kind, detail });
+      return false;
+    }
+    if (outcome.value.kind === 'conflict') {
+      const { key, rows = [] } = outcome.value;
+      changed.putBack(jobs);
+      log.info('save-conflict', { ...counts, key });
+      takeConflict(rows);
+      return false;
+    }
+    changed.settleCommitted(jobs, outcome.value.version);
+    queue.settleCommitted(submissions, outcome.value.version);
+    return true;
   };
 
   const saveSome = async (): Promise<boolean> => {
-    const { parts, accepted, jobs, finals } = takeNext();
+    const batch = takeBatch();
+    const { parts, submissions } = batch;
     if (parts.length === 0) {
-      dirty.clear();
+      // Only jobs that are not there any more are left.
+      changed.clear();
       return true;
     }
-    jobs.forEach(({ job }) => dirty.delete(job.jobId));
-    sentAtMs = performance.now();
-    accepted.forEach((one) => inFlight.add(one));
+    queue.noteSent(submissions);
     const outcome = await table.transact({
       checks: [fence(), ...parts.flatMap(({ checks }) => checks)],
       writes: parts.flatMap(({ writes }) => writes),
     });
     metrics.count('job_saves');
-    sentAtMs = Infinity;
-    noteTable(outcome.isOk(), accepted, outcome.isErr() && outcome.error.kind === 'unknown');
-    const isSaved = outcome.isOk() && outcome.value.kind === 'committed';
-    if (!isSaved) jobs.forEach(({ job }) => dirty.add(job.jobId));
-    if (outcome.isErr()) {
-      const { kind, detail } = outcome.error;
-      log.warn('save-failed', { jobs: jobs.length, accepted: accepted.length, kind, detail });
-      return false;
-    }
-    if (outcome.value.kind === 'conflict') {
-      const { key, rows = [] } = outcome.value;
-      log.info('save-conflict', { jobs: jobs.length, accepted: accepted.length, key });
-      settleKnown(rows);
-      if (!takeVersions(rows)) {
-        isStopped = true;
-        onFenceLost();
-      }
-      return false;
-    }
-    const { version } = outcome.value;
-    jobs.forEach((job, index) => noteCommitted(job, finals[index] ?? false, version));
-    submissions = submissions.filter((one) => !accepted.includes(one));
-    accepted.forEach(({ row, resolve }) => {
-      onAccepted(row, version);
-      resolve({ kind: 'committed', version });
-    });
-    return true;
+    // No other call may come between the two: it could refuse a submission that was committed.
+    queue.noteOutcome(submissions, answerKindOf(outcome));
+    return settle(batch, outcome);
   };
 
   const saveRound = async (): Promise<boolean> => {
     const finishRound = beginRound();
     do {
       if (isStopped || !(await saveSome())) return false;
-    } while (dirty.size > 0 || submissions.length > 0);
+    } while (!changed.isEmpty() || !queue.isEmpty());
     finishRound();
     return true;
   };
@@ -292,8 +194,8 @@
     isRunning = false;
     if (isStopped) return;
     if (!isWhole) plan(RETRY_MS);
-    else if (submissions.length > 0) plan(ACCEPT_MS);
-    else if (dirty.size > 0 || isWanted) plan(SAVE_EVERY_MS);
+    else if (!queue.isEmpty()) plan(ACCEPT_MS);
+    else if (!changed.isEmpty() || isWanted) plan(SAVE_EVERY_MS);
   };
 
   const plan = (afterMs: number): void => {
@@ -309,38 +211,18 @@
   };
 
   return {
-    versions,
-    accept: (row) =>
-      new Promise((resolve) => {
-        if (submissions.length >= MOST_WAITING) {
-          resolve({ kind: 'full' });
-          return;
-        }
-        const nowMs = performance.now();
-        if (isAway()) {
-          turnAway();
-          if (isTableAway() || nowMs - lastTryAtMs < TRY_EVERY_MS) {
-            resolve({ kind: 'away' });
-            return;
-          }
-          lastTryAtMs = nowMs;
-        }
-        submissions = [...submissions, { row, resolve, mayBeWritten: false }];
-        plan(ACCEPT_MS);
-      }),
+    versions: changed.versions,
+    accept: queue.accept,
     mark: (jobId, isUrgent) => {
-      dirty.add(jobId);
+      changed.mark(jobId);
       plan(isUrgent ? 1 : SAVE_EVERY_MS / 2);
     },
     poke: () => plan(SAVE_EVERY_MS / 2),
-    lookAtTable: () => {
-      if (submissions.length > 0 && isAway()) turnAway();
-    },
+    lookAtTable: queue.refuseIfAway,
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
-      submissions.forEach(({ resolve }) => resolve({ kind: 'unheard' }));
-      submissions = [];
+      queue.stop();
     },
   };
 };
--- a/packages/daemon/src/batch/submission.ts
+++ b/packages/daemon/src/batch/submission.ts
@@ -8,7 +8,7 @@
 
 import { openAttempt, type Attempt, type Ending, type Written } from './attempt.js';
 import type { ControlView } from './intake.js';
-import type { AcceptOutcome, LiveRow } from './job-saver.js';
+import type { AcceptOutcome, LiveRow } from './accept-queue.js';
 import { batchKey } from './keys.js';
 import type { RelayedTable } from './relayed-table.js';
 
