An entry's ports, seat and loops stand in modules of their own

Now ports.ts, seat-plane.ts (beside request-plane.ts and control-plane.ts) and entry-loops.ts hold these; entry.ts is left with what connects the parts, their start and their stop. `sleep` stands once for the daemon instead of three times in these files.

Behaviour is the same: the same calls in the same order, the same periods.

--- a/packages/daemon/src/batch/holder-client.ts
+++ b/packages/daemon/src/batch/holder-client.ts
@@ -4,6 +4,7 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import { sleep } from '../shared/sleep.js';
 import type { AcceptOutcome } from './accept-queue.js';
 import type { Peers } from './peers.js';
 
@@ -51,11 +52,6 @@
   readonly isAway: () => boolean;
 };
 
-const pause = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 /**
  * Builds the way to the holder.
  *
@@ -95,7 +91,7 @@
   const holderFallsSilent = async (): Promise<undefined> => {
     const untilMs = nowMs() + ACCEPT_ASK_MS;
     while (nowMs() < untilMs) {
-      await pause(SILENCE_LOOK_MS);
+      await sleep(SILENCE_LOOK_MS);
       const entryId = holder();
       const silentMs = entryId === null ? 0 : (peers()?.silentForMs(entryId) ?? 0);
       if (silentMs > HOLDER_SILENT_MS && silentMs < Infinity) return undefined;
--- a/packages/daemon/src/batch/submission.ts
+++ b/packages/daemon/src/batch/submission.ts
@@ -6,6 +6,7 @@
 import { hasWritePath } from '@valvelatch/core/batch';
 import type { GroupCommit } from '@valvelatch/platform';
 
+import { sleep } from '../shared/sleep.js';
 import { openAttempt, type Attempt, type Ending, type Written } from './attempt.js';
 import type { ControlView } from './intake.js';
 import type { AcceptOutcome, LiveRow } from './accept-queue.js';
@@ -44,11 +45,6 @@
   readonly submit: (row: LiveRow, untilMs: number) => Promise<Written>;
 };
 
-const sleep = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 const AWAY = 'neither the table nor the holder of control answers';
 
 /**
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -1,11 +1,8 @@
 /** One entry, put together: request path, mesh, control and the two ports. */
-import type { AddressInfo } from 'node:net';
-
 import {
   brand,
   createDecisionMemory,
   createRng,
-  findDeclaration,
   hash32,
   recallDecision,
   type DataCentreId,
@@ -14,12 +11,9 @@
   type SeatTerm,
   type ServiceName,
 } from '@valvelatch/core';
-import type { FastifyInstance } from 'fastify';
 
 import { createConfigSync } from '../config-sync/config-sync.js';
-import { createDoubtWatch } from '../data-path/doubt-watch.js';
-import { createOutageClaims, type SharedClaim } from '../data-path/outage-claims.js';
-import { createLeaseKeeper } from '../leases/lease-keeper.js';
+import type { SharedClaim } from '../data-path/outage-claims.js';
 import { createMeshLink } from '../mesh-link/mesh-link.js';
 import { createLog } from '../observe/log.js';
 import { createMetrics } from '../observe/metrics.js';
@@ -27,12 +21,15 @@
 import type { EntryStatus } from '../operators/operator-context.js';
 import { createOperatorHandlers } from '../operators/operator-handlers.js';
 import { createOperatorsServer } from '../operators/operators-server.js';
-import { createSeatKeeper } from '../seats/seat-keeper.js';
 import type { Settings } from '../settings/settings.js';
-import { startLoops, type Loop } from '../shared/loops.js';
+import { startLoops } from '../shared/loops.js';
+import { sleep } from '../shared/sleep.js';
 import { createClients } from './clients.js';
 import { createControlPlane } from './control-plane.js';
+import { entryLoops } from './entry-loops.js';
+import { closeWhenIdle, listen, urlOf } from './ports.js';
 import { createRequestPlane } from './request-plane.js';
+import { createSeatPlane } from './seat-plane.js';
 
 /** The addresses of a running entry. */
 export type EntryAddresses = {
@@ -48,48 +45,11 @@
   readonly stop: () => Promise<void>;
 };
 
-const TASK_POLL_MS = 400;
-const BUSY_PUMP_MS = 20;
-const IDLE_PUMP_MS = 200;
-const MESH_TICK_MS = 1000;
-const CONFIG_POLL_MS = 1000;
-const CLAIMS_TICK_MS = 1000;
-const AGENT_TICK_MS = 400;
-/** Each lease on a seat is looked at so often, and the seats of others so often. */
-const SEAT_TICKS_PER_LEASE = 8;
-const DOUBT_TICKS_PER_LEASE = 6;
-const POLLERS_PER_DATA_CENTRE = 2;
 const ASK_MS = 1500;
 const LONGEST_WARM_UP_MS = 15_000;
 /** The balancer needs to see the health answer change before the entry stops to listen. */
 const BALANCER_NOTICE_MS = 500;
-const CHECK_MS = 20;
-
-const pause = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
-const urlOf = (scheme: string, host: string, port: number): string =>
-  `${scheme}://${host.includes(':') ? `[${host}]` : host}:${port}`;
-
-const listen = async (app: FastifyInstance, host: string, port: number): Promise<string> => {
-  await app.listen({ host, port });
-  return urlOf('http', host, (app.server.address() as AddressInfo).port);
-};
-
-/** A connection that is kept alive would hold up the end; one that is in use is never cut. */
-const closeWhenIdle = async (app: FastifyInstance): Promise<void> => {
-  let isClosed = false;
-  const closed = app.close().then(() => {
-    isClosed = true;
-  });
-  while (!isClosed) {
-    app.server.closeIdleConnections();
-    await pause(CHECK_MS);
-  }
-  await closed;
-};
+const REVISION_LOOK_MS = 20;
 
 /**
  * Starts an entry.
@@ -102,7 +62,6 @@
   const self = brand<EntryId>(settings['entry-id']);
   const dataCentre = brand<DataCentreId>(settings['data-centre']);
   const host = settings['listen-host'];
-  const leaseMs = settings['seat-lease-ms'];
   const log = createLog({ level: settings['log-level'], common: { entry: self } });
   const metrics = createMetrics();
   const tracing = await createTracing(settings, log);
@@ -145,7 +104,7 @@
     const untilMs = performance.now() + waitMs;
     while (configSync.current().revision < revision) {
       if (performance.now() >= untilMs) throw new Error(`revision ${revision} is not in force yet`);
-      await pause(CHECK_MS);
+      await sleep(REVISION_LOOK_MS);
     }
     return true;
   };
@@ -192,34 +151,16 @@
     return (await meshLink.ask(peer, method, payload, ASK_MS).catch(() => false)) === true;
   };
 
-  const doubtWatch = createDoubtWatch({ table });
-  const seatKeeper = createSeatKeeper({
+  const seatPlane = createSeatPlane({
     self,
-    seats: () =>
-      findDeclaration(configSync.current(), 'DataCentre', dataCentre)?.spec.entrySeats ?? 0,
-    createLease: (seat, mayTake) =>
-      createLeaseKeeper({
-        table,
-        name: `seat/${dataCentre}/${seat}`,
-        self,
-        durationMs: leaseMs,
-        mayTake,
-        // A renewed seat says that this entry holds no claims which the table does not show.
-        beforeWrite: () => outage.flush(),
-      }),
-    askPromise: (holder, term) => askEntry(holder, 'promise-seat', term),
-    askConsent: (holder, term) => askEntry(holder, 'consent-seat', term),
-    beforeUnconsented: () => doubtWatch.raise(dataCentre),
-    log,
-  });
-  const outage = createOutageClaims({
+    dataCentre,
     table,
-    lapsedForMs: seatKeeper.lapsedForMs,
-    isContinuing: () => seatKeeper.held()?.portion === 'continuing',
-    leaseMs,
-    otherHolders: seatKeeper.otherHolders,
-    askKeep: (holder, claim) => askEntry(holder, 'keep-claim', claim),
+    configuration: configSync.current,
+    leaseMs: settings['seat-lease-ms'],
+    askEntry,
+    log,
   });
+  const { seatKeeper, outage, doubtWatch } = seatPlane;
 
   /** A new entry watches the seats for a while before it can vouch for claims. */
   const isWarm = (): boolean =>
@@ -290,44 +231,14 @@
   };
   meshLink.join();
 
-  const pollConfiguration = async (): Promise<void> => {
-    const isPoller = meshLink.hasDuty('configuration', POLLERS_PER_DATA_CENTRE);
-    if (isPoller || !configSync.isKnown()) await configSync.poll();
-  };
-  const otherAddresses = () => meshLink.members().map(({ callersUrl }) => callersUrl);
-
-  const loops: readonly Loop[] = [
-    {
-      name: 'tasks',
-      everyMs: TASK_POLL_MS,
-      run: () => requestPlane.pollTasks(otherAddresses()),
-    },
-    {
-      name: 'pump',
-      everyMs: () => (requestPlane.inFlight() > 0 ? BUSY_PUMP_MS : IDLE_PUMP_MS),
-      run: async () => requestPlane.gates().forEach((gate) => gate.pump()),
-    },
-    { name: 'mesh', everyMs: MESH_TICK_MS, run: async () => meshLink.tick() },
-    { name: 'configuration', everyMs: CONFIG_POLL_MS, run: pollConfiguration },
-    { name: 'seat', everyMs: leaseMs / SEAT_TICKS_PER_LEASE, run: seatKeeper.tick },
-    { name: 'doubt', everyMs: leaseMs / DOUBT_TICKS_PER_LEASE, run: doubtWatch.tick },
-    {
-      name: 'claims',
-      everyMs: CLAIMS_TICK_MS,
-      run: async () => {
-        await outage.flush();
-        await requestPlane.claims.releaseStrays();
-      },
-    },
-    {
-      name: 'agent',
-      everyMs: AGENT_TICK_MS,
-      run: async () => {
-        if (meshLink.hasDuty('agent', 1)) await controlPlane.agent.tick();
-      },
-    },
-    { name: 'control', everyMs: settings['control-turn-ms'], run: controlPlane.tick },
-  ];
+  const loops = entryLoops({
+    settings,
+    configSync,
+    meshLink,
+    seatPlane,
+    requestPlane,
+    controlPlane,
+  });
   const running = startLoops(loops, (name, error) =>
     log.error('loop-failed', { loop: name, detail: String(error) }),
   );
@@ -335,7 +246,7 @@
   const stop = async (): Promise<void> => {
     isStopping = true;
     log.info('stopping', { inFlight: requestPlane.inFlight() });
-    await pause(BALANCER_NOTICE_MS);
+    await sleep(BALANCER_NOTICE_MS);
     requestPlane.refuseNew();
     await closeWhenIdle(requestPlane.callers);
     await running.stop();
