The fleet in virtual time: the list of hosts and the agents are models of their own

fleet-model.ts (317 lines) held the lagging list of hosts, the agents of all data centres and the holders of control in one closure. Now host-list-model.ts holds the list and agent-model.ts one agent; the fleet steps them. Rows by kind are read by `rowsOf` beside the table model.

--- /dev/null
+++ b/packages/core/src/replay/agent-model.ts
@@ -0,0 +1,91 @@
+/** The agent of a data centre in virtual time: the real reconciling against the models. */
+import { emptyHosts, reconcile, renewals, type ReconcileAction } from '../control/reconcile.js';
+import {
+  rowKey,
+  rowPrefix,
+  type HostRow,
+  type JobRow,
+  type PlacementRow,
+  type Versioned,
+} from '../rows/rows.js';
+import type { DataCentreId, HostId, JobId } from '../shared/ids.js';
+import { rowsOf, type TableModel } from './table-model.js';
+import type { WorkersModel } from './workers-model.js';
+
+/** The agent. */
+export type AgentModel = {
+  /** Reconciles; without the table it only renews what it knew of last. */
+  readonly run: (hasTable: boolean, nowMs: number) => void;
+};
+
+/** Options for an agent. */
+export type AgentModelOptions = {
+  readonly dataCentre: DataCentreId;
+  readonly table: TableModel;
+  readonly workers: WorkersModel;
+};
+
+type ActionOf<Kind extends ReconcileAction['kind']> = Extract<ReconcileAction, { kind: Kind }>;
+
+/**
+ * Builds the agent of a data centre.
+ *
+ * @param options - The table and the workers.
+ * @returns The agent.
+ */
+export const createAgentModel = ({ dataCentre, table, workers }: AgentModelOptions): AgentModel => {
+  let lastPlacements: readonly Versioned<PlacementRow>[] = [];
+
+  /** The rows about hosts of the data centre. */
+  const localRows = <Row extends { readonly hostId: HostId }>(
+    prefix: string,
+  ): readonly Versioned<Row>[] =>
+    Array.from(rowsOf<string, Row>(table, prefix).values()).filter(
+      ({ value }) => workers.hosts.get(value.hostId)?.dataCentre === dataCentre,
+    );
+
+  const runTimeOf = (jobId: JobId): number => {
+    const row = table.read(rowKey.job(jobId)).value as JobRow | null;
+    return (row?.job.spec.runTimeS ?? 0) * 1000;
+  };
+
+  const handlers: {
+    readonly [Kind in ReconcileAction['kind']]: (action: ActionOf<Kind>, nowMs: number) => void;
+  } = {
+    start: ({ placement }, nowMs) => workers.start(placement, runTimeOf(placement.jobId), nowMs),
+    drain: ({ task }) => workers.drain(task),
+    stop: ({ task }) => workers.stop(task),
+    forget: ({ task }) => workers.stop(task),
+    renew: ({ task }, nowMs) => workers.renew(task, nowMs),
+    report: ({ placement: { value, version }, phase, outcome }) => {
+      const key = rowKey.placement(value.jobId);
+      table.transact([{ key, version }], [{ key, value: { ...value, phase, outcome } }]);
+    },
+  };
+
+  const carryOut = (action: ReconcileAction, nowMs: number): void => {
+    const handle = handlers[action.kind] as (one: ReconcileAction, atMs: number) => void;
+    handle(action, nowMs);
+  };
+
+  const reportEmpty = ({ value, version }: Versioned<HostRow>): void => {
+    if (workers.hosts.get(value.hostId)?.state !== 'up') return;
+    const key = rowKey.host(value.hostId);
+    const row: HostRow = { ...value, phase: 'empty', reason: 'verified empty' };
+    table.transact([{ key, version }], [{ key, value: row }]);
+  };
+
+  return {
+    run: (hasTable, nowMs) => {
+      const observed = workers.observed(dataCentre);
+      if (!hasTable) {
+        renewals(lastPlacements, observed).forEach((task) => workers.renew(task, nowMs));
+        return;
+      }
+      const placements = localRows<PlacementRow>(rowPrefix.placement);
+      lastPlacements = placements;
+      emptyHosts(localRows<HostRow>(rowPrefix.host), placements, observed).forEach(reportEmpty);
+      reconcile(placements, observed).forEach((action) => carryOut(action, nowMs));
+    },
+  };
+};
--- a/packages/core/src/replay/fleet-model.ts
+++ b/packages/core/src/replay/fleet-model.ts
@@ -8,8 +8,7 @@
 import { retryDelayMs } from '../control/jobs.js';
 import { planPoolTurn } from '../control/plan-turn.js';
 import { createRowAges } from '../control/row-ages.js';
-import { emptyHosts, reconcile, renewals, type ReconcileAction } from '../control/reconcile.js';
-import type { HostSighting, PoolWorld, WaveStrategy } from '../control/world.js';
+import type { PoolWorld, WaveStrategy } from '../control/world.js';
 import { declaredHosts } from '../fleet/fleet.js';
 import {
   rowKey,
@@ -28,7 +27,9 @@
   type PoolName,
   type WaveId,
 } from '../shared/ids.js';
-import { createTableModel, type TableModel } from './table-model.js';
+import { createAgentModel } from './agent-model.js';
+import { createHostListModel } from './host-list-model.js';
+import { createTableModel, rowsOf, type TableModel } from './table-model.js';
 import { createWorkersModel, type WorkersModel } from './workers-model.js';
 
 /** Options for a fleet. Times are in milliseconds of virtual time. */
@@ -79,8 +80,6 @@
   withheld: readonly Withheld[];
 };
 
-type Listed = { readonly atMs: number; readonly sightings: ReadonlyMap<HostId, HostSighting> };
-
 const EPOCHS_PER_TERM = 2 ** 24;
 
 /**
@@ -102,16 +101,19 @@
   const places = new Map(Array.from(specs, ([id, { dataCentre }]) => [id, dataCentre]));
   const table = createTableModel();
   const workers = createWorkersModel(places, { startMs, rebootMs });
-  const dataCentres = Array.from(new Set(places.values()));
   const cut = new Set<DataCentreId>();
-  const lastPlacements = new Map<DataCentreId, readonly Versioned<PlacementRow>[]>();
-  const heardMs = new Map<HostId, number>(Array.from(specs.keys(), (id) => [id, 0]));
+  const hostList = createHostListModel({ workers, cut, lagMs: listLagMs, goneAfterMs });
+  const agents = new Map(
+    Array.from(new Set(places.values()), (dataCentre) => [
+      dataCentre,
+      createAgentModel({ dataCentre, table, workers }),
+    ]),
+  );
   const uses = new Map<JobId, number>();
   const failuresSeen = new Map<JobId, { readonly failures: number; readonly atMs: number }>();
   const hostAges = createRowAges<HostId>();
   const placementAges = createRowAges<JobId>();
   const decisions: Decision[] = [];
-  let listings: Listed[] = [];
   let isPlatformAway = false;
   let nowMs = 0;
 
@@ -137,35 +139,6 @@
   };
   Array.from(controls.keys()).forEach(takeControl);
 
-  const rowsOf = <Id extends string, Row>(prefix: string): Map<Id, Versioned<Row>> =>
-    new Map(
-      table
-        .scan(prefix)
-        .map(({ key, value, version }) => [
-          key.slice(prefix.length) as Id,
-          { value: value as Row, version },
-        ]),
-    );
-
-  const sight = (): void => {
-    const known = listings[listings.length - 1]?.sightings;
-    const sightings = new Map<HostId, HostSighting>();
-    workers.hosts.forEach((host, hostId) => {
-      if (host.state !== 'dead' && !cut.has(host.dataCentre)) heardMs.set(hostId, nowMs);
-      const isGone = nowMs - (heardMs.get(hostId) ?? 0) > goneAfterMs;
-      const isLeaving = host.isLeaving || host.state === 'rebooting';
-      const present = isLeaving ? 'leaving' : 'live';
-      const state = isGone ? 'gone' : present;
-      const before = known?.get(hostId);
-      const sinceMs = before?.state === state ? before.sinceMs : nowMs;
-      sightings.set(hostId, { state, boots: host.boots, sinceMs });
-    });
-    listings = [
-      ...listings.filter(({ atMs }) => nowMs - atMs <= listLagMs),
-      { atMs: nowMs, sightings },
-    ];
-  };
-
   const noteFailures = (jobs: ReadonlyMap<JobId, Versioned<JobRow>>): void =>
     jobs.forEach(({ value: { failures } }, jobId) => {
       if (failures > 0 && failuresSeen.get(jobId)?.failures !== failures) {
@@ -185,9 +158,9 @@
     );
 
   const worldOf = (control: Control): PoolWorld => {
-    const hosts = rowsOf<HostId, HostRow>(rowPrefix.host);
-    const jobs = rowsOf<JobId, JobRow>(rowPrefix.job);
-    const placements = rowsOf<JobId, PlacementRow>(rowPrefix.placement);
+    const hosts = rowsOf<HostId, HostRow>(table, rowPrefix.host);
+    const jobs = rowsOf<JobId, JobRow>(table, rowPrefix.job);
+    const placements = rowsOf<JobId, PlacementRow>(table, rowPrefix.placement);
     noteFailures(jobs);
     return {
       pool: control.pool,
@@ -198,8 +171,8 @@
       hosts,
       placements,
       jobs,
-      waves: rowsOf<WaveId, WaveRow>(rowPrefix.wave),
-      sightings: listings[0]?.sightings ?? new Map(),
+      waves: rowsOf<WaveId, WaveRow>(table, rowPrefix.wave),
+      sightings: hostList.sightings(),
       hostSinceMs: hostAges.see(hosts, nowMs),
       placementSinceMs: placementAges.see(placements, nowMs),
       waveStrategy,
@@ -231,61 +204,13 @@
       return committed + 1;
     }, 0);
 
-  const runTimeOf = (jobId: JobId): number => {
-    const row = table.read(rowKey.job(jobId)).value as JobRow | null;
-    return (row?.job.spec.runTimeS ?? 0) * 1000;
-  };
-
-  type ActionOf<Kind extends ReconcileAction['kind']> = Extract<ReconcileAction, { kind: Kind }>;
-  const handlers: {
-    readonly [Kind in ReconcileAction['kind']]: (action: ActionOf<Kind>) => void;
-  } = {
-    start: ({ placement }) => workers.start(placement, runTimeOf(placement.jobId), nowMs),
-    drain: ({ task }) => workers.drain(task),
-    stop: ({ task }) => workers.stop(task),
-    forget: ({ task }) => workers.stop(task),
-    renew: ({ task }) => workers.renew(task, nowMs),
-    report: ({ placement, phase, outcome }) => {
-      const key = rowKey.placement(placement.value.jobId);
-      table.transact(
-        [{ key, version: placement.version }],
-        [{ key, value: { ...placement.value, phase, outcome } }],
-      );
-    },
-  };
-
-  const runAgent = (dataCentre: DataCentreId): void => {
-    const observed = workers.observed(dataCentre);
-    if (isPlatformAway || cut.has(dataCentre)) {
-      renewals(lastPlacements.get(dataCentre) ?? [], observed).forEach((task) =>
-        workers.renew(task, nowMs),
-      );
-      return;
-    }
-    const placements = Array.from(rowsOf<JobId, PlacementRow>(rowPrefix.placement).values()).filter(
-      ({ value }) => places.get(value.hostId) === dataCentre,
-    );
-    lastPlacements.set(dataCentre, placements);
-    const hosts = Array.from(rowsOf<HostId, HostRow>(rowPrefix.host).values()).filter(
-      ({ value }) => places.get(value.hostId) === dataCentre,
-    );
-    emptyHosts(hosts, placements, observed)
-      .filter(({ value }) => workers.hosts.get(value.hostId)?.state === 'up')
-      .forEach(({ value, version }) => {
-        const key = rowKey.host(value.hostId);
-        const row: HostRow = { ...value, phase: 'empty', reason: 'verified empty' };
-        table.transact([{ key, version }], [{ key, value: row }]);
-      });
-    reconcile(placements, observed).forEach((action) =>
-      (handlers[action.kind] as (one: ReconcileAction) => void)(action),
-    );
-  };
-
   const step = (): void => {
     nowMs += stepMs;
     workers.advance(nowMs);
-    sight();
-    dataCentres.forEach(runAgent);
+    hostList.look(nowMs);
+    agents.forEach((agent, dataCentre) =>
+      agent.run(!isPlatformAway && !cut.has(dataCentre), nowMs),
+    );
     if (!isPlatformAway) controls.forEach(({ pool }) => write(planOnly(pool)));
   };
 
--- a/packages/core/src/replay/table-model.ts
+++ b/packages/core/src/replay/table-model.ts
@@ -1,4 +1,5 @@
 /** A transactional table in memory, with the rules of the platform's own. */
+import type { Versioned } from '../rows/rows.js';
 import type { RowCheck, RowWrite, TableRow } from '../rows/transaction.js';
 
 /** How a transaction ended. */
@@ -48,3 +49,23 @@
     },
   };
 };
+
+/**
+ * Reads the rows of one kind.
+ *
+ * @param table - The table.
+ * @param prefix - How the keys of the kind begin.
+ * @returns The rows by what follows the prefix.
+ */
+export const rowsOf = <Id extends string, Row>(
+  table: TableModel,
+  prefix: string,
+): ReadonlyMap<Id, Versioned<Row>> =>
+  new Map(
+    table
+      .scan(prefix)
+      .map(({ key, value, version }) => [
+        key.slice(prefix.length) as Id,
+        { value: value as Row, version },
+      ]),
+  );
