Words: usual ones for paths, proxies and records; no comment that only repeats a type's name

Comments and local names said `way` for a route or a proxy, `takes in` for records, applies or adds, and `turned away` for refused. 52 comments above types only repeated the name ("Options for a keeper." above `LeaseKeeperOptions`): they are gone. One comment of a test told a past failure and now says what it guards against. Texts of logs and of answers stay.

--- a/packages/bench/src/data-path/data-path.ts
+++ b/packages/bench/src/data-path/data-path.ts
@@ -8,7 +8,6 @@
 
 import { median, rounded, type BenchRow } from '../report.js';
 
-/** Options for the benchmark. */
 export type DataPathOptions = {
   readonly requests?: number;
   readonly rounds?: number;
--- a/packages/bench/src/overload/executors.ts
+++ b/packages/bench/src/overload/executors.ts
@@ -11,7 +11,6 @@
   readonly mostAtOnce: () => number;
 };
 
-/** Options for an executor. */
 export type VirtualExecutorOptions = {
   readonly time: VirtualTime;
   readonly rng: Rng;
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -9,7 +9,6 @@
   readonly faults?: readonly { file: string; path: string; reason: string }[];
 };
 
-/** Options for a call. */
 export type CallOptions = {
   /** Addresses of entries; the next is tried where one cannot be reached. */
   readonly urls: readonly string[];
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -1,7 +1,6 @@
 /** What the command line prints, as a table for people or as JSON for scripts. */
 import type { Answer } from './client.js';
 
-/** The forms of output. */
 export type OutputForm = 'table' | 'json';
 
 /** Exit codes that scripts can rely on. */
--- a/packages/core/src/admission/admission-queue.ts
+++ b/packages/core/src/admission/admission-queue.ts
@@ -21,7 +21,6 @@
   readonly inFlight: Map<CallerId, number>;
 };
 
-/** Options for a queue. */
 export type AdmissionQueueOptions = { readonly mostWaiting?: number };
 
 /** What came of a request that asked to wait. */
--- a/packages/core/src/batch/advice.ts
+++ b/packages/core/src/batch/advice.ts
@@ -104,7 +104,7 @@
 export type AdviceQuestion = Extract<BatchState['effects'][number], { kind: 'advise' }>;
 
 /**
- * Takes in an answer of the service.
+ * Applies an answer of the service.
  *
  * @param state - All that is known, changed in place.
  * @param question - What was asked.
--- a/packages/core/src/batch/answer-times.ts
+++ b/packages/core/src/batch/answer-times.ts
@@ -52,7 +52,7 @@
 /** How long the answers of all endpoints take: what they share is this entry's link and processor. */
 export type LinkDelay = {
   readonly note: (endpoint: CallState, tookMs: number) => void;
-  /** Takes in that an answer was waited for so long in vain. */
+  /** Records that an answer was waited for so long in vain. */
   readonly noteMiss: (endpoint: CallState, waitedMs: number) => void;
   readonly forget: (endpoint: CallState) => void;
   /** So many endpoints miss that the cause is this entry's link or processor. */
@@ -103,9 +103,9 @@
 
 /** The times of the answers of one endpoint. */
 export type AnswerTimes = {
-  /** Takes in how long an answer took. */
+  /** Records how long an answer took. */
   readonly note: (tookMs: number) => void;
-  /** Takes in that an answer was waited for so long in vain. */
+  /** Records that an answer was waited for so long in vain. */
   readonly noteMiss: (waitedMs: number) => void;
   /** How long to wait for the next one. */
   readonly timeoutMs: () => number;
--- a/packages/core/src/batch/demand-peaks.ts
+++ b/packages/core/src/batch/demand-peaks.ts
@@ -47,7 +47,7 @@
 });
 
 /**
- * Takes in the demand of a pool.
+ * Records the demand of a pool.
  *
  * @param peaks - What was seen, changed in place.
  * @param pool - The pool.
--- a/packages/core/src/batch/demand.ts
+++ b/packages/core/src/batch/demand.ts
@@ -10,7 +10,7 @@
 
 /**
  * Of a steady rise the fast rate is 0.9 s behind and the slow one 2.5 s. A factor of 1.8 reaches 2 s
- * ahead, a decision and a move of 1.5 s; a peak begins steeper than it goes on. Guards quick work at
+ * ahead, a decision and a move of 1.5 s; a peak begins steeper than it continues. Guards quick work at
  * the beginning of a peak: 0.598 of worth in the mean with 5, against 0.555 with 1, 0.570 with 1.8
  * and 0.586 with 3 (12 simulated days of two fleets).
  */
@@ -21,7 +21,7 @@
 
 /** How much work arrives at a pool. */
 export type Demand = {
-  /** Takes in work that arrived, in core-milliseconds. */
+  /** Records work that arrived, in core-milliseconds. */
   readonly recordArrival: (coreMs: number, nowMs: number) => void;
   readonly rates: (nowMs: number) => DemandRates;
 };
--- a/packages/core/src/batch/health.ts
+++ b/packages/core/src/batch/health.ts
@@ -39,7 +39,7 @@
 };
 
 /**
- * Takes in that a task failed on an endpoint.
+ * Records that a task failed on an endpoint.
  *
  * @param state - All that is known, changed in place.
  * @param endpoint - The endpoint.
@@ -58,7 +58,7 @@
 };
 
 /**
- * Takes in that a task was done on an endpoint.
+ * Records that a task was done on an endpoint.
  *
  * @param endpoint - The endpoint, changed in place.
  */
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -125,7 +125,6 @@
   else state.timed.add(job);
 };
 
-/** Options for taking in a job. */
 export type TakeInOptions = {
   readonly job: BatchJob;
   readonly policy: QueuePolicy;
@@ -162,7 +161,7 @@
 const MOST_BELIEVED_AGE_MS = 120_000;
 
 /**
- * Takes in an accepted job. One that is there already stays as it is.
+ * Adds an accepted job. One that is there already stays as it is.
  *
  * @param state - All that is known, changed in place.
  * @param options - The job, its policy and the times.
--- a/packages/core/src/batch/learned.ts
+++ b/packages/core/src/batch/learned.ts
@@ -42,7 +42,7 @@
 });
 
 /**
- * Takes in what an earlier holder learned. What this one has learned itself stays.
+ * Applies what an earlier holder learned. What this one has learned itself stays.
  *
  * @param state - All that is known, changed in place.
  * @param row - What the earlier holder wrote.
--- a/packages/core/src/batch/order-window.ts
+++ b/packages/core/src/batch/order-window.ts
@@ -5,7 +5,7 @@
  * follows the delay of answers, as delay-based congestion control does (TCP Vegas, LEDBAT, RFC 6817):
  * it grows by one for each window that is answered in time and shrinks at once when answers are late.
  * Weighed against control by losses alone: a loss is seen after a time-out of 0.25 s and more, while what
- * was sent goes on filling the queue in which renewals of leases wait.
+ * was sent continues to fill the queue in which renewals of leases wait.
  */
 
 /**
--- a/packages/core/src/batch/pool-needs.ts
+++ b/packages/core/src/batch/pool-needs.ts
@@ -139,7 +139,7 @@
 };
 
 /**
- * Takes in the demand of all pools, so that peaks are seen to begin. A peak is what needs more hosts
+ * Records the demand of all pools, so that peaks are seen to begin. A peak is what needs more hosts
  * than a pool keeps in any case.
  *
  * @param world - Pools and hosts; the state's memory of peaks is changed in place.
--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/progress.ts
@@ -104,7 +104,6 @@
   });
 };
 
-/** Options for restoring a job. */
 export type RestoreOptions = {
   readonly job: BatchJob;
   readonly policy: QueuePolicy;
@@ -114,7 +113,7 @@
 };
 
 /**
- * Takes in a job that an earlier holder worked on.
+ * Restores a job that an earlier holder worked on.
  *
  * @param state - All that is known, changed in place.
  * @param options - The rows of the job and the times.
--- a/packages/core/src/batch/run-times.ts
+++ b/packages/core/src/batch/run-times.ts
@@ -21,7 +21,7 @@
 export const createRunTimes = (): RunTimes => ({ byKind: new Map() });
 
 /**
- * Takes in how long a task ran until it was done.
+ * Records how long a task ran until it was done.
  *
  * @param times - The memory, changed in place.
  * @param kind - What the task is alike to.
--- a/packages/core/src/batch/schedule-cycle.ts
+++ b/packages/core/src/batch/schedule-cycle.ts
@@ -1,4 +1,4 @@
-/** One pass over all pools: each is first in its turn, or the first would take what may be sent. */
+/** One pass over all pools: they take it in rotation to be first, or one would take what may be sent. */
 import { change } from '../shared/change.js';
 import { schedulePool } from './schedule.js';
 import type { BatchState } from './state.js';
--- a/packages/core/src/batch/sharing.ts
+++ b/packages/core/src/batch/sharing.ts
@@ -52,7 +52,7 @@
 };
 
 /**
- * Paces what fills, on every endpoint.
+ * Paces the tasks that fill gaps, on every endpoint.
  *
  * @param state - All that is known, changed in place.
  * @param nowMs - The time.
--- a/packages/core/src/batch/upkeep-progress.test.ts
+++ b/packages/core/src/batch/upkeep-progress.test.ts
@@ -143,7 +143,7 @@
       ),
       {
         numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 300),
-        // It failed once: a host that dies while it is down kept its place, and the others waited for good.
+        // A host that dies while it is down must not keep its place: the others would wait for good.
         examples: [[[], 1, 0]],
       },
     );
--- a/packages/core/src/claims/claim.ts
+++ b/packages/core/src/claims/claim.ts
@@ -12,7 +12,6 @@
   readonly bodyBase64: string;
 };
 
-/** The row of a claim. */
 export type ClaimRow = {
   readonly service: string;
   /** A hash of method, path and body, so that a key used for another request is noticed. */
--- a/packages/core/src/control/draft.ts
+++ b/packages/core/src/control/draft.ts
@@ -116,7 +116,6 @@
   });
 };
 
-/** Options for placing a job. */
 export type PlaceOptions = {
   readonly job: PlaceableJob;
   readonly hostId: HostId;
@@ -206,7 +205,6 @@
   });
 };
 
-/** Options for taking a placement away. */
 export type RemoveOptions = {
   readonly row: PlacementRow;
   readonly reason: string;
--- a/packages/core/src/explain/explain.ts
+++ b/packages/core/src/explain/explain.ts
@@ -20,7 +20,6 @@
   readonly records: Map<string, DecisionRecord>;
 };
 
-/** Options for a memory. */
 export type DecisionMemoryOptions = { readonly most?: number };
 
 /**
--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -36,7 +36,6 @@
   | { readonly kind: 'wait' }
   | { readonly kind: 'write'; readonly row: LeaseRow; readonly expectedVersion: number };
 
-/** Options for a lease state. */
 export type LeaseOptions = {
   readonly self: EntryId;
   readonly durationMs?: number;
--- a/packages/core/src/replay/agent-model.ts
+++ b/packages/core/src/replay/agent-model.ts
@@ -12,13 +12,11 @@
 import { rowsOf, type TableModel } from './table-model.js';
 import type { WorkersModel } from './workers-model.js';
 
-/** The agent. */
 export type AgentModel = {
   /** Reconciles; without the table it only renews what it knew of last. */
   readonly run: (hasTable: boolean, nowMs: number) => void;
 };
 
-/** Options for an agent. */
 export type AgentModelOptions = {
   readonly dataCentre: DataCentreId;
   readonly table: TableModel;
--- a/packages/core/src/replay/fleet-model.ts
+++ b/packages/core/src/replay/fleet-model.ts
@@ -50,7 +50,6 @@
 /** A turn that was planned but not yet written, as by a holder that is paused. */
 export type PausedTurn = { readonly pool: PoolName; readonly actions: readonly ControlAction[] };
 
-/** The fleet. */
 export type FleetModel = {
   readonly table: TableModel;
   readonly workers: WorkersModel;
--- a/packages/core/src/replay/host-list-model.ts
+++ b/packages/core/src/replay/host-list-model.ts
@@ -5,7 +5,6 @@
 
 type Listing = { readonly atMs: number; readonly sightings: ReadonlyMap<HostId, HostSighting> };
 
-/** The list. */
 export type HostListModel = {
   /** Lets the platform look at all hosts. */
   readonly look: (nowMs: number) => void;
--- a/packages/core/src/replay/table-model.ts
+++ b/packages/core/src/replay/table-model.ts
@@ -7,7 +7,6 @@
   | { readonly kind: 'committed'; readonly version: number }
   | { readonly kind: 'conflict'; readonly key: string };
 
-/** The table. */
 export type TableModel = {
   readonly read: (key: string) => TableRow;
   readonly scan: (prefix: string) => readonly TableRow[];
--- a/packages/core/src/replay/workers-model.ts
+++ b/packages/core/src/replay/workers-model.ts
@@ -42,7 +42,6 @@
   doubleRuns: number;
 };
 
-/** The workers. */
 export type WorkersModel = {
   readonly hosts: ReadonlyMap<HostId, ModelHost>;
   readonly tasks: () => readonly ModelTask[];
--- a/packages/core/src/retry/retry-budget.ts
+++ b/packages/core/src/retry/retry-budget.ts
@@ -10,7 +10,6 @@
   readonly most: number;
 };
 
-/** Options for a budget. */
 export type RetryBudgetOptions = {
   /** Retries earned by one first attempt. */
   readonly earnPerRequest?: number;
--- a/packages/core/src/routing/choose-endpoint.ts
+++ b/packages/core/src/routing/choose-endpoint.ts
@@ -3,7 +3,6 @@
 import type { EndpointId } from '../shared/ids.js';
 import { failureShareNow, isEjected, type Endpoint } from './endpoint.js';
 
-/** Options for a choice. */
 export type ChooseEndpointOptions = {
   /** Endpoints that this request has already been tried at. */
   readonly exclude?: readonly EndpointId[];
--- a/packages/core/src/routing/endpoint.ts
+++ b/packages/core/src/routing/endpoint.ts
@@ -30,7 +30,6 @@
   ejections: number;
 };
 
-/** Options for a new endpoint record. */
 export type EndpointOptions = {
   readonly endpointId: EndpointId;
   readonly service: ServiceName;
--- a/packages/daemon/src/batch/advisor.ts
+++ b/packages/daemon/src/batch/advisor.ts
@@ -7,7 +7,7 @@
 
 /**
  * The service answers one question at a time for each entry and turns questions away with 32
- * waiting. A second one that waits there saves the way; more would only lose their order.
+ * waiting. A second one that waits there saves the trip; more would only lose their order.
  */
 const MOST_AT_ONCE = 2;
 
--- a/packages/daemon/src/batch/holder-client.ts
+++ b/packages/daemon/src/batch/holder-client.ts
@@ -53,7 +53,7 @@
 };
 
 /**
- * Builds the way to the holder.
+ * Builds the client of the holder.
  *
  * @param options - Who holds control, and the mesh.
  * @returns The client.
--- a/packages/daemon/src/batch/job-rows.ts
+++ b/packages/daemon/src/batch/job-rows.ts
@@ -50,9 +50,9 @@
 export type JobRows = {
   /** Reads all that has changed since the last reading; undefined once the term has ended. */
   readonly read: (until: Until) => Promise<JobReading | undefined>;
-  /** Takes in what an earlier holder left. */
+  /** Restores what an earlier holder left. */
   readonly restore: (readings: readonly JobReading[]) => void;
-  /** Takes in an accepted job. */
+  /** Adds an accepted job. */
   readonly takeIn: (row: LiveRow, version: number) => void;
   /** Reads and applies what other entries wrote. */
   readonly follow: () => Promise<void>;
@@ -119,7 +119,7 @@
     });
   };
 
-  /** Takes in the rows of jobs with what is to be done for those that are live. */
+  /** Applies the rows of jobs, with what is to be done for those that are live. */
   const takeRows = (
     rows: readonly TableRow[],
     takeLive: (row: LiveRow, version: number) => void,
--- a/packages/daemon/src/batch/learned-keeper.ts
+++ b/packages/daemon/src/batch/learned-keeper.ts
@@ -19,7 +19,7 @@
 };
 
 export type LearnedKeeper = {
-  /** Takes in what the holder before has learned; without an answer the next `save` tries again. */
+  /** Applies what the holder before has learned; without an answer the next `save` tries again. */
   readonly restore: () => Promise<void>;
   /** Writes what has been learned, if anything is new. */
   readonly save: () => Promise<void>;
--- a/packages/daemon/src/batch/order-agent.ts
+++ b/packages/daemon/src/batch/order-agent.ts
@@ -16,7 +16,7 @@
 /**
  * Builds the agent. It keeps nothing that matters: the order carries its fence and its time.
  *
- * @param orders - The way to the endpoints.
+ * @param orders - Sends orders to the endpoints.
  * @param metrics - Counts what was carried.
  * @returns The agent.
  */
--- a/packages/daemon/src/batch/relayed-orders.ts
+++ b/packages/daemon/src/batch/relayed-orders.ts
@@ -34,7 +34,7 @@
 const RELAY_SILENT_MS = 1200;
 /** A relay that did not answer is passed over for so long, and so is the relay of an endpoint that did not. */
 const PASS_OVER_MS = 3000;
-/** What the way to a relay and back takes on top of its own call. */
+/** What the trip to a relay and back takes on top of its own call. */
 const HOP_MS = 150;
 /** Links are kept to more entries than are used, so that the loss of one needs no new link. */
 const LINKED_PER_DATA_CENTRE = 5;
@@ -62,7 +62,7 @@
 /**
  * Builds orders that may go over relays.
  *
- * @param options - The direct way, the other entries, and what the own link carries.
+ * @param options - The direct route, the other entries, and what the own link carries.
  * @returns The orders.
  */
 export const createRelayedOrders = ({
--- a/packages/daemon/src/batch/relayed-table.ts
+++ b/packages/daemon/src/batch/relayed-table.ts
@@ -1,5 +1,5 @@
 /**
- * The table, also through a neighbour: the platform may turn one entry away while it serves the
+ * The table, also through a neighbour: the platform may refuse one entry while it serves the
  * others. All calls here are safe to repeat: a transaction carries its own conditions.
  */
 import { Err, Ok, type Result } from 'ts-results-es';
@@ -17,12 +17,12 @@
  * After a failure the neighbours are asked first for this time: an entry that is refused in
  * silence loses a time-out with each try, and a lease with a few of them.
  */
-const TURNED_MS = 1500;
+const NEIGHBOURS_FIRST_MS = 1500;
 const RELAY_MS = 1000;
 /** Where control hangs on it, the next neighbour is asked too after this: a served one takes 20 ms. */
 const STAGGER_MS = 250;
 /**
- * A lease of 4 s is lost with two time-outs, so what keeps control takes both ways after this time.
+ * A lease of 4 s is lost with two time-outs, so what keeps control takes both routes after this time.
  * A slow table takes up to 610 ms, and only control's few calls may be made twice there.
  */
 const HEDGE_MS = 700;
@@ -37,7 +37,7 @@
 
 /**
  * A table that has been silent for so long is asked again and again, beside the calls that wait for
- * their time-outs, so that submissions are taken again within `PROBE_EVERY_MS` of its return.
+ * their time-outs, so that submissions are admitted again within `PROBE_EVERY_MS` of its return.
  */
 const PROBE_AFTER_MS = 400;
 export const PROBE_EVERY_MS = 200;
@@ -67,19 +67,19 @@
 export type RelayedTable = Pick<BatchTable, 'read' | 'scan' | 'transact'> & {
   /** When the table answered last, directly or through a neighbour. */
   readonly answeredAtMs: () => number;
-  /** Answers a neighbour's call, at once if the table turns this entry away as well. */
+  /** Answers a neighbour's call, at once if the table refuses this entry as well. */
   readonly answerNeighbour: (call: RelayCall) => Promise<RelayAnswer>;
   /** For how long nothing that was asked has been answered, directly or through a neighbour. */
   readonly silentForMs: () => number;
   /** While nothing is answered, asks again so that the table's return is seen at once. */
   readonly probe: () => void;
-  /** True if the last call on the own way was answered. */
+  /** True if the last call on the direct route was answered. */
   readonly isServed: () => boolean;
-  /** Since when the own way has not been answered; Infinity while it is. */
+  /** Since when the direct route has not been answered; Infinity while it is. */
   readonly lostSinceMs: () => number;
 };
 
-const TURNED_AWAY: PlatformError = {
+const REFUSED_TOO: PlatformError = {
   kind: 'unreachable',
   detail: 'the table turns this neighbour away too',
 };
@@ -158,7 +158,7 @@
   });
 
 /**
- * Puts neighbours beside the own way to the table.
+ * Puts neighbours beside the direct route to the table.
  *
  * @param options - The table and the neighbours.
  * @returns The table.
@@ -174,7 +174,7 @@
 }: RelayedTableOptions): RelayedTable => {
   let failures = 0;
   let lostSinceMs = Infinity;
-  let turnedUntilMs = 0;
+  let neighboursFirstUntilMs = 0;
   let allAwayUntilMs = 0;
   const failedAtMs = new Map<EntryId, number>();
   let answeredAtMs = -Infinity;
@@ -195,7 +195,7 @@
     failures += 1;
     if (failures === 1) lostSinceMs = nowMs();
     if (failures === 1) log.warn('table-lost', { detail: result.error.detail });
-    turnedUntilMs = nowMs() + TURNED_MS;
+    neighboursFirstUntilMs = nowMs() + NEIGHBOURS_FIRST_MS;
     return result;
   };
 
@@ -254,17 +254,17 @@
   };
 
   const call = async (one: RelayCall): Promise<AnyResult> => {
-    const isTurned = nowMs() < turnedUntilMs;
-    const ways = isTurned ? [relay, direct] : [direct, relay];
+    const isRefused = nowMs() < neighboursFirstUntilMs;
+    const routes = isRefused ? [relay, direct] : [direct, relay];
     const staggerMs = keepsControl(one) ? HEDGE_MS : NEVER_MS;
     return firstAnswered(
-      ways.map((way) => () => way(one)),
+      routes.map((route) => () => route(one)),
       staggerMs,
     );
   };
 
   const answerNeighbour = async (one: RelayCall): Promise<RelayAnswer> => {
-    const result = nowMs() < turnedUntilMs ? Err(TURNED_AWAY) : await direct(one);
+    const result = nowMs() < neighboursFirstUntilMs ? Err(REFUSED_TOO) : await direct(one);
     return result.isOk()
       ? { isOk: true, value: result.value }
       : { isOk: false, value: result.error };
--- a/packages/daemon/src/config-sync/config-sync.ts
+++ b/packages/daemon/src/config-sync/config-sync.ts
@@ -59,7 +59,6 @@
   readonly apply: (request: ApplyRequest) => Promise<Result<Applied, ApplyError>>;
 };
 
-/** Options for the keeper. */
 export type ConfigSyncOptions = {
   readonly table: TableClient;
   readonly objects: ObjectClient;
--- a/packages/daemon/src/control/data-centre-agent.ts
+++ b/packages/daemon/src/control/data-centre-agent.ts
@@ -35,7 +35,6 @@
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
 
-/** Options for the agent. */
 export type DataCentreAgentOptions = {
   readonly dataCentre: DataCentreId;
   readonly table: TableClient;
@@ -57,7 +56,6 @@
   readonly placements: readonly Versioned<PlacementRow>[];
 };
 
-/** The agent. */
 export type DataCentreAgent = { readonly tick: () => Promise<void> };
 
 const MS_PER_S = 1000;
--- a/packages/daemon/src/control/pool-control.ts
+++ b/packages/daemon/src/control/pool-control.ts
@@ -34,7 +34,6 @@
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
 
-/** Options for the control of a pool. */
 export type PoolControlOptions = {
   readonly pool: PoolName;
   readonly lease: LeaseKeeper;
@@ -50,7 +49,6 @@
   readonly nowMs?: () => number;
 };
 
-/** The control of one pool. */
 export type PoolControl = {
   /** Keeps the lease and, while it is held, takes a turn. */
   readonly tick: () => Promise<void>;
--- a/packages/daemon/src/data-path/callers-server.ts
+++ b/packages/daemon/src/data-path/callers-server.ts
@@ -13,7 +13,6 @@
 import { callerHeader, headersToReturn, isRepeatable } from './headers.js';
 import type { CallerRequest, RequestOutcome } from './request-types.js';
 
-/** Options for the server. */
 export type CallersServerOptions = {
   readonly serve: (request: CallerRequest) => Promise<RequestOutcome>;
   readonly newRequestId: () => RequestId;
--- a/packages/daemon/src/data-path/claim-keeper.ts
+++ b/packages/daemon/src/data-path/claim-keeper.ts
@@ -47,14 +47,12 @@
   readonly finish: (answer: WholeAnswer | null) => Promise<void>;
 };
 
-/** The keeper of claims. */
 export type ClaimKeeper = {
   readonly claim: (request: ClaimRequest) => Promise<ClaimOutcome>;
   /** Releases claims whose writing was in doubt and whose requests were refused. */
   readonly releaseStrays: () => Promise<void>;
 };
 
-/** Options for the keeper. */
 export type ClaimKeeperOptions = {
   readonly table: TableClient;
   readonly commits: GroupCommit;
--- a/packages/daemon/src/data-path/connections.ts
+++ b/packages/daemon/src/data-path/connections.ts
@@ -9,7 +9,6 @@
   readonly close: () => Promise<void>;
 };
 
-/** Options for the pools. */
 export type ConnectionsOptions = { readonly connectTimeoutMs?: number };
 
 /**
--- a/packages/daemon/src/data-path/doubt-watch.ts
+++ b/packages/daemon/src/data-path/doubt-watch.ts
@@ -10,7 +10,6 @@
 } from '@valvelatch/core';
 import type { TableClient } from '@valvelatch/platform';
 
-/** The watch. */
 export type DoubtWatch = {
   readonly tick: () => Promise<void>;
   readonly inDoubt: () => readonly string[];
@@ -18,7 +17,6 @@
   readonly raise: (dataCentre: string) => Promise<boolean>;
 };
 
-/** Options for the watch. */
 export type DoubtWatchOptions = {
   readonly table: TableClient;
   readonly nowMs?: () => number;
--- a/packages/daemon/src/data-path/endpoint-directory.ts
+++ b/packages/daemon/src/data-path/endpoint-directory.ts
@@ -20,7 +20,6 @@
 import type { HeldSeat } from '../seats/seat-keeper.js';
 import type { ServiceGate } from './service-gate.js';
 
-/** The directory. */
 export type EndpointDirectory = {
   /** Takes in the tasks of the data centre's workers. */
   readonly takeTasks: (tasks: readonly ObservedTask[]) => void;
@@ -32,7 +31,6 @@
   readonly addresses: () => ReadonlySet<string>;
 };
 
-/** Options for the directory. */
 export type EndpointDirectoryOptions = {
   readonly configuration: () => Configuration;
   /** Null while this entry holds no seat: then it may send nothing. */
--- a/packages/daemon/src/data-path/outage-claims.ts
+++ b/packages/daemon/src/data-path/outage-claims.ts
@@ -25,7 +25,6 @@
   readonly size: () => number;
 };
 
-/** Options for the claims. */
 export type OutageClaimsOptions = {
   readonly table: TableClient;
   /** How long the own seat's lease has lapsed; negative while it is held. */
--- a/packages/daemon/src/data-path/service-gate.ts
+++ b/packages/daemon/src/data-path/service-gate.ts
@@ -43,7 +43,6 @@
 export type Slot = { readonly kind: 'slot'; readonly endpoint: Endpoint } | NoSlot;
 type Waiter = SlotRequest & { readonly resolve: (slot: Slot) => void };
 
-/** The gate. */
 export type ServiceGate = {
   readonly service: ServiceName;
   readonly retryBudget: RetryBudget;
@@ -59,7 +58,6 @@
   readonly usualMs: () => number;
 };
 
-/** Options for a gate. */
 export type ServiceGateOptions = {
   readonly service: ServiceName;
   readonly rng: Rng;
--- a/packages/daemon/src/entry/clients.ts
+++ b/packages/daemon/src/entry/clients.ts
@@ -14,7 +14,6 @@
 
 import type { Settings } from '../settings/settings.js';
 
-/** The clients. */
 export type Clients = {
   readonly table: TableClient;
   readonly objects: ObjectClient;
--- a/packages/daemon/src/entry/control-plane.ts
+++ b/packages/daemon/src/entry/control-plane.ts
@@ -41,7 +41,6 @@
   readonly release: () => Promise<void>;
 };
 
-/** Options for the control work. */
 export type ControlPlaneOptions = {
   readonly self: EntryId;
   readonly dataCentre: DataCentreId;
--- a/packages/daemon/src/entry/request-plane.ts
+++ b/packages/daemon/src/entry/request-plane.ts
@@ -55,7 +55,6 @@
   readonly close: () => Promise<void>;
 };
 
-/** Options for the request path. */
 export type RequestPlaneOptions = {
   readonly self: EntryId;
   readonly settings: Settings;
--- a/packages/daemon/src/entry/seat-plane.ts
+++ b/packages/daemon/src/entry/seat-plane.ts
@@ -20,7 +20,6 @@
   readonly doubtWatch: DoubtWatch;
 };
 
-/** Options for the seat. */
 export type SeatPlaneOptions = {
   readonly self: EntryId;
   readonly dataCentre: DataCentreId;
--- a/packages/daemon/src/leases/lease-keeper.test.ts
+++ b/packages/daemon/src/leases/lease-keeper.test.ts
@@ -23,13 +23,13 @@
 describe('a holder that gives its lease up', () => {
   const keeperOn = () => {
     const rows = createTableModel();
-    const way = { losesAnswers: false };
+    const link = { losesAnswers: false };
     let nowMs = 0;
     const table = {
       read: async (keys: readonly string[]) => Ok(keys.map((key) => rows.read(key))),
       transact: async ({ checks, writes }: Parameters<TableClient['transact']>[0]) => {
         const outcome = rows.transact(checks, writes);
-        if (way.losesAnswers) return Err({ kind: 'unknown', detail: 'no answer' } as const);
+        if (link.losesAnswers) return Err({ kind: 'unknown', detail: 'no answer' } as const);
         return outcome.kind === 'committed'
           ? Ok(outcome)
           : Ok({ ...outcome, rows: checks.map(({ key }) => rows.read(key)) });
@@ -47,7 +47,7 @@
     return {
       keeper,
       rows,
-      way,
+      link,
       holder,
       pass: (ms: number) => {
         nowMs += ms;
@@ -64,25 +64,25 @@
   });
 
   it('leaves it free also after a renewal whose answer was lost', async () => {
-    const { keeper, way, holder, pass } = keeperOn();
+    const { keeper, link, holder, pass } = keeperOn();
     await keeper.tick();
     pass(RENEW_AFTER_MS * 2);
-    way.losesAnswers = true;
+    link.losesAnswers = true;
     await keeper.tick();
-    way.losesAnswers = false;
+    link.losesAnswers = false;
     expect(await keeper.release()).toBe(true);
     expect(holder()).toBeNull();
   });
 
   it('leaves it free also after two renewals whose answers were lost', async () => {
-    const { keeper, way, holder, pass } = keeperOn();
+    const { keeper, link, holder, pass } = keeperOn();
     await keeper.tick();
-    way.losesAnswers = true;
+    link.losesAnswers = true;
     pass(RENEW_AFTER_MS * 2);
     await keeper.tick();
     pass(RENEW_AFTER_MS * 2);
     await keeper.tick();
-    way.losesAnswers = false;
+    link.losesAnswers = false;
     expect(await keeper.release()).toBe(true);
     expect(holder()).toBeNull();
   });
--- a/packages/daemon/src/leases/lease-keeper.ts
+++ b/packages/daemon/src/leases/lease-keeper.ts
@@ -36,7 +36,6 @@
   readonly release: (idleMs?: number) => Promise<boolean>;
 };
 
-/** Options for a keeper. */
 export type LeaseKeeperOptions = {
   readonly table: TableClient;
   readonly name: string;
--- a/packages/daemon/src/mesh-link/mesh-link.ts
+++ b/packages/daemon/src/mesh-link/mesh-link.ts
@@ -45,7 +45,6 @@
   readonly close: () => Promise<void>;
 };
 
-/** Options for the link. */
 export type MeshLinkOptions = {
   readonly host: string;
   readonly port: number;
--- a/packages/daemon/src/observe/log.ts
+++ b/packages/daemon/src/observe/log.ts
@@ -31,7 +31,6 @@
     .map(([key, value]) => `${key}=${valueText(value)}`)
     .join(' ');
 
-/** Options for a log. */
 export type LogOptions = {
   readonly level?: loglevel.LogLevelDesc;
   /** Fields that each event carries. */
--- a/packages/daemon/src/operators/operators-server.ts
+++ b/packages/daemon/src/operators/operators-server.ts
@@ -7,7 +7,6 @@
 import type { OperatorHandlers } from './operator-handlers.js';
 import type { OperatorResult } from './operator-result.js';
 
-/** Options for the server. */
 export type OperatorsServerOptions = {
   readonly operatorKey: string;
   readonly handlers: OperatorHandlers;
--- a/packages/daemon/src/seats/seat-keeper.ts
+++ b/packages/daemon/src/seats/seat-keeper.ts
@@ -27,7 +27,6 @@
   readonly untilMs: number;
 };
 
-/** The keeper of the seat. */
 export type SeatKeeper = {
   /** Reads, takes and renews. */
   readonly tick: () => Promise<void>;
@@ -43,7 +42,6 @@
   readonly release: () => Promise<void>;
 };
 
-/** Options for the keeper. */
 export type SeatKeeperOptions = {
   readonly self: EntryId;
   /** How many seats the data centre has; 0 while that is not known. */
--- a/packages/mesh/src/mesh.test.ts
+++ b/packages/mesh/src/mesh.test.ts
@@ -53,7 +53,7 @@
   };
 
   /** Passes connections on to a port; `silence` stops those that are open, and no later ones. */
-  const openWay = async (port: number) => {
+  const openProxy = async (port: number) => {
     const pairs = new Set<readonly [Socket, Socket]>();
     const server: Server = createServer((near) => {
       const far = connect(port, '127.0.0.1');
@@ -105,14 +105,14 @@
   it('are replaced when they go silent without a reset', async () => {
     const silent: string[] = [];
     const [left, right] = [await open('left', silent), await open('right')];
-    const way = await openWay(right.port);
-    left.dial(way.url);
+    const proxy = await openProxy(right.port);
+    left.dial(proxy.url);
     await until(() => left.linkedPeers().length === 1);
-    way.silence();
+    proxy.silence();
     await until(() => silent.length > 0);
-    left.dial(way.url);
+    left.dial(proxy.url);
     await until(() => left.linkedPeers().length === 1);
-    const answer = await left.ask(memberOf('right', way.url), 'echo', 5, 1000);
+    const answer = await left.ask(memberOf('right', proxy.url), 'echo', 5, 1000);
     expect([silent, answer]).toEqual([['right'], 5]);
   });
 });
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -38,7 +38,6 @@
   readonly onFrame?: (direction: 'sent' | 'received', bytes: number) => void;
 };
 
-/** Options for a mesh. */
 export type MeshOptions = {
   readonly host: string;
   readonly port: number;
--- a/packages/platform/src/group-commit.ts
+++ b/packages/platform/src/group-commit.ts
@@ -16,7 +16,6 @@
 
 const WITHDRAWN: PlatformError = { kind: 'unreachable', detail: 'it was withdrawn unsent' };
 
-/** Options for the grouping. */
 export type GroupCommitOptions = {
   readonly table: Pick<TableClient, 'transact'>;
   readonly windowMs?: number;
--- a/packages/platform/src/table-client.ts
+++ b/packages/platform/src/table-client.ts
@@ -27,7 +27,6 @@
   readonly writes: readonly RowWrite[];
 };
 
-/** The client of the table. */
 export type TableClient = {
   readonly read: (keys: readonly string[]) => Promise<Result<readonly TableRow[], PlatformError>>;
   readonly scan: (prefix: string) => Promise<Result<readonly TableRow[], PlatformError>>;
@@ -37,7 +36,6 @@
   readonly close: () => Promise<void>;
 };
 
-/** Options for the client. */
 export type TableClientOptions = HttpJsonOptions & {
   /** How long a transaction in doubt is pursued before it is reported as unknown. */
   readonly settleMs?: number;
--- a/packages/stand-ins/src/executor.ts
+++ b/packages/stand-ins/src/executor.ts
@@ -15,7 +15,6 @@
   | 'wrong-answer'
   | 'hang';
 
-/** Options for an executor. */
 export type ExecutorOptions = {
   readonly name: string;
   readonly slots: number;
