The race of several routes for one answer stands in a module of its own

relayed-table.ts (287 lines) held, beside what it knows of neighbours and of the table's silence, the general part that makes several tries and takes the first answer. That is first-answered.ts now, with its parameters described.

Moved only, no condition or timing changed: relayed-table.test.ts, lost-answers.test.ts, holders.test.ts and submission.test.ts pass (32 passed).

--- a/packages/daemon/src/batch/relayed-table.ts
+++ b/packages/daemon/src/batch/relayed-table.ts
@@ -9,6 +9,7 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import { firstAnswered, isAnswered, type AnyResult } from './first-answered.js';
 import { LEASE_PREFIX } from './keys.js';
 import type { AskPeer } from './peers.js';
 import type { BatchTable } from './ports.js';
@@ -97,66 +98,12 @@
   return keys.some((key) => key.startsWith(LEASE_PREFIX));
 };
 
-type AnyResult = Result<unknown, PlatformError>;
-
 const callDirectly = (table: BatchTable, call: RelayCall): Promise<AnyResult> => {
   if (call.kind === 'read') return table.read(call.keys);
   if (call.kind === 'scan') return table.scan(call.prefix);
   return table.transact(call.transaction);
 };
 
-const isAnswered = (result: AnyResult): boolean =>
-  result.isOk() || result.error.kind === 'rejected';
-
-const join = (first: AnyResult, second: AnyResult): AnyResult => {
-  if (isAnswered(second) || first.isOk() || second.isOk()) return second;
-  const isUnknown = first.error.kind === 'unknown' || second.error.kind === 'unknown';
-  return Err({
-    kind: isUnknown ? 'unknown' : 'unreachable',
-    detail: `${first.error.detail}; ${second.error.detail}`,
-  });
-};
-
-/**
- * Makes several tries at one call and takes the first answer. The next try begins once the one
- * before has failed, or has had its time; the calls must be safe to make twice.
- */
-const firstAnswered = (
-  tries: readonly (() => Promise<AnyResult>)[],
-  staggerMs: number,
-): Promise<AnyResult> =>
-  new Promise((resolve) => {
-    let begun = 0;
-    let pending = 0;
-    let isDone = false;
-    let failed: AnyResult | undefined;
-    let timer: NodeJS.Timeout | undefined;
-
-    const settle = (result: AnyResult): void => {
-      isDone = true;
-      clearTimeout(timer);
-      resolve(result);
-    };
-
-    const begin = (): void => {
-      clearTimeout(timer);
-      const one = tries[begun];
-      if (!one || isDone) return;
-      begun += 1;
-      pending += 1;
-      timer = setTimeout(begin, staggerMs);
-      void one().then((result) => {
-        pending -= 1;
-        if (isDone) return;
-        failed = failed ? join(failed, result) : result;
-        if (isAnswered(result)) settle(result);
-        else if (begun < tries.length) begin();
-        else if (pending === 0) settle(failed);
-      });
-    };
-    begin();
-  });
-
 /**
  * Puts neighbours beside the direct route to the table.
  *
