Control of a pool: what it knows, what it writes and its turns stand apart

pool-control.ts (296 lines) kept what it had seen of hosts and failures, put the planner's world together, grouped and committed changes, and took the turns. Now pool-view.ts holds the first two and change-writer.ts the third; pool-control.ts keeps the lease, the epochs and the turns.

Behaviour is the same, also that no reboot is ordered where the lease was lost between two transactions: the writer says whether it stopped. The tests of entry, leaving, seats, config-sync, data-path and the command line pass (66 passed).

--- a/packages/daemon/src/control/pool-control.ts
+++ b/packages/daemon/src/control/pool-control.ts
@@ -5,34 +5,20 @@
  */
 import {
   brand,
-  createRowAges,
-  declaredHosts,
   planPoolTurn,
-  retryDelayMs,
-  rowPrefix,
   type Configuration,
   type ControlAction,
   type ControlChange,
-  type HostId,
-  type HostRow,
-  type HostSighting,
-  type HostSpec,
-  type JobId,
-  type JobRow,
-  type PlacementRow,
   type PoolName,
-  type PoolWorld,
-  type UsageRow,
-  type Versioned,
-  type WaveId,
-  type WaveRow,
   type Withheld,
 } from '@valvelatch/core';
-import type { HostListClient, ListedHost, PulsedReader, TableClient } from '@valvelatch/platform';
+import type { HostListClient, PulsedReader, TableClient } from '@valvelatch/platform';
 
 import type { LeaseKeeper } from '../leases/lease-keeper.js';
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import { createChangeWriter } from './change-writer.js';
+import { createPoolView, type Rows } from './pool-view.js';
 
 export type PoolControlOptions = {
   readonly pool: PoolName;
@@ -60,49 +46,9 @@
 
 /** Each lease epoch leaves room for this many placements before the next epoch's begin. */
 const EPOCHS_PER_LEASE = 2 ** 24;
-/** Changes that share one transaction. */
-const MOST_CHANGES_PER_TRANSACTION = 32;
 /** A turn that has changed something is followed by another at once, but not without end. */
 const MOST_TURNS_PER_TICK = 4;
 
-type Rows = ReadonlyMap<string, Versioned<unknown>>;
-
-const byId = <Id extends string, Row>(rows: Rows, prefix: string): Map<Id, Versioned<Row>> =>
-  new Map(
-    Array.from(rows)
-      .filter(([key]) => key.startsWith(prefix))
-      .map(([key, row]) => [key.slice(prefix.length) as Id, row as Versioned<Row>]),
-  );
-
-const usedCoresIn = (rows: Rows): ReadonlyMap<JobId, number> =>
-  new Map(
-    Array.from(byId<string, UsageRow>(rows, rowPrefix.usage).values()).flatMap(({ value }) =>
-      Object.entries(value.usedCores).map(([jobId, cores]) => [jobId as JobId, cores] as const),
-    ),
-  );
-
-const conflictsWith = (written: ReadonlySet<string>, change: ControlChange): boolean =>
-  change.checks.some(({ key }) => written.has(key));
-
-/** Groups changes; one that depends on a row written before it waits for the next turn. */
-const toGroups = (changes: readonly ControlChange[]): readonly (readonly ControlChange[])[] => {
-  const written = new Set<string>();
-  const groups: ControlChange[][] = [];
-  changes.forEach((change) => {
-    if (conflictsWith(written, change)) return;
-    change.writes.forEach(({ key }) => written.add(key));
-    const last = groups[groups.length - 1];
-    if (last && last.length < MOST_CHANGES_PER_TRANSACTION) last.push(change);
-    else groups.push([change]);
-  });
-  return groups;
-};
-
-const mergeChecks = (group: readonly ControlChange[]) => {
-  const byKey = new Map(group.flatMap(({ checks }) => checks.map((check) => [check.key, check])));
-  return Array.from(byKey.values());
-};
-
 /**
  * Builds the control of a pool.
  *
@@ -121,23 +67,18 @@
   onChange,
   nowMs = () => performance.now(),
 }: PoolControlOptions): PoolControl => {
-  const sightings = new Map<HostId, HostSighting>();
-  const failuresSeen = new Map<JobId, { failures: number; retryAtMs: number }>();
-  const hostAges = createRowAges<HostId>();
-  const placementAges = createRowAges<JobId>();
+  const view = createPoolView({ pool, configuration, nowMs });
+  const writeChanges = createChangeWriter({
+    pool,
+    table,
+    mayWrite: lease.holds,
+    log,
+    metrics,
+    onChange,
+  });
   let withheld: readonly Withheld[] = [];
   let epochBase = 0;
   let nextEpoch = 0;
-  let specsRevision = -1;
-  let specs: ReadonlyMap<HostId, HostSpec> = new Map();
-
-  const takeSightings = (listed: readonly ListedHost[]): void => {
-    listed.forEach(({ hostId, state, boots }) => {
-      const known = sightings.get(hostId);
-      const sinceMs = known?.state === state ? known.sinceMs : nowMs();
-      sightings.set(hostId, { state, boots, sinceMs });
-    });
-  };
 
   const readRows = async (): Promise<Rows | undefined> => {
     const read = await rowReader.read();
@@ -147,23 +88,6 @@
     );
   };
 
-  const retryTimes = (jobs: ReadonlyMap<JobId, Versioned<JobRow>>): Map<JobId, number> => {
-    jobs.forEach(({ value: { failures } }, jobId) => {
-      if (failures === 0 || failuresSeen.get(jobId)?.failures === failures) return;
-      failuresSeen.set(jobId, { failures, retryAtMs: nowMs() + retryDelayMs(failures) });
-    });
-    return new Map(Array.from(failuresSeen, ([jobId, { retryAtMs }]) => [jobId, retryAtMs]));
-  };
-
-  const currentSpecs = (): ReadonlyMap<HostId, HostSpec> => {
-    const current = configuration();
-    if (current.revision !== specsRevision) {
-      specs = new Map(declaredHosts(current).map((spec) => [spec.hostId, spec]));
-      specsRevision = current.revision;
-    }
-    return specs;
-  };
-
   const epochs = (): number => {
     const base = lease.epoch() * EPOCHS_PER_LEASE;
     if (base !== epochBase) {
@@ -173,82 +97,28 @@
     return nextEpoch;
   };
 
-  const toWorld = (rows: Rows): PoolWorld => {
-    const jobs = byId<JobId, JobRow>(rows, rowPrefix.job);
-    const hosts = byId<HostId, HostRow>(rows, rowPrefix.host);
-    const placements = byId<JobId, PlacementRow>(rows, rowPrefix.placement);
-    return {
-      pool,
-      configuration: configuration(),
-      fence: lease.fence(),
-      nextEpoch: epochs(),
-      specs: currentSpecs(),
-      hosts,
-      placements,
-      jobs,
-      waves: byId<WaveId, WaveRow>(rows, rowPrefix.wave),
-      sightings,
-      hostSinceMs: hostAges.see(hosts, nowMs()),
-      placementSinceMs: placementAges.see(placements, nowMs()),
-      waveStrategy: 'growing',
-      usedCores: usedCoresIn(rows),
-      retryAtMs: retryTimes(jobs),
-    };
-  };
-
   /** Gives the number of changes that were committed. */
-  const commit = async (group: readonly ControlChange[]): Promise<number> => {
-    const outcome = await table.transact({
-      checks: mergeChecks(group),
-      writes: group.flatMap(({ writes }) => writes),
-    });
-    if (outcome.isErr()) {
-      log.warn('control-write-failed', { pool, detail: outcome.error.detail });
-      return 0;
-    }
-    if (outcome.value.kind === 'committed') {
-      metrics.count('control_changes', group.length);
-      group.forEach((change) => {
-        const { subject, reason } = change;
-        log.info('control-change', { pool, subject, reason });
-        onChange(change);
-      });
-      return group.length;
-    }
-    metrics.count('control_conflicts');
-    log.info('control-conflict', { pool, key: outcome.value.key });
-    // One conflict must not hold up the others.
-    let committed = 0;
-    for (let index = 0; group.length > 1 && index < group.length; index += 1) {
-      committed += await commit([group[index] as ControlChange]);
-    }
-    return committed;
-  };
-
   const carryOut = async (actions: readonly ControlAction[]): Promise<number> => {
-    let committed = 0;
     const changes = actions.filter((one): one is ControlChange => one.kind === 'write');
-    const groups = toGroups(changes);
-    for (let index = 0; index < groups.length; index += 1) {
-      if (!lease.holds()) return committed;
-      committed += await commit(groups[index] as readonly ControlChange[]);
-    }
+    const { committedCount, isStopped } = await writeChanges(changes);
+    if (isStopped) return committedCount;
     const reboots = actions.flatMap((one) => (one.kind === 'reboot' ? [one] : []));
     await Promise.all(
       reboots.map(({ hostId, requestName }) => hostList.reboot(hostId, requestName)),
     );
-    return committed;
+    return committedCount;
   };
 
   /** Gives the number of changes that were committed. */
   const turn = async (): Promise<number> => {
     const listed = await hostList.list();
     if (listed.isErr()) return 0;
-    takeSightings(listed.value);
+    view.takeSightings(listed.value);
     const rows = await readRows();
     if (!rows || !lease.holds()) return 0;
     const startedMs = nowMs();
-    const plan = planPoolTurn(toWorld(rows), nowMs());
+    const world = view.toWorld(rows, { fence: lease.fence(), nextEpoch: epochs() });
+    const plan = planPoolTurn(world, nowMs());
     metrics.time('control_turn', (nowMs() - startedMs) * 1000);
     withheld = plan.withheld;
     nextEpoch = plan.nextEpoch;
