--- a/packages/core/src/replay/table-model.ts
+++ b/packages/core/src/replay/table-model.ts
@@ -1,4 +1,5 @@
 /** A transactional table in memory, with the rules of the platform's own. */
+import type { Versioned } from '../rows/rows.js';
 import type { RowCheck, RowWrite, TableRow } from '../rows/transaction.js';
 
 /** How a transaction ended. */
@@ -6,7 +7,6 @@
   | { readonly kind: 'committed'; readonly version: number }
   | { readonly kind: 'conflict'; readonly key: string };
 
-/** The table. */
 export type TableModel = {
   readonly read: (key: string) => TableRow;
   readonly scan: (prefix: string) => readonly TableRow[];
@@ -48,3 +48,23 @@
     },
   };
 };
+
+/**
+ * Reads the rows of one kind.
+ *
+ * @param table - The table.
+ * @param prefix - How the keys of the kind begin.
+ * @returns The rows by what follows the prefix.
+ */
+export const rowsOf = <Id extends string, Row>(
+  table: TableModel,
+  prefix: string,
+): ReadonlyMap<Id, Versioned<Row>> =>
+  new Map(
+    table
+      .scan(prefix)
+      .map(({ key, value, version }) => [
+        key.slice(prefix.length) as Id,
+        { value: value as Row, version },
+      ]),
+  );
--- a/packages/daemon/src/observe/log.ts
+++ b/packages/daemon/src/observe/log.ts
@@ -28,7 +28,6 @@
   return text;
 };
 
-/** Options for a log. */
 export type LogOptions = {
   readonly level?: loglevel.LogLevelDesc;
   /** Fields that each event carries. */
