A host whose order had no answer may be down, also after a repeated order is refused

Now such a host counts as down until a reading of the list asked for after it would be back. Ruled out: not to believe the refusal at all (a host that is always refused would hold up the wave for good).

--- a/packages/core/src/batch/upkeep-progress.test.ts
+++ b/packages/core/src/batch/upkeep-progress.test.ts
@@ -144,7 +144,21 @@
       {
         numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 300),
         // A host that dies while it is down must not keep its place: the others would wait for good.
-        examples: [[[], 1, 0]],
+        examples: [
+          [[], 1, 0],
+          // An order without an answer was carried out, a repeated one refused: two hosts were down for one.
+          [
+            [
+              { isListLost: false, leftOut: -1, outcome: 'unknown', isCarriedOut: true },
+              { isListLost: true, leftOut: 0, outcome: 'done', isCarriedOut: false },
+              { isListLost: true, leftOut: 0, outcome: 'done', isCarriedOut: false },
+              { isListLost: true, leftOut: 0, outcome: 'refused', isCarriedOut: false },
+              { isListLost: true, leftOut: 0, outcome: 'done', isCarriedOut: false },
+            ],
+            1,
+            1,
+          ],
+        ],
       },
     );
   });
--- a/packages/core/src/batch/upkeep-progress.ts
+++ b/packages/core/src/batch/upkeep-progress.ts
@@ -19,6 +19,8 @@
    */
   phase: 'waiting' | 'closing' | 'asked' | 'refused' | 'down' | 'done';
   sinceMs: number;
+  /** When an order had no answer last: it may have been carried out. -Infinity if none was lost. */
+  unansweredAtMs: number;
   /** Why it has not gone down yet; '' where nothing stands in the way. */
   reason: string;
 };
@@ -61,7 +63,12 @@
   hosts: new Map(
     order.hosts.map((hostId) => [
       hostId,
-      { phase: done.includes(hostId) ? 'done' : 'waiting', sinceMs: nowMs, reason: '' },
+      {
+        phase: done.includes(hostId) ? 'done' : 'waiting',
+        sinceMs: nowMs,
+        unansweredAtMs: -Infinity,
+        reason: '',
+      },
     ]),
   ),
 });
@@ -95,6 +102,7 @@
   if (!host || host.phase !== 'asked') return;
   host.phase = phaseAfter[outcome];
   host.sinceMs = nowMs;
+  if (outcome === 'unknown') host.unansweredAtMs = nowMs;
   if (outcome === 'refused') host.reason = 'the platform refuses the order';
 };
 
@@ -116,11 +124,18 @@
  * @param host - Its progress.
  * @returns True also where an earlier holder may have ordered it down without writing that.
  */
-export const mayBeDown = (sight: HostSight, hostId: HostId, { phase }: UpkeepHost): boolean => {
+export const mayBeDown = (
+  sight: HostSight,
+  hostId: HostId,
+  { phase, unansweredAtMs }: UpkeepHost,
+): boolean => {
+  const { inventory, downMs } = sight;
   // One that died while it was down would hold up the others for good.
   if (presenceInWave(sight, hostId) === 'gone') return false;
   if (phase === 'down' || phase === 'asked') return true;
-  const listed = sight.inventory.hosts.get(hostId);
+  // That a repeated order is refused says nothing of the first one; a reading after its time does.
+  if (phase !== 'done' && inventory.listedAtMs < unansweredAtMs + downMs) return true;
+  const listed = inventory.hosts.get(hostId);
   return listed ? listed.state === 'maintenance' : phase !== 'done';
 };
 
