--- a/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -505,7 +505,12 @@
     plan: (kind: OrderKind, ...more: readonly Fate[]): void => {
       left[kind].push(...more);
     },
-    /** The names of the tasks that have not ended. */
+    /** Orders that are sent from now on are sound, and nothing is cut. */
+    calm: (): void => {
+      Object.values(left).forEach((planned) => planned.splice(0));
+      endpoints.forEach((endpoint) => Object.assign(endpoint, { cutUntilMs: 0 }));
+    },
+    /** The names of the jobs that have not ended. */
     open: (): readonly string[] =>
       jobs.filter(({ phase }) => !isFinal(phase)).map(({ job }) => job.jobId),
     stop: (): void => {
