--- a/packages/daemon/src/batch/answer-orders.test.ts
+++ b/packages/daemon/src/batch/answer-orders.test.ts
@@ -90,13 +90,21 @@
 
     type Play = typeof play extends fc.Arbitrary<infer One> ? One : never;
 
-    const playOut = async ({ taskCount, isGang, stops, crashes, cuts, ...world }: Play) => {
+    const playOut = async (
+      { taskCount, isGang, stops, crashes, cuts, ...world }: Play,
+      prepare?: (held: HeldWorld) => void,
+    ) => {
       vi.clearAllTimers();
       const room = world.rooms.reduce((sum, one) => sum + one, 0);
       const step = { taskCount: isGang ? Math.min(taskCount, room) : taskCount, isGang };
-      const options: HeldWorldOptions = { ...world, steps: [step] };
+      const options: HeldWorldOptions = {
+        ...world,
+        steps: [step],
+        hasSuccessor: prepare !== undefined,
+      };
       const held = createHeldWorld(options);
       held.submit();
+      prepare?.(held);
       stops.forEach(({ atMs, pick }) => setTimeout(() => held.stopOne(pick), atMs));
       crashes.forEach(({ atMs, pick, backAfterMs }) =>
         setTimeout(() => held.crash(pick, backAfterMs), atMs),
@@ -123,6 +131,23 @@
       );
     });
 
+    it('begins nothing again whose end another holder has acknowledged, unless an endpoint dies', async () => {
+      // The other holder reaches each endpoint at its own time; until then this one's fence is the highest.
+      const handover = fc.record({
+        atMs: fc.integer({ min: 100, max: 3000 }),
+        afterMs: fc.tuple(fc.nat(3000), fc.nat(9000)),
+      });
+      await fc.assert(
+        fc.asyncProperty(play, handover, async (one, { atMs, afterMs }) => {
+          const { broken } = await playOut({ ...one, crashes: [] }, (held) => {
+            setTimeout(() => held.succeed(afterMs), atMs);
+          });
+          expect(broken).toEqual([]);
+        }),
+        { numRuns: Math.ceil(numRuns / 8) },
+      );
+    });
+
     it('has all work end once answers come again', async () => {
       await fc.assert(
         fc.asyncProperty(play, async (one) => {
--- a/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -62,6 +62,7 @@
 /** One fault leads to more: the first ones tell what it was. */
 const MOST_BROKEN = 3;
 const SAVE_AFTER_MS = 20;
+const SUCCESSOR_ASKS_MS = 100;
 const POLICY = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
 
 const STEP: StepSpec = {
@@ -151,6 +152,8 @@
   };
 };
 
+const numberOf = ({ number }: EndReport): number => number;
+
 type SimEndpoint = {
   readonly model: EndpointModel;
   readonly lease: ReturnType<typeof createLeaseMirror>;
@@ -193,7 +196,9 @@
     stop: [...(fates.stop ?? [])],
     list: [...(fates.list ?? [])],
   };
+  const bornAtMs = performance.now();
   let isStopped = false;
+  let isDone = false;
   let isPoked = false;
   let isSavePlanned = false;
   let lastEndpoint = 0;
@@ -252,9 +257,11 @@
     const endpoint = endpoints.get(on);
     if (!endpoint) return;
     const named = `the end ${number} of ${task} run ${run} as ${kind} on ${on}`;
-    if (!endpoint.told.has(number) && !hasSuccessor)
-      breaks(`${named} was acknowledged and never told`);
-    else if (!isApplied(end)) breaks(`${named} was acknowledged and not applied`);
+    // Another holder acknowledges by what it was told itself.
+    if (!hasSuccessor) {
+      if (!endpoint.told.has(number)) breaks(`${named} was acknowledged and never told`);
+      else if (!isApplied(end)) breaks(`${named} was acknowledged and not applied`);
+    }
     const ended = doneEnds.find(
       (one) => one.endpointId === on && one.task === task && one.run === run,
     );
@@ -480,6 +487,32 @@
     if (struck) Object.assign(struck, { cutUntilMs: nowMs() + forMs, isHeldUp });
   };
 
+  /**
+   * Another holder asks the endpoints from now on, each after a time of its own, and acknowledges what
+   * it hears at once. This holder can no longer be sure to be the only one; nobody tells it more.
+   */
+  const succeed = (afterMs: readonly number[]): void => {
+    state.soleHolderUntilMs = nowMs();
+    Array.from(endpoints.values()).forEach(({ model, lease }, index) => {
+      let acknowledged = 0;
+      const ask = async (): Promise<void> => {
+        if (isDone || !model.isUp()) return;
+        const keepUntilMs = 1000 + (nowMs() - bornAtMs) * clockRate + ENDPOINT_LEASE_MS;
+        lease.note(keepUntilMs);
+        const order = { fence: FENCE + 1, acknowledged, keepUntilMs, waitMs: 0 };
+        const answer = await model.list(order);
+        if (answer.isOk())
+          acknowledged = Math.max(acknowledged, ...answer.value.ended.map(numberOf));
+        setTimeout(() => {
+          void ask();
+        }, SUCCESSOR_ASKS_MS);
+      };
+      setTimeout(() => {
+        void ask();
+      }, afterMs[index] ?? 0);
+    });
+  };
+
   const timer = setInterval(() => {
     state.timed.forEach((job) => beginDue(state, job, nowMs(), Date.now()));
     watchRuns(state, nowMs());
@@ -501,6 +534,7 @@
     stopOne,
     crash,
     cut,
+    succeed,
     /** Has the next order of a kind meet this fate, after those that are planned. */
     plan: (kind: OrderKind, ...more: readonly Fate[]): void => {
       left[kind].push(...more);
@@ -515,6 +549,7 @@
       jobs.filter(({ phase }) => !isFinal(phase)).map(({ job }) => job.jobId),
     stop: (): void => {
       isStopped = true;
+      isDone = true;
       clearInterval(timer);
       roster.close();
     },
