--- a/packages/daemon/src/batch/answer-orders.test.ts
+++ b/packages/daemon/src/batch/answer-orders.test.ts
@@ -358,6 +358,17 @@
   });
 
   describe('that another holder has replaced', () => {
+    it('does not take the lease of an endpoint for ended that the other may have prolonged', async () => {
+      const world = await ready({ runMs: [1500], hasSuccessor: true });
+      world.submit();
+      await advance(100);
+      world.cut(0, 11_000, false);
+      world.succeed([200, 15_000]);
+      await advance(12_000);
+      world.stop();
+      expect([runsOf(world), world.broken]).toEqual([[2001], []]);
+    });
+
     it('begins nothing again that ended while its own question waited, and whose end the other acknowledged', async () => {
       const world = await ready({ runMs: [600], hasSuccessor: true });
       world.submit();
