Orders of answers: the task whose lease may have been prolonged can only be begun elsewhere

The endpoint that was cut off was chosen again between two spans in which it was withheld, so the case passed on a holder that believes the lease to be over.

--- a/packages/daemon/src/batch/answer-orders.test.ts
+++ b/packages/daemon/src/batch/answer-orders.test.ts
@@ -362,6 +362,9 @@
       const world = await ready({ runMs: [1500], hasSuccessor: true });
       world.submit();
       await advance(100);
+      // What is given up there could only be begun on the other one.
+      const [known] = world.state.endpoints.values();
+      if (known) known.isClosing = true;
       world.cut(0, 11_000, false);
       world.succeed([200, 15_000]);
       await advance(12_000);
