--- a/packages/daemon/src/batch/replaced-holder.test.ts
+++ b/packages/daemon/src/batch/replaced-holder.test.ts
@@ -22,7 +22,14 @@
 import type { JobId } from '@valvelatch/core/shared/ids';
 
 import type { SimEntry, SimFleet } from './testing/sim-fleet.fixtures.js';
-import { advance, FAKED, holderOf, phaseOf, started } from './testing/virtual-time.fixtures.js';
+import {
+  advance,
+  FAKED,
+  holderOf,
+  phaseOf,
+  runningOf,
+  started,
+} from './testing/virtual-time.fixtures.js';
 
 /** A call that was sent during a cut is given up, and another is sent, within this time. */
 const CALL_MS = 1300;
@@ -229,3 +236,44 @@
     );
   }, 600_000);
 });
+
+describe('a holder that was not replaced', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: [...FAKED] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  /** A task that runs for long, and where. */
+  const running = async () => {
+    const fleet = await started({ hostsPerPool: 2 });
+    const job = fleet.submit({ pool: 'alpha', steps: [{}], runMs: 30_000 });
+    await advance(1000);
+    return { fleet, job, endpoint: endpointOf(fleet, job) };
+  };
+
+  it('starts again what ran on an endpoint that is gone as soon as the list of hosts shows it', async () => {
+    const { fleet, job, endpoint } = await running();
+    fleet.crash(endpoint.endpointId);
+    await advance(1500);
+    expect(runningOf(fleet, job)).toHaveLength(1);
+    expect(fleet.broken).toEqual([]);
+  });
+
+  it('starts it again within 2 s of an outage of the table, in which it was not sure to be the only one', async () => {
+    const { fleet, job, endpoint } = await running();
+    fleet.entries.forEach((entry) =>
+      Object.assign(entry, { isCutFromTable: true, isCutFromHosts: false }),
+    );
+    await advance(4000);
+    fleet.crash(endpoint.endpointId);
+    await advance(1500);
+    expect(runningOf(fleet, job)).toEqual([]);
+    fleet.entries.forEach(healTable);
+    await advance(2000);
+    expect(runningOf(fleet, job)).toHaveLength(1);
+    expect(fleet.broken).toEqual([]);
+  });
+});
