--- a/packages/core/src/batch/batch-state.fixtures.ts
+++ b/packages/core/src/batch/batch-state.fixtures.ts
@@ -1,8 +1,9 @@
 /** A small state for tests of decisions: one job of one task, two endpoints, and their answers. */
 import { brand, type EndpointId, type JobId, type PoolName } from '../shared/ids.js';
 import { seeEndpoint } from './endpoints.js';
-import { taskKey, type BatchJob, type QueuePolicy, type StepSpec } from './job.js';
+import { taskKey, type BatchJob, type QueuePolicy } from './job.js';
 import { takeInJob } from './jobs.js';
+import { PLAIN_STEP } from './plain-step.js';
 import { applyReport, type EndpointReport } from './reports.js';
 import { createBatchState, type BatchState, type Task } from './state.js';
 
@@ -16,33 +17,12 @@
 
 const FENCE = 2;
 
-const step: StepSpec = {
-  taskCount: 1,
-  cpuMillis: 1000,
-  memoryMb: 100,
-  accelerators: 0,
-  estimateMs: 500,
-  after: [],
-  isGang: false,
-  isRackLocal: false,
-  requiredLabel: '',
-  nearRack: '',
-  mostPerEndpoint: 0,
-  isSpeculative: false,
-  isLasting: false,
-  mayMiss: 0,
-  image: '',
-  targetMs: 0,
-  fillsGaps: false,
-  savesProgress: false,
-};
-
 const job: BatchJob = {
   jobId: JOB,
   queue: brand('q'),
   pool: POOL,
   spec: '',
-  steps: [step],
+  steps: [PLAIN_STEP],
   repeats: 0,
   firstDueAtMs: 0,
   intervalMs: 0,
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -18,6 +18,7 @@
 export * from './order.js';
 export * from './order-window.js';
 export * from './orders.js';
+export * from './plain-step.js';
 export * from './pool-moves.js';
 export * from './pool-needs.js';
 export * from './progress.js';
--- a/packages/core/src/batch/upkeep-rules.test.ts
+++ b/packages/core/src/batch/upkeep-rules.test.ts
@@ -6,6 +6,7 @@
 import { createHostInventory, takeHostList } from './host-inventory.js';
 import type { StepSpec } from './job.js';
 import { takeInJob } from './jobs.js';
+import { PLAIN_STEP } from './plain-step.js';
 import { addRun } from './runs.js';
 import { createBatchState, type EndpointState, type StepRun, type Task } from './state.js';
 import { createUpkeepWave, type UpkeepHost } from './upkeep-progress.js';
@@ -16,28 +17,6 @@
 const LATE_MS = 1000;
 const EARLY_MS = 300_000;
 
-const specOf = (changes: Partial<StepSpec>): StepSpec => ({
-  taskCount: 1,
-  cpuMillis: 1000,
-  memoryMb: 100,
-  accelerators: 0,
-  estimateMs: 500,
-  after: [],
-  isGang: false,
-  isRackLocal: false,
-  requiredLabel: '',
-  nearRack: '',
-  mostPerEndpoint: 0,
-  isSpeculative: false,
-  isLasting: false,
-  mayMiss: 0,
-  image: '',
-  targetMs: 0,
-  fillsGaps: false,
-  savesProgress: false,
-  ...changes,
-});
-
 /** A wave over hosts with an endpoint each that has answered; hosts beside it come after those. */
 const waveOver = (hostCount: number, maximum: number, withinMs: number, besideCount = 0) => {
   const state = createBatchState(1);
@@ -73,7 +52,7 @@
     const job = { jobId, queue: brand<never>('q'), pool: POOL, spec: '', repeats: 0 };
     const times = { firstDueAtMs: 0, intervalMs: 0, acceptedAtMs: 0 };
     const policy = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
-    const steps = [specOf({ taskCount: places.length, ...changes })];
+    const steps = [{ ...PLAIN_STEP, taskCount: places.length, ...changes }];
     takeInJob(state, { job: { ...job, ...times, steps }, policy, nowMs: 0, todayMs: 0 });
     const step = state.jobs.get(jobId)?.occurrences.get(0)?.steps[0] as StepRun;
     places.forEach((place, index) => {
--- a/packages/daemon/src/batch/replaced-holder.test.ts
+++ b/packages/daemon/src/batch/replaced-holder.test.ts
@@ -217,7 +217,7 @@
       ),
       {
         numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 25),
-        // Found once in 60 drawn orders: the list of hosts answers 173 ms before the table.
+        // The list of hosts answers 173 ms before the table: one of 60 drawn orders.
         examples: [
           [
             {
--- a/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -16,6 +16,7 @@
   takeEffects,
   takeInJob,
   watchRuns,
+  PLAIN_STEP,
   type BatchJob,
   type BatchState,
   type EndKind,
@@ -65,27 +66,6 @@
 const SUCCESSOR_ASKS_MS = 100;
 const POLICY = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
 
-const STEP: StepSpec = {
-  taskCount: 1,
-  cpuMillis: 1000,
-  memoryMb: 100,
-  accelerators: 0,
-  estimateMs: 500,
-  after: [],
-  isGang: false,
-  isRackLocal: false,
-  requiredLabel: '',
-  nearRack: '',
-  mostPerEndpoint: 0,
-  isSpeculative: false,
-  isLasting: false,
-  mayMiss: 0,
-  image: '',
-  targetMs: 0,
-  fillsGaps: false,
-  savesProgress: false,
-};
-
 const NO_ANSWER: OrderError = { verdict: 'mayHaveRun', reason: 'no-answer', detail: 'silence' };
 
 const REPLACED: OrderError = { verdict: 'notRun', reason: 'other-endpoint', detail: '421' };
@@ -447,7 +427,7 @@
       queue: brand('q'),
       pool: POOL,
       spec: '',
-      steps: steps.map((step) => ({ ...STEP, ...step })),
+      steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
       repeats: 0,
       firstDueAtMs: 0,
       intervalMs: 0,
--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -13,6 +13,7 @@
   takeEffects,
   takeInJob,
   watchRuns,
+  PLAIN_STEP,
   type BatchState,
   type EndpointModel,
   type EndReport,
@@ -134,24 +135,9 @@
 };
 
 const stepOf = (taskCount: number, isLasting: boolean): StepSpec => ({
+  ...PLAIN_STEP,
   taskCount,
-  cpuMillis: 1000,
-  memoryMb: 100,
-  accelerators: 0,
-  estimateMs: 500,
-  after: [],
-  isGang: false,
-  isRackLocal: false,
-  requiredLabel: '',
-  nearRack: '',
-  mostPerEndpoint: 0,
-  isSpeculative: false,
   isLasting,
-  mayMiss: 0,
-  image: '',
-  targetMs: 0,
-  fillsGaps: false,
-  savesProgress: false,
 });
 
 const SILENT_LOG: Log = {
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -4,6 +4,7 @@
  */
 import {
   indexQueues,
+  PLAIN_STEP,
   type BatchJob,
   type BatchJobRow,
   type EndpointModel,
@@ -98,27 +99,6 @@
   readonly maintained: Set<string>;
 };
 
-const defaultStep: StepSpec = {
-  taskCount: 1,
-  cpuMillis: 1000,
-  memoryMb: 100,
-  accelerators: 0,
-  estimateMs: 500,
-  after: [],
-  isGang: false,
-  isRackLocal: false,
-  requiredLabel: '',
-  nearRack: '',
-  mostPerEndpoint: 0,
-  isSpeculative: false,
-  isLasting: false,
-  mayMiss: 0,
-  image: '',
-  targetMs: 0,
-  fillsGaps: false,
-  savesProgress: false,
-};
-
 /**
  * Builds a fleet without entries.
  *
@@ -306,7 +286,7 @@
         queue: brand(queueOf(pool, needsAdvice)),
         pool: brand(pool),
         spec: 'x'.repeat(specBytes),
-        steps: steps.map((step) => ({ ...defaultStep, ...step })),
+        steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
         repeats: 0,
         firstDueAtMs: 0,
         intervalMs: 0,
