--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -103,7 +103,7 @@
   readonly inheritedLeasesMs?: number;
 };
 
-/** An order as it came to the endpoint's door. */
+/** An order as it was sent to the endpoint. */
 export type SeenOrder = {
   readonly kind: 'list' | 'start' | 'stop';
   readonly sentAtMs: number;
