--- /dev/null
+++ b/packages/daemon/src/batch/late-rows.test.ts
@@ -0,0 +1,132 @@
+/** Rows of jobs that are read late, by a holder that was replaced meanwhile. */
+import { createBatchState, type BatchJob } from '@valvelatch/core/batch';
+import { brand, type JobId } from '@valvelatch/core/shared/ids';
+import { Ok } from 'ts-results-es';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+import type { EndedJobs } from './ended-jobs.js';
+import { createJobRows } from './job-rows.js';
+import { batchKey } from './keys.js';
+import type { SimFleet } from './testing/sim-fleet.fixtures.js';
+import { SIM_POLICY } from './testing/sim-world.fixtures.js';
+import { advance, FAKED, holderOf, started } from './testing/virtual-time.fixtures.js';
+
+const JOB = brand<JobId>('00000000000000aa');
+
+const job: BatchJob = {
+  jobId: JOB,
+  queue: brand('q'),
+  pool: brand('alpha'),
+  spec: '',
+  steps: [],
+  repeats: 0,
+  firstDueAtMs: 0,
+  intervalMs: 0,
+  acceptedAtMs: 0,
+};
+
+describe('rows of jobs that come late', () => {
+  const setUp = () => {
+    const state = createBatchState(1);
+    const sure = { isSoleHolder: true };
+    let answer: () => void = () => undefined;
+    const rows = createJobRows({
+      state,
+      table: {
+        feed: () => ({
+          next: () =>
+            new Promise((resolve) => {
+              answer = () =>
+                resolve(
+                  Ok([
+                    {
+                      key: batchKey.job(JOB),
+                      value: { kind: 'live', job, policy: SIM_POLICY },
+                      version: 1,
+                    },
+                  ]),
+                );
+            }),
+        }),
+      },
+      versions: new Map(),
+      ended: { has: () => false, add: () => undefined } as unknown as EndedJobs,
+      configuration: () => undefined,
+      isSoleHolder: () => sure.isSoleHolder,
+      isStopped: () => false,
+      poke: () => undefined,
+      log: {
+        debug: () => undefined,
+        info: () => undefined,
+        warn: () => undefined,
+        error: () => undefined,
+      },
+      nowMs: () => 0,
+      todayMs: () => 0,
+    });
+    return { state, sure, rows, answer: () => answer() };
+  };
+
+  it('are applied where no other entry can be the holder', async () => {
+    const { state, rows, answer } = setUp();
+    const followed = rows.follow();
+    answer();
+    await followed;
+    expect(state.jobs.has(JOB)).toBe(true);
+  });
+
+  it('are not applied once another entry may be the holder, which may have accepted the job', async () => {
+    const { state, sure, rows, answer } = setUp();
+    const followed = rows.follow();
+    sure.isSoleHolder = false;
+    answer();
+    await followed;
+    expect(state.jobs.has(JOB)).toBe(false);
+  });
+});
+
+describe('a job that the next holder accepted', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: [...FAKED] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  /** A question about rows is given up after 900 ms. */
+  const FEED_MS = 880;
+
+  const play = async (cutAfterMs: number): Promise<SimFleet> => {
+    vi.useRealTimers();
+    vi.useFakeTimers({ toFake: [...FAKED] });
+    const fleet = await started({ hostsPerPool: 2, tickMs: 100 });
+    await advance(cutAfterMs);
+    const first = holderOf(fleet);
+    const others = fleet.entries.filter((one) => one !== first);
+    // Half of the endpoints are on the side of the first holder.
+    const [near] = Array.from(fleet.endpoints.values()).filter(({ pool }) => pool === 'alpha');
+    Object.assign(first, { isCutFromTable: true, isSilent: true, feedMs: FEED_MS });
+    fleet.endpoints.forEach(({ endpointId }) => {
+      if (endpointId !== near?.endpointId) first.cutFrom.add(endpointId);
+      else others.forEach(({ cutFrom }) => cutFrom.add(endpointId));
+    });
+    while (!others.some(({ control }) => control.term())) await advance(5);
+    // It has read the rows, and begins what is accepted after that at once.
+    await advance(20);
+    fleet.submit({ pool: 'alpha', steps: [{}], runMs: 5000 });
+    await advance(1000);
+    Object.assign(first, { isCutFromTable: false, isSilent: false });
+    await advance(12_000);
+    return fleet;
+  };
+
+  it('is not begun by the one before, whose question about rows was answered late', async () => {
+    const broken: string[] = [];
+    for (let cutAfterMs = 0; cutAfterMs < 2000; cutAfterMs += 40) {
+      const fleet = await play(cutAfterMs);
+      broken.push(...fleet.broken.slice(0, 1).map((text) => `cut after ${cutAfterMs} ms: ${text}`));
+    }
+    expect(broken).toEqual([]);
+  }, 120_000);
+});
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -62,6 +62,8 @@
   readonly linkBytesPerMs?: number;
   /** True if entries may carry orders for a holder whose link is busy. */
   readonly mayRelayOrders?: boolean;
+  /** How often each entry looks at the lease. */
+  readonly tickMs?: number;
   readonly random: () => number;
 };
 
@@ -132,6 +134,7 @@
   endpointLeaseMs,
   linkBytesPerMs,
   mayRelayOrders = false,
+  tickMs = TICK_MS,
   random,
 }: SimFleetOptions): SimFleet => {
   const world = createSimWorld({ hostsPerPool, pools, sparePool, random });
@@ -270,7 +273,7 @@
       while (!entry.isDead) {
         await control.tick();
         if (control.term()) orders.refresh();
-        await sleep(TICK_MS);
+        await sleep(tickMs);
       }
     };
     void loop();
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -81,6 +81,8 @@
   isCutFromHosts?: boolean;
   /** Whether the list of endpoints does not answer it; as the table if left out. */
   isCutFromEndpointList?: boolean;
+  /** Its questions about rows that changed are carried out so late, whatever it is cut from. */
+  feedMs?: number;
   /** The mesh between it and the other entries is cut. */
   isSilent: boolean;
   /** Endpoints that it cannot reach. */
@@ -254,7 +256,10 @@
     return {
       next: async () => {
         const from = after;
-        const read = await toTable(() => ({
+        const { feedMs } = entry;
+        if (feedMs !== undefined) await sleep(feedMs);
+        const isCut = (): boolean => feedMs === undefined && entry.isCutFromTable;
+        const read = await toService(isCut, () => ({
           end: changes.length,
           rows: from < 0 ? table.scan(`${kind}/`) : changes.slice(from),
         }));
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -40,6 +40,7 @@
     endpointLeaseMs?: number;
     linkBytesPerMs?: number;
     mayRelayOrders?: boolean;
+    tickMs?: number;
     seed?: number;
   } = {},
 ) => {
