--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -276,6 +276,7 @@
   if (isEnd) endJob(state, job, 'completed', 'all tasks are done');
   else {
     state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
-    openSteps(state, occurrence);
+    // One that an earlier holder began, by a clock that was ahead, goes on when its time comes here.
+    if (occurrence.number < job.nextOccurrence) openSteps(state, occurrence);
   }
 };
--- a/packages/daemon/src/batch/job-rows.ts
+++ b/packages/daemon/src/batch/job-rows.ts
@@ -137,6 +137,9 @@
     });
   };
 
+  /** Rows that were read and not applied yet: the feed does not repeat them. */
+  let unapplied: readonly TableRow[] = [];
+
   return {
     read: async (until) => {
       // Each by itself: a feed does not repeat its answer when the other one must be read again.
@@ -156,7 +159,6 @@
     },
     takeIn,
     follow: async () => {
-      // What is read now is applied only if the term is still the last one after the answer.
       if (!isSoleHolder()) return;
       const rows = await jobFeed.next(0);
       if (rows.isErr()) {
@@ -164,8 +166,12 @@
         return;
       }
       if (isStopped()) return;
-      takeRows(rows.value, takeIn);
-      if (rows.value.length > 0) poke();
+      unapplied = [...unapplied, ...rows.value];
+      // The answer may be late: a job in it may be one that the next holder accepted and has begun.
+      if (unapplied.length === 0 || !isSoleHolder()) return;
+      takeRows(unapplied, takeIn);
+      unapplied = [];
+      poke();
     },
   };
 };
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -75,7 +75,7 @@
   readonly endpointLeaseMs: number;
   /** The table has answered nothing for so long that it is away. */
   readonly isTableAway: () => boolean;
-  /** Until then no other entry can have become the holder: all jobs in the rows are ours to start. */
+  /** Until then no other entry can have become the holder: what was not heard has not happened elsewhere. */
   readonly soleHolderUntilMs: () => number;
   readonly configuration: () => QueueIndex | undefined;
   readonly onLost: (reason: string) => void;
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -81,6 +81,8 @@
   isCutFromHosts?: boolean;
   /** Whether the list of endpoints does not answer it; as the table if left out. */
   isCutFromEndpointList?: boolean;
+  /** Its questions about rows that changed are carried out so late, whatever it is cut from. */
+  feedMs?: number;
   /** The mesh between it and the other entries is cut. */
   isSilent: boolean;
   /** Endpoints that it cannot reach. */
@@ -222,6 +224,8 @@
       return Err(noAnswer);
     }
     const answer = await call(endpoint);
+    // One that dies while a question waits there breaks the connection.
+    if (!endpoint.isUp()) return Err(noAnswer);
     const answerBytes = sizeOf(answer.isOk() ? answer.value : null);
     noteBytes('in', answerBytes);
     await carry('in', answerBytes, isGivenUp);
@@ -254,7 +258,10 @@
     return {
       next: async () => {
         const from = after;
-        const read = await toTable(() => ({
+        const { feedMs } = entry;
+        if (feedMs !== undefined) await sleep(feedMs);
+        const isCut = (): boolean => feedMs === undefined && entry.isCutFromTable;
+        const read = await toService(isCut, () => ({
           end: changes.length,
           rows: from < 0 ? table.scan(`${kind}/`) : changes.slice(from),
         }));
--- a/packages/daemon/src/leases/lease-keeper.ts
+++ b/packages/daemon/src/leases/lease-keeper.ts
@@ -91,12 +91,16 @@
     ...(renewAfterMs === undefined ? {} : { renewAfterMs }),
   });
   let fenceVersion = 0;
+  let releases = 0;
+  /** The epoch under which the lease was to be taken last; the answer may have been lost. */
+  let takenEpoch = -1;
   let lastHolder: EntryId | null = null;
   let watchedMs = 0;
   let lastIdleMs = 0;
 
   const write = async (row: LeaseRow, expectedVersion: number): Promise<void> => {
     const sentAtMs = nowMs();
+    const releasesBefore = releases;
     const isTaking = row.renewals === 0;
     const outcome = await table.transact({
       checks: [{ key, version: expectedVersion }],
@@ -106,6 +110,8 @@
       ],
     });
     if (outcome.isErr() || outcome.value.kind === 'conflict') return;
+    // The late answer to a renewal must not take back what was given up meanwhile.
+    if (releases !== releasesBefore) return;
     const { version } = outcome.value;
     if (isTaking) fenceVersion = version;
     state = confirmLease(state, { row, version }, sentAtMs);
@@ -116,6 +122,16 @@
     state.heldUntilMs - nowMs() > durationMs - state.renewAfterMs * SECURE_FRACTION &&
     state.seen.row?.holder === self;
 
+  /** Where the row shows this entry's own taking, whose answer was lost, it still follows the one before. */
+  const noteTaking = (before: LeaseRow | null, epoch: number): void => {
+    const isOwnTaking = before?.holder === self && before.epoch === takenEpoch;
+    takenEpoch = epoch;
+    if (isOwnTaking) return;
+    lastHolder = before?.holder ?? null;
+    watchedMs = nowMs() - state.unchangedSinceMs;
+    lastIdleMs = before?.idleMs ?? 0;
+  };
+
   const tick = async (): Promise<void> => {
     if (isSecure()) return;
     const rows = await table.read([key]);
@@ -129,11 +145,7 @@
     if (!isHeld && !(isOwn && mayRetake()) && !mayTake()) return;
     const step = nextLeaseStep(state, nowMs(), freeAfterMs());
     if (step.kind === 'write' && (await beforeWrite())) {
-      if (step.row.renewals === 0) {
-        lastHolder = value?.holder ?? null;
-        watchedMs = nowMs() - state.unchangedSinceMs;
-        lastIdleMs = value?.idleMs ?? 0;
-      }
+      if (step.row.renewals === 0) noteTaking(value, step.row.epoch);
       await write(step.row, step.expectedVersion);
     }
   };
@@ -185,6 +197,7 @@
   const release = async (idleMs?: number): Promise<boolean> => {
     const held = state;
     if (!held.seen.row || !holdsLease(held, nowMs())) return true;
+    releases += 1;
     state = { ...held, heldUntilMs: -Infinity, ownEpoch: -1 };
     const isFreed = await freeRow(held.seen, idleMs);
     if (!isFreed) state = held;
