--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -5,7 +5,7 @@
  */
 import type { EntryId } from '../shared/ids.js';
 
-/** The row of a lease. `renewals` changes at each renewal, so that watchers see life. */
+/** The row of a lease. `renewals` changes at each renewal, so that watchers see that its holder runs. */
 export type LeaseRow = {
   readonly holder: EntryId | null;
   readonly epoch: number;
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -61,7 +61,7 @@
 const TURN_MARGIN_MS = 300;
 
 /**
- * A holder whose own way to the table is lost for so long, while neighbours are served, gives
+ * A holder whose own route to the table is lost for so long, while neighbours are served, gives
  * control up: shorter, and a lost connection would cost a change of the holder (0.5 s); longer, and
  * accepted jobs wait for it.
  */
@@ -144,7 +144,7 @@
   let waitingCache:
     { readonly atMs: number; readonly counts: ReadonlyMap<string, number> } | undefined;
 
-  /** Feeds come on the own way only: an entry without it could hold control, and not exert it. */
+  /** Feeds come by the own route only: an entry without it could hold control, and not exert it. */
   const isWilling = (): boolean => !isResigned && configuration() !== undefined && table.isServed();
 
   const isHolderSuspect = (): boolean => {
--- a/packages/daemon/src/batch/endpoint-leases.test.ts
+++ b/packages/daemon/src/batch/endpoint-leases.test.ts
@@ -1,7 +1,7 @@
 /**
  * Leases on endpoints: what a holder takes for ended has ended at the endpoint, whatever becomes of its
  * orders and their answers. In virtual time, first one holder and one endpoint under any order of
- * troubles, then each way on its own by which a lease could last longer than its holder counts.
+ * troubles, then each cause on its own by which a lease could last longer than its holder counts.
  */
 import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
@@ -37,7 +37,7 @@
   });
 
   describe('under any order of lost, late and crossing answers', () => {
-    const way = fc.oneof(
+    const hopMs = fc.oneof(
       { weight: 6, arbitrary: fc.nat(5) },
       { weight: 1, arbitrary: fc.integer({ min: 50, max: 2500 }) },
     );
@@ -49,8 +49,8 @@
           arbitrary: fc.constantFrom('request-lost', 'answer-lost', 'carried-late' as const),
         },
       ),
-      toMs: way,
-      backMs: way,
+      toMs: hopMs,
+      backMs: hopMs,
       lateMs: fc.integer({ min: 2000, max: 12_000 }),
     });
     const trouble: fc.Arbitrary<Trouble> = fc.record({
--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -1,5 +1,5 @@
 /**
- * A holder and one endpoint in virtual time. Each call meets a fate of its own on the way, the
+ * A holder and one endpoint in virtual time. Each call has a fate of its own, the
  * endpoint's lease is counted beside it, and what must hold between the lease and the holder's count
  * of it is checked whenever either changes.
  */
@@ -57,14 +57,14 @@
 /** What becomes of one call. */
 export type Fate = {
   readonly kind: 'carried' | 'request-lost' | 'answer-lost' | 'carried-late';
-  /** How long the request and the answer are on their ways. */
+  /** How long the request and the answer are on the network. */
   readonly toMs: number;
   readonly backMs: number;
   /** How late a request is carried out that is carried out late. */
   readonly lateMs: number;
 };
 
-/** A call that meets nothing on its way. */
+/** A call that nothing delays. */
 export const QUICK: Fate = { kind: 'carried', toMs: 1, backMs: 1, lateMs: 0 };
 
 /** A time in which something is wrong. */
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -1,6 +1,6 @@
 /**
  * A fleet in virtual time: the entries' own code for control, against a table, endpoints and hosts
- * in memory, with faults on every way between them.
+ * in memory, with faults on every link between them.
  */
 import {
   indexQueues,
--- a/packages/daemon/src/data-path/outage-claims.ts
+++ b/packages/daemon/src/data-path/outage-claims.ts
@@ -46,7 +46,7 @@
 /**
  * Builds the claims.
  *
- * @param options - The table, the state of the seat, and the way to the other holders.
+ * @param options - The table, the state of the seat, and the links to the other holders.
  * @returns The claims, none yet.
  */
 export const createOutageClaims = ({
--- a/packages/daemon/src/entry/control-plane.ts
+++ b/packages/daemon/src/entry/control-plane.ts
@@ -83,7 +83,7 @@
 /**
  * Builds the control work.
  *
- * @param options - The clients, what is known, and the way to the other entries.
+ * @param options - The clients, what is known, and the links to the other entries.
  * @returns The control work, with no lease held yet.
  */
 export const createControlPlane = ({
--- a/packages/daemon/src/entry/request-plane.ts
+++ b/packages/daemon/src/entry/request-plane.ts
@@ -96,7 +96,7 @@
 /**
  * Builds the request path; its port is not listened on yet.
  *
- * @param options - The settings, the clients, the seat and the way to the other entries.
+ * @param options - The settings, the clients, the seat and the links to the other entries.
  * @returns The request path.
  */
 export const createRequestPlane = ({
--- a/packages/daemon/src/entry/seat-plane.ts
+++ b/packages/daemon/src/entry/seat-plane.ts
@@ -34,7 +34,7 @@
 /**
  * Builds the keeper of the seat and of claims in memory.
  *
- * @param options - The table, the configuration and the way to the other entries.
+ * @param options - The table, the configuration and the links to the other entries.
  * @returns Both, with no seat held yet.
  */
 export const createSeatPlane = ({
--- a/packages/daemon/src/seats/seat-keeper.ts
+++ b/packages/daemon/src/seats/seat-keeper.ts
@@ -61,7 +61,7 @@
 /**
  * Builds the keeper.
  *
- * @param options - Who asks, how many seats there are, and the way to the other holders.
+ * @param options - Who asks, how many seats there are, and the links to the other holders.
  * @returns The keeper, without a seat.
  */
 export const createSeatKeeper = ({
