A host that had been down under an earlier holder takes work again

A new holder orders a host of a wave that is through already; the platform answers that it is done, the endpoint that lives there since lives on, and stayed closed to new work for good: a step that needs all endpoints of its pool had two tasks waiting with room for them. Now the endpoint is opened once its host counts as back.

--- a/packages/core/src/batch/upkeep-rules.test.ts
+++ b/packages/core/src/batch/upkeep-rules.test.ts
@@ -9,7 +9,7 @@
 import { PLAIN_STEP } from './plain-step.js';
 import { addRun } from './runs.js';
 import { createBatchState, type EndpointState, type StepRun, type Task } from './state.js';
-import { createUpkeepWave, type UpkeepHost } from './upkeep-progress.js';
+import { applyUpkeepAnswer, createUpkeepWave, type UpkeepHost } from './upkeep-progress.js';
 import { planUpkeep } from './upkeep.js';
 
 const POOL = brand<PoolName>('alpha');
@@ -67,7 +67,9 @@
       ({ hostId }) => hostId,
     );
   const hosts = (): readonly UpkeepHost[] => Array.from(wave.hosts.values());
-  return { state, endpoints, runOn, plan, hosts };
+  /** All hosts are listed as up, with the same endpoints as before. */
+  const relist = (nowMs: number) => takeHostList(inventory, views, nowMs);
+  return { state, endpoints, wave, runOn, plan, hosts, relist };
 };
 
 const LASTING = { isLasting: true, mayMiss: 1 };
@@ -88,6 +90,17 @@
     expect(endpoints.map(({ isClosing }) => isClosing)).toEqual([true, true, true, false, false]);
   });
 
+  it('takes work again where it had been down under an earlier holder and need not go again', () => {
+    // The order is answered as done, and the endpoint that has lived there since lives on.
+    const { plan, hosts, endpoints, wave, relist } = waveOver(1, 1, LATE_MS);
+    plan(0);
+    applyUpkeepAnswer(wave, brand<HostId>('h-0'), 'done', 100);
+    expect(endpoints[0]?.isClosing).toBe(true);
+    relist(2500);
+    plan(2600);
+    expect([hosts()[0]?.phase, endpoints[0]?.isClosing]).toEqual(['done', false]);
+  });
+
   it('is left at work while there is time, and empty ones go meanwhile', () => {
     const { runOn, plan, hosts } = waveOver(2, 2, EARLY_MS);
     runOn('a', {}, [0]);
--- a/packages/core/src/batch/upkeep.ts
+++ b/packages/core/src/batch/upkeep.ts
@@ -49,13 +49,23 @@
   return endpointId ? state.endpoints.get(endpointId) : undefined;
 };
 
+/** One that had been down under an earlier holder did not go again: its endpoint lives on, and was closed. */
+const noteBack = (world: UpkeepWorld, hostId: HostId, host: UpkeepHost): void => {
+  const endpoint = endpointOf(world, hostId);
+  change(host, { phase: 'done', sinceMs: world.inventory.listedAtMs });
+  if (endpoint) change(endpoint, { isClosing: false });
+};
+
 /** Moves hosts on by what the list and the time say. */
-const settle = ({ inventory, downMs }: UpkeepWorld, wave: UpkeepWave, nowMs: number): void => {
-  const { hosts, listedAtMs } = inventory;
+const settle = (world: UpkeepWorld, wave: UpkeepWave, nowMs: number): void => {
+  const {
+    inventory: { hosts, listedAtMs },
+    downMs,
+  } = world;
   wave.hosts.forEach((host, hostId) => {
     const isUp = hosts.get(hostId)?.state === 'up';
     if (host.phase === 'down' && isUp && listedAtMs - host.sinceMs > downMs) {
-      change(host, { phase: 'done', sinceMs: listedAtMs });
+      noteBack(world, hostId, host);
     }
     if (host.phase === 'refused' && nowMs - host.sinceMs > REFUSED_AGAIN_MS) {
       change(host, { phase: 'waiting', sinceMs: nowMs });
