--- a/packages/daemon/src/batch/replaced-holder.test.ts
+++ b/packages/daemon/src/batch/replaced-holder.test.ts
@@ -90,7 +90,7 @@
   return { fleet, job, first, far };
 };
 
-describe('a holder that was replaced and does not know it', () => {
+describe('a holder of control', () => {
   beforeEach(() => {
     vi.useFakeTimers({ toFake: [...FAKED] });
   });
@@ -99,181 +99,175 @@
     vi.useRealTimers();
   });
 
-  const expectDoneOnce = async ({ fleet, job, first }: Split): Promise<void> => {
-    await advance(CALL_MS);
-    healTable(first);
-    healEndpoints(fleet);
-    await advance(20_000);
-    expect(fleet.broken).toEqual([]);
-    expect(phaseOf(fleet, job)).toBe('completed');
-  };
+  describe('that was replaced and does not know it', () => {
+    const expectDoneOnce = async ({ fleet, job, first }: Split): Promise<void> => {
+      await advance(CALL_MS);
+      healTable(first);
+      healEndpoints(fleet);
+      await advance(20_000);
+      expect(fleet.broken).toEqual([]);
+      expect(phaseOf(fleet, job)).toBe('completed');
+    };
 
-  it('starts nothing again because the list of hosts shows another life of a host', async () => {
-    const play = await split();
-    await passTime(play.fleet, 4000);
-    play.fleet.crash(play.far.endpointId);
-    await advance(300);
-    play.first.isCutFromHosts = false;
-    await expectDoneOnce(play);
-  });
+    it('starts nothing again because the list of hosts shows another life of a host', async () => {
+      const play = await split();
+      await passTime(play.fleet, 4000);
+      play.fleet.crash(play.far.endpointId);
+      await advance(300);
+      play.first.isCutFromHosts = false;
+      await expectDoneOnce(play);
+    });
 
-  it('starts nothing again because another endpoint has the address', async () => {
-    const play = await split();
-    await passTime(play.fleet, 4000);
-    play.fleet.crash(play.far.endpointId);
-    play.fleet.faults.reused.add(play.far.endpointId);
-    await advance(300);
-    play.first.cutFrom.delete(play.far.endpointId);
-    await expectDoneOnce(play);
-  });
+    it('starts nothing again because another endpoint has the address', async () => {
+      const play = await split();
+      await passTime(play.fleet, 4000);
+      play.fleet.crash(play.far.endpointId);
+      play.fleet.faults.reused.add(play.far.endpointId);
+      await advance(300);
+      play.first.cutFrom.delete(play.far.endpointId);
+      await expectDoneOnce(play);
+    });
 
-  it('starts nothing that it inherited because the endpoints that it never heard are gone', async () => {
-    const { fleet, job, first, far } = await split();
-    fleet.kill(first);
-    const others = Array.from(fleet.entries);
-    // The second holder reaches the table and never the far endpoint; the third one does.
-    others.forEach(({ cutFrom }) => cutFrom.clear());
-    await advance(10);
-    others.forEach(({ cutFrom }) => cutFrom.add(far.endpointId));
-    while (!fleet.holder()) await advance(100);
-    const second = holderOf(fleet);
-    await advance(600);
-    others.filter((one) => one !== second).forEach(({ cutFrom }) => cutFrom.clear());
-    cutOff(fleet, second, far);
-    await passTime(fleet, 4000);
-    fleet.crash(far.endpointId);
-    await advance(300);
-    second.isCutFromHosts = false;
-    await expectDoneOnce({ fleet, job, first: second, far });
-  });
+    it('starts nothing that it inherited because the endpoints that it never heard are gone', async () => {
+      const { fleet, job, first, far } = await split();
+      fleet.kill(first);
+      const others = Array.from(fleet.entries);
+      // The second holder reaches the table and never the far endpoint; the third one does.
+      others.forEach(({ cutFrom }) => cutFrom.clear());
+      await advance(10);
+      others.forEach(({ cutFrom }) => cutFrom.add(far.endpointId));
+      while (!fleet.holder()) await advance(100);
+      const second = holderOf(fleet);
+      await advance(600);
+      others.filter((one) => one !== second).forEach(({ cutFrom }) => cutFrom.clear());
+      cutOff(fleet, second, far);
+      await passTime(fleet, 4000);
+      fleet.crash(far.endpointId);
+      await advance(300);
+      second.isCutFromHosts = false;
+      await expectDoneOnce({ fleet, job, first: second, far });
+    });
 
-  it('starts nothing that waited on an endpoint that came after it was replaced', async () => {
-    // The next holder waits for the endpoints that were listed as it took over, not for later ones.
-    const fleet = await started({ hostsPerPool: 3 });
-    const wholeHost = { cpuMillis: 8000 };
-    fleet.submit({ pool: 'alpha', steps: [{ ...wholeHost, taskCount: 3 }], runMs: 3000 });
-    await advance(600);
-    const job = fleet.submit({ pool: 'alpha', steps: [{}], runMs: 300 });
-    await advance(600);
-    const first = holderOf(fleet);
-    const [gone] = Array.from(fleet.endpoints.values());
-    if (!gone) throw new Error('there is no endpoint');
-    Object.assign(first, {
-      isCutFromTable: true,
-      isCutFromHosts: true,
-      isCutFromEndpointList: true,
-      isSilent: true,
+    it('starts nothing that waited on an endpoint that came after it was replaced', async () => {
+      // The next holder waits for the endpoints that were listed as it took over, not for later ones.
+      const fleet = await started({ hostsPerPool: 3 });
+      const wholeHost = { cpuMillis: 8000 };
+      fleet.submit({ pool: 'alpha', steps: [{ ...wholeHost, taskCount: 3 }], runMs: 3000 });
+      await advance(600);
+      const job = fleet.submit({ pool: 'alpha', steps: [{}], runMs: 300 });
+      await advance(600);
+      const first = holderOf(fleet);
+      const [gone] = Array.from(fleet.endpoints.values());
+      if (!gone) throw new Error('there is no endpoint');
+      Object.assign(first, {
+        isCutFromTable: true,
+        isCutFromHosts: true,
+        isCutFromEndpointList: true,
+        isSilent: true,
+      });
+      fleet.endpoints.forEach(({ endpointId }) => first.cutFrom.add(endpointId));
+      await advance(1200);
+      fleet.crash(gone.endpointId);
+      await advance(2900);
+      const known = new Set(fleet.endpoints.keys());
+      while (fleet.endpoints.size === known.size) await advance(10);
+      const born = Array.from(fleet.endpoints.keys()).find((endpointId) => !known.has(endpointId));
+      if (!born) throw new Error('no endpoint was born');
+      fleet.entries.filter((one) => one !== first).forEach(({ cutFrom }) => cutFrom.add(born));
+      await passTime(fleet, 1000);
+      first.isCutFromEndpointList = false;
+      await expectDoneOnce({ fleet, job, first, far: gone });
     });
-    fleet.endpoints.forEach(({ endpointId }) => first.cutFrom.add(endpointId));
-    await advance(1200);
-    fleet.crash(gone.endpointId);
-    await advance(2900);
-    const known = new Set(fleet.endpoints.keys());
-    while (fleet.endpoints.size === known.size) await advance(10);
-    const born = Array.from(fleet.endpoints.keys()).find((endpointId) => !known.has(endpointId));
-    if (!born) throw new Error('no endpoint was born');
-    fleet.entries.filter((one) => one !== first).forEach(({ cutFrom }) => cutFrom.add(born));
-    await passTime(fleet, 1000);
-    first.isCutFromEndpointList = false;
-    await expectDoneOnce({ fleet, job, first, far: gone });
-  });
 
-  it('starts nothing again in whatever order the cut ends for what it reaches', async () => {
-    const delayMs = fc.integer({ min: 0, max: 1500 });
-    await fc.assert(
-      fc.asyncProperty(
-        fc.record({
-          runMs: fc.integer({ min: 700, max: 6000 }),
-          cutAfterMs: fc.integer({ min: 0, max: 1800 }),
-          goneAfterMs: fc.integer({ min: 2000, max: 7500 }),
-          healAfterMs: fc.integer({ min: 3000, max: 8500 }),
-          isReused: fc.boolean(),
-          hostsMs: delayMs,
-          tableMs: delayMs,
-          farMs: delayMs,
-        }),
-        async ({ runMs, cutAfterMs, goneAfterMs, healAfterMs, isReused, ...heal }) => {
-          vi.useRealTimers();
-          vi.useFakeTimers({ toFake: [...FAKED] });
-          const { fleet, job, first, far } = await split({ runMs, cutAfterMs });
-          setTimeout(
-            () => fleet.submit({ pool: 'alpha', steps: [{}], runMs: 200 }),
-            goneAfterMs - MORE_WORK_MS,
-          );
-          setTimeout(() => {
-            fleet.crash(far.endpointId);
-            if (isReused) fleet.faults.reused.add(far.endpointId);
-          }, goneAfterMs);
-          setTimeout(
-            () => Object.assign(first, { isCutFromHosts: false }),
-            healAfterMs + heal.hostsMs,
-          );
-          setTimeout(() => healTable(first), healAfterMs + heal.tableMs);
-          setTimeout(() => healEndpoints(fleet), healAfterMs + heal.farMs);
-          await advance(40_000);
-          expect(fleet.broken).toEqual([]);
-          expect(phaseOf(fleet, job)).toBe('completed');
-        },
-      ),
-      {
-        numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 25),
-        // The list of hosts answers 173 ms before the table: one of 60 drawn orders.
-        examples: [
-          [
-            {
-              runMs: 1554,
-              cutAfterMs: 901,
-              goneAfterMs: 3689,
-              healAfterMs: 4657,
-              isReused: false,
-              hostsMs: 0,
-              tableMs: 173,
-              farMs: 386,
-            },
+    it('starts nothing again in whatever order the cut ends for what it reaches', async () => {
+      const delayMs = fc.integer({ min: 0, max: 1500 });
+      await fc.assert(
+        fc.asyncProperty(
+          fc.record({
+            runMs: fc.integer({ min: 700, max: 6000 }),
+            cutAfterMs: fc.integer({ min: 0, max: 1800 }),
+            goneAfterMs: fc.integer({ min: 2000, max: 7500 }),
+            healAfterMs: fc.integer({ min: 3000, max: 8500 }),
+            isReused: fc.boolean(),
+            hostsMs: delayMs,
+            tableMs: delayMs,
+            farMs: delayMs,
+          }),
+          async ({ runMs, cutAfterMs, goneAfterMs, healAfterMs, isReused, ...heal }) => {
+            vi.useRealTimers();
+            vi.useFakeTimers({ toFake: [...FAKED] });
+            const { fleet, job, first, far } = await split({ runMs, cutAfterMs });
+            setTimeout(
+              () => fleet.submit({ pool: 'alpha', steps: [{}], runMs: 200 }),
+              goneAfterMs - MORE_WORK_MS,
+            );
+            setTimeout(() => {
+              fleet.crash(far.endpointId);
+              if (isReused) fleet.faults.reused.add(far.endpointId);
+            }, goneAfterMs);
+            setTimeout(
+              () => Object.assign(first, { isCutFromHosts: false }),
+              healAfterMs + heal.hostsMs,
+            );
+            setTimeout(() => healTable(first), healAfterMs + heal.tableMs);
+            setTimeout(() => healEndpoints(fleet), healAfterMs + heal.farMs);
+            await advance(40_000);
+            expect(fleet.broken).toEqual([]);
+            expect(phaseOf(fleet, job)).toBe('completed');
+          },
+        ),
+        {
+          numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 25),
+          // The list of hosts answers 173 ms before the table: one of 60 drawn orders.
+          examples: [
+            [
+              {
+                runMs: 1554,
+                cutAfterMs: 901,
+                goneAfterMs: 3689,
+                healAfterMs: 4657,
+                isReused: false,
+                hostsMs: 0,
+                tableMs: 173,
+                farMs: 386,
+              },
+            ],
           ],
-        ],
-      },
-    );
-  }, 600_000);
-});
-
-describe('a holder that was not replaced', () => {
-  beforeEach(() => {
-    vi.useFakeTimers({ toFake: [...FAKED] });
-  });
-
-  afterEach(() => {
-    vi.useRealTimers();
+        },
+      );
+    }, 600_000);
   });
 
-  /** A task that runs for long, and where. */
-  const running = async () => {
-    const fleet = await started({ hostsPerPool: 2 });
-    const job = fleet.submit({ pool: 'alpha', steps: [{}], runMs: 30_000 });
-    await advance(1000);
-    return { fleet, job, endpoint: endpointOf(fleet, job) };
-  };
+  describe('that was not replaced', () => {
+    /** A task that runs for long, and where. */
+    const running = async () => {
+      const fleet = await started({ hostsPerPool: 2 });
+      const job = fleet.submit({ pool: 'alpha', steps: [{}], runMs: 30_000 });
+      await advance(1000);
+      return { fleet, job, endpoint: endpointOf(fleet, job) };
+    };
 
-  it('starts again what ran on an endpoint that is gone as soon as the list of hosts shows it', async () => {
-    const { fleet, job, endpoint } = await running();
-    fleet.crash(endpoint.endpointId);
-    await advance(1500);
-    expect(runningOf(fleet, job)).toHaveLength(1);
-    expect(fleet.broken).toEqual([]);
-  });
+    it('starts again what ran on an endpoint that is gone as soon as the list of hosts shows it', async () => {
+      const { fleet, job, endpoint } = await running();
+      fleet.crash(endpoint.endpointId);
+      await advance(1500);
+      expect(runningOf(fleet, job)).toHaveLength(1);
+      expect(fleet.broken).toEqual([]);
+    });
 
-  it('starts it again within 2 s of an outage of the table, in which it was not sure to be the only one', async () => {
-    const { fleet, job, endpoint } = await running();
-    fleet.entries.forEach((entry) =>
-      Object.assign(entry, { isCutFromTable: true, isCutFromHosts: false }),
-    );
-    await advance(4000);
-    fleet.crash(endpoint.endpointId);
-    await advance(1500);
-    expect(runningOf(fleet, job)).toEqual([]);
-    fleet.entries.forEach(healTable);
-    await advance(2000);
-    expect(runningOf(fleet, job)).toHaveLength(1);
-    expect(fleet.broken).toEqual([]);
+    it('starts it again within 2 s of an outage of the table, in which it was not sure to be the only one', async () => {
+      const { fleet, job, endpoint } = await running();
+      fleet.entries.forEach((entry) =>
+        Object.assign(entry, { isCutFromTable: true, isCutFromHosts: false }),
+      );
+      await advance(4000);
+      fleet.crash(endpoint.endpointId);
+      await advance(1500);
+      expect(runningOf(fleet, job)).toEqual([]);
+      fleet.entries.forEach(healTable);
+      await advance(2000);
+      expect(runningOf(fleet, job)).toHaveLength(1);
+      expect(fleet.broken).toEqual([]);
+    });
   });
 });
