Red: a task that takes down each endpoint is begun again for ever

Symptom: of a pool of four endpoints one goes down each second, for as long as the job is there; its first task is begun 61 times in a minute, and goes on after each loss of all processes. The endpoint model and the simulated fleet learn tasks that take their endpoint down, and check starts after the third and jobs that are failed without a cause.

--- a/packages/core/src/batch/endpoint-model.ts
+++ b/packages/core/src/batch/endpoint-model.ts
@@ -17,6 +17,8 @@
   readonly runMs: number;
   readonly isLasting: boolean;
   readonly fails: boolean;
+  /** It takes the endpoint down so long after its start; undefined for one that does not. */
+  readonly crashesAfterMs?: number | undefined;
   /** What a start must show; undefined where none is needed. */
   readonly ticket?: string | undefined;
 };
@@ -40,6 +42,8 @@
     kind: EndKind | 'died',
   ) => void;
   readonly onAcknowledged: (end: EndReport) => void;
+  /** A task takes the endpoint down; whoever built it ends its life. */
+  readonly onCrash?: (endpoint: EndpointModel, task: TaskKey) => void;
   readonly needsOf: (task: TaskKey) => ModelTask;
 };
 
@@ -187,6 +191,10 @@
     };
     runs.set(task, begun);
     observer.onStart(self, task, run);
+    if (needs.crashesAfterMs !== undefined) {
+      begun.timer = setTimeout(() => observer.onCrash?.(self, task), needs.crashesAfterMs);
+      return Ok({ clockMs: clockMs() });
+    }
     const fails = needs.fails || self.mood === 'fails';
     if (self.mood !== 'hangs' && (!needs.isLasting || fails)) {
       begun.timer = setTimeout(() => finish(begun, fails ? 'failed' : 'done'), needs.runMs);
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -10,6 +10,7 @@
   type EndpointModel,
   type HostView,
   type StepSpec,
+  type TaskKey,
   type UpkeepOrder,
 } from '@valvelatch/core/batch';
 import {
@@ -81,6 +82,8 @@
     readonly steps: readonly Partial<StepSpec>[];
     readonly runMs?: number;
     readonly fails?: boolean;
+    /** The first task takes down each endpoint that begins it, so long after its start. */
+    readonly crashesAfterMs?: number;
     /** Only endpoints with an even number may run it, and only with a ticket. */
     readonly needsAdvice?: boolean;
     /** How long the text is that goes with each start. */
@@ -90,7 +93,10 @@
   readonly order: (wave: UpkeepOrder) => void;
   /** All waves are read by the entries that are there now, as at their start. */
   readonly reorder: () => void;
+  /** The endpoint goes down by itself. */
   readonly crash: (endpointId: EndpointId) => void;
+  /** How many endpoints went down by themselves under each task. */
+  readonly crashes: ReadonlyMap<TaskKey, number>;
   /** The endpoint falls out of the list of endpoints, and lives on. */
   readonly unlist: (endpointId: EndpointId) => void;
   readonly rowOf: (jobId: JobId) => BatchJobRow | undefined;
@@ -119,7 +125,7 @@
 }: SimFleetOptions): SimFleet => {
   const world = createSimWorld({ hostsPerPool, pools, sparePool, random });
   const { table, endpoints, hosts, jobs, broken, faults, maintained, unlisted } = world;
-  const { waveStatus, waves, breaks, relive, commit } = world;
+  const { waveStatus, waves, breaks, commit } = world;
   const logged: { readonly event: string; readonly fields: object }[] = [];
   let lastJob = 0;
 
@@ -281,7 +287,15 @@
       void entry.control.term()?.stop();
       entries.splice(entries.indexOf(entry), 1);
     },
-    submit: ({ pool, steps, runMs = 300, fails = false, needsAdvice = false, specBytes = 0 }) => {
+    submit: ({
+      pool,
+      steps,
+      runMs = 300,
+      fails = false,
+      needsAdvice = false,
+      specBytes = 0,
+      crashesAfterMs,
+    }) => {
       lastJob += 1;
       const jobId = brand<JobId>(lastJob.toString(16).padStart(16, '0'));
       const job: BatchJob = {
@@ -295,7 +309,7 @@
         intervalMs: 0,
         acceptedAtMs: Date.now(),
       };
-      jobs.set(jobId, { job, runMs, fails, needsAdvice });
+      jobs.set(jobId, { job, runMs, fails, needsAdvice, crashesAfterMs });
       const row: BatchJobRow = { kind: 'live', job, policy: SIM_POLICY };
       commit({ checks: [], writes: [{ key: batchKey.job(jobId), value: row }] });
       return jobId;
@@ -308,11 +322,8 @@
       entries.forEach(({ control }) => control.takeWaves([wave]));
     },
     reorder: () => entries.forEach(({ control }) => control.takeWaves(Array.from(waves.values()))),
-    crash: (endpointId) => {
-      const endpoint = endpoints.get(endpointId);
-      const host = endpoint && hosts.get(endpoint.hostId);
-      if (endpoint?.isUp() && host) relive({ ...host, state: 'down' }, 3000);
-    },
+    crash: world.crash,
+    crashes: world.crashes,
     unlist: (endpointId) => unlisted.add(endpointId),
     rowOf: (jobId) =>
       (table.read(batchKey.job(jobId)).value ?? undefined) as BatchJobRow | undefined,
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -6,6 +6,7 @@
   createEndpointModel,
   parseTaskKey,
   type BatchJob,
+  type BatchJobRow,
   type EndReport,
   type EndpointModel,
   type EndpointObserver,
@@ -30,6 +31,7 @@
 
 export const MAINTENANCE_MS = 2000;
 export const MOVE_MS = 1500;
+const CRASH_MS = 3000;
 
 export const SIM_POLICY: QueuePolicy = {
   priority: 0,
@@ -44,8 +46,17 @@
   readonly runMs: number;
   readonly fails: boolean;
   readonly needsAdvice: boolean;
+  /** The first task of the first step takes down each endpoint that begins it, so long after its start. */
+  readonly crashesAfterMs: number | undefined;
 };
 
+/** So many endpoints may go down under a task before its starts count against us. */
+const FREE_CRASHES = 3;
+/** So many starts after those are too many. */
+const STARTS_TOO_MANY = 3;
+/** A job may be given up once so many endpoints have gone down under one of its tasks. */
+const CRASHES_TO_GIVE_UP = 2;
+
 /** What starts on queues that need advice must carry. */
 export const TICKET = 'ticket';
 
@@ -102,6 +113,10 @@
   const done = new Set<TaskKey>();
   const noted = new Set<TaskKey>();
   const failures = new Map<TaskKey, number>();
+  const failedEnds = new Map<TaskKey, number>();
+  /** Endpoints that went down by themselves under a task, and starts since there were too many. */
+  const crashes = new Map<TaskKey, number>();
+  const startsSince = new Map<TaskKey, number>();
   const broken: string[] = [];
   const faults: SimFaults = {
     lostAnswers: 0,
@@ -138,9 +153,29 @@
       isLasting: step?.isLasting ?? false,
       fails: submitted?.fails ?? false,
       ticket: submitted?.needsAdvice ? TICKET : undefined,
+      crashesAfterMs: name?.step === 0 && name.index === 0 ? submitted?.crashesAfterMs : undefined,
     };
   };
 
+  /** A task that takes its endpoints down may not go on doing so. */
+  const checkCrashes = (key: TaskKey): void => {
+    if (needsOf(key).crashesAfterMs === undefined) return;
+    if ((crashes.get(key) ?? 0) < FREE_CRASHES) return;
+    const starts = (startsSince.get(key) ?? 0) + 1;
+    startsSince.set(key, starts);
+    if (starts >= STARTS_TOO_MANY) {
+      breaks(`${key} began ${starts} times after ${FREE_CRASHES} endpoints went down under it`);
+    }
+  };
+
+  /** A job is failed only by a task that failed too often, or under which endpoints went down. */
+  const checkFailed = (jobId: JobId): void => {
+    const hasCause = (counts: ReadonlyMap<TaskKey, number>, atLeast: number): boolean =>
+      Array.from(counts).some(([key, count]) => key.startsWith(jobId) && count >= atLeast);
+    if (hasCause(failedEnds, SIM_POLICY.maxAttempts)) return;
+    if (!hasCause(crashes, CRASHES_TO_GIVE_UP)) breaks(`${jobId} is failed without a cause`);
+  };
+
   const checkOrder = (key: TaskKey): void => {
     const name = parseTaskKey(key);
     const job = name && jobs.get(name.jobId)?.job;
@@ -173,8 +208,10 @@
         breaks(`${task} began on ${endpoint.endpointId}, which may not run it`);
       }
       checkOrder(task);
+      checkCrashes(task);
     },
     onEnd: (_, task, __, kind) => {
+      if (kind === 'failed') failedEnds.set(task, (failedEnds.get(task) ?? 0) + 1);
       if (kind === 'done') done.add(task);
     },
     onAcknowledged: ({ task, kind }: EndReport) => {
@@ -183,6 +220,7 @@
         failures.set(task, (failures.get(task) ?? 0) + 1);
       }
     },
+    onCrash: ({ endpointId }) => crash(endpointId),
   };
 
   const liveOn = (host: HostView): void => {
@@ -259,6 +297,15 @@
     }, afterMs);
   };
 
+  /** An endpoint goes down by itself; its host is back with another after some seconds. */
+  const crash = (endpointId: EndpointId): void => {
+    const endpoint = endpoints.get(endpointId);
+    const host = endpoint && hosts.get(endpoint.hostId);
+    if (!endpoint?.isUp() || !host) return;
+    endpoint.runs.forEach((_, task) => crashes.set(task, (crashes.get(task) ?? 0) + 1));
+    relive({ ...host, state: 'down' }, CRASH_MS);
+  };
+
   [...pools, ...(sparePool ? [sparePool] : [])].forEach((pool) => {
     Array.from({ length: hostsPerPool }).forEach((_, index) => {
       const host: HostView = {
@@ -281,7 +328,13 @@
   const commit = ({ checks, writes }: TableTransaction) => {
     const outcome = table.transact(checks, writes);
     if (outcome.kind === 'committed') {
-      writes.forEach(({ key, value }) => changes.push({ key, value, version: outcome.version }));
+      writes.forEach(({ key, value }) => {
+        changes.push({ key, value, version: outcome.version });
+        const row = key.startsWith('job/') ? (value as BatchJobRow | null) : null;
+        if (row?.kind === 'ended' && row.phase === 'failed') {
+          checkFailed(brand<JobId>(key.slice('job/'.length)));
+        }
+      });
     }
     return outcome;
   };
@@ -305,6 +358,8 @@
     checkEmpty,
     checkReport,
     newestFence,
+    crash,
+    crashes,
     relive,
     readAll,
     commit,
