A task under which endpoints go down is tried alone, and given up

Cause: only ends that an endpoint reports counted against a task. One that goes down reports nothing, so its runs waited for the next place as if they had been moved, under this holder and the next.

Mended by what is kept and where it is begun, not by a limit alone: endpoints also go down with no task to blame, and a limit would give up what was only there. Each end is judged for each run that was there: had it begun a short time before, had any other job's, did others go down about then. A task that may be the cause is begun next where nothing else begins until the endpoint has been heard to live with it. After two ends that it alone explains, or four of any kind, its job is failed, with the reason. The count is in the job's progress row and is written before the task is begun again.

Four unit tests and a fixture played holders that write nothing; they write the job's row now before the task is begun again, and check the same as before.

--- a/packages/core/src/batch/batch-state.fixtures.ts
+++ b/packages/core/src/batch/batch-state.fixtures.ts
@@ -1,4 +1,5 @@
 /** A small state for tests of decisions: one job of one task, two endpoints, and their answers. */
+import { change } from '../shared/change.js';
 import { brand, type EndpointId, type JobId, type PoolName } from '../shared/ids.js';
 import { seeEndpoint } from './endpoints.js';
 import { taskKey, type BatchJob, type QueuePolicy } from './job.js';
@@ -78,6 +79,14 @@
   );
 };
 
+/**
+ * Writes the rows of all jobs, as the holder does after each change.
+ *
+ * @param state - The state, changed in place.
+ */
+export const writeRows = (state: BatchState): void =>
+  state.jobs.forEach((one) => change(one, { writtenDowns: one.countedDowns }));
+
 /** An answer; what is left out is empty, and it comes from the first endpoint. */
 export type Answer = Pick<EndpointReport, 'askedAtMs' | 'nowMs'> &
   Partial<EndpointReport> & { readonly endpointId?: EndpointId };
--- a/packages/core/src/batch/endpoint-downs.ts
+++ b/packages/core/src/batch/endpoint-downs.ts
@@ -23,6 +23,20 @@
  * end. A busy endpoint is heard many times in this time, a quiet one is asked each 400 ms.
  */
 const SETTLED_MS = 250;
+/** Under a task that takes endpoints down late the next one is watched for longer, up to this time. */
+const LONGEST_SETTLED_MS = 2000;
+/** A long-running task with which an endpoint has lived for so long has nothing to do with its end. */
+const LASTING_CLEARED_MS = 5000;
+/**
+ * A job is given up after so many ends that one of its tasks alone explains. One may be chance: of hosts that
+ * crash each 10 s without blame, one in forty goes within a watch of 250 ms.
+ */
+const MOST_EXPLAINED = 2;
+/**
+ * And after so many of whatever kind. Of five at most a task may be the cause; one of them may have been
+ * missed by a holder that was lost itself before it could write.
+ */
+const MOST_DOWNS = 4;
 /** Ends of endpoints within this time are taken for one event: the list of hosts is read each 0.4 to 1 s. */
 const STORM_MS = 1000;
 /** So many unexplained ends at about one time are not the work of tasks. */
@@ -45,6 +59,12 @@
 const livedMs = ({ reportedAtMs }: EndpointState, { confirmedAtMs }: RunState): number =>
   Math.max(0, Math.round(reportedAtMs - confirmedAtMs));
 
+/** Twice the longest time that an endpoint lived with the task before it went down. */
+const watchMs = ({ downs }: Task): number => {
+  const longestMs = Math.max(0, ...downs.map((down) => down.livedMs));
+  return Math.min(LONGEST_SETTLED_MS, Math.max(SETTLED_MS, 2 * longestMs));
+};
+
 /**
  * Tells whether an endpoint has lived with a run for so long that others are to be blamed first.
  *
@@ -53,7 +73,32 @@
  * @returns True once it has.
  */
 export const isSettled = (endpoint: EndpointState, run: RunState): boolean =>
-  livedMs(endpoint, run) >= SETTLED_MS;
+  livedMs(endpoint, run) >= watchMs(run.task);
+
+/**
+ * Tells whether a task is begun only where it can harm no other, and where its endpoint's end would tell.
+ *
+ * @param task - The task.
+ * @returns True once an endpoint went down that it may have taken down.
+ */
+export const isSuspect = ({ downs }: Pick<Task, 'downs'>): boolean =>
+  downs.length > 1 || downs.some(({ isBlamed }) => isBlamed);
+
+/** Nothing but the task explains the end. */
+const isTheTask = ({ isBlamed, isAlone, isConfirmed, isInStorm }: EndpointDown): boolean =>
+  isBlamed && isAlone && isConfirmed && !isInStorm;
+
+/**
+ * Tells why a task is not to be begun again.
+ *
+ * @param task - The task.
+ * @returns The reason, for its client and for operators; undefined while it may be begun.
+ */
+export const giveUpReason = ({ key, downs }: Pick<Task, 'key' | 'downs'>): string | undefined => {
+  const explained = downs.filter(isTheTask).length;
+  if (explained < MOST_EXPLAINED && downs.length < MOST_DOWNS) return undefined;
+  return `${downs.length} endpoints went down under task ${key}, ${explained} of them while nothing else there could be the cause`;
+};
 
 const unsettledJobs = (endpoint: EndpointState): ReadonlySet<JobState> =>
   new Set(
@@ -121,6 +166,7 @@
     run: run.run,
     livedMs: livedMs(endpoint, run),
     isConfirmed: run.confirmedAtMs < Infinity,
+    isBlamed: !isSettled(endpoint, run),
     isAlone: Array.from(unsettledJobs(endpoint)).every((job) => job === run.step.job),
     isInStorm: isInStorm(state, gone),
     fence: state.fence,
@@ -128,6 +174,27 @@
   };
 };
 
+/**
+ * Counts the end of an endpoint against a task. It is written at once: the task is not begun again before that,
+ * so that no holder begins it without knowing of all that was counted.
+ *
+ * @param state - All that is known, changed in place.
+ * @param run - The run that was there.
+ * @param down - What the end says of it.
+ */
+export const recordDown = (
+  state: BatchState,
+  { task, step: { job, spec } }: RunState,
+  down: EndpointDown,
+): void => {
+  const isCleared = spec.isLasting && down.livedMs >= LASTING_CLEARED_MS;
+  if (isCleared && task.downs.length === 0) return;
+  change(task, { downs: isCleared ? [] : [...task.downs, down] });
+  change(job, { countedDowns: job.countedDowns + 1 });
+  state.suspectJobs.add(job);
+  state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: true });
+};
+
 /**
  * Tells of what was counted against a task, for the line of its run.
  *
@@ -149,6 +216,7 @@
     firstAgoMs: Math.round(todayMs - (downs[0]?.countedAtMs ?? todayMs)),
     livedMs: last.livedMs,
     isConfirmed: last.isConfirmed,
+    isBlamed: last.isBlamed,
     isAlone: last.isAlone,
     isInStorm: last.isInStorm,
     others: endpoint.runs.size - 1,
--- a/packages/core/src/batch/gone-endpoints.test.ts
+++ b/packages/core/src/batch/gone-endpoints.test.ts
@@ -1,7 +1,7 @@
 /** What follows from the end of an endpoint's life, and when. */
 import { describe, expect, it } from 'vitest';
 
-import { answer, FIRST, POOL, SECOND, see, stateWithJob, taskOf } from './batch-state.fixtures.js';
+import { answer, FIRST, POOL, SECOND, see, stateWithJob, taskOf, writeRows } from './batch-state.fixtures.js';
 import { expectReports } from './endpoints.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
 import { endpointsOf, schedulePool } from './schedule.js';
@@ -25,6 +25,7 @@
 
 const cycle = (state: BatchState, nowMs: number): void => {
   settleGoneEndpoints(state, nowMs);
+  writeRows(state);
   schedulePool(state, POOL, nowMs);
 };
 
@@ -75,6 +76,7 @@
       takeEffects(state);
       settleGoneEndpoints(state, SOLE_UNTIL_MS + 3100);
       expect(takeEffects(state)).toMatchObject([
+        { kind: 'save', isUrgent: true },
         {
           event: 'run-ended',
           fields: { cause: 'endpoint-gone', detail: 'host-list', evidenceAgeMs: 3050 },
--- a/packages/core/src/batch/gone-endpoints.ts
+++ b/packages/core/src/batch/gone-endpoints.ts
@@ -5,7 +5,8 @@
  */
 import type { EndpointId } from '../shared/ids.js';
 import { change } from '../shared/change.js';
-import { downFields, judgeDown, noteCrashes } from './endpoint-downs.js';
+import { downFields, giveUpReason, judgeDown, noteCrashes, recordDown } from './endpoint-downs.js';
+import { endJob } from './jobs.js';
 import { loseRun } from './reports.js';
 import type { NoteFields, RunEvidence } from './run-end.js';
 import {
@@ -53,18 +54,26 @@
     const down = judgeDown(state, gone, run, nowMs);
     return down ? [{ run, down }] : [];
   });
-  judged.forEach(({ run: { task }, down }) => change(task, { downs: [...task.downs, down] }));
+  judged.forEach(({ run, down }) => recordDown(state, run, down));
   const todayMs = nowMs + state.todayAheadMs;
   return new Map(judged.map(({ run }) => [run, downFields(run.task, endpoint, todayMs)]));
 };
 
+/** A task that takes down each endpoint that begins it would take down the next one, too. */
+const giveUpIfDue = (state: BatchState, { task, step }: RunState): void => {
+  const reason = giveUpReason(task);
+  if (reason !== undefined) endJob(state, step.job, 'failed', reason);
+};
+
 const settle = (state: BatchState, gone: GoneEndpoint, nowMs: number): void => {
   const { endpoint, detail, atMs } = gone;
   const evidence: RunEvidence = { cause: 'endpoint-gone', atMs, detail };
   const fieldsOf = countDowns(state, gone, nowMs);
-  endpoint.runs.forEach((run) =>
-    loseRun(state, { endpoint, run, evidence, nowMs, fields: fieldsOf.get(run) }),
-  );
+  endpoint.runs.forEach((run) => {
+    const fields = fieldsOf.get(run);
+    const afterwards = (): void => giveUpIfDue(state, run);
+    loseRun(state, { endpoint, run, evidence, nowMs, fields, afterwards });
+  });
   poolOf(state, endpoint.pool).notReported.delete(endpoint.endpointId);
 };
 
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -36,5 +36,6 @@
 export * from './upkeep.js';
 export * from './upkeep-progress.js';
 export type { UpkeepWorld } from './upkeep-rules.js';
+export * from './trials.js';
 export * from './waiting.js';
 export * from './watch-runs.js';
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -157,6 +157,8 @@
   sinceMs: nowMs - Math.max(0, Math.min(todayMs - job.acceptedAtMs, MOST_BELIEVED_AGE_MS)),
   isInherited,
   hasBegun: false,
+  countedDowns: 0,
+  writtenDowns: 0,
 });
 
 /** Clocks of entries differ and jump: an age above this is not believed. */
@@ -231,6 +233,7 @@
   if (isFinal(job.phase)) return;
   change(job, { phase, reason });
   state.timed.delete(job);
+  state.suspectJobs.delete(job);
   const { open } = poolOf(state, job.job.pool);
   job.occurrences.forEach(({ steps }) => steps.forEach((step) => open.delete(step)));
   state.endpoints.forEach((endpoint) => {
--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/progress.ts
@@ -2,14 +2,18 @@
  * The rows of a job: how it was accepted, how far it is, and how it ended. What is in them is what
  * the next holder starts from; starts are not written, since endpoints report what runs.
  */
+import { change } from '../shared/change.js';
 import { addOccurrence, beginDue, createJobState, endJob, markDone } from './jobs.js';
+import { giveUpReason } from './endpoint-downs.js';
 import type { BatchJob, FinalPhase, QueuePolicy } from './job.js';
 import {
   isFinal,
   type BatchState,
+  type EndpointDown,
   type JobState,
   type OccurrenceState,
   type StepRun,
+  type Task,
 } from './state.js';
 
 /** The row of a job: whole while it is live, small once it has ended. */
@@ -28,6 +32,8 @@
   readonly done: string;
   /** Index, and the runs that failed. */
   readonly failed?: readonly (readonly [number, readonly number[]])[];
+  /** Index, and the endpoints that went down under the task. */
+  readonly downs?: readonly (readonly [number, readonly EndpointDown[]])[];
 };
 
 /** The progress row: occurrence, then step. Those with nothing to tell are left out. */
@@ -52,14 +58,21 @@
   const failed = step.tasks
     .filter(({ failedRuns }) => failedRuns.length > 0)
     .map(({ index, failedRuns }) => [index, failedRuns] as const);
-  if (step.doneCount === 0 && failed.length === 0) return undefined;
-  return { done: doneDigits(step), ...(failed.length > 0 ? { failed } : {}) };
+  const downs = step.tasks
+    .filter((task) => task.downs.length > 0)
+    .map((task) => [task.index, task.downs] as const);
+  if (step.doneCount === 0 && failed.length === 0 && downs.length === 0) return undefined;
+  return {
+    done: doneDigits(step),
+    ...(failed.length > 0 ? { failed } : {}),
+    ...(downs.length > 0 ? { downs } : {}),
+  };
 };
 
 const occurrenceProgress = ({ steps }: OccurrenceState): Record<string, StepProgress> =>
   Object.fromEntries(
     steps.flatMap((step) => {
-      const progress = step.spec.isLasting ? undefined : stepProgress(step);
+      const progress = stepProgress(step);
       return progress ? [[step.number, progress]] : [];
     }),
   );
@@ -90,15 +103,33 @@
     ? { kind: 'ended', phase: phase as FinalPhase, reason, endedAtMs: todayMs, queue: job.queue }
     : { kind: 'live', job, policy };
 
+/** What earlier holders counted is in the row, so nothing waits for it to be written. */
+const restoreDowns = (
+  state: BatchState,
+  { job }: StepRun,
+  task: Task,
+  downs: readonly EndpointDown[],
+): void => {
+  const lastRun = Math.max(task.lastRun, ...downs.map(({ run }) => run));
+  change(task, { downs, lastRun });
+  const countedDowns = job.countedDowns + downs.length;
+  change(job, { countedDowns, writtenDowns: countedDowns });
+  state.suspectJobs.add(job);
+};
+
 const restoreStep = (
   state: BatchState,
   step: StepRun,
-  { done, failed = [] }: StepProgress,
+  { done, failed = [], downs = [] }: StepProgress,
 ): void => {
   failed.forEach(([index, failedRuns]) => {
     const task = step.tasks[index];
     if (task) Object.assign(task, { failedRuns, lastRun: Math.max(...failedRuns) });
   });
+  downs.forEach(([index, ofTask]) => {
+    const task = step.tasks[index];
+    if (task) restoreDowns(state, step, task, ofTask);
+  });
   step.tasks.forEach((task) => {
     if (isDoneIn(done, task.index)) markDone(state, step, task);
   });
@@ -138,11 +169,13 @@
     if (Object.keys(steps).length > 0) restored.hasBegun = true;
   });
   if (restored.hasBegun && restored.phase === 'pending') restored.phase = 'running';
-  const overdue = Array.from(restored.occurrences.values())
-    .flatMap(({ steps }) => steps)
+  const steps = Array.from(restored.occurrences.values()).flatMap((one) => one.steps);
+  const overdue = steps
     .filter(({ spec }) => !spec.isLasting)
     .flatMap(({ tasks }) => tasks)
     .find(({ failedRuns }) => failedRuns.length >= policy.maxAttempts);
   if (overdue) endJob(state, restored, 'failed', `task ${overdue.key} failed maxAttempts times`);
+  const [reason] = steps.flatMap(({ tasks }) => tasks).flatMap((task) => giveUpReason(task) ?? []);
+  if (reason !== undefined) endJob(state, restored, 'failed', reason);
   return restored;
 };
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -222,6 +222,12 @@
   poolOf(state, endpoint.pool).notReported.delete(endpointId);
 };
 
+/** Options for a run that ended without a report. */
+export type LoseRunOptions = Omit<DropRunOptions, 'settle'> & {
+  /** What else follows, once the task waits again. */
+  readonly afterwards?: () => void;
+};
+
 /**
  * Takes a run for ended without a report.
  *
@@ -230,12 +236,13 @@
  */
 export const loseRun = (
   state: BatchState,
-  { endpoint, run, evidence, nowMs, fields }: Omit<DropRunOptions, 'settle'>,
+  { endpoint, run, evidence, nowMs, fields, afterwards }: LoseRunOptions,
 ): void => {
   const { task, step } = run;
   const settle = (): void => {
     if (step.spec.isLasting && task.awaySinceMs === 0) task.awaySinceMs = nowMs;
     requeue(state, step, task);
+    afterwards?.();
   };
   dropRun(state, { endpoint, run, evidence, nowMs, fields, settle });
 };
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -6,6 +6,7 @@
 import { byRank, rankStep, type Rank } from './order.js';
 import { noteStartAgain } from './run-end.js';
 import { addRun, fitsIn, nextRunNumber } from './runs.js';
+import { planTrials, trialEndpoints, waitingSuspects, type TrialQuestion } from './trials.js';
 import {
   isSoleHolder,
   poolOf,
@@ -131,12 +132,14 @@
   });
 };
 
-const placeEach = (placing: Placing, endpoints: readonly EndpointState[]): boolean => {
+const placeEach = (
+  placing: Placing,
+  endpoints: readonly EndpointState[],
+  tasks: readonly Task[],
+): boolean => {
   const { state, step } = placing;
-  const waiting = [...step.waiting];
-  return waiting.every((index) => {
-    const task = step.tasks[index];
-    if (!task || state.startsLeft <= 0) return true;
+  return tasks.every((task) => {
+    if (state.startsLeft <= 0) return true;
     const endpoint = bestFor(endpoints, step, task);
     if (!endpoint) return false;
     startOn(placing, task, endpoint, nextRunNumber(state.fence, task.lastRun));
@@ -232,6 +235,31 @@
     .map((step) => rankStep(state, step, nowMs))
     .sort(byRank.compare);
 
+/** Places the tasks of a step that may stand beside others; true if none is left for want of room. */
+const placeOrdinary = (
+  placing: Placing,
+  endpoints: readonly EndpointState[],
+  suspects: readonly Task[],
+): boolean => {
+  const { step } = placing;
+  if (step.spec.isGang) return suspects.length > 0 || placeGang(placing, endpoints);
+  const tasks = step.waiting
+    .flatMap((index) => step.tasks[index] ?? [])
+    .filter((task) => !suspects.includes(task));
+  return placeEach(placing, endpoints, tasks);
+};
+
+/** Places those that are to be alone; they wait as long as there is no endpoint for them. */
+const placeSuspects = (
+  placing: Placing,
+  endpoints: readonly EndpointState[],
+  suspects: readonly Task[],
+): void => {
+  if (endpoints.length === 0) return;
+  if (placing.step.spec.isGang) placeGang(placing, endpoints);
+  else placeEach(placing, endpoints, suspects);
+};
+
 /**
  * Places what waits in one pool.
  *
@@ -245,11 +273,27 @@
   const endpoints = usableEndpoints(state, name, nowMs);
   if (endpoints.length === 0) return;
   let misfits = 0;
-  ranked(state, pool, nowMs).some(({ step }) => {
+  const ranks = ranked(state, pool, nowMs);
+  const questionOf = (step: StepRun): TrialQuestion => ({
+    step,
+    admitted: admittedEndpoints(step, endpoints, nowMs),
+  });
+  const trials = planTrials(
+    state,
+    () => ranks.map(({ step }) => questionOf(step)),
+    endpoints.length,
+  );
+  const shared =
+    trials.size === 0 ? endpoints : endpoints.filter(({ endpointId }) => !trials.has(endpointId));
+  ranks.some(({ step }) => {
     if (state.startsLeft <= 0) return true;
     const placing: Placing = { state, step, nowMs };
-    const admitted = admittedEndpoints(step, endpoints, nowMs);
-    const isPlaced = step.spec.isGang ? placeGang(placing, admitted) : placeEach(placing, admitted);
+    const suspects = waitingSuspects(state, step);
+    if (suspects.length > 0) {
+      placeSuspects(placing, trialEndpoints(trials, questionOf(step), nowMs), suspects);
+    }
+    const admitted = admittedEndpoints(step, shared, nowMs);
+    const isPlaced = placeOrdinary(placing, admitted, suspects);
     if (!isPlaced) {
       wantAdviceFor(placing, endpoints);
       misfits += 1;
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -40,7 +40,9 @@
   readonly livedMs: number;
   /** The endpoint is known to have begun the run. */
   readonly isConfirmed: boolean;
-  /** No run of another job was there that could be to blame. */
+  /** The run had begun so short a time before that it may be to blame. */
+  readonly isBlamed: boolean;
+  /** No run of another job had. */
   readonly isAlone: boolean;
   /** Others, of which no task explains the end, went down about then: a rack, a power feed. */
   readonly isInStorm: boolean;
@@ -111,6 +113,9 @@
   /** Accepted under an earlier holder: a task may be running where nobody has answered yet. */
   readonly isInherited: boolean;
   hasBegun: boolean;
+  /** Endpoints that went down under its tasks, as counted here and as its row has them. */
+  countedDowns: number;
+  writtenDowns: number;
 };
 
 /** A run of a task on an endpoint. */
@@ -284,6 +289,8 @@
   readonly peaks: DemandPeaks;
   /** Jobs with occurrences still to come. */
   readonly timed: Set<JobState>;
+  /** Live jobs with tasks under which endpoints went down. */
+  readonly suspectJobs: Set<JobState>;
 };
 
 /**
@@ -309,6 +316,7 @@
   runTimes: createRunTimes(),
   peaks: createDemandPeaks(),
   timed: new Set(),
+  suspectJobs: new Set(),
 });
 
 /**
--- /dev/null
+++ b/packages/core/src/batch/trials.ts
@@ -0,0 +1,159 @@
+/**
+ * Where tasks are begun under which endpoints went down. Each gets an endpoint to itself until that has
+ * been heard to live with it: one that takes endpoints down takes no work of others with it then, and
+ * the end of its endpoint tells. One that was only there loses little: the others go elsewhere for
+ * the quarter of a second that it takes.
+ */
+import type { EndpointId } from '../shared/ids.js';
+import { isSettled, isSuspect } from './endpoint-downs.js';
+import type { BatchState, EndpointState, JobState, RunState, StepRun, Task } from './state.js';
+
+/**
+ * Only this share of a pool's endpoints is kept for such tasks, so that a wave of them does not stop the
+ * pool's other work. At least one is, or they would wait for ever in a pool that is always full.
+ */
+const MOST_SHARE = 0.25;
+/** After this time runs of others that have long been there need not have ended: some last for minutes. */
+const PATIENCE_MS = 2000;
+
+/** Endpoints on which nothing but tasks of the job begins. */
+export type Trials = ReadonlyMap<EndpointId, JobState>;
+
+const NO_TRIALS: Trials = new Map();
+
+/**
+ * Lists the tasks of a step that wait to be begun on an endpoint of their own.
+ *
+ * @param state - All that is known.
+ * @param step - The step.
+ * @returns The tasks; of a gang all members, since they run together.
+ */
+export const waitingSuspects = (state: BatchState, step: StepRun): readonly Task[] => {
+  if (!state.suspectJobs.has(step.job)) return [];
+  const waiting = step.waiting.flatMap((index) => step.tasks[index] ?? []);
+  if (step.spec.isGang) return waiting.some(isSuspect) ? waiting : [];
+  return waiting.filter(isSuspect);
+};
+
+/** All that was counted is in the job's row: whoever holds control next knows of it. */
+const isWritten = ({ countedDowns, writtenDowns }: JobState): boolean =>
+  writtenDowns >= countedDowns;
+
+const isOnTrial = (endpoint: EndpointState, run: RunState): boolean =>
+  isSuspect(run.task) && !isSettled(endpoint, run);
+
+/** Endpoints that hold tasks of a job. */
+const endpointsWith = (state: BatchState, { occurrences }: JobState): readonly EndpointState[] => {
+  const steps = Array.from(occurrences.values()).flatMap((one) => one.steps);
+  const ids = new Set(steps.flatMap(({ perEndpoint }) => Array.from(perEndpoint.keys())));
+  return Array.from(ids).flatMap((endpointId) => state.endpoints.get(endpointId) ?? []);
+};
+
+/** Endpoints that have not been heard to live with a task that was begun there by itself. */
+const underWay = (state: BatchState): Map<EndpointId, JobState> => {
+  const found = new Map<EndpointId, JobState>();
+  state.suspectJobs.forEach((job) => {
+    endpointsWith(state, job)
+      .filter((endpoint) =>
+        Array.from(endpoint.runs.values()).some(
+          (run) => run.step.job === job && isOnTrial(endpoint, run),
+        ),
+      )
+      .forEach(({ endpointId }) => found.set(endpointId, job));
+  });
+  return found;
+};
+
+/** Runs of others that would be lost with the endpoint, or be the cause of its end. */
+const othersOn = ({ runs }: EndpointState, job: JobState): readonly RunState[] =>
+  Array.from(runs.values()).filter(({ step }) => step.job !== job);
+
+/** The one that is empty soonest; of those the one that has been there longest: it is not one that comes and goes. */
+const byFitness =
+  (job: JobState) =>
+  (left: EndpointState, right: EndpointState): number =>
+    othersOn(left, job).length - othersOn(right, job).length || left.seenAtMs - right.seenAtMs;
+
+const couldHold = ({ labels, capacity }: EndpointState, { spec }: StepRun): number => {
+  if (spec.requiredLabel !== '' && !labels.includes(spec.requiredLabel)) return 0;
+  const times = (room: number, need: number): number =>
+    need === 0 ? Infinity : Math.floor(room / need);
+  return Math.min(
+    spec.fillsGaps ? Infinity : times(capacity.cpuMillis, spec.cpuMillis),
+    times(capacity.memoryMb, spec.memoryMb),
+    times(capacity.accelerators, spec.accelerators),
+    spec.mostPerEndpoint === 0 ? Infinity : spec.mostPerEndpoint,
+  );
+};
+
+/** A gang needs room for all its members; other tasks of a job may go one after the other. */
+const isEnough = (chosen: readonly EndpointState[], step: StepRun): boolean => {
+  const room = chosen.reduce((sum, endpoint) => sum + couldHold(endpoint, step), 0);
+  return room >= (step.spec.isGang ? step.spec.taskCount : 1);
+};
+
+/** What a step may be given, for as long as it waits. */
+export type TrialQuestion = {
+  readonly step: StepRun;
+  /** The endpoints of the pool that take new work and may run the step. */
+  readonly admitted: readonly EndpointState[];
+};
+
+/**
+ * Decides which endpoints of a pool are kept for tasks under which others went down.
+ *
+ * @param state - All that is known.
+ * @param questions - The open steps in their order.
+ * @param poolSize - How many endpoints of the pool take new work.
+ * @returns The endpoints, those where such a task was begun and has not proved harmless among them.
+ */
+export const planTrials = (
+  state: BatchState,
+  questions: () => readonly TrialQuestion[],
+  poolSize: number,
+): Trials => {
+  if (state.suspectJobs.size === 0) return NO_TRIALS;
+  const trials = underWay(state);
+  const most = Math.max(1, Math.ceil(poolSize * MOST_SHARE));
+  questions().forEach(({ step, admitted }) => {
+    const { job } = step;
+    if (!isWritten(job) || waitingSuspects(state, step).length === 0) return;
+    const chosen = admitted.filter(({ endpointId }) => trials.get(endpointId) === job);
+    const free = admitted
+      .filter((one) => !trials.has(one.endpointId) && couldHold(one, step) > 0)
+      .sort(byFitness(job));
+    const isFirst = trials.size === 0;
+    while (!isEnough(chosen, step) && free.length > 0 && (isFirst || trials.size < most)) {
+      const next = free.shift() as EndpointState;
+      chosen.push(next);
+      trials.set(next.endpointId, job);
+    }
+  });
+  return trials;
+};
+
+/**
+ * Lists where the waiting tasks of a step may be begun that are to be alone.
+ *
+ * @param trials - What is kept for whom.
+ * @param question - The step, and the endpoints that may run it.
+ * @param nowMs - The time.
+ * @returns The endpoints on which only tasks of its job run, or, after some time, only ones that have long been there.
+ */
+export const trialEndpoints = (
+  trials: Trials,
+  { step, admitted }: TrialQuestion,
+  nowMs: number,
+): readonly EndpointState[] => {
+  const { job } = step;
+  if (!isWritten(job)) return [];
+  const endedAtMs = Math.max(0, ...step.tasks.map(({ lastEnd }) => lastEnd?.countedAtMs ?? 0));
+  const isPatient = nowMs - endedAtMs < PATIENCE_MS;
+  const mayStay = (endpoint: EndpointState, run: RunState): boolean =>
+    isSettled(endpoint, run) && (run.step.spec.isLasting || !isPatient);
+  return admitted.filter(
+    (endpoint) =>
+      trials.get(endpoint.endpointId) === job &&
+      othersOn(endpoint, job).every((run) => mayStay(endpoint, run)),
+  );
+};
--- a/packages/daemon/src/batch/changed-jobs.ts
+++ b/packages/daemon/src/batch/changed-jobs.ts
@@ -17,7 +17,12 @@
 export type JobVersions = { job: number; progress: number };
 
 /** A job in a transaction; it may go on changing while that is under way. */
-export type SentJob = { readonly job: JobState; readonly wasFinal: boolean };
+export type SentJob = {
+  readonly job: JobState;
+  readonly wasFinal: boolean;
+  /** The ends of endpoints that the rows in the transaction tell of. */
+  readonly downs: number;
+};
 
 export type ChangedJobs = {
   readonly versions: Map<JobId, JobVersions>;
@@ -100,12 +105,17 @@
     takeFitting: (fits) => {
       const jobs = endsFirst().filter((job) => fits(writeOf(job)));
       jobs.forEach(({ job }) => changed.delete(job.jobId));
-      return jobs.map((job) => ({ job, wasFinal: isFinal(job.phase) }));
+      return jobs.map((job) => ({
+        job,
+        wasFinal: isFinal(job.phase),
+        downs: job.countedDowns,
+      }));
     },
     putBack: (sent) => sent.forEach(({ job }) => changed.add(job.job.jobId)),
     settleCommitted: (sent, version) =>
-      sent.forEach(({ job, wasFinal }) => {
+      sent.forEach(({ job, wasFinal, downs }) => {
         const known = versionsOf(job.job.jobId);
+        change(job, { writtenDowns: Math.max(job.writtenDowns, downs) });
         change(known, wasFinal ? { job: version, progress: 0 } : { progress: version });
         if (wasFinal) onSaved(job);
       }),
--- a/packages/daemon/src/batch/endpoint-downs.test.ts
+++ b/packages/daemon/src/batch/endpoint-downs.test.ts
@@ -8,6 +8,13 @@
  * the holder puts all that ran there back to those that wait, and the task is begun again on the next
  * endpoint. One task was begun over 20 times under one holder; the next holder, after the loss of all
  * processes, went on with it.
+ *
+ * The cause: an endpoint that goes down reports nothing, and only what endpoints report counted against a
+ * task. That its run was gone was known; that it had gone with its endpoint, and how often that had happened, was
+ * kept nowhere.
+ *
+ * The evidence: each of these runs has a number of its own, so each start was decided; all were on different
+ * endpoints, which lived with them for 10 ms; others that went with the same endpoints were done elsewhere.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { JobId } from '@valvelatch/core/shared/ids';
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -11,6 +11,7 @@
   createOrderWindow,
   createScheduleCycle,
   expectReports,
+  isFinal,
   paceFillers,
   soleForMs,
   takeEffects,
@@ -230,7 +231,7 @@
     advise: advisor.ask,
     save: ({ jobId, isUrgent }) => {
       const job = state.jobs.get(jobId);
-      if (job && isUrgent)
+      if (job && isUrgent && isFinal(job.phase))
         log.info('job-ended', { job: jobId, phase: job.phase, reason: job.reason });
       saver.mark(jobId, isUrgent);
     },
--- a/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -28,6 +28,7 @@
   type StepSpec,
   type TaskKey,
 } from '@valvelatch/core/batch';
+import { change } from '@valvelatch/core/shared/change';
 import { brand, type EndpointId, type JobId, type PoolName } from '@valvelatch/core/shared/ids';
 import { Err, type Result } from 'ts-results-es';
 
@@ -374,9 +375,20 @@
     schedulePools(Infinity, nowMs());
     takeEffects(state).forEach((effect) => {
       if (effect.kind === 'start' || effect.kind === 'stop') roster.perform(effect);
+      if (effect.kind === 'save') writeLater(effect.jobId);
     });
   };
 
+  const writeLater = (jobId: JobId): void => {
+    const job = state.jobs.get(jobId);
+    if (!job) return;
+    const { countedDowns } = job;
+    setTimeout(
+      () => change(job, { writtenDowns: Math.max(job.writtenDowns, countedDowns) }),
+      saveMs,
+    );
+  };
+
   const poke = (): void => {
     if (isPoked) return;
     isPoked = true;
