Tasks tried alone: a place that they can take, and no blame for what a former holder began

Cause: the endpoint kept for it was one that held its step's other tasks already, as many as antiaffinity allows; own tasks did not count as being in the way. And all four tasks had been held to blame: a holder counted the life of a run that it took over from its own first answer on, 1 s, not from before its term, 19 s.

Room is reckoned with what stays there now, a job's waiting tasks are tried on several endpoints at once, and a run that was taken over has been there since before its holder was.

--- a/packages/core/src/batch/endpoint-downs.ts
+++ b/packages/core/src/batch/endpoint-downs.ts
@@ -56,8 +56,8 @@
   CRASH_CAUSES.has(detail) && !endpoint.hasAnnouncedEnd && !endpoint.isClosing;
 
 /** For how long an endpoint is known to have lived with a run: it answered a question of that time. */
-const livedMs = ({ reportedAtMs }: EndpointState, { confirmedAtMs }: RunState): number =>
-  Math.max(0, Math.round(reportedAtMs - confirmedAtMs));
+const livedMs = ({ reportedAtMs }: EndpointState, { begunByMs }: RunState): number =>
+  Math.max(0, Math.round(reportedAtMs - begunByMs));
 
 /** Twice the longest time that an endpoint lived with the task before it went down. */
 const watchMs = ({ downs }: Task): number => {
@@ -165,7 +165,7 @@
   return {
     run: run.run,
     livedMs: livedMs(endpoint, run),
-    isConfirmed: run.confirmedAtMs < Infinity,
+    isConfirmed: run.begunByMs < Infinity,
     isBlamed: !isSettled(endpoint, run),
     isAlone: Array.from(unsettledJobs(endpoint)).every((job) => job === run.step.job),
     isInStorm: isInStorm(state, gone),
--- a/packages/core/src/batch/gone-endpoints.test.ts
+++ b/packages/core/src/batch/gone-endpoints.test.ts
@@ -1,7 +1,16 @@
 /** What follows from the end of an endpoint's life, and when. */
 import { describe, expect, it } from 'vitest';
 
-import { answer, FIRST, POOL, SECOND, see, stateWithJob, taskOf, writeRows } from './batch-state.fixtures.js';
+import {
+  answer,
+  FIRST,
+  POOL,
+  SECOND,
+  see,
+  stateWithJob,
+  taskOf,
+  writeRows,
+} from './batch-state.fixtures.js';
 import { expectReports } from './endpoints.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
 import { endpointsOf, schedulePool } from './schedule.js';
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -137,9 +137,10 @@
 };
 
 const updateRun = (run: RunState, report: RunningReport, nowMs: number): void => {
-  const { task, step, phase, percent, progressAtMs, confirmedAtMs } = run;
+  const { task, step, phase, percent, progressAtMs, confirmedAtMs, begunByMs } = run;
   change(run, {
     confirmedAtMs: Math.min(confirmedAtMs, nowMs),
+    begunByMs: Math.min(begunByMs, nowMs),
     phase: phase === 'stopping' ? phase : 'running',
     progressAtMs: report.percent > percent ? nowMs : progressAtMs,
     percent: report.percent,
@@ -163,6 +164,8 @@
   const found = name && findReportedTask(state, name);
   if (found && mayAdopt(found)) {
     const run = addRun(state, { endpoint, ...found, run: report.run, phase: 'running', nowMs });
+    // Whoever ordered it did so before this holder took over, and the endpoint has lived with it since.
+    change(run, { begunByMs: Math.min(nowMs, state.takenOverAtMs) });
     updateRun(run, report, nowMs);
     return;
   }
@@ -279,6 +282,7 @@
   if (outcome === 'started') {
     known.phase = 'running';
     known.confirmedAtMs = nowMs;
+    known.begunByMs = Math.min(known.begunByMs, nowMs);
   }
   if (outcome === 'rejected') {
     const evidence: RunEvidence = { cause: 'start-refused', atMs: nowMs, detail: reason };
--- a/packages/core/src/batch/runs.ts
+++ b/packages/core/src/batch/runs.ts
@@ -28,8 +28,13 @@
 export const nextRunNumber = (fence: number, lastRun: number): number =>
   Math.max(fence * RUNS_PER_FENCE, lastRun) + 1;
 
-/** The processors that a task takes of an endpoint's room. */
-const reservedCpu = (spec: StepSpec): number => (spec.fillsGaps ? 0 : spec.cpuMillis);
+/**
+ * Gives the processors that a task takes of an endpoint's room.
+ *
+ * @param spec - The task's step.
+ * @returns Thousandths of a core; none for one that fills gaps.
+ */
+export const reservedCpu = (spec: StepSpec): number => (spec.fillsGaps ? 0 : spec.cpuMillis);
 
 /**
  * Tells whether a task of a step fits into the free room of an endpoint.
@@ -94,6 +99,7 @@
     phase,
     startedAtMs: nowMs,
     confirmedAtMs: phase === 'running' ? nowMs : Infinity,
+    begunByMs: phase === 'running' ? nowMs : Infinity,
     stopAnsweredAtMs: Infinity,
     percent: 0,
     figure: 0,
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -128,6 +128,8 @@
   readonly startedAtMs: number;
   /** When the endpoint confirmed it; infinite before. */
   confirmedAtMs: number;
+  /** When it had surely begun; infinite before that is known. */
+  begunByMs: number;
   /** When an order to stop it was answered; infinite before. */
   stopAnsweredAtMs: number;
   percent: number;
@@ -273,6 +275,8 @@
    * endpoints and heard how runs ended: nothing is concluded from what this one has not heard.
    */
   soleHolderUntilMs: number;
+  /** When this holder took over; infinite before it began. */
+  takenOverAtMs: number;
   /** When every lease granted by an earlier holder has surely ended. */
   inheritedLeasesEndAtMs: number;
   /** The hosts have not been read yet, so any of them may hold an endpoint that is in no list. */
@@ -304,6 +308,7 @@
   clockMs: 0,
   todayAheadMs: 0,
   soleHolderUntilMs: Infinity,
+  takenOverAtMs: Infinity,
   inheritedLeasesEndAtMs: 0,
   isHostListAwaited: false,
   jobs: new Map(),
--- /dev/null
+++ b/packages/core/src/batch/trials.test.ts
@@ -0,0 +1,200 @@
+/** Which endpoints are kept for tasks under which others went down, and what may begin there. */
+import { describe, expect, it } from 'vitest';
+
+import { change } from '../shared/change.js';
+import { brand, type EndpointId, type JobId } from '../shared/ids.js';
+import { answer, FIRST, POOL, SECOND, see, writeRows } from './batch-state.fixtures.js';
+import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
+import { taskKey, type StepSpec } from './job.js';
+import { takeInJob } from './jobs.js';
+import { PLAIN_STEP } from './plain-step.js';
+import { endpointsOf, schedulePool } from './schedule.js';
+import { createBatchState, type BatchState, type Task } from './state.js';
+
+const THIRD = brand<EndpointId>('i-0000000003');
+const FOURTH = brand<EndpointId>('i-0000000004');
+const SUSPECT = brand<JobId>('00000000000000a1');
+const OTHER = brand<JobId>('00000000000000b2');
+
+const submit = (state: BatchState, jobId: JobId, step: Partial<StepSpec>, nowMs: number): void => {
+  takeInJob(state, {
+    job: {
+      jobId,
+      queue: brand('q'),
+      pool: POOL,
+      spec: '',
+      steps: [{ ...PLAIN_STEP, ...step }],
+      repeats: 0,
+      firstDueAtMs: 0,
+      intervalMs: 0,
+      acceptedAtMs: 0,
+    },
+    policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
+    nowMs,
+    todayMs: nowMs,
+  });
+};
+
+const tasksOf = (state: BatchState, jobId: JobId): readonly Task[] =>
+  state.jobs.get(jobId)?.occurrences.get(0)?.steps[0]?.tasks ?? [];
+
+const placesOf = (state: BatchState, jobId: JobId): readonly EndpointId[] =>
+  tasksOf(state, jobId).flatMap((task) => endpointsOf(state, task));
+
+/** An endpoint answers that all runs there run. */
+const hear = (state: BatchState, endpointId: EndpointId, nowMs: number): void => {
+  const runs = Array.from(state.endpoints.get(endpointId)?.runs.values() ?? []);
+  const running = runs.map(({ task, run }) => ({
+    task: task.key,
+    run,
+    checkpoint: '',
+    percent: 100,
+    figure: 0,
+  }));
+  answer(state, { endpointId, running, askedAtMs: nowMs - 1, nowMs });
+};
+
+const goDown = (state: BatchState, endpointId: EndpointId, nowMs: number): void => {
+  removeEndpoint(state, endpointId, { detail: 'host-list', atMs: nowMs - 10, nowMs });
+  settleGoneEndpoints(state, nowMs);
+};
+
+/** Of a job of so many tasks one or more ran on the first of three endpoints as it went down. */
+const afterCrash = (step: Partial<StepSpec> = {}): BatchState => {
+  const state = createBatchState(2);
+  see(state, FIRST);
+  hear(state, FIRST, 10);
+  submit(state, SUSPECT, step, 20);
+  schedulePool(state, POOL, 20);
+  [SECOND, THIRD].forEach((endpointId) => {
+    see(state, endpointId, 25);
+    hear(state, endpointId, 30);
+  });
+  goDown(state, FIRST, 1000);
+  return state;
+};
+
+describe('a task under which an endpoint went down', () => {
+  it('is begun only once that is written', () => {
+    const state = afterCrash();
+    schedulePool(state, POOL, 1010);
+    expect(placesOf(state, SUSPECT)).toEqual([]);
+    writeRows(state);
+    schedulePool(state, POOL, 1020);
+    expect(placesOf(state, SUSPECT)).toHaveLength(1);
+  });
+
+  it('has an endpoint to itself until that was heard to live with it', () => {
+    const state = afterCrash();
+    writeRows(state);
+    schedulePool(state, POOL, 1020);
+    const [place] = placesOf(state, SUSPECT);
+    submit(state, OTHER, { taskCount: 12 }, 1030);
+    schedulePool(state, POOL, 1030);
+    expect(placesOf(state, OTHER)).toHaveLength(8);
+    expect(placesOf(state, OTHER)).not.toContain(place);
+    hear(state, place as EndpointId, 1040);
+    hear(state, place as EndpointId, 1400);
+    schedulePool(state, POOL, 1410);
+    expect(placesOf(state, OTHER)).toContain(place);
+  });
+
+  it('waits until runs of others have ended, but no longer than 2 s for those that last', () => {
+    const state = afterCrash();
+    submit(state, OTHER, { taskCount: 2, mostPerEndpoint: 1, cpuMillis: 6000 }, 1000);
+    schedulePool(state, POOL, 1000);
+    writeRows(state);
+    const pass = (nowMs: number): readonly EndpointId[] => {
+      [SECOND, THIRD].forEach((endpointId) => hear(state, endpointId, nowMs));
+      schedulePool(state, POOL, nowMs);
+      return placesOf(state, SUSPECT);
+    };
+    expect(pass(1100)).toEqual([]);
+    expect(pass(2900)).toEqual([]);
+    expect(pass(3100)).toHaveLength(1);
+  });
+
+  it('is given a place where antiaffinity leaves one, not beside those of its own step', () => {
+    const state = createBatchState(2);
+    const live = (endpointId: EndpointId, nowMs: number): void => {
+      see(state, endpointId, nowMs);
+      hear(state, endpointId, nowMs + 1);
+    };
+    [FIRST, SECOND].forEach((endpointId) => live(endpointId, 10));
+    submit(state, SUSPECT, { taskCount: 2, mostPerEndpoint: 1, isLasting: true }, 20);
+    schedulePool(state, POOL, 20);
+    [THIRD, FOURTH].forEach((endpointId) => live(endpointId, 25));
+    [FIRST, SECOND].forEach((endpointId) => goDown(state, endpointId, 1000));
+    writeRows(state);
+    schedulePool(state, POOL, 1020);
+    expect(placesOf(state, SUSPECT)).toHaveLength(1);
+    [1040, 1400].forEach((nowMs) => [THIRD, FOURTH].forEach((id) => hear(state, id, nowMs)));
+    schedulePool(state, POOL, 1410);
+    expect(new Set(placesOf(state, SUSPECT))).toEqual(new Set([THIRD, FOURTH]));
+  });
+
+  it('leaves most of a pool to others, however many wait so', () => {
+    const state = afterCrash({ taskCount: 8 });
+    writeRows(state);
+    schedulePool(state, POOL, 1020);
+    expect(new Set(placesOf(state, SUSPECT)).size).toBe(1);
+    submit(state, OTHER, {}, 1030);
+    schedulePool(state, POOL, 1030);
+    expect(placesOf(state, OTHER)).toHaveLength(1);
+  });
+
+  it('has all members of its gang begun with it, where nothing of others is', () => {
+    const state = afterCrash({ taskCount: 8, isGang: true });
+    submit(state, OTHER, {}, 1010);
+    writeRows(state);
+    schedulePool(state, POOL, 1020);
+    expect(placesOf(state, SUSPECT)).toHaveLength(8);
+    expect(placesOf(state, SUSPECT)).not.toContain(placesOf(state, OTHER)[0]);
+  });
+});
+
+describe('an endpoint that went down', () => {
+  const blamedOf = (state: BatchState, jobId: JobId): boolean | undefined =>
+    tasksOf(state, jobId)[0]?.downs.at(-1)?.isBlamed;
+
+  it('is not held against a run with which it had been heard to live', () => {
+    const state = createBatchState(2);
+    see(state, FIRST);
+    hear(state, FIRST, 10);
+    submit(state, OTHER, {}, 20);
+    schedulePool(state, POOL, 20);
+    hear(state, FIRST, 100);
+    hear(state, FIRST, 700);
+    submit(state, SUSPECT, {}, 710);
+    schedulePool(state, POOL, 710);
+    goDown(state, FIRST, 1000);
+    expect(blamedOf(state, OTHER)).toBe(false);
+    expect(blamedOf(state, SUSPECT)).toBe(true);
+    expect(tasksOf(state, SUSPECT)[0]?.downs[0]).toMatchObject({ isAlone: true });
+  });
+
+  it('is not held against a run of an earlier holder that it had had since before', () => {
+    const state = createBatchState(2);
+    change(state, { takenOverAtMs: 0 });
+    submit(state, OTHER, {}, 10);
+    see(state, FIRST);
+    const running = [
+      { task: taskKey(OTHER, 0, 0, 0), run: 1001, checkpoint: '', percent: 5, figure: 0 },
+    ];
+    answer(state, { endpointId: FIRST, running, askedAtMs: 500, nowMs: 510 });
+    goDown(state, FIRST, 1000);
+    expect(blamedOf(state, OTHER)).toBe(false);
+  });
+
+  it('is not held against a long-running task that had run there for long', () => {
+    const state = createBatchState(2);
+    see(state, FIRST);
+    hear(state, FIRST, 10);
+    submit(state, OTHER, { isLasting: true }, 20);
+    schedulePool(state, POOL, 20);
+    hear(state, FIRST, 100);
+    hear(state, FIRST, 6000);
+    goDown(state, FIRST, 7000);
+    expect(tasksOf(state, OTHER)[0]?.downs).toEqual([]);
+  });
+});
--- a/packages/core/src/batch/trials.ts
+++ b/packages/core/src/batch/trials.ts
@@ -6,6 +6,8 @@
  */
 import type { EndpointId } from '../shared/ids.js';
 import { isSettled, isSuspect } from './endpoint-downs.js';
+import type { StepSpec } from './job.js';
+import { reservedCpu } from './runs.js';
 import type { BatchState, EndpointState, JobState, RunState, StepRun, Task } from './state.js';
 
 /**
@@ -74,23 +76,34 @@
   (left: EndpointState, right: EndpointState): number =>
     othersOn(left, job).length - othersOn(right, job).length || left.seenAtMs - right.seenAtMs;
 
-const couldHold = ({ labels, capacity }: EndpointState, { spec }: StepRun): number => {
+/** What stays on an endpoint that is kept for a job: its own tasks, and long-running ones of others. */
+const stayingOn = ({ runs }: EndpointState, job: JobState): readonly StepSpec[] =>
+  Array.from(runs.values(), ({ step }) => step)
+    .filter((step) => step.job === job || step.spec.isLasting)
+    .map(({ spec }) => spec);
+
+/** How many tasks of a step an endpoint could begin once the runs that end by themselves have ended. */
+const couldBegin = (endpoint: EndpointState, step: StepRun): number => {
+  const { endpointId, labels, capacity } = endpoint;
+  const { spec, perEndpoint, job } = step;
   if (spec.requiredLabel !== '' && !labels.includes(spec.requiredLabel)) return 0;
-  const times = (room: number, need: number): number =>
-    need === 0 ? Infinity : Math.floor(room / need);
+  const staying = stayingOn(endpoint, job);
+  const times = (room: number, needOf: (one: StepSpec) => number): number => {
+    const taken = staying.reduce((sum, one) => sum + needOf(one), 0);
+    return needOf(spec) === 0 ? Infinity : Math.floor((room - taken) / needOf(spec));
+  };
   return Math.min(
-    spec.fillsGaps ? Infinity : times(capacity.cpuMillis, spec.cpuMillis),
-    times(capacity.memoryMb, spec.memoryMb),
-    times(capacity.accelerators, spec.accelerators),
-    spec.mostPerEndpoint === 0 ? Infinity : spec.mostPerEndpoint,
+    times(capacity.cpuMillis, reservedCpu),
+    times(capacity.memoryMb, ({ memoryMb }) => memoryMb),
+    times(capacity.accelerators, ({ accelerators }) => accelerators),
+    spec.mostPerEndpoint === 0
+      ? Infinity
+      : spec.mostPerEndpoint - (perEndpoint.get(endpointId) ?? 0),
   );
 };
 
-/** A gang needs room for all its members; other tasks of a job may go one after the other. */
-const isEnough = (chosen: readonly EndpointState[], step: StepRun): boolean => {
-  const room = chosen.reduce((sum, endpoint) => sum + couldHold(endpoint, step), 0);
-  return room >= (step.spec.isGang ? step.spec.taskCount : 1);
-};
+const haveRoom = (chosen: readonly EndpointState[], step: StepRun, tasks: number): boolean =>
+  chosen.reduce((sum, endpoint) => sum + couldBegin(endpoint, step), 0) >= tasks;
 
 /** What a step may be given, for as long as it waits. */
 export type TrialQuestion = {
@@ -117,13 +130,19 @@
   const most = Math.max(1, Math.ceil(poolSize * MOST_SHARE));
   questions().forEach(({ step, admitted }) => {
     const { job } = step;
-    if (!isWritten(job) || waitingSuspects(state, step).length === 0) return;
+    const { length: waiting } = waitingSuspects(state, step);
+    if (!isWritten(job) || waiting === 0) return;
     const chosen = admitted.filter(({ endpointId }) => trials.get(endpointId) === job);
     const free = admitted
-      .filter((one) => !trials.has(one.endpointId) && couldHold(one, step) > 0)
+      .filter((one) => !trials.has(one.endpointId) && couldBegin(one, step) > 0)
       .sort(byFitness(job));
-    const isFirst = trials.size === 0;
-    while (!isEnough(chosen, step) && free.length > 0 && (isFirst || trials.size < most)) {
+    // A gang gets all that it needs or nothing: without another to wait for it may have more than the share.
+    const mayExceed = step.spec.isGang && trials.size === 0;
+    while (
+      !haveRoom(chosen, step, waiting) &&
+      free.length > 0 &&
+      (mayExceed || trials.size < most)
+    ) {
       const next = free.shift() as EndpointState;
       chosen.push(next);
       trials.set(next.endpointId, job);
