A job that was given up says why

Its client got {state: failed} and nothing else, and the operators' explain said that the reason is in its row. The status of a job is its phase and the reason of its end now, in the holder's memory, in the row, over the mesh and in the answer to its client. One test, red before: after the end, and from the next holder.

--- a/packages/core/src/batch/job.ts
+++ b/packages/core/src/batch/job.ts
@@ -74,6 +74,13 @@
 /** The phases that never change again. */
 export type FinalPhase = Exclude<BatchPhase, 'pending' | 'running'>;
 
+/** What a job's client and operators are told of it. */
+export type JobStatus = {
+  readonly phase: BatchPhase;
+  /** Why it is in its final phase; '' before that. */
+  readonly reason: string;
+};
+
 /**
  * Names a task.
  *
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -244,6 +244,9 @@
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: true });
 };
 
+/** Why a job is cancelled. */
+export const CANCELLED_REASON = 'cancelled by its client';
+
 /**
  * Cancels a job.
  *
@@ -253,7 +256,7 @@
  */
 export const cancelJob = (state: BatchState, jobId: JobId): BatchPhase | undefined => {
   const job = state.jobs.get(jobId);
-  if (job) endJob(state, job, 'cancelled', 'cancelled by its client');
+  if (job) endJob(state, job, 'cancelled', CANCELLED_REASON);
   return job?.phase;
 };
 
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -2,7 +2,7 @@
 import {
   TABLE_AWAY_MS,
   type BatchJobRow,
-  type BatchPhase,
+  type JobStatus,
   type QueueIndex,
   type UpkeepOrder,
 } from '@valvelatch/core/batch';
@@ -298,7 +298,7 @@
     (row.kind === 'live' ? await term?.accept(row) : undefined) ?? null;
 
   const handlers: Readonly<Record<string, (payload: unknown) => unknown>> = {
-    [CONTROL_METHOD.phase]: (payload) => term?.phaseOf(brand<JobId>(String(payload))) ?? null,
+    [CONTROL_METHOD.phase]: (payload) => term?.statusOf(brand<JobId>(String(payload))) ?? null,
     [CONTROL_METHOD.willing]: () => isWilling(),
     [CONTROL_METHOD.waiting]: () => ownWaiting() ?? null,
     [CONTROL_METHOD.taken]: (payload) => takenHere(payload as Taken),
@@ -326,10 +326,10 @@
       }
       await endTerm('this entry stops as planned');
     },
-    phaseOf: async (jobId) => {
-      if (term) return term.phaseOf(jobId);
+    statusOf: async (jobId) => {
+      if (term) return term.statusOf(jobId);
       return (
-        ((await holderThere.ask(CONTROL_METHOD.phase, jobId)) as BatchPhase | null) ?? undefined
+        ((await holderThere.ask(CONTROL_METHOD.phase, jobId)) as JobStatus | null) ?? undefined
       );
     },
     waitingOf: async (queue) => {
--- a/packages/daemon/src/batch/ended-jobs.ts
+++ b/packages/daemon/src/batch/ended-jobs.ts
@@ -2,7 +2,7 @@
  * Jobs that have ended, and the sweep of their rows. Clients may ask for a job for some time after
  * its end; without the sweep a new holder would read the rows of all jobs that ever were.
  */
-import type { BatchPhase } from '@valvelatch/core/batch';
+import type { JobStatus } from '@valvelatch/core/batch';
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
@@ -25,11 +25,11 @@
 };
 
 export type EndedJobs = {
-  readonly phaseOf: (jobId: JobId) => BatchPhase | undefined;
+  readonly statusOf: (jobId: JobId) => JobStatus | undefined;
   readonly has: (jobId: JobId) => boolean;
   readonly count: () => number;
   /** Notes the end of a job; times are by the time of day. */
-  readonly add: (jobId: JobId, phase: BatchPhase, endedAtMs: number) => void;
+  readonly add: (jobId: JobId, status: JobStatus, endedAtMs: number) => void;
   /** Deletes some rows of jobs that nobody may ask for any more. */
   readonly sweep: () => Promise<void>;
 };
@@ -48,7 +48,7 @@
   todayMs,
 }: EndedJobsOptions): EndedJobs => {
   /** In the order in which their ends were learned of, which is nearly that of their ends. */
-  const ended = new Map<JobId, { readonly phase: BatchPhase; readonly endedAtMs: number }>();
+  const ended = new Map<JobId, { readonly status: JobStatus; readonly endedAtMs: number }>();
 
   const findOld = (): readonly JobId[] => {
     const beforeMs = todayMs() - answerableMs() * KEPT_FACTOR;
@@ -57,10 +57,10 @@
   };
 
   return {
-    phaseOf: (jobId) => ended.get(jobId)?.phase,
+    statusOf: (jobId) => ended.get(jobId)?.status,
     has: (jobId) => ended.has(jobId),
     count: () => ended.size,
-    add: (jobId, phase, endedAtMs) => ended.set(jobId, { phase, endedAtMs }),
+    add: (jobId, status, endedAtMs) => ended.set(jobId, { status, endedAtMs }),
     sweep: async () => {
       const old = findOld();
       if (old.length === 0) return;
--- a/packages/daemon/src/batch/endpoint-downs.test.ts
+++ b/packages/daemon/src/batch/endpoint-downs.test.ts
@@ -19,8 +19,9 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
+import { answerOperator } from './operators.js';
 import type { SimFleet } from './testing/sim-fleet.fixtures.js';
-import { advance, FAKED, phaseOf, started } from './testing/virtual-time.fixtures.js';
+import { advance, FAKED, holderOf, phaseOf, started } from './testing/virtual-time.fixtures.js';
 
 /** Over the time that a host is down, so that there is always a place for the next start. */
 const PLAY_MS = 30_000;
@@ -62,6 +63,34 @@
     expect(Math.max(...fleet.crashes.values())).toBeLessThan(4);
   });
 
+  it('has its client and operators told why, by each holder and by the job itself', async () => {
+    const fleet = await started({ hostsPerPool: 4 });
+    const crashing = submitCrashing(fleet);
+    await advance(PLAY_MS);
+    const explain = () =>
+      answerOperator(
+        holderOf(fleet).control,
+        { method: 'explain', body: { kind: 'job', name: crashing } },
+        1,
+      );
+    const why = `2 endpoints went down under task ${crashing}.0.0.0, 2 of them`;
+    const reason = expect.stringContaining(why) as string;
+    const told = async () => [
+      await holderOf(fleet).control.statusOf(crashing),
+      explain(),
+      fleet.rowOf(crashing),
+    ];
+    const expected = [
+      { phase: 'failed', reason },
+      { value: { outcome: 'failed', reason } },
+      { phase: 'failed', reason },
+    ];
+    expect(await told()).toMatchObject(expected);
+    fleet.kill(holderOf(fleet));
+    await advance(6000);
+    expect(await told()).toMatchObject(expected);
+  });
+
   it('is given up by the next holders together, if all processes are killed again and again', async () => {
     const fleet = await started({ hostsPerPool: 4 });
     const crashing = submitCrashing(fleet);
--- a/packages/daemon/src/batch/intake.ts
+++ b/packages/daemon/src/batch/intake.ts
@@ -4,11 +4,13 @@
  * take effect.
  */
 import {
+  CANCELLED_REASON,
   chooseRetryAfterS,
   findJobFault,
+  isFinal,
   type BatchJob,
   type BatchJobRow,
-  type BatchPhase,
+  type JobStatus,
   type QueueView,
 } from '@valvelatch/core/batch';
 import {
@@ -32,13 +34,14 @@
 /** Clients that are refused for other reasons than an outage come back after this many seconds. */
 const RETRY_AFTER_S = 2;
 const DEFAULT_DEADLINE_MS = 3000;
+const CANCELLED: JobStatus = { phase: 'cancelled', reason: CANCELLED_REASON };
 /** Final phases that an entry remembers, so that clients who ask again cost no message. */
 const MOST_FINALS = 20_000;
 
 /** An answer for a client. */
 export type IntakeAnswer =
   | { readonly kind: 'accepted' }
-  | { readonly kind: 'phase'; readonly phase: BatchPhase }
+  | { readonly kind: 'status'; readonly status: JobStatus }
   | { readonly kind: 'cancelled' }
   | { readonly kind: 'waiting'; readonly count: number }
   | {
@@ -52,7 +55,7 @@
 
 /** The holder of control, wherever it is. */
 export type ControlView = {
-  readonly phaseOf: (jobId: JobId) => Promise<BatchPhase | undefined>;
+  readonly statusOf: (jobId: JobId) => Promise<JobStatus | undefined>;
   readonly waitingOf: (queue: string) => Promise<number | undefined>;
   /**
    * For how long the holder has been silent; Infinity where it is this entry, not known, or has said
@@ -130,7 +133,7 @@
   nowMs = () => performance.now(),
   random = Math.random,
 }: IntakeOptions): Intake => {
-  const finals = new Map<JobId, BatchPhase>();
+  const finals = new Map<JobId, JobStatus>();
   const submission = createSubmission({ table, group, control, nowMs });
 
   const retryAfterS = (): number => chooseRetryAfterS(table.silentForMs(), random());
@@ -168,7 +171,7 @@
   };
 
   /** Reads the rows of a job, for when the holder cannot be asked. */
-  const readPhase = async (jobId: JobId): Promise<BatchPhase | 'unknown-job' | undefined> => {
+  const readStatus = async (jobId: JobId): Promise<JobStatus | 'unknown-job' | undefined> => {
     const rows = await table.read([
       batchKey.job(jobId),
       batchKey.progress(jobId),
@@ -178,21 +181,22 @@
     const valueOf = (key: string) => rows.value.find((row) => row.key === key)?.value ?? null;
     const row = valueOf(batchKey.job(jobId)) as BatchJobRow | null;
     if (!row) return 'unknown-job';
-    if (row.kind === 'ended') return row.phase;
-    if (valueOf(batchKey.cancel(jobId)) !== null) return 'cancelled';
-    return valueOf(batchKey.progress(jobId)) === null ? 'pending' : 'running';
+    if (row.kind === 'ended') return { phase: row.phase, reason: row.reason };
+    if (valueOf(batchKey.cancel(jobId)) !== null) return CANCELLED;
+    const hasBegun = valueOf(batchKey.progress(jobId)) !== null;
+    return { phase: hasBegun ? 'running' : 'pending', reason: '' };
   };
 
-  const phaseOf = async (jobId: JobId): Promise<BatchPhase | 'unknown-job' | undefined> => {
+  const statusOf = async (jobId: JobId): Promise<JobStatus | 'unknown-job' | undefined> => {
     const known = finals.get(jobId);
     if (known) return known;
-    const phase = (await control.phaseOf(jobId)) ?? (await readPhase(jobId));
-    if (phase === 'completed' || phase === 'failed' || phase === 'cancelled') {
-      finals.set(jobId, phase);
+    const found = (await control.statusOf(jobId)) ?? (await readStatus(jobId));
+    if (found && found !== 'unknown-job' && isFinal(found.phase)) {
+      finals.set(jobId, found);
       const [oldest] = finals.keys();
       if (finals.size > MOST_FINALS && oldest !== undefined) finals.delete(oldest);
     }
-    return phase;
+    return found;
   };
 
   const cannotTell = (): IntakeAnswer =>
@@ -204,18 +208,16 @@
     );
 
   const status: Intake['status'] = async (jobId) => {
-    const phase = await phaseOf(jobId);
-    if (phase === undefined) return cannotTell();
-    return phase === 'unknown-job' ? unknownJob(jobId) : { kind: 'phase', phase };
+    const found = await statusOf(jobId);
+    if (found === undefined) return cannotTell();
+    return found === 'unknown-job' ? unknownJob(jobId) : { kind: 'status', status: found };
   };
 
   const cancel: Intake['cancel'] = async (jobId, deadlineMs = DEFAULT_DEADLINE_MS) => {
     const startedAtMs = nowMs();
-    const phase = await phaseOf(jobId);
-    if (phase === 'unknown-job') return unknownJob(jobId);
-    if (phase === 'completed' || phase === 'failed' || phase === 'cancelled') {
-      return { kind: 'cancelled' };
-    }
+    const found = await statusOf(jobId);
+    if (found === 'unknown-job') return unknownJob(jobId);
+    if (found && isFinal(found.phase)) return { kind: 'cancelled' };
     const written = await submission.writeUntil(
       { checks: [], writes: [{ key: batchKey.cancel(jobId), value: { atMs: Date.now() } }] },
       startedAtMs + deadlineMs * PURSUE_SHARE,
--- a/packages/daemon/src/batch/job-rows.ts
+++ b/packages/daemon/src/batch/job-rows.ts
@@ -128,7 +128,7 @@
       const { jobId, isCancel } = parseJobKey(key);
       if (isCancel || value === null) return;
       const row = value as BatchJobRow;
-      if (row.kind === 'ended') ended.add(jobId as JobId, row.phase, row.endedAtMs);
+      if (row.kind === 'ended') ended.add(jobId as JobId, row, row.endedAtMs);
       else if (!ended.has(jobId as JobId)) takeLive(row, version);
     });
     rows.forEach(({ key, value }) => {
--- a/packages/daemon/src/batch/operators.ts
+++ b/packages/daemon/src/batch/operators.ts
@@ -115,8 +115,8 @@
 const explainers: Readonly<Record<string, (term: Term, name: string) => object | undefined>> = {
   job: (term, name) => {
     const job = term.state.jobs.get(name as JobId);
-    const phase = term.phaseOf(name as JobId);
-    if (!job) return phase && { outcome: phase, reason: 'it has ended; its reason is in its row' };
+    const status = term.statusOf(name as JobId);
+    if (!job) return status && { outcome: status.phase, reason: status.reason };
     const steps = Array.from(job.occurrences.values()).flatMap((one) => one.steps);
     return {
       outcome: job.phase,
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -20,6 +20,7 @@
   type BatchPhase,
   type BatchState,
   type JobState,
+  type JobStatus,
   type LapsedEndpoint,
   type QueueIndex,
 } from '@valvelatch/core/batch';
@@ -91,8 +92,8 @@
   readonly fleet: FleetCycle;
   readonly start: () => Promise<void>;
   readonly stop: () => Promise<void>;
-  /** The phase of a job; undefined if the holder cannot tell. */
-  readonly phaseOf: (jobId: JobId) => BatchPhase | undefined;
+  /** Where a job stands; undefined if the holder cannot tell. */
+  readonly statusOf: (jobId: JobId) => JobStatus | undefined;
   readonly waiting: () => ReadonlyMap<string, number> | undefined;
   /** Writes and admits a job; undefined if this entry cannot. */
   readonly accept: (row: LiveRow) => Promise<AcceptOutcome | undefined>;
@@ -195,8 +196,8 @@
     todayMs,
     isTableAway,
     beginRound: roster.mark,
-    onSaved: ({ job, phase }: JobState) => {
-      ended.add(job.jobId, phase, todayMs());
+    onSaved: ({ job, phase, reason }: JobState) => {
+      ended.add(job.jobId, { phase, reason }, todayMs());
       state.jobs.delete(job.jobId);
       saver.versions.delete(job.jobId);
     },
@@ -386,8 +387,8 @@
     fleet,
     start,
     stop,
-    phaseOf: (jobId) =>
-      !isAnswering() ? undefined : (ended.phaseOf(jobId) ?? savedPhase(state.jobs.get(jobId))),
+    statusOf: (jobId) =>
+      !isAnswering() ? undefined : (ended.statusOf(jobId) ?? savedStatus(state.jobs.get(jobId))),
     waiting: () => (isAnswering() ? countWaiting(state) : undefined),
     accept: async (row) => {
       if (!isAnswering()) return undefined;
@@ -400,7 +401,7 @@
     },
     cancel: (jobId) => {
       if (!isAnswering()) return undefined;
-      const phase = ended.phaseOf(jobId) ?? cancelJob(state, jobId);
+      const phase = ended.statusOf(jobId)?.phase ?? cancelJob(state, jobId);
       perform();
       return phase;
     },
@@ -408,8 +409,8 @@
 };
 
 /** An end is reported only once it is written, so that any entry can find it again. */
-const savedPhase = (job: JobState | undefined): BatchPhase | undefined => {
+const savedStatus = (job: JobState | undefined): JobStatus | undefined => {
   if (!job) return undefined;
-  if (job.phase === 'completed' || job.phase === 'failed') return 'running';
-  return job.phase;
+  const isWritten = job.phase !== 'completed' && job.phase !== 'failed';
+  return { phase: isWritten ? job.phase : 'running', reason: '' };
 };
