Tasks that need advice are tried alone, too; a property of endpoints that go down

A task under which an endpoint had gone down and that needs advice was not begun again: its tickets had run out, and a step asks for new ones only where others of its tasks find no place. Found by a property that plays tasks that take their endpoints down at any age, crashes without blame, racks, lost holders, outages of the list of hosts and of the table; the case is kept as its example. Where a suspect finds no place, its step asks about all endpoints that could hold it.

--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -6,7 +6,13 @@
 import { byRank, rankStep, type Rank } from './order.js';
 import { noteStartAgain } from './run-end.js';
 import { addRun, fitsIn, nextRunNumber } from './runs.js';
-import { planTrials, trialEndpoints, waitingSuspects, type TrialQuestion } from './trials.js';
+import {
+  couldBegin,
+  planTrials,
+  trialEndpoints,
+  waitingSuspects,
+  type TrialQuestion,
+} from './trials.js';
 import {
   isSoleHolder,
   poolOf,
@@ -228,6 +234,8 @@
   return nowMs < state.inheritedLeasesEndAtMs || !isSoleHolder(state, nowMs);
 };
 
+const NO_ENDPOINTS: readonly EndpointState[] = [];
+
 /** Open steps of a pool in the order in which they get places. */
 const ranked = (state: BatchState, pool: PoolState, nowMs: number): readonly Rank[] =>
   Array.from(pool.open)
@@ -249,15 +257,27 @@
   return placeEach(placing, endpoints, tasks);
 };
 
-/** Places those that are to be alone; they wait as long as there is no endpoint for them. */
+/** Places those that are to be alone; true if none is left. */
 const placeSuspects = (
   placing: Placing,
   endpoints: readonly EndpointState[],
   suspects: readonly Task[],
+): boolean => {
+  if (suspects.length === 0) return true;
+  if (endpoints.length === 0) return false;
+  return placing.step.spec.isGang
+    ? placeGang(placing, endpoints)
+    : placeEach(placing, endpoints, suspects);
+};
+
+/** Those that are to be alone are asked about wherever there could be room: the endpoint is emptied for them. */
+const wantAdviceForSuspects = (
+  { state, step, nowMs }: Placing,
+  endpoints: readonly EndpointState[],
 ): void => {
-  if (endpoints.length === 0) return;
-  if (placing.step.spec.isGang) placeGang(placing, endpoints);
-  else placeEach(placing, endpoints, suspects);
+  if (step.advice === null) return;
+  const couldHold = endpoints.filter((endpoint) => couldBegin(endpoint, step) > 0);
+  wantAdvice(state, step, couldHold, nowMs);
 };
 
 /**
@@ -289,9 +309,9 @@
     if (state.startsLeft <= 0) return true;
     const placing: Placing = { state, step, nowMs };
     const suspects = waitingSuspects(state, step);
-    if (suspects.length > 0) {
-      placeSuspects(placing, trialEndpoints(trials, questionOf(step), nowMs), suspects);
-    }
+    const places =
+      suspects.length > 0 ? trialEndpoints(trials, questionOf(step), nowMs) : NO_ENDPOINTS;
+    if (!placeSuspects(placing, places, suspects)) wantAdviceForSuspects(placing, endpoints);
     const admitted = admittedEndpoints(step, shared, nowMs);
     const isPlaced = placeOrdinary(placing, admitted, suspects);
     if (!isPlaced) {
--- a/packages/daemon/src/batch/endpoint-downs.test.ts
+++ b/packages/daemon/src/batch/endpoint-downs.test.ts
@@ -16,11 +16,13 @@
  * The evidence: each of these runs has a number of its own, so each start was decided; all were on different
  * endpoints, which lived with them for 10 ms; others that went with the same endpoints were done elsewhere.
  */
+import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { StepSpec } from '@valvelatch/core/batch';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
 import { answerOperator } from './operators.js';
-import type { SimFleet } from './testing/sim-fleet.fixtures.js';
+import type { SimEntry, SimFleet } from './testing/sim-fleet.fixtures.js';
 import { advance, FAKED, holderOf, phaseOf, started } from './testing/virtual-time.fixtures.js';
 
 /** Over the time that a host is down, so that there is always a place for the next start. */
@@ -133,3 +135,131 @@
     expect(phaseOf(fleet, crashing)).toBe('failed');
   });
 });
+
+describe('endpoints that go down, with a task to blame and without', () => {
+  type Trouble = { readonly kind: string; readonly atMs: number; readonly pick: number };
+  type Work = {
+    readonly step: Partial<StepSpec>;
+    readonly runMs: number;
+    readonly needsAdvice: boolean;
+    readonly crashesAfterMs: number | undefined;
+  };
+
+  const trouble = fc.record({
+    kind: fc.constantFrom('crash', 'crash', 'rack', 'hostList', 'killHolder', 'killAll', 'table'),
+    atMs: fc.integer({ min: 0, max: 20_000 }),
+    pick: fc.nat(1000),
+  });
+
+  const work = fc.record({
+    step: fc.record({
+      taskCount: fc.integer({ min: 1, max: 6 }),
+      mostPerEndpoint: fc.constantFrom(0, 0, 2),
+      isGang: fc.constantFrom(false, false, true),
+    }),
+    runMs: fc.integer({ min: 100, max: 3000 }),
+    needsAdvice: fc.constantFrom(false, false, true),
+    crashesAfterMs: fc.constantFrom(undefined, undefined, undefined, undefined, 0, 10, 300, 1200),
+  });
+
+  const GANG_SPREAD_MS = 200;
+  const PLAIN = { step: { taskCount: 1, mostPerEndpoint: 0, isGang: false }, runMs: 100 };
+
+  const restartLater = (fleet: SimFleet, entry: SimEntry): void => {
+    fleet.kill(entry);
+    setTimeout(() => fleet.addEntry(entry.entryId), 700);
+  };
+
+  const strike = (fleet: SimFleet, { kind, pick }: Trouble): void => {
+    const living = Array.from(fleet.endpoints.values()).filter((one) => one.isUp());
+    const chosen = living[pick % Math.max(1, living.length)];
+    const acts: Readonly<Record<string, () => void>> = {
+      crash: () => chosen && fleet.crash(chosen.endpointId),
+      rack: () =>
+        living
+          .filter((one) => one.pool === chosen?.pool)
+          .slice(0, 2)
+          .forEach(({ endpointId }) => fleet.crash(endpointId)),
+      hostList: () => {
+        Object.assign(fleet.faults, { isHostListDown: true });
+        setTimeout(() => Object.assign(fleet.faults, { isHostListDown: false }), pick * 8);
+      },
+      killHolder: () => {
+        const holder = fleet.holder();
+        if (holder) restartLater(fleet, holder);
+      },
+      killAll: () => Array.from(fleet.entries).forEach((entry) => restartLater(fleet, entry)),
+      table: () => {
+        Object.assign(fleet.faults, { isTableDown: true });
+        setTimeout(() => Object.assign(fleet.faults, { isTableDown: false }), pick * 4);
+      },
+    };
+    acts[kind]?.();
+  };
+
+  const play = async (
+    works: readonly Work[],
+    troubles: readonly Trouble[],
+    seed: number,
+  ): Promise<void> => {
+    const fleet = await started({ hostsPerPool: 4, seed });
+    troubles.forEach((one) => setTimeout(() => strike(fleet, one), one.atMs));
+    const jobs: (readonly [JobId, Work])[] = [];
+    for (let index = 0; index < works.length; index += 1) {
+      const one = works[index] as Work;
+      const { step, runMs, needsAdvice, crashesAfterMs } = one;
+      const crashing = crashesAfterMs === undefined ? {} : { crashesAfterMs };
+      const job = fleet.submit({ pool: 'alpha', steps: [step], runMs, needsAdvice, ...crashing });
+      jobs.push([job, one]);
+      await advance(700);
+    }
+    await advance(100_000);
+    expect(fleet.broken).toEqual([]);
+    jobs.forEach(([job, { step, crashesAfterMs = Infinity, runMs }]) => {
+      // The end of one member of a gang stands for all, and they do not begin in the same moment.
+      const isEndedByOthers = step.isGang && runMs < crashesAfterMs + GANG_SPREAD_MS;
+      const expected = crashesAfterMs === Infinity ? ['completed'] : ['failed'];
+      const allowed = isEndedByOthers ? ['completed', 'failed'] : expected;
+      expect(allowed.map((phase) => [job, phase])).toContainEqual([job, phaseOf(fleet, job)]);
+    });
+  };
+
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: [...FAKED] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  it('leave all that is not to blame done, and what is to blame given up in time', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(work, { minLength: 1, maxLength: 12 }),
+        fc.array(trouble, { maxLength: 8 }),
+        fc.integer({ min: 1, max: 100_000 }),
+        async (works, troubles, seed) => {
+          vi.useRealTimers();
+          vi.useFakeTimers({ toFake: [...FAKED] });
+          await play(works, troubles, seed);
+        },
+      ),
+      {
+        numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 25),
+        // A play takes a second; what fails is small enough to read.
+        endOnFailure: true,
+        examples: [
+          // Of a task that needs advice all endpoints' tickets had run out, and nobody asked for new ones.
+          [
+            [
+              { ...PLAIN, needsAdvice: true, crashesAfterMs: 300 },
+              { ...PLAIN, needsAdvice: false, crashesAfterMs: undefined },
+            ],
+            [{ kind: 'crash', atMs: 0, pick: 113 }],
+            1,
+          ],
+        ],
+      },
+    );
+  }, 900_000);
+});
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -254,6 +254,7 @@
       }),
     });
     registered.set(entry.entryId, cores);
+    bornAtMs.set(entry, performance.now());
     entry.control = control;
     const loop = async (): Promise<void> => {
       while (!entry.isDead) {
@@ -268,6 +269,11 @@
   };
 
   const entries: SimEntry[] = [];
+  const bornAtMs = new Map<SimEntry, number>();
+  world.holderAge.ms = () => {
+    const holder = entries.find(({ control }) => control.term() !== undefined);
+    return holder ? performance.now() - (bornAtMs.get(holder) ?? 0) : 0;
+  };
   /** Rows of entries: those of the dead stay. */
   const registered = new Map<EntryId, number>();
 
