An end proves something of a task only if its neighbours had been there for long

A job of six tasks was given up that would have been done: its endpoint was taken down by a neighbour that does so 1.2 s after its start, which had been heard for 0.5 s and so counted as harmless; its next endpoint went down with another at the same moment, without blame.

The end of an endpoint counts as explained by a task only where each run of another job had been there for 2 s, the longest time that a task is watched. A job that is given up is logged once, not once for each of its tasks.

--- a/packages/core/src/batch/endpoint-downs.ts
+++ b/packages/core/src/batch/endpoint-downs.ts
@@ -154,6 +154,10 @@
   return isRack || others.length >= STORM_ENDPOINTS;
 };
 
+/** Another run that can hardly be to blame: a task that takes endpoints down may take its time. */
+const isHarmless = (endpoint: EndpointState, run: RunState, other: RunState): boolean =>
+  other.step.job === run.step.job || livedMs(endpoint, other) >= LONGEST_SETTLED_MS;
+
 /**
  * Judges what the end of an endpoint says of a run that was there.
  *
@@ -176,7 +180,7 @@
     livedMs: livedMs(endpoint, run),
     isConfirmed: run.begunByMs < Infinity,
     isBlamed: !isSettled(endpoint, run),
-    isAlone: Array.from(unsettledJobs(endpoint)).every((job) => job === run.step.job),
+    isAlone: lastRunsOf(endpoint).every((other) => isHarmless(endpoint, run, other)),
     isInStorm: isInStorm(state, gone),
     fence: state.fence,
     countedAtMs: Math.round(nowMs + state.todayAheadMs),
@@ -184,8 +188,8 @@
 };
 
 /**
- * Counts the end of an endpoint against a task. It is written at once: the task is not begun again before that,
- * so that no holder begins it without knowing of all that was counted.
+ * Counts the end of an endpoint against a task. The task is not begun again before that is written, so that no
+ * holder begins it without knowing of all that was counted.
  *
  * @param state - All that is known, changed in place.
  * @param run - The run that was there.
@@ -201,7 +205,7 @@
   change(task, { downs: isCleared ? [] : [...task.downs, down] });
   change(job, { countedDowns: job.countedDowns + 1 });
   state.suspectJobs.add(job);
-  state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: true });
+  state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
 };
 
 /**
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -42,7 +42,7 @@
   readonly isConfirmed: boolean;
   /** The run had begun so short a time before that it may be to blame. */
   readonly isBlamed: boolean;
-  /** No run of another job had. */
+  /** Every run of another job had been there for long. */
   readonly isAlone: boolean;
   /** Others, of which no task explains the end, went down about then: a rack, a power feed. */
   readonly isInStorm: boolean;
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -11,7 +11,6 @@
   createOrderWindow,
   createScheduleCycle,
   expectReports,
-  isFinal,
   paceFillers,
   soleForMs,
   takeEffects,
@@ -232,7 +231,7 @@
     advise: advisor.ask,
     save: ({ jobId, isUrgent }) => {
       const job = state.jobs.get(jobId);
-      if (job && isUrgent && isFinal(job.phase))
+      if (job && isUrgent)
         log.info('job-ended', { job: jobId, phase: job.phase, reason: job.reason });
       saver.mark(jobId, isUrgent);
     },
