Request path: a request goes to no third endpoint once two broke off under it

Same class as the task that takes endpoints down: a repeatable request whose endpoint broke the connection without an answer was sent on, to three of a service's endpoints, and again with each retry of its caller. What was known of the attempt, that its endpoint took it and went, was used for the verdict alone. Two such ends are the last; the caller gets mayHaveRun, as before. Attempts that an endpoint refused, answered wrongly or was too slow for count as before.

--- a/packages/daemon/src/data-path/attempts.test.ts
+++ b/packages/daemon/src/data-path/attempts.test.ts
@@ -91,6 +91,18 @@
       },
     );
 
+    it('is sent to no third endpoint once two broke off without an answer', async () => {
+      // A request that brings down each endpoint that takes it would bring down the next one, too.
+      workers.setExecutorFault('*', 'reset-after');
+      const bodies = Array.from({ length: 5 }, () => randomUUID());
+      const repeatable = { 'valvelatch-repeatable': 'true' };
+      const answers = await Promise.all(bodies.map((body) => sendOnce(body, repeatable)));
+      answers.forEach((answer) =>
+        expect(answer).toMatchObject({ status: 503, verdict: 'mayHaveRun' }),
+      );
+      expect(Math.max(...bodies.map((body) => executionsOf(deployment, body)))).toBe(2);
+    });
+
     it('is not retried without end where all endpoints fail', async () => {
       const before = workers.report().served;
       workers.setExecutorFault('*', 'reset-before');
--- a/packages/daemon/src/data-path/serve-request.ts
+++ b/packages/daemon/src/data-path/serve-request.ts
@@ -37,6 +37,8 @@
   readonly tried: string[];
   readonly verdicts: Verdict[];
   readonly triedEndpoints: EndpointId[];
+  /** Endpoints that took the request and broke off without an answer. */
+  brokenOff: number;
   /** The last whole answer that was an error of the endpoint's own. */
   lastError: WholeAnswer | null;
 };
@@ -120,6 +122,8 @@
   const state = run;
   state.tried.push(`${where}: ${bad.reason} (${bad.verdict}): ${bad.detail}`);
   state.verdicts.push(bad.verdict);
+  const hasTaken = bad.verdict !== 'notRun' && bad.reason === 'endpoint-unreachable';
+  if (hasTaken) state.brokenOff += 1;
   if (bad.answer) state.lastError = bad.answer;
 };
 
@@ -135,6 +139,7 @@
     isRepeatable: run.request.isRepeatable,
     verdict,
     attemptsMade: run.verdicts.length,
+    brokenOff: run.brokenOff,
     remainingMs: remainingMs(run),
     expectedAttemptMs: gate.usualMs(),
   }) && spendRetry(gate.retryBudget);
@@ -274,6 +279,7 @@
     tried,
     verdicts: [],
     triedEndpoints: [],
+    brokenOff: 0,
     lastError: null,
   };
   const gate = context.gate(brand<ServiceName>(request.service));
