Request path: a submitted job under which hosts are lost waits longer before the next

Lost hosts are counted in the job's row, so that any holder knows, and from the second on the wait doubles up to 60 s, as for failures; the reason names the count. The first is placed again at once, as before.

Such a job is not given up: on this path a job may last for weeks, and loses hosts without blame in that time.

--- a/packages/core/src/control/jobs.ts
+++ b/packages/core/src/control/jobs.ts
@@ -38,22 +38,42 @@
 const MOST_QUARANTINED_SHARE = 0.1;
 
 /**
- * Gives the wait before a job that failed is tried again.
+ * Counts what speaks for a wait before a job is tried again. One host may be lost for any reason; a job that
+ * brings hosts down would bring down the next one, too.
  *
- * @param failures - How often it has failed.
+ * @param row - The job's row.
+ * @returns How often it failed, with the hosts lost under it beyond the first.
+ */
+export const setbacksOf = ({ failures, hostsLost = 0 }: JobRow): number =>
+  failures + Math.max(0, hostsLost - 1);
+
+/**
+ * Gives the wait before a job is tried again.
+ *
+ * @param setbacks - What speaks for a wait.
  * @returns The wait in milliseconds.
  */
-export const retryDelayMs = (failures: number): number =>
-  failures === 0 ? 0 : Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (failures - 1));
+export const retryDelayMs = (setbacks: number): number =>
+  setbacks === 0 ? 0 : Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (setbacks - 1));
+
+/**
+ * Gives the row of a job whose host was lost while it ran there.
+ *
+ * @param row - The job's row.
+ * @param hostId - The host.
+ * @returns The row, with one host more that was lost under it.
+ */
+export const afterLostHost = (row: JobRow, hostId: HostId): JobRow => {
+  const hostsLost = (row.hostsLost ?? 0) + 1;
+  const reason = `lost with ${hostId}; ${hostsLost} hosts were lost under it; to be placed again`;
+  return { ...row, hostsLost, reason };
+};
 
 type Ended = (row: JobRow, placement: PlacementRow) => JobRow;
 
 const afterEnd: Record<PlacementRow['outcome'], Ended> = {
   none: (row) => ({ ...row, reason: 'stopped on its host, to be placed again' }),
-  lost: (row, { hostId }) => ({
-    ...row,
-    reason: `lost with its task on ${hostId}, to be placed again`,
-  }),
+  lost: (row, { hostId }) => afterLostHost(row, hostId),
   done: (row, { hostId }) => ({ ...row, phase: 'done', reason: `done on ${hostId}` }),
   failed: (row, { hostId }) => ({
     ...row,
--- a/packages/core/src/control/lost-hosts.ts
+++ b/packages/core/src/control/lost-hosts.ts
@@ -5,6 +5,7 @@
  * to another, until the host is seen again or is not declared any more.
  */
 import { rowKey, type PlacementRow } from '../rows/rows.js';
+import { afterLostHost } from './jobs.js';
 import { removePlacement, withhold, writePlacement, type Draft } from './draft.js';
 
 /** Longest time between reading a placement and starting its task, in milliseconds. */
@@ -35,7 +36,12 @@
     withhold(draft, rowKey.placement(row.jobId), reason);
     return;
   }
-  removePlacement(draft, { row, reason: `host ${row.hostId} is gone and the lease has ended` });
+  const job = row.service === null ? draft.world.jobs.get(row.jobId)?.value : undefined;
+  removePlacement(draft, {
+    row,
+    reason: `host ${row.hostId} is gone and the lease has ended`,
+    ...(job ? { jobRow: afterLostHost(job, row.hostId) } : {}),
+  });
 };
 
 /**
--- a/packages/core/src/control/pool-turn.test.ts
+++ b/packages/core/src/control/pool-turn.test.ts
@@ -172,6 +172,40 @@
     });
   });
 
+  describe('a job under which hosts are lost', () => {
+    /** The job's hosts are lost as soon as it runs there, and come back later; gives how many were. */
+    const lostUnder = (forMs: number): { readonly hosts: number; readonly row: JobRow } => {
+      const fleet = newFleet();
+      const spec = 'pool: main, team: crew, cores: 1, memoryMb: 1, runTimeS: 300, leaseS: 5';
+      submit(fleet, jobOf('a', spec));
+      const lost = new Set<string>();
+      const comingBack: [number, HostId][] = [];
+      const untilMs = fleet.nowMs() + forMs;
+      while (fleet.nowMs() < untilMs) {
+        run(fleet, 1000);
+        const placed = fleet.table.read(rowKey.placement('a')).value as PlacementRow | null;
+        const name = placed && `${placed.hostId}/${placed.epoch}`;
+        if (placed && name && placed.phase === 'running' && !lost.has(name)) {
+          lost.add(name);
+          fleet.workers.kill(placed.hostId);
+          comingBack.push([fleet.nowMs() + 30_000, placed.hostId]);
+        }
+        comingBack
+          .filter(([atMs]) => atMs <= fleet.nowMs())
+          .forEach(([, hostId]) => fleet.workers.revive(hostId));
+      }
+      return { hosts: lost.size, row: jobRow(fleet, 'a') };
+    };
+    it('waits longer before each further one, by a count in its row that says why', () => {
+      const { hosts, row } = lostUnder(300_000);
+      expect(row.hostsLost).toBe(hosts);
+      expect(hosts).toBeGreaterThan(2);
+      // The waits double up to 60 s: with 1, 2, 4, 8, 16, 32 and three of 60 s the eleventh comes after 243 s.
+      expect(hosts).toBeLessThanOrEqual(11);
+      expect(row.reason).toContain(`${hosts} hosts`);
+    });
+  });
+
   describe('waves', () => {
     it('bring every host through once, within every budget, and cut nothing', () => {
       const fleet = newFleet();
--- a/packages/core/src/replay/fleet-model.ts
+++ b/packages/core/src/replay/fleet-model.ts
@@ -5,7 +5,7 @@
 import type { Configuration } from '../configuration/configuration.js';
 import { declarationsOf } from '../configuration/configuration.js';
 import type { ControlAction, Withheld } from '../control/draft.js';
-import { retryDelayMs } from '../control/jobs.js';
+import { retryDelayMs, setbacksOf } from '../control/jobs.js';
 import { planPoolTurn } from '../control/plan-turn.js';
 import { createRowAges } from '../control/row-ages.js';
 import type { PoolWorld, WaveStrategy } from '../control/world.js';
@@ -139,7 +139,8 @@
   Array.from(controls.keys()).forEach(takeControl);
 
   const noteFailures = (jobs: ReadonlyMap<JobId, Versioned<JobRow>>): void =>
-    jobs.forEach(({ value: { failures } }, jobId) => {
+    jobs.forEach(({ value }, jobId) => {
+      const failures = setbacksOf(value);
       if (failures > 0 && failuresSeen.get(jobId)?.failures !== failures) {
         failuresSeen.set(jobId, { failures, atMs: nowMs + retryDelayMs(failures) });
       }
--- a/packages/core/src/rows/rows.ts
+++ b/packages/core/src/rows/rows.ts
@@ -93,6 +93,8 @@
   readonly failures: number;
   /** The hosts on which it failed last. */
   readonly failedOn: readonly HostId[];
+  /** How many hosts were lost while it ran there; rows from before it was kept have none. */
+  readonly hostsLost?: number;
   readonly reason: string;
 };
 
--- a/packages/daemon/src/control/pool-view.ts
+++ b/packages/daemon/src/control/pool-view.ts
@@ -3,6 +3,7 @@
   createRowAges,
   declaredHosts,
   retryDelayMs,
+  setbacksOf,
   rowPrefix,
   type Configuration,
   type HostId,
@@ -59,7 +60,7 @@
  */
 export const createPoolView = ({ pool, configuration, nowMs }: PoolViewOptions): PoolView => {
   const sightings = new Map<HostId, HostSighting>();
-  const failuresSeen = new Map<JobId, { failures: number; retryAtMs: number }>();
+  const setbacksSeen = new Map<JobId, { setbacks: number; retryAtMs: number }>();
   const hostAges = createRowAges<HostId>();
   const placementAges = createRowAges<JobId>();
   let specsRevision = -1;
@@ -74,11 +75,12 @@
   };
 
   const retryTimes = (jobs: ReadonlyMap<JobId, Versioned<JobRow>>): Map<JobId, number> => {
-    jobs.forEach(({ value: { failures } }, jobId) => {
-      if (failures === 0 || failuresSeen.get(jobId)?.failures === failures) return;
-      failuresSeen.set(jobId, { failures, retryAtMs: nowMs() + retryDelayMs(failures) });
+    jobs.forEach(({ value }, jobId) => {
+      const setbacks = setbacksOf(value);
+      if (setbacks === 0 || setbacksSeen.get(jobId)?.setbacks === setbacks) return;
+      setbacksSeen.set(jobId, { setbacks, retryAtMs: nowMs() + retryDelayMs(setbacks) });
     });
-    return new Map(Array.from(failuresSeen, ([jobId, { retryAtMs }]) => [jobId, retryAtMs]));
+    return new Map(Array.from(setbacksSeen, ([jobId, { retryAtMs }]) => [jobId, retryAtMs]));
   };
 
   const currentSpecs = (): ReadonlyMap<HostId, HostSpec> => {
