Tasks to be tried alone go first, and nothing of a job that is over is kept

Tasks to be tried alone have a pass of their own before the others, over all open steps. Where half a pool stands empty they may have up to half of it, so that those that were only there do not wait in a pool of little use.

--- a/packages/core/src/batch/gone-endpoints.ts
+++ b/packages/core/src/batch/gone-endpoints.ts
@@ -17,6 +17,7 @@
 import { loseRun } from './reports.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
 import {
+  isFinal,
   isSoleHolder,
   poolOf,
   type BatchState,
@@ -56,7 +57,10 @@
   nowMs: number,
 ): ReadonlyMap<RunState, NoteFields> => {
   const { endpoint } = gone;
-  const judged = lastRunsOf(endpoint).flatMap((run) => {
+  const live = lastRunsOf(endpoint).filter(
+    ({ task, step }) => task.phase !== 'done' && !isFinal(step.job.phase),
+  );
+  const judged = live.flatMap((run) => {
     const down = judgeDown(state, gone, run, nowMs);
     return down ? [{ run, down }] : [];
   });
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -8,10 +8,12 @@
 import { addRun, fitsIn, nextRunNumber } from './runs.js';
 import {
   couldBegin,
+  NO_TRIALS,
   planTrials,
   trialEndpoints,
   waitingSuspects,
   type TrialQuestion,
+  type Trials,
 } from './trials.js';
 import {
   isSoleHolder,
@@ -234,14 +236,12 @@
   return nowMs < state.inheritedLeasesEndAtMs || !isSoleHolder(state, nowMs);
 };
 
-const NO_ENDPOINTS: readonly EndpointState[] = [];
-
-/** Open steps of a pool in the order in which they get places. */
-const ranked = (state: BatchState, pool: PoolState, nowMs: number): readonly Rank[] =>
-  Array.from(pool.open)
-    .filter((step) => step.retryAtMs <= nowMs && !isBlocked(state, pool, step, nowMs))
-    .map((step) => rankStep(state, step, nowMs))
-    .sort(byRank.compare);
+/** Steps in the order in which they get places. */
+const inOrder = (state: BatchState, steps: readonly StepRun[], nowMs: number): readonly StepRun[] =>
+  steps
+    .map((step): Rank => rankStep(state, step, nowMs))
+    .sort(byRank.compare)
+    .map(({ step }) => step);
 
 /** Places the tasks of a step that may stand beside others; true if none is left for want of room. */
 const placeOrdinary = (
@@ -263,7 +263,6 @@
   endpoints: readonly EndpointState[],
   suspects: readonly Task[],
 ): boolean => {
-  if (suspects.length === 0) return true;
   if (endpoints.length === 0) return false;
   return placing.step.spec.isGang
     ? placeGang(placing, endpoints)
@@ -280,6 +279,54 @@
   wantAdvice(state, step, couldHold, nowMs);
 };
 
+/** The pool as a pass over it finds it. */
+type Pass = {
+  readonly state: BatchState;
+  /** Those that take new work. */
+  readonly endpoints: readonly EndpointState[];
+  readonly nowMs: number;
+};
+
+/**
+ * Places the tasks that are to be alone, before all others: an endpoint that is kept for one stands idle until
+ * then. Which are kept does not hang on whether a step is tried in this pass, or they would fill up between.
+ */
+const tryAlone = ({ state, endpoints, nowMs }: Pass, steps: readonly StepRun[]): Trials => {
+  const questions = steps
+    .filter((step) => waitingSuspects(state, step).length > 0)
+    .map((step): TrialQuestion => ({
+      step,
+      admitted: admittedEndpoints(step, endpoints, nowMs),
+    }));
+  const trials = planTrials(state, questions, endpoints);
+  questions.forEach((question) => {
+    if (state.startsLeft <= 0) return;
+    const { step } = question;
+    const placing: Placing = { state, step, nowMs };
+    const places = trialEndpoints(trials, question, nowMs);
+    const isPlaced = placeSuspects(placing, places, waitingSuspects(state, step));
+    if (!isPlaced) wantAdviceForSuspects(placing, endpoints);
+  });
+  return trials;
+};
+
+/** Places what may stand beside others. */
+const placeShared = ({ state, endpoints, nowMs }: Pass, steps: readonly StepRun[]): void => {
+  let misfits = 0;
+  steps.some((step) => {
+    if (state.startsLeft <= 0) return true;
+    const placing: Placing = { state, step, nowMs };
+    const admitted = admittedEndpoints(step, endpoints, nowMs);
+    const isPlaced = placeOrdinary(placing, admitted, waitingSuspects(state, step));
+    if (!isPlaced) {
+      wantAdviceFor(placing, endpoints);
+      misfits += 1;
+      change(step, { retryAtMs: nowMs + RETRY_MS });
+    }
+    return misfits >= MAX_MISFITS_PER_CYCLE;
+  });
+};
+
 /**
  * Places what waits in one pool.
  *
@@ -292,35 +339,14 @@
   if (pool.open.size === 0) return;
   const endpoints = usableEndpoints(state, name, nowMs);
   if (endpoints.length === 0) return;
-  let misfits = 0;
-  const ranks = ranked(state, pool, nowMs);
-  const questionOf = (step: StepRun): TrialQuestion => ({
-    step,
-    admitted: admittedEndpoints(step, endpoints, nowMs),
-  });
-  const trials = planTrials(
-    state,
-    () => ranks.map(({ step }) => questionOf(step)),
-    endpoints.length,
-  );
+  const pass: Pass = { state, endpoints, nowMs };
+  const isAnySuspect = state.suspectJobs.size > 0;
+  const open = Array.from(pool.open).filter((step) => !isBlocked(state, pool, step, nowMs));
+  const trials = isAnySuspect ? tryAlone(pass, inOrder(state, open, nowMs)) : NO_TRIALS;
   const shared =
     trials.size === 0 ? endpoints : endpoints.filter(({ endpointId }) => !trials.has(endpointId));
-  ranks.some(({ step }) => {
-    if (state.startsLeft <= 0) return true;
-    const placing: Placing = { state, step, nowMs };
-    const suspects = waitingSuspects(state, step);
-    const places =
-      suspects.length > 0 ? trialEndpoints(trials, questionOf(step), nowMs) : NO_ENDPOINTS;
-    if (!placeSuspects(placing, places, suspects)) wantAdviceForSuspects(placing, endpoints);
-    const admitted = admittedEndpoints(step, shared, nowMs);
-    const isPlaced = placeOrdinary(placing, admitted, suspects);
-    if (!isPlaced) {
-      wantAdviceFor(placing, endpoints);
-      misfits += 1;
-      change(step, { retryAtMs: nowMs + RETRY_MS });
-    }
-    return misfits >= MAX_MISFITS_PER_CYCLE;
-  });
+  const due = open.filter(({ retryAtMs }) => retryAtMs <= nowMs);
+  placeShared({ ...pass, endpoints: shared }, inOrder(state, due, nowMs));
 };
 
 /**
--- a/packages/core/src/batch/trials.test.ts
+++ b/packages/core/src/batch/trials.test.ts
@@ -6,7 +6,7 @@
 import { answer, FIRST, POOL, SECOND, see, writeRows } from './batch-state.fixtures.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
 import { taskKey, type StepSpec } from './job.js';
-import { takeInJob } from './jobs.js';
+import { cancelJob, takeInJob } from './jobs.js';
 import { PLAIN_STEP } from './plain-step.js';
 import { endpointsOf, schedulePool } from './schedule.js';
 import { createBatchState, type BatchState, type Task } from './state.js';
@@ -27,7 +27,7 @@
       repeats: 0,
       firstDueAtMs: 0,
       intervalMs: 0,
-      acceptedAtMs: 0,
+      acceptedAtMs: nowMs,
     },
     policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
     nowMs,
@@ -54,6 +54,20 @@
   answer(state, { endpointId, running, askedAtMs: nowMs - 1, nowMs });
 };
 
+/** All that runs on some endpoints is done. */
+const endAll = (state: BatchState, endpointIds: readonly EndpointId[], nowMs: number): void =>
+  endpointIds.forEach((endpointId) => {
+    const runs = Array.from(state.endpoints.get(endpointId)?.runs.values() ?? []);
+    const ended = runs.map(({ task, run }, index) => ({
+      number: index + 1,
+      task: task.key,
+      run,
+      kind: 'done' as const,
+      checkpoint: '',
+    }));
+    answer(state, { endpointId, ended, askedAtMs: nowMs - 1, nowMs });
+  });
+
 const goDown = (state: BatchState, endpointId: EndpointId, nowMs: number): void => {
   removeEndpoint(state, endpointId, { detail: 'host-list', atMs: nowMs - 10, nowMs });
   settleGoneEndpoints(state, nowMs);
@@ -133,6 +147,40 @@
     expect(new Set(placesOf(state, SUSPECT))).toEqual(new Set([THIRD, FOURTH]));
   });
 
+  /** Nothing has been written yet, and other tasks have taken all room meanwhile. */
+  const inFullPool = (step: Partial<StepSpec> = {}): BatchState => {
+    const state = afterCrash(step);
+    submit(state, OTHER, { taskCount: 16 }, 10);
+    schedulePool(state, POOL, 1000);
+    expect(placesOf(state, OTHER)).toHaveLength(16);
+    writeRows(state);
+    return state;
+  };
+
+  it('is not kept waiting by others that find no place, however many go before it', () => {
+    const state = inFullPool();
+    Array.from({ length: 60 }).forEach((_, index) => {
+      const jobId = brand<JobId>(`${index}`.padStart(16, '0'));
+      submit(state, jobId, { cpuMillis: 8000, taskCount: 2 }, 10);
+    });
+    schedulePool(state, POOL, 1410);
+    endAll(state, [SECOND, THIRD], 1500);
+    schedulePool(state, POOL, 1510);
+    expect(placesOf(state, SUSPECT)).toHaveLength(1);
+  });
+
+  it('keeps the endpoint that is emptied for it while its step is not tried again', () => {
+    // The ninth task of the step had not begun, may stand beside others, and finds no place.
+    const state = inFullPool({ taskCount: 9 });
+    const later = brand<JobId>('00000000000000d4');
+    schedulePool(state, POOL, 1001);
+    submit(state, later, { taskCount: 16 }, 1002);
+    endAll(state, [SECOND], 1003);
+    schedulePool(state, POOL, 1004);
+    expect(placesOf(state, later)).toEqual([]);
+    expect(placesOf(state, SUSPECT)).toEqual(Array.from({ length: 8 }, () => SECOND));
+  });
+
   it('leaves most of a pool to others, however many wait so', () => {
     const state = afterCrash({ taskCount: 8 });
     writeRows(state);
@@ -154,6 +202,18 @@
 });
 
 describe('an endpoint that went down', () => {
+  it('is held against no task of a job that is over, and nothing is kept of it', () => {
+    const state = createBatchState(2);
+    see(state, FIRST);
+    hear(state, FIRST, 10);
+    submit(state, SUSPECT, {}, 20);
+    schedulePool(state, POOL, 20);
+    cancelJob(state, SUSPECT);
+    goDown(state, FIRST, 1000);
+    expect(tasksOf(state, SUSPECT)[0]?.downs).toEqual([]);
+    expect(state.suspectJobs.size).toBe(0);
+  });
+
   const blamedOf = (state: BatchState, jobId: JobId): boolean | undefined =>
     tasksOf(state, jobId)[0]?.downs.at(-1)?.isBlamed;
 
--- a/packages/core/src/batch/trials.ts
+++ b/packages/core/src/batch/trials.ts
@@ -15,13 +15,16 @@
  * pool's other work. At least one is, or they would wait for ever in a pool that is always full.
  */
 const MOST_SHARE = 0.25;
+/** Of endpoints that stand empty more may be: a task that was only there would wait for long in a pool of little use. */
+const MOST_EMPTY_SHARE = 0.5;
 /** After this time runs of others that have long been there need not have ended: some last for minutes. */
 const PATIENCE_MS = 2000;
 
 /** Endpoints on which nothing but tasks of the job begins. */
 export type Trials = ReadonlyMap<EndpointId, JobState>;
 
-const NO_TRIALS: Trials = new Map();
+/** Nothing is kept for anybody. */
+export const NO_TRIALS: Trials = new Map();
 
 /**
  * Lists the tasks of a step that wait to be begun on an endpoint of their own.
@@ -98,7 +101,7 @@
     const taken = staying.reduce((sum, one) => sum + needOf(one), 0);
     return needOf(spec) === 0 ? Infinity : Math.floor((room - taken) / needOf(spec));
   };
-  return Math.min(
+  const room = Math.min(
     times(capacity.cpuMillis, reservedCpu),
     times(capacity.memoryMb, ({ memoryMb }) => memoryMb),
     times(capacity.accelerators, ({ accelerators }) => accelerators),
@@ -106,6 +109,7 @@
       ? Infinity
       : spec.mostPerEndpoint - (perEndpoint.get(endpointId) ?? 0),
   );
+  return Math.max(0, room);
 };
 
 const haveRoom = (chosen: readonly EndpointState[], step: StepRun, tasks: number): boolean =>
@@ -118,26 +122,34 @@
   readonly admitted: readonly EndpointState[];
 };
 
+/** How many endpoints of a pool may be kept at once. */
+const mostTrials = (endpoints: readonly EndpointState[]): number => {
+  const empty = endpoints.filter(({ runs }) => runs.size === 0).length;
+  return Math.max(
+    Math.ceil(endpoints.length * MOST_SHARE),
+    Math.min(empty, Math.floor(endpoints.length * MOST_EMPTY_SHARE)),
+  );
+};
+
 /**
  * Decides which endpoints of a pool are kept for tasks under which others went down.
  *
  * @param state - All that is known.
- * @param questions - The open steps in their order.
- * @param poolSize - How many endpoints of the pool take new work.
+ * @param questions - The open steps with tasks that are to be alone, in their order.
+ * @param endpoints - The endpoints of the pool that take new work.
  * @returns The endpoints, those where such a task was begun and has not proved harmless among them.
  */
 export const planTrials = (
   state: BatchState,
-  questions: () => readonly TrialQuestion[],
-  poolSize: number,
+  questions: readonly TrialQuestion[],
+  endpoints: readonly EndpointState[],
 ): Trials => {
-  if (state.suspectJobs.size === 0) return NO_TRIALS;
   const trials = underWay(state);
-  const most = Math.max(1, Math.ceil(poolSize * MOST_SHARE));
-  questions().forEach(({ step, admitted }) => {
+  const most = mostTrials(endpoints);
+  questions.forEach(({ step, admitted }) => {
     const { job } = step;
     const { length: waiting } = waitingSuspects(state, step);
-    if (!isWritten(job) || waiting === 0) return;
+    if (!isWritten(job)) return;
     const chosen = admitted.filter(({ endpointId }) => trials.get(endpointId) === job);
     const free = admitted
       .filter((one) => !trials.has(one.endpointId) && couldBegin(one, step) > 0)
