--- a/packages/core/src/batch/batch-state.fixtures.ts
+++ b/packages/core/src/batch/batch-state.fixtures.ts
@@ -85,7 +85,7 @@
  * @param state - The state, changed in place.
  */
 export const writeRows = (state: BatchState): void =>
-  state.jobs.forEach((one) => change(one, { writtenDowns: one.countedDowns }));
+  state.jobs.forEach((one) => change(one, { writtenCrashes: one.countedCrashes }));
 
 /** An answer; what is left out is empty, and it comes from the first endpoint. */
 export type Answer = Pick<EndpointReport, 'askedAtMs' | 'nowMs'> &
--- a/packages/core/src/batch/endpoint-downs.ts
+++ b/packages/core/src/batch/endpoint-crashes.ts
@@ -1,6 +1,6 @@
 /**
- * Endpoints that go down by themselves under tasks. A task may bring down each endpoint that begins
- * it; an endpoint also goes down with no task to blame, and takes all that runs there with it. What
+ * Endpoints that crash under tasks. A task may bring down each endpoint that begins
+ * it; an endpoint also crashes with no task to blame, and takes all that runs there with it. What
  * is known of each such end is kept with the task, so that the two can be told apart.
  */
 import { change } from '../shared/change.js';
@@ -8,12 +8,12 @@
 import type { NoteFields } from './run-end.js';
 import type {
   BatchState,
-  EndpointDown,
+  EndpointCrash,
   EndpointState,
   GoneCause,
   GoneEndpoint,
   JobState,
-  RecentDown,
+  RecentCrash,
   RunState,
   Task,
 } from './state.js';
@@ -36,17 +36,17 @@
  * And after so many of whatever kind. Of five at most a task may be the cause; one of them may have been
  * missed by a holder that was lost itself before it could write.
  */
-const MOST_DOWNS = 4;
+const MOST_CRASHES = 4;
 /** Ends of endpoints within this time are taken for one event: the list of hosts is read each 0.4 to 1 s. */
-const STORM_MS = 1000;
+const CORRELATED_MS = 1000;
 /** So many unexplained ends at about one time are not the work of tasks. */
-const STORM_ENDPOINTS = 2;
+const CORRELATED_ENDPOINTS = 2;
 
 /** The host has another endpoint, or the address has: nothing ordered or announced that. */
 const CRASH_CAUSES: ReadonlySet<GoneCause> = new Set(['host-list', 'replaced', 'succeeded']);
 
 /**
- * Tells whether an endpoint went down by itself.
+ * Tells whether an endpoint crashed by itself.
  *
  * @param gone - The endpoint, with what shows that it is gone.
  * @returns False for one that said that it leaves, that was closed for an order to its host, or that may
@@ -59,9 +59,9 @@
 const livedMs = ({ reportedAtMs }: EndpointState, { begunByMs }: RunState): number =>
   Math.max(0, Math.round(reportedAtMs - begunByMs));
 
-/** Twice the longest time that an endpoint lived with the task before it went down. */
-const watchMs = ({ downs }: Task): number => {
-  const longestMs = Math.max(0, ...downs.map((down) => down.livedMs));
+/** Twice the longest time that an endpoint lived with the task before it crashed. */
+const watchMs = ({ crashes }: Task): number => {
+  const longestMs = Math.max(0, ...crashes.map((crash) => crash.livedMs));
   return Math.min(LONGEST_SETTLED_MS, Math.max(SETTLED_MS, 2 * longestMs));
 };
 
@@ -79,14 +79,18 @@
  * Tells whether a task is begun only where it can harm no other, and where its endpoint's end would tell.
  *
  * @param task - The task.
- * @returns True once an endpoint went down that it may have taken down.
+ * @returns True once an endpoint crashed that it may have taken down.
  */
-export const isSuspect = ({ downs }: Pick<Task, 'downs'>): boolean =>
-  downs.length > 1 || downs.some(({ isBlamed }) => isBlamed);
+export const isSuspect = ({ crashes }: Pick<Task, 'crashes'>): boolean =>
+  crashes.length > 1 || crashes.some(({ isSuspected }) => isSuspected);
 
 /** Nothing but the task explains the end. */
-const isTheTask = ({ isBlamed, isAlone, isConfirmed, isInStorm }: EndpointDown): boolean =>
-  isBlamed && isAlone && isConfirmed && !isInStorm;
+const isTheTask = ({
+  isSuspected,
+  isSoleSuspect,
+  isConfirmed,
+  isCorrelated,
+}: EndpointCrash): boolean => isSuspected && isSoleSuspect && isConfirmed && !isCorrelated;
 
 /**
  * Tells why a task is not to be begun again.
@@ -94,10 +98,13 @@
  * @param task - The task.
  * @returns The reason, for its client and for operators; undefined while it may be begun.
  */
-export const giveUpReason = ({ key, downs }: Pick<Task, 'key' | 'downs'>): string | undefined => {
-  const explained = downs.filter(isTheTask).length;
-  if (explained < MOST_EXPLAINED && downs.length < MOST_DOWNS) return undefined;
-  return `${downs.length} endpoints went down under task ${key}, ${explained} of them while nothing else there could be the cause`;
+export const giveUpReason = ({
+  key,
+  crashes,
+}: Pick<Task, 'key' | 'crashes'>): string | undefined => {
+  const explained = crashes.filter(isTheTask).length;
+  if (explained < MOST_EXPLAINED && crashes.length < MOST_CRASHES) return undefined;
+  return `${crashes.length} endpoints crashed under task ${key}, ${explained} of them while nothing else there could be the cause`;
 };
 
 /**
@@ -120,10 +127,10 @@
 
 const isExplained = (endpoint: EndpointState): boolean =>
   unsettledJobs(endpoint).size === 1 &&
-  lastRunsOf(endpoint).some((run) => !isSettled(endpoint, run) && run.task.downs.length > 0);
+  lastRunsOf(endpoint).some((run) => !isSettled(endpoint, run) && run.task.crashes.length > 0);
 
 /**
- * Notes that endpoints went down, before what ran there is judged: whole racks go at once.
+ * Notes that endpoints crashed, before what ran there is judged: whole racks go at once.
  *
  * @param state - All that is known, changed in place.
  * @param gone - The endpoints.
@@ -134,24 +141,24 @@
   gone: readonly GoneEndpoint[],
   nowMs: number,
 ): void => {
-  const fresh = gone.filter(isCrash).map(({ endpoint, atMs }): RecentDown => {
+  const fresh = gone.filter(isCrash).map(({ endpoint, atMs }): RecentCrash => {
     const { endpointId } = endpoint;
     return { endpointId, rack: rackOf(endpoint), atMs, isExplained: isExplained(endpoint) };
   });
-  const recent = state.recentDowns.filter(({ atMs }) => nowMs - atMs < 2 * STORM_MS);
-  change(state, { recentDowns: [...recent, ...fresh] });
+  const recent = state.recentCrashes.filter(({ atMs }) => nowMs - atMs < 2 * CORRELATED_MS);
+  change(state, { recentCrashes: [...recent, ...fresh] });
 };
 
-const isInStorm = ({ recentDowns }: BatchState, { endpoint, atMs }: GoneEndpoint): boolean => {
-  const others = recentDowns.filter(
+const isCorrelated = ({ recentCrashes }: BatchState, { endpoint, atMs }: GoneEndpoint): boolean => {
+  const others = recentCrashes.filter(
     (other) =>
       other.endpointId !== endpoint.endpointId &&
       !other.isExplained &&
-      Math.abs(other.atMs - atMs) < STORM_MS,
+      Math.abs(other.atMs - atMs) < CORRELATED_MS,
   );
   const rack = rackOf(endpoint);
   const isRack = rack !== '' && others.some((other) => other.rack === rack);
-  return isRack || others.length >= STORM_ENDPOINTS;
+  return isRack || others.length >= CORRELATED_ENDPOINTS;
 };
 
 /** Another run that can hardly be to blame: a task that takes endpoints down may take its time. */
@@ -165,23 +172,23 @@
  * @param gone - The endpoint, with all that ran there.
  * @param run - The run.
  * @param nowMs - The time.
- * @returns What is to be counted against the run's task, or undefined if the endpoint did not go down by itself.
+ * @returns What is to be counted against the run's task, or undefined if the endpoint did not crash.
  */
-export const judgeDown = (
+export const judgeCrash = (
   state: BatchState,
   gone: GoneEndpoint,
   run: RunState,
   nowMs: number,
-): EndpointDown | undefined => {
+): EndpointCrash | undefined => {
   if (!isCrash(gone)) return undefined;
   const { endpoint } = gone;
   return {
     run: run.run,
     livedMs: livedMs(endpoint, run),
     isConfirmed: run.begunByMs < Infinity,
-    isBlamed: !isSettled(endpoint, run),
-    isAlone: lastRunsOf(endpoint).every((other) => isHarmless(endpoint, run, other)),
-    isInStorm: isInStorm(state, gone),
+    isSuspected: !isSettled(endpoint, run),
+    isSoleSuspect: lastRunsOf(endpoint).every((other) => isHarmless(endpoint, run, other)),
+    isCorrelated: isCorrelated(state, gone),
     fence: state.fence,
     countedAtMs: Math.round(nowMs + state.todayAheadMs),
   };
@@ -193,17 +200,17 @@
  *
  * @param state - All that is known, changed in place.
  * @param run - The run that was there.
- * @param down - What the end says of it.
+ * @param crash - What the end says of it.
  */
-export const recordDown = (
+export const recordCrash = (
   state: BatchState,
   { task, step: { job, spec } }: RunState,
-  down: EndpointDown,
+  crash: EndpointCrash,
 ): void => {
-  const isCleared = spec.isLasting && down.livedMs >= LASTING_CLEARED_MS;
-  if (isCleared && task.downs.length === 0) return;
-  change(task, { downs: isCleared ? [] : [...task.downs, down] });
-  change(job, { countedDowns: job.countedDowns + 1 });
+  const isCleared = spec.isLasting && crash.livedMs >= LASTING_CLEARED_MS;
+  if (isCleared && task.crashes.length === 0) return;
+  change(task, { crashes: isCleared ? [] : [...task.crashes, crash] });
+  change(job, { countedCrashes: job.countedCrashes + 1 });
   state.suspectJobs.add(job);
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
 };
@@ -212,26 +219,26 @@
  * Tells of what was counted against a task, for the line of its run.
  *
  * @param task - The task, with the last end counted.
- * @param endpoint - The endpoint that went down last.
+ * @param endpoint - The endpoint that crashed last.
  * @param todayMs - The time of day.
- * @returns How many endpoints went down under it, by whose count and since when, and what is known of the last.
+ * @returns How many endpoints crashed under it, by whose count and since when, and what is known of the last.
  */
-export const downFields = (
-  { downs }: Pick<Task, 'downs'>,
+export const crashFields = (
+  { crashes }: Pick<Task, 'crashes'>,
   endpoint: EndpointState,
   todayMs: number,
 ): NoteFields => {
-  const last = downs.at(-1);
+  const last = crashes.at(-1);
   if (!last) return {};
   return {
-    downs: downs.length,
-    countedBy: downs.map(({ fence }) => fence).join(','),
-    firstAgoMs: Math.round(todayMs - (downs[0]?.countedAtMs ?? todayMs)),
+    crashes: crashes.length,
+    countedBy: crashes.map(({ fence }) => fence).join(','),
+    firstAgoMs: Math.round(todayMs - (crashes[0]?.countedAtMs ?? todayMs)),
     livedMs: last.livedMs,
     isConfirmed: last.isConfirmed,
-    isBlamed: last.isBlamed,
-    isAlone: last.isAlone,
-    isInStorm: last.isInStorm,
+    isSuspected: last.isSuspected,
+    isSoleSuspect: last.isSoleSuspect,
+    isCorrelated: last.isCorrelated,
     others: lastRunsOf(endpoint).length - 1,
   };
 };
--- a/packages/core/src/batch/gone-endpoints.ts
+++ b/packages/core/src/batch/gone-endpoints.ts
@@ -6,13 +6,13 @@
 import type { EndpointId } from '../shared/ids.js';
 import { change } from '../shared/change.js';
 import {
-  downFields,
+  crashFields,
   giveUpReason,
-  judgeDown,
+  judgeCrash,
   lastRunsOf,
   noteCrashes,
-  recordDown,
-} from './endpoint-downs.js';
+  recordCrash,
+} from './endpoint-crashes.js';
 import { endJob } from './jobs.js';
 import { loseRun } from './reports.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
@@ -51,7 +51,7 @@
 };
 
 /** Counts the end of an endpoint against the tasks that ran there; gives what their lines tell of it. */
-const countDowns = (
+const countCrashes = (
   state: BatchState,
   gone: GoneEndpoint,
   nowMs: number,
@@ -61,12 +61,12 @@
     ({ task, step }) => task.phase !== 'done' && !isFinal(step.job.phase),
   );
   const judged = live.flatMap((run) => {
-    const down = judgeDown(state, gone, run, nowMs);
-    return down ? [{ run, down }] : [];
+    const crash = judgeCrash(state, gone, run, nowMs);
+    return crash ? [{ run, crash }] : [];
   });
-  judged.forEach(({ run, down }) => recordDown(state, run, down));
+  judged.forEach(({ run, crash }) => recordCrash(state, run, crash));
   const todayMs = nowMs + state.todayAheadMs;
-  return new Map(judged.map(({ run }) => [run, downFields(run.task, endpoint, todayMs)]));
+  return new Map(judged.map(({ run }) => [run, crashFields(run.task, endpoint, todayMs)]));
 };
 
 /** A task that takes down each endpoint that begins it would take down the next one, too. */
@@ -100,7 +100,7 @@
 const settle = (state: BatchState, gone: GoneEndpoint, nowMs: number): void => {
   const { endpoint, detail, atMs } = gone;
   const evidence: RunEvidence = { cause: 'endpoint-gone', atMs, detail };
-  const fieldsOf = countDowns(state, gone, nowMs);
+  const fieldsOf = countCrashes(state, gone, nowMs);
   endpoint.runs.forEach((run) => {
     const fields = fieldsOf.get(run);
     const afterwards = (): void => giveUpIfDue(state, run);
--- a/packages/core/src/batch/trials.test.ts
+++ b/packages/core/src/batch/isolation.test.ts
@@ -1,4 +1,4 @@
-/** Which endpoints are kept for tasks under which others went down, and what may begin there. */
+/** Which endpoints are kept for tasks under which others crashed, and what may begin there. */
 import { describe, expect, it } from 'vitest';
 
 import { change } from '../shared/change.js';
@@ -68,12 +68,12 @@
     answer(state, { endpointId, ended, askedAtMs: nowMs - 1, nowMs });
   });
 
-const goDown = (state: BatchState, endpointId: EndpointId, nowMs: number): void => {
+const crash = (state: BatchState, endpointId: EndpointId, nowMs: number): void => {
   removeEndpoint(state, endpointId, { detail: 'host-list', atMs: nowMs - 10, nowMs });
   settleGoneEndpoints(state, nowMs);
 };
 
-/** Of a job of so many tasks one or more ran on the first of three endpoints as it went down. */
+/** Of a job of so many tasks one or more ran on the first of three endpoints as it crashed. */
 const afterCrash = (step: Partial<StepSpec> = {}): BatchState => {
   const state = createBatchState(2);
   see(state, FIRST);
@@ -84,11 +84,11 @@
     see(state, endpointId, 25);
     hear(state, endpointId, 30);
   });
-  goDown(state, FIRST, 1000);
+  crash(state, FIRST, 1000);
   return state;
 };
 
-describe('a task under which an endpoint went down', () => {
+describe('a task under which an endpoint crashed', () => {
   it('is begun only once that is written', () => {
     const state = afterCrash();
     schedulePool(state, POOL, 1010);
@@ -138,7 +138,7 @@
     submit(state, SUSPECT, { taskCount: 2, mostPerEndpoint: 1, isLasting: true }, 20);
     schedulePool(state, POOL, 20);
     [THIRD, FOURTH].forEach((endpointId) => live(endpointId, 25));
-    [FIRST, SECOND].forEach((endpointId) => goDown(state, endpointId, 1000));
+    [FIRST, SECOND].forEach((endpointId) => crash(state, endpointId, 1000));
     writeRows(state);
     schedulePool(state, POOL, 1020);
     expect(placesOf(state, SUSPECT)).toHaveLength(1);
@@ -201,7 +201,7 @@
   });
 });
 
-describe('an endpoint that went down', () => {
+describe('an endpoint that crashed', () => {
   it('is held against no task of a job that is over, and nothing is kept of it', () => {
     const state = createBatchState(2);
     see(state, FIRST);
@@ -209,13 +209,13 @@
     submit(state, SUSPECT, {}, 20);
     schedulePool(state, POOL, 20);
     cancelJob(state, SUSPECT);
-    goDown(state, FIRST, 1000);
-    expect(tasksOf(state, SUSPECT)[0]?.downs).toEqual([]);
+    crash(state, FIRST, 1000);
+    expect(tasksOf(state, SUSPECT)[0]?.crashes).toEqual([]);
     expect(state.suspectJobs.size).toBe(0);
   });
 
   const blamedOf = (state: BatchState, jobId: JobId): boolean | undefined =>
-    tasksOf(state, jobId)[0]?.downs.at(-1)?.isBlamed;
+    tasksOf(state, jobId)[0]?.crashes.at(-1)?.isSuspected;
 
   /** One run with which the endpoint was heard to live for so long, beside one that has just begun. */
   const besideOneOf = (livedMs: number): BatchState => {
@@ -228,7 +228,7 @@
     hear(state, FIRST, 101 + livedMs);
     submit(state, SUSPECT, {}, 110 + livedMs);
     schedulePool(state, POOL, 110 + livedMs);
-    goDown(state, FIRST, 1000 + livedMs);
+    crash(state, FIRST, 1000 + livedMs);
     return state;
   };
 
@@ -240,7 +240,7 @@
 
   it('proves something of a run only if the others had been there for 2 s', () => {
     const proves = (livedMs: number) =>
-      tasksOf(besideOneOf(livedMs), SUSPECT)[0]?.downs[0]?.isAlone;
+      tasksOf(besideOneOf(livedMs), SUSPECT)[0]?.crashes[0]?.isSoleSuspect;
     expect([proves(600), proves(2000)]).toEqual([false, true]);
   });
 
@@ -253,7 +253,7 @@
       { task: taskKey(OTHER, 0, 0, 0), run: 1001, checkpoint: '', percent: 5, figure: 0 },
     ];
     answer(state, { endpointId: FIRST, running, askedAtMs: 500, nowMs: 510 });
-    goDown(state, FIRST, 1000);
+    crash(state, FIRST, 1000);
     expect(blamedOf(state, OTHER)).toBe(false);
   });
 
@@ -265,7 +265,7 @@
     schedulePool(state, POOL, 20);
     hear(state, FIRST, 100);
     hear(state, FIRST, 6000);
-    goDown(state, FIRST, 7000);
-    expect(tasksOf(state, OTHER)[0]?.downs).toEqual([]);
+    crash(state, FIRST, 7000);
+    expect(tasksOf(state, OTHER)[0]?.crashes).toEqual([]);
   });
 });
--- a/packages/core/src/batch/trials.ts
+++ b/packages/core/src/batch/isolation.ts
@@ -1,11 +1,11 @@
 /**
- * Where tasks are begun under which endpoints went down. Each gets an endpoint to itself until that has
+ * Where tasks are begun under which endpoints crashed. Each gets an endpoint to itself until that has
  * been heard to live with it: one that takes endpoints down takes no work of others with it then, and
  * the end of its endpoint tells. One that was only there loses little: the others go elsewhere for
  * the quarter of a second that it takes.
  */
 import type { EndpointId } from '../shared/ids.js';
-import { isSettled, isSuspect } from './endpoint-downs.js';
+import { isSettled, isSuspect } from './endpoint-crashes.js';
 import type { StepSpec } from './job.js';
 import { reservedCpu } from './runs.js';
 import type { BatchState, EndpointState, JobState, RunState, StepRun, Task } from './state.js';
@@ -21,10 +21,10 @@
 const PATIENCE_MS = 2000;
 
 /** Endpoints on which nothing but tasks of the job begins. */
-export type Trials = ReadonlyMap<EndpointId, JobState>;
+export type IsolatedEndpoints = ReadonlyMap<EndpointId, JobState>;
 
 /** Nothing is kept for anybody. */
-export const NO_TRIALS: Trials = new Map();
+export const NONE_ISOLATED: IsolatedEndpoints = new Map();
 
 /**
  * Lists the tasks of a step that wait to be begun on an endpoint of their own.
@@ -41,10 +41,10 @@
 };
 
 /** All that was counted is in the job's row: whoever holds control next knows of it. */
-const isWritten = ({ countedDowns, writtenDowns }: JobState): boolean =>
-  writtenDowns >= countedDowns;
+const isWritten = ({ countedCrashes, writtenCrashes }: JobState): boolean =>
+  writtenCrashes >= countedCrashes;
 
-const isOnTrial = (endpoint: EndpointState, run: RunState): boolean =>
+const isUnproven = (endpoint: EndpointState, run: RunState): boolean =>
   isSuspect(run.task) && !isSettled(endpoint, run);
 
 /** Endpoints that hold tasks of a job. */
@@ -61,7 +61,7 @@
     endpointsWith(state, job)
       .filter((endpoint) =>
         Array.from(endpoint.runs.values()).some(
-          (run) => run.step.job === job && isOnTrial(endpoint, run),
+          (run) => run.step.job === job && isUnproven(endpoint, run),
         ),
       )
       .forEach(({ endpointId }) => found.set(endpointId, job));
@@ -116,14 +116,14 @@
   chosen.reduce((sum, endpoint) => sum + couldBegin(endpoint, step), 0) >= tasks;
 
 /** What a step may be given, for as long as it waits. */
-export type TrialQuestion = {
+export type IsolationRequest = {
   readonly step: StepRun;
   /** The endpoints of the pool that take new work and may run the step. */
   readonly admitted: readonly EndpointState[];
 };
 
 /** How many endpoints of a pool may be kept at once. */
-const mostTrials = (endpoints: readonly EndpointState[]): number => {
+const mostIsolated = (endpoints: readonly EndpointState[]): number => {
   const empty = endpoints.filter(({ runs }) => runs.size === 0).length;
   return Math.max(
     Math.ceil(endpoints.length * MOST_SHARE),
@@ -132,54 +132,54 @@
 };
 
 /**
- * Decides which endpoints of a pool are kept for tasks under which others went down.
+ * Decides which endpoints of a pool are kept for tasks under which others crashed.
  *
  * @param state - All that is known.
  * @param questions - The open steps with tasks that are to be alone, in their order.
  * @param endpoints - The endpoints of the pool that take new work.
  * @returns The endpoints, those where such a task was begun and has not proved harmless among them.
  */
-export const planTrials = (
+export const planIsolation = (
   state: BatchState,
-  questions: readonly TrialQuestion[],
+  questions: readonly IsolationRequest[],
   endpoints: readonly EndpointState[],
-): Trials => {
-  const trials = underWay(state);
-  const most = mostTrials(endpoints);
+): IsolatedEndpoints => {
+  const isolated = underWay(state);
+  const most = mostIsolated(endpoints);
   questions.forEach(({ step, admitted }) => {
     const { job } = step;
     const { length: waiting } = waitingSuspects(state, step);
     if (!isWritten(job)) return;
-    const chosen = admitted.filter(({ endpointId }) => trials.get(endpointId) === job);
+    const chosen = admitted.filter(({ endpointId }) => isolated.get(endpointId) === job);
     const free = admitted
-      .filter((one) => !trials.has(one.endpointId) && couldBegin(one, step) > 0)
+      .filter((one) => !isolated.has(one.endpointId) && couldBegin(one, step) > 0)
       .sort(byFitness(job));
     // A gang gets all that it needs or nothing: without another to wait for it may have more than the share.
-    const mayExceed = step.spec.isGang && trials.size === 0;
+    const mayExceed = step.spec.isGang && isolated.size === 0;
     while (
       !haveRoom(chosen, step, waiting) &&
       free.length > 0 &&
-      (mayExceed || trials.size < most)
+      (mayExceed || isolated.size < most)
     ) {
       const next = free.shift() as EndpointState;
       chosen.push(next);
-      trials.set(next.endpointId, job);
+      isolated.set(next.endpointId, job);
     }
   });
-  return trials;
+  return isolated;
 };
 
 /**
  * Lists where the waiting tasks of a step may be begun that are to be alone.
  *
- * @param trials - What is kept for whom.
+ * @param isolated - What is kept for whom.
  * @param question - The step, and the endpoints that may run it.
  * @param nowMs - The time.
  * @returns The endpoints on which only tasks of its job run, or, after some time, only ones that have long been there.
  */
-export const trialEndpoints = (
-  trials: Trials,
-  { step, admitted }: TrialQuestion,
+export const isolatedPlaces = (
+  isolated: IsolatedEndpoints,
+  { step, admitted }: IsolationRequest,
   nowMs: number,
 ): readonly EndpointState[] => {
   const { job } = step;
@@ -190,7 +190,7 @@
     isSettled(endpoint, run) && (run.step.spec.isLasting || !isPatient);
   return admitted.filter(
     (endpoint) =>
-      trials.get(endpoint.endpointId) === job &&
+      isolated.get(endpoint.endpointId) === job &&
       othersOn(endpoint, job).every((run) => mayStay(endpoint, run)),
   );
 };
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -33,7 +33,7 @@
   checkpoint: '',
   avoid: null,
   awaySinceMs: 0,
-  downs: [],
+  crashes: [],
 });
 
 const newStep = (
@@ -157,8 +157,8 @@
   sinceMs: nowMs - Math.max(0, Math.min(todayMs - job.acceptedAtMs, MOST_BELIEVED_AGE_MS)),
   isInherited,
   hasBegun: false,
-  countedDowns: 0,
-  writtenDowns: 0,
+  countedCrashes: 0,
+  writtenCrashes: 0,
 });
 
 /** Clocks of entries differ and jump: an age above this is not believed. */
--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/progress.ts
@@ -4,12 +4,12 @@
  */
 import { change } from '../shared/change.js';
 import { addOccurrence, beginDue, createJobState, endJob, markDone } from './jobs.js';
-import { giveUpReason } from './endpoint-downs.js';
+import { giveUpReason } from './endpoint-crashes.js';
 import type { BatchJob, FinalPhase, QueuePolicy } from './job.js';
 import {
   isFinal,
   type BatchState,
-  type EndpointDown,
+  type EndpointCrash,
   type JobState,
   type OccurrenceState,
   type StepRun,
@@ -32,8 +32,8 @@
   readonly done: string;
   /** Index, and the runs that failed. */
   readonly failed?: readonly (readonly [number, readonly number[]])[];
-  /** Index, and the endpoints that went down under the task. */
-  readonly downs?: readonly (readonly [number, readonly EndpointDown[]])[];
+  /** Index, and the endpoints that crashed under the task. */
+  readonly crashes?: readonly (readonly [number, readonly EndpointCrash[]])[];
 };
 
 /** The progress row: occurrence, then step. Those with nothing to tell are left out. */
@@ -58,14 +58,14 @@
   const failed = step.tasks
     .filter(({ failedRuns }) => failedRuns.length > 0)
     .map(({ index, failedRuns }) => [index, failedRuns] as const);
-  const downs = step.tasks
-    .filter((task) => task.downs.length > 0)
-    .map((task) => [task.index, task.downs] as const);
-  if (step.doneCount === 0 && failed.length === 0 && downs.length === 0) return undefined;
+  const crashes = step.tasks
+    .filter((task) => task.crashes.length > 0)
+    .map((task) => [task.index, task.crashes] as const);
+  if (step.doneCount === 0 && failed.length === 0 && crashes.length === 0) return undefined;
   return {
     done: doneDigits(step),
     ...(failed.length > 0 ? { failed } : {}),
-    ...(downs.length > 0 ? { downs } : {}),
+    ...(crashes.length > 0 ? { crashes } : {}),
   };
 };
 
@@ -104,31 +104,31 @@
     : { kind: 'live', job, policy };
 
 /** What earlier holders counted is in the row, so nothing waits for it to be written. */
-const restoreDowns = (
+const restoreCrashes = (
   state: BatchState,
   { job }: StepRun,
   task: Task,
-  downs: readonly EndpointDown[],
+  crashes: readonly EndpointCrash[],
 ): void => {
-  const lastRun = Math.max(task.lastRun, ...downs.map(({ run }) => run));
-  change(task, { downs, lastRun });
-  const countedDowns = job.countedDowns + downs.length;
-  change(job, { countedDowns, writtenDowns: countedDowns });
+  const lastRun = Math.max(task.lastRun, ...crashes.map(({ run }) => run));
+  change(task, { crashes, lastRun });
+  const countedCrashes = job.countedCrashes + crashes.length;
+  change(job, { countedCrashes, writtenCrashes: countedCrashes });
   state.suspectJobs.add(job);
 };
 
 const restoreStep = (
   state: BatchState,
   step: StepRun,
-  { done, failed = [], downs = [] }: StepProgress,
+  { done, failed = [], crashes = [] }: StepProgress,
 ): void => {
   failed.forEach(([index, failedRuns]) => {
     const task = step.tasks[index];
     if (task) Object.assign(task, { failedRuns, lastRun: Math.max(...failedRuns) });
   });
-  downs.forEach(([index, ofTask]) => {
+  crashes.forEach(([index, ofTask]) => {
     const task = step.tasks[index];
-    if (task) restoreDowns(state, step, task, ofTask);
+    if (task) restoreCrashes(state, step, task, ofTask);
   });
   step.tasks.forEach((task) => {
     if (isDoneIn(done, task.index)) markDone(state, step, task);
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -8,13 +8,13 @@
 import { addRun, fitsIn, nextRunNumber } from './runs.js';
 import {
   couldBegin,
-  NO_TRIALS,
-  planTrials,
-  trialEndpoints,
+  NONE_ISOLATED,
+  planIsolation,
+  isolatedPlaces,
   waitingSuspects,
-  type TrialQuestion,
-  type Trials,
-} from './trials.js';
+  type IsolationRequest,
+  type IsolatedEndpoints,
+} from './isolation.js';
 import {
   isSoleHolder,
   poolOf,
@@ -291,23 +291,26 @@
  * Places the tasks that are to be alone, before all others: an endpoint that is kept for one stands idle until
  * then. Which are kept does not hang on whether a step is tried in this pass, or they would fill up between.
  */
-const tryAlone = ({ state, endpoints, nowMs }: Pass, steps: readonly StepRun[]): Trials => {
+const placeIsolated = (
+  { state, endpoints, nowMs }: Pass,
+  steps: readonly StepRun[],
+): IsolatedEndpoints => {
   const questions = steps
     .filter((step) => waitingSuspects(state, step).length > 0)
-    .map((step): TrialQuestion => ({
+    .map((step): IsolationRequest => ({
       step,
       admitted: admittedEndpoints(step, endpoints, nowMs),
     }));
-  const trials = planTrials(state, questions, endpoints);
+  const isolated = planIsolation(state, questions, endpoints);
   questions.forEach((question) => {
     if (state.startsLeft <= 0) return;
     const { step } = question;
     const placing: Placing = { state, step, nowMs };
-    const places = trialEndpoints(trials, question, nowMs);
+    const places = isolatedPlaces(isolated, question, nowMs);
     const isPlaced = placeSuspects(placing, places, waitingSuspects(state, step));
     if (!isPlaced) wantAdviceForSuspects(placing, endpoints);
   });
-  return trials;
+  return isolated;
 };
 
 /** Places what may stand beside others. */
@@ -342,9 +345,11 @@
   const pass: Pass = { state, endpoints, nowMs };
   const isAnySuspect = state.suspectJobs.size > 0;
   const open = Array.from(pool.open).filter((step) => !isBlocked(state, pool, step, nowMs));
-  const trials = isAnySuspect ? tryAlone(pass, inOrder(state, open, nowMs)) : NO_TRIALS;
+  const isolated = isAnySuspect ? placeIsolated(pass, inOrder(state, open, nowMs)) : NONE_ISOLATED;
   const shared =
-    trials.size === 0 ? endpoints : endpoints.filter(({ endpointId }) => !trials.has(endpointId));
+    isolated.size === 0
+      ? endpoints
+      : endpoints.filter(({ endpointId }) => !isolated.has(endpointId));
   const due = open.filter(({ retryAtMs }) => retryAtMs <= nowMs);
   placeShared({ ...pass, endpoints: shared }, inOrder(state, due, nowMs));
 };
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -29,23 +29,23 @@
   avoid: EndpointId | null;
   /** For lasting tasks: since when it has not been at work; 0 while it is. */
   awaySinceMs: number;
-  /** Endpoints that went down by themselves under it, the first one first. */
-  downs: readonly EndpointDown[];
+  /** Endpoints that crashed by themselves under it, the first one first. */
+  crashes: readonly EndpointCrash[];
 };
 
-/** An endpoint that went down by itself while a run of a task was there. */
-export type EndpointDown = {
+/** An endpoint that crashed by itself while a run of a task was there. */
+export type EndpointCrash = {
   readonly run: number;
   /** For how long the endpoint is known to have lived with the run. */
   readonly livedMs: number;
   /** The endpoint is known to have begun the run. */
   readonly isConfirmed: boolean;
   /** The run had begun so short a time before that it may be to blame. */
-  readonly isBlamed: boolean;
+  readonly isSuspected: boolean;
   /** Every run of another job had been there for long. */
-  readonly isAlone: boolean;
-  /** Others, of which no task explains the end, went down about then: a rack, a power feed. */
-  readonly isInStorm: boolean;
+  readonly isSoleSuspect: boolean;
+  /** Others, of which no task explains the end, crashed about then: a rack, a power feed. */
+  readonly isCorrelated: boolean;
   /** The fence of the holder that counted it. */
   readonly fence: number;
   /** When it was counted, by the time of day. */
@@ -113,9 +113,9 @@
   /** Accepted under an earlier holder: a task may be running where nobody has answered yet. */
   readonly isInherited: boolean;
   hasBegun: boolean;
-  /** Endpoints that went down under its tasks, as counted here and as its row has them. */
-  countedDowns: number;
-  writtenDowns: number;
+  /** Endpoints that crashed under its tasks, as counted here and as its row has them. */
+  countedCrashes: number;
+  writtenCrashes: number;
 };
 
 /** A run of a task on an endpoint. */
@@ -161,7 +161,7 @@
   readonly runs: Map<TaskKey, RunState>;
   /**
    * Runs that were given up as the lease ended, until the endpoint answers or is found gone: then it shows
-   * that it had gone down under them.
+   * that it had crashed under them.
    */
   lapsedRuns: readonly RunState[];
   /** It has answered under the present fence, so all that runs there is known. */
@@ -201,12 +201,12 @@
   readonly atMs: number;
 };
 
-/** An endpoint that went down by itself a short time ago. */
-export type RecentDown = {
+/** An endpoint that crashed by itself a short time ago. */
+export type RecentCrash = {
   readonly endpointId: EndpointId;
   readonly rack: string;
   readonly atMs: number;
-  /** Only one job had begun something there, and endpoints had gone down under that before. */
+  /** Only one job had begun something there, and endpoints had crashed under that before. */
   readonly isExplained: boolean;
 };
 
@@ -291,7 +291,7 @@
   readonly pools: Map<PoolName, PoolState>;
   readonly endpoints: Map<EndpointId, EndpointState>;
   readonly goneEndpoints: Map<EndpointId, GoneEndpoint>;
-  recentDowns: readonly RecentDown[];
+  recentCrashes: readonly RecentCrash[];
   readonly effects: BatchEffect[];
   /** How many more starts may be sent now: what the holder's link carries. */
   startsLeft: number;
@@ -299,7 +299,7 @@
   readonly peaks: DemandPeaks;
   /** Jobs with occurrences still to come. */
   readonly timed: Set<JobState>;
-  /** Live jobs with tasks under which endpoints went down. */
+  /** Live jobs with tasks under which endpoints crashed. */
   readonly suspectJobs: Set<JobState>;
 };
 
@@ -321,7 +321,7 @@
   pools: new Map(),
   endpoints: new Map(),
   goneEndpoints: new Map(),
-  recentDowns: [],
+  recentCrashes: [],
   effects: [],
   startsLeft: Infinity,
   runTimes: createRunTimes(),
--- a/packages/core/src/batch/watch-runs.ts
+++ b/packages/core/src/batch/watch-runs.ts
@@ -82,7 +82,7 @@
   );
 
 /**
- * Finds endpoints that went down, which nothing showed before their leases ended: the list of hosts
+ * Finds endpoints that crashed, which nothing showed before their leases ended: the list of hosts
  * may be away.
  *
  * @param state - All that is known.
--- a/packages/daemon/src/batch/changed-jobs.ts
+++ b/packages/daemon/src/batch/changed-jobs.ts
@@ -21,7 +21,7 @@
   readonly job: JobState;
   readonly wasFinal: boolean;
   /** The ends of endpoints that the rows in the transaction tell of. */
-  readonly downs: number;
+  readonly crashes: number;
 };
 
 export type ChangedJobs = {
@@ -108,14 +108,14 @@
       return jobs.map((job) => ({
         job,
         wasFinal: isFinal(job.phase),
-        downs: job.countedDowns,
+        crashes: job.countedCrashes,
       }));
     },
     putBack: (sent) => sent.forEach(({ job }) => changed.add(job.job.jobId)),
     settleCommitted: (sent, version) =>
-      sent.forEach(({ job, wasFinal, downs }) => {
+      sent.forEach(({ job, wasFinal, crashes }) => {
         const known = versionsOf(job.job.jobId);
-        change(job, { writtenDowns: Math.max(job.writtenDowns, downs) });
+        change(job, { writtenCrashes: Math.max(job.writtenCrashes, crashes) });
         change(known, wasFinal ? { job: version, progress: 0 } : { progress: version });
         if (wasFinal) onSaved(job);
       }),
--- a/packages/daemon/src/batch/endpoint-downs.test.ts
+++ b/packages/daemon/src/batch/endpoint-crashes.test.ts
@@ -1,15 +1,15 @@
 /**
- * Tasks that take down each endpoint that begins them, and endpoints that go down with no task to blame,
+ * Tasks that take down each endpoint that begins them, and endpoints that crash with no task to blame,
  * in virtual time.
  *
- * The failure: endpoint after endpoint of one pool went down, each some 0.3 s after the one before, and
+ * The failure: endpoint after endpoint of one pool crashed, each some 0.3 s after the one before, and
  * with each 13 to 20 tasks of others; two thirds of the pool's jobs were not done. The order of events:
  * a task begins, and 10 ms later its endpoint is gone. The list of hosts shows another life of its host,
  * the holder puts all that ran there back to those that wait, and the task is begun again on the next
  * endpoint. One task was begun over 20 times under one holder; the next holder, after the loss of all
  * processes, went on with it.
  *
- * The cause: an endpoint that goes down reports nothing, and only what endpoints report counted against a
+ * The cause: an endpoint that crashes reports nothing, and only what endpoints report counted against a
  * task. That its run was gone was known; that it had gone with its endpoint, and how often that had happened, was
  * kept nowhere.
  *
@@ -25,7 +25,7 @@
 import type { SimEntry, SimFleet } from './testing/sim-fleet.fixtures.js';
 import { advance, FAKED, holderOf, phaseOf, started } from './testing/virtual-time.fixtures.js';
 
-/** Over the time that a host is down, so that there is always a place for the next start. */
+/** Over the time that a host is crash, so that there is always a place for the next start. */
 const PLAY_MS = 30_000;
 
 /** A job of which one of several tasks takes its endpoints down. */
@@ -66,7 +66,7 @@
   });
 
   it('is given up while the list of hosts is away, by the next lives of the hosts', async () => {
-    // Nothing but the end of a lease is seen then; that the endpoint had gone down shows later.
+    // Nothing but the end of a lease is seen then; that the endpoint had crashed shows later.
     const fleet = await started({ hostsPerPool: 4 });
     fleet.faults.isHostListDown = true;
     const crashing = submitCrashing(fleet);
@@ -97,7 +97,7 @@
         { method: 'explain', body: { kind: 'job', name: crashing } },
         1,
       );
-    const why = `2 endpoints went down under task ${crashing}.0.0.0, 2 of them`;
+    const why = `2 endpoints crashed under task ${crashing}.0.0.0, 2 of them`;
     const reason = expect.stringContaining(why) as string;
     const told = async () => [
       await holderOf(fleet).control.statusOf(crashing),
@@ -136,7 +136,7 @@
   });
 });
 
-describe('endpoints that go down, with a task to blame and without', () => {
+describe('endpoints that crash, with a task to blame and without', () => {
   type Trouble = { readonly kind: string; readonly atMs: number; readonly pick: number };
   type Work = {
     readonly step: Partial<StepSpec>;
--- a/packages/daemon/src/batch/run-ends.test.ts
+++ b/packages/daemon/src/batch/run-ends.test.ts
@@ -76,8 +76,8 @@
     });
   });
 
-  describe('of endpoints that go down under a task', () => {
-    /** The endpoint of the only job goes down so many times. */
+  describe('of endpoints that crash under a task', () => {
+    /** The endpoint of the only job crashes so many times. */
     const crashed = async (times: number): Promise<SimFleet> => {
       const fleet = await started();
       fleet.submit({ pool: 'alpha', steps: [{}], runMs: 30_000 });
@@ -92,14 +92,21 @@
     it('tells how many, by whose count, since when, and what is known of the last', async () => {
       const lines = ended(await crashed(2));
       expect(lines).toMatchObject([
-        { downs: 1, countedBy: '1', firstAgoMs: 0, isConfirmed: true, isAlone: true, others: 0 },
-        { downs: 2, countedBy: '1,1', isConfirmed: true, isAlone: true, others: 0 },
+        {
+          crashes: 1,
+          countedBy: '1',
+          firstAgoMs: 0,
+          isConfirmed: true,
+          isSoleSuspect: true,
+          others: 0,
+        },
+        { crashes: 2, countedBy: '1,1', isConfirmed: true, isSoleSuspect: true, others: 0 },
       ]);
       expect(lines[0]?.livedMs).toBeGreaterThan(500);
       expect(lines[1]?.firstAgoMs).toBeGreaterThan(1000);
     });
 
-    it('says of each endpoint whether it went down by itself', async () => {
+    it('says of each endpoint whether it crashed by itself', async () => {
       const fleet = await crashed(1);
       expect(linesOf(fleet, 'endpoint-gone')).toMatchObject([{ isCrash: true }]);
     });
@@ -114,7 +121,7 @@
       await advance(8000);
       expect(fleet.maintained.size).toBe(1);
       linesOf(fleet, 'endpoint-gone').forEach((line) => expect(line.isCrash).toBe(false));
-      ended(fleet).forEach((line) => expect(line.downs).toBeUndefined());
+      ended(fleet).forEach((line) => expect(line.crashes).toBeUndefined());
     });
   });
 
--- a/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -382,9 +382,9 @@
   const writeLater = (jobId: JobId): void => {
     const job = state.jobs.get(jobId);
     if (!job) return;
-    const { countedDowns } = job;
+    const { countedCrashes } = job;
     setTimeout(
-      () => change(job, { writtenDowns: Math.max(job.writtenDowns, countedDowns) }),
+      () => change(job, { writtenCrashes: Math.max(job.writtenCrashes, countedCrashes) }),
       saveMs,
     );
   };
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -93,9 +93,9 @@
   readonly order: (wave: UpkeepOrder) => void;
   /** All waves are read by the entries that are there now, as at their start. */
   readonly reorder: () => void;
-  /** The endpoint goes down by itself. */
+  /** The endpoint crash by itself. */
   readonly crash: (endpointId: EndpointId) => void;
-  /** How many endpoints went down by themselves under each task. */
+  /** How many endpoints crashed by themselves under each task. */
   readonly crashes: ReadonlyMap<TaskKey, number>;
   /** The endpoint falls out of the list of endpoints, and lives on. */
   readonly unlist: (endpointId: EndpointId) => void;
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -116,7 +116,7 @@
   const noted = new Set<TaskKey>();
   const failures = new Map<TaskKey, number>();
   const failedEnds = new Map<TaskKey, number>();
-  /** Endpoints that went down by themselves under a task, and starts since there were too many. */
+  /** Endpoints that crashed by themselves under a task, and starts since there were too many. */
   const crashes = new Map<TaskKey, number>();
   const startsSince = new Map<TaskKey, number>();
   const broken: string[] = [];
@@ -168,11 +168,11 @@
     const starts = (startsSince.get(key) ?? 0) + 1;
     startsSince.set(key, starts);
     if (starts >= STARTS_TOO_MANY) {
-      breaks(`${key} began ${starts} times after ${FREE_CRASHES} endpoints went down under it`);
+      breaks(`${key} began ${starts} times after ${FREE_CRASHES} endpoints crashed under it`);
     }
   };
 
-  /** A job is failed only by a task that failed too often, or under which endpoints went down. */
+  /** A job is failed only by a task that failed too often, or under which endpoints crashed. */
   const checkFailed = (jobId: JobId): void => {
     const hasCause = (counts: ReadonlyMap<TaskKey, number>, atLeast: number): boolean =>
       Array.from(counts).some(([key, count]) => key.startsWith(jobId) && count >= atLeast);
@@ -301,7 +301,7 @@
     }, afterMs);
   };
 
-  /** An endpoint goes down by itself; its host is back with another after some seconds. */
+  /** An endpoint crash by itself; its host is back with another after some seconds. */
   const crash = (endpointId: EndpointId): void => {
     const endpoint = endpoints.get(endpointId);
     const host = endpoint && hosts.get(endpoint.hostId);
