Sight: which life of an endpoint answers or is listed, by what source, and what was kept of the one before

Until now no line told that an endpoint had restarted under its id, that its sightings and answers were passed over, or since when it was known as which life. 'born' is decoded once (endpoints' entries, lists of runs), carried by relays, and told: endpoint-seen has bornAtMs and its source, and endpoint-restarted names the life before, for how long that was known, the runs kept of it, the end acknowledged, and whether the new one is passed over. No decision rests on it yet. The models of the tests and the stand-in say when they were born.

--- a/packages/core/src/batch/endpoint-model.ts
+++ b/packages/core/src/batch/endpoint-model.ts
@@ -6,7 +6,14 @@
 
 import type { EndpointId, HostId, PoolName } from '../shared/ids.js';
 import type { TaskKey } from './job.js';
-import type { EndpointClock, ListOrder, OrderError, StartOrder, StopOrder } from './orders.js';
+import type {
+  EndpointBirth,
+  EndpointClock,
+  ListOrder,
+  OrderError,
+  StartOrder,
+  StopOrder,
+} from './orders.js';
 import type { EndKind, EndpointReport, EndReport, RunningReport } from './reports.js';
 import type { Capacity } from './state.js';
 
@@ -52,12 +59,17 @@
   readonly hostId: HostId;
   readonly pool: PoolName;
   readonly capacity: Capacity;
+  /** When this life began, by the time of day. */
+  readonly bornAtMs: number;
   readonly isUp: () => boolean;
   readonly runs: ReadonlyMap<TaskKey, { readonly run: number }>;
   readonly list: (
     order: ListOrder,
   ) => Promise<
-    Result<EndpointClock & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>, OrderError>
+    Result<
+      EndpointClock & EndpointBirth & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>,
+      OrderError
+    >
   >;
   readonly start: (order: StartOrder) => Result<EndpointClock, OrderError>;
   readonly stop: (order: StopOrder) => Result<EndpointClock, OrderError>;
@@ -101,7 +113,8 @@
   observer,
   endsPerAnswer = ENDS_PER_ANSWER,
 }: EndpointModelOptions): EndpointModel => {
-  const bornAtMs = performance.now();
+  const clockBeganAtMs = performance.now();
+  const bornAtMs = Math.floor(Date.now());
   const runs = new Map<TaskKey, ModelRun>();
   const highestEnded = new Map<TaskKey, number>();
   let ends: EndReport[] = [];
@@ -112,7 +125,7 @@
   let leaseTimer: NodeJS.Timeout | undefined;
   const waiters = new Set<() => void>();
 
-  const clockMs = (): number => 1000 + (performance.now() - bornAtMs) * clockRate;
+  const clockMs = (): number => 1000 + (performance.now() - clockBeganAtMs) * clockRate;
 
   const finish = (run: ModelRun, kind: EndKind): void => {
     if (!isUp || runs.get(run.task) !== run) return;
@@ -243,7 +256,8 @@
       figure: 0,
     }));
     const ended = ends.slice(0, endsPerAnswer);
-    return Ok({ clockMs: clockMs(), running, ended, hasMoreEnds: ended.length < ends.length });
+    const hasMoreEnds = ended.length < ends.length;
+    return Ok({ clockMs: clockMs(), bornAtMs, running, ended, hasMoreEnds });
   };
 
   const self: EndpointModel = {
@@ -251,6 +265,7 @@
     hostId,
     pool,
     capacity,
+    bornAtMs,
     isUp: () => isUp,
     runs,
     list,
--- a/packages/core/src/batch/endpoints.ts
+++ b/packages/core/src/batch/endpoints.ts
@@ -12,6 +12,8 @@
   readonly labels: readonly string[];
   readonly capacity: Capacity;
   readonly isDraining: boolean;
+  /** The time of day of its start, by its host; left out where it is not told. */
+  readonly bornAtMs?: number;
 };
 
 /**
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -10,6 +10,8 @@
   dropTicket,
   type BatchEffect,
   type BatchState,
+  type EndpointBirth,
+  type EndpointClock,
   type EndpointState,
   type LinkDelay,
   type OrderWindow,
@@ -127,6 +129,8 @@
   let clock: { readonly clockMs: number; readonly atMs: number } | undefined;
   /** The endpoint's own time of the answer that was applied last. */
   let reportClockMs = 0;
+  /** Which life answered last, and since when. */
+  let birth: { readonly bornAtMs: number; readonly sinceMs: number } | undefined;
   let taken = 0;
   let acknowledged = 0;
   let isWatching = false;
@@ -156,6 +160,24 @@
     return Math.floor(clock.clockMs + ageMs * SLOWEST_CLOCK + endpointLeaseMs);
   };
 
+  /** Tells of each life that answers in place of another, and whether its answer is passed over. */
+  const noteBirth = ({ bornAtMs, clockMs }: EndpointBirth & EndpointClock): void => {
+    if (birth?.bornAtMs === bornAtMs) return;
+    const before = birth;
+    birth = { bornAtMs, sinceMs: nowMs() };
+    if (!before) return;
+    log.warn('endpoint-restarted', {
+      endpoint: endpointId,
+      bornAtMs,
+      source: 'answer',
+      bornBeforeMs: before.bornAtMs,
+      knownForMs: Math.round(nowMs() - before.sinceMs),
+      runs: endpoint()?.runs.size,
+      acknowledged,
+      isPassedOver: clockMs < reportClockMs,
+    });
+  };
+
   const isClockOld = (): boolean => clock !== undefined && nowMs() - clock.atMs > CLOCK_FRESH_MS;
 
   const noteError = (
@@ -351,6 +373,7 @@
     if (overMs >= 0) answerTimes.note(overMs);
     if (!isResponsive()) log.info('endpoint-answers', { endpoint: endpointId });
     misses = 0;
+    noteBirth(answer.value);
     noteClock(answer.value);
     // Answers on different connections may pass each other, and so may the questions.
     if (askedAtMs < (endpoint()?.reportedAtMs ?? 0) || answer.value.clockMs < reportClockMs) {
--- a/packages/daemon/src/batch/endpoint-roster.ts
+++ b/packages/daemon/src/batch/endpoint-roster.ts
@@ -7,6 +7,7 @@
   soleForMs,
   type BatchEffect,
   type BatchState,
+  type EndpointSighting,
   type EndpointState,
   type GoneCause,
 } from '@valvelatch/core/batch';
@@ -73,6 +74,26 @@
   const listed = new Set<EndpointId>();
   /** Ids are never used again; late news of these is passed over. */
   const goneForGood = new Set<EndpointId>();
+  /** By the list of endpoints: since when each is known as which life. */
+  const births = new Map<EndpointId, { readonly bornAtMs: number; readonly sinceMs: number }>();
+
+  /** Tells once of each life that is seen under an id that was known before, and what is kept of the one before. */
+  const noteLife = ({ endpointId, bornAtMs = 0 }: EndpointSighting): void => {
+    const before = births.get(endpointId);
+    if (before?.bornAtMs === bornAtMs) return;
+    births.set(endpointId, { bornAtMs, sinceMs: nowMs() });
+    if (!before) return;
+    log.warn('endpoint-restarted', {
+      endpoint: endpointId,
+      bornAtMs,
+      source: 'list',
+      bornBeforeMs: before.bornAtMs,
+      knownForMs: Math.round(nowMs() - before.sinceMs),
+      runs: state.endpoints.get(endpointId)?.runs.size,
+      acknowledged: links.get(endpointId)?.takenNumber(),
+      isPassedOver: goneForGood.has(endpointId),
+    });
+  };
 
   const drop = (endpointId: EndpointId, { reason, atMs }: GoneEvidence): void => {
     const endpoint = state.endpoints.get(endpointId);
@@ -103,7 +124,8 @@
     seen.forEach(({ endpointId }) => listed.add(endpointId));
     gone.forEach((endpointId) => listed.delete(endpointId));
     seen.forEach((sighting) => {
-      const { endpointId, address, pool, dataCentre } = sighting;
+      const { endpointId, address, pool, dataCentre, bornAtMs } = sighting;
+      noteLife(sighting);
       if (goneForGood.has(endpointId)) return;
       const isNew = !state.endpoints.has(endpointId);
       const endpoint = seeEndpoint(state, sighting, nowMs());
@@ -111,7 +133,13 @@
       endpoint.leaseEndsAtMs = nowMs() + inheritedLeasesMs;
       const link = createEndpointLink({ endpointId, address, dataCentre }, context);
       links.set(endpointId, link);
-      log.info('endpoint-seen', { endpoint: endpointId, pool, dataCentre });
+      log.info('endpoint-seen', {
+        endpoint: endpointId,
+        bornAtMs,
+        source: 'list',
+        pool,
+        dataCentre,
+      });
       link.watch();
     });
     gone.forEach((endpointId) => {
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -6,6 +6,7 @@
   AdviceAnswer,
   AdviceQuestion,
   BatchConfiguration,
+  EndpointBirth,
   EndpointClock,
   EndpointReport,
   EndpointSighting,
@@ -94,7 +95,10 @@
     order: ListOrder,
     timeoutMs: number,
   ) => Promise<
-    Result<EndpointClock & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>, OrderError>
+    Result<
+      EndpointClock & EndpointBirth & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>,
+      OrderError
+    >
   >;
   readonly start: (
     target: OrderTarget,
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -291,6 +291,7 @@
             labels: [],
             capacity: one.capacity,
             isDraining: false,
+            bornAtMs: one.bornAtMs,
           }));
           return { seen, gone };
         }),
--- a/packages/stand-ins/src/users-platform/executor-service.ts
+++ b/packages/stand-ins/src/users-platform/executor-service.ts
@@ -66,8 +66,9 @@
     const { fence = 0, lastSeen = 0, untilMs, waitMs = 0 } = body;
     const keep = untilMs === undefined ? {} : { keepUntilMs: untilMs };
     const answer = await model.list({ fence, acknowledged: lastSeen, waitMs, ...keep });
-    const wire = answer.map(({ clockMs, running, ended }) => ({
+    const wire = answer.map(({ clockMs, bornAtMs, running, ended }) => ({
       clockMs,
+      born: bornAtMs,
       running: running.map((one) => [one.task, one.run, one.checkpoint, one.percent, one.figure]),
       ended: ended.map((one) => [one.number, one.task, one.run, one.kind, one.checkpoint]),
     }));
--- a/packages/stand-ins/src/users-platform/users-platform.ts
+++ b/packages/stand-ins/src/users-platform/users-platform.ts
@@ -134,6 +134,7 @@
       machine,
       capacity: { cpu: CAPACITY.cpuMillis, memMb: CAPACITY.memoryMb },
       labels: ['a', 'r1-1'],
+      born: model.bornAtMs,
       seq: Math.round(performance.now()),
     });
 
