Red: an endpoint that starts again under its id is never used again, and tasks begin after their noted ends

The simulated fleet and the stand-in of the users' platform restart endpoints under their ids by default, in three of four restarts: after crashes, maintenance and moves alike. Late orders reach whichever life has the id by then.

The test of an endpoint that came after its holder was replaced waited for a new id; it waits for the host's next life now, whatever its id, and asks for the same.

--- a/packages/daemon/src/batch/replaced-holder.test.ts
+++ b/packages/daemon/src/batch/replaced-holder.test.ts
@@ -169,10 +169,11 @@
       await advance(1200);
       fleet.crash(gone.endpointId);
       await advance(2900);
-      const known = new Set(fleet.endpoints.keys());
-      while (fleet.endpoints.size === known.size) await advance(10);
-      const born = Array.from(fleet.endpoints.keys()).find((endpointId) => !known.has(endpointId));
-      if (!born) throw new Error('no endpoint was born');
+      const known = new Set(fleet.endpoints.values());
+      const findBorn = () => Array.from(fleet.endpoints.values()).find((one) => !known.has(one));
+      while (!findBorn()) await advance(10);
+      const born = findBorn()?.endpointId ?? gone.endpointId;
+      first.cutFrom.delete(born);
       fleet.entries.filter((one) => one !== first).forEach(({ cutFrom }) => cutFrom.add(born));
       await passTime(fleet, 1000);
       first.isCutFromEndpointList = false;
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -93,8 +93,8 @@
   readonly order: (wave: UpkeepOrder) => void;
   /** All waves are read by the entries that are there now, as at their start. */
   readonly reorder: () => void;
-  /** The endpoint crash by itself. */
-  readonly crash: (endpointId: EndpointId) => void;
+  /** The endpoint crashes by itself; its host is back after so long, 3 s if left out. */
+  readonly crash: (endpointId: EndpointId, downMs?: number) => void;
   /** How many endpoints crashed by themselves under each task. */
   readonly crashes: ReadonlyMap<TaskKey, number>;
   /** The endpoint falls out of the list of endpoints, and lives on. */
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -215,7 +215,9 @@
     if (random() < faults.lateOrders) {
       setTimeout(
         () => {
-          if (endpoint.isUp()) void call(endpoint);
+          // Whichever life has the id by then.
+          const now = endpoints.get(endpointId);
+          if (now?.isUp()) void call(now);
         },
         2000 + random() * 10_000,
       );
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -32,6 +32,8 @@
 export const MAINTENANCE_MS = 2000;
 export const MOVE_MS = 1500;
 const CRASH_MS = 3000;
+/** Of so many restarts of hosts one has a new id; the others go on under the id that they had. */
+const NEW_ID_EVERY = 4;
 
 export const SIM_POLICY: QueuePolicy = {
   priority: 0,
@@ -141,6 +143,7 @@
   const waveStatus = new Map<number, string>();
   const waves = new Map<number, UpkeepOrder>();
   let lastEndpoint = 0;
+  let restarts = 0;
 
   const breaks = (text: string): void => {
     broken.push(`${Math.round(performance.now())} ms: ${text}`);
@@ -227,9 +230,18 @@
     onCrash: ({ endpointId }) => crash(endpointId),
   };
 
-  const liveOn = (host: HostView): void => {
+  const newId = (): EndpointId => {
     lastEndpoint += 1;
-    const endpointId = brand<EndpointId>(`i-${lastEndpoint}`);
+    return brand<EndpointId>(`i-${lastEndpoint}`);
+  };
+
+  /** An endpoint may start again under the id that it had. */
+  const nextId = (former: EndpointId): EndpointId => {
+    restarts += 1;
+    return restarts % NEW_ID_EVERY === 0 ? newId() : former;
+  };
+
+  const liveOn = (host: HostView, endpointId = newId()): void => {
     endpoints.set(
       endpointId,
       createEndpointModel({
@@ -290,24 +302,24 @@
 
   /** The host's life ends; another begins after a time, unless its pool is switched off. */
   const relive = (host: HostView, afterMs: number): void => {
-    const old = host.endpointId && endpoints.get(host.endpointId);
-    if (old) old.die();
+    const formerId = host.endpointId;
+    if (formerId) endpoints.get(formerId)?.die();
     hosts.set(host.hostId, { ...host, endpointId: null });
     setTimeout(() => {
       const now = hosts.get(host.hostId);
       if (!now) return;
       if (isSpare(now.pool)) hosts.set(now.hostId, { ...now, state: 'up' });
-      else liveOn(now);
+      else liveOn(now, formerId ? nextId(formerId) : newId());
     }, afterMs);
   };
 
-  /** An endpoint crash by itself; its host is back with another after some seconds. */
-  const crash = (endpointId: EndpointId): void => {
+  /** An endpoint crashes by itself; its host is back with its next life after some time. */
+  const crash = (endpointId: EndpointId, downMs = CRASH_MS): void => {
     const endpoint = endpoints.get(endpointId);
     const host = endpoint && hosts.get(endpoint.hostId);
     if (!endpoint?.isUp() || !host) return;
     endpoint.runs.forEach((_, task) => crashes.set(task, (crashes.get(task) ?? 0) + 1));
-    relive({ ...host, state: 'down' }, CRASH_MS);
+    relive({ ...host, state: 'down' }, downMs);
   };
 
   [...pools, ...(sparePool ? [sparePool] : [])].forEach((pool) => {
--- a/packages/stand-ins/src/users-platform/users-platform.ts
+++ b/packages/stand-ins/src/users-platform/users-platform.ts
@@ -19,12 +19,16 @@
 const BEAT_MS = 500;
 const MAINTENANCE_MS = 800;
 const MOVE_MS = 600;
+/** Of so many starts of executors on a machine one has a new id; the others go on under the id that it had. */
+const NEW_ID_EVERY = 4;
 
 type Machine = {
   readonly machine: string;
   pool: string;
   state: 'up' | 'moving' | 'upkeep' | 'down';
   executor: StandInExecutor | null;
+  /** The id of the executor that it has or had last. */
+  lastId: EndpointId | null;
 };
 
 /** What is wrong with the list of machines at the moment. */
@@ -106,6 +110,7 @@
   const broken: string[] = [];
   const maintained = new Set<string>();
   let lastLife = 0;
+  let lastId = 0;
 
   const executors = (): readonly StandInExecutor[] =>
     Array.from(machines.values()).flatMap(({ executor }) => executor ?? []);
@@ -138,17 +143,25 @@
       seq: Math.round(performance.now()),
     });
 
-  const live = async (machine: Machine): Promise<void> => {
+  /** An executor may start again under the id that the one before it had. */
+  const idFor = ({ lastId: former }: Machine): EndpointId => {
     lastLife += 1;
+    if (former !== null && lastLife % NEW_ID_EVERY !== 0) return former;
+    lastId += 1;
+    return `i-${lastId}` as EndpointId;
+  };
+
+  const live = async (machine: Machine): Promise<void> => {
+    const endpointId = idFor(machine);
     const executor = await startExecutor({
-      endpointId: `i-${lastLife}` as EndpointId,
+      endpointId,
       hostId: machine.machine as HostId,
       pool: machine.pool as PoolName,
       capacity: CAPACITY,
       clockRate: 1,
       observer,
     });
-    Object.assign(machine, { executor, state: 'up' });
+    Object.assign(machine, { executor, lastId: endpointId, state: 'up' });
     write(machine, executor);
   };
 
@@ -217,7 +230,13 @@
   );
   await Promise.all(
     names.map(async ({ pool, name }) => {
-      const machine: Machine = { machine: name, pool, state: 'up', executor: null };
+      const machine: Machine = {
+        machine: name,
+        pool,
+        state: 'up',
+        executor: null,
+        lastId: null,
+      };
       machines.set(name, machine);
       await live(machine);
     }),
