A question acknowledges ends only while the life that it is meant for was heard a moment ago

Callers would see work done twice: in virtual time runs began after their ends had been noted.

Cause: each question repeated the highest end that had ever been acknowledged. It reaches whichever life has the endpoint's id; the next one, whose numbers begin anew, then forgets ends of its own that nobody has read. The first question after an endpoint had stood empty is the likeliest: it was not asked for long, and may have been given work just before.

Ruled out: acknowledging by a question of its own, which would be another look at each endpoint for each group of ends.

--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoint-link.ts
@@ -22,6 +22,7 @@
 
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import { createAcknowledgement } from './acknowledgement.js';
 import type { EndpointOrders, OrderTarget } from './ports.js';
 
 /**
@@ -130,7 +131,7 @@
   /** The endpoint's own time of the answer that was applied last. */
   let reportClockMs = 0;
   let taken = 0;
-  let acknowledged = 0;
+  const acknowledgement = createAcknowledgement(context.nowMs);
   let isWatching = false;
   let isClosed = false;
   /** Questions without an answer since the last answer. */
@@ -309,7 +310,7 @@
   };
 
   const waitMs = (): number => {
-    if (acknowledged < taken || !endpoint()?.isKnown) return 0;
+    if (acknowledgement.written() < taken || !endpoint()?.isKnown) return 0;
     const runs = Array.from(endpoint()?.runs.values() ?? []);
     if (runs.some(({ phase }) => phase === 'stopping')) return 0;
     // Until a lasting task is seen at work, no other of its step may be taken away.
@@ -321,6 +322,7 @@
   /** One lost answer costs no more than asking again; an endpoint that misses two is withheld. */
   const noteMiss = (error: OrderError): void => {
     misses += 1;
+    acknowledgement.noteMiss();
     noteError('list', error, { misses });
     if (isResponsive()) return;
     const known = endpoint();
@@ -334,6 +336,7 @@
   const ask = async (patienceMs: number): Promise<boolean> => {
     const askedAtMs = nowMs();
     const keepUntilMs = isResponsive() ? keepUntil() : undefined;
+    const acknowledged = acknowledgement.toSend(gatherForMs(context.linkDelay.meanMs()));
     const order = {
       fence: state.fence,
       acknowledged,
@@ -354,6 +357,7 @@
     if (overMs >= 0) answerTimes.note(overMs);
     if (!isResponsive()) log.info('endpoint-answers', { endpoint: endpointId });
     misses = 0;
+    acknowledgement.noteAnswer(acknowledged);
     noteClock(answer.value);
     // Answers on different connections may pass each other, and so may the questions.
     if (askedAtMs < (endpoint()?.reportedAtMs ?? 0) || answer.value.clockMs < reportClockMs) {
@@ -367,14 +371,17 @@
     applyReport(state, endpointId, report);
     // Only what was applied may be acknowledged.
     taken = Math.max(taken, ...fresh.map(({ number }) => number));
-    if (taken > acknowledged) context.wantSave();
+    if (taken > acknowledgement.written()) context.wantSave();
     context.poke();
     return true;
   };
 
   const needsWatch = (): boolean => {
     const known = endpoint();
-    return known !== undefined && (known.runs.size > 0 || !known.isKnown || acknowledged < taken);
+    return (
+      known !== undefined &&
+      (known.runs.size > 0 || !known.isKnown || acknowledgement.written() < taken)
+    );
   };
 
   const pauseAfter = async (isAnswered: boolean): Promise<void> => {
@@ -388,7 +395,7 @@
     const gatherMs = gatherForMs(context.linkDelay.meanMs());
     await pause(isStopping ? Math.max(STOPPING_MS, gatherMs) : gatherMs);
     const untilMs = nowMs() + Math.max(SAVE_PATIENCE_MS, gatherMs);
-    while (acknowledged < taken && nowMs() < untilMs) await pause(GATHER_MS);
+    while (acknowledgement.written() < taken && nowMs() < untilMs) await pause(GATHER_MS);
   };
 
   const run = async (): Promise<void> => {
@@ -413,9 +420,7 @@
   return {
     target,
     takenNumber: () => taken,
-    acknowledge: (number) => {
-      acknowledged = Math.max(acknowledged, number);
-    },
+    acknowledge: acknowledgement.noteWritten,
     perform: (effect) => {
       if (effect.kind === 'start') void start(effect).then(watch);
       if (effect.kind === 'stop') void stop(effect);
--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -109,6 +109,8 @@
   readonly kind: 'list' | 'start' | 'stop';
   readonly sentAtMs: number;
   readonly keepUntilMs: number | undefined;
+  /** The end up to which it acknowledges; 0 for none. */
+  readonly acknowledged: number;
 };
 
 export type LeasedEndpoint = {
@@ -322,18 +324,26 @@
   const orders: EndpointOrders = {
     list: (_, order, timeoutMs) =>
       call(
-        { kind: 'list', keepUntilMs: order.keepUntilMs },
+        {
+          kind: 'list',
+          keepUntilMs: order.keepUntilMs,
+          acknowledged: order.acknowledged,
+        },
         () => carriedOut.list(order),
         order.waitMs + timeoutMs,
       ),
     start: (_, order, timeoutMs) =>
       call(
-        { kind: 'start', keepUntilMs: order.keepUntilMs },
+        { kind: 'start', keepUntilMs: order.keepUntilMs, acknowledged: 0 },
         () => carriedOut.start(order),
         timeoutMs,
       ),
     stop: (_, order, timeoutMs) =>
-      call({ kind: 'stop', keepUntilMs: undefined }, () => model.stop(order), timeoutMs),
+      call(
+        { kind: 'stop', keepUntilMs: undefined, acknowledged: 0 },
+        () => model.stop(order),
+        timeoutMs,
+      ),
     pace: async () => Ok({ clockMs: 0 }),
     forget: () => undefined,
   };
