The next life of an endpoint is counted to keep what runs there for as long as any order may grant

Callers would see a task run on two endpoints: an endpoint that fell silent 0.7 s after it had started again was given up 7 s later, and its tasks were begun elsewhere while they ran there.

Cause: an order names a time on the clock of the life that is known. The next life's clock begins anew, so that time is far ahead of it and is cut only to the platform's longest lease (10 s), which is longer than what the holder counts for a life that it has just seen.

Now a life that follows another is counted to keep its runs for the longest lease from when it was seen.

--- a/packages/daemon/src/batch/endpoint-lives.test.ts
+++ b/packages/daemon/src/batch/endpoint-lives.test.ts
@@ -106,6 +106,23 @@
     },
   );
 
+  it('is silent for as long as it may keep tasks that were sent by the clock of the life before', async () => {
+    for (let beforeMs = 0; beforeMs < 1000; beforeMs += 40) {
+      const fleet = await started({ hostsPerPool: 2 });
+      fleet.submit({ pool: 'alpha', steps: [{ taskCount: 8 }], runMs: 300 });
+      await advance(12_000);
+      fleet.submit({ pool: 'alpha', steps: [{ taskCount: 4 }], runMs: 30_000 });
+      await advance(beforeMs);
+      const restarted = anyEndpoint(fleet);
+      fleet.crash(restarted, 3);
+      await advance(700);
+      fleet.entries.forEach(({ cutFrom }) => cutFrom.add(restarted));
+      await advance(14_000);
+      expect(fleet.broken).toEqual([]);
+      Array.from(fleet.entries).forEach(fleet.kill);
+    }
+  });
+
   it.each([10, 400, 3000])(
     'is not taken down again and again by one task, being back after %i ms each time',
     async (downMs) => {
--- a/packages/daemon/src/batch/endpoint-roster.ts
+++ b/packages/daemon/src/batch/endpoint-roster.ts
@@ -28,8 +28,9 @@
   unlisted: 'no longer listed',
 };
 
-/** A lease ends so much later by an endpoint's slow clock. */
+/** A lease ends so much later by an endpoint's slow clock and a late answer. */
 const LEASE_SLACK = 1.05;
+const LEASE_MARGIN_MS = 500;
 
 /** An endpoint whose host never shows again is forgotten after this time: some are lost for good. */
 const AWAIT_END_MS = 60_000;
@@ -83,8 +84,16 @@
   const listed = new Set<EndpointId>();
   /** A life that is over never comes back: late news of it is passed over. */
   const goneForGood = new Set<EndpointId>();
+  /** Endpoints of which a life was seen. */
+  const hadLives = new Set<InstanceId>();
   /** Until when questions to former lives of an endpoint may be carried out by the next. */
   const lateUntilMs = new Map<InstanceId, number>();
+  /** An order by the clock of the life before names a time that is far ahead here: it is kept for as long as any. */
+  const firstLeaseMs = (endpointId: EndpointId): number =>
+    hadLives.has(instanceOf(endpointId))
+      ? Math.max(inheritedLeasesMs, state.longestLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS)
+      : inheritedLeasesMs;
+
   const noteLate = (endpointId: EndpointId): void => {
     const instanceId = instanceOf(endpointId);
     const untilMs = links.get(endpointId)?.lateUntilMs() ?? 0;
@@ -153,8 +162,9 @@
       }
       const endpoint = seeEndpoint(state, sighting, nowMs());
       if (!isNew) return;
-      endpoint.leaseEndsAtMs = nowMs() + inheritedLeasesMs;
+      endpoint.leaseEndsAtMs = nowMs() + firstLeaseMs(endpointId);
       withholdFromLate(endpoint);
+      hadLives.add(instanceOf(endpointId));
       const link = createEndpointLink({ endpointId, address, dataCentre }, context);
       links.set(endpointId, link);
       barOpenStarts(state, endpoint, nowMs());
