--- a/packages/core/src/batch/gone-endpoints.ts
+++ b/packages/core/src/batch/gone-endpoints.ts
@@ -16,7 +16,7 @@
 import { instanceOf } from './endpoint-life.js';
 import { mayBeFollowed } from './followed-runs.js';
 import { endJob } from './jobs.js';
-import { loseRun } from './reports.js';
+import { loseRun } from './lost-runs.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
 import {
   isFinal,
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -20,6 +20,7 @@
 export * from './lookup-queue.js';
 export * from './open-starts.js';
 export * from './order.js';
+export * from './order-answers.js';
 export * from './order-window.js';
 export * from './orders.js';
 export * from './plain-step.js';
--- a/packages/core/src/batch/open-starts.ts
+++ b/packages/core/src/batch/open-starts.ts
@@ -5,19 +5,11 @@
  */
 import type { EndpointId, InstanceId } from '../shared/ids.js';
 import { instanceOf } from './endpoint-life.js';
-import type { TaskKey } from './job.js';
-import type { BatchState } from './state.js';
+import type { BatchState, OpenStart } from './state.js';
 
 /** A platform may hold an order up for so long. */
 export const LATEST_ORDER_MS = 12_000;
 
-/** An order to start that may still be carried out. */
-export type OpenStart = {
-  readonly task: TaskKey;
-  readonly run: number;
-  readonly untilMs: number;
-};
-
 /** Which run an order is to start. */
 export type StartedRun = Pick<OpenStart, 'task' | 'run'>;
 
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -7,7 +7,8 @@
 import { endJob, findReportedTask, markDone } from './jobs.js';
 import { learnRunTime } from './run-times.js';
 import { noteRunEnd, type RunEvidence } from './run-end.js';
-import { addRun, dropRun, requeue, stopRun, type DropRunOptions } from './runs.js';
+import { loseRun } from './lost-runs.js';
+import { addRun, dropRun, requeue } from './runs.js';
 import {
   isFinal,
   poolOf,
@@ -229,95 +230,3 @@
   change(endpoint, { isKnown: true, reportedAtMs: askedAtMs, lapsedRuns: [] });
   poolOf(state, endpoint.pool).notReported.delete(instanceOf(endpointId));
 };
-
-/** Options for a run that ended without a report. */
-export type LoseRunOptions = Omit<DropRunOptions, 'settle'> & {
-  /** What else follows, once the task waits again. */
-  readonly afterwards?: () => void;
-};
-
-/**
- * Takes a run for ended without a report.
- *
- * @param state - All that is known, changed in place.
- * @param options - The run and what shows that it has ended.
- */
-export const loseRun = (
-  state: BatchState,
-  { endpoint, run, evidence, nowMs, fields, afterwards }: LoseRunOptions,
-): void => {
-  const { task, step } = run;
-  const settle = (): void => {
-    if (step.spec.isLasting && task.awaySinceMs === 0) task.awaySinceMs = nowMs;
-    requeue(state, step, task);
-    afterwards?.();
-  };
-  dropRun(state, { endpoint, run, evidence, nowMs, fields, settle });
-};
-
-/** What became of an order to start a run. */
-export type StartOutcome = 'started' | 'rejected' | 'unknown';
-
-/** An answer to an order to start. */
-export type StartAnswer = {
-  readonly task: TaskKey;
-  readonly run: number;
-  /** Unknown if there was no answer. */
-  readonly outcome: StartOutcome;
-  /** Why it was rejected, in a word. */
-  readonly reason?: string;
-  readonly nowMs: number;
-};
-
-/**
- * Applies the answer to an order to start.
- *
- * @param state - All that is known, changed in place.
- * @param endpointId - Where it was sent.
- * @param answer - The run, what became of the order, and the time.
- */
-export const applyStartOutcome = (
-  state: BatchState,
-  endpointId: EndpointId,
-  { task, run, outcome, reason = '', nowMs }: StartAnswer,
-): void => {
-  const endpoint = state.endpoints.get(endpointId);
-  const known = endpoint?.runs.get(task);
-  if (!endpoint || !known || known.run !== run || known.phase !== 'starting') return;
-  if (outcome === 'started') {
-    known.phase = 'running';
-    known.confirmedAtMs = nowMs;
-    known.begunByMs = Math.min(known.begunByMs, nowMs);
-  }
-  if (outcome === 'rejected') {
-    const evidence: RunEvidence = { cause: 'start-refused', atMs: nowMs, detail: reason };
-    const settle = (): void => requeue(state, known.step, known.task);
-    dropRun(state, { endpoint, run: known, evidence, nowMs, settle });
-  }
-  if (outcome === 'unknown') {
-    known.phase = 'unsure';
-    // A stop also bars a start that arrives after it.
-    stopRun(state, endpoint, known, 'the order to start had no answer');
-  }
-};
-
-/**
- * Applies that an endpoint answered an order to stop. The run is dropped once a later answer shows
- * that it is not there: it may have ended before, and then its end is listed.
- *
- * @param state - All that is known, changed in place.
- * @param endpointId - The endpoint.
- * @param task - The task.
- * @param run - The run.
- * @param nowMs - The time.
- */
-export const applyStopAnswer = (
-  state: BatchState,
-  endpointId: EndpointId,
-  task: TaskKey,
-  run: number,
-  nowMs: number,
-): void => {
-  const known = state.endpoints.get(endpointId)?.runs.get(task);
-  if (known && known.run === run) known.stopAnsweredAtMs = nowMs;
-};
--- a/packages/core/src/batch/run-end.test.ts
+++ b/packages/core/src/batch/run-end.test.ts
@@ -14,13 +14,8 @@
 } from './batch-state.fixtures.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
 import { cancelJob } from './jobs.js';
-import {
-  applyStartOutcome,
-  applyStopAnswer,
-  type EndKind,
-  type EndReport,
-  type StartAnswer,
-} from './reports.js';
+import { applyStartOutcome, applyStopAnswer, type StartAnswer } from './order-answers.js';
+import { type EndKind, type EndReport } from './reports.js';
 import { schedulePool } from './schedule.js';
 import { createBatchState, takeEffects, type BatchState } from './state.js';
 import { watchRuns } from './watch-runs.js';
--- a/packages/core/src/batch/watch-runs.ts
+++ b/packages/core/src/batch/watch-runs.ts
@@ -3,7 +3,7 @@
 import type { EndpointId } from '../shared/ids.js';
 import { mayRunInLaterLife } from './followed-runs.js';
 import { withholdEndpoint } from './health.js';
-import { loseRun } from './reports.js';
+import { loseRun } from './lost-runs.js';
 import type { RunEvidence } from './run-end.js';
 import { stopRun } from './runs.js';
 import { isSoleHolder, type BatchState, type EndpointState, type RunState } from './state.js';
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -12,6 +12,7 @@
 import { createLeaseKeeper } from '../leases/lease-keeper.js';
 import type { Log } from '../observe/log.js';
 import type { Metrics } from '../observe/metrics.js';
+import { sleep } from '../shared/sleep.js';
 import type { ControlView } from './intake.js';
 import type { AcceptOutcome } from './job-saver.js';
 import { ENDPOINT_LEASE_MS } from './endpoint-link.js';
@@ -67,11 +68,6 @@
  */
 const TURNED_AWAY_MS = 1200;
 
-const pause = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 export type ControlOptions = {
   readonly self: EntryId;
   readonly platform: BatchPlatform;
@@ -322,7 +318,7 @@
       const untilMs = nowMs() + RESIGN_FOR_MS;
       // While the platform is away nobody could take over: control goes on until it is back.
       while (term && nowMs() < untilMs && !(await keeper.release(term.fleet.idleMs()))) {
-        await pause(RESIGN_PAUSE_MS);
+        await sleep(RESIGN_PAUSE_MS);
       }
       await endTerm('this entry stops as planned');
     },
--- a/packages/daemon/src/batch/endpoint-roster.ts
+++ b/packages/daemon/src/batch/endpoint-roster.ts
@@ -15,7 +15,8 @@
 import { change } from '@valvelatch/core/shared/change';
 import type { EndpointId, InstanceId } from '@valvelatch/core/shared/ids';
 
-import { createEndpointLink, type EndpointLink, type LinkContext } from './endpoint-link.js';
+import { createEndpointLink, type EndpointLink } from './endpoint-link.js';
+import type { LinkContext } from './link-context.js';
 import type { EndpointFeed, EndpointNews } from './ports.js';
 
 const REASONS: Readonly<Record<GoneCause, string>> = {
