An answer to a start counts also after the life that it was sent to was found over

Callers would see a task run on two endpoints.

Cause: the answer to a start may come after the endpoint was found to have started again. It was passed over, though the next life may have begun the run; with the order no longer open, the run was given up at once and its task begun elsewhere.

Now such an answer is noted with the life that is gone, so that the run waits for what the next one lists. The test had its task begun on a second endpoint before.

--- a/packages/core/src/batch/followed-runs.test.ts
+++ b/packages/core/src/batch/followed-runs.test.ts
@@ -124,6 +124,18 @@
     });
   });
 
+  it('is counted as answered also where the answer comes after its life was found over', () => {
+    lose('restarted');
+    answerStart();
+    cycle(GONE_AT_MS + 10);
+    expect(endpointsOf(state, taskOf(state))).toEqual([]);
+    seeNext();
+    hear(NEXT, HEARD_AT_MS, { running: [running] });
+    cycle(HEARD_AT_MS);
+    expect(endpointsOf(state, taskOf(state))).toEqual([NEXT]);
+    expect(taskOf(state).lastRun).toBe(FIRST_RUN);
+  });
+
   describe('whose start had no answer', () => {
     it.each(['restarted', 'host-list', 'host-ordered'] as const)(
       'is not begun elsewhere while the order may reach the next life (%s)',
--- a/packages/core/src/batch/order-answers.ts
+++ b/packages/core/src/batch/order-answers.ts
@@ -1,4 +1,5 @@
 /** What follows from the answers to orders to start and to stop. */
+import { change } from '../shared/change.js';
 import type { EndpointId } from '../shared/ids.js';
 import type { TaskKey } from './job.js';
 import type { RunEvidence } from './run-end.js';
@@ -19,6 +20,16 @@
   readonly nowMs: number;
 };
 
+/** A life that was found over meanwhile may have begun it, or the next: that shows once the next one has told. */
+const noteLateAnswer = (
+  { goneEndpoints }: BatchState,
+  endpointId: EndpointId,
+  { task, run, outcome, nowMs }: StartAnswer,
+): void => {
+  const known = goneEndpoints.get(endpointId)?.endpoint.runs.get(task);
+  if (known?.run === run && outcome === 'started') change(known, { confirmedAtMs: nowMs });
+};
+
 /**
  * Applies the answer to an order to start.
  *
@@ -32,6 +43,7 @@
   answer: StartAnswer,
 ): void => {
   const { task, run, outcome, reason = '', nowMs } = answer;
+  noteLateAnswer(state, endpointId, answer);
   const endpoint = state.endpoints.get(endpointId);
   const known = endpoint?.runs.get(task);
   if (!endpoint || !known || known.run !== run || known.phase !== 'starting') return;
