Two lives of one endpoint are not two endpoints that crashed about one time

Callers would see a task taken down endpoint after endpoint for longer: crashes that look like a rack's or a power feed's are held against no task.

Cause: two unexplained crashes about one time were counted by the lives that ended. An endpoint that crashes twice within a second under its id counted as two others.

Now they are counted by endpoints. The test judged the third crash as correlated before.

--- a/packages/core/src/batch/endpoint-crashes.ts
+++ b/packages/core/src/batch/endpoint-crashes.ts
@@ -171,7 +171,8 @@
   );
   const rack = rackOf(endpoint);
   const isRack = rack !== '' && others.some((other) => other.rack === rack);
-  return isRack || others.length >= CORRELATED_ENDPOINTS;
+  const endpoints = new Set(others.map(({ endpointId }) => instanceOf(endpointId)));
+  return isRack || endpoints.size >= CORRELATED_ENDPOINTS;
 };
 
 /** Another run that can hardly be to blame: a task that takes endpoints down may take its time. */
--- a/packages/core/src/batch/isolation.test.ts
+++ b/packages/core/src/batch/isolation.test.ts
@@ -5,6 +5,7 @@
 import { brand, type EndpointId, type JobId } from '../shared/ids.js';
 import { answer, FIRST, POOL, SECOND, see, writeRows } from './batch-state.fixtures.js';
 import { giveUpReason } from './endpoint-crashes.js';
+import { lifeOf } from './endpoint-life.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
 import { taskKey, type StepSpec } from './job.js';
 import { cancelJob, takeInJob } from './jobs.js';
@@ -89,6 +90,31 @@
   return state;
 };
 
+describe('crashes about the time of a task', () => {
+  /** Two others crash 0.7 and 0.2 s before the task's endpoint. */
+  const isCorrelatedWith = ([one, other]: readonly [EndpointId, EndpointId]): boolean => {
+    const state = createBatchState(2);
+    see(state, FIRST);
+    hear(state, FIRST, 10);
+    submit(state, SUSPECT, {}, 20);
+    schedulePool(state, POOL, 20);
+    see(state, one, 30);
+    crash(state, one, 300);
+    see(state, other, 400);
+    crash(state, other, 800);
+    crash(state, FIRST, 1000);
+    return tasksOf(state, SUSPECT)[0]?.crashes[0]?.isCorrelated ?? false;
+  };
+
+  it('have a cause of their own if two other endpoints crashed', () => {
+    expect(isCorrelatedWith([SECOND, THIRD])).toBe(true);
+  });
+
+  it('say nothing if one other endpoint crashed in each of two lives', () => {
+    expect(isCorrelatedWith([lifeOf(SECOND, 1), lifeOf(SECOND, 2)])).toBe(false);
+  });
+});
+
 describe('a task under which an endpoint crashed', () => {
   it('is begun only once that is written', () => {
     const state = afterCrash();
