--- a/packages/core/src/batch/gone-endpoints.test.ts
+++ b/packages/core/src/batch/gone-endpoints.test.ts
@@ -11,7 +11,7 @@
   taskOf,
   writeRows,
 } from './batch-state.fixtures.js';
-import { instanceOf } from './endpoint-life.js';
+import { instanceOf, lifeOf } from './endpoint-life.js';
 import { expectReports } from './endpoints.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
 import { endpointsOf, schedulePool } from './schedule.js';
@@ -94,6 +94,26 @@
       ]);
     });
 
+    it('keeps inherited tasks waiting that may run in a later life of it', () => {
+      const life = lifeOf('i-0000000001', 1);
+      const next = lifeOf('i-0000000001', 2);
+      const state = stateWith({ isInherited: true });
+      Object.assign(state, { inheritedLeasesEndAtMs: 9000, soleHolderUntilMs: Infinity });
+      [life, SECOND].forEach((endpointId) => see(state, endpointId));
+      expectReports(state, [
+        { instanceId: instanceOf(life), pool: POOL },
+        { instanceId: instanceOf(SECOND), pool: POOL },
+      ]);
+      hear(state, SECOND, 30);
+      removeEndpoint(state, life, { detail: 'restarted', atMs: 100, nowMs: 100 });
+      cycle(state, 100);
+      expect(endpointsOf(state, taskOf(state))).toEqual([]);
+      see(state, next, 200);
+      hear(state, next, 300);
+      cycle(state, 300);
+      expect(endpointsOf(state, taskOf(state))).toHaveLength(1);
+    });
+
     it('keeps inherited tasks waiting that may have run there', () => {
       const state = stateWith({ isInherited: true });
       see(state, FIRST);
