A run that is followed to the next life is stopped there if its job is over

Callers would see work of a cancelled job go on.

Cause: a job that ends has its runs stopped where they are known to be. One that waited for the next life of its endpoint was on none, and was taken for running once that life listed it.

Now it is stopped there, as is one that the life before was to stop. The test had no order to stop before.

--- a/packages/core/src/batch/followed-runs.test.ts
+++ b/packages/core/src/batch/followed-runs.test.ts
@@ -21,6 +21,7 @@
 import { instanceOf, lifeOf } from './endpoint-life.js';
 import { barOpenStarts } from './followed-runs.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
+import { cancelJob } from './jobs.js';
 import { closeStart, LATEST_ORDER_MS, openStart } from './open-starts.js';
 import { applyStartOutcome, applyStopAnswer } from './order-answers.js';
 import type { EndKind } from './reports.js';
@@ -124,6 +125,16 @@
     });
   });
 
+  it('is stopped in the next life if its job was cancelled before that was heard', () => {
+    answerStart();
+    lose('restarted');
+    seeNext();
+    cancelJob(state, JOB);
+    hear(NEXT, HEARD_AT_MS, { running: [running] });
+    cycle(HEARD_AT_MS);
+    expect(stopsAt(NEXT)).toMatchObject([START]);
+  });
+
   it('is counted as answered also where the answer comes after its life was found over', () => {
     lose('restarted');
     answerStart();
--- a/packages/core/src/batch/followed-runs.ts
+++ b/packages/core/src/batch/followed-runs.ts
@@ -9,7 +9,14 @@
 import { instanceOf } from './endpoint-life.js';
 import { isStartOpen, openStartsAt, type StartedRun } from './open-starts.js';
 import { moveRun, stopRun } from './runs.js';
-import type { BatchState, EndpointState, GoneCause, GoneEndpoint, RunState } from './state.js';
+import {
+  isFinal,
+  type BatchState,
+  type EndpointState,
+  type GoneCause,
+  type GoneEndpoint,
+  type RunState,
+} from './state.js';
 
 /** By these no life of the endpoint can come after: something else has its host or its address. */
 const WITHOUT_NEXT: ReadonlySet<GoneCause> = new Set(['host-taken', 'replaced', 'succeeded']);
@@ -99,6 +106,21 @@
   });
 };
 
+/** Counts a run at the life that lists it; one that was to stop, or whose job is over, is to stop there. */
+const followRun = (
+  state: BatchState,
+  before: EndpointState,
+  next: EndpointState,
+  run: RunState,
+): void => {
+  noteFollowed(state, run, [before, next], 'listed');
+  const { job } = run.step;
+  const isOver = isFinal(job.phase);
+  const moved = moveRun(state, { from: before, to: next, run, phase: 'running' });
+  if (isOver) stopRun(state, next, moved, job.reason);
+  else if (run.phase === 'stopping') stopRun(state, next, moved, 'the life before was to stop it');
+};
+
 /** A life that lists nothing of the run may still begin it: that is barred before its task begins elsewhere. */
 const barRun = (
   state: BatchState,
@@ -135,8 +157,7 @@
     change(gone, { isFollowed: true });
     before.runs.forEach((run) => {
       if (isNamed(run)) {
-        noteFollowed(state, run, [before, next], 'listed');
-        moveRun(state, { from: before, to: next, run, phase: 'running' });
+        followRun(state, before, next, run);
       } else if (isOpen(state, before, run, nowMs)) {
         barRun(state, gone, next, run, nowMs);
       }
