A job is given up also where the last crash under it left an order to start under way

Callers would see a task taken down endpoint after endpoint once more than need be.

Cause: a crash that is counted as its run is barred in the next life was not followed by the question whether the job is to be given up; that came with the next crash.

Now it is asked there too, by the same function (give-up.ts). The test's job ran on before.

--- a/packages/core/src/batch/followed-runs.test.ts
+++ b/packages/core/src/batch/followed-runs.test.ts
@@ -135,6 +135,17 @@
     expect(stopsAt(NEXT)).toMatchObject([START]);
   });
 
+  it('is given up once it is barred, if its crash was one too many', () => {
+    const crash = { run: 1, livedMs: 0, isConfirmed: true, isSuspected: true, fence: 2 };
+    const blame = { ...crash, isSoleSuspect: true, isCorrelated: false, countedAtMs: 0 };
+    Object.assign(taskOf(state), { crashes: [blame, blame, blame] });
+    lose('restarted');
+    seeNext();
+    hear(NEXT, HEARD_AT_MS);
+    cycle(HEARD_AT_MS);
+    expect(state.jobs.get(JOB)?.phase).toBe('failed');
+  });
+
   it('is counted as answered also where the answer comes after its life was found over', () => {
     lose('restarted');
     answerStart();
--- a/packages/core/src/batch/followed-runs.ts
+++ b/packages/core/src/batch/followed-runs.ts
@@ -7,6 +7,7 @@
 import { change } from '../shared/change.js';
 import { judgeCrash, recordCrash } from './endpoint-crashes.js';
 import { instanceOf } from './endpoint-life.js';
+import { giveUpIfDue } from './give-up.js';
 import { isStartOpen, openStartsAt, type StartedRun } from './open-starts.js';
 import { moveRun, stopRun } from './runs.js';
 import {
@@ -130,10 +131,11 @@
   nowMs: number,
 ): void => {
   const crash = gone.verdicts ? gone.verdicts.get(run) : judgeCrash(state, gone, run, nowMs);
-  if (crash) recordCrash(state, run, crash);
+  if (crash && !isFinal(run.step.job.phase)) recordCrash(state, run, crash);
   noteFollowed(state, run, [gone.endpoint, next], 'barred');
   const moved = moveRun(state, { from: gone.endpoint, to: next, run, phase: 'unsure' });
   stopRun(state, next, moved, 'an order to an earlier life may arrive here');
+  giveUpIfDue(state, moved);
 };
 
 /**
--- a/packages/core/src/batch/gone-endpoints.ts
+++ b/packages/core/src/batch/gone-endpoints.ts
@@ -7,7 +7,6 @@
 import { change } from '../shared/change.js';
 import {
   crashFields,
-  giveUpReason,
   judgeCrash,
   lastRunsOf,
   noteCrashes,
@@ -15,7 +14,7 @@
 } from './endpoint-crashes.js';
 import { instanceOf } from './endpoint-life.js';
 import { mayBeFollowed } from './followed-runs.js';
-import { endJob } from './jobs.js';
+import { giveUpIfDue } from './give-up.js';
 import { loseRun } from './lost-runs.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
 import {
@@ -81,12 +80,6 @@
   return new Map(judged.map(({ run }) => [run, crashFields(run.task, endpoint, todayMs)]));
 };
 
-/** A task that takes down each endpoint that begins it would take down the next one, too. */
-const giveUpIfDue = (state: BatchState, { task, step }: RunState): void => {
-  const reason = giveUpReason(task);
-  if (reason !== undefined) endJob(state, step.job, 'failed', reason);
-};
-
 /** A run that was given up before tells of its endpoint's end all the same. */
 const settleLapsed = (
   state: BatchState,
