Red: a job is failed for an endpoint that crashed after the job's run there had ended unheard

The run was done; for 2 s no question to its endpoint had an answer, then that crashed, and both its crashes (one before) counted as the task's doing. The judgement is that of the last incident and knows nothing of lives.

--- a/packages/daemon/src/batch/endpoint-lives.test.ts
+++ b/packages/daemon/src/batch/endpoint-lives.test.ts
@@ -275,6 +275,8 @@
         {
           numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 25),
           endOnFailure: true,
+          // By hand any seed is played.
+          ...(process.env.VALVELATCH_FUZZ_RUNS === undefined ? { seed: 1 } : {}),
           examples: [
             // An order to bar a run in the next life had no answer.
             [
@@ -306,5 +308,17 @@
         },
       );
     }, 600_000);
+
+    it('fails no job for an endpoint that crashed after the runs there had ended unheard', async () => {
+      const restart = { kind: 'restart' };
+      const troubles = [
+        { ...restart, atMs: 4715, forMs: 64, pick: 189 },
+        { ...restart, atMs: 10_918, forMs: 3106, pick: 488 },
+        { ...restart, atMs: 7440, forMs: 264, pick: 904 },
+        { kind: 'endpointListAway', atMs: 7323, forMs: 2530, pick: 124 },
+        { ...restart, atMs: 9222, forMs: 298, pick: 716 },
+      ];
+      await play(799_371, troubles, 0.03, true);
+    });
   });
 });
