--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -61,3 +61,10 @@
   if (!holder) throw new Error('nobody holds control');
   return holder;
 };
+
+/** One task on each of the pool's endpoints. */
+export const submitLasting = (fleet: SimFleet, taskCount: number): JobId =>
+  fleet.submit({
+    pool: 'alpha',
+    steps: [{ taskCount, isLasting: true, mostPerEndpoint: 1, cpuMillis: 4000 }],
+  });
