A job waits until a task of it is known to have begun

Cause: a job counted as begun as soon as an order to start a task of it was sent. Orders to endpoints that are cut off reach nobody.

Now a job counts as begun once the order was answered, or its endpoint lists the run or its end.

--- a/packages/core/src/batch/job-state.ts
+++ b/packages/core/src/batch/job-state.ts
@@ -105,6 +105,7 @@
   readonly sinceMs: number;
   /** Accepted under an earlier holder: a task may be running where nobody has answered yet. */
   readonly isInherited: boolean;
+  /** A task of it is known to have begun; that one was ordered does not show it. */
   hasBegun: boolean;
   /** Endpoints that crashed under its tasks, as counted here and as its row has them. */
   countedCrashes: number;
--- a/packages/core/src/batch/order-answers.ts
+++ b/packages/core/src/batch/order-answers.ts
@@ -49,6 +49,7 @@
   if (!endpoint || !known || known.run !== run || known.phase !== 'starting') return;
   if (outcome === 'started') {
     known.phase = 'running';
+    change(known.step.job, { hasBegun: true });
     known.confirmedAtMs = nowMs;
     known.begunByMs = Math.min(known.begunByMs, nowMs);
   }
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -125,6 +125,7 @@
   const name = parseTaskKey(task);
   const found = name && findReportedTask(state, name);
   const evidence: RunEvidence = { cause: 'reported', atMs: askedAtMs, detail: kind };
+  if (found) change(found.step.job, { hasBegun: true });
   const settleAfter = (ranMs: number): void => {
     if (!found || isFinal(found.step.job.phase)) return;
     endHandlers[kind](state, { ...found, end, endpoint, ranMs });
@@ -141,6 +142,7 @@
 
 const updateRun = (run: RunState, report: RunningReport, nowMs: number): void => {
   const { task, step, phase, percent, progressAtMs, confirmedAtMs, begunByMs } = run;
+  change(step.job, { hasBegun: true });
   change(run, {
     confirmedAtMs: Math.min(confirmedAtMs, nowMs),
     begunByMs: Math.min(begunByMs, nowMs),
--- a/packages/core/src/batch/runs.ts
+++ b/packages/core/src/batch/runs.ts
@@ -114,7 +114,7 @@
   changePerEndpoint(step, endpoint.endpointId, 1);
   endpoint.runs.set(task.key, begun);
   if (step.waiting.length === 0) poolOf(state, job.job.pool).open.delete(step);
-  job.hasBegun = true;
+  if (phase === 'running') job.hasBegun = true;
   if (job.phase === 'pending') job.phase = 'running';
   return begun;
 };
--- a/packages/core/src/batch/waiting.ts
+++ b/packages/core/src/batch/waiting.ts
@@ -1,5 +1,5 @@
 /** How many accepted jobs of each queue have no task begun. */
-import type { BatchState } from './state.js';
+import { isFinal, type BatchState } from './state.js';
 
 /**
  * Counts the jobs that wait.
@@ -10,7 +10,7 @@
 export const countWaiting = (state: BatchState): ReadonlyMap<string, number> => {
   const counts = new Map<string, number>();
   state.jobs.forEach(({ job, hasBegun, phase }) => {
-    if (hasBegun || phase !== 'pending') return;
+    if (hasBegun || isFinal(phase)) return;
     counts.set(job.queue, (counts.get(job.queue) ?? 0) + 1);
   });
   return counts;
