--- a/packages/core/src/batch/followed-runs.test.ts
+++ b/packages/core/src/batch/followed-runs.test.ts
@@ -1,8 +1,4 @@
-/**
- * Runs that may be in the life after the one that they were ordered to. The failure: a start that was sent to an
- * endpoint just as it started again under its id began in the new life; its task was begun elsewhere too, or again
- * after it was done.
- */
+/** Runs that may be in the life after the one that they were ordered to. */
 import { beforeEach, describe, expect, it } from 'vitest';
 
 import type { EndpointId } from '../shared/ids.js';
--- a/packages/daemon/src/batch/acknowledgement.test.ts
+++ b/packages/daemon/src/batch/acknowledgement.test.ts
@@ -1,8 +1,4 @@
-/**
- * What questions acknowledge. The failure: the first question to an endpoint that had stood empty, and had
- * crashed and started again under its id meanwhile, had its new life forget the ends of tasks that had just
- * been done there; they were begun again.
- */
+/** Acknowledgements that reach the next life of an endpoint, which would forget ends that nobody has read. */
 import { LATEST_ORDER_MS } from '@valvelatch/core/batch';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
--- a/packages/daemon/src/batch/endpoint-lives.test.ts
+++ b/packages/daemon/src/batch/endpoint-lives.test.ts
@@ -1,13 +1,4 @@
-/**
- * Endpoints that start again under the id that they had, in virtual time.
- *
- * The failure: a long-running task was lost with its endpoint, which crashed and was back 0.9 s later under its id.
- * The task waited for 23 s although that endpoint stood empty: nothing of it was used again, and its
- * host counted as one of the pool's all the while, so that no other came in its place.
- *
- * The cause: what was known of endpoints, that they had gone among it, was kept under an id that was taken
- * for one life only.
- */
+/** Endpoints that start again under the id that they had, in virtual time. */
 import type { InstanceId } from '@valvelatch/core/shared/ids';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
