A crash proves nothing of a run that may have ended unheard before it

What callers saw: a job was shown as failed for an endpoint that crashed after the job's run there had ended. Cause: a run counted as there until its endpoint's end was seen, however long nothing had been heard from the endpoint before. In the play of the test that was 2 s, and the second of two ends so counted gave the job up. Ruled out: the life before (the crash is that of the life that ran it) and a late report (none was sent).

Now an end counts as explained by a task only where the endpoint had answered, with the run begun, at most 1.6 s before its end was seen: the list of hosts is read each 0.4 to 1 s and an endpoint is asked each 400 ms. It still counts among all ends under the task.

--- a/packages/core/src/batch/endpoint-crashes.ts
+++ b/packages/core/src/batch/endpoint-crashes.ts
@@ -38,6 +38,11 @@
  * missed by a holder that was lost itself before it could write.
  */
 const MOST_CRASHES = 4;
+/**
+ * What ran on an endpoint that was unresponsive for so long before its end was seen may have ended before it. The list
+ * of hosts is read each 0.4 to 1 s, and an endpoint is asked each 400 ms.
+ */
+const LONGEST_UNRESPONSIVE_MS = 1600;
 /** Ends of endpoints within this time are taken for one event: the list of hosts is read each 0.4 to 1 s. */
 const CORRELATED_MS = 1000;
 /** So many unexplained ends at about one time are not the work of tasks. */
@@ -175,6 +180,11 @@
   return isRack || endpoints.size >= CORRELATED_ENDPOINTS;
 };
 
+/** The run was there shortly before the endpoint's end was seen. */
+const wasThere = ({ endpoint, atMs }: GoneEndpoint, { begunByMs }: RunState): boolean =>
+  begunByMs < Infinity &&
+  atMs - Math.max(begunByMs, endpoint.reportedAtMs) < LONGEST_UNRESPONSIVE_MS;
+
 /** Another run that can hardly be to blame: a task that takes endpoints down may take its time. */
 const isHarmless = (endpoint: EndpointState, run: RunState, other: RunState): boolean =>
   other.step.job === run.step.job || livedMs(endpoint, other) >= LONGEST_SETTLED_MS;
@@ -199,7 +209,7 @@
   return {
     run: run.run,
     livedMs: livedMs(endpoint, run),
-    isConfirmed: run.begunByMs < Infinity,
+    isConfirmed: wasThere(gone, run),
     isSuspected: !isSettled(endpoint, run),
     isSoleSuspect: lastRunsOf(endpoint).every((other) => isHarmless(endpoint, run, other)),
     isCorrelated: isCorrelated(state, gone),
--- a/packages/core/src/batch/job-state.ts
+++ b/packages/core/src/batch/job-state.ts
@@ -31,7 +31,7 @@
   readonly run: number;
   /** For how long the endpoint is known to have lived with the run. */
   readonly livedMs: number;
-  /** The endpoint is known to have begun the run. */
+  /** The endpoint is known to have begun the run, and to have been responsive until shortly before its end. */
   readonly isConfirmed: boolean;
   /** The run had begun so short a time before that it may be to blame. */
   readonly isSuspected: boolean;
