A start of a task that endpoints crashed under is written before it is ordered

Cause: each crash is counted by whoever holds control when it is seen, and two holders in a row were lost within 1.2 s of one, before either could write it. Ruled out: a crash counted and not restored (the row had what was written).

Now the job's row announces the run before it is ordered; the next holder that finds an announced run of which no endpoint tells, once all that may run it have answered, counts a crash (unconfirmed: it counts among all, not among those explained). A run that its endpoint has lived with is closed again. It costs such a task one write before each start, some 50 ms; others wait for nothing.

--- a/packages/core/src/batch/batch-state.fixtures.ts
+++ b/packages/core/src/batch/batch-state.fixtures.ts
@@ -1,4 +1,5 @@
 /** A small state for tests of decisions: one job of one task, two endpoints, and their answers. */
+import { schedulePool } from './schedule.js';
 import { change } from '../shared/change.js';
 import { brand, type EndpointId, type JobId, type PoolName } from '../shared/ids.js';
 import { seeEndpoint } from './endpoints.js';
@@ -85,7 +86,21 @@
  * @param state - The state, changed in place.
  */
 export const writeRows = (state: BatchState): void =>
-  state.jobs.forEach((one) => change(one, { writtenCrashes: one.countedCrashes }));
+  state.jobs.forEach((one) => change(one, { writtenBlameRevision: one.blameRevision }));
+
+/**
+ * Places what waits in the pool as a holder does that writes its rows after each change: what must be written first is
+ * placed by the next pass.
+ *
+ * @param state - The state, changed in place.
+ * @param nowMs - The time.
+ */
+export const scheduleWritten = (state: BatchState, nowMs: number): void => {
+  writeRows(state);
+  schedulePool(state, POOL, nowMs);
+  writeRows(state);
+  schedulePool(state, POOL, nowMs);
+};
 
 /** An answer; what is left out is empty, and it comes from the first endpoint. */
 export type Answer = Pick<EndpointReport, 'askedAtMs' | 'nowMs'> &
--- a/packages/core/src/batch/endpoint-crashes.ts
+++ b/packages/core/src/batch/endpoint-crashes.ts
@@ -234,7 +234,7 @@
   const isCleared = spec.isLasting && crash.livedMs >= LASTING_CLEARED_MS;
   if (isCleared && task.crashes.length === 0) return;
   change(task, { crashes: isCleared ? [] : [...task.crashes, crash] });
-  change(job, { countedCrashes: job.countedCrashes + 1 });
+  change(job, { blameRevision: job.blameRevision + 1 });
   state.suspectJobs.add(job);
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
 };
--- a/packages/core/src/batch/followed-runs.test.ts
+++ b/packages/core/src/batch/followed-runs.test.ts
@@ -6,13 +6,12 @@
   answer,
   FIRST_RUN,
   JOB,
-  POOL,
   SECOND,
   see,
   stateWithJob,
   TASK,
   taskOf,
-  writeRows,
+  scheduleWritten,
 } from './batch-state.fixtures.js';
 import { instanceOf, lifeOf } from './endpoint-life.js';
 import { barOpenStarts } from './followed-runs.js';
@@ -21,7 +20,7 @@
 import { closeStart, LATEST_ORDER_MS, openStart } from './open-starts.js';
 import { applyStartOutcome, applyStopAnswer } from './order-answers.js';
 import type { EndKind } from './reports.js';
-import { endpointsOf, schedulePool } from './schedule.js';
+import { endpointsOf } from './schedule.js';
 import { takeEffects, type BatchEffect, type BatchState, type GoneCause } from './state.js';
 import { watchRuns } from './watch-runs.js';
 
@@ -41,8 +40,7 @@
 
   const cycle = (nowMs: number): void => {
     settleGoneEndpoints(state, nowMs);
-    writeRows(state);
-    schedulePool(state, POOL, nowMs);
+    scheduleWritten(state, nowMs);
     effects.push(...takeEffects(state));
   };
 
--- a/packages/core/src/batch/give-up.ts
+++ b/packages/core/src/batch/give-up.ts
@@ -9,7 +9,10 @@
  * @param state - All that is known, changed in place.
  * @param run - A run of the task, after its endpoint's end was counted.
  */
-export const giveUpIfDue = (state: BatchState, { task, step }: RunState): void => {
+export const giveUpIfDue = (
+  state: BatchState,
+  { task, step }: Pick<RunState, 'task' | 'step'>,
+): void => {
   const reason = giveUpReason(task);
   if (reason !== undefined) endJob(state, step.job, 'failed', reason);
 };
--- a/packages/core/src/batch/gone-endpoints.test.ts
+++ b/packages/core/src/batch/gone-endpoints.test.ts
@@ -9,12 +9,12 @@
   see,
   stateWithJob,
   taskOf,
-  writeRows,
+  scheduleWritten,
 } from './batch-state.fixtures.js';
 import { instanceOf, lifeOf } from './endpoint-life.js';
 import { expectReports } from './endpoints.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
-import { endpointsOf, schedulePool } from './schedule.js';
+import { endpointsOf } from './schedule.js';
 import { takeEffects, type BatchState } from './state.js';
 import type { EndpointId } from '../shared/ids.js';
 
@@ -35,8 +35,7 @@
 
 const cycle = (state: BatchState, nowMs: number): void => {
   settleGoneEndpoints(state, nowMs);
-  writeRows(state);
-  schedulePool(state, POOL, nowMs);
+  scheduleWritten(state, nowMs);
 };
 
 describe('an endpoint that is gone', () => {
--- a/packages/core/src/batch/isolation.ts
+++ b/packages/core/src/batch/isolation.ts
@@ -41,8 +41,8 @@
 };
 
 /** All that was counted is in the job's row: whoever holds control next knows of it. */
-const isWritten = ({ countedCrashes, writtenCrashes }: JobState): boolean =>
-  writtenCrashes >= countedCrashes;
+const isWritten = ({ blameRevision, writtenBlameRevision }: JobState): boolean =>
+  writtenBlameRevision >= blameRevision;
 
 const isUnproven = (endpoint: EndpointState, run: RunState): boolean =>
   isSuspect(run.task) && !isSettled(endpoint, run);
--- a/packages/core/src/batch/job-state.ts
+++ b/packages/core/src/batch/job-state.ts
@@ -24,6 +24,15 @@
   awaySinceMs: number;
   /** Endpoints that crashed by themselves under it, the first one first. */
   crashes: readonly EndpointCrash[];
+  /** The start that its job's row announces, for a task that endpoints crashed under; null where none is open. */
+  trial: Trial | null;
+};
+
+/** A start that is written down before it is ordered. */
+export type Trial = {
+  readonly run: number;
+  /** An earlier holder announced it: the run may have begun. */
+  readonly isInherited: boolean;
 };
 
 /** An endpoint that crashed by itself while a run of a task was there. */
@@ -107,7 +116,7 @@
   readonly isInherited: boolean;
   /** A task of it is known to have begun; that one was ordered does not show it. */
   hasBegun: boolean;
-  /** Endpoints that crashed under its tasks, as counted here and as its row has them. */
-  countedCrashes: number;
-  writtenCrashes: number;
+  /** Rises with each change of what its row tells of crashes and trials: here, and as the row has them. */
+  blameRevision: number;
+  writtenBlameRevision: number;
 };
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -34,6 +34,7 @@
   avoid: null,
   awaySinceMs: 0,
   crashes: [],
+  trial: null,
 });
 
 const newStep = (
@@ -157,8 +158,8 @@
   sinceMs: nowMs - Math.max(0, Math.min(todayMs - job.acceptedAtMs, MOST_BELIEVED_AGE_MS)),
   isInherited,
   hasBegun: false,
-  countedCrashes: 0,
-  writtenCrashes: 0,
+  blameRevision: 0,
+  writtenBlameRevision: 0,
 });
 
 /** Clocks of entries differ and jump: an age above this is not believed. */
--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/progress.ts
@@ -5,6 +5,7 @@
 import { change } from '../shared/change.js';
 import { addOccurrence, beginDue, createJobState, endJob, markDone } from './jobs.js';
 import { giveUpReason } from './endpoint-crashes.js';
+import { inheritTrial, openTrialOf } from './trials.js';
 import type { BatchJob, FinalPhase, QueuePolicy } from './job.js';
 import {
   isFinal,
@@ -34,6 +35,8 @@
   readonly failed?: readonly (readonly [number, readonly number[]])[];
   /** Index, and the endpoints that crashed under the task. */
   readonly crashes?: readonly (readonly [number, readonly EndpointCrash[]])[];
+  /** Index, and the run that is about to begin though endpoints crashed under the task. */
+  readonly trials?: readonly (readonly [number, number])[];
 };
 
 /** The progress row: occurrence, then step. Those with nothing to tell are left out. */
@@ -61,11 +64,16 @@
   const crashes = step.tasks
     .filter((task) => task.crashes.length > 0)
     .map((task) => [task.index, task.crashes] as const);
+  const trials = step.tasks.flatMap((task) => {
+    const run = openTrialOf(task);
+    return run === undefined ? [] : [[task.index, run] as const];
+  });
   if (step.doneCount === 0 && failed.length === 0 && crashes.length === 0) return undefined;
   return {
     done: doneDigits(step),
     ...(failed.length > 0 ? { failed } : {}),
     ...(crashes.length > 0 ? { crashes } : {}),
+    ...(trials.length > 0 ? { trials } : {}),
   };
 };
 
@@ -112,15 +120,15 @@
 ): void => {
   const lastRun = Math.max(task.lastRun, ...crashes.map(({ run }) => run));
   change(task, { crashes, lastRun });
-  const countedCrashes = job.countedCrashes + crashes.length;
-  change(job, { countedCrashes, writtenCrashes: countedCrashes });
+  const blameRevision = job.blameRevision + crashes.length;
+  change(job, { blameRevision, writtenBlameRevision: blameRevision });
   state.suspectJobs.add(job);
 };
 
 const restoreStep = (
   state: BatchState,
   step: StepRun,
-  { done, failed = [], crashes = [] }: StepProgress,
+  { done, failed = [], crashes = [], trials = [] }: StepProgress,
 ): void => {
   failed.forEach(([index, failedRuns]) => {
     const task = step.tasks[index];
@@ -130,6 +138,10 @@
     const task = step.tasks[index];
     if (task) restoreCrashes(state, step, task, ofTask);
   });
+  trials.forEach(([index, run]) => {
+    const task = step.tasks[index];
+    if (task) inheritTrial(task, run);
+  });
   step.tasks.forEach((task) => {
     if (isDoneIn(done, task.index)) markDone(state, step, task);
   });
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -20,6 +20,7 @@
 } from './state.js';
 import { noteDone, noteFailure } from './health.js';
 import { runTimeKind } from './step-times.js';
+import { closeTrial } from './trials.js';
 
 /** How a run ended, by the endpoint's word. */
 export type EndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
@@ -225,8 +226,10 @@
   running.forEach((report) => {
     listed.add(report.task);
     const run = endpoint.runs.get(report.task);
-    if (run && run.run === report.run) updateRun(run, report, nowMs);
-    else if (!run) applyUnknownRun(state, endpoint, report, nowMs);
+    if (run && run.run === report.run) {
+      closeTrial(state, endpoint, run);
+      updateRun(run, report, nowMs);
+    } else if (!run) applyUnknownRun(state, endpoint, report, nowMs);
   });
   if (!hasMoreEnds) loseUnlisted(state, endpoint, listed, { askedAtMs, nowMs });
   change(endpoint, { isKnown: true, reportedAtMs: askedAtMs, lapsedRuns: [] });
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -3,8 +3,10 @@
 import { change } from '../shared/change.js';
 import { admittedEndpoints, ticketOf, wantAdvice } from './advice.js';
 import { rackOf } from './endpoints.js';
+import { giveUpIfDue } from './give-up.js';
 import { byRank, rankStep, type Rank } from './order.js';
 import { noteStartAgain } from './run-end.js';
+import { announcedRunOf, announceTrials, countLostTrials } from './trials.js';
 import { addRun, fitsIn, nextRunNumber } from './runs.js';
 import {
   couldBegin,
@@ -16,6 +18,7 @@
   type IsolatedEndpoints,
 } from './isolation.js';
 import {
+  isFinal,
   isSoleHolder,
   poolOf,
   type BatchState,
@@ -150,7 +153,12 @@
     if (state.startsLeft <= 0) return true;
     const endpoint = bestFor(endpoints, step, task);
     if (!endpoint) return false;
-    startOn(placing, task, endpoint, nextRunNumber(state.fence, task.lastRun));
+    startOn(
+      placing,
+      task,
+      endpoint,
+      announcedRunOf(task) ?? nextRunNumber(state.fence, task.lastRun),
+    );
     return true;
   });
 };
@@ -203,7 +211,8 @@
     .find((found) => found !== undefined);
   if (!places) return false;
   const lastRun = Math.max(...step.tasks.map((task) => task.lastRun));
-  const run = nextRunNumber(state.fence, lastRun);
+  const announced = step.tasks.find((task) => announcedRunOf(task) !== undefined);
+  const run = announced?.trial?.run ?? nextRunNumber(state.fence, lastRun);
   const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
   step.tasks.forEach((task, index) => {
     change(task, { checkpoint });
@@ -264,9 +273,14 @@
   suspects: readonly Task[],
 ): boolean => {
   if (endpoints.length === 0) return false;
-  return placing.step.spec.isGang
-    ? placeGang(placing, endpoints)
-    : placeEach(placing, endpoints, suspects);
+  const { state, step } = placing;
+  const { isGang } = step.spec;
+  const unannounced = suspects.filter((task) => announcedRunOf(task) === undefined);
+  if (unannounced.length > 0) {
+    announceTrials(state, step, isGang ? step.tasks : unannounced);
+    return true;
+  }
+  return isGang ? placeGang(placing, endpoints) : placeEach(placing, endpoints, suspects);
 };
 
 /** Those that are to be alone are asked about wherever there could be room: the endpoint is emptied for them. */
@@ -330,6 +344,15 @@
   });
 };
 
+/** Starts that an earlier holder announced and nobody tells of count against their tasks. */
+const giveUpLostTrials = (state: BatchState, steps: readonly StepRun[], nowMs: number): void =>
+  steps
+    .filter(({ job }) => state.suspectJobs.has(job))
+    .forEach((step) => {
+      countLostTrials(state, step, nowMs);
+      step.tasks.forEach((task) => giveUpIfDue(state, { task, step }));
+    });
+
 /**
  * Places what waits in one pool.
  *
@@ -344,7 +367,9 @@
   if (endpoints.length === 0) return;
   const pass: Pass = { state, endpoints, nowMs };
   const isAnySuspect = state.suspectJobs.size > 0;
-  const open = Array.from(pool.open).filter((step) => !isBlocked(state, pool, step, nowMs));
+  const unblocked = Array.from(pool.open).filter((step) => !isBlocked(state, pool, step, nowMs));
+  if (isAnySuspect) giveUpLostTrials(state, unblocked, nowMs);
+  const open = unblocked.filter(({ job }) => !isFinal(job.phase));
   const isolated = isAnySuspect ? placeIsolated(pass, inOrder(state, open, nowMs)) : NONE_ISOLATED;
   const shared =
     isolated.size === 0
--- a/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -383,9 +383,9 @@
   const writeLater = (jobId: JobId): void => {
     const job = state.jobs.get(jobId);
     if (!job) return;
-    const { countedCrashes } = job;
+    const { blameRevision } = job;
     setTimeout(
-      () => change(job, { writtenCrashes: Math.max(job.writtenCrashes, countedCrashes) }),
+      () => change(job, { writtenBlameRevision: Math.max(job.writtenBlameRevision, blameRevision) }),
       saveMs,
     );
   };
