A call without a valid key of a client account is refused

Cause: batch work knew no accounts; nothing of them was decoded.

Now accounts are decoded once (a bad one costs no other, and no key stands in a line about it), keys are kept and compared as digests, and a queue that is not open to all lets in only the account that has the key. Its account stands in a job's row, also once it has ended; to others the job is not there, neither to see nor to cancel. Rows that cancel stand apart by account. Where the platform's contracts know no accounts, all queues are open, as before.

A key or queue that is not known here is refused for good (401, 404) only by an entry whose configuration is up to date by its own feed or a neighbour's; else neighbours are asked first, and one that cannot know answers 503 with the version and age by which it judged. Keys that are known go on being served there.

--- a/packages/core/src/batch/followed-runs.test.ts
+++ b/packages/core/src/batch/followed-runs.test.ts
@@ -123,7 +123,7 @@
     answerStart();
     lose('restarted');
     seeNext();
-    cancelJob(state, JOB);
+    cancelJob(state, JOB, null);
     hear(NEXT, HEARD_AT_MS, { running: [running] });
     cycle(HEARD_AT_MS);
     expect(stopsAt(NEXT)).toMatchObject([START]);
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -1,4 +1,5 @@
 /** Batch work: jobs, their tasks, endpoints, pools and maintenance. Decisions only, no transport. */
+export * from './accounts.js';
 export * from './admission.js';
 export * from './advice.js';
 export * from './demand.js';
--- a/packages/core/src/batch/isolation.test.ts
+++ b/packages/core/src/batch/isolation.test.ts
@@ -293,7 +293,7 @@
     hear(state, FIRST, 10);
     submit(state, SUSPECT, {}, 20);
     schedulePool(state, POOL, 20);
-    cancelJob(state, SUSPECT);
+    cancelJob(state, SUSPECT, null);
     crash(state, FIRST, 1000);
     expect(tasksOf(state, SUSPECT)[0]?.crashes).toEqual([]);
     expect(state.suspectJobs.size).toBe(0);
--- a/packages/core/src/batch/job.ts
+++ b/packages/core/src/batch/job.ts
@@ -1,5 +1,6 @@
 /** Batch jobs: steps of equal tasks, as they were accepted. */
-import type { Branded, JobId, PoolName } from '../shared/ids.js';
+import type { AccountName, Branded, JobId, PoolName } from '../shared/ids.js';
+import type { JobOwner } from './accounts.js';
 
 export type QueueName = Branded<'QueueName'>;
 /** Names one task of a fleet: job, occurrence, step and index, joined by dots. */
@@ -66,6 +67,8 @@
   readonly intervalMs: number;
   /** By the time of day of the entry that accepted it. */
   readonly acceptedAtMs: number;
+  /** Left out for a job of a queue that is open to all, and in rows from before there were accounts. */
+  readonly owner?: JobOwner;
 };
 
 /** What a client sees of a job. */
@@ -79,6 +82,8 @@
   readonly phase: BatchPhase;
   /** Why it is in its final phase; '' before that. */
   readonly reason: string;
+  /** Whose job it is; left out for a job of no account. */
+  readonly account?: AccountName | undefined;
 };
 
 /**
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -1,6 +1,7 @@
 /** The life of a job: admitted, its steps opened one after the other, ended or cancelled. */
 import type { JobId } from '../shared/ids.js';
 import { change } from '../shared/change.js';
+import { maySee, type Caller } from './accounts.js';
 import {
   taskKey,
   type BatchJob,
@@ -253,12 +254,18 @@
  *
  * @param state - All that is known, changed in place.
  * @param jobId - The job.
- * @returns The phase that it is in now, or undefined for a job that is not known.
+ * @param caller - Who wants it cancelled.
+ * @returns The phase that it is in now, or undefined for a job that is not known, or not the caller's.
  */
-export const cancelJob = (state: BatchState, jobId: JobId): BatchPhase | undefined => {
+export const cancelJob = (
+  state: BatchState,
+  jobId: JobId,
+  caller: Caller,
+): BatchPhase | undefined => {
   const job = state.jobs.get(jobId);
-  if (job) endJob(state, job, 'cancelled', CANCELLED_REASON);
-  return job?.phase;
+  if (!job || !maySee(job.job.owner?.account, caller)) return undefined;
+  endJob(state, job, 'cancelled', CANCELLED_REASON);
+  return job.phase;
 };
 
 const isOccurrenceDone = ({ steps }: OccurrenceState): boolean => steps.every(isStepDone);
--- a/packages/core/src/batch/lookup-queue.ts
+++ b/packages/core/src/batch/lookup-queue.ts
@@ -1,5 +1,6 @@
 /** Which queue a request names, by its host name and the longest path prefix. */
 import type { PoolName } from '../shared/ids.js';
+import { indexAccounts, type AccountIndex, type ClientAccount } from './accounts.js';
 import type { QueueName, QueuePolicy } from './job.js';
 import type { PoolView } from './hosts.js';
 
@@ -12,6 +13,8 @@
   readonly policy: QueuePolicy;
   /** How long a client waits for an answer. */
   readonly timeoutMs: number;
+  /** Its callers need no key. */
+  readonly isOpenToAll: boolean;
 };
 
 /** The configuration as far as batch work needs it. */
@@ -19,6 +22,7 @@
   readonly version: number;
   readonly queues: readonly QueueView[];
   readonly pools: readonly PoolView[];
+  readonly accounts: readonly ClientAccount[];
 };
 
 /** An index over the queues of one configuration. */
@@ -26,6 +30,7 @@
   readonly configuration: BatchConfiguration;
   readonly find: (hostName: string, path: string) => QueueView | undefined;
   readonly byName: ReadonlyMap<QueueName, QueueView>;
+  readonly accounts: AccountIndex;
 };
 
 /**
@@ -54,6 +59,7 @@
     configuration,
     find,
     byName: new Map(configuration.queues.map((queue) => [queue.name, queue])),
+    accounts: indexAccounts(configuration.accounts),
   };
 };
 
--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/progress.ts
@@ -3,6 +3,7 @@
  * the next holder starts from; starts are not written, since endpoints report what runs.
  */
 import { change } from '../shared/change.js';
+import type { AccountName } from '../shared/ids.js';
 import { addOccurrence, beginDue, createJobState, endJob, markDone } from './jobs.js';
 import { giveUpReason } from './endpoint-crashes.js';
 import { inheritTrial, openTrialOf } from './trials.js';
@@ -26,6 +27,7 @@
       readonly reason: string;
       readonly endedAtMs: number;
       readonly queue: string;
+      readonly account?: AccountName | undefined;
     };
 
 /** How far one step is: done tasks as hexadecimal digits of four bits, failures by index. */
@@ -108,7 +110,14 @@
  */
 export const jobRowOf = ({ job, policy, phase, reason }: JobState, todayMs: number): BatchJobRow =>
   isFinal(phase)
-    ? { kind: 'ended', phase: phase as FinalPhase, reason, endedAtMs: todayMs, queue: job.queue }
+    ? {
+        kind: 'ended',
+        phase: phase as FinalPhase,
+        reason,
+        endedAtMs: todayMs,
+        queue: job.queue,
+        ...(job.owner ? { account: job.owner.account } : {}),
+      }
     : { kind: 'live', job, policy };
 
 /** What earlier holders counted is in the row, so nothing waits for it to be written. */
--- a/packages/core/src/batch/run-end.test.ts
+++ b/packages/core/src/batch/run-end.test.ts
@@ -90,7 +90,7 @@
 
   it('is followed by none if its job was cancelled', () => {
     const state = begun();
-    cancelJob(state, JOB);
+    cancelJob(state, JOB, null);
     answer(state, { ended: [endOf(2001, 'stopped')], askedAtMs: 900, nowMs: 1000 });
     expect(ended(state)).toMatchObject([{ detail: 'stopped', next: 'job-over' }]);
   });
--- a/packages/core/src/shared/ids.ts
+++ b/packages/core/src/shared/ids.ts
@@ -16,6 +16,8 @@
 export type EndpointId = Branded<'EndpointId'>;
 /** What a platform calls an endpoint; lives that follow each other may share it. */
 export type InstanceId = Branded<'InstanceId'>;
+/** A client account: whoever holds one of its keys acts for it. */
+export type AccountName = Branded<'AccountName'>;
 export type CallerId = Branded<'CallerId'>;
 export type RequestId = Branded<'RequestId'>;
 export type ChangeId = Branded<'ChangeId'>;
--- a/packages/core/src/verdict/verdict.ts
+++ b/packages/core/src/verdict/verdict.ts
@@ -33,6 +33,9 @@
   | 'seat-missing'
   | 'unknown-queue'
   | 'unknown-job'
+  | 'unknown-key'
+  | 'configuration-doubtful'
+  | 'job-id-taken'
   | 'store-unavailable'
   | 'outcome-unknown';
 
@@ -70,6 +73,9 @@
   'seat-missing': 503,
   'unknown-queue': 404,
   'unknown-job': 410,
+  'unknown-key': 401,
+  'configuration-doubtful': 503,
+  'job-id-taken': 400,
   'store-unavailable': 503,
   'outcome-unknown': 504,
 };
--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -15,6 +15,7 @@
   CONFIGURATION_METHOD,
   createConfigurationKeeper,
 } from './configuration-keeper.js';
+import { createAccess, type Access } from './access.js';
 import { createControl, type Control } from './control.js';
 import { CONTROL_METHOD } from './holder-client.js';
 import { createIntake, type Intake } from './intake.js';
@@ -61,6 +62,7 @@
 
 export type BatchEntry = {
   readonly configuration: () => QueueIndex | undefined;
+  readonly access: Access;
   readonly intake: Intake;
   readonly control: Control;
   /** Answers an operator, through the holder of control. */
@@ -225,6 +227,7 @@
 
   return {
     configuration: configuration.index,
+    access: createAccess({ configuration, log, metrics }),
     intake,
     control,
     askOperators,
--- a/packages/daemon/src/batch/configuration-keeper.test.ts
+++ b/packages/daemon/src/batch/configuration-keeper.test.ts
@@ -33,8 +33,10 @@
     pool: brand('intake'),
     timeoutMs: 3000,
     policy: { priority: 1, maxAttempts: 3, stretch: 2, targetLatencyMs: 600, needsAdvice: false },
+    isOpenToAll: true,
   })),
   pools: [{ name: brand('intake'), isSpare: false }],
+  accounts: [],
 });
 
 /** An entry whose way to the table can be cut off. */
--- a/packages/daemon/src/batch/configuration-keeper.ts
+++ b/packages/daemon/src/batch/configuration-keeper.ts
@@ -29,6 +29,8 @@
 const OVERDUE_MS = 1300;
 export const ASK_NEIGHBOURS_EVERY_MS = 500;
 const ASK_MS = 400;
+/** Requests that are in doubt share the questions of this time. */
+const REFRESH_EVERY_MS = 200;
 /** A cut often takes several entries, and rows of entries that are gone stay. */
 const ASKED_AT_ONCE = 2;
 /** Routes are alike: a tenth of their bytes is left. The best compression takes five times as long. */
@@ -58,8 +60,23 @@
   readonly random?: () => number;
 };
 
+/** How far what is in force here can be believed to be the newest. */
+export type Currency = {
+  readonly version: number;
+  /** Since when a newer one may have come into force unheard of. */
+  readonly ageMs: number;
+  /** The feed is overdue, and so is every neighbour that was asked. */
+  readonly isDoubtful: boolean;
+};
+
 export type ConfigurationKeeper = {
   readonly index: () => QueueIndex | undefined;
+  readonly currency: () => Currency;
+  /**
+   * Asks neighbours now, if the feed is overdue and they were not just asked: for a request that only a newer
+   * configuration may allow.
+   */
+  readonly refresh: () => Promise<void>;
   /** Waits for what the operator orders; to be called again and again. */
   readonly follow: () => Promise<void>;
   /** Asks neighbours if the feed is overdue; to be called each `ASK_NEIGHBOURS_EVERY_MS`. */
@@ -94,6 +111,10 @@
 }: ConfigurationKeeperOptions): ConfigurationKeeper => {
   let index: QueueIndex | undefined;
   let readAtMs = nowMs();
+  /** When the feed, or a neighbour whose feed was up to date, last told that there is nothing newer. */
+  let confirmedAtMs = -Infinity;
+  let refreshedAtMs = -Infinity;
+  let refreshing: Promise<void> | undefined;
   /** Packed once for all neighbours that ask. */
   let packed: { readonly version: number; readonly bytes: Uint8Array } | undefined;
   /** Readings without an answer since the last answer. */
@@ -144,11 +165,13 @@
       return;
     }
     noteAnswer();
-    const { configuration, waves, reading } = news.value;
+    const { configuration, faults = [], waves, reading } = news.value;
     metrics.count('operator_feed_bytes', reading.bytes);
     metrics.time('operator_feed_arriving', reading.arrivingMs * 1000);
     if (configuration) take(configuration, { from: 'table', silentMs: silentMs(), ...reading });
+    faults.forEach((detail) => log.warn('configuration-fault', { detail }));
     readAtMs = nowMs();
+    confirmedAtMs = readAtMs;
     if (waves.length > 0) onWaves(waves);
   };
 
@@ -165,13 +188,16 @@
   const askOne = async (neighbour: EntryId): Promise<void> => {
     metrics.count('configuration_questions');
     const version = versionInForce();
+    const askedAtMs = nowMs();
     try {
       const answer = (await ask(neighbour, CONFIGURATION_METHOD, version, ASK_MS)) as
         NeighbourAnswer | undefined;
       if (answer?.isUpToDate) goodNeighbour = neighbour;
-      if (!answer?.packed) return;
-      const { packed: bytes } = answer;
-      take(unpack(bytes), { from: neighbour, silentMs: silentMs(), bytes: bytes.length });
+      if (answer?.packed) {
+        const { packed: bytes } = answer;
+        take(unpack(bytes), { from: neighbour, silentMs: silentMs(), bytes: bytes.length });
+      }
+      if (answer?.isUpToDate) confirmedAtMs = Math.max(confirmedAtMs, askedAtMs);
     } catch (error) {
       metrics.count('configuration_questions_unanswered');
       log.debug('configuration-unanswered', { neighbour, version, detail: String(error) });
@@ -185,6 +211,18 @@
     await Promise.all(asked.map(askOne));
   };
 
+  const refresh = async (): Promise<void> => {
+    if (!isOverdue() || nowMs() - refreshedAtMs < REFRESH_EVERY_MS) return refreshing;
+    refreshedAtMs = nowMs();
+    refreshing = askNeighbours();
+    return refreshing;
+  };
+
+  const currency = (): Currency => {
+    const ageMs = Math.round(nowMs() - confirmedAtMs);
+    return { version: versionInForce(), ageMs, isDoubtful: ageMs > OVERDUE_MS };
+  };
+
   const packedNow = ({ configuration }: QueueIndex): Uint8Array => {
     const { version } = configuration;
     if (packed?.version !== version) packed = { version, bytes: pack(configuration) };
@@ -193,6 +231,8 @@
 
   return {
     index: () => index,
+    currency,
+    refresh,
     follow,
     askNeighbours,
     answerNeighbour: (version) => ({
--- a/packages/daemon/src/batch/control.test.ts
+++ b/packages/daemon/src/batch/control.test.ts
@@ -35,7 +35,7 @@
       platform: {} as BatchPlatform,
       table,
       peers: () => ({ knows: () => true, keepLink: () => undefined, ...peers }) as unknown as Peers,
-      configuration: () => indexQueues({ version: 1, queues: [], pools: [] }),
+      configuration: () => indexQueues({ version: 1, queues: [], pools: [], accounts: [] }),
       log,
       metrics: createMetrics(),
     });
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -2,6 +2,7 @@
 import {
   TABLE_AWAY_MS,
   type BatchJobRow,
+  type Caller,
   type JobStatus,
   type QueueIndex,
   type UpkeepOrder,
@@ -85,6 +86,7 @@
   readonly nowMs?: () => number;
 };
 
+type Cancel = { readonly jobId: JobId; readonly caller: Caller };
 type Taken = { readonly row: BatchJobRow; readonly version: number };
 
 export type Control = ControlView & {
@@ -299,7 +301,10 @@
     [CONTROL_METHOD.waiting]: () => ownWaiting() ?? null,
     [CONTROL_METHOD.taken]: (payload) => takenHere(payload as Taken),
     [CONTROL_METHOD.accept]: (payload) => acceptHere(payload as BatchJobRow),
-    [CONTROL_METHOD.cancelled]: (payload) => term?.cancel(brand<JobId>(String(payload))) ?? null,
+    [CONTROL_METHOD.cancelled]: (payload) => {
+      const { jobId, caller } = payload as Cancel;
+      return term?.cancel(jobId, caller) ?? null;
+    },
   };
 
   return {
@@ -341,9 +346,9 @@
       return silentForMs(lastHolder);
     },
     accept: async (row) => (await (term ? acceptHere(row) : holderThere.accept(row))) ?? undefined,
-    tellCancelled: async (jobId) => {
-      if (term) term.cancel(jobId);
-      else await holderThere.ask(CONTROL_METHOD.cancelled, jobId);
+    tellCancelled: async (jobId, caller) => {
+      if (term) term.cancel(jobId, caller);
+      else await holderThere.ask(CONTROL_METHOD.cancelled, { jobId, caller });
     },
   };
 };
--- a/packages/daemon/src/batch/ended-jobs.ts
+++ b/packages/daemon/src/batch/ended-jobs.ts
@@ -68,7 +68,7 @@
         checks: [guard()],
         writes: old.flatMap((jobId) => [
           { key: batchKey.job(jobId), value: null },
-          { key: batchKey.cancel(jobId), value: null },
+          { key: batchKey.cancel(jobId, ended.get(jobId)?.status.account ?? null), value: null },
         ]),
       });
       const isSwept = outcome.isOk() && outcome.value.kind === 'committed';
--- a/packages/daemon/src/batch/intake.test.ts
+++ b/packages/daemon/src/batch/intake.test.ts
@@ -18,6 +18,7 @@
   pool: brand('p'),
   timeoutMs: 3000,
   policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
+  isOpenToAll: true,
 };
 
 const job = {
--- a/packages/daemon/src/batch/intake.ts
+++ b/packages/daemon/src/batch/intake.ts
@@ -9,7 +9,9 @@
   findJobFault,
   isFinal,
   type BatchJob,
+  maySee,
   type BatchJobRow,
+  type Caller,
   type JobStatus,
   type QueueView,
 } from '@valvelatch/core/batch';
@@ -70,7 +72,7 @@
    */
   readonly tellTaken: (row: BatchJobRow, version: number) => void;
   /** Resolves once the holder has answered, or has not in time. */
-  readonly tellCancelled: (jobId: JobId) => Promise<void>;
+  readonly tellCancelled: (jobId: JobId, caller: Caller) => Promise<void>;
 };
 
 export type IntakeOptions = {
@@ -85,8 +87,8 @@
 
 export type Intake = {
   readonly submit: (queue: QueueView, job: BatchJob, deadlineMs?: number) => Promise<IntakeAnswer>;
-  readonly status: (jobId: JobId) => Promise<IntakeAnswer>;
-  readonly cancel: (jobId: JobId, deadlineMs?: number) => Promise<IntakeAnswer>;
+  readonly status: (jobId: JobId, caller: Caller) => Promise<IntakeAnswer>;
+  readonly cancel: (jobId: JobId, caller: Caller, deadlineMs?: number) => Promise<IntakeAnswer>;
   readonly waiting: (queue: QueueView) => Promise<IntakeAnswer>;
   /** True while a submission could be written. */
   readonly canTake: () => boolean;
@@ -159,6 +161,7 @@
     log.info('job-submitted', {
       job: job.jobId,
       queue: queue.name,
+      account: job.owner?.account,
       steps: job.steps.length,
       outcome: written.kind,
       tableSilentMs: Math.round(table.silentForMs()),
@@ -167,30 +170,40 @@
     if (written.kind === 'full') {
       return refuse('notRun', 'overloaded', 'too many jobs wait to be written');
     }
+    if (written.kind === 'conflict') return answerKnown(job);
     return refusalOf(written) ?? { kind: 'accepted' };
   };
 
   /** Reads the rows of a job, for when the holder cannot be asked. */
-  const readStatus = async (jobId: JobId): Promise<JobStatus | 'unknown-job' | undefined> => {
+  const readStatus = async (
+    jobId: JobId,
+    caller: Caller,
+  ): Promise<JobStatus | 'unknown-job' | undefined> => {
     const rows = await table.read([
       batchKey.job(jobId),
       batchKey.progress(jobId),
-      batchKey.cancel(jobId),
+      batchKey.cancel(jobId, caller),
     ]);
     if (rows.isErr()) return undefined;
     const valueOf = (key: string) => rows.value.find((row) => row.key === key)?.value ?? null;
     const row = valueOf(batchKey.job(jobId)) as BatchJobRow | null;
     if (!row) return 'unknown-job';
-    if (row.kind === 'ended') return { phase: row.phase, reason: row.reason };
-    if (valueOf(batchKey.cancel(jobId)) !== null) return CANCELLED;
+    if (row.kind === 'ended') {
+      return { phase: row.phase, reason: row.reason, account: row.account };
+    }
+    const account = row.job.owner?.account;
+    if (valueOf(batchKey.cancel(jobId, caller)) !== null) return { ...CANCELLED, account };
     const hasBegun = valueOf(batchKey.progress(jobId)) !== null;
-    return { phase: hasBegun ? 'running' : 'pending', reason: '' };
+    return { phase: hasBegun ? 'running' : 'pending', reason: '', account };
   };
 
-  const statusOf = async (jobId: JobId): Promise<JobStatus | 'unknown-job' | undefined> => {
+  const findStatus = async (
+    jobId: JobId,
+    caller: Caller,
+  ): Promise<JobStatus | 'unknown-job' | undefined> => {
     const known = finals.get(jobId);
     if (known) return known;
-    const found = (await control.statusOf(jobId)) ?? (await readStatus(jobId));
+    const found = (await control.statusOf(jobId)) ?? (await readStatus(jobId, caller));
     if (found && found !== 'unknown-job' && isFinal(found.phase)) {
       finals.set(jobId, found);
       const [oldest] = finals.keys();
@@ -199,6 +212,26 @@
     return found;
   };
 
+  /** What a caller may know: a job of another account is not there. */
+  const statusOf: typeof findStatus = async (jobId, caller) => {
+    const found = await findStatus(jobId, caller);
+    const isHidden = found && found !== 'unknown-job' && !maySee(found.account, caller);
+    return isHidden ? 'unknown-job' : found;
+  };
+
+  /** A job of this id was accepted before: the same job, unless it is another account's. */
+  const answerKnown = async ({ jobId, owner }: BatchJob): Promise<IntakeAnswer> => {
+    const caller = owner?.account ?? null;
+    const found = await findStatus(jobId, caller);
+    if (found === undefined && owner) {
+      const detail = 'a job of this id is there, and whose it is cannot be read now';
+      return refuse('mayHaveRun', 'outcome-unknown', detail, retryAfterS());
+    }
+    const isOthers = found && found !== 'unknown-job' && !maySee(found.account, caller);
+    if (!isOthers) return { kind: 'accepted' };
+    return refuse('notRun', 'job-id-taken', 'this id cannot be used for a job');
+  };
+
   const cannotTell = (): IntakeAnswer =>
     refuse(
       'notRun',
@@ -207,29 +240,33 @@
       retryAfterS(),
     );
 
-  const status: Intake['status'] = async (jobId) => {
-    const found = await statusOf(jobId);
+  const status: Intake['status'] = async (jobId, caller) => {
+    const found = await statusOf(jobId, caller);
     if (found === undefined) return cannotTell();
     return found === 'unknown-job' ? unknownJob(jobId) : { kind: 'status', status: found };
   };
 
-  const cancel: Intake['cancel'] = async (jobId, deadlineMs = DEFAULT_DEADLINE_MS) => {
+  const cancel: Intake['cancel'] = async (jobId, caller, deadlineMs = DEFAULT_DEADLINE_MS) => {
     const startedAtMs = nowMs();
-    const found = await statusOf(jobId);
+    const found = await statusOf(jobId, caller);
     if (found === 'unknown-job') return unknownJob(jobId);
     if (found && isFinal(found.phase)) return { kind: 'cancelled' };
     const written = await submission.writeUntil(
-      { checks: [], writes: [{ key: batchKey.cancel(jobId), value: { atMs: Date.now() } }] },
+      {
+        checks: [],
+        writes: [{ key: batchKey.cancel(jobId, caller), value: { atMs: Date.now() } }],
+      },
       startedAtMs + deadlineMs * PURSUE_SHARE,
     );
     log.info('job-cancel', {
       job: jobId,
+      account: caller ?? undefined,
       outcome: written.kind,
       tookMs: Math.round(nowMs() - startedAtMs),
     });
     const refusal = refusalOf(written);
     if (refusal) return refusal;
-    await control.tellCancelled(jobId);
+    await control.tellCancelled(jobId, caller);
     return { kind: 'cancelled' };
   };
 
--- a/packages/daemon/src/batch/job-rows.ts
+++ b/packages/daemon/src/batch/job-rows.ts
@@ -132,8 +132,8 @@
       else if (!ended.has(jobId as JobId)) takeLive(row, version);
     });
     rows.forEach(({ key, value }) => {
-      const { jobId, isCancel } = parseJobKey(key);
-      if (isCancel && value !== null) cancelJob(state, jobId as JobId);
+      const name = parseJobKey(key);
+      if (name.isCancel && value !== null) cancelJob(state, name.jobId as JobId, name.by);
     });
   };
 
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -58,6 +58,8 @@
 /** What the operator has ordered. */
 export type OperatorNews = {
   readonly configuration?: BatchConfiguration;
+  /** What was passed over in the configuration, for people. */
+  readonly faults?: readonly string[];
   readonly waves: readonly UpkeepOrder[];
   readonly reading: FeedReading;
 };
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -17,8 +17,10 @@
   takeEffects,
   watchRuns,
   type BatchEffect,
+  type BatchJob,
   type BatchPhase,
   type BatchState,
+  type Caller,
   type JobState,
   type JobStatus,
   type LapsedEndpoint,
@@ -99,7 +101,7 @@
   readonly accept: (row: LiveRow) => Promise<AcceptOutcome | undefined>;
   /** Admits a job whose row another entry wrote. */
   readonly takeIn: (row: LiveRow, version: number) => void;
-  readonly cancel: (jobId: JobId) => BatchPhase | undefined;
+  readonly cancel: (jobId: JobId, caller: Caller) => BatchPhase | undefined;
 };
 
 /**
@@ -197,7 +199,7 @@
     isTableAway,
     beginRound: roster.mark,
     onSaved: ({ job, phase, reason }: JobState) => {
-      ended.add(job.jobId, { phase, reason }, todayMs());
+      ended.add(job.jobId, { phase, reason, ...accountOf(job) }, todayMs());
       state.jobs.delete(job.jobId);
       saver.versions.delete(job.jobId);
     },
@@ -403,18 +405,21 @@
     takeIn: (row, version) => {
       if (isReady && !isStopped && isSoleHolder()) jobRows.takeIn(row, version);
     },
-    cancel: (jobId) => {
+    cancel: (jobId, caller) => {
       if (!isAnswering()) return undefined;
-      const phase = ended.statusOf(jobId)?.phase ?? cancelJob(state, jobId);
+      const phase = ended.statusOf(jobId)?.phase ?? cancelJob(state, jobId, caller);
       perform();
       return phase;
     },
   };
 };
 
+const accountOf = ({ owner }: BatchJob): Pick<JobStatus, 'account'> =>
+  owner ? { account: owner.account } : {};
+
 /** An end is reported only once it is written, so that any entry can find it again. */
 const savedStatus = (job: JobState | undefined): JobStatus | undefined => {
   if (!job) return undefined;
   const isWritten = job.phase !== 'completed' && job.phase !== 'failed';
-  return { phase: isWritten ? job.phase : 'running', reason: '' };
+  return { phase: isWritten ? job.phase : 'running', reason: '', ...accountOf(job.job) };
 };
--- a/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -385,7 +385,8 @@
     if (!job) return;
     const { blameRevision } = job;
     setTimeout(
-      () => change(job, { writtenBlameRevision: Math.max(job.writtenBlameRevision, blameRevision) }),
+      () =>
+        change(job, { writtenBlameRevision: Math.max(job.writtenBlameRevision, blameRevision) }),
       saveMs,
     );
   };
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -131,6 +131,7 @@
 
   const configuration = indexQueues({
     version: 1,
+    accounts: [],
     queues: pools.flatMap((pool) =>
       [false, true].map((needsAdvice) => ({
         name: brand(queueOf(pool, needsAdvice)),
@@ -139,6 +140,7 @@
         pool: brand(pool),
         policy: { ...SIM_POLICY, needsAdvice },
         timeoutMs: 3000,
+        isOpenToAll: true,
       })),
     ),
     pools: [
@@ -321,7 +323,7 @@
       return jobId;
     },
     cancel: (jobId) => {
-      commit({ checks: [], writes: [{ key: batchKey.cancel(jobId), value: {} }] });
+      commit({ checks: [], writes: [{ key: batchKey.cancel(jobId, null), value: {} }] });
     },
     order: (wave) => {
       waves.set(wave.waveNumber, wave);
