No account has more running than its maximum, whoever holds control

Nothing bounded what an account runs.

A ledger in the holder's state changes with each run that begins, is found, moves to another life or has surely ended; stopped runs count until their end is listed, and so do runs that an endpoint lists beside those known there. What an earlier holder may have begun and nobody has told of counts on top: the waiting work of inherited jobs, and no more of it than fits on the endpoints that have not answered. An account that has less than half of its maximum running may always begin one more task, so that a task wider than half of it does not wait for ever; beyond that it stays within. A gang begins as a whole under it. Nothing is stopped for a maximum that falls. An account that the configuration has lost keeps its last maximum, which stands in the rows of its jobs, too. What can never begin is refused as it comes in (429, beyond-quota).

The simulated fleet has accounts by default and judges QUOTA and the ledger's sum in every play.

A start now leaves a holder that may have been replaced only for an endpoint heard within 2.5 s. The simulation lets what was decided before a freeze leave after it; such an order counts as one that the network held up, as late orders do (the trace: placed at 11 s, frozen until 15.06 s, the life began in between).

--- a/packages/core/src/batch/endpoint-state.ts
+++ b/packages/core/src/batch/endpoint-state.ts
@@ -51,6 +51,8 @@
    * that it had crashed under them.
    */
   lapsedRuns: readonly RunState[];
+  /** Of what it listed last beside these: it was ordered to stop it. */
+  strays: readonly StepRun[];
   /** It has answered under the present fence, so all that runs there is known. */
   isKnown: boolean;
   isDraining: boolean;
--- a/packages/core/src/batch/endpoints.ts
+++ b/packages/core/src/batch/endpoints.ts
@@ -45,6 +45,7 @@
     used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
     runs: new Map(),
     lapsedRuns: [],
+    strays: [],
     isKnown: false,
     isDraining: sighting.isDraining,
     hasAnnouncedEnd: sighting.isDraining,
--- a/packages/core/src/batch/gone-endpoints.ts
+++ b/packages/core/src/batch/gone-endpoints.ts
@@ -16,6 +16,7 @@
 import { mayBeFollowed } from './followed-runs.js';
 import { giveUpIfDue } from './give-up.js';
 import { loseRun } from './lost-runs.js';
+import { chargeStrays } from './quota.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
 import {
   isFinal,
@@ -45,6 +46,7 @@
   const endpoint = state.endpoints.get(endpointId);
   if (!endpoint) return;
   state.endpoints.delete(endpointId);
+  chargeStrays(state, endpoint, []);
   const instanceId = instanceOf(endpointId);
   if (state.lives.get(instanceId) === endpoint) state.lives.delete(instanceId);
   endpoint.runs.forEach(({ step, task }) => {
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -28,6 +28,7 @@
 export * from './pool-moves.js';
 export * from './pool-needs.js';
 export * from './progress.js';
+export * from './quota.js';
 export * from './relay-choice.js';
 export * from './reports.js';
 export * from './run-end.js';
--- /dev/null
+++ b/packages/core/src/batch/quota.test.ts
@@ -0,0 +1,254 @@
+/** What client accounts may have running, and what counts as running. */
+import { describe, expect, it } from 'vitest';
+
+import { brand, type AccountName, type EndpointId, type JobId } from '../shared/ids.js';
+import { NO_LIMIT, type JobOwner } from './accounts.js';
+import { answer, FIRST, POOL, SECOND, see } from './batch-state.fixtures.js';
+import { instanceOf } from './endpoint-life.js';
+import { expectReports } from './endpoints.js';
+import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
+import { taskKey, type StepSpec } from './job.js';
+import { cancelJob, takeInJob } from './jobs.js';
+import { applyStartOutcome } from './order-answers.js';
+import { PLAIN_STEP } from './plain-step.js';
+import { findQuotaFault, reckonUnreported, takeAccounts, takeOwner } from './quota.js';
+import { schedulePool } from './schedule.js';
+import { createBatchState, type BatchState } from './state.js';
+
+const NORTH = brand<AccountName>('north');
+const SOUTH = brand<AccountName>('south');
+const JOBS = ['a1', 'b2', 'c3'].map((end) => brand<JobId>(end.padStart(16, '0'))) as [
+  JobId,
+  JobId,
+  JobId,
+];
+const THIRD = brand<EndpointId>('i-0000000003');
+
+const ownerOf = (account: AccountName, cpuMillis: number): JobOwner => ({
+  account,
+  maximum: { ...NO_LIMIT, cpuMillis },
+});
+
+type Submission = {
+  readonly step?: Partial<StepSpec>;
+  readonly owner?: JobOwner | undefined;
+  readonly isInherited?: boolean;
+};
+
+const submit = (
+  state: BatchState,
+  jobId: JobId,
+  { step, owner, isInherited }: Submission,
+): void => {
+  takeInJob(state, {
+    job: {
+      jobId,
+      queue: brand('q'),
+      pool: POOL,
+      spec: '',
+      steps: [{ ...PLAIN_STEP, ...step }],
+      repeats: 0,
+      firstDueAtMs: 0,
+      intervalMs: 0,
+      acceptedAtMs: 0,
+      ...(owner ? { owner } : {}),
+    },
+    policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
+    nowMs: 0,
+    todayMs: 0,
+    isInherited: isInherited ?? false,
+  });
+  if (owner) takeOwner(state, owner);
+};
+
+/** A holder with two endpoints of eight cores that have answered. */
+const stateWith = (): BatchState => {
+  const state = createBatchState(2);
+  [FIRST, SECOND].forEach((endpointId) => {
+    see(state, endpointId);
+    answer(state, { endpointId, askedAtMs: 5, nowMs: 10 });
+  });
+  return state;
+};
+
+const runsOf = (state: BatchState, jobId: JobId): number =>
+  Array.from(state.endpoints.values())
+    .flatMap(({ runs }) => Array.from(runs.values()))
+    .filter(({ step }) => step.job.job.jobId === jobId).length;
+
+const declare = (state: BatchState, ...owners: readonly JobOwner[]): void =>
+  takeAccounts(
+    state,
+    new Map(owners.map(({ account, maximum }) => [account, { maximum, weight: 1 }])),
+  );
+
+describe('an account with a maximum', () => {
+  it('has no more running on all endpoints together than that', () => {
+    const state = stateWith();
+    submit(state, JOBS[0], { step: { taskCount: 16 }, owner: ownerOf(NORTH, 10_000) });
+    schedulePool(state, POOL, 20);
+    expect(runsOf(state, JOBS[0])).toBe(10);
+  });
+
+  it('does not keep others from the room that is left', () => {
+    const state = stateWith();
+    submit(state, JOBS[0], { step: { taskCount: 16 }, owner: ownerOf(NORTH, 10_000) });
+    submit(state, JOBS[1], { step: { taskCount: 6 }, owner: ownerOf(SOUTH, 0) });
+    submit(state, JOBS[2], { step: { taskCount: 6 } });
+    schedulePool(state, POOL, 20);
+    expect(JOBS.map((jobId) => runsOf(state, jobId))).toEqual([10, 6, 0]);
+  });
+
+  it('has runs counted until they have surely ended', () => {
+    const state = stateWith();
+    const owner = ownerOf(NORTH, 8000);
+    submit(state, JOBS[0], { step: { taskCount: 8 }, owner });
+    schedulePool(state, POOL, 20);
+    cancelJob(state, JOBS[0], NORTH);
+    submit(state, JOBS[1], { step: { taskCount: 8 }, owner });
+    schedulePool(state, POOL, 30);
+    expect(runsOf(state, JOBS[1])).toBe(0);
+    removeEndpoint(state, FIRST, { detail: 'host-taken', atMs: 40, nowMs: 40 });
+    removeEndpoint(state, SECOND, { detail: 'host-taken', atMs: 40, nowMs: 40 });
+    settleGoneEndpoints(state, 40);
+    expect(state.usage.get(NORTH)).toEqual(NO_LIMIT);
+  });
+
+  it('has an order that was refused taken off again', () => {
+    const state = stateWith();
+    submit(state, JOBS[0], { owner: ownerOf(NORTH, 1000) });
+    schedulePool(state, POOL, 20);
+    expect(state.usage.get(NORTH)).toMatchObject({ cpuMillis: 1000 });
+    const places = Array.from(state.endpoints.values()).filter(({ runs }) => runs.size > 0);
+    applyStartOutcome(state, places[0]?.endpointId as EndpointId, {
+      task: taskKey(JOBS[0], 0, 0, 0),
+      run: 2001,
+      outcome: 'rejected',
+      nowMs: 30,
+    });
+    expect(state.usage.get(NORTH)).toEqual(NO_LIMIT);
+  });
+
+  it('has what it had running when its maximum fell, and begins nothing more', () => {
+    const state = stateWith();
+    declare(state, ownerOf(NORTH, 16_000));
+    submit(state, JOBS[0], { step: { taskCount: 8 }, owner: ownerOf(NORTH, 16_000) });
+    schedulePool(state, POOL, 20);
+    declare(state, ownerOf(NORTH, 2000));
+    submit(state, JOBS[1], { owner: ownerOf(NORTH, 2000) });
+    schedulePool(state, POOL, 30);
+    expect([runsOf(state, JOBS[0]), runsOf(state, JOBS[1])]).toEqual([8, 0]);
+    expect(state.effects.filter(({ kind }) => kind === 'stop')).toEqual([]);
+  });
+
+  it('keeps its last maximum once the configuration has lost it', () => {
+    const state = stateWith();
+    declare(state, ownerOf(NORTH, 3000));
+    declare(state);
+    submit(state, JOBS[0], { step: { taskCount: 8 }, owner: ownerOf(NORTH, 9000) });
+    schedulePool(state, POOL, 20);
+    expect(runsOf(state, JOBS[0])).toBe(3);
+  });
+
+  it('goes by the row of its job where the configuration has never named it', () => {
+    const state = stateWith();
+    submit(state, JOBS[0], { step: { taskCount: 8 }, owner: ownerOf(NORTH, 4000) });
+    schedulePool(state, POOL, 20);
+    expect(runsOf(state, JOBS[0])).toBe(4);
+  });
+
+  it('has a task that is wider than half of it begun beside less than half', () => {
+    const state = stateWith();
+    declare(state, ownerOf(NORTH, 8000));
+    submit(state, JOBS[0], { step: { taskCount: 3 }, owner: ownerOf(NORTH, 8000) });
+    submit(state, JOBS[1], {
+      step: { taskCount: 2, cpuMillis: 6000 },
+      owner: ownerOf(NORTH, 8000),
+    });
+    schedulePool(state, POOL, 20);
+    expect([runsOf(state, JOBS[0]), runsOf(state, JOBS[1])]).toEqual([3, 1]);
+  });
+
+  it('has a gang begun as a whole or not at all', () => {
+    const state = stateWith();
+    const gang = { taskCount: 6, isGang: true };
+    submit(state, JOBS[0], { step: gang, owner: ownerOf(NORTH, 10_000) });
+    submit(state, JOBS[1], { step: gang, owner: ownerOf(NORTH, 10_000) });
+    schedulePool(state, POOL, 20);
+    expect([runsOf(state, JOBS[0]), runsOf(state, JOBS[1])].toSorted()).toEqual([0, 6]);
+  });
+});
+
+describe('what an earlier holder may have begun', () => {
+  /** A new holder of whose three endpoints the last has not answered. */
+  const inherited = (step: Partial<StepSpec>): BatchState => {
+    const state = stateWith();
+    see(state, THIRD);
+    expectReports(state, [{ instanceId: instanceOf(THIRD), pool: POOL }]);
+    state.inheritedLeasesEndAtMs = 9000;
+    submit(state, JOBS[0], { step, owner: ownerOf(NORTH, 10_000), isInherited: true });
+    submit(state, JOBS[1], { step: { taskCount: 10 }, owner: ownerOf(NORTH, 10_000) });
+    reckonUnreported(state, 20);
+    schedulePool(state, POOL, 20);
+    return state;
+  };
+
+  it('counts as running while an endpoint has not answered', () => {
+    const state = inherited({ taskCount: 4 });
+    expect(runsOf(state, JOBS[1])).toBe(6);
+  });
+
+  it('counts no more than fits there', () => {
+    const state = inherited({ taskCount: 100 });
+    expect(runsOf(state, JOBS[1])).toBe(2);
+  });
+
+  it('counts in full while hosts that no list names may hold it', () => {
+    const state = stateWith();
+    state.isHostListAwaited = true;
+    state.inheritedLeasesEndAtMs = 9000;
+    const step = { taskCount: 9 };
+    submit(state, JOBS[0], { step, owner: ownerOf(NORTH, 10_000), isInherited: true });
+    submit(state, JOBS[1], { step, owner: ownerOf(NORTH, 10_000) });
+    reckonUnreported(state, 20);
+    schedulePool(state, POOL, 20);
+    expect(runsOf(state, JOBS[1])).toBe(1);
+  });
+
+  it('is not counted any more once all have answered', () => {
+    const state = inherited({ taskCount: 4 });
+    answer(state, { endpointId: THIRD, askedAtMs: 30, nowMs: 40 });
+    reckonUnreported(state, 50);
+    expect(state.unreportedUsage.size).toBe(0);
+  });
+
+  it('counts where an endpoint lists it though its job has ended', () => {
+    const state = stateWith();
+    submit(state, JOBS[0], { owner: ownerOf(NORTH, 1000) });
+    cancelJob(state, JOBS[0], NORTH);
+    const listed = {
+      task: taskKey(JOBS[0], 0, 0, 0),
+      run: 7,
+      checkpoint: '',
+      percent: 1,
+      figure: 0,
+    };
+    answer(state, { running: [listed], askedAtMs: 30, nowMs: 40 });
+    expect(state.usage.get(NORTH)).toMatchObject({ cpuMillis: 1000 });
+    answer(state, { askedAtMs: 50, nowMs: 60 });
+    expect(state.usage.get(NORTH)).toEqual(NO_LIMIT);
+  });
+});
+
+describe('a job that can never begin under the maximum of its account', () => {
+  it.each([
+    [{ cpuMillis: 6000 }, undefined],
+    [{ cpuMillis: 10_001 }, 'a task of step 0 needs 10001 cpuMillis'],
+    [{ taskCount: 11, isGang: true }, 'the 11 tasks of gang step 0 needs 11000 cpuMillis'],
+    [{ taskCount: 11 }, undefined],
+  ])('is told as it comes in: %j', (step, expected) => {
+    const fault = findQuotaFault([{ ...PLAIN_STEP, ...step }], ownerOf(NORTH, 10_000));
+    if (expected === undefined) expect(fault).toBeUndefined();
+    else expect(fault).toContain(expected);
+  });
+});
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/reports.ts
@@ -5,6 +5,7 @@
 import { followRuns } from './followed-runs.js';
 import { parseTaskKey, type TaskKey } from './job.js';
 import { endJob, findReportedTask, markDone } from './jobs.js';
+import { chargeStrays } from './quota.js';
 import { learnRunTime } from './run-times.js';
 import { noteRunEnd, type RunEvidence } from './run-end.js';
 import { loseRun } from './lost-runs.js';
@@ -160,13 +161,17 @@
 const mayAdopt = (found: { readonly step: StepRun; readonly task: Task } | undefined): boolean =>
   found !== undefined && found.task.phase === 'waiting' && !isFinal(found.step.job.phase);
 
-/** A run that is not known here was begun by an earlier holder: it is taken over or stopped. */
+/**
+ * A run that is not known here was begun by an earlier holder: it is taken over or stopped.
+ *
+ * @returns The step of one that is stopped.
+ */
 const applyUnknownRun = (
   state: BatchState,
   endpoint: EndpointState,
   report: RunningReport,
   nowMs: number,
-): void => {
+): StepRun | undefined => {
   const name = parseTaskKey(report.task);
   const found = name && findReportedTask(state, name);
   if (found && mayAdopt(found)) {
@@ -174,7 +179,7 @@
     // Whoever ordered it did so before this holder took over, and the endpoint has lived with it since.
     change(run, { begunByMs: Math.min(nowMs, state.takenOverAtMs) });
     updateRun(run, report, nowMs);
-    return;
+    return undefined;
   }
   state.effects.push({
     kind: 'stop',
@@ -185,6 +190,7 @@
       ? `job is ${found.step.job.phase} or the task runs elsewhere`
       : 'job is not known',
   });
+  return found?.step;
 };
 
 /** Runs that were confirmed, or barred, before the question and are neither running nor ended. */
@@ -223,14 +229,17 @@
   }
   ended.forEach((end) => applyEnd(state, endpoint, end, { askedAtMs, nowMs }));
   const listed = new Set<TaskKey>();
-  running.forEach((report) => {
+  const strays = running.flatMap((report) => {
     listed.add(report.task);
     const run = endpoint.runs.get(report.task);
-    if (run && run.run === report.run) {
+    if (!run) return applyUnknownRun(state, endpoint, report, nowMs) ?? [];
+    if (run.run === report.run) {
       closeTrial(state, endpoint, run);
       updateRun(run, report, nowMs);
-    } else if (!run) applyUnknownRun(state, endpoint, report, nowMs);
+    }
+    return [];
   });
+  chargeStrays(state, endpoint, strays);
   if (!hasMoreEnds) loseUnlisted(state, endpoint, listed, { askedAtMs, nowMs });
   change(endpoint, { isKnown: true, reportedAtMs: askedAtMs, lapsedRuns: [] });
   poolOf(state, endpoint.pool).notReported.delete(instanceOf(endpointId));
--- a/packages/core/src/batch/runs.ts
+++ b/packages/core/src/batch/runs.ts
@@ -2,6 +2,7 @@
 import type { EndpointId } from '../shared/ids.js';
 import { change } from '../shared/change.js';
 import type { StepSpec } from './job.js';
+import { chargeRun } from './quota.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
 import {
   poolOf,
@@ -111,6 +112,7 @@
   if (task.phase === 'waiting') leaveWaiting(step, task);
   change(task, { phase: 'placed', lastRun: Math.max(task.lastRun, run) });
   changeRoom(endpoint, step.spec, 1);
+  chargeRun(state, step, 1);
   changePerEndpoint(step, endpoint.endpointId, 1);
   endpoint.runs.set(task.key, begun);
   if (step.waiting.length === 0) poolOf(state, job.job.pool).open.delete(step);
@@ -137,6 +139,7 @@
   const { task, step, startedAtMs } = run;
   from.runs.delete(task.key);
   changeRoom(from, step.spec, -1);
+  chargeRun(state, step, -1);
   changePerEndpoint(step, from.endpointId, -1);
   return addRun(state, { endpoint: to, step, task, run: run.run, phase, nowMs: startedAtMs });
 };
@@ -167,6 +170,7 @@
   const { task, step, startedAtMs } = run;
   if (!endpoint.runs.delete(task.key)) return;
   changeRoom(endpoint, step.spec, -1);
+  chargeRun(state, step, -1);
   changePerEndpoint(step, endpoint.endpointId, -1);
   if (endpoint.runs.size === 0) change(endpoint, { idleSinceMs: nowMs });
   noteRunEnd(state, {
--- a/packages/core/src/batch/schedule-cycle.ts
+++ b/packages/core/src/batch/schedule-cycle.ts
@@ -1,6 +1,7 @@
 /** One pass over all pools: they take it in rotation to be first, or one would take what may be sent. */
 import { change } from '../shared/change.js';
 import { settleGoneEndpoints } from './gone-endpoints.js';
+import { reckonUnreported } from './quota.js';
 import { schedulePool } from './schedule.js';
 import type { BatchState } from './state.js';
 
@@ -17,6 +18,7 @@
   return (startsLeft, nowMs) => {
     change(state, { startsLeft });
     settleGoneEndpoints(state, nowMs);
+    reckonUnreported(state, nowMs);
     const names = Array.from(state.pools.keys());
     first = (first + 1) % Math.max(1, names.length);
     [...names.slice(first), ...names.slice(0, first)].forEach((name) =>
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -7,6 +7,7 @@
 import { byRank, rankStep, type Rank } from './order.js';
 import { noteStartAgain } from './run-end.js';
 import { announcedRunOf, announceTrials, countLostTrials } from './trials.js';
+import { isWithinQuota } from './quota.js';
 import { addRun, fitsIn, nextRunNumber } from './runs.js';
 import {
   couldBegin,
@@ -151,6 +152,7 @@
   const { state, step } = placing;
   return tasks.every((task) => {
     if (state.startsLeft <= 0) return true;
+    if (!isWithinQuota(state, step)) return false;
     const endpoint = bestFor(endpoints, step, task);
     if (!endpoint) return false;
     startOn(
@@ -206,6 +208,7 @@
   const { state, step } = placing;
   // Members that were lost take the others with them: wait until all have ended.
   if (step.waiting.length < step.spec.taskCount) return true;
+  if (!isWithinQuota(state, step, step.spec.taskCount)) return false;
   const places = gangSets(step, endpoints)
     .map((set) => placesForGang(step, set))
     .find((found) => found !== undefined);
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -3,12 +3,13 @@
  * many ends a second, and nothing else reads them meanwhile. Times are of the holder's monotonic
  * clock unless a name says otherwise.
  */
-import type { EndpointId, InstanceId, JobId, PoolName } from '../shared/ids.js';
+import type { AccountName, EndpointId, InstanceId, JobId, PoolName } from '../shared/ids.js';
 import type { EndpointState, GoneEndpoint, OpenStart, RecentCrash } from './endpoint-state.js';
 import type { BatchPhase, TaskKey } from './job.js';
 import type { JobState, StepRun } from './job-state.js';
 import { createDemand, type Demand } from './demand.js';
 import { createDemandPeaks, type DemandPeaks } from './demand-peaks.js';
+import type { AccountLimits, Usage } from './quota.js';
 import { createRunTimes, type RunTimes } from './run-times.js';
 
 export * from './endpoint-state.js';
@@ -106,6 +107,14 @@
   readonly timed: Set<JobState>;
   /** Live jobs with tasks under which endpoints crashed. */
   readonly suspectJobs: Set<JobState>;
+  /** By the newest configuration; and those that it has lost, or that only rows tell of. */
+  accounts: ReadonlyMap<AccountName, AccountLimits>;
+  readonly formerAccounts: Map<AccountName, AccountLimits>;
+  /** What each account has running, ordered or being stopped, as far as it is known here. */
+  readonly usage: Map<AccountName, Usage>;
+  /** What each may have running besides, begun by an earlier holder; reckoned at the time that follows. */
+  unreportedUsage: ReadonlyMap<AccountName, Usage>;
+  unreportedAtMs: number;
 };
 
 /**
@@ -136,6 +145,11 @@
   peaks: createDemandPeaks(),
   timed: new Set(),
   suspectJobs: new Set(),
+  accounts: new Map(),
+  formerAccounts: new Map(),
+  usage: new Map(),
+  unreportedUsage: new Map(),
+  unreportedAtMs: -Infinity,
 });
 
 /**
--- a/packages/core/src/verdict/verdict.ts
+++ b/packages/core/src/verdict/verdict.ts
@@ -36,6 +36,7 @@
   | 'unknown-key'
   | 'configuration-doubtful'
   | 'job-id-taken'
+  | 'beyond-quota'
   | 'store-unavailable'
   | 'outcome-unknown';
 
@@ -76,6 +77,7 @@
   'unknown-key': 401,
   'configuration-doubtful': 503,
   'job-id-taken': 400,
+  'beyond-quota': 429,
   'store-unavailable': 503,
   'outcome-unknown': 504,
 };
--- a/packages/daemon/src/batch/intake.ts
+++ b/packages/daemon/src/batch/intake.ts
@@ -7,6 +7,7 @@
   CANCELLED_REASON,
   chooseRetryAfterS,
   findJobFault,
+  findQuotaFault,
   isFinal,
   type BatchJob,
   maySee,
@@ -155,6 +156,8 @@
     const startedAtMs = nowMs();
     const fault = findJobFault(job);
     if (fault !== undefined) return refuse('notRun', 'malformed-request', fault);
+    const quotaFault = findQuotaFault(job.steps, job.owner);
+    if (quotaFault !== undefined) return refuse('notRun', 'beyond-quota', quotaFault);
     const row: LiveRow = { kind: 'live', job, policy: queue.policy };
     const written = await submission.submit(row, startedAtMs + deadlineMs * PURSUE_SHARE);
     metrics.time('job_accept', (nowMs() - startedAtMs) * 1000);
--- /dev/null
+++ b/packages/daemon/src/batch/start-orders.test.ts
@@ -0,0 +1,101 @@
+/** When an order to start may leave. */
+import {
+  createBatchState,
+  createLinkDelay,
+  createOrderWindow,
+  PLAIN_STEP,
+  schedulePool,
+  seeEndpoint,
+  takeEffects,
+  takeInJob,
+  applyReport,
+  type BatchEffect,
+  type StartOrder,
+} from '@valvelatch/core/batch';
+import { brand, type EndpointId, type JobId, type PoolName } from '@valvelatch/core/shared/ids';
+import { Ok } from 'ts-results-es';
+import { describe, expect, it } from 'vitest';
+
+import { createMetrics } from '../observe/metrics.js';
+import { createStartOrders } from './start-orders.js';
+
+const POOL = brand<PoolName>('alpha');
+const ENDPOINT = brand<EndpointId>('i-1');
+const SOLE_UNTIL_MS = 2400;
+
+/** A holder that heard its one endpoint at a time, places a task there, and gets to send the order at another. */
+const sentAt = async (nowMs: number, heardAtMs: number): Promise<readonly StartOrder[]> => {
+  const state = createBatchState(2);
+  state.soleHolderUntilMs = SOLE_UNTIL_MS;
+  const capacity = { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 };
+  const sighting = { endpointId: ENDPOINT, pool: POOL, hostId: null, address: '', dataCentre: '' };
+  seeEndpoint(state, { ...sighting, labels: [], capacity, isDraining: false }, 0);
+  takeInJob(state, {
+    job: {
+      jobId: brand<JobId>('00000000000000aa'),
+      queue: brand('q'),
+      pool: POOL,
+      spec: '',
+      steps: [PLAIN_STEP],
+      repeats: 0,
+      firstDueAtMs: 0,
+      intervalMs: 0,
+      acceptedAtMs: 0,
+    },
+    policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
+    nowMs: 0,
+    todayMs: 0,
+  });
+  const empty = { running: [], ended: [], hasMoreEnds: false };
+  applyReport(state, ENDPOINT, { ...empty, askedAtMs: heardAtMs, nowMs: heardAtMs });
+  schedulePool(state, POOL, heardAtMs);
+  const [start] = takeEffects(state) as readonly Extract<BatchEffect, { kind: 'start' }>[];
+  if (!start) throw new Error('nothing was placed');
+  const sent: StartOrder[] = [];
+  const orders = createStartOrders({
+    target: { endpointId: ENDPOINT, address: '', dataCentre: '' },
+    context: {
+      state,
+      orders: {
+        start: async (_: unknown, order: StartOrder) => {
+          sent.push(order);
+          return Ok({ clockMs: 1 });
+        },
+      } as never,
+      linkDelay: createLinkDelay(),
+      window: createOrderWindow(),
+      endpointLeaseMs: 8000,
+      log: { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} },
+      metrics: createMetrics(),
+      nowMs: () => nowMs,
+      mayOrder: () => true,
+      poke: () => undefined,
+      wantSave: () => undefined,
+      onFenceLost: () => undefined,
+      onReplaced: () => undefined,
+      onRestarted: () => undefined,
+    },
+    refreshClock: async () => undefined,
+    keepUntil: () => 9000,
+    noteClock: () => undefined,
+    send: (order) => order(500),
+    noteError: () => undefined,
+    isClosed: () => false,
+  });
+  await orders(start);
+  return sent;
+};
+
+describe('an order to start', () => {
+  it('leaves while no other entry can hold control, however long its endpoint was not heard', async () => {
+    expect(await sentAt(2300, 100)).toHaveLength(1);
+  });
+
+  it('leaves later for an endpoint that was heard just now', async () => {
+    expect(await sentAt(2900, 2300)).toHaveLength(1);
+  });
+
+  it('does not leave for an endpoint that may have started again unheard while another entry took control', async () => {
+    expect(await sentAt(5200, 2300)).toEqual([]);
+  });
+});
--- a/packages/daemon/src/batch/start-orders.ts
+++ b/packages/daemon/src/batch/start-orders.ts
@@ -3,6 +3,7 @@
   applyStartOutcome,
   closeStart,
   dropTicket,
+  isSoleHolder,
   openStart,
   type BatchEffect,
   type EndpointClock,
@@ -18,6 +19,9 @@
 /** An order is sent again under the same run number before the task goes elsewhere. */
 const START_TRIES = 2;
 
+/** An endpoint that is there is heard so often at least, also over a link that is full. */
+const RESPONSIVE_MS = 2500;
+
 /** What became of the orders for one run. */
 type SentStart = {
   readonly outcome: StartOutcome;
@@ -64,6 +68,16 @@
   const { state, orders, log, metrics, nowMs } = context;
   const { endpointId } = target;
 
+  /**
+   * An order reaches whichever life has the endpoint's id. Where another entry may hold control, and an endpoint may
+   * have started again unheard, the next life would take an order of this holder before it knows of the next one.
+   */
+  const mayStart = (): boolean => {
+    if (!context.mayOrder() || isClosed()) return false;
+    const heardAtMs = state.endpoints.get(endpointId)?.reportedAtMs ?? -Infinity;
+    return isSoleHolder(state, nowMs()) || nowMs() - heardAtMs < RESPONSIVE_MS;
+  };
+
   /** Sends a start as one of those under way. */
   const sendCounted = async (order: StartOrder): ReturnType<EndpointOrders['start']> => {
     const sentAtMs = nowMs();
@@ -96,7 +110,7 @@
       if (isFirstLost && error.reason === 'old') return { outcome: 'started', isOpen: true };
       if (error.verdict === 'notRun')
         return { outcome: isFirstLost ? 'unknown' : 'rejected', error, isOpen: isFirstLost };
-      if (attempt === START_TRIES || isClosed() || !context.mayOrder()) {
+      if (attempt === START_TRIES || !mayStart()) {
         return { outcome: 'unknown', error, isOpen: true };
       }
       isFirstLost = true;
@@ -109,7 +123,7 @@
     // It may have been given up while the answer was awaited, and must not begin after that.
     if (state.endpoints.get(endpointId)?.runs.get(task)?.run !== run) return;
     const keepUntilMs = keepUntil();
-    if (keepUntilMs === undefined || !context.mayOrder() || isClosed()) {
+    if (keepUntilMs === undefined || !mayStart()) {
       const reason = 'not-sent';
       applyStartOutcome(state, endpointId, {
         task,
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -14,6 +14,7 @@
   instanceOf,
   paceFillers,
   soleForMs,
+  takeAccounts,
   takeEffects,
   watchRuns,
   type BatchEffect,
@@ -256,6 +257,7 @@
     state.clockMs = nowMs();
     state.todayAheadMs = todayMs() - nowMs();
     state.soleHolderUntilMs = soleHolderUntilMs();
+    takeAccounts(state, configuration()?.accounts.byName ?? state.accounts);
     schedulePools(window.left(), nowMs());
     perform();
   };
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -4,17 +4,23 @@
  */
 import {
   indexQueues,
+  NO_LIMIT,
   PLAIN_STEP,
   type BatchJob,
   type BatchJobRow,
+  type Capacity,
+  type ClientAccount,
   type EndpointModel,
   type HostView,
+  type QueueIndex,
   type StepSpec,
   type TaskKey,
   type UpkeepOrder,
 } from '@valvelatch/core/batch';
+import { change } from '@valvelatch/core/shared/change';
 import {
   brand,
+  type AccountName,
   type InstanceId,
   type EntryId,
   type HostId,
@@ -41,12 +47,19 @@
 import { createSimWorld, SIM_POLICY, type SimFaults } from './sim-world.fixtures.js';
 
 const TICK_MS = 500;
+/** Entries hear of a new configuration within this time. */
+const APPLIED_WITHIN_MS = 3000;
+
+const ownerOf = (owner: ClientAccount | undefined): Pick<BatchJob, 'owner'> =>
+  owner ? { owner: { account: owner.name, maximum: owner.maximum } } : {};
 
 const queueOf = (pool: string, needsAdvice: boolean): string =>
   `${needsAdvice ? 'advised' : 'q'}-${pool}`;
 
 /** An entry of the fleet. */
 export type SimEntry = SimReach & {
+  /** As far as it has heard of it. */
+  configuration: QueueIndex;
   readonly entryId: EntryId;
   readonly control: Control;
   readonly table: RelayedTable;
@@ -66,9 +79,37 @@
   readonly mayRelayOrders?: boolean;
   /** How often each entry looks at the lease. */
   readonly tickMs?: number;
+  /** Whose jobs are submitted, by turns. */
+  readonly accounts?: readonly ClientAccount[];
   readonly random: () => number;
 };
 
+/**
+ * Builds a client account of a fleet.
+ *
+ * @param name - Its name.
+ * @param cpuMillis - The most that it may have running; 0 for no limit.
+ * @returns The account.
+ */
+export const simAccount = (name: string, cpuMillis: number): ClientAccount => ({
+  name: brand(name),
+  keyDigests: [],
+  priority: 0,
+  weight: 10,
+  maximum: { ...NO_LIMIT, cpuMillis },
+});
+
+const HOST_CPU_MILLIS = 8000;
+
+/** Half of the hosts' cores for one, and another without a limit. */
+const simAccounts = (hosts: number): readonly ClientAccount[] => [
+  simAccount('client-a', (hosts * HOST_CPU_MILLIS) / 2),
+  simAccount('client-b', 0),
+];
+
+const maximaOf = (accounts: readonly ClientAccount[]): ReadonlyMap<AccountName, Capacity> =>
+  new Map(accounts.map(({ name, maximum }) => [name, maximum]));
+
 export type SimFleet = {
   readonly entries: SimEntry[];
   readonly endpoints: Map<InstanceId, EndpointModel>;
@@ -88,8 +129,12 @@
     readonly needsAdvice?: boolean;
     /** How long the text is that goes with each start. */
     readonly specBytes?: number;
+    /** Whose job it is; the accounts take turns if left out. */
+    readonly account?: AccountName;
   }) => JobId;
   readonly cancel: (jobId: JobId) => void;
+  /** The operator declares the accounts anew; each entry hears of it within `APPLIED_WITHIN_MS`. */
+  readonly declare: (accounts: readonly ClientAccount[]) => void;
   readonly order: (wave: UpkeepOrder) => void;
   /** All waves are read by the entries that are there now, as at their start. */
   readonly reorder: () => void;
@@ -121,6 +166,7 @@
   linkBytesPerMs,
   mayRelayOrders = false,
   tickMs = TICK_MS,
+  accounts = simAccounts(hostsPerPool * pools.length),
   random,
 }: SimFleetOptions): SimFleet => {
   const world = createSimWorld({ hostsPerPool, pools, sparePool, random });
@@ -129,25 +175,28 @@
   const logged: { readonly event: string; readonly fields: object }[] = [];
   let lastJob = 0;
 
-  const configuration = indexQueues({
-    version: 1,
-    accounts: [],
-    queues: pools.flatMap((pool) =>
-      [false, true].map((needsAdvice) => ({
-        name: brand(queueOf(pool, needsAdvice)),
-        hostName: 'h',
-        pathPrefix: `/${queueOf(pool, needsAdvice)}/`,
-        pool: brand(pool),
-        policy: { ...SIM_POLICY, needsAdvice },
-        timeoutMs: 3000,
-        isOpenToAll: true,
-      })),
-    ),
-    pools: [
-      ...pools.map((name) => ({ name: brand<PoolName>(name), isSpare: false })),
-      ...(sparePool ? [{ name: brand<PoolName>(sparePool), isSpare: true }] : []),
-    ],
-  });
+  const configurationOf = (version: number, declared: readonly ClientAccount[]): QueueIndex =>
+    indexQueues({
+      version,
+      accounts: declared,
+      queues: pools.flatMap((pool) =>
+        [false, true].map((needsAdvice) => ({
+          name: brand(queueOf(pool, needsAdvice)),
+          hostName: 'h',
+          pathPrefix: `/${queueOf(pool, needsAdvice)}/`,
+          pool: brand(pool),
+          policy: { ...SIM_POLICY, needsAdvice },
+          timeoutMs: 3000,
+          isOpenToAll: false,
+        })),
+      ),
+      pools: [
+        ...pools.map((name) => ({ name: brand<PoolName>(name), isSpare: false })),
+        ...(sparePool ? [{ name: brand<PoolName>(sparePool), isSpare: true }] : []),
+      ],
+    });
+  let newest = configurationOf(1, accounts);
+  world.inForce.push({ maxima: maximaOf(accounts), untilMs: Infinity });
 
   const log: Log = {
     debug: () => undefined,
@@ -159,6 +208,27 @@
     },
   };
 
+  /** What a holder counts of each account is the sum of the runs that it knows of. */
+  const checkLedger = (control: Control): void => {
+    const state = control.term()?.state;
+    if (!state) return;
+    const endpointsKnown = [
+      ...state.endpoints.values(),
+      ...Array.from(state.goneEndpoints.values(), ({ endpoint }) => endpoint),
+    ];
+    const sums = new Map<AccountName, number>();
+    endpointsKnown
+      .flatMap(({ runs, strays }) => [...Array.from(runs.values(), ({ step }) => step), ...strays])
+      .forEach((step) => {
+        const account = step.job.job.owner?.account;
+        if (account) sums.set(account, (sums.get(account) ?? 0) + step.spec.cpuMillis);
+      });
+    state.usage.forEach(({ cpuMillis }, account) => {
+      if (cpuMillis === (sums.get(account) ?? 0)) return;
+      breaks(`the ledger has ${cpuMillis} of ${account}, whose runs are ${sums.get(account) ?? 0}`);
+    });
+  };
+
   const addEntry = (name: string, cores = 1): SimEntry => {
     const entry = {
       entryId: brand<EntryId>(name),
@@ -169,6 +239,7 @@
       orderBytes: { out: 0, in: 0 },
       ...(linkBytesPerMs === undefined ? {} : { link: createSimLink(linkBytesPerMs) }),
       cutFrom: new Set<InstanceId>(),
+      configuration: newest,
     } as { -readonly [Key in keyof SimEntry]: SimEntry[Key] };
 
     const { platform, awake, carryMessage } = createSimPlatform(world, entry);
@@ -241,7 +312,7 @@
       platform: { ...platform, orders },
       table: relayed,
       peers: () => undefined,
-      configuration: () => configuration,
+      configuration: () => entry.configuration,
       log,
       metrics,
       ...(endpointLeaseMs === undefined ? {} : { endpointLeaseMs }),
@@ -261,6 +332,7 @@
     const loop = async (): Promise<void> => {
       while (!entry.isDead) {
         await control.tick();
+        checkLedger(control);
         if (control.term()) orders.refresh();
         await sleep(tickMs);
       }
@@ -303,8 +375,14 @@
       needsAdvice = false,
       specBytes = 0,
       crashesAfterMs,
+      account,
     }) => {
       lastJob += 1;
+      const declared = newest.configuration.accounts;
+      const owner =
+        account === undefined
+          ? declared[lastJob % Math.max(1, declared.length)]
+          : declared.find(({ name }) => name === account);
       const jobId = brand<JobId>(lastJob.toString(16).padStart(16, '0'));
       const job: BatchJob = {
         jobId,
@@ -316,6 +394,7 @@
         firstDueAtMs: 0,
         intervalMs: 0,
         acceptedAtMs: Date.now(),
+        ...ownerOf(owner),
       };
       jobs.set(jobId, { job, runMs, fails, needsAdvice, crashesAfterMs });
       const row: BatchJobRow = { kind: 'live', job, policy: SIM_POLICY };
@@ -323,7 +402,22 @@
       return jobId;
     },
     cancel: (jobId) => {
-      commit({ checks: [], writes: [{ key: batchKey.cancel(jobId, null), value: {} }] });
+      const by = jobs.get(jobId)?.job.owner?.account ?? null;
+      commit({ checks: [], writes: [{ key: batchKey.cancel(jobId, by), value: {} }] });
+    },
+    declare: (declared) => {
+      newest = configurationOf(newest.configuration.version + 1, declared);
+      const taken = newest;
+      const { inForce } = world;
+      const last = inForce.at(-1);
+      if (last) last.untilMs = performance.now() + APPLIED_WITHIN_MS;
+      inForce.push({ maxima: maximaOf(declared), untilMs: Infinity });
+      entries.forEach((entry) =>
+        setTimeout(() => {
+          const isNewer = taken.configuration.version > entry.configuration.configuration.version;
+          if (isNewer) change(entry, { configuration: taken });
+        }, random() * APPLIED_WITHIN_MS),
+      );
     },
     order: (wave) => {
       waves.set(wave.waveNumber, wave);
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -208,8 +208,11 @@
     ) => Promise<Result<Value, OrderError>> | Result<Value, OrderError>,
     timeoutMs: number,
   ): Promise<Result<Value, OrderError>> => {
+    const decidedAtMs = performance.now();
     await awake();
     const sentAtMs = performance.now();
+    // What was decided before its process stood still leaves as late as one that the network held up.
+    const isHeldUp = sentAtMs > decidedAtMs;
     noteBytes('out', sizeOf(order));
     await carry('out', sizeOf(order), isGivenUp);
     await sleep(HOP_MS);
@@ -240,7 +243,10 @@
       await awake();
       return Err(noAnswer);
     }
-    const answer = await call(endpoint);
+    if (isHeldUp) lateOrder.sentAtMs = decidedAtMs;
+    const answering = call(endpoint);
+    lateOrder.sentAtMs = Infinity;
+    const answer = await answering;
     // One that dies while a question waits there breaks the connection.
     if (!endpoint.isUp()) return Err(noAnswer);
     const answerBytes = sizeOf(answer.isOk() ? answer.value : null);
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -7,6 +7,7 @@
   parseTaskKey,
   type BatchJob,
   type BatchJobRow,
+  type Capacity,
   type EndReport,
   type EndpointModel,
   type EndpointObserver,
@@ -21,6 +22,7 @@
 import { createTableModel } from '@valvelatch/core/replay/table-model';
 import {
   brand,
+  type AccountName,
   type InstanceId,
   type HostId,
   type JobId,
@@ -63,6 +65,9 @@
 /** A job may be given up once so many endpoints have gone down under one of its tasks. */
 const CRASHES_TO_GIVE_UP = 2;
 
+/** What an account may have running beyond its maximum, as a share of it. */
+const QUOTA_EXCESS = 0.1;
+
 /** What starts on queues that need advice must carry. */
 export const TICKET = 'ticket';
 
@@ -126,6 +131,8 @@
   const crashes = new Map<TaskKey, number>();
   const startsSince = new Map<TaskKey, number>();
   const broken: string[] = [];
+  /** What the configurations that may be in force give accounts, the newest last. */
+  const inForce: { readonly maxima: ReadonlyMap<AccountName, Capacity>; untilMs: number }[] = [];
   const faults: SimFaults = {
     lostAnswers: 0,
     lateOrders: 0,
@@ -187,6 +194,37 @@
     }
   };
 
+  const accountOf = (key: TaskKey): AccountName | undefined => {
+    const name = parseTaskKey(key);
+    return name && jobs.get(name.jobId)?.job.owner?.account;
+  };
+
+  /** The highest maximum that any configuration in force may give an account; 0 for no limit. */
+  const mostOf = (account: AccountName): number => {
+    const nowMs = performance.now();
+    const maxima = inForce
+      .filter(({ untilMs }) => untilMs > nowMs)
+      .map(({ maxima: one }) => one.get(account)?.cpuMillis ?? 0);
+    return maxima.includes(0) ? 0 : Math.max(0, ...maxima);
+  };
+
+  /** No start brings what an account has running above its maximum, an excess and one task more. */
+  const checkQuota = (task: TaskKey): void => {
+    const account = accountOf(task);
+    const most = account === undefined ? 0 : mostOf(account);
+    if (account === undefined || most === 0) return;
+    const running = Array.from(endpoints.values())
+      .filter((one) => one.isUp())
+      .flatMap(({ runs }) => Array.from(runs.keys()))
+      .filter((key) => accountOf(key) === account)
+      .reduce((sum, key) => sum + needsOf(key).cpuMillis, 0);
+    const isIncluded = Array.from(endpoints.values()).some(({ runs }) => runs.has(task));
+    const before = running - (isIncluded ? needsOf(task).cpuMillis : 0);
+    if (before > most * (1 + QUOTA_EXCESS)) {
+      breaks(`${task} began beside ${before} of ${account}, which may have ${most}`);
+    }
+  };
+
   /** A job is failed only by a task that failed too often, or under which endpoints crashed. */
   const checkFailed = (jobId: JobId): void => {
     const hasCause = (counts: ReadonlyMap<TaskKey, number>, atLeast: number): boolean =>
@@ -241,6 +279,7 @@
       }
       checkOrder(task);
       checkCrashes(task);
+      checkQuota(task);
     },
     onEnd: (_, task, __, kind) => {
       if (kind === 'failed') failedEnds.set(task, (failedEnds.get(task) ?? 0) + 1);
@@ -395,6 +434,7 @@
       if (!askedSinceMs.has(endpoint)) askedSinceMs.set(endpoint, performance.now());
     },
     isListed,
+    inForce,
     waveStatus,
     waves,
     breaks,
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -1,5 +1,6 @@
 /** What the tests of control in virtual time share: faked clocks, a fleet that has begun, questions. */
 import { vi } from 'vitest';
+import type { ClientAccount } from '@valvelatch/core/batch';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
 import { createSimFleet, type SimEntry, type SimFleet } from './sim-fleet.fixtures.js';
@@ -41,6 +42,7 @@
     linkBytesPerMs?: number;
     mayRelayOrders?: boolean;
     tickMs?: number;
+    accounts?: readonly ClientAccount[];
     seed?: number;
   } = {},
 ) => {
