Accounts share what is full: what each is owed goes first, the rest by who is furthest behind

Nobody is refused for it.

The share of a job handed in under an earlier holder is not known: it counts as owed.

--- a/packages/core/src/batch/endpoint-state.ts
+++ b/packages/core/src/batch/endpoint-state.ts
@@ -68,6 +68,8 @@
   /** When nothing that it may have been told to run can still be running. */
   leaseEndsAtMs: number;
   idleSinceMs: number;
+  /** Rises as room comes free here; see `BatchState`. */
+  roomRevision: number;
   readonly seenAtMs: number;
   /** When the question was sent whose answer was applied last. */
   reportedAtMs: number;
--- a/packages/core/src/batch/endpoints.ts
+++ b/packages/core/src/batch/endpoints.ts
@@ -55,6 +55,7 @@
     isAwaited: false,
     leaseEndsAtMs: 0,
     idleSinceMs: nowMs,
+    roomRevision: 0,
     seenAtMs: nowMs,
     reportedAtMs: 0,
     health: { failedJobs: new Set(), strikes: 0 },
--- a/packages/core/src/batch/job-state.ts
+++ b/packages/core/src/batch/job-state.ts
@@ -1,5 +1,6 @@
 /** What is known of jobs, their steps and tasks. Records change in place. */
 import type { EndpointId } from '../shared/ids.js';
+import type { JobShare } from './shares.js';
 import type { BatchJob, BatchPhase, QueuePolicy, StepSpec, TaskKey } from './job.js';
 
 /** One task. */
@@ -88,8 +89,10 @@
   doneCount: number;
   /** How many tasks of the step stand on an endpoint. */
   readonly perEndpoint: Map<EndpointId, number>;
-  /** Not tried again before this time. */
+  /** Not tried again everywhere before this time. */
   retryAtMs: number;
+  /** It fitted nowhere as the room was at this revision. */
+  triedAtRevision: number;
   /** Null where the queue needs no advice. */
   readonly advice: StepAdvice | null;
 };
@@ -112,6 +115,8 @@
   nextOccurrence: number;
   /** When it came in, by the monotonic clock. */
   readonly sinceMs: number;
+  /** Where it stands among the jobs of all accounts. */
+  readonly share: JobShare;
   /** Accepted under an earlier holder: a task may be running where nobody has answered yet. */
   readonly isInherited: boolean;
   /** A task of it is known to have begun; that one was ordered does not show it. */
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -21,6 +21,7 @@
   type StepRun,
   type Task,
 } from './state.js';
+import { OWED, takeShare, type JobShare } from './shares.js';
 import { stopRun, leaveWaiting } from './runs.js';
 import { expectStepWork } from './step-times.js';
 
@@ -56,6 +57,7 @@
   doneCount: 0,
   perEndpoint: new Map(),
   retryAtMs: 0,
+  triedAtRevision: 0,
   advice: job.policy.needsAdvice ? createStepAdvice() : null,
 });
 
@@ -135,6 +137,7 @@
   readonly nowMs: number;
   readonly todayMs: number;
   readonly isInherited?: boolean;
+  readonly share?: JobShare;
 };
 
 /**
@@ -149,6 +152,7 @@
   nowMs,
   todayMs,
   isInherited = false,
+  share = OWED,
 }: TakeInOptions): JobState => ({
   job,
   policy,
@@ -157,6 +161,7 @@
   occurrences: new Map(),
   nextOccurrence: 0,
   sinceMs: nowMs - Math.max(0, Math.min(todayMs - job.acceptedAtMs, MOST_BELIEVED_AGE_MS)),
+  share,
   isInherited,
   hasBegun: false,
   blameRevision: 0,
@@ -176,7 +181,9 @@
 export const takeInJob = (state: BatchState, options: TakeInOptions): JobState => {
   const known = state.jobs.get(options.job.jobId);
   if (known) return known;
-  const job = createJobState(options);
+  const { job: accepted, nowMs } = options;
+  const share = takeShare(state, accepted.owner?.account, nowMs);
+  const job = createJobState({ ...options, share });
   state.jobs.set(options.job.jobId, job);
   beginDue(state, job, options.nowMs, options.todayMs);
   return job;
--- a/packages/core/src/batch/order.ts
+++ b/packages/core/src/batch/order.ts
@@ -7,6 +7,8 @@
 import * as N from 'fp-ts/lib/number.js';
 import * as Ord from 'fp-ts/lib/Ord.js';
 
+import type { OrderWay } from './order-ways.js';
+import { goesWithOwed } from './shares.js';
 import type { BatchState, StepRun } from './state.js';
 import { expectStepTime } from './step-times.js';
 
@@ -20,6 +22,8 @@
   readonly tier: 0 | 1 | 2;
   /** When the objective ends. */
   readonly dueAtMs: number;
+  /** 0: its account is owed it. 1: it is beyond what its account is owed. */
+  readonly claim: 0 | 1;
 };
 
 /**
@@ -62,9 +66,10 @@
   const sinceMs = beganAtMs(step);
   const dueAtMs = sinceMs + objectiveMs;
   const endsAtMs = nowMs + remainingChainMs(state, step);
-  if (step.spec.isLasting || endsAtMs <= dueAtMs) return { step, tier: 0, dueAtMs };
+  const claim = goesWithOwed(step.job, nowMs) ? 0 : 1;
+  if (step.spec.isLasting || endsAtMs <= dueAtMs) return { step, tier: 0, dueAtMs, claim };
   const isLate = endsAtMs <= sinceMs + LATE_FACTOR * objectiveMs;
-  return { step, tier: isLate ? 1 : 2, dueAtMs };
+  return { step, tier: isLate ? 1 : 2, dueAtMs, claim };
 };
 
 const byTier = pipe(
@@ -80,8 +85,29 @@
   Ord.contramap(({ dueAtMs }: Rank) => dueAtMs),
 );
 
-/** The order of the queue. */
-export const byRank: Ord.Ord<Rank> = Ord.getMonoid<Rank>().concat(
-  Ord.getMonoid<Rank>().concat(byTier, byPriority),
-  byDue,
+const byClaim = pipe(
+  N.Ord,
+  Ord.contramap(({ claim }: Rank) => claim),
+);
+const byVirtualStart = pipe(
+  N.Ord,
+  Ord.contramap(({ step }: Rank) => step.job.share.virtualStart),
+);
+
+/** Among what accounts are not owed, the account that is furthest behind goes first. */
+const byFairnessOfRest = pipe(
+  N.Ord,
+  Ord.contramap(({ step, claim }: Rank) => claim * step.job.share.virtualStart),
 );
+
+const { concat } = Ord.getMonoid<Rank>();
+
+const byUrgency = concat(concat(byTier, byPriority), byDue);
+
+/** The orders of the queue, by their way. */
+export const byRank: Readonly<Record<OrderWay, Ord.Ord<Rank>>> = {
+  'due-first': byUrgency,
+  'owed-first': concat(byClaim, byUrgency),
+  'owed-then-fair': concat(concat(concat(byClaim, byTier), byFairnessOfRest), byUrgency),
+  'fair-first': concat(concat(byTier, byVirtualStart), byUrgency),
+};
--- a/packages/core/src/batch/runs.ts
+++ b/packages/core/src/batch/runs.ts
@@ -56,6 +56,13 @@
     accelerators: used.accelerators + sign * spec.accelerators,
   });
 
+const freeRoom = (state: BatchState, endpoint: EndpointState, spec: StepSpec): void => {
+  changeRoom(endpoint, spec, -1);
+  const roomRevision = state.roomRevision + 1;
+  change(state, { roomRevision });
+  change(endpoint, { roomRevision });
+};
+
 const changePerEndpoint = (step: StepRun, endpointId: EndpointId, by: 1 | -1): void => {
   const count = (step.perEndpoint.get(endpointId) ?? 0) + by;
   if (count > 0) step.perEndpoint.set(endpointId, count);
@@ -138,7 +145,7 @@
 export const moveRun = (state: BatchState, { from, to, run, phase }: MoveRunOptions): RunState => {
   const { task, step, startedAtMs } = run;
   from.runs.delete(task.key);
-  changeRoom(from, step.spec, -1);
+  freeRoom(state, from, step.spec);
   chargeRun(state, step, -1);
   changePerEndpoint(step, from.endpointId, -1);
   return addRun(state, { endpoint: to, step, task, run: run.run, phase, nowMs: startedAtMs });
@@ -169,7 +176,7 @@
 ): void => {
   const { task, step, startedAtMs } = run;
   if (!endpoint.runs.delete(task.key)) return;
-  changeRoom(endpoint, step.spec, -1);
+  freeRoom(state, endpoint, step.spec);
   chargeRun(state, step, -1);
   changePerEndpoint(step, endpoint.endpointId, -1);
   if (endpoint.runs.size === 0) change(endpoint, { idleSinceMs: nowMs });
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -252,7 +252,7 @@
 const inOrder = (state: BatchState, steps: readonly StepRun[], nowMs: number): readonly StepRun[] =>
   steps
     .map((step): Rank => rankStep(state, step, nowMs))
-    .sort(byRank.compare)
+    .sort(byRank[state.orderWay].compare)
     .map(({ step }) => step);
 
 /** Places the tasks of a step that may stand beside others; true if none is left for want of room. */
--- /dev/null
+++ b/packages/core/src/batch/share-play.fixtures.ts
@@ -0,0 +1,134 @@
+/** A pool under load from client accounts, step by step, with what each account gets in time. */
+import { brand, type AccountName, type EndpointId, type JobId } from '../shared/ids.js';
+import { NO_LIMIT } from './accounts.js';
+import { answer, POOL, see } from './batch-state.fixtures.js';
+import type { TaskKey } from './job.js';
+import { takeInJob } from './jobs.js';
+import type { OrderWay } from './order-ways.js';
+import { PLAIN_STEP } from './plain-step.js';
+import { takeAccounts } from './quota.js';
+import type { EndReport } from './reports.js';
+import { schedulePool } from './schedule.js';
+import { createBatchState, takeEffects } from './state.js';
+
+const STEP_MS = 20;
+const RUN_MS = 500;
+const TASKS_PER_JOB = 4;
+const POLICY = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
+const OBJECTIVE_MS = POLICY.stretch * RUN_MS + POLICY.targetLatencyMs;
+
+/** How much an account hands in. */
+export type PlayedAccount = {
+  readonly name: AccountName;
+  readonly weight: number;
+  readonly jobsPerS: number;
+};
+
+export type SharePlay = {
+  readonly way: OrderWay;
+  readonly accounts: readonly PlayedAccount[];
+  /** Eight tasks each. */
+  readonly endpoints: number;
+  readonly forMs: number;
+};
+
+/** A source of chance that repeats. */
+const createChance = (): (() => number) => {
+  let state = 7;
+  return () => {
+    state = (state * 48271) % 2147483647;
+    return state / 2147483647;
+  };
+};
+
+/**
+ * Plays a load.
+ *
+ * @param play - The order, the accounts and the room.
+ * @returns For each account the share of what it is owed that is done in time.
+ */
+export const playShares = ({
+  way,
+  accounts,
+  endpoints,
+  forMs,
+}: SharePlay): ReadonlyMap<AccountName, number> => {
+  const state = createBatchState(2);
+  state.orderWay = way;
+  const limits = accounts.map(({ name, weight }) => [name, { weight, maximum: NO_LIMIT }] as const);
+  takeAccounts(state, new Map(limits));
+  const ids = Array.from({ length: endpoints }, (_, index) => brand<EndpointId>(`i-${index}`));
+  ids.forEach((endpointId) => see(state, endpointId));
+  const random = createChance();
+  const handedIn = new Map<JobId, { readonly name: AccountName; readonly atMs: number }>();
+  const inTime = new Map<AccountName, number>();
+  const ends: {
+    readonly endpointId: EndpointId;
+    readonly atMs: number;
+    readonly end: EndReport;
+  }[] = [];
+  let jobs = 0;
+
+  const submit = ({ name }: PlayedAccount, nowMs: number): void => {
+    jobs += 1;
+    const jobId = brand<JobId>(jobs.toString(16).padStart(16, '0'));
+    handedIn.set(jobId, { name, atMs: nowMs });
+    takeInJob(state, {
+      job: {
+        jobId,
+        queue: brand('q'),
+        pool: POOL,
+        spec: '',
+        steps: [{ ...PLAIN_STEP, taskCount: TASKS_PER_JOB, estimateMs: RUN_MS }],
+        repeats: 0,
+        firstDueAtMs: 0,
+        intervalMs: 0,
+        acceptedAtMs: nowMs,
+        owner: { account: name, maximum: NO_LIMIT },
+      },
+      policy: POLICY,
+      nowMs,
+      todayMs: nowMs,
+    });
+  };
+
+  const begin = (endpointId: EndpointId, task: TaskKey, run: number, nowMs: number): void => {
+    const end = { number: ends.length + 1, task, run, kind: 'done' as const, checkpoint: '' };
+    ends.push({ endpointId, atMs: nowMs + RUN_MS, end });
+  };
+
+  const noteDone = (nowMs: number): void =>
+    state.jobs.forEach((job, jobId) => {
+      if (job.phase !== 'completed') return;
+      const { name, atMs } = handedIn.get(jobId) ?? { name: undefined, atMs: 0 };
+      if (name && nowMs - atMs <= OBJECTIVE_MS) inTime.set(name, (inTime.get(name) ?? 0) + 1);
+      state.jobs.delete(jobId);
+    });
+
+  // What is handed in last has its time, too.
+  for (let nowMs = 0; nowMs < forMs + OBJECTIVE_MS; nowMs += STEP_MS) {
+    accounts.forEach((account) => {
+      const isDrawn = random() < (account.jobsPerS * STEP_MS) / 1000;
+      if (isDrawn && nowMs < forMs) submit(account, nowMs);
+    });
+    ids.forEach((endpointId) => {
+      const over = ends.filter((one) => one.endpointId === endpointId && one.atMs === nowMs);
+      answer(state, { endpointId, ended: over.map(({ end }) => end), askedAtMs: 0, nowMs });
+    });
+    noteDone(nowMs);
+    schedulePool(state, POOL, nowMs);
+    takeEffects(state).forEach((effect) => {
+      if (effect.kind === 'start') begin(effect.endpointId, effect.task, effect.run, nowMs);
+    });
+  }
+  const owedOf = ({ name, weight }: PlayedAccount): number => {
+    const own = Array.from(handedIn.values()).filter((one) => one.name === name);
+    return Math.min(own.length, (weight * forMs) / 1000);
+  };
+  return new Map(
+    accounts.map((account) => [
+      account.name,
+      (inTime.get(account.name) ?? 0) / Math.max(1, owedOf(account)),
+    ]),
+  );
+};
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -10,6 +10,8 @@
 import { createDemand, type Demand } from './demand.js';
 import { createDemandPeaks, type DemandPeaks } from './demand-peaks.js';
 import type { AccountLimits, Usage } from './quota.js';
+import type { OrderWay } from './order-ways.js';
+import type { AccountShare } from './shares.js';
 import { createRunTimes, type RunTimes } from './run-times.js';
 
 export * from './endpoint-state.js';
@@ -99,6 +101,8 @@
   longestLeaseMs: number;
   recentCrashes: readonly RecentCrash[];
   readonly effects: BatchEffect[];
+  /** Rises each time that room comes free on an endpoint. */
+  roomRevision: number;
   /** How many more starts may be sent now: what the holder's link carries. */
   startsLeft: number;
   readonly runTimes: RunTimes;
@@ -115,6 +119,10 @@
   /** What each may have running besides, begun by an earlier holder; reckoned at the time that follows. */
   unreportedUsage: ReadonlyMap<AccountName, Usage>;
   unreportedAtMs: number;
+  /** What each account is owed of what it hands in. */
+  readonly shares: Map<AccountName, AccountShare>;
+  /** How the queue is ordered. */
+  orderWay: OrderWay;
 };
 
 /**
@@ -140,6 +148,7 @@
   longestLeaseMs: LONGEST_LEASE_MS,
   recentCrashes: [],
   effects: [],
+  roomRevision: 0,
   startsLeft: Infinity,
   runTimes: createRunTimes(),
   peaks: createDemandPeaks(),
@@ -150,6 +159,8 @@
   usage: new Map(),
   unreportedUsage: new Map(),
   unreportedAtMs: -Infinity,
+  shares: new Map(),
+  orderWay: 'owed-then-fair',
 });
 
 /**
