Room that comes free goes to the first step in order that it fits

What callers saw: under a backlog, work that was due later, less urgent or beyond its account's share began before work that had waited. Cause: a step that fitted nowhere was left out for 25 ms, and what stood behind it took the room that came free meanwhile; with more than 40 that fitted nowhere, each pass went on to the next 40. The comment promised another try where room came free; nothing did it.

Now room has a revision that rises as it comes free; within the 25 ms a step is tried on the endpoints whose room grew since it was tried last, and only there. Gangs wait the 25 ms as before.

Evidence: 'goes to that step, not to one behind it' and 'goes in order also to the steps that were not tried' failed before.

--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -34,7 +34,7 @@
  * the next turn.
  */
 const MAX_MISFITS_PER_CYCLE = 40;
-/** A step that fitted nowhere is not tried again before this time, unless room came free. */
+/** A step that fitted nowhere is tried again everywhere after this time, and before it where room came free. */
 const RETRY_MS = 25;
 
 /**
@@ -330,19 +330,40 @@
   return isolated;
 };
 
+/**
+ * The endpoints on which a step is tried: all of them, or, a short time after it fitted nowhere, those where room came
+ * free since. Without these, what comes behind it in the order would take that room.
+ */
+const triedOn = (
+  { retryAtMs, triedAtRevision, spec }: StepRun,
+  { endpoints, nowMs }: Pass,
+  newestRevision: number,
+): readonly EndpointState[] => {
+  if (retryAtMs <= nowMs) return endpoints;
+  if (spec.isGang || triedAtRevision >= newestRevision) return [];
+  return endpoints.filter(({ roomRevision }) => roomRevision > triedAtRevision);
+};
+
 /** Places what may stand beside others. */
-const placeShared = ({ state, endpoints, nowMs }: Pass, steps: readonly StepRun[]): void => {
+const placeShared = (pass: Pass, steps: readonly StepRun[]): void => {
+  const { state, endpoints, nowMs } = pass;
+  const newestRevision = Math.max(...endpoints.map(({ roomRevision }) => roomRevision));
   let misfits = 0;
   steps.some((step) => {
     if (state.startsLeft <= 0) return true;
+    const places = triedOn(step, pass, newestRevision);
+    if (places.length === 0) return false;
     const placing: Placing = { state, step, nowMs };
-    const admitted = admittedEndpoints(step, endpoints, nowMs);
+    const admitted = admittedEndpoints(step, places, nowMs);
     const isPlaced = placeOrdinary(placing, admitted, waitingSuspects(state, step));
-    if (!isPlaced) {
-      wantAdviceFor(placing, endpoints);
-      misfits += 1;
-      change(step, { retryAtMs: nowMs + RETRY_MS });
-    }
+    if (isPlaced) return false;
+    const isWhole = places === endpoints;
+    if (isWhole) wantAdviceFor(placing, endpoints);
+    misfits += 1;
+    change(step, {
+      triedAtRevision: state.roomRevision,
+      retryAtMs: isWhole ? nowMs + RETRY_MS : step.retryAtMs,
+    });
     return misfits >= MAX_MISFITS_PER_CYCLE;
   });
 };
@@ -378,8 +399,8 @@
     isolated.size === 0
       ? endpoints
       : endpoints.filter(({ endpointId }) => !isolated.has(endpointId));
-  const due = open.filter(({ retryAtMs }) => retryAtMs <= nowMs);
-  placeShared({ ...pass, endpoints: shared }, inOrder(state, due, nowMs));
+  if (shared.length === 0) return;
+  placeShared({ ...pass, endpoints: shared }, inOrder(state, open, nowMs));
 };
 
 /**
