Operators see client accounts, and whether a job waits for quota, share or room

'valvelatch get accounts' lists what each has running, may have and waits for; 'explain job' names the quota with its figures where it said room before, and 'explain account' sums it up. Accounts that the configuration has lost with jobs in hand are listed as such.

--- a/packages/cli/src/tables.ts
+++ b/packages/cli/src/tables.ts
@@ -44,6 +44,7 @@
   hosts: ['hostId', 'pool', 'phase', 'dataCentre', 'rack', 'cores', 'reason'],
   placements: ['jobId', 'hostId', 'pool', 'phase', 'epoch', 'reason'],
   jobs: ['name', 'pool', 'team', 'phase', 'failures', 'reason'],
+  accounts: ['account', 'weight', 'jobs', 'running', 'maximum', 'waitingTasks', 'reason'],
   waves: ['waveId', 'phase', 'selector', 'reason'],
   entries: ['entryId', 'dataCentre', 'revision', 'seat', 'controls', 'endpoints', 'isUnreachable'],
 } as const;
--- a/packages/daemon/src/batch/operators.test.ts
+++ b/packages/daemon/src/batch/operators.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { answerOperator } from './operators.js';
-import { type SimFleet } from './testing/sim-fleet.fixtures.js';
+import { simAccount, type SimFleet } from './testing/sim-fleet.fixtures.js';
 import { advance, FAKED, holderOf, started } from './testing/virtual-time.fixtures.js';
 
 describe('an operator who asks', () => {
@@ -59,4 +59,51 @@
       expect(ask(fleet, 'explain', 'host', 'h-alpha-0')?.kind).toBe('ok');
     });
   });
+
+  describe('why a job waits', () => {
+    /** One task of the account's job runs, which is all that it may have. */
+    const beyondQuota = async () => {
+      const accounts = [simAccount('client-a', 1000)];
+      const fleet = await started({ hostsPerPool: 3, accounts });
+      const step = { taskCount: 3, cpuMillis: 1000 };
+      const jobId = fleet.submit({ pool: 'alpha', steps: [step], runMs: 20_000 });
+      await advance(1500);
+      return { fleet, jobId };
+    };
+
+    it('is told that it is its quota, with the figures, from the job on to its account', async () => {
+      const { fleet, jobId } = await beyondQuota();
+      const quota =
+        '2 wait for quota: account=client-a has 1 cores, 100 MB running and may have 1 cores';
+      expect(ask(fleet, 'explain', 'job', jobId)).toMatchObject({
+        value: { reasons: [{ reason: expect.stringContaining(quota) as string }] },
+      });
+      expect(ask(fleet, 'get', 'accounts')).toMatchObject({
+        value: [
+          {
+            account: 'client-a',
+            jobs: 1,
+            running: '1 cores, 100 MB',
+            maximum: '1 cores',
+            waitingTasks: 2,
+            reason: '2 wait for quota, 0 for share, 0 for room',
+          },
+        ],
+      });
+      expect(ask(fleet, 'explain', 'account', 'client-a')).toMatchObject({
+        value: { outcome: '1 jobs, 1 cores, 100 MB running of 1 cores' },
+      });
+    });
+
+    it('is told of an account that the configuration has lost with a job in hand', async () => {
+      const { fleet } = await beyondQuota();
+      fleet.declare([]);
+      await advance(4000);
+      expect(ask(fleet, 'get', 'accounts')).toMatchObject({
+        value: [
+          { account: 'client-a', reason: expect.stringContaining('not in the conf') as string },
+        ],
+      });
+    });
+  });
 });
--- a/packages/daemon/src/batch/operators.ts
+++ b/packages/daemon/src/batch/operators.ts
@@ -6,6 +6,7 @@
 import type { HostId, JobId } from '@valvelatch/core/shared/ids';
 
 import type { OperatorResult } from '../operators/operator-result.js';
+import { accountRows, waitsFor } from './account-views.js';
 import type { Control } from './control.js';
 import type { Term } from './term.js';
 
@@ -70,6 +71,7 @@
         name: job.job.jobId,
         pool: job.job.pool,
         team: job.job.queue,
+        account: job.job.owner?.account,
         phase: job.phase,
         reason: jobReason(job),
       })),
@@ -86,6 +88,7 @@
         })),
       )
       .slice(0, MOST_ROWS),
+  accounts: (term) => accountRows(term.state, performance.now()),
   waves: (term) =>
     term.fleet.waves().map((wave) => {
       const { order, hosts } = wave;
@@ -106,13 +109,23 @@
     return `host=${endpoint?.hostId ?? 'unknown'} rack=${rackOf(endpoint?.labels ?? [])}`;
   });
   const state = isOpen
-    ? `${waiting.length} wait for room`
+    ? `${waiting.length} wait for ${waitsFor(term.state, step, performance.now())}`
     : `waits for steps ${spec.after.join(',')}`;
   const needs = `${spec.cpuMillis / MILLIS} cores, ${spec.memoryMb} MB`;
   return `${doneCount} of ${spec.taskCount} done, ${state} (${needs} each)${places.length > 0 ? `, on ${places.join('; ')}` : ''}`;
 };
 
 const explainers: Readonly<Record<string, (term: Term, name: string) => object | undefined>> = {
+  account: (term, name) => {
+    const rows = accountRows(term.state, performance.now()) as readonly Record<string, unknown>[];
+    const row = rows.find(({ account }) => account === name);
+    return (
+      row && {
+        outcome: `${String(row.jobs)} jobs, ${String(row.running)} running of ${String(row.maximum)}`,
+        reason: row.reason,
+      }
+    );
+  },
   job: (term, name) => {
     const job = term.state.jobs.get(name as JobId);
     const status = term.statusOf(name as JobId);
