--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,6 +2,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
+import { benchAccounts } from './accounts/accounts.js';
 import { benchControl } from './control/control.js';
 import { benchDataPath, benchMemory } from './data-path/data-path.js';
 import { benchIdle } from './idle/idle.js';
@@ -34,6 +35,9 @@
   .command('control', 'what a host, a member, a change and a turn cost', {}, () =>
     printRows(benchControl()),
   )
+  .command('accounts', 'what keys, quotas and shares of client accounts cost', {}, () =>
+    printRows(benchAccounts()),
+  )
   .command(
     'idle',
     'what an entry costs while nobody sends requests',
