--- a/packages/bench/src/accounts/accounts.ts
+++ b/packages/bench/src/accounts/accounts.ts
@@ -75,7 +75,7 @@
   const state = createBatchState(2);
   takeAccounts(state, index.accounts.byName);
   const steps: StepRun[] = [];
-  const accounts = configuration.accounts;
+  const { accounts } = configuration;
   const admitUs = timeOf(JOBS, (number) => {
     const { name, maximum } = accounts[number % ACCOUNTS] as ClientAccount;
     const job = takeInJob(state, {
--- a/packages/core/src/batch/hosts.ts
+++ b/packages/core/src/batch/hosts.ts
@@ -1,7 +1,7 @@
 /** Hosts by the platform's list, and what may be done to them without breaking a budget. */
 import type { EndpointId, HostId, InstanceId, PoolName } from '../shared/ids.js';
 import { instanceOf } from './endpoint-life.js';
-import { mayHold, usableEndpoints } from './schedule.js';
+import { mayHold, usableEndpoints } from './sound-endpoints.js';
 import { stopRun } from './runs.js';
 import type { BatchState, Capacity, EndpointState, GoneCause, RunState, StepRun } from './state.js';
 
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -39,6 +39,7 @@
 export * from './schedule-cycle.js';
 export * from './shares.js';
 export * from './sharing.js';
+export * from './sound-endpoints.js';
 export * from './state.js';
 export * from './step-times.js';
 export * from './upkeep.js';
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -2,17 +2,8 @@
 import type { JobId } from '../shared/ids.js';
 import { change } from '../shared/change.js';
 import { maySee, type Caller } from './accounts.js';
+import type { BatchJob, BatchPhase, TaskName } from './job.js';
 import {
-  taskKey,
-  type BatchJob,
-  type BatchPhase,
-  type QueuePolicy,
-  type StepSpec,
-  type TaskKey,
-  type TaskName,
-} from './job.js';
-import {
-  createStepAdvice,
   isFinal,
   poolOf,
   type BatchState,
@@ -21,63 +12,11 @@
   type StepRun,
   type Task,
 } from './state.js';
-import { OWED, takeShare, type JobShare } from './shares.js';
+import { addOccurrence, createJobState, type TakeInOptions } from './create-job.js';
+import { takeShare } from './shares.js';
 import { stopRun, leaveWaiting } from './runs.js';
 import { expectStepWork } from './step-times.js';
 
-const newTask = (key: TaskKey, index: number): Task => ({
-  key,
-  index,
-  phase: 'waiting',
-  failedRuns: [],
-  lastRun: 0,
-  lastEnd: null,
-  checkpoint: '',
-  avoid: null,
-  awaySinceMs: 0,
-  crashes: [],
-  trial: null,
-});
-
-const newStep = (
-  job: JobState,
-  occurrence: OccurrenceState,
-  number: number,
-  spec: StepSpec,
-): StepRun => ({
-  job,
-  occurrence,
-  number,
-  spec,
-  tasks: Array.from({ length: spec.taskCount }, (_, index) =>
-    newTask(taskKey(job.job.jobId, occurrence.number, number, index), index),
-  ),
-  waiting: Array.from({ length: spec.taskCount }, (_, index) => index),
-  isOpen: false,
-  doneCount: 0,
-  perEndpoint: new Map(),
-  retryAtMs: 0,
-  triedAtRevision: 0,
-  advice: job.policy.needsAdvice ? createStepAdvice() : null,
-});
-
-/**
- * Builds an occurrence of a job that is not there yet.
- *
- * @param job - The job, changed in place.
- * @param number - Which occurrence.
- * @param dueAtMs - When it is due, by the monotonic clock.
- * @returns The occurrence.
- */
-export const addOccurrence = (job: JobState, number: number, dueAtMs: number): OccurrenceState => {
-  const occurrence: OccurrenceState = { number, dueAtMs, steps: [] };
-  job.job.steps.forEach((spec, index) => {
-    occurrence.steps.push(newStep(job, occurrence, index, spec));
-  });
-  job.occurrences.set(number, occurrence);
-  return occurrence;
-};
-
 const isStepDone = (step: StepRun | undefined): boolean =>
   step !== undefined && step.doneCount === step.spec.taskCount;
 
@@ -131,46 +70,6 @@
   else state.timed.add(job);
 };
 
-export type TakeInOptions = {
-  readonly job: BatchJob;
-  readonly policy: QueuePolicy;
-  readonly nowMs: number;
-  readonly todayMs: number;
-  readonly isInherited?: boolean;
-  readonly share?: JobShare;
-};
-
-/**
- * Builds the state of a job, with none of its occurrences begun.
- *
- * @param options - The job, its policy and the times.
- * @returns The state.
- */
-export const createJobState = ({
-  job,
-  policy,
-  nowMs,
-  todayMs,
-  isInherited = false,
-  share = OWED,
-}: TakeInOptions): JobState => ({
-  job,
-  policy,
-  phase: 'pending',
-  reason: `queue=${job.queue} pool=${job.pool}: waits for room`,
-  occurrences: new Map(),
-  nextOccurrence: 0,
-  sinceMs: nowMs - Math.max(0, Math.min(todayMs - job.acceptedAtMs, MOST_BELIEVED_AGE_MS)),
-  share,
-  isInherited,
-  hasBegun: false,
-  blameRevision: 0,
-  writtenBlameRevision: 0,
-});
-
-/** Clocks of entries differ and jump: an age above this is not believed. */
-const MOST_BELIEVED_AGE_MS = 120_000;
-
 /**
  * Adds an accepted job. One that is there already stays as it is.
  *
--- a/packages/core/src/batch/pool-needs.ts
+++ b/packages/core/src/batch/pool-needs.ts
@@ -3,7 +3,7 @@
 import { expectCores } from './demand.js';
 import { expectPeak, observeDemand } from './demand-peaks.js';
 import type { HostView, PoolView } from './hosts.js';
-import { isSound } from './schedule.js';
+import { isSound } from './sound-endpoints.js';
 import { poolOf, type BatchState, type EndpointState, type StepRun } from './state.js';
 
 /** What moves are decided on. */
--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/progress.ts
@@ -4,7 +4,8 @@
  */
 import { change } from '../shared/change.js';
 import type { AccountName } from '../shared/ids.js';
-import { addOccurrence, beginDue, createJobState, endJob, markDone } from './jobs.js';
+import { addOccurrence, createJobState } from './create-job.js';
+import { beginDue, endJob, markDone } from './jobs.js';
 import { giveUpReason } from './endpoint-crashes.js';
 import { inheritTrial, openTrialOf } from './trials.js';
 import type { BatchJob, FinalPhase, QueuePolicy } from './job.js';
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/schedule.ts
@@ -2,13 +2,15 @@
 import type { EndpointId, PoolName } from '../shared/ids.js';
 import { change } from '../shared/change.js';
 import { admittedEndpoints, ticketOf, wantAdvice } from './advice.js';
-import { rackOf } from './endpoints.js';
 import { giveUpIfDue } from './give-up.js';
 import { byRank, rankStep, type Rank } from './order.js';
 import { noteStartAgain } from './run-end.js';
 import { announcedRunOf, announceTrials, countLostTrials } from './trials.js';
 import { isWithinQuota } from './quota.js';
-import { addRun, fitsIn, nextRunNumber } from './runs.js';
+import { placesForGang } from './gang-places.js';
+import { bestFor } from './best-endpoint.js';
+import { mayHold, usableEndpoints } from './sound-endpoints.js';
+import { addRun, nextRunNumber } from './runs.js';
 import {
   couldBegin,
   NONE_ISOLATED,
@@ -37,90 +39,6 @@
 /** A step that fitted nowhere is tried again everywhere after this time, and before it where room came free. */
 const RETRY_MS = 25;
 
-/**
- * Whoever has replaced this holder waits for the endpoints that were listed as it took over. One that
- * came later would still take this holder's orders: nothing is begun there until this holder is sure
- * again, or a task that waited here would run twice.
- */
-const isKnownToNext = ({ seenAtMs }: EndpointState, { soleHolderUntilMs }: BatchState): boolean =>
-  seenAtMs < soleHolderUntilMs;
-
-/**
- * Tells whether an endpoint serves its pool: it has answered, stays, and is not withheld.
- *
- * @param state - All that is known.
- * @param endpoint - The endpoint.
- * @param nowMs - The time.
- * @returns True if its room counts.
- */
-export const isSound = (state: BatchState, endpoint: EndpointState, nowMs: number): boolean =>
-  endpoint.isKnown &&
-  isKnownToNext(endpoint, state) &&
-  !endpoint.isDraining &&
-  !endpoint.isClosing &&
-  endpoint.withheldUntilMs <= nowMs;
-
-/**
- * Lists the endpoints of a pool that take new work.
- *
- * @param state - All that is known.
- * @param pool - The pool.
- * @param nowMs - The time.
- * @returns The endpoints.
- */
-export const usableEndpoints = (
-  state: BatchState,
-  pool: PoolName,
-  nowMs: number,
-): readonly EndpointState[] =>
-  Array.from(state.endpoints.values()).filter(
-    (endpoint) => endpoint.pool === pool && isSound(state, endpoint, nowMs),
-  );
-
-const hasLabel = ({ labels }: EndpointState, label: string): boolean =>
-  label === '' || labels.includes(label);
-
-/**
- * Tells whether an endpoint may hold one more task of a step.
- *
- * @param endpoint - The endpoint.
- * @param step - The step.
- * @returns True if it has the label and the room, and does not hold as many as it may.
- */
-export const mayHold = (endpoint: EndpointState, { spec, perEndpoint }: StepRun): boolean =>
-  hasLabel(endpoint, spec.requiredLabel) &&
-  fitsIn(endpoint, spec) &&
-  (spec.mostPerEndpoint === 0 ||
-    (perEndpoint.get(endpoint.endpointId) ?? 0) < spec.mostPerEndpoint);
-
-/** How good an endpoint is for a task: larger is better. */
-const scoreOf = (endpoint: EndpointState, step: StepRun, task: Task): number => {
-  const { capacity, used } = endpoint;
-  const fullness = used.cpuMillis / Math.max(1, capacity.cpuMillis);
-  const isNear = step.spec.nearRack !== '' && endpoint.labels.includes(step.spec.nearRack);
-  const isAvoided = task.avoid === endpoint.endpointId;
-  const movesAgain = step.spec.isLasting && endpoint.isAwaited;
-  // Being near its data outweighs fullness, and a place that has not failed it outweighs both.
-  return fullness + (isNear ? 2 : 0) - (isAvoided ? 4 : 0) - (movesAgain ? 3 : 0);
-};
-
-const bestFor = (
-  endpoints: readonly EndpointState[],
-  step: StepRun,
-  task: Task,
-): EndpointState | undefined => {
-  let best: EndpointState | undefined;
-  let bestScore = -Infinity;
-  endpoints.forEach((endpoint) => {
-    if (!mayHold(endpoint, step)) return;
-    const score = scoreOf(endpoint, step, task);
-    if (score <= bestScore) return;
-    best = endpoint;
-    bestScore = score;
-  });
-  return best;
-};
-
 type Placing = { readonly state: BatchState; readonly step: StepRun; readonly nowMs: number };
 
 const startOn = (
@@ -165,53 +83,12 @@
   });
 };
 
-/** The endpoints that a gang may be spread over: one rack, if it must stay together and fits. */
-const gangSets = (
-  step: StepRun,
-  endpoints: readonly EndpointState[],
-): readonly (readonly EndpointState[])[] => {
-  if (!step.spec.isRackLocal) return [endpoints];
-  const racks = new Set(endpoints.map(rackOf));
-  const perRack = Array.from(racks, (rack) => endpoints.filter((one) => rackOf(one) === rack));
-  return [...perRack, endpoints];
-};
-
-/** Finds places for all members at once, or none. */
-const placesForGang = (
-  step: StepRun,
-  endpoints: readonly EndpointState[],
-): readonly EndpointState[] | undefined => {
-  const { spec } = step;
-  const places: EndpointState[] = [];
-  endpoints.forEach((endpoint) => {
-    const { capacity, used } = endpoint;
-    const free = [
-      spec.fillsGaps || spec.cpuMillis === 0
-        ? Infinity
-        : (capacity.cpuMillis - used.cpuMillis) / spec.cpuMillis,
-      spec.memoryMb === 0 ? Infinity : (capacity.memoryMb - used.memoryMb) / spec.memoryMb,
-      spec.accelerators === 0
-        ? Infinity
-        : (capacity.accelerators - used.accelerators) / spec.accelerators,
-      spec.mostPerEndpoint === 0 ? Infinity : spec.mostPerEndpoint,
-      spec.taskCount,
-    ];
-    const members = hasLabel(endpoint, spec.requiredLabel) ? Math.floor(Math.min(...free)) : 0;
-    for (let one = 0; one < members && places.length < spec.taskCount; one += 1) {
-      places.push(endpoint);
-    }
-  });
-  return places.length === spec.taskCount ? places : undefined;
-};
-
 const placeGang = (placing: Placing, endpoints: readonly EndpointState[]): boolean => {
   const { state, step } = placing;
   // Members that were lost take the others with them: wait until all have ended.
   if (step.waiting.length < step.spec.taskCount) return true;
   if (!isWithinQuota(state, step, step.spec.taskCount)) return false;
-  const places = gangSets(step, endpoints)
-    .map((set) => placesForGang(step, set))
-    .find((found) => found !== undefined);
+  const places = placesForGang(step, endpoints);
   if (!places) return false;
   const lastRun = Math.max(...step.tasks.map((task) => task.lastRun));
   const announced = step.tasks.find((task) => announcedRunOf(task) !== undefined);
