Jobs that come back after a refusal are ranked from their first attempt

What callers saw: after an outage of the table all that was refused in it came back at once and went before new jobs, though its time was over; so new jobs were late as well. Cause: a job's time was counted from its acceptance; nobody knew of the attempts before, which meet other entries.

Now each entry keeps the ids that it refused and tells the holder every quarter of a second (8 bytes each, 500 a message, 4,000 kept); the holder counts a job's time from its first attempt, so the order puts it among those that can only be late, behind those that can be in time. Nothing is refused for it, and what comes back in time keeps its place.

--- a/packages/core/src/batch/create-job.ts
+++ b/packages/core/src/batch/create-job.ts
@@ -69,6 +69,8 @@
   readonly todayMs: number;
   readonly isInherited?: boolean;
   readonly share?: JobShare;
+  /** When its client first tried to hand it in; Infinity where that is not known. */
+  readonly firstAttemptAtMs?: number;
 };
 
 /**
@@ -84,6 +86,7 @@
   todayMs,
   isInherited = false,
   share = OWED,
+  firstAttemptAtMs = Infinity,
 }: TakeInOptions): JobState => ({
   job,
   policy,
@@ -91,7 +94,10 @@
   reason: `queue=${job.queue} pool=${job.pool}: waits for room`,
   occurrences: new Map(),
   nextOccurrence: 0,
-  sinceMs: nowMs - Math.max(0, Math.min(todayMs - job.acceptedAtMs, MOST_BELIEVED_AGE_MS)),
+  sinceMs: Math.min(
+    firstAttemptAtMs,
+    nowMs - Math.max(0, Math.min(todayMs - job.acceptedAtMs, MOST_BELIEVED_AGE_MS)),
+  ),
   share,
   isInherited,
   hasBegun: false,
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -10,6 +10,7 @@
 export * from './endpoint-model.js';
 export * from './endpoints.js';
 export * from './feed-scope.js';
+export * from './first-attempts.js';
 export * from './followed-runs.js';
 export * from './gone-endpoints.js';
 export * from './health.js';
--- a/packages/core/src/batch/job-state.ts
+++ b/packages/core/src/batch/job-state.ts
@@ -113,7 +113,7 @@
   reason: string;
   readonly occurrences: Map<number, OccurrenceState>;
   nextOccurrence: number;
-  /** When it came in, by the monotonic clock. */
+  /** When its client first tried to hand it in, as far as that is known, by the monotonic clock. */
   readonly sinceMs: number;
   /** Where it stands among the jobs of all accounts. */
   readonly share: JobShare;
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs.ts
@@ -13,6 +13,7 @@
   type Task,
 } from './state.js';
 import { addOccurrence, createJobState, type TakeInOptions } from './create-job.js';
+import { takeFirstAttempt } from './first-attempts.js';
 import { takeShare } from './shares.js';
 import { stopRun, leaveWaiting } from './runs.js';
 import { expectStepWork } from './step-times.js';
@@ -82,7 +83,8 @@
   if (known) return known;
   const { job: accepted, nowMs } = options;
   const share = takeShare(state, accepted.owner?.account, nowMs);
-  const job = createJobState({ ...options, share });
+  const firstAttemptAtMs = takeFirstAttempt(state, accepted.jobId);
+  const job = createJobState({ ...options, share, firstAttemptAtMs });
   state.jobs.set(options.job.jobId, job);
   beginDue(state, job, options.nowMs, options.todayMs);
   return job;
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/state.ts
@@ -121,6 +121,8 @@
   unreportedAtMs: number;
   /** What each account is owed of what it hands in. */
   readonly shares: Map<AccountName, AccountShare>;
+  /** When clients first tried to hand in jobs that were refused. */
+  readonly firstAttempts: Map<JobId, number>;
   /** How the queue is ordered. */
   orderWay: OrderWay;
 };
@@ -160,6 +162,7 @@
   unreportedUsage: new Map(),
   unreportedAtMs: -Infinity,
   shares: new Map(),
+  firstAttempts: new Map(),
   orderWay: 'owed-then-fair',
 });
 
--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/batch-entry.ts
@@ -25,6 +25,7 @@
 import { createRelayedOrders, ORDER_METHOD, RELAYS_EVERY_MS } from './relayed-orders.js';
 import { createStanding, strengthOf } from './standing.js';
 import type { BatchPlatform } from './ports.js';
+import { createRefusedJobs, TELL_REFUSED_EVERY_MS } from './refused-jobs.js';
 import {
   createRelayedTable,
   PROBE_EVERY_MS,
@@ -183,7 +184,10 @@
   });
   const openPeers = peers;
 
+  const refusedJobs = createRefusedJobs({ send: control.tellRefused });
+
   const intake = createIntake({
+    onRefused: refusedJobs.add,
     table,
     group: createGroupCommit({ table, windowMs: GROUP_MS, mostPerGroup: GROUP_SIZE }),
     control,
@@ -215,6 +219,7 @@
       },
       { name: 'lease', everyMs: LEASE_TICK_MS, run: keepControl },
       { name: 'relays', everyMs: RELAYS_EVERY_MS, run: refreshRelays },
+      { name: 'refused', everyMs: TELL_REFUSED_EVERY_MS, run: refusedJobs.tell },
       { name: 'peers', everyMs: PEERS_MS, run: refreshPeers },
       { name: 'beat', everyMs: BEAT_MS, run: async () => openPeers.beat() },
       { name: 'probe', everyMs: PROBE_EVERY_MS, run: async () => table.probe() },
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control.ts
@@ -21,6 +21,7 @@
 import { CONTROL_LEASE } from './keys.js';
 import type { Peers } from './peers.js';
 import type { BatchPlatform } from './ports.js';
+import type { RefusedJob } from './refused-jobs.js';
 import type { RelayedTable } from './relayed-table.js';
 import { createYielding, EQUAL_STANDING, HAND_OVER_LOOK_MS, type Standing } from './standing.js';
 import { createTerm, type Term } from './term.js';
@@ -97,6 +98,8 @@
   readonly answer: (method: string, payload: unknown) => unknown;
   readonly term: () => Term | undefined;
   readonly holder: () => EntryId | null;
+  /** Tells the holder, here or elsewhere, of jobs that were refused; false if it was not reached. */
+  readonly tellRefused: (jobs: readonly RefusedJob[]) => Promise<boolean>;
   /** Gives control up at once, for a planned stop. */
   readonly resign: () => Promise<void>;
 };
@@ -295,12 +298,18 @@
   const acceptHere = async (row: BatchJobRow): Promise<AcceptOutcome | null> =>
     (row.kind === 'live' ? await term?.accept(row) : undefined) ?? null;
 
+  const refusedHere = (jobs: readonly RefusedJob[]): boolean => {
+    term?.noteRefused(jobs);
+    return term !== undefined;
+  };
+
   const handlers: Readonly<Record<string, (payload: unknown) => unknown>> = {
     [CONTROL_METHOD.phase]: (payload) => term?.statusOf(brand<JobId>(String(payload))) ?? null,
     [CONTROL_METHOD.willing]: () => isWilling(),
     [CONTROL_METHOD.waiting]: () => ownWaiting() ?? null,
     [CONTROL_METHOD.taken]: (payload) => takenHere(payload as Taken),
     [CONTROL_METHOD.accept]: (payload) => acceptHere(payload as BatchJobRow),
+    [CONTROL_METHOD.refused]: (payload) => refusedHere(payload as readonly RefusedJob[]),
     [CONTROL_METHOD.cancelled]: (payload) => {
       const { jobId, caller } = payload as Cancel;
       return term?.cancel(jobId, caller) ?? null;
@@ -309,6 +318,8 @@
 
   return {
     tick,
+    tellRefused: async (jobs) =>
+      term ? refusedHere(jobs) : (await holderThere.ask(CONTROL_METHOD.refused, jobs)) === true,
     takeWaves: (waves) => {
       waves
         .filter(({ waveNumber }) => !knownWaves.has(waveNumber))
--- a/packages/daemon/src/batch/holder-client.ts
+++ b/packages/daemon/src/batch/holder-client.ts
@@ -32,6 +32,7 @@
   taken: 'taken',
   cancelled: 'cancelled',
   willing: 'willing',
+  refused: 'refused',
 } as const;
 
 export type HolderClientOptions = {
--- a/packages/daemon/src/batch/intake.ts
+++ b/packages/daemon/src/batch/intake.ts
@@ -80,6 +80,8 @@
   readonly table: RelayedTable;
   readonly group: GroupCommit;
   readonly control: ControlView;
+  /** Told of each job that is refused as not run, and may come back. */
+  readonly onRefused?: (jobId: JobId) => void;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly nowMs?: () => number;
@@ -131,6 +133,7 @@
   table,
   group,
   control,
+  onRefused = () => undefined,
   log,
   metrics,
   nowMs = () => performance.now(),
@@ -170,6 +173,7 @@
       tableSilentMs: Math.round(table.silentForMs()),
       tookMs: Math.round(nowMs() - startedAtMs),
     });
+    if (written.kind === 'full' || written.kind === 'unreachable') onRefused(job.jobId);
     if (written.kind === 'full') {
       return refuse('notRun', 'overloaded', 'too many jobs wait to be written');
     }
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/term.ts
@@ -12,6 +12,7 @@
   createScheduleCycle,
   expectReports,
   instanceOf,
+  noteFirstAttempts,
   paceFillers,
   soleForMs,
   takeAccounts,
@@ -44,6 +45,7 @@
 import { createLearnedKeeper } from './learned-keeper.js';
 import { noteLoad, type LoadNoteOptions } from './load-note.js';
 import type { BatchPlatform } from './ports.js';
+import type { RefusedJob } from './refused-jobs.js';
 
 const TICK_MS = 100;
 /** New jobs are announced over the mesh; the feed finds what was lost there. */
@@ -102,6 +104,8 @@
   readonly accept: (row: LiveRow) => Promise<AcceptOutcome | undefined>;
   /** Admits a job whose row another entry wrote. */
   readonly takeIn: (row: LiveRow, version: number) => void;
+  /** Notes jobs whose clients were refused and come back. */
+  readonly noteRefused: (jobs: readonly RefusedJob[]) => void;
   readonly cancel: (jobId: JobId, caller: Caller) => BatchPhase | undefined;
 };
 
@@ -407,6 +411,11 @@
     takeIn: (row, version) => {
       if (isReady && !isStopped && isSoleHolder()) jobRows.takeIn(row, version);
     },
+    noteRefused: (jobs) =>
+      noteFirstAttempts(
+        state,
+        jobs.map(([jobId, agoMs]) => ({ jobId, atMs: nowMs() - agoMs })),
+      ),
     cancel: (jobId, caller) => {
       if (!isAnswering()) return undefined;
       const phase = ended.statusOf(jobId)?.phase ?? cancelJob(state, jobId, caller);
