--- a/packages/core/src/batch/batch-state.fixtures.ts
+++ b/packages/core/src/batch/batch-state.fixtures.ts
@@ -3,7 +3,8 @@
 import { change } from '../shared/change.js';
 import { brand, type EndpointId, type JobId, type PoolName } from '../shared/ids.js';
 import { seeEndpoint } from './endpoints.js';
-import { taskKey, type BatchJob, type QueuePolicy } from './job.js';
+import type { JobOwner } from './accounts.js';
+import { taskKey, type BatchJob, type QueuePolicy, type StepSpec } from './job.js';
 import { takeInJob } from './jobs.js';
 import { PLAIN_STEP } from './plain-step.js';
 import { applyReport, type EndpointReport } from './reports.js';
@@ -31,6 +32,42 @@
   acceptedAtMs: 0,
 };
 
+/** A further job of one step; what is left out is as in the job of these tests. */
+export type Submission = {
+  readonly step?: Partial<StepSpec>;
+  readonly owner?: JobOwner | undefined;
+  readonly priority?: number;
+  readonly isInherited?: boolean;
+  readonly nowMs?: number;
+};
+
+/**
+ * Has a holder take a further job in.
+ *
+ * @param state - The state, changed in place.
+ * @param jobId - The job.
+ * @param submission - What is particular to it.
+ */
+export const submitJob = (
+  state: BatchState,
+  jobId: JobId,
+  { step, owner, priority = 0, isInherited = false, nowMs = 0 }: Submission,
+): void => {
+  takeInJob(state, {
+    job: {
+      ...job,
+      jobId,
+      steps: [{ ...PLAIN_STEP, ...step }],
+      acceptedAtMs: nowMs,
+      ...(owner ? { owner } : {}),
+    },
+    policy: { priority, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
+    nowMs,
+    todayMs: nowMs,
+    isInherited,
+  });
+};
+
 /**
  * Builds the state of a holder that has taken the job in.
  *
--- a/packages/core/src/batch/first-attempts.test.ts
+++ b/packages/core/src/batch/first-attempts.test.ts
@@ -2,10 +2,8 @@
 import { describe, expect, it } from 'vitest';
 
 import { brand, type JobId } from '../shared/ids.js';
-import { answer, FIRST, POOL, see } from './batch-state.fixtures.js';
+import { answer, FIRST, POOL, see, submitJob } from './batch-state.fixtures.js';
 import { noteFirstAttempts } from './first-attempts.js';
-import { takeInJob } from './jobs.js';
-import { PLAIN_STEP } from './plain-step.js';
 import { schedulePool } from './schedule.js';
 import { createBatchState, type BatchState } from './state.js';
 
@@ -14,24 +12,8 @@
 
 const jobIdOf = (number: number): JobId => brand<JobId>(number.toString(16).padStart(16, '0'));
 
-const submit = (state: BatchState, number: number): void => {
-  takeInJob(state, {
-    job: {
-      jobId: jobIdOf(number),
-      queue: brand('q'),
-      pool: POOL,
-      spec: '',
-      steps: [{ ...PLAIN_STEP, taskCount: 4 }],
-      repeats: 0,
-      firstDueAtMs: 0,
-      intervalMs: 0,
-      acceptedAtMs: NOW_MS,
-    },
-    policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
-    nowMs: NOW_MS,
-    todayMs: NOW_MS,
-  });
-};
+const submit = (state: BatchState, number: number): void =>
+  submitJob(state, jobIdOf(number), { step: { taskCount: 4 }, nowMs: NOW_MS });
 
 /** An outage has ended: ten jobs that were refused in it come back, and then two come for the first time. */
 const afterOutage = (refusedAgoMs: number): readonly number[] => {
--- a/packages/core/src/batch/isolation.test.ts
+++ b/packages/core/src/batch/isolation.test.ts
@@ -11,14 +11,14 @@
   scheduleWritten,
   see,
   writeRows,
+  submitJob,
 } from './batch-state.fixtures.js';
 import { giveUpReason } from './endpoint-crashes.js';
 import { instanceOf, lifeOf } from './endpoint-life.js';
 import { expectReports } from './endpoints.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
 import { taskKey, type StepSpec } from './job.js';
-import { cancelJob, takeInJob } from './jobs.js';
-import { PLAIN_STEP } from './plain-step.js';
+import { cancelJob } from './jobs.js';
 import { progressOf, restoreJob } from './progress.js';
 import { endpointsOf, schedulePool } from './schedule.js';
 import {
@@ -34,24 +34,8 @@
 const SUSPECT = brand<JobId>('00000000000000a1');
 const OTHER = brand<JobId>('00000000000000b2');
 
-const submit = (state: BatchState, jobId: JobId, step: Partial<StepSpec>, nowMs: number): void => {
-  takeInJob(state, {
-    job: {
-      jobId,
-      queue: brand('q'),
-      pool: POOL,
-      spec: '',
-      steps: [{ ...PLAIN_STEP, ...step }],
-      repeats: 0,
-      firstDueAtMs: 0,
-      intervalMs: 0,
-      acceptedAtMs: nowMs,
-    },
-    policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
-    nowMs,
-    todayMs: nowMs,
-  });
-};
+const submit = (state: BatchState, jobId: JobId, step: Partial<StepSpec>, nowMs: number): void =>
+  submitJob(state, jobId, { step, nowMs });
 
 const tasksOf = (state: BatchState, jobId: JobId): readonly Task[] =>
   state.jobs.get(jobId)?.occurrences.get(0)?.steps[0]?.tasks ?? [];
--- a/packages/core/src/batch/quota.test.ts
+++ b/packages/core/src/batch/quota.test.ts
@@ -3,12 +3,20 @@
 
 import { brand, type AccountName, type EndpointId, type JobId } from '../shared/ids.js';
 import { NO_LIMIT, type JobOwner } from './accounts.js';
-import { answer, FIRST, POOL, SECOND, see } from './batch-state.fixtures.js';
+import {
+  answer,
+  FIRST,
+  POOL,
+  SECOND,
+  see,
+  submitJob,
+  type Submission,
+} from './batch-state.fixtures.js';
 import { instanceOf } from './endpoint-life.js';
 import { expectReports } from './endpoints.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
 import { taskKey, type StepSpec } from './job.js';
-import { cancelJob, takeInJob } from './jobs.js';
+import { cancelJob } from './jobs.js';
 import { applyStartOutcome } from './order-answers.js';
 import { PLAIN_STEP } from './plain-step.js';
 import { findQuotaFault, reckonUnreported, takeAccounts, takeOwner } from './quota.js';
@@ -29,36 +37,9 @@
   maximum: { ...NO_LIMIT, cpuMillis },
 });
 
-type Submission = {
-  readonly step?: Partial<StepSpec>;
-  readonly owner?: JobOwner | undefined;
-  readonly isInherited?: boolean;
-};
-
-const submit = (
-  state: BatchState,
-  jobId: JobId,
-  { step, owner, isInherited }: Submission,
-): void => {
-  takeInJob(state, {
-    job: {
-      jobId,
-      queue: brand('q'),
-      pool: POOL,
-      spec: '',
-      steps: [{ ...PLAIN_STEP, ...step }],
-      repeats: 0,
-      firstDueAtMs: 0,
-      intervalMs: 0,
-      acceptedAtMs: 0,
-      ...(owner ? { owner } : {}),
-    },
-    policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
-    nowMs: 0,
-    todayMs: 0,
-    isInherited: isInherited ?? false,
-  });
-  if (owner) takeOwner(state, owner);
+const submit = (state: BatchState, jobId: JobId, submission: Submission): void => {
+  submitJob(state, jobId, submission);
+  if (submission.owner) takeOwner(state, submission.owner);
 };
 
 /** A holder with two endpoints of eight cores that have answered. */
--- a/packages/core/src/batch/schedule.test.ts
+++ b/packages/core/src/batch/schedule.test.ts
@@ -2,35 +2,22 @@
 import { describe, expect, it } from 'vitest';
 
 import { brand, type JobId } from '../shared/ids.js';
-import { answer, FIRST, POOL, SECOND, see } from './batch-state.fixtures.js';
-import type { StepSpec } from './job.js';
-import { takeInJob } from './jobs.js';
-import { PLAIN_STEP } from './plain-step.js';
+import {
+  answer,
+  FIRST,
+  POOL,
+  SECOND,
+  see,
+  submitJob,
+  type Submission,
+} from './batch-state.fixtures.js';
 import { schedulePool } from './schedule.js';
 import { createBatchState, type BatchState } from './state.js';
 
 const jobIdOf = (number: number): JobId => brand<JobId>(number.toString(16).padStart(16, '0'));
 
-type Submission = { readonly priority?: number; readonly step?: Partial<StepSpec> };
-
-const submit = (state: BatchState, number: number, { priority = 0, step }: Submission): void => {
-  takeInJob(state, {
-    job: {
-      jobId: jobIdOf(number),
-      queue: brand('q'),
-      pool: POOL,
-      spec: '',
-      steps: [{ ...PLAIN_STEP, ...step }],
-      repeats: 0,
-      firstDueAtMs: 0,
-      intervalMs: 0,
-      acceptedAtMs: 0,
-    },
-    policy: { priority, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
-    nowMs: 0,
-    todayMs: 0,
-  });
-};
+const submit = (state: BatchState, number: number, submission: Submission): void =>
+  submitJob(state, jobIdOf(number), submission);
 
 const runsOf = (state: BatchState, number: number): number =>
   Array.from(state.endpoints.values())
