--- a/packages/core/src/batch/quota.test.ts
+++ b/packages/core/src/batch/accounts/quota.test.ts
@@ -1,8 +1,9 @@
 /** What client accounts may have running, and what counts as running. */
 import { describe, expect, it } from 'vitest';
 
-import { brand, type AccountName, type EndpointId, type JobId } from '../shared/ids.js';
-import { NO_LIMIT, type JobOwner } from './accounts.js';
+import { brand, type AccountName, type EndpointId, type JobId } from '../../shared/ids.js';
+import type { JobOwner } from '../model/accounts.js';
+import { NO_LIMIT } from '../model/capacity.js';
 import {
   answer,
   FIRST,
@@ -11,17 +12,17 @@
   see,
   submitJob,
   type Submission,
-} from './batch-state.fixtures.js';
-import { instanceOf } from './endpoint-life.js';
-import { expectReports } from './endpoints.js';
-import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
-import { taskKey, type StepSpec } from './job.js';
-import { cancelJob } from './jobs.js';
-import { applyStartOutcome } from './order-answers.js';
-import { PLAIN_STEP } from './plain-step.js';
+} from '../testing/batch-state.fixtures.js';
+import { instanceOf } from '../model/endpoint-life.js';
+import { expectReports } from '../endpoints/endpoints.js';
+import { removeEndpoint, settleGoneEndpoints } from '../endpoints/gone-endpoints.js';
+import { taskKey, type StepSpec } from '../model/job.js';
+import { cancelJob } from '../jobs/jobs.js';
+import { applyStartOutcome } from '../endpoints/order-answers.js';
+import { PLAIN_STEP } from '../model/plain-step.js';
 import { findQuotaFault, reckonUnreported, takeAccounts, takeOwner } from './quota.js';
-import { schedulePool } from './schedule.js';
-import { createBatchState, type BatchState } from './state.js';
+import { schedulePool } from '../placement/schedule.js';
+import { createBatchState, type BatchState } from '../model/state.js';
 
 const NORTH = brand<AccountName>('north');
 const SOUTH = brand<AccountName>('south');
--- a/packages/core/src/batch/quota.ts
+++ b/packages/core/src/batch/accounts/quota.ts
@@ -2,27 +2,13 @@
  * What client accounts have running, against what they may. The ledger changes with each run, so that a start
  * costs no search; what an earlier holder may have begun and nobody has reported yet is counted on top.
  */
-import type { AccountName } from '../shared/ids.js';
-import { change } from '../shared/change.js';
-import type { ClientAccount, JobOwner } from './accounts.js';
-import type { Capacity, EndpointState } from './endpoint-state.js';
-import type { StepSpec } from './job.js';
-import type { BatchState, JobState, StepRun } from './state.js';
-
-/** An amount of room that changes in place. */
-export type Usage = { -readonly [Resource in keyof Capacity]: number };
-
-/** What a holder goes by for an account: from the newest configuration that named it, or from the rows of its jobs. */
-export type AccountLimits = Pick<ClientAccount, 'maximum' | 'weight'>;
-
-const RESOURCES = ['cpuMillis', 'memoryMb', 'accelerators'] as const;
-
-/**
- * Builds an amount of nothing.
- *
- * @returns The amount.
- */
-export const noUsage = (): Usage => ({ cpuMillis: 0, memoryMb: 0, accelerators: 0 });
+import type { AccountName } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
+import type { AccountLimits, JobOwner } from '../model/accounts.js';
+import { noUsage, RESOURCES, type Usage } from '../model/capacity.js';
+import type { EndpointState } from '../model/endpoint-state.js';
+import type { StepSpec } from '../model/job.js';
+import type { BatchState, JobState, StepRun } from '../model/state.js';
 
 /**
  * Names the account of a step's job.
--- a/packages/core/src/batch/share-play.fixtures.ts
+++ b/packages/core/src/batch/accounts/share-play.fixtures.ts
@@ -1,15 +1,15 @@
 /** A pool under load from client accounts, step by step, with what each account gets in time. */
-import { brand, type AccountName, type EndpointId, type JobId } from '../shared/ids.js';
-import { NO_LIMIT } from './accounts.js';
-import { answer, POOL, see } from './batch-state.fixtures.js';
-import type { TaskKey } from './job.js';
-import { takeInJob } from './jobs.js';
-import type { OrderWay } from './order-ways.js';
-import { PLAIN_STEP } from './plain-step.js';
+import { brand, type AccountName, type EndpointId, type JobId } from '../../shared/ids.js';
+import { NO_LIMIT } from '../model/capacity.js';
+import { answer, POOL, see } from '../testing/batch-state.fixtures.js';
+import type { TaskKey } from '../model/job.js';
+import { takeInJob } from '../jobs/jobs.js';
+import type { OrderWay } from '../model/order-ways.js';
+import { PLAIN_STEP } from '../model/plain-step.js';
 import { takeAccounts } from './quota.js';
-import type { EndReport } from './reports.js';
-import { schedulePool } from './schedule.js';
-import { createBatchState, takeEffects } from './state.js';
+import type { EndReport } from '../endpoints/reports.js';
+import { schedulePool } from '../placement/schedule.js';
+import { createBatchState, takeEffects } from '../model/state.js';
 
 const STEP_MS = 20;
 const RUN_MS = 500;
--- a/packages/core/src/batch/shares.test.ts
+++ b/packages/core/src/batch/accounts/shares.test.ts
@@ -1,7 +1,7 @@
 /** What accounts get of a full pool, by the way in which the queue is ordered. */
 import { describe, expect, it } from 'vitest';
 
-import { brand, type AccountName } from '../shared/ids.js';
+import { brand, type AccountName } from '../../shared/ids.js';
 import { playShares, type PlayedAccount } from './share-play.fixtures.js';
 
 const FOR_MS = 20_000;
--- a/packages/core/src/batch/shares.ts
+++ b/packages/core/src/batch/accounts/shares.ts
@@ -2,9 +2,10 @@
  * Shares of client accounts: each is owed as many jobs a second as its weight. What it hands in beyond that waits
  * behind what others are owed while room is short, and gets what nobody else wants.
  */
-import type { AccountName } from '../shared/ids.js';
+import type { AccountName } from '../../shared/ids.js';
+import { OWED, type AccountShare, type JobShare } from '../model/share.js';
 import { limitsOf } from './quota.js';
-import type { BatchState, JobState } from './state.js';
+import type { BatchState, JobState } from '../model/state.js';
 
 /** A job that its account is not owed waits behind others for no longer than this. */
 const LONGEST_BEHIND_MS = 20_000;
@@ -12,25 +13,6 @@
 const SAVED_S = 1;
 const MS_PER_S = 1000;
 
-/** What one account is still owed. */
-export type AccountShare = {
-  /** Jobs that it may hand in now. */
-  jobsLeft: number;
-  settledAtMs: number;
-  /** When its work so far would be done if it had its weight of all work alone; see `JobShare`. */
-  virtualEnd: number;
-};
-
-/** Where a job stands among those of all accounts. */
-export type JobShare = {
-  readonly isOwed: boolean;
-  /** By weighted fair queueing: when the work before it of its own account would be done. */
-  readonly virtualStart: number;
-};
-
-/** A job of no account, or of an earlier holder's time, is owed. */
-export const OWED: JobShare = { isOwed: true, virtualStart: 0 };
-
 const shareOf = (state: BatchState, account: AccountName, weight: number): AccountShare => {
   const known = state.shares.get(account);
   if (known) return known;
--- a/packages/core/src/batch/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -3,10 +3,10 @@
  * it; an endpoint also crashes with no task to blame, and takes all that runs there with it. What
  * is known of each such end is kept with the task, so that the two can be told apart.
  */
-import { change } from '../shared/change.js';
-import { instanceOf } from './endpoint-life.js';
-import { rackOf } from './endpoints.js';
-import type { NoteFields } from './run-end.js';
+import { change } from '../../shared/change.js';
+import { instanceOf } from '../model/endpoint-life.js';
+import { rackOf } from '../endpoints/endpoints.js';
+import type { NoteFields } from '../endpoints/run-end.js';
 import type {
   BatchState,
   EndpointCrash,
@@ -17,7 +17,7 @@
   RecentCrash,
   RunState,
   Task,
-} from './state.js';
+} from '../model/state.js';
 
 /**
  * A run with which its endpoint was heard to live for so long is not the first to be blamed for its
--- a/packages/core/src/batch/isolation.test.ts
+++ b/packages/core/src/batch/crashes/isolation.test.ts
@@ -1,8 +1,8 @@
 /** Which endpoints are kept for tasks under which others crashed, and what may begin there. */
 import { describe, expect, it } from 'vitest';
 
-import { change } from '../shared/change.js';
-import { brand, type EndpointId, type JobId } from '../shared/ids.js';
+import { change } from '../../shared/change.js';
+import { brand, type EndpointId, type JobId } from '../../shared/ids.js';
 import {
   answer,
   FIRST,
@@ -12,22 +12,22 @@
   see,
   writeRows,
   submitJob,
-} from './batch-state.fixtures.js';
+} from '../testing/batch-state.fixtures.js';
 import { giveUpReason } from './endpoint-crashes.js';
-import { instanceOf, lifeOf } from './endpoint-life.js';
-import { expectReports } from './endpoints.js';
-import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
-import { taskKey, type StepSpec } from './job.js';
-import { cancelJob } from './jobs.js';
-import { progressOf, restoreJob } from './progress.js';
-import { endpointsOf, schedulePool } from './schedule.js';
+import { instanceOf, lifeOf } from '../model/endpoint-life.js';
+import { expectReports } from '../endpoints/endpoints.js';
+import { removeEndpoint, settleGoneEndpoints } from '../endpoints/gone-endpoints.js';
+import { taskKey, type StepSpec } from '../model/job.js';
+import { cancelJob } from '../jobs/jobs.js';
+import { progressOf, restoreJob } from '../jobs/progress.js';
+import { endpointsOf, schedulePool } from '../placement/schedule.js';
 import {
   createBatchState,
   type BatchState,
   type EndpointCrash,
   type JobState,
   type Task,
-} from './state.js';
+} from '../model/state.js';
 
 const THIRD = brand<EndpointId>('i-0000000003');
 const FOURTH = brand<EndpointId>('i-0000000004');
--- a/packages/core/src/batch/isolation.ts
+++ b/packages/core/src/batch/crashes/isolation.ts
@@ -4,11 +4,18 @@
  * the end of its endpoint tells. One that was only there loses little: the others go elsewhere for
  * the quarter of a second that it takes.
  */
-import type { EndpointId } from '../shared/ids.js';
+import type { EndpointId } from '../../shared/ids.js';
 import { isSettled, isSuspect } from './endpoint-crashes.js';
-import type { StepSpec } from './job.js';
-import { reservedCpu } from './runs.js';
-import type { BatchState, EndpointState, JobState, RunState, StepRun, Task } from './state.js';
+import type { StepSpec } from '../model/job.js';
+import { reservedCpu } from '../endpoints/runs.js';
+import type {
+  BatchState,
+  EndpointState,
+  JobState,
+  RunState,
+  StepRun,
+  Task,
+} from '../model/state.js';
 
 /**
  * Only this share of a pool's endpoints is kept for such tasks, so that a wave of them does not stop the
--- a/packages/core/src/batch/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -3,10 +3,10 @@
  * is lost before it could write that the next endpoint crashed, too, leaves the start behind, and the next holder counts
  * it unless an endpoint tells what became of it.
  */
-import { change } from '../shared/change.js';
+import { change } from '../../shared/change.js';
 import { isSettled } from './endpoint-crashes.js';
-import { nextRunNumber } from './runs.js';
-import type { BatchState, EndpointState, RunState, StepRun, Task } from './state.js';
+import { nextRunNumber } from '../endpoints/runs.js';
+import type { BatchState, EndpointState, RunState, StepRun, Task } from '../model/state.js';
 
 const isAccountedFor = ({ lastEnd, crashes }: Task, run: number): boolean =>
   (lastEnd?.run ?? 0) >= run || crashes.some((crash) => crash.run >= run);
--- a/packages/core/src/batch/answer-times.ts
+++ b/packages/core/src/batch/endpoints/answer-times.ts
@@ -10,7 +10,7 @@
  * 4 of 10 calls were sent more than once, and the link stayed full after the load had gone.
  */
 
-import { change } from '../shared/change.js';
+import { change } from '../../shared/change.js';
 
 /** Weights of a new time in the mean and in the deviation, as in RFC 6298. */
 const MEAN_WEIGHT = 1 / 8;
--- a/packages/core/src/batch/endpoint-model.ts
+++ b/packages/core/src/batch/endpoints/endpoint-model.ts
@@ -4,12 +4,18 @@
  */
 import { Err, Ok, type Result } from 'ts-results-es';
 
-import type { EndpointId, HostId, InstanceId, PoolName } from '../shared/ids.js';
-import { lifeOf } from './endpoint-life.js';
-import type { TaskKey } from './job.js';
-import type { EndpointClock, ListOrder, OrderError, StartOrder, StopOrder } from './orders.js';
+import type { EndpointId, HostId, InstanceId, PoolName } from '../../shared/ids.js';
+import { lifeOf } from '../model/endpoint-life.js';
+import type { TaskKey } from '../model/job.js';
+import type {
+  EndpointClock,
+  ListOrder,
+  OrderError,
+  StartOrder,
+  StopOrder,
+} from '../model/orders.js';
 import type { EndKind, EndpointReport, EndReport, RunningReport } from './reports.js';
-import type { Capacity } from './state.js';
+import type { Capacity } from '../model/state.js';
 
 /** What a task needs, as the simulated endpoint is told by the simulated fleet. */
 export type ModelTask = {
--- a/packages/core/src/batch/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -1,7 +1,7 @@
 /** Endpoints as they come, change and go, by the platform's list. */
-import type { EndpointId, HostId, InstanceId, PoolName } from '../shared/ids.js';
-import { instanceOf } from './endpoint-life.js';
-import { poolOf, type BatchState, type Capacity, type EndpointState } from './state.js';
+import type { EndpointId, HostId, InstanceId, PoolName } from '../../shared/ids.js';
+import { instanceOf } from '../model/endpoint-life.js';
+import { poolOf, type BatchState, type Capacity, type EndpointState } from '../model/state.js';
 
 /** An endpoint as it describes itself. */
 export type EndpointSighting = {
--- a/packages/core/src/batch/followed-runs.test.ts
+++ b/packages/core/src/batch/endpoints/followed-runs.test.ts
@@ -1,7 +1,7 @@
 /** Runs that may be in the life after the one that they were ordered to. */
 import { beforeEach, describe, expect, it } from 'vitest';
 
-import type { EndpointId } from '../shared/ids.js';
+import type { EndpointId } from '../../shared/ids.js';
 import {
   answer,
   FIRST_RUN,
@@ -12,16 +12,16 @@
   TASK,
   taskOf,
   scheduleWritten,
-} from './batch-state.fixtures.js';
-import { instanceOf, lifeOf } from './endpoint-life.js';
+} from '../testing/batch-state.fixtures.js';
+import { instanceOf, lifeOf } from '../model/endpoint-life.js';
 import { barOpenStarts } from './followed-runs.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
-import { cancelJob } from './jobs.js';
+import { cancelJob } from '../jobs/jobs.js';
 import { closeStart, LATEST_ORDER_MS, openStart } from './open-starts.js';
 import { applyStartOutcome, applyStopAnswer } from './order-answers.js';
 import type { EndKind } from './reports.js';
-import { endpointsOf } from './schedule.js';
-import { takeEffects, type BatchEffect, type BatchState, type GoneCause } from './state.js';
+import { endpointsOf } from '../placement/schedule.js';
+import { takeEffects, type BatchEffect, type BatchState, type GoneCause } from '../model/state.js';
 import { watchRuns } from './watch-runs.js';
 
 const LIFE = lifeOf('i-0000000001', 1_700_000_000_000);
--- a/packages/core/src/batch/followed-runs.ts
+++ b/packages/core/src/batch/endpoints/followed-runs.ts
@@ -4,10 +4,10 @@
  * named may have begun in the next: its task is not begun elsewhere before that life has told, or nothing can come of the
  * order any more.
  */
-import { change } from '../shared/change.js';
-import { judgeCrash, recordCrash } from './endpoint-crashes.js';
-import { instanceOf } from './endpoint-life.js';
-import { giveUpIfDue } from './give-up.js';
+import { change } from '../../shared/change.js';
+import { judgeCrash, recordCrash } from '../crashes/endpoint-crashes.js';
+import { instanceOf } from '../model/endpoint-life.js';
+import { giveUpIfDue } from '../jobs/give-up.js';
 import { isStartOpen, openStartsAt, type StartedRun } from './open-starts.js';
 import { moveRun, stopRun } from './runs.js';
 import {
@@ -17,7 +17,7 @@
   type GoneCause,
   type GoneEndpoint,
   type RunState,
-} from './state.js';
+} from '../model/state.js';
 
 /** By these no life of the endpoint can come after: something else has its host or its address. */
 const WITHOUT_NEXT: ReadonlySet<GoneCause> = new Set(['host-taken', 'replaced', 'succeeded']);
--- a/packages/core/src/batch/gone-endpoints.test.ts
+++ b/packages/core/src/batch/endpoints/gone-endpoints.test.ts
@@ -10,13 +10,13 @@
   stateWithJob,
   taskOf,
   scheduleWritten,
-} from './batch-state.fixtures.js';
-import { instanceOf, lifeOf } from './endpoint-life.js';
+} from '../testing/batch-state.fixtures.js';
+import { instanceOf, lifeOf } from '../model/endpoint-life.js';
 import { expectReports } from './endpoints.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
-import { endpointsOf } from './schedule.js';
-import { takeEffects, type BatchState } from './state.js';
-import type { EndpointId } from '../shared/ids.js';
+import { endpointsOf } from '../placement/schedule.js';
+import { takeEffects, type BatchState } from '../model/state.js';
+import type { EndpointId } from '../../shared/ids.js';
 
 /** Until then the holder of these tests is surely the only one. */
 const SOLE_UNTIL_MS = 2400;
--- a/packages/core/src/batch/gone-endpoints.ts
+++ b/packages/core/src/batch/endpoints/gone-endpoints.ts
@@ -3,20 +3,20 @@
  * another entry may have become the holder, it may have heard that one is done before the endpoint
  * went. So what ran there is given up only while this holder is surely the only one.
  */
-import type { EndpointId } from '../shared/ids.js';
-import { change } from '../shared/change.js';
+import type { EndpointId } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
 import {
   crashFields,
   judgeCrash,
   lastRunsOf,
   noteCrashes,
   recordCrash,
-} from './endpoint-crashes.js';
-import { instanceOf } from './endpoint-life.js';
+} from '../crashes/endpoint-crashes.js';
+import { instanceOf } from '../model/endpoint-life.js';
 import { mayBeFollowed } from './followed-runs.js';
-import { giveUpIfDue } from './give-up.js';
+import { giveUpIfDue } from '../jobs/give-up.js';
 import { loseRun } from './lost-runs.js';
-import { chargeStrays } from './quota.js';
+import { chargeStrays } from '../accounts/quota.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
 import {
   isFinal,
@@ -25,7 +25,7 @@
   type BatchState,
   type GoneEndpoint,
   type RunState,
-} from './state.js';
+} from '../model/state.js';
 
 /** What shows that an endpoint is gone, and the time. */
 export type EndpointEnd = Pick<GoneEndpoint, 'detail' | 'atMs'> & { readonly nowMs: number };
--- a/packages/core/src/batch/health.ts
+++ b/packages/core/src/batch/endpoints/health.ts
@@ -2,9 +2,9 @@
  * Endpoints that fail or hang what they are given. Blame needs tasks of distinct jobs: one job that
  * can never be done does not condemn an endpoint.
  */
-import type { JobId } from '../shared/ids.js';
-import { change } from '../shared/change.js';
-import type { BatchState, EndpointState } from './state.js';
+import type { JobId } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
+import type { BatchState, EndpointState } from '../model/state.js';
 
 /** So many distinct jobs must have failed on an endpoint since the last task that was done there. */
 const JOBS_TO_BLAME = 3;
--- a/packages/core/src/batch/lost-runs.ts
+++ b/packages/core/src/batch/endpoints/lost-runs.ts
@@ -1,6 +1,6 @@
 /** Runs that ended without a report. */
 import { requeue, dropRun, type DropRunOptions } from './runs.js';
-import type { BatchState } from './state.js';
+import type { BatchState } from '../model/state.js';
 
 /** Options for a run that ended without a report. */
 export type LoseRunOptions = Omit<DropRunOptions, 'settle'> & {
--- a/packages/core/src/batch/open-starts.ts
+++ b/packages/core/src/batch/endpoints/open-starts.ts
@@ -3,9 +3,9 @@
  * has the endpoint's id by then: a later one knows neither that the run was barred, nor that it has ended, nor the
  * fence that the one before had seen.
  */
-import type { EndpointId, InstanceId } from '../shared/ids.js';
-import { instanceOf } from './endpoint-life.js';
-import type { BatchState, OpenStart } from './state.js';
+import type { EndpointId, InstanceId } from '../../shared/ids.js';
+import { instanceOf } from '../model/endpoint-life.js';
+import type { BatchState, OpenStart } from '../model/state.js';
 
 /** A platform may hold an order up for so long. */
 export const LATEST_ORDER_MS = 12_000;
--- a/packages/core/src/batch/order-answers.ts
+++ b/packages/core/src/batch/endpoints/order-answers.ts
@@ -1,10 +1,10 @@
 /** What follows from the answers to orders to start and to stop. */
-import { change } from '../shared/change.js';
-import type { EndpointId } from '../shared/ids.js';
-import type { TaskKey } from './job.js';
+import { change } from '../../shared/change.js';
+import type { EndpointId } from '../../shared/ids.js';
+import type { TaskKey } from '../model/job.js';
 import type { RunEvidence } from './run-end.js';
 import { dropRun, requeue, stopRun } from './runs.js';
-import type { BatchState } from './state.js';
+import type { BatchState } from '../model/state.js';
 
 /** What became of an order to start a run. */
 export type StartOutcome = 'started' | 'rejected' | 'unknown';
--- a/packages/core/src/batch/relay-choice.ts
+++ b/packages/core/src/batch/endpoints/relay-choice.ts
@@ -2,7 +2,7 @@
  * Which entry carries the holder's orders to an endpoint. The holder decides everything, but what it
  * sends need not all leave over its own link: an entry in the endpoint's data centre carries it on.
  */
-import type { EndpointId, EntryId } from '../shared/ids.js';
+import type { EndpointId, EntryId } from '../../shared/ids.js';
 
 /** An entry that could carry orders. */
 export type RelayCandidate = {
--- a/packages/core/src/batch/reports.test.ts
+++ b/packages/core/src/batch/endpoints/reports.test.ts
@@ -10,10 +10,10 @@
   JOB,
   TASK,
   taskOf,
-} from './batch-state.fixtures.js';
-import type { EndpointId } from '../shared/ids.js';
+} from '../testing/batch-state.fixtures.js';
+import type { EndpointId } from '../../shared/ids.js';
 import type { EndReport, RunningReport } from './reports.js';
-import type { BatchState } from './state.js';
+import type { BatchState } from '../model/state.js';
 
 const stateWith = (...endpointIds: EndpointId[]): BatchState => {
   const state = stateWithJob({ isInherited: true });
--- a/packages/core/src/batch/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -1,12 +1,12 @@
 /** What endpoints report: which tasks run, which have ended and how. */
-import type { EndpointId } from '../shared/ids.js';
-import { change } from '../shared/change.js';
-import { instanceOf } from './endpoint-life.js';
+import type { EndpointId } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
+import { instanceOf } from '../model/endpoint-life.js';
 import { followRuns } from './followed-runs.js';
-import { parseTaskKey, type TaskKey } from './job.js';
-import { endJob, findReportedTask, markDone } from './jobs.js';
-import { chargeStrays } from './quota.js';
-import { learnRunTime } from './run-times.js';
+import { parseTaskKey, type TaskKey } from '../model/job.js';
+import { endJob, findReportedTask, markDone } from '../jobs/jobs.js';
+import { chargeStrays } from '../accounts/quota.js';
+import { learnRunTime } from '../jobs/run-times.js';
 import { noteRunEnd, type RunEvidence } from './run-end.js';
 import { loseRun } from './lost-runs.js';
 import { addRun, dropRun, requeue } from './runs.js';
@@ -18,10 +18,10 @@
   type RunState,
   type StepRun,
   type Task,
-} from './state.js';
+} from '../model/state.js';
 import { noteDone, noteFailure } from './health.js';
-import { runTimeKind } from './step-times.js';
-import { closeTrial } from './trials.js';
+import { runTimeKind } from '../jobs/step-times.js';
+import { closeTrial } from '../crashes/trials.js';
 
 /** How a run ended, by the endpoint's word. */
 export type EndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
--- a/packages/core/src/batch/run-end.test.ts
+++ b/packages/core/src/batch/endpoints/run-end.test.ts
@@ -11,13 +11,13 @@
   see,
   stateWithJob,
   scheduleWritten,
-} from './batch-state.fixtures.js';
+} from '../testing/batch-state.fixtures.js';
 import { removeEndpoint, settleGoneEndpoints } from './gone-endpoints.js';
-import { cancelJob } from './jobs.js';
+import { cancelJob } from '../jobs/jobs.js';
 import { applyStartOutcome, applyStopAnswer, type StartAnswer } from './order-answers.js';
 import { type EndKind, type EndReport } from './reports.js';
-import { schedulePool } from './schedule.js';
-import { createBatchState, takeEffects, type BatchState } from './state.js';
+import { schedulePool } from '../placement/schedule.js';
+import { createBatchState, takeEffects, type BatchState } from '../model/state.js';
 import { watchRuns } from './watch-runs.js';
 
 const endOf = (run: number, kind: EndKind): EndReport => ({
--- a/packages/core/src/batch/run-end.ts
+++ b/packages/core/src/batch/endpoints/run-end.ts
@@ -2,9 +2,15 @@
  * Why a run counts as ended: the evidence, how old it is, and how sure the holder could be of being
  * the only one. Each run that stops being known here leaves one line.
  */
-import { change } from '../shared/change.js';
-import type { TaskKey } from './job.js';
-import { isFinal, type BatchState, type EndpointState, type StepRun, type Task } from './state.js';
+import { change } from '../../shared/change.js';
+import type { TaskKey } from '../model/job.js';
+import {
+  isFinal,
+  type BatchState,
+  type EndpointState,
+  type StepRun,
+  type Task,
+} from '../model/state.js';
 
 /** What made the holder count a run as ended. */
 export type RunEvidence = {
--- a/packages/core/src/batch/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -1,8 +1,8 @@
 /** Runs of tasks on endpoints: the room that they take, how they begin and how they are ended. */
-import type { EndpointId } from '../shared/ids.js';
-import { change } from '../shared/change.js';
-import type { StepSpec } from './job.js';
-import { chargeRun } from './quota.js';
+import type { EndpointId } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
+import type { StepSpec } from '../model/job.js';
+import { chargeRun } from '../accounts/quota.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
 import {
   poolOf,
@@ -11,7 +11,7 @@
   type RunState,
   type StepRun,
   type Task,
-} from './state.js';
+} from '../model/state.js';
 
 /**
  * Run numbers rise over holders without a write: the fence, then a count within it. More starts of
--- a/packages/core/src/batch/sound-endpoints.ts
+++ b/packages/core/src/batch/endpoints/sound-endpoints.ts
@@ -1,7 +1,7 @@
 /** Which endpoints take new work, and whether one may hold a task of a step. */
-import type { PoolName } from '../shared/ids.js';
+import type { PoolName } from '../../shared/ids.js';
 import { fitsIn } from './runs.js';
-import type { BatchState, EndpointState, StepRun } from './state.js';
+import type { BatchState, EndpointState, StepRun } from '../model/state.js';
 
 /**
  * Whoever has replaced this holder waits for the endpoints that were listed as it took over. One that
--- a/packages/core/src/batch/watch-runs.ts
+++ b/packages/core/src/batch/endpoints/watch-runs.ts
@@ -1,13 +1,18 @@
 /** Runs that stand still, and endpoints whose lease has surely ended. */
-import { change } from '../shared/change.js';
-import type { EndpointId } from '../shared/ids.js';
+import { change } from '../../shared/change.js';
+import type { EndpointId } from '../../shared/ids.js';
 import { mayRunInLaterLife } from './followed-runs.js';
 import { withholdEndpoint } from './health.js';
 import { loseRun } from './lost-runs.js';
 import type { RunEvidence } from './run-end.js';
 import { stopRun } from './runs.js';
-import { isSoleHolder, type BatchState, type EndpointState, type RunState } from './state.js';
-import { expectStepTime } from './step-times.js';
+import {
+  isSoleHolder,
+  type BatchState,
+  type EndpointState,
+  type RunState,
+} from '../model/state.js';
+import { expectStepTime } from '../jobs/step-times.js';
 
 /**
  * A run whose percentage has not risen for so many times its expected time, but at least for
--- a/packages/core/src/batch/create-job.ts
+++ b/packages/core/src/batch/jobs/create-job.ts
@@ -1,13 +1,19 @@
 /** Jobs, occurrences, steps and tasks as they are built, before anything of them has begun. */
-import { taskKey, type BatchJob, type QueuePolicy, type StepSpec, type TaskKey } from './job.js';
-import { OWED, type JobShare } from './shares.js';
+import {
+  taskKey,
+  type BatchJob,
+  type QueuePolicy,
+  type StepSpec,
+  type TaskKey,
+} from '../model/job.js';
+import { OWED, type JobShare } from '../model/share.js';
 import {
   createStepAdvice,
   type JobState,
   type OccurrenceState,
   type StepRun,
   type Task,
-} from './state.js';
+} from '../model/state.js';
 
 const newTask = (key: TaskKey, index: number): Task => ({
   key,
--- a/packages/core/src/batch/early-occurrence.test.ts
+++ b/packages/core/src/batch/jobs/early-occurrence.test.ts
@@ -1,11 +1,11 @@
 /** An occurrence that is not due here, of which an endpoint reports a task as done. */
 import { describe, expect, it } from 'vitest';
 
-import { brand } from '../shared/ids.js';
-import { answer, FIRST, JOB, see, stateWithJob } from './batch-state.fixtures.js';
-import { taskKey } from './job.js';
+import { brand } from '../../shared/ids.js';
+import { answer, FIRST, JOB, see, stateWithJob } from '../testing/batch-state.fixtures.js';
+import { taskKey } from '../model/job.js';
 import { takeInJob } from './jobs.js';
-import { createScheduleCycle } from './schedule-cycle.js';
+import { createScheduleCycle } from '../placement/schedule-cycle.js';
 
 const TIMED = brand<typeof JOB>('00000000000000bb');
 
--- a/packages/core/src/batch/first-attempts.test.ts
+++ b/packages/core/src/batch/jobs/first-attempts.test.ts
@@ -1,11 +1,11 @@
 /** Jobs that come back after they were refused, beside new ones that can be in time. */
 import { describe, expect, it } from 'vitest';
 
-import { brand, type JobId } from '../shared/ids.js';
-import { answer, FIRST, POOL, see, submitJob } from './batch-state.fixtures.js';
+import { brand, type JobId } from '../../shared/ids.js';
+import { answer, FIRST, POOL, see, submitJob } from '../testing/batch-state.fixtures.js';
 import { noteFirstAttempts } from './first-attempts.js';
-import { schedulePool } from './schedule.js';
-import { createBatchState, type BatchState } from './state.js';
+import { schedulePool } from '../placement/schedule.js';
+import { createBatchState, type BatchState } from '../model/state.js';
 
 const NOW_MS = 10_000;
 const OBJECTIVE_MS = 1600;
--- a/packages/core/src/batch/first-attempts.ts
+++ b/packages/core/src/batch/jobs/first-attempts.ts
@@ -2,8 +2,8 @@
  * When clients first tried to hand in jobs that were refused then. Their time runs from the first attempt: after an
  * outage those that come back are late already, and must not go before new ones that can be in time.
  */
-import type { JobId } from '../shared/ids.js';
-import type { BatchState } from './state.js';
+import type { JobId } from '../../shared/ids.js';
+import type { BatchState } from '../model/state.js';
 
 /** A job that was refused, with the time of its first attempt by the holder's monotonic clock. */
 export type FirstAttempt = { readonly jobId: JobId; readonly atMs: number };
--- a/packages/core/src/batch/give-up.ts
+++ b/packages/core/src/batch/jobs/give-up.ts
@@ -1,7 +1,7 @@
 /** Jobs that are given up because endpoints crash under one of their tasks. */
-import { giveUpReason } from './endpoint-crashes.js';
+import { giveUpReason } from '../crashes/endpoint-crashes.js';
 import { endJob } from './jobs.js';
-import type { BatchState, RunState } from './state.js';
+import type { BatchState, RunState } from '../model/state.js';
 
 /**
  * Ends a job one of whose tasks would take down the next endpoint, too.
--- a/packages/core/src/batch/jobs.ts
+++ b/packages/core/src/batch/jobs/jobs.ts
@@ -1,8 +1,8 @@
 /** The life of a job: admitted, its steps opened one after the other, ended or cancelled. */
-import type { JobId } from '../shared/ids.js';
-import { change } from '../shared/change.js';
-import { maySee, type Caller } from './accounts.js';
-import type { BatchJob, BatchPhase, TaskName } from './job.js';
+import type { JobId } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
+import { maySee, type Caller } from '../model/accounts.js';
+import type { BatchJob, BatchPhase, TaskName } from '../model/job.js';
 import {
   isFinal,
   poolOf,
@@ -11,11 +11,11 @@
   type OccurrenceState,
   type StepRun,
   type Task,
-} from './state.js';
+} from '../model/state.js';
 import { addOccurrence, createJobState, type TakeInOptions } from './create-job.js';
 import { takeFirstAttempt } from './first-attempts.js';
-import { takeShare } from './shares.js';
-import { stopRun, leaveWaiting } from './runs.js';
+import { takeShare } from '../accounts/shares.js';
+import { stopRun, leaveWaiting } from '../endpoints/runs.js';
 import { expectStepWork } from './step-times.js';
 
 const isStepDone = (step: StepRun | undefined): boolean =>
--- a/packages/core/src/batch/lookup-queue.ts
+++ b/packages/core/src/batch/jobs/lookup-queue.ts
@@ -1,8 +1,8 @@
 /** Which queue a request names, by its host name and the longest path prefix. */
-import type { PoolName } from '../shared/ids.js';
-import { indexAccounts, type AccountIndex, type ClientAccount } from './accounts.js';
-import type { QueueName, QueuePolicy } from './job.js';
-import type { PoolView } from './hosts.js';
+import type { PoolName } from '../../shared/ids.js';
+import { indexAccounts, type AccountIndex, type ClientAccount } from '../model/accounts.js';
+import type { QueueName, QueuePolicy } from '../model/job.js';
+import type { PoolView } from '../pools/hosts.js';
 
 /** A queue as the configuration declares it. */
 export type QueueView = {
--- a/packages/core/src/batch/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -2,13 +2,13 @@
  * The rows of a job: how it was accepted, how far it is, and how it ended. What is in them is what
  * the next holder starts from; starts are not written, since endpoints report what runs.
  */
-import { change } from '../shared/change.js';
-import type { AccountName } from '../shared/ids.js';
+import { change } from '../../shared/change.js';
+import type { AccountName } from '../../shared/ids.js';
 import { addOccurrence, createJobState } from './create-job.js';
 import { beginDue, endJob, markDone } from './jobs.js';
-import { giveUpReason } from './endpoint-crashes.js';
-import { inheritTrial, openTrialOf } from './trials.js';
-import type { BatchJob, FinalPhase, QueuePolicy } from './job.js';
+import { giveUpReason } from '../crashes/endpoint-crashes.js';
+import { inheritTrial, openTrialOf } from '../crashes/trials.js';
+import type { BatchJob, FinalPhase, QueuePolicy } from '../model/job.js';
 import {
   isFinal,
   type BatchState,
@@ -17,7 +17,7 @@
   type OccurrenceState,
   type StepRun,
   type Task,
-} from './state.js';
+} from '../model/state.js';
 
 /** The row of a job: whole while it is live, small once it has ended. */
 export type BatchJobRow =
--- a/packages/core/src/batch/step-times.ts
+++ b/packages/core/src/batch/jobs/step-times.ts
@@ -1,6 +1,6 @@
 /** How long the tasks of a step run, and how much work it is, by what was learned of its kind. */
 import { expectRunTime } from './run-times.js';
-import type { BatchState, StepRun } from './state.js';
+import type { BatchState, StepRun } from '../model/state.js';
 
 /**
  * Names the kind of a step's tasks: those of a kind take alike times.
--- a/packages/core/src/batch/waiting.test.ts
+++ b/packages/core/src/batch/jobs/waiting.test.ts
@@ -1,11 +1,19 @@
 /** How many jobs are said to wait. */
 import { describe, expect, it } from 'vitest';
 
-import { brand } from '../shared/ids.js';
-import { answer, FIRST, FIRST_RUN, POOL, see, stateWithJob, TASK } from './batch-state.fixtures.js';
-import { applyStartOutcome } from './order-answers.js';
-import { schedulePool } from './schedule.js';
-import type { BatchState } from './state.js';
+import { brand } from '../../shared/ids.js';
+import {
+  answer,
+  FIRST,
+  FIRST_RUN,
+  POOL,
+  see,
+  stateWithJob,
+  TASK,
+} from '../testing/batch-state.fixtures.js';
+import { applyStartOutcome } from '../endpoints/order-answers.js';
+import { schedulePool } from '../placement/schedule.js';
+import type { BatchState } from '../model/state.js';
 import { countWaiting } from './waiting.js';
 
 const START = { task: TASK, run: FIRST_RUN };
--- a/packages/core/src/batch/waiting.ts
+++ b/packages/core/src/batch/jobs/waiting.ts
@@ -1,5 +1,5 @@
 /** How many accepted jobs of each queue have no task begun. */
-import { isFinal, type BatchState } from './state.js';
+import { isFinal, type BatchState } from '../model/state.js';
 
 /**
  * Counts the jobs that wait.
--- a/packages/core/src/batch/upkeep-progress.test.ts
+++ b/packages/core/src/batch/maintenance/upkeep-progress.test.ts
@@ -2,10 +2,10 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { brand, type HostId } from '../shared/ids.js';
-import { createHostInventory, presenceOf, takeHostList } from './host-inventory.js';
-import type { HostView } from './hosts.js';
-import { createBatchState } from './state.js';
+import { brand, type HostId } from '../../shared/ids.js';
+import { createHostInventory, presenceOf, takeHostList } from '../pools/host-inventory.js';
+import type { HostView } from '../pools/hosts.js';
+import { createBatchState } from '../model/state.js';
 import { planUpkeep } from './upkeep.js';
 import {
   applyUpkeepAnswer,
--- a/packages/core/src/batch/upkeep-progress.ts
+++ b/packages/core/src/batch/maintenance/upkeep-progress.ts
@@ -1,6 +1,6 @@
 /** How far a maintenance wave is, host by host, and when it is completed. */
-import type { HostId } from '../shared/ids.js';
-import { presenceOf, type HostInventory, type HostPresence } from './host-inventory.js';
+import type { HostId } from '../../shared/ids.js';
+import { presenceOf, type HostInventory, type HostPresence } from '../pools/host-inventory.js';
 
 /** A wave as it was ordered. */
 export type UpkeepOrder = {
--- a/packages/core/src/batch/upkeep-rules.test.ts
+++ b/packages/core/src/batch/maintenance/upkeep-rules.test.ts
@@ -1,15 +1,21 @@
 /** What holds a host of a wave up, and what is done about it. */
 import { describe, expect, it } from 'vitest';
 
-import { brand, type EndpointId, type HostId, type JobId, type PoolName } from '../shared/ids.js';
-import { instanceOf } from './endpoint-life.js';
-import { seeEndpoint } from './endpoints.js';
-import { createHostInventory, takeHostList } from './host-inventory.js';
-import type { StepSpec } from './job.js';
-import { takeInJob } from './jobs.js';
-import { PLAIN_STEP } from './plain-step.js';
-import { addRun } from './runs.js';
-import { createBatchState, type EndpointState, type StepRun, type Task } from './state.js';
+import {
+  brand,
+  type EndpointId,
+  type HostId,
+  type JobId,
+  type PoolName,
+} from '../../shared/ids.js';
+import { instanceOf } from '../model/endpoint-life.js';
+import { seeEndpoint } from '../endpoints/endpoints.js';
+import { createHostInventory, takeHostList } from '../pools/host-inventory.js';
+import type { StepSpec } from '../model/job.js';
+import { takeInJob } from '../jobs/jobs.js';
+import { PLAIN_STEP } from '../model/plain-step.js';
+import { addRun } from '../endpoints/runs.js';
+import { createBatchState, type EndpointState, type StepRun, type Task } from '../model/state.js';
 import { applyUpkeepAnswer, createUpkeepWave, type UpkeepHost } from './upkeep-progress.js';
 import { planUpkeep } from './upkeep.js';
 
--- a/packages/core/src/batch/upkeep-rules.ts
+++ b/packages/core/src/batch/maintenance/upkeep-rules.ts
@@ -2,9 +2,9 @@
  * Whether a host of a maintenance wave may go down now. Each rule names one thing that holds a host
  * up; the first rule that applies decides, and a host that none holds up is ordered down.
  */
-import type { HostId } from '../shared/ids.js';
-import { findBudgetObstacle, isQuiet, type BudgetObstacle } from './hosts.js';
-import type { BatchState, EndpointState, StepRun } from './state.js';
+import type { HostId } from '../../shared/ids.js';
+import { findBudgetObstacle, isQuiet, type BudgetObstacle } from '../pools/hosts.js';
+import type { BatchState, EndpointState, StepRun } from '../model/state.js';
 import type { HostSight, UpkeepHost, UpkeepWave } from './upkeep-progress.js';
 
 /** What planning needs to know of hosts. */
--- a/packages/core/src/batch/upkeep.ts
+++ b/packages/core/src/batch/maintenance/upkeep.ts
@@ -8,11 +8,11 @@
 import * as Ord from 'fp-ts/lib/Ord.js';
 import * as RA from 'fp-ts/lib/ReadonlyArray.js';
 
-import type { HostId } from '../shared/ids.js';
-import { change } from '../shared/change.js';
-import type { HostPresence } from './host-inventory.js';
-import { lastingSteps, moveOneAway } from './hosts.js';
-import type { EndpointState } from './state.js';
+import type { HostId } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
+import type { HostPresence } from '../pools/host-inventory.js';
+import { lastingSteps, moveOneAway } from '../pools/hosts.js';
+import type { EndpointState } from '../model/state.js';
 import { mayBeDown, presenceInWave, type UpkeepHost, type UpkeepWave } from './upkeep-progress.js';
 import {
   decideOnHost,
--- a/packages/core/src/batch/accounts.ts
+++ b/packages/core/src/batch/model/accounts.ts
@@ -1,6 +1,6 @@
 /** Client accounts: whose keys open which queues, and which jobs belong to whom. */
-import type { AccountName, Branded } from '../shared/ids.js';
-import type { Capacity } from './endpoint-state.js';
+import type { AccountName, Branded } from '../../shared/ids.js';
+import type { Capacity } from './capacity.js';
 
 /** A key as it is kept and compared: its digest, from which it cannot be found. */
 export type KeyDigest = Branded<'KeyDigest'>;
@@ -17,8 +17,8 @@
   readonly maximum: Capacity;
 };
 
-/** What an account without a maximum may have running. */
-export const NO_LIMIT: Capacity = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+/** What a holder goes by for an account: from the newest configuration that named it, or from the rows of its jobs. */
+export type AccountLimits = Pick<ClientAccount, 'maximum' | 'weight'>;
 
 /** Who owns a job, and what its account might have running as the job came in. */
 export type JobOwner = Pick<ClientAccount, 'maximum'> & { readonly account: AccountName };
--- a/packages/core/src/batch/endpoint-life.ts
+++ b/packages/core/src/batch/model/endpoint-life.ts
@@ -8,7 +8,7 @@
  */
 import { Err, Ok, type Result } from 'ts-results-es';
 
-import { brand, type EndpointId, type InstanceId } from '../shared/ids.js';
+import { brand, type EndpointId, type InstanceId } from '../../shared/ids.js';
 import type { OrderError } from './orders.js';
 
 const SEPARATOR = '@';
--- a/packages/core/src/batch/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -1,5 +1,6 @@
 /** What is known of endpoints, and of what runs on them. Records change in place. */
-import type { EndpointId, HostId, JobId, PoolName } from '../shared/ids.js';
+import type { EndpointId, HostId, JobId, PoolName } from '../../shared/ids.js';
+import type { Capacity } from './capacity.js';
 import type { TaskKey } from './job.js';
 import type { EndpointCrash, StepRun, Task } from './job-state.js';
 
@@ -29,13 +30,6 @@
   progressAtMs: number;
 };
 
-/** What an endpoint has room for. */
-export type Capacity = {
-  readonly cpuMillis: number;
-  readonly memoryMb: number;
-  readonly accelerators: number;
-};
-
 /** An endpoint of a pool. */
 export type EndpointState = {
   readonly endpointId: EndpointId;
--- a/packages/core/src/batch/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -1,6 +1,6 @@
 /** What is known of jobs, their steps and tasks. Records change in place. */
-import type { EndpointId } from '../shared/ids.js';
-import type { JobShare } from './shares.js';
+import type { EndpointId } from '../../shared/ids.js';
+import type { JobShare } from './share.js';
 import type { BatchJob, BatchPhase, QueuePolicy, StepSpec, TaskKey } from './job.js';
 
 /** One task. */
--- a/packages/core/src/batch/job.ts
+++ b/packages/core/src/batch/model/job.ts
@@ -1,5 +1,5 @@
 /** Batch jobs: steps of equal tasks, as they were accepted. */
-import type { AccountName, Branded, JobId, PoolName } from '../shared/ids.js';
+import type { AccountName, Branded, JobId, PoolName } from '../../shared/ids.js';
 import type { JobOwner } from './accounts.js';
 
 export type QueueName = Branded<'QueueName'>;
--- a/packages/core/src/batch/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -3,17 +3,19 @@
  * many ends a second, and nothing else reads them meanwhile. Times are of the holder's monotonic
  * clock unless a name says otherwise.
  */
-import type { AccountName, EndpointId, InstanceId, JobId, PoolName } from '../shared/ids.js';
+import type { AccountName, EndpointId, InstanceId, JobId, PoolName } from '../../shared/ids.js';
 import type { EndpointState, GoneEndpoint, OpenStart, RecentCrash } from './endpoint-state.js';
 import type { BatchPhase, TaskKey } from './job.js';
 import type { JobState, StepRun } from './job-state.js';
-import { createDemand, type Demand } from './demand.js';
-import { createDemandPeaks, type DemandPeaks } from './demand-peaks.js';
-import type { AccountLimits, Usage } from './quota.js';
+import { createDemand, type Demand } from '../pools/demand.js';
+import { createDemandPeaks, type DemandPeaks } from '../pools/demand-peaks.js';
+import type { AccountLimits } from './accounts.js';
+import type { Usage } from './capacity.js';
 import type { OrderWay } from './order-ways.js';
-import type { AccountShare } from './shares.js';
-import { createRunTimes, type RunTimes } from './run-times.js';
+import type { AccountShare } from './share.js';
+import { createRunTimes, type RunTimes } from '../jobs/run-times.js';
 
+export * from './capacity.js';
 export * from './endpoint-state.js';
 export * from './job-state.js';
 
--- a/packages/core/src/batch/advice.ts
+++ b/packages/core/src/batch/placement/advice.ts
@@ -3,10 +3,10 @@
  * for few endpoints, once a step, and what it answers does not change. An endpoint that may run the
  * step gets a ticket, which holds for all tasks of the step at that life of the endpoint.
  */
-import type { EndpointId } from '../shared/ids.js';
-import { parseTaskKey, type TaskKey } from './job.js';
-import { findTask } from './jobs.js';
-import type { BatchState, EndpointState, StepRun } from './state.js';
+import type { EndpointId } from '../../shared/ids.js';
+import { parseTaskKey, type TaskKey } from '../model/job.js';
+import { findTask } from '../jobs/jobs.js';
+import type { BatchState, EndpointState, StepRun } from '../model/state.js';
 
 /** The objective of a job counts one question about so many endpoints a step. */
 const MOST_ASKED = 30;
--- a/packages/core/src/batch/best-endpoint.ts
+++ b/packages/core/src/batch/placement/best-endpoint.ts
@@ -1,6 +1,6 @@
 /** Which endpoint takes a task. */
-import { mayHold } from './sound-endpoints.js';
-import type { EndpointState, StepRun, Task } from './state.js';
+import { mayHold } from '../endpoints/sound-endpoints.js';
+import type { EndpointState, StepRun, Task } from '../model/state.js';
 
 /** How good an endpoint is for a task: larger is better. */
 const scoreOf = (endpoint: EndpointState, step: StepRun, task: Task): number => {
--- a/packages/core/src/batch/gang-places.ts
+++ b/packages/core/src/batch/placement/gang-places.ts
@@ -1,7 +1,7 @@
 /** Where all members of a gang find places at once. */
-import { rackOf } from './endpoints.js';
-import { hasLabel } from './sound-endpoints.js';
-import type { EndpointState, StepRun } from './state.js';
+import { rackOf } from '../endpoints/endpoints.js';
+import { hasLabel } from '../endpoints/sound-endpoints.js';
+import type { EndpointState, StepRun } from '../model/state.js';
 
 /** The endpoints that a gang may be spread over: one rack, if it must stay together and fits. */
 const gangSets = (
--- a/packages/core/src/batch/order.ts
+++ b/packages/core/src/batch/placement/order.ts
@@ -7,10 +7,10 @@
 import * as N from 'fp-ts/lib/number.js';
 import * as Ord from 'fp-ts/lib/Ord.js';
 
-import type { OrderWay } from './order-ways.js';
-import { goesWithOwed } from './shares.js';
-import type { BatchState, StepRun } from './state.js';
-import { expectStepTime } from './step-times.js';
+import type { OrderWay } from '../model/order-ways.js';
+import { goesWithOwed } from '../accounts/shares.js';
+import type { BatchState, StepRun } from '../model/state.js';
+import { expectStepTime } from '../jobs/step-times.js';
 
 /** A late success is still worth something to its client until this many times the objective. */
 export const LATE_FACTOR = 3;
--- a/packages/core/src/batch/schedule-cycle.ts
+++ b/packages/core/src/batch/placement/schedule-cycle.ts
@@ -1,9 +1,9 @@
 /** One pass over all pools: they take it in rotation to be first, or one would take what may be sent. */
-import { change } from '../shared/change.js';
-import { settleGoneEndpoints } from './gone-endpoints.js';
-import { reckonUnreported } from './quota.js';
+import { change } from '../../shared/change.js';
+import { settleGoneEndpoints } from '../endpoints/gone-endpoints.js';
+import { reckonUnreported } from '../accounts/quota.js';
 import { schedulePool } from './schedule.js';
-import type { BatchState } from './state.js';
+import type { BatchState } from '../model/state.js';
 
 /**
  * Builds the passes of one holder.
--- a/packages/core/src/batch/schedule.test.ts
+++ b/packages/core/src/batch/placement/schedule.test.ts
@@ -1,7 +1,7 @@
 /** In which order open steps get the room that comes free. */
 import { describe, expect, it } from 'vitest';
 
-import { brand, type JobId } from '../shared/ids.js';
+import { brand, type JobId } from '../../shared/ids.js';
 import {
   answer,
   FIRST,
@@ -10,9 +10,9 @@
   see,
   submitJob,
   type Submission,
-} from './batch-state.fixtures.js';
+} from '../testing/batch-state.fixtures.js';
 import { schedulePool } from './schedule.js';
-import { createBatchState, type BatchState } from './state.js';
+import { createBatchState, type BatchState } from '../model/state.js';
 
 const jobIdOf = (number: number): JobId => brand<JobId>(number.toString(16).padStart(16, '0'));
 
--- a/packages/core/src/batch/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -1,16 +1,16 @@
 /** Places waiting tasks on endpoints: the fullest endpoint that fits, so that others stand empty. */
-import type { EndpointId, PoolName } from '../shared/ids.js';
-import { change } from '../shared/change.js';
+import type { EndpointId, PoolName } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
 import { admittedEndpoints, ticketOf, wantAdvice } from './advice.js';
-import { giveUpIfDue } from './give-up.js';
+import { giveUpIfDue } from '../jobs/give-up.js';
 import { byRank, rankStep, type Rank } from './order.js';
-import { noteStartAgain } from './run-end.js';
-import { announcedRunOf, announceTrials, countLostTrials } from './trials.js';
-import { isWithinQuota } from './quota.js';
+import { noteStartAgain } from '../endpoints/run-end.js';
+import { announcedRunOf, announceTrials, countLostTrials } from '../crashes/trials.js';
+import { isWithinQuota } from '../accounts/quota.js';
 import { placesForGang } from './gang-places.js';
 import { bestFor } from './best-endpoint.js';
-import { mayHold, usableEndpoints } from './sound-endpoints.js';
-import { addRun, nextRunNumber } from './runs.js';
+import { mayHold, usableEndpoints } from '../endpoints/sound-endpoints.js';
+import { addRun, nextRunNumber } from '../endpoints/runs.js';
 import {
   couldBegin,
   NONE_ISOLATED,
@@ -19,7 +19,7 @@
   waitingSuspects,
   type IsolationRequest,
   type IsolatedEndpoints,
-} from './isolation.js';
+} from '../crashes/isolation.js';
 import {
   isFinal,
   isSoleHolder,
@@ -29,7 +29,7 @@
   type PoolState,
   type StepRun,
   type Task,
-} from './state.js';
+} from '../model/state.js';
 
 /**
  * A turn is bounded: after so many steps that fit nowhere, the smaller ones behind them wait for
--- a/packages/core/src/batch/sharing.ts
+++ b/packages/core/src/batch/placement/sharing.ts
@@ -2,8 +2,8 @@
  * Tasks that fill gaps disturb the tasks that serve beside them. A serving task that is over its
  * target has its neighbours paced down at once; they come back slowly while it stays well under.
  */
-import { change } from '../shared/change.js';
-import type { BatchState, EndpointState, RunState } from './state.js';
+import { change } from '../../shared/change.js';
+import type { BatchState, EndpointState, RunState } from '../model/state.js';
 
 /** Under this share of its target a serving task has room for a disturbance. */
 const COMFORT_SHARE = 0.75;
--- a/packages/core/src/batch/demand-peaks.test.ts
+++ b/packages/core/src/batch/pools/demand-peaks.test.ts
@@ -2,10 +2,10 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { brand, type PoolName } from '../shared/ids.js';
+import { brand, type PoolName } from '../../shared/ids.js';
 import { createDemandPeaks, expectPeak, observeDemand, type DemandPeaks } from './demand-peaks.js';
 import { learnedOf, restoreLearned } from './learned.js';
-import { createBatchState } from './state.js';
+import { createBatchState } from '../model/state.js';
 
 const POOLS = ['a', 'b', 'c', 'd'].map((name) => brand<PoolName>(name));
 const LEAST_CORES = 30;
--- a/packages/core/src/batch/demand-peaks.ts
+++ b/packages/core/src/batch/pools/demand-peaks.ts
@@ -3,7 +3,7 @@
  * is expected. A host needs some 2 s to serve another pool, and quick work whose objective leaves a
  * second of slack is late for as long after each rise that only was reacted to.
  */
-import type { PoolName } from '../shared/ids.js';
+import type { PoolName } from '../../shared/ids.js';
 
 /** The beginning of a peak. */
 export type PeakOnset = { readonly pool: PoolName; readonly atMs: number };
--- a/packages/core/src/batch/host-inventory.ts
+++ b/packages/core/src/batch/pools/host-inventory.ts
@@ -2,8 +2,8 @@
  * Hosts as far as they are known by readings of the platform's list. A reading may fail, lag, or leave
  * a host out: what is not seen in it is not gone by that.
  */
-import type { HostId } from '../shared/ids.js';
-import { change } from '../shared/change.js';
+import type { HostId } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
 import type { HostView } from './hosts.js';
 
 /**
--- a/packages/core/src/batch/hosts.ts
+++ b/packages/core/src/batch/pools/hosts.ts
@@ -1,9 +1,16 @@
 /** Hosts by the platform's list, and what may be done to them without breaking a budget. */
-import type { EndpointId, HostId, InstanceId, PoolName } from '../shared/ids.js';
-import { instanceOf } from './endpoint-life.js';
-import { mayHold, usableEndpoints } from './sound-endpoints.js';
-import { stopRun } from './runs.js';
-import type { BatchState, Capacity, EndpointState, GoneCause, RunState, StepRun } from './state.js';
+import type { EndpointId, HostId, InstanceId, PoolName } from '../../shared/ids.js';
+import { instanceOf } from '../model/endpoint-life.js';
+import { mayHold, usableEndpoints } from '../endpoints/sound-endpoints.js';
+import { stopRun } from '../endpoints/runs.js';
+import type {
+  BatchState,
+  Capacity,
+  EndpointState,
+  GoneCause,
+  RunState,
+  StepRun,
+} from '../model/state.js';
 
 /** A host as the platform lists it. */
 export type HostView = {
--- a/packages/core/src/batch/learned.ts
+++ b/packages/core/src/batch/pools/learned.ts
@@ -2,8 +2,8 @@
  * What a holder has learned of demand and run times, in a form that the next one can start from.
  * Nothing safe depends on it: without it the next holder learns anew, which took it 10 to 30 s.
  */
-import type { PoolName } from '../shared/ids.js';
-import type { BatchState } from './state.js';
+import type { PoolName } from '../../shared/ids.js';
+import type { BatchState } from '../model/state.js';
 
 /** Names are kept with what was learned of them; times are of the time of day. */
 export type LearnedRow = {
--- a/packages/core/src/batch/pool-moves.ts
+++ b/packages/core/src/batch/pools/pool-moves.ts
@@ -2,7 +2,7 @@
  * Pools follow demand: a pool whose waiting work does not fit gets hosts, first from the spare
  * pool, then empty ones of pools that have no use for them.
  */
-import type { HostId, PoolName } from '../shared/ids.js';
+import type { HostId, PoolName } from '../../shared/ids.js';
 import { expectCores } from './demand.js';
 import type { HostView } from './hosts.js';
 import {
@@ -15,7 +15,7 @@
   type PoolPolicy,
   type PoolWorld,
 } from './pool-needs.js';
-import type { EndpointState } from './state.js';
+import type { EndpointState } from '../model/state.js';
 
 /** A host that changes its pool. */
 export type PoolMove = {
--- a/packages/core/src/batch/pool-needs.ts
+++ b/packages/core/src/batch/pools/pool-needs.ts
@@ -1,10 +1,10 @@
 /** What each pool has and needs: room, work that runs and waits, work that is expected. */
-import type { HostId, PoolName } from '../shared/ids.js';
+import type { HostId, PoolName } from '../../shared/ids.js';
 import { expectCores } from './demand.js';
 import { expectPeak, observeDemand } from './demand-peaks.js';
 import type { HostView, PoolView } from './hosts.js';
-import { isSound } from './sound-endpoints.js';
-import { poolOf, type BatchState, type EndpointState, type StepRun } from './state.js';
+import { isSound } from '../endpoints/sound-endpoints.js';
+import { poolOf, type BatchState, type EndpointState, type StepRun } from '../model/state.js';
 
 /** What moves are decided on. */
 export type PoolWorld = {
--- a/packages/core/src/batch/pool-peaks.test.ts
+++ b/packages/core/src/batch/pools/pool-peaks.test.ts
@@ -1,14 +1,14 @@
 /** Hosts that follow demand by turns, with and without the expectation of the next peak. */
 import { describe, expect, it } from 'vitest';
 
-import { brand, type EndpointId, type HostId, type PoolName } from '../shared/ids.js';
-import { instanceOf } from './endpoint-life.js';
-import { seeEndpoint } from './endpoints.js';
-import { removeEndpoint } from './gone-endpoints.js';
+import { brand, type EndpointId, type HostId, type PoolName } from '../../shared/ids.js';
+import { instanceOf } from '../model/endpoint-life.js';
+import { seeEndpoint } from '../endpoints/endpoints.js';
+import { removeEndpoint } from '../endpoints/gone-endpoints.js';
 import type { HostView } from './hosts.js';
 import { planMoves } from './pool-moves.js';
 import { DEFAULT_POOL_POLICY, observePeaks, type PoolWorld } from './pool-needs.js';
-import { createBatchState, poolOf } from './state.js';
+import { createBatchState, poolOf } from '../model/state.js';
 
 const POOLS = ['a', 'b', 'c', 'd'].map((name) => brand<PoolName>(name));
 const HOSTS_PER_POOL = 8;
--- a/packages/core/src/batch/batch-state.fixtures.ts
+++ b/packages/core/src/batch/testing/batch-state.fixtures.ts
@@ -1,14 +1,14 @@
 /** A small state for tests of decisions: one job of one task, two endpoints, and their answers. */
-import { schedulePool } from './schedule.js';
-import { change } from '../shared/change.js';
-import { brand, type EndpointId, type JobId, type PoolName } from '../shared/ids.js';
-import { seeEndpoint } from './endpoints.js';
-import type { JobOwner } from './accounts.js';
-import { taskKey, type BatchJob, type QueuePolicy, type StepSpec } from './job.js';
-import { takeInJob } from './jobs.js';
-import { PLAIN_STEP } from './plain-step.js';
-import { applyReport, type EndpointReport } from './reports.js';
-import { createBatchState, type BatchState, type Task } from './state.js';
+import { schedulePool } from '../placement/schedule.js';
+import { change } from '../../shared/change.js';
+import { brand, type EndpointId, type JobId, type PoolName } from '../../shared/ids.js';
+import { seeEndpoint } from '../endpoints/endpoints.js';
+import type { JobOwner } from '../model/accounts.js';
+import { taskKey, type BatchJob, type QueuePolicy, type StepSpec } from '../model/job.js';
+import { takeInJob } from '../jobs/jobs.js';
+import { PLAIN_STEP } from '../model/plain-step.js';
+import { applyReport, type EndpointReport } from '../endpoints/reports.js';
+import { createBatchState, type BatchState, type Task } from '../model/state.js';
 
 export const JOB = brand<JobId>('00000000000000aa');
 export const POOL = brand<PoolName>('alpha');
--- a/packages/daemon/src/batch/configuration-keeper.test.ts
+++ b/packages/daemon/src/batch/configuration/configuration-keeper.test.ts
@@ -4,14 +4,14 @@
 import { Err, Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import { createLog } from '../observe/log.js';
-import { createMetrics } from '../observe/metrics.js';
+import { createLog } from '../../observe/log.js';
+import { createMetrics } from '../../observe/metrics.js';
 import {
   ASK_NEIGHBOURS_EVERY_MS,
   createConfigurationKeeper,
   type ConfigurationKeeper,
 } from './configuration-keeper.js';
-import type { FeedReading, OperatorNews } from './ports.js';
+import type { FeedReading, OperatorNews } from '../ports.js';
 
 const READING: FeedReading = { scope: 'changes', replaced: 0, bytes: 0, arrivingMs: 0 };
 const FEED_TIMEOUT_MS = 1900;
--- a/packages/daemon/src/batch/configuration-keeper.ts
+++ b/packages/daemon/src/batch/configuration/configuration-keeper.ts
@@ -15,10 +15,10 @@
 
 import type { PlatformError } from '@valvelatch/platform';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
-import type { AskPeer } from './peers.js';
-import type { OperatorFeed } from './ports.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
+import type { AskPeer } from '../entry/peers.js';
+import type { OperatorFeed } from '../ports.js';
 
 /** A waiting read of the operator's orders: a change is in force within 2 s also if one is lost. */
 const OPERATOR_WAIT_MS = 1000;
--- a/packages/daemon/src/batch/batch-control.test.ts
+++ b/packages/daemon/src/batch/control/batch-control.test.ts
@@ -2,8 +2,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { HostId, JobId } from '@valvelatch/core/shared/ids';
 
-import { type SimFleet } from './testing/sim-fleet.fixtures.js';
-import { advance, FAKED, phaseOf, runningOf, started } from './testing/virtual-time.fixtures.js';
+import { type SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { advance, FAKED, phaseOf, runningOf, started } from '../testing/virtual-time.fixtures.js';
 
 describe('control of batch work', () => {
   beforeEach(() => {
--- a/packages/daemon/src/batch/control.test.ts
+++ b/packages/daemon/src/batch/control/control.test.ts
@@ -4,11 +4,11 @@
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import { createMetrics } from '../observe/metrics.js';
+import { createMetrics } from '../../observe/metrics.js';
 import { createControl, type Control } from './control.js';
-import type { Peers } from './peers.js';
-import type { BatchPlatform } from './ports.js';
-import type { RelayedTable } from './relayed-table.js';
+import type { Peers } from '../entry/peers.js';
+import type { BatchPlatform } from '../ports.js';
+import type { RelayedTable } from '../relays/relayed-table.js';
 
 const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
 const row = { kind: 'live', job: { jobId: 'a' } } as unknown as BatchJobRow;
--- a/packages/daemon/src/batch/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -10,22 +10,22 @@
 import { brand, type EntryId, type JobId } from '@valvelatch/core/shared/ids';
 import type { TableClient } from '@valvelatch/platform';
 
-import { createLeaseKeeper } from '../leases/lease-keeper.js';
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
-import { sleep } from '../shared/sleep.js';
-import type { ControlView } from './intake.js';
-import type { AcceptOutcome } from './job-saver.js';
-import { ENDPOINT_LEASE_MS } from './endpoint-link.js';
+import { createLeaseKeeper } from '../../leases/lease-keeper.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
+import { sleep } from '../../shared/sleep.js';
+import type { ControlView } from '../jobs/control-view.js';
+import type { AcceptOutcome } from '../jobs/job-saver.js';
+import { ENDPOINT_LEASE_MS } from '../endpoints/endpoint-link.js';
 import { CONTROL_METHOD, createHolderClient, HOLDER_SILENT_MS } from './holder-client.js';
-import { CONTROL_LEASE } from './keys.js';
-import type { Peers } from './peers.js';
-import type { BatchPlatform } from './ports.js';
-import type { RefusedJob } from './refused-jobs.js';
-import type { RelayedTable } from './relayed-table.js';
+import { CONTROL_LEASE } from '../keys.js';
+import type { Peers } from '../entry/peers.js';
+import type { BatchPlatform } from '../ports.js';
+import type { RefusedJob } from '../jobs/refused-jobs.js';
+import type { RelayedTable } from '../relays/relayed-table.js';
 import { createYielding, EQUAL_STANDING, HAND_OVER_LOOK_MS, type Standing } from './standing.js';
 import { createTerm, type Term } from './term.js';
-import type { KnownWave } from './wave-keeper.js';
+import type { KnownWave } from '../hosts/wave-keeper.js';
 
 /**
  * The lease on control: for so long from its last renewal a holder without the table goes on to
--- a/packages/daemon/src/batch/guard.ts
+++ b/packages/daemon/src/batch/control/guard.ts
@@ -1,8 +1,8 @@
 /** The row that every write of jobs depends on: a new holder changes it before it reads jobs. */
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
 
-import { batchKey } from './keys.js';
-import type { BatchTable } from './ports.js';
+import { batchKey } from '../keys.js';
+import type { BatchTable } from '../ports.js';
 
 /** What became of an attempt to change the guard. */
 export type GuardOutcome =
--- a/packages/daemon/src/batch/holder-client.ts
+++ b/packages/daemon/src/batch/control/holder-client.ts
@@ -2,11 +2,11 @@
 import type { BatchJobRow } from '@valvelatch/core/batch';
 import type { EntryId } from '@valvelatch/core/shared/ids';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
-import { sleep } from '../shared/sleep.js';
-import type { AcceptOutcome } from './accept-queue.js';
-import type { Peers } from './peers.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
+import { sleep } from '../../shared/sleep.js';
+import type { AcceptOutcome } from '../jobs/accept-queue.js';
+import type { Peers } from '../entry/peers.js';
 
 /** How long the holder is waited for before the rows are read instead. */
 const ASK_MS = 500;
--- a/packages/daemon/src/batch/holders.test.ts
+++ b/packages/daemon/src/batch/control/holders.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { InstanceId } from '@valvelatch/core/shared/ids';
 
-import { createSimFleet } from './testing/sim-fleet.fixtures.js';
+import { createSimFleet } from '../testing/sim-fleet.fixtures.js';
 import {
   advance,
   chance,
@@ -11,7 +11,7 @@
   phaseOf,
   runningOf,
   started,
-} from './testing/virtual-time.fixtures.js';
+} from '../testing/virtual-time.fixtures.js';
 
 describe('control that changes hands', () => {
   beforeEach(() => {
--- a/packages/daemon/src/batch/learned-keeper.test.ts
+++ b/packages/daemon/src/batch/control/learned-keeper.test.ts
@@ -3,8 +3,8 @@
 import { Err, Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
 
-import { createLog } from '../observe/log.js';
-import { batchKey } from './keys.js';
+import { createLog } from '../../observe/log.js';
+import { batchKey } from '../keys.js';
 import { createLearnedKeeper, type LearnedKeeperOptions } from './learned-keeper.js';
 
 const EARLIER: LearnedRow = {
--- a/packages/daemon/src/batch/learned-keeper.ts
+++ b/packages/daemon/src/batch/control/learned-keeper.ts
@@ -6,9 +6,9 @@
   type LearnedRow,
 } from '@valvelatch/core/batch';
 
-import type { Log } from '../observe/log.js';
-import { batchKey } from './keys.js';
-import type { BatchTable } from './ports.js';
+import type { Log } from '../../observe/log.js';
+import { batchKey } from '../keys.js';
+import type { BatchTable } from '../ports.js';
 
 export type LearnedKeeperOptions = {
   readonly table: Pick<BatchTable, 'read' | 'transact'>;
--- a/packages/daemon/src/batch/load-note.ts
+++ b/packages/daemon/src/batch/control/load-note.ts
@@ -1,7 +1,7 @@
 /** What control carries: the figures by which an operator sees what holds starts back. */
 import type { BatchState, LinkDelay, OrderWindow } from '@valvelatch/core/batch';
 
-import type { Log } from '../observe/log.js';
+import type { Log } from '../../observe/log.js';
 
 export type LoadNoteOptions = {
   readonly state: BatchState;
--- a/packages/daemon/src/batch/replaced-holder.test.ts
+++ b/packages/daemon/src/batch/control/replaced-holder.test.ts
@@ -21,7 +21,7 @@
 import type { EndpointModel } from '@valvelatch/core/batch';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
-import type { SimEntry, SimFleet } from './testing/sim-fleet.fixtures.js';
+import type { SimEntry, SimFleet } from '../testing/sim-fleet.fixtures.js';
 import {
   advance,
   FAKED,
@@ -29,7 +29,7 @@
   phaseOf,
   runningOf,
   started,
-} from './testing/virtual-time.fixtures.js';
+} from '../testing/virtual-time.fixtures.js';
 
 /** A call that was sent during a cut is given up, and another is sent, within this time. */
 const CALL_MS = 1300;
--- a/packages/daemon/src/batch/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -31,21 +31,26 @@
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
 import type { EntryId, JobId } from '@valvelatch/core/shared/ids';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
-import { startLoops, type RunningLoops } from '../shared/loops.js';
-import { createAdvisor } from './advisor.js';
-import { createEndedJobs } from './ended-jobs.js';
-import { createEndpointRoster } from './endpoint-roster.js';
-import { createFleetCycle, type FleetCycle } from './fleet-cycle.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
+import { startLoops, type RunningLoops } from '../../shared/loops.js';
+import { createAdvisor } from '../endpoints/advisor.js';
+import { createEndedJobs } from '../jobs/ended-jobs.js';
+import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
+import { createFleetCycle, type FleetCycle } from '../hosts/fleet-cycle.js';
 import { takeGuard } from './guard.js';
-import { createJobRows, type Until } from './job-rows.js';
-import { createJobSaver, type AcceptOutcome, type JobSaver, type LiveRow } from './job-saver.js';
-import { batchKey } from './keys.js';
+import { createJobRows, type Until } from '../jobs/job-rows.js';
+import {
+  createJobSaver,
+  type AcceptOutcome,
+  type JobSaver,
+  type LiveRow,
+} from '../jobs/job-saver.js';
+import { batchKey } from '../keys.js';
 import { createLearnedKeeper } from './learned-keeper.js';
 import { noteLoad, type LoadNoteOptions } from './load-note.js';
-import type { BatchPlatform } from './ports.js';
-import type { RefusedJob } from './refused-jobs.js';
+import type { BatchPlatform } from '../ports.js';
+import type { RefusedJob } from '../jobs/refused-jobs.js';
 
 const TICK_MS = 100;
 /** New jobs are announced over the mesh; the feed finds what was lost there. */
--- a/packages/daemon/src/batch/acknowledgement.test.ts
+++ b/packages/daemon/src/batch/endpoints/acknowledgement.test.ts
@@ -3,8 +3,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { createAcknowledgement } from './acknowledgement.js';
-import { createLeasedEndpoint } from './testing/leased-endpoint.fixtures.js';
-import { advance, FAKED } from './testing/virtual-time.fixtures.js';
+import { createLeasedEndpoint } from '../testing/leased-endpoint.fixtures.js';
+import { advance, FAKED } from '../testing/virtual-time.fixtures.js';
 
 const PAUSE_MS = 20;
 
--- a/packages/daemon/src/batch/advisor.ts
+++ b/packages/daemon/src/batch/endpoints/advisor.ts
@@ -1,9 +1,9 @@
 /** Asks the service of advice for the holder: a few questions at a time, in the order they came. */
 import { applyAdvice, type AdviceQuestion, type BatchState } from '@valvelatch/core/batch';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
-import type { AdvicePort } from './ports.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
+import type { AdvicePort } from '../ports.js';
 
 /**
  * The service answers one question at a time for each entry and turns questions away with 32
--- a/packages/daemon/src/batch/answer-orders.test.ts
+++ b/packages/daemon/src/batch/endpoints/answer-orders.test.ts
@@ -13,8 +13,8 @@
   type Fate,
   type HeldWorld,
   type HeldWorldOptions,
-} from './testing/answer-orders.fixtures.js';
-import { advance, FAKED } from './testing/virtual-time.fixtures.js';
+} from '../testing/answer-orders.fixtures.js';
+import { advance, FAKED } from '../testing/virtual-time.fixtures.js';
 
 /** In this time orders and answers go astray. */
 const TROUBLE_MS = 12_000;
--- a/packages/daemon/src/batch/endpoint-crashes.test.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-crashes.test.ts
@@ -21,9 +21,9 @@
 import type { StepSpec } from '@valvelatch/core/batch';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
-import { answerOperator } from './operators.js';
-import type { SimEntry, SimFleet } from './testing/sim-fleet.fixtures.js';
-import { advance, FAKED, holderOf, phaseOf, started } from './testing/virtual-time.fixtures.js';
+import { answerOperator } from '../operators/operators.js';
+import type { SimEntry, SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { advance, FAKED, holderOf, phaseOf, started } from '../testing/virtual-time.fixtures.js';
 
 /** Over the time that a host is crash, so that there is always a place for the next start. */
 const PLAY_MS = 30_000;
--- a/packages/daemon/src/batch/endpoint-leases.test.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-leases.test.ts
@@ -14,9 +14,9 @@
   type LeasedEndpoint,
   type LeasedEndpointOptions,
   type Trouble,
-} from './testing/leased-endpoint.fixtures.js';
-import { createSimFleet, type SimEntry, type SimFleet } from './testing/sim-fleet.fixtures.js';
-import { advance, FAKED, holderOf, runningOf } from './testing/virtual-time.fixtures.js';
+} from '../testing/leased-endpoint.fixtures.js';
+import { createSimFleet, type SimEntry, type SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { advance, FAKED, holderOf, runningOf } from '../testing/virtual-time.fixtures.js';
 
 const PLAY_MS = 32_000;
 const DEFAULT_RUNS = 60;
--- a/packages/daemon/src/batch/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -11,11 +11,11 @@
 } from '@valvelatch/core/batch';
 import type { Result } from 'ts-results-es';
 
-import { sleep } from '../shared/sleep.js';
+import { sleep } from '../../shared/sleep.js';
 import { createAcknowledgement } from './acknowledgement.js';
 import { createEndpointClock } from './endpoint-clock.js';
 import type { LinkContext } from './link-context.js';
-import type { OrderTarget } from './ports.js';
+import type { OrderTarget } from '../ports.js';
 import { createStartOrders } from './start-orders.js';
 import { createStopOrders } from './stop-orders.js';
 
--- a/packages/daemon/src/batch/endpoint-lives.test.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-lives.test.ts
@@ -2,7 +2,7 @@
 import type { InstanceId } from '@valvelatch/core/shared/ids';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import type { SimFleet } from './testing/sim-fleet.fixtures.js';
+import type { SimFleet } from '../testing/sim-fleet.fixtures.js';
 import {
   advance,
   FAKED,
@@ -10,7 +10,7 @@
   runningOf,
   started,
   submitLasting,
-} from './testing/virtual-time.fixtures.js';
+} from '../testing/virtual-time.fixtures.js';
 
 /** As long as a long-running task may be away at most before that counts against us. */
 const AWAY_MS = 6000;
--- a/packages/daemon/src/batch/endpoint-roster.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-roster.ts
@@ -17,7 +17,7 @@
 
 import { createEndpointLink, type EndpointLink } from './endpoint-link.js';
 import type { LinkContext } from './link-context.js';
-import type { EndpointFeed, EndpointNews } from './ports.js';
+import type { EndpointFeed, EndpointNews } from '../ports.js';
 
 const REASONS: Readonly<Record<GoneCause, string>> = {
   'host-list': 'the list of hosts names no endpoint on its host',
--- a/packages/daemon/src/batch/link-context.ts
+++ b/packages/daemon/src/batch/endpoints/link-context.ts
@@ -2,9 +2,9 @@
 import type { BatchState, LinkDelay, OrderWindow } from '@valvelatch/core/batch';
 import type { EndpointId } from '@valvelatch/core/shared/ids';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
-import type { EndpointOrders } from './ports.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
+import type { EndpointOrders } from '../ports.js';
 
 /** What a link needs of the term that it belongs to. */
 export type LinkContext = {
--- a/packages/daemon/src/batch/lives-in-any-order.test.ts
+++ b/packages/daemon/src/batch/endpoints/lives-in-any-order.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import type { SimEntry, SimFleet } from './testing/sim-fleet.fixtures.js';
+import type { SimEntry, SimFleet } from '../testing/sim-fleet.fixtures.js';
 import {
   advance,
   chance,
@@ -12,7 +12,7 @@
   runningOf,
   started,
   submitLasting,
-} from './testing/virtual-time.fixtures.js';
+} from '../testing/virtual-time.fixtures.js';
 
 describe('endpoints that start again under their ids', () => {
   beforeEach(() => {
--- a/packages/daemon/src/batch/lost-answers.test.ts
+++ b/packages/daemon/src/batch/endpoints/lost-answers.test.ts
@@ -2,7 +2,7 @@
 import type { JobId } from '@valvelatch/core/shared/ids';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import { advance, FAKED, phaseOf, started } from './testing/virtual-time.fixtures.js';
+import { advance, FAKED, phaseOf, started } from '../testing/virtual-time.fixtures.js';
 
 const OBJECTIVE_MS = 3200;
 const JOBS = 60;
--- a/packages/daemon/src/batch/run-ends.test.ts
+++ b/packages/daemon/src/batch/endpoints/run-ends.test.ts
@@ -3,8 +3,8 @@
 import type { InstanceId } from '@valvelatch/core/shared/ids';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import type { SimFleet } from './testing/sim-fleet.fixtures.js';
-import { advance, FAKED, holderOf, phaseOf, started } from './testing/virtual-time.fixtures.js';
+import type { SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { advance, FAKED, holderOf, phaseOf, started } from '../testing/virtual-time.fixtures.js';
 
 type Fields = Readonly<Record<string, string | number | undefined>>;
 
--- a/packages/daemon/src/batch/start-orders.test.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.test.ts
@@ -16,7 +16,7 @@
 import { Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
 
-import { createMetrics } from '../observe/metrics.js';
+import { createMetrics } from '../../observe/metrics.js';
 import { createStartOrders } from './start-orders.js';
 
 const POOL = brand<PoolName>('alpha');
--- a/packages/daemon/src/batch/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -14,7 +14,7 @@
 import type { Result } from 'ts-results-es';
 
 import type { LinkContext } from './link-context.js';
-import type { EndpointOrders, OrderTarget } from './ports.js';
+import type { EndpointOrders, OrderTarget } from '../ports.js';
 
 /** An order is sent again under the same run number before the task goes elsewhere. */
 const START_TRIES = 2;
--- a/packages/daemon/src/batch/stop-orders.ts
+++ b/packages/daemon/src/batch/endpoints/stop-orders.ts
@@ -2,9 +2,9 @@
 import { applyStopAnswer, type BatchEffect, type OrderError } from '@valvelatch/core/batch';
 import type { Result } from 'ts-results-es';
 
-import { sleep } from '../shared/sleep.js';
+import { sleep } from '../../shared/sleep.js';
 import type { LinkContext } from './link-context.js';
-import type { OrderTarget } from './ports.js';
+import type { OrderTarget } from '../ports.js';
 
 const STOP_TRIES = 40;
 const RETRY_MS = 250;
--- a/packages/daemon/src/batch/access.test.ts
+++ b/packages/daemon/src/batch/entry/access.test.ts
@@ -11,9 +11,9 @@
 import { brand, type AccountName } from '@valvelatch/core/shared/ids';
 import { describe, expect, it } from 'vitest';
 
-import { createMetrics } from '../observe/metrics.js';
+import { createMetrics } from '../../observe/metrics.js';
 import { createAccess, type AccessRequest } from './access.js';
-import type { Currency } from './configuration-keeper.js';
+import type { Currency } from '../configuration/configuration-keeper.js';
 
 const digestOf = (key: string): KeyDigest =>
   brand<KeyDigest>(createHash('sha256').update(key).digest('base64'));
--- a/packages/daemon/src/batch/access.ts
+++ b/packages/daemon/src/batch/entry/access.ts
@@ -4,10 +4,10 @@
  */
 import type { Caller, KeyDigest, QueueIndex, QueueView } from '@valvelatch/core/batch';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
-import type { ConfigurationKeeper } from './configuration-keeper.js';
-import { refuse, type IntakeAnswer } from './intake.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
+import type { ConfigurationKeeper } from '../configuration/configuration-keeper.js';
+import { refuse, type IntakeAnswer } from '../jobs/intake.js';
 
 /** What a request shows of itself before its body is read. */
 export type AccessRequest = {
--- a/packages/daemon/src/batch/batch-entry.ts
+++ b/packages/daemon/src/batch/entry/batch-entry.ts
@@ -6,32 +6,32 @@
 import type { EntryId } from '@valvelatch/core/shared/ids';
 import { createGroupCommit } from '@valvelatch/platform/group-commit';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
-import type { OperatorResult } from '../operators/operator-result.js';
-import { startLoops, type RunningLoops } from '../shared/loops.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
+import type { OperatorResult } from '../../operators/operator-result.js';
+import { startLoops, type RunningLoops } from '../../shared/loops.js';
 import {
   ASK_NEIGHBOURS_EVERY_MS,
   CONFIGURATION_METHOD,
   createConfigurationKeeper,
-} from './configuration-keeper.js';
+} from '../configuration/configuration-keeper.js';
 import { createAccess, type Access } from './access.js';
-import { createControl, type Control } from './control.js';
-import { CONTROL_METHOD } from './holder-client.js';
-import { createIntake, type Intake } from './intake.js';
+import { createControl, type Control } from '../control/control.js';
+import { CONTROL_METHOD } from '../control/holder-client.js';
+import { createIntake, type Intake } from '../jobs/intake.js';
 import { BEAT_MS, createPeers, type AskPeer, type Peers } from './peers.js';
-import { answerOperator, OPERATORS_METHOD, type OperatorQuestion } from './operators.js';
-import { createOrderAgent } from './order-agent.js';
-import { createRelayedOrders, ORDER_METHOD, RELAYS_EVERY_MS } from './relayed-orders.js';
-import { createStanding, strengthOf } from './standing.js';
-import type { BatchPlatform } from './ports.js';
-import { createRefusedJobs, TELL_REFUSED_EVERY_MS } from './refused-jobs.js';
+import { answerOperator, OPERATORS_METHOD, type OperatorQuestion } from '../operators/operators.js';
+import { createOrderAgent } from '../relays/order-agent.js';
+import { createRelayedOrders, ORDER_METHOD, RELAYS_EVERY_MS } from '../relays/relayed-orders.js';
+import { createStanding, strengthOf } from '../control/standing.js';
+import type { BatchPlatform } from '../ports.js';
+import { createRefusedJobs, TELL_REFUSED_EVERY_MS } from '../jobs/refused-jobs.js';
 import {
   createRelayedTable,
   PROBE_EVERY_MS,
   RELAY_METHOD,
   type RelayCall,
-} from './relayed-table.js';
+} from '../relays/relayed-table.js';
 
 const LEASE_TICK_MS = 400;
 const OPERATOR_RETRY_MS = 100;
--- a/packages/daemon/src/batch/peers.ts
+++ b/packages/daemon/src/batch/entry/peers.ts
@@ -3,10 +3,10 @@
 import type { DataCentreId, EntryId } from '@valvelatch/core/shared/ids';
 import { createMesh, type Mesh } from '@valvelatch/mesh';
 
-import type { Log } from '../observe/log.js';
-import { batchKey } from './keys.js';
-import type { BatchTable } from './ports.js';
-import { strengthOf } from './standing.js';
+import type { Log } from '../../observe/log.js';
+import { batchKey } from '../keys.js';
+import type { BatchTable } from '../ports.js';
+import { strengthOf } from '../control/standing.js';
 
 /** An entry's row. */
 type EntryRow = {
--- a/packages/daemon/src/batch/completed-waves.test.ts
+++ b/packages/daemon/src/batch/hosts/completed-waves.test.ts
@@ -13,8 +13,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { HostId } from '@valvelatch/core/shared/ids';
 
-import { type SimFleet } from './testing/sim-fleet.fixtures.js';
-import { advance, FAKED, holderOf, started } from './testing/virtual-time.fixtures.js';
+import { type SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { advance, FAKED, holderOf, started } from '../testing/virtual-time.fixtures.js';
 
 const WITHIN_MS = 40_000;
 const MAXIMUM = 2;
--- a/packages/daemon/src/batch/fleet-cycle.ts
+++ b/packages/daemon/src/batch/hosts/fleet-cycle.ts
@@ -20,11 +20,11 @@
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
 import type { EndpointId, EntryId, HostId } from '@valvelatch/core/shared/ids';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
-import type { GoneEvidence } from './endpoint-roster.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
+import type { GoneEvidence } from '../endpoints/endpoint-roster.js';
 import { createHostRoster } from './host-roster.js';
-import type { BatchPlatform } from './ports.js';
+import type { BatchPlatform } from '../ports.js';
 import { createWaveKeeper, type KnownWave } from './wave-keeper.js';
 
 /** Pause between cycles: a wave of 26 s over 15 hosts leaves no second idle. */
--- a/packages/daemon/src/batch/host-roster.ts
+++ b/packages/daemon/src/batch/hosts/host-roster.ts
@@ -13,10 +13,10 @@
 import type { EndpointId, HostId } from '@valvelatch/core/shared/ids';
 import type { PlatformError } from '@valvelatch/platform';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
-import type { GoneEvidence } from './endpoint-roster.js';
-import type { HostPort } from './ports.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
+import type { GoneEvidence } from '../endpoints/endpoint-roster.js';
+import type { HostPort } from '../ports.js';
 
 /** A line names so many hosts at most: whole racks come and go at once. */
 const MOST_NAMED = 12;
--- a/packages/daemon/src/batch/wave-keeper.ts
+++ b/packages/daemon/src/batch/hosts/wave-keeper.ts
@@ -10,10 +10,10 @@
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
 import type { HostId } from '@valvelatch/core/shared/ids';
 
-import type { Log, LogFields } from '../observe/log.js';
+import type { Log, LogFields } from '../../observe/log.js';
 import { ageText } from './host-roster.js';
-import { batchKey } from './keys.js';
-import type { BatchPlatform } from './ports.js';
+import { batchKey } from '../keys.js';
+import type { BatchPlatform } from '../ports.js';
 
 /** A wave as this entry learned of it. */
 export type KnownWave = {
--- a/packages/daemon/src/batch/accept-queue.ts
+++ b/packages/daemon/src/batch/jobs/accept-queue.ts
@@ -8,7 +8,7 @@
 import { change } from '@valvelatch/core/shared/change';
 import type { TableTransaction } from '@valvelatch/platform';
 
-import { batchKey } from './keys.js';
+import { batchKey } from '../keys.js';
 
 /**
  * A transaction that is under way for so long, or failures for as long, show that the table is away:
--- a/packages/daemon/src/batch/cancelled-jobs.test.ts
+++ b/packages/daemon/src/batch/jobs/cancelled-jobs.test.ts
@@ -2,7 +2,7 @@
 import type { JobId } from '@valvelatch/core/shared/ids';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import type { SimFleet } from './testing/sim-fleet.fixtures.js';
+import type { SimFleet } from '../testing/sim-fleet.fixtures.js';
 import {
   advance,
   FAKED,
@@ -10,7 +10,7 @@
   phaseOf,
   runningOf,
   started,
-} from './testing/virtual-time.fixtures.js';
+} from '../testing/virtual-time.fixtures.js';
 
 /** A task may run on for so long once its endpoint is in contact: 3 s to act, 0.9 s to stop. */
 const MOST_RUN_MS = 3900;
--- a/packages/daemon/src/batch/changed-jobs.ts
+++ b/packages/daemon/src/batch/jobs/changed-jobs.ts
@@ -11,7 +11,7 @@
 import type { JobId } from '@valvelatch/core/shared/ids';
 import type { TableTransaction } from '@valvelatch/platform';
 
-import { batchKey } from './keys.js';
+import { batchKey } from '../keys.js';
 
 /** The versions of a job's rows; 0 for a row that is not there. */
 export type JobVersions = { job: number; progress: number };
--- a/packages/daemon/src/batch/ended-jobs.ts
+++ b/packages/daemon/src/batch/jobs/ended-jobs.ts
@@ -6,9 +6,9 @@
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
-import type { Log } from '../observe/log.js';
-import { batchKey } from './keys.js';
-import type { BatchTable } from './ports.js';
+import type { Log } from '../../observe/log.js';
+import { batchKey } from '../keys.js';
+import type { BatchTable } from '../ports.js';
 
 /** Rows are kept for this many times the promised time: times of day of entries differ. */
 const KEPT_FACTOR = 1.5;
--- a/packages/daemon/src/batch/intake.test.ts
+++ b/packages/daemon/src/batch/jobs/intake.test.ts
@@ -4,10 +4,11 @@
 import { Err, Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import { createMetrics } from '../observe/metrics.js';
-import { createIntake, type ControlView } from './intake.js';
+import { createMetrics } from '../../observe/metrics.js';
+import type { ControlView } from './control-view.js';
+import { createIntake } from './intake.js';
 import type { AcceptOutcome } from './job-saver.js';
-import type { RelayedTable } from './relayed-table.js';
+import type { RelayedTable } from '../relays/relayed-table.js';
 
 const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
 
--- a/packages/daemon/src/batch/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -24,12 +24,13 @@
 import type { JobId } from '@valvelatch/core/shared/ids';
 import type { GroupCommit } from '@valvelatch/platform';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
 import type { Written } from './attempt.js';
-import type { AcceptOutcome, LiveRow } from './accept-queue.js';
-import { batchKey } from './keys.js';
-import type { RelayedTable } from './relayed-table.js';
+import type { LiveRow } from './accept-queue.js';
+import { batchKey } from '../keys.js';
+import type { RelayedTable } from '../relays/relayed-table.js';
+import type { ControlView } from './control-view.js';
 import { createSubmission } from './submission.js';
 
 /** The part of a client's time within which an unanswered write is pursued. */
@@ -56,26 +57,6 @@
       readonly retryAfterS: number;
     };
 
-/** The holder of control, wherever it is. */
-export type ControlView = {
-  readonly statusOf: (jobId: JobId) => Promise<JobStatus | undefined>;
-  readonly waitingOf: (queue: string) => Promise<number | undefined>;
-  /**
-   * For how long the holder has been silent; Infinity where it is this entry, not known, or has said
-   * that the table does not answer it.
-   */
-  readonly holderSilentMs: () => number;
-  /** Has the holder write a job and begin it; undefined if it cannot be asked. */
-  readonly accept: (row: BatchJobRow) => Promise<AcceptOutcome | undefined>;
-  /**
-   * Tells the holder of a row that was written here: its own reading of rows may be refused
-   * while it is heard, and it would count and start the job only after that.
-   */
-  readonly tellTaken: (row: BatchJobRow, version: number) => void;
-  /** Resolves once the holder has answered, or has not in time. */
-  readonly tellCancelled: (jobId: JobId, caller: Caller) => Promise<void>;
-};
-
 export type IntakeOptions = {
   readonly table: RelayedTable;
   readonly group: GroupCommit;
--- a/packages/daemon/src/batch/job-owners.test.ts
+++ b/packages/daemon/src/batch/jobs/job-owners.test.ts
@@ -4,12 +4,13 @@
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import { createMetrics } from '../observe/metrics.js';
+import { createMetrics } from '../../observe/metrics.js';
 import type { AcceptOutcome } from './accept-queue.js';
-import { createIntake, type ControlView } from './intake.js';
-import { batchKey, parseJobKey } from './keys.js';
-import type { RelayedTable } from './relayed-table.js';
-import { advance, FAKED, holderOf, phaseOf, started } from './testing/virtual-time.fixtures.js';
+import type { ControlView } from './control-view.js';
+import { createIntake } from './intake.js';
+import { batchKey, parseJobKey } from '../keys.js';
+import type { RelayedTable } from '../relays/relayed-table.js';
+import { advance, FAKED, holderOf, phaseOf, started } from '../testing/virtual-time.fixtures.js';
 
 const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
 const NORTH = brand<AccountName>('north');
--- a/packages/daemon/src/batch/job-rows.ts
+++ b/packages/daemon/src/batch/jobs/job-rows.ts
@@ -14,12 +14,12 @@
 import type { TableRow } from '@valvelatch/core/rows/transaction';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
-import type { Log } from '../observe/log.js';
+import type { Log } from '../../observe/log.js';
 import type { LiveRow } from './accept-queue.js';
 import type { EndedJobs } from './ended-jobs.js';
 import type { JobSaver } from './job-saver.js';
-import { parseJobKey } from './keys.js';
-import type { BatchTable, TableFeed } from './ports.js';
+import { parseJobKey } from '../keys.js';
+import type { BatchTable, TableFeed } from '../ports.js';
 
 export type JobRowsOptions = {
   readonly state: BatchState;
--- a/packages/daemon/src/batch/job-saver.test.ts
+++ b/packages/daemon/src/batch/jobs/job-saver.test.ts
@@ -4,9 +4,9 @@
 import { Err, Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import { createMetrics } from '../observe/metrics.js';
+import { createMetrics } from '../../observe/metrics.js';
 import { createJobSaver, type AcceptOutcome, type JobSaver, type LiveRow } from './job-saver.js';
-import type { BatchTable } from './ports.js';
+import type { BatchTable } from '../ports.js';
 
 const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
 const policy = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
--- a/packages/daemon/src/batch/job-saver.ts
+++ b/packages/daemon/src/batch/jobs/job-saver.ts
@@ -10,8 +10,8 @@
 import type { PlatformError, TableTransaction, TransactionOutcome } from '@valvelatch/platform';
 import type { Result } from 'ts-results-es';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
 import {
   createAcceptQueue,
   type AcceptOutcome,
@@ -19,7 +19,7 @@
   type Submission,
 } from './accept-queue.js';
 import { createChangedJobs, type JobVersions, type SentJob } from './changed-jobs.js';
-import type { BatchTable } from './ports.js';
+import type { BatchTable } from '../ports.js';
 
 export type { AcceptOutcome, LiveRow } from './accept-queue.js';
 
--- a/packages/daemon/src/batch/late-rows.test.ts
+++ b/packages/daemon/src/batch/jobs/late-rows.test.ts
@@ -6,10 +6,10 @@
 
 import type { EndedJobs } from './ended-jobs.js';
 import { createJobRows } from './job-rows.js';
-import { batchKey } from './keys.js';
-import type { SimFleet } from './testing/sim-fleet.fixtures.js';
-import { SIM_POLICY } from './testing/sim-world.fixtures.js';
-import { advance, FAKED, holderOf, started } from './testing/virtual-time.fixtures.js';
+import { batchKey } from '../keys.js';
+import type { SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { SIM_POLICY } from '../testing/sim-world.fixtures.js';
+import { advance, FAKED, holderOf, started } from '../testing/virtual-time.fixtures.js';
 
 const JOB = brand<JobId>('00000000000000aa');
 
--- a/packages/daemon/src/batch/quotas-in-any-order.test.ts
+++ b/packages/daemon/src/batch/jobs/quotas-in-any-order.test.ts
@@ -4,8 +4,8 @@
 import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import { simAccount, type SimEntry, type SimFleet } from './testing/sim-fleet.fixtures.js';
-import { advance, chance, FAKED, phaseOf, started } from './testing/virtual-time.fixtures.js';
+import { simAccount, type SimEntry, type SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { advance, chance, FAKED, phaseOf, started } from '../testing/virtual-time.fixtures.js';
 
 describe('maxima of client accounts', () => {
   beforeEach(() => {
--- a/packages/daemon/src/batch/submission.test.ts
+++ b/packages/daemon/src/batch/jobs/submission.test.ts
@@ -17,7 +17,7 @@
 
 import type { Written } from './attempt.js';
 import type { AcceptOutcome, LiveRow } from './job-saver.js';
-import type { BatchTable } from './ports.js';
+import type { BatchTable } from '../ports.js';
 import { createSubmission } from './submission.js';
 
 const SILENT_FROM_MS = 60;
--- a/packages/daemon/src/batch/submission.ts
+++ b/packages/daemon/src/batch/jobs/submission.ts
@@ -6,12 +6,12 @@
 import { hasWritePath } from '@valvelatch/core/batch';
 import type { GroupCommit } from '@valvelatch/platform';
 
-import { sleep } from '../shared/sleep.js';
+import { sleep } from '../../shared/sleep.js';
 import { openAttempt, type Attempt, type Ending, type Written } from './attempt.js';
-import type { ControlView } from './intake.js';
+import type { ControlView } from './control-view.js';
 import type { AcceptOutcome, LiveRow } from './accept-queue.js';
-import { batchKey } from './keys.js';
-import type { RelayedTable } from './relayed-table.js';
+import { batchKey } from '../keys.js';
+import type { RelayedTable } from '../relays/relayed-table.js';
 
 const PURSUE_PAUSE_MS = 200;
 /**
--- a/packages/daemon/src/batch/operators-http.ts
+++ b/packages/daemon/src/batch/operators/operators-http.ts
@@ -5,8 +5,8 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 
-import type { Metrics } from '../observe/metrics.js';
-import type { OperatorResult } from '../operators/operator-result.js';
+import type { Metrics } from '../../observe/metrics.js';
+import type { OperatorResult } from '../../operators/operator-result.js';
 import type { OperatorQuestion } from './operators.js';
 
 const STATUS: Record<OperatorResult['kind'], number> = {
--- a/packages/daemon/src/batch/operators.test.ts
+++ b/packages/daemon/src/batch/operators/operators.test.ts
@@ -2,8 +2,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { answerOperator } from './operators.js';
-import { simAccount, type SimFleet } from './testing/sim-fleet.fixtures.js';
-import { advance, FAKED, holderOf, started } from './testing/virtual-time.fixtures.js';
+import { simAccount, type SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { advance, FAKED, holderOf, started } from '../testing/virtual-time.fixtures.js';
 
 describe('an operator who asks', () => {
   beforeEach(() => {
--- a/packages/daemon/src/batch/operators.ts
+++ b/packages/daemon/src/batch/operators/operators.ts
@@ -5,10 +5,10 @@
 import { isFinal, type EndpointState, type JobState, type StepRun } from '@valvelatch/core/batch';
 import type { HostId, JobId } from '@valvelatch/core/shared/ids';
 
-import type { OperatorResult } from '../operators/operator-result.js';
+import type { OperatorResult } from '../../operators/operator-result.js';
 import { accountRows, waitsFor } from './account-views.js';
-import type { Control } from './control.js';
-import type { Term } from './term.js';
+import type { Control } from '../control/control.js';
+import type { Term } from '../control/term.js';
 
 type Body = { readonly kind?: string; readonly name?: string };
 type View = (term: Term) => readonly object[];
--- a/packages/daemon/src/batch/order-agent.ts
+++ b/packages/daemon/src/batch/relays/order-agent.ts
@@ -1,9 +1,9 @@
 /** Sends orders for the holder of control, and answers with what the endpoint answered. */
 import { parseTaskKey } from '@valvelatch/core/batch';
 
-import type { Metrics } from '../observe/metrics.js';
+import type { Metrics } from '../../observe/metrics.js';
 import { decodeOrder, encodeAnswer, SPEC_MISSING, type CarriedOrder } from './order-message.js';
-import type { EndpointOrders } from './ports.js';
+import type { EndpointOrders } from '../ports.js';
 
 /** Texts of jobs that are kept: of 4 KB at most, and a job's starts come within seconds. */
 const MOST_SPECS = 500;
--- a/packages/daemon/src/batch/order-message.ts
+++ b/packages/daemon/src/batch/relays/order-message.ts
@@ -13,7 +13,7 @@
 import { brand } from '@valvelatch/core/shared/ids';
 import { Err, Ok, type Result } from 'ts-results-es';
 
-import type { OrderTarget } from './ports.js';
+import type { OrderTarget } from '../ports.js';
 
 /** A start without the text of its job, which goes once to each relay. */
 export type CarriedStart = Omit<StartOrder, 'spec'> & { readonly spec: string | null };
--- a/packages/daemon/src/batch/relayed-orders.test.ts
+++ b/packages/daemon/src/batch/relays/relayed-orders.test.ts
@@ -2,8 +2,8 @@
 import type { JobId } from '@valvelatch/core/shared/ids';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import type { SimEntry, SimFleet } from './testing/sim-fleet.fixtures.js';
-import { advance, FAKED, holderOf, phaseOf, started } from './testing/virtual-time.fixtures.js';
+import type { SimEntry, SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { advance, FAKED, holderOf, phaseOf, started } from '../testing/virtual-time.fixtures.js';
 
 const JOBS = 40;
 const EVERY_MS = 200;
--- a/packages/daemon/src/batch/relayed-orders.ts
+++ b/packages/daemon/src/batch/relays/relayed-orders.ts
@@ -15,8 +15,8 @@
 import type { EndpointId, EntryId } from '@valvelatch/core/shared/ids';
 import { Err, type Result } from 'ts-results-es';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
 import {
   decodeAnswer,
   encodeOrder,
@@ -24,8 +24,8 @@
   type CarriedOrder,
   type ListAnswer,
 } from './order-message.js';
-import type { Peers } from './peers.js';
-import type { EndpointOrders, OrderTarget } from './ports.js';
+import type { Peers } from '../entry/peers.js';
+import type { EndpointOrders, OrderTarget } from '../ports.js';
 
 /** The mesh method by which entries are asked to carry an order. */
 export const ORDER_METHOD = 'order';
--- a/packages/daemon/src/batch/relayed-table.test.ts
+++ b/packages/daemon/src/batch/relays/relayed-table.test.ts
@@ -3,8 +3,8 @@
 import { Err, Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
 
-import { createMetrics } from '../observe/metrics.js';
-import type { BatchTable } from './ports.js';
+import { createMetrics } from '../../observe/metrics.js';
+import type { BatchTable } from '../ports.js';
 import { createRelayedTable } from './relayed-table.js';
 
 const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
--- a/packages/daemon/src/batch/relayed-table.ts
+++ b/packages/daemon/src/batch/relays/relayed-table.ts
@@ -7,12 +7,12 @@
 import type { PlatformError, TableTransaction, TransactionOutcome } from '@valvelatch/platform';
 import type { TableRow } from '@valvelatch/core/rows/transaction';
 
-import type { Log } from '../observe/log.js';
-import type { Metrics } from '../observe/metrics.js';
+import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
 import { firstAnswered, isAnswered, type AnyResult } from './first-answered.js';
-import { LEASE_PREFIX } from './keys.js';
-import type { AskPeer } from './peers.js';
-import type { BatchTable } from './ports.js';
+import { LEASE_PREFIX } from '../keys.js';
+import type { AskPeer } from '../entry/peers.js';
+import type { BatchTable } from '../ports.js';
 
 /**
  * After a failure the neighbours are asked first for this time: an entry that is refused in
--- a/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -35,7 +35,7 @@
 
 import type { Log } from '../../observe/log.js';
 import { createMetrics } from '../../observe/metrics.js';
-import { createEndpointRoster } from '../endpoint-roster.js';
+import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
 import type { EndpointOrders } from '../ports.js';
 
 /** What becomes of one order. */
--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -29,8 +29,8 @@
 
 import type { Log } from '../../observe/log.js';
 import { createMetrics } from '../../observe/metrics.js';
-import { ENDPOINT_LEASE_MS } from '../endpoint-link.js';
-import { createEndpointRoster, type EndpointRoster } from '../endpoint-roster.js';
+import { ENDPOINT_LEASE_MS } from '../endpoints/endpoint-link.js';
+import { createEndpointRoster, type EndpointRoster } from '../endpoints/endpoint-roster.js';
 import type { EndpointFeed, EndpointOrders } from '../ports.js';
 import { never, sleep } from './sim-platform.fixtures.js';
 import { SIM_POLICY } from './sim-world.fixtures.js';
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -30,12 +30,12 @@
 
 import type { Log } from '../../observe/log.js';
 import { createMetrics } from '../../observe/metrics.js';
-import { createControl, type Control } from '../control.js';
+import { createControl, type Control } from '../control/control.js';
 import { batchKey } from '../keys.js';
-import { createRelayedTable, type RelayCall, type RelayedTable } from '../relayed-table.js';
-import { createStanding } from '../standing.js';
-import { createOrderAgent } from '../order-agent.js';
-import { createRelayedOrders } from '../relayed-orders.js';
+import { createRelayedTable, type RelayCall, type RelayedTable } from '../relays/relayed-table.js';
+import { createStanding } from '../control/standing.js';
+import { createOrderAgent } from '../relays/order-agent.js';
+import { createRelayedOrders } from '../relays/relayed-orders.js';
 import {
   createSimLink,
   createSimPlatform,
