--- a/packages/core/src/batch/endpoints/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -1,5 +1,5 @@
 /** Endpoints as they come, change and go, by the platform's list. */
-import type { EndpointId, HostId, InstanceId, PoolName } from '../../shared/ids.js';
+import type { DataCentreId, EndpointId, HostId, InstanceId, PoolName } from '../../shared/ids.js';
 import { instanceOf } from '../model/endpoint-life.js';
 import { poolOf, type BatchState, type Capacity, type EndpointState } from '../model/state.js';
 
@@ -9,7 +9,7 @@
   readonly pool: PoolName;
   readonly hostId: HostId | null;
   readonly address: string;
-  readonly dataCentre: string;
+  readonly dataCentre: DataCentreId;
   readonly labels: readonly string[];
   readonly capacity: Capacity;
   readonly isDraining: boolean;
--- a/packages/core/src/batch/endpoints/relay-choice.ts
+++ b/packages/core/src/batch/endpoints/relay-choice.ts
@@ -2,12 +2,12 @@
  * Which entry carries the holder's orders to an endpoint. The holder decides everything, but what it
  * sends need not all leave over its own link: an entry in the endpoint's data centre carries it on.
  */
-import type { EndpointId, EntryId } from '../../shared/ids.js';
+import type { DataCentreId, EndpointId, EntryId } from '../../shared/ids.js';
 
 /** An entry that could carry orders. */
 export type RelayCandidate = {
   readonly entryId: EntryId;
-  readonly dataCentre: string;
+  readonly dataCentre: DataCentreId;
   /** How much it can carry, against the others. */
   readonly strength: number;
   /** It is linked, was heard just now, and has not failed lately. */
--- a/packages/core/src/batch/endpoints/sound-endpoints.ts
+++ b/packages/core/src/batch/endpoints/sound-endpoints.ts
@@ -24,6 +24,7 @@
   isKnownToNext(endpoint, state) &&
   !endpoint.isDraining &&
   !endpoint.isClosing &&
+  !state.evacuated.has(endpoint.dataCentre) &&
   endpoint.withheldUntilMs <= nowMs;
 
 /**
--- a/packages/core/src/batch/maintenance/upkeep-progress.test.ts
+++ b/packages/core/src/batch/maintenance/upkeep-progress.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { brand, type HostId } from '../../shared/ids.js';
+import { type DataCentreId, type HostId, brand } from '../../shared/ids.js';
 import { createHostInventory, presenceOf, takeHostList } from '../pools/host-inventory.js';
 import type { HostView } from '../pools/hosts.js';
 import { createBatchState } from '../model/state.js';
@@ -24,7 +24,7 @@
   hostId,
   pool: brand('alpha'),
   state,
-  dataCentre: 'dc',
+  dataCentre: brand<DataCentreId>('dc'),
   labels: [],
   capacity: { cpuMillis: 1000, memoryMb: 1000, accelerators: 0 },
   instanceId: null,
--- a/packages/core/src/batch/maintenance/upkeep-rules.test.ts
+++ b/packages/core/src/batch/maintenance/upkeep-rules.test.ts
@@ -2,11 +2,12 @@
 import { describe, expect, it } from 'vitest';
 
 import {
-  brand,
+  type DataCentreId,
   type EndpointId,
   type HostId,
   type JobId,
   type PoolName,
+  brand,
 } from '../../shared/ids.js';
 import { instanceOf } from '../model/endpoint-life.js';
 import { seeEndpoint } from '../endpoints/endpoints.js';
@@ -33,7 +34,12 @@
       pool: POOL,
       capacity: CAPACITY,
     };
-    const place = { hostId: brand<HostId>(`h-${index}`), address: '', dataCentre: '', labels: [] };
+    const place = {
+      hostId: brand<HostId>(`h-${index}`),
+      address: '',
+      dataCentre: brand<DataCentreId>(''),
+      labels: [],
+    };
     const endpoint = seeEndpoint(state, { ...sighting, ...place, isDraining: false }, 0);
     endpoint.isKnown = true;
     return endpoint;
@@ -42,7 +48,7 @@
     hostId: hostId as HostId,
     pool: POOL,
     state: 'up' as const,
-    dataCentre: '',
+    dataCentre: brand<DataCentreId>(''),
     labels: [],
     capacity: CAPACITY,
     instanceId: instanceOf(endpointId),
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -1,5 +1,5 @@
 /** What is known of endpoints, and of what runs on them. Records change in place. */
-import type { EndpointId, HostId, JobId, PoolName } from '../../shared/ids.js';
+import type { DataCentreId, EndpointId, HostId, JobId, PoolName } from '../../shared/ids.js';
 import type { Capacity } from './capacity.js';
 import type { TaskKey } from './job.js';
 import type { EndpointCrash, StepRun, Task } from './job-state.js';
@@ -35,7 +35,7 @@
   readonly endpointId: EndpointId;
   readonly pool: PoolName;
   hostId: HostId | null;
-  readonly dataCentre: string;
+  readonly dataCentre: DataCentreId;
   readonly labels: readonly string[];
   readonly capacity: Capacity;
   readonly used: { cpuMillis: number; memoryMb: number; accelerators: number };
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -3,7 +3,14 @@
  * many ends a second, and nothing else reads them meanwhile. Times are of the holder's monotonic
  * clock unless a name says otherwise.
  */
-import type { AccountName, EndpointId, InstanceId, JobId, PoolName } from '../../shared/ids.js';
+import type {
+  AccountName,
+  DataCentreId,
+  EndpointId,
+  InstanceId,
+  JobId,
+  PoolName,
+} from '../../shared/ids.js';
 import type { EndpointState, GoneEndpoint, OpenStart, RecentCrash } from './endpoint-state.js';
 import type { BatchPhase, TaskKey } from './job.js';
 import type { JobState, StepRun } from './job-state.js';
@@ -91,6 +98,8 @@
   inheritedLeasesEndAtMs: number;
   /** The hosts have not been read yet, so any of them may hold an endpoint that is in no list. */
   isHostListAwaited: boolean;
+  /** Data centres whose endpoints begin nothing, as the operator has ordered. */
+  evacuated: ReadonlySet<DataCentreId>;
   readonly jobs: Map<JobId, JobState>;
   readonly pools: Map<PoolName, PoolState>;
   readonly endpoints: Map<EndpointId, EndpointState>;
@@ -143,6 +152,7 @@
   takenOverAtMs: Infinity,
   inheritedLeasesEndAtMs: 0,
   isHostListAwaited: false,
+  evacuated: new Set(),
   jobs: new Map(),
   pools: new Map(),
   endpoints: new Map(),
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -71,7 +71,7 @@
   return tasks.every((task) => {
     if (state.startsLeft <= 0) return true;
     if (!isWithinQuota(state, step)) return false;
-    const endpoint = bestFor(endpoints, step, task);
+    const endpoint = bestFor(endpoints, { ...placing, task });
     if (!endpoint) return false;
     startOn(
       placing,
--- a/packages/core/src/batch/pools/hosts.ts
+++ b/packages/core/src/batch/pools/hosts.ts
@@ -1,5 +1,5 @@
 /** Hosts by the platform's list, and what may be done to them without breaking a budget. */
-import type { EndpointId, HostId, InstanceId, PoolName } from '../../shared/ids.js';
+import type { DataCentreId, EndpointId, HostId, InstanceId, PoolName } from '../../shared/ids.js';
 import { instanceOf } from '../model/endpoint-life.js';
 import { mayHold, usableEndpoints } from '../endpoints/sound-endpoints.js';
 import { stopRun } from '../endpoints/runs.js';
@@ -18,7 +18,7 @@
   readonly pool: PoolName;
   /** `up`: it can be ordered to move or to go down for maintenance. */
   readonly state: 'up' | 'moving' | 'maintenance' | 'down';
-  readonly dataCentre: string;
+  readonly dataCentre: DataCentreId;
   readonly labels: readonly string[];
   readonly capacity: Capacity;
   /** The endpoint that lives on it, in whichever life; null while there is none. */
--- a/packages/core/src/batch/pools/pool-peaks.test.ts
+++ b/packages/core/src/batch/pools/pool-peaks.test.ts
@@ -1,7 +1,13 @@
 /** Hosts that follow demand by turns, with and without the expectation of the next peak. */
 import { describe, expect, it } from 'vitest';
 
-import { brand, type EndpointId, type HostId, type PoolName } from '../../shared/ids.js';
+import {
+  type DataCentreId,
+  type EndpointId,
+  type HostId,
+  type PoolName,
+  brand,
+} from '../../shared/ids.js';
 import { instanceOf } from '../model/endpoint-life.js';
 import { seeEndpoint } from '../endpoints/endpoints.js';
 import { removeEndpoint } from '../endpoints/gone-endpoints.js';
@@ -33,7 +39,15 @@
     const endpointId = brand<EndpointId>(`i-${lives}`);
     const capacity = { cpuMillis: HOST_CPU, memoryMb: 1, accelerators: 0 };
     const { hostId, pool } = host;
-    const seen = { endpointId, pool, hostId, address: '', dataCentre: '', labels: [], capacity };
+    const seen = {
+      endpointId,
+      pool,
+      hostId,
+      address: '',
+      dataCentre: brand<DataCentreId>(''),
+      labels: [],
+      capacity,
+    };
     seeEndpoint(state, { ...seen, isDraining: false }, nowMs).isKnown = true;
     hosts.set(hostId, { ...host, state: 'up', instanceId: instanceOf(endpointId) });
   };
@@ -51,7 +65,7 @@
     for (let index = 0; index < HOSTS_PER_POOL; index += 1) {
       const hostId = brand<HostId>(`h-${pool}-${index}`);
       const capacity = { cpuMillis: HOST_CPU, memoryMb: 1, accelerators: 0 };
-      const place = { dataCentre: 'dc', labels: [], instanceId: null };
+      const place = { dataCentre: brand<DataCentreId>('dc'), labels: [], instanceId: null };
       liveOn({ hostId, pool, state: 'up', capacity, ...place }, 0);
     }
   });
--- a/packages/core/src/batch/testing/batch-state.fixtures.ts
+++ b/packages/core/src/batch/testing/batch-state.fixtures.ts
@@ -1,7 +1,13 @@
 /** A small state for tests of decisions: one job of one task, two endpoints, and their answers. */
 import { schedulePool } from '../placement/schedule.js';
 import { change } from '../../shared/change.js';
-import { brand, type EndpointId, type JobId, type PoolName } from '../../shared/ids.js';
+import {
+  type DataCentreId,
+  type EndpointId,
+  type JobId,
+  type PoolName,
+  brand,
+} from '../../shared/ids.js';
 import { seeEndpoint } from '../endpoints/endpoints.js';
 import type { JobOwner } from '../model/accounts.js';
 import { taskKey, type BatchJob, type QueuePolicy, type StepSpec } from '../model/job.js';
@@ -108,7 +114,7 @@
       pool: POOL,
       hostId: null,
       address: '',
-      dataCentre: '',
+      dataCentre: brand<DataCentreId>(''),
       labels: [],
       capacity: { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 },
       isDraining: false,
--- a/packages/daemon/src/batch/endpoints/start-orders.test.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.test.ts
@@ -12,7 +12,13 @@
   type BatchEffect,
   type StartOrder,
 } from '@valvelatch/core/batch';
-import { brand, type EndpointId, type JobId, type PoolName } from '@valvelatch/core/shared/ids';
+import {
+  brand,
+  type DataCentreId,
+  type EndpointId,
+  type JobId,
+  type PoolName,
+} from '@valvelatch/core/shared/ids';
 import { Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
 
@@ -28,7 +34,13 @@
   const state = createBatchState(2);
   state.soleHolderUntilMs = SOLE_UNTIL_MS;
   const capacity = { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 };
-  const sighting = { endpointId: ENDPOINT, pool: POOL, hostId: null, address: '', dataCentre: '' };
+  const sighting = {
+    endpointId: ENDPOINT,
+    pool: POOL,
+    hostId: null,
+    address: '',
+    dataCentre: brand<DataCentreId>(''),
+  };
   seeEndpoint(state, { ...sighting, labels: [], capacity, isDraining: false }, 0);
   takeInJob(state, {
     job: {
@@ -53,7 +65,7 @@
   if (!start) throw new Error('nothing was placed');
   const sent: StartOrder[] = [];
   const orders = createStartOrders({
-    target: { endpointId: ENDPOINT, address: '', dataCentre: '' },
+    target: { endpointId: ENDPOINT, address: '', dataCentre: brand<DataCentreId>('') },
     context: {
       state,
       orders: {
--- a/packages/daemon/src/batch/entry/batch-entry.ts
+++ b/packages/daemon/src/batch/entry/batch-entry.ts
@@ -3,7 +3,7 @@
  * fleet while it has the lease. All entries are alike and keep nothing.
  */
 import type { QueueIndex } from '@valvelatch/core/batch';
-import type { EntryId } from '@valvelatch/core/shared/ids';
+import type { DataCentreId, EntryId } from '@valvelatch/core/shared/ids';
 import { createGroupCommit } from '@valvelatch/platform/group-commit';
 
 import type { Log } from '../../observe/log.js';
@@ -46,7 +46,7 @@
 
 export type BatchEntryOptions = {
   readonly self: EntryId;
-  readonly dataCentre: string;
+  readonly dataCentre: DataCentreId;
   /** How many cores this entry may use: the strongest entries hold control. */
   readonly cores: number;
   /** What its link carries each way. */
--- a/packages/daemon/src/batch/entry/peers.ts
+++ b/packages/daemon/src/batch/entry/peers.ts
@@ -1,6 +1,6 @@
 /** The other entries: found in the table, asked over the mesh. Nothing safe depends on them. */
 import type { Member } from '@valvelatch/core/membership/membership';
-import type { DataCentreId, EntryId } from '@valvelatch/core/shared/ids';
+import { brand, type DataCentreId, type EntryId } from '@valvelatch/core/shared/ids';
 import { createMesh, type Mesh } from '@valvelatch/mesh';
 
 import type { Log } from '../../observe/log.js';
@@ -11,7 +11,7 @@
 /** An entry's row. */
 type EntryRow = {
   readonly meshUrl: string;
-  readonly dataCentre: string;
+  readonly dataCentre: DataCentreId;
   readonly startedAtMs: number;
   /** How many cores the entry may use. */
   readonly cores: number;
@@ -19,10 +19,13 @@
   readonly linkBytesPerS?: number;
 };
 
+/** Of an entry whose row has not been read. */
+const UNKNOWN_DATA_CENTRE = brand<DataCentreId>('');
+
 /** Another entry. */
 export type PeerView = {
   readonly entryId: EntryId;
-  readonly dataCentre: string;
+  readonly dataCentre: DataCentreId;
   /** How much it can carry, by `strengthOf`. */
   readonly strength: number;
 };
@@ -31,7 +34,7 @@
   readonly cores: number;
   readonly linkBytesPerS: number;
   readonly self: EntryId;
-  readonly dataCentre: string;
+  readonly dataCentre: DataCentreId;
   readonly host: string;
   readonly port: number;
   readonly meshKey: string;
@@ -114,7 +117,7 @@
 
   const memberOf = (entryId: EntryId, { meshUrl, ...row }: EntryRow): Member => ({
     entryId,
-    dataCentre: row.dataCentre as DataCentreId,
+    dataCentre: row.dataCentre,
     incarnation: row.startedAtMs,
     status: 'alive',
     meshUrl,
@@ -196,7 +199,7 @@
     members: () =>
       Array.from(strengths ?? [], ([entryId, strength]) => ({
         entryId,
-        dataCentre: members.get(entryId)?.dataCentre ?? '',
+        dataCentre: members.get(entryId)?.dataCentre ?? UNKNOWN_DATA_CENTRE,
         strength,
       })),
     knows: (entryId) => members.has(entryId),
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -20,7 +20,13 @@
   StopOrder,
   UpkeepOrder,
 } from '@valvelatch/core/batch';
-import type { EndpointId, EntryId, HostId, PoolName } from '@valvelatch/core/shared/ids';
+import type {
+  DataCentreId,
+  EndpointId,
+  EntryId,
+  HostId,
+  PoolName,
+} from '@valvelatch/core/shared/ids';
 import type { TableRow } from '@valvelatch/core/rows/transaction';
 import type { PlatformError, TableClient } from '@valvelatch/platform';
 import type { Result } from 'ts-results-es';
@@ -83,7 +89,7 @@
 export type OrderTarget = {
   readonly endpointId: EndpointId;
   readonly address: string;
-  readonly dataCentre: string;
+  readonly dataCentre: DataCentreId;
 };
 
 /**
--- a/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -30,7 +30,13 @@
   type TaskKey,
 } from '@valvelatch/core/batch';
 import { change } from '@valvelatch/core/shared/change';
-import { brand, type EndpointId, type JobId, type PoolName } from '@valvelatch/core/shared/ids';
+import {
+  type DataCentreId,
+  type EndpointId,
+  type JobId,
+  type PoolName,
+  brand,
+} from '@valvelatch/core/shared/ids';
 import { Err, type Result } from 'ts-results-es';
 
 import type { Log } from '../../observe/log.js';
@@ -292,7 +298,7 @@
       pool: POOL,
       hostId: null,
       address: endpointId,
-      dataCentre: 'dc',
+      dataCentre: brand<DataCentreId>('dc'),
       labels: [],
       capacity,
       isDraining: false,
--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -24,7 +24,7 @@
   type StepSpec,
   type TaskKey,
 } from '@valvelatch/core/batch';
-import { brand, type EndpointId, type JobId } from '@valvelatch/core/shared/ids';
+import { type DataCentreId, type EndpointId, type JobId, brand } from '@valvelatch/core/shared/ids';
 import { Err, Ok, type Result } from 'ts-results-es';
 
 import type { Log } from '../../observe/log.js';
@@ -385,7 +385,7 @@
                   pool: brand(POOL),
                   hostId: null,
                   address: ENDPOINT,
-                  dataCentre: 'dc',
+                  dataCentre: brand<DataCentreId>('dc'),
                   labels: [],
                   capacity: model.capacity,
                   isDraining: false,
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -7,7 +7,13 @@
   type HostView,
   type OrderError,
 } from '@valvelatch/core/batch';
-import type { EndpointId, HostId, InstanceId } from '@valvelatch/core/shared/ids';
+import {
+  brand,
+  type DataCentreId,
+  EndpointId,
+  HostId,
+  InstanceId,
+} from '@valvelatch/core/shared/ids';
 import type { PlatformError } from '@valvelatch/platform';
 import { Err, Ok, type Result } from 'ts-results-es';
 
@@ -22,7 +28,7 @@
 
 const HOP_MS = 1;
 /** All entries and endpoints are in one. */
-export const SIM_DATA_CENTRE = 'dc';
+export const SIM_DATA_CENTRE = brand<DataCentreId>('dc');
 const STORE_MS = 4;
 const CALL_TIMEOUT_MS = 900;
 const ADVICE_MS = 60;
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -21,12 +21,13 @@
 import type { LeaseRow } from '@valvelatch/core/leases/lease';
 import { createTableModel } from '@valvelatch/core/replay/table-model';
 import {
-  brand,
   type AccountName,
-  type InstanceId,
+  type DataCentreId,
   type HostId,
+  type InstanceId,
   type JobId,
   type PoolName,
+  brand,
 } from '@valvelatch/core/shared/ids';
 import type { TableRow } from '@valvelatch/core/rows/transaction';
 import type { TableTransaction } from '@valvelatch/platform';
@@ -393,7 +394,7 @@
         hostId: brand<HostId>(`h-${pool}-${index}`),
         pool: brand<PoolName>(pool),
         state: 'up',
-        dataCentre: `dc-${index % 2}`,
+        dataCentre: brand<DataCentreId>(`dc-${index % 2}`),
         labels: [`rack-${index % 2}`],
         capacity: { cpuMillis: 8000, memoryMb: 16_000, accelerators: 0 },
         instanceId: null,
--- a/packages/daemon/src/observe/bounded-output.test.ts
+++ b/packages/daemon/src/observe/bounded-output.test.ts
@@ -134,7 +134,7 @@
           pool: brand('alpha'),
           hostId: null,
           address: '',
-          dataCentre: '',
+          dataCentre: brand(''),
           labels: [],
           capacity: { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 },
           isDraining: false,
