The first start of inherited tasks is written before it is ordered, where an endpoint had crashed shortly before the term

Cause: a start is written nowhere before a task is suspected, so what a holder had begun and lost with its endpoint is unknown to the next one. Ruled out: counting inherited tasks as suspects, which would give each an endpoint of its own after every change of the holder; a row before every start, which costs a write for each task.

Change: a holder that finds a host of a pool down at its first reading of the hosts, or an endpoint of the pool that began within 12 s before its term, announces the first start of each inherited task of that pool in its job's row, and orders it once that is written (the mechanism of trials, without an endpoint of its own). The next holder counts such a start unless an endpoint tells of it. Pools without such a crash are served as before.

--- a/packages/core/src/batch/crashes/isolation.ts
+++ b/packages/core/src/batch/crashes/isolation.ts
@@ -6,6 +6,7 @@
  */
 import type { EndpointId } from '../../shared/ids.js';
 import { isSettled, isSuspect } from './endpoint-crashes.js';
+import { isWritten } from './trials.js';
 import type { StepSpec } from '../model/job.js';
 import { reservedCpu } from '../endpoints/runs.js';
 import type {
@@ -47,10 +48,6 @@
   return waiting.filter(isSuspect);
 };
 
-/** All that was counted is in the job's row: whoever holds control next knows of it. */
-const isWritten = ({ blameRevision, writtenBlameRevision }: JobState): boolean =>
-  writtenBlameRevision >= blameRevision;
-
 const isUnproven = (endpoint: EndpointState, run: RunState): boolean =>
   isSuspect(run.task) && !isSettled(endpoint, run);
 
--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -6,7 +6,14 @@
 import { change } from '../../shared/change.js';
 import { isSettled } from './endpoint-crashes.js';
 import { nextRunNumber } from '../endpoints/runs.js';
-import type { BatchState, EndpointState, RunState, StepRun, Task } from '../model/state.js';
+import type {
+  BatchState,
+  EndpointState,
+  JobState,
+  RunState,
+  StepRun,
+  Task,
+} from '../model/state.js';
 
 const isAccountedFor = ({ lastEnd, crashes }: Task, run: number): boolean =>
   (lastEnd?.run ?? 0) >= run || crashes.some((crash) => crash.run >= run);
@@ -31,6 +38,15 @@
 export const announcedRunOf = (task: Task): number | undefined =>
   task.trial?.isInherited === false ? openTrialOf(task) : undefined;
 
+/**
+ * Tells whether all that was counted and announced is in the job's row, so that whoever holds control next knows of it.
+ *
+ * @param job - The job.
+ * @returns False while a write is awaited.
+ */
+export const isWritten = ({ blameRevision, writtenBlameRevision }: JobState): boolean =>
+  writtenBlameRevision >= blameRevision;
+
 /**
  * Announces the next start of tasks in the row of their job; they are not begun before it is written.
  *
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -19,6 +19,14 @@
  */
 const RUNS_PER_FENCE = 1000;
 
+/**
+ * Gives the number below which all runs were begun by earlier holders.
+ *
+ * @param fence - The holder's fence.
+ * @returns The number.
+ */
+export const firstRunNumber = (fence: number): number => fence * RUNS_PER_FENCE;
+
 /**
  * Gives the next run number of a task.
  *
@@ -27,7 +35,7 @@
  * @returns The number.
  */
 export const nextRunNumber = (fence: number, lastRun: number): number =>
-  Math.max(fence * RUNS_PER_FENCE, lastRun) + 1;
+  Math.max(firstRunNumber(fence), lastRun) + 1;
 
 /**
  * Gives the processors that a task takes of an endpoint's room.
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -2,6 +2,7 @@
 export * from './accounts/quota.js';
 export * from './accounts/shares.js';
 export * from './crashes/endpoint-crashes.js';
+export * from './crashes/inherited-losses.js';
 export * from './crashes/isolation.js';
 export * from './endpoints/answer-times.js';
 export * from './endpoints/endpoint-model.js';
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -71,7 +71,8 @@
     const run = openTrialOf(task);
     return run === undefined ? [] : [[task.index, run] as const];
   });
-  if (step.doneCount === 0 && failed.length === 0 && crashes.length === 0) return undefined;
+  const isNothing = [failed, crashes, trials].every(({ length }) => length === 0);
+  if (step.doneCount === 0 && isNothing) return undefined;
   return {
     done: doneDigits(step),
     ...(failed.length > 0 ? { failed } : {}),
@@ -150,7 +151,9 @@
   });
   trials.forEach(([index, run]) => {
     const task = step.tasks[index];
-    if (task) inheritTrial(task, run);
+    if (!task) return;
+    inheritTrial(task, run);
+    state.suspectJobs.add(step.job);
   });
   step.tasks.forEach((task) => {
     if (isDoneIn(done, task.index)) markDone(state, step, task);
--- a/packages/core/src/batch/model/endpoint-life.ts
+++ b/packages/core/src/batch/model/endpoint-life.ts
@@ -19,11 +19,11 @@
  * Names one life of an endpoint.
  *
  * @param instanceId - The id that the endpoint has on the platform.
- * @param bornAtMs - The time of day of its start, by its host, in milliseconds.
+ * @param startedAtMs - The time of day of its start, by its host, in milliseconds.
  * @returns The life's own id.
  */
-export const lifeOf = (instanceId: string, bornAtMs: number): EndpointId =>
-  brand<EndpointId>(`${instanceId}${SEPARATOR}${bornAtMs.toString(RADIX)}`);
+export const lifeOf = (instanceId: string, startedAtMs: number): EndpointId =>
+  brand<EndpointId>(`${instanceId}${SEPARATOR}${startedAtMs.toString(RADIX)}`);
 
 /**
  * Gives the id that an endpoint has on the platform, which its other lives may have too.
@@ -36,20 +36,35 @@
   return brand<InstanceId>(end < 0 ? endpointId : endpointId.slice(0, end));
 };
 
+/**
+ * Gives the time of day at which a life began, by its host.
+ *
+ * @param endpointId - The life.
+ * @returns The time in milliseconds; undefined where the platform does not tell.
+ */
+export const bornAtMs = (endpointId: EndpointId): number | undefined => {
+  const start = endpointId.lastIndexOf(SEPARATOR);
+  const atMs = start < 0 ? 0 : parseInt(endpointId.slice(start + 1), RADIX);
+  return atMs > 0 ? atMs : undefined;
+};
+
 /**
  * Passes over what another life answered: its lists say nothing of the life that was asked.
  *
  * @param endpointId - The life that was asked.
- * @param bornAtMs - When the life that answered was born; undefined where the platform does not tell.
+ * @param answeringBornAtMs - When the life that answered was born; undefined where the platform does not tell.
  * @param answer - What it answered.
  * @returns The answer, or that another life has the id now.
  */
 export const requireLife = <Answer>(
   endpointId: EndpointId,
-  bornAtMs: number | undefined,
+  answeringBornAtMs: number | undefined,
   answer: Answer,
 ): Result<Answer, OrderError> => {
-  const answering = bornAtMs === undefined ? endpointId : lifeOf(instanceOf(endpointId), bornAtMs);
+  const answering =
+    answeringBornAtMs === undefined
+      ? endpointId
+      : lifeOf(instanceOf(endpointId), answeringBornAtMs);
   if (answering === endpointId) return Ok(answer);
   return Err({ verdict: 'mayHaveRun', reason: 'other-life', detail: `${answering} answers` });
 };
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -36,6 +36,8 @@
   readonly demand: Demand;
   /** Endpoints that may run inherited tasks and of which no life has answered yet. */
   readonly notReported: Set<InstanceId>;
+  /** A host was down as this holder first read the list: see `inherited-losses.ts`. */
+  hasLossBefore: boolean;
 };
 
 /** What the runtime has to do. */
@@ -120,7 +122,7 @@
   readonly peaks: DemandPeaks;
   /** Jobs with occurrences still to come. */
   readonly timed: Set<JobState>;
-  /** Live jobs with tasks under which endpoints crashed. */
+  /** Live jobs with tasks under which endpoints crashed, or may have. */
   readonly suspectJobs: Set<JobState>;
   /** By the newest configuration; and those that it has lost, or that only rows tell of. */
   accounts: ReadonlyMap<AccountName, AccountLimits>;
@@ -204,6 +206,7 @@
     open: new Set(),
     demand: createDemand(),
     notReported: new Set(),
+    hasLossBefore: false,
   };
   state.pools.set(name, built);
   return built;
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -5,7 +5,8 @@
 import { giveUpIfDue } from '../jobs/give-up.js';
 import { byRank, rankStep, type Rank } from './order.js';
 import { noteStartAgain } from '../endpoints/run-end.js';
-import { announcedRunOf, announceTrials, countLostTrials } from '../crashes/trials.js';
+import { hasLossBefore, isFirstStartOfInherited } from '../crashes/inherited-losses.js';
+import { announcedRunOf, announceTrials, countLostTrials, isWritten } from '../crashes/trials.js';
 import { isWithinQuota } from '../accounts/quota.js';
 import { placesForGang } from './gang-places.js';
 import { bestFor } from './best-endpoint.js';
@@ -132,17 +133,33 @@
     .sort(byRank[state.orderWay].compare)
     .map(({ step }) => step);
 
+/**
+ * Announces the first starts of inherited tasks, where an endpoint may have crashed under them unheard.
+ *
+ * @returns The tasks that may begin now: those whose start is written, or need not be.
+ */
+const announceInherited = ({ state, step }: Placing, tasks: readonly Task[]): readonly Task[] => {
+  const isHeld = (task: Task): boolean => isFirstStartOfInherited(state, step, task);
+  const unannounced = tasks.filter((task) => isHeld(task) && announcedRunOf(task) === undefined);
+  if (unannounced.length > 0) announceTrials(state, step, unannounced);
+  return isWritten(step.job) ? tasks : tasks.filter((task) => !isHeld(task));
+};
+
 /** Places the tasks of a step that may stand beside others; true if none is left for want of room. */
 const placeOrdinary = (
   placing: Placing,
   endpoints: readonly EndpointState[],
   suspects: readonly Task[],
+  mayHaveLost: boolean,
 ): boolean => {
   const { step } = placing;
-  if (step.spec.isGang) return suspects.length > 0 || placeGang(placing, endpoints);
-  const tasks = step.waiting
+  const { isGang } = step.spec;
+  if (isGang && suspects.length > 0) return true;
+  const waiting = step.waiting
     .flatMap((index) => step.tasks[index] ?? [])
     .filter((task) => !suspects.includes(task));
+  const tasks = mayHaveLost ? announceInherited(placing, waiting) : waiting;
+  if (isGang) return tasks.length < waiting.length || placeGang(placing, endpoints);
   return placeEach(placing, endpoints, tasks);
 };
 
@@ -178,6 +195,8 @@
   readonly state: BatchState;
   /** Those that take new work. */
   readonly endpoints: readonly EndpointState[];
+  /** An endpoint of the pool may have crashed shortly before this holder took over. */
+  readonly mayHaveLost: boolean;
   readonly nowMs: number;
 };
 
@@ -234,7 +253,12 @@
     if (!isWithinQuota(state, step, step.spec.isGang ? step.spec.taskCount : 1)) return false;
     const placing: Placing = { state, step, nowMs };
     const admitted = admittedEndpoints(step, places, nowMs);
-    const isPlaced = placeOrdinary(placing, admitted, waitingSuspects(state, step));
+    const isPlaced = placeOrdinary(
+      placing,
+      admitted,
+      waitingSuspects(state, step),
+      pass.mayHaveLost,
+    );
     if (isPlaced) return false;
     const isWhole = places === endpoints;
     if (isWhole) wantAdviceFor(placing, endpoints);
@@ -268,9 +292,11 @@
   if (pool.open.size === 0) return;
   const endpoints = usableEndpoints(state, name, nowMs);
   if (endpoints.length === 0) return;
-  const pass: Pass = { state, endpoints, nowMs };
   const isAnySuspect = state.suspectJobs.size > 0;
   const unblocked = Array.from(pool.open).filter((step) => !isBlocked(state, pool, step, nowMs));
+  const isAnyInherited = unblocked.some(({ job }) => job.isInherited);
+  const mayHaveLost = isAnyInherited && hasLossBefore(state, pool, endpoints);
+  const pass: Pass = { state, endpoints, mayHaveLost, nowMs };
   if (isAnySuspect) giveUpLostTrials(state, unblocked, nowMs);
   const open = unblocked.filter(({ job }) => !isFinal(job.phase));
   const isolated = isAnySuspect ? placeIsolated(pass, inOrder(state, open, nowMs)) : NONE_ISOLATED;
--- a/packages/daemon/src/batch/hosts/host-roster.ts
+++ b/packages/daemon/src/batch/hosts/host-roster.ts
@@ -2,6 +2,7 @@
 import {
   createHostInventory,
   expectReports,
+  noteLossesBefore,
   findDeadEndpoints,
   takeHostList,
   type BatchState,
@@ -103,6 +104,7 @@
       instanceId === null ? [] : [{ instanceId, pool }],
     );
     expectReports(state, living);
+    noteLossesBefore(state, list);
     change(state, { isHostListAwaited: false });
   };
 
