--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -9,6 +9,7 @@
   EndpointClock,
   EndpointReport,
   EndpointSighting,
+  EvacuationReading,
   FeedScope,
   HostOrderOutcome,
   HostView,
@@ -61,12 +62,20 @@
   readonly arrivingMs: number;
 };
 
+/** What a reading of the operator's rows says of evacuations. */
+export type EvacuationNews = EvacuationReading & {
+  /** True if the reading contains every change up to its answer: not a full one, and not cut off at its end. */
+  readonly isCurrent: boolean;
+};
+
 /** What the operator has ordered. */
 export type OperatorNews = {
   readonly configuration?: BatchConfiguration;
   /** What was passed over in the configuration, for people. */
   readonly faults?: readonly string[];
   readonly waves: readonly UpkeepOrder[];
+  /** Left out by a platform on which data centres cannot be evacuated. */
+  readonly evacuations?: EvacuationNews;
   readonly reading: FeedReading;
 };
 
@@ -166,6 +175,11 @@
   readonly longestLeaseMs: number;
   /** Holders that order hosts one after the other keep this distance. */
   readonly holderTurnMs: number;
+  /**
+   * How long after an evacuation was ordered the last task may begin there. Left out where the deployment does not
+   * bound it: evacuations are obeyed as they are heard of.
+   */
+  readonly evacuateMs?: number;
 };
 
 /** The whole platform. */
