--- a/packages/core/src/batch/model/orders.ts
+++ b/packages/core/src/batch/model/orders.ts
@@ -12,6 +12,8 @@
   | 'other-endpoint'
   | 'other-life'
   | 'malformed'
+  /** Its data centre is evacuated, or may be unheard: refused by an entry, not by the endpoint. */
+  | 'evacuated'
   | 'unreachable';
 
 /** An order that was not carried out, or may have been. */
--- a/packages/daemon/src/batch/configuration/configuration-keeper.ts
+++ b/packages/daemon/src/batch/configuration/configuration-keeper.ts
@@ -18,7 +18,12 @@
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
 import type { AskPeer } from '../entry/peers.js';
-import type { OperatorFeed } from '../ports.js';
+import type { OperatorFeed, OperatorNews } from '../ports.js';
+import {
+  createEvacuationKeeper,
+  type EvacuationKeeper,
+  type ToldEvacuations,
+} from './evacuation-keeper.js';
 
 /** A waiting read of the operator's orders: a change is in force within 2 s also if one is lost. */
 const OPERATOR_WAIT_MS = 1000;
@@ -33,6 +38,8 @@
 const REFRESH_EVERY_MS = 200;
 /** A cut often takes several entries, and rows of entries that are gone stay. */
 const ASKED_AT_ONCE = 2;
+/** A neighbour that had no answer of the table a longer time ago may have one now. */
+const NEIGHBOURS_AWAY_MS = 2000;
 /** Routes are alike: a tenth of their bytes is left. The best compression takes five times as long. */
 const FASTEST = { level: 1 };
 /** What a packed configuration may grow to: some 100,000 queues. */
@@ -41,12 +48,21 @@
 /** The method of the mesh by which entries ask each other. */
 export const CONFIGURATION_METHOD = 'configuration';
 
+/** What an entry tells the neighbour that it asks. */
+export type NeighbourQuestion = {
+  /** Of the configuration that it has; 0 for none. */
+  readonly version: number;
+  readonly evacuations: ToldEvacuations;
+};
+
 /** What a neighbour says of its configuration. */
 export type NeighbourAnswer = {
   /** The configuration, packed, where it is newer than the one asked with. */
   readonly packed: Uint8Array | null;
   /** False if the neighbour's own feed is overdue: others may know more. */
   readonly isUpToDate: boolean;
+  /** Left out by entries of an earlier release. */
+  readonly evacuations?: ToldEvacuations;
 };
 
 export type ConfigurationKeeperOptions = {
@@ -54,6 +70,8 @@
   readonly neighbours: () => readonly EntryId[];
   readonly ask: AskPeer;
   readonly onWaves: (waves: readonly UpkeepOrder[]) => void;
+  /** Told of evacuations by the same feed and neighbours. */
+  readonly evacuations?: EvacuationKeeper;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly nowMs?: () => number;
@@ -81,8 +99,15 @@
   readonly follow: () => Promise<void>;
   /** Asks neighbours if the feed is overdue; to be called each `ASK_NEIGHBOURS_EVERY_MS`. */
   readonly askNeighbours: () => Promise<void>;
-  /** Answers a neighbour that has this version; 0 for none. */
-  readonly answerNeighbour: (version: number) => NeighbourAnswer;
+  /** Answers a neighbour; entries of an earlier release ask with the version alone. */
+  readonly answerNeighbour: (question: NeighbourQuestion | number) => NeighbourAnswer;
+  /**
+   * Has the belief about evacuations confirmed at once: by the feed without waiting for changes, and by neighbours if
+   * that fails. Calls while one is under way share it.
+   */
+  readonly confirmEvacuations: () => Promise<void>;
+  /** True if neighbours that were asked lately answered, and the table answers none of them. */
+  readonly isAwayForNeighbours: () => boolean;
 };
 
 const pack = (configuration: BatchConfiguration): Uint8Array =>
@@ -107,6 +132,7 @@
   log,
   metrics,
   nowMs = () => performance.now(),
+  evacuations = createEvacuationKeeper({ evacuateMs: () => undefined, log, nowMs }),
   random = Math.random,
 }: ConfigurationKeeperOptions): ConfigurationKeeper => {
   let index: QueueIndex | undefined;
@@ -121,6 +147,10 @@
   let failures = 0;
   /** Asked again, and alone, while its own feed is up to date. */
   let goodNeighbour: EntryId | undefined;
+  let neighboursAwayAtMs = -Infinity;
+  let confirming: Promise<void> | undefined;
+  /** The last answer of the feed was a full reading, which may be stale. */
+  let wasWhole = false;
 
   const versionInForce = (): number => index?.configuration.version ?? 0;
 
@@ -158,11 +188,13 @@
     failures = 0;
   };
 
-  const follow = async (): Promise<void> => {
-    const news = await feed.next(index ? OPERATOR_WAIT_MS : 0);
+  /** Reads the feed once; undefined without an answer. */
+  const read = async (waitMs: number): Promise<OperatorNews | undefined> => {
+    const askedAtMs = nowMs();
+    const news = await feed.next(waitMs);
     if (news.isErr()) {
       noteFailure(news.error);
-      return;
+      return undefined;
     }
     noteAnswer();
     const { configuration, faults = [], waves, reading } = news.value;
@@ -172,7 +204,28 @@
     faults.forEach((detail) => log.warn('configuration-fault', { detail }));
     readAtMs = nowMs();
     confirmedAtMs = readAtMs;
+    if (news.value.evacuations) evacuations.take(news.value.evacuations, askedAtMs);
     if (waves.length > 0) onWaves(waves);
+    return news.value;
+  };
+
+  /**
+   * Reads the feed, and asks for changes at once after a full reading where evacuations are bounded: a full reading
+   * may be stale. While each reading is a full one, since the table has forgotten its history, the next call does.
+   */
+  const readConfirmed = async (waitMs: number): Promise<OperatorNews | undefined> => {
+    const news = await read(waitMs);
+    const isFirstWhole = !wasWhole && news?.evacuations?.isWhole === true;
+    wasWhole = news?.evacuations?.isWhole ?? wasWhole;
+    if (!evacuations.isBounded() || !isFirstWhole) return news;
+    const changes = await read(0);
+    wasWhole = changes?.evacuations?.isWhole ?? wasWhole;
+    return changes;
+  };
+
+  const follow = async (): Promise<void> => {
+    const mayWait = index !== undefined && evacuations.isRecent();
+    await readConfirmed(mayWait ? OPERATOR_WAIT_MS : 0);
   };
 
   const chooseNeighbours = (): readonly EntryId[] => {
@@ -185,12 +238,14 @@
     });
   };
 
-  const askOne = async (neighbour: EntryId): Promise<void> => {
+  /** Asks one neighbour; gives whether the table answers it, undefined if it did not say. */
+  const askOne = async (neighbour: EntryId): Promise<boolean | undefined> => {
     metrics.count('configuration_questions');
     const version = versionInForce();
     const askedAtMs = nowMs();
+    const question: NeighbourQuestion = { version, evacuations: evacuations.tell() };
     try {
-      const answer = (await ask(neighbour, CONFIGURATION_METHOD, version, ASK_MS)) as
+      const answer = (await ask(neighbour, CONFIGURATION_METHOD, question, ASK_MS)) as
         NeighbourAnswer | undefined;
       if (answer?.isUpToDate) goodNeighbour = neighbour;
       if (answer?.packed) {
@@ -198,17 +253,38 @@
         take(unpack(bytes), { from: neighbour, silentMs: silentMs(), bytes: bytes.length });
       }
       if (answer?.isUpToDate) confirmedAtMs = Math.max(confirmedAtMs, askedAtMs);
+      if (answer?.evacuations) evacuations.takeAnswer(answer.evacuations, askedAtMs);
+      return answer?.isUpToDate;
     } catch (error) {
       metrics.count('configuration_questions_unanswered');
       log.debug('configuration-unanswered', { neighbour, version, detail: String(error) });
+      return undefined;
     }
   };
 
-  const askNeighbours = async (): Promise<void> => {
-    if (!isOverdue()) return;
+  const askRound = async (): Promise<void> => {
     const asked = chooseNeighbours();
     goodNeighbour = undefined;
-    await Promise.all(asked.map(askOne));
+    const served = await Promise.all(asked.map(askOne));
+    if (served.includes(true)) neighboursAwayAtMs = -Infinity;
+    else if (served.includes(false)) neighboursAwayAtMs = nowMs();
+  };
+
+  const askNeighbours = async (): Promise<void> => {
+    if (isOverdue()) await askRound();
+  };
+
+  const confirm = async (): Promise<void> => {
+    const askedAtMs = nowMs();
+    const news = await readConfirmed(0);
+    if (news === undefined && !evacuations.isConfirmedSince(askedAtMs)) await askRound();
+  };
+
+  const confirmEvacuations = async (): Promise<void> => {
+    confirming ??= confirm().finally(() => {
+      confirming = undefined;
+    });
+    await confirming;
   };
 
   const refresh = async (): Promise<void> => {
@@ -235,9 +311,17 @@
     refresh,
     follow,
     askNeighbours,
-    answerNeighbour: (version) => ({
-      packed: index && versionInForce() > version ? packedNow(index) : null,
-      isUpToDate: !isOverdue(),
-    }),
+    answerNeighbour: (question) => {
+      const isPlain = typeof question === 'number';
+      const version = isPlain ? question : question.version;
+      if (!isPlain) evacuations.takeQuestion(question.evacuations);
+      return {
+        packed: index && versionInForce() > version ? packedNow(index) : null,
+        isUpToDate: !isOverdue(),
+        evacuations: evacuations.tell(),
+      };
+    },
+    confirmEvacuations,
+    isAwayForNeighbours: () => nowMs() - neighboursAwayAtMs < NEIGHBOURS_AWAY_MS,
   };
 };
--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -11,6 +11,7 @@
 import type { TableClient } from '@valvelatch/platform';
 
 import { createLeaseKeeper } from '../../leases/lease-keeper.js';
+import type { StartGate } from '../configuration/start-gate.js';
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
 import { sleep } from '../../shared/sleep.js';
@@ -76,6 +77,8 @@
   readonly table: RelayedTable;
   readonly peers: () => Peers | undefined;
   readonly configuration: () => QueueIndex | undefined;
+  /** Whether orders to start may leave this entry; always if left out. */
+  readonly startGate?: StartGate;
   readonly log: Log;
   readonly metrics: Metrics;
   /** How this entry stands among the others. */
@@ -116,6 +119,7 @@
   table,
   peers,
   configuration,
+  startGate,
   log,
   metrics,
   standing = EQUAL_STANDING,
@@ -214,6 +218,7 @@
       isTableAway: () => table.silentForMs() >= TABLE_AWAY_MS,
       soleHolderUntilMs: () => keeper.heldUntilMs() - CONTROL_LEASE_MS + SOLE_HOLDER_MS,
       configuration,
+      startGate,
       onLost: (reason) => {
         lostFence = fence;
         void endTerm(reason).then(() => keeper.release());
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -34,6 +34,7 @@
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
 import { startLoops, type RunningLoops } from '../../shared/loops.js';
+import { OPEN_GATE, type StartGate } from '../configuration/start-gate.js';
 import { createAdvisor } from '../endpoints/advisor.js';
 import { createEndedJobs } from '../jobs/ended-jobs.js';
 import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
@@ -90,6 +91,8 @@
   /** Until then no other entry can have become the holder: what was not heard has not happened elsewhere. */
   readonly soleHolderUntilMs: () => number;
   readonly configuration: () => QueueIndex | undefined;
+  /** Whether orders to start may leave this entry. */
+  readonly startGate?: StartGate;
   readonly onLost: (reason: string) => void;
   readonly nowMs?: () => number;
   readonly todayMs?: () => number;
@@ -135,11 +138,13 @@
   isTableAway,
   soleHolderUntilMs,
   configuration,
+  startGate = OPEN_GATE,
   onLost,
   nowMs = () => performance.now(),
   todayMs = () => Date.now(),
 }: TermOptions): Term => {
   const state = createBatchState(fence);
+  const bornAtMs = nowMs();
   const schedulePools = createScheduleCycle(state);
   const inheritedLeasesMs = endpointLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS + holdersBeforeMs;
   const window = createOrderWindow();
@@ -152,6 +157,15 @@
 
   const isSoleHolder = (): boolean => nowMs() < soleHolderUntilMs();
 
+  /** A new holder starts nothing before it has asked what is evacuated: the holder before may have known more. */
+  const mayStart = (): boolean => startGate.isConfirmedSince(bornAtMs) && startGate.isOpen();
+
+  const confirmEvacuations = async (): Promise<void> => {
+    if (mayStart()) return;
+    await startGate.confirm();
+    poke();
+  };
+
   /** A term whose lease has lapsed cannot know what another holder does. */
   const isAnswering = (): boolean => !isStopped && isReady && holds();
 
@@ -183,6 +197,7 @@
       metrics,
       nowMs,
       mayOrder: () => !isStopped && holds(),
+      mayStartIn: (dataCentre) => mayStart() && startGate.mayStartIn(dataCentre),
       poke,
       wantSave: () => saver.poke(),
       onFenceLost: () => lose('an endpoint has seen a higher fence'),
@@ -259,6 +274,7 @@
   };
 
   const cycle = (): void => {
+    state.evacuated = startGate.evacuated();
     if (isStopped || !isReady || !holds()) {
       perform();
       return;
@@ -267,7 +283,7 @@
     state.todayAheadMs = todayMs() - nowMs();
     state.soleHolderUntilMs = soleHolderUntilMs();
     takeAccounts(state, configuration()?.accounts.byName ?? state.accounts);
-    schedulePools(window.left(), nowMs());
+    schedulePools(mayStart() ? window.left() : 0, nowMs());
     perform();
   };
 
@@ -369,11 +385,14 @@
 
   const start = async (): Promise<void> => {
     log.info('term-started', { fence });
+    // Beside the recovery, which takes several calls.
+    void confirmEvacuations();
     await recover();
     if (isStopped) return;
     loops = startLoops(
       [
         { name: 'tick', everyMs: TICK_MS, run: tick },
+        { name: 'evacuations', everyMs: TICK_MS, run: confirmEvacuations },
         { name: 'endpoints', everyMs: ENDPOINT_FEED_MS, run: roster.follow },
         { name: 'jobs', everyMs: JOB_FEED_MS, run: jobRows.follow },
         { name: 'fleet', everyMs: fleet.everyMs, run: fleet.run },
--- a/packages/daemon/src/batch/endpoints/link-context.ts
+++ b/packages/daemon/src/batch/endpoints/link-context.ts
@@ -1,6 +1,6 @@
 /** What the links of a term share. */
 import type { BatchState, LinkDelay, OrderWindow } from '@valvelatch/core/batch';
-import type { EndpointId } from '@valvelatch/core/shared/ids';
+import type { DataCentreId, EndpointId } from '@valvelatch/core/shared/ids';
 
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
@@ -20,6 +20,8 @@
   readonly nowMs: () => number;
   /** True while this entry surely is the holder. */
   readonly mayOrder: () => boolean;
+  /** True unless a data centre is evacuated, or may be unheard. */
+  readonly mayStartIn: (dataCentre: DataCentreId) => boolean;
   /** Something changed: places may be found. */
   readonly poke: () => void;
   /** Ends were applied and are to be written. */
--- a/packages/daemon/src/batch/endpoints/start-orders.test.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.test.ts
@@ -19,7 +19,7 @@
   type JobId,
   type PoolName,
 } from '@valvelatch/core/shared/ids';
-import { Ok } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
 
 import { createMetrics } from '../../observe/metrics.js';
@@ -27,10 +27,22 @@
 
 const POOL = brand<PoolName>('alpha');
 const ENDPOINT = brand<EndpointId>('i-1');
+const DATA_CENTRE = brand<DataCentreId>('north');
 const SOLE_UNTIL_MS = 2400;
 
+type SendOptions = {
+  readonly mayStartIn?: (dataCentre: DataCentreId) => boolean;
+  /** No order is answered. */
+  readonly isLost?: boolean;
+  readonly onSent?: () => void;
+};
+
 /** A holder that heard its one endpoint at a time, places a task there, and gets to send the order at another. */
-const sentAt = async (nowMs: number, heardAtMs: number): Promise<readonly StartOrder[]> => {
+const sentAt = async (
+  nowMs: number,
+  heardAtMs: number,
+  { mayStartIn = () => true, isLost = false, onSent = () => undefined }: SendOptions = {},
+): Promise<readonly StartOrder[]> => {
   const state = createBatchState(2);
   state.soleHolderUntilMs = SOLE_UNTIL_MS;
   const capacity = { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 };
@@ -39,7 +51,7 @@
     pool: POOL,
     hostId: null,
     address: '',
-    dataCentre: brand<DataCentreId>(''),
+    dataCentre: DATA_CENTRE,
   };
   seeEndpoint(state, { ...sighting, labels: [], capacity, isDraining: false }, 0);
   takeInJob(state, {
@@ -65,13 +77,16 @@
   if (!start) throw new Error('nothing was placed');
   const sent: StartOrder[] = [];
   const orders = createStartOrders({
-    target: { endpointId: ENDPOINT, address: '', dataCentre: brand<DataCentreId>('') },
+    target: { endpointId: ENDPOINT, address: '', dataCentre: DATA_CENTRE },
     context: {
       state,
       orders: {
         start: async (_: unknown, order: StartOrder) => {
           sent.push(order);
-          return Ok({ clockMs: 1 });
+          onSent();
+          return isLost
+            ? Err({ verdict: 'mayHaveRun', reason: 'no-answer', detail: '' })
+            : Ok({ clockMs: 1 });
         },
       } as never,
       linkDelay: createLinkDelay(),
@@ -81,6 +96,7 @@
       metrics: createMetrics(),
       nowMs: () => nowMs,
       mayOrder: () => true,
+      mayStartIn,
       poke: () => undefined,
       wantSave: () => undefined,
       onFenceLost: () => undefined,
@@ -110,4 +126,29 @@
   it('does not leave for an endpoint that may have started again unheard while another entry took control', async () => {
     expect(await sentAt(5200, 2300)).toEqual([]);
   });
+
+  describe('into a data centre that is evacuated after the task was placed there', () => {
+    it('does not leave', async () => {
+      const asked: DataCentreId[] = [];
+      const mayStartIn = (dataCentre: DataCentreId): boolean => {
+        asked.push(dataCentre);
+        return false;
+      };
+      expect(await sentAt(2300, 100, { mayStartIn })).toEqual([]);
+      expect(asked).toEqual([DATA_CENTRE]);
+    });
+
+    it('is not sent again there after a first one without an answer', async () => {
+      let isEvacuated = false;
+      const sent = await sentAt(2300, 100, {
+        isLost: true,
+        mayStartIn: () => !isEvacuated,
+        onSent: () => {
+          isEvacuated = true;
+        },
+      });
+      expect(sent).toHaveLength(1);
+      expect(await sentAt(2300, 100, { isLost: true })).toHaveLength(2);
+    });
+  });
 });
--- a/packages/daemon/src/batch/endpoints/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -66,14 +66,17 @@
   isClosed,
 }: StartOrdersOptions): StartOrders => {
   const { state, orders, log, metrics, nowMs } = context;
-  const { endpointId } = target;
+  const { endpointId, dataCentre } = target;
 
   /**
+   * Asked at once before each order leaves, also before one is sent again: what the placement was decided on may be
+   * old by then.
+   *
    * An order reaches whichever life has the endpoint's id. Where another entry may hold control, and an endpoint may
    * have started again unheard, the next life would take an order of this holder before it knows of the next one.
    */
   const mayStart = (): boolean => {
-    if (!context.mayOrder() || isClosed()) return false;
+    if (!context.mayOrder() || !context.mayStartIn(dataCentre) || isClosed()) return false;
     const heardAtMs = state.endpoints.get(endpointId)?.reportedAtMs ?? -Infinity;
     return isSoleHolder(state, nowMs()) || nowMs() - heardAtMs < RESPONSIVE_MS;
   };
--- a/packages/daemon/src/batch/entry/batch-entry.ts
+++ b/packages/daemon/src/batch/entry/batch-entry.ts
@@ -2,7 +2,7 @@
  * One entry of a fleet that runs batch work: takes jobs from clients, and holds control of the
  * fleet while it has the lease. All entries are alike and keep nothing.
  */
-import type { QueueIndex } from '@valvelatch/core/batch';
+import { TABLE_AWAY_MS, type QueueIndex } from '@valvelatch/core/batch';
 import type { DataCentreId, EntryId } from '@valvelatch/core/shared/ids';
 import { createGroupCommit } from '@valvelatch/platform/group-commit';
 
@@ -14,7 +14,10 @@
   ASK_NEIGHBOURS_EVERY_MS,
   CONFIGURATION_METHOD,
   createConfigurationKeeper,
+  type NeighbourQuestion,
 } from '../configuration/configuration-keeper.js';
+import { createEvacuationKeeper } from '../configuration/evacuation-keeper.js';
+import { createStartGate } from '../configuration/start-gate.js';
 import { createAccess, type Access } from './access.js';
 import { createControl, type Control } from '../control/control.js';
 import { CONTROL_METHOD } from '../control/holder-client.js';
@@ -113,7 +116,13 @@
     metrics,
   });
 
+  const evacuations = createEvacuationKeeper({
+    evacuateMs: () => platform.bounds().evacuateMs,
+    log,
+  });
+
   const configuration = createConfigurationKeeper({
+    evacuations,
     feed: platform.operator,
     neighbours,
     ask: askPeer,
@@ -122,6 +131,12 @@
     metrics,
   });
 
+  const startGate = createStartGate({
+    evacuations,
+    configuration,
+    isTableAway: () => table.silentForMs() >= TABLE_AWAY_MS,
+  });
+
   const orders = createRelayedOrders({
     orders: platform.orders,
     peers: () => peers,
@@ -130,7 +145,7 @@
     log,
     metrics,
   });
-  const agent = createOrderAgent(platform.orders, metrics);
+  const agent = createOrderAgent(platform.orders, metrics, startGate);
 
   const control = createControl({
     self,
@@ -138,6 +153,7 @@
     table,
     peers: () => peers,
     configuration: configuration.index,
+    startGate,
     log,
     metrics,
     standing: createStanding({
@@ -177,7 +193,9 @@
     answer: async (method, payload) => {
       if (method === ORDER_METHOD) return agent.answer(payload);
       if (method === RELAY_METHOD) return table.answerNeighbour(payload as RelayCall);
-      if (method === CONFIGURATION_METHOD) return configuration.answerNeighbour(payload as number);
+      if (method === CONFIGURATION_METHOD) {
+        return configuration.answerNeighbour(payload as NeighbourQuestion | number);
+      }
       if (method === OPERATORS_METHOD) return answerHere(payload as OperatorQuestion) ?? null;
       return control.answer(method, payload);
     },
--- a/packages/daemon/src/batch/relays/order-agent.ts
+++ b/packages/daemon/src/batch/relays/order-agent.ts
@@ -1,13 +1,21 @@
 /** Sends orders for the holder of control, and answers with what the endpoint answered. */
-import { parseTaskKey } from '@valvelatch/core/batch';
+import { parseTaskKey, type OrderError } from '@valvelatch/core/batch';
+import { Err } from 'ts-results-es';
 
 import type { Metrics } from '../../observe/metrics.js';
+import { OPEN_GATE, type StartGate } from '../configuration/start-gate.js';
 import { decodeOrder, encodeAnswer, SPEC_MISSING, type CarriedOrder } from './order-message.js';
 import type { EndpointOrders } from '../ports.js';
 
 /** Texts of jobs that are kept: of 4 KB at most, and a job's starts come within seconds. */
 const MOST_SPECS = 500;
 
+const EVACUATED: OrderError = {
+  verdict: 'notRun',
+  reason: 'evacuated',
+  detail: 'by what the relay knows, the data centre is evacuated or may be',
+};
+
 export type OrderAgent = {
   /** Sends an order; the answer of the mesh. */
   readonly answer: (payload: unknown) => Promise<unknown>;
@@ -18,9 +26,15 @@
  *
  * @param orders - Sends orders to the endpoints.
  * @param metrics - Counts what was carried.
+ * @param gate - Whether starts may leave this entry: it may know of an evacuation before the holder does, and one
+ * that was paused may send an order seconds after the holder's check.
  * @returns The agent.
  */
-export const createOrderAgent = (orders: EndpointOrders, metrics: Metrics): OrderAgent => {
+export const createOrderAgent = (
+  orders: EndpointOrders,
+  metrics: Metrics,
+  gate: Pick<StartGate, 'mayStartIn'> = OPEN_GATE,
+): OrderAgent => {
   const specs = new Map<string, string>();
 
   const keepSpec = (jobId: string, spec: string): void => {
@@ -38,6 +52,7 @@
     if (order.spec !== null) keepSpec(jobId, order.spec);
     const spec = specs.get(jobId);
     if (spec === undefined) return SPEC_MISSING;
+    if (!gate.mayStartIn(target.dataCentre)) return encodeAnswer(Err(EVACUATED));
     return encodeAnswer(await orders.start(target, { ...order, spec }, timeoutMs));
   };
 
--- a/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
+++ b/packages/daemon/src/batch/testing/answer-orders.fixtures.ts
@@ -429,6 +429,7 @@
       metrics: createMetrics(),
       nowMs,
       mayOrder: () => !isStopped,
+      mayStartIn: () => true,
       poke,
       wantSave,
       onFenceLost: () => {
--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -410,6 +410,7 @@
       metrics: createMetrics(),
       nowMs,
       mayOrder: holds,
+      mayStartIn: () => true,
       poke: () => setImmediate(cycle),
       wantSave: () => {
         void save();
