Batch: a pass over a large backlog ranks its first steps only

Each pass ranked and sorted every open step of its pool, and a pass comes after each report of an endpoint. Above 500 open steps the first 500 are kept as a shortlist; a pass ranks these and what was opened since, and the whole backlog is ranked every 50 ms (10 us a step beyond 5,000). Up to 500 open steps the order is the one before. Ranks hold their figures, and the longest chain of an occurrence is reckoned once.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,6 +3,7 @@
 import { hideBin } from 'yargs/helpers';
 
 import { benchAccounts } from './accounts/accounts.js';
+import { benchBacklogs } from './backlog/backlog.js';
 import { benchControl } from './control/control.js';
 import { benchDataPath, benchMemory } from './data-path/data-path.js';
 import { benchIdle } from './idle/idle.js';
@@ -38,6 +39,9 @@
   .command('accounts', 'what keys, quotas and shares of client accounts cost', {}, () =>
     printRows(benchAccounts()),
   )
+  .command('backlog', 'what a pass over a full pool costs, by the steps that wait', {}, () =>
+    printRows(benchBacklogs()),
+  )
   .command(
     'idle',
     'what an entry costs while nobody sends requests',
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -20,7 +20,6 @@
   type Task,
 } from '../model/state.js';
 import { noteDone, noteFailure } from './health.js';
-import { runTimeKind } from '../jobs/step-times.js';
 import { closeTrial } from '../crashes/trials.js';
 
 /** How a run ended, by the endpoint's word. */
@@ -100,7 +99,7 @@
     requeue(state, step, task);
     return;
   }
-  if (ranMs > 0 && task.checkpoint === '') learnRunTime(state.runTimes, runTimeKind(step), ranMs);
+  if (ranMs > 0 && task.checkpoint === '') learnRunTime(state.runTimes, step.kind, ranMs);
   if (step.spec.isGang) step.tasks.forEach((member) => markDone(state, step, member));
   else markDone(state, step, task);
 };
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -5,6 +5,7 @@
 import { chargeRun } from '../accounts/quota.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
 import {
+  addOpenStep,
   poolOf,
   type BatchState,
   type EndpointState,
@@ -206,7 +207,7 @@
   step.waiting.push(task.index);
   const { job } = step;
   const isLive = job.phase === 'running' || job.phase === 'pending';
-  if (isLive && step.isOpen) poolOf(state, job.job.pool).open.add(step);
+  if (isLive && step.isOpen) addOpenStep(state, step);
 };
 
 /**
--- a/packages/core/src/batch/jobs/create-job.ts
+++ b/packages/core/src/batch/jobs/create-job.ts
@@ -39,6 +39,7 @@
   occurrence,
   number,
   spec,
+  kind: `${job.job.queue}/${spec.image}`,
   tasks: Array.from({ length: spec.taskCount }, (_, index) =>
     newTask(taskKey(job.job.jobId, occurrence.number, number, index), index),
   ),
--- a/packages/core/src/batch/jobs/jobs.ts
+++ b/packages/core/src/batch/jobs/jobs.ts
@@ -4,6 +4,7 @@
 import { maySee, type Caller } from '../model/accounts.js';
 import type { BatchJob, BatchPhase, TaskName } from '../model/job.js';
 import {
+  addOpenStep,
   isFinal,
   poolOf,
   type BatchState,
@@ -32,7 +33,7 @@
     if (step.isOpen || isStepDone(step)) return;
     if (!step.spec.after.every((number) => isStepDone(occurrence.steps[number]))) return;
     change(step, { isOpen: true });
-    if (step.waiting.length > 0) poolOf(state, step.job.job.pool).open.add(step);
+    if (step.waiting.length > 0) addOpenStep(state, step);
   });
 };
 
--- a/packages/core/src/batch/jobs/step-times.ts
+++ b/packages/core/src/batch/jobs/step-times.ts
@@ -2,14 +2,6 @@
 import { expectRunTime } from './run-times.js';
 import type { BatchState, StepRun } from '../model/state.js';
 
-/**
- * Names the kind of a step's tasks: those of a kind take alike times.
- *
- * @param step - The step.
- * @returns The kind.
- */
-export const runTimeKind = (step: StepRun): string => `${step.job.job.queue}/${step.spec.image}`;
-
 /**
  * Expects the run time of a step's tasks.
  *
@@ -18,7 +10,7 @@
  * @returns The time in milliseconds.
  */
 export const expectStepTime = ({ runTimes }: Pick<BatchState, 'runTimes'>, step: StepRun): number =>
-  expectRunTime(runTimes, runTimeKind(step), step.spec.estimateMs);
+  expectRunTime(runTimes, step.kind, step.spec.estimateMs);
 
 /**
  * Expects the work of a step.
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -82,6 +82,8 @@
   readonly occurrence: OccurrenceState;
   readonly number: number;
   readonly spec: StepSpec;
+  /** Tasks of a kind take alike times: those of a queue with the same image. */
+  readonly kind: string;
   readonly tasks: readonly Task[];
   /** Indices of tasks that wait for a place; meaningful once the step is open. */
   waiting: number[];
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -11,6 +11,7 @@
   JobId,
   PoolName,
 } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
 import type { EndpointState, GoneEndpoint, OpenStart, RecentCrash } from './endpoint-state.js';
 import type { BatchPhase, TaskKey } from './job.js';
 import type { JobState, StepRun } from './job-state.js';
@@ -29,10 +30,23 @@
 /** Where a platform does not bound the lease that one order may grant. */
 const LONGEST_LEASE_MS = 10_000;
 
+/** After so many opened steps a backlog is ranked as a whole at the next pass. */
+const MOST_OPENED = 1000;
+
+/** What a pool remembers of the order of a large backlog. */
+export type PoolRanking = {
+  /** The first steps in order as the backlog was ranked last. */
+  shortlist: readonly StepRun[];
+  /** Steps that were opened since. */
+  opened: StepRun[];
+  rankedAtMs: number;
+};
+
 /** A pool with its open steps. */
 export type PoolState = {
   readonly name: PoolName;
   readonly open: Set<StepRun>;
+  readonly ranking: PoolRanking;
   readonly demand: Demand;
   /** Endpoints that may run inherited tasks and of which no life has answered yet. */
   readonly notReported: Set<InstanceId>;
@@ -202,6 +216,7 @@
   const built: PoolState = {
     name,
     open: new Set(),
+    ranking: { shortlist: [], opened: [], rankedAtMs: -Infinity },
     demand: createDemand(),
     notReported: new Set(),
   };
@@ -209,6 +224,20 @@
   return built;
 };
 
+/**
+ * Opens a step: its waiting tasks may begin.
+ *
+ * @param state - All that is known, changed in place.
+ * @param step - The step.
+ */
+export const addOpenStep = (state: BatchState, step: StepRun): void => {
+  const { open, ranking } = poolOf(state, step.job.job.pool);
+  open.add(step);
+  ranking.opened.push(step);
+  // A pool without endpoints is not ranked meanwhile.
+  if (ranking.opened.length > MOST_OPENED) change(ranking, { opened: [], rankedAtMs: -Infinity });
+};
+
 /**
  * Takes what is to be done.
  *
--- a/packages/core/src/batch/placement/order.ts
+++ b/packages/core/src/batch/placement/order.ts
@@ -3,9 +3,6 @@
  * first, the earliest objective before the others; then work that can still earn a late success;
  * then the rest, oldest first, so that nothing waits for ever.
  */
-import { pipe } from 'fp-ts/lib/function.js';
-import * as N from 'fp-ts/lib/number.js';
-import * as Ord from 'fp-ts/lib/Ord.js';
 
 import type { OrderWay } from '../model/order-ways.js';
 import { goesWithOwed } from '../accounts/shares.js';
@@ -24,6 +21,8 @@
   readonly dueAtMs: number;
   /** 0: its account is owed it. 1: it is beyond what its account is owed. */
   readonly claim: 0 | 1;
+  readonly priority: number;
+  readonly virtualStart: number;
 };
 
 /**
@@ -35,18 +34,26 @@
  */
 export const remainingChainMs = (state: BatchState, step: StepRun): number => {
   const { steps } = step.occurrence;
-  const ownMs = expectStepTime(state, step);
-  const followers = steps.filter(({ spec }) => spec.after.includes(step.number));
-  return ownMs + Math.max(0, ...followers.map((next) => remainingChainMs(state, next)));
+  let afterMs = 0;
+  for (let index = 0; index < steps.length; index += 1) {
+    const next = steps[index] as StepRun;
+    const isFollower = next.spec.after.includes(step.number);
+    if (isFollower) afterMs = Math.max(afterMs, remainingChainMs(state, next));
+  }
+  return expectStepTime(state, step) + afterMs;
 };
 
-/** The longest chain of a whole occurrence. */
-const wholeChainMs = (state: BatchState, step: StepRun): number =>
-  Math.max(
-    ...step.occurrence.steps
-      .filter(({ spec }) => spec.after.length === 0)
-      .map((first) => remainingChainMs(state, first)),
-  );
+const isFirst = ({ spec }: StepRun): boolean => spec.after.length === 0;
+
+/** The longest chain of a whole occurrence, where that of one of its steps is known. */
+const wholeChainMs = (state: BatchState, step: StepRun, remainingMs: number): number => {
+  let longestMs = isFirst(step) ? remainingMs : 0;
+  step.occurrence.steps.forEach((first) => {
+    if (first === step || !isFirst(first)) return;
+    longestMs = Math.max(longestMs, remainingChainMs(state, first));
+  });
+  return longestMs;
+};
 
 /** Since when the clock of an occurrence runs. */
 const beganAtMs = ({ job, occurrence }: StepRun): number =>
@@ -61,53 +68,68 @@
  * @returns Its rank.
  */
 export const rankStep = (state: BatchState, step: StepRun, nowMs: number): Rank => {
-  const { policy } = step.job;
-  const objectiveMs = policy.stretch * wholeChainMs(state, step) + policy.targetLatencyMs;
+  const { policy, share } = step.job;
+  const remainingMs = remainingChainMs(state, step);
+  const objectiveMs =
+    policy.stretch * wholeChainMs(state, step, remainingMs) + policy.targetLatencyMs;
   const sinceMs = beganAtMs(step);
   const dueAtMs = sinceMs + objectiveMs;
-  const endsAtMs = nowMs + remainingChainMs(state, step);
-  const claim = goesWithOwed(step.job, nowMs) ? 0 : 1;
-  if (step.spec.isLasting || endsAtMs <= dueAtMs) return { step, tier: 0, dueAtMs, claim };
+  const endsAtMs = nowMs + remainingMs;
+  const isInTime = step.spec.isLasting || endsAtMs <= dueAtMs;
   const isLate = endsAtMs <= sinceMs + LATE_FACTOR * objectiveMs;
-  return { step, tier: isLate ? 1 : 2, dueAtMs, claim };
+  const tierOfRest = isLate ? 1 : 2;
+  return {
+    step,
+    tier: isInTime ? 0 : tierOfRest,
+    dueAtMs,
+    claim: goesWithOwed(step.job, nowMs) ? 0 : 1,
+    priority: policy.priority,
+    virtualStart: share.virtualStart,
+  };
 };
 
-const byTier = pipe(
-  N.Ord,
-  Ord.contramap(({ tier }: Rank) => tier),
-);
-const byPriority = pipe(
-  N.Ord,
-  Ord.contramap(({ step }: Rank) => step.job.policy.priority),
-);
-const byDue = pipe(
-  N.Ord,
-  Ord.contramap(({ dueAtMs }: Rank) => dueAtMs),
-);
-
-const byClaim = pipe(
-  N.Ord,
-  Ord.contramap(({ claim }: Rank) => claim),
-);
-const byVirtualStart = pipe(
-  N.Ord,
-  Ord.contramap(({ step }: Rank) => step.job.share.virtualStart),
-);
+/** A part of the order: the step with the lower figure goes first. */
+type Figure = (rank: Rank) => number;
+
+const tierOf: Figure = ({ tier }) => tier;
+const claimOf: Figure = ({ claim }) => claim;
+const priorityOf: Figure = ({ priority }) => priority;
+const dueOf: Figure = ({ dueAtMs }) => dueAtMs;
+const virtualStartOf: Figure = ({ virtualStart }) => virtualStart;
 
 /** Among what accounts are not owed, the account that is furthest behind goes first. */
-const byFairnessOfRest = pipe(
-  N.Ord,
-  Ord.contramap(({ step, claim }: Rank) => claim * step.job.share.virtualStart),
-);
+const fairnessOfRest: Figure = ({ claim, virtualStart }) => claim * virtualStart;
+
+const URGENCY: readonly Figure[] = [tierOf, priorityOf, dueOf];
+
+/** What decides in each way, the first figure that differs before the others. */
+const FIGURES: Readonly<Record<OrderWay, readonly Figure[]>> = {
+  'due-first': URGENCY,
+  'owed-first': [claimOf, ...URGENCY],
+  'owed-then-fair': [claimOf, tierOf, fairnessOfRest, ...URGENCY],
+  'fair-first': [tierOf, virtualStartOf, ...URGENCY],
+};
 
-const { concat } = Ord.getMonoid<Rank>();
+/** Compares two ranks; below 0 if the left one goes first. */
+type Comparison = (left: Rank, right: Rank) => number;
 
-const byUrgency = concat(concat(byTier, byPriority), byDue);
+/** Loops instead of closures over closures: a large backlog is compared 60,000 times at each ranking. */
+const compareBy =
+  (figures: readonly Figure[]): Comparison =>
+  (left, right) => {
+    for (let index = 0; index < figures.length; index += 1) {
+      const figure = figures[index] as Figure;
+      const ofLeft = figure(left);
+      const ofRight = figure(right);
+      if (ofLeft !== ofRight) return ofLeft < ofRight ? -1 : 1;
+    }
+    return 0;
+  };
 
 /** The orders of the queue, by their way. */
-export const byRank: Readonly<Record<OrderWay, Ord.Ord<Rank>>> = {
-  'due-first': byUrgency,
-  'owed-first': concat(byClaim, byUrgency),
-  'owed-then-fair': concat(concat(concat(byClaim, byTier), byFairnessOfRest), byUrgency),
-  'fair-first': concat(concat(byTier, byVirtualStart), byUrgency),
+export const compareRanks: Readonly<Record<OrderWay, Comparison>> = {
+  'due-first': compareBy(FIGURES['due-first']),
+  'owed-first': compareBy(FIGURES['owed-first']),
+  'owed-then-fair': compareBy(FIGURES['owed-then-fair']),
+  'fair-first': compareBy(FIGURES['fair-first']),
 };
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -3,7 +3,7 @@
 import { change } from '../../shared/change.js';
 import { admittedEndpoints, ticketOf, wantAdvice } from './advice.js';
 import { giveUpIfDue } from '../jobs/give-up.js';
-import { byRank, rankStep, type Rank } from './order.js';
+import { inOrder, rankedSteps } from './ranking.js';
 import { noteStartAgain } from '../endpoints/run-end.js';
 import { announcedRunOf, announceTrials, countLostTrials } from '../crashes/trials.js';
 import { isWithinQuota } from '../accounts/quota.js';
@@ -125,13 +125,6 @@
   return nowMs < state.inheritedLeasesEndAtMs || !isSoleHolder(state, nowMs);
 };
 
-/** Steps in the order in which they get places. */
-const inOrder = (state: BatchState, steps: readonly StepRun[], nowMs: number): readonly StepRun[] =>
-  steps
-    .map((step): Rank => rankStep(state, step, nowMs))
-    .sort(byRank[state.orderWay].compare)
-    .map(({ step }) => step);
-
 /** Places the tasks of a step that may stand beside others; true if none is left for want of room. */
 const placeOrdinary = (
   placing: Placing,
@@ -247,14 +240,19 @@
   });
 };
 
-/** Starts that an earlier holder announced and nobody tells of count against their tasks. */
-const giveUpLostTrials = (state: BatchState, steps: readonly StepRun[], nowMs: number): void =>
-  steps
-    .filter(({ job }) => state.suspectJobs.has(job))
-    .forEach((step) => {
-      countLostTrials(state, step, nowMs);
-      step.tasks.forEach((task) => giveUpIfDue(state, { task, step }));
-    });
+/**
+ * Lists the steps of suspected jobs in order. Starts that an earlier holder announced and nobody tells of count against
+ * their tasks first, and may end the job.
+ */
+const liveSuspects = ({ state, nowMs }: Pass, steps: readonly StepRun[]): readonly StepRun[] => {
+  const suspects = steps.filter(({ job }) => state.suspectJobs.has(job));
+  suspects.forEach((step) => {
+    countLostTrials(state, step, nowMs);
+    step.tasks.forEach((task) => giveUpIfDue(state, { task, step }));
+  });
+  const live = suspects.filter(({ job }) => !isFinal(job.phase));
+  return inOrder(state, live, nowMs);
+};
 
 /**
  * Places what waits in one pool.
@@ -270,16 +268,16 @@
   if (endpoints.length === 0) return;
   const pass: Pass = { state, endpoints, nowMs };
   const isAnySuspect = state.suspectJobs.size > 0;
-  const unblocked = Array.from(pool.open).filter((step) => !isBlocked(state, pool, step, nowMs));
-  if (isAnySuspect) giveUpLostTrials(state, unblocked, nowMs);
-  const open = unblocked.filter(({ job }) => !isFinal(job.phase));
-  const isolated = isAnySuspect ? placeIsolated(pass, inOrder(state, open, nowMs)) : NONE_ISOLATED;
+  const mayBegin = (step: StepRun): boolean => !isBlocked(state, pool, step, nowMs);
+  const isolated = isAnySuspect
+    ? placeIsolated(pass, liveSuspects(pass, Array.from(pool.open).filter(mayBegin)))
+    : NONE_ISOLATED;
   const shared =
     isolated.size === 0
       ? endpoints
       : endpoints.filter(({ endpointId }) => !isolated.has(endpointId));
   if (shared.length === 0) return;
-  placeShared({ ...pass, endpoints: shared }, inOrder(state, open, nowMs));
+  placeShared({ ...pass, endpoints: shared }, rankedSteps(state, pool, nowMs, mayBegin));
 };
 
 /**
