--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -1,9 +1,10 @@
 /** Places waiting tasks on endpoints: the fullest endpoint that fits, so that others stand empty. */
 import type { EndpointId, PoolName } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
+import { once } from '../../shared/once.js';
 import { admittedEndpoints, ticketOf, wantAdvice } from './advice.js';
 import { giveUpIfDue } from '../jobs/give-up.js';
-import { byRank, rankStep, type Rank } from './order.js';
+import { inOrder, rankedSteps } from './ranking.js';
 import { noteStartAgain } from '../endpoints/run-end.js';
 import { hasLossBefore, isFirstStartOfInherited } from '../crashes/inherited-losses.js';
 import { announcedRunOf, announceTrials, countLostTrials, isWritten } from '../crashes/trials.js';
@@ -126,13 +127,6 @@
   return nowMs < state.inheritedLeasesEndAtMs || !isSoleHolder(state, nowMs);
 };
 
-/** Steps in the order in which they get places. */
-const inOrder = (state: BatchState, steps: readonly StepRun[], nowMs: number): readonly StepRun[] =>
-  steps
-    .map((step): Rank => rankStep(state, step, nowMs))
-    .sort(byRank[state.orderWay].compare)
-    .map(({ step }) => step);
-
 /**
  * Announces the first starts of inherited tasks, where an endpoint may have crashed under them unheard.
  *
@@ -150,7 +144,7 @@
   placing: Placing,
   endpoints: readonly EndpointState[],
   suspects: readonly Task[],
-  mayHaveLost: boolean,
+  mayHaveLost: () => boolean,
 ): boolean => {
   const { step } = placing;
   const { isGang } = step.spec;
@@ -158,7 +152,8 @@
   const waiting = step.waiting
     .flatMap((index) => step.tasks[index] ?? [])
     .filter((task) => !suspects.includes(task));
-  const tasks = mayHaveLost ? announceInherited(placing, waiting) : waiting;
+  const mayBeLost = step.job.isInherited && mayHaveLost();
+  const tasks = mayBeLost ? announceInherited(placing, waiting) : waiting;
   if (isGang) return tasks.length < waiting.length || placeGang(placing, endpoints);
   return placeEach(placing, endpoints, tasks);
 };
@@ -196,7 +191,7 @@
   /** Those that take new work. */
   readonly endpoints: readonly EndpointState[];
   /** An endpoint of the pool may have crashed shortly before this holder took over. */
-  readonly mayHaveLost: boolean;
+  readonly mayHaveLost: () => boolean;
   readonly nowMs: number;
 };
 
@@ -271,14 +266,19 @@
   });
 };
 
-/** Starts that an earlier holder announced and nobody tells of count against their tasks. */
-const giveUpLostTrials = (state: BatchState, steps: readonly StepRun[], nowMs: number): void =>
-  steps
-    .filter(({ job }) => state.suspectJobs.has(job))
-    .forEach((step) => {
-      countLostTrials(state, step, nowMs);
-      step.tasks.forEach((task) => giveUpIfDue(state, { task, step }));
-    });
+/**
+ * Lists the steps of suspected jobs in order. Starts that an earlier holder announced and nobody tells of count against
+ * their tasks first, and may end the job.
+ */
+const liveSuspects = ({ state, nowMs }: Pass, steps: readonly StepRun[]): readonly StepRun[] => {
+  const suspects = steps.filter(({ job }) => state.suspectJobs.has(job));
+  suspects.forEach((step) => {
+    countLostTrials(state, step, nowMs);
+    step.tasks.forEach((task) => giveUpIfDue(state, { task, step }));
+  });
+  const live = suspects.filter(({ job }) => !isFinal(job.phase));
+  return inOrder(state, live, nowMs);
+};
 
 /**
  * Places what waits in one pool.
@@ -293,19 +293,22 @@
   const endpoints = usableEndpoints(state, name, nowMs);
   if (endpoints.length === 0) return;
   const isAnySuspect = state.suspectJobs.size > 0;
-  const unblocked = Array.from(pool.open).filter((step) => !isBlocked(state, pool, step, nowMs));
-  const isAnyInherited = unblocked.some(({ job }) => job.isInherited);
-  const mayHaveLost = isAnyInherited && hasLossBefore(state, pool, endpoints);
-  const pass: Pass = { state, endpoints, mayHaveLost, nowMs };
-  if (isAnySuspect) giveUpLostTrials(state, unblocked, nowMs);
-  const open = unblocked.filter(({ job }) => !isFinal(job.phase));
-  const isolated = isAnySuspect ? placeIsolated(pass, inOrder(state, open, nowMs)) : NONE_ISOLATED;
+  const pass: Pass = {
+    state,
+    endpoints,
+    mayHaveLost: once(() => hasLossBefore(state, pool, endpoints)),
+    nowMs,
+  };
+  const mayBegin = (step: StepRun): boolean => !isBlocked(state, pool, step, nowMs);
+  const isolated = isAnySuspect
+    ? placeIsolated(pass, liveSuspects(pass, Array.from(pool.open).filter(mayBegin)))
+    : NONE_ISOLATED;
   const shared =
     isolated.size === 0
       ? endpoints
       : endpoints.filter(({ endpointId }) => !isolated.has(endpointId));
   if (shared.length === 0) return;
-  placeShared({ ...pass, endpoints: shared }, inOrder(state, open, nowMs));
+  placeShared({ ...pass, endpoints: shared }, rankedSteps(state, pool, nowMs, mayBegin));
 };
 
 /**
