--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -6,6 +6,7 @@
   indexQueues,
   NO_LIMIT,
   PLAIN_STEP,
+  TABLE_AWAY_MS,
   type BatchJob,
   type BatchJobRow,
   type Capacity,
@@ -21,6 +22,7 @@
 import {
   brand,
   type AccountName,
+  type DataCentreId,
   type InstanceId,
   type EntryId,
   type HostId,
@@ -30,6 +32,14 @@
 
 import type { Log } from '../../observe/log.js';
 import { createMetrics } from '../../observe/metrics.js';
+import {
+  ASK_NEIGHBOURS_EVERY_MS,
+  createConfigurationKeeper,
+  type ConfigurationKeeper,
+  type NeighbourQuestion,
+} from '../configuration/configuration-keeper.js';
+import { createEvacuationKeeper } from '../configuration/evacuation-keeper.js';
+import { createStartGate } from '../configuration/start-gate.js';
 import { createControl, type Control } from '../control/control.js';
 import { batchKey } from '../keys.js';
 import { createRelayedTable, type RelayCall, type RelayedTable } from '../relays/relayed-table.js';
@@ -40,13 +50,15 @@
   createSimLink,
   createSimPlatform,
   never,
-  SIM_DATA_CENTRE,
+  SIM_DATA_CENTRES,
   sleep,
   type SimReach,
 } from './sim-platform.fixtures.js';
 import { createSimWorld, SIM_POLICY, type SimFaults } from './sim-world.fixtures.js';
 
 const TICK_MS = 500;
+/** Between two questions for the operator's orders. */
+const OPERATOR_RETRY_MS = 100;
 /** Entries hear of a new configuration within this time. */
 const APPLIED_WITHIN_MS = 3000;
 
@@ -63,6 +75,8 @@
   readonly entryId: EntryId;
   readonly control: Control;
   readonly table: RelayedTable;
+  /** Keeps what it has heard of evacuations; the configuration comes by `declare`. */
+  readonly operatorRows: ConfigurationKeeper;
   /** Answers an order that another entry has it carry. */
   readonly answerOrder: (payload: unknown) => Promise<unknown>;
 };
@@ -79,6 +93,8 @@
   readonly mayRelayOrders?: boolean;
   /** How often each entry looks at the lease. */
   readonly tickMs?: number;
+  /** How long after an evacuation the last task may begin there; entries do not know of a bound if left out. */
+  readonly evacuateMs?: number;
   /** Whose jobs are submitted, by turns. */
   readonly accounts?: readonly ClientAccount[];
   readonly random: () => number;
@@ -135,6 +151,11 @@
   readonly cancel: (jobId: JobId) => void;
   /** The operator declares the accounts anew; each entry hears of it within `APPLIED_WITHIN_MS`. */
   readonly declare: (accounts: readonly ClientAccount[]) => void;
+  /** The operator has a data centre evacuated, and takes it back; entries hear of it by their own feeds. */
+  readonly evacuate: (dataCentre: DataCentreId) => void;
+  readonly takeBack: (dataCentre: DataCentreId) => void;
+  /** The operator's rows are compacted: full readings are 3 to 6 s old for a time. */
+  readonly forgetOperatorHistory: (options?: { readonly refusesChanges?: boolean }) => void;
   readonly order: (wave: UpkeepOrder) => void;
   /** All waves are read by the entries that are there now, as at their start. */
   readonly reorder: () => void;
@@ -166,12 +187,13 @@
   linkBytesPerMs,
   mayRelayOrders = false,
   tickMs = TICK_MS,
+  evacuateMs,
   accounts = simAccounts(hostsPerPool * pools.length),
   random,
 }: SimFleetOptions): SimFleet => {
   const world = createSimWorld({ hostsPerPool, pools, sparePool, random });
   const { table, endpoints, hosts, jobs, broken, faults, maintained, unlisted } = world;
-  const { waveStatus, waves, breaks, commit } = world;
+  const { waveStatus, waves, breaks, commit, operator } = world;
   const logged: { readonly event: string; readonly fields: object }[] = [];
   let lastJob = 0;
 
@@ -242,9 +264,39 @@
       configuration: newest,
     } as { -readonly [Key in keyof SimEntry]: SimEntry[Key] };
 
-    const { platform, awake, carryMessage } = createSimPlatform(world, entry);
+    const { platform, awake, carryMessage } = createSimPlatform(world, entry, {
+      configuration: newest.configuration,
+      evacuateMs,
+    });
     const metrics = createMetrics();
-    const agent = createOrderAgent(platform.orders, metrics);
+    const neighbours = (): readonly EntryId[] =>
+      entries.filter((other) => other !== entry).map((other) => other.entryId);
+    const evacuations = createEvacuationKeeper({ evacuateMs: () => evacuateMs, log });
+    const operatorRows = createConfigurationKeeper({
+      feed: platform.operator,
+      neighbours,
+      ask: async (entryId, _, payload, ms) => {
+        await awake();
+        const other = entries.find((one) => one.entryId === entryId);
+        const isLost = !other || other.isFrozen || other.isSilent || entry.isSilent;
+        const answer = isLost
+          ? never()
+          : sleep(1).then(() => other.operatorRows.answerNeighbour(payload as NeighbourQuestion));
+        return Promise.race([answer, sleep(ms).then(() => Promise.reject(new Error('silence')))]);
+      },
+      onWaves: () => undefined,
+      evacuations,
+      log,
+      metrics,
+      random: operator.random,
+    });
+    entry.operatorRows = operatorRows;
+    const startGate = createStartGate({
+      evacuations,
+      configuration: operatorRows,
+      isTableAway: () => relayed.silentForMs() >= TABLE_AWAY_MS,
+    });
+    const agent = createOrderAgent(platform.orders, metrics, startGate);
     entry.answerOrder = async (payload) => {
       await awake();
       await carryMessage('in', payload);
@@ -280,11 +332,10 @@
           ]),
         keepLink: () => undefined,
         members: () =>
-          Array.from(registered, ([entryId, strength]) => ({
-            entryId,
-            dataCentre: SIM_DATA_CENTRE,
-            strength,
-          })).filter(({ entryId }) => entryId !== entry.entryId),
+          // Each entry carries orders into each data centre.
+          SIM_DATA_CENTRES.flatMap((dataCentre) =>
+            Array.from(registered, ([entryId, strength]) => ({ entryId, dataCentre, strength })),
+          ).filter(({ entryId }) => entryId !== entry.entryId),
         silentForMs,
       }),
       linkUse: platform.linkUse,
@@ -294,7 +345,7 @@
     });
     const relayed = createRelayedTable({
       table: platform.table,
-      neighbours: () => entries.filter((other) => other !== entry).map((other) => other.entryId),
+      neighbours,
       ask: async (entryId, _, payload, ms) => {
         await awake();
         const other = entries.find((one) => one.entryId === entryId);
@@ -313,6 +364,7 @@
       table: relayed,
       peers: () => undefined,
       configuration: () => entry.configuration,
+      startGate,
       log,
       metrics,
       ...(endpointLeaseMs === undefined ? {} : { endpointLeaseMs }),
@@ -337,7 +389,16 @@
         await sleep(tickMs);
       }
     };
+    const repeat = async (run: () => Promise<void>, everyMs: number): Promise<void> => {
+      while (!entry.isDead) {
+        await awake();
+        await run();
+        await sleep(everyMs);
+      }
+    };
     void loop();
+    void repeat(operatorRows.follow, OPERATOR_RETRY_MS);
+    void repeat(operatorRows.askNeighbours, ASK_NEIGHBOURS_EVERY_MS);
     entries.push(entry);
     return entry;
   };
@@ -419,6 +480,9 @@
         }, random() * APPLIED_WITHIN_MS),
       );
     },
+    evacuate: operator.evacuate,
+    takeBack: operator.takeBack,
+    forgetOperatorHistory: operator.forgetHistory,
     order: (wave) => {
       waves.set(wave.waveNumber, wave);
       entries.forEach(({ control }) => control.takeWaves([wave]));
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -2,6 +2,7 @@
 import {
   instanceOf,
   requireLife,
+  type BatchConfiguration,
   type EndpointModel,
   type EndpointReport,
   type HostView,
@@ -17,7 +18,7 @@
 import type { PlatformError } from '@valvelatch/platform';
 import { Err, Ok, type Result } from 'ts-results-es';
 
-import type { BatchPlatform, EndpointNews, FeedReading, HostOrderer, TableFeed } from '../ports.js';
+import type { BatchPlatform, EndpointNews, HostOrderer, TableFeed } from '../ports.js';
 import {
   MAINTENANCE_MS,
   mayRunAdvised,
@@ -27,15 +28,14 @@
 } from './sim-world.fixtures.js';
 
 const HOP_MS = 1;
-/** All entries and endpoints are in one. */
-export const SIM_DATA_CENTRE = brand<DataCentreId>('dc');
+/** Where hosts are, and with them their endpoints. */
+export const SIM_DATA_CENTRES = [0, 1].map((index) => brand<DataCentreId>(`dc-${index}`));
 const STORE_MS = 4;
 const CALL_TIMEOUT_MS = 900;
 const ADVICE_MS = 60;
 const ANSWERABLE_MS = 120_000;
 /** No order keeps anything for longer, whatever time it names. */
 const LONGEST_LEASE_MS = 10_000;
-const NO_READING: FeedReading = { scope: 'changes', replaced: 0, bytes: 0, arrivingMs: 0 };
 
 /**
  * Waits.
@@ -96,6 +96,8 @@
   isCutFromHosts?: boolean;
   /** Whether the list of endpoints does not answer it; as the table if left out. */
   isCutFromEndpointList?: boolean;
+  /** Whether the operator's rows do not answer it; as the table if left out. */
+  isCutFromOperator?: boolean;
   /** Its questions about rows that changed are carried out so late, whatever it is cut from. */
   feedMs?: number;
   /** The mesh between it and the other entries is cut. */
@@ -104,14 +106,24 @@
   readonly cutFrom: Set<InstanceId>;
 };
 
+export type SimPlatformOptions = {
+  readonly configuration: BatchConfiguration;
+  readonly evacuateMs?: number | undefined;
+};
+
 /**
  * Builds the platform of an entry.
  *
  * @param world - What all entries work on.
  * @param entry - What this one reaches, at the time of each call.
+ * @param options - The configuration that the operator has ordered, and the bound for evacuations if there is one.
  * @returns The platform, a way to wait until the entry runs, and its link for messages.
  */
-export const createSimPlatform = (world: SimWorld, entry: SimReach) => {
+export const createSimPlatform = (
+  world: SimWorld,
+  entry: SimReach,
+  { configuration, evacuateMs }: SimPlatformOptions,
+) => {
   const {
     random,
     table,
@@ -316,7 +328,7 @@
             pool: one.pool,
             hostId: one.hostId,
             address: one.instanceId,
-            dataCentre: SIM_DATA_CENTRE,
+            dataCentre: hosts.get(one.hostId)?.dataCentre ?? brand<DataCentreId>(''),
             labels: [],
             capacity: one.capacity,
             isDraining: false,
@@ -363,7 +375,12 @@
         }),
       feed,
     },
-    operator: { next: async () => Ok({ waves: [], reading: NO_READING }) },
+    operator: world.operator.feedOf({
+      awake,
+      isCut: () => faults.isTableDown || (entry.isCutFromOperator ?? entry.isCutFromTable),
+      lost: () => faults.lostWrites,
+      configuration,
+    }),
     endpoints: endpointFeed,
     orders: {
       list: async ({ endpointId }, order, timeoutMs) => {
@@ -446,6 +463,7 @@
       holderTurnMs: 3000,
       answerableMs: ANSWERABLE_MS,
       longestLeaseMs: LONGEST_LEASE_MS,
+      ...(evacuateMs === undefined ? {} : { evacuateMs }),
     }),
     close: () => undefined,
   };
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -32,6 +32,8 @@
 import type { TableRow } from '@valvelatch/core/rows/transaction';
 import type { TableTransaction } from '@valvelatch/platform';
 
+import { createSimOperator } from './sim-operator.fixtures.js';
+
 export const MAINTENANCE_MS = 2000;
 export const MOVE_MS = 1500;
 const CRASH_MS = 3000;
@@ -69,6 +71,11 @@
 /** What an account may have running beyond its maximum, as a share of it. */
 const QUOTA_EXCESS = 0.1;
 
+/** No task may begin in a data centre so long after its evacuation was acknowledged. */
+export const EVACUATE_MS = 5000;
+/** After an outage of the table for all, entries learn of what was ordered just before it within this time. */
+const TABLE_BACK_MS = 2500;
+
 /** What starts on queues that need advice must carry. */
 export const TICKET = 'ticket';
 
@@ -132,12 +139,21 @@
   const crashes = new Map<TaskKey, number>();
   const startsSince = new Map<TaskKey, number>();
   const broken: string[] = [];
+  const operator = createSimOperator();
+  let isTableDown = false;
+  let tableBackAtMs = -Infinity;
   /** What the configurations that may be in force give accounts, the newest last. */
   const inForce: { readonly maxima: ReadonlyMap<AccountName, Capacity>; untilMs: number }[] = [];
   const faults: SimFaults = {
     lostAnswers: 0,
     lateOrders: 0,
-    isTableDown: false,
+    get isTableDown() {
+      return isTableDown;
+    },
+    set isTableDown(isDown: boolean) {
+      if (isTableDown && !isDown) tableBackAtMs = performance.now();
+      isTableDown = isDown;
+    },
     lostWrites: 0,
     crashMs: CRASH_MS,
     hostOrderMs: 0,
@@ -228,6 +244,20 @@
     }
   };
 
+  /**
+   * Nothing begins in an evacuated data centre after the bound. An order that is carried out late counts by the time
+   * at which it was sent. While the table is away for all no operator is acknowledged, and starts go on.
+   */
+  const checkEvacuation = ({ hostId }: EndpointModel, task: TaskKey): void => {
+    const dataCentre = hosts.get(hostId)?.dataCentre;
+    if (dataCentre === undefined || isTableDown) return;
+    const nowMs = performance.now();
+    if (nowMs - tableBackAtMs < TABLE_BACK_MS) return;
+    const evacuatedMs = operator.evacuatedForMs(dataCentre, Math.min(nowMs, lateOrder.sentAtMs));
+    if (evacuatedMs === undefined || evacuatedMs <= EVACUATE_MS) return;
+    breaks(`${task} began in ${dataCentre}, which is evacuated for ${Math.round(evacuatedMs)} ms`);
+  };
+
   /** A job is failed only by a task that failed too often, or under which endpoints crashed. */
   const checkFailed = (jobId: JobId): void => {
     const hasCause = (counts: ReadonlyMap<TaskKey, number>, atLeast: number): boolean =>
@@ -263,6 +293,7 @@
   const observer: EndpointObserver = {
     needsOf,
     onStart: (endpoint, task, run) => {
+      checkEvacuation(endpoint, task);
       if (isStray(endpoint)) {
         strays.add(`${endpoint.endpointId} ${task}`);
         return;
@@ -432,6 +463,7 @@
     faults,
     maintained,
     unlisted,
+    operator,
     lateOrder,
     noteAsked: (endpoint: EndpointModel): void => {
       if (!askedSinceMs.has(endpoint)) askedSinceMs.set(endpoint, performance.now());
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -42,6 +42,7 @@
     linkBytesPerMs?: number;
     mayRelayOrders?: boolean;
     tickMs?: number;
+    evacuateMs?: number;
     accounts?: readonly ClientAccount[];
     seed?: number;
   } = {},
