Long-running steps: spread over racks, then over data centres

Among endpoints with room, a task of a long-running step goes where its step has fewest tasks in the rack, then in the data centre. This outranks fullness and near-data, but not 'failed there' and 'maintenance ahead'. A step counts its tasks by domain where it counts them by endpoint. The members of each domain are kept as endpoints come and go.

Where no endpoint that may take a task has a rack's label, the scores are as before, also if the endpoints are in different data centres. Endpoints without a rack beside others with one count as one rack.

--- /dev/null
+++ b/packages/core/src/batch/domains/spread.test.ts
@@ -0,0 +1,168 @@
+/** Where the tasks of long-running steps begin, and what the loss of a rack or a data centre takes of them. */
+import { describe, expect, it } from 'vitest';
+
+import { brand, type DomainId, type JobId } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
+import { removeEndpoint, settleGoneEndpoints } from '../endpoints/gone-endpoints.js';
+import { createBatchState, type BatchState, type StepRun } from '../model/state.js';
+import type { StepSpec } from '../model/job.js';
+import { schedulePool } from '../placement/schedule.js';
+import { answer, POOL, submitJob } from '../testing/batch-state.fixtures.js';
+import { seeAt, seeFleet } from '../testing/domains.fixtures.js';
+import { describeSpread } from './spread.js';
+
+const JOB_ID = brand<JobId>('00000000000000bb');
+const OTHER_ID = brand<JobId>('00000000000000cc');
+
+const LASTING: Partial<StepSpec> = { taskCount: 24, isLasting: true, mayMiss: 2, cpuMillis: 1000 };
+
+const stepOf = (state: BatchState, jobId = JOB_ID): StepRun => {
+  const step = state.jobs.get(jobId)?.occurrences.get(0)?.steps[0];
+  if (!step) throw new Error('there is no step');
+  return step;
+};
+
+const submit = (state: BatchState, step: Partial<StepSpec> = {}, jobId = JOB_ID): void => {
+  submitJob(state, jobId, { step: { ...LASTING, ...step } });
+  schedulePool(state, POOL, 20);
+};
+
+/** How many tasks of the step stand on endpoints that share a value. */
+const countBy = (
+  state: BatchState,
+  key: 'rack' | 'dataCentre',
+  step = stepOf(state),
+): readonly number[] => {
+  const counts = new Map<DomainId | null, number>();
+  state.endpoints.forEach(({ runs, domains }) => {
+    const here = Array.from(runs.values()).filter((run) => run.step === step).length;
+    counts.set(domains[key], (counts.get(domains[key]) ?? 0) + here);
+  });
+  return Array.from(counts.values());
+};
+
+describe('the tasks of a long-running step', () => {
+  it('stand evenly over racks and data centres, so that the loss of any one takes its share only', () => {
+    // Without the spread, the fullest endpoint takes eight tasks and one rack all of them.
+    const state = createBatchState(2);
+    seeFleet(state, { racks: 12, hostsPerRack: 5, dataCentres: 4 });
+    submit(state);
+    expect(countBy(state, 'rack')).toEqual(Array.from({ length: 12 }, () => 2));
+    expect(countBy(state, 'dataCentre')).toEqual([6, 6, 6, 6]);
+  });
+
+  it('take the data centre with the fewest among racks with equally many', () => {
+    const state = createBatchState(2);
+    seeFleet(state, { racks: 9, hostsPerRack: 2, dataCentres: 3 });
+    submit(state, { taskCount: 3 });
+    expect(countBy(state, 'dataCentre')).toEqual([1, 1, 1]);
+  });
+
+  it('are placed again, when all hosts of a rack have gone, where the fewest of them stand', () => {
+    const state = createBatchState(2);
+    const endpoints = seeFleet(state, { racks: 4, hostsPerRack: 4, dataCentres: 2 });
+    submit(state, { taskCount: 8 });
+    endpoints.slice(0, 4).forEach(({ endpointId }) => {
+      removeEndpoint(state, endpointId, { detail: 'host-ordered', atMs: 30, nowMs: 30 });
+    });
+    settleGoneEndpoints(state, 40);
+    schedulePool(state, POOL, 50);
+    expect(Array.from(countBy(state, 'rack')).sort()).toEqual([2, 3, 3]);
+    expect(state.domains.size).toBe(5);
+  });
+
+  it('do not begin where they have failed, for the sake of spread', () => {
+    const state = createBatchState(2);
+    const [first] = seeFleet(state, { racks: 2, hostsPerRack: 1 });
+    submitJob(state, JOB_ID, { step: { ...LASTING, taskCount: 2 } });
+    stepOf(state).tasks.forEach((task) => change(task, { avoid: first?.endpointId ?? null }));
+    schedulePool(state, POOL, 20);
+    expect(countBy(state, 'rack')).toEqual([0, 2]);
+  });
+
+  it('do not begin where maintenance is ahead, for the sake of spread', () => {
+    const state = createBatchState(2);
+    const endpoints = seeFleet(state, { racks: 2, hostsPerRack: 2 });
+    endpoints.slice(0, 2).forEach((endpoint) => change(endpoint, { isAwaited: true }));
+    submit(state, { taskCount: 4 });
+    expect(countBy(state, 'rack')).toEqual([0, 4]);
+  });
+
+  it('prefer a rack without a task over an endpoint near their data', () => {
+    const state = createBatchState(2);
+    seeFleet(state, { racks: 2, hostsPerRack: 2 });
+    submit(state, { taskCount: 4, nearRack: 'rack-0' });
+    expect(countBy(state, 'rack')).toEqual([2, 2]);
+  });
+
+  it('count racks of one label in two data centres as two', () => {
+    const state = createBatchState(2);
+    ['dc-0', 'dc-1'].forEach((dataCentre, number) => {
+      const { endpointId } = seeAt(state, { number, dataCentre, rack: 'rack-0' });
+      answer(state, { endpointId, askedAtMs: 5, nowMs: 10 });
+    });
+    submit(state, { taskCount: 2 });
+    expect(countBy(state, 'rack')).toEqual([1, 1]);
+  });
+});
+
+describe('what the spread must not change', () => {
+  const placesOf = (state: BatchState, jobId = JOB_ID): readonly (readonly [string, number])[] =>
+    Array.from(stepOf(state, jobId).perEndpoint).sort();
+
+  it('long-running tasks on endpoints without a rack go to the fullest', () => {
+    // Endpoints without a rack's label may still be in different data centres.
+    const state = createBatchState(2);
+    seeFleet(state, { racks: 4, hostsPerRack: 2, dataCentres: 2, hasRacks: false });
+    submit(state, { taskCount: 10 });
+    expect(placesOf(state)).toEqual([
+      ['i-0000000000', 8],
+      ['i-0000000001', 2],
+    ]);
+  });
+
+  it('tasks of short steps go to the fullest, with racks too', () => {
+    const state = createBatchState(2);
+    seeFleet(state, { racks: 4, hostsPerRack: 2, dataCentres: 2 });
+    submit(state, { taskCount: 10, isLasting: false });
+    expect(placesOf(state)).toEqual([
+      ['i-0000000000', 8],
+      ['i-0000000001', 2],
+    ]);
+  });
+
+  it('counts are of one step: another long-running one is spread by its own', () => {
+    const state = createBatchState(2);
+    seeFleet(state, { racks: 4, hostsPerRack: 2 });
+    submit(state, { taskCount: 4 });
+    submit(state, { taskCount: 4 }, OTHER_ID);
+    expect(countBy(state, 'rack', stepOf(state, OTHER_ID))).toEqual([1, 1, 1, 1]);
+  });
+});
+
+describe('what operators are told of the spread', () => {
+  it('names the domains whose loss takes most', () => {
+    const state = createBatchState(2);
+    seeFleet(state, { racks: 12, hostsPerRack: 5, dataCentres: 4 });
+    submit(state, { mayMiss: 6 });
+    expect(describeSpread(state, stepOf(state))).toBe(
+      'over 12 racks, at most 2 in one (dc-0/rack-0); over 4 data centres, at most 6 in one (dc-0)',
+    );
+  });
+
+  it('says where the loss of one takes more than may be missed, however the step is spread', () => {
+    const state = createBatchState(2);
+    seeFleet(state, { racks: 12, hostsPerRack: 5, dataCentres: 4 });
+    submit(state);
+    expect(describeSpread(state, stepOf(state))).toContain(
+      'over 4 data centres, at most 6 in one (dc-0), and 2 may be missed: 4 data centres are too few for that',
+    );
+  });
+
+  it('says nothing of short steps', () => {
+    const state = createBatchState(2);
+    seeFleet(state, { racks: 2, hostsPerRack: 2 });
+    submit(state, { isLasting: false });
+    expect(describeSpread(state, stepOf(state))).toBe('');
+  });
+});
--- a/packages/core/src/batch/endpoints/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -1,5 +1,6 @@
 /** Endpoints as they come, change and go, by the platform's list. */
 import type { DataCentreId, EndpointId, HostId, InstanceId, PoolName } from '../../shared/ids.js';
+import { domainsOf, joinDomains } from '../domains/domains.js';
 import { instanceOf } from '../model/endpoint-life.js';
 import { poolOf, type BatchState, type Capacity, type EndpointState } from '../model/state.js';
 
@@ -41,6 +42,7 @@
     hostId: sighting.hostId,
     dataCentre: sighting.dataCentre,
     labels: sighting.labels,
+    domains: domainsOf(sighting.dataCentre, rackOf(sighting)),
     capacity: sighting.capacity,
     used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
     runs: new Map(),
@@ -61,6 +63,7 @@
     health: { failedJobs: new Set(), strikes: 0 },
   };
   state.endpoints.set(endpoint.endpointId, endpoint);
+  joinDomains(state, endpoint);
   state.lives.set(instanceOf(endpoint.endpointId), endpoint);
   return endpoint;
 };
--- a/packages/core/src/batch/endpoints/gone-endpoints.ts
+++ b/packages/core/src/batch/endpoints/gone-endpoints.ts
@@ -12,6 +12,7 @@
   noteCrashes,
   recordCrash,
 } from '../crashes/endpoint-crashes.js';
+import { leaveDomains } from '../domains/domains.js';
 import { instanceOf } from '../model/endpoint-life.js';
 import { mayBeFollowed } from './followed-runs.js';
 import { giveUpIfDue } from '../jobs/give-up.js';
@@ -46,6 +47,7 @@
   const endpoint = state.endpoints.get(endpointId);
   if (!endpoint) return;
   state.endpoints.delete(endpointId);
+  leaveDomains(state, endpoint);
   chargeStrays(state, endpoint, []);
   const instanceId = instanceOf(endpointId);
   if (state.lives.get(instanceId) === endpoint) state.lives.delete(instanceId);
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -1,8 +1,8 @@
 /** Runs of tasks on endpoints: the room that they take, how they begin and how they are ended. */
-import type { EndpointId } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import type { StepSpec } from '../model/job.js';
 import { chargeRun } from '../accounts/quota.js';
+import { dataCentreCountKey, rackCountKey } from '../domains/domains.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
 import {
   poolOf,
@@ -63,10 +63,21 @@
   change(endpoint, { roomRevision });
 };
 
-const changePerEndpoint = (step: StepRun, endpointId: EndpointId, by: 1 | -1): void => {
-  const count = (step.perEndpoint.get(endpointId) ?? 0) + by;
-  if (count > 0) step.perEndpoint.set(endpointId, count);
-  else step.perEndpoint.delete(endpointId);
+const changeCount = <Key>(counts: Map<Key, number>, key: Key, by: 1 | -1): void => {
+  const count = (counts.get(key) ?? 0) + by;
+  if (count > 0) counts.set(key, count);
+  else counts.delete(key);
+};
+
+/** Counts a task of a step on its endpoint and in the domains of that. */
+const changePlaces = (
+  { perEndpoint, perDomain }: StepRun,
+  { endpointId, domains }: EndpointState,
+  by: 1 | -1,
+): void => {
+  changeCount(perEndpoint, endpointId, by);
+  changeCount(perDomain, rackCountKey(domains), by);
+  changeCount(perDomain, dataCentreCountKey(domains), by);
 };
 
 /**
@@ -120,7 +131,7 @@
   change(task, { phase: 'placed', lastRun: Math.max(task.lastRun, run) });
   changeRoom(endpoint, step.spec, 1);
   chargeRun(state, step, 1);
-  changePerEndpoint(step, endpoint.endpointId, 1);
+  changePlaces(step, endpoint, 1);
   endpoint.runs.set(task.key, begun);
   if (step.waiting.length === 0) poolOf(state, job.job.pool).open.delete(step);
   if (phase === 'running') job.hasBegun = true;
@@ -147,7 +158,7 @@
   from.runs.delete(task.key);
   freeRoom(state, from, step.spec);
   chargeRun(state, step, -1);
-  changePerEndpoint(step, from.endpointId, -1);
+  changePlaces(step, from, -1);
   return addRun(state, { endpoint: to, step, task, run: run.run, phase, nowMs: startedAtMs });
 };
 
@@ -178,7 +189,7 @@
   if (!endpoint.runs.delete(task.key)) return;
   freeRoom(state, endpoint, step.spec);
   chargeRun(state, step, -1);
-  changePerEndpoint(step, endpoint.endpointId, -1);
+  changePlaces(step, endpoint, -1);
   if (endpoint.runs.size === 0) change(endpoint, { idleSinceMs: nowMs });
   noteRunEnd(state, {
     endpoint,
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -3,6 +3,8 @@
 export * from './accounts/shares.js';
 export * from './crashes/endpoint-crashes.js';
 export * from './crashes/isolation.js';
+export * from './domains/domains.js';
+export * from './domains/spread.js';
 export * from './endpoints/answer-times.js';
 export * from './endpoints/endpoint-model.js';
 export * from './endpoints/endpoints.js';
--- a/packages/core/src/batch/jobs/create-job.ts
+++ b/packages/core/src/batch/jobs/create-job.ts
@@ -46,6 +46,7 @@
   isOpen: false,
   doneCount: 0,
   perEndpoint: new Map(),
+  perDomain: new Map(),
   retryAtMs: 0,
   triedAtRevision: 0,
   advice: job.policy.needsAdvice ? createStepAdvice() : null,
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -1,5 +1,12 @@
 /** What is known of endpoints, and of what runs on them. Records change in place. */
-import type { DataCentreId, EndpointId, HostId, JobId, PoolName } from '../../shared/ids.js';
+import type {
+  DataCentreId,
+  DomainId,
+  EndpointId,
+  HostId,
+  JobId,
+  PoolName,
+} from '../../shared/ids.js';
 import type { Capacity } from './capacity.js';
 import type { TaskKey } from './job.js';
 import type { EndpointCrash, StepRun, Task } from './job-state.js';
@@ -30,6 +37,12 @@
   progressAtMs: number;
 };
 
+/** The failure domains that an endpoint stands in; null for a rack or a data centre without a name. */
+export type EndpointDomains = {
+  readonly rack: DomainId | null;
+  readonly dataCentre: DomainId | null;
+};
+
 /** An endpoint of a pool. */
 export type EndpointState = {
   readonly endpointId: EndpointId;
@@ -37,6 +50,7 @@
   hostId: HostId | null;
   readonly dataCentre: DataCentreId;
   readonly labels: readonly string[];
+  readonly domains: EndpointDomains;
   readonly capacity: Capacity;
   readonly used: { cpuMillis: number; memoryMb: number; accelerators: number };
   readonly runs: Map<TaskKey, RunState>;
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -1,5 +1,5 @@
 /** What is known of jobs, their steps and tasks. Records change in place. */
-import type { EndpointId } from '../../shared/ids.js';
+import type { DomainId, EndpointId } from '../../shared/ids.js';
 import type { JobShare } from './share.js';
 import type { BatchJob, BatchPhase, QueuePolicy, StepSpec, TaskKey } from './job.js';
 
@@ -89,6 +89,8 @@
   doneCount: number;
   /** How many tasks of the step stand on an endpoint. */
   readonly perEndpoint: Map<EndpointId, number>;
+  /** How many stand in a rack or a data centre. */
+  readonly perDomain: Map<DomainId, number>;
   /** Not tried again everywhere before this time. */
   retryAtMs: number;
   /** It fitted nowhere as the room was at this revision. */
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -6,6 +6,7 @@
 import type {
   AccountName,
   DataCentreId,
+  DomainId,
   EndpointId,
   InstanceId,
   JobId,
@@ -18,11 +19,13 @@
 import { createDemandPeaks, type DemandPeaks } from '../pools/demand-peaks.js';
 import type { AccountLimits } from './accounts.js';
 import type { Usage } from './capacity.js';
+import type { Domain } from './domain.js';
 import type { OrderWay } from './order-ways.js';
 import type { AccountShare } from './share.js';
 import { createRunTimes, type RunTimes } from '../jobs/run-times.js';
 
 export * from './capacity.js';
+export * from './domain.js';
 export * from './endpoint-state.js';
 export * from './job-state.js';
 
@@ -103,6 +106,8 @@
   readonly jobs: Map<JobId, JobState>;
   readonly pools: Map<PoolName, PoolState>;
   readonly endpoints: Map<EndpointId, EndpointState>;
+  /** Racks and data centres with the endpoints that stand in them; none is empty. */
+  readonly domains: Map<DomainId, Domain>;
   /** The life that each endpoint is known to be in. */
   readonly lives: Map<InstanceId, EndpointState>;
   readonly goneEndpoints: Map<EndpointId, GoneEndpoint>;
@@ -156,6 +161,7 @@
   jobs: new Map(),
   pools: new Map(),
   endpoints: new Map(),
+  domains: new Map(),
   lives: new Map(),
   goneEndpoints: new Map(),
   openStarts: new Map(),
--- a/packages/core/src/batch/placement/best-endpoint.ts
+++ b/packages/core/src/batch/placement/best-endpoint.ts
@@ -1,7 +1,7 @@
 /** Which endpoint takes a task. */
 import { mayHold } from '../endpoints/sound-endpoints.js';
 import type { EndpointState } from '../model/state.js';
-import { scoreOf, type PlacementView } from './scores.js';
+import { scoreOf, scoresFor, type PlacementView } from './scores.js';
 
 /**
  * Chooses the endpoint with the best score that may hold a task.
@@ -14,11 +14,12 @@
   endpoints: readonly EndpointState[],
   view: PlacementView,
 ): EndpointState | undefined => {
+  const scores = scoresFor(endpoints, view.step);
   let best: EndpointState | undefined;
   let bestScore = -Infinity;
   endpoints.forEach((endpoint) => {
     if (!mayHold(endpoint, view.step)) return;
-    const score = scoreOf(endpoint, view);
+    const score = scoreOf(endpoint, view, scores);
     if (score <= bestScore) return;
     best = endpoint;
     bestScore = score;
--- a/packages/core/src/batch/placement/scores.ts
+++ b/packages/core/src/batch/placement/scores.ts
@@ -2,6 +2,7 @@
  * How good an endpoint is for a task: named scores with their weights. An endpoint's score is the sum; the greatest
  * one takes the task, the first of equals.
  */
+import { dataCentreCountKey, rackCountKey } from '../domains/domains.js';
 import type { BatchState, EndpointState, StepRun, Task } from '../model/state.js';
 
 /** What a score is reckoned from. */
@@ -18,8 +19,10 @@
   readonly name: string;
   /** What the score counts for. */
   readonly weight: number;
-  /** From 0 to 1. */
+  /** From 0 to 1; for counts of tasks, the count. */
   readonly of: (endpoint: EndpointState, view: PlacementView) => number;
+  /** It decides before the spread over racks and data centres does. */
+  readonly outranksSpread?: boolean;
 };
 
 const fullness: PlacementScore['of'] = ({ used, capacity }) =>
@@ -35,14 +38,52 @@
 const movesAgain: PlacementScore['of'] = ({ isAwaited }, { step: { spec } }) =>
   Number(spec.isLasting && isAwaited);
 
+const tasksInRack: PlacementScore['of'] = ({ domains }, { step: { perDomain } }) =>
+  perDomain.get(rackCountKey(domains)) ?? 0;
+
+const tasksInDataCentre: PlacementScore['of'] = ({ domains }, { step: { perDomain } }) =>
+  perDomain.get(dataCentreCountKey(domains)) ?? 0;
+
 /** Being near its data outweighs fullness, and a place that has not failed the task outweighs both. */
 export const PLACEMENT_SCORES: readonly PlacementScore[] = [
   { name: 'fullest', weight: 1, of: fullness },
   { name: 'near its data', weight: 2, of: isNearData },
-  { name: 'failed there', weight: -4, of: hasFailedTask },
-  { name: 'maintenance ahead', weight: -3, of: movesAgain },
+  { name: 'failed there', weight: -4, of: hasFailedTask, outranksSpread: true },
+  { name: 'maintenance ahead', weight: -3, of: movesAgain, outranksSpread: true },
+];
+
+/**
+ * One task more or less in a data centre outweighs all rows that do not outrank the spread, one in a rack outweighs
+ * the 20,000 tasks that a job may have in a data centre, and the rows above outweigh as many in a rack.
+ */
+const DATA_CENTRE_WEIGHT = -10;
+const RACK_WEIGHT = -1e6;
+const OUTRANKING = 1e11;
+
+/** Scores for long-running steps where endpoints have racks: the loss of one takes as few tasks as can be. */
+export const SPREAD_SCORES: readonly PlacementScore[] = [
+  ...PLACEMENT_SCORES.map((score) =>
+    score.outranksSpread ? { ...score, weight: score.weight * OUTRANKING } : score,
+  ),
+  { name: 'spread over racks', weight: RACK_WEIGHT, of: tasksInRack },
+  { name: 'spread over data centres', weight: DATA_CENTRE_WEIGHT, of: tasksInDataCentre },
 ];
 
+const hasRack = ({ domains }: EndpointState): boolean => domains.rack !== null;
+
+/**
+ * Chooses the table of scores for a step. Without a rack among the endpoints, spread changes nothing.
+ *
+ * @param endpoints - The endpoints that may take its tasks.
+ * @param step - The step.
+ * @returns The table.
+ */
+export const scoresFor = (
+  endpoints: readonly EndpointState[],
+  { spec }: StepRun,
+): readonly PlacementScore[] =>
+  spec.isLasting && endpoints.some(hasRack) ? SPREAD_SCORES : PLACEMENT_SCORES;
+
 /**
  * Scores an endpoint for a task.
  *
--- a/packages/core/src/shared/ids.ts
+++ b/packages/core/src/shared/ids.ts
@@ -6,6 +6,8 @@
 export type HostId = Branded<'HostId'>;
 export type RackId = Branded<'RackId'>;
 export type DataCentreId = Branded<'DataCentreId'>;
+/** A rack or a data centre, as a set of endpoints that fail together. */
+export type DomainId = Branded<'DomainId'>;
 export type PoolName = Branded<'PoolName'>;
 export type TeamName = Branded<'TeamName'>;
 export type ServiceName = Branded<'ServiceName'>;
--- /dev/null
+++ b/packages/daemon/src/batch/endpoints/spread-steps.test.ts
@@ -0,0 +1,60 @@
+/** What the loss of a rack or of a data centre takes of a long-running step, for each of them in turn. */
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { JobId } from '@valvelatch/core/shared/ids';
+
+import type { SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { advance, FAKED, runningOf, started } from '../testing/virtual-time.fixtures.js';
+
+const RACKS = 6;
+const DATA_CENTRES = 3;
+const TASKS = 12;
+
+describe('a long-running step over six racks in three data centres', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: [...FAKED] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  const begun = async (): Promise<{ readonly fleet: SimFleet; readonly jobId: JobId }> => {
+    const domains = { hostsPerRack: 3, dataCentres: DATA_CENTRES };
+    const fleet = await started({ hostsPerPool: RACKS * 3, domains, accounts: [] });
+    const step = { taskCount: TASKS, isLasting: true, mayMiss: 2, cpuMillis: 1000 };
+    const jobId = fleet.submit({ pool: 'alpha', steps: [step] });
+    await advance(2000);
+    expect(runningOf(fleet, jobId)).toHaveLength(TASKS);
+    return { fleet, jobId };
+  };
+
+  /** The hosts of a rack or of a data centre crash at once. */
+  const lose = (fleet: SimFleet, isIn: (label: string, dataCentre: string) => boolean): void =>
+    Array.from(fleet.hosts.values())
+      .filter(({ labels, dataCentre }) => isIn(labels[0] ?? '', dataCentre))
+      .forEach(({ instanceId }) => instanceId && fleet.crash(instanceId));
+
+  const expectBack = async ({ fleet, jobId }: Awaited<ReturnType<typeof begun>>) => {
+    await advance(8000);
+    expect(runningOf(fleet, jobId)).toHaveLength(TASKS);
+    expect(fleet.broken).toEqual([]);
+  };
+
+  Array.from({ length: RACKS }, (_, number) => `rack-${number}`).forEach((rack) =>
+    it(`loses no more than it may miss with ${rack}`, async () => {
+      const { fleet, jobId } = await begun();
+      lose(fleet, (label) => label === rack);
+      expect(runningOf(fleet, jobId).length).toBeGreaterThanOrEqual(TASKS - TASKS / RACKS);
+      await expectBack({ fleet, jobId });
+    }),
+  );
+
+  Array.from({ length: DATA_CENTRES }, (_, number) => `dc-${number}`).forEach((lost) =>
+    it(`loses no more than its share with data centre ${lost}`, async () => {
+      const { fleet, jobId } = await begun();
+      lose(fleet, (_, dataCentre) => dataCentre === lost);
+      expect(runningOf(fleet, jobId).length).toBeGreaterThanOrEqual(TASKS - TASKS / DATA_CENTRES);
+      await expectBack({ fleet, jobId });
+    }),
+  );
+});
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -44,7 +44,12 @@
   sleep,
   type SimReach,
 } from './sim-platform.fixtures.js';
-import { createSimWorld, SIM_POLICY, type SimFaults } from './sim-world.fixtures.js';
+import {
+  createSimWorld,
+  SIM_POLICY,
+  type SimDomains,
+  type SimFaults,
+} from './sim-world.fixtures.js';
 
 const TICK_MS = 500;
 /** Entries hear of a new configuration within this time. */
@@ -71,6 +76,8 @@
   readonly hostsPerPool?: number;
   readonly pools?: readonly string[];
   readonly sparePool?: string;
+  /** Endpoints tell no rack and no data centre if left out. */
+  readonly domains?: SimDomains;
   /** For how long an endpoint keeps what runs there; the entries' default if left out. */
   readonly endpointLeaseMs?: number;
   /** What the link of each entry carries; without a limit if left out. */
@@ -162,6 +169,7 @@
   hostsPerPool = 3,
   pools = ['alpha', 'beta'],
   sparePool,
+  domains,
   endpointLeaseMs,
   linkBytesPerMs,
   mayRelayOrders = false,
@@ -169,7 +177,7 @@
   accounts = simAccounts(hostsPerPool * pools.length),
   random,
 }: SimFleetOptions): SimFleet => {
-  const world = createSimWorld({ hostsPerPool, pools, sparePool, random });
+  const world = createSimWorld({ hostsPerPool, pools, sparePool, domains, random });
   const { table, endpoints, hosts, jobs, broken, faults, maintained, unlisted } = world;
   const { waveStatus, waves, breaks, commit } = world;
   const logged: { readonly event: string; readonly fields: object }[] = [];
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -4,6 +4,7 @@
   requireLife,
   type EndpointModel,
   type EndpointReport,
+  type EndpointSighting,
   type HostView,
   type OrderError,
 } from '@valvelatch/core/batch';
@@ -302,6 +303,12 @@
     };
   };
 
+  const placeOf = ({ hostId }: EndpointModel): Pick<EndpointSighting, 'dataCentre' | 'labels'> => {
+    const { dataCentre = SIM_DATA_CENTRE, labels = [] } =
+      (world.hasDomains ? hosts.get(hostId) : undefined) ?? {};
+    return { dataCentre, labels };
+  };
+
   const endpointFeed = () => {
     const told = new Set<EndpointId>();
     return {
@@ -312,12 +319,11 @@
           gone.forEach((id) => told.delete(id));
           live.forEach(({ endpointId }) => told.add(endpointId));
           const seen = live.map((one) => ({
+            ...placeOf(one),
             endpointId: one.endpointId,
             pool: one.pool,
             hostId: one.hostId,
             address: one.instanceId,
-            dataCentre: SIM_DATA_CENTRE,
-            labels: [],
             capacity: one.capacity,
             isDraining: false,
           }));
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -105,10 +105,19 @@
   readonly refused: Set<HostId>;
 };
 
+/** How hosts stand in racks and data centres; each rack has hosts of all pools. */
+export type SimDomains = {
+  /** Of each pool. */
+  readonly hostsPerRack: number;
+  readonly dataCentres: number;
+};
+
 export type SimWorldOptions = {
   readonly hostsPerPool: number;
   readonly pools: readonly string[];
   readonly sparePool: string | undefined;
+  /** Endpoints tell no rack and no data centre if left out. */
+  readonly domains?: SimDomains | undefined;
   readonly random: () => number;
 };
 
@@ -118,7 +127,13 @@
  * @param options - Its size and its source of chance.
  * @returns The world, all of it sound.
  */
-export const createSimWorld = ({ hostsPerPool, pools, sparePool, random }: SimWorldOptions) => {
+export const createSimWorld = ({
+  hostsPerPool,
+  pools,
+  sparePool,
+  domains,
+  random,
+}: SimWorldOptions) => {
   const table = createTableModel();
   const changes: { readonly key: string; readonly value: unknown; readonly version: number }[] = [];
   const endpoints = new Map<InstanceId, EndpointModel>();
@@ -388,14 +403,21 @@
     relive({ ...host, state: 'down' }, downMs);
   };
 
+  const placeOf = (index: number): Pick<HostView, 'dataCentre' | 'labels'> => {
+    const { hostsPerRack, dataCentres } = domains ?? { hostsPerRack: 1, dataCentres: 2 };
+    const rack = domains ? Math.floor(index / hostsPerRack) : index % 2;
+    const dataCentre = brand<DataCentreId>(`dc-${rack % dataCentres}`);
+    // The label of a rack need not be the last one.
+    return { dataCentre, labels: [`rack-${rack}`, ...(domains ? ['ssd'] : [])] };
+  };
+
   [...pools, ...(sparePool ? [sparePool] : [])].forEach((pool) => {
     Array.from({ length: hostsPerPool }).forEach((_, index) => {
       const host: HostView = {
         hostId: brand<HostId>(`h-${pool}-${index}`),
         pool: brand<PoolName>(pool),
         state: 'up',
-        dataCentre: brand<DataCentreId>(`dc-${index % 2}`),
-        labels: [`rack-${index % 2}`],
+        ...placeOf(index),
         capacity: { cpuMillis: 8000, memoryMb: 16_000, accelerators: 0 },
         instanceId: null,
       };
@@ -437,6 +459,7 @@
       if (!askedSinceMs.has(endpoint)) askedSinceMs.set(endpoint, performance.now());
     },
     isListed,
+    hasDomains: domains !== undefined,
     inForce,
     waveStatus,
     waves,
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -4,6 +4,7 @@
 import type { JobId } from '@valvelatch/core/shared/ids';
 
 import { createSimFleet, type SimEntry, type SimFleet } from './sim-fleet.fixtures.js';
+import type { SimDomains } from './sim-world.fixtures.js';
 
 export const FAKED = [
   'setTimeout',
@@ -38,6 +39,7 @@
   options: {
     hostsPerPool?: number;
     sparePool?: string;
+    domains?: SimDomains;
     endpointLeaseMs?: number;
     linkBytesPerMs?: number;
     mayRelayOrders?: boolean;
