--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -5,6 +5,7 @@
   type BatchConfiguration,
   type EndpointModel,
   type EndpointReport,
+  type EndpointSighting,
   type HostView,
   type OrderError,
 } from '@valvelatch/core/batch';
@@ -314,6 +315,14 @@
     };
   };
 
+  const placeOf = ({ hostId }: EndpointModel): Pick<EndpointSighting, 'dataCentre' | 'labels'> => {
+    const host = hosts.get(hostId);
+    return {
+      dataCentre: host?.dataCentre ?? brand<DataCentreId>(''),
+      labels: world.hasDomains ? (host?.labels ?? []) : [],
+    };
+  };
+
   const endpointFeed = () => {
     const told = new Set<EndpointId>();
     return {
@@ -324,12 +333,11 @@
           gone.forEach((id) => told.delete(id));
           live.forEach(({ endpointId }) => told.add(endpointId));
           const seen = live.map((one) => ({
+            ...placeOf(one),
             endpointId: one.endpointId,
             pool: one.pool,
             hostId: one.hostId,
             address: one.instanceId,
-            dataCentre: hosts.get(one.hostId)?.dataCentre ?? brand<DataCentreId>(''),
-            labels: [],
             capacity: one.capacity,
             isDraining: false,
           }));
