--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -8,6 +8,7 @@
 import { noteStartAgain } from '../endpoints/run-end.js';
 import { hasLossBefore, isFirstStartOfInherited } from '../crashes/inherited-losses.js';
 import { announcedRunOf, announceTrials, countLostTrials, isWritten } from '../crashes/trials.js';
+import { goesWithOwed } from '../accounts/shares.js';
 import { isWithinQuota } from '../accounts/quota.js';
 import { placesForGang } from './gang-places.js';
 import { bestFor } from './best-endpoint.js';
@@ -235,6 +236,12 @@
   return endpoints.filter(({ roomRevision }) => roomRevision > triedAtRevision);
 };
 
+/** Endpoints where a step may begin: not those that are reclaimed for what is owed, where it is not owed itself. */
+const openTo = (step: StepRun, { state, nowMs }: Pass, endpoints: readonly EndpointState[]) =>
+  state.reclaimed.size === 0 || goesWithOwed(step.job, nowMs)
+    ? endpoints
+    : endpoints.filter(({ endpointId }) => !state.reclaimed.has(endpointId));
+
 /** Places what may stand beside others. */
 const placeShared = (pass: Pass, steps: readonly StepRun[]): void => {
   const { state, endpoints, nowMs } = pass;
@@ -247,7 +254,7 @@
     // One that waits for its quota must not use up what may be tried in a pass.
     if (!isWithinQuota(state, step, step.spec.isGang ? step.spec.taskCount : 1)) return false;
     const placing: Placing = { state, step, nowMs };
-    const admitted = admittedEndpoints(step, places, nowMs);
+    const admitted = openTo(step, pass, admittedEndpoints(step, places, nowMs));
     const isPlaced = placeOrdinary(
       placing,
       admitted,
