Control: a holder that lost the table and not the mesh resigns to entries that the table serves

An entry that the table serves and that sees no renewal for 2.4 s now asks it whether it has resigned under its fence.

The look at the lease no longer waits for a call of the table that hangs: it has 0.6 s of its own.

--- a/packages/daemon/src/batch/control/control.test.ts
+++ b/packages/daemon/src/batch/control/control.test.ts
@@ -18,6 +18,7 @@
 const table = {
   read: async () => Ok([{ key: 'lease/control', value: lease, version: 4 }]),
   isServed: () => true,
+  silentForMs: () => 0,
 } as unknown as RelayedTable;
 
 describe('submissions to a holder elsewhere', () => {
@@ -92,3 +93,37 @@
     expect(ms).toBeGreaterThan(1800);
   });
 });
+
+describe('a look at the lease', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  it('does not wait for a call of the table that hangs, and makes no second one beside it', async () => {
+    // A holder found only after 4.6 s that the table served others: each renewal that hung held up its look.
+    const read = vi.fn(() => new Promise(() => {}));
+    const control = createControl({
+      self: brand('self'),
+      platform: {} as BatchPlatform,
+      table: { ...table, read } as unknown as RelayedTable,
+      peers: () => undefined,
+      configuration: () => undefined,
+      log,
+      metrics: createMetrics(),
+    });
+    const looks: number[] = [];
+    const look = async (): Promise<void> => {
+      await control.tick();
+      looks.push(performance.now());
+    };
+    const startedAtMs = performance.now();
+    void look().then(look);
+    await vi.advanceTimersByTimeAsync(1300);
+    expect(looks.map((atMs) => atMs - startedAtMs)).toEqual([600, 1200]);
+    expect(read).toHaveBeenCalledTimes(1);
+  });
+});
--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -18,6 +18,7 @@
 import type { AcceptOutcome } from '../jobs/job-saver.js';
 import { ENDPOINT_LEASE_MS } from '../endpoints/endpoint-link.js';
 import { CONTROL_METHOD, createHolderClient, HOLDER_SILENT_MS } from './holder-client.js';
+import { createResignations } from './resignations.js';
 import { CONTROL_LEASE } from '../keys.js';
 import type { Peers } from '../entry/peers.js';
 import type { BatchPlatform } from '../ports.js';
@@ -70,6 +71,17 @@
  */
 const TURNED_AWAY_MS = 1200;
 
+/**
+ * The look at the lease waits so long for a renewal. One that hung for several seconds kept a holder
+ * from noticing that the table served others.
+ */
+const LOOK_MS = 600;
+/**
+ * A holder that the table has not answered for so long, directly or at all, cannot renew. A slow table
+ * takes up to 610 ms.
+ */
+const CANNOT_RENEW_MS = 1000;
+
 export type ControlOptions = {
   readonly self: EntryId;
   readonly platform: BatchPlatform;
@@ -141,6 +153,8 @@
   const hasYielded = createYielding();
   let lookedAtMs = 0;
   let lostFence = -1;
+  /** Other entries were told that nothing is ordered here any more under this fence and those before. */
+  let resignedFence = -1;
   let lastHolder: EntryId | null = null;
   let waitingCache:
     { readonly atMs: number; readonly counts: ReadonlyMap<string, number> } | undefined;
@@ -148,9 +162,11 @@
   /** Feeds come by the own route only: an entry without it could hold control, and not exert it. */
   const isWilling = (): boolean => !isResigned && configuration() !== undefined && table.isServed();
 
+  /** A holder that is silent or has resigned: its lease may be taken after `EARLY_TAKE_MS`. */
   const isHolderSuspect = (): boolean => {
     const holder = keeper.lastRow()?.holder ?? null;
-    return holder !== null && holder !== self && silentForMs(holder) > HOLDER_SILENT_MS;
+    if (holder === null || holder === self) return false;
+    return silentForMs(holder) > HOLDER_SILENT_MS || resignations.hasResigned(keeper.epoch());
   };
 
   /**
@@ -252,13 +268,56 @@
   const isTakenOver = ({ state: { fence } }: Term): boolean =>
     keeper.lastRow()?.holder !== self || keeper.epoch() !== fence;
 
+  /** The last renewal is so old that another entry may take the lease, and the table does not answer. */
+  const cannotRenew = (): boolean => {
+    const renewedAtMs = keeper.heldUntilMs() - CONTROL_LEASE_MS;
+    const unansweredMs = Math.max(table.silentForMs(), nowMs() - table.lostSinceMs());
+    return nowMs() - renewedAtMs >= SOLE_HOLDER_MS && unansweredMs >= CANNOT_RENEW_MS;
+  };
+
+  /**
+   * Answers an entry that the table serves and that sees no renewal under a fence. The term under it ends
+   * if it cannot renew, and once the answer was true nothing is ordered here under that fence or an earlier one.
+   */
+  const resignUnder = (fence: number): boolean => {
+    if (fence <= resignedFence) return true;
+    const isHeld = keeper.holds() && keeper.epoch() === fence;
+    const isActive = isHeld || term?.state.fence === fence;
+    if ((isActive && !cannotRenew()) || keeper.epoch() > fence) return false;
+    resignedFence = fence;
+    keeper.abandon();
+    void endTerm('the table serves others and does not answer this entry');
+    return true;
+  };
+
+  const resignations = createResignations({ ask: (...args) => peers()?.ask(...args), nowMs });
+
+  const askHolder = (): void => {
+    resignations.noteTable(table.isServed() ? table.silentForMs() : Infinity);
+    const row = keeper.lastRow();
+    const isOther = row !== null && row.holder !== null && row.holder !== self;
+    if (!isOther || !isWilling() || keeper.unchangedForMs() < SOLE_HOLDER_MS) return;
+    resignations.ask(row.holder, row.epoch);
+  };
+
+  let keeping: Promise<void> | undefined;
+
+  const keepLease = async (): Promise<void> => {
+    keeping ??= keeper.tick().finally(() => {
+      keeping = undefined;
+    });
+    await Promise.race([keeping, sleep(LOOK_MS)]);
+  };
+
   const tick = async (): Promise<void> => {
     await handOver();
-    await keeper.tick();
+    await keepLease();
+    askHolder();
     const fence = keeper.epoch();
     const isHeld = keeper.holds() && keeper.lastRow()?.holder === self;
     if (term && isTakenOver(term)) await endTerm('another entry holds control');
-    if (!term && isHeld && !isResigned && fence !== lostFence) beginTerm(fence);
+    const isOver = fence === lostFence || fence <= resignedFence;
+    if (!term && isHeld && !isResigned && !isOver) beginTerm(fence);
     const holder = keeper.lastRow()?.holder ?? null;
     if (holder !== lastHolder) log.info('control-holder', { holder: holder ?? 'none', fence });
     lastHolder = holder;
@@ -310,6 +369,7 @@
     [CONTROL_METHOD.taken]: (payload) => takenHere(payload as Taken),
     [CONTROL_METHOD.accept]: (payload) => acceptHere(payload as BatchJobRow),
     [CONTROL_METHOD.refused]: (payload) => refusedHere(payload as readonly RefusedJob[]),
+    [CONTROL_METHOD.resigned]: (payload) => resignUnder(Number(payload)),
     [CONTROL_METHOD.cancelled]: (payload) => {
       const { jobId, caller } = payload as Cancel;
       return term?.cancel(jobId, caller) ?? null;
--- a/packages/daemon/src/batch/control/holder-client.ts
+++ b/packages/daemon/src/batch/control/holder-client.ts
@@ -33,6 +33,7 @@
   cancelled: 'cancelled',
   willing: 'willing',
   refused: 'refused',
+  resigned: 'resigned',
 } as const;
 
 export type HolderClientOptions = {
--- a/packages/daemon/src/batch/control/holders.test.ts
+++ b/packages/daemon/src/batch/control/holders.test.ts
@@ -1,4 +1,5 @@
 /** How control changes hands, in virtual time. */
+import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { InstanceId } from '@valvelatch/core/shared/ids';
 
@@ -11,6 +12,7 @@
   phaseOf,
   runningOf,
   started,
+  submitLasting,
 } from '../testing/virtual-time.fixtures.js';
 
 describe('control that changes hands', () => {
@@ -190,6 +192,116 @@
     });
   });
 
+  describe('a holder that lost the table and not the mesh', () => {
+    /** Its calls of the table hang, directly and through neighbours, while others are served. */
+    const lostTable = async (afterMs = 0) => {
+      const fleet = await started();
+      const job = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 6 }], runMs: 2500 });
+      await advance(1000 + afterMs);
+      const first = holderOf(fleet);
+      Object.assign(first, { isCutFromTable: true, isCutFromRelays: true });
+      return { fleet, job, first };
+    };
+
+    it('is replaced within 4 s of losing it', async () => {
+      // Control was away for 8.4 s: the holder was heard on the mesh, so nobody took the lease early.
+      const { fleet, job, first } = await lostTable();
+      await advance(4000);
+      const next = fleet.entries.find((one) => one !== first && one.control.term());
+      expect(next).toBeDefined();
+      expect(first.control.term()).toBeUndefined();
+      const later = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 6 }], runMs: 500 });
+      await advance(9000);
+      expect([phaseOf(fleet, job), phaseOf(fleet, later)]).toEqual(['completed', 'completed']);
+      expect(fleet.broken).toEqual([]);
+    });
+
+    it('never has a term again under the fence under which it resigned', async () => {
+      // Guards against a late answer to a renewal, or the table's return, giving it control back.
+      for (let afterMs = 0; afterMs < 2000; afterMs += 250) {
+        const { fleet, job, first } = await lostTable(afterMs);
+        await advance(500);
+        for (let waitedMs = 0; waitedMs < 5000 && first.control.term(); waitedMs += 50) {
+          await advance(50);
+        }
+        expect(first.control.term()).toBeUndefined();
+        Object.assign(first, { isCutFromTable: false, isCutFromRelays: false });
+        await advance(12_000);
+        const fences = fleet.logged
+          .filter(({ event }) => event === 'term-started')
+          .map(({ fields }) => (fields as { readonly fence: number }).fence);
+        expect(new Set(fences).size).toBe(fences.length);
+        expect(phaseOf(fleet, job)).toBe('completed');
+        expect(fleet.broken, `lost after ${afterMs} ms`).toEqual([]);
+      }
+    });
+
+    it('is not followed by anything that runs twice, whatever else is cut and whenever that heals', async () => {
+      const forMs = fc.integer({ min: 0, max: 9000 });
+      await fc.assert(
+        fc.asyncProperty(
+          fc.record({
+            cutAfterMs: fc.integer({ min: 0, max: 2000 }),
+            tableMs: forMs,
+            relaysMs: forMs,
+            silentAfterMs: forMs,
+            silentForMs: forMs,
+            farMs: forMs,
+            runMs: fc.integer({ min: 300, max: 3000 }),
+            lateOrders: fc.constantFrom(0, 0, 0.1),
+            lostWrites: fc.constantFrom(0, 0, 0.1),
+          }),
+          async ({ cutAfterMs, runMs, lateOrders, lostWrites, ...cut }) => {
+            vi.useRealTimers();
+            vi.useFakeTimers({ toFake: [...FAKED] });
+            const fleet = await started();
+            Object.assign(fleet.faults, { lateOrders, lostWrites });
+            const submit = () =>
+              fleet.submit({ pool: 'alpha', steps: [{ taskCount: 3 }, { after: [0] }], runMs });
+            const lasting = submitLasting(fleet, 2);
+            const work = setInterval(submit, 1500);
+            await advance(1000 + cutAfterMs);
+            const first = fleet.holder() ?? fleet.entries[0];
+            const [far] = Array.from(fleet.endpoints.keys());
+            if (!first || !far) throw new Error('the fleet is empty');
+            // The endpoint is on the holder's side: the next holder does not hear what runs there.
+            fleet.entries.filter((one) => one !== first).forEach(({ cutFrom }) => cutFrom.add(far));
+            Object.assign(first, { isCutFromTable: true, isCutFromRelays: true });
+            setTimeout(() => Object.assign(first, { isCutFromTable: false }), cut.tableMs);
+            setTimeout(() => Object.assign(first, { isCutFromRelays: false }), cut.relaysMs);
+            setTimeout(() => Object.assign(first, { isSilent: true }), cut.silentAfterMs);
+            setTimeout(
+              () => Object.assign(first, { isSilent: false }),
+              cut.silentAfterMs + cut.silentForMs,
+            );
+            setTimeout(() => fleet.entries.forEach(({ cutFrom }) => cutFrom.clear()), cut.farMs);
+            await advance(20_000);
+            clearInterval(work);
+            Object.assign(fleet.faults, { lateOrders: 0, lostWrites: 0 });
+            const last = submit();
+            await advance(30_000);
+            expect(fleet.broken).toEqual([]);
+            expect(phaseOf(fleet, last)).toBe('completed');
+            expect(runningOf(fleet, lasting)).toHaveLength(2);
+            const fences = fleet.logged
+              .filter(({ event }) => event === 'term-started')
+              .map(({ fields }) => (fields as { readonly fence: number }).fence);
+            expect(new Set(fences).size).toBe(fences.length);
+          },
+        ),
+        { numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 15) },
+      );
+    }, 600_000);
+
+    it('keeps control while the table answers nobody', async () => {
+      // Resigning then would leave nobody in control: no other entry can take the lease.
+      const { fleet, first } = await lostTable();
+      fleet.faults.isTableDown = true;
+      await advance(6000);
+      expect(first.control.term()).toBeDefined();
+    });
+  });
+
   describe('a holder that is dead or stands still', () => {
     it('is replaced within 3.5 s, and what the next one starts is started once', async () => {
       const fleet = await started();
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -32,6 +32,7 @@
 import { createMetrics } from '../../observe/metrics.js';
 import { createControl, type Control } from '../control/control.js';
 import { batchKey } from '../keys.js';
+import type { Peers } from '../entry/peers.js';
 import { createRelayedTable, type RelayCall, type RelayedTable } from '../relays/relayed-table.js';
 import { createStanding } from '../control/standing.js';
 import { createOrderAgent } from '../relays/order-agent.js';
@@ -229,6 +230,31 @@
     });
   };
 
+  /** What one entry's control asks the others; questions to an entry that does not run have no answer. */
+  const peersOf = (entry: SimEntry, awake: () => Promise<void>): Peers => {
+    const askControl = async (entryId: EntryId, method: string, payload: unknown) => {
+      const isCut = (other: SimEntry | undefined): boolean =>
+        !other || other.isDead || other.isFrozen || other.isSilent || entry.isSilent;
+      await awake();
+      await sleep(1);
+      const other = entries.find((one) => one.entryId === entryId);
+      if (!other || isCut(other)) return never();
+      const answer = await other.control.answer(method, payload);
+      await sleep(1);
+      await awake();
+      return isCut(other) ? never() : answer;
+    };
+    return {
+      ask: (entryId, method, payload, ms) =>
+        Promise.race([
+          askControl(entryId, method, payload),
+          sleep(ms).then(() => Promise.reject(new Error('silence'))),
+        ]),
+      knows: (entryId) => entries.some((other) => other.entryId === entryId),
+      keepLink: () => undefined,
+    } as Partial<Peers> as Peers;
+  };
+
   const addEntry = (name: string, cores = 1): SimEntry => {
     const entry = {
       entryId: brand<EntryId>(name),
@@ -298,7 +324,7 @@
       ask: async (entryId, _, payload, ms) => {
         await awake();
         const other = entries.find((one) => one.entryId === entryId);
-        const isCut = !other || other.isSilent || entry.isSilent;
+        const isCut = !other || other.isSilent || entry.isSilent || entry.isCutFromRelays;
         const answer = isCut ? never() : other.table.answerNeighbour(payload as RelayCall);
         return Promise.race([answer, sleep(ms).then(() => Promise.reject(new Error('silence')))]);
       },
@@ -311,7 +337,7 @@
       self: entry.entryId,
       platform: { ...platform, orders },
       table: relayed,
-      peers: () => undefined,
+      peers: () => peersOf(entry, awake),
       configuration: () => entry.configuration,
       log,
       metrics,
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -96,6 +96,8 @@
   isCutFromHosts?: boolean;
   /** Whether the list of endpoints does not answer it; as the table if left out. */
   isCutFromEndpointList?: boolean;
+  /** Its calls of the table through neighbours hang, while all else on the mesh goes through. */
+  isCutFromRelays?: boolean;
   /** Its questions about rows that changed are carried out so late, whatever it is cut from. */
   feedMs?: number;
   /** The mesh between it and the other entries is cut. */
--- a/packages/daemon/src/leases/lease-keeper.test.ts
+++ b/packages/daemon/src/leases/lease-keeper.test.ts
@@ -23,11 +23,12 @@
 describe('a holder that gives its lease up', () => {
   const keeperOn = () => {
     const rows = createTableModel();
-    const link = { losesAnswers: false };
+    const link = { losesAnswers: false, refuses: false };
     let nowMs = 0;
     const table = {
       read: async (keys: readonly string[]) => Ok(keys.map((key) => rows.read(key))),
       transact: async ({ checks, writes }: Parameters<TableClient['transact']>[0]) => {
+        if (link.refuses) return Err({ kind: 'unreachable', detail: 'refused' } as const);
         const outcome = rows.transact(checks, writes);
         if (link.losesAnswers) return Err({ kind: 'unknown', detail: 'no answer' } as const);
         return outcome.kind === 'committed'
@@ -96,4 +97,37 @@
     expect(await keeper.release()).toBe(true);
     expect(holder()).toBe('next');
   });
+
+  describe('without writing it', () => {
+    it('does not hold it again by the late answer to a renewal', async () => {
+      // A holder that has told others that it resigned would order under its old fence again.
+      const { keeper, pass } = keeperOn();
+      await keeper.tick();
+      pass(RENEW_AFTER_MS * 2);
+      const renewing = keeper.tick();
+      keeper.abandon();
+      await renewing;
+      expect(keeper.holds()).toBe(false);
+    });
+
+    it('does not hold it again by a release that fails', async () => {
+      const { keeper, link } = keeperOn();
+      await keeper.tick();
+      link.refuses = true;
+      const releasing = keeper.release();
+      keeper.abandon();
+      expect(await releasing).toBe(false);
+      expect(keeper.holds()).toBe(false);
+    });
+
+    it('takes it under a new epoch only', async () => {
+      const { keeper } = keeperOn();
+      await keeper.tick();
+      const epoch = keeper.epoch();
+      keeper.abandon();
+      await keeper.tick();
+      expect(keeper.holds()).toBe(true);
+      expect(keeper.epoch()).toBeGreaterThan(epoch);
+    });
+  });
 });
--- a/packages/daemon/src/leases/lease-keeper.ts
+++ b/packages/daemon/src/leases/lease-keeper.ts
@@ -36,6 +36,11 @@
   readonly idleBeforeMs: () => number;
   /** Gives the lease up; false if that could not be written, and the lease is still held. */
   readonly release: (idleMs?: number) => Promise<boolean>;
+  /**
+   * Stops acting on the lease without writing anything. What is under way does not give it back: this entry
+   * holds it again only by taking it under a new epoch.
+   */
+  readonly abandon: () => void;
 };
 
 export type LeaseKeeperOptions = {
@@ -98,9 +103,12 @@
   let watchedMs = 0;
   let lastIdleMs = 0;
 
-  const write = async (row: LeaseRow, expectedVersion: number): Promise<void> => {
+  const write = async (
+    row: LeaseRow,
+    expectedVersion: number,
+    releasesBefore: number,
+  ): Promise<void> => {
     const sentAtMs = nowMs();
-    const releasesBefore = releases;
     const isTaking = row.renewals === 0;
     const outcome = await table.transact({
       checks: [{ key, version: expectedVersion }],
@@ -134,8 +142,10 @@
 
   const tick = async (): Promise<void> => {
     if (isSecure()) return;
+    const releasesBefore = releases;
     const rows = await table.read([key]);
-    if (rows.isErr()) return;
+    // What was read before the lease was given up must not lead to a write for it.
+    if (rows.isErr() || releases !== releasesBefore) return;
     const [row] = rows.value;
     const value = (row?.value ?? null) as LeaseRow | null;
     state = observeLease(state, { row: value, version: row?.version ?? 0 }, nowMs());
@@ -146,7 +156,7 @@
     const step = nextLeaseStep(state, nowMs(), freeAfterMs());
     if (step.kind === 'write' && (await beforeWrite())) {
       if (step.row.renewals === 0) noteTaking(value, step.row.epoch);
-      await write(step.row, step.expectedVersion);
+      await write(step.row, step.expectedVersion, releasesBefore);
     }
   };
 
@@ -194,16 +204,28 @@
     return false;
   };
 
+  const letGo = (): number => {
+    releases += 1;
+    state = { ...state, heldUntilMs: -Infinity, ownEpoch: -1 };
+    return releases;
+  };
+
   const release = async (idleMs?: number): Promise<boolean> => {
     const held = state;
     if (!held.seen.row || !holdsLease(held, nowMs())) return true;
-    releases += 1;
-    state = { ...held, heldUntilMs: -Infinity, ownEpoch: -1 };
+    const ownRelease = letGo();
     const isFreed = await freeRow(held.seen, idleMs);
-    if (!isFreed) state = held;
+    // One that was abandoned meanwhile is not held again.
+    if (!isFreed && releases === ownRelease) state = held;
     return isFreed;
   };
 
+  const abandon = (): void => {
+    letGo();
+    // A later taking follows a holder that has resigned, not a taking whose answer was lost.
+    takenEpoch = -1;
+  };
+
   return {
     tick,
     holds: () => holdsLease(state, nowMs()),
@@ -217,5 +239,6 @@
     earlierUntilMs: () => state.earlierUntilMs,
     idleBeforeMs: () => lastIdleMs,
     release,
+    abandon,
   };
 };
