--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -99,6 +99,8 @@
   isCutFromEndpointList?: boolean;
   /** Whether the operator's rows do not answer it; as the table if left out. */
   isCutFromOperator?: boolean;
+  /** Its calls of the table through neighbours hang, while all else on the mesh goes through. */
+  isCutFromRelays?: boolean;
   /** Its questions about rows that changed are carried out so late, whatever it is cut from. */
   feedMs?: number;
   /** The mesh between it and the other entries is cut. */
