Evacuation: pools, waves and placement

Hosts in an evacuated data centre are no room, are not fetched, are parked once empty, and go first in a wave. Endpoints that say that they are slow are chosen after others.

--- a/packages/core/src/batch/endpoints/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -13,6 +13,8 @@
   readonly labels: readonly string[];
   readonly capacity: Capacity;
   readonly isDraining: boolean;
+  /** For how much longer it says that it is slow; 0 if left out. */
+  readonly coldLeftMs?: number;
 };
 
 /**
@@ -29,7 +31,9 @@
   nowMs: number,
 ): EndpointState => {
   const known = state.endpoints.get(sighting.endpointId);
+  const coldUntilMs = nowMs + (sighting.coldLeftMs ?? 0);
   if (known) {
+    known.coldUntilMs = coldUntilMs;
     known.isDraining = sighting.isDraining;
     known.hasAnnouncedEnd = known.hasAnnouncedEnd || sighting.isDraining;
     known.hostId = sighting.hostId ?? known.hostId;
@@ -51,6 +55,7 @@
     hasAnnouncedEnd: sighting.isDraining,
     withheldUntilMs: 0,
     withheldReason: '',
+    coldUntilMs,
     isClosing: false,
     isAwaited: false,
     leaseEndsAtMs: 0,
--- /dev/null
+++ b/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
@@ -0,0 +1,180 @@
+/** Guards against hosts of an evacuated data centre that count as room, are fetched for work, or hold up a wave. */
+import { describe, expect, it } from 'vitest';
+
+import {
+  brand,
+  type DataCentreId,
+  type EndpointId,
+  type HostId,
+  type PoolName,
+} from '../../shared/ids.js';
+import { seeEndpoint, type EndpointSighting } from '../endpoints/endpoints.js';
+import { isSound } from '../endpoints/sound-endpoints.js';
+import { planUpkeep } from '../maintenance/upkeep.js';
+import { createUpkeepWave } from '../maintenance/upkeep-progress.js';
+import { instanceOf } from '../model/endpoint-life.js';
+import { createBatchState, poolOf, type EndpointState } from '../model/state.js';
+import { schedulePool } from '../placement/schedule.js';
+import { createHostInventory, takeHostList } from '../pools/host-inventory.js';
+import type { HostView } from '../pools/hosts.js';
+import { planMoves } from '../pools/pool-moves.js';
+import { DEFAULT_POOL_POLICY, needsOfPools, type PoolWorld } from '../pools/pool-needs.js';
+import {
+  answer,
+  FIRST,
+  POOL,
+  SECOND,
+  stateWithJob,
+  TASK,
+} from '../testing/batch-state.fixtures.js';
+
+const NORTH = brand<DataCentreId>('north');
+const SOUTH = brand<DataCentreId>('south');
+const SPARE = brand<PoolName>('spare');
+const CAPACITY = { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 };
+
+const sightingOn = (
+  name: string,
+  dataCentre: DataCentreId,
+  hostId: HostId | null = null,
+): EndpointSighting => ({
+  endpointId: brand<EndpointId>(name),
+  pool: POOL,
+  hostId,
+  address: '',
+  dataCentre,
+  labels: [],
+  capacity: CAPACITY,
+  isDraining: false,
+});
+
+const hostsIn = (dataCentre: DataCentreId, pool: PoolName, count: number): readonly HostView[] =>
+  Array.from({ length: count }, (_, index) => ({
+    hostId: brand<HostId>(`${pool}-${dataCentre}-${index}`),
+    pool,
+    state: 'up' as const,
+    dataCentre,
+    labels: [],
+    capacity: CAPACITY,
+    instanceId: pool === SPARE ? null : instanceOf(brand(`e-${dataCentre}-${index}`)),
+  }));
+
+/** Hosts of one pool in two data centres, of which one is evacuated, and a spare pool. */
+const worldOf = ({
+  inNorth = 3,
+  inSouth = 3,
+  spareNorth = 2,
+  spareSouth = 2,
+  nowMs = 5000,
+} = {}) => {
+  const state = createBatchState(1);
+  state.evacuated = new Set([NORTH]);
+  const used = [...hostsIn(NORTH, POOL, inNorth), ...hostsIn(SOUTH, POOL, inSouth)];
+  used.forEach(({ hostId, dataCentre, instanceId }) => {
+    const endpoint = seeEndpoint(state, sightingOn(String(instanceId), dataCentre, hostId), 0);
+    endpoint.isKnown = true;
+  });
+  const spare = [...hostsIn(NORTH, SPARE, spareNorth), ...hostsIn(SOUTH, SPARE, spareSouth)];
+  const world: PoolWorld = {
+    state,
+    hosts: new Map([...used, ...spare].map((host) => [host.hostId, host])),
+    pools: [
+      { name: POOL, isSpare: false },
+      { name: SPARE, isSpare: true },
+    ],
+    busyHosts: new Set(),
+    nowMs,
+  };
+  return { world, state, used };
+};
+
+describe('an endpoint in an evacuated data centre', () => {
+  it('takes no new work, and does so after the return', () => {
+    const { state } = worldOf();
+    const soundIn = (): readonly EndpointState[] =>
+      Array.from(state.endpoints.values()).filter((one) => isSound(state, one, 5000));
+    expect(new Set(soundIn().map(({ dataCentre }) => dataCentre))).toEqual(new Set([SOUTH]));
+    state.evacuated = new Set();
+    expect(soundIn()).toHaveLength(6);
+  });
+
+  describe('that was taken back', () => {
+    const placedOn = (coldLeftMs: number, nowMs: number): EndpointId | undefined => {
+      const state = stateWithJob();
+      seeEndpoint(state, { ...sightingOn(FIRST, NORTH), coldLeftMs }, 0);
+      seeEndpoint(state, sightingOn(SECOND, SOUTH), 0);
+      [FIRST, SECOND].forEach((endpointId) =>
+        answer(state, { endpointId, askedAtMs: nowMs, nowMs }),
+      );
+      schedulePool(state, POOL, nowMs);
+      return Array.from(state.endpoints.values()).find(({ runs }) => runs.has(TASK))?.endpointId;
+    };
+
+    it('is chosen after a warm one while it is slow, and as before afterwards', () => {
+      expect(placedOn(0, 10)).toBe(FIRST);
+      expect(placedOn(3000, 10)).toBe(SECOND);
+      expect(placedOn(3000, 3010)).toBe(FIRST);
+    });
+  });
+});
+
+describe('hosts in an evacuated data centre', () => {
+  it('count neither as room nor as coming room, nor among those that a pool keeps', () => {
+    const { world, state } = worldOf();
+    const [need] = needsOfPools(world);
+    expect(need).toMatchObject({ roomCpu: 3 * CAPACITY.cpuMillis, comingCpu: 0 });
+    expect(need?.hosts.map(({ dataCentre }) => dataCentre)).toEqual([SOUTH, SOUTH, SOUTH]);
+    state.endpoints.forEach((endpoint) => Object.assign(endpoint, { isKnown: false }));
+    expect(needsOfPools(world)[0]).toMatchObject({ comingCpu: 3 * CAPACITY.cpuMillis });
+  });
+
+  it('are not fetched from the spare pool, and what is short is asked for in the same pass', () => {
+    const { world, state } = worldOf({ spareNorth: 9, spareSouth: 3 });
+    const shortOf = (cores: number): readonly HostId[] => {
+      poolOf(state, POOL).demand.recordArrival(cores * 1000, world.nowMs);
+      return planMoves(world)
+        .filter(({ toPool }) => toPool === POOL)
+        .map(({ hostId }) => hostId);
+    };
+    const moved = shortOf(10_000);
+    expect(moved).toHaveLength(3);
+    expect(moved.every((hostId) => hostId.includes(SOUTH))).toBe(true);
+  });
+
+  it('are parked once they have been empty, whatever the pool is short of', () => {
+    const { world, state, used } = worldOf({ spareSouth: 0 });
+    const [busy] = Array.from(state.endpoints.values());
+    busy?.runs.set(TASK, {} as never);
+    const moves = planMoves(world);
+    expect(moves.map(({ hostId, toPool }) => [hostId, toPool])).toEqual(
+      used
+        .filter(({ dataCentre }) => dataCentre === NORTH)
+        .slice(1)
+        .map(({ hostId }) => [hostId, SPARE]),
+    );
+    expect(planMoves({ ...world, nowMs: DEFAULT_POOL_POLICY.parkAfterMs - 1 })).toEqual([]);
+  });
+});
+
+describe('a wave over hosts of which some are in an evacuated data centre', () => {
+  const waveOver = (isShort: boolean) => {
+    const { state, used } = worldOf();
+    const inventory = createHostInventory();
+    takeHostList(inventory, used, 0);
+    // Those in the evacuated data centre come last in the order.
+    const hosts = Array.from(used, ({ hostId }) => hostId).reverse();
+    const wave = createUpkeepWave({ waveNumber: 1, hosts, withinMs: 300_000, maximum: 2 }, [], 0);
+    const world = { state, inventory, downMs: 2000, isShort };
+    return planUpkeep(world, wave, 1000).map(({ hostId }) => hostId);
+  };
+
+  it('takes those first', () => {
+    expect(waveOver(false).every((hostId) => hostId.includes(NORTH))).toBe(true);
+  });
+
+  it('takes those while room is short, and leaves the others', () => {
+    const ordered = waveOver(true);
+    expect(ordered).toHaveLength(2);
+    expect(ordered.every((hostId) => hostId.includes(NORTH))).toBe(true);
+  });
+});
--- a/packages/core/src/batch/maintenance/upkeep-rules.ts
+++ b/packages/core/src/batch/maintenance/upkeep-rules.ts
@@ -19,6 +19,8 @@
   readonly hostId: HostId;
   readonly host: UpkeepHost;
   readonly endpoint: EndpointState | undefined;
+  /** Nothing begins on it, so that it is no room that is missed. */
+  readonly isEvacuated: boolean;
   /** The lasting steps with a budget that have tasks on it. */
   readonly lasting: ReadonlySet<StepRun>;
 };
@@ -66,9 +68,9 @@
 
 const drain = (reason: string): HostDecision => ({ kind: 'drain', reason });
 
-const waitWhileRelaxed: Rule = ({ endpoint }, { world, isRelaxed }) => {
+const waitWhileRelaxed: Rule = ({ endpoint, isEvacuated }, { world, isRelaxed }) => {
   if (!isRelaxed) return undefined;
-  if (world.isShort) return keepOpen('room is short, and there is time left');
+  if (world.isShort && !isEvacuated) return keepOpen('room is short, and there is time left');
   const isAtWork = endpoint !== undefined && !isQuiet(endpoint);
   return isAtWork ? keepOpen('it is at work, and there is time left') : undefined;
 };
--- a/packages/core/src/batch/maintenance/upkeep.ts
+++ b/packages/core/src/batch/maintenance/upkeep.ts
@@ -109,7 +109,14 @@
   Ord.contramap(({ host }: Candidate) => host.phase === 'closing'),
 );
 const byWeight = pipe(N.Ord, Ord.contramap(weightOf));
-const byPreference = Ord.getMonoid<Candidate>().concat(byClosingFirst, byWeight);
+const byEvacuatedFirst = pipe(
+  B.Ord,
+  Ord.reverse,
+  Ord.contramap(({ isEvacuated }: Candidate) => isEvacuated),
+);
+const byPreference = [byEvacuatedFirst, byClosingFirst, byWeight].reduce(
+  Ord.getMonoid<Candidate>().concat,
+);
 
 const mayBeOrdered = (
   { inventory }: UpkeepWorld,
@@ -122,7 +129,10 @@
 
 const candidateOf = (world: UpkeepWorld, hostId: HostId, host: UpkeepHost): Candidate => {
   const endpoint = endpointOf(world, hostId);
-  return { hostId, host, endpoint, lasting: endpoint ? lastingSteps(endpoint) : new Set() };
+  const dataCentre = world.inventory.hosts.get(hostId)?.dataCentre;
+  const isEvacuated = dataCentre !== undefined && world.state.evacuated.has(dataCentre);
+  const lasting: Candidate['lasting'] = endpoint ? lastingSteps(endpoint) : new Set();
+  return { hostId, host, endpoint, isEvacuated, lasting };
 };
 
 const findCandidates = (world: UpkeepWorld, wave: UpkeepWave): readonly Candidate[] =>
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -55,6 +55,8 @@
   /** Withheld from new work until then, with the reason. */
   withheldUntilMs: number;
   withheldReason: string;
+  /** It is slow until then: its data centre was taken back into service. */
+  coldUntilMs: number;
   /** Kept empty for maintenance or a move. */
   isClosing: boolean;
   /** Its host has maintenance ahead: what lasts and is begun here would move again. */
--- a/packages/core/src/batch/placement/scores.ts
+++ b/packages/core/src/batch/placement/scores.ts
@@ -35,12 +35,16 @@
 const movesAgain: PlacementScore['of'] = ({ isAwaited }, { step: { spec } }) =>
   Number(spec.isLasting && isAwaited);
 
+/** An endpoint that is slow after its data centre was taken back: a warm one with room goes first. */
+const isCold: PlacementScore['of'] = ({ coldUntilMs }, { nowMs }) => Number(coldUntilMs > nowMs);
+
 /** Being near its data outweighs fullness, and a place that has not failed the task outweighs both. */
 export const PLACEMENT_SCORES: readonly PlacementScore[] = [
   { name: 'fullest', weight: 1, of: fullness },
   { name: 'near its data', weight: 2, of: isNearData },
   { name: 'failed there', weight: -4, of: hasFailedTask },
   { name: 'maintenance ahead', weight: -3, of: movesAgain },
+  { name: 'cold', weight: -1, of: isCold },
 ];
 
 /**
--- a/packages/core/src/batch/pools/pool-moves.ts
+++ b/packages/core/src/batch/pools/pool-moves.ts
@@ -34,7 +34,10 @@
   world.pools
     .filter(({ isSpare }) => isSpare)
     .flatMap(({ name }) =>
-      Array.from(world.hosts.values()).filter((host) => host.pool === name && isFree(world, host)),
+      Array.from(world.hosts.values()).filter(
+        (host) =>
+          host.pool === name && isFree(world, host) && !world.state.evacuated.has(host.dataCentre),
+      ),
     );
 
 /** Empty hosts that a pool has no need of. */
@@ -82,6 +85,27 @@
     });
 };
 
+/** Nothing can begin on these hosts, so no demand keeps them switched on. */
+const evacuatedParkings = (
+  world: PoolWorld,
+  needs: readonly PoolNeed[],
+  { parkAfterMs }: PoolPolicy,
+): readonly PoolMove[] => {
+  const spare = world.pools.find(({ isSpare }) => isSpare);
+  if (!spare) return [];
+  return needs.flatMap(({ name, emptyEvacuated }) => {
+    const idle = emptyEvacuated.filter(
+      ({ idleSinceMs }) => world.nowMs - idleSinceMs >= parkAfterMs,
+    );
+    return freeHostsOn(world, idle).map(({ hostId, dataCentre }) => ({
+      hostId,
+      fromPool: name,
+      toPool: spare.name,
+      reason: `empty for ${parkAfterMs} ms in data centre ${dataCentre}, which is evacuated`,
+    }));
+  });
+};
+
 /**
  * Decides which hosts change their pool now.
  *
@@ -115,5 +139,8 @@
         });
       }
     });
-  return wanted.length > 0 ? wanted : parkings(world, needs, policy);
+  return [
+    ...(wanted.length > 0 ? wanted : parkings(world, needs, policy)),
+    ...evacuatedParkings(world, needs, policy),
+  ];
 };
--- a/packages/core/src/batch/pools/pool-needs.ts
+++ b/packages/core/src/batch/pools/pool-needs.ts
@@ -52,6 +52,8 @@
   readonly hostCpu: number;
   readonly endpoints: readonly EndpointState[];
   readonly empty: readonly EndpointState[];
+  /** Empty endpoints in evacuated data centres: they are neither room nor among the hosts that the pool keeps. */
+  readonly emptyEvacuated: readonly EndpointState[];
   readonly roomCpu: number;
   readonly comingCpu: number;
   readonly usedCpu: number;
@@ -84,7 +86,15 @@
   peakCores: number,
 ): PoolNeed => {
   const inPool = Array.from(hosts.values()).filter(
-    (host) => host.pool === name && host.state !== 'down',
+    (host) => host.pool === name && host.state !== 'down' && !state.evacuated.has(host.dataCentre),
+  );
+  const emptyEvacuated = Array.from(state.endpoints.values()).filter(
+    ({ pool: inWhich, dataCentre, runs, isKnown, isClosing }) =>
+      inWhich === name &&
+      state.evacuated.has(dataCentre) &&
+      isKnown &&
+      !isClosing &&
+      runs.size === 0,
   );
   const endpoints = Array.from(state.endpoints.values()).filter(
     (endpoint) => endpoint.pool === name && isSound(state, endpoint, nowMs),
@@ -108,6 +118,7 @@
     hostCpu: inPool[0]?.capacity.cpuMillis ?? 1,
     endpoints,
     empty: endpoints.filter(({ runs, hostId }) => runs.size === 0 && hostId !== null),
+    emptyEvacuated,
     roomCpu,
     comingCpu,
     usedCpu,
