--- a/packages/cli/src/tables.ts
+++ b/packages/cli/src/tables.ts
@@ -45,6 +45,16 @@
   placements: ['jobId', 'hostId', 'pool', 'phase', 'epoch', 'reason'],
   jobs: ['name', 'pool', 'team', 'phase', 'failures', 'reason'],
   accounts: ['account', 'weight', 'jobs', 'running', 'maximum', 'waitingTasks', 'reason'],
+  'data-centres': [
+    'dataCentre',
+    'evacuatedSince',
+    'ageMs',
+    'revision',
+    'hosts',
+    'shortRuns',
+    'longRuns',
+    'freeCoresElsewhere',
+  ],
   waves: ['waveId', 'phase', 'selector', 'reason'],
   entries: ['entryId', 'dataCentre', 'revision', 'seat', 'controls', 'endpoints', 'isUnreachable'],
 } as const;
@@ -92,7 +102,12 @@
  * @param value - The revision and the entries.
  * @returns The lines.
  */
-export const statusLines = (value: { revision: number; entries: readonly Row[] }) => [
+export const statusLines = (value: {
+  revision: number;
+  evacuatedDataCentres?: number;
+  entries: readonly Row[];
+}) => [
   `revision ${value.revision}`,
+  ...(value.evacuatedDataCentres ? [`evacuated data centres ${value.evacuatedDataCentres}`] : []),
   ...tableLines(value.entries, columns.entries),
 ];
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -20,6 +20,7 @@
 export * from './endpoints/sound-endpoints.js';
 export * from './endpoints/watch-runs.js';
 export * from './evacuation/belief.js';
+export * from './evacuation/evacuated-runs.js';
 export * from './jobs/admission.js';
 export * from './jobs/first-attempts.js';
 export * from './jobs/jobs.js';
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -39,6 +39,7 @@
 import { createEndedJobs } from '../jobs/ended-jobs.js';
 import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
 import { createFleetCycle, type FleetCycle } from '../hosts/fleet-cycle.js';
+import { createEvacuationWatch, type EvacuationWatch } from './evacuation-watch.js';
 import { takeGuard } from './guard.js';
 import { createJobRows, type Until } from '../jobs/job-rows.js';
 import {
@@ -103,6 +104,7 @@
   readonly self: EntryId;
   readonly state: BatchState;
   readonly fleet: FleetCycle;
+  readonly evacuations: Omit<EvacuationWatch, 'look' | 'close'>;
   readonly start: () => Promise<void>;
   readonly stop: () => Promise<void>;
   /** Where a job stands; undefined if the holder cannot tell. */
@@ -250,6 +252,15 @@
 
   const advisor = createAdvisor({ state, port: platform.advice, log, metrics, nowMs, poke });
 
+  const evacuations = createEvacuationWatch({
+    state,
+    gate: startGate,
+    log,
+    metrics,
+    nowMs,
+    todayMs,
+  });
+
   const effectHandlers: {
     readonly [Kind in BatchEffect['kind']]: (effect: Extract<BatchEffect, { kind: Kind }>) => void;
   } = {
@@ -307,6 +318,7 @@
     if (isStopped || !isReady) return;
     state.soleHolderUntilMs = soleHolderUntilMs();
     saver.lookAtTable();
+    evacuations.look();
     state.timed.forEach((job) => beginDue(state, job, nowMs(), todayMs()));
     watchRuns(state, nowMs()).forEach(noteLapsed);
     paceFillers(state, nowMs());
@@ -413,6 +425,7 @@
     isStopped = true;
     saver.stop();
     roster.close();
+    evacuations.close();
     log.info('term-stopped', { fence });
     void loops?.stop();
   };
@@ -421,6 +434,7 @@
     self,
     state,
     fleet,
+    evacuations,
     start,
     stop,
     statusOf: (jobId) =>
--- a/packages/daemon/src/batch/operators/operators.test.ts
+++ b/packages/daemon/src/batch/operators/operators.test.ts
@@ -1,7 +1,10 @@
 /** What operators are told of hosts and waves by a holder that cannot read the list of hosts. */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
+import type { DataCentreId } from '@valvelatch/core/shared/ids';
+
 import { answerOperator } from './operators.js';
+import { SIM_DATA_CENTRES } from '../testing/sim-platform.fixtures.js';
 import { simAccount, type SimFleet } from '../testing/sim-fleet.fixtures.js';
 import { advance, FAKED, holderOf, started } from '../testing/virtual-time.fixtures.js';
 
@@ -106,4 +109,72 @@
       });
     });
   });
+
+  describe('about an evacuated data centre', () => {
+    const evacuated = async (isHeld = false) => {
+      const fleet = await started({ hostsPerPool: 4, evacuateMs: 5000 });
+      const [north, south] = SIM_DATA_CENTRES as [DataCentreId, DataCentreId];
+      const step = { taskCount: 8, mostPerEndpoint: 2, cpuMillis: 2000 };
+      const before = fleet.submit({ pool: 'alpha', steps: [step], runMs: 3000 });
+      await advance(1000);
+      fleet.evacuate(north);
+      if (isHeld) fleet.evacuate(south);
+      await advance(300);
+      return { fleet, before, north };
+    };
+
+    it('is told who still runs there, that nobody does, and when it was taken back', async () => {
+      const { fleet, north } = await evacuated();
+      const outcome = expect.stringMatching(
+        /^evacuated since .*: 4 short runs and 0 long-running tasks there, the last ends/u,
+      ) as string;
+      expect(ask(fleet, 'explain', 'data-centre', north)).toMatchObject({ value: { outcome } });
+      expect(ask(fleet, 'status', '')).toMatchObject({ value: { evacuatedDataCentres: 1 } });
+      await advance(4000);
+      expect(ask(fleet, 'get', 'data-centres')).toMatchObject({
+        value: [
+          {
+            dataCentre: north,
+            evacuatedSince: expect.stringMatching(/^\d{4}/u) as string,
+            shortRuns: 0,
+          },
+          { evacuatedSince: '' },
+        ],
+      });
+      fleet.takeBack(north);
+      await advance(500);
+      const events = fleet.logged.filter(({ event }) => event.startsWith('evacuation-'));
+      expect(events.map(({ event }) => event)).toEqual([
+        'evacuation-begun',
+        'evacuation-empty',
+        'evacuation-ended',
+      ]);
+      expect(events[0]?.fields).toMatchObject({ dataCentre: north, revision: 1, shortRuns: 4 });
+    });
+
+    it('is told which job waits because of it', async () => {
+      const { fleet, north } = await evacuated(true);
+      const job = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 2 }] });
+      await advance(1000);
+      const reason = '2 wait for room: data centre dc-0, dc-1 is evacuated';
+      expect(ask(fleet, 'explain', 'job', job)).toMatchObject({
+        value: { reasons: [{ reason: expect.stringContaining(reason) as string }] },
+      });
+      const waits = {
+        of: `job ${job} step 0`,
+        reason: expect.stringContaining('2 tasks') as string,
+      };
+      expect(ask(fleet, 'explain', 'data-centre', north)).toMatchObject({
+        value: { reasons: expect.arrayContaining([waits]) as object[] },
+      });
+    });
+
+    it('is told once of a name that no endpoint has', async () => {
+      const fleet = await started({ hostsPerPool: 3 });
+      fleet.evacuate('nroth' as DataCentreId);
+      await advance(5000);
+      const told = fleet.logged.filter(({ event }) => event.startsWith('evacuation-'));
+      expect(told).toMatchObject([{ event: 'evacuation-begun', fields: { endpoints: 0 } }]);
+    });
+  });
 });
--- a/packages/daemon/src/batch/operators/operators.ts
+++ b/packages/daemon/src/batch/operators/operators.ts
@@ -2,11 +2,18 @@
  * What operators may ask about batch work, at any entry: the holder of control answers, in the
  * operator's own names. The answers have the shapes that the command line shows.
  */
-import { isFinal, type EndpointState, type JobState, type StepRun } from '@valvelatch/core/batch';
+import {
+  evacuationsAwaitedBy,
+  isFinal,
+  type EndpointState,
+  type JobState,
+  type StepRun,
+} from '@valvelatch/core/batch';
 import type { HostId, JobId } from '@valvelatch/core/shared/ids';
 
 import type { OperatorResult } from '../../operators/operator-result.js';
 import { accountRows, waitsFor } from './account-views.js';
+import { dataCentreRows, explainDataCentre } from './data-centre-views.js';
 import type { Control } from '../control/control.js';
 import type { Term } from '../control/term.js';
 
@@ -37,6 +44,9 @@
   const endpoint = endpointOn(term, hostId);
   if (!endpoint) return 'no endpoint lives on it';
   if (!endpoint.isKnown) return 'its endpoint has not answered this holder yet';
+  if (term.state.evacuated.has(endpoint.dataCentre)) {
+    return `data centre ${endpoint.dataCentre} is evacuated, ${endpoint.runs.size} tasks run on it`;
+  }
   if (endpoint.isDraining) return 'its endpoint leaves or is not listed any more';
   if (endpoint.withheldUntilMs > performance.now()) return `withheld: ${endpoint.withheldReason}`;
   return `${endpoint.runs.size} tasks run on it`;
@@ -89,6 +99,7 @@
       )
       .slice(0, MOST_ROWS),
   accounts: (term) => accountRows(term.state, performance.now()),
+  'data-centres': dataCentreRows,
   waves: (term) =>
     term.fleet.waves().map((wave) => {
       const { order, hosts } = wave;
@@ -102,6 +113,12 @@
     }),
 };
 
+const waitReason = (term: Term, step: StepRun): string => {
+  const awaited = evacuationsAwaitedBy(term.state, step);
+  if (awaited.length === 0) return waitsFor(term.state, step, performance.now());
+  return `room: data centre ${awaited.join(', ')} is evacuated`;
+};
+
 const stepReason = (term: Term, step: StepRun): string => {
   const { spec, waiting, doneCount, isOpen } = step;
   const places = Array.from(step.perEndpoint.keys()).map((id) => {
@@ -109,7 +126,7 @@
     return `host=${endpoint?.hostId ?? 'unknown'} rack=${rackOf(endpoint?.labels ?? [])}`;
   });
   const state = isOpen
-    ? `${waiting.length} wait for ${waitsFor(term.state, step, performance.now())}`
+    ? `${waiting.length} wait for ${waitReason(term, step)}`
     : `waits for steps ${spec.after.join(',')}`;
   const needs = `${spec.cpuMillis / MILLIS} cores, ${spec.memoryMb} MB`;
   return `${doneCount} of ${spec.taskCount} done, ${state} (${needs} each)${places.length > 0 ? `, on ${places.join('; ')}` : ''}`;
@@ -126,6 +143,7 @@
       }
     );
   },
+  'data-centre': explainDataCentre,
   job: (term, name) => {
     const job = term.state.jobs.get(name as JobId);
     const status = term.statusOf(name as JobId);
@@ -163,7 +181,13 @@
 type Handler = (term: Term, body: Body, version: number) => OperatorResult;
 
 /** What is answered from the list of hosts. */
-const HOST_KINDS: ReadonlySet<string> = new Set(['host', 'hosts', 'pools']);
+const HOST_KINDS: ReadonlySet<string> = new Set([
+  'data-centre',
+  'data-centres',
+  'host',
+  'hosts',
+  'pools',
+]);
 
 /** A list that was not read says nothing: it must not look like a fleet without hosts. */
 const isUnreadable = (term: Term, { kind = '' }: Body): boolean =>
@@ -184,6 +208,7 @@
     kind: 'ok',
     value: {
       revision: version,
+      evacuatedDataCentres: term.state.evacuated.size,
       entries: [
         {
           entryId: term.self,
