Evacuation: entries as real processes, on a stand-in with two data centres

A question to the stand-in's feed that waits while the history is forgotten is answered that it is, not with a version whose changes it lacks.

--- a/packages/stand-ins/src/users-platform/rows-service.ts
+++ b/packages/stand-ins/src/users-platform/rows-service.ts
@@ -150,6 +150,8 @@
         while (changesOf(query.table, after).length === 0 && performance.now() < untilMs) {
           await waitForChange(Math.max(1, untilMs - performance.now()));
         }
+        // What came while the question waited may be forgotten before it is answered.
+        if (after < forgottenUpTo) return reply.code(410).send();
         const changes = changesOf(query.table, after);
         const page = firstPage(changes);
         // What does not fit is asked for after the last row of this answer.
--- a/packages/stand-ins/src/users-platform/users-platform.ts
+++ b/packages/stand-ins/src/users-platform/users-platform.ts
@@ -24,6 +24,7 @@
 
 type Machine = {
   readonly machine: string;
+  readonly zone: string;
   pool: string;
   state: 'up' | 'moving' | 'upkeep' | 'down';
   executor: StandInExecutor | null;
@@ -39,6 +40,8 @@
 export type UsersPlatformOptions = {
   readonly pools?: readonly string[];
   readonly machinesPerPool?: number;
+  /** Where machines stand, by turns. */
+  readonly zones?: readonly string[];
   /** What the tasks of a job need, by the text in its spec's place; the same for all by default. */
   readonly needs?: ModelTask;
 };
@@ -52,6 +55,8 @@
   readonly broken: readonly string[];
   /** Jobs of which a task began. */
   readonly begun: ReadonlySet<string>;
+  /** Each start of a task, by the steady clock of this process. */
+  readonly starts: readonly { readonly zone: string; readonly atMs: number }[];
   readonly maintained: ReadonlySet<string>;
   /** Takes the list of machines away, with the orders to them, or gives it back. */
   readonly setMachinesFault: (fault: MachinesFault) => void;
@@ -103,6 +108,7 @@
 export const startUsersPlatform = async ({
   pools = ['routing', 'convoy'],
   machinesPerPool = 2,
+  zones = ['hall'],
   needs = DEFAULT_NEEDS,
 }: UsersPlatformOptions = {}): Promise<UsersPlatform> => {
   const rows = createRowsService({ onPut: (place) => checkReport(place) });
@@ -128,13 +134,22 @@
     }
   };
 
-  const observer = watchTasks(executors, broken, begun, needs);
+  const starts: { readonly zone: string; readonly atMs: number }[] = [];
+  const watcher = watchTasks(executors, broken, begun, needs);
+  const observer: EndpointObserver = {
+    ...watcher,
+    onStart: (endpoint, task, run) => {
+      const zone = machines.get(endpoint.hostId)?.zone ?? '';
+      starts.push({ zone, atMs: performance.now() });
+      watcher.onStart(endpoint, task, run);
+    },
+  };
 
-  const write = ({ machine, pool }: Machine, { model, address }: StandInExecutor): void =>
+  const write = ({ machine, pool, zone }: Machine, { model, address }: StandInExecutor): void =>
     rows.put('servers', model.instanceId, {
       service: pool,
       address,
-      zone: 'hall',
+      zone,
       state: 'ready',
       machine,
       capacity: { cpu: CAPACITY.cpuMillis, memMb: CAPACITY.memoryMb },
@@ -185,11 +200,11 @@
     if (machinesFault === 'silent') await new Promise<void>(() => {});
   });
   list.get('/-/machines', async () => ({
-    machines: Array.from(machines.values(), ({ machine, pool, state, executor }) => ({
+    machines: Array.from(machines.values(), ({ machine, pool, state, zone, executor }) => ({
       machine,
       pool,
       state,
-      zone: 'hall',
+      zone,
       labels: ['a', 'r1-1'],
       capacity: { cpu: CAPACITY.cpuMillis, memMb: CAPACITY.memoryMb },
       id: executor?.model.instanceId ?? null,
@@ -226,12 +241,17 @@
     list.listen({ host: '127.0.0.1', port: 0 }),
   ]);
   const names = pools.flatMap((pool) =>
-    Array.from({ length: machinesPerPool }, (_, index) => ({ pool, name: `m-${pool}-${index}` })),
+    Array.from({ length: machinesPerPool }, (_, index) => ({
+      pool,
+      name: `m-${pool}-${index}`,
+      zone: zones[index % zones.length] ?? '',
+    })),
   );
   await Promise.all(
-    names.map(async ({ pool, name }) => {
+    names.map(async ({ pool, name, zone }) => {
       const machine: Machine = {
         machine: name,
+        zone,
         pool,
         state: 'up',
         executor: null,
@@ -254,6 +274,7 @@
     executors,
     broken,
     begun,
+    starts,
     maintained,
     setMachinesFault: (fault) => {
       machinesFault = fault;
