--- a/packages/core/src/batch/endpoints/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -14,6 +14,8 @@
   readonly labels: readonly string[];
   readonly capacity: Capacity;
   readonly isDraining: boolean;
+  /** For how much longer it says that it is slow; 0 if left out. */
+  readonly coldLeftMs?: number;
 };
 
 /**
@@ -30,7 +32,9 @@
   nowMs: number,
 ): EndpointState => {
   const known = state.endpoints.get(sighting.endpointId);
+  const coldUntilMs = nowMs + (sighting.coldLeftMs ?? 0);
   if (known) {
+    known.coldUntilMs = coldUntilMs;
     known.isDraining = sighting.isDraining;
     known.hasAnnouncedEnd = known.hasAnnouncedEnd || sighting.isDraining;
     known.hostId = sighting.hostId ?? known.hostId;
@@ -53,6 +57,7 @@
     hasAnnouncedEnd: sighting.isDraining,
     withheldUntilMs: 0,
     withheldReason: '',
+    coldUntilMs,
     isClosing: false,
     isAwaited: false,
     leaseEndsAtMs: 0,
--- a/packages/core/src/batch/placement/scores.ts
+++ b/packages/core/src/batch/placement/scores.ts
@@ -44,12 +44,16 @@
 const tasksInDataCentre: PlacementScore['of'] = ({ domains }, { step: { perDomain } }) =>
   perDomain.get(dataCentreCountKey(domains)) ?? 0;
 
+/** An endpoint that is slow after its data centre was taken back: a warm one with room goes first. */
+const isCold: PlacementScore['of'] = ({ coldUntilMs }, { nowMs }) => Number(coldUntilMs > nowMs);
+
 /** Being near its data outweighs fullness, and a place that has not failed the task outweighs both. */
 export const PLACEMENT_SCORES: readonly PlacementScore[] = [
   { name: 'fullest', weight: 1, of: fullness },
   { name: 'near its data', weight: 2, of: isNearData },
   { name: 'failed there', weight: -4, of: hasFailedTask, outranksSpread: true },
   { name: 'maintenance ahead', weight: -3, of: movesAgain, outranksSpread: true },
+  { name: 'cold', weight: -1, of: isCold },
 ];
 
 /**
--- a/packages/core/src/batch/pools/pool-moves.ts
+++ b/packages/core/src/batch/pools/pool-moves.ts
@@ -38,7 +38,10 @@
   world.pools
     .filter(({ isSpare }) => isSpare)
     .flatMap(({ name }) =>
-      Array.from(world.hosts.values()).filter((host) => host.pool === name && isFree(world, host)),
+      Array.from(world.hosts.values()).filter(
+        (host) =>
+          host.pool === name && isFree(world, host) && !world.state.evacuated.has(host.dataCentre),
+      ),
     );
 
 /** Empty hosts that a pool has no need of. One that was reclaimed was emptied for another pool. */
@@ -92,6 +95,27 @@
     });
 };
 
+/** Nothing can begin on these hosts, so no demand keeps them switched on. */
+const evacuatedParkings = (
+  world: PoolWorld,
+  needs: readonly PoolNeed[],
+  { parkAfterMs }: PoolPolicy,
+): readonly PoolMove[] => {
+  const spare = world.pools.find(({ isSpare }) => isSpare);
+  if (!spare) return [];
+  return needs.flatMap(({ name, emptyEvacuated }) => {
+    const idle = emptyEvacuated.filter(
+      ({ idleSinceMs }) => world.nowMs - idleSinceMs >= parkAfterMs,
+    );
+    return freeHostsOn(world, idle).map(({ hostId, dataCentre }) => ({
+      hostId,
+      fromPool: name,
+      toPool: spare.name,
+      reason: `empty for ${parkAfterMs} ms in data centre ${dataCentre}, which is evacuated`,
+    }));
+  });
+};
+
 /** Hosts for pools that are short of room, and what is short afterwards. */
 type Allotment = {
   readonly moves: readonly PoolMove[];
@@ -198,7 +222,10 @@
   const owed = allot(world, needs, policy, { rank: 'owed', before: [] }).moves;
   const rest = allot(world, needs, policy, { rank: 'all', before: owed }).moves;
   const wanted = [...owed, ...rest];
-  return wanted.length > 0 ? wanted : parkings(world, needs, policy);
+  return [
+    ...(wanted.length > 0 ? wanted : parkings(world, needs, policy)),
+    ...evacuatedParkings(world, needs, policy),
+  ];
 };
 
 /** Tells whether an endpoint runs nothing that an account is owed, and nothing that lasts. */
