Loss of a rack or a data centre as one event

A rack is suspected once two of its endpoints, and a third of those there, have left a question or an order unanswered within 1.5 s; a data centre by a third of its endpoints in two racks, or three endpoints where there are no racks. Its endpoints are asked at once and get no new work until they have answered. Nothing is concluded about what runs there, and a suspected endpoint is asked without extending its lease. While four in ten endpoints miss answers nothing is suspected, as the holder's own link is then the likelier cause. An endpoint whose host goes by order does not count.

--- a/packages/core/src/batch/endpoints/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -60,6 +60,7 @@
     roomRevision: 0,
     seenAtMs: nowMs,
     reportedAtMs: 0,
+    unansweredSinceMs: Infinity,
     health: { failedJobs: new Set(), strikes: 0 },
   };
   state.endpoints.set(endpoint.endpointId, endpoint);
--- a/packages/core/src/batch/endpoints/gone-endpoints.ts
+++ b/packages/core/src/batch/endpoints/gone-endpoints.ts
@@ -13,6 +13,7 @@
   recordCrash,
 } from '../crashes/endpoint-crashes.js';
 import { leaveDomains } from '../domains/domains.js';
+import { forgetSuspect } from '../domains/outage.js';
 import { instanceOf } from '../model/endpoint-life.js';
 import { mayBeFollowed } from './followed-runs.js';
 import { giveUpIfDue } from '../jobs/give-up.js';
@@ -48,6 +49,7 @@
   if (!endpoint) return;
   state.endpoints.delete(endpointId);
   leaveDomains(state, endpoint);
+  forgetSuspect(state, endpoint, nowMs);
   chargeStrays(state, endpoint, []);
   const instanceId = instanceOf(endpointId);
   if (state.lives.get(instanceId) === endpoint) state.lives.delete(instanceId);
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -1,6 +1,7 @@
 /** What endpoints report: which tasks run, which have ended and how. */
 import type { EndpointId } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
+import { noteAnswered } from '../domains/outage.js';
 import { instanceOf } from '../model/endpoint-life.js';
 import { followRuns } from './followed-runs.js';
 import { parseTaskKey, type TaskKey } from '../model/job.js';
@@ -241,6 +242,7 @@
   });
   chargeStrays(state, endpoint, strays);
   if (!hasMoreEnds) loseUnlisted(state, endpoint, listed, { askedAtMs, nowMs });
+  noteAnswered(state, endpoint, nowMs);
   change(endpoint, { isKnown: true, reportedAtMs: askedAtMs, lapsedRuns: [] });
   poolOf(state, endpoint.pool).notReported.delete(instanceOf(endpointId));
 };
--- a/packages/core/src/batch/endpoints/sound-endpoints.ts
+++ b/packages/core/src/batch/endpoints/sound-endpoints.ts
@@ -1,5 +1,6 @@
 /** Which endpoints take new work, and whether one may hold a task of a step. */
 import type { PoolName } from '../../shared/ids.js';
+import { isSuspected } from '../domains/outage.js';
 import { fitsIn } from './runs.js';
 import type { BatchState, EndpointState, StepRun } from '../model/state.js';
 
@@ -25,6 +26,7 @@
   !endpoint.isDraining &&
   !endpoint.isClosing &&
   !state.evacuated.has(endpoint.dataCentre) &&
+  !isSuspected(state, endpoint) &&
   endpoint.withheldUntilMs <= nowMs;
 
 /**
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -4,6 +4,7 @@
 export * from './crashes/endpoint-crashes.js';
 export * from './crashes/isolation.js';
 export * from './domains/domains.js';
+export * from './domains/outage.js';
 export * from './domains/spread.js';
 export * from './endpoints/answer-times.js';
 export * from './endpoints/endpoint-model.js';
--- a/packages/core/src/batch/model/domain.ts
+++ b/packages/core/src/batch/model/domain.ts
@@ -1,5 +1,5 @@
-/** A set of endpoints that fail together. */
-import type { DomainId } from '../../shared/ids.js';
+/** Sets of endpoints that fail together. */
+import type { DomainId, EndpointId } from '../../shared/ids.js';
 import type { EndpointState } from './endpoint-state.js';
 
 export type DomainKind = 'rack' | 'dataCentre';
@@ -10,3 +10,13 @@
   readonly kind: DomainKind;
   readonly members: Set<EndpointState>;
 };
+
+/** A domain that may be lost as a whole. */
+export type SuspectedDomain = {
+  readonly domainId: DomainId;
+  readonly sinceMs: number;
+  /** How many endpoints stood in it then. */
+  readonly endpoints: number;
+  /** Those that have not answered since. */
+  readonly awaited: Set<EndpointId>;
+};
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -81,6 +81,8 @@
   readonly seenAtMs: number;
   /** When the question was sent whose answer was applied last. */
   reportedAtMs: number;
+  /** When a question or an order since its last answer was first left unanswered; infinite if none was. */
+  unansweredSinceMs: number;
   health: EndpointHealth;
 };
 
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -19,7 +19,7 @@
 import { createDemandPeaks, type DemandPeaks } from '../pools/demand-peaks.js';
 import type { AccountLimits } from './accounts.js';
 import type { Usage } from './capacity.js';
-import type { Domain } from './domain.js';
+import type { Domain, SuspectedDomain } from './domain.js';
 import type { OrderWay } from './order-ways.js';
 import type { AccountShare } from './share.js';
 import { createRunTimes, type RunTimes } from '../jobs/run-times.js';
@@ -76,6 +76,8 @@
       readonly percent: number;
       readonly reason: string;
     }
+  /** Asks an endpoint at once whether it is there. */
+  | { readonly kind: 'ask'; readonly endpointId: EndpointId }
   | { readonly kind: 'save'; readonly jobId: JobId; readonly isUrgent: boolean }
   | {
       readonly kind: 'note';
@@ -108,6 +110,8 @@
   readonly endpoints: Map<EndpointId, EndpointState>;
   /** Racks and data centres with the endpoints that stand in them; none is empty. */
   readonly domains: Map<DomainId, Domain>;
+  /** Those that may be lost as a whole: what has not answered since gets no new work. */
+  readonly suspectedDomains: Map<DomainId, SuspectedDomain>;
   /** The life that each endpoint is known to be in. */
   readonly lives: Map<InstanceId, EndpointState>;
   readonly goneEndpoints: Map<EndpointId, GoneEndpoint>;
@@ -162,6 +166,7 @@
   pools: new Map(),
   endpoints: new Map(),
   domains: new Map(),
+  suspectedDomains: new Map(),
   lives: new Map(),
   goneEndpoints: new Map(),
   openStarts: new Map(),
--- a/packages/core/src/batch/placement/schedule-cycle.ts
+++ b/packages/core/src/batch/placement/schedule-cycle.ts
@@ -1,5 +1,6 @@
 /** One pass over all pools: they take it in rotation to be first, or one would take what may be sent. */
 import { change } from '../../shared/change.js';
+import { endOldSuspicions } from '../domains/outage.js';
 import { settleGoneEndpoints } from '../endpoints/gone-endpoints.js';
 import { reckonUnreported } from '../accounts/quota.js';
 import { schedulePool } from './schedule.js';
@@ -17,6 +18,7 @@
   let first = 0;
   return (startsLeft, nowMs) => {
     change(state, { startsLeft });
+    endOldSuspicions(state, nowMs);
     settleGoneEndpoints(state, nowMs);
     reckonUnreported(state, nowMs);
     const names = Array.from(state.pools.keys());
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -241,6 +241,7 @@
     start: roster.perform,
     stop: roster.perform,
     pace: roster.perform,
+    ask: roster.perform,
     advise: advisor.ask,
     save: ({ jobId, isUrgent }) => {
       const job = state.jobs.get(jobId);
--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -5,6 +5,9 @@
 import {
   createAnswerTimes,
   applyReport,
+  isSuspected,
+  noteAnswered,
+  noteUnanswered,
   type BatchEffect,
   type EndpointState,
   type OrderError,
@@ -54,6 +57,9 @@
 const FULL_MS = 150;
 const UNHEALTHY_MS = 1000;
 
+/** What is done over the link of one endpoint. */
+export type LinkEffect = Extract<BatchEffect, { kind: 'start' | 'stop' | 'pace' | 'ask' }>;
+
 export type EndpointLink = {
   readonly target: OrderTarget;
   /** The highest end that was applied. */
@@ -62,7 +68,7 @@
   readonly acknowledge: (number: number) => void;
   /** Until when a question to this life may be carried out by the next; 0 if none may. */
   readonly lateUntilMs: () => number;
-  readonly perform: (effect: Extract<BatchEffect, { kind: 'start' | 'stop' | 'pace' }>) => void;
+  readonly perform: (effect: LinkEffect) => void;
   /** Asks until something has been answered, then as long as anything runs there. */
   readonly watch: () => void;
   readonly close: () => void;
@@ -95,6 +101,23 @@
 
   const endpoint = (): EndpointState | undefined => state.endpoints.get(endpointId);
 
+  const isSuspect = (): boolean => {
+    const known = endpoint();
+    return known !== undefined && isSuspected(state, known);
+  };
+
+  /** Where so many endpoints miss that the cause is this entry's own link, nothing shows about their domains. */
+  const noteSilence = (): void => {
+    if (context.linkDelay.isAtFault()) return;
+    noteUnanswered(state, endpointId, nowMs());
+    if (isSuspect()) context.poke();
+  };
+
+  const noteVoice = (): void => {
+    const known = endpoint();
+    if (known) noteAnswered(state, known, nowMs());
+  };
+
   /** A time on the endpoint's clock, and the note of when what it covers has surely ended. */
   const keepUntil = (): number | undefined => {
     const known = endpoint();
@@ -129,8 +152,13 @@
     const sentAtMs = nowMs();
     const answer = await send(answerTimes.timeoutMs());
     const tookMs = nowMs() - sentAtMs;
-    if (answer.isErr() && answer.error.reason === 'no-answer') answerTimes.noteMiss(tookMs);
-    else if (answer.isOk()) answerTimes.note(tookMs);
+    if (answer.isErr() && answer.error.reason === 'no-answer') {
+      answerTimes.noteMiss(tookMs);
+      noteSilence();
+    } else if (answer.isOk()) {
+      answerTimes.note(tookMs);
+      noteVoice();
+    }
     return answer;
   };
 
@@ -180,7 +208,7 @@
   };
 
   const waitMs = (): number => {
-    if (acknowledgement.written() < taken || !endpoint()?.isKnown) return 0;
+    if (isSuspect() || acknowledgement.written() < taken || !endpoint()?.isKnown) return 0;
     const runs = Array.from(endpoint()?.runs.values() ?? []);
     if (runs.some(({ phase }) => phase === 'stopping')) return 0;
     // Until a lasting task is seen at work, no other of its step may be taken away.
@@ -205,7 +233,7 @@
   /** Asks once. An endpoint that does not answer is asked without keeping what runs there. */
   const ask = async (patienceMs: number): Promise<boolean> => {
     const askedAtMs = nowMs();
-    const keepUntilMs = isResponsive() ? keepUntil() : undefined;
+    const keepUntilMs = isResponsive() && !isSuspect() ? keepUntil() : undefined;
     const acknowledged = acknowledgement.toSend(gatherForMs(context.linkDelay.meanMs()));
     const order = {
       fence: state.fence,
@@ -219,7 +247,10 @@
     if (isClosed) return false;
     const overMs = nowMs() - askedAtMs - order.waitMs;
     if (answer.isErr()) {
-      if (answer.error.reason === 'no-answer') answerTimes.noteMiss(Math.max(0, overMs));
+      if (answer.error.reason === 'no-answer') {
+        answerTimes.noteMiss(Math.max(0, overMs));
+        noteSilence();
+      }
       noteMiss(answer.error, acknowledged);
       return false;
     }
@@ -250,7 +281,7 @@
     const known = endpoint();
     return (
       known !== undefined &&
-      (known.runs.size > 0 || !known.isKnown || acknowledgement.written() < taken)
+      (known.runs.size > 0 || !known.isKnown || isSuspect() || acknowledgement.written() < taken)
     );
   };
 
@@ -287,6 +318,12 @@
       });
   };
 
+  /** A question that is under way may wait for an end: another one that does not wait is sent beside it. */
+  const askNow = (): void => {
+    if (isWatching && context.mayOrder() && !isClosed) void ask(0);
+    watch();
+  };
+
   return {
     target,
     takenNumber: () => taken,
@@ -296,6 +333,7 @@
       if (effect.kind === 'start') void start(effect).then(watch);
       if (effect.kind === 'stop') void stop(effect);
       if (effect.kind === 'pace') void pace(effect);
+      if (effect.kind === 'ask') askNow();
     },
     watch,
     close: () => {
--- a/packages/daemon/src/batch/endpoints/endpoint-roster.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-roster.ts
@@ -7,7 +7,6 @@
   removeEndpoint,
   seeEndpoint,
   soleForMs,
-  type BatchEffect,
   type BatchState,
   type EndpointState,
   type GoneCause,
@@ -15,7 +14,7 @@
 import { change } from '@valvelatch/core/shared/change';
 import type { EndpointId, InstanceId } from '@valvelatch/core/shared/ids';
 
-import { createEndpointLink, type EndpointLink } from './endpoint-link.js';
+import { createEndpointLink, type EndpointLink, type LinkEffect } from './endpoint-link.js';
 import type { LinkContext } from './link-context.js';
 import type { EndpointFeed, EndpointNews } from '../ports.js';
 
@@ -61,7 +60,7 @@
   /** Reads and applies what has changed. */
   readonly follow: () => Promise<void>;
   readonly drop: (endpointId: EndpointId, end: GoneEvidence) => void;
-  readonly perform: (effect: Extract<BatchEffect, { kind: 'start' | 'stop' | 'pace' }>) => void;
+  readonly perform: (effect: LinkEffect) => void;
   /** Marks the ends applied so far; the answer acknowledges them. */
   readonly mark: () => () => void;
   readonly close: () => void;
--- a/packages/daemon/src/batch/endpoints/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -4,6 +4,7 @@
   closeStart,
   dropTicket,
   isSoleHolder,
+  isSuspected,
   openStart,
   type BatchEffect,
   type EndpointClock,
@@ -78,6 +79,12 @@
     return isSoleHolder(state, nowMs()) || nowMs() - heardAtMs < RESPONSIVE_MS;
   };
 
+  /** Its rack or its data centre may have been lost since the start was decided. */
+  const isHeldBack = (): boolean => {
+    const endpoint = state.endpoints.get(endpointId);
+    return endpoint !== undefined && isSuspected(state, endpoint);
+  };
+
   /** Sends a start as one of those under way. */
   const sendCounted = async (order: StartOrder): ReturnType<EndpointOrders['start']> => {
     const sentAtMs = nowMs();
@@ -123,7 +130,7 @@
     // It may have been given up while the answer was awaited, and must not begin after that.
     if (state.endpoints.get(endpointId)?.runs.get(task)?.run !== run) return;
     const keepUntilMs = keepUntil();
-    if (keepUntilMs === undefined || !mayStart()) {
+    if (keepUntilMs === undefined || !mayStart() || isHeldBack()) {
       const reason = 'not-sent';
       applyStartOutcome(state, endpointId, {
         task,
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -122,6 +122,7 @@
   readonly endpoints: Map<InstanceId, EndpointModel>;
   readonly hosts: Map<HostId, HostView>;
   readonly broken: string[];
+  readonly startsSent: readonly { readonly instanceId: InstanceId; readonly atMs: number }[];
   readonly logged: { readonly event: string; readonly fields: object }[];
   readonly addEntry: (name: string, cores?: number) => SimEntry;
   readonly kill: (entry: SimEntry) => void;
@@ -364,6 +365,7 @@
     endpoints,
     hosts,
     broken,
+    startsSent: world.startsSent,
     logged,
     faults,
     waveStatus,
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -382,8 +382,11 @@
         const answer = await toEndpoint(instanceOf(endpointId), order, ask, patienceMs);
         return answer.andThen(({ bornAtMs, value }) => requireLife(endpointId, bornAtMs, value));
       },
-      start: ({ endpointId }, order, timeoutMs) =>
-        toEndpoint(instanceOf(endpointId), order, (one) => one.start(order), timeoutMs),
+      start: ({ endpointId }, order, timeoutMs) => {
+        const instanceId = instanceOf(endpointId);
+        world.startsSent.push({ instanceId, atMs: performance.now() });
+        return toEndpoint(instanceId, order, (one) => one.start(order), timeoutMs);
+      },
       stop: ({ endpointId }, order, timeoutMs) =>
         toEndpoint(instanceOf(endpointId), order, (one) => one.stop(order), timeoutMs),
       pace: async () => Ok({ clockMs: 0 }),
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -147,6 +147,8 @@
   const crashes = new Map<TaskKey, number>();
   const startsSince = new Map<TaskKey, number>();
   const broken: string[] = [];
+  /** Orders to start as they leave an entry, whether or not they arrive. */
+  const startsSent: { readonly instanceId: InstanceId; readonly atMs: number }[] = [];
   /** What the configurations that may be in force give accounts, the newest last. */
   const inForce: { readonly maxima: ReadonlyMap<AccountName, Capacity>; untilMs: number }[] = [];
   const faults: SimFaults = {
@@ -451,6 +453,7 @@
     hosts,
     jobs,
     broken,
+    startsSent,
     faults,
     maintained,
     unlisted,
