--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -157,6 +157,8 @@
   const operator = createSimOperator();
   let isTableDown = false;
   let tableBackAtMs = -Infinity;
+  /** Orders to start as they leave an entry, whether or not they arrive. */
+  const startsSent: { readonly instanceId: InstanceId; readonly atMs: number }[] = [];
   /** What the configurations that may be in force give accounts, the newest last. */
   const inForce: { readonly maxima: ReadonlyMap<AccountName, Capacity>; untilMs: number }[] = [];
   const faults: SimFaults = {
@@ -482,6 +484,7 @@
     hosts,
     jobs,
     broken,
+    startsSent,
     faults,
     maintained,
     unlisted,
