Waves: hosts with lasting tasks are planned backwards from the wave's end

A pool of 24 hosts with 12 lasting tasks, one a host, one of which may be missed, took 28.2 to 32.2 s of 26 s for the hosts with these tasks, and 28.2 s rack by rack: hosts at work waited until 12 s before the end, and then drained one after the other, each for up to 3 s of the step's allowance.

- wave-plan.ts gives the latest time to begin for each lasting step and for the other hosts, in place of one reserve for all.
- early-moves.ts moves lasting tasks off hosts at work, each once, so that these drain beside others.
While there is time one moves after the other.
- Hosts that drain claim tasks of a step by number, not the step as a whole.
- A host's own tasks are counted once in its step's allowance.
One that had not answered for 2.6 s counted them as away and as going, and waited for itself.
- What runs on a host that was ordered down stays away for budgets when its endpoint answers before the order takes effect.

--- a/packages/core/src/batch/endpoints/endpoint-model.ts
+++ b/packages/core/src/batch/endpoints/endpoint-model.ts
@@ -23,6 +23,8 @@
   readonly memoryMb: number;
   readonly runMs: number;
   readonly isLasting: boolean;
+  /** How long a lasting task takes to be at work; `START_MS` if left out. */
+  readonly startMs?: number | undefined;
   readonly fails: boolean;
   /** It takes the endpoint down so long after its start; undefined for one that does not. */
   readonly crashesAfterMs?: number | undefined;
@@ -64,7 +66,7 @@
   /** The name of this life. */
   readonly endpointId: EndpointId;
   readonly isUp: () => boolean;
-  readonly runs: ReadonlyMap<TaskKey, { readonly run: number }>;
+  readonly runs: ReadonlyMap<TaskKey, Readonly<Omit<ModelRun, 'timer'>>>;
   readonly list: (
     order: ListOrder,
   ) => Promise<
@@ -179,7 +181,7 @@
   const percentOf = ({ startedAtMs, needs, isStopping }: ModelRun): number => {
     const ranMs = performance.now() - startedAtMs;
     if (self.mood === 'hangs' || isStopping) return 0;
-    const wholeMs = needs.isLasting ? START_MS : needs.runMs;
+    const wholeMs = needs.isLasting ? (needs.startMs ?? START_MS) : needs.runMs;
     return Math.min(needs.isLasting ? 100 : 99, Math.floor((ranMs / wholeMs) * 100));
   };
 
--- a/packages/core/src/batch/maintenance/upkeep-progress.test.ts
+++ b/packages/core/src/batch/maintenance/upkeep-progress.test.ts
@@ -105,7 +105,7 @@
               .filter((hostId) => isThere(hostId) && hostId !== hostIdOf(leftOut))
               .map((hostId) => viewOf(hostId, isDown(hostId, nowMs) ? 'maintenance' : 'up'));
             if (!isListLost) takeHostList(inventory, list, nowMs);
-            planUpkeep({ ...sight, state, isShort: false }, wave, nowMs).forEach(({ hostId }) => {
+            planUpkeep({ ...sight, state, isShort: false }, [wave], nowMs).forEach(({ hostId }) => {
               const isDone = outcome === 'done' || (outcome === 'unknown' && isCarriedOut);
               if (isDone && !downAtMs.has(hostId)) {
                 const down = hostIds.filter((one) => isDown(one, nowMs) && isThere(one));
--- a/packages/core/src/batch/maintenance/upkeep-progress.ts
+++ b/packages/core/src/batch/maintenance/upkeep-progress.ts
@@ -1,5 +1,7 @@
 /** How far a maintenance wave is, host by host, and when it is completed. */
 import type { HostId } from '../../shared/ids.js';
+import type { TaskKey } from '../model/job.js';
+import type { StepRun } from '../model/job-state.js';
 import { presenceOf, type HostInventory, type HostPresence } from '../pools/host-inventory.js';
 
 /** A wave as it was ordered. */
@@ -23,6 +25,8 @@
   unansweredAtMs: number;
   /** Why it has not gone down yet; '' where nothing stands in the way. */
   reason: string;
+  /** The lasting steps that it took tasks of along as it was ordered down. */
+  took: ReadonlySet<StepRun>;
 };
 
 /** A wave with its progress. */
@@ -30,6 +34,18 @@
   readonly order: UpkeepOrder;
   readonly seenAtMs: number;
   readonly hosts: Map<HostId, UpkeepHost>;
+  /** Lasting tasks that were moved off hosts of it: each moves once. */
+  readonly moved: Set<TaskKey>;
+  /** Whether it can be in time, as planned last. */
+  outlook: WaveOutlook;
+};
+
+/** Whether a wave can be in time. */
+export type WaveOutlook = {
+  /** How many hosts are expected to be late, at least. */
+  readonly lateHosts: number;
+  /** Why; '' where none is. */
+  readonly reason: string;
 };
 
 /** What is known of hosts, to judge a wave by. */
@@ -60,6 +76,8 @@
 ): UpkeepWave => ({
   order,
   seenAtMs: nowMs,
+  moved: new Set(),
+  outlook: { lateHosts: 0, reason: '' },
   hosts: new Map(
     order.hosts.map((hostId) => [
       hostId,
@@ -68,6 +86,7 @@
         sinceMs: nowMs,
         unansweredAtMs: -Infinity,
         reason: '',
+        took: new Set(),
       },
     ]),
   ),
--- a/packages/core/src/batch/maintenance/upkeep-rules.test.ts
+++ b/packages/core/src/batch/maintenance/upkeep-rules.test.ts
@@ -76,7 +76,7 @@
   };
 
   const plan = (nowMs: number, isShort = false): readonly string[] =>
-    planUpkeep({ state, inventory, downMs: 2300, isShort }, wave, nowMs).map(
+    planUpkeep({ state, inventory, downMs: 2300, isShort }, [wave], nowMs).map(
       ({ hostId }) => hostId,
     );
   const hosts = (): readonly UpkeepHost[] => Array.from(wave.hosts.values());
--- a/packages/core/src/batch/maintenance/upkeep-rules.ts
+++ b/packages/core/src/batch/maintenance/upkeep-rules.ts
@@ -6,6 +6,7 @@
 import { findBudgetObstacle, isQuiet, type BudgetObstacle } from '../pools/hosts.js';
 import type { BatchState, EndpointState, StepRun } from '../model/state.js';
 import type { HostSight, UpkeepHost, UpkeepWave } from './upkeep-progress.js';
+import { DRAIN_PATIENCE_MS, latestBeginMs, type WavePlan } from './wave-plan.js';
 
 /** What planning needs to know of hosts. */
 export type UpkeepWorld = HostSight & {
@@ -21,6 +22,8 @@
   readonly endpoint: EndpointState | undefined;
   /** The lasting steps with a budget that have tasks on it. */
   readonly lasting: ReadonlySet<StepRun>;
+  /** The label of its rack; '' for one without. */
+  readonly rack: string;
 };
 
 /** One pass over the candidates of a wave, with what was decided of those before. */
@@ -28,16 +31,18 @@
   readonly world: UpkeepWorld;
   readonly wave: UpkeepWave;
   readonly nowMs: number;
-  /** There is time to wait for hosts that become empty by themselves. */
-  readonly isRelaxed: boolean;
+  /** Until when hosts may wait to become empty by themselves. */
+  readonly plan: WavePlan;
+  /** Racks in which other waves have hosts down that took tasks of a step along. */
+  readonly racksOfOthers: ReadonlyMap<StepRun, ReadonlySet<string>>;
   /** How many hosts may be ordered down in this pass. */
   readonly freePlaces: number;
   /** The hosts that were ordered down. */
   readonly ordered: HostId[];
   /** How many hosts were closed to new work. */
   closingCount: number;
-  /** Steps of which a host that was closed takes tasks along. */
-  readonly claimed: Set<StepRun>;
+  /** How many tasks of steps the hosts that drain are to take along. */
+  readonly claimed: Map<StepRun, number>;
 };
 
 /** What is decided of a candidate, and what it waits for; '' if nothing holds it up. */
@@ -57,8 +62,6 @@
 
 type Rule = (candidate: Candidate, round: UpkeepRound) => HostDecision | undefined;
 
-/** Short tasks on a host get this long to end before the host is taken down all the same. */
-const DRAIN_PATIENCE_MS = 3000;
 /** Hosts that drain while others are down, so that the next one is ready. */
 const CLOSING_AHEAD = 2;
 
@@ -66,13 +69,29 @@
 
 const drain = (reason: string): HostDecision => ({ kind: 'drain', reason });
 
-const waitWhileRelaxed: Rule = ({ endpoint }, { world, isRelaxed }) => {
-  if (!isRelaxed) return undefined;
+const waitWhileRelaxed: Rule = (candidate, { world, plan, nowMs }) => {
+  const { endpoint } = candidate;
+  if (nowMs >= latestBeginMs(plan, candidate)) return undefined;
   if (world.isShort) return keepOpen('room is short, and there is time left');
   const isAtWork = endpoint !== undefined && !isQuiet(endpoint);
   return isAtWork ? keepOpen('it is at work, and there is time left') : undefined;
 };
 
+/** What else the domain takes down is not known yet, so nothing of any allowance is given away. */
+const awaitSuspectedDomains: Rule = ({ lasting }, { world }) => {
+  if (lasting.size === 0 || world.state.suspectedDomains.size === 0) return undefined;
+  return keepOpen('a rack or a data centre is suspected lost');
+};
+
+/** The loss of a rack beside maintenance in another one would take tasks of the step in both. */
+const keepToOneRack: Rule = ({ lasting, rack }, { racksOfOthers }) => {
+  if (rack === '') return undefined;
+  const shared = Array.from(lasting).find((step) =>
+    Array.from(racksOfOthers.get(step) ?? []).some((other) => other !== rack),
+  );
+  return shared && keepOpen(`another wave has hosts of job ${shared.job.job.jobId} down elsewhere`);
+};
+
 const limitClosing: Rule = (_candidate, { wave, closingCount }) => {
   const isFull = closingCount >= wave.order.maximum + CLOSING_AHEAD;
   return isFull ? keepOpen('as many hosts as may go are before it') : undefined;
@@ -95,10 +114,10 @@
   return { kind: 'spread', endpoint, obstacle, reason };
 };
 
-/** Two hosts that each fit a step's budget may break it together. */
-const takeOneHostPerStep: Rule = ({ lasting }, { claimed }) => {
-  const shared = Array.from(lasting).find((step) => claimed.has(step));
-  return shared && keepOpen(`job ${shared.job.job.jobId} gives another host first`);
+/** Hosts that each fit a step's budget may break it together. */
+const keepWithinClaims: Rule = ({ endpoint }, { world, claimed }) => {
+  const obstacle = endpoint && findBudgetObstacle(world.state, endpoint, claimed);
+  return obstacle && keepOpen(`job ${obstacle.step.job.job.jobId} gives another host first`);
 };
 
 const keepWithinMaximum: Rule = (_candidate, { wave, ordered, freePlaces }) => {
@@ -123,9 +142,11 @@
 /** In the order in which they are asked: budgets go before what only delays a host. */
 const rules: readonly Rule[] = [
   waitWhileRelaxed,
+  awaitSuspectedDomains,
+  keepToOneRack,
   limitClosing,
   keepWithinBudgets,
-  takeOneHostPerStep,
+  keepWithinClaims,
   keepWithinMaximum,
   awaitFirstAnswer,
   awaitShortTasks,
--- a/packages/core/src/batch/maintenance/upkeep.ts
+++ b/packages/core/src/batch/maintenance/upkeep.ts
@@ -11,8 +11,10 @@
 import type { HostId } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import type { HostPresence } from '../pools/host-inventory.js';
-import { lastingSteps, moveOneAway } from '../pools/hosts.js';
-import type { EndpointState } from '../model/state.js';
+import { rackOf } from '../endpoints/endpoints.js';
+import { countAtWork, lastingSteps, moveOneAway } from '../pools/hosts.js';
+import type { EndpointState, StepRun } from '../model/state.js';
+import { moveTasksEarly } from './early-moves.js';
 import { mayBeDown, presenceInWave, type UpkeepHost, type UpkeepWave } from './upkeep-progress.js';
 import {
   decideOnHost,
@@ -21,6 +23,7 @@
   type UpkeepRound,
   type UpkeepWorld,
 } from './upkeep-rules.js';
+import { latestBeginMs, planWave, type WavePlan } from './wave-plan.js';
 
 /** A host of a wave that is to be ordered down. */
 export type UpkeepStep = {
@@ -29,13 +32,6 @@
   readonly reason: string;
 };
 
-/** A host drains for up to 3 s, is down for 2 s, and its lasting tasks take a second to be back. */
-const ROUND_MS = 4000;
-/**
- * Kept for budgets that have to wait for each other, for a change of the holder and an outage of 4 s:
- * with 9 s, 3 to 5 of 22 hosts were late on a day with both.
- */
-const RESERVE_MS = 12_000;
 /** An order without an answer is sent again after this time. */
 const ASK_AGAIN_MS = 1000;
 /** An order that was refused is sent again after this time: the platform may not know the wave yet. */
@@ -49,6 +45,9 @@
   return instanceId ? state.lives.get(instanceId) : undefined;
 };
 
+const rackOn = ({ inventory: { hosts } }: UpkeepWorld, hostId: HostId): string =>
+  rackOf({ labels: hosts.get(hostId)?.labels ?? [] });
+
 /** One that had been down under an earlier holder did not go again: its endpoint lives on, and was closed. */
 const noteBack = (world: UpkeepWorld, hostId: HostId, host: UpkeepHost): void => {
   const endpoint = endpointOf(world, hostId);
@@ -88,12 +87,35 @@
   });
 };
 
-const markAwaited = (world: UpkeepWorld, wave: UpkeepWave): void => {
+const AWAITED: ReadonlySet<UpkeepHost['phase']> = new Set(['waiting', 'closing', 'refused']);
+
+const isAwaitedIn =
+  (hostId: HostId) =>
+  ({ hosts }: UpkeepWave): boolean => {
+    const host = hosts.get(hostId);
+    return host !== undefined && AWAITED.has(host.phase);
+  };
+
+/** A host that two waves name has maintenance ahead until both are through with it. */
+const markAwaited = (world: UpkeepWorld, waves: readonly UpkeepWave[]): void =>
+  waves
+    .flatMap(({ hosts }) => Array.from(hosts.keys()))
+    .forEach((hostId) => {
+      const endpoint = endpointOf(world, hostId);
+      if (endpoint) change(endpoint, { isAwaited: waves.some(isAwaitedIn(hostId)) });
+    });
+
+const GOING: ReadonlySet<UpkeepHost['phase']> = new Set(['asked', 'down']);
+
+/**
+ * What runs on a host that was ordered down is away for every budget. An answer that the endpoint gave before the
+ * order took effect would count it as at work again.
+ */
+const countOrderedAsAway = (world: UpkeepWorld, wave: UpkeepWave): void =>
   wave.hosts.forEach(({ phase }, hostId) => {
-    const endpoint = endpointOf(world, hostId);
-    if (endpoint) endpoint.isAwaited = phase === 'waiting' || phase === 'closing';
+    if (!GOING.has(phase)) return;
+    endpointOf(world, hostId)?.runs.forEach((run) => change(run, { percent: 0 }));
   });
-};
 
 /** How much a host's loss would cost; 0 for spare and empty hosts. */
 const weightOf = ({ endpoint }: Candidate): number => {
@@ -109,7 +131,48 @@
   Ord.contramap(({ host }: Candidate) => host.phase === 'closing'),
 );
 const byWeight = pipe(N.Ord, Ord.contramap(weightOf));
-const byPreference = Ord.getMonoid<Candidate>().concat(byClosingFirst, byWeight);
+
+/** Racks of which hosts have begun go on before others begin: by how many of each have. */
+const countBegun = (world: UpkeepWorld, wave: UpkeepWave): ReadonlyMap<string, number> => {
+  const begun = new Map<string, number>();
+  wave.hosts.forEach(({ phase }, hostId) => {
+    const rack = rackOn(world, hostId);
+    if (rack === '' || phase === 'waiting') return;
+    begun.set(rack, (begun.get(rack) ?? 0) + 1);
+  });
+  return begun;
+};
+
+const byBegunRack = (begun: ReadonlyMap<string, number>): Ord.Ord<Candidate> =>
+  pipe(
+    N.Ord,
+    Ord.reverse,
+    Ord.contramap(({ rack }: Candidate) => begun.get(rack) ?? 0),
+  );
+
+/** Hosts that must begin now on account of a step go before those that only wait for the maximum. */
+const byOverdueStep = (plan: WavePlan, nowMs: number): Ord.Ord<Candidate> =>
+  pipe(
+    B.Ord,
+    Ord.reverse,
+    Ord.contramap(
+      (candidate: Candidate) =>
+        candidate.lasting.size > 0 && nowMs >= latestBeginMs(plan, candidate),
+    ),
+  );
+
+const sortCandidates = (
+  { world, wave, plan, nowMs }: UpkeepRound,
+  candidates: readonly Candidate[],
+): readonly Candidate[] => {
+  const orders = [
+    byClosingFirst,
+    byOverdueStep(plan, nowMs),
+    byBegunRack(countBegun(world, wave)),
+    byWeight,
+  ];
+  return pipe(candidates, RA.toArray, RA.sortBy(orders));
+};
 
 const mayBeOrdered = (
   { inventory }: UpkeepWorld,
@@ -122,7 +185,8 @@
 
 const candidateOf = (world: UpkeepWorld, hostId: HostId, host: UpkeepHost): Candidate => {
   const endpoint = endpointOf(world, hostId);
-  return { hostId, host, endpoint, lasting: endpoint ? lastingSteps(endpoint) : new Set() };
+  const lasting = endpoint ? lastingSteps(endpoint) : new Set<StepRun>();
+  return { hostId, host, endpoint, lasting, rack: rackOn(world, hostId) };
 };
 
 const findCandidates = (world: UpkeepWorld, wave: UpkeepWave): readonly Candidate[] =>
@@ -130,19 +194,29 @@
     Array.from(wave.hosts),
     RA.filter(([hostId, host]) => mayBeOrdered(world, hostId, host)),
     RA.map(([hostId, host]) => candidateOf(world, hostId, host)),
-    RA.sort(byPreference),
   );
 
-/** Tells whether hosts can be left for later: the rest must take no longer than what is left then. */
-const hasTimeLeft = ({ order, seenAtMs }: UpkeepWave, left: number, nowMs: number): boolean => {
-  const neededMs = Math.ceil(left / order.maximum) * ROUND_MS + RESERVE_MS;
-  return seenAtMs + order.withinMs - nowMs > neededMs;
+/** The racks in which other waves have hosts down, by the steps that these took tasks of along. */
+const findRacksOfOthers = (
+  world: UpkeepWorld,
+  others: readonly UpkeepWave[],
+): ReadonlyMap<StepRun, ReadonlySet<string>> => {
+  const racks = new Map<StepRun, Set<string>>();
+  others.forEach(({ hosts }) =>
+    hosts.forEach(({ phase, took }, hostId) => {
+      const rack = rackOn(world, hostId);
+      if (rack === '' || !GOING.has(phase)) return;
+      took.forEach((step) => racks.set(step, (racks.get(step) ?? new Set()).add(rack)));
+    }),
+  );
+  return racks;
 };
 
 const startRound = (
   world: UpkeepWorld,
   wave: UpkeepWave,
-  candidateCount: number,
+  candidates: readonly Candidate[],
+  waves: readonly UpkeepWave[],
   nowMs: number,
 ): UpkeepRound => {
   const down = Array.from(wave.hosts).filter(([hostId, host]) => mayBeDown(world, hostId, host));
@@ -150,11 +224,15 @@
     world,
     wave,
     nowMs,
-    isRelaxed: hasTimeLeft(wave, candidateCount, nowMs),
+    plan: planWave(wave, candidates, world.downMs, nowMs),
+    racksOfOthers: findRacksOfOthers(
+      world,
+      waves.filter((other) => other !== wave),
+    ),
     freePlaces: Math.max(0, wave.order.maximum - down.length),
     ordered: [],
     closingCount: 0,
-    claimed: new Set(),
+    claimed: new Map(),
   };
 };
 
@@ -171,12 +249,20 @@
   if (endpoint) change(endpoint, { isClosing: false });
 };
 
-const orderDown = ({ ordered, nowMs }: UpkeepRound, candidate: Candidate): void => {
-  const { hostId, host, endpoint } = candidate;
+const orderDown = ({ world, wave, ordered, nowMs }: UpkeepRound, candidate: Candidate): void => {
+  const { hostId, host, lasting } = candidate;
   ordered.push(hostId);
-  change(host, { phase: 'asked', sinceMs: nowMs });
-  // Its tasks are away from now on, for the budgets of the others.
-  endpoint?.runs.forEach((run) => change(run, { percent: 0 }));
+  change(host, { phase: 'asked', sinceMs: nowMs, took: lasting });
+  countOrderedAsAway(world, wave);
+};
+
+/** A host that drains has its lasting tasks moved meanwhile; what stays is to go with it. */
+const claimTasks = (round: UpkeepRound, candidate: Candidate): void => {
+  moveTasksEarly(candidate, round);
+  candidate.lasting.forEach((step) => {
+    const staying = countAtWork(candidate.endpoint, step);
+    round.claimed.set(step, (round.claimed.get(step) ?? 0) + staying);
+  });
 };
 
 const carryOut = (round: UpkeepRound, candidate: Candidate, decision: HostDecision): void => {
@@ -187,11 +273,12 @@
   }
   close(round, candidate);
   if (decision.kind === 'spread') {
-    moveOneAway(round.world.state, decision.endpoint, decision.obstacle, round.nowMs);
+    const { obstacle, endpoint } = decision;
+    moveOneAway(round.world.state, endpoint, { ...obstacle, nowMs: round.nowMs });
     return;
   }
-  candidate.lasting.forEach((step) => round.claimed.add(step));
   if (decision.kind === 'order-down') orderDown(round, candidate);
+  else claimTasks(round, candidate);
 };
 
 const findUnanswered = (wave: UpkeepWave, nowMs: number): readonly HostId[] =>
@@ -199,30 +286,48 @@
     .filter(([, { phase, sinceMs }]) => phase === 'asked' && nowMs - sinceMs > ASK_AGAIN_MS)
     .map(([hostId]) => hostId);
 
-/**
- * Plans the next steps of a wave.
- *
- * @param world - Hosts and endpoints; endpoints that drain are marked as closing.
- * @param wave - The wave, changed in place.
- * @param nowMs - The time.
- * @returns The hosts to order down now.
- */
-export const planUpkeep = (
+const planNext = (
   world: UpkeepWorld,
   wave: UpkeepWave,
+  waves: readonly UpkeepWave[],
   nowMs: number,
 ): readonly UpkeepStep[] => {
-  settle(world, wave, nowMs);
-  noteUnlisted(world, wave);
-  markAwaited(world, wave);
   const unanswered = findUnanswered(wave, nowMs);
-  const candidates = findCandidates(world, wave);
-  const round = startRound(world, wave, candidates.length, nowMs);
+  const found = findCandidates(world, wave);
+  const round = startRound(world, wave, found, waves, nowMs);
+  const candidates = sortCandidates(round, found);
+  change(wave, { outlook: round.plan.outlook });
   // One after the other: each decision depends on what those before took of the budgets.
   candidates.forEach((candidate) => carryOut(round, candidate, decideOnHost(candidate, round)));
+  // What those that may go now leave of the allowances.
+  candidates
+    .filter(({ host }) => host.phase === 'waiting')
+    .forEach((candidate) => moveTasksEarly(candidate, round));
   const reason = `wave ${wave.order.waveNumber}: no budget forbids it`;
   return [
     ...unanswered.map((hostId) => ({ wave, hostId, reason: 'the order had no answer' })),
     ...round.ordered.map((hostId) => ({ wave, hostId, reason })),
   ];
 };
+
+/**
+ * Plans the next steps of all waves.
+ *
+ * @param world - Hosts and endpoints; endpoints that drain are marked as closing.
+ * @param waves - The waves, changed in place.
+ * @param nowMs - The time.
+ * @returns The hosts to order down now.
+ */
+export const planUpkeep = (
+  world: UpkeepWorld,
+  waves: readonly UpkeepWave[],
+  nowMs: number,
+): readonly UpkeepStep[] => {
+  waves.forEach((wave) => {
+    settle(world, wave, nowMs);
+    noteUnlisted(world, wave);
+    countOrderedAsAway(world, wave);
+  });
+  markAwaited(world, waves);
+  return waves.flatMap((wave) => planNext(world, wave, waves, nowMs));
+};
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -100,6 +100,8 @@
   isHostListAwaited: boolean;
   /** Data centres whose endpoints begin nothing, as the operator has ordered. */
   evacuated: ReadonlySet<DataCentreId>;
+  /** Racks and data centres that are suspected lost. */
+  suspectedDomains: ReadonlySet<string>;
   readonly jobs: Map<JobId, JobState>;
   readonly pools: Map<PoolName, PoolState>;
   readonly endpoints: Map<EndpointId, EndpointState>;
@@ -153,6 +155,7 @@
   inheritedLeasesEndAtMs: 0,
   isHostListAwaited: false,
   evacuated: new Set(),
+  suspectedDomains: new Set(),
   jobs: new Map(),
   pools: new Map(),
   endpoints: new Map(),
--- a/packages/core/src/batch/pools/hosts.ts
+++ b/packages/core/src/batch/pools/hosts.ts
@@ -10,6 +10,7 @@
   GoneCause,
   RunState,
   StepRun,
+  Task,
 } from '../model/state.js';
 
 /** A host as the platform lists it. */
@@ -71,10 +72,11 @@
 
 const isAtWork = ({ phase, percent }: RunState): boolean => phase === 'running' && percent >= 100;
 
-/** How many tasks of a lasting step are at work anywhere, by answers that are fresh. */
-const atWork = (state: BatchState, step: StepRun): number =>
+/** How many tasks of a lasting step are at work on other endpoints, by answers that are fresh. */
+const atWorkElsewhere = (state: BatchState, step: StepRun, here: EndpointState): number =>
   Array.from(step.perEndpoint.keys())
     .flatMap((endpointId) => state.endpoints.get(endpointId) ?? [])
+    .filter((endpoint) => endpoint !== here)
     .filter(({ reportedAtMs }) => state.clockMs - reportedAtMs < FRESH_MS)
     .flatMap(({ runs }) => Array.from(runs.values()))
     .filter((run) => run.step === step && isAtWork(run)).length;
@@ -95,30 +97,60 @@
 /** A lasting step whose budget forbids something, with the reason. */
 export type BudgetObstacle = {
   readonly step: StepRun;
-  /** How many of its tasks are not at work anywhere. */
+  /** How many of its tasks are not at work anywhere, or are to go with other hosts. */
   readonly away: number;
   readonly reason: string;
 };
 
+/**
+ * Counts the tasks of a lasting step that are at work on an endpoint.
+ *
+ * @param endpoint - The endpoint; undefined for none.
+ * @param step - The step.
+ * @returns The number of tasks, by the endpoint's last answer.
+ */
+export const countAtWork = (endpoint: EndpointState | undefined, step: StepRun): number =>
+  Array.from(endpoint?.runs.values() ?? []).filter((run) => run.step === step && isAtWork(run))
+    .length;
+
+/**
+ * Counts the tasks of a lasting step that are at work nowhere. Those on the endpoint that is to go count by its
+ * last answer, however old: they were counted twice before, as away and as tasks that would go, and a host that
+ * had not answered for 2.6 s waited for itself.
+ *
+ * @param state - All that is known.
+ * @param step - The step.
+ * @param endpoint - The endpoint that is to go, or of which a task is to move.
+ * @returns The number of tasks.
+ */
+export const countAway = (state: BatchState, step: StepRun, endpoint: EndpointState): number => {
+  const here = countAtWork(endpoint, step);
+  return step.spec.taskCount - atWorkElsewhere(state, step, endpoint) - here;
+};
+
+const NONE_CLAIMED: ReadonlyMap<StepRun, number> = new Map();
+
 /**
  * Finds the lasting step whose budget forbids that an endpoint goes now.
  *
  * @param state - All that is known.
  * @param endpoint - The endpoint.
+ * @param claimed - How many tasks of steps other hosts are to take along that have not gone yet.
  * @returns The step and the reason, or undefined if the endpoint may go.
  */
 export const findBudgetObstacle = (
   state: BatchState,
   endpoint: EndpointState,
+  claimed: ReadonlyMap<StepRun, number> = NONE_CLAIMED,
 ): BudgetObstacle | undefined =>
   Array.from(lastingSteps(endpoint)).flatMap((step) => {
-    const here = Array.from(endpoint.runs.values()).filter((run) => run.step === step);
-    const away = step.spec.taskCount - atWork(state, step);
-    const hereAtWork = here.filter(isAtWork).length;
-    if (hereAtWork === 0 || away + hereAtWork <= step.spec.mayMiss) return [];
+    const hereAtWork = countAtWork(endpoint, step);
+    const away = countAway(state, step, endpoint);
+    const goingToo = claimed.get(step) ?? 0;
+    if (hereAtWork === 0 || away + goingToo + hereAtWork <= step.spec.mayMiss) return [];
     const { jobId, queue } = step.job.job;
     const reason = `queue=${queue} job=${jobId}: ${away} of ${step.spec.taskCount} tasks are not at work, ${hereAtWork} would go, ${step.spec.mayMiss} may be missed`;
-    return [{ step, away, reason }];
+    return [{ step, away: away + goingToo, reason }];
   })[0];
 
 /**
@@ -130,29 +162,42 @@
 export const isQuiet = ({ runs }: EndpointState): boolean =>
   Array.from(runs.values()).every(({ step }) => step.spec.isLasting);
 
+/** Which task moves, and where to. */
+export type MoveOptions = {
+  readonly step: StepRun;
+  /** How many of its tasks are not at work, or are to go with hosts; nothing moves at the allowance. */
+  readonly away: number;
+  readonly nowMs: number;
+  /** Whether a task may move; any if left out. */
+  readonly mayMove?: (task: Task) => boolean;
+  /** Whether an endpoint with room may take it; any if left out. */
+  readonly mayTake?: (endpoint: EndpointState) => boolean;
+};
+
 /**
- * Has one task of a lasting step moved off an endpoint that would take more of them along than may
- * be missed, if there is room for it elsewhere.
+ * Has one task of a lasting step moved off an endpoint, if there is room for it elsewhere beside what waits of
+ * the step.
  *
  * @param state - All that is known, changed in place.
- * @param endpoint - The endpoint; it must be closed to new work.
- * @param obstacle - The step; nothing is moved while more of it is away than may be missed.
- * @param nowMs - The time.
- * @returns True if a task was ordered to move.
+ * @param endpoint - The endpoint.
+ * @param options - The step, and what may move where.
+ * @returns The task that was ordered to move; undefined for none.
  */
 export const moveOneAway = (
   state: BatchState,
   endpoint: EndpointState,
-  { step, away }: BudgetObstacle,
-  nowMs: number,
-): boolean => {
-  if (away >= step.spec.mayMiss) return false;
-  const hasRoom = usableEndpoints(state, endpoint.pool, nowMs).some(
-    (other) => other !== endpoint && mayHold(other, step),
+  { step, away, nowMs, mayMove = () => true, mayTake = () => true }: MoveOptions,
+): Task | undefined => {
+  if (away >= step.spec.mayMiss) return undefined;
+  const run = Array.from(endpoint.runs.values()).find(
+    (one) => one.step === step && isAtWork(one) && mayMove(one.task),
+  );
+  if (!run) return undefined;
+  const places = usableEndpoints(state, endpoint.pool, nowMs).filter(
+    (other) => other !== endpoint && mayHold(other, step) && mayTake(other),
   );
-  const run = Array.from(endpoint.runs.values()).find((one) => one.step === step && isAtWork(one));
-  if (!hasRoom || !run) return false;
+  if (places.length <= step.waiting.length) return undefined;
   run.task.avoid = endpoint.endpointId;
   stopRun(state, endpoint, run, 'moved off a host that is to go down');
-  return true;
+  return run.task;
 };
--- a/packages/daemon/src/batch/hosts/fleet-cycle.ts
+++ b/packages/daemon/src/batch/hosts/fleet-cycle.ts
@@ -211,7 +211,7 @@
     observePeaks(poolWorld()).forEach((pool) => log.info('peak-begun', { pool }));
     if (!mayOrder() || nowMs() - bornAtMs < orderAfterMs) return;
     Object.assign(state, { clockMs: nowMs() });
-    const steps = waveKeeper.waves().flatMap((wave) => planUpkeep(world(), wave, nowMs()));
+    const steps = planUpkeep(world(), waveKeeper.waves(), nowMs());
     waveKeeper.noteReasons();
     await Promise.all(steps.map(take));
     // An order to a host that was ordered so before is answered alike: the list shows what it did.
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -44,7 +44,12 @@
   sleep,
   type SimReach,
 } from './sim-platform.fixtures.js';
-import { createSimWorld, SIM_POLICY, type SimFaults } from './sim-world.fixtures.js';
+import {
+  createSimWorld,
+  LASTING_START_MS,
+  SIM_POLICY,
+  type SimFaults,
+} from './sim-world.fixtures.js';
 
 const TICK_MS = 500;
 /** Entries hear of a new configuration within this time. */
@@ -71,6 +76,8 @@
   readonly hostsPerPool?: number;
   readonly pools?: readonly string[];
   readonly sparePool?: string;
+  /** The hosts of each pool fill one rack after the other; two racks by turns if left out. */
+  readonly hostsPerRack?: number;
   /** For how long an endpoint keeps what runs there; the entries' default if left out. */
   readonly endpointLeaseMs?: number;
   /** What the link of each entry carries; without a limit if left out. */
@@ -122,6 +129,8 @@
     readonly pool: string;
     readonly steps: readonly Partial<StepSpec>[];
     readonly runMs?: number;
+    /** How long a lasting task takes to be at work. */
+    readonly startMs?: number;
     readonly fails?: boolean;
     /** The first task takes down each endpoint that begins it, so long after its start. */
     readonly crashesAfterMs?: number;
@@ -162,6 +171,7 @@
   hostsPerPool = 3,
   pools = ['alpha', 'beta'],
   sparePool,
+  hostsPerRack,
   endpointLeaseMs,
   linkBytesPerMs,
   mayRelayOrders = false,
@@ -169,7 +179,7 @@
   accounts = simAccounts(hostsPerPool * pools.length),
   random,
 }: SimFleetOptions): SimFleet => {
-  const world = createSimWorld({ hostsPerPool, pools, sparePool, random });
+  const world = createSimWorld({ hostsPerPool, pools, sparePool, hostsPerRack, random });
   const { table, endpoints, hosts, jobs, broken, faults, maintained, unlisted } = world;
   const { waveStatus, waves, breaks, commit } = world;
   const logged: { readonly event: string; readonly fields: object }[] = [];
@@ -371,6 +381,7 @@
       pool,
       steps,
       runMs = 300,
+      startMs = LASTING_START_MS,
       fails = false,
       needsAdvice = false,
       specBytes = 0,
@@ -396,7 +407,7 @@
         acceptedAtMs: Date.now(),
         ...ownerOf(owner),
       };
-      jobs.set(jobId, { job, runMs, fails, needsAdvice, crashesAfterMs });
+      jobs.set(jobId, { job, runMs, startMs, fails, needsAdvice, crashesAfterMs });
       const row: BatchJobRow = { kind: 'live', job, policy: SIM_POLICY };
       commit({ checks: [], writes: [{ key: batchKey.job(jobId), value: row }] });
       return jobId;
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -125,6 +125,7 @@
     waves,
     breaks,
     checkBudgets,
+    checkStop,
     checkEmpty,
     checkReport,
     lateOrder,
@@ -379,7 +380,15 @@
       start: ({ endpointId }, order, timeoutMs) =>
         toEndpoint(instanceOf(endpointId), order, (one) => one.start(order), timeoutMs),
       stop: ({ endpointId }, order, timeoutMs) =>
-        toEndpoint(instanceOf(endpointId), order, (one) => one.stop(order), timeoutMs),
+        toEndpoint(
+          instanceOf(endpointId),
+          order,
+          (one) => {
+            checkStop(one, order.task);
+            return one.stop(order);
+          },
+          timeoutMs,
+        ),
       pace: async () => Ok({ clockMs: 0 }),
       forget: () => undefined,
     },
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -32,9 +32,13 @@
 import type { TableRow } from '@valvelatch/core/rows/transaction';
 import type { TableTransaction } from '@valvelatch/platform';
 
+import { parseJobKey } from '../keys.js';
+
 export const MAINTENANCE_MS = 2000;
 export const MOVE_MS = 1500;
 const CRASH_MS = 3000;
+/** How long a lasting task takes to be at work where a test does not say. */
+export const LASTING_START_MS = 200;
 /** Of so many restarts of hosts one has a new id; the others go on under the id that they had. */
 const NEW_ID_EVERY = 4;
 /** A holder that has asked a life has it bar what may still begin there; the order to do so may be lost twice. */
@@ -51,6 +55,8 @@
 export type Submitted = {
   readonly job: BatchJob;
   readonly runMs: number;
+  /** How long a lasting task takes to be at work; the model's default if left out. */
+  readonly startMs: number;
   readonly fails: boolean;
   readonly needsAdvice: boolean;
   /** The first task of the first step takes down each endpoint that begins it, so long after its start. */
@@ -109,6 +115,8 @@
   readonly hostsPerPool: number;
   readonly pools: readonly string[];
   readonly sparePool: string | undefined;
+  /** The hosts of each pool fill one rack after the other; two racks by turns if left out. */
+  readonly hostsPerRack?: number | undefined;
   readonly random: () => number;
 };
 
@@ -118,7 +126,13 @@
  * @param options - Its size and its source of chance.
  * @returns The world, all of it sound.
  */
-export const createSimWorld = ({ hostsPerPool, pools, sparePool, random }: SimWorldOptions) => {
+export const createSimWorld = ({
+  hostsPerPool,
+  pools,
+  sparePool,
+  hostsPerRack,
+  random,
+}: SimWorldOptions) => {
   const table = createTableModel();
   const changes: { readonly key: string; readonly value: unknown; readonly version: number }[] = [];
   const endpoints = new Map<InstanceId, EndpointModel>();
@@ -153,6 +167,7 @@
   const holderAge = { ms: (): number => Infinity };
   const unlisted = new Set<InstanceId>();
   const isListed = (one: EndpointModel): boolean => one.isUp() && !unlisted.has(one.instanceId);
+  const cancelled = new Set<string>();
   const waveStatus = new Map<number, string>();
   const waves = new Map<number, UpkeepOrder>();
   let lastEndpoint = 0;
@@ -178,6 +193,7 @@
       memoryMb: step?.memoryMb ?? 0,
       runMs: submitted?.runMs ?? 100,
       isLasting: step?.isLasting ?? false,
+      startMs: submitted?.startMs ?? LASTING_START_MS,
       fails: submitted?.fails ?? false,
       ticket: submitted?.needsAdvice ? TICKET : undefined,
       crashesAfterMs: name?.step === 0 && name.index === 0 ? submitted?.crashesAfterMs : undefined,
@@ -322,15 +338,41 @@
     hosts.set(host.hostId, { ...host, state: 'up', instanceId });
   };
 
-  /** Tasks of a lasting step that are not on any endpoint. */
+  /** How many tasks of a task's step are at work on an endpoint. */
+  const atWorkOn = ({ runs }: EndpointModel, { jobId, step }: TaskName): number =>
+    Array.from(runs.values()).filter(({ task, startedAtMs, needs, isStopping }) => {
+      const one = parseTaskKey(task);
+      const isOfStep = one?.jobId === jobId && one.step === step;
+      return isOfStep && !isStopping && performance.now() - startedAtMs >= (needs.startMs ?? 0);
+    }).length;
+
+  /** Tasks of a lasting step that are at work on no endpoint. */
   const awayOf = (name: TaskName): number => {
     const step = jobs.get(name.jobId)?.job.steps[name.step];
-    const running = Array.from(endpoints.values())
+    const atWork = Array.from(endpoints.values())
       .filter((one) => one.isUp())
-      .flatMap(({ runs }) => Array.from(runs.keys()))
-      .map(parseTaskKey)
-      .filter((one) => one?.jobId === name.jobId && one.step === name.step);
-    return (step?.taskCount ?? 0) - running.length;
+      .reduce((sum, one) => sum + atWorkOn(one, name), 0);
+    return (step?.taskCount ?? 0) - atWork;
+  };
+
+  const mayMissOf = (name: TaskName): number =>
+    jobs.get(name.jobId)?.job.steps[name.step]?.mayMiss ?? 0;
+
+  /** A job that has ended, or that its client cancels, keeps no budget. */
+  const isServed = ({ jobId }: TaskName): boolean => {
+    const row = table.read(`job/${jobId}`).value as BatchJobRow | null;
+    return row?.kind === 'live' && !cancelled.has(jobId);
+  };
+
+  /** Checks that a task which is ordered to stop may be missed. */
+  const checkStop = (endpoint: EndpointModel, key: TaskKey): void => {
+    const name = parseTaskKey(key);
+    // A late order is nobody's to prevent.
+    if (!name || !endpoint.runs.has(key) || lateOrder.sentAtMs < Infinity) return;
+    const mayMiss = mayMissOf(name);
+    const isAtWork = atWorkOn(endpoint, name) > 0;
+    if (mayMiss === 0 || !isAtWork || awayOf(name) < mayMiss || !isServed(name)) return;
+    breaks(`${key} was stopped while ${awayOf(name)} others were away`);
   };
 
   /** Checks what an order to a host is about to end. */
@@ -339,9 +381,12 @@
     if (!endpoint) return;
     endpoint.runs.forEach((_, key) => {
       const name = parseTaskKey(key);
-      const mayMiss = (name && jobs.get(name.jobId)?.job.steps[name.step]?.mayMiss) ?? 0;
-      if (name && mayMiss > 0 && awayOf(name) >= mayMiss) {
-        breaks(`${key} was ended by an order while ${awayOf(name)} others were away`);
+      const mayMiss = name ? mayMissOf(name) : 0;
+      if (!name || mayMiss === 0) return;
+      const here = atWorkOn(endpoint, name);
+      const away = awayOf(name);
+      if (here > 0 && away + here > mayMiss) {
+        breaks(`${key} was ended by an order with ${here} while ${away} others were away`);
       }
     });
   };
@@ -388,6 +433,9 @@
     relive({ ...host, state: 'down' }, downMs);
   };
 
+  const rackAt = (index: number): string =>
+    `rack-${hostsPerRack === undefined ? index % 2 : Math.floor(index / hostsPerRack)}`;
+
   [...pools, ...(sparePool ? [sparePool] : [])].forEach((pool) => {
     Array.from({ length: hostsPerPool }).forEach((_, index) => {
       const host: HostView = {
@@ -395,7 +443,7 @@
         pool: brand<PoolName>(pool),
         state: 'up',
         dataCentre: brand<DataCentreId>(`dc-${index % 2}`),
-        labels: [`rack-${index % 2}`],
+        labels: [rackAt(index)],
         capacity: { cpuMillis: 8000, memoryMb: 16_000, accelerators: 0 },
         instanceId: null,
       };
@@ -411,6 +459,8 @@
     const outcome = table.transact(checks, writes);
     if (outcome.kind === 'committed') {
       writes.forEach(({ key, value }) => {
+        if (key.startsWith('job/') && parseJobKey(key).isCancel)
+          cancelled.add(parseJobKey(key).jobId);
         changes.push({ key, value, version: outcome.version });
         const row = key.startsWith('job/') ? (value as BatchJobRow | null) : null;
         if (row?.kind === 'ended' && row.phase === 'failed') {
@@ -442,6 +492,7 @@
     waves,
     breaks,
     checkBudgets,
+    checkStop,
     checkEmpty,
     checkReport,
     newestFence,
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -38,6 +38,7 @@
   options: {
     hostsPerPool?: number;
     sparePool?: string;
+    hostsPerRack?: number;
     endpointLeaseMs?: number;
     linkBytesPerMs?: number;
     mayRelayOrders?: boolean;
