--- a/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
+++ b/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
@@ -165,7 +165,7 @@
     const hosts = Array.from(used, ({ hostId }) => hostId).reverse();
     const wave = createUpkeepWave({ waveNumber: 1, hosts, withinMs: 300_000, maximum: 2 }, [], 0);
     const world = { state, inventory, downMs: 2000, isShort };
-    return planUpkeep(world, wave, 1000).map(({ hostId }) => hostId);
+    return planUpkeep(world, [wave], 1000).map(({ hostId }) => hostId);
   };
 
   it('takes those first', () => {
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -57,6 +57,7 @@
 } from './sim-platform.fixtures.js';
 import {
   createSimWorld,
+  LASTING_START_MS,
   SIM_POLICY,
   type SimDomains,
   type SimFaults,
@@ -147,6 +148,8 @@
     readonly pool: string;
     readonly steps: readonly Partial<StepSpec>[];
     readonly runMs?: number;
+    /** How long a lasting task takes to be at work. */
+    readonly startMs?: number;
     readonly fails?: boolean;
     /** The first task takes down each endpoint that begins it, so long after its start. */
     readonly crashesAfterMs?: number;
@@ -468,6 +471,7 @@
       pool,
       steps,
       runMs = 300,
+      startMs = LASTING_START_MS,
       fails = false,
       needsAdvice = false,
       specBytes = 0,
@@ -493,7 +497,7 @@
         acceptedAtMs: Date.now(),
         ...ownerOf(owner),
       };
-      jobs.set(jobId, { job, runMs, fails, needsAdvice, crashesAfterMs });
+      jobs.set(jobId, { job, runMs, startMs, fails, needsAdvice, crashesAfterMs });
       const row: BatchJobRow = { kind: 'live', job, policy: SIM_POLICY };
       commit({ checks: [], writes: [{ key: batchKey.job(jobId), value: row }] });
       return jobId;
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -140,6 +140,7 @@
     waves,
     breaks,
     checkBudgets,
+    checkStop,
     checkEmpty,
     checkReport,
     lateOrder,
@@ -409,7 +410,15 @@
         return toEndpoint(instanceId, order, (one) => one.start(order), timeoutMs);
       },
       stop: ({ endpointId }, order, timeoutMs) =>
-        toEndpoint(instanceOf(endpointId), order, (one) => one.stop(order), timeoutMs),
+        toEndpoint(
+          instanceOf(endpointId),
+          order,
+          (one) => {
+            checkStop(one, order.task);
+            return one.stop(order);
+          },
+          timeoutMs,
+        ),
       pace: async () => Ok({ clockMs: 0 }),
       forget: () => undefined,
     },
