--- a/packages/core/src/batch/model/orders.ts
+++ b/packages/core/src/batch/model/orders.ts
@@ -12,7 +12,7 @@
   | 'other-endpoint'
   | 'other-life'
   | 'malformed'
-  /** Its data centre is evacuated, or may be unheard: refused by an entry, not by the endpoint. */
+  /** Its data centre is evacuated: refused by an entry, not by the endpoint. */
   | 'evacuated'
   | 'unreachable';
 
--- a/packages/daemon/src/batch/relays/order-agent.test.ts
+++ b/packages/daemon/src/batch/relays/order-agent.test.ts
@@ -32,15 +32,18 @@
   order: { task: TASK, run: 1, fence: 1 },
 });
 
-/** A relay that knows of an evacuation that the holder has not heard of. */
-const answerOf = async (carried: CarriedOrder) => {
+/** A relay that knows of an evacuation that the holder has not heard of, or has not heard of any for too long. */
+const answerOf = async (carried: CarriedOrder, isOpen = true) => {
   const sent: string[] = [];
   const note = (kind: string) => async () => {
     sent.push(kind);
     return Ok({ clockMs: 1 });
   };
   const orders = { start: note('start'), stop: note('stop') } as never;
-  const gate = { mayStartIn: (dataCentre: DataCentreId) => dataCentre !== NORTH };
+  const gate = {
+    isOpen: () => isOpen,
+    mayStartIn: (dataCentre: DataCentreId) => isOpen && dataCentre !== NORTH,
+  };
   const agent = createOrderAgent(orders, createMetrics(), gate);
   return { answer: decodeAnswer(await agent.answer(encodeOrder(carried))), sent };
 };
@@ -60,3 +63,15 @@
     expect((await answerOf(startIn(SOUTH))).sent).toEqual(['start']);
   });
 });
+
+describe('a relay that has not heard of evacuations for too long', () => {
+  it('sends no start, and has the holder send the next one itself', async () => {
+    // One that was paused would send what the holder decided seconds before.
+    const { answer, sent } = await answerOf(startIn(SOUTH), false);
+    expect(sent).toEqual([]);
+    expect(answer.isErr() && answer.error).toMatchObject({
+      verdict: 'notRun',
+      reason: 'unreachable',
+    });
+  });
+});
--- a/packages/daemon/src/batch/relays/order-agent.ts
+++ b/packages/daemon/src/batch/relays/order-agent.ts
@@ -13,7 +13,14 @@
 const EVACUATED: OrderError = {
   verdict: 'notRun',
   reason: 'evacuated',
-  detail: 'by what the relay knows, the data centre is evacuated or may be',
+  detail: 'by what the relay knows, the data centre is evacuated',
+};
+
+/** The holder sends the next order itself: the relay cannot tell what is evacuated, and the holder may. */
+const OUTDATED: OrderError = {
+  verdict: 'notRun',
+  reason: 'unreachable',
+  detail: 'the relay has not heard of evacuations for too long',
 };
 
 export type OrderAgent = {
@@ -33,7 +40,7 @@
 export const createOrderAgent = (
   orders: EndpointOrders,
   metrics: Metrics,
-  gate: Pick<StartGate, 'mayStartIn'> = OPEN_GATE,
+  gate: Pick<StartGate, 'mayStartIn' | 'isOpen'> = OPEN_GATE,
 ): OrderAgent => {
   const specs = new Map<string, string>();
 
@@ -52,6 +59,7 @@
     if (order.spec !== null) keepSpec(jobId, order.spec);
     const spec = specs.get(jobId);
     if (spec === undefined) return SPEC_MISSING;
+    if (!gate.isOpen()) return encodeAnswer(Err(OUTDATED));
     if (!gate.mayStartIn(target.dataCentre)) return encodeAnswer(Err(EVACUATED));
     return encodeAnswer(await orders.start(target, { ...order, spec }, timeoutMs));
   };
