--- a/packages/daemon/src/batch/configuration/evacuation-keeper.test.ts
+++ b/packages/daemon/src/batch/configuration/evacuation-keeper.test.ts
@@ -148,6 +148,18 @@
     });
   });
 
+  describe('by a feed whose version stands while nothing changes', () => {
+    it('is confirmed though a neighbour has read in full at a higher version', async () => {
+      // Otherwise a holder that a neighbour told during a cut would start nothing until the next change.
+      const { keeper, evacuations, clock } = entryOf([changesAt(3)]);
+      await keeper.follow();
+      evacuations.takeAnswer(told({ revision: 8 }), 0);
+      clock.ms = BOUND_MS;
+      await keeper.follow();
+      expect(evacuations.isRecent()).toBe(true);
+    });
+  });
+
   describe('where the deployment sets no bound', () => {
     it('is obeyed, and lets all else start without a question more', async () => {
       const { clock, keeper, gate, waits } = entryOf(
--- a/packages/daemon/src/batch/configuration/evacuation-keeper.ts
+++ b/packages/daemon/src/batch/configuration/evacuation-keeper.ts
@@ -70,6 +70,8 @@
   let belief = NO_BELIEF;
   let evacuated: ReadonlySet<DataCentreId> = new Set();
   let confirmedAtMs = -Infinity;
+  /** The highest version that the own feed has told. */
+  let feedRevision = -1;
 
   const ageMs = (): number => nowMs() - confirmedAtMs;
 
@@ -78,6 +80,13 @@
     return boundMs === undefined || ageMs() < boundMs - ORDER_MS;
   };
 
+  /**
+   * An answer of a part of the table that lags behind says nothing about now. The revision of a neighbour's belief does
+   * not show that: a table need not raise the version of a feed without changes.
+   */
+  const isLagging = (revision: number): boolean =>
+    revision < Math.max(feedRevision, ...belief.evacuated.values());
+
   const believe = (next: EvacuationBelief, source: string): void => {
     const before = evacuated;
     belief = next;
@@ -104,10 +113,10 @@
     isRecent,
     isConfirmedSince: (sinceMs) => confirmedAtMs >= sinceMs,
     take: (news, askedAtMs) => {
-      // An answer of a part of the table that lags behind says nothing about now.
-      const isLagging = news.revision < belief.revision;
+      const isNews = news.isCurrent && !isLagging(news.revision);
+      feedRevision = Math.max(feedRevision, news.revision);
       believe(applyEvacuationReading(belief, news), 'table');
-      if (news.isCurrent && !isLagging) confirm(askedAtMs);
+      if (isNews) confirm(askedAtMs);
     },
     takeAnswer: (told, askedAtMs) => {
       believe(mergeEvacuations(belief, toBelief(told)), 'neighbour');
