--- a/packages/daemon/src/batch/operators/operators.ts
+++ b/packages/daemon/src/batch/operators/operators.ts
@@ -8,6 +8,7 @@
   type EndpointState,
   type JobState,
   type StepRun,
+  type WaveOutlook,
 } from '@valvelatch/core/batch';
 import type { HostId, JobId } from '@valvelatch/core/shared/ids';
 
@@ -132,6 +133,10 @@
   return `${doneCount} of ${spec.taskCount} done, ${state} (${needs} each)${places.length > 0 ? `, on ${places.join('; ')}` : ''}`;
 };
 
+/** What is expected of a wave that cannot be in time. */
+const lateText = ({ lateHosts, reason }: WaveOutlook): string =>
+  lateHosts === 0 ? '' : `, ${lateHosts} of them expected late: ${reason}`;
+
 const explainers: Readonly<Record<string, (term: Term, name: string) => object | undefined>> = {
   account: (term, name) => {
     const rows = accountRows(term.state, performance.now()) as readonly Record<string, unknown>[];
@@ -168,7 +173,7 @@
     const wave = term.fleet.waves().find(({ order }) => String(order.waveNumber) === name);
     return (
       wave && {
-        outcome: `${wave.order.hosts.length} hosts`,
+        outcome: `${wave.order.hosts.length} hosts${lateText(wave.outlook)}`,
         reasons: Array.from(wave.hosts, ([hostId, { phase, reason }]) => ({
           of: `host ${hostId}`,
           reason: reason === '' ? phase : `${phase}: ${reason}`,
