Inherited tasks wait only for endpoints that may run them, and not once they were surely located

A new holder kept all inherited tasks of a pool waiting for every endpoint of it: one that is silent for good held up a long-running task for 12.5 s. A task now waits only for endpoints with its label and room. One that an endpoint listed in answer to a question sent when no earlier holder could order any more waits for none: that run was the only one, and only this holder can have begun another.

A task that was listed only while an earlier holder could still order waits as before.

--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -142,7 +142,12 @@
   noteRunEnd(state, { endpoint, task, run, found, startedAtMs, evidence, nowMs, settle });
 };
 
-const updateRun = (run: RunState, report: RunningReport, nowMs: number): void => {
+const updateRun = (
+  { formerOrdersEndAtMs }: BatchState,
+  run: RunState,
+  report: RunningReport,
+  { askedAtMs, nowMs }: AnswerTimes,
+): void => {
   const { task, step, phase, percent, progressAtMs, confirmedAtMs, begunByMs } = run;
   change(step.job, { hasBegun: true });
   change(run, {
@@ -154,6 +159,7 @@
     percent: report.percent,
     figure: report.figure,
   });
+  if (askedAtMs >= formerOrdersEndAtMs) task.isLocated = true;
   if (report.checkpoint !== '') task.checkpoint = report.checkpoint;
   if (step.spec.isLasting && report.percent >= 100) task.awaySinceMs = 0;
 };
@@ -170,15 +176,16 @@
   state: BatchState,
   endpoint: EndpointState,
   report: RunningReport,
-  nowMs: number,
+  times: AnswerTimes,
 ): StepRun | undefined => {
+  const { nowMs } = times;
   const name = parseTaskKey(report.task);
   const found = name && findReportedTask(state, name);
   if (found && mayAdopt(found)) {
     const run = addRun(state, { endpoint, ...found, run: report.run, phase: 'running', nowMs });
     // Whoever ordered it did so before this holder took over, and the endpoint has lived with it since.
     change(run, { begunByMs: Math.min(nowMs, state.takenOverAtMs) });
-    updateRun(run, report, nowMs);
+    updateRun(state, run, report, times);
     return undefined;
   }
   state.effects.push({
@@ -224,23 +231,24 @@
 ): void => {
   const endpoint = state.endpoints.get(endpointId);
   if (!endpoint) return;
+  const times: AnswerTimes = { askedAtMs, nowMs };
   if (!endpoint.isKnown && !hasMoreEnds) {
     followRuns(state, endpoint, { named: [...running, ...ended], nowMs });
   }
-  ended.forEach((end) => applyEnd(state, endpoint, end, { askedAtMs, nowMs }));
+  ended.forEach((end) => applyEnd(state, endpoint, end, times));
   const listed = new Set<TaskKey>();
   const strays = running.flatMap((report) => {
     listed.add(report.task);
     const run = endpoint.runs.get(report.task);
-    if (!run) return applyUnknownRun(state, endpoint, report, nowMs) ?? [];
+    if (!run) return applyUnknownRun(state, endpoint, report, times) ?? [];
     if (run.run === report.run) {
       closeTrial(state, endpoint, run);
-      updateRun(run, report, nowMs);
+      updateRun(state, run, report, times);
     }
     return [];
   });
   chargeStrays(state, endpoint, strays);
-  if (!hasMoreEnds) loseUnlisted(state, endpoint, listed, { askedAtMs, nowMs });
+  if (!hasMoreEnds) loseUnlisted(state, endpoint, listed, times);
   change(endpoint, { isKnown: true, reportedAtMs: askedAtMs, lapsedRuns: [] });
   poolOf(state, endpoint.pool).notReported.delete(instanceOf(endpointId));
 };
--- a/packages/core/src/batch/endpoints/sound-endpoints.ts
+++ b/packages/core/src/batch/endpoints/sound-endpoints.ts
@@ -1,5 +1,7 @@
 /** Which endpoints take new work, and whether one may hold a task of a step. */
-import type { PoolName } from '../../shared/ids.js';
+import type { InstanceId, PoolName } from '../../shared/ids.js';
+import { instanceOf } from '../model/endpoint-life.js';
+import type { StepSpec } from '../model/job.js';
 import { fitsIn } from './runs.js';
 import type { BatchState, EndpointState, StepRun } from '../model/state.js';
 
@@ -66,3 +68,27 @@
   fitsIn(endpoint, spec) &&
   (spec.mostPerEndpoint === 0 ||
     (perEndpoint.get(endpoint.endpointId) ?? 0) < spec.mostPerEndpoint);
+
+const NOTHING_USED = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+
+/**
+ * Tells whether an earlier holder may have begun a task of a step on an endpoint that has not answered. Its label and
+ * room are those of its host. One that is not listed, or of which an earlier life is not settled, may run anything.
+ *
+ * @param state - All that is known.
+ * @param instanceId - The endpoint.
+ * @param spec - The step.
+ * @returns False if it lacks the label or the room even while it is empty.
+ */
+export const mayHaveBegun = (
+  state: BatchState,
+  instanceId: InstanceId,
+  spec: StepSpec,
+): boolean => {
+  const life = state.lives.get(instanceId);
+  const hasFormerLife = Array.from(state.goneEndpoints.keys()).some(
+    (endpointId) => instanceOf(endpointId) === instanceId,
+  );
+  if (!life || hasFormerLife) return true;
+  return hasLabel(life, spec.requiredLabel) && fitsIn({ ...life, used: NOTHING_USED }, spec);
+};
--- a/packages/core/src/batch/jobs/create-job.ts
+++ b/packages/core/src/batch/jobs/create-job.ts
@@ -21,6 +21,7 @@
   phase: 'waiting',
   failedRuns: [],
   lastRun: 0,
+  isLocated: false,
   lastEnd: null,
   checkpoint: '',
   avoid: null,
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -16,6 +16,11 @@
   /** The highest run number that was used. */
   lastRun: number;
   /** The run that ended last, and when it was counted as ended; null if none is known to have. */
+  /**
+   * An endpoint listed a run of it when no earlier holder could order any more: that run was the only one, and
+   * whatever has begun since was ordered by this holder.
+   */
+  isLocated: boolean;
   lastEnd: { readonly run: number; readonly countedAtMs: number } | null;
   /** Where the work can be resumed; '' for the start. */
   checkpoint: string;
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -96,6 +96,8 @@
   takenOverAtMs: number;
   /** When every lease granted by an earlier holder has surely ended. */
   inheritedLeasesEndAtMs: number;
+  /** From then on no earlier holder orders endpoints any more. */
+  formerOrdersEndAtMs: number;
   /** The hosts have not been read yet, so any of them may hold an endpoint that is in no list. */
   isHostListAwaited: boolean;
   /** Data centres whose endpoints begin nothing, as the operator has ordered. */
@@ -151,6 +153,7 @@
   soleHolderUntilMs: Infinity,
   takenOverAtMs: Infinity,
   inheritedLeasesEndAtMs: 0,
+  formerOrdersEndAtMs: 0,
   isHostListAwaited: false,
   evacuated: new Set(),
   jobs: new Map(),
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -1,5 +1,5 @@
 /** Places waiting tasks on endpoints: the fullest endpoint that fits, so that others stand empty. */
-import type { EndpointId, PoolName } from '../../shared/ids.js';
+import type { EndpointId, InstanceId, PoolName } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import { admittedEndpoints, ticketOf, wantAdvice } from './advice.js';
 import { giveUpIfDue } from '../jobs/give-up.js';
@@ -9,7 +9,7 @@
 import { isWithinQuota } from '../accounts/quota.js';
 import { placesForGang } from './gang-places.js';
 import { bestFor } from './best-endpoint.js';
-import { mayHold, usableEndpoints } from '../endpoints/sound-endpoints.js';
+import { mayHaveBegun, mayHold, usableEndpoints } from '../endpoints/sound-endpoints.js';
 import { addRun, nextRunNumber } from '../endpoints/runs.js';
 import {
   couldBegin,
@@ -113,16 +113,35 @@
 /**
  * A task of an earlier holder may still run on an endpoint that has not reported yet, or on one that no
  * list names: the list of endpoints loses some in an outage, and that of hosts may not have been read.
+ * Only endpoints that may run the step are waited for.
  */
 const isBlocked = (
   state: BatchState,
   { notReported }: PoolState,
-  { job }: StepRun,
+  { job, spec }: StepRun,
   nowMs: number,
 ): boolean => {
-  const isAwaited = notReported.size > 0 || state.isHostListAwaited;
-  if (!job.isInherited || !isAwaited) return false;
-  return nowMs < state.inheritedLeasesEndAtMs || !isSoleHolder(state, nowMs);
+  if (!job.isInherited) return false;
+  if (nowMs >= state.inheritedLeasesEndAtMs && isSoleHolder(state, nowMs)) return false;
+  const mayRunThere = (instanceId: InstanceId): boolean => mayHaveBegun(state, instanceId, spec);
+  return state.isHostListAwaited || Array.from(notReported).some(mayRunThere);
+};
+
+/**
+ * The tasks of a step that may begin. Of a blocked step these are tasks that an endpoint listed to this holder when
+ * no earlier one could order any more. Suspects of a step are placed together, so none of them begins before all may.
+ */
+const unblockedTasks = (
+  state: BatchState,
+  pool: PoolState,
+  step: StepRun,
+  nowMs: number,
+): readonly Task[] => {
+  const waiting = step.waiting.flatMap((index) => step.tasks[index] ?? []);
+  if (!isBlocked(state, pool, step, nowMs)) return waiting;
+  const mustAllBegin = step.spec.isGang ? waiting : waitingSuspects(state, step);
+  if (!mustAllBegin.every(({ isLocated }) => isLocated)) return [];
+  return waiting.filter(({ isLocated }) => isLocated);
 };
 
 /** Steps in the order in which they get places. */
@@ -138,11 +157,10 @@
   endpoints: readonly EndpointState[],
   suspects: readonly Task[],
 ): boolean => {
-  const { step } = placing;
+  const { state, step, nowMs } = placing;
   if (step.spec.isGang) return suspects.length > 0 || placeGang(placing, endpoints);
-  const tasks = step.waiting
-    .flatMap((index) => step.tasks[index] ?? [])
-    .filter((task) => !suspects.includes(task));
+  const pool = poolOf(state, step.job.job.pool);
+  const tasks = unblockedTasks(state, pool, step, nowMs).filter((task) => !suspects.includes(task));
   return placeEach(placing, endpoints, tasks);
 };
 
@@ -270,8 +288,13 @@
   if (endpoints.length === 0) return;
   const pass: Pass = { state, endpoints, nowMs };
   const isAnySuspect = state.suspectJobs.size > 0;
-  const unblocked = Array.from(pool.open).filter((step) => !isBlocked(state, pool, step, nowMs));
-  if (isAnySuspect) giveUpLostTrials(state, unblocked, nowMs);
+  const unblocked = Array.from(pool.open).filter(
+    (step) => unblockedTasks(state, pool, step, nowMs).length > 0,
+  );
+  if (isAnySuspect) {
+    const whole = unblocked.filter((step) => !isBlocked(state, pool, step, nowMs));
+    giveUpLostTrials(state, whole, nowMs);
+  }
   const open = unblocked.filter(({ job }) => !isFinal(job.phase));
   const isolated = isAnySuspect ? placeIsolated(pass, inOrder(state, open, nowMs)) : NONE_ISOLATED;
   const shared =
--- a/packages/daemon/src/batch/control/holders.test.ts
+++ b/packages/daemon/src/batch/control/holders.test.ts
@@ -1,9 +1,10 @@
 /** How control changes hands, in virtual time. */
 import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import type { InstanceId } from '@valvelatch/core/shared/ids';
+import type { StepSpec } from '@valvelatch/core/batch';
+import type { InstanceId, JobId } from '@valvelatch/core/shared/ids';
 
-import { createSimFleet } from '../testing/sim-fleet.fixtures.js';
+import { createSimFleet, type SimFleet } from '../testing/sim-fleet.fixtures.js';
 import {
   advance,
   chance,
@@ -248,6 +249,8 @@
             silentForMs: forMs,
             farMs: forMs,
             runMs: fc.integer({ min: 300, max: 3000 }),
+            crashAfterMs: fc.integer({ min: 0, max: 12_000 }),
+            crashes: fc.nat(5),
             lateOrders: fc.constantFrom(0, 0, 0.1),
             lostWrites: fc.constantFrom(0, 0, 0.1),
           }),
@@ -275,6 +278,10 @@
               cut.silentAfterMs + cut.silentForMs,
             );
             setTimeout(() => fleet.entries.forEach(({ cutFrom }) => cutFrom.clear()), cut.farMs);
+            setTimeout(() => {
+              const struck = Array.from(fleet.endpoints.keys())[cut.crashes];
+              if (struck) fleet.crash(struck);
+            }, cut.crashAfterMs);
             await advance(20_000);
             clearInterval(work);
             Object.assign(fleet.faults, { lateOrders: 0, lostWrites: 0 });
@@ -415,6 +422,62 @@
       expect(fleet.broken).toEqual([]);
     });
 
+    /** The next holder never hears one endpoint of the pool, which runs nothing of the job that was last submitted. */
+    const silentAtTakeover = async (step: Partial<StepSpec>) => {
+      const fleet = await started();
+      const first = holderOf(fleet);
+      const jobs = [step, {}].map((one) =>
+        fleet.submit({ pool: 'alpha', steps: [{ ...one, isLasting: true }] }),
+      );
+      await advance(1500);
+      const silent = Array.from(fleet.endpoints.values()).find(
+        ({ pool, runs }) => pool === 'alpha' && runs.size === 0,
+      );
+      if (!silent) throw new Error('no endpoint of the pool is empty');
+      fleet.entries
+        .filter((one) => one !== first)
+        .forEach(({ cutFrom }) => cutFrom.add(silent.instanceId));
+      return { fleet, first, jobs, silent };
+    };
+
+    /** Ends the life of the endpoint that runs a job, and tells how long the job then runs nowhere. */
+    const awayAfterCrash = async (fleet: SimFleet, jobId: JobId): Promise<number> => {
+      const where = Array.from(fleet.endpoints.values()).find(({ runs }) =>
+        Array.from(runs.keys()).some((key) => key.startsWith(jobId)),
+      );
+      if (!where) throw new Error('the job does not run');
+      fleet.crash(where.instanceId, 60_000);
+      const crashedAtMs = performance.now();
+      do await advance(100);
+      while (runningOf(fleet, jobId).length === 0 && performance.now() - crashedAtMs < 20_000);
+      return performance.now() - crashedAtMs;
+    };
+
+    it('begin again at once where this holder heard them run, beside an endpoint that is silent for good', async () => {
+      // A long-running task was away for 12.5 s (6 are allowed): one silent endpoint held up all inherited tasks.
+      const { fleet, first, jobs } = await silentAtTakeover({});
+      void first.control.resign();
+      await advance(500);
+      fleet.kill(first);
+      await advance(2500);
+      expect(holderOf(fleet).control.term()?.state.fence).toBe(2);
+      const awayMs = await awayAfterCrash(fleet, jobs[0] as JobId);
+      expect(awayMs).toBeLessThan(2000);
+      await advance(10_000);
+      expect(fleet.broken).toEqual([]);
+    });
+
+    it('wait for an endpoint that is silent while holders before may still order', async () => {
+      // They may have begun the task there after it ended where this holder heard it run.
+      const { fleet, first, jobs } = await silentAtTakeover({});
+      fleet.kill(first);
+      await advance(4500);
+      expect(holderOf(fleet).control.term()?.state.fence).toBe(2);
+      const awayMs = await awayAfterCrash(fleet, jobs[0] as JobId);
+      expect(awayMs).toBeGreaterThan(2000);
+      expect(fleet.broken).toEqual([]);
+    });
+
     it('waits for the lease of an endpoint that fell out of the list before it was heard', async () => {
       const fleet = await started();
       const job = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 3, isLasting: true }] });
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -321,6 +321,7 @@
     state.takenOverAtMs = startedAtMs;
     state.longestLeaseMs = platform.bounds().longestLeaseMs;
     state.inheritedLeasesEndAtMs = startedAtMs + inheritedLeasesMs;
+    state.formerOrdersEndAtMs = startedAtMs + holdersBeforeMs;
     state.isHostListAwaited = true;
     // What is inherited waits for the hosts; nothing else does.
     void fleet.refreshHosts();
