Inherited tasks do not wait for an endpoint that only the list of hosts named, once its host is without it

Its end was settled by nobody, since no list of endpoints had named it: inherited tasks of the pool waited for it until all earlier leases had ended.

--- a/packages/core/src/batch/endpoints/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -1,7 +1,13 @@
 /** Endpoints as they come, change and go, by the platform's list. */
 import type { DataCentreId, EndpointId, HostId, InstanceId, PoolName } from '../../shared/ids.js';
 import { instanceOf } from '../model/endpoint-life.js';
-import { poolOf, type BatchState, type Capacity, type EndpointState } from '../model/state.js';
+import {
+  isSoleHolder,
+  poolOf,
+  type BatchState,
+  type Capacity,
+  type EndpointState,
+} from '../model/state.js';
 
 /** An endpoint as it describes itself. */
 export type EndpointSighting = {
@@ -89,3 +95,38 @@
     if (!state.lives.get(instanceId)?.isKnown) known.notReported.add(instanceId);
   });
 };
+
+/** An endpoint that the list of hosts has named, with the host that it was on. */
+export type HostedEndpoint = { readonly instanceId: InstanceId; readonly hostId: HostId };
+
+/** Never seen in the list of endpoints: the end of one that was seen is settled with what ran there. */
+const isNeverSeen = ({ lives, goneEndpoints }: BatchState, instanceId: InstanceId): boolean =>
+  !lives.has(instanceId) &&
+  !Array.from(goneEndpoints.keys()).some((endpointId) => instanceOf(endpointId) === instanceId);
+
+/**
+ * Stops waiting for endpoints that no list of endpoints has named, once a later list of hosts has their host without
+ * them. How their runs ended another holder may have heard, so only one that is surely the only one does so.
+ *
+ * @param state - All that is known, changed in place.
+ * @param expected - The endpoints of the first reading of the list of hosts.
+ * @param hosts - The hosts of a later reading.
+ * @param nowMs - The time.
+ */
+export const dropUnseenReports = (
+  state: BatchState,
+  expected: readonly HostedEndpoint[],
+  hosts: ReadonlyMap<HostId, { readonly instanceId: InstanceId | null }>,
+  nowMs: number,
+): void => {
+  const isAnyAwaited = Array.from(state.pools.values()).some((pool) => pool.notReported.size > 0);
+  if (!isAnyAwaited || !isSoleHolder(state, nowMs)) return;
+  expected
+    .filter(({ instanceId, hostId }) => {
+      const host = hosts.get(hostId);
+      return host !== undefined && host.instanceId !== instanceId && isNeverSeen(state, instanceId);
+    })
+    .forEach(({ instanceId }) =>
+      state.pools.forEach(({ notReported }) => notReported.delete(instanceId)),
+    );
+};
--- a/packages/core/src/batch/placement/inherited-tasks.test.ts
+++ b/packages/core/src/batch/placement/inherited-tasks.test.ts
@@ -1,8 +1,14 @@
 /** Which endpoints that have not answered hold up tasks of an earlier holder, and which do not. */
 import { describe, expect, it } from 'vitest';
 
-import { brand, type EndpointId, type JobId } from '../../shared/ids.js';
-import { expectReports, seeEndpoint } from '../endpoints/endpoints.js';
+import {
+  brand,
+  type EndpointId,
+  type HostId,
+  type InstanceId,
+  type JobId,
+} from '../../shared/ids.js';
+import { dropUnseenReports, expectReports, seeEndpoint } from '../endpoints/endpoints.js';
 import { removeEndpoint, settleGoneEndpoints } from '../endpoints/gone-endpoints.js';
 import { instanceOf } from '../model/endpoint-life.js';
 import { taskKey, type StepSpec } from '../model/job.js';
@@ -158,3 +164,39 @@
     expect(runningAt(state, SECOND)).toEqual([]);
   });
 });
+
+describe('an endpoint that only the list of hosts has named', () => {
+  const HOST = brand<HostId>('h-9');
+  const UNSEEN = brand<InstanceId>('i-0000000009');
+
+  /** A later reading of the list has its host with this endpoint; tells whether inherited tasks still wait for it. */
+  const isAwaitedAfter = (
+    instanceId: InstanceId | null,
+    { soleUntilMs = Infinity, isSeen = false } = {},
+  ): boolean => {
+    const state = takenOver();
+    expectReports(state, [{ instanceId: UNSEEN, pool: POOL }]);
+    if (isSeen) see(state, brand(UNSEEN));
+    Object.assign(state, { soleHolderUntilMs: soleUntilMs });
+    const expected = [{ instanceId: UNSEEN, hostId: HOST }];
+    dropUnseenReports(state, expected, new Map([[HOST, { instanceId }]]), 50);
+    return state.pools.get(POOL)?.notReported.has(UNSEEN) === true;
+  };
+
+  it('is waited for while its host has it', () => {
+    expect(isAwaitedAfter(UNSEEN)).toBe(true);
+  });
+
+  it('is not waited for once its host has none, or another', () => {
+    expect(isAwaitedAfter(null)).toBe(false);
+    expect(isAwaitedAfter(brand('i-0000000010'))).toBe(false);
+  });
+
+  it('is waited for by a holder that may have been replaced: the next one may have heard what ran there', () => {
+    expect(isAwaitedAfter(null, { soleUntilMs: 40 })).toBe(true);
+  });
+
+  it('is waited for if it was seen since: its end is settled with what ran there', () => {
+    expect(isAwaitedAfter(null, { isSeen: true })).toBe(true);
+  });
+});
--- a/packages/daemon/src/batch/control/holders.test.ts
+++ b/packages/daemon/src/batch/control/holders.test.ts
@@ -478,6 +478,21 @@
       expect(fleet.broken).toEqual([]);
     });
 
+    it('do not wait for an endpoint that only the list of hosts has named, once its host is without it', async () => {
+      // It was in no list of endpoints, so its end was nobody's: tasks waited until all leases had ended.
+      const { fleet, first, silent } = await silentAtTakeover({});
+      fleet.unlist(silent.instanceId);
+      await advance(500);
+      const job = fleet.submit({ pool: 'alpha', steps: [{}] });
+      fleet.kill(first);
+      await advance(4500);
+      expect(phaseOf(fleet, job)).toBe('live');
+      fleet.crash(silent.instanceId, 60_000);
+      await advance(2500);
+      expect(phaseOf(fleet, job)).toBe('completed');
+      expect(fleet.broken).toEqual([]);
+    });
+
     it('waits for the lease of an endpoint that fell out of the list before it was heard', async () => {
       const fleet = await started();
       const job = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 3, isLasting: true }] });
--- a/packages/daemon/src/batch/hosts/host-roster.ts
+++ b/packages/daemon/src/batch/hosts/host-roster.ts
@@ -1,10 +1,12 @@
 /** The hosts that a term knows, by the platform's list. */
 import {
   createHostInventory,
+  dropUnseenReports,
   expectReports,
   findDeadEndpoints,
   takeHostList,
   type BatchState,
+  type HostedEndpoint,
   type HostInventory,
   type HostView,
   type InventoryChange,
@@ -62,6 +64,7 @@
   dropEndpoint,
 }: HostRosterOptions): HostRoster => {
   const inventory = createHostInventory();
+  let expected: readonly HostedEndpoint[] = [];
   /** Readings without an answer since the last answer. */
   let failures = 0;
 
@@ -99,9 +102,10 @@
 
   /** Endpoints on the hosts of the first reading may run what an earlier holder began. */
   const expectEndpoints = (list: readonly HostView[]): void => {
-    const living = list.flatMap(({ instanceId, pool }) =>
-      instanceId === null ? [] : [{ instanceId, pool }],
+    const living = list.flatMap(({ instanceId, hostId, pool }) =>
+      instanceId === null ? [] : [{ instanceId, hostId, pool }],
     );
+    expected = living;
     expectReports(state, living);
     change(state, { isHostListAwaited: false });
   };
@@ -114,6 +118,7 @@
       if (endpoint) endpoint.hostId = hostId;
     });
     if (state.isHostListAwaited) expectEndpoints(list);
+    dropUnseenReports(state, expected, inventory.hosts, nowMs());
     findDeadEndpoints(state, inventory.hosts, askedAtMs).forEach(({ endpointId, cause }) =>
       dropEndpoint(endpointId, { reason: cause, atMs: askedAtMs }),
     );
