--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -6,8 +6,9 @@
 import { giveUpIfDue } from '../jobs/give-up.js';
 import { inOrder, rankedSteps } from './ranking.js';
 import { noteStartAgain } from '../endpoints/run-end.js';
-import { hasLossBefore, isFirstStartOfInherited } from '../crashes/inherited-losses.js';
-import { announcedRunOf, announceTrials, countLostTrials, isWritten } from '../crashes/trials.js';
+import { hasLossBefore } from '../crashes/inherited-losses.js';
+import { announcedRunOf, announceTrials, countLostTrials } from '../crashes/trials.js';
+import { announceInherited, isBlocked, unblockedTasks } from './inherited-tasks.js';
 import { goesWithOwed } from '../accounts/shares.js';
 import { isWithinQuota } from '../accounts/quota.js';
 import { placesForGang } from './gang-places.js';
@@ -25,7 +26,6 @@
 } from '../crashes/isolation.js';
 import {
   isFinal,
-  isSoleHolder,
   poolOf,
   type BatchState,
   type EndpointState,
@@ -113,33 +113,6 @@
   wantAdvice(state, step, withRoom, nowMs);
 };
 
-/**
- * A task of an earlier holder may still run on an endpoint that has not reported yet, or on one that no
- * list names: the list of endpoints loses some in an outage, and that of hosts may not have been read.
- */
-const isBlocked = (
-  state: BatchState,
-  { notReported }: PoolState,
-  { job }: StepRun,
-  nowMs: number,
-): boolean => {
-  const isAwaited = notReported.size > 0 || state.isHostListAwaited;
-  if (!job.isInherited || !isAwaited) return false;
-  return nowMs < state.inheritedLeasesEndAtMs || !isSoleHolder(state, nowMs);
-};
-
-/**
- * Announces the first starts of inherited tasks, where an endpoint may have crashed under them unheard.
- *
- * @returns The tasks that may begin now: those whose start is written, or need not be.
- */
-const announceInherited = ({ state, step }: Placing, tasks: readonly Task[]): readonly Task[] => {
-  const isHeld = (task: Task): boolean => isFirstStartOfInherited(state, step, task);
-  const unannounced = tasks.filter((task) => isHeld(task) && announcedRunOf(task) === undefined);
-  if (unannounced.length > 0) announceTrials(state, step, unannounced);
-  return isWritten(step.job) ? tasks : tasks.filter((task) => !isHeld(task));
-};
-
 /** Places the tasks of a step that may stand beside others; true if none is left for want of room. */
 const placeOrdinary = (
   placing: Placing,
@@ -147,14 +120,15 @@
   suspects: readonly Task[],
   mayHaveLost: () => boolean,
 ): boolean => {
-  const { step } = placing;
+  const { state, step, nowMs } = placing;
   const { isGang } = step.spec;
   if (isGang && suspects.length > 0) return true;
-  const waiting = step.waiting
-    .flatMap((index) => step.tasks[index] ?? [])
-    .filter((task) => !suspects.includes(task));
+  const pool = poolOf(state, step.job.job.pool);
+  const waiting = unblockedTasks(state, pool, step, nowMs).filter(
+    (task) => !suspects.includes(task),
+  );
   const mayBeLost = step.job.isInherited && mayHaveLost();
-  const tasks = mayBeLost ? announceInherited(placing, waiting) : waiting;
+  const tasks = mayBeLost ? announceInherited(state, step, waiting) : waiting;
   if (isGang) return tasks.length < waiting.length || placeGang(placing, endpoints);
   return placeEach(placing, endpoints, tasks);
 };
@@ -277,12 +251,18 @@
  * Lists the steps of suspected jobs in order. Starts that an earlier holder announced and nobody tells of count against
  * their tasks first, and may end the job.
  */
-const liveSuspects = ({ state, nowMs }: Pass, steps: readonly StepRun[]): readonly StepRun[] => {
+const liveSuspects = (
+  { state, nowMs }: Pass,
+  pool: PoolState,
+  steps: readonly StepRun[],
+): readonly StepRun[] => {
   const suspects = steps.filter(({ job }) => state.suspectJobs.has(job));
-  suspects.forEach((step) => {
-    countLostTrials(state, step, nowMs);
-    step.tasks.forEach((task) => giveUpIfDue(state, { task, step }));
-  });
+  suspects
+    .filter((step) => !isBlocked(state, pool, step, nowMs))
+    .forEach((step) => {
+      countLostTrials(state, step, nowMs);
+      step.tasks.forEach((task) => giveUpIfDue(state, { task, step }));
+    });
   const live = suspects.filter(({ job }) => !isFinal(job.phase));
   return inOrder(state, live, nowMs);
 };
@@ -306,9 +286,10 @@
     mayHaveLost: once(() => hasLossBefore(state, pool, endpoints)),
     nowMs,
   };
-  const mayBegin = (step: StepRun): boolean => !isBlocked(state, pool, step, nowMs);
+  const mayBegin = (step: StepRun): boolean =>
+    !isBlocked(state, pool, step, nowMs) || unblockedTasks(state, pool, step, nowMs).length > 0;
   const isolated = isAnySuspect
-    ? placeIsolated(pass, liveSuspects(pass, Array.from(pool.open).filter(mayBegin)))
+    ? placeIsolated(pass, liveSuspects(pass, pool, Array.from(pool.open).filter(mayBegin)))
     : NONE_ISOLATED;
   const shared =
     isolated.size === 0
