Admission control: a job that could not be served in time is refused by a forecast (core)

The forecast (core/batch/jobs/forecast.ts, pure) takes what waits before the job, room now and coming, and learned run times. A job is refused that is forecast to be neither in time nor, overtaken by all that can be, done within three objectives; only for accounts with a weight or a maximum, above a backlog of half a second, not in the first 2 s of a holder, no long-running or timed job, none that was admitted under its id. Refusals are followed up by what their pool does afterwards.

--- a/packages/core/src/batch/accounts/pool-shares.test.ts
+++ b/packages/core/src/batch/accounts/pool-shares.test.ts
@@ -6,6 +6,8 @@
   playFleet,
   shareInTime,
   type PlayedClient,
+  type PlayedFleet,
+  type PlayedJob,
   type PlayedPool,
 } from '../testing/fleet-play.fixtures.js';
 
@@ -50,29 +52,47 @@
     nowMs >= HEAVY_FROM_MS && nowMs < HEAVY_FROM_MS + HEAVY_FOR_MS ? factor * WEIGHT : 0,
 });
 
-const othersInTime = (clients: readonly PlayedClient[]): ReadonlyMap<PoolName, number> => {
-  const { jobs } = playFleet({ pools: POOLS, spareHosts: SPARE_HOSTS, clients, forMs: FOR_MS });
-  const late = jobs.filter(({ client, atMs }) => client.name !== 'heavy' && atMs >= HEAVY_FROM_MS);
-  return new Map(
-    POOLS.map(({ name }) => [name, shareInTime(late.filter(({ client }) => client.pool === name))]),
+const playWith = (clients: readonly PlayedClient[], isAdmissionOn: boolean): PlayedFleet =>
+  playFleet({ pools: POOLS, spareHosts: SPARE_HOSTS, clients, forMs: FOR_MS, isAdmissionOn });
+
+const isOther = ({ client, atMs }: PlayedJob): boolean =>
+  client.name !== 'heavy' && atMs >= HEAVY_FROM_MS;
+
+const othersInTime = ({ jobs }: PlayedFleet): readonly number[] =>
+  POOLS.map(({ name }) =>
+    shareInTime(jobs.filter((job) => isOther(job) && job.client.pool === name)),
   );
-};
 
 const mean = (values: readonly number[]): number =>
   values.reduce((sum, one) => sum + one, 0) / values.length;
 
-/** What the pools other than that of the heavy account get, as a share of what they get where it keeps to its weight. */
-const keptByOthers = (factor: number): readonly number[] => {
-  const without = othersInTime([...usual, heavyOf(1)]);
-  const beside = othersInTime([...usual, heavyOf(factor)]);
-  return POOLS.map(({ name }) => (beside.get(name) ?? 0) / (without.get(name) ?? 0));
+/** What other accounts get in each pool, as a share of what they get where the heavy one keeps to its weight. */
+const keptByOthers = (factor: number, isAdmissionOn: boolean): readonly number[] => {
+  const without = othersInTime(playWith([...usual, heavyOf(1)], isAdmissionOn));
+  const beside = othersInTime(playWith([...usual, heavyOf(factor)], isAdmissionOn));
+  return beside.map((one, index) => one / (without[index] ?? 0));
 };
 
 // Hosts went to the pool with the largest backlog, whoever was owed it: at 20 times its weight the other pools kept 0.51,
 // 0.75 and 0.93 of what they had without the account.
 describe('an account that hands in many times its weight into one of four pools', () => {
   it.each([5, 20])('at %s times its weight leaves the other pools what they are owed', (factor) => {
-    const kept = keptByOthers(factor);
+    const kept = keptByOthers(factor, false);
+    expect(Math.min(...kept)).toBeGreaterThanOrEqual(0.88);
+    expect(mean(kept)).toBeGreaterThanOrEqual(0.96);
+  });
+
+  it.each([5, 20])('at %s times its weight is refused what others are not', (factor) => {
+    const { jobs } = playWith([...usual, heavyOf(factor)], true);
+    const refusedOf = (some: readonly PlayedJob[]): number =>
+      some.filter(({ refusals }) => refusals > 0).length / some.length;
+    const ofHeavy = refusedOf(jobs.filter(({ client }) => client.name === 'heavy'));
+    expect(ofHeavy).toBeGreaterThan(0.1);
+    expect(refusedOf(jobs.filter(isOther))).toBeLessThan(Math.min(0.04, 0.1 * ofHeavy));
+  });
+
+  it('costs others no more in time where its excess is refused', () => {
+    const kept = keptByOthers(20, true);
     expect(Math.min(...kept)).toBeGreaterThanOrEqual(0.88);
     expect(mean(kept)).toBeGreaterThanOrEqual(0.96);
   });
--- a/packages/core/src/batch/accounts/shares.ts
+++ b/packages/core/src/batch/accounts/shares.ts
@@ -13,14 +13,59 @@
 const SAVED_S = 1;
 const MS_PER_S = 1000;
 
+const newShare = (weight: number): AccountShare => ({
+  jobsLeft: weight * SAVED_S,
+  settledAtMs: -Infinity,
+  virtualEnd: 0,
+});
+
 const shareOf = (state: BatchState, account: AccountName, weight: number): AccountShare => {
   const known = state.shares.get(account);
   if (known) return known;
-  const built = { jobsLeft: weight * SAVED_S, settledAtMs: -Infinity, virtualEnd: 0 };
+  const built = newShare(weight);
   state.shares.set(account, built);
   return built;
 };
 
+/** Where the next job of an account would stand, and what the account would then be owed. */
+const nextShare = (
+  share: AccountShare,
+  weight: number,
+  nowMs: number,
+): { readonly job: JobShare; readonly after: AccountShare } => {
+  const passedS = Math.max(0, nowMs - share.settledAtMs) / MS_PER_S;
+  const most = Math.max(1, weight * SAVED_S);
+  const jobsLeft = Math.min(most, share.jobsLeft + passedS * weight);
+  const isOwed = jobsLeft >= 1;
+  const virtualStart = Math.max(share.virtualEnd, nowMs / MS_PER_S);
+  return {
+    job: { isOwed, virtualStart },
+    after: {
+      jobsLeft: isOwed ? jobsLeft - 1 : jobsLeft,
+      settledAtMs: nowMs,
+      virtualEnd: virtualStart + 1 / weight,
+    },
+  };
+};
+
+/**
+ * Tells where a job of an account would stand if it came now.
+ *
+ * @param state - All that is known.
+ * @param account - The job's account; undefined for a job of none.
+ * @param nowMs - The time.
+ * @returns Where the job would stand.
+ */
+export const peekShare = (
+  state: BatchState,
+  account: AccountName | undefined,
+  nowMs: number,
+): JobShare => {
+  const weight = account === undefined ? 0 : (limitsOf(state, account)?.weight ?? 0);
+  if (account === undefined || weight === 0) return OWED;
+  return nextShare(state.shares.get(account) ?? newShare(weight), weight, nowMs).job;
+};
+
 /**
  * Takes a new job into the account of what its client account is owed.
  *
@@ -37,17 +82,9 @@
   const weight = account === undefined ? 0 : (limitsOf(state, account)?.weight ?? 0);
   if (account === undefined || weight === 0) return OWED;
   const share = shareOf(state, account, weight);
-  const passedS = Math.max(0, nowMs - share.settledAtMs) / MS_PER_S;
-  const most = Math.max(1, weight * SAVED_S);
-  const jobsLeft = Math.min(most, share.jobsLeft + passedS * weight);
-  const isOwed = jobsLeft >= 1;
-  const virtualStart = Math.max(share.virtualEnd, nowMs / MS_PER_S);
-  Object.assign(share, {
-    jobsLeft: isOwed ? jobsLeft - 1 : jobsLeft,
-    settledAtMs: nowMs,
-    virtualEnd: virtualStart + 1 / weight,
-  });
-  return { isOwed, virtualStart };
+  const { job, after } = nextShare(share, weight, nowMs);
+  Object.assign(share, after);
+  return job;
 };
 
 /**
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -20,6 +20,8 @@
 export * from './endpoints/sound-endpoints.js';
 export * from './endpoints/watch-runs.js';
 export * from './jobs/admission.js';
+export * from './jobs/admission-control.js';
+export * from './jobs/forecast.js';
 export * from './jobs/first-attempts.js';
 export * from './jobs/jobs.js';
 export * from './jobs/lookup-queue.js';
--- a/packages/core/src/batch/jobs/create-job.ts
+++ b/packages/core/src/batch/jobs/create-job.ts
@@ -6,6 +6,7 @@
   type StepSpec,
   type TaskKey,
 } from '../model/job.js';
+import { kindOf } from './step-times.js';
 import { OWED, type JobShare } from '../model/share.js';
 import {
   createStepAdvice,
@@ -39,7 +40,7 @@
   occurrence,
   number,
   spec,
-  kind: `${job.job.queue}/${spec.image}`,
+  kind: kindOf(job.job.queue, spec),
   tasks: Array.from({ length: spec.taskCount }, (_, index) =>
     newTask(taskKey(job.job.jobId, occurrence.number, number, index), index),
   ),
--- a/packages/core/src/batch/jobs/jobs.ts
+++ b/packages/core/src/batch/jobs/jobs.ts
@@ -193,11 +193,14 @@
   change(task, { phase: 'done', checkpoint: '' });
   change(step, { doneCount: step.doneCount + 1 });
   const { job, occurrence } = step;
+  const pool = poolOf(state, job.job.pool);
+  const taskCoreMs = expectStepWork(state, step) / step.spec.taskCount;
+  change(pool, { doneCoreMs: pool.doneCoreMs + taskCoreMs });
   const isEnd =
     isOccurrenceDone(occurrence) &&
     job.nextOccurrence >= occurrenceCount(job.job) &&
     Array.from(job.occurrences.values()).every(isOccurrenceDone);
-  if (step.waiting.length === 0) poolOf(state, job.job.pool).open.delete(step);
+  if (step.waiting.length === 0) pool.open.delete(step);
   if (isEnd) endJob(state, job, 'completed', 'all tasks are done');
   else {
     state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
--- a/packages/core/src/batch/jobs/step-times.ts
+++ b/packages/core/src/batch/jobs/step-times.ts
@@ -1,7 +1,17 @@
 /** How long the tasks of a step run, and how much work it is, by what was learned of its kind. */
 import { expectRunTime } from './run-times.js';
+import type { QueueName, StepSpec } from '../model/job.js';
 import type { BatchState, StepRun } from '../model/state.js';
 
+/**
+ * Names the kind of a step's tasks: those of a kind take alike times.
+ *
+ * @param queue - The job's queue.
+ * @param spec - The step.
+ * @returns The kind.
+ */
+export const kindOf = (queue: QueueName, { image }: StepSpec): string => `${queue}/${image}`;
+
 /**
  * Expects the run time of a step's tasks.
  *
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -42,12 +42,25 @@
   rankedAtMs: number;
 };
 
+/** Room that a pool can get, by the list of hosts. */
+export type PoolOutlook = {
+  /** On hosts that are on their way to it. */
+  readonly comingCpu: number;
+  /** On free hosts of other pools and of the spare one. */
+  readonly freeCpu: number;
+  /** On hosts of other pools that are emptied for work that is owed. */
+  readonly reclaimedCpu: number;
+};
+
 /** A pool with its open steps. */
 export type PoolState = {
   readonly name: PoolName;
   readonly open: Set<StepRun>;
   readonly ranking: PoolRanking;
   readonly demand: Demand;
+  outlook: PoolOutlook;
+  /** Work of its tasks that are done, in core-milliseconds. */
+  doneCoreMs: number;
   /** Endpoints that may run inherited tasks and of which no life has answered yet. */
   readonly notReported: Set<InstanceId>;
 };
@@ -221,6 +234,8 @@
     open: new Set(),
     ranking: { shortlist: [], opened: [], rankedAtMs: -Infinity },
     demand: createDemand(),
+    outlook: { comingCpu: 0, freeCpu: 0, reclaimedCpu: 0 },
+    doneCoreMs: 0,
     notReported: new Set(),
   };
   state.pools.set(name, built);
--- a/packages/core/src/batch/placement/order.ts
+++ b/packages/core/src/batch/placement/order.ts
@@ -6,7 +6,7 @@
 
 import type { OrderWay } from '../model/order-ways.js';
 import { goesWithOwed } from '../accounts/shares.js';
-import type { BatchState, StepRun } from '../model/state.js';
+import type { BatchState, JobState, StepRun } from '../model/state.js';
 import { expectStepTime } from '../jobs/step-times.js';
 
 /** A late success is still worth something to its client until this many times the objective. */
@@ -59,6 +59,37 @@
 const beganAtMs = ({ job, occurrence }: StepRun): number =>
   job.job.repeats > 0 ? occurrence.dueAtMs : job.sinceMs;
 
+/**
+ * Reckons the objective of a job.
+ *
+ * @param state - What was learned of run times.
+ * @param step - A step of the job.
+ * @param remainingMs - The chain of what is left from the step on, where it is known.
+ * @returns The time in milliseconds that the job may take.
+ */
+export const objectiveMsOf = (
+  state: BatchState,
+  step: StepRun,
+  remainingMs = remainingChainMs(state, step),
+): number => {
+  const { stretch, targetLatencyMs } = step.job.policy;
+  return stretch * wholeChainMs(state, step, remainingMs) + targetLatencyMs;
+};
+
+/**
+ * Tells whether a job that runs once is past all use.
+ *
+ * @param state - What was learned of run times.
+ * @param job - The job.
+ * @param nowMs - The time.
+ * @returns True if it cannot even be a late success any more.
+ */
+export const isPastUse = (state: BatchState, job: JobState, nowMs: number): boolean => {
+  const step = job.occurrences.get(0)?.steps[0];
+  if (!step || job.job.repeats > 0) return false;
+  return nowMs > job.sinceMs + LATE_FACTOR * objectiveMsOf(state, step);
+};
+
 /**
  * Ranks a step.
  *
@@ -70,8 +101,7 @@
 export const rankStep = (state: BatchState, step: StepRun, nowMs: number): Rank => {
   const { policy, share } = step.job;
   const remainingMs = remainingChainMs(state, step);
-  const objectiveMs =
-    policy.stretch * wholeChainMs(state, step, remainingMs) + policy.targetLatencyMs;
+  const objectiveMs = objectiveMsOf(state, step, remainingMs);
   const sinceMs = beganAtMs(step);
   const dueAtMs = sinceMs + objectiveMs;
   const endsAtMs = nowMs + remainingMs;
--- a/packages/core/src/batch/pools/pool-moves.ts
+++ b/packages/core/src/batch/pools/pool-moves.ts
@@ -19,7 +19,7 @@
   type PoolPolicy,
   type PoolWorld,
 } from './pool-needs.js';
-import type { EndpointState } from '../model/state.js';
+import { poolOf, type EndpointState } from '../model/state.js';
 
 /** A host that changes its pool. */
 export type PoolMove = {
@@ -201,6 +201,31 @@
   return wanted.length > 0 ? wanted : parkings(world, needs, policy);
 };
 
+/**
+ * Tells each pool what room it can get, for the forecast of jobs. Free hosts count for every pool: which one gets them is
+ * decided when they are asked for.
+ *
+ * @param world - Pools, hosts and what waits; the pools' outlooks are changed in place.
+ * @param policy - How moves are weighed.
+ */
+export const noteOutlooks = (world: PoolWorld, policy: PoolPolicy = DEFAULT_POOL_POLICY): void => {
+  const { state } = world;
+  const needs = needsOfPools(world, policy);
+  const free = [
+    ...spareHosts(world),
+    ...needs.flatMap((need) => givenAway(world, need, policy, 'all')),
+  ];
+  needs.forEach(({ name, comingCpu }) => {
+    const freeCpu = free
+      .filter(({ pool }) => pool !== name)
+      .reduce((sum, { capacity }) => sum + capacity.cpuMillis, 0);
+    const reclaimedCpu = Array.from(state.endpoints.values())
+      .filter(({ endpointId, pool }) => pool !== name && state.reclaimed.has(endpointId))
+      .reduce((sum, { capacity }) => sum + capacity.cpuMillis, 0);
+    change(poolOf(state, name), { outlook: { comingCpu, freeCpu, reclaimedCpu } });
+  });
+};
+
 /** Tells whether an endpoint runs nothing that an account is owed, and nothing that lasts. */
 const isUnowed = ({ runs }: EndpointState, nowMs: number): boolean =>
   Array.from(runs.values()).every(
--- a/packages/core/src/batch/testing/fleet-play.fixtures.ts
+++ b/packages/core/src/batch/testing/fleet-play.fixtures.ts
@@ -13,6 +13,8 @@
 import { seeEndpoint } from '../endpoints/endpoints.js';
 import { removeEndpoint } from '../endpoints/gone-endpoints.js';
 import { applyReport, type EndReport } from '../endpoints/reports.js';
+import { createAdmissionControl, type AdmissionControl } from '../jobs/admission-control.js';
+import { noteFirstAttempts } from '../jobs/first-attempts.js';
 import { takeInJob } from '../jobs/jobs.js';
 import { NO_LIMIT } from '../model/capacity.js';
 import { instanceOf } from '../model/endpoint-life.js';
@@ -26,7 +28,7 @@
 } from '../model/state.js';
 import { schedulePool } from '../placement/schedule.js';
 import type { HostView, PoolView } from '../pools/hosts.js';
-import { planMoves, planReclaims } from '../pools/pool-moves.js';
+import { noteOutlooks, planMoves, planReclaims } from '../pools/pool-moves.js';
 import { observePeaks } from '../pools/pool-needs.js';
 
 const STEP_MS = 20;
@@ -56,18 +58,13 @@
   readonly jobsPerS: (nowMs: number) => number;
 };
 
-/** What becomes of a job that is handed in; undefined where it is accepted. */
-export type PlayedAdmission = (
-  state: BatchState,
-  job: { readonly job: BatchJob; readonly policy: QueuePolicy; readonly nowMs: number },
-) => { readonly retryAfterMs: number } | undefined;
-
 export type FleetPlay = {
   readonly pools: readonly PlayedPool[];
   readonly spareHosts: number;
   readonly clients: readonly PlayedClient[];
   readonly forMs: number;
-  readonly admit?: PlayedAdmission;
+  /** Jobs that could not be served are refused. */
+  readonly isAdmissionOn?: boolean;
   /** A refused client comes back so often. */
   readonly mostTries?: number;
 };
@@ -81,6 +78,7 @@
   readonly objectiveMs: number;
   refusals: number;
   isAccepted: boolean;
+  acceptedAtMs: number;
   hasRun: boolean;
   /** Infinity for one that is not done. */
   doneAtMs: number;
@@ -91,6 +89,7 @@
   readonly state: BatchState;
   /** Core-milliseconds of all runs, by pool. */
   readonly workedCoreMs: ReadonlyMap<PoolName, number>;
+  readonly admission: AdmissionControl;
 };
 
 /** A source of chance that repeats. */
@@ -164,6 +163,7 @@
       const world = { state, hosts, pools: views, busyHosts: new Set<HostId>(), nowMs };
       observePeaks(world);
       change(state, { reclaimed: planReclaims(world) });
+      noteOutlooks(world);
       planMoves(world).forEach(({ hostId, toPool }) => move(hostId, toPool, nowMs));
     },
   };
@@ -176,15 +176,17 @@
  * @returns What became of each job.
  */
 export const playFleet = (play: FleetPlay): PlayedFleet => {
-  const { pools, clients, forMs, admit = () => undefined, mostTries = 3 } = play;
+  const { pools, clients, forMs, isAdmissionOn = true, mostTries = 3 } = play;
   const state = createBatchState(2);
+  change(state, { takenOverAtMs: -Infinity });
+  const random = createChance();
+  const admission = createAdmissionControl({ state, random: createChance() });
   const declared = clients.filter(({ weight }) => weight > 0);
   takeAccounts(
     state,
     new Map(declared.map(({ name, weight }) => [name, { weight, maximum: NO_LIMIT }] as const)),
   );
   const fleet = createHosts(state, play);
-  const random = createChance();
   const poolBy = new Map(pools.map((pool) => [pool.name, pool]));
   const played = new Map<JobId, PlayedJob>();
   const returning: { readonly job: PlayedJob; readonly atMs: number }[] = [];
@@ -209,12 +211,17 @@
       acceptedAtMs: nowMs,
       ...(client.weight > 0 ? { owner } : {}),
     };
-    const refusal = admit(state, { job: submitted, policy: POLICY, nowMs });
+    const asked = { job: submitted, policy: POLICY };
+    const refusal = isAdmissionOn ? admission.judge(asked, nowMs) : undefined;
     if (!refusal) {
-      change(job, { isAccepted: true });
+      admission.admit(asked, nowMs);
+      admission.settle(jobId);
+      change(job, { isAccepted: true, acceptedAtMs: nowMs });
       takeInJob(state, { job: submitted, policy: POLICY, nowMs, todayMs: nowMs });
       return;
     }
+    admission.noteRefused(refusal, client.pool);
+    noteFirstAttempts(state, [{ jobId, atMs: nowMs }]);
     change(job, { refusals: job.refusals + 1 });
     if (job.refusals < mostTries) returning.push({ job, atMs: nowMs + refusal.retryAfterMs });
   };
@@ -222,7 +229,13 @@
   const submit = (client: PlayedClient, nowMs: number): void => {
     const jobId = brand<JobId>((played.size + 1).toString(16).padStart(16, '0'));
     const objectiveMs = objectiveOf(poolBy.get(client.pool) as PlayedPool);
-    const ofNew = { refusals: 0, isAccepted: false, hasRun: false, doneAtMs: Infinity };
+    const ofNew = {
+      refusals: 0,
+      isAccepted: false,
+      acceptedAtMs: Infinity,
+      hasRun: false,
+      doneAtMs: Infinity,
+    };
     const job: PlayedJob = { jobId, client, atMs: nowMs, objectiveMs, ...ofNew };
     played.set(jobId, job);
     handIn(job, nowMs);
@@ -264,6 +277,7 @@
     fleet.finishMoves(nowMs);
     Array.from(state.endpoints.keys()).forEach((endpointId) => report(endpointId, nowMs));
     noteDone(nowMs);
+    admission.followUp(nowMs);
     if (step % MOVE_EVERY_STEPS === 0) fleet.moveSome(nowMs);
     pools.forEach(({ name }) => schedulePool(state, name, nowMs));
     takeEffects(state).forEach((effect) => {
@@ -284,7 +298,7 @@
       .forEach((one) => (one.atMs <= nowMs ? handIn(one.job, nowMs) : returning.push(one)));
     cycle(nowMs, step);
   }
-  return { jobs: Array.from(played.values()), state, workedCoreMs };
+  return { jobs: Array.from(played.values()), state, workedCoreMs, admission };
 };
 
 /**
