--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -1,8 +1,8 @@
 /** Runs of tasks on endpoints: the room that they take, how they begin and how they are ended. */
-import type { EndpointId } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import type { StepSpec } from '../model/job.js';
 import { chargeRun } from '../accounts/quota.js';
+import { dataCentreCountKey, rackCountKey } from '../domains/domains.js';
 import { noteRunEnd, type NoteFields, type RunEvidence } from './run-end.js';
 import {
   addOpenStep,
@@ -20,6 +20,14 @@
  */
 const RUNS_PER_FENCE = 1000;
 
+/**
+ * Gives the number below which all runs were begun by earlier holders.
+ *
+ * @param fence - The holder's fence.
+ * @returns The number.
+ */
+export const firstRunNumber = (fence: number): number => fence * RUNS_PER_FENCE;
+
 /**
  * Gives the next run number of a task.
  *
@@ -28,7 +36,7 @@
  * @returns The number.
  */
 export const nextRunNumber = (fence: number, lastRun: number): number =>
-  Math.max(fence * RUNS_PER_FENCE, lastRun) + 1;
+  Math.max(firstRunNumber(fence), lastRun) + 1;
 
 /**
  * Gives the processors that a task takes of an endpoint's room.
@@ -64,10 +72,21 @@
   change(endpoint, { roomRevision });
 };
 
-const changePerEndpoint = (step: StepRun, endpointId: EndpointId, by: 1 | -1): void => {
-  const count = (step.perEndpoint.get(endpointId) ?? 0) + by;
-  if (count > 0) step.perEndpoint.set(endpointId, count);
-  else step.perEndpoint.delete(endpointId);
+const changeCount = <Key>(counts: Map<Key, number>, key: Key, by: 1 | -1): void => {
+  const count = (counts.get(key) ?? 0) + by;
+  if (count > 0) counts.set(key, count);
+  else counts.delete(key);
+};
+
+/** Counts a task of a step on its endpoint and in the domains of that. */
+const changePlaces = (
+  { perEndpoint, perDomain }: StepRun,
+  { endpointId, domains }: EndpointState,
+  by: 1 | -1,
+): void => {
+  changeCount(perEndpoint, endpointId, by);
+  changeCount(perDomain, rackCountKey(domains), by);
+  changeCount(perDomain, dataCentreCountKey(domains), by);
 };
 
 /**
@@ -121,7 +140,7 @@
   change(task, { phase: 'placed', lastRun: Math.max(task.lastRun, run) });
   changeRoom(endpoint, step.spec, 1);
   chargeRun(state, step, 1);
-  changePerEndpoint(step, endpoint.endpointId, 1);
+  changePlaces(step, endpoint, 1);
   endpoint.runs.set(task.key, begun);
   if (step.waiting.length === 0) poolOf(state, job.job.pool).open.delete(step);
   if (phase === 'running') job.hasBegun = true;
@@ -148,7 +167,7 @@
   from.runs.delete(task.key);
   freeRoom(state, from, step.spec);
   chargeRun(state, step, -1);
-  changePerEndpoint(step, from.endpointId, -1);
+  changePlaces(step, from, -1);
   return addRun(state, { endpoint: to, step, task, run: run.run, phase, nowMs: startedAtMs });
 };
 
@@ -179,7 +198,7 @@
   if (!endpoint.runs.delete(task.key)) return;
   freeRoom(state, endpoint, step.spec);
   chargeRun(state, step, -1);
-  changePerEndpoint(step, endpoint.endpointId, -1);
+  changePlaces(step, endpoint, -1);
   if (endpoint.runs.size === 0) change(endpoint, { idleSinceMs: nowMs });
   noteRunEnd(state, {
     endpoint,
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -6,6 +6,7 @@
 import type {
   AccountName,
   DataCentreId,
+  DomainId,
   EndpointId,
   InstanceId,
   JobId,
@@ -19,11 +20,13 @@
 import { createDemandPeaks, type DemandPeaks } from '../pools/demand-peaks.js';
 import type { AccountLimits } from './accounts.js';
 import type { Usage } from './capacity.js';
+import type { Domain } from './domain.js';
 import type { OrderWay } from './order-ways.js';
 import type { AccountShare } from './share.js';
 import { createRunTimes, type RunTimes } from '../jobs/run-times.js';
 
 export * from './capacity.js';
+export * from './domain.js';
 export * from './endpoint-state.js';
 export * from './job-state.js';
 
@@ -63,6 +66,8 @@
   doneCoreMs: number;
   /** Endpoints that may run inherited tasks and of which no life has answered yet. */
   readonly notReported: Set<InstanceId>;
+  /** A host was down as this holder first read the list: see `inherited-losses.ts`. */
+  hasLossBefore: boolean;
 };
 
 /** What the runtime has to do. */
@@ -130,6 +135,8 @@
   readonly jobs: Map<JobId, JobState>;
   readonly pools: Map<PoolName, PoolState>;
   readonly endpoints: Map<EndpointId, EndpointState>;
+  /** Racks and data centres with the endpoints that stand in them; none is empty. */
+  readonly domains: Map<DomainId, Domain>;
   /** The life that each endpoint is known to be in. */
   readonly lives: Map<InstanceId, EndpointState>;
   readonly goneEndpoints: Map<EndpointId, GoneEndpoint>;
@@ -147,7 +154,7 @@
   readonly peaks: DemandPeaks;
   /** Jobs with occurrences still to come. */
   readonly timed: Set<JobState>;
-  /** Live jobs with tasks under which endpoints crashed. */
+  /** Live jobs with tasks under which endpoints crashed, or may have. */
   readonly suspectJobs: Set<JobState>;
   /** By the newest configuration; and those that it has lost, or that only rows tell of. */
   accounts: ReadonlyMap<AccountName, AccountLimits>;
@@ -185,6 +192,7 @@
   jobs: new Map(),
   pools: new Map(),
   endpoints: new Map(),
+  domains: new Map(),
   lives: new Map(),
   goneEndpoints: new Map(),
   openStarts: new Map(),
@@ -237,6 +245,7 @@
     outlook: { comingCpu: 0, freeCpu: 0, reclaimedCpu: 0 },
     doneCoreMs: 0,
     notReported: new Set(),
+    hasLossBefore: false,
   };
   state.pools.set(name, built);
   return built;
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -1,11 +1,13 @@
 /** Places waiting tasks on endpoints: the fullest endpoint that fits, so that others stand empty. */
 import type { EndpointId, PoolName } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
+import { once } from '../../shared/once.js';
 import { admittedEndpoints, ticketOf, wantAdvice } from './advice.js';
 import { giveUpIfDue } from '../jobs/give-up.js';
 import { inOrder, rankedSteps } from './ranking.js';
 import { noteStartAgain } from '../endpoints/run-end.js';
-import { announcedRunOf, announceTrials, countLostTrials } from '../crashes/trials.js';
+import { hasLossBefore, isFirstStartOfInherited } from '../crashes/inherited-losses.js';
+import { announcedRunOf, announceTrials, countLostTrials, isWritten } from '../crashes/trials.js';
 import { goesWithOwed } from '../accounts/shares.js';
 import { isWithinQuota } from '../accounts/quota.js';
 import { placesForGang } from './gang-places.js';
@@ -126,17 +128,34 @@
   return nowMs < state.inheritedLeasesEndAtMs || !isSoleHolder(state, nowMs);
 };
 
+/**
+ * Announces the first starts of inherited tasks, where an endpoint may have crashed under them unheard.
+ *
+ * @returns The tasks that may begin now: those whose start is written, or need not be.
+ */
+const announceInherited = ({ state, step }: Placing, tasks: readonly Task[]): readonly Task[] => {
+  const isHeld = (task: Task): boolean => isFirstStartOfInherited(state, step, task);
+  const unannounced = tasks.filter((task) => isHeld(task) && announcedRunOf(task) === undefined);
+  if (unannounced.length > 0) announceTrials(state, step, unannounced);
+  return isWritten(step.job) ? tasks : tasks.filter((task) => !isHeld(task));
+};
+
 /** Places the tasks of a step that may stand beside others; true if none is left for want of room. */
 const placeOrdinary = (
   placing: Placing,
   endpoints: readonly EndpointState[],
   suspects: readonly Task[],
+  mayHaveLost: () => boolean,
 ): boolean => {
   const { step } = placing;
-  if (step.spec.isGang) return suspects.length > 0 || placeGang(placing, endpoints);
-  const tasks = step.waiting
+  const { isGang } = step.spec;
+  if (isGang && suspects.length > 0) return true;
+  const waiting = step.waiting
     .flatMap((index) => step.tasks[index] ?? [])
     .filter((task) => !suspects.includes(task));
+  const mayBeLost = step.job.isInherited && mayHaveLost();
+  const tasks = mayBeLost ? announceInherited(placing, waiting) : waiting;
+  if (isGang) return tasks.length < waiting.length || placeGang(placing, endpoints);
   return placeEach(placing, endpoints, tasks);
 };
 
@@ -172,6 +191,8 @@
   readonly state: BatchState;
   /** Those that take new work. */
   readonly endpoints: readonly EndpointState[];
+  /** An endpoint of the pool may have crashed shortly before this holder took over. */
+  readonly mayHaveLost: () => boolean;
   readonly nowMs: number;
 };
 
@@ -234,7 +255,12 @@
     if (!isWithinQuota(state, step, step.spec.isGang ? step.spec.taskCount : 1)) return false;
     const placing: Placing = { state, step, nowMs };
     const admitted = openTo(step, pass, admittedEndpoints(step, places, nowMs));
-    const isPlaced = placeOrdinary(placing, admitted, waitingSuspects(state, step));
+    const isPlaced = placeOrdinary(
+      placing,
+      admitted,
+      waitingSuspects(state, step),
+      pass.mayHaveLost,
+    );
     if (isPlaced) return false;
     const isWhole = places === endpoints;
     if (isWhole) wantAdviceFor(placing, endpoints);
@@ -273,8 +299,13 @@
   if (pool.open.size === 0) return;
   const endpoints = usableEndpoints(state, name, nowMs);
   if (endpoints.length === 0) return;
-  const pass: Pass = { state, endpoints, nowMs };
   const isAnySuspect = state.suspectJobs.size > 0;
+  const pass: Pass = {
+    state,
+    endpoints,
+    mayHaveLost: once(() => hasLossBefore(state, pool, endpoints)),
+    nowMs,
+  };
   const mayBegin = (step: StepRun): boolean => !isBlocked(state, pool, step, nowMs);
   const isolated = isAnySuspect
     ? placeIsolated(pass, liveSuspects(pass, Array.from(pool.open).filter(mayBegin)))
--- a/packages/daemon/src/batch/testing/sim-world.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-world.fixtures.ts
@@ -32,6 +32,8 @@
 import type { TableRow } from '@valvelatch/core/rows/transaction';
 import type { TableTransaction } from '@valvelatch/platform';
 
+import { createSimOperator } from './sim-operator.fixtures.js';
+
 export const MAINTENANCE_MS = 2000;
 export const MOVE_MS = 1500;
 const CRASH_MS = 3000;
@@ -69,6 +71,11 @@
 /** What an account may have running beyond its maximum, as a share of it. */
 const QUOTA_EXCESS = 0.1;
 
+/** No task may begin in a data centre so long after its evacuation was acknowledged. */
+export const EVACUATE_MS = 5000;
+/** After an outage of the table for all, entries learn of what was ordered just before it within this time. */
+const TABLE_BACK_MS = 2500;
+
 /** What starts on queues that need advice must carry. */
 export const TICKET = 'ticket';
 
@@ -105,10 +112,19 @@
   readonly refused: Set<HostId>;
 };
 
+/** How hosts stand in racks and data centres; each rack has hosts of all pools. */
+export type SimDomains = {
+  /** Of each pool. */
+  readonly hostsPerRack: number;
+  readonly dataCentres: number;
+};
+
 export type SimWorldOptions = {
   readonly hostsPerPool: number;
   readonly pools: readonly string[];
   readonly sparePool: string | undefined;
+  /** Endpoints tell no rack and no data centre if left out. */
+  readonly domains?: SimDomains | undefined;
   readonly random: () => number;
 };
 
@@ -118,7 +134,13 @@
  * @param options - Its size and its source of chance.
  * @returns The world, all of it sound.
  */
-export const createSimWorld = ({ hostsPerPool, pools, sparePool, random }: SimWorldOptions) => {
+export const createSimWorld = ({
+  hostsPerPool,
+  pools,
+  sparePool,
+  domains,
+  random,
+}: SimWorldOptions) => {
   const table = createTableModel();
   const changes: { readonly key: string; readonly value: unknown; readonly version: number }[] = [];
   const endpoints = new Map<InstanceId, EndpointModel>();
@@ -132,12 +154,21 @@
   const crashes = new Map<TaskKey, number>();
   const startsSince = new Map<TaskKey, number>();
   const broken: string[] = [];
+  const operator = createSimOperator();
+  let isTableDown = false;
+  let tableBackAtMs = -Infinity;
   /** What the configurations that may be in force give accounts, the newest last. */
   const inForce: { readonly maxima: ReadonlyMap<AccountName, Capacity>; untilMs: number }[] = [];
   const faults: SimFaults = {
     lostAnswers: 0,
     lateOrders: 0,
-    isTableDown: false,
+    get isTableDown() {
+      return isTableDown;
+    },
+    set isTableDown(isDown: boolean) {
+      if (isTableDown && !isDown) tableBackAtMs = performance.now();
+      isTableDown = isDown;
+    },
     lostWrites: 0,
     crashMs: CRASH_MS,
     hostOrderMs: 0,
@@ -228,6 +259,20 @@
     }
   };
 
+  /**
+   * Nothing begins in an evacuated data centre after the bound. An order that is carried out late counts by the time
+   * at which it was sent. While the table is away for all no operator is acknowledged, and starts go on.
+   */
+  const checkEvacuation = ({ hostId }: EndpointModel, task: TaskKey): void => {
+    const dataCentre = hosts.get(hostId)?.dataCentre;
+    if (dataCentre === undefined || isTableDown) return;
+    const nowMs = performance.now();
+    if (nowMs - tableBackAtMs < TABLE_BACK_MS) return;
+    const evacuatedMs = operator.evacuatedForMs(dataCentre, Math.min(nowMs, lateOrder.sentAtMs));
+    if (evacuatedMs === undefined || evacuatedMs <= EVACUATE_MS) return;
+    breaks(`${task} began in ${dataCentre}, which is evacuated for ${Math.round(evacuatedMs)} ms`);
+  };
+
   /** A job is failed only by a task that failed too often, or under which endpoints crashed. */
   const checkFailed = (jobId: JobId): void => {
     const hasCause = (counts: ReadonlyMap<TaskKey, number>, atLeast: number): boolean =>
@@ -263,6 +308,7 @@
   const observer: EndpointObserver = {
     needsOf,
     onStart: (endpoint, task, run) => {
+      checkEvacuation(endpoint, task);
       if (isStray(endpoint)) {
         strays.add(`${endpoint.endpointId} ${task}`);
         return;
@@ -388,14 +434,21 @@
     relive({ ...host, state: 'down' }, downMs);
   };
 
+  const placeOf = (index: number): Pick<HostView, 'dataCentre' | 'labels'> => {
+    const { hostsPerRack, dataCentres } = domains ?? { hostsPerRack: 1, dataCentres: 2 };
+    const rack = domains ? Math.floor(index / hostsPerRack) : index % 2;
+    const dataCentre = brand<DataCentreId>(`dc-${rack % dataCentres}`);
+    // The label of a rack need not be the last one.
+    return { dataCentre, labels: [`rack-${rack}`, ...(domains ? ['ssd'] : [])] };
+  };
+
   [...pools, ...(sparePool ? [sparePool] : [])].forEach((pool) => {
     Array.from({ length: hostsPerPool }).forEach((_, index) => {
       const host: HostView = {
         hostId: brand<HostId>(`h-${pool}-${index}`),
         pool: brand<PoolName>(pool),
         state: 'up',
-        dataCentre: brand<DataCentreId>(`dc-${index % 2}`),
-        labels: [`rack-${index % 2}`],
+        ...placeOf(index),
         capacity: { cpuMillis: 8000, memoryMb: 16_000, accelerators: 0 },
         instanceId: null,
       };
@@ -432,11 +485,13 @@
     faults,
     maintained,
     unlisted,
+    operator,
     lateOrder,
     noteAsked: (endpoint: EndpointModel): void => {
       if (!askedSinceMs.has(endpoint)) askedSinceMs.set(endpoint, performance.now());
     },
     isListed,
+    hasDomains: domains !== undefined,
     inForce,
     waveStatus,
     waves,
