Admission control: the holder refuses before anything is written, clients get 503 notRun and Retry-After

The holder judges a job in `accept`; the outcome `refused` travels over the mesh to the entry's intake. Only a job without a row is refused (one reading of the table for all that are refused within 10 ms): another entry may have written one. Where a job may be under way the answer stays unknown. Counters by queue, `get accounts`, `explain account` and `explain job` say what was refused.

--- a/packages/core/src/batch/placement/order.ts
+++ b/packages/core/src/batch/placement/order.ts
@@ -90,6 +90,20 @@
   return nowMs > job.sinceMs + LATE_FACTOR * objectiveMsOf(state, step);
 };
 
+/**
+ * Tells whether a job is within its objective.
+ *
+ * @param state - What was learned of run times.
+ * @param job - The job.
+ * @param nowMs - The time.
+ * @returns True also for a job whose time is not that of a first occurrence.
+ */
+export const isInTime = (state: BatchState, job: JobState, nowMs: number): boolean => {
+  const step = job.occurrences.get(0)?.steps[0];
+  if (!step || job.job.repeats > 0) return true;
+  return nowMs <= job.sinceMs + objectiveMsOf(state, step);
+};
+
 /**
  * Ranks a step.
  *
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -6,18 +6,21 @@
   beginDue,
   cancelJob,
   countWaiting,
+  createAdmissionControl,
   createBatchState,
   createLinkDelay,
   createOrderWindow,
   createScheduleCycle,
   expectReports,
   instanceOf,
+  isInTime,
   noteFirstAttempts,
   paceFillers,
   soleForMs,
   takeAccounts,
   takeEffects,
   watchRuns,
+  type AdmissionControl,
   type BatchEffect,
   type BatchJob,
   type BatchPhase,
@@ -40,6 +43,8 @@
 import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
 import { createFleetCycle, type FleetCycle } from '../hosts/fleet-cycle.js';
 import { takeGuard } from './guard.js';
+import { createJobAdmission, noteAdmission } from '../jobs/job-admission.js';
+import { createRowLookup } from '../jobs/row-lookup.js';
 import { createJobRows, type Until } from '../jobs/job-rows.js';
 import {
   createJobSaver,
@@ -103,6 +108,7 @@
   readonly self: EntryId;
   readonly state: BatchState;
   readonly fleet: FleetCycle;
+  readonly admission: AdmissionControl;
   readonly start: () => Promise<void>;
   readonly stop: () => Promise<void>;
   /** Where a job stands; undefined if the holder cannot tell. */
@@ -246,6 +252,17 @@
     todayMs,
   });
 
+  const admission = createAdmissionControl({ state });
+  const admitJob = createJobAdmission({
+    admission,
+    write: saver.accept,
+    hasRow: createRowLookup(platform.table),
+    isAnswering,
+    log,
+    metrics,
+    nowMs,
+  });
+
   const learned = createLearnedKeeper({ table: platform.table, state, log, nowMs, todayMs });
 
   const advisor = createAdvisor({ state, port: platform.advice, log, metrics, nowMs, poke });
@@ -259,8 +276,10 @@
     advise: advisor.ask,
     save: ({ jobId, isUrgent }) => {
       const job = state.jobs.get(jobId);
-      if (job && isUrgent)
+      if (job && isUrgent) {
         log.info('job-ended', { job: jobId, phase: job.phase, reason: job.reason });
+        if (job.phase === 'completed') admission.noteDone(job.job, isInTime(state, job, nowMs()));
+      }
       saver.mark(jobId, isUrgent);
     },
     note: ({ event, fields }) => log.info(event, fields),
@@ -296,6 +315,11 @@
     log,
   };
 
+  const note = (): void => {
+    noteLoad(loadNote);
+    noteAdmission(admission, metrics);
+  };
+
   const noteLapsed = ({ endpointId, endedAtMs }: LapsedEndpoint): void =>
     log.warn('endpoint-lease-ended', {
       endpoint: endpointId,
@@ -310,6 +334,7 @@
     state.timed.forEach((job) => beginDue(state, job, nowMs(), todayMs()));
     watchRuns(state, nowMs()).forEach(noteLapsed);
     paceFillers(state, nowMs());
+    admission.followUp(nowMs());
     cycle();
   };
 
@@ -398,7 +423,7 @@
         { name: 'fleet', everyMs: fleet.everyMs, run: fleet.run },
         { name: 'waves', everyMs: fleet.everyMs, run: fleet.follow },
         { name: 'sweep', everyMs: SWEEP_MS, run: ended.sweep },
-        { name: 'load', everyMs: NOTE_LOAD_MS, run: async () => noteLoad(loadNote) },
+        { name: 'load', everyMs: NOTE_LOAD_MS, run: async () => note() },
         { name: 'learned', everyMs: LEARNED_MS, run: learned.save },
       ],
       (name, error) => {
@@ -421,6 +446,7 @@
     self,
     state,
     fleet,
+    admission,
     start,
     stop,
     statusOf: (jobId) =>
@@ -430,7 +456,7 @@
       if (!isAnswering()) return undefined;
       const { jobId } = row.job;
       if (state.jobs.has(jobId) || ended.has(jobId)) return { kind: 'conflict' };
-      return saver.accept(row);
+      return admitJob(row);
     },
     takeIn: (row, version) => {
       if (isReady && !isStopped && isSoleHolder()) jobRows.takeIn(row, version);
--- a/packages/daemon/src/batch/hosts/fleet-cycle.ts
+++ b/packages/daemon/src/batch/hosts/fleet-cycle.ts
@@ -3,6 +3,7 @@
   applyUpkeepAnswer,
   isAnyPoolShort,
   needsOfPools,
+  noteOutlooks,
   observePeaks,
   planMoves,
   planReclaims,
@@ -201,6 +202,7 @@
     if (!configuration()) return false;
     notePools();
     change(state, { reclaimed: planReclaims(poolWorld()) });
+    noteOutlooks(poolWorld());
     const planned = planMoves(poolWorld());
     // An order without an answer is repeated: it may be carried out late, whatever is decided now.
     const moves = [...Array.from(unsettled.values()), ...planned];
--- a/packages/daemon/src/batch/jobs/accept-queue.ts
+++ b/packages/daemon/src/batch/jobs/accept-queue.ts
@@ -29,6 +29,8 @@
   /** The job was accepted before. */
   | { readonly kind: 'conflict' }
   | { readonly kind: 'full' }
+  /** By a forecast it could not be served; it was not written. */
+  | { readonly kind: 'refused'; readonly detail: string; readonly retryAfterS: number }
   /** The table does not answer the holder; the job was surely not written. */
   | { readonly kind: 'away' }
   /** The holder was asked and did not say: the job may be accepted. */
--- a/packages/daemon/src/batch/jobs/attempt.ts
+++ b/packages/daemon/src/batch/jobs/attempt.ts
@@ -9,12 +9,14 @@
   | { readonly kind: 'committed'; readonly version: number }
   | { readonly kind: 'conflict' }
   | { readonly kind: 'full' }
+  /** The holder has refused it before anything was written. */
+  | { readonly kind: 'refused'; readonly detail: string; readonly retryAfterS: number }
   /** `unreachable`: surely not written. */
   | { readonly kind: 'unknown' | 'unreachable'; readonly detail: string };
 
 /** How the work of an attempt ended; whether a failure had an effect is for the attempt to say. */
 export type Ending =
-  | Extract<Written, { kind: 'committed' | 'conflict' | 'full' }>
+  | Extract<Written, { kind: 'committed' | 'conflict' | 'full' | 'refused' }>
   | { readonly kind: 'failed'; readonly detail: string };
 
 /**
@@ -52,9 +54,9 @@
 
   const toAnswer = (ending: Ending): Written => {
     if (ending.kind === 'committed' || ending.kind === 'conflict') return ending;
-    const detail = ending.kind === 'failed' ? ending.detail : 'too many wait to be written';
+    const detail = ending.kind === 'full' ? 'too many wait to be written' : ending.detail;
     if (mayBeWritten()) return { kind: 'unknown', detail };
-    return ending.kind === 'full' ? ending : { kind: 'unreachable', detail };
+    return ending.kind === 'failed' ? { kind: 'unreachable', detail } : ending;
   };
 
   return {
--- a/packages/daemon/src/batch/jobs/intake.test.ts
+++ b/packages/daemon/src/batch/jobs/intake.test.ts
@@ -37,6 +37,7 @@
 const intakeWith = (outcome: AcceptOutcome, isServed: boolean) => {
   const silence = { tableMs: 0, holderMs: 0 };
   const told: number[] = [];
+  const returning: string[] = [];
   const control = {
     accept: async () => outcome,
     holderSilentMs: () => silence.holderMs,
@@ -53,10 +54,11 @@
     } as unknown as RelayedTable,
     group: { submit },
     control,
+    onRefused: (jobId) => returning.push(jobId),
     log,
     metrics: createMetrics(),
   });
-  return { intake, told };
+  return { intake, told, returning };
 };
 
 describe('a job that the holder cannot write', () => {
@@ -76,6 +78,29 @@
   });
 });
 
+describe('a job that the holder refuses by its forecast', () => {
+  const refused = { kind: 'refused', detail: 'the job is late', retryAfterS: 7 } as const;
+
+  it('is answered as not run, with the time to come back, and is not written here', async () => {
+    const { intake, told } = intakeWith(refused, true);
+    expect(await intake.submit(queue, job)).toEqual({
+      kind: 'refused',
+      status: 503,
+      verdict: 'notRun',
+      reason: 'overloaded',
+      detail: 'the job is late',
+      retryAfterS: 7,
+    });
+    expect(told).toEqual([]);
+  });
+
+  it('is told as refused, so that its time runs from the first attempt', async () => {
+    const { intake, returning } = intakeWith(refused, true);
+    await intake.submit(queue, job);
+    expect(returning).toEqual([job.jobId]);
+  });
+});
+
 describe('a submission while neither the table nor the holder answers', () => {
   beforeEach(() => {
     vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
--- a/packages/daemon/src/batch/jobs/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -42,6 +42,9 @@
 /** Final phases that an entry remembers, so that clients who ask again cost no message. */
 const MOST_FINALS = 20_000;
 
+/** The job was surely not written, and its client may come back with it. */
+const NOT_WRITTEN: ReadonlySet<Written['kind']> = new Set(['full', 'refused', 'unreachable']);
+
 /** An answer for a client. */
 export type IntakeAnswer =
   | { readonly kind: 'accepted' }
@@ -154,10 +157,13 @@
       tableSilentMs: Math.round(table.silentForMs()),
       tookMs: Math.round(nowMs() - startedAtMs),
     });
-    if (written.kind === 'full' || written.kind === 'unreachable') onRefused(job.jobId);
+    if (NOT_WRITTEN.has(written.kind)) onRefused(job.jobId);
     if (written.kind === 'full') {
       return refuse('notRun', 'overloaded', 'too many jobs wait to be written');
     }
+    if (written.kind === 'refused') {
+      return refuse('notRun', 'overloaded', written.detail, written.retryAfterS);
+    }
     if (written.kind === 'conflict') return answerKnown(job);
     return refusalOf(written) ?? { kind: 'accepted' };
   };
--- a/packages/daemon/src/batch/operators/account-views.ts
+++ b/packages/daemon/src/batch/operators/account-views.ts
@@ -5,6 +5,7 @@
   isWithinQuota,
   limitsOf,
   noUsage,
+  type AdmissionControl,
   type BatchState,
   type Capacity,
   type JobState,
@@ -74,14 +75,23 @@
   return found;
 };
 
+/** What the list of accounts is made from. */
+export type AccountsView = {
+  readonly state: BatchState;
+  readonly admission: Pick<AdmissionControl, 'ofAccounts'>;
+};
+
 /**
  * Lists the client accounts of the configuration, and those that it has lost with jobs in hand.
  *
- * @param state - All that is known.
+ * @param view - All that is known, and which jobs were refused.
  * @param nowMs - The time.
  * @returns One row an account.
  */
-export const accountRows = (state: BatchState, nowMs: number): readonly object[] => {
+export const accountRows = (
+  { state, admission }: AccountsView,
+  nowMs: number,
+): readonly object[] => {
   const waiting = backlogs(state, nowMs);
   const lost = Array.from(waiting.keys()).filter((name) => !state.accounts.has(name));
   return [...Array.from(state.accounts.keys()), ...lost].slice(0, MOST_ACCOUNTS).map((name) => {
@@ -98,6 +108,8 @@
       jobs,
       running: roomText(state.usage.get(name) ?? noUsage()),
       maximum: limitText(limits?.maximum ?? noUsage()),
+      refused: admission.ofAccounts.get(name)?.refused ?? 0,
+      late: admission.ofAccounts.get(name)?.late ?? 0,
       waitingTasks: quota + share + room,
       reason: `${quota} wait for quota, ${share} for share, ${room} for room${state.accounts.has(name) ? '' : '; not in the configuration any more'}`,
     };
--- a/packages/daemon/src/batch/operators/operators.ts
+++ b/packages/daemon/src/batch/operators/operators.ts
@@ -7,6 +7,7 @@
 
 import type { OperatorResult } from '../../operators/operator-result.js';
 import { accountRows, waitsFor } from './account-views.js';
+import { explainRefusal } from '../jobs/job-admission.js';
 import type { Control } from '../control/control.js';
 import type { Term } from '../control/term.js';
 
@@ -88,7 +89,7 @@
         })),
       )
       .slice(0, MOST_ROWS),
-  accounts: (term) => accountRows(term.state, performance.now()),
+  accounts: (term) => accountRows(term, performance.now()),
   waves: (term) =>
     term.fleet.waves().map((wave) => {
       const { order, hosts } = wave;
@@ -117,18 +118,22 @@
 
 const explainers: Readonly<Record<string, (term: Term, name: string) => object | undefined>> = {
   account: (term, name) => {
-    const rows = accountRows(term.state, performance.now()) as readonly Record<string, unknown>[];
+    const rows = accountRows(term, performance.now()) as readonly Record<string, unknown>[];
     const row = rows.find(({ account }) => account === name);
     return (
       row && {
         outcome: `${String(row.jobs)} jobs, ${String(row.running)} running of ${String(row.maximum)}`,
-        reason: row.reason,
+        reason: `${String(row.reason)}; ${String(row.refused)} refused by forecast, ${String(row.late)} done late`,
       }
     );
   },
   job: (term, name) => {
     const job = term.state.jobs.get(name as JobId);
     const status = term.statusOf(name as JobId);
+    const refusal = term.admission.refusalOf(name as JobId);
+    if (!job && !status && refusal) {
+      return { outcome: 'refused', reason: explainRefusal(refusal) };
+    }
     if (!job) return status && { outcome: status.phase, reason: status.reason };
     const steps = Array.from(job.occurrences.values()).flatMap((one) => one.steps);
     return {
