--- a/packages/bench/src/backlog/backlog.ts
+++ b/packages/bench/src/backlog/backlog.ts
@@ -1,6 +1,7 @@
-/** What processor time one pass over a full pool costs a holder, by the steps that wait there. */
+/** What processor time one pass over a full pool costs a holder, and how long it takes to judge a job, by the steps that wait there. */
 import {
   applyReport,
+  createAdmissionControl,
   createBatchState,
   PLAIN_STEP,
   schedulePool,
@@ -9,7 +10,9 @@
   takeEffects,
   takeInJob,
   type BatchState,
+  type SubmittedJob,
 } from '@valvelatch/core/batch';
+import { change } from '@valvelatch/core/shared/change';
 import { brand, type EndpointId, type PoolName } from '@valvelatch/core/shared/ids';
 
 import { rounded, type BenchRow } from '../report.js';
@@ -26,13 +29,14 @@
 /** A pass comes after each report of an endpoint. */
 const PASS_EVERY_MS = 5;
 const TASKS = 8;
+const JUDGED = 2000;
+const MAXIMUM = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
 const US_PER_MS = 1000;
 
 const newState = (): BatchState => {
   const state = createBatchState(2);
-  const maximum = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
   const names = Array.from({ length: ACCOUNTS }, (_, index) => brand<never>(`account-${index}`));
-  takeAccounts(state, new Map(names.map((name) => [name, { weight: 4, maximum }])));
+  takeAccounts(state, new Map(names.map((name) => [name, { weight: 4, maximum: MAXIMUM }])));
   for (let index = 0; index < ENDPOINTS; index += 1) {
     const endpointId = brand<EndpointId>(`i-${index}`);
     seeEndpoint(
@@ -60,10 +64,9 @@
   return state;
 };
 
-const submit = (state: BatchState, number: number): void => {
+const jobOf = (number: number, nowMs: number): SubmittedJob => {
   const step = { ...PLAIN_STEP, taskCount: TASKS, cpuMillis: 6200, estimateMs: 800 };
-  const nowMs = number / 10;
-  takeInJob(state, {
+  return {
     job: {
       jobId: brand(number.toString(16).padStart(16, '0')),
       queue: brand('q'),
@@ -74,15 +77,28 @@
       firstDueAtMs: 0,
       intervalMs: 0,
       acceptedAtMs: nowMs,
-      owner: {
-        account: brand(`account-${number % ACCOUNTS}`),
-        maximum: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
-      },
+      owner: { account: brand(`account-${number % ACCOUNTS}`), maximum: MAXIMUM },
     },
     policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
-    nowMs,
-    todayMs: nowMs,
-  });
+  };
+};
+
+const submit = (state: BatchState, number: number): void => {
+  const nowMs = number / 10;
+  takeInJob(state, { ...jobOf(number, nowMs), nowMs, todayMs: nowMs });
+};
+
+/** The time to judge one of many jobs that come 2 ms apart, in milliseconds; the load is measured in some. */
+const judgeTimes = (state: BatchState, fromMs: number): readonly number[] => {
+  change(state, { takenOverAtMs: -Infinity });
+  const admission = createAdmissionControl({ state });
+  return Array.from({ length: JUDGED }, (_, index) => {
+    const nowMs = fromMs + 2 * index;
+    const submitted = jobOf(1_000_000 + index, nowMs);
+    const beganAtMs = performance.now();
+    admission.judge(submitted, nowMs);
+    return performance.now() - beganAtMs;
+  }).sort((left, right) => left - right);
 };
 
 const benchBacklog = (backlog: number): BenchRow => {
@@ -103,11 +119,14 @@
   pass();
   Array.from({ length: WARM_UP_PASSES }, pass);
   const times = Array.from({ length: PASSES }, pass).sort((left, right) => left - right);
+  const judged = judgeTimes(state, nowMs);
   return {
     waitingSteps: state.pools.get(POOL)?.open.size ?? 0,
     meanMs: rounded(times.reduce((sum, one) => sum + one, 0) / PASSES),
     medianMs: rounded(times[PASSES / 2] ?? 0),
     p99Ms: rounded(times[Math.floor(PASSES * 0.99)] ?? 0),
+    judgeMedianMs: rounded(judged[JUDGED / 2] ?? 0),
+    judgeP99Ms: rounded(judged[Math.floor(JUDGED * 0.99)] ?? 0),
   };
 };
 
--- a/packages/core/src/batch/placement/order.ts
+++ b/packages/core/src/batch/placement/order.ts
@@ -119,12 +119,12 @@
   const sinceMs = beganAtMs(step);
   const dueAtMs = sinceMs + objectiveMs;
   const endsAtMs = nowMs + remainingMs;
-  const isInTime = step.spec.isLasting || endsAtMs <= dueAtMs;
+  const canBeInTime = step.spec.isLasting || endsAtMs <= dueAtMs;
   const isLate = endsAtMs <= sinceMs + LATE_FACTOR * objectiveMs;
   const tierOfRest = isLate ? 1 : 2;
   return {
     step,
-    tier: isInTime ? 0 : tierOfRest,
+    tier: canBeInTime ? 0 : tierOfRest,
     dueAtMs,
     claim: goesWithOwed(step.job, nowMs) ? 0 : 1,
     priority: policy.priority,
--- a/packages/daemon/src/batch/jobs/job-admission.test.ts
+++ b/packages/daemon/src/batch/jobs/job-admission.test.ts
@@ -104,7 +104,7 @@
         const value = { kind: 'ended' };
         return Ok([{ key: batchKey.job(idOf(7)), value, version: 5 }]);
       },
-    } as Pick<BatchTable, 'read'>);
+    });
     const found = await Promise.all(Array.from({ length: 150 }, (_, index) => hasRow(idOf(index))));
     expect(readings).toEqual([100, 50]);
     expect(found.map((isThere, index) => (isThere ? index : -1)).filter((one) => one >= 0)).toEqual(
--- a/packages/daemon/src/batch/operators/operators.test.ts
+++ b/packages/daemon/src/batch/operators/operators.test.ts
@@ -1,8 +1,11 @@
 /** What operators are told of hosts and waves by a holder that cannot read the list of hosts. */
+import { PLAIN_STEP, type BatchJobRow } from '@valvelatch/core/batch';
+import { brand, type JobId } from '@valvelatch/core/shared/ids';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { answerOperator } from './operators.js';
 import { simAccount, type SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { SIM_POLICY } from '../testing/sim-world.fixtures.js';
 import { advance, FAKED, holderOf, started } from '../testing/virtual-time.fixtures.js';
 
 describe('an operator who asks', () => {
@@ -106,4 +109,57 @@
       });
     });
   });
+
+  describe('why a job was refused', () => {
+    /** A backlog of minutes, and one more job that an entry without control hands to the holder. */
+    const overloaded = async () => {
+      const account = simAccount('client-a', 0);
+      const fleet = await started({ hostsPerPool: 3, accounts: [account] });
+      await advance(3000);
+      const step = { taskCount: 24, cpuMillis: 1000, estimateMs: 2000 };
+      Array.from({ length: 60 }).forEach(() =>
+        fleet.submit({ pool: 'alpha', steps: [step], runMs: 2000 }),
+      );
+      await advance(1500);
+      const entry = fleet.entries.find((one) => one !== holderOf(fleet));
+      const jobId = brand<JobId>('00000000000000ff');
+      const row: BatchJobRow = {
+        kind: 'live',
+        job: {
+          jobId,
+          queue: brand('q-alpha'),
+          pool: brand('alpha'),
+          spec: '',
+          steps: [{ ...PLAIN_STEP, ...step }],
+          repeats: 0,
+          firstDueAtMs: 0,
+          intervalMs: 0,
+          acceptedAtMs: Date.now(),
+          owner: { account: account.name, maximum: account.maximum },
+        },
+        policy: SIM_POLICY,
+      };
+      const asked = entry?.control.accept(row);
+      await advance(500);
+      return { fleet, jobId, outcome: await asked };
+    };
+
+    it('is told the forecast; the entry that asked is, too, and nothing of the job is written', async () => {
+      const { fleet, jobId, outcome } = await overloaded();
+      expect(outcome).toMatchObject({ kind: 'refused' });
+      expect(fleet.rowOf(jobId)).toBeUndefined();
+      expect(ask(fleet, 'explain', 'job', jobId)).toMatchObject({
+        value: {
+          outcome: 'refused',
+          reason: expect.stringMatching(/forecast to be done in .* Retry-After \d+ s/) as string,
+        },
+      });
+      expect(ask(fleet, 'get', 'accounts')).toMatchObject({
+        value: [{ account: 'client-a', refused: 1 }],
+      });
+      await advance(5000);
+      expect(fleet.rowOf(jobId)).toBeUndefined();
+      expect(fleet.broken).toEqual([]);
+    });
+  });
 });
