--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -6,18 +6,21 @@
   beginDue,
   cancelJob,
   countWaiting,
+  createAdmissionControl,
   createBatchState,
   createLinkDelay,
   createOrderWindow,
   createScheduleCycle,
   expectReports,
   instanceOf,
+  isInTime,
   noteFirstAttempts,
   paceFillers,
   soleForMs,
   takeAccounts,
   takeEffects,
   watchRuns,
+  type AdmissionControl,
   type BatchEffect,
   type BatchJob,
   type BatchPhase,
@@ -41,6 +44,8 @@
 import { createFleetCycle, type FleetCycle } from '../hosts/fleet-cycle.js';
 import { createEvacuationWatch, type EvacuationWatch } from './evacuation-watch.js';
 import { takeGuard } from './guard.js';
+import { createJobAdmission, noteAdmission } from '../jobs/job-admission.js';
+import { createRowLookup } from '../jobs/row-lookup.js';
 import { createJobRows, type Until } from '../jobs/job-rows.js';
 import {
   createJobSaver,
@@ -105,6 +110,7 @@
   readonly state: BatchState;
   readonly fleet: FleetCycle;
   readonly evacuations: Omit<EvacuationWatch, 'look' | 'close'>;
+  readonly admission: AdmissionControl;
   readonly start: () => Promise<void>;
   readonly stop: () => Promise<void>;
   /** Where a job stands; undefined if the holder cannot tell. */
@@ -248,6 +254,17 @@
     todayMs,
   });
 
+  const admission = createAdmissionControl({ state });
+  const admitJob = createJobAdmission({
+    admission,
+    write: saver.accept,
+    hasRow: createRowLookup(platform.table),
+    isAnswering,
+    log,
+    metrics,
+    nowMs,
+  });
+
   const learned = createLearnedKeeper({ table: platform.table, state, log, nowMs, todayMs });
 
   const advisor = createAdvisor({ state, port: platform.advice, log, metrics, nowMs, poke });
@@ -271,8 +288,10 @@
     advise: advisor.ask,
     save: ({ jobId, isUrgent }) => {
       const job = state.jobs.get(jobId);
-      if (job && isUrgent)
+      if (job && isUrgent) {
         log.info('job-ended', { job: jobId, phase: job.phase, reason: job.reason });
+        if (job.phase === 'completed') admission.noteDone(job.job, isInTime(state, job, nowMs()));
+      }
       saver.mark(jobId, isUrgent);
     },
     note: ({ event, fields }) => log.info(event, fields),
@@ -308,6 +327,11 @@
     log,
   };
 
+  const note = (): void => {
+    noteLoad(loadNote);
+    noteAdmission(admission, metrics);
+  };
+
   const noteLapsed = ({ endpointId, endedAtMs }: LapsedEndpoint): void =>
     log.warn('endpoint-lease-ended', {
       endpoint: endpointId,
@@ -323,6 +347,7 @@
     state.timed.forEach((job) => beginDue(state, job, nowMs(), todayMs()));
     watchRuns(state, nowMs()).forEach(noteLapsed);
     paceFillers(state, nowMs());
+    admission.followUp(nowMs());
     cycle();
   };
 
@@ -412,7 +437,7 @@
         { name: 'fleet', everyMs: fleet.everyMs, run: fleet.run },
         { name: 'waves', everyMs: fleet.everyMs, run: fleet.follow },
         { name: 'sweep', everyMs: SWEEP_MS, run: ended.sweep },
-        { name: 'load', everyMs: NOTE_LOAD_MS, run: async () => noteLoad(loadNote) },
+        { name: 'load', everyMs: NOTE_LOAD_MS, run: async () => note() },
         { name: 'learned', everyMs: LEARNED_MS, run: learned.save },
       ],
       (name, error) => {
@@ -437,6 +462,7 @@
     state,
     fleet,
     evacuations,
+    admission,
     start,
     stop,
     statusOf: (jobId) =>
@@ -446,7 +472,7 @@
       if (!isAnswering()) return undefined;
       const { jobId } = row.job;
       if (state.jobs.has(jobId) || ended.has(jobId)) return { kind: 'conflict' };
-      return saver.accept(row);
+      return admitJob(row);
     },
     takeIn: (row, version) => {
       if (isReady && !isStopped && isSoleHolder()) jobRows.takeIn(row, version);
