Placement policies, hosts of a pool by domain, operators' views of domains

Hosts that join a pool come from the rack, then the data centre, in which the pool has fewest; hosts that leave it from those in which it has most. Hosts without a rack's label go in the order of the list, as before.

Operators: get domains, explain domain NAME, the spread in explain job, a gauge of suspected endpoints by data centre. The rack of a host was read from its last label there; it is the label with a hyphen.

lost-racks.test.ts counted an order that is sent again after the suspicion as a start; it now counts runs by their first order.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -7,6 +7,7 @@
 import { benchDataPath, benchMemory } from './data-path/data-path.js';
 import { benchIdle } from './idle/idle.js';
 import { benchOverload } from './overload/overload.js';
+import { benchPlacement } from './placement/placement.js';
 import { printRows } from './report.js';
 import { benchWaves } from './waves/waves.js';
 
@@ -38,6 +39,9 @@
   .command('accounts', 'what keys, quotas and shares of client accounts cost', {}, () =>
     printRows(benchAccounts()),
   )
+  .command('placement', 'what it costs to choose an endpoint at 21,000 hosts', {}, () =>
+    printRows(benchPlacement()),
+  )
   .command(
     'idle',
     'what an entry costs while nobody sends requests',
--- /dev/null
+++ b/packages/bench/src/placement/placement.ts
@@ -0,0 +1,110 @@
+/** What it costs to choose an endpoint for a task at 21,000 hosts in 1,000 racks. */
+import {
+  createBatchState,
+  PLAIN_STEP,
+  seeEndpoint,
+  takeInJob,
+  usableEndpoints,
+  type BatchState,
+  type StepRun,
+  type StepSpec,
+} from '@valvelatch/core/batch';
+import { bestFor } from '@valvelatch/core/batch/placement/best-endpoint';
+import { scoresFor } from '@valvelatch/core/batch/placement/scores';
+import { addRun } from '@valvelatch/core/batch/endpoints/runs';
+import { change } from '@valvelatch/core/shared/change';
+import { brand, type PoolName } from '@valvelatch/core/shared/ids';
+
+import { rounded, type BenchRow } from '../report.js';
+
+const HOSTS = 21_000;
+const HOSTS_PER_RACK = 21;
+const DATA_CENTRES = 20;
+const CORES_MILLIS = 64_000;
+const TASKS = 400;
+const ROUNDS = 5;
+const US_PER_MS = 1000;
+
+const poolName = (index: number): PoolName => brand<PoolName>(`pool-${index}`);
+
+/** Racks take turns over the data centres and have hosts of all pools. */
+const fleetOf = (pools: number): BatchState => {
+  const state = createBatchState(2);
+  Array.from({ length: HOSTS }).forEach((_, index) => {
+    const rack = Math.floor(index / HOSTS_PER_RACK);
+    const endpoint = seeEndpoint(
+      state,
+      {
+        endpointId: brand(`i-${index}`),
+        pool: poolName(index % pools),
+        hostId: brand(`h-${index}`),
+        address: '',
+        dataCentre: brand(`dc-${rack % DATA_CENTRES}`),
+        labels: [`rack-${rack}`, 'ssd'],
+        capacity: { cpuMillis: CORES_MILLIS, memoryMb: 256_000, accelerators: 0 },
+        isDraining: false,
+      },
+      0,
+    );
+    change(endpoint, { isKnown: true });
+    change(endpoint.used, { cpuMillis: (index * 7919) % CORES_MILLIS });
+  });
+  return state;
+};
+
+const stepOf = (state: BatchState, number: number, spec: Partial<StepSpec>): StepRun => {
+  const job = takeInJob(state, {
+    job: {
+      jobId: brand(number.toString(16).padStart(16, '0')),
+      queue: brand('q'),
+      pool: poolName(0),
+      spec: '',
+      steps: [{ ...PLAIN_STEP, taskCount: TASKS, cpuMillis: 2000, memoryMb: 100, ...spec }],
+      repeats: 0,
+      firstDueAtMs: 0,
+      intervalMs: 0,
+      acceptedAtMs: 0,
+    },
+    policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
+    nowMs: 0,
+    todayMs: 0,
+  });
+  return job.occurrences.get(0)?.steps[0] as StepRun;
+};
+
+/** The time of one choice among those of a step's tasks, in microseconds. */
+const chooseUs = (state: BatchState, number: number, spec: Partial<StepSpec>): number => {
+  const step = stepOf(state, number, spec);
+  const endpoints = usableEndpoints(state, poolName(0), 1);
+  const { scores } = scoresFor(state, endpoints, step);
+  let spentMs = 0;
+  step.tasks.forEach((task) => {
+    const beganAtMs = performance.now();
+    const endpoint = bestFor(endpoints, { state, step, task, nowMs: 1 }, scores);
+    spentMs += performance.now() - beganAtMs;
+    if (endpoint) addRun(state, { endpoint, step, task, run: 1, phase: 'running', nowMs: 1 });
+  });
+  return (spentMs / TASKS) * US_PER_MS;
+};
+
+const measure = (pools: number): BenchRow => {
+  const state = fleetOf(pools);
+  const times = Array.from({ length: ROUNDS }, (_, round) => ({
+    short: chooseUs(state, 2 * round, {}),
+    longRunning: chooseUs(state, 2 * round + 1, { isLasting: true }),
+  }));
+  return {
+    hosts: HOSTS,
+    racks: HOSTS / HOSTS_PER_RACK,
+    pools,
+    shortUs: rounded(Math.min(...times.map(({ short }) => short))),
+    longRunningUs: rounded(Math.min(...times.map(({ longRunning }) => longRunning))),
+  };
+};
+
+/**
+ * Measures the choice of an endpoint, with the fleet in 23 pools and in one.
+ *
+ * @returns A row for each.
+ */
+export const benchPlacement = (): readonly BenchRow[] => [measure(23), measure(1)];
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -180,7 +180,16 @@
     (argv) =>
       argv
         .positional('kind', {
-          choices: ['config', 'pools', 'hosts', 'jobs', 'placements', 'waves', 'accounts'] as const,
+          choices: [
+            'config',
+            'pools',
+            'hosts',
+            'jobs',
+            'placements',
+            'waves',
+            'accounts',
+            'domains',
+          ] as const,
           demandOption: true,
         })
         .option('selector', {
@@ -209,7 +218,7 @@
     (argv) =>
       argv
         .positional('kind', {
-          choices: ['job', 'host', 'request', 'wave', 'account'] as const,
+          choices: ['job', 'host', 'request', 'wave', 'account', 'domain'] as const,
           demandOption: true,
         })
         .positional('name', { type: 'string', demandOption: true }),
--- a/packages/cli/src/tables.ts
+++ b/packages/cli/src/tables.ts
@@ -45,6 +45,7 @@
   placements: ['jobId', 'hostId', 'pool', 'phase', 'epoch', 'reason'],
   jobs: ['name', 'pool', 'team', 'phase', 'failures', 'reason'],
   accounts: ['account', 'weight', 'jobs', 'running', 'maximum', 'waitingTasks', 'reason'],
+  domains: ['domain', 'kind', 'hosts', 'pools', 'runs', 'phase', 'reason'],
   waves: ['waveId', 'phase', 'selector', 'reason'],
   entries: ['entryId', 'dataCentre', 'revision', 'seat', 'controls', 'endpoints', 'isUnreachable'],
 } as const;
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -38,6 +38,7 @@
 export * from './model/job.js';
 export * from './model/order-ways.js';
 export * from './model/orders.js';
+export * from './model/placement-policy.js';
 export * from './model/plain-step.js';
 export * from './model/share.js';
 export * from './model/state.js';
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -21,6 +21,7 @@
 import type { Usage } from './capacity.js';
 import type { Domain, SuspectedDomain } from './domain.js';
 import type { OrderWay } from './order-ways.js';
+import type { PlacementPolicy } from './placement-policy.js';
 import type { AccountShare } from './share.js';
 import { createRunTimes, type RunTimes } from '../jobs/run-times.js';
 
@@ -145,6 +146,8 @@
   readonly firstAttempts: Map<JobId, number>;
   /** How the queue is ordered. */
   orderWay: OrderWay;
+  /** Where tasks of short steps go. */
+  placementPolicy: PlacementPolicy;
 };
 
 /**
@@ -187,6 +190,7 @@
   shares: new Map(),
   firstAttempts: new Map(),
   orderWay: 'owed-then-fair',
+  placementPolicy: 'fullest',
 });
 
 /**
--- a/packages/core/src/batch/placement/best-endpoint.ts
+++ b/packages/core/src/batch/placement/best-endpoint.ts
@@ -1,20 +1,21 @@
 /** Which endpoint takes a task. */
 import { mayHold } from '../endpoints/sound-endpoints.js';
 import type { EndpointState } from '../model/state.js';
-import { scoreOf, scoresFor, type PlacementView } from './scores.js';
+import { scoreOf, type PlacementScore, type PlacementView } from './scores.js';
 
 /**
  * Chooses the endpoint with the best score that may hold a task.
  *
  * @param endpoints - Those that take new work.
  * @param view - The task, and what is known.
+ * @param scores - What makes an endpoint better than another.
  * @returns The endpoint; undefined where none has room.
  */
 export const bestFor = (
   endpoints: readonly EndpointState[],
   view: PlacementView,
+  scores: readonly PlacementScore[],
 ): EndpointState | undefined => {
-  const scores = scoresFor(endpoints, view.step);
   let best: EndpointState | undefined;
   let bestScore = -Infinity;
   endpoints.forEach((endpoint) => {
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -9,6 +9,7 @@
 import { isWithinQuota } from '../accounts/quota.js';
 import { placesForGang } from './gang-places.js';
 import { bestFor } from './best-endpoint.js';
+import { scoresFor } from './scores.js';
 import { mayHold, usableEndpoints } from '../endpoints/sound-endpoints.js';
 import { addRun, nextRunNumber } from '../endpoints/runs.js';
 import {
@@ -39,13 +40,15 @@
 /** A step that fitted nowhere is tried again everywhere after this time, and before it where room came free. */
 const RETRY_MS = 25;
 
+/** Where a run is to begin, and what decided that. */
+type Place = { readonly endpoint: EndpointState; readonly run: number; readonly reason: string };
+
 type Placing = { readonly state: BatchState; readonly step: StepRun; readonly nowMs: number };
 
 const startOn = (
   { state, step, nowMs }: Placing,
   task: Task,
-  endpoint: EndpointState,
-  run: number,
+  { endpoint, run, reason }: Place,
 ): void => {
   noteStartAgain(state, { endpoint, task, run, nowMs });
   addRun(state, { endpoint, step, task, run, phase: 'starting', nowMs });
@@ -58,7 +61,7 @@
     spec: step.job.job.spec,
     checkpoint: task.checkpoint,
     ticket: ticketOf(step, endpoint.endpointId),
-    reason: `fullest of pool=${endpoint.pool} with room`,
+    reason: `${reason} in pool=${endpoint.pool} with room`,
   });
 };
 
@@ -68,17 +71,14 @@
   tasks: readonly Task[],
 ): boolean => {
   const { state, step } = placing;
+  const { name: reason, scores } = scoresFor(state, endpoints, step);
   return tasks.every((task) => {
     if (state.startsLeft <= 0) return true;
     if (!isWithinQuota(state, step)) return false;
-    const endpoint = bestFor(endpoints, { ...placing, task });
+    const endpoint = bestFor(endpoints, { ...placing, task }, scores);
     if (!endpoint) return false;
-    startOn(
-      placing,
-      task,
-      endpoint,
-      announcedRunOf(task) ?? nextRunNumber(state.fence, task.lastRun),
-    );
+    const run = announcedRunOf(task) ?? nextRunNumber(state.fence, task.lastRun);
+    startOn(placing, task, { endpoint, run, reason });
     return true;
   });
 };
@@ -96,7 +96,8 @@
   const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
   step.tasks.forEach((task, index) => {
     change(task, { checkpoint });
-    startOn(placing, task, places[index] as EndpointState, run);
+    const endpoint = places[index] as EndpointState;
+    startOn(placing, task, { endpoint, run, reason: 'all of its gang' });
   });
   return true;
 };
--- a/packages/core/src/batch/placement/scores.ts
+++ b/packages/core/src/batch/placement/scores.ts
@@ -3,6 +3,7 @@
  * one takes the task, the first of equals.
  */
 import { dataCentreCountKey, rackCountKey } from '../domains/domains.js';
+import type { PlacementPolicy } from '../model/placement-policy.js';
 import type { BatchState, EndpointState, StepRun, Task } from '../model/state.js';
 
 /** What a score is reckoned from. */
@@ -44,6 +45,13 @@
 const tasksInDataCentre: PlacementScore['of'] = ({ domains }, { step: { perDomain } }) =>
   perDomain.get(dataCentreCountKey(domains)) ?? 0;
 
+/** Tasks of the same job: of all steps of one occurrence. */
+const isHostOfJob: PlacementScore['of'] = ({ endpointId }, { step: { occurrence } }) =>
+  Number(occurrence.steps.some(({ perEndpoint }) => perEndpoint.has(endpointId)));
+
+const isRackOfJob: PlacementScore['of'] = ({ domains }, { step: { occurrence } }) =>
+  Number(occurrence.steps.some(({ perDomain }) => perDomain.has(rackCountKey(domains))));
+
 /** Being near its data outweighs fullness, and a place that has not failed the task outweighs both. */
 export const PLACEMENT_SCORES: readonly PlacementScore[] = [
   { name: 'fullest', weight: 1, of: fullness },
@@ -59,30 +67,70 @@
 const DATA_CENTRE_WEIGHT = -10;
 const RACK_WEIGHT = -1e6;
 const OUTRANKING = 1e11;
+/** Tasks of the same job in the rack outweigh fullness and near-data, on the host both and the rack. */
+const TOGETHER_WEIGHT = 5;
 
-/** Scores for long-running steps where endpoints have racks: the loss of one takes as few tasks as can be. */
-export const SPREAD_SCORES: readonly PlacementScore[] = [
-  ...PLACEMENT_SCORES.map((score) =>
-    score.outranksSpread ? { ...score, weight: score.weight * OUTRANKING } : score,
-  ),
-  { name: 'spread over racks', weight: RACK_WEIGHT, of: tasksInRack },
-  { name: 'spread over data centres', weight: DATA_CENTRE_WEIGHT, of: tasksInDataCentre },
-];
+/** The rows of every table, with room for others between those that outrank them and the rest. */
+const RANKED_SCORES = PLACEMENT_SCORES.map((score) =>
+  score.outranksSpread ? { ...score, weight: score.weight * OUTRANKING } : score,
+);
+
+const SPREAD_OVER_RACKS: PlacementScore = {
+  name: 'spread over racks',
+  weight: RACK_WEIGHT,
+  of: tasksInRack,
+};
+
+/** A table of scores, and what it does in a word or two. */
+export type ScoreTable = {
+  readonly name: string;
+  readonly scores: readonly PlacementScore[];
+};
+
+const FULLEST: ScoreTable = { name: 'fullest', scores: PLACEMENT_SCORES };
+
+/** For long-running steps where endpoints have racks: the loss of one takes as few tasks as can be. */
+const SPREAD: ScoreTable = {
+  name: 'spread over racks and data centres',
+  scores: [
+    ...RANKED_SCORES,
+    SPREAD_OVER_RACKS,
+    { name: 'spread over data centres', weight: DATA_CENTRE_WEIGHT, of: tasksInDataCentre },
+  ],
+};
+
+/** For short steps. */
+const SHORT_STEPS: Readonly<Record<PlacementPolicy, ScoreTable>> = {
+  fullest: FULLEST,
+  spread: { name: 'spread over racks', scores: [...RANKED_SCORES, SPREAD_OVER_RACKS] },
+  together: {
+    name: 'beside its job',
+    scores: [
+      ...RANKED_SCORES,
+      { name: 'host of its job', weight: TOGETHER_WEIGHT, of: isHostOfJob },
+      { name: 'rack of its job', weight: TOGETHER_WEIGHT, of: isRackOfJob },
+    ],
+  },
+};
 
 const hasRack = ({ domains }: EndpointState): boolean => domains.rack !== null;
 
 /**
  * Chooses the table of scores for a step. Without a rack among the endpoints, spread changes nothing.
  *
+ * @param state - All that is known.
  * @param endpoints - The endpoints that may take its tasks.
  * @param step - The step.
  * @returns The table.
  */
 export const scoresFor = (
+  { placementPolicy }: BatchState,
   endpoints: readonly EndpointState[],
   { spec }: StepRun,
-): readonly PlacementScore[] =>
-  spec.isLasting && endpoints.some(hasRack) ? SPREAD_SCORES : PLACEMENT_SCORES;
+): ScoreTable => {
+  if (!spec.isLasting) return SHORT_STEPS[placementPolicy];
+  return endpoints.some(hasRack) ? SPREAD : FULLEST;
+};
 
 /**
  * Scores an endpoint for a task.
@@ -95,7 +143,7 @@
 export const scoreOf = (
   endpoint: EndpointState,
   view: PlacementView,
-  scores: readonly PlacementScore[] = PLACEMENT_SCORES,
+  scores: readonly PlacementScore[],
 ): number => {
   let sum = 0;
   scores.forEach(({ weight, of }) => {
--- a/packages/core/src/batch/pools/pool-moves.ts
+++ b/packages/core/src/batch/pools/pool-moves.ts
@@ -5,6 +5,7 @@
 import type { HostId, PoolName } from '../../shared/ids.js';
 import { expectCores } from './demand.js';
 import type { HostView } from './hosts.js';
+import { countHost, countHosts, hostsToLeave, hostToJoin } from './pool-domains.js';
 import {
   byClaim,
   DEFAULT_POOL_POLICY,
@@ -37,12 +38,19 @@
       Array.from(world.hosts.values()).filter((host) => host.pool === name && isFree(world, host)),
     );
 
+/** Those of the hosts that a pool can do without, from the domains of which it has most. */
+const leavingOf = (
+  need: PoolNeed,
+  hosts: readonly HostView[],
+  policy: PoolPolicy,
+): readonly HostView[] => hostsToLeave(hosts, surplusHosts(need, policy), countHosts(need.hosts));
+
 /** Empty hosts that a pool has no need of. */
 const givenAway = (world: PoolWorld, need: PoolNeed, policy: PoolPolicy): readonly HostView[] => {
   const idle = need.empty.filter(
     ({ idleSinceMs }) => world.nowMs - idleSinceMs >= policy.releaseAfterMs,
   );
-  return freeHostsOn(world, idle).slice(0, surplusHosts(need, policy));
+  return leavingOf(need, freeHostsOn(world, idle), policy);
 };
 
 /** Above this ratio of the fast rate to the slow one demand rises. */
@@ -71,17 +79,21 @@
       const idle = need.empty.filter(
         ({ idleSinceMs }) => world.nowMs - idleSinceMs >= policy.parkAfterMs,
       );
-      return freeHostsOn(world, idle)
-        .slice(0, surplusHosts(need, policy))
-        .map(({ hostId }) => ({
-          hostId,
-          fromPool: need.name,
-          toPool: spare.name,
-          reason: `empty for ${policy.parkAfterMs} ms and pool=${need.name} expects no need of it`,
-        }));
+      return leavingOf(need, freeHostsOn(world, idle), policy).map(({ hostId }) => ({
+        hostId,
+        fromPool: need.name,
+        toPool: spare.name,
+        reason: `empty for ${policy.parkAfterMs} ms and pool=${need.name} expects no need of it`,
+      }));
     });
 };
 
+/** The hosts of the pool that is first to give any: the spare pool before the others. */
+const firstOffered = (free: ReadonlySet<HostView>, name: PoolName): readonly HostView[] => {
+  const others = Array.from(free).filter(({ pool }) => pool !== name);
+  return others.filter(({ pool }) => pool === others[0]?.pool);
+};
+
 /**
  * Decides which hosts change their pool now.
  *
@@ -94,18 +106,22 @@
   policy: PoolPolicy = DEFAULT_POOL_POLICY,
 ): readonly PoolMove[] => {
   const needs = needsOfPools(world, policy);
-  const free = [...spareHosts(world), ...needs.flatMap((need) => givenAway(world, need, policy))];
+  const free = new Set([
+    ...spareHosts(world),
+    ...needs.flatMap((need) => givenAway(world, need, policy)),
+  ]);
   const wanted = needs
     .filter(({ shortCpu }) => shortCpu > 0)
     .sort(byClaim)
-    .flatMap(({ name, shortCpu }) => {
+    .flatMap(({ name, shortCpu, hosts }) => {
       const moves: PoolMove[] = [];
+      const counts = countHosts(hosts);
       let missing = shortCpu;
       for (;;) {
-        const index = free.findIndex(({ pool }) => pool !== name);
-        const host = free[index];
+        const host = hostToJoin(firstOffered(free, name), counts);
         if (!host || missing <= policy.shortShare * host.capacity.cpuMillis) return moves;
-        free.splice(index, 1);
+        free.delete(host);
+        countHost(counts, host, 1);
         missing -= host.capacity.cpuMillis;
         moves.push({
           hostId: host.hostId,
--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -4,6 +4,7 @@
   type BatchJobRow,
   type Caller,
   type JobStatus,
+  type PlacementPolicy,
   type QueueIndex,
   type UpkeepOrder,
 } from '@valvelatch/core/batch';
@@ -82,6 +83,8 @@
   readonly standing?: Standing;
   /** For how long endpoints keep what runs there without contact with the holder. */
   readonly endpointLeaseMs?: number;
+  /** Where tasks of short steps go; `fullest` if left out. */
+  readonly placementPolicy?: PlacementPolicy;
   /** For how long another entry has been silent on the mesh; Infinity without a link to it. */
   readonly silentForMs?: (entryId: EntryId) => number;
   readonly nowMs?: () => number;
@@ -120,6 +123,7 @@
   metrics,
   standing = EQUAL_STANDING,
   endpointLeaseMs = ENDPOINT_LEASE_MS,
+  placementPolicy = 'fullest',
   silentForMs = (entryId) => peers()?.silentForMs(entryId) ?? 0,
   nowMs = () => performance.now(),
 }: ControlOptions): Control => {
@@ -211,6 +215,7 @@
       hostOrdersAfterMs: hostOrdersAfterMs(),
       holdersBeforeMs: holdersBeforeMs(),
       endpointLeaseMs,
+      placementPolicy,
       isTableAway: () => table.silentForMs() >= TABLE_AWAY_MS,
       soleHolderUntilMs: () => keeper.heldUntilMs() - CONTROL_LEASE_MS + SOLE_HOLDER_MS,
       configuration,
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -26,6 +26,7 @@
   type JobState,
   type JobStatus,
   type LapsedEndpoint,
+  type PlacementPolicy,
   type QueueIndex,
 } from '@valvelatch/core/batch';
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
@@ -38,6 +39,7 @@
 import { createEndedJobs } from '../jobs/ended-jobs.js';
 import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
 import { createFleetCycle, type FleetCycle } from '../hosts/fleet-cycle.js';
+import { createDomainGauges } from './domain-gauges.js';
 import { takeGuard } from './guard.js';
 import { createJobRows, type Until } from '../jobs/job-rows.js';
 import {
@@ -85,6 +87,8 @@
   readonly holdersBeforeMs: number;
   /** For how long an endpoint keeps what runs there without contact with the holder. */
   readonly endpointLeaseMs: number;
+  /** Where tasks of short steps go; `fullest` if left out. */
+  readonly placementPolicy?: PlacementPolicy;
   /** The table has answered nothing for so long that it is away. */
   readonly isTableAway: () => boolean;
   /** Until then no other entry can have become the holder: what was not heard has not happened elsewhere. */
@@ -132,6 +136,7 @@
   hostOrdersAfterMs,
   holdersBeforeMs,
   endpointLeaseMs,
+  placementPolicy = 'fullest',
   isTableAway,
   soleHolderUntilMs,
   configuration,
@@ -140,6 +145,7 @@
   todayMs = () => Date.now(),
 }: TermOptions): Term => {
   const state = createBatchState(fence);
+  state.placementPolicy = placementPolicy;
   const schedulePools = createScheduleCycle(state);
   const inheritedLeasesMs = endpointLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS + holdersBeforeMs;
   const window = createOrderWindow();
@@ -272,6 +278,8 @@
     perform();
   };
 
+  const domainGauges = createDomainGauges(state, metrics);
+
   const loadNote: LoadNoteOptions = {
     state,
     window,
@@ -381,6 +389,7 @@
         { name: 'waves', everyMs: fleet.everyMs, run: fleet.follow },
         { name: 'sweep', everyMs: SWEEP_MS, run: ended.sweep },
         { name: 'load', everyMs: NOTE_LOAD_MS, run: async () => noteLoad(loadNote) },
+        { name: 'domains', everyMs: NOTE_LOAD_MS, run: async () => domainGauges.note() },
         { name: 'learned', everyMs: LEARNED_MS, run: learned.save },
       ],
       (name, error) => {
@@ -395,6 +404,7 @@
     isStopped = true;
     saver.stop();
     roster.close();
+    domainGauges.clear();
     log.info('term-stopped', { fence });
     void loops?.stop();
   };
--- a/packages/daemon/src/batch/entry/batch-entry.ts
+++ b/packages/daemon/src/batch/entry/batch-entry.ts
@@ -2,7 +2,7 @@
  * One entry of a fleet that runs batch work: takes jobs from clients, and holds control of the
  * fleet while it has the lease. All entries are alike and keep nothing.
  */
-import type { QueueIndex } from '@valvelatch/core/batch';
+import type { PlacementPolicy, QueueIndex } from '@valvelatch/core/batch';
 import type { DataCentreId, EntryId } from '@valvelatch/core/shared/ids';
 import { createGroupCommit } from '@valvelatch/platform/group-commit';
 
@@ -53,6 +53,8 @@
   readonly linkBytesPerS: number;
   /** True if a holder whose link is busy may have others carry its orders. */
   readonly mayRelayOrders: boolean;
+  /** Where tasks of short steps go. */
+  readonly placementPolicy: PlacementPolicy;
   readonly meshHost: string;
   readonly meshPort: number;
   readonly meshKey: string;
@@ -88,6 +90,7 @@
   cores,
   linkBytesPerS,
   mayRelayOrders,
+  placementPolicy,
   meshHost,
   meshPort,
   meshKey,
@@ -138,6 +141,7 @@
     table,
     peers: () => peers,
     configuration: configuration.index,
+    placementPolicy,
     log,
     metrics,
     standing: createStanding({
--- /dev/null
+++ b/packages/daemon/src/batch/operators/domain-views.test.ts
@@ -0,0 +1,122 @@
+/** What operators are told of racks and data centres. */
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { noteUnanswered } from '@valvelatch/core/batch';
+
+import { createMetrics } from '../../observe/metrics.js';
+import { createDomainGauges } from '../control/domain-gauges.js';
+import { answerOperator } from './operators.js';
+import type { SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { advance, FAKED, holderOf, started } from '../testing/virtual-time.fixtures.js';
+
+describe('an operator who asks about domains', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: [...FAKED] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  const ask = (fleet: SimFleet, method: string, kind: string, name = '') =>
+    answerOperator(holderOf(fleet).control, { method, body: { kind, name } }, 1);
+
+  /** Two racks in two data centres, with two hosts of each pool, and a long-running step on both. */
+  const begun = async () => {
+    const domains = { hostsPerRack: 2, dataCentres: 2 };
+    const fleet = await started({ hostsPerPool: 4, domains, accounts: [] });
+    const step = { taskCount: 4, isLasting: true, mayMiss: 1, cpuMillis: 1000 };
+    const jobId = fleet.submit({ pool: 'alpha', steps: [step] });
+    await advance(2000);
+    return { fleet, jobId };
+  };
+
+  /** All endpoints of a rack leave a question unanswered at this moment. */
+  const suspect = (fleet: SimFleet): void => {
+    const state = holderOf(fleet).control.term()?.state;
+    if (!state) throw new Error('nobody holds control');
+    state.endpoints.forEach(({ endpointId, labels }) => {
+      if (labels.includes('rack-1')) noteUnanswered(state, endpointId, performance.now());
+    });
+  };
+
+  it('is told the hosts and runs of each, by the label of the rack wherever it stands', async () => {
+    const { fleet } = await begun();
+    expect(ask(fleet, 'get', 'domains')).toEqual({
+      kind: 'ok',
+      value: [
+        ['dc-0', 'data centre'],
+        ['dc-1', 'data centre'],
+        ['dc-0/rack-0', 'rack'],
+        ['dc-1/rack-1', 'rack'],
+      ].map(([domain, kind]) => ({
+        domain,
+        kind,
+        hosts: 4,
+        pools: 'alpha 2, beta 2',
+        runs: 2,
+        phase: 'up',
+        reason: '',
+      })),
+    });
+    const racks = [0, 0, 1, 1, 0, 0, 1, 1].map((rack) => ({ rack: `rack-${rack}` }));
+    expect(ask(fleet, 'get', 'hosts')).toMatchObject({ value: racks });
+  });
+
+  it('is told what the loss of one would take, against what may be missed', async () => {
+    const { fleet, jobId } = await begun();
+    const answer = {
+      value: {
+        outcome: 'rack dc-1/rack-1: 4 hosts, 2 runs',
+        reason: 'it is not suspected',
+        reasons: [
+          {
+            of: 'pool alpha',
+            reason: 'its loss takes 16 cores on 2 endpoints, 2 of them in use',
+          },
+          { of: 'pool beta', reason: 'its loss takes 16 cores on 2 endpoints, 0 of them in use' },
+          {
+            of: `job ${jobId} step 0`,
+            reason: 'its loss takes 2 of 4 long-running tasks, 1 may be missed',
+          },
+        ],
+      },
+    };
+    expect(ask(fleet, 'explain', 'domain', 'dc-1/rack-1')).toMatchObject(answer);
+    expect(ask(fleet, 'explain', 'domain', 'rack-1')).toMatchObject(answer);
+    expect(ask(fleet, 'explain', 'domain', 'rack-7')?.kind).toBe('not-found');
+  });
+
+  it('is told of a job how its long-running step is spread, and that it cannot be spread further', async () => {
+    const { fleet, jobId } = await begun();
+    const spread =
+      'spread over 2 racks, at most 2 in one (dc-0/rack-0), and 1 may be missed: 2 racks are too few for that';
+    expect(ask(fleet, 'explain', 'job', jobId)).toMatchObject({
+      value: { reasons: [{ reason: expect.stringContaining(spread) as string }] },
+    });
+  });
+
+  it('is told what is suspected, and since when', async () => {
+    const { fleet } = await begun();
+    suspect(fleet);
+    const reason = 'suspected for 0 ms: 4 of 4 endpoints have not answered since';
+    const rows = ask(fleet, 'get', 'domains');
+    expect(rows).toMatchObject({
+      value: [{ phase: 'up' }, {}, {}, { phase: 'suspected', reason }],
+    });
+    expect(ask(fleet, 'explain', 'domain', 'rack-1')).toMatchObject({ value: { reason } });
+  });
+
+  it('finds the suspected endpoints of a data centre in a gauge, and 0 after the term', async () => {
+    const { fleet } = await begun();
+    const state = holderOf(fleet).control.term()?.state;
+    if (!state) throw new Error('nobody holds control');
+    const metrics = createMetrics();
+    const gauges = createDomainGauges(state, metrics);
+    suspect(fleet);
+    gauges.note();
+    expect(metrics.text()).toContain('valvelatch_suspected_endpoints{data_centre="dc-0"} 0\n');
+    expect(metrics.text()).toContain('valvelatch_suspected_endpoints{data_centre="dc-1"} 4\n');
+    gauges.clear();
+    expect(metrics.text()).toContain('valvelatch_suspected_endpoints{data_centre="dc-1"} 0\n');
+  });
+});
--- a/packages/daemon/src/batch/operators/operators.ts
+++ b/packages/daemon/src/batch/operators/operators.ts
@@ -2,11 +2,20 @@
  * What operators may ask about batch work, at any entry: the holder of control answers, in the
  * operator's own names. The answers have the shapes that the command line shows.
  */
-import { isFinal, type EndpointState, type JobState, type StepRun } from '@valvelatch/core/batch';
+import {
+  describeSpread,
+  isFinal,
+  isSuspected,
+  rackOf,
+  type EndpointState,
+  type JobState,
+  type StepRun,
+} from '@valvelatch/core/batch';
 import type { HostId, JobId } from '@valvelatch/core/shared/ids';
 
 import type { OperatorResult } from '../../operators/operator-result.js';
 import { accountRows, waitsFor } from './account-views.js';
+import { domainRows, explainDomain, type DomainSight } from './domain-views.js';
 import type { Control } from '../control/control.js';
 import type { Term } from '../control/term.js';
 
@@ -17,13 +26,17 @@
 /** A list for people; a fleet has more jobs than anybody reads. */
 const MOST_ROWS = 1000;
 
-const rackOf = (labels: readonly string[]): string => labels.at(-1) ?? '';
-
 const endpointOn = (term: Term, hostId: HostId): EndpointState | undefined => {
   const instanceId = term.fleet.inventory().hosts.get(hostId)?.instanceId;
   return instanceId ? term.state.lives.get(instanceId) : undefined;
 };
 
+const domainSight = ({ state, fleet }: Term): DomainSight => ({
+  state,
+  hosts: fleet.inventory().hosts.values(),
+  nowMs: performance.now(),
+});
+
 /** Why a host is withheld from something, or ''. */
 const hostReason = (term: Term, hostId: HostId): string => {
   const waiting = term.fleet
@@ -38,6 +51,8 @@
   if (!endpoint) return 'no endpoint lives on it';
   if (!endpoint.isKnown) return 'its endpoint has not answered this holder yet';
   if (endpoint.isDraining) return 'its endpoint leaves or is not listed any more';
+  if (isSuspected(term.state, endpoint))
+    return 'its rack or its data centre is suspected to be lost';
   if (endpoint.withheldUntilMs > performance.now()) return `withheld: ${endpoint.withheldReason}`;
   return `${endpoint.runs.size} tasks run on it`;
 };
@@ -60,7 +75,7 @@
       pool: host.pool,
       phase: host.state,
       dataCentre: host.dataCentre,
-      rack: rackOf(host.labels),
+      rack: rackOf(host),
       cores: host.capacity.cpuMillis / MILLIS,
       reason: hostReason(term, host.hostId),
     })),
@@ -89,6 +104,7 @@
       )
       .slice(0, MOST_ROWS),
   accounts: (term) => accountRows(term.state, performance.now()),
+  domains: (term) => domainRows(domainSight(term)),
   waves: (term) =>
     term.fleet.waves().map((wave) => {
       const { order, hosts } = wave;
@@ -106,13 +122,18 @@
   const { spec, waiting, doneCount, isOpen } = step;
   const places = Array.from(step.perEndpoint.keys()).map((id) => {
     const endpoint = term.state.endpoints.get(id);
-    return `host=${endpoint?.hostId ?? 'unknown'} rack=${rackOf(endpoint?.labels ?? [])}`;
+    return `host=${endpoint?.hostId ?? 'unknown'} rack=${endpoint ? rackOf(endpoint) : ''}`;
   });
   const state = isOpen
     ? `${waiting.length} wait for ${waitsFor(term.state, step, performance.now())}`
     : `waits for steps ${spec.after.join(',')}`;
   const needs = `${spec.cpuMillis / MILLIS} cores, ${spec.memoryMb} MB`;
-  return `${doneCount} of ${spec.taskCount} done, ${state} (${needs} each)${places.length > 0 ? `, on ${places.join('; ')}` : ''}`;
+  const spread = describeSpread(term.state, step);
+  return [
+    `${doneCount} of ${spec.taskCount} done, ${state} (${needs} each)`,
+    ...(spread === '' ? [] : [`spread ${spread}`]),
+    ...(places.length > 0 ? [`on ${places.join('; ')}`] : []),
+  ].join(', ');
 };
 
 const explainers: Readonly<Record<string, (term: Term, name: string) => object | undefined>> = {
@@ -142,6 +163,7 @@
           })),
     };
   },
+  domain: (term, name) => explainDomain(domainSight(term), name),
   host: (term, name) => {
     const host = term.fleet.inventory().hosts.get(name as HostId);
     return host && { outcome: host.state, reason: hostReason(term, host.hostId) };
@@ -163,7 +185,7 @@
 type Handler = (term: Term, body: Body, version: number) => OperatorResult;
 
 /** What is answered from the list of hosts. */
-const HOST_KINDS: ReadonlySet<string> = new Set(['host', 'hosts', 'pools']);
+const HOST_KINDS: ReadonlySet<string> = new Set(['host', 'hosts', 'pools', 'domain', 'domains']);
 
 /** A list that was not read says nothing: it must not look like a fleet without hosts. */
 const isUnreadable = (term: Term, { kind = '' }: Body): boolean =>
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -12,6 +12,7 @@
   type ClientAccount,
   type EndpointModel,
   type HostView,
+  type PlacementPolicy,
   type QueueIndex,
   type StepSpec,
   type TaskKey,
@@ -47,6 +48,7 @@
 import {
   createSimWorld,
   SIM_POLICY,
+  type SentStart,
   type SimDomains,
   type SimFaults,
 } from './sim-world.fixtures.js';
@@ -84,6 +86,8 @@
   readonly linkBytesPerMs?: number;
   /** True if entries may carry orders for a holder whose link is busy. */
   readonly mayRelayOrders?: boolean;
+  /** Where tasks of short steps go; the entries' default if left out. */
+  readonly placementPolicy?: PlacementPolicy;
   /** How often each entry looks at the lease. */
   readonly tickMs?: number;
   /** Whose jobs are submitted, by turns. */
@@ -122,7 +126,7 @@
   readonly endpoints: Map<InstanceId, EndpointModel>;
   readonly hosts: Map<HostId, HostView>;
   readonly broken: string[];
-  readonly startsSent: readonly { readonly instanceId: InstanceId; readonly atMs: number }[];
+  readonly startsSent: readonly SentStart[];
   readonly logged: { readonly event: string; readonly fields: object }[];
   readonly addEntry: (name: string, cores?: number) => SimEntry;
   readonly kill: (entry: SimEntry) => void;
@@ -174,6 +178,7 @@
   endpointLeaseMs,
   linkBytesPerMs,
   mayRelayOrders = false,
+  placementPolicy,
   tickMs = TICK_MS,
   accounts = simAccounts(hostsPerPool * pools.length),
   random,
@@ -325,6 +330,7 @@
       log,
       metrics,
       ...(endpointLeaseMs === undefined ? {} : { endpointLeaseMs }),
+      ...(placementPolicy === undefined ? {} : { placementPolicy }),
       silentForMs: (entryId) => {
         const other = entries.find((one) => one.entryId === entryId);
         return !other || other.isFrozen || other.isSilent ? Infinity : 0;
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -384,7 +384,8 @@
       },
       start: ({ endpointId }, order, timeoutMs) => {
         const instanceId = instanceOf(endpointId);
-        world.startsSent.push({ instanceId, atMs: performance.now() });
+        const { task, run } = order;
+        world.startsSent.push({ instanceId, task, run, atMs: performance.now() });
         return toEndpoint(instanceId, order, (one) => one.start(order), timeoutMs);
       },
       stop: ({ endpointId }, order, timeoutMs) =>
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -1,6 +1,6 @@
 /** What the tests of control in virtual time share: faked clocks, a fleet that has begun, questions. */
 import { vi } from 'vitest';
-import type { ClientAccount } from '@valvelatch/core/batch';
+import type { ClientAccount, PlacementPolicy } from '@valvelatch/core/batch';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
 import { createSimFleet, type SimEntry, type SimFleet } from './sim-fleet.fixtures.js';
@@ -43,6 +43,7 @@
     endpointLeaseMs?: number;
     linkBytesPerMs?: number;
     mayRelayOrders?: boolean;
+    placementPolicy?: PlacementPolicy;
     tickMs?: number;
     accounts?: readonly ClientAccount[];
     seed?: number;
