--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -189,6 +189,7 @@
             'placements',
             'waves',
             'accounts',
+            'domains',
           ] as const,
           demandOption: true,
         })
@@ -218,7 +219,7 @@
     (argv) =>
       argv
         .positional('kind', {
-          choices: ['job', 'host', 'request', 'wave', 'account', 'data-centre'] as const,
+          choices: ['job', 'host', 'request', 'wave', 'account', 'data-centre', 'domain'] as const,
           demandOption: true,
         })
         .positional('name', { type: 'string', demandOption: true }),
--- a/packages/cli/src/tables.ts
+++ b/packages/cli/src/tables.ts
@@ -55,6 +55,7 @@
     'longRuns',
     'freeCoresElsewhere',
   ],
+  domains: ['domain', 'kind', 'hosts', 'pools', 'runs', 'phase', 'reason'],
   waves: ['waveId', 'phase', 'selector', 'reason'],
   entries: ['entryId', 'dataCentre', 'revision', 'seat', 'controls', 'endpoints', 'isUnreachable'],
 } as const;
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -22,6 +22,7 @@
 import type { Usage } from './capacity.js';
 import type { Domain, SuspectedDomain } from './domain.js';
 import type { OrderWay } from './order-ways.js';
+import type { PlacementPolicy } from './placement-policy.js';
 import type { AccountShare } from './share.js';
 import { createRunTimes, type RunTimes } from '../jobs/run-times.js';
 
@@ -178,6 +179,8 @@
   reclaimed: ReadonlySet<EndpointId>;
   /** How the queue is ordered. */
   orderWay: OrderWay;
+  /** Where tasks of short steps go. */
+  placementPolicy: PlacementPolicy;
 };
 
 /**
@@ -222,6 +225,7 @@
   firstAttempts: new Map(),
   reclaimed: new Set(),
   orderWay: 'owed-then-fair',
+  placementPolicy: 'fullest',
 });
 
 /**
--- a/packages/core/src/batch/pools/pool-moves.ts
+++ b/packages/core/src/batch/pools/pool-moves.ts
@@ -7,6 +7,13 @@
 import { goesWithOwed } from '../accounts/shares.js';
 import { expectCores } from './demand.js';
 import type { HostView } from './hosts.js';
+import {
+  countHost,
+  countHosts,
+  hostsToLeave,
+  hostToJoin,
+  type DomainCounts,
+} from './pool-domains.js';
 import {
   byClaim,
   DEFAULT_POOL_POLICY,
@@ -44,6 +51,15 @@
       ),
     );
 
+/** Those of the hosts that a pool can do without, from the domains of which it has most. */
+const leavingOf = (
+  need: PoolNeed,
+  hosts: readonly HostView[],
+  policy: PoolPolicy,
+  rank: ClaimRank = 'all',
+): readonly HostView[] =>
+  hostsToLeave(hosts, surplusHosts(need, policy, rank), countHosts(need.hosts));
+
 /** Empty hosts that a pool has no need of. One that was reclaimed was emptied for another pool. */
 const givenAway = (
   world: PoolWorld,
@@ -55,7 +71,7 @@
     ({ endpointId, idleSinceMs }) =>
       world.state.reclaimed.has(endpointId) || world.nowMs - idleSinceMs >= policy.releaseAfterMs,
   );
-  return freeHostsOn(world, idle).slice(0, surplusHosts(need, policy, rank));
+  return leavingOf(need, freeHostsOn(world, idle), policy, rank);
 };
 
 /** Above this ratio of the fast rate to the slow one demand rises. */
@@ -84,14 +100,12 @@
       const idle = need.empty.filter(
         ({ idleSinceMs }) => world.nowMs - idleSinceMs >= policy.parkAfterMs,
       );
-      return freeHostsOn(world, idle)
-        .slice(0, surplusHosts(need, policy))
-        .map(({ hostId }) => ({
-          hostId,
-          fromPool: need.name,
-          toPool: spare.name,
-          reason: `empty for ${policy.parkAfterMs} ms and pool=${need.name} expects no need of it`,
-        }));
+      return leavingOf(need, freeHostsOn(world, idle), policy).map(({ hostId }) => ({
+        hostId,
+        fromPool: need.name,
+        toPool: spare.name,
+        reason: `empty for ${policy.parkAfterMs} ms and pool=${need.name} expects no need of it`,
+      }));
     });
 };
 
@@ -128,20 +142,32 @@
 };
 
 /** A pool with what it is short of at first and still. */
-type OpenClaim = { readonly need: PoolNeed; readonly shortCpu: number; missingCpu: number };
+type OpenClaim = {
+  readonly need: PoolNeed;
+  readonly shortCpu: number;
+  missingCpu: number;
+  /** The pool's hosts by domain, with those that it gets. */
+  readonly counts: DomainCounts;
+};
+
+/** The hosts of the pool that is first to give any: the spare pool before the others. */
+const firstOffered = (free: ReadonlySet<HostView>, name: PoolName): readonly HostView[] => {
+  const others = Array.from(free).filter(({ pool }) => pool !== name);
+  return others.filter(({ pool }) => pool === others[0]?.pool);
+};
 
 /** Takes one host for a claim off those that are free, in place; undefined where none helps it. */
 const takeHost = (
-  free: HostView[],
+  free: Set<HostView>,
   claim: OpenClaim,
   { shortShare }: PoolPolicy,
   rank: ClaimRank,
 ): PoolMove | undefined => {
   const { name } = claim.need;
-  const index = free.findIndex(({ pool }) => pool !== name);
-  const host = free[index];
+  const host = hostToJoin(firstOffered(free, name), claim.counts);
   if (!host || claim.missingCpu <= shortShare * host.capacity.cpuMillis) return undefined;
-  free.splice(index, 1);
+  free.delete(host);
+  countHost(claim.counts, host, 1);
   change(claim, { missingCpu: claim.missingCpu - host.capacity.cpuMillis });
   const shortCores = Math.round(claim.shortCpu / 1000);
   return {
@@ -187,10 +213,11 @@
   { rank, before }: { readonly rank: ClaimRank; readonly before: readonly PoolMove[] },
 ): Allotment => {
   const taken = new Set(before.map(({ hostId }) => hostId));
-  const free = [
-    ...spareHosts(world),
-    ...needs.flatMap((need) => givenAway(world, need, policy, rank)),
-  ].filter(({ hostId }) => !taken.has(hostId));
+  const free = new Set(
+    [...spareHosts(world), ...needs.flatMap((need) => givenAway(world, need, policy, rank))].filter(
+      ({ hostId }) => !taken.has(hostId),
+    ),
+  );
   const cpuBefore = (pool: PoolName): number =>
     before
       .filter(({ toPool }) => toPool === pool)
@@ -200,7 +227,7 @@
     .sort(byClaim(rank))
     .map((need): OpenClaim => {
       const shortCpu = shortOf(need, rank) - cpuBefore(need.name);
-      return { need, shortCpu, missingCpu: shortCpu };
+      return { need, shortCpu, missingCpu: shortCpu, counts: countHosts(need.hosts) };
     });
   const moves = TAKINGS[rank](claims, (claim) => takeHost(free, claim, policy, rank));
   const missing = claims.map(({ missingCpu }) => Math.max(0, missingCpu));
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -29,6 +29,7 @@
   type JobState,
   type JobStatus,
   type LapsedEndpoint,
+  type PlacementPolicy,
   type QueueIndex,
 } from '@valvelatch/core/batch';
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
@@ -43,6 +44,7 @@
 import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
 import { createFleetCycle, type FleetCycle } from '../hosts/fleet-cycle.js';
 import { createEvacuationWatch, type EvacuationWatch } from './evacuation-watch.js';
+import { createDomainGauges } from './domain-gauges.js';
 import { takeGuard } from './guard.js';
 import { createJobAdmission, noteAdmission } from '../jobs/job-admission.js';
 import { createRowLookup } from '../jobs/row-lookup.js';
@@ -92,6 +94,8 @@
   readonly holdersBeforeMs: number;
   /** For how long an endpoint keeps what runs there without contact with the holder. */
   readonly endpointLeaseMs: number;
+  /** Where tasks of short steps go; `fullest` if left out. */
+  readonly placementPolicy?: PlacementPolicy;
   /** The table has answered nothing for so long that it is away. */
   readonly isTableAway: () => boolean;
   /** Until then no other entry can have become the holder: what was not heard has not happened elsewhere. */
@@ -143,6 +147,7 @@
   hostOrdersAfterMs,
   holdersBeforeMs,
   endpointLeaseMs,
+  placementPolicy = 'fullest',
   isTableAway,
   soleHolderUntilMs,
   configuration,
@@ -153,6 +158,7 @@
 }: TermOptions): Term => {
   const state = createBatchState(fence);
   const bornAtMs = nowMs();
+  state.placementPolicy = placementPolicy;
   const schedulePools = createScheduleCycle(state);
   const inheritedLeasesMs = endpointLeaseMs * LEASE_SLACK + LEASE_MARGIN_MS + holdersBeforeMs;
   const window = createOrderWindow();
@@ -318,6 +324,8 @@
     perform();
   };
 
+  const domainGauges = createDomainGauges(state, metrics);
+
   const loadNote: LoadNoteOptions = {
     state,
     window,
@@ -438,6 +446,7 @@
         { name: 'waves', everyMs: fleet.everyMs, run: fleet.follow },
         { name: 'sweep', everyMs: SWEEP_MS, run: ended.sweep },
         { name: 'load', everyMs: NOTE_LOAD_MS, run: async () => note() },
+        { name: 'domains', everyMs: NOTE_LOAD_MS, run: async () => domainGauges.note() },
         { name: 'learned', everyMs: LEARNED_MS, run: learned.save },
       ],
       (name, error) => {
@@ -453,6 +462,7 @@
     saver.stop();
     roster.close();
     evacuations.close();
+    domainGauges.clear();
     log.info('term-stopped', { fence });
     void loops?.stop();
   };
--- a/packages/daemon/src/batch/entry/batch-entry.ts
+++ b/packages/daemon/src/batch/entry/batch-entry.ts
@@ -2,7 +2,7 @@
  * One entry of a fleet that runs batch work: takes jobs from clients, and holds control of the
  * fleet while it has the lease. All entries are alike and keep nothing.
  */
-import { TABLE_AWAY_MS, type QueueIndex } from '@valvelatch/core/batch';
+import { TABLE_AWAY_MS, type PlacementPolicy, type QueueIndex } from '@valvelatch/core/batch';
 import type { DataCentreId, EntryId } from '@valvelatch/core/shared/ids';
 import { createGroupCommit } from '@valvelatch/platform/group-commit';
 
@@ -56,6 +56,8 @@
   readonly linkBytesPerS: number;
   /** True if a holder whose link is busy may have others carry its orders. */
   readonly mayRelayOrders: boolean;
+  /** Where tasks of short steps go. */
+  readonly placementPolicy: PlacementPolicy;
   readonly meshHost: string;
   readonly meshPort: number;
   readonly meshKey: string;
@@ -91,6 +93,7 @@
   cores,
   linkBytesPerS,
   mayRelayOrders,
+  placementPolicy,
   meshHost,
   meshPort,
   meshKey,
@@ -154,6 +157,7 @@
     peers: () => peers,
     configuration: configuration.index,
     startGate,
+    placementPolicy,
     log,
     metrics,
     standing: createStanding({
--- a/packages/daemon/src/batch/operators/operators.ts
+++ b/packages/daemon/src/batch/operators/operators.ts
@@ -3,8 +3,11 @@
  * operator's own names. The answers have the shapes that the command line shows.
  */
 import {
+  describeSpread,
   evacuationsAwaitedBy,
   isFinal,
+  isSuspected,
+  rackOf,
   type EndpointState,
   type JobState,
   type StepRun,
@@ -16,6 +19,7 @@
 import { accountRows, waitsFor } from './account-views.js';
 import { dataCentreRows, explainDataCentre } from './data-centre-views.js';
 import { explainRefusal } from '../jobs/job-admission.js';
+import { domainRows, explainDomain, type DomainSight } from './domain-views.js';
 import type { Control } from '../control/control.js';
 import type { Term } from '../control/term.js';
 
@@ -26,13 +30,17 @@
 /** A list for people; a fleet has more jobs than anybody reads. */
 const MOST_ROWS = 1000;
 
-const rackOf = (labels: readonly string[]): string => labels.at(-1) ?? '';
-
 const endpointOn = (term: Term, hostId: HostId): EndpointState | undefined => {
   const instanceId = term.fleet.inventory().hosts.get(hostId)?.instanceId;
   return instanceId ? term.state.lives.get(instanceId) : undefined;
 };
 
+const domainSight = ({ state, fleet }: Term): DomainSight => ({
+  state,
+  hosts: fleet.inventory().hosts.values(),
+  nowMs: performance.now(),
+});
+
 /** Why a host is withheld from something, or ''. */
 const hostReason = (term: Term, hostId: HostId): string => {
   const waiting = term.fleet
@@ -50,6 +58,8 @@
     return `data centre ${endpoint.dataCentre} is evacuated, ${endpoint.runs.size} tasks run on it`;
   }
   if (endpoint.isDraining) return 'its endpoint leaves or is not listed any more';
+  if (isSuspected(term.state, endpoint))
+    return 'its rack or its data centre is suspected to be lost';
   if (endpoint.withheldUntilMs > performance.now()) return `withheld: ${endpoint.withheldReason}`;
   return `${endpoint.runs.size} tasks run on it`;
 };
@@ -72,7 +82,7 @@
       pool: host.pool,
       phase: host.state,
       dataCentre: host.dataCentre,
-      rack: rackOf(host.labels),
+      rack: rackOf(host),
       cores: host.capacity.cpuMillis / MILLIS,
       reason: hostReason(term, host.hostId),
     })),
@@ -102,6 +112,7 @@
       .slice(0, MOST_ROWS),
   accounts: (term) => accountRows(term, performance.now()),
   'data-centres': dataCentreRows,
+  domains: (term) => domainRows(domainSight(term)),
   waves: (term) =>
     term.fleet.waves().map((wave) => {
       const { order, hosts } = wave;
@@ -125,13 +136,18 @@
   const { spec, waiting, doneCount, isOpen } = step;
   const places = Array.from(step.perEndpoint.keys()).map((id) => {
     const endpoint = term.state.endpoints.get(id);
-    return `host=${endpoint?.hostId ?? 'unknown'} rack=${rackOf(endpoint?.labels ?? [])}`;
+    return `host=${endpoint?.hostId ?? 'unknown'} rack=${endpoint ? rackOf(endpoint) : ''}`;
   });
   const state = isOpen
     ? `${waiting.length} wait for ${waitReason(term, step)}`
     : `waits for steps ${spec.after.join(',')}`;
   const needs = `${spec.cpuMillis / MILLIS} cores, ${spec.memoryMb} MB`;
-  return `${doneCount} of ${spec.taskCount} done, ${state} (${needs} each)${places.length > 0 ? `, on ${places.join('; ')}` : ''}`;
+  const spread = describeSpread(term.state, step);
+  return [
+    `${doneCount} of ${spec.taskCount} done, ${state} (${needs} each)`,
+    ...(spread === '' ? [] : [`spread ${spread}`]),
+    ...(places.length > 0 ? [`on ${places.join('; ')}`] : []),
+  ].join(', ');
 };
 
 /** What is expected of a wave that cannot be in time. */
@@ -170,6 +186,7 @@
           })),
     };
   },
+  domain: (term, name) => explainDomain(domainSight(term), name),
   host: (term, name) => {
     const host = term.fleet.inventory().hosts.get(name as HostId);
     return host && { outcome: host.state, reason: hostReason(term, host.hostId) };
@@ -194,6 +211,8 @@
 const HOST_KINDS: ReadonlySet<string> = new Set([
   'data-centre',
   'data-centres',
+  'domain',
+  'domains',
   'host',
   'hosts',
   'pools',
