--- a/packages/daemon/src/leases/lease-keeper.test.ts
+++ b/packages/daemon/src/leases/lease-keeper.test.ts
@@ -23,13 +23,14 @@
 describe('a holder that gives its lease up', () => {
   const keeperOn = () => {
     const rows = createTableModel();
-    const link = { losesAnswers: false, refuses: false };
+    const link = { losesAnswers: false, refuses: false, onCommit: () => {} };
     let nowMs = 0;
     const table = {
       read: async (keys: readonly string[]) => Ok(keys.map((key) => rows.read(key))),
       transact: async ({ checks, writes }: Parameters<TableClient['transact']>[0]) => {
         if (link.refuses) return Err({ kind: 'unreachable', detail: 'refused' } as const);
         const outcome = rows.transact(checks, writes);
+        link.onCommit();
         if (link.losesAnswers) return Err({ kind: 'unknown', detail: 'no answer' } as const);
         return outcome.kind === 'committed'
           ? Ok(outcome)
@@ -99,14 +100,25 @@
   });
 
   describe('without writing it', () => {
-    it('does not hold it again by the late answer to a renewal', async () => {
-      // A holder that has told others that it resigned would order under its old fence again.
-      const { keeper, pass } = keeperOn();
+    it('does not write for it by a look that had begun before', async () => {
+      // The row would name a holder that does not act, and others would wait for it again.
+      const { keeper, pass, rows } = keeperOn();
       await keeper.tick();
       pass(RENEW_AFTER_MS * 2);
-      const renewing = keeper.tick();
+      const { version } = rows.read('lease/control');
+      const looking = keeper.tick();
       keeper.abandon();
-      await renewing;
+      await looking;
+      expect(keeper.holds()).toBe(false);
+      expect(rows.read('lease/control').version).toBe(version);
+    });
+
+    it('does not hold it again by a renewal that is committed before and answered after', async () => {
+      const { keeper, link, pass } = keeperOn();
+      await keeper.tick();
+      pass(RENEW_AFTER_MS * 2);
+      link.onCommit = () => keeper.abandon();
+      await keeper.tick();
       expect(keeper.holds()).toBe(false);
     });
 
