--- a/packages/daemon/src/batch/endpoints/lives-in-any-order.test.ts
+++ b/packages/daemon/src/batch/endpoints/lives-in-any-order.test.ts
@@ -171,6 +171,15 @@
       );
     }, 600_000);
 
+    it('begins no task after its end was noted, beside restarts and one in ten orders late or without an answer', async () => {
+      const troubles = [
+        { kind: 'restartUnheard', atMs: 14_685, forMs: 149, pick: 549 },
+        { kind: 'restart', atMs: 4190, forMs: 91, pick: 969 },
+        { kind: 'restartTwice', atMs: 12_897, forMs: 4077, pick: 126 },
+      ];
+      await play(11, troubles, 0.1, false);
+    });
+
     it('fails no job for an endpoint that crashed after the runs there had ended unheard', async () => {
       const restart = { kind: 'restart' };
       const troubles = [
