--- a/packages/daemon/src/batch/hosts/waves-with-faults.test.ts
+++ b/packages/daemon/src/batch/hosts/waves-with-faults.test.ts
@@ -1,7 +1,6 @@
 /**
  * Two waves that share lasting steps, under faults: no order may end a task at work beyond its step's allowance, and
- * each wave gets to its end. Guards against budgets that count a task as at work although its host was ordered down,
- * or was ordered to stop it, and the answer is not known.
+ * each wave gets to its end. Held from the start; single faults of this kind are in `upkeep-rules.test.ts`.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { HostId } from '@valvelatch/core/shared/ids';
