--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -8,7 +8,7 @@
 import { announcedRunOf, announceTrials, countLostTrials } from '../crashes/trials.js';
 import { isWithinQuota } from '../accounts/quota.js';
 import { placesForGang } from './gang-places.js';
-import { bestFor } from './best-endpoint.js';
+import { createCandidates } from './candidates.js';
 import { scoresFor } from './scores.js';
 import { mayHold, usableEndpoints } from '../endpoints/sound-endpoints.js';
 import { addRun, nextRunNumber } from '../endpoints/runs.js';
@@ -71,14 +71,16 @@
   tasks: readonly Task[],
 ): boolean => {
   const { state, step } = placing;
-  const { name: reason, scores } = scoresFor(state, endpoints, step);
+  const table = scoresFor(state, endpoints, step);
+  const candidates = createCandidates(endpoints, placing, table);
   return tasks.every((task) => {
     if (state.startsLeft <= 0) return true;
     if (!isWithinQuota(state, step)) return false;
-    const endpoint = bestFor(endpoints, { ...placing, task }, scores);
+    const endpoint = candidates.choose(task);
     if (!endpoint) return false;
     const run = announcedRunOf(task) ?? nextRunNumber(state.fence, task.lastRun);
-    startOn(placing, task, { endpoint, run, reason });
+    startOn(placing, task, { endpoint, run, reason: table.name });
+    candidates.notePlaced(endpoint);
     return true;
   });
 };
--- a/packages/core/src/batch/placement/scores.ts
+++ b/packages/core/src/batch/placement/scores.ts
@@ -24,6 +24,8 @@
   readonly of: (endpoint: EndpointState, view: PlacementView) => number;
   /** It decides before the spread over racks and data centres does. */
   readonly outranksSpread?: boolean;
+  /** It depends on the task, and is 0 for one that has failed nowhere. */
+  readonly isOfTask?: boolean;
 };
 
 const fullness: PlacementScore['of'] = ({ used, capacity }) =>
@@ -56,7 +58,7 @@
 export const PLACEMENT_SCORES: readonly PlacementScore[] = [
   { name: 'fullest', weight: 1, of: fullness },
   { name: 'near its data', weight: 2, of: isNearData },
-  { name: 'failed there', weight: -4, of: hasFailedTask, outranksSpread: true },
+  { name: 'failed there', weight: -4, of: hasFailedTask, outranksSpread: true, isOfTask: true },
   { name: 'maintenance ahead', weight: -3, of: movesAgain, outranksSpread: true },
 ];
 
@@ -85,6 +87,8 @@
 export type ScoreTable = {
   readonly name: string;
   readonly scores: readonly PlacementScore[];
+  /** A placement changes the scores of all endpoints in the same rack and data centre. */
+  readonly isByDomain?: boolean;
 };
 
 const FULLEST: ScoreTable = { name: 'fullest', scores: PLACEMENT_SCORES };
@@ -92,6 +96,7 @@
 /** For long-running steps where endpoints have racks: the loss of one takes as few tasks as can be. */
 const SPREAD: ScoreTable = {
   name: 'spread over racks and data centres',
+  isByDomain: true,
   scores: [
     ...RANKED_SCORES,
     SPREAD_OVER_RACKS,
@@ -102,9 +107,14 @@
 /** For short steps. */
 const SHORT_STEPS: Readonly<Record<PlacementPolicy, ScoreTable>> = {
   fullest: FULLEST,
-  spread: { name: 'spread over racks', scores: [...RANKED_SCORES, SPREAD_OVER_RACKS] },
+  spread: {
+    name: 'spread over racks',
+    isByDomain: true,
+    scores: [...RANKED_SCORES, SPREAD_OVER_RACKS],
+  },
   together: {
     name: 'beside its job',
+    isByDomain: true,
     scores: [
       ...RANKED_SCORES,
       { name: 'host of its job', weight: TOGETHER_WEIGHT, of: isHostOfJob },
