--- a/packages/core/src/batch/jobs/admission-control.ts
+++ b/packages/core/src/batch/jobs/admission-control.ts
@@ -28,9 +28,9 @@
 const MOST_RETRY_MS = 30_000;
 /** Clients that are refused together come back apart by up to this share of the time on either side. */
 const RETRY_JITTER = 0.25;
-/** Loads are measured so often; of more than 5,000 jobs, less often at the same share of a processor. */
+/** Loads are measured so often; of more than 600 jobs, less often at the same share of a processor. */
 const MEASURE_EVERY_MS = 25;
-const MEASURE_EVERY_MS_PER_JOB = 0.01;
+const MEASURE_EVERY_MS_PER_JOB = 0.04;
 /** One in so many refusals is followed up, to see whether its forecast was right. */
 const SAMPLE_EVERY = 4;
 const MOST_SAMPLES = 500;
