--- a/packages/core/src/batch/pools/pool-moves.ts
+++ b/packages/core/src/batch/pools/pool-moves.ts
@@ -188,13 +188,14 @@
  *
  * @param world - Pools, hosts and what waits.
  * @param policy - How moves are weighed.
+ * @param needs - What the pools need, where that is known.
  * @returns The moves.
  */
 export const planMoves = (
   world: PoolWorld,
   policy: PoolPolicy = DEFAULT_POOL_POLICY,
+  needs: readonly PoolNeed[] = needsOfPools(world, policy),
 ): readonly PoolMove[] => {
-  const needs = needsOfPools(world, policy);
   const owed = allot(world, needs, policy, { rank: 'owed', before: [] }).moves;
   const rest = allot(world, needs, policy, { rank: 'all', before: owed }).moves;
   const wanted = [...owed, ...rest];
@@ -207,10 +208,14 @@
  *
  * @param world - Pools, hosts and what waits; the pools' outlooks are changed in place.
  * @param policy - How moves are weighed.
+ * @param needs - What the pools need, where that is known.
  */
-export const noteOutlooks = (world: PoolWorld, policy: PoolPolicy = DEFAULT_POOL_POLICY): void => {
+export const noteOutlooks = (
+  world: PoolWorld,
+  policy: PoolPolicy = DEFAULT_POOL_POLICY,
+  needs: readonly PoolNeed[] = needsOfPools(world, policy),
+): void => {
   const { state } = world;
-  const needs = needsOfPools(world, policy);
   const free = [
     ...spareHosts(world),
     ...needs.flatMap((need) => givenAway(world, need, policy, 'all')),
@@ -252,13 +257,14 @@
  *
  * @param world - Pools, hosts and what waits.
  * @param policy - How moves are weighed.
+ * @param needs - What the pools need, where that is known.
  * @returns The endpoints; none where no account has a weight.
  */
 export const planReclaims = (
   world: PoolWorld,
   policy: PoolPolicy = DEFAULT_POOL_POLICY,
+  needs: readonly PoolNeed[] = needsOfPools(world, policy),
 ): ReadonlySet<EndpointId> => {
-  const needs = needsOfPools(world, policy);
   if (needs.every(({ shortCpu, owedShortCpu }) => shortCpu === owedShortCpu)) return new Set();
   let { missingCpu: missing } = allot(world, needs, policy, { rank: 'owed', before: [] });
   const reclaimed = needs
--- a/packages/daemon/src/batch/hosts/fleet-cycle.ts
+++ b/packages/daemon/src/batch/hosts/fleet-cycle.ts
@@ -1,6 +1,7 @@
 /** Orders to hosts, by the holder alone: moves between pools, and maintenance of waves. */
 import {
   applyUpkeepAnswer,
+  DEFAULT_POOL_POLICY,
   isAnyPoolShort,
   needsOfPools,
   noteOutlooks,
@@ -201,9 +202,11 @@
   const moveHosts = async (): Promise<boolean> => {
     if (!configuration()) return false;
     notePools();
-    change(state, { reclaimed: planReclaims(poolWorld()) });
-    noteOutlooks(poolWorld());
-    const planned = planMoves(poolWorld());
+    const pools = poolWorld();
+    const needs = needsOfPools(pools);
+    change(state, { reclaimed: planReclaims(pools, DEFAULT_POOL_POLICY, needs) });
+    noteOutlooks(pools, DEFAULT_POOL_POLICY, needs);
+    const planned = planMoves(pools, DEFAULT_POOL_POLICY, needs);
     // An order without an answer is repeated: it may be carried out late, whatever is decided now.
     const moves = [...Array.from(unsettled.values()), ...planned];
     await Promise.all(moves.map(move));
