--- a/packages/daemon/src/batch/hosts/waves-in-time.test.ts
+++ b/packages/daemon/src/batch/hosts/waves-in-time.test.ts
@@ -145,7 +145,6 @@
         waveNumber: index + 1,
         hosts: hostsInRacks(fleet, [rack]),
         withinMs: WITHIN_MS,
-        // The simulated platform counts what is down for all waves together.
         maximum: 12,
       }),
     );
--- a/packages/daemon/src/batch/hosts/waves-with-faults.test.ts
+++ b/packages/daemon/src/batch/hosts/waves-with-faults.test.ts
@@ -43,7 +43,11 @@
       .map(({ hostId }) => hostId);
 
   const busyFleet = async (seed: number, mayMiss: number) => {
-    const fleet = await started({ hostsPerPool: HOSTS_PER_POOL, hostsPerRack: 3, seed });
+    const fleet = await started({
+      hostsPerPool: HOSTS_PER_POOL,
+      domains: { hostsPerRack: 3, dataCentres: 2 },
+      seed,
+    });
     const lasting = { taskCount: 6, isLasting: true, mostPerEndpoint: 1, cpuMillis: 2000, mayMiss };
     POOLS.forEach((pool) => fleet.submit({ pool, steps: [lasting], startMs: 1000 }));
     await advance(7000);
--- a/packages/daemon/src/batch/operators/operators.test.ts
+++ b/packages/daemon/src/batch/operators/operators.test.ts
@@ -1,10 +1,8 @@
 /** What operators are told of hosts and waves by a holder that cannot read the list of hosts. */
 import { PLAIN_STEP, type BatchJobRow } from '@valvelatch/core/batch';
-import { brand, type JobId } from '@valvelatch/core/shared/ids';
+import { brand, type DataCentreId, type JobId } from '@valvelatch/core/shared/ids';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import type { DataCentreId } from '@valvelatch/core/shared/ids';
-
 import { answerOperator } from './operators.js';
 import { SIM_DATA_CENTRES } from '../testing/sim-platform.fixtures.js';
 import { simAccount, type SimFleet } from '../testing/sim-fleet.fixtures.js';
--- a/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-platform.fixtures.ts
@@ -8,6 +8,7 @@
   type EndpointSighting,
   type HostView,
   type OrderError,
+  type UpkeepOrder,
 } from '@valvelatch/core/batch';
 import {
   brand,
@@ -28,6 +29,8 @@
   type SimWorld,
 } from './sim-world.fixtures.js';
 
+/** What bounds an order for a wave that nobody has ordered. */
+const SIM_NO_WAVE: Pick<UpkeepOrder, 'maximum' | 'hosts'> = { maximum: Infinity, hosts: [] };
 const HOP_MS = 1;
 /** Where hosts are, and with them their endpoints. */
 export const SIM_DATA_CENTRES = [0, 1].map((index) => brand<DataCentreId>(`dc-${index}`));
@@ -449,8 +452,8 @@
           hostId,
           checkBudgets,
           (host) => {
-            const down = Array.from(hosts.values()).filter((one) => one.state === 'maintenance');
-            const maximum = waves.get(waveNumber)?.maximum ?? Infinity;
+            const { maximum, hosts: inWave } = waves.get(waveNumber) ?? SIM_NO_WAVE;
+            const down = inWave.filter((id) => hosts.get(id)?.state === 'maintenance');
             if (down.length >= maximum) breaks(`${hostId} goes down beside ${down.length} others`);
             maintained.add(`${waveNumber}/${hostId}`);
             relive({ ...host, state: 'maintenance' }, MAINTENANCE_MS);
