--- a/packages/core/src/batch/placement/inherited-tasks.ts
+++ b/packages/core/src/batch/placement/inherited-tasks.ts
@@ -13,7 +13,7 @@
 } from '../model/state.js';
 
 /**
- * Tells whether tasks of a step may still run unheard. A task of an earlier holder may be on an endpoint that has not
+ * Tells whether tasks of a step may still run where nobody has reported. A task of an earlier holder may be on an endpoint that has not
  * reported yet, or on one that no list names: the list of endpoints loses some in an outage, and that of hosts may not
  * have been read. Only endpoints that may run the step are waited for.
  *
@@ -60,7 +60,7 @@
 };
 
 /**
- * Announces the first starts of inherited tasks, where an endpoint may have crashed under them unheard.
+ * Announces the first starts of inherited tasks, where an endpoint may have crashed under them unreported.
  *
  * @param state - All that is known, changed in place.
  * @param step - The step.
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -36,8 +36,8 @@
 } from '../model/state.js';
 
 /**
- * A turn is bounded: after so many steps that fit nowhere, the smaller ones behind them wait for
- * the next turn.
+ * A pass is bounded: after so many steps that fit nowhere, the smaller ones behind them wait for
+ * the next pass.
  */
 const MAX_MISFITS_PER_CYCLE = 40;
 /** A step that fitted nowhere is tried again everywhere after this time, and before it where room came free. */
