--- a/packages/core/src/batch/accounts/pool-shares.test.ts
+++ b/packages/core/src/batch/accounts/pool-shares.test.ts
@@ -63,9 +63,6 @@
     shareInTime(jobs.filter((job) => isOther(job) && job.client.pool === name)),
   );
 
-/** What overload may leave of the goodput, by the stated target. */
-const STATED_GOODPUT = 0.9;
-
 const mean = (values: readonly number[]): number =>
   values.reduce((sum, one) => sum + one, 0) / values.length;
 
@@ -81,7 +78,8 @@
 describe('an account that hands in many times its weight into one of four pools', () => {
   it.each([5, 20])('at %s times its weight leaves the other pools what they are owed', (factor) => {
     const kept = keptByOthers(factor, false);
-    expect(mean(kept)).toBeGreaterThanOrEqual(STATED_GOODPUT);
+    expect(Math.min(...kept)).toBeGreaterThanOrEqual(0.88);
+    expect(mean(kept)).toBeGreaterThanOrEqual(0.96);
   });
 
   it.each([5, 20])('at %s times its weight is refused what others are not', (factor) => {
@@ -95,6 +93,7 @@
 
   it('costs others no more in time where its excess is refused', () => {
     const kept = keptByOthers(20, true);
-    expect(mean(kept)).toBeGreaterThanOrEqual(STATED_GOODPUT);
+    expect(Math.min(...kept)).toBeGreaterThanOrEqual(0.88);
+    expect(mean(kept)).toBeGreaterThanOrEqual(0.96);
   });
 });
--- a/packages/core/src/batch/jobs/burst.test.ts
+++ b/packages/core/src/batch/jobs/burst.test.ts
@@ -56,9 +56,6 @@
 const refusalsIn = ({ jobs }: PlayedFleet): number =>
   jobs.reduce((sum, { refusals }) => sum + refusals, 0);
 
-/** What overload may leave of the goodput, by the stated target. */
-const STATED_GOODPUT = 0.9;
-
 // Without admission control all are accepted; 0.51 to 0.54 of them are in time at twice the capacity, 0.21 to 0.22 at
 // five times.
 describe.each([
@@ -74,12 +71,17 @@
 
     it('is served in time as far as it is accepted at its first attempt', () => {
       const first = ofBurst(refusing).filter((job) => job.isAccepted && job.refusals === 0);
-      expect(shareInTime(first)).toBeGreaterThanOrEqual(STATED_GOODPUT);
-      expect(shareInTime(ofBurst(accepting))).toBeLessThan(shareInTime(first));
+      expect(shareInTime(first)).toBeGreaterThanOrEqual(0.95);
+      expect(shareInTime(ofBurst(accepting))).toBeLessThan(0.55);
+    });
+
+    it('is refused before it can miss its time: three quarters of what is accepted are in time from the first attempt', () => {
+      const accepted = ofBurst(refusing).filter(({ isAccepted }) => isAccepted);
+      expect(shareInTime(accepted)).toBeGreaterThanOrEqual(0.75);
     });
 
     it('leaves the goodput at 0.9 of the capacity or more', () => {
-      expect(goodputOf(refusing)).toBeGreaterThanOrEqual(STATED_GOODPUT);
+      expect(goodputOf(refusing)).toBeGreaterThanOrEqual(0.9);
     });
 
     it('runs nothing of a job that is refused', () => {
