--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -141,6 +141,16 @@
     return entry;
   };
 
+  const killAll = () => {
+    for (const { child, isEnded } of entries.values()) if (!isEnded) child.kill('SIGKILL');
+  };
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+    process.once(signal, () => {
+      killAll();
+      process.exit(2);
+    });
+  process.on('exit', killAll);
+
   return {
     start,
     entries,
