Review case 2: another script, of jobs that never began

The new one shows jobs as failed of which no task was ever started.

Run: sh review/2/run.sh, five times one after the other, and once with TROUBLE=0; before that five copies side by side.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,7 +1,8 @@
 /* eslint-disable */
 /**
- * One job with one long task. The executor that runs it crashes four times in the course of a minute, each time
- * another one of eight, and comes back 4.5 s later. No run ever ends `failed`. The job has to be run to its end.
+ * A pool is full, and twelve jobs wait in its queue. One executor, on which no task of these jobs ever ran, is lost for
+ * good, and then the process that holds control is killed eight times, 5 s apart. No task of the waiting jobs has been
+ * started by then. None of them may be shown as `failed`, and each has to be run once there is room.
  */
 import path from 'node:path';
 import process from 'node:process';
@@ -11,22 +12,19 @@
 const TROUBLE = process.env.TROUBLE !== '0';
 const CAPACITY = { cpu: 32000, memMb: 131072, gpu: 0 };
 const ZONES = ['hall-bhuj', 'hall-anjar', 'hall-rapar', 'hall-mandvi'];
-const TASK_MS = 25_000;
-const CRASHES = 4;
-const CRASH_FOR_MS = 4500;
-/** An executor that runs the task crashes once it has run it for so long. */
-const RUNS_FOR_MS = 6000;
+const WAITING_JOBS = 12;
+const KILLS = 8;
+const KILL_GAP_MS = 5000;
+const RESTART_MS = 500;
+const FILLING_MS = 60_000;
 
 const world = await startWorld({
   recordPath: path.join(import.meta.dirname, 'record.txt'),
   zones: ZONES,
-  pools: [
-    { name: 'routing', count: 8, capacity: CAPACITY, zones: ZONES },
-    { name: 'convoy', count: 8, capacity: CAPACITY, zones: ZONES },
-  ],
-  routes: [{ name: 'r-long', pathPrefix: '/routing/', service: 'routing' }],
+  pools: [{ name: 'convoy', count: 8, capacity: CAPACITY, zones: ZONES }],
+  routes: [{ name: 'r-convoy', pathPrefix: '/convoy/', service: 'convoy' }],
 });
-const { record, nowS, fleet } = world;
+const { record, nowS, fleet, deployment } = world;
 
 const finish = async (code, verdict) => {
   record('verdict', { code, verdict });
@@ -34,53 +32,86 @@
   await world.close();
   process.exit(code);
 };
-
 const unusable = (why) => finish(2, `the case couldn't run: ${why}`);
 setTimeout(() => void unusable('it took too long'), 115_000).unref();
 
 if (!(await world.untilReady(20_000))) await unusable('the entries are not ready');
 
-const job = await world.submit({
-  label: 'long',
-  prefix: '/routing/',
-  spec: 'long',
-  steps: [{ count: 1, cpu: 2000, memMb: 1000, estMs: TASK_MS }],
-  needsOf: () => ({ cpu: 2000, memMb: 1000, runMs: TASK_MS }),
-});
-if (job.status !== 200) await unusable(`the job got ${job.status}`);
+const submit = (label, cpu, runMs) =>
+  world.submit({
+    label,
+    prefix: '/convoy/',
+    spec: label,
+    steps: [{ count: 1, cpu, memMb: 1000, estMs: runMs }],
+    needsOf: () => ({ cpu, memMb: 1000, runMs }),
+  });
+
+// Each of these takes a whole executor, so that the jobs after them wait.
+const fullFromS = nowS();
+const filling = await Promise.all(
+  Array.from({ length: 8 }, () => submit('filling', 30_000, FILLING_MS)),
+);
+await sleep(1500);
+const waiting = await Promise.all(
+  Array.from({ length: WAITING_JOBS }, () => submit('waiting', 8000, 1000)),
+);
+if ([...filling, ...waiting].some(({ status }) => status !== 200))
+  await unusable('a job was not accepted');
+await sleep(1500);
 
-const machineOfTask = () =>
-  [...fleet.machines.values()].find(({ executor }) =>
-    [...(executor?.runs.keys() ?? [])].some((task) => task.startsWith(`${job.jobId}.`)),
+if (TROUBLE) {
+  const machine = [...fleet.machines.values()].find(
+    ({ executor }) => executor && executor.runs.size > 0,
   );
+  fleet.crash(machine, undefined);
+  record('executor-lost', { machine: machine.name });
+  await sleep(2500);
+  for (let number = 1; number <= KILLS; number += 1) {
+    const name = world.holder();
+    const entry = deployment.entries.get(name);
+    if (!entry || entry.isEnded) await unusable(`${name} holds control and doesn't run`);
+    record('node-kill', { entry: name, number });
+    entry.child.kill('SIGKILL');
+    await entry.ended;
+    await sleep(RESTART_MS);
+    deployment.start(
+      world.machinesOfEntries.find((one) => one.name === name),
+      false,
+    );
+    await sleep(KILL_GAP_MS - RESTART_MS);
+  }
+}
 
-let states = [];
-const watch = async () => {
-  const { state } = await world.ask(job);
-  if (states.at(-1) !== state) states = [...states, state];
-  return state;
+/** The jobs of which no executor has been told to start a task. */
+const neverStarted = () => {
+  const begun = new Set(world.starts.map(({ task }) => task.split('.')[0]));
+  return waiting.filter(({ jobId }) => !begun.has(jobId));
 };
-
-let crashes = 0;
-const endAtS = nowS() + 100;
-while (nowS() < endAtS) {
-  const state = await watch();
-  if (state === 'completed' || state === 'failed') break;
-  const machine = machineOfTask();
-  const run =
-    machine && [...machine.executor.runs.values()].find(({ task }) => task.startsWith(job.jobId));
-  if (TROUBLE && run && crashes < CRASHES && performance.now() - run.startedAtMs > RUNS_FOR_MS) {
-    crashes += 1;
-    fleet.crash(machine, CRASH_FOR_MS);
-    record('executor-crashes', { machine: machine.name, number: crashes, forMs: CRASH_FOR_MS });
+const failedUnstarted = new Set();
+const watch = async () => {
+  const unstarted = neverStarted();
+  for (const job of unstarted) {
+    const { state } = await world.ask(job);
+    if (state === 'failed') failedUnstarted.add(job.jobId);
   }
-  await sleep(500);
+  return unstarted.length;
+};
+const unstartedThen = await watch();
+// The filling jobs end, and there is room for all that waits.
+const endAtS = fullFromS + FILLING_MS / 1000 + 20;
+const isOpen = () =>
+  waiting.some(({ jobId }) => !failedUnstarted.has(jobId) && !world.taskDone.has(`${jobId}.0.0.0`));
+while (nowS() < endAtS && isOpen()) await sleep(500);
+await sleep(5000);
+await watch();
+const states = {};
+for (const job of waiting) {
+  const { state } = await world.ask(job);
+  states[state] = (states[state] ?? 0) + 1;
 }
-await sleep(3000);
-const state = await watch();
-const startsOfJob = world.starts.filter(({ task }) => task.startsWith(job.jobId)).length;
-const failedEnds = world.failedEnds();
-const facts = `${startsOfJob} starts, ${crashes} crashes of the executor that ran the task, ${failedEnds} ends 'failed'; states shown: ${states.join(', ')}`;
-const isBroken = state === 'failed' && failedEnds === 0;
-if (!isBroken && state !== 'completed') await unusable(`the job ends as ${state}; ${facts}`);
+const facts =
+  `${unstartedThen} jobs had no start when they were first asked for; ${failedUnstarted.size} jobs are shown as failed without a ` +
+  `single start, ${world.failedEnds()} runs ended 'failed'; at the end: ${JSON.stringify(states)}`;
+const isBroken = failedUnstarted.size > 0 && world.failedEnds() === 0;
+if (!isBroken && states.completed !== WAITING_JOBS) await unusable(facts);
 await finish(isBroken ? 1 : 0, `${isBroken ? 'LOST is broken' : 'LOST held'}: ${facts}`);
