Log each announced start, and each one that counts as a crash

Nothing in the log told an announced start from one that was ordered, nor which announced start was counted against a task: the only line was job-ended with the sum.

start-announced names the task, its run and the crashes counted so far; announced-start-lost the announced start of an earlier holder that is counted as one more crash. No logic is changed.

--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -62,7 +62,14 @@
 export const announceTrials = (state: BatchState, step: StepRun, tasks: readonly Task[]): void => {
   const { job } = step;
   const run = nextRunNumber(state.fence, Math.max(...tasks.map(({ lastRun }) => lastRun)));
-  tasks.forEach((task) => change(task, { trial: { run, isInherited: false } }));
+  tasks.forEach((task) => {
+    change(task, { trial: { run, isInherited: false } });
+    state.effects.push({
+      kind: 'note',
+      event: 'start-announced',
+      fields: { task: task.key, run, crashes: task.crashes.length },
+    });
+  });
   change(job, { crashRecordRevision: job.crashRecordRevision + 1 });
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
 };
@@ -92,7 +99,7 @@
     return isLost ? [{ task, run }] : [];
   });
   if (lost.length === 0) return;
-  lost.forEach(({ task, run }) =>
+  lost.forEach(({ task, run }) => {
     change(task, {
       crashes: [
         ...task.crashes,
@@ -107,8 +114,13 @@
           countedAtMs: Math.round(nowMs + state.wallClockOffsetMs),
         },
       ],
-    }),
-  );
+    });
+    state.effects.push({
+      kind: 'note',
+      event: 'announced-start-lost',
+      fields: { task: task.key, run, crashes: task.crashes.length },
+    });
+  });
   change(job, { crashRecordRevision: job.crashRecordRevision + 1 });
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
 };
