An announced start names its endpoint, and counts as a crash only if that is gone

Cause: a holder that finds a host down announces the first start of each inherited task in its job's row before there is room for it. The row told neither where the run was to start nor whether it was ever ordered, and the next holder counted each announced start that no endpoint reports as a crash. With a full pool nothing is ordered, so each change of the holder adds one.

Ruled out: an order that was sent and lost (the executors would have a run or a call; the pool had no room), a crash of the lost executor under these tasks (they were accepted before and never placed).

Change: the endpoint is chosen first; the run takes its capacity as 'announced', the row names run and endpoint, and the order is sent once that is written. The next holder withdraws an announced start whose endpoint answers with a complete list that lacks the run (it takes no order under the old fence any more), and counts it only if the endpoint does not answer, as before. A run that was not ordered is withdrawn, not stopped, and counts as no crash if its endpoint is gone. A start that is known not to have crashed its endpoint leaves the row again, as a later holder might find that endpoint gone. A scheduling pass follows the write at once. Members of a gang are ordered all together or none.

Two tests in isolation.test.ts change. 'has the announced start counted as a crash if no endpoint reports the run' asserted the fault: the endpoint that was to start the run answered without it. The next holder hears all others now, and the bound is the same; the form that it had is the new test beside it, with the opposite verdict. 'limit per endpoint' lets the row be written once more before the second suspect's start, which needs its endpoint in the row; where the tasks end up is checked as before.

--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -141,13 +141,13 @@
 };
 
 /**
- * Lists the runs on an endpoint as of its last report.
+ * Lists the runs that an endpoint was ordered to start, as of its last report.
  *
  * @param endpoint - The endpoint.
  * @returns Its runs, including those that have been given up since.
  */
 export const lastReportedRuns = ({ runs, expiredRuns }: EndpointState): readonly RunState[] => [
-  ...runs.values(),
+  ...Array.from(runs.values()).filter(({ phase }) => phase !== 'announced'),
   ...expiredRuns,
 ];
 
--- a/packages/core/src/batch/crashes/isolation.test.ts
+++ b/packages/core/src/batch/crashes/isolation.test.ts
@@ -141,11 +141,13 @@
   });
 
   describe('and whose start a lost holder had announced', () => {
-    const takeOver = (): BatchState => {
+    /** The next holder hears all endpoints but the one that was to start the task. */
+    const takeOver = () => {
       const before = afterCrash();
       markRowsWritten(before);
       schedulePool(before, POOL, 1010);
       const job = before.jobs.get(SUSPECT) as JobState;
+      const named = tasksOf(before, SUSPECT)[0]?.trial?.endpointId as EndpointId;
       const state = createBatchState(3);
       restoreJob(state, {
         job: job.job,
@@ -154,26 +156,44 @@
         nowMs: 2000,
         wallClockMs: 2000,
       });
-      addEndpoint(state, SECOND, 2000);
-      reportRunning(state, SECOND, 2010);
-      return state;
+      [SECOND, THIRD]
+        .filter((endpointId) => endpointId !== named)
+        .forEach((endpointId) => {
+          addEndpoint(state, endpointId, 2000);
+          reportRunning(state, endpointId, 2010);
+        });
+      return { state, named };
     };
 
+    const crashesOf = (state: BatchState) => tasksOf(state, SUSPECT)[0]?.crashes;
+
     it('has the announced start counted as a crash if no endpoint reports the run', () => {
-      const state = takeOver();
+      const { state } = takeOver();
       scheduleAfterWrites(state, 2020);
-      expect(tasksOf(state, SUSPECT)[0]?.crashes).toMatchObject([
+      expect(crashesOf(state)).toMatchObject([
         { isSuspected: true },
         { isConfirmed: false, isSuspected: true, fence: 3 },
       ]);
     });
 
     it('has no crash counted while an endpoint that may run it has not answered', () => {
-      const state = takeOver();
+      const { state, named } = takeOver();
       state.inheritedLeasesEndAtMs = 9000;
-      addPendingReports(state, [{ instanceId: instanceIdOf(THIRD), pool: POOL }]);
+      addPendingReports(state, [{ instanceId: instanceIdOf(named), pool: POOL }]);
       scheduleAfterWrites(state, 2020);
-      expect(tasksOf(state, SUSPECT)[0]?.crashes).toHaveLength(1);
+      expect(crashesOf(state)).toHaveLength(1);
+    });
+
+    it('has no crash counted for a start that was never sent, as its endpoint answers without the run', () => {
+      const { state, named } = takeOver();
+      addEndpoint(state, named, 2000);
+      reportRunning(state, named, 2015);
+      crash(state, named, 2018);
+      scheduleAfterWrites(state, 2020);
+      expect(crashesOf(state)).toHaveLength(1);
+      const [step] = state.jobs.get(SUSPECT)?.occurrences.get(0)?.steps ?? [];
+      expect(placesOf(state, SUSPECT)).toHaveLength(1);
+      expect(step?.tasks[0]?.trial).toMatchObject({ run: 3001, isInherited: false });
     });
   });
 
@@ -222,7 +242,7 @@
     [1040, 1400].forEach((nowMs) =>
       [THIRD, FOURTH].forEach((id) => reportRunning(state, id, nowMs)),
     );
-    schedulePool(state, POOL, 1410);
+    scheduleAfterWrites(state, 1410);
     expect(new Set(placesOf(state, SUSPECT))).toEqual(new Set([THIRD, FOURTH]));
   });
 
--- a/packages/core/src/batch/crashes/losses-before-takeover.ts
+++ b/packages/core/src/batch/crashes/losses-before-takeover.ts
@@ -15,7 +15,6 @@
   type StepRun,
   type Task,
 } from '../model/state.js';
-import { firstRunNumber } from '../endpoints/runs.js';
 
 /**
  * Crashes are looked for up to this long before a takeover: a host is back some seconds after a crash, and a takeover
@@ -67,14 +66,10 @@
  * Tells whether the next start of a task is the first one by this holder, and an earlier holder may have started the
  * task before.
  *
- * @param state - The batch state.
  * @param step - The task's step.
  * @param task - The task.
  * @returns True if the start must be announced first, provided that the pool may have lost an endpoint before the
  *   takeover.
  */
-export const isFirstStartOfInheritedTask = (
-  { fence }: BatchState,
-  { job }: StepRun,
-  { lastRun }: Task,
-): boolean => job.isInherited && lastRun < firstRunNumber(fence);
+export const isFirstStartOfInheritedTask = ({ job }: StepRun, { isOrdered }: Task): boolean =>
+  job.isInherited && !isOrdered;
--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -1,14 +1,18 @@
 /**
  * Announced starts, which the code calls trials: starts of tasks under which endpoints crashed or may have crashed.
- * Each is written to the job's row before it is ordered. If the control holder is lost before it can record that the
- * next endpoint crashed as well, the row still holds the announced start, and the next holder counts it as a crash
- * unless an endpoint reports what became of the run.
+ * Each is written to the job's row, with the endpoint that is to start the run, before it is ordered. If the control
+ * holder is lost before it can record that this endpoint crashed as well, the row still names the start. The next holder
+ * counts it as a crash if the endpoint is gone. If the endpoint answers and knows nothing of the run, the order was never
+ * carried out, and the start is withdrawn.
  */
 import { change } from '../../shared/change.js';
+import type { EndpointId } from '../../shared/ids.js';
+import { findOpenTrial, withdrawTrial } from './announced-start-record.js';
 import { hasSurvivedObservation } from './endpoint-crashes.js';
-import { nextRunNumber } from '../endpoints/runs.js';
+import type { TaskKey } from '../model/job.js';
 import type {
   BatchState,
+  EndpointCrash,
   EndpointState,
   JobState,
   RunState,
@@ -16,30 +20,6 @@
   Task,
 } from '../model/state.js';
 
-/** Tells whether the end of a run, or of a later run of the task, is known. */
-const hasKnownEnd = ({ lastEnd, crashes }: Task, run: number): boolean =>
-  (lastEnd?.run ?? 0) >= run || crashes.some((crash) => crash.run >= run);
-
-/**
- * Returns the announced start of a task if the end of its run is not known.
- *
- * @param task - The task.
- * @returns The run number; undefined if there is no such start.
- */
-export const findOpenTrialRun = (
-  task: Pick<Task, 'trial' | 'lastEnd' | 'crashes'>,
-): number | undefined =>
-  task.trial && !hasKnownEnd(task as Task, task.trial.run) ? task.trial.run : undefined;
-
-/**
- * Returns the run under which a task may be started because this holder announced the start.
- *
- * @param task - The task.
- * @returns The run number; undefined if the start must be announced first.
- */
-export const findAnnouncedRun = (task: Task): number | undefined =>
-  task.trial?.isInherited === false ? findOpenTrialRun(task) : undefined;
-
 /**
  * Tells whether all recorded crashes and announced starts are in the job's row, so that the next holder will know of
  * them.
@@ -52,40 +32,57 @@
   writtenCrashRecordRevision,
 }: JobState): boolean => writtenCrashRecordRevision >= crashRecordRevision;
 
+/** Starts of tasks of one step that are announced together. All get the same run number if the step is a gang. */
+export type Announcement = {
+  readonly step: StepRun;
+  readonly starts: readonly {
+    readonly task: Task;
+    readonly run: number;
+    readonly endpointId: EndpointId;
+  }[];
+};
+
 /**
- * Announces the next start of tasks in the row of their job. The tasks are not started until the row has been written.
+ * Announces starts in the row of their job. They must not be ordered until the row has been written.
  *
  * @param state - The batch state, changed in place.
- * @param step - Their step.
- * @param tasks - The tasks. All get the same run number, as the members of a gang must.
+ * @param announcement - The starts.
+ * @returns The revision of the job's crash records that has to be written first.
  */
-export const announceTrials = (state: BatchState, step: StepRun, tasks: readonly Task[]): void => {
-  const { job } = step;
-  const run = nextRunNumber(state.fence, Math.max(...tasks.map(({ lastRun }) => lastRun)));
-  tasks.forEach((task) => {
-    change(task, { trial: { run, isInherited: false } });
+export const announceTrials = (
+  state: BatchState,
+  { step: { job }, starts }: Announcement,
+): number => {
+  const revision = job.crashRecordRevision + 1;
+  change(job, { crashRecordRevision: revision });
+  starts.forEach(({ task, run, endpointId }) => {
+    change(task, { trial: { run, endpointId, revision, isInherited: false } });
     state.effects.push({
       kind: 'note',
       event: 'start-announced',
-      fields: { task: task.key, run, crashes: task.crashes.length },
+      fields: { task: task.key, run, endpoint: endpointId, crashes: task.crashes.length },
     });
   });
-  change(job, { crashRecordRevision: job.crashRecordRevision + 1 });
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
+  return revision;
 };
 
-/**
- * Restores a start that an earlier holder announced.
- *
- * @param task - The task, changed in place.
- * @param run - The run number.
- */
-export const restoreTrial = (task: Task, run: number): void =>
-  change(task, { trial: { run, isInherited: true }, lastRun: Math.max(task.lastRun, run) });
+/** The crash that is recorded for an announced start whose endpoint is gone. */
+const crashOfLostTrial = (state: BatchState, run: number, nowMs: number): EndpointCrash => ({
+  run,
+  livedMs: 0,
+  isConfirmed: false,
+  isSuspected: true,
+  isSoleSuspect: true,
+  isCorrelated: false,
+  fence: state.fence,
+  countedAtMs: Math.round(nowMs + state.wallClockOffsetMs),
+});
 
 /**
- * Counts as crashes those inherited announced starts of a step that no endpoint reports, because the endpoint that
- * started the run must be gone. To be called only after all endpoints that may run the step have answered.
+ * Counts as crashes those inherited announced starts of a step that no endpoint reports and whose endpoint has not
+ * answered this holder, because it must be gone. To be called only after all endpoints that may run the step have
+ * answered.
  *
  * @param state - The batch state, changed in place.
  * @param step - The step.
@@ -93,38 +90,55 @@
  */
 export const countLostTrials = (state: BatchState, step: StepRun, nowMs: number): void => {
   const { job, tasks } = step;
+  const hasAnswered = (endpointId: EndpointId | null): boolean =>
+    endpointId !== null && state.endpoints.get(endpointId)?.hasReported === true;
   const lost = tasks.flatMap((task) => {
-    const run = findOpenTrialRun(task);
-    const isLost = run !== undefined && task.trial?.isInherited && task.phase === 'waiting';
-    return isLost ? [{ task, run }] : [];
+    const trial = task.phase === 'waiting' ? findOpenTrial(task) : undefined;
+    return trial?.isInherited && !hasAnswered(trial.endpointId) ? [{ task, trial }] : [];
   });
   if (lost.length === 0) return;
-  lost.forEach(({ task, run }) => {
-    change(task, {
-      crashes: [
-        ...task.crashes,
-        {
-          run,
-          livedMs: 0,
-          isConfirmed: false,
-          isSuspected: true,
-          isSoleSuspect: true,
-          isCorrelated: false,
-          fence: state.fence,
-          countedAtMs: Math.round(nowMs + state.wallClockOffsetMs),
-        },
-      ],
-    });
+  lost.forEach(({ task, trial: { run, endpointId } }) => {
+    change(task, { crashes: [...task.crashes, crashOfLostTrial(state, run, nowMs)] });
     state.effects.push({
       kind: 'note',
       event: 'announced-start-lost',
-      fields: { task: task.key, run, crashes: task.crashes.length },
+      fields: {
+        task: task.key,
+        run,
+        endpoint: endpointId ?? undefined,
+        crashes: task.crashes.length,
+      },
     });
   });
   change(job, { crashRecordRevision: job.crashRecordRevision + 1 });
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
 };
 
+/**
+ * Withdraws the starts that an earlier holder announced for an endpoint and that the endpoint does not know: it was not
+ * ordered to start them, and it rejects late orders of earlier holders from its first answer on.
+ *
+ * @param state - The batch state, changed in place.
+ * @param endpointId - The endpoint that answered.
+ * @param listed - The tasks of all runs in its answer, which must be complete.
+ */
+export const withdrawUnknownTrials = (
+  state: BatchState,
+  endpointId: EndpointId,
+  listed: ReadonlySet<TaskKey>,
+): void => {
+  const inherited = state.inheritedTrials.get(endpointId);
+  if (!inherited) return;
+  state.inheritedTrials.delete(endpointId);
+  inherited.forEach(({ step, task }) => {
+    const trial = findOpenTrial(task);
+    if (!trial?.isInherited || task.phase !== 'waiting' || listed.has(task.key)) return;
+    const fields = { task: task.key, run: trial.run, endpoint: endpointId };
+    state.effects.push({ kind: 'note', event: 'announced-start-withdrawn', fields });
+    withdrawTrial(state, step, task, trial.run);
+  });
+};
+
 /**
  * Removes the announced start of a run once its endpoint has been alive with it for the observation period: a later
  * crash is no longer conclusive.
@@ -135,7 +149,6 @@
  */
 export const closeTrial = (state: BatchState, endpoint: EndpointState, run: RunState): void => {
   const { task, step } = run;
-  if (task.trial?.run !== run.run || !hasSurvivedObservation(endpoint, run)) return;
-  change(task, { trial: null });
-  state.effects.push({ kind: 'save', jobId: step.job.job.jobId, isUrgent: false });
+  if (!hasSurvivedObservation(endpoint, run)) return;
+  withdrawTrial(state, step, task, run.run);
 };
--- a/packages/core/src/batch/endpoints/gone-endpoints.ts
+++ b/packages/core/src/batch/endpoints/gone-endpoints.ts
@@ -19,6 +19,7 @@
 import { failJobIfCrashing } from '../jobs/crashing-jobs.js';
 import { endRunWithoutReport } from './unreported-runs.js';
 import { chargeUnexpectedRuns } from '../accounts/quota.js';
+import { withdrawRun } from './runs.js';
 import { recordRunEnd, type LogFields, type RunEvidence } from './run-end.js';
 import {
   isFinal,
@@ -34,7 +35,8 @@
 
 /**
  * Marks an endpoint as gone. It gets no new tasks and its capacity no longer counts. Tasks that ran there, and
- * inherited tasks that may have run there, wait until `giveUpRunsOfGoneEndpoints` gives their runs up.
+ * inherited tasks that may have run there, wait until `giveUpRunsOfGoneEndpoints` gives their runs up. Runs that were not
+ * ordered yet are withdrawn at once.
  *
  * @param state - The holder's batch state, modified in place.
  * @param endpointId - The endpoint.
@@ -54,6 +56,9 @@
   const instanceId = instanceIdOf(endpointId);
   if (state.currentIncarnations.get(instanceId) === endpoint)
     state.currentIncarnations.delete(instanceId);
+  Array.from(endpoint.runs.values())
+    .filter(({ phase }) => phase === 'announced')
+    .forEach((run) => withdrawRun(state, endpoint, run, nowMs));
   endpoint.runs.forEach(({ step, task }) => {
     if (step.spec.isLasting && task.unavailableSinceMs === 0)
       change(task, { unavailableSinceMs: nowMs });
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -21,7 +21,7 @@
   type Task,
 } from '../model/state.js';
 import { recordTaskSuccess, recordTaskFailure } from './endpoint-health.js';
-import { closeTrial } from '../crashes/trials.js';
+import { closeTrial, withdrawUnknownTrials } from '../crashes/trials.js';
 
 /** How a run ended, as reported by the endpoint. */
 export type RunEndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
@@ -260,7 +260,10 @@
     return [];
   });
   chargeUnexpectedRuns(state, endpoint, unexpectedRuns);
-  if (!hasMoreEnds) endUnlistedRuns(state, endpoint, listed, times);
+  if (!hasMoreEnds) {
+    endUnlistedRuns(state, endpoint, listed, times);
+    withdrawUnknownTrials(state, endpointId, listed);
+  }
   recordAnswered(state, endpoint, nowMs);
   change(endpoint, { hasReported: true, reportedAtMs: requestedAtMs, expiredRuns: [] });
   poolOf(state, endpoint.pool).unreportedInstances.delete(instanceIdOf(endpointId));
--- a/packages/core/src/batch/endpoints/run-end.ts
+++ b/packages/core/src/batch/endpoints/run-end.ts
@@ -3,6 +3,7 @@
  * this entry is certain to be the only holder.
  */
 import { change } from '../../shared/change.js';
+import { withdrawTrial } from '../crashes/announced-start-record.js';
 import type { TaskKey } from '../model/job.js';
 import {
   isFinal,
@@ -65,6 +66,13 @@
   change(task, { lastEnd: { run, countedAtMs } });
 };
 
+/** Causes that rule out that the run has crashed its endpoint: the endpoint answered afterwards, or was not ordered. */
+const CAUSES_WITHOUT_CRASH: ReadonlySet<RunEvidence['cause']> = new Set([
+  'reported',
+  'not-listed',
+  'start-refused',
+]);
+
 /** Options for a run that has ended. */
 export type RunEndOptions = {
   readonly endpoint: EndpointState;
@@ -122,6 +130,8 @@
   state.effects.push({ kind: 'note', event: 'run-ended', fields });
   if (taskWithStep) recordLastEnd(taskWithStep, run, nowMs);
   updateTask();
+  if (taskWithStep && CAUSES_WITHOUT_CRASH.has(evidence.cause))
+    withdrawTrial(state, taskWithStep.step, taskWithStep.task, run);
   change(fields, { next: nextForTask(taskWithStep) });
 };
 
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -144,7 +144,7 @@
   endpoint.runs.set(task.key, newRun);
   if (step.waiting.length === 0) poolOf(state, job.job.pool).openSteps.delete(step);
   if (phase === 'running') job.hasStarted = true;
-  if (job.phase === 'pending') job.phase = 'running';
+  if (job.phase === 'pending' && phase !== 'announced') job.phase = 'running';
   return newRun;
 };
 
@@ -230,7 +230,27 @@
 };
 
 /**
- * Orders an endpoint to stop a run. The capacity of the run stays taken until the endpoint lists its end.
+ * Removes an announced run that was not ordered, and puts its task back into the queue.
+ *
+ * @param state - The holder's batch state, modified in place.
+ * @param endpoint - The endpoint that was to start it.
+ * @param run - The run.
+ * @param nowMs - The current time.
+ */
+export const withdrawRun = (
+  state: BatchState,
+  endpoint: EndpointState,
+  run: RunState,
+  nowMs: number,
+): void => {
+  const evidence: RunEvidence = { cause: 'start-refused', atMs: nowMs, detail: 'not-sent' };
+  const updateTask = (): void => requeue(state, run.step, run.task);
+  dropRun(state, { endpoint, run, evidence, nowMs, updateTask });
+};
+
+/**
+ * Orders an endpoint to stop a run. The capacity of the run stays taken until the endpoint lists its end. A
+ * run that was not ordered yet is withdrawn instead.
  *
  * @param state - The holder's batch state, modified in place.
  * @param endpoint - The endpoint.
@@ -244,6 +264,10 @@
   reason: string,
 ): void => {
   if (run.phase === 'stopping') return;
+  if (run.phase === 'announced') {
+    withdrawRun(state, endpoint, run, state.clockMs);
+    return;
+  }
   change(run, { phase: 'stopping' });
   state.effects.push({
     kind: 'stop',
--- a/packages/core/src/batch/endpoints/stalled-runs.ts
+++ b/packages/core/src/batch/endpoints/stalled-runs.ts
@@ -69,7 +69,8 @@
     stopStalledRuns(state, endpoint, nowMs);
     if (nowMs < endpoint.leaseEndsAtMs || !isSoleHolder(state, nowMs)) return;
     const runs = Array.from(endpoint.runs.values()).filter(
-      (run) => !mayRunInUnreportedIncarnation(state, endpoint, run, nowMs),
+      (run) =>
+        run.phase !== 'announced' && !mayRunInUnreportedIncarnation(state, endpoint, run, nowMs),
     );
     if (runs.length === 0) return;
     const { endpointId, leaseEndsAtMs: atMs } = endpoint;
--- a/packages/core/src/batch/jobs/job-factory.ts
+++ b/packages/core/src/batch/jobs/job-factory.ts
@@ -22,6 +22,7 @@
   phase: 'waiting',
   failedRuns: [],
   lastRun: 0,
+  isOrdered: false,
   isLocated: false,
   lastEnd: null,
   checkpoint: '',
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -3,11 +3,11 @@
  * job from them. Starts of tasks are not stored, since endpoints report what they run.
  */
 import { change } from '../../shared/change.js';
-import type { AccountName } from '../../shared/ids.js';
+import type { AccountName, EndpointId } from '../../shared/ids.js';
 import { addOccurrence, createJobState } from './job-factory.js';
 import { startDueOccurrences, endJob, completeTask } from './job-lifecycle.js';
 import { giveUpReason } from '../crashes/endpoint-crashes.js';
-import { restoreTrial, findOpenTrialRun } from '../crashes/trials.js';
+import { restoreTrial, findOpenTrial } from '../crashes/announced-start-record.js';
 import type { BatchJob, FinalPhase, QueuePolicy } from '../model/job.js';
 import {
   isFinal,
@@ -39,8 +39,11 @@
   readonly failed?: readonly (readonly [number, readonly number[]])[];
   /** Pairs of a task index and the crashes of endpoints that ran the task. */
   readonly crashes?: readonly (readonly [number, readonly EndpointCrash[]])[];
-  /** Pairs of a task index and the announced run of a task that endpoints crashed under: it may have started. */
-  readonly trials?: readonly (readonly [number, number])[];
+  /**
+   * The index of each task with an announced start, the run, which may have started, and the endpoint that was to start
+   * it, which rows of earlier builds do not name.
+   */
+  readonly trials?: readonly (readonly [number, number, EndpointId?])[];
 };
 
 /** The progress row: step progress by occurrence number and step number. Steps without progress are left out. */
@@ -69,8 +72,12 @@
     .filter((task) => task.crashes.length > 0)
     .map((task) => [task.index, task.crashes] as const);
   const trials = step.tasks.flatMap((task) => {
-    const run = findOpenTrialRun(task);
-    return run === undefined ? [] : [[task.index, run] as const];
+    const trial = findOpenTrial(task);
+    if (!trial) return [];
+    const { run, endpointId } = trial;
+    return [
+      endpointId === null ? ([task.index, run] as const) : ([task.index, run, endpointId] as const),
+    ];
   });
   const isEmpty = [failed, crashes, trials].every(({ length }) => length === 0);
   if (step.doneCount === 0 && isEmpty) return undefined;
@@ -155,11 +162,9 @@
     const task = step.tasks[index];
     if (task) restoreCrashes(state, step, task, crashesOfTask);
   });
-  trials.forEach(([index, run]) => {
+  trials.forEach(([index, run, endpointId = null]) => {
     const task = step.tasks[index];
-    if (!task) return;
-    restoreTrial(task, run);
-    state.suspectJobs.add(step.job);
+    if (task) restoreTrial(state, step, task, { run, endpointId });
   });
   step.tasks.forEach((task) => {
     if (isBitSet(done, task.index)) completeTask(state, step, task);
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -16,10 +16,13 @@
   readonly task: Task;
   readonly step: StepRun;
   readonly run: number;
-  /** `unsure`: the order to start the run was not answered. */
-  phase: 'starting' | 'running' | 'unsure' | 'stopping';
-  /** When the run was added here. */
-  readonly startedAtMs: number;
+  /**
+   * `announced`: the start is being written to the job's row, and no order was sent. `unsure`: the order to start the run
+   * was not answered.
+   */
+  phase: 'announced' | 'starting' | 'running' | 'unsure' | 'stopping';
+  /** When the run was added here, or ordered if its start was announced. */
+  startedAtMs: number;
   /** When the endpoint confirmed the run; infinite before that. */
   confirmedAtMs: number;
   /** The time by which the run had certainly started; infinite while that is not known. */
@@ -40,6 +43,19 @@
   progressAtMs: number;
 };
 
+/** Starts of tasks of one step that were announced together, and are ordered together once the job's row names them. */
+export type AnnouncedStarts = {
+  readonly step: StepRun;
+  /** The `crashRecordRevision` of the job with which its row names the starts. */
+  readonly revision: number;
+  readonly runs: readonly {
+    readonly endpoint: EndpointState;
+    readonly run: RunState;
+    /** Why the endpoint was chosen. */
+    readonly reason: string;
+  }[];
+};
+
 /** The failure domains of an endpoint; null for a rack or a data centre without a name. */
 export type EndpointDomains = {
   readonly rack: DomainId | null;
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -15,6 +15,8 @@
   failedRuns: readonly number[];
   /** The highest run number used so far. */
   lastRun: number;
+  /** This holder has sent an order to start the task. */
+  isOrdered: boolean;
   /**
    * An endpoint reported a run of the task at a time when no earlier holder could send orders any more. That run was
    * therefore the only one, and every later run was ordered by this holder.
@@ -40,6 +42,10 @@
 /** An announced start: one that is written to the job's row before it is ordered. */
 export type Trial = {
   readonly run: number;
+  /** The endpoint that is to start the run; null in rows that do not name it. */
+  readonly endpointId: EndpointId | null;
+  /** The `crashRecordRevision` of the job with which its row names the start. */
+  readonly revision: number;
   /** An earlier holder announced the start, so the run may have started. */
   readonly isInherited: boolean;
 };
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -15,13 +15,14 @@
 } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import type {
+  AnnouncedStarts,
   EndpointState,
   GoneEndpoint,
   UnansweredStart,
   RecentCrash,
 } from './endpoint-state.js';
 import type { BatchPhase, TaskKey } from './job.js';
-import type { JobState, StepRun } from './job-state.js';
+import type { JobState, StepRun, Task } from './job-state.js';
 import { createDemand, type Demand } from '../pools/demand.js';
 import { createDemandPeakHistory, type DemandPeakHistory } from '../pools/demand-peaks.js';
 import type { AccountLimits } from './accounts.js';
@@ -67,6 +68,8 @@
   readonly name: PoolName;
   /** The steps whose tasks may start. */
   readonly openSteps: Set<StepRun>;
+  /** The announced starts that are not ordered yet. */
+  readonly announcedStarts: Set<AnnouncedStarts>;
   readonly ranking: PoolRanking;
   readonly demand: Demand;
   forecast: PoolForecast;
@@ -171,6 +174,8 @@
   readonly peaks: DemandPeakHistory;
   /** The jobs with occurrences that are still to come. */
   readonly recurringJobs: Set<JobState>;
+  /** The tasks whose starts an earlier holder announced for an endpoint that has not listed its runs to this holder. */
+  readonly inheritedTrials: Map<EndpointId, { readonly step: StepRun; readonly task: Task }[]>;
   /** The jobs that have not ended and have tasks under which endpoints crashed or may have crashed. */
   readonly suspectJobs: Set<JobState>;
   /** The limits of the accounts in the newest configuration. */
@@ -232,6 +237,7 @@
   runTimes: createRunTimes(),
   peaks: createDemandPeakHistory(),
   recurringJobs: new Set(),
+  inheritedTrials: new Map(),
   suspectJobs: new Set(),
   accounts: new Map(),
   formerAccounts: new Map(),
@@ -269,6 +275,7 @@
   const created: PoolState = {
     name,
     openSteps: new Set(),
+    announcedStarts: new Set(),
     ranking: { shortlist: [], openedSteps: [], rankedAtMs: -Infinity },
     demand: createDemand(),
     forecast: { joiningCpu: 0, freeCpu: 0, reclaimedCpu: 0 },
--- a/packages/core/src/batch/placement/inherited-tasks.ts
+++ b/packages/core/src/batch/placement/inherited-tasks.ts
@@ -1,11 +1,6 @@
-/**
- * Inherited tasks, which belong to jobs that an earlier holder accepted: which of them may start, and which starts must
- * be written to the job's row first.
- */
+/** Inherited tasks, which belong to jobs that an earlier holder accepted: which of them may start. */
 import type { InstanceId } from '../../shared/ids.js';
-import { isFirstStartOfInheritedTask } from '../crashes/losses-before-takeover.js';
 import { waitingSuspects } from '../crashes/isolation.js';
-import { findAnnouncedRun, announceTrials, areCrashRecordsWritten } from '../crashes/trials.js';
 import { mayRunInheritedTask } from '../endpoints/schedulable-endpoints.js';
 import {
   isSoleHolder,
@@ -64,27 +59,3 @@
   if (!startedTogether.every(({ isLocated }) => isLocated)) return [];
   return waiting.filter(({ isLocated }) => isLocated);
 };
-
-/**
- * Announces the first starts of inherited tasks in the rows of their jobs, in case an endpoint crashed while running
- * them and the earlier holder could not record that.
- *
- * @param state - The batch state, changed in place.
- * @param step - The step.
- * @param tasks - The waiting tasks of the step that may start.
- * @returns The tasks that may start now: their start is written to the job's row, or need not be.
- */
-export const announceInheritedStarts = (
-  state: BatchState,
-  step: StepRun,
-  tasks: readonly Task[],
-): readonly Task[] => {
-  const needsAnnouncement = (task: Task): boolean => isFirstStartOfInheritedTask(state, step, task);
-  const unannounced = tasks.filter(
-    (task) => needsAnnouncement(task) && findAnnouncedRun(task) === undefined,
-  );
-  if (unannounced.length > 0) announceTrials(state, step, unannounced);
-  return areCrashRecordsWritten(step.job)
-    ? tasks
-    : tasks.filter((task) => !needsAnnouncement(task));
-};
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -5,20 +5,29 @@
 import type { EndpointId, PoolName } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import { lazy } from '../../shared/lazy.js';
-import { admittedEndpoints, ticketOf, requestAdvice } from './advice.js';
+import { admittedEndpoints, requestAdvice } from './advice.js';
 import { failJobIfCrashing } from '../jobs/crashing-jobs.js';
 import { sortByRank, listRankedSteps } from './ranking.js';
-import { logTaskRestart } from '../endpoints/run-end.js';
-import { mayHaveLostEndpoints } from '../crashes/losses-before-takeover.js';
-import { findAnnouncedRun, announceTrials, countLostTrials } from '../crashes/trials.js';
-import { announceInheritedStarts, awaitsReports, startableTasks } from './inherited-tasks.js';
+import {
+  isFirstStartOfInheritedTask,
+  mayHaveLostEndpoints,
+} from '../crashes/losses-before-takeover.js';
+import { countLostTrials } from '../crashes/trials.js';
+import { awaitsReports, startableTasks } from './inherited-tasks.js';
+import {
+  announceStarts,
+  orderAnnouncedStarts,
+  startRun,
+  type Start,
+  type StartContext,
+} from './starts.js';
 import { isRankedWithinShare } from '../accounts/shares.js';
 import { isWithinQuota } from '../accounts/quota.js';
 import { findGangPlaces } from './gang-places.js';
 import { createCandidates } from './candidates.js';
 import { scoresFor } from './scores.js';
 import { canHoldTask, schedulableEndpoints } from '../endpoints/schedulable-endpoints.js';
-import { addRun, nextRunNumber } from '../endpoints/runs.js';
+import { nextRunNumber } from '../endpoints/runs.js';
 import {
   countStartable,
   NO_ISOLATED_ENDPOINTS,
@@ -49,32 +58,8 @@
  */
 const RETRY_MS = 25;
 
-/** The endpoint on which a run is to start, the run's number and the reason for the choice. */
-type Start = { readonly endpoint: EndpointState; readonly run: number; readonly reason: string };
-
-/** The step that is being placed, with the state and the current time. */
-type PlacingStep = { readonly state: BatchState; readonly step: StepRun; readonly nowMs: number };
-
-/** Records a new run of a task and emits the order to start it. */
-const startRun = (
-  { state, step, nowMs }: PlacingStep,
-  task: Task,
-  { endpoint, run, reason }: Start,
-): void => {
-  logTaskRestart(state, { endpoint, task, run, nowMs });
-  addRun(state, { endpoint, step, task, run, phase: 'starting', nowMs });
-  change(state, { startsLeft: state.startsLeft - 1 });
-  state.effects.push({
-    kind: 'start',
-    endpointId: endpoint.endpointId,
-    task: task.key,
-    run,
-    spec: step.job.job.spec,
-    checkpoint: task.checkpoint,
-    ticket: ticketOf(step, endpoint.endpointId),
-    reason: `${reason} in pool=${endpoint.pool} with room`,
-  });
-};
+/** The step that is being placed, and which of its starts must be announced. */
+type PlacingStep = StartContext & { readonly mustAnnounce: (task: Task) => boolean };
 
 /** Places tasks one by one; false if one of them found no endpoint or exceeds its account's quota. */
 const placeEach = (
@@ -90,8 +75,10 @@
     if (!isWithinQuota(state, step)) return false;
     const endpoint = candidates.choose(task);
     if (!endpoint) return false;
-    const run = findAnnouncedRun(task) ?? nextRunNumber(state.fence, task.lastRun);
-    startRun(placing, task, { endpoint, run, reason: table.name });
+    const run = nextRunNumber(state.fence, task.lastRun);
+    const start: Start = { task, endpoint, run, reason: table.name };
+    if (placing.mustAnnounce(task)) announceStarts(placing, [start]);
+    else startRun(placing, start);
     candidates.recordPlacement(endpoint);
     return true;
   });
@@ -106,20 +93,21 @@
   const places = findGangPlaces(step, endpoints);
   if (!places) return false;
   const lastRun = Math.max(...step.tasks.map((task) => task.lastRun));
-  const announced = step.tasks.find((task) => findAnnouncedRun(task) !== undefined);
-  const run = announced?.trial?.run ?? nextRunNumber(state.fence, lastRun);
+  const run = nextRunNumber(state.fence, lastRun);
   const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
-  step.tasks.forEach((task, index) => {
-    change(task, { checkpoint });
+  step.tasks.forEach((task) => change(task, { checkpoint }));
+  const starts = step.tasks.map((task, index): Start => {
     const endpoint = places[index] as EndpointState;
-    startRun(placing, task, { endpoint, run, reason: 'all of its gang' });
+    return { task, endpoint, run, reason: 'all of its gang' };
   });
+  if (step.tasks.some(placing.mustAnnounce)) announceStarts(placing, starts);
+  else starts.forEach((start) => startRun(placing, start));
   return true;
 };
 
 /** Requests advice on the endpoints that have capacity for a task of a step. */
 const requestAdviceWithCapacity = (
-  { state, step, nowMs }: PlacingStep,
+  { state, step, nowMs }: StartContext,
   endpoints: readonly EndpointState[],
 ): void => {
   if (step.advice === null) return;
@@ -132,43 +120,36 @@
  * of capacity or quota.
  */
 const placeUnsuspected = (
-  placing: PlacingStep,
+  context: StartContext,
   endpoints: readonly EndpointState[],
   suspects: readonly Task[],
   mayHaveCrashed: () => boolean,
 ): boolean => {
-  const { state, step, nowMs } = placing;
+  const { state, step, nowMs } = context;
   const { isGang } = step.spec;
   if (isGang && suspects.length > 0) return true;
   const pool = poolOf(state, step.job.job.pool);
-  const waiting = startableTasks(state, pool, step, nowMs).filter(
-    (task) => !suspects.includes(task),
-  );
-  const mayHaveCrashedBefore = step.job.isInherited && mayHaveCrashed();
-  const tasks = mayHaveCrashedBefore ? announceInheritedStarts(state, step, waiting) : waiting;
-  if (isGang) return tasks.length < waiting.length || placeGang(placing, endpoints);
-  return placeEach(placing, endpoints, tasks);
+  const tasks = startableTasks(state, pool, step, nowMs).filter((task) => !suspects.includes(task));
+  const mustAnnounce = (task: Task): boolean =>
+    isFirstStartOfInheritedTask(step, task) && mayHaveCrashed();
+  const placing: PlacingStep = { ...context, mustAnnounce };
+  return isGang ? placeGang(placing, endpoints) : placeEach(placing, endpoints, tasks);
 };
 
 /**
- * Places the tasks of a step that must run isolated, because endpoints have crashed under them. A task whose start is
- * not announced yet is announced now and placed in a later pass. Returns true if no task is left over for lack of
- * capacity or quota.
+ * Places the tasks of a step that must run isolated, because endpoints have crashed under them. Their starts are
+ * announced. Returns true if no task is left over for lack of capacity or quota.
  */
 const placeSuspects = (
-  placing: PlacingStep,
+  context: StartContext,
   endpoints: readonly EndpointState[],
   suspects: readonly Task[],
 ): boolean => {
   if (endpoints.length === 0) return false;
-  const { state, step } = placing;
-  const { isGang } = step.spec;
-  const unannounced = suspects.filter((task) => findAnnouncedRun(task) === undefined);
-  if (unannounced.length > 0) {
-    announceTrials(state, step, isGang ? step.tasks : unannounced);
-    return true;
-  }
-  return isGang ? placeGang(placing, endpoints) : placeEach(placing, endpoints, suspects);
+  const placing: PlacingStep = { ...context, mustAnnounce: () => true };
+  return context.step.spec.isGang
+    ? placeGang(placing, endpoints)
+    : placeEach(placing, endpoints, suspects);
 };
 
 /**
@@ -176,7 +157,7 @@
  * other runs have ended, because the endpoint is emptied for them.
  */
 const requestAdviceForSuspects = (
-  { state, step, nowMs }: PlacingStep,
+  { state, step, nowMs }: StartContext,
   endpoints: readonly EndpointState[],
 ): void => {
   if (step.advice === null) return;
@@ -213,10 +194,10 @@
   requests.forEach((request) => {
     if (state.startsLeft <= 0) return;
     const { step } = request;
-    const placing: PlacingStep = { state, step, nowMs };
+    const context: StartContext = { state, step, nowMs };
     const places = findIsolatedEndpoints(isolated, request, nowMs);
-    const isPlaced = placeSuspects(placing, places, waitingSuspects(state, step));
-    if (!isPlaced) requestAdviceForSuspects(placing, endpoints);
+    const isPlaced = placeSuspects(context, places, waitingSuspects(state, step));
+    if (!isPlaced) requestAdviceForSuspects(context, endpoints);
   });
   return isolated;
 };
@@ -262,17 +243,17 @@
     if (places.length === 0) return false;
     // A step that waits for its account's quota must not count as one that could not be placed.
     if (!isWithinQuota(state, step, step.spec.isGang ? step.spec.taskCount : 1)) return false;
-    const placing: PlacingStep = { state, step, nowMs };
+    const context: StartContext = { state, step, nowMs };
     const admitted = withoutReclaimed(step, pass, admittedEndpoints(step, places, nowMs));
     const isPlaced = placeUnsuspected(
-      placing,
+      context,
       admitted,
       waitingSuspects(state, step),
       pass.mayHaveCrashed,
     );
     if (isPlaced) return false;
     const isTriedOnAll = places === endpoints;
-    if (isTriedOnAll) requestAdviceWithCapacity(placing, endpoints);
+    if (isTriedOnAll) requestAdviceWithCapacity(context, endpoints);
     unplacedSteps += 1;
     change(step, {
       triedAtRevision: state.freeCapacityRevision,
@@ -303,7 +284,7 @@
 };
 
 /**
- * Places the waiting tasks of one pool.
+ * Orders the announced starts of one pool that have been written, and places its waiting tasks.
  *
  * @param state - The batch state, changed in place.
  * @param name - The pool's name.
@@ -311,6 +292,7 @@
  */
 export const schedulePool = (state: BatchState, name: PoolName, nowMs: number): void => {
   const pool = poolOf(state, name);
+  orderAnnouncedStarts(state, pool, nowMs);
   if (pool.openSteps.size === 0) return;
   const endpoints = schedulableEndpoints(state, name, nowMs);
   if (endpoints.length === 0) return;
@@ -335,7 +317,7 @@
 };
 
 /**
- * Lists the endpoints that hold a run of a task, for tests and for operators.
+ * Lists the endpoints that were ordered to run a task, for tests and for operators.
  *
  * @param state - The batch state.
  * @param task - The task.
@@ -343,5 +325,5 @@
  */
 export const endpointsOf = (state: BatchState, { key }: Task): readonly EndpointId[] =>
   Array.from(state.endpoints.values())
-    .filter(({ runs }) => runs.has(key))
+    .filter(({ runs }) => (runs.get(key)?.phase ?? 'announced') !== 'announced')
     .map(({ endpointId }) => endpointId);
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -265,6 +265,7 @@
       state.jobs.delete(job.jobId);
       saver.versions.delete(job.jobId);
     },
+    onCrashRecordsSaved: requestCycle,
     onAccepted: (row, version) => jobRows.addAcceptedJob(row, version),
     onFenceLost: () => endAsLost('another holder changed the guard row'),
   });
--- a/packages/daemon/src/batch/jobs/changed-jobs.ts
+++ b/packages/daemon/src/batch/jobs/changed-jobs.ts
@@ -44,6 +44,8 @@
   readonly state: BatchState;
   /** Called when the end of a job was committed. */
   readonly onSaved: (job: JobState) => void;
+  /** Called when crashes or announced starts were committed, for which tasks wait. */
+  readonly onCrashRecordsSaved: () => void;
   readonly wallClockMs: () => number;
 };
 
@@ -79,6 +81,7 @@
 export const createChangedJobs = ({
   state,
   onSaved,
+  onCrashRecordsSaved,
   wallClockMs,
 }: ChangedJobsOptions): ChangedJobs => {
   const versions = new Map<JobId, JobRowVersions>();
@@ -127,9 +130,10 @@
     recordCommitted: (sent, version) =>
       sent.forEach(({ job, wasFinal, crashRecordRevision }) => {
         const known = getOrCreateVersions(job.job.jobId);
-        change(job, {
-          writtenCrashRecordRevision: Math.max(job.writtenCrashRecordRevision, crashRecordRevision),
-        });
+        if (crashRecordRevision > job.writtenCrashRecordRevision) {
+          change(job, { writtenCrashRecordRevision: crashRecordRevision });
+          onCrashRecordsSaved();
+        }
         change(known, wasFinal ? { job: version, progress: 0 } : { progress: version });
         if (wasFinal) onSaved(job);
       }),
--- a/packages/daemon/src/batch/jobs/job-saver.ts
+++ b/packages/daemon/src/batch/jobs/job-saver.ts
@@ -57,6 +57,8 @@
   readonly beginRound: () => () => void;
   /** Called when the end of a job was committed. */
   readonly onSaved: (job: JobState) => void;
+  /** Called when crashes or announced starts were committed, for which tasks wait. */
+  readonly onCrashRecordsSaved?: () => void;
   /** Called when the row of a submitted job was committed. */
   readonly onAccepted: (row: LiveRow, version: number) => void;
   /** Called when another holder has changed the guard row. */
@@ -112,6 +114,7 @@
   metrics,
   beginRound,
   onSaved,
+  onCrashRecordsSaved = () => undefined,
   onAccepted,
   onFenceLost,
   isTableUnavailable = () => false,
@@ -128,7 +131,7 @@
     onQueued: () => schedule(ACCEPT_WINDOW_MS),
     onAccepted,
   });
-  const changed = createChangedJobs({ state, onSaved, wallClockMs });
+  const changed = createChangedJobs({ state, onSaved, onCrashRecordsSaved, wallClockMs });
 
   /** Fills a batch with submissions first, then ended jobs, then progress. */
   const takeBatch = (): Batch => {
