A job whose row names only an announced start counts as waiting

Cause: restoreJob took any entry in a job's progress row for a sign that a task has started, and a holder that finds a host down writes such a row with the announced start only. The same stands where an entry answers a status from the rows: that there is a progress row at all made the job 'running'. A row that is left empty when an announcement is withdrawn would have had the same effect in both.

Ruled out: jobs that the new holder had not read (they are counted by term-recovered, and are run later), a count that an entry keeps (it asks the holder each time).

Change: hasStartedTasks reads a row for what shows a start: a task that is done or has failed, or a crash of an endpoint that is known to have had the run. The holder and the answer from rows share it. A crash under a start that nobody confirmed no longer counts as one: too many waiting jobs are said then, not too few.

--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -97,6 +97,25 @@
     }),
   );
 
+const hasStartedIn = ({ done, failed = [], crashes = [] }: StepProgress): boolean =>
+  /[^0]/.test(done) ||
+  failed.length > 0 ||
+  crashes.some(([, ofTask]) =>
+    ofTask.some(({ isConfirmed, livedMs }) => isConfirmed || livedMs > 0),
+  );
+
+/**
+ * Tells whether a progress row shows that a task of the job has started. An announced start does not: it may never have
+ * been ordered.
+ *
+ * @param progress - The row.
+ * @returns True if a task is done, has failed, or is known to have run on an endpoint that crashed.
+ */
+export const hasStartedTasks = (progress: ProgressRow): boolean =>
+  Object.values(progress)
+    .flatMap((steps) => Object.values(steps))
+    .some(hasStartedIn);
+
 /**
  * Builds the progress row of a job.
  *
@@ -206,8 +225,8 @@
       const step = occurrence.steps[Number(stepNumber)];
       if (step && !isFinal(restored.phase)) restoreStep(state, step, progressOfStep);
     });
-    if (Object.keys(steps).length > 0) restored.hasStarted = true;
   });
+  if (hasStartedTasks(progress)) restored.hasStarted = true;
   if (restored.hasStarted && restored.phase === 'pending') restored.phase = 'running';
   const steps = Array.from(restored.occurrences.values()).flatMap((one) => one.steps);
   const exhausted = steps
--- a/packages/daemon/src/batch/endpoints/announced-starts.test.ts
+++ b/packages/daemon/src/batch/endpoints/announced-starts.test.ts
@@ -72,4 +72,11 @@
     ]);
     expect(fleet.violations).toEqual([]);
   });
+
+  it('are all counted as waiting after changes of the holder', async () => {
+    const { fleet, waiting } = await startFullPool();
+    await killHolders(fleet, 3);
+    const counts = requireHolder(fleet).control.term()?.countWaitingJobs();
+    expect(Array.from(counts?.values() ?? [])).toEqual([waiting.length]);
+  });
 });
--- a/packages/daemon/src/batch/jobs/intake.test.ts
+++ b/packages/daemon/src/batch/jobs/intake.test.ts
@@ -162,6 +162,35 @@
   });
 });
 
+describe('the status of a job while the holder does not answer', () => {
+  const statusByRows = async (progress: unknown): Promise<unknown> => {
+    const rows = [
+      { key: `job/${job.jobId}`, version: 1, value: { kind: 'live', job, policy: queue.policy } },
+      { key: `progress/${job.jobId}`, version: 2, value: progress },
+    ];
+    const intake = createIntake({
+      table: { read: async () => Ok(rows) } as unknown as RelayedTable,
+      groupCommit: { submit: () => new Promise(() => {}) },
+      control: { findStatus: async () => undefined } as Partial<ControlClient> as ControlClient,
+      log,
+      metrics: createMetrics(),
+    });
+    const answer = await intake.status(job.jobId, null);
+    return answer.kind === 'status' ? answer.status.phase : answer.kind;
+  };
+
+  it('is pending while its row names only a start that may never have been ordered', async () => {
+    // Guards against a job that is shown as running because a holder announced its start.
+    const announced = { done: '0', trials: [[0, 2001, 'i-1']] };
+    expect(await statusByRows({ 0: { 0: announced } })).toBe('pending');
+    expect(await statusByRows(null)).toBe('pending');
+  });
+
+  it('is running once the row shows that a task was done', async () => {
+    expect(await statusByRows({ 0: { 0: { done: '1' } } })).toBe('running');
+  });
+});
+
 describe('the Retry-After of refused clients', () => {
   it('grows with the outage, so that four attempts outlast an outage of 6 s', () => {
     const lastRetryAtMs = [0, 1, 2, 3].reduce(
--- a/packages/daemon/src/batch/jobs/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -8,6 +8,7 @@
   chooseRetryAfterS,
   validateJob,
   findQuotaViolation,
+  hasStartedTasks,
   isFinal,
   maySee,
   type BatchJob,
@@ -15,6 +16,7 @@
   type Caller,
   type JobStatus,
   type DeclaredQueue,
+  type ProgressRow,
 } from '@valvelatch/core/batch';
 import {
   httpStatusOfRefusal,
@@ -199,7 +201,7 @@
     const account = row.job.owner?.account;
     const isCancelled = valueOf(batchKey.cancel(jobId, caller)) !== null;
     if (isCancelled && maySee(account, caller)) return { ...CANCELLED, account };
-    const hasStarted = valueOf(batchKey.progress(jobId)) !== null;
+    const hasStarted = hasStartedTasks((valueOf(batchKey.progress(jobId)) ?? {}) as ProgressRow);
     return { phase: hasStarted ? 'running' : 'pending', reason: '', account };
   };
 
