An announced start gives its capacity back after 2 s without the write

Change: after 2 s the announced start is withdrawn, and a job announces starts of inherited tasks only while all that it announced before is written. Trial no longer holds a revision, which nothing read.

Test: starts.test.ts, 'gives the capacity back after 2 s without the write'; without the time-out it fails: 'expected [ i- ] to deeply equal []'.

--- a/packages/core/src/batch/crashes/announced-start-record.ts
+++ b/packages/core/src/batch/crashes/announced-start-record.ts
@@ -42,7 +42,7 @@
   { run, endpointId }: StoredTrial,
 ): void => {
   change(task, {
-    trial: { run, endpointId, revision: 0, isInherited: true },
+    trial: { run, endpointId, isInherited: true },
     lastRun: Math.max(task.lastRun, run),
   });
   state.suspectJobs.add(step.job);
--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -56,7 +56,7 @@
   const revision = job.crashRecordRevision + 1;
   change(job, { crashRecordRevision: revision });
   starts.forEach(({ task, run, endpointId }) => {
-    change(task, { trial: { run, endpointId, revision, isInherited: false } });
+    change(task, { trial: { run, endpointId, isInherited: false } });
     state.effects.push({
       kind: 'note',
       event: 'start-announced',
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -48,6 +48,7 @@
   readonly step: StepRun;
   /** The `crashRecordRevision` of the job with which its row names the starts. */
   readonly revision: number;
+  readonly announcedAtMs: number;
   readonly runs: readonly {
     readonly endpoint: EndpointState;
     readonly run: RunState;
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -44,8 +44,6 @@
   readonly run: number;
   /** The endpoint that is to start the run; null in rows that do not name it. */
   readonly endpointId: EndpointId | null;
-  /** The `crashRecordRevision` of the job with which its row names the start. */
-  readonly revision: number;
   /** An earlier holder announced the start, so the run may have started. */
   readonly isInherited: boolean;
 };
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -12,7 +12,7 @@
   isFirstStartOfInheritedTask,
   mayHaveLostEndpoints,
 } from '../crashes/losses-before-takeover.js';
-import { countLostTrials } from '../crashes/trials.js';
+import { areCrashRecordsWritten, countLostTrials } from '../crashes/trials.js';
 import { awaitsReports, startableTasks } from './inherited-tasks.js';
 import {
   announceStarts,
@@ -129,11 +129,16 @@
   const { isGang } = step.spec;
   if (isGang && suspects.length > 0) return true;
   const pool = poolOf(state, step.job.job.pool);
-  const tasks = startableTasks(state, pool, step, nowMs).filter((task) => !suspects.includes(task));
   const mustAnnounce = (task: Task): boolean =>
     isFirstStartOfInheritedTask(step, task) && mayHaveCrashed();
+  const mayAnnounce = areCrashRecordsWritten(step.job);
+  const waiting = startableTasks(state, pool, step, nowMs).filter(
+    (task) => !suspects.includes(task),
+  );
+  const tasks = mayAnnounce ? waiting : waiting.filter((task) => !mustAnnounce(task));
   const placing: PlacingStep = { ...context, mustAnnounce };
-  return isGang ? placeGang(placing, endpoints) : placeEach(placing, endpoints, tasks);
+  if (isGang) return tasks.length < waiting.length || placeGang(placing, endpoints);
+  return placeEach(placing, endpoints, tasks);
 };
 
 /**
--- a/packages/core/src/batch/placement/starts.test.ts
+++ b/packages/core/src/batch/placement/starts.test.ts
@@ -106,6 +106,16 @@
     expect(scheduleWritten(state, 30)).toHaveLength(1);
   });
 
+  it('gives the capacity back after 2 s without the write, and is announced again only once the row is written', () => {
+    // Guards against a job whose row the table refuses and that keeps its endpoints from all other jobs.
+    schedulePool(state, POOL, 2009);
+    expect(takenEndpoints(state)).toHaveLength(1);
+    [2010, 2100, 5000].forEach((nowMs) => schedulePool(state, POOL, nowMs));
+    expect(takenEndpoints(state)).toEqual([]);
+    expect(scheduleWritten(state, 5100)).toEqual([]);
+    expect(scheduleWritten(state, 5200)).toHaveLength(1);
+  });
+
   it('is withdrawn without an order to stop if its job is cancelled', () => {
     cancelJob(state, INHERITED, null);
     expect(removeEffects(state).map(({ kind }) => kind)).not.toContain('stop');
--- a/packages/core/src/batch/placement/starts.ts
+++ b/packages/core/src/batch/placement/starts.ts
@@ -20,6 +20,12 @@
 import { admittedEndpoints, ticketOf } from './advice.js';
 import { awaitsReports } from './inherited-tasks.js';
 
+/**
+ * Announced starts that the row does not name after this time are withdrawn. Otherwise a job whose row cannot be written
+ * would keep the capacity from other jobs.
+ */
+const ANNOUNCEMENT_TIMEOUT_MS = 2000;
+
 /** A start that was decided: the task, its endpoint, the run's number and the reason for the choice. */
 export type Start = {
   readonly task: Task;
@@ -89,7 +95,12 @@
     endpointId,
   }));
   const revision = announceTrials(state, { step, starts: announced });
-  poolOf(state, step.job.job.pool).announcedStarts.add({ step, revision, runs });
+  poolOf(state, step.job.job.pool).announcedStarts.add({
+    step,
+    revision,
+    announcedAtMs: nowMs,
+    runs,
+  });
   change(state, { startsLeft: state.startsLeft - starts.length });
 };
 
@@ -130,7 +141,7 @@
 
 /**
  * Orders the announced starts of a pool that the rows of their jobs name. Those whose tasks cannot be started where they were
- * announced any more are withdrawn, and their tasks wait again.
+ * announced any more, or whose row is not written in time, are withdrawn, and their tasks wait again.
  *
  * @param state - The batch state, changed in place.
  * @param pool - The pool.
@@ -142,9 +153,11 @@
   nowMs: number,
 ): void =>
   announcedStarts.forEach((announced) => {
-    const { step, revision, runs } = announced;
+    const { step, revision, announcedAtMs, runs } = announced;
     const context: StartContext = { state, step, nowMs };
-    const isPossible = runs.every((one) => isStillAnnounced(one) && mayStillStart(context, one));
+    const isPossible =
+      nowMs - announcedAtMs < ANNOUNCEMENT_TIMEOUT_MS &&
+      runs.every((one) => isStillAnnounced(one) && mayStillStart(context, one));
     const isWritten = step.job.writtenCrashRecordRevision >= revision;
     if (isPossible && (!isWritten || state.startsLeft <= 0)) return;
     announcedStarts.delete(announced);
