--- a/packages/daemon/src/batch/endpoints/announced-starts.test.ts
+++ b/packages/daemon/src/batch/endpoints/announced-starts.test.ts
@@ -1,4 +1,5 @@
 /** Announced starts over changes of the control holder, in virtual time. */
+import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
@@ -22,6 +23,8 @@
 /** Longer than it takes the next holder to recover and to schedule all tasks that wait. */
 const KILL_INTERVAL_MS = 7000;
 const RESTART_MS = 500;
+/** Long enough for all jobs to be done after the last kill, from the first start anew. */
+const SETTLED_MS = 40_000;
 
 describe('jobs that wait in a full pool from which an endpoint was lost', () => {
   beforeEach(() => {
@@ -33,9 +36,12 @@
   });
 
   /** Fills the pool, has further jobs wait, and crashes one endpoint for good. */
-  const startFullPool = async (): Promise<{ fleet: SimFleet; waiting: readonly JobId[] }> => {
-    const fleet = await createStartedFleet({ hostsPerPool: ENDPOINTS });
-    const filling = { pool: 'alpha', runMs: FILLING_MS };
+  const startFullPool = async ({ fillingMs = FILLING_MS, seed = 7 } = {}): Promise<{
+    fleet: SimFleet;
+    waiting: readonly JobId[];
+  }> => {
+    const fleet = await createStartedFleet({ hostsPerPool: ENDPOINTS, seed });
+    const filling = { pool: 'alpha', runMs: 5000 + fillingMs };
     fleet.submit({ ...filling, steps: [{ taskCount: ENDPOINTS, cpuMillis: 8000 }] });
     await advanceTime(1500);
     const waiting = [1, 2, 3].map(() =>
@@ -73,6 +79,41 @@
     expect(fleet.violations).toEqual([]);
   });
 
+  it('are done in the end and never failed, whenever holders are killed while jobs wait and start', async () => {
+    // Each kill is followed by the next one while some starts are announced, written or under way.
+    const kill = fc.integer({ min: 100, max: 4000 });
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(kill, { minLength: 4, maxLength: 10 }),
+        fc.integer({ min: 1, max: 20_000 }),
+        fc.integer({ min: 1, max: 100_000 }),
+        async (intervals, fillingMs, seed) => {
+          vi.useRealTimers();
+          vi.useFakeTimers({ toFake: [...FAKED_TIMERS] });
+          const { fleet, waiting } = await startFullPool({ fillingMs, seed });
+          for (let index = 0; index < intervals.length; index += 1) {
+            const holder = fleet.findHolder();
+            if (holder) {
+              fleet.kill(holder);
+              setTimeout(() => fleet.addEntry(holder.entryId), RESTART_MS);
+            }
+            await advanceTime(intervals[index] as number);
+          }
+          await advanceTime(fillingMs + SETTLED_MS);
+          expect(fleet.violations).toEqual([]);
+          expect(new Set(waiting.map((job) => phaseOf(fleet, job)))).toEqual(
+            new Set(['completed']),
+          );
+        },
+      ),
+      {
+        numRuns: Number(process.env.VALVELATCH_FUZZ_RUNS ?? 15),
+        endOnFailure: true,
+        ...(process.env.VALVELATCH_FUZZ_RUNS === undefined ? { seed: 1 } : {}),
+      },
+    );
+  }, 600_000);
+
   it('are all counted as waiting after changes of the holder', async () => {
     const { fleet, waiting } = await startFullPool();
     await killHolders(fleet, 3);
