--- a/packages/core/src/batch/crashes/isolation.test.ts
+++ b/packages/core/src/batch/crashes/isolation.test.ts
@@ -191,9 +191,8 @@
       crash(state, named, 2018);
       scheduleAfterWrites(state, 2020);
       expect(crashesOf(state)).toHaveLength(1);
-      const [step] = state.jobs.get(SUSPECT)?.occurrences.get(0)?.steps ?? [];
       expect(placesOf(state, SUSPECT)).toHaveLength(1);
-      expect(step?.tasks[0]?.trial).toMatchObject({ run: 3001, isInherited: false });
+      expect(tasksOf(state, SUSPECT)[0]?.trial).toMatchObject({ run: 3001, isInherited: false });
     });
   });
 
--- a/packages/core/src/batch/placement/starts.ts
+++ b/packages/core/src/batch/placement/starts.ts
@@ -140,8 +140,8 @@
   });
 
 /**
- * Orders the announced starts of a pool that the rows of their jobs name. Those whose tasks cannot be started where they were
- * announced any more, or whose row is not written in time, are withdrawn, and their tasks wait again.
+ * Orders the announced starts of a pool that the rows of their jobs name. A start is withdrawn, and its task waits again,
+ * if the task cannot be started on that endpoint any more, or if the row is not written in time.
  *
  * @param state - The batch state, changed in place.
  * @param pool - The pool.
