--- a/packages/daemon/src/batch/control/load-log.ts
+++ b/packages/daemon/src/batch/control/load-log.ts
@@ -2,6 +2,8 @@
 import type { BatchState, SharedDelayEstimator, OrderWindow } from '@valvelatch/core/batch';
 
 import type { Log } from '../../observe/log.js';
+import type { SaverLoad } from '../jobs/job-saver.js';
+import type { ProcessLoad } from './process-load.js';
 
 export type LoadLogOptions = {
   readonly state: BatchState;
@@ -9,6 +11,9 @@
   readonly orderWindow: OrderWindow;
   /** The estimated response time of endpoints. */
   readonly sharedDelayEstimator: SharedDelayEstimator;
+  readonly saverLoad: () => SaverLoad;
+  /** The load of this process since the previous call. */
+  readonly measureProcessLoad: () => ProcessLoad;
   /**
    * For how many milliseconds it is still certain that no other entry holds control; negative once that time
    * is over.
@@ -19,7 +24,7 @@
 };
 
 /**
- * Writes one log line about the load if any task waits.
+ * Writes one log line about the load if any task waits, or any job waits to be saved.
  *
  * @param options - The state of the jobs, the orders in flight and the response times.
  */
@@ -27,19 +32,30 @@
   state,
   orderWindow,
   sharedDelayEstimator,
+  saverLoad,
+  measureProcessLoad,
   remainingSoleHolderMs,
   nowMs,
   log,
 }: LoadLogOptions): void => {
+  const { cpuMs, loopDelayMs } = measureProcessLoad();
+  const { changedJobs, waitingSubmissions, roundAgeMs } = saverLoad();
   const pools = Array.from(state.pools.values());
   const steps = pools.flatMap(({ openSteps }) => Array.from(openSteps));
   const waitingTasks = steps.reduce((sum, { waiting }) => sum + waiting.length, 0);
-  if (waitingTasks === 0) return;
+  if (waitingTasks + changedJobs + waitingSubmissions === 0) return;
+  const endpoints = Array.from(state.endpoints.values());
   log.info('control-load', {
     jobs: state.jobs.size,
     openSteps: steps.length,
     waitingTasks,
-    oldestMs: Math.round(Math.max(...steps.map(({ job }) => nowMs() - job.submittedAtMs))),
+    oldestMs: Math.round(Math.max(0, ...steps.map(({ job }) => nowMs() - job.submittedAtMs))),
+    runs: endpoints.reduce((sum, { runs }) => sum + runs.size, 0),
+    changedJobs,
+    waitingSubmissions,
+    saveRoundMs: Math.round(roundAgeMs),
+    cpuMs: Math.round(cpuMs),
+    loopDelayMs: Math.round(loopDelayMs),
     notReported: pools.reduce((sum, { unreportedInstances }) => sum + unreportedInstances.size, 0),
     soleForMs: Math.round(remainingSoleHolderMs()),
     window: orderWindow.size(),
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -58,6 +58,7 @@
 import { batchKey } from '../keys.js';
 import { createDemandHistoryStore } from './demand-history-store.js';
 import { logLoad, type LoadLogOptions } from './load-log.js';
+import { createProcessLoadMeter } from './process-load.js';
 import type { BatchPlatform } from '../ports.js';
 import type { RefusedJob } from '../jobs/refused-jobs.js';
 
@@ -364,10 +365,14 @@
 
   const domainGauges = createDomainGauges(state, metrics);
 
+  const processLoadMeter = createProcessLoadMeter(TICK_MS, nowMs);
+
   const loadLogOptions: LoadLogOptions = {
     state,
     orderWindow,
     sharedDelayEstimator,
+    saverLoad: saver.load,
+    measureProcessLoad: processLoadMeter.measure,
     remainingSoleHolderMs: () => soleHolderUntilMs() - nowMs(),
     nowMs,
     log,
@@ -386,6 +391,7 @@
     });
 
   const tick = async (): Promise<void> => {
+    processLoadMeter.recordTick();
     if (isStopped || !isReady) return;
     state.soleHolderUntilMs = soleHolderUntilMs();
     saver.refuseIfTableUnavailable();
--- a/packages/daemon/src/batch/jobs/accept-queue.ts
+++ b/packages/daemon/src/batch/jobs/accept-queue.ts
@@ -50,6 +50,7 @@
   /** Queues a job for writing; resolves once it is committed or refused, or its outcome cannot be determined. */
   readonly accept: (row: LiveRow) => Promise<AcceptOutcome>;
   readonly isEmpty: () => boolean;
+  readonly count: () => number;
   /** Selects the submissions that `fits` admits to the next transaction; they stay in the queue. */
   readonly selectFitting: (
     fits: (part: TableTransaction) => boolean,
@@ -162,6 +163,7 @@
         onQueued();
       }),
     isEmpty: () => waiting.length === 0,
+    count: () => waiting.length,
     selectFitting: (fits) => waiting.filter((submission) => fits(toTransaction(submission))),
     recordSent: (sent) => {
       tableMonitor.recordSent();
--- a/packages/daemon/src/batch/jobs/changed-jobs.ts
+++ b/packages/daemon/src/batch/jobs/changed-jobs.ts
@@ -28,6 +28,7 @@
   readonly versions: Map<JobId, JobRowVersions>;
   readonly mark: (jobId: JobId) => void;
   readonly isEmpty: () => boolean;
+  readonly count: () => number;
   /** Removes all marks, for when none of the marked jobs exists any more. */
   readonly clear: () => void;
   /** Removes and returns the jobs that `fits` admits to the next transaction; ended jobs come first. */
@@ -116,6 +117,7 @@
       changed.add(jobId);
     },
     isEmpty: () => changed.size === 0,
+    count: () => changed.size,
     clear: () => changed.clear(),
     takeFitting: (fits) => {
       const jobs = listEndedFirst().filter((job) => fits(buildWrite(job)));
--- a/packages/daemon/src/batch/jobs/job-saver.ts
+++ b/packages/daemon/src/batch/jobs/job-saver.ts
@@ -32,6 +32,16 @@
 /** Pause before a retry after a failed transaction or a conflict. */
 const RETRY_MS = 150;
 
+/** What waits at the saver, for the log. */
+export type SaverLoad = {
+  /** Jobs that have changed since they were last written. */
+  readonly changedJobs: number;
+  /** Submissions that are not written yet. */
+  readonly waitingSubmissions: number;
+  /** For how long the save round has run, in milliseconds; 0 between rounds. */
+  readonly roundAgeMs: number;
+};
+
 export type JobSaver = {
   /** The versions of the rows of all known jobs. */
   readonly versions: Map<JobId, JobRowVersions>;
@@ -43,6 +53,7 @@
   readonly requestRound: () => void;
   /** Refuses waiting submissions if the table is unavailable; must be called several times a second. */
   readonly refuseIfTableUnavailable: () => void;
+  readonly load: () => SaverLoad;
   readonly stop: () => void;
 };
 
@@ -122,6 +133,7 @@
 }: JobSaverOptions): JobSaver => {
   let isRoundRequested = false;
   let isRunning = false;
+  let roundBegunAtMs = 0;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
   let scheduledAtMs = 0;
@@ -206,6 +218,7 @@
   const run = async (): Promise<void> => {
     if (isRunning || isStopped) return;
     isRunning = true;
+    roundBegunAtMs = performance.now();
     isRoundRequested = false;
     const isComplete = await saveRound();
     isRunning = false;
@@ -236,6 +249,11 @@
     },
     requestRound: () => schedule(SAVE_INTERVAL_MS / 2),
     refuseIfTableUnavailable: queue.refuseIfTableUnavailable,
+    load: () => ({
+      changedJobs: changed.count(),
+      waitingSubmissions: queue.count(),
+      roundAgeMs: isRunning ? performance.now() - roundBegunAtMs : 0,
+    }),
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
