Ends are acknowledged while jobs keep changing

Cause: the saver released the acknowledgements of a round once nothing was left to save.

Change: a round ends once all that had changed at its beginning is written; changed jobs carry the number of their oldest unwritten mark. The saves that are due are requested before the ends are read, so that an end never counts as stored before its job is marked.

--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -260,7 +260,11 @@
     metrics,
     wallClockMs,
     isTableUnavailable,
-    beginRound: roster.snapshotAppliedEnds,
+    beginRound: () => {
+      // An applied end counts as stored only if its job is marked as changed before the round.
+      perform();
+      return roster.snapshotAppliedEnds();
+    },
     onSaved: ({ job, phase, reason }: JobState) => {
       endedJobs.add(job.jobId, { phase, reason, ...accountOf(job) }, wallClockMs());
       state.jobs.delete(job.jobId);
--- a/packages/daemon/src/batch/jobs/changed-jobs.ts
+++ b/packages/daemon/src/batch/jobs/changed-jobs.ts
@@ -29,6 +29,10 @@
   readonly mark: (jobId: JobId) => void;
   readonly isEmpty: () => boolean;
   readonly count: () => number;
+  /** The number of marks so far. */
+  readonly lastMark: () => number;
+  /** Whether all marks up to this number were written, or their jobs no longer exist. */
+  readonly isWrittenUpTo: (mark: number) => boolean;
   /** Removes all marks, for when none of the marked jobs exists any more. */
   readonly clear: () => void;
   /** Removes and returns the jobs that `fits` admits to the next transaction; ended jobs come first. */
@@ -86,7 +90,20 @@
   wallClockMs,
 }: ChangedJobsOptions): ChangedJobs => {
   const versions = new Map<JobId, JobRowVersions>();
-  const changed = new Set<JobId>();
+  /** Each changed job with its oldest unwritten mark, oldest first. */
+  const changed = new Map<JobId, number>();
+  let lastMark = 0;
+
+  const mark = (jobId: JobId): void => {
+    lastMark += 1;
+    if (!changed.has(jobId)) changed.set(jobId, lastMark);
+  };
+
+  /** The oldest unwritten mark of a job that still exists; Infinity if there is none. */
+  const oldestMark = (): number => {
+    const oldest = Array.from(changed).find(([jobId]) => state.jobs.has(jobId));
+    return oldest?.[1] ?? Infinity;
+  };
 
   const getOrCreateVersions = (jobId: JobId): JobRowVersions => {
     const known = versions.get(jobId);
@@ -104,7 +121,7 @@
   };
 
   const listEndedFirst = (): readonly JobState[] => {
-    const jobs = Array.from(changed).flatMap((jobId) => state.jobs.get(jobId) ?? []);
+    const jobs = Array.from(changed.keys()).flatMap((jobId) => state.jobs.get(jobId) ?? []);
     return [
       ...jobs.filter(({ phase }) => isFinal(phase)),
       ...jobs.filter(({ phase }) => !isFinal(phase)),
@@ -113,11 +130,11 @@
 
   return {
     versions,
-    mark: (jobId) => {
-      changed.add(jobId);
-    },
+    mark,
     isEmpty: () => changed.size === 0,
     count: () => changed.size,
+    lastMark: () => lastMark,
+    isWrittenUpTo: (number) => oldestMark() > number,
     clear: () => changed.clear(),
     takeFitting: (fits) => {
       const jobs = listEndedFirst().filter((job) => fits(buildWrite(job)));
@@ -128,7 +145,7 @@
         crashRecordRevision: job.crashRecordRevision,
       }));
     },
-    markUnsaved: (sent) => sent.forEach(({ job }) => changed.add(job.job.jobId)),
+    markUnsaved: (sent) => sent.forEach(({ job }) => mark(job.job.jobId)),
     recordCommitted: (sent, version) =>
       sent.forEach(({ job, wasFinal, crashRecordRevision }) => {
         const known = getOrCreateVersions(job.job.jobId);
--- a/packages/daemon/src/batch/jobs/job-saver.test.ts
+++ b/packages/daemon/src/batch/jobs/job-saver.test.ts
@@ -1,5 +1,5 @@
-/** Submissions at the holder while the table does not answer. */
-import { createBatchState, type BatchJob } from '@valvelatch/core/batch';
+/** Submissions at the holder while the table does not answer, and ends that wait to be written. */
+import { addJob, createBatchState, DEFAULT_STEP, type BatchJob } from '@valvelatch/core/batch';
 import { brand } from '@valvelatch/core/shared/ids';
 import { Err, Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
@@ -26,6 +26,76 @@
   return { kind: 'live', job, policy };
 };
 
+const TRANSACTION_MS = 8;
+
+describe('ends at the holder', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  const createWorld = (jobCount: number) => {
+    const state = createBatchState(1);
+    const finished: number[] = [];
+    let rounds = 0;
+    let written = 0;
+    const saver = createJobSaver({
+      table: {
+        transact: async ({ writes }) => {
+          await new Promise((resolve) => {
+            setTimeout(resolve, TRANSACTION_MS);
+          });
+          written += writes.length;
+          return Ok({ kind: 'committed', version: 5 });
+        },
+      },
+      state,
+      fence: () => ({ key: 'guard/jobs', version: 1 }),
+      log,
+      metrics: createMetrics(),
+      beginRound: () => {
+        rounds += 1;
+        const round = rounds;
+        return () => finished.push(round);
+      },
+      onSaved: () => undefined,
+      onAccepted: () => undefined,
+      onFenceLost: () => undefined,
+      wallClockMs: () => 0,
+    });
+    const jobIds = Array.from({ length: jobCount }, (_, index) => {
+      const { job } = rowOf(`job-${index}`);
+      const steps = [{ ...DEFAULT_STEP, taskCount: 2 }];
+      addJob(state, { job: { ...job, steps }, policy, nowMs: 0, wallClockMs: 0 });
+      return job.jobId;
+    });
+    return { saver, jobIds, finished, written: () => written };
+  };
+
+  it('are acknowledged while jobs keep changing faster than they are saved', async () => {
+    const { saver, jobIds, finished } = createWorld(200);
+    for (let atMs = 0; atMs < 1000; atMs += 4) {
+      const jobId = jobIds[(atMs / 4) % jobIds.length];
+      if (jobId) saver.requestSave(jobId, false);
+
+      await vi.advanceTimersByTimeAsync(4);
+    }
+    expect(finished.length).toBeGreaterThanOrEqual(10);
+  });
+
+  it('of a round are all written before it is finished', async () => {
+    const { saver, jobIds, finished, written } = createWorld(200);
+    jobIds.forEach((jobId) => saver.requestSave(jobId, false));
+    while (finished.length === 0) {
+      await vi.advanceTimersByTimeAsync(1);
+    }
+    expect(written()).toBe(jobIds.length);
+  });
+});
+
 describe('submissions at the holder', () => {
   beforeEach(() => {
     vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
--- a/packages/daemon/src/batch/jobs/job-saver.ts
+++ b/packages/daemon/src/batch/jobs/job-saver.ts
@@ -64,7 +64,10 @@
   readonly fence: () => RowCheck;
   readonly log: Log;
   readonly metrics: Metrics;
-  /** Called before a save round; the function that it returns is called after the whole round was committed. */
+  /**
+   * Called before a save round, to request the saves that are still due; the function that it returns is called after
+   * all that was changed by then was committed.
+   */
   readonly beginRound: () => () => void;
   /** Called when the end of a job was committed. */
   readonly onSaved: (job: JobState) => void;
@@ -206,21 +209,30 @@
     return applyAnswer(batch, outcome);
   };
 
-  const saveRound = async (): Promise<boolean> => {
-    const finishRound = beginRound();
+  const startRound = () => {
+    roundBegunAtMs = performance.now();
+    const finish = beginRound();
+    return { finish, lastMark: changed.lastMark() };
+  };
+
+  /** Saves until nothing is left. Under load that may never be, so what was there at the beginning ends a round. */
+  const saveRounds = async (): Promise<boolean> => {
+    let round = startRound();
     do {
       if (isStopped || !(await saveBatch())) return false;
+      if (changed.isWrittenUpTo(round.lastMark)) {
+        round.finish();
+        round = startRound();
+      }
     } while (!changed.isEmpty() || !queue.isEmpty());
-    finishRound();
     return true;
   };
 
   const run = async (): Promise<void> => {
     if (isRunning || isStopped) return;
     isRunning = true;
-    roundBegunAtMs = performance.now();
     isRoundRequested = false;
-    const isComplete = await saveRound();
+    const isComplete = await saveRounds();
     isRunning = false;
     if (isStopped) return;
     if (!isComplete) schedule(RETRY_MS);
