The last ends of an endpoint without work are acknowledged

Cause: the loop that asks an endpoint ended as soon as its ends were stored, so the number was stored and never sent: it went out with the next question, when the next work came, some ten seconds later where queues peak by turns. Endpoints of a queue of one step wait longest.

Change: the loop goes on until the endpoint has answered a question that carries the number; such a question does not wait.

Evidence: 'acknowledge the last ended runs of an endpoint that has no work left' failed before (1 of 3 acknowledged).

--- a/packages/daemon/src/batch/endpoints/acknowledgement.test.ts
+++ b/packages/daemon/src/batch/endpoints/acknowledgement.test.ts
@@ -90,4 +90,13 @@
     expect(Math.max(...later)).toBeGreaterThanOrEqual(3);
     expect(leased.violations).toEqual([]);
   });
+
+  it('acknowledge the last ended runs of an endpoint that has no work left', async () => {
+    const leased = createLeasedEndpoint({ taskCount: 3, runMs: 300 });
+    await advanceTime(3000);
+    const numbers = leased.sent.map(({ acknowledged }) => acknowledged);
+    leased.close();
+    expect(Math.max(...numbers)).toBe(3);
+    expect(leased.violations).toEqual([]);
+  });
 });
--- a/packages/daemon/src/batch/endpoints/acknowledgement.ts
+++ b/packages/daemon/src/batch/endpoints/acknowledgement.ts
@@ -20,6 +20,8 @@
   readonly recordStored: (number: number) => void;
   /** The highest number that is stored; 0 if there is none. */
   readonly storedNumber: () => number;
+  /** True if the incarnation has not yet responded to the highest number that is stored. */
+  readonly isUnconfirmed: () => boolean;
   /**
    * Determines the number to send with a list request.
    *
@@ -62,6 +64,7 @@
       written = Math.max(written, number);
     },
     storedNumber: () => written,
+    isUnconfirmed: () => written > confirmed,
     computeNumberToSend: (pauseMs) => {
       const isFresh = nowMs() - respondedAtMs < pauseMs + FRESHNESS_MARGIN_MS;
       const isNeeded = isFresh && written > confirmed;
--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -81,7 +81,7 @@
   readonly perform: (effect: LinkEffect) => void;
   /**
    * Sends list requests until the endpoint has reported, and for as long as it has runs, its domain is suspected or
-   * ended runs of it are not stored yet.
+   * ended runs of it are not stored and acknowledged yet.
    */
   readonly startPolling: () => void;
   readonly close: () => void;
@@ -249,7 +249,7 @@
     )
       return 0;
     const runs = Array.from(findEndpoint()?.runs.values() ?? []);
-    if (runs.some(({ phase }) => phase === 'stopping')) return 0;
+    if (runs.length === 0 || runs.some(({ phase }) => phase === 'stopping')) return 0;
     // Until a long-running task is seen to be ready, no other task of its step may be made unavailable.
     if (runs.some(({ step, percent }) => step.spec.isLasting && percent < 100))
       return STARTING_LIST_WAIT_MS;
@@ -341,7 +341,8 @@
       (endpoint.runs.size > 0 ||
         !endpoint.hasReported ||
         isDomainSuspected() ||
-        acknowledgement.storedNumber() < lastAppliedNumber)
+        acknowledgement.storedNumber() < lastAppliedNumber ||
+        acknowledgement.isUnconfirmed())
     );
   };
 
