An objective is a multiple of the work time, not of the time until the holder learns of the end

Cause: run times were measured from the order to the processed report. The objective is a multiple of them (stretch), so the delay of the holder's own orders and reports counted 1.6 times as time that a job has. Steps that can still be in time go first, the earliest objective before others: with objectives that are too late these are just the jobs that will be late. The slower the holder, the laxer it became.

Change: of each run the time by its endpoint's clock, from the answer to its start to the answer that lists its end, is recorded beside the run time. Objectives use the former; when a task will be over, what it occupies and what demand is expected, use the latter, as before. A start that may have been carried out by an earlier order gives no such time. Rows of the build before have none: the run time counts. The critical path of a job is kept for 250 ms, since it would be looked up twice for each ranked step.

--- a/packages/core/src/batch/endpoints/order-responses.ts
+++ b/packages/core/src/batch/endpoints/order-responses.ts
@@ -17,6 +17,8 @@
   readonly outcome: StartOutcome;
   /** A one-word reason for a rejection. */
   readonly reason?: string;
+  /** The endpoint's clock when it started the run; left out if an order may have started it earlier. */
+  readonly clockMs?: number | undefined;
   readonly nowMs: number;
 };
 
@@ -45,7 +47,7 @@
   endpointId: EndpointId,
   answer: StartResponse,
 ): void => {
-  const { task, run, outcome, reason = '', nowMs } = answer;
+  const { task, run, outcome, reason = '', clockMs, nowMs } = answer;
   recordLateStart(state, endpointId, answer);
   const endpoint = state.endpoints.get(endpointId);
   const known = endpoint?.runs.get(task);
@@ -53,6 +55,7 @@
   if (outcome === 'started') {
     known.phase = 'running';
     change(known.step.job, { hasStarted: true });
+    known.startClockMs = clockMs;
     known.confirmedAtMs = nowMs;
     known.startedByMs = Math.min(known.startedByMs, nowMs);
   }
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -53,6 +53,8 @@
   readonly ended: readonly EndedRunReport[];
   /** True if not all ended runs fit into the response: a run that is missing from it may have ended. */
   readonly hasMoreEnds: boolean;
+  /** The endpoint's clock when it responded; left out if it is not known. */
+  readonly clockMs?: number;
   /** When the list request was sent. Runs that were started later may be missing from the response. */
   readonly requestedAtMs: number;
   readonly nowMs: number;
@@ -66,6 +68,8 @@
     readonly end: EndedRunReport;
     readonly endpoint: EndpointState;
     readonly ranMs: number;
+    /** How long the run took by the endpoint's clock; `ranMs` if that is not known. */
+    readonly workedMs: number;
   },
 ) => void;
 
@@ -94,13 +98,14 @@
   returnToQueue(state, context);
 };
 
-const handleDone: EndHandler = (state, { step, task, endpoint, ranMs }) => {
+const handleDone: EndHandler = (state, { step, task, endpoint, ranMs, workedMs }) => {
   recordTaskSuccess(endpoint);
   if (step.spec.isLasting) {
     requeue(state, step, task);
     return;
   }
-  if (ranMs > 0 && task.checkpoint === '') recordRunTime(state.runTimes, step.kind, ranMs);
+  if (ranMs > 0 && task.checkpoint === '')
+    recordRunTime(state.runTimes, step.kind, ranMs, workedMs);
   if (step.spec.isGang) step.tasks.forEach((member) => completeTask(state, step, member));
   else completeTask(state, step, task);
 };
@@ -114,13 +119,19 @@
   alone: returnToQueue,
 };
 
-type ReportTimes = Pick<EndpointReport, 'requestedAtMs' | 'nowMs'>;
+type ReportTimes = Pick<EndpointReport, 'requestedAtMs' | 'nowMs' | 'clockMs'>;
+
+/** How long a run took by its endpoint's clock, which no delay of orders and reports adds to, at most `ranMs`. */
+const workedMsOf = ({ startClockMs }: RunState, clockMs: number | undefined, ranMs: number) =>
+  startClockMs === undefined || clockMs === undefined
+    ? ranMs
+    : Math.min(ranMs, Math.max(0, clockMs - startClockMs));
 
 const applyEnd = (
   state: BatchState,
   endpoint: EndpointState,
   end: EndedRunReport,
-  { requestedAtMs, nowMs }: ReportTimes,
+  { requestedAtMs, nowMs, clockMs }: ReportTimes,
 ): void => {
   const { task, run, kind } = end;
   const known = endpoint.runs.get(task);
@@ -128,16 +139,18 @@
   const taskWithStep = name && findReportedTask(state, name);
   const evidence: RunEvidence = { cause: 'reported', atMs: requestedAtMs, detail: kind };
   if (taskWithStep) change(taskWithStep.step.job, { hasStarted: true });
-  const applyEndWithRunTime = (ranMs: number): void => {
+  const applyEndWithRunTime = (ranMs: number, workedMs: number): void => {
     if (!taskWithStep || isFinal(taskWithStep.step.job.phase)) return;
-    endHandlers[kind](state, { ...taskWithStep, end, endpoint, ranMs });
+    endHandlers[kind](state, { ...taskWithStep, end, endpoint, ranMs, workedMs });
   };
   if (known?.run === run) {
-    const updateTask = (): void => applyEndWithRunTime(nowMs - known.startedAtMs);
+    const ranMs = nowMs - known.startedAtMs;
+    const workedMs = workedMsOf(known, clockMs, ranMs);
+    const updateTask = (): void => applyEndWithRunTime(ranMs, workedMs);
     dropRun(state, { endpoint, run: known, evidence, nowMs, updateTask });
     return;
   }
-  const updateTask = (): void => applyEndWithRunTime(0);
+  const updateTask = (): void => applyEndWithRunTime(0, 0);
   const startedAtMs = undefined;
   recordRunEnd(state, {
     endpoint,
@@ -239,11 +252,15 @@
 export const applyReport = (
   state: BatchState,
   endpointId: EndpointId,
-  { running, ended, hasMoreEnds, requestedAtMs, nowMs }: EndpointReport,
+  { running, ended, hasMoreEnds, requestedAtMs, nowMs, clockMs }: EndpointReport,
 ): void => {
   const endpoint = state.endpoints.get(endpointId);
   if (!endpoint) return;
-  const times: ReportTimes = { requestedAtMs, nowMs };
+  const times: ReportTimes = {
+    requestedAtMs,
+    nowMs,
+    ...(clockMs === undefined ? {} : { clockMs }),
+  };
   if (!endpoint.hasReported && !hasMoreEnds) {
     applyFirstReport(state, endpoint, { listed: [...running, ...ended], nowMs });
   }
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -126,6 +126,7 @@
     run,
     phase,
     startedAtMs: nowMs,
+    startClockMs: undefined,
     confirmedAtMs: phase === 'running' ? nowMs : Infinity,
     startedByMs: phase === 'running' ? nowMs : Infinity,
     isListed: false,
--- a/packages/core/src/batch/jobs/admission-control.ts
+++ b/packages/core/src/batch/jobs/admission-control.ts
@@ -13,7 +13,7 @@
 import { LATE_SUCCESS_FACTOR } from '../placement/job-rank.js';
 import { forecastJob, type Forecast, type ForecastInput } from './forecast.js';
 import { measureLoads, type PoolLoad, type QueuedWork } from './pool-load.js';
-import { estimateRunTime } from './run-times.js';
+import { estimateRunTime, estimateWorkTime } from './run-times.js';
 import { taskKindOf } from './step-times.js';
 
 /** Queued work that starts within this time is not treated as a backlog, so no job is refused because of it. */
@@ -105,21 +105,33 @@
   readonly countsByAccount: ReadonlyMap<AccountName, AdmissionCounts>;
 };
 
-/** The estimated work of a job: in total, and the duration of its critical path. */
-type JobWork = { readonly coreMs: number; readonly criticalPathMs: number };
+/** The estimated work of a job: in total, the duration of its critical path, and that path's work time. */
+type JobWork = {
+  readonly coreMs: number;
+  readonly criticalPathMs: number;
+  readonly criticalWorkMs: number;
+};
 
-const jobWorkOf = (state: BatchState, { steps, queue }: BatchJob): JobWork => {
-  const timeOf = (spec: StepSpec): number =>
-    estimateRunTime(state.runTimes, taskKindOf(queue, spec), spec.estimateMs);
+/** The longest chain of dependent steps if each step takes the given time, in milliseconds. */
+const longestChainMs = (steps: readonly StepSpec[], timeOf: (spec: StepSpec) => number): number => {
   const ends: number[] = [];
   steps.forEach((spec) => {
     const startMs = Math.max(0, ...spec.after.map((number) => ends[number] ?? 0));
     ends.push(startMs + timeOf(spec));
   });
+  return Math.max(0, ...ends);
+};
+
+const jobWorkOf = (state: BatchState, { steps, queue }: BatchJob): JobWork => {
+  const timeOf = (spec: StepSpec): number =>
+    estimateRunTime(state.runTimes, taskKindOf(queue, spec), spec.estimateMs);
+  const workTimeOf = (spec: StepSpec): number =>
+    estimateWorkTime(state.runTimes, taskKindOf(queue, spec), spec.estimateMs);
   const stepWorks = steps.map((spec) => (spec.taskCount * spec.cpuMillis * timeOf(spec)) / MILLIS);
   return {
     coreMs: stepWorks.reduce((sum, one) => sum + one, 0),
-    criticalPathMs: Math.max(0, ...ends),
+    criticalPathMs: longestChainMs(steps, timeOf),
+    criticalWorkMs: longestChainMs(steps, workTimeOf),
   };
 };
 
@@ -264,7 +276,7 @@
     const account = job.owner?.account;
     if (account === undefined || !mayRefuse(submitted, nowMs)) return undefined;
     const jobWork = jobWorkOf(state, job);
-    const objectiveMs = policy.stretch * jobWork.criticalPathMs + policy.targetLatencyMs;
+    const objectiveMs = policy.stretch * jobWork.criticalWorkMs + policy.targetLatencyMs;
     const elapsedMs = Math.max(0, nowMs - (state.firstAttempts.get(job.jobId) ?? nowMs));
     const timeToObjectiveMs = objectiveMs - elapsedMs;
     const limitMs = LATE_SUCCESS_FACTOR * objectiveMs - elapsedMs;
--- a/packages/core/src/batch/jobs/burst.test.ts
+++ b/packages/core/src/batch/jobs/burst.test.ts
@@ -102,6 +102,20 @@
   },
 );
 
+describe('a burst of twice the capacity while the holder learns of ends late', () => {
+  it('leaves jobs that are in time: the delay of reports does not extend their objectives', () => {
+    const { jobs } = simulateFleet({
+      pools: [POOL],
+      spareHosts: 0,
+      clients: clientsOf(2, 0),
+      submitForMs: BURST_FROM_MS + BURST_FOR_MS + 4000,
+      reportDelayMs: 400,
+    });
+    const inBurst = jobs.filter(({ atMs }) => isInBurst(atMs));
+    expect(shareWithinObjective(inBurst)).toBeGreaterThanOrEqual(0.3);
+  });
+});
+
 describe('a burst of clients without accounts', () => {
   it('is served as without admission control, and no job is refused', () => {
     const simulated = simulate(5, true, 0);
--- a/packages/core/src/batch/jobs/job-factory.ts
+++ b/packages/core/src/batch/jobs/job-factory.ts
@@ -65,7 +65,7 @@
  * @returns The new occurrence.
  */
 export const addOccurrence = (job: JobState, number: number, dueAtMs: number): OccurrenceState => {
-  const occurrence: OccurrenceState = { number, dueAtMs, steps: [] };
+  const occurrence: OccurrenceState = { number, dueAtMs, steps: [], criticalWork: undefined };
   job.job.steps.forEach((spec, index) => {
     occurrence.steps.push(createStep(job, occurrence, index, spec));
   });
--- a/packages/core/src/batch/jobs/step-times.ts
+++ b/packages/core/src/batch/jobs/step-times.ts
@@ -1,5 +1,5 @@
 /** Estimates the run time and the work of a step from the recorded run times of its kind of task. */
-import { estimateRunTime } from './run-times.js';
+import { estimateRunTime, estimateWorkTime } from './run-times.js';
 import type { QueueName, StepSpec } from '../model/job.js';
 import type { BatchState, StepRun } from '../model/state.js';
 
@@ -24,6 +24,18 @@
   step: StepRun,
 ): number => estimateRunTime(runTimes, step.kind, step.spec.estimateMs);
 
+/**
+ * Estimates the work time of each task of a step: the run time without the delay of orders and reports.
+ *
+ * @param state - The recorded run times.
+ * @param step - The step.
+ * @returns The work time in milliseconds.
+ */
+export const estimateStepWorkTime = (
+  { runTimes }: Pick<BatchState, 'runTimes'>,
+  step: StepRun,
+): number => estimateWorkTime(runTimes, step.kind, step.spec.estimateMs);
+
 /**
  * Estimates the work of all tasks of a step.
  *
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -23,6 +23,8 @@
   phase: 'announced' | 'starting' | 'running' | 'unsure' | 'stopping';
   /** When the run was added here, or ordered if its start was announced. */
   startedAtMs: number;
+  /** The endpoint's clock when it answered the order to start the run; undefined if that is not known. */
+  startClockMs: number | undefined;
   /** When the endpoint confirmed the run; infinite before that. */
   confirmedAtMs: number;
   /** The time by which the run had certainly started; infinite while that is not known. */
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -129,6 +129,8 @@
   /** When the occurrence is due. */
   readonly dueAtMs: number;
   readonly steps: StepRun[];
+  /** The estimated work time of the longest chain of steps, kept for a short time; undefined before the first estimate. */
+  criticalWork: { readonly ms: number; readonly estimatedAtMs: number } | undefined;
 };
 
 /** The state of a job and of its tasks. */
--- a/packages/core/src/batch/placement/job-rank.ts
+++ b/packages/core/src/batch/placement/job-rank.ts
@@ -3,13 +3,17 @@
  * The `QueueOrder` decides where the shares of client accounts come in, see `SORT_KEYS`.
  */
 import type { QueueOrder } from '../model/queue-order.js';
+import { change } from '../../shared/change.js';
 import { isRankedWithinShare } from '../accounts/shares.js';
 import type { BatchState, JobState, StepRun } from '../model/state.js';
-import { estimateStepTime } from '../jobs/step-times.js';
+import { estimateStepTime, estimateStepWorkTime } from '../jobs/step-times.js';
 
 /** A job that finishes within this many times its objective is a late success, which is still of use to its client. */
 export const LATE_SUCCESS_FACTOR = 3;
 
+/** For how long the estimated work time of a job's steps is kept. */
+const CRITICAL_WORK_MAX_AGE_MS = 250;
+
 /** The values that decide the position of a step in the queue. */
 export type Rank = {
   readonly step: StepRun;
@@ -25,38 +29,49 @@
   readonly virtualStart: number;
 };
 
+/** Estimates the duration of a step in milliseconds. */
+type StepTimeEstimate = (state: BatchState, step: StepRun) => number;
+
 /**
  * Estimates the remaining critical path: how long the longest chain of dependent steps takes, from an open step to the
  * end of its occurrence.
  *
  * @param state - The batch state, which holds the recorded run times.
  * @param step - The open step; the steps that depend on it are included.
+ * @param estimate - Estimates each step; the run time if left out.
  * @returns The duration in milliseconds.
  */
-export const remainingCriticalPathMs = (state: BatchState, step: StepRun): number => {
+export const remainingCriticalPathMs = (
+  state: BatchState,
+  step: StepRun,
+  estimate: StepTimeEstimate = estimateStepTime,
+): number => {
   const { steps } = step.occurrence;
   let afterMs = 0;
   for (let index = 0; index < steps.length; index += 1) {
     const next = steps[index] as StepRun;
     const isFollower = next.spec.after.includes(step.number);
-    if (isFollower) afterMs = Math.max(afterMs, remainingCriticalPathMs(state, next));
+    if (isFollower) afterMs = Math.max(afterMs, remainingCriticalPathMs(state, next, estimate));
   }
-  return estimateStepTime(state, step) + afterMs;
+  return estimate(state, step) + afterMs;
 };
 
 /** Tells whether a step depends on no other step. */
 const isFirstStep = ({ spec }: StepRun): boolean => spec.after.length === 0;
 
 /**
- * Estimates the critical path, the longest chain of dependent steps, of a whole occurrence, in milliseconds.
- * `remainingMs` is the critical path from `step` on, which the caller has computed already.
+ * Estimates the work time of the longest chain of dependent steps of a whole occurrence, in milliseconds. A backlog is
+ * ranked many times a second, while this changes only with the recorded work times.
  */
-const criticalPathMs = (state: BatchState, step: StepRun, remainingMs: number): number => {
-  let longestMs = isFirstStep(step) ? remainingMs : 0;
-  step.occurrence.steps.forEach((first) => {
-    if (first === step || !isFirstStep(first)) return;
-    longestMs = Math.max(longestMs, remainingCriticalPathMs(state, first));
+const criticalWorkMs = (state: BatchState, { occurrence }: StepRun, nowMs: number): number => {
+  const known = occurrence.criticalWork;
+  if (known && nowMs - known.estimatedAtMs < CRITICAL_WORK_MAX_AGE_MS) return known.ms;
+  let longestMs = 0;
+  occurrence.steps.forEach((step) => {
+    if (!isFirstStep(step)) return;
+    longestMs = Math.max(longestMs, remainingCriticalPathMs(state, step, estimateStepWorkTime));
   });
+  change(occurrence, { criticalWork: { ms: longestMs, estimatedAtMs: nowMs } });
   return longestMs;
 };
 
@@ -72,16 +87,12 @@
  *
  * @param state - The batch state, which holds the recorded run times.
  * @param step - A step of the job.
- * @param remainingMs - The remaining critical path from the step on, in milliseconds; computed if left out.
+ * @param nowMs - The current time on the holder's monotonic clock, in milliseconds.
  * @returns The objective in milliseconds.
  */
-export const objectiveMsOf = (
-  state: BatchState,
-  step: StepRun,
-  remainingMs = remainingCriticalPathMs(state, step),
-): number => {
+export const objectiveMsOf = (state: BatchState, step: StepRun, nowMs: number): number => {
   const { stretch, targetLatencyMs } = step.job.policy;
-  return stretch * criticalPathMs(state, step, remainingMs) + targetLatencyMs;
+  return stretch * criticalWorkMs(state, step, nowMs) + targetLatencyMs;
 };
 
 /**
@@ -95,7 +106,7 @@
 export const isTooLate = (state: BatchState, job: JobState, nowMs: number): boolean => {
   const step = job.occurrences.get(0)?.steps[0];
   if (!step || job.job.repeats > 0) return false;
-  return nowMs > job.submittedAtMs + LATE_SUCCESS_FACTOR * objectiveMsOf(state, step);
+  return nowMs > job.submittedAtMs + LATE_SUCCESS_FACTOR * objectiveMsOf(state, step, nowMs);
 };
 
 /**
@@ -109,7 +120,7 @@
 export const isWithinObjective = (state: BatchState, job: JobState, nowMs: number): boolean => {
   const step = job.occurrences.get(0)?.steps[0];
   if (!step || job.job.repeats > 0) return true;
-  return nowMs <= job.submittedAtMs + objectiveMsOf(state, step);
+  return nowMs <= job.submittedAtMs + objectiveMsOf(state, step, nowMs);
 };
 
 /**
@@ -123,7 +134,7 @@
 export const rankStep = (state: BatchState, step: StepRun, nowMs: number): Rank => {
   const { policy, share } = step.job;
   const remainingMs = remainingCriticalPathMs(state, step);
-  const objectiveMs = objectiveMsOf(state, step, remainingMs);
+  const objectiveMs = objectiveMsOf(state, step, nowMs);
   const sinceMs = objectiveStartMs(step);
   const dueAtMs = sinceMs + objectiveMs;
   const endsAtMs = nowMs + remainingMs;
--- a/packages/core/src/batch/pools/demand-history.ts
+++ b/packages/core/src/batch/pools/demand-history.ts
@@ -11,8 +11,11 @@
   readonly onsets: readonly (readonly [string, number])[];
   /** Pool names, each with the cores of its highest peak. */
   readonly heights: readonly (readonly [string, number])[];
-  /** Task kinds, each with its mean run time in milliseconds and the number of runs that ended. */
-  readonly runTimes: readonly (readonly [string, number, number])[];
+  /**
+   * Task kinds, each with its mean run time in milliseconds, the number of runs that ended, and its mean work time in
+   * milliseconds, which rows of earlier builds do not have.
+   */
+  readonly runTimes: readonly (readonly [string, number, number, number?])[];
 };
 
 /** With more task kinds than this, only those with the most ended runs are saved. */
@@ -33,9 +36,10 @@
 ): DemandHistoryRow => ({
   onsets: peaks.onsets.map(({ pool, atMs }) => [pool, Math.round(wallClockMs - (nowMs - atMs))]),
   heights: Array.from(peaks.peakCores, ([pool, cores]) => [pool, Math.round(cores)]),
-  runTimes: Array.from(
-    runTimes.byKind,
-    ([kind, { meanMs, completions }]) => [kind, Math.round(meanMs), completions] as const,
+  runTimes: Array.from(runTimes.byKind, ([kind, { meanMs, completions, meanWorkMs }]) =>
+    meanWorkMs === undefined
+      ? ([kind, Math.round(meanMs), completions] as const)
+      : ([kind, Math.round(meanMs), completions, Math.round(meanWorkMs)] as const),
   )
     .sort(([, , left], [, , right]) => right - left)
     .slice(0, MAX_KINDS),
@@ -72,5 +76,7 @@
   });
   savedRunTimes
     .filter(([kind]) => !runTimes.byKind.has(kind))
-    .forEach(([kind, meanMs, completions]) => runTimes.byKind.set(kind, { meanMs, completions }));
+    .forEach(([kind, meanMs, completions, meanWorkMs]) =>
+      runTimes.byKind.set(kind, { meanMs, meanWorkMs, completions }),
+    );
 };
--- a/packages/core/src/batch/testing/fleet-simulation.fixtures.ts
+++ b/packages/core/src/batch/testing/fleet-simulation.fixtures.ts
@@ -12,6 +12,7 @@
 import { setAccounts } from '../accounts/quota.js';
 import { upsertEndpoint } from '../endpoints/endpoints.js';
 import { removeEndpoint } from '../endpoints/gone-endpoints.js';
+import { applyStartOutcome } from '../endpoints/order-responses.js';
 import { applyReport, type EndedRunReport } from '../endpoints/reports.js';
 import { createAdmissionControl, type AdmissionControl } from '../jobs/admission-control.js';
 import { recordFirstAttempts } from '../jobs/first-attempts.js';
@@ -74,6 +75,8 @@
   readonly submitForMs: number;
   /** Whether admission control refuses jobs that cannot be served in time; true by default. */
   readonly isAdmissionOn?: boolean;
+  /** How long after its end a run is reported to the holder, in ms; 0 by default. */
+  readonly reportDelayMs?: number;
   /** Maximum number of attempts per job, including the first one; 3 by default. */
   readonly maxAttempts?: number;
 };
@@ -192,6 +195,7 @@
  */
 export const simulateFleet = (play: FleetSimulationOptions): FleetSimulationResult => {
   const { pools, clients, submitForMs, isAdmissionOn = true, maxAttempts = 3 } = play;
+  const { reportDelayMs = 0 } = play;
   const state = createBatchState(2);
   change(state, { takenOverAtMs: -Infinity });
   const random = createRandom();
@@ -266,6 +270,7 @@
     const { endpointId, pool } = endpoint;
     ended += 1;
     const end = { number: ended, task, run, kind: 'done' as const, checkpoint: '' };
+    applyStartOutcome(state, endpointId, { task, run, outcome: 'started', clockMs: nowMs, nowMs });
     const list = ends.get(endpointId) ?? [];
     ends.set(endpointId, list);
     list.push({ atMs: nowMs + Math.ceil(runMs / TIME_STEP_MS) * TIME_STEP_MS, end });
@@ -276,13 +281,14 @@
 
   const report = (endpointId: EndpointId, nowMs: number): void => {
     const list = ends.get(endpointId) ?? [];
-    const over = list.filter(({ atMs }) => atMs <= nowMs);
+    const clockMs = nowMs - reportDelayMs;
+    const over = list.filter(({ atMs }) => atMs <= clockMs);
     if (over.length > 0)
       ends.set(
         endpointId,
-        list.filter(({ atMs }) => atMs > nowMs),
+        list.filter(({ atMs }) => atMs > clockMs),
       );
-    const rest = { running: [], hasMoreEnds: false, requestedAtMs: 0, nowMs };
+    const rest = { running: [], hasMoreEnds: false, clockMs, requestedAtMs: 0, nowMs };
     applyReport(state, endpointId, { ...rest, ended: over.map(({ end }) => end) });
   };
 
--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -322,10 +322,10 @@
       return true;
     }
     reportClockMs = response.value.clockMs;
-    const { running, ended, hasMoreEnds } = response.value;
+    const { running, ended, hasMoreEnds, clockMs } = response.value;
     const newEnds = ended.filter(({ number }) => number > lastAppliedNumber);
     state.clockMs = nowMs();
-    const report = { running, ended: newEnds, hasMoreEnds, requestedAtMs, nowMs: nowMs() };
+    const report = { running, ended: newEnds, hasMoreEnds, clockMs, requestedAtMs, nowMs: nowMs() };
     applyReport(state, endpointId, report);
     // Only ended runs that were applied may be acknowledged.
     lastAppliedNumber = Math.max(lastAppliedNumber, ...newEnds.map(({ number }) => number));
--- a/packages/daemon/src/batch/endpoints/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -27,6 +27,8 @@
 type StartResult = {
   readonly outcome: StartOutcome;
   readonly error?: OrderError;
+  /** The endpoint's clock when it started the run, if the first order did. */
+  readonly clockMs?: number;
   /** True if one of the orders got no response and may still be carried out. */
   readonly hasUnansweredOrder: boolean;
 };
@@ -119,7 +121,10 @@
       const response = await sendInWindow(order);
       if (response.isOk()) {
         recordClockReading(response.value);
-        return { outcome: 'started', hasUnansweredOrder: isFirstUnanswered };
+        const { clockMs } = response.value;
+        return isFirstUnanswered
+          ? { outcome: 'started', hasUnansweredOrder: true }
+          : { outcome: 'started', clockMs, hasUnansweredOrder: false };
       }
       const { error } = response;
       recordError(error, { task: order.task, run: order.run, attempt });
@@ -157,10 +162,10 @@
       return;
     }
     const order = { task, run, spec, checkpoint, ticket, keepUntilMs, fence: state.fence };
-    const { outcome, error, hasUnansweredOrder } = await sendStart(order);
+    const { outcome, error, clockMs, hasUnansweredOrder } = await sendStart(order);
     if (error?.reason === 'ticket') removeTicket(state, task, endpointId);
     const reason = error?.reason;
-    applyStartOutcome(state, endpointId, { task, run, outcome, reason, nowMs: nowMs() });
+    applyStartOutcome(state, endpointId, { task, run, outcome, reason, clockMs, nowMs: nowMs() });
     if (!hasUnansweredOrder) recordStartsAnswered(state, endpointId, order);
     if (outcome !== 'started') {
       context.requestScheduling();
