A save builds the rows that it sends, not those of all changed jobs

Change: rows are built until the transaction is full.

Evidence: 'have no rows built for a full transaction, however many wait' failed before with 300 rows built for 40.

--- a/packages/daemon/src/batch/jobs/changed-jobs.ts
+++ b/packages/daemon/src/batch/jobs/changed-jobs.ts
@@ -35,7 +35,10 @@
   readonly isWrittenUpTo: (mark: number) => boolean;
   /** Removes all marks, for when none of the marked jobs exists any more. */
   readonly clear: () => void;
-  /** Removes and returns the jobs that `fits` admits to the next transaction; ended jobs come first. */
+  /**
+   * Removes and returns the jobs that the next transaction has space for; ended jobs come first. Rows are built up to the
+   * first one that `fits` refuses.
+   */
   readonly takeFitting: (fits: (part: TableTransaction) => boolean) => readonly SentJob[];
   /** Marks jobs as changed again because their transaction was not committed. */
   readonly markUnsaved: (sent: readonly SentJob[]) => void;
@@ -137,7 +140,9 @@
     isWrittenUpTo: (number) => oldestMark() > number,
     clear: () => changed.clear(),
     takeFitting: (fits) => {
-      const jobs = listEndedFirst().filter((job) => fits(buildWrite(job)));
+      const candidates = listEndedFirst();
+      const firstLeftOut = candidates.findIndex((job) => !fits(buildWrite(job)));
+      const jobs = firstLeftOut < 0 ? candidates : candidates.slice(0, firstLeftOut);
       jobs.forEach(({ job }) => changed.delete(job.jobId));
       return jobs.map((job) => ({
         job,
