Pool moves: allocation, parking and reclaims in modules of their own

The plan of the moves and the forecast stay there; hosts that may leave (movable-hosts.ts), the allocation to pools that lack capacity (host-allocation.ts), parking (pool-parking.ts) and reclaimed endpoints (pool-reclaims.ts) stand apart. No logic changes.

Evidence: pools, evacuation and pool-shares tests, 35 passed; tsc and eslint clean.

--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -60,5 +60,7 @@
 export * from './pools/host-inventory.js';
 export * from './pools/listed-hosts.js';
 export * from './pools/demand-history.js';
+export * from './pools/host-allocation.js';
 export * from './pools/pool-moves.js';
+export * from './pools/pool-reclaims.js';
 export * from './pools/pool-needs.js';
--- a/packages/core/src/batch/testing/fleet-simulation.fixtures.ts
+++ b/packages/core/src/batch/testing/fleet-simulation.fixtures.ts
@@ -29,7 +29,8 @@
 } from '../model/state.js';
 import { schedulePool } from '../placement/schedule.js';
 import type { ListedHost, DeclaredPool } from '../pools/listed-hosts.js';
-import { updatePoolForecasts, planMoves, planReclaims } from '../pools/pool-moves.js';
+import { updatePoolForecasts, planMoves } from '../pools/pool-moves.js';
+import { planReclaims } from '../pools/pool-reclaims.js';
 import { observePeaks } from '../pools/pool-needs.js';
 
 const TIME_STEP_MS = 20;
