Pool moves: compare racks, not all pairs of hosts, when hosts leave a pool

Callers saw: at a peak, jobs that were accepted and ended late, with the control holder at the limit of its processor.

Cause: chooseHostsToLeave compared each host that may leave with all others, for each host that left, and built the names of both hosts' racks and data centres for each comparison. It runs four times in each cycle of the fleet (250 ms) for each pool with surplus hosts, whatever the load.

Change: hosts of one rack are equally suitable, so they are grouped once, and each choice compares the first of each rack. The choices are the same, which a property test compares with the rule itself.

Test: 'compares racks, not all pairs of hosts' failed before with 8,192 lookups for 64 hosts in 8 racks, limit 2,048.

--- a/packages/core/src/batch/pools/pool-domains.test.ts
+++ b/packages/core/src/batch/pools/pool-domains.test.ts
@@ -1,4 +1,5 @@
 /** Choosing the hosts that join or leave a pool by their racks and data centres. */
+import { fc, test } from '@fast-check/vitest';
 import { describe, expect, it } from 'vitest';
 
 import { brand, type EndpointId, type HostId, type PoolName } from '../../shared/ids.js';
@@ -7,6 +8,7 @@
 import { createBatchState, poolOf, type BatchState } from '../model/state.js';
 import { upsertEndpoint } from '../endpoints/endpoints.js';
 import type { ListedHost } from './listed-hosts.js';
+import { chooseHostsToLeave, countHostsByDomain } from './pool-domains.js';
 import { planMoves } from './pool-moves.js';
 import { DEFAULT_POOL_POLICY, type PoolPlanInput } from './pool-needs.js';
 
@@ -101,3 +103,83 @@
     expect(leavingHosts(places, 1)).toEqual([0, 1]);
   });
 });
+
+/** Chooses the hosts that leave by the rule itself: each time the first host of the fullest rack, then data centre. */
+const chooseByComparingAll = (
+  hosts: readonly ListedHost[],
+  maxHosts: number,
+): readonly ListedHost[] => {
+  const remaining = [...hosts];
+  const rackOf = ({ dataCentre, labels }: ListedHost): string | null =>
+    labels.length > 1 ? `${dataCentre} ${labels[0]}` : null;
+  const countWhere = (matches: (host: ListedHost) => boolean): number =>
+    remaining.filter(matches).length;
+  const fullness = (host: ListedHost): number => {
+    const inRack = countWhere((other) => rackOf(other) === rackOf(host));
+    const isRackless = rackOf(host) === null;
+    const isCountedWith = (other: ListedHost): boolean =>
+      rackOf(other) !== null && other.dataCentre === host.dataCentre;
+    return inRack + (isRackless ? 0 : countWhere(isCountedWith) / 100);
+  };
+  return Array.from({ length: Math.min(maxHosts, hosts.length) }, () => {
+    const fullest = Math.max(...remaining.map(fullness));
+    const index = remaining.findIndex((host) => fullness(host) === fullest);
+    return remaining.splice(index, 1)[0] as ListedHost;
+  });
+};
+
+describe('choosing hosts of a large pool that leave', () => {
+  const RACKS = 8;
+  const HOSTS_PER_RACK = 8;
+  const HOSTS = RACKS * HOSTS_PER_RACK;
+
+  /** Counts how often the hosts of a domain are looked up. */
+  const createLookupCounter = () => {
+    let lookups = 0;
+    class CountedMap<Key, Value> extends Map<Key, Value> {
+      override get(key: Key): Value | undefined {
+        lookups += 1;
+        return super.get(key);
+      }
+    }
+    return { CountedMap, lookups: () => lookups };
+  };
+
+  const createHosts = (): readonly ListedHost[] =>
+    Array.from(
+      createWorld(
+        Array.from({ length: HOSTS }, (_, index) => `alpha dc-${index % 2} r${index % RACKS}`),
+      ).hosts.values(),
+    );
+
+  it('compares racks, not all pairs of hosts', () => {
+    const hosts = createHosts();
+    const { CountedMap, lookups } = createLookupCounter();
+    const chosen = chooseHostsToLeave(hosts, HOSTS, new CountedMap(countHostsByDomain(hosts)));
+    expect(chosen).toHaveLength(HOSTS);
+    expect(new Set(chosen).size).toBe(HOSTS);
+    const lookupsPerRack = 4;
+    expect(lookups()).toBeLessThanOrEqual(lookupsPerRack * HOSTS * RACKS);
+  });
+
+  it('takes one host of each rack in turn', () => {
+    const hosts = createHosts();
+    const chosen = chooseHostsToLeave(hosts, HOSTS, countHostsByDomain(hosts));
+    const rackNumbers = chosen.map(({ hostId }) => Number(hostId.slice(2)) % RACKS);
+    for (let round = 0; round < HOSTS_PER_RACK; round += 1) {
+      const racks = rackNumbers.slice(round * RACKS, (round + 1) * RACKS);
+      expect(new Set(racks).size).toBe(RACKS);
+    }
+  });
+
+  test.prop([
+    fc.array(fc.tuple(fc.nat(2), fc.constantFrom('-', 'a', 'b', 'c')), { maxLength: 16 }),
+    fc.nat(20),
+  ])('chooses the same hosts as a comparison of all of them', (places, maxHosts) => {
+    const names = places.map(([dataCentre, rack]) => `alpha dc-${dataCentre} ${rack}`);
+    const hosts = Array.from(createWorld(names).hosts.values());
+    const counts = countHostsByDomain(hosts);
+    const expected = chooseByComparingAll(hosts, maxHosts);
+    expect(chooseHostsToLeave(hosts, maxHosts, counts)).toEqual(expected);
+  });
+});
--- a/packages/core/src/batch/pools/pool-domains.ts
+++ b/packages/core/src/batch/pools/pool-domains.ts
@@ -2,6 +2,7 @@
  * Chooses the hosts that join or leave a pool by their racks and data centres, so that the loss of one rack or data
  * centre removes as few hosts of each pool as possible. Among equally suitable hosts the first one is chosen.
  */
+import { change } from '../../shared/change.js';
 import type { DomainId } from '../../shared/ids.js';
 import { dataCentreCountKey, domainsOf, rackCountKey } from '../domains/domains.js';
 import { rackOf } from '../endpoints/endpoints.js';
@@ -42,14 +43,20 @@
   return counts;
 };
 
-/** Compares two hosts by the counts of their racks, then of their data centres; below 0 if the left has the lower. */
-const compareHostCounts = (counts: DomainCounts, left: ListedHost, right: ListedHost): number => {
-  const [leftRack = 0, leftDataCentre = 0] = domainKeysOf(left).map((key) => counts.get(key) ?? 0);
-  const [rightRack = 0, rightDataCentre = 0] = domainKeysOf(right).map(
-    (key) => counts.get(key) ?? 0,
-  );
-  return leftRack - rightRack || leftDataCentre - rightDataCentre;
-};
+/** The hosts of a pool in the rack and in the data centre of a host. */
+type PlaceCounts = { readonly inRack: number; readonly inDataCentre: number };
+
+const placeCountsOf = (
+  counts: DomainCounts,
+  [rack, dataCentre]: readonly DomainId[],
+): PlaceCounts => ({
+  inRack: (rack && counts.get(rack)) ?? 0,
+  inDataCentre: (dataCentre && counts.get(dataCentre)) ?? 0,
+});
+
+/** Compares two places by the counts of their racks, then of their data centres; below 0 if the left has the lower. */
+const comparePlaceCounts = (left: PlaceCounts, right: PlaceCounts): number =>
+  left.inRack - right.inRack || left.inDataCentre - right.inDataCentre;
 
 /**
  * Chooses the host that joins a pool: the one in whose rack, then data centre, the pool has the fewest hosts.
@@ -61,11 +68,61 @@
 export const chooseHostToJoin = (
   hosts: readonly ListedHost[],
   counts: DomainCounts,
-): ListedHost | undefined =>
-  hosts.reduce<ListedHost | undefined>(
-    (best, host) => (best && compareHostCounts(counts, host, best) >= 0 ? best : host),
-    undefined,
-  );
+): ListedHost | undefined => {
+  let best: ListedHost | undefined;
+  let bestCounts: PlaceCounts | undefined;
+  hosts.forEach((host) => {
+    const place = placeCountsOf(counts, domainKeysOf(host));
+    if (bestCounts && comparePlaceCounts(place, bestCounts) >= 0) return;
+    best = host;
+    bestCounts = place;
+  });
+  return best;
+};
+
+/** The hosts in one rack, which are equally suitable, so that only the first of them has to be compared. */
+type RackGroup = {
+  readonly keys: readonly DomainId[];
+  readonly hosts: ListedHost[];
+  /** The positions of the hosts in the list that they were taken from. */
+  readonly positions: number[];
+  /** How many of the hosts have been chosen, in the order of the list. */
+  chosen: number;
+};
+
+const groupByRack = (hosts: readonly ListedHost[]): readonly RackGroup[] => {
+  const groups = new Map<DomainId | undefined, RackGroup>();
+  hosts.forEach((host, position) => {
+    const keys = domainKeysOf(host);
+    const group = groups.get(keys[0]) ?? { keys, hosts: [], positions: [], chosen: 0 };
+    groups.set(keys[0], group);
+    group.hosts.push(host);
+    group.positions.push(position);
+  });
+  return Array.from(groups.values());
+};
+
+const firstPositionOf = ({ positions, chosen }: RackGroup): number => positions[chosen] ?? Infinity;
+
+/** Finds the rack with the most hosts left, then with the most in its data centre, then with the first host. */
+const findFullestRack = (
+  groups: readonly RackGroup[],
+  counts: DomainCounts,
+): RackGroup | undefined => {
+  let fullest: RackGroup | undefined;
+  let fullestCounts: PlaceCounts = { inRack: -Infinity, inDataCentre: -Infinity };
+  groups.forEach((group) => {
+    if (group.chosen === group.hosts.length) return;
+    const place = placeCountsOf(counts, group.keys);
+    const order =
+      comparePlaceCounts(fullestCounts, place) ||
+      firstPositionOf(group) - (fullest ? firstPositionOf(fullest) : Infinity);
+    if (order >= 0) return;
+    fullest = group;
+    fullestCounts = place;
+  });
+  return fullest;
+};
 
 /**
  * Chooses the hosts that leave a pool, one after the other: each time the host in whose rack, then data centre, the
@@ -81,15 +138,15 @@
   maxHosts: number,
   counts: DomainCounts,
 ): readonly ListedHost[] => {
-  const remaining = new Set(hosts);
-  return Array.from({ length: Math.min(maxHosts, hosts.length) }, () => {
-    const [first, ...others] = remaining;
-    const leaving = others.reduce(
-      (best, host) => (compareHostCounts(counts, host, best) > 0 ? host : best),
-      first as ListedHost,
-    );
-    remaining.delete(leaving);
-    adjustCounts(counts, leaving, -1);
-    return leaving;
-  });
+  const groups = groupByRack(hosts);
+  const leaving: ListedHost[] = [];
+  while (leaving.length < Math.min(maxHosts, hosts.length)) {
+    const rack = findFullestRack(groups, counts);
+    const host = rack?.hosts[rack.chosen];
+    if (!rack || !host) return leaving;
+    change(rack, { chosen: rack.chosen + 1 });
+    rack.keys.forEach((key) => counts.set(key, (counts.get(key) ?? 0) - 1));
+    leaving.push(host);
+  }
+  return leaving;
 };
