--- a/packages/stand-ins/src/users-platform/rows-service.ts
+++ b/packages/stand-ins/src/users-platform/rows-service.ts
@@ -37,6 +37,8 @@
 export type RowsService = {
   /** Writes a row, outside of any check. */
   readonly put: (table: string, key: string, value: unknown) => void;
+  /** Writes a row whose value is a text of any form, as another writer may. */
+  readonly putText: (table: string, key: string, value: string) => void;
   /** Deletes a row if it exists. */
   readonly remove: (table: string, key: string) => void;
   /** Returns the decoded value of a row; undefined when the row does not exist. */
@@ -173,6 +175,9 @@
     put: (table, key, value) => {
       commit({ puts: [{ table, part: '', key, value: encode(value) }] });
     },
+    putText: (table, key, value) => {
+      commit({ puts: [{ table, part: '', key, value }] });
+    },
     remove: (table, key) => {
       commit({ remove: [{ table, part: '', key }] });
     },
--- a/packages/stand-ins/src/users-platform/users-platform.ts
+++ b/packages/stand-ins/src/users-platform/users-platform.ts
@@ -67,6 +67,8 @@
   readonly startedMaintenance: ReadonlySet<string>;
   /** Makes the machine list and the orders to machines fail, or restores them. */
   readonly setMachineListFault: (fault: MachineListFault) => void;
+  /** Adds entries of any form to the list of machines, as another writer may. */
+  readonly addListedEntries: (entries: readonly unknown[]) => void;
   readonly close: () => Promise<void>;
 };
 
@@ -223,18 +225,22 @@
     if (machinesFault === 'unavailable') await reply.code(503).send();
     if (machinesFault === 'silent') await new Promise<void>(() => {});
   });
-  machineList.get('/-/machines', async () => ({
-    machines: Array.from(machines.values(), ({ machine, pool, state, zone, executor }) => ({
-      machine,
-      pool,
-      state,
-      zone,
-      labels: ['a', 'r1-1'],
-      capacity: { cpu: CAPACITY.cpuMillis, memMb: CAPACITY.memoryMb },
-      id: executor?.model.instanceId ?? null,
-    })),
-    nextToken: null,
-  }));
+  const addedEntries: unknown[] = [];
+  machineList.get('/-/machines', async () => {
+    const ownEntries = Array.from(
+      machines.values(),
+      ({ machine, pool, state, zone, executor }) => ({
+        machine,
+        pool,
+        state,
+        zone,
+        labels: ['a', 'r1-1'],
+        capacity: { cpu: CAPACITY.cpuMillis, memMb: CAPACITY.memoryMb },
+        id: executor?.model.instanceId ?? null,
+      }),
+    );
+    return { machines: [...addedEntries, ...ownEntries], nextToken: null };
+  });
   machineList.post<{ Body: { machine: string; wave: number } }>(
     '/-/machine-upkeep',
     async ({ body }, reply) => {
@@ -303,6 +309,7 @@
     setMachineListFault: (fault) => {
       machinesFault = fault;
     },
+    addListedEntries: (entries) => addedEntries.push(...entries),
     close: async () => {
       clearInterval(serverRowTimer);
       await Promise.all(executors().map((executor) => executor.close()));
