Rows that only entries write: one that cannot be read is an alarm, frees nothing, and costs no other row

Callers saw: a job or progress row without JSON threw in the feed of a new term (term-failed, without end). The value null in an own row was taken for a deleted row: a lease row of null or of another shape was acquired at once under epoch 1, a guard row of another shape was overwritten, a job was restored from its beginning without its progress, an entry row without a URL threw in each read of the peers. Change: the store's table delivers such a row as UNREADABLE_VALUE, which is no null and has no one's shape; each reader checks the shape of what it reads. Lease: neither taken nor renewed. Guard: left, the term waits. Job, or its progress: not run, not deleted, its status is unknown and not 410; the others are restored. Entry: not asked. Demand history: not used.

--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -25,6 +25,21 @@
   readonly earlierMs?: number;
 };
 
+const isWhole = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0;
+
+/**
+ * Tells whether the value of a row is that of a lease.
+ *
+ * @param value - The value.
+ * @returns False if it cannot be read; the lease may then be held by anybody.
+ */
+export const isLeaseRow = (value: unknown): value is LeaseRow => {
+  if (typeof value !== 'object' || value === null) return false;
+  const { holder, epoch, renewals } = value as Partial<LeaseRow>;
+  const isHolderReadable = holder === null || typeof holder === 'string';
+  return isHolderReadable && isWhole(epoch) && isWhole(renewals);
+};
+
 /** The state of a lease at one entry. Times are in milliseconds of its own monotonic clock. */
 export type LeaseState = {
   readonly self: EntryId;
--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -9,6 +9,7 @@
   type MaintenanceRequest,
 } from '@valvelatch/core/batch';
 import { brand, type EntryId, type JobId } from '@valvelatch/core/shared/ids';
+import { rowKey } from '@valvelatch/core/rows/rows';
 import type { TableClient } from '@valvelatch/platform';
 
 import { createLeaseManager } from '../../leases/lease-manager.js';
@@ -21,6 +22,7 @@
 import { ENDPOINT_LEASE_MS } from '../endpoints/endpoint-link.js';
 import { CONTROL_METHOD, createHolderClient, HOLDER_SILENCE_LIMIT_MS } from './holder-client.js';
 import { createResignations } from './resignations.js';
+import { createRowAlarm } from './row-alarm.js';
 import { CONTROL_LEASE } from '../keys.js';
 import type { Peers } from '../entry/peers.js';
 import type { BatchPlatform } from '../ports.js';
@@ -174,6 +176,7 @@
     mayAcquire: () => isWilling() && (mayTakeAtOnce() || mayTakeAfterYielding()),
     mayReacquire: () => isWilling(),
     freeAfterMs: () => (isHolderSuspect() ? EARLY_TAKEOVER_MS : undefined),
+    onUnreadableRow: createRowAlarm({ key: rowKey.lease(CONTROL_LEASE), log, metrics }),
     nowMs,
   });
   const knownWaves = new Map<number, KnownWave>();
--- a/packages/daemon/src/batch/control/demand-history-store.ts
+++ b/packages/daemon/src/batch/control/demand-history-store.ts
@@ -25,6 +25,23 @@
   readonly save: () => Promise<void>;
 };
 
+/** A text and numbers; more may follow. */
+const isTuple = (value: unknown, numbers: number): boolean =>
+  Array.isArray(value) &&
+  typeof value[0] === 'string' &&
+  value.length > numbers &&
+  value.slice(1, 1 + numbers).every((item) => Number.isFinite(item));
+
+const areTuples = (value: unknown, numbers: number): boolean =>
+  Array.isArray(value) && value.every((item) => isTuple(item, numbers));
+
+/** An unreadable history is not used, and is overwritten: the holder learns a new one. */
+const isDemandHistoryRow = (value: unknown): value is DemandHistoryRow => {
+  if (typeof value !== 'object' || value === null) return false;
+  const { onsets, heights, runTimes } = value as Partial<DemandHistoryRow>;
+  return areTuples(onsets, 1) && areTuples(heights, 1) && areTuples(runTimes, 2);
+};
+
 /**
  * Builds the demand history store of a term.
  *
@@ -49,8 +66,12 @@
       return;
     }
     hasReadRow = true;
-    const row = rows.value[0]?.value as DemandHistoryRow | null | undefined;
+    const row = rows.value[0]?.value;
     if (!row) return;
+    if (!isDemandHistoryRow(row)) {
+      log.error('own-row-unreadable', { key: batchKey.demandHistory });
+      return;
+    }
     restoreDemandHistoryRow(state, row, nowMs(), wallClockMs());
     log.info('learned-read', { peaks: row.onsets.length, kinds: row.runTimes.length });
   };
--- a/packages/daemon/src/batch/control/guard.ts
+++ b/packages/daemon/src/batch/control/guard.ts
@@ -10,9 +10,18 @@
   | { readonly kind: 'taken'; readonly check: RowCheck }
   /** A later holder has changed the row. */
   | { readonly kind: 'superseded' }
+  /** The row cannot be read; it may have been written by a later holder, so it is left as it is. */
+  | { readonly kind: 'unreadable' }
   /** The table did not answer, or the row changed in the meantime: to be tried again. */
   | { readonly kind: 'open' };
 
+type GuardValue = { readonly fence: number };
+
+const isGuardValue = (value: unknown): value is GuardValue =>
+  typeof value === 'object' &&
+  value !== null &&
+  Number.isSafeInteger((value as Partial<GuardValue>).fence);
+
 /**
  * Changes the guard row for a term. From then on the writes of earlier holders fail their version check.
  *
@@ -28,7 +37,8 @@
   const rows = await table.read([key]);
   if (rows.isErr()) return { kind: 'open' };
   const [guardRow] = rows.value;
-  const value = (guardRow?.value ?? { fence: 0 }) as { readonly fence: number };
+  const value = guardRow?.value ?? { fence: 0 };
+  if (!isGuardValue(value)) return { kind: 'unreadable' };
   // An earlier attempt took effect, but its answer was lost.
   if (guardRow && value.fence === fence)
     return { kind: 'taken', check: { key, version: guardRow.version } };
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -58,6 +58,7 @@
 import { batchKey } from '../keys.js';
 import { createDemandHistoryStore } from './demand-history-store.js';
 import { logLoad, type LoadLogOptions } from './load-log.js';
+import { createRowAlarm } from './row-alarm.js';
 import { createProcessLoadMeter } from './process-load.js';
 import type { BatchPlatform } from '../ports.js';
 import type { RefusedJob } from '../jobs/refused-jobs.js';
@@ -285,6 +286,7 @@
     isStopped: () => isStopped,
     requestScheduling: requestCycle,
     log,
+    metrics,
     nowMs,
     wallClockMs,
   });
@@ -418,8 +420,11 @@
     return undefined;
   };
 
+  const raiseGuardAlarm = createRowAlarm({ key: batchKey.guard, log, metrics });
+
   const takeGuardForTerm = async (): Promise<true | undefined> => {
     const outcome = await acquireGuard(platform.table, fence);
+    if (outcome.kind === 'unreadable') raiseGuardAlarm();
     if (outcome.kind === 'superseded') endAsLost('a later holder has written the guard row');
     if (outcome.kind !== 'taken') return undefined;
     guard = outcome.check;
--- a/packages/daemon/src/batch/entry/peers.ts
+++ b/packages/daemon/src/batch/entry/peers.ts
@@ -20,6 +20,31 @@
   readonly linkBytesPerS?: number;
 };
 
+/** Unreadable rows of further entries are not logged. */
+const MAX_LOGGED_ENTRIES = 50;
+const MAX_LOGGED_KEY_LENGTH = 80;
+const MESH_URL = /^ws:\/\/[A-Za-z0-9.-]{1,253}:\d{1,5}$/;
+
+/**
+ * Tells whether the value of a row is that of an entry that can be reached.
+ *
+ * @param value - The value.
+ * @returns True if it is.
+ */
+export const isEntryRow = (value: unknown): value is EntryRow => {
+  if (typeof value !== 'object' || value === null) return false;
+  const { meshUrl, dataCentre, startedAtMs, cores, linkBytesPerS } = value as Partial<EntryRow>;
+  return (
+    typeof meshUrl === 'string' &&
+    MESH_URL.test(meshUrl) &&
+    URL.canParse(meshUrl) &&
+    typeof dataCentre === 'string' &&
+    Number.isFinite(startedAtMs) &&
+    Number.isFinite(cores) &&
+    (linkBytesPerS === undefined || linkBytesPerS === null || Number.isFinite(linkBytesPerS))
+  );
+};
+
 /** The data centre of an entry whose row has not been read. */
 const UNKNOWN_DATA_CENTRE = brand<DataCentreId>('');
 
@@ -155,6 +180,16 @@
     },
   });
 
+  const unreadableEntries = new Set<EntryId>();
+
+  const logUnreadable = (entryId: EntryId): void => {
+    if (unreadableEntries.has(entryId) || unreadableEntries.size >= MAX_LOGGED_ENTRIES) return;
+    unreadableEntries.add(entryId);
+    log.error('own-row-unreadable', {
+      key: batchKey.entry(entryId).slice(0, MAX_LOGGED_KEY_LENGTH),
+    });
+  };
+
   const register = async (table: Pick<BatchTable, 'transact'>): Promise<void> => {
     const outcome = await table.transact({
       checks: [],
@@ -172,9 +207,12 @@
         return;
       }
       const others = rows.value
-        .map(
-          ({ key, value }) => [key.slice('entry/'.length) as EntryId, value as EntryRow] as const,
-        )
+        .flatMap(({ key, value }) => {
+          const entryId = key.slice('entry/'.length) as EntryId;
+          if (isEntryRow(value)) return [[entryId, value] as const];
+          logUnreadable(entryId);
+          return [];
+        })
         .filter(([entryId]) => entryId !== self);
       others.forEach(([entryId, row]) => members.set(entryId, toMember(entryId, row)));
       strengths = new Map(
--- a/packages/daemon/src/batch/hosts/wave-tracker.ts
+++ b/packages/daemon/src/batch/hosts/wave-tracker.ts
@@ -30,6 +30,13 @@
   readonly takenAtTodayMs?: number;
 };
 
+const isWaveRow = (value: unknown): value is WaveRow => {
+  if (typeof value !== 'object' || value === null) return false;
+  const { done, takenAtTodayMs = 0 } = value as Partial<WaveRow>;
+  const hasHosts = Array.isArray(done) && done.every((hostId) => typeof hostId === 'string');
+  return hasHosts && Number.isFinite(takenAtTodayMs);
+};
+
 export type WaveTrackerOptions = {
   readonly platform: Pick<BatchPlatform, 'table' | 'hosts'>;
   /** Every write checks this row, so that a former holder writes nothing. */
@@ -96,12 +103,25 @@
     return Math.min(firstSeenAtMs, nowMs() - ageMs);
   };
 
+  const unreadableWaves = new Set<number>();
+
+  /** Hosts of the wave may have been maintained already, so the wave waits until its row has been repaired. */
+  const logUnreadable = (waveNumber: number): void => {
+    if (unreadableWaves.has(waveNumber)) return;
+    unreadableWaves.add(waveNumber);
+    log.error('own-row-unreadable', { key: batchKey.wave(waveNumber) });
+  };
+
   /** Reads the row of a wave and adds the wave. If the table does not answer, the next call tries again. */
   const openWave = async (known: KnownWave): Promise<void> => {
     const { request } = known;
     const rows = await platform.table.read([batchKey.wave(request.waveNumber)]);
     if (rows.isErr()) return;
-    const row = (rows.value[0]?.value ?? undefined) as WaveRow | undefined;
+    const row = rows.value[0]?.value ?? undefined;
+    if (row !== undefined && !isWaveRow(row)) {
+      logUnreadable(request.waveNumber);
+      return;
+    }
     unopenedWaves.delete(request.waveNumber);
     const wave = createMaintenanceWave(request, row?.done ?? [], computeOrderedAtMs(known, row));
     waves.set(request.waveNumber, wave);
--- a/packages/daemon/src/batch/jobs/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -195,6 +195,8 @@
     const valueOf = (key: string) => rows.value.find((row) => row.key === key)?.value ?? null;
     const row = valueOf(batchKey.job(jobId)) as BatchJobRow | null;
     if (!row) return 'unknown-job';
+    // The row of a job that cannot be read says that the job is known, and nothing about it.
+    if (row.kind !== 'ended' && row.kind !== 'live') return undefined;
     if (row.kind === 'ended') {
       return { phase: row.phase, reason: row.reason, account: row.account };
     }
--- a/packages/daemon/src/batch/jobs/job-row-reader.test.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.test.ts
@@ -4,6 +4,7 @@
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
+import { createMetrics } from '../../observe/metrics.js';
 import type { EndedJobs } from './ended-jobs.js';
 import { createJobRowReader } from './job-row-reader.js';
 import { batchKey } from '../keys.js';
@@ -66,6 +67,7 @@
         warn: () => undefined,
         error: () => undefined,
       },
+      metrics: createMetrics(),
       nowMs: () => 0,
       wallClockMs: () => 0,
     });
--- a/packages/daemon/src/batch/jobs/job-row-reader.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.ts
@@ -15,6 +15,7 @@
 import type { JobId } from '@valvelatch/core/shared/ids';
 
 import type { Log } from '../../observe/log.js';
+import type { Metrics } from '../../observe/metrics.js';
 import type { LiveRow } from './accept-queue.js';
 import type { EndedJobs } from './ended-jobs.js';
 import type { JobSaver } from './job-saver.js';
@@ -34,6 +35,7 @@
   /** Requests a scheduling cycle because new work may be placed. */
   readonly requestScheduling: () => void;
   readonly log: Log;
+  readonly metrics: Metrics;
   /** Monotonic clock, in milliseconds. */
   readonly nowMs: () => number;
   /** Wall clock, in milliseconds. */
@@ -63,6 +65,29 @@
 };
 
 const PROGRESS_PREFIX = 'progress/';
+/** Unreadable rows of further jobs are counted, but not logged. */
+const MAX_LOGGED_KEYS = 50;
+
+const isObject = (value: unknown): value is Readonly<Record<string, unknown>> =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
+
+const isLiveJob = (job: unknown, jobId: string): boolean =>
+  isObject(job) && job.jobId === jobId && Array.isArray(job.steps) && job.steps.every(isObject);
+
+/** True for the value of the row of a job. */
+const isJobValue = (value: unknown, jobId: string): value is BatchJobRow => {
+  if (!isObject(value)) return false;
+  if (value.kind === 'ended')
+    return typeof value.phase === 'string' && Number.isFinite(value.endedAtMs);
+  return value.kind === 'live' && isObject(value.policy) && isLiveJob(value.job, jobId);
+};
+
+/** True for the value of the row with a job's progress: objects by occurrence and step. */
+const isProgressValue = (value: unknown): value is ProgressRow =>
+  isObject(value) &&
+  Object.values(value).every(
+    (steps) => isObject(steps) && Object.values(steps).every((step) => isObject(step)),
+  );
 
 /** Of several versions of a row keeps the one read last; deleted rows are left out. */
 const findLatestRows = (rows: readonly TableRow[]): readonly TableRow[] =>
@@ -89,6 +114,7 @@
   isStopped,
   requestScheduling,
   log,
+  metrics,
   nowMs,
   wallClockMs,
 }: JobRowReaderOptions): JobRowReader => {
@@ -112,7 +138,32 @@
     requestScheduling();
   };
 
+  const unreadableKeys = new Set<string>();
+
+  /** Alarms about a row that cannot be read. Its job is neither run nor deleted until the row has been repaired. */
+  const raiseAlarm = (key: string): void => {
+    metrics.count('own_rows_unreadable');
+    if (unreadableKeys.has(key) || unreadableKeys.size >= MAX_LOGGED_KEYS) return;
+    unreadableKeys.add(key);
+    log.error('own-row-unreadable', { key });
+  };
+
+  /** Applies a row; one that cannot be applied costs no other row. */
+  const applySafely = (key: string, jobId: JobId, apply: () => void): void => {
+    try {
+      apply();
+    } catch {
+      state.jobs.delete(jobId);
+      raiseAlarm(key);
+    }
+  };
+
   const restoreRow = (row: LiveRow, version: number, progressRow: TableRow | undefined): void => {
+    if (!isProgressValue(progressRow?.value ?? {})) {
+      // Without its progress the job would run again what is done.
+      raiseAlarm(progressRow?.key ?? '');
+      return;
+    }
     const { jobId, queue } = row.job;
     const progressVersion = progressRow?.value ? progressRow.version : 0;
     versions.set(jobId, { job: version, progress: progressVersion });
@@ -134,9 +185,13 @@
     rows.forEach(({ key, value, version }) => {
       const { jobId, isCancel } = parseJobKey(key);
       if (isCancel || value === null) return;
-      const row = value as BatchJobRow;
-      if (row.kind === 'ended') ended.add(jobId as JobId, row, row.endedAtMs);
-      else if (!ended.has(jobId as JobId)) applyLiveRow(row, version);
+      if (!isJobValue(value, jobId)) {
+        raiseAlarm(key);
+        return;
+      }
+      if (value.kind === 'ended') ended.add(jobId as JobId, value, value.endedAtMs);
+      else if (!ended.has(jobId as JobId))
+        applySafely(key, jobId as JobId, () => applyLiveRow(value, version));
     });
     rows.forEach(({ key, value }) => {
       const parsed = parseJobKey(key);
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -35,6 +35,12 @@
 /** A changed row; a value of null means that the row was deleted. */
 export type ChangedRow = TableRow;
 
+/**
+ * The value of a row that exists and whose content cannot be read. It has the form of no other value, and what the row
+ * guards stays guarded.
+ */
+export const UNREADABLE_VALUE = { kind: 'unreadable' } as const;
+
 /** A feed of the changes of all rows of one kind. */
 export type TableFeed = {
   /**
--- a/packages/daemon/src/leases/lease-manager.ts
+++ b/packages/daemon/src/leases/lease-manager.ts
@@ -3,6 +3,7 @@
   confirmLease,
   createLeaseState,
   holdsLease,
+  isLeaseRow,
   nextLeaseAction,
   updateLeaseFromRead,
   type LeaseRow,
@@ -81,6 +82,8 @@
   readonly freeAfterMs?: () => number | undefined;
   /** Runs before each acquisition or renewal; the write is skipped if it resolves to false. */
   readonly beforeWrite?: () => Promise<boolean>;
+  /** Called at each read of a row that is not that of a lease; the lease is then neither acquired nor renewed. */
+  readonly onUnreadableRow?: () => void;
   readonly nowMs?: () => number;
 };
 
@@ -111,6 +114,7 @@
   mayReacquire = () => true,
   freeAfterMs = () => undefined,
   beforeWrite = async () => true,
+  onUnreadableRow = () => undefined,
   nowMs = () => performance.now(),
 }: LeaseManagerOptions): LeaseManager => {
   const key = rowKey.lease(name);
@@ -178,7 +182,11 @@
     // A row that was requested before the lease was given up must not lead to an acquisition or renewal.
     if (rows.isErr() || relinquishCount !== relinquishCountBefore) return;
     const [row] = rows.value;
-    const value = (row?.value ?? null) as LeaseRow | null;
+    const value = row?.value ?? null;
+    if (value !== null && !isLeaseRow(value)) {
+      onUnreadableRow();
+      return;
+    }
     state = updateLeaseFromRead(state, { row: value, version: row?.version ?? 0 }, nowMs());
     // The last holder may acquire its own lapsed lease again if nobody else has taken it.
     const isOwn = value?.holder === self;
