--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -35,9 +35,10 @@
  */
 export const isLeaseRow = (value: unknown): value is LeaseRow => {
   if (typeof value !== 'object' || value === null) return false;
-  const { holder, epoch, renewals } = value as Partial<LeaseRow>;
+  const { holder, epoch, renewals, idleMs = 0, earlierMs = 0 } = value as Partial<LeaseRow>;
   const isHolderReadable = holder === null || typeof holder === 'string';
-  return isHolderReadable && isWhole(epoch) && isWhole(renewals);
+  const areTimesReadable = Number.isFinite(idleMs) && Number.isFinite(earlierMs);
+  return isHolderReadable && areTimesReadable && isWhole(epoch) && isWhole(renewals);
 };
 
 /** The state of a lease at one entry. Times are in milliseconds of its own monotonic clock. */
--- a/packages/daemon/src/batch/control/unreadable-rows.test.ts
+++ b/packages/daemon/src/batch/control/unreadable-rows.test.ts
@@ -1,6 +1,6 @@
 /** Guards against rows of the product that cannot be read and that free what they guard, or keep a term from starting. */
-import { createBatchState, type BatchJob } from '@valvelatch/core/batch';
-import { brand, type EntryId, type JobId } from '@valvelatch/core/shared/ids';
+import { createBatchState, createHostInventory, type BatchJob } from '@valvelatch/core/batch';
+import { brand, type EntryId, type HostId, type JobId } from '@valvelatch/core/shared/ids';
 import type { TableClient } from '@valvelatch/platform';
 import { Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
@@ -9,6 +9,7 @@
 import { createLog } from '../../observe/log.js';
 import { createMetrics } from '../../observe/metrics.js';
 import { isEntryRow } from '../entry/peers.js';
+import { createWaveTracker } from '../hosts/wave-tracker.js';
 import type { EndedJobs } from '../jobs/ended-jobs.js';
 import { createJobRowReader, type JobRowChanges } from '../jobs/job-row-reader.js';
 import { batchKey } from '../keys.js';
@@ -27,6 +28,7 @@
   { kind: 'ended' },
   { epoch: '1', fence: '1', holder: 'a', renewals: 0, done: 7 },
   { epoch: 1e300, fence: 1e300, holder: 7, renewals: null, done: [7] },
+  { holder: null, epoch: 3, renewals: 1, idleMs: 'long', earlierMs: 'long' },
   { onsets: [null], heights: [['x', 'y']], runTimes: 7 },
 ];
 
@@ -79,6 +81,23 @@
     expect(state.runTimes.byKind.size).toBe(0);
   });
 
+  it('of a wave lets none of its hosts go down, since some may have been maintained already', async () => {
+    const { table, writes } = tableOf(value);
+    const tracker = createWaveTracker({
+      platform: { table, hosts: { reportWave: async () => Ok(undefined) } } as never,
+      fenceCheck: { key: 'fence/control', version: 1 },
+      knownHosts: () => ({ inventory: createHostInventory(), downMs: 1000 }),
+      log,
+      nowMs: () => 5,
+      wallClockMs: () => 5,
+    });
+    const request = { waveNumber: 1, hosts: [brand<HostId>('m-1')], withinMs: 1000, maximum: 1 };
+    tracker.add([{ request, firstSeenAtMs: 0 }]);
+    await tracker.sync();
+    expect(tracker.waves()).toEqual([]);
+    expect(writes).toEqual([]);
+  });
+
   it('of an entry names nobody who can be asked', () => {
     expect(isEntryRow(value)).toBe(false);
   });
