--- a/packages/core/src/leases/lease.ts
+++ b/packages/core/src/leases/lease.ts
@@ -25,6 +25,22 @@
   readonly earlierMs?: number;
 };
 
+const isWhole = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0;
+
+/**
+ * Tells whether the value of a row is that of a lease.
+ *
+ * @param value - The value.
+ * @returns False if it cannot be read; the lease may then be held by anybody.
+ */
+export const isLeaseRow = (value: unknown): value is LeaseRow => {
+  if (typeof value !== 'object' || value === null) return false;
+  const { holder, epoch, renewals, idleMs = 0, earlierMs = 0 } = value as Partial<LeaseRow>;
+  const isHolderReadable = holder === null || typeof holder === 'string';
+  const areTimesReadable = Number.isFinite(idleMs) && Number.isFinite(earlierMs);
+  return isHolderReadable && areTimesReadable && isWhole(epoch) && isWhole(renewals);
+};
+
 /** The state of a lease at one entry. Times are in milliseconds of its own monotonic clock. */
 export type LeaseState = {
   readonly self: EntryId;
