Endpoints: an order to stop a run is sent again with each report until it is answered

What callers saw: a task of an accepted job is not started again for as long as its holder's term lasts, with capacity free (LOST).

Cause: the order to stop a run was one effect. Its sender ended without an answer when the control lease was not certain for a moment, after 40 attempts (10 s of refused connections), and at once after any error but three. Nobody ordered it again. A run whose start had no answer is neither confirmed nor is its stop answered, so no report ended it, the check for stalled runs looks at confirmed runs only, and the endpoint's lease is extended with each poll: the task counted as placed for ever.

At most four a second for each run.

--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -215,7 +215,7 @@
     isClosed: () => isClosed,
   });
 
-  const stop = createStopOrderSender({
+  const stopOrders = createStopOrderSender({
     target,
     context,
     send: sendTimed,
@@ -330,6 +330,7 @@
     // Only ended runs that were applied may be acknowledged.
     lastAppliedNumber = Math.max(lastAppliedNumber, ...newEnds.map(({ number }) => number));
     if (lastAppliedNumber > acknowledgement.storedNumber()) context.requestSave();
+    stopOrders.repeatUnanswered();
     context.requestScheduling();
     return true;
   };
@@ -393,7 +394,7 @@
     lateArrivalUntilMs: acknowledgement.lateArrivalUntilMs,
     perform: (effect) => {
       if (effect.kind === 'start') void start(effect).then(startPolling);
-      if (effect.kind === 'stop') void stop(effect);
+      if (effect.kind === 'stop') void stopOrders.stop(effect);
       if (effect.kind === 'pace') void pace(effect);
       if (effect.kind === 'ask') requestReportNow();
     },
--- a/packages/daemon/src/batch/endpoints/stop-orders.ts
+++ b/packages/daemon/src/batch/endpoints/stop-orders.ts
@@ -1,5 +1,14 @@
-/** Sends stop orders to one endpoint, and repeats each until it is answered. */
-import { applyStopResponse, type BatchEffect, type OrderError } from '@valvelatch/core/batch';
+/**
+ * Sends stop orders to one endpoint. An order that got no answer is repeated some times. If it is given up then, or
+ * because the control lease is not certain, the next report of the endpoint requests it again: without an answer, a run
+ * whose start order got no response would never be given up.
+ */
+import {
+  applyStopResponse,
+  listRunsToStopAgain,
+  type BatchEffect,
+  type OrderError,
+} from '@valvelatch/core/batch';
 import type { Result } from 'ts-results-es';
 
 import { sleep } from '../../shared/sleep.js';
@@ -8,16 +17,15 @@
 
 const MAX_STOP_ATTEMPTS = 40;
 const RETRY_MS = 250;
-/**
- * The errors after which a stop order is repeated. Without the repeat, a run whose start order got no response would
- * never be given up.
- */
+/** The errors after which a stop order is repeated at once. After others it is repeated with the next report. */
 const RETRIED_REASONS: ReadonlySet<OrderError['reason']> = new Set([
   'no-answer',
   'unreachable',
   'unhealthy',
 ]);
 
+const REPEATED_STOP_REASON = 'an earlier order to stop it had no answer';
+
 type StopEffect = Extract<BatchEffect, { kind: 'stop' }>;
 
 export type StopOrderSenderOptions = {
@@ -34,14 +42,18 @@
   readonly isClosed: () => boolean;
 };
 
-/** Orders the endpoint to stop a run, and applies its response to the state. */
-export type StopOrderSender = (effect: StopEffect) => Promise<void>;
+export type StopOrderSender = {
+  /** Orders the endpoint to stop a run, and applies its response to the state. */
+  readonly stop: (effect: StopEffect) => Promise<void>;
+  /** Repeats the orders to stop runs that the endpoint has not answered; to be called after each of its reports. */
+  readonly repeatUnanswered: () => void;
+};
 
 /**
  * Creates the sender of stop orders of a link.
  *
  * @param options - The endpoint and the parts of its link that the sender uses.
- * @returns The function that sends a stop order and applies its response.
+ * @returns The sender, which has sent nothing yet.
  */
 export const createStopOrderSender = ({
   target,
@@ -71,16 +83,26 @@
         return;
       }
       recordError(response.error, { task, run });
-      if (!RETRIED_REASONS.has(response.error.reason)) return;
       await sleep(RETRY_MS);
+      if (!RETRIED_REASONS.has(response.error.reason)) return;
     }
   };
 
   /** Each report of an unknown run requests its stop again; at most one stop per run is in flight. */
-  return async (effect) => {
+  const stop = async (effect: StopEffect): Promise<void> => {
     const key = `${effect.task}/${effect.run}`;
     if (inFlight.has(key)) return;
     inFlight.add(key);
     await sendStop(effect).finally(() => inFlight.delete(key));
   };
+
+  const repeatUnanswered = (): void => {
+    const endpoint = state.endpoints.get(endpointId);
+    if (!endpoint) return;
+    listRunsToStopAgain(endpoint).forEach(({ task, run }) => {
+      void stop({ kind: 'stop', endpointId, task: task.key, run, reason: REPEATED_STOP_REASON });
+    });
+  };
+
+  return { stop, repeatUnanswered };
 };
