Reports: the end of a run that held its task puts the task back, whatever its number

Cause: a task went back into the queue only if the ended run had the highest number of its runs. A new holder restores that number from crashes and announced starts in the job's row; a start of an earlier holder that is carried out late has a lower one. The holder adopts that run, and when it ends stopped, lapsed or failed, the task stays placed without any run.

Evidence: reports.test.ts, 'of a run with a lower number ...': three cases failed with "expected 'placed' to be 'waiting'".

Change: the end of the run that held the task always puts it back; the number still decides for ends of runs that did not.

--- a/packages/core/src/batch/endpoints/reports.test.ts
+++ b/packages/core/src/batch/endpoints/reports.test.ts
@@ -11,6 +11,7 @@
   TASK,
   taskOf,
 } from '../testing/batch-state.fixtures.js';
+import { change } from '../../shared/change.js';
 import type { EndpointId } from '../../shared/ids.js';
 import type { EndedRunReport, RunningReport } from './reports.js';
 import type { BatchState } from '../model/state.js';
@@ -61,6 +62,21 @@
     expect(state.jobs.get(JOB)?.phase).not.toBe('failed');
   });
 
+  describe('of a run with a lower number than one that was announced or has crashed its endpoint', () => {
+    it.each(['stopped', 'lapsed', 'failed'] as const)(
+      'put the task back into the queue once the run has ended as %s',
+      (kind) => {
+        const state = stateWith(FIRST);
+        change(taskOf(state), { lastRun: 2001 });
+        applyAnswer(state, { running: [running(1001)], requestedAtMs: 1, nowMs: 2 });
+        expect(taskOf(state).phase).toBe('placed');
+        const ended = [{ ...failed(1, 1001), kind }];
+        applyAnswer(state, { ended, requestedAtMs: 10, nowMs: 12 });
+        expect(taskOf(state).phase).toBe('waiting');
+      },
+    );
+  });
+
   describe('that list a run neither as running nor as ended', () => {
     const phaseAfter = (hasMoreEnds: boolean): string => {
       const state = stateWith(FIRST);
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -70,12 +70,14 @@
     readonly ranMs: number;
     /** How long the run took by the endpoint's clock; `ranMs` if that is not known. */
     readonly workedMs: number;
+    /** The run was the one that held the task; otherwise a later run may hold it. */
+    readonly wasCurrent: boolean;
   },
 ) => void;
 
-const returnToQueue: EndHandler = (state, { step, task, end }) => {
+const returnToQueue: EndHandler = (state, { step, task, end, wasCurrent }) => {
   if (end.checkpoint !== '') change(task, { checkpoint: end.checkpoint });
-  if (task.lastRun <= end.run) requeue(state, step, task);
+  if (wasCurrent || task.lastRun <= end.run) requeue(state, step, task);
 };
 
 const handleFailure: EndHandler = (state, context) => {
@@ -139,9 +141,10 @@
   const taskWithStep = name && findReportedTask(state, name);
   const evidence: RunEvidence = { cause: 'reported', atMs: requestedAtMs, detail: kind };
   if (taskWithStep) change(taskWithStep.step.job, { hasStarted: true });
+  const wasCurrent = known?.run === run;
   const applyEndWithRunTime = (ranMs: number, workedMs: number): void => {
     if (!taskWithStep || isFinal(taskWithStep.step.job.phase)) return;
-    endHandlers[kind](state, { ...taskWithStep, end, endpoint, ranMs, workedMs });
+    endHandlers[kind](state, { ...taskWithStep, end, endpoint, ranMs, workedMs, wasCurrent });
   };
   if (known?.run === run) {
     const ranMs = nowMs - known.startedAtMs;
