Endpoints: a request that throws does not end the watch of its endpoint

Cause: the loop that lists an endpoint's runs ended with the first exception and began again only with the next start or stop there. An endpoint that had not reported stayed unused, and inherited tasks waited for it.

Evidence: endpoint-watch.test.ts: the first request throws; before, the endpoint never reports ("expected false to be true"). Found by reading.

--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -362,23 +362,27 @@
       await sleep(MIN_LIST_PAUSE_MS);
   };
 
+  const watchOnce = async (): Promise<void> => {
+    if (!context.isCertainlyHolder()) await sleep(RETRY_MS);
+    else await pauseAfterRequest(await sendListRequest(computeListWaitMs()));
+  };
+
+  const recordBrokenWatch = async (error: unknown): Promise<void> => {
+    log.error('endpoint-watch-failed', { endpoint: endpointId, detail: String(error) });
+    await sleep(RETRY_MS);
+  };
+
+  /** A request that throws must not end the loop, because the runs there would not be followed any more. */
   const runListLoop = async (): Promise<void> => {
-    while (!isClosed && needsWatch()) {
-      if (!context.isCertainlyHolder()) await sleep(RETRY_MS);
-      else await pauseAfterRequest(await sendListRequest(computeListWaitMs()));
-    }
+    while (!isClosed && needsWatch()) await watchOnce().catch(recordBrokenWatch);
   };
 
   const startPolling = (): void => {
     if (isWatching || isClosed) return;
     isWatching = true;
-    void runListLoop()
-      .catch((error: unknown) => {
-        log.error('endpoint-watch-failed', { endpoint: endpointId, detail: String(error) });
-      })
-      .finally(() => {
-        isWatching = false;
-      });
+    void runListLoop().finally(() => {
+      isWatching = false;
+    });
   };
 
   /** Sends a list request that does not wait, next to the one in flight, which may be waiting for a run to end. */
