Control: one log line a second names tasks that are held for over 3 s, and why

`tasks-held` names up to five, the longest held first: with the run and endpoint that hold the task (start or stop unanswered, announced, endpoint gone and not given up, no run at all), or what it waits for (reports, its crash record, isolation, advice, quota).

--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -55,6 +55,7 @@
 export * from './placement/schedule-cycle.js';
 export * from './placement/schedule.js';
 export * from './placement/gap-filler-pacing.js';
+export * from './placement/held-tasks.js';
 export * from './pools/demand-peaks.js';
 export * from './pools/demand.js';
 export * from './pools/host-inventory.js';
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -45,6 +45,7 @@
 import { createFleetCycle, type FleetCycle } from '../hosts/fleet-cycle.js';
 import { createEvacuationWatch, type EvacuationWatch } from './evacuation-watch.js';
 import { createDomainGauges } from './domain-gauges.js';
+import { createHeldTaskLog } from './held-task-log.js';
 import { acquireGuard } from './guard.js';
 import { createJobAdmission, publishAdmissionCounts } from '../jobs/job-admission.js';
 import { createJobRowLookup } from '../jobs/job-row-lookup.js';
@@ -382,8 +383,11 @@
     log,
   };
 
+  const logHeldTasks = createHeldTaskLog({ state, log, nowMs });
+
   const reportLoad = (): void => {
     logLoad(loadLogOptions);
+    logHeldTasks();
     publishAdmissionCounts(admission, metrics);
   };
 
