Isolation: endpoints of other pools, and steps at their quota, keep no suspect waiting

What callers saw: a task whose endpoint crashed soon after its start waits for an endpoint of its own although its pool is empty (LOST).

Cause: at most a quarter of a pool's endpoints, or half of it if they are empty, is isolated for suspects, but endpoints isolated in all pools counted towards it: with 8 endpoints a pool, two runs under observation elsewhere are enough. A run that is never confirmed stays under observation for ever. And a step whose account had reached its maximum kept the share without starting.

Evidence: isolation.test.ts, 'a task that waits for an endpoint of its own': both cases failed, "expected [] to have a length of 1" and "expected [] to deeply equal [ 'i-' ]".

Change: only the pool's own endpoints count, and a step beyond its quota asks for none. The share within a pool is what it was.

--- a/packages/core/src/batch/crashes/isolation.test.ts
+++ b/packages/core/src/batch/crashes/isolation.test.ts
@@ -4,7 +4,15 @@
 import { describe, expect, it } from 'vitest';
 
 import { change } from '../../shared/change.js';
-import { brand, type EndpointId, type JobId } from '../../shared/ids.js';
+import {
+  brand,
+  type AccountName,
+  type DataCentreId,
+  type EndpointId,
+  type JobId,
+  type PoolName,
+} from '../../shared/ids.js';
+import { setAccounts } from '../accounts/quota.js';
 import {
   applyAnswer,
   FIRST,
@@ -17,10 +25,10 @@
 } from '../testing/batch-state.fixtures.js';
 import { giveUpReason } from './endpoint-crashes.js';
 import { instanceIdOf, endpointIdOf } from '../model/endpoint-incarnation.js';
-import { addPendingReports } from '../endpoints/endpoints.js';
+import { addPendingReports, upsertEndpoint } from '../endpoints/endpoints.js';
 import { removeEndpoint, giveUpRunsOfGoneEndpoints } from '../endpoints/gone-endpoints.js';
 import { taskKey, type StepSpec } from '../model/job.js';
-import { cancelJob } from '../jobs/job-lifecycle.js';
+import { addJob, cancelJob } from '../jobs/job-lifecycle.js';
 import { buildProgressRow, restoreJob } from '../jobs/progress.js';
 import { endpointsOf, schedulePool } from '../placement/schedule.js';
 import {
@@ -384,3 +392,75 @@
     expect(tasksOf(state, OTHER)[0]?.crashes).toEqual([]);
   });
 });
+
+describe('a task that waits for an endpoint of its own', () => {
+  const ACCOUNT = brand<AccountName>('client-a');
+  const CRASH: EndpointCrash = {
+    run: 1001,
+    livedMs: 0,
+    isConfirmed: true,
+    isSuspected: true,
+    isSoleSuspect: true,
+    isCorrelated: false,
+    fence: 1,
+    countedAtMs: 0,
+  };
+
+  const suspectAllTasks = (state: BatchState, jobId: JobId): void => {
+    const job = state.jobs.get(jobId);
+    if (job) state.suspectJobs.add(job);
+    tasksOf(state, jobId).forEach((task) => change(task, { crashes: [CRASH] }));
+  };
+
+  const describeEndpoint = (endpointId: EndpointId) => ({
+    endpointId,
+    hostId: null,
+    address: '',
+    dataCentre: brand<DataCentreId>(''),
+    labels: [],
+    capacity: { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 },
+    isDraining: false,
+  });
+
+  const addEndpoints = (state: BatchState, ...endpointIds: readonly EndpointId[]): void =>
+    endpointIds.forEach((endpointId) => {
+      addEndpoint(state, endpointId);
+      reportRunning(state, endpointId, 10);
+    });
+
+  it('is not kept from it by another one whose account has reached its maximum', () => {
+    const state = createBatchState(2);
+    addEndpoints(state, FIRST, SECOND);
+    const maximum = { cpuMillis: 2000, memoryMb: 0, accelerators: 0 };
+    const limits = { maximum, weight: 1 };
+    setAccounts(state, new Map([[ACCOUNT, limits]]));
+    state.usage.set(ACCOUNT, { ...maximum });
+    submitJob(state, SUSPECT, { owner: { account: ACCOUNT, maximum }, nowMs: 20 });
+    submitJob(state, OTHER, { nowMs: 30 });
+    [SUSPECT, OTHER].forEach((jobId) => suspectAllTasks(state, jobId));
+    scheduleAfterWrites(state, 40);
+    expect(placesOf(state, SUSPECT)).toEqual([]);
+    expect(placesOf(state, OTHER)).toHaveLength(1);
+  });
+
+  it('is not kept from it by endpoints of other pools that are isolated', () => {
+    const state = createBatchState(2);
+    addEndpoints(state, FIRST);
+    submit(state, SUSPECT, {}, 20);
+    suspectAllTasks(state, SUSPECT);
+    scheduleAfterWrites(state, 40);
+    expect(placesOf(state, SUSPECT)).toEqual([FIRST]);
+    const elsewhere = brand<PoolName>('beta');
+    upsertEndpoint(state, { ...describeEndpoint(SECOND), pool: elsewhere }, 0);
+    applyAnswer(state, { endpointId: SECOND, requestedAtMs: 49, nowMs: 50 });
+    const other = state.jobs.get(SUSPECT) as JobState;
+    const job = { ...other.job, jobId: OTHER, pool: elsewhere };
+    addJob(state, { job, policy: other.policy, nowMs: 50, wallClockMs: 50 });
+    suspectAllTasks(state, OTHER);
+    markRowsWritten(state);
+    schedulePool(state, elsewhere, 60);
+    markRowsWritten(state);
+    schedulePool(state, elsewhere, 70);
+    expect(placesOf(state, OTHER)).toEqual([SECOND]);
+  });
+});
--- a/packages/core/src/batch/crashes/isolation.ts
+++ b/packages/core/src/batch/crashes/isolation.ts
@@ -3,7 +3,7 @@
  * been alive with it for the observation period. If the task does crash its endpoint, no work of other jobs is lost and
  * the crash is conclusive. If it does not, little is lost: other tasks are placed elsewhere for a quarter of a second.
  */
-import type { EndpointId } from '../../shared/ids.js';
+import type { EndpointId, PoolName } from '../../shared/ids.js';
 import { hasSurvivedObservation, isSuspect } from './endpoint-crashes.js';
 import { areCrashRecordsWritten } from './trials.js';
 import type { StepSpec } from '../model/job.js';
@@ -65,10 +65,14 @@
   return Array.from(ids).flatMap((endpointId) => state.endpoints.get(endpointId) ?? []);
 };
 
-/** Finds the endpoints with a run of a suspect that has not yet survived the observation period. */
-const endpointsWithUnprovenRuns = (state: BatchState): Map<EndpointId, JobState> => {
+/** Finds the endpoints of a pool with a run of a suspect that has not yet survived the observation period. */
+const endpointsWithUnprovenRuns = (
+  state: BatchState,
+  pool: PoolName | undefined,
+): Map<EndpointId, JobState> => {
   const found = new Map<EndpointId, JobState>();
   state.suspectJobs.forEach((job) => {
+    if (job.job.pool !== pool) return;
     endpointsWith(state, job)
       .filter((endpoint) =>
         Array.from(endpoint.runs.values()).some(
@@ -151,7 +155,7 @@
 };
 
 /**
- * Decides which endpoints of a pool are isolated for suspects.
+ * Decides which endpoints of a pool are isolated for suspects. Only endpoints of this pool count towards its share.
  *
  * @param state - The batch state.
  * @param requests - The open steps with suspects, in order of priority.
@@ -164,7 +168,7 @@
   requests: readonly IsolationRequest[],
   endpoints: readonly EndpointState[],
 ): IsolatedEndpoints => {
-  const isolated = endpointsWithUnprovenRuns(state);
+  const isolated = endpointsWithUnprovenRuns(state, endpoints[0]?.pool);
   const maxEndpoints = maxIsolatedEndpoints(endpoints);
   requests.forEach(({ step, eligible }) => {
     const { job } = step;
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -191,6 +191,8 @@
 ): IsolatedEndpoints => {
   const requests = steps
     .filter((step) => waitingSuspects(state, step).length > 0)
+    // A step that waits for its account's quota must not keep isolated endpoints from others.
+    .filter((step) => isWithinQuota(state, step, step.spec.isGang ? step.spec.taskCount : 1))
     .map((step): IsolationRequest => ({
       step,
       eligible: admittedEndpoints(step, endpoints, nowMs),
