Reports: the end of a run puts its task back unless another run holds it

What callers could see: a task that runs twice (TWICE), or one that is placed without a run (LOST).

Cause: whether the end of a run puts its task back was decided by run numbers, and after also by whether the reporting endpoint knew the run. Neither says whether another endpoint has a run of the task.

Evidence: four tests of reports.test.ts, 'of two runs of one task', failed before: 'expected waiting to be placed' three times, 'expected placed to be waiting' once.

Change: the task is put back if no endpoint, and none that is gone with its runs not given up, has a run of it. The endpoints with tasks of the step are known by count, so at most those are looked at. packages/core/src/batch: 310 tests passed.

--- a/packages/core/src/batch/endpoints/reports.test.ts
+++ b/packages/core/src/batch/endpoints/reports.test.ts
@@ -8,13 +8,14 @@
   addEndpoint,
   createStateWithJob,
   JOB,
+  submitJob,
   TASK,
   taskOf,
 } from '../testing/batch-state.fixtures.js';
 import { change } from '../../shared/change.js';
 import type { EndpointId } from '../../shared/ids.js';
 import type { EndedRunReport, RunningReport } from './reports.js';
-import type { BatchState } from '../model/state.js';
+import { createBatchState, type BatchState } from '../model/state.js';
 
 const stateWith = (...endpointIds: EndpointId[]): BatchState => {
   const state = createStateWithJob({ isInherited: true });
@@ -77,6 +78,52 @@
     );
   });
 
+  describe('of two runs of one task', () => {
+    const ended = (kind: EndedRunReport['kind'], run: number): EndedRunReport => ({
+      ...failed(1, run),
+      kind,
+    });
+
+    it('leave the task with a run that goes on when a higher one that did not hold it has ended', () => {
+      const state = stateWith(FIRST, SECOND);
+      applyAnswer(state, { running: [running(1001)], requestedAtMs: 1, nowMs: 2 });
+      const end = { ended: [ended('stopped', 1002)], requestedAtMs: 3, nowMs: 4 };
+      applyAnswer(state, { endpointId: SECOND, ...end });
+      expect(taskOf(state).phase).toBe('placed');
+    });
+
+    it('leave the task with a later run that goes on when an earlier one that was adopted has ended', () => {
+      const state = stateWith(FIRST, SECOND);
+      applyAnswer(state, { running: [running(1001)], requestedAtMs: 1, nowMs: 2 });
+      const started = { running: [running(2001)], requestedAtMs: 3, nowMs: 4 };
+      change(taskOf(state), { phase: 'waiting' });
+      applyAnswer(state, { endpointId: SECOND, ...started });
+      applyAnswer(state, { ended: [ended('stopped', 1001)], requestedAtMs: 30, nowMs: 31 });
+      expect(taskOf(state).phase).toBe('placed');
+    });
+
+    it('leave a long-running task with its run when the end of an earlier one is reported late as done', () => {
+      const state = createBatchState(2);
+      submitJob(state, JOB, { step: { isLasting: true }, isInherited: true });
+      [FIRST, SECOND].forEach((endpointId) => addEndpoint(state, endpointId));
+      const started = { running: [running(1002)], requestedAtMs: 1, nowMs: 2 };
+      applyAnswer(state, { endpointId: SECOND, ...started });
+      applyAnswer(state, { ended: [ended('done', 1001)], requestedAtMs: 3, nowMs: 4 });
+      expect(taskOf(state).phase).toBe('placed');
+    });
+
+    it('put the task back when the run that holds it fails under a number that has failed before', () => {
+      const state = stateWith(FIRST, SECOND);
+      applyAnswer(state, { ended: [failed(1, 1001)], requestedAtMs: 1, nowMs: 2 });
+      const started = { running: [running(1001)], requestedAtMs: 5, nowMs: 6 };
+      applyAnswer(state, { endpointId: SECOND, ...started });
+      expect(taskOf(state).phase).toBe('placed');
+      const end = { ended: [failed(1, 1001)], requestedAtMs: 10, nowMs: 11 };
+      applyAnswer(state, { endpointId: SECOND, ...end });
+      expect(taskOf(state).phase).toBe('waiting');
+    });
+  });
+
   describe('that list a run neither as running nor as ended', () => {
     const phaseAfter = (hasMoreEnds: boolean): string => {
       const state = stateWith(FIRST);
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -10,7 +10,7 @@
 import { recordRunTime } from '../jobs/run-times.js';
 import { recordRunEnd, type RunEvidence } from './run-end.js';
 import { endRunWithoutReport } from './unreported-runs.js';
-import { addRun, dropRun, requeue } from './runs.js';
+import { addRun, dropRun, isHeldByRun, requeue } from './runs.js';
 import {
   isFinal,
   poolOf,
@@ -70,19 +70,25 @@
     readonly ranMs: number;
     /** How long the run took by the endpoint's clock; `ranMs` if that is not known. */
     readonly workedMs: number;
-    /** The run was the one that held the task; otherwise a later run may hold it. */
-    readonly wasCurrent: boolean;
   },
 ) => void;
 
-const returnToQueue: EndHandler = (state, { step, task, end, wasCurrent }) => {
+/** Puts a task back into the queue after the end of one of its runs, unless an endpoint has another run of it. */
+const requeueUnlessHeld = (state: BatchState, step: StepRun, task: Task): void => {
+  if (!isHeldByRun(state, step, task)) requeue(state, step, task);
+};
+
+const returnToQueue: EndHandler = (state, { step, task, end }) => {
   if (end.checkpoint !== '') change(task, { checkpoint: end.checkpoint });
-  if (wasCurrent || task.lastRun <= end.run) requeue(state, step, task);
+  requeueUnlessHeld(state, step, task);
 };
 
 const handleFailure: EndHandler = (state, context) => {
   const { step, task, end, endpoint } = context;
-  if (task.failedRuns.includes(end.run)) return;
+  if (task.failedRuns.includes(end.run)) {
+    returnToQueue(state, context);
+    return;
+  }
   change(task, { avoidedEndpoint: endpoint.endpointId });
   recordTaskFailure(state, endpoint, step.job.job.jobId);
   if (step.spec.isLasting) {
@@ -103,7 +109,7 @@
 const handleDone: EndHandler = (state, { step, task, endpoint, ranMs, workedMs }) => {
   recordTaskSuccess(endpoint);
   if (step.spec.isLasting) {
-    requeue(state, step, task);
+    requeueUnlessHeld(state, step, task);
     return;
   }
   if (ranMs > 0 && task.checkpoint === '')
@@ -141,10 +147,9 @@
   const taskWithStep = name && findReportedTask(state, name);
   const evidence: RunEvidence = { cause: 'reported', atMs: requestedAtMs, detail: kind };
   if (taskWithStep) change(taskWithStep.step.job, { hasStarted: true });
-  const wasCurrent = known?.run === run;
   const applyEndWithRunTime = (ranMs: number, workedMs: number): void => {
     if (!taskWithStep || isFinal(taskWithStep.step.job.phase)) return;
-    endHandlers[kind](state, { ...taskWithStep, end, endpoint, ranMs, workedMs, wasCurrent });
+    endHandlers[kind](state, { ...taskWithStep, end, endpoint, ranMs, workedMs });
   };
   if (known?.run === run) {
     const ranMs = nowMs - known.startedAtMs;
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -214,6 +214,25 @@
   });
 };
 
+/**
+ * Tells whether an endpoint, or one that is gone and whose runs are not given up yet, has a run of a task.
+ *
+ * @param state - The holder's batch state.
+ * @param step - The task's step.
+ * @param task - The task.
+ * @returns True while such a run is known.
+ */
+export const isHeldByRun = (
+  { endpoints, goneEndpoints }: BatchState,
+  { perEndpoint }: StepRun,
+  { key }: Task,
+): boolean =>
+  Array.from(perEndpoint.keys()).some(
+    (endpointId) =>
+      endpoints.get(endpointId)?.runs.has(key) === true ||
+      goneEndpoints.get(endpointId)?.endpoint.runs.has(key) === true,
+  );
+
 /**
  * Puts a task back into the queue, unless its job has ended.
  *
