Endpoints: the lease of runs is not extended while no report of their endpoint can be applied

What callers could see: tasks that are never started again (LOST), if a report of their endpoint cannot be applied.

Cause: lets the watch of an endpoint go on after a request or its report has thrown, so the lease of the runs there was extended by each request although nothing was learnt of them; before, the watch ended and the lease lapsed. Found by the review.

Change: list requests after a report that was not applied leave the lease as it is, so that the runs are given up when it ends.

--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -100,6 +100,8 @@
   const clock = createEndpointClockEstimate(nowMs);
   /** The endpoint's clock in the response that was applied last, in milliseconds. */
   let reportClockMs = 0;
+  /** False while the last report could not be applied, so that what runs there is not known. */
+  let isLastReportApplied = true;
   /** The number of the last ended run that was applied. */
   let lastAppliedNumber = 0;
   const acknowledgement = createAcknowledgementTracker(context.nowMs);
@@ -277,14 +279,15 @@
   };
 
   /**
-   * Sends one list request and applies the response. If the endpoint does not respond or its domain is suspected, the
-   * request does not extend the lease of its runs.
+   * Sends one list request and applies the response. If the endpoint does not respond, its last report could not be
+   * applied or its domain is suspected, the request does not extend the lease of its runs.
    *
    * @returns True if the endpoint responded while the link was open.
    */
   const sendListRequest = async (maxWaitMs: number): Promise<boolean> => {
     const requestedAtMs = nowMs();
-    const keepUntilMs = isResponsive() && !isDomainSuspected() ? keepUntil() : undefined;
+    const mayExtendLease = isResponsive() && isLastReportApplied && !isDomainSuspected();
+    const keepUntilMs = mayExtendLease ? keepUntil() : undefined;
     const acknowledged = acknowledgement.computeNumberToSend(
       computeListPauseMs(context.sharedDelayEstimator.meanMs()),
     );
@@ -326,7 +329,9 @@
     const newEnds = ended.filter(({ number }) => number > lastAppliedNumber);
     state.clockMs = nowMs();
     const report = { running, ended: newEnds, hasMoreEnds, clockMs, requestedAtMs, nowMs: nowMs() };
+    isLastReportApplied = false;
     applyReport(state, endpointId, report);
+    isLastReportApplied = true;
     // Only ended runs that were applied may be acknowledged.
     lastAppliedNumber = Math.max(lastAppliedNumber, ...newEnds.map(({ number }) => number));
     if (lastAppliedNumber > acknowledgement.storedNumber()) context.requestSave();
--- a/packages/daemon/src/batch/endpoints/endpoint-watch.test.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-watch.test.ts
@@ -4,6 +4,7 @@
   createOrderWindow,
   createSharedDelayEstimator,
   upsertEndpoint,
+  type EndpointState,
 } from '@valvelatch/core/batch';
 import {
   brand,
@@ -30,7 +31,11 @@
     vi.useRealTimers();
   });
 
-  it('is asked again after a request for its runs has thrown', async () => {
+  /** Follows the endpoint with the given answers to list requests for a time; returns its state afterwards. */
+  const follow = async (
+    list: (requests: number) => unknown,
+    forMs: number,
+  ): Promise<EndpointState | undefined> => {
     const state = createBatchState(2);
     upsertEndpoint(
       state,
@@ -54,8 +59,7 @@
         orders: {
           list: async () => {
             requests += 1;
-            if (requests === 1) throw new Error('broken');
-            return Ok({ clockMs: 1000, running: [], ended: [], hasMoreEnds: false });
+            return list(requests);
           },
           release: () => undefined,
         },
@@ -71,8 +75,24 @@
       } as never,
     );
     link.startPolling();
-    await advanceTime(2000);
+    await advanceTime(forMs);
     link.close();
-    expect(state.endpoints.get(ENDPOINT)?.hasReported).toBe(true);
+    return state.endpoints.get(ENDPOINT);
+  };
+
+  it('is asked again after a request for its runs has thrown', async () => {
+    const endpoint = await follow((requests) => {
+      if (requests === 1) throw new Error('broken');
+      return Ok({ clockMs: 1000, running: [], ended: [], hasMoreEnds: false });
+    }, 2000);
+    expect(endpoint?.hasReported).toBe(true);
+  });
+
+  it('does not keep the lease of its runs while no report of it can be applied', async () => {
+    const endpoint = await follow(
+      () => Ok({ clockMs: performance.now(), running: undefined, ended: [], hasMoreEnds: false }),
+      60_000,
+    );
+    expect(endpoint?.leaseEndsAtMs).toBeLessThan(performance.now());
   });
 });
