Isolation: a suspect that has waited for long gets an endpoint that can hold it

What callers saw: a task whose endpoint died shortly after its start is not started again although its pool has room (LOST).

Cause: the endpoint for a suspect is the one with the fewest runs of other jobs, as if short runs were over soon. After 2 s the suspect may share its endpoint, but the choice stayed: an endpoint that one long run fills was chosen in each pass, and one with two small runs and room was not. Found by the review; it fits the users' record (72 ms is within the observation period), and is not shown to be it.

Evidence: isolation.test.ts, 'is not kept waiting by a full endpoint while another one has capacity', failed before: not started in 10 s of virtual time. Change: after the 2 s, endpoints that can hold the task come first.

--- a/packages/core/src/batch/crashes/isolation.test.ts
+++ b/packages/core/src/batch/crashes/isolation.test.ts
@@ -35,6 +35,7 @@
   createBatchState,
   type BatchState,
   type EndpointCrash,
+  type EndpointState,
   type JobState,
   type Task,
 } from '../model/state.js';
@@ -428,6 +429,30 @@
       reportRunning(state, endpointId, 10);
     });
 
+  it('is not kept waiting by a full endpoint while another one has capacity', () => {
+    const state = createBatchState(2);
+    addEndpoints(state, FIRST);
+    submit(state, OTHER, { cpuMillis: 7000 }, 20);
+    schedulePool(state, POOL, 20);
+    expect(placesOf(state, OTHER)).toEqual([FIRST]);
+    addEndpoints(state, SECOND);
+    ['c3', 'd4'].forEach((last) =>
+      submit(state, brand<JobId>(`00000000000000${last}`), { cpuMillis: 1200 }, 30),
+    );
+    change(state.endpoints.get(FIRST) as EndpointState, { isCordoned: true });
+    schedulePool(state, POOL, 30);
+    change(state.endpoints.get(FIRST) as EndpointState, { isCordoned: false });
+    expect(state.endpoints.get(SECOND)?.runs.size).toBe(2);
+    submit(state, SUSPECT, { cpuMillis: 3750 }, 40);
+    suspectAllTasks(state, SUSPECT);
+    for (let nowMs = 200; nowMs <= 10_000; nowMs += 200) {
+      [FIRST, SECOND].forEach((endpointId) => reportRunning(state, endpointId, nowMs));
+      markRowsWritten(state);
+      schedulePool(state, POOL, nowMs);
+    }
+    expect(placesOf(state, SUSPECT)).toEqual([SECOND]);
+  });
+
   it('is not kept from it by another one whose account has reached its maximum', () => {
     const state = createBatchState(2);
     addEndpoints(state, FIRST, SECOND);
--- a/packages/core/src/batch/crashes/isolation.ts
+++ b/packages/core/src/batch/crashes/isolation.ts
@@ -8,6 +8,7 @@
 import { areCrashRecordsWritten } from './trials.js';
 import type { StepSpec } from '../model/job.js';
 import { reservedCpu } from '../endpoints/runs.js';
+import { canHoldTask } from '../endpoints/schedulable-endpoints.js';
 import type {
   BatchState,
   EndpointState,
@@ -88,15 +89,30 @@
 const runsOfOtherJobs = ({ runs }: EndpointState, job: JobState): readonly RunState[] =>
   Array.from(runs.values()).filter(({ step }) => step.job !== job);
 
+/** Tells whether the suspects of a step have waited for so long that they may run beside short runs of other jobs. */
+const hasWaitedLong = ({ tasks }: StepRun, nowMs: number): boolean => {
+  const endedAtMs = Math.max(0, ...tasks.map(({ lastEnd }) => lastEnd?.countedAtMs ?? 0));
+  return nowMs - endedAtMs >= MAX_WAIT_MS;
+};
+
 /**
  * Sorts endpoints by the fewest runs of other jobs, then by the longest uptime, which avoids endpoints that restart
- * often.
+ * often. Once the suspects have waited for long, endpoints that have capacity for one at present come first: on the
+ * others, runs may take minutes.
  */
-const byFewestOtherRuns =
-  (job: JobState) =>
-  (left: EndpointState, right: EndpointState): number =>
+const bySuitability = (
+  step: StepRun,
+  nowMs: number,
+): ((left: EndpointState, right: EndpointState) => number) => {
+  const { job } = step;
+  const isUrgent = hasWaitedLong(step, nowMs);
+  const lacksCapacity = (endpoint: EndpointState): number =>
+    Number(isUrgent && !canHoldTask(endpoint, step));
+  return (left, right) =>
+    lacksCapacity(left) - lacksCapacity(right) ||
     runsOfOtherJobs(left, job).length - runsOfOtherJobs(right, job).length ||
     left.seenAtMs - right.seenAtMs;
+};
 
 /**
  * Lists what keeps running on an endpoint isolated for a job: the job's own tasks, and long-running tasks of other
@@ -160,6 +176,7 @@
  * @param state - The batch state.
  * @param requests - The open steps with suspects, in order of priority.
  * @param endpoints - The schedulable endpoints of the pool.
+ * @param nowMs - The current time.
  * @returns The isolated endpoints, including those with a running suspect that has not yet survived the observation
  *   period.
  */
@@ -167,6 +184,7 @@
   state: BatchState,
   requests: readonly IsolationRequest[],
   endpoints: readonly EndpointState[],
+  nowMs: number,
 ): IsolatedEndpoints => {
   const isolated = endpointsWithUnprovenRuns(state, endpoints[0]?.pool);
   const maxEndpoints = maxIsolatedEndpoints(endpoints);
@@ -177,7 +195,7 @@
     const chosen = eligible.filter(({ endpointId }) => isolated.get(endpointId) === job);
     const free = eligible
       .filter((one) => !isolated.has(one.endpointId) && countStartable(one, step) > 0)
-      .sort(byFewestOtherRuns(job));
+      .sort(bySuitability(step, nowMs));
     // A gang must get all the endpoints that it needs at once. If nothing else is isolated, it may exceed the share.
     const mayExceed = step.spec.isGang && isolated.size === 0;
     while (
@@ -210,10 +228,9 @@
 ): readonly EndpointState[] => {
   const { job } = step;
   if (!areCrashRecordsWritten(job)) return [];
-  const endedAtMs = Math.max(0, ...step.tasks.map(({ lastEnd }) => lastEnd?.countedAtMs ?? 0));
-  const isWaiting = nowMs - endedAtMs < MAX_WAIT_MS;
+  const mayShare = hasWaitedLong(step, nowMs);
   const mayShareWith = (endpoint: EndpointState, run: RunState): boolean =>
-    hasSurvivedObservation(endpoint, run) && (run.step.spec.isLasting || !isWaiting);
+    hasSurvivedObservation(endpoint, run) && (run.step.spec.isLasting || mayShare);
   return eligible.filter(
     (endpoint) =>
       isolated.get(endpoint.endpointId) === job &&
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -197,7 +197,7 @@
       step,
       eligible: admittedEndpoints(step, endpoints, nowMs),
     }));
-  const isolated = planIsolation(state, requests, endpoints);
+  const isolated = planIsolation(state, requests, endpoints, nowMs);
   requests.forEach((request) => {
     if (state.startsLeft <= 0) return;
     const { step } = request;
