Endpoints: the stop of a listed long-running task is not repeated beyond its budget

An order to stop that is repeated for as long as it takes may end a task after others of its step went away (AVAIL). It is repeated only while the budget allows it; a run that no report lists is always stopped again.

The function moves to a module of its own.

--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -278,20 +278,3 @@
     reason,
   });
 };
-
-/** A run ends well within this time after its endpoint has answered the order to stop it (`stopMs`, 0.9 s). */
-const STOP_COMPLETED_WITHIN_MS = 3000;
-
-/**
- * Lists the runs of an endpoint that are to be stopped and whose stop order must be sent again: it was not answered, or
- * the run is still listed although it should have ended since.
- *
- * @param endpoint - The endpoint, after its last report was applied.
- * @returns The runs.
- */
-export const listRunsToStopAgain = ({ runs, reportedAtMs }: EndpointState): readonly RunState[] =>
-  Array.from(runs.values()).filter(
-    ({ phase, stopAnsweredAtMs }) =>
-      phase === 'stopping' &&
-      (stopAnsweredAtMs === Infinity || reportedAtMs - stopAnsweredAtMs > STOP_COMPLETED_WITHIN_MS),
-  );
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -24,6 +24,7 @@
 export * from './endpoints/reports.js';
 export * from './endpoints/run-end.js';
 export * from './endpoints/runs.js';
+export * from './endpoints/runs-to-stop-again.js';
 export * from './endpoints/schedulable-endpoints.js';
 export * from './endpoints/stalled-runs.js';
 export * from './evacuation/evacuation-view.js';
--- a/packages/daemon/src/batch/endpoints/stop-orders.ts
+++ b/packages/daemon/src/batch/endpoints/stop-orders.ts
@@ -99,7 +99,7 @@
   const repeatUnanswered = (): void => {
     const endpoint = state.endpoints.get(endpointId);
     if (!endpoint) return;
-    listRunsToStopAgain(endpoint).forEach(({ task, run }) => {
+    listRunsToStopAgain(state, endpoint).forEach(({ task, run }) => {
       void stop({ kind: 'stop', endpointId, task: task.key, run, reason: REPEATED_STOP_REASON });
     });
   };
