Scheduling: steps that no endpoint can hold do not starve the steps behind them

What callers saw: an accepted job that is never started although its pool has room (LOST), behind 40 others that nothing can hold.

Cause: a pass ends after 40 steps that could not be placed, and each of them is tried again 25 ms later. With passes further apart than that (100 ms in a pool where nothing ends) each pass tries the same 40.

Change: half of the 40 are the first in order as before; the others are those that were tried least recently.

--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -47,10 +47,7 @@
   type Task,
 } from '../model/state.js';
 
-/**
- * Bounds the work of a scheduling pass: after this many steps that could not be placed completely, the steps behind them
- * wait for the next pass, also those that would fit.
- */
+/** Bounds the work of a scheduling pass: this many steps may be tried that cannot be placed completely. */
 const MAX_UNPLACED_STEPS_PER_PASS = 40;
 /**
  * A step that could not be placed completely is tried on all endpoints again after this time. Before that it is tried
@@ -237,37 +234,56 @@
     ? endpoints
     : endpoints.filter(({ endpointId }) => !state.reclaimedEndpoints.has(endpointId));
 
-/** Places the tasks that may share an endpoint with other jobs. */
-const placeShared = (pass: PoolPass, steps: readonly StepRun[]): void => {
+/** Whether the tasks of a step were placed as far as quota allows, could not be tried now, or found no capacity. */
+type PlacementOutcome = 'placed' | 'not-tried' | 'unplaced';
+
+/** Places the tasks of one step that may share an endpoint with other jobs. */
+const placeStep = (pass: PoolPass, step: StepRun, newestRevision: number): PlacementOutcome => {
   const { state, endpoints, nowMs } = pass;
+  const places = endpointsToTry(step, pass, newestRevision);
+  if (places.length === 0) return 'not-tried';
+  // A step that waits for its account's quota must not count as one that could not be placed.
+  if (!isWithinQuota(state, step, step.spec.isGang ? step.spec.taskCount : 1)) return 'not-tried';
+  const context: StartContext = { state, step, nowMs };
+  const admitted = withoutReclaimed(step, pass, admittedEndpoints(step, places, nowMs));
+  const isPlaced = placeUnsuspected(
+    context,
+    admitted,
+    waitingSuspects(state, step),
+    pass.mayHaveCrashed,
+  );
+  if (isPlaced) return 'placed';
+  const isTriedOnAll = places === endpoints;
+  if (isTriedOnAll) requestAdviceWithCapacity(context, endpoints);
+  change(step, {
+    triedAtRevision: state.freeCapacityRevision,
+    retryAtMs: isTriedOnAll ? nowMs + RETRY_MS : step.retryAtMs,
+  });
+  return 'unplaced';
+};
+
+/**
+ * Places the tasks that may share an endpoint with other jobs. Half of the steps that a pass may try without success are
+ * the first in order; the others are those that were tried least recently, so that none is starved by the steps before
+ * it.
+ */
+const placeShared = (pass: PoolPass, steps: readonly StepRun[]): void => {
+  const { state, endpoints } = pass;
   const newestRevision = Math.max(
     ...endpoints.map(({ freeCapacityRevision }) => freeCapacityRevision),
   );
-  let unplacedSteps = 0;
-  steps.some((step) => {
-    if (state.startsLeft <= 0) return true;
-    const places = endpointsToTry(step, pass, newestRevision);
-    if (places.length === 0) return false;
-    // A step that waits for its account's quota must not count as one that could not be placed.
-    if (!isWithinQuota(state, step, step.spec.isGang ? step.spec.taskCount : 1)) return false;
-    const context: StartContext = { state, step, nowMs };
-    const admitted = withoutReclaimed(step, pass, admittedEndpoints(step, places, nowMs));
-    const isPlaced = placeUnsuspected(
-      context,
-      admitted,
-      waitingSuspects(state, step),
-      pass.mayHaveCrashed,
-    );
-    if (isPlaced) return false;
-    const isTriedOnAll = places === endpoints;
-    if (isTriedOnAll) requestAdviceWithCapacity(context, endpoints);
-    unplacedSteps += 1;
-    change(step, {
-      triedAtRevision: state.freeCapacityRevision,
-      retryAtMs: isTriedOnAll ? nowMs + RETRY_MS : step.retryAtMs,
+  /** Returns the steps that were not reached. */
+  const placeInOrder = (ordered: readonly StepRun[]): readonly StepRun[] => {
+    let unplacedSteps = 0;
+    const last = ordered.findIndex((step) => {
+      if (state.startsLeft <= 0) return true;
+      if (placeStep(pass, step, newestRevision) === 'unplaced') unplacedSteps += 1;
+      return unplacedSteps >= MAX_UNPLACED_STEPS_PER_PASS / 2;
     });
-    return unplacedSteps >= MAX_UNPLACED_STEPS_PER_PASS;
-  });
+    return last < 0 ? [] : ordered.slice(last + 1);
+  };
+  const others = placeInOrder(steps);
+  placeInOrder([...others].sort((left, right) => left.retryAtMs - right.retryAtMs));
 };
 
 /**
