Endpoints: an order to stop a run waits while the control lease is not certain

What callers could see: a task that runs twice (TWICE), on endpoints that restart under their ids.

Cause: the order that bars a late start at a new incarnation is for a run that the holder does not have, so no report requests it again, and its sender ended for good when the control lease was not certain for a moment.

Evidence: stop-orders.test.ts, 'is sent once the control lease is certain again ...', failed before: expected +0 to be 1.

--- a/packages/daemon/src/batch/endpoints/stop-orders.test.ts
+++ b/packages/daemon/src/batch/endpoints/stop-orders.test.ts
@@ -29,6 +29,7 @@
 const DATA_CENTRE = brand<DataCentreId>('north');
 /** More than all repeats of one order take. */
 const ALL_REPEATS_MS = 20_000;
+const LEASE_PAUSE_MS = 1000;
 
 type StopEffect = Extract<BatchEffect, { kind: 'stop' }>;
 
@@ -142,6 +143,17 @@
     },
   );
 
+  it('is sent once the control lease is certain again, though the holder has no such run and gets no report', async () => {
+    const { sender, stop } = createSender();
+    isCertainlyHolder = false;
+    void sender.stop({ ...stop, run: stop.run + 1 });
+    await advanceTime(LEASE_PAUSE_MS);
+    expect(sent).toBe(0);
+    isCertainlyHolder = true;
+    await advanceTime(LEASE_PAUSE_MS);
+    expect(sent).toBe(1);
+  });
+
   it('is sent again with the next report after the control lease was uncertain', async () => {
     isCertainlyHolder = false;
     await sendAndReport();
--- a/packages/daemon/src/batch/endpoints/stop-orders.ts
+++ b/packages/daemon/src/batch/endpoints/stop-orders.ts
@@ -1,11 +1,12 @@
 /**
- * Sends stop orders to one endpoint. An order that got no answer is repeated some times. If it is given up then, or
- * because the control lease is not certain, the next report of the endpoint requests it again: without an answer, a run
- * whose start order got no response would never be given up.
+ * Sends stop orders to one endpoint. An order that got no answer is repeated some times, and waits while the control lease
+ * is not certain. If it is given up then, the next report of the endpoint requests it again: without an answer, a run whose
+ * start order got no response would never be given up.
  */
 import {
   applyStopResponse,
   listRunsToStopAgain,
+  MAX_ORDER_DELAY_MS,
   type BatchEffect,
   type OrderError,
 } from '@valvelatch/core/batch';
@@ -15,8 +16,9 @@
 import type { LinkContext } from './link-context.js';
 import type { OrderTarget } from '../ports.js';
 
-const MAX_STOP_ATTEMPTS = 40;
 const RETRY_MS = 250;
+/** An order that bars a late start is repeated for as long as that start may still arrive. */
+const MAX_STOP_ATTEMPTS = MAX_ORDER_DELAY_MS / RETRY_MS;
 /** The errors after which a stop order is repeated at once. After others it is repeated with the next report. */
 const RETRIED_REASONS: ReadonlySet<OrderError['reason']> = new Set([
   'no-answer',
@@ -28,6 +30,9 @@
 
 type StopEffect = Extract<BatchEffect, { kind: 'stop' }>;
 
+/** How one attempt to send an order ended; `retry` also while the control lease is not certain. */
+type AttemptOutcome = 'answered' | 'retry' | 'given-up';
+
 export type StopOrderSenderOptions = {
   readonly target: OrderTarget;
   readonly context: LinkContext;
@@ -67,24 +72,28 @@
   const { endpointId } = target;
   const inFlight = new Set<string>();
 
+  const sendOnce = async (effect: StopEffect): Promise<AttemptOutcome> => {
+    if (!context.isCertainlyHolder()) return 'retry';
+    const { task, run } = effect;
+    const order = { task, run, fence: state.fence };
+    const response = await send((timeoutMs) => orders.stop(target, order, timeoutMs));
+    if (response.isOk()) {
+      applyStopResponse(state, endpointId, task, run, nowMs());
+      await onStopped(effect);
+      return 'answered';
+    }
+    recordError(response.error, { task, run });
+    return RETRIED_REASONS.has(response.error.reason) ? 'retry' : 'given-up';
+  };
+
   const sendStop = async (effect: StopEffect): Promise<void> => {
     const { task, run, reason } = effect;
     log.info('task-stop', { task, run, endpoint: endpointId, reason });
-    for (
-      let attempt = 0;
-      attempt < MAX_STOP_ATTEMPTS && !isClosed() && context.isCertainlyHolder();
-      attempt += 1
-    ) {
-      const order = { task, run, fence: state.fence };
-      const response = await send((timeoutMs) => orders.stop(target, order, timeoutMs));
-      if (response.isOk()) {
-        applyStopResponse(state, endpointId, task, run, nowMs());
-        await onStopped(effect);
-        return;
-      }
-      recordError(response.error, { task, run });
+    for (let attempt = 0; attempt < MAX_STOP_ATTEMPTS && !isClosed(); attempt += 1) {
+      const outcome = await sendOnce(effect);
+      if (outcome === 'answered') return;
       await sleep(RETRY_MS);
-      if (!RETRIED_REASONS.has(response.error.reason)) return;
+      if (outcome === 'given-up') return;
     }
   };
 
