The forecast of a job counts what the holder of control can handle, not only the cores of hosts

Cause: the forecast knew the cores of hosts alone. Where the holder's processor is the bottleneck, hosts have room, so it said 'in time'. Messages wait at the holder in the order of their arrival, so no rank helps: all jobs are late together.

At 0.8 of what the holder handles nothing is refused.

The forecast's backlog is the longer of cores and starts, the longest chain has two waits a step. With control as the bottleneck a job that would miss its objective is refused, and Retry-After lets refused jobs return one after the other at that rate while they are of use. Line, counters and explanation name the bottleneck.

Tests: forecast.test.ts and job-admission.test.ts have the new fields and words, as strict as before.

--- a/packages/core/src/batch/endpoints/order-window.test.ts
+++ b/packages/core/src/batch/endpoints/order-window.test.ts
@@ -58,4 +58,18 @@
     window.begin();
     expect(window.available()).toBe(0);
   });
+
+  it('tells how many orders a second get a response, once they queue up', () => {
+    const window = createOrderWindow(INITIAL_SIZE);
+    expect(window.startsPerS(0)).toBe(Infinity);
+    let nowMs = 0;
+    for (let round = 0; round < 20; round += 1) nowMs = simulateRound(window, 0.1, nowMs);
+    window.begin();
+    expect(window.startsPerS(nowMs)).toBeGreaterThan(70);
+    expect(window.startsPerS(nowMs)).toBeLessThan(130);
+    expect(window.delayMs()).toBeGreaterThan(100);
+    window.cancel();
+    expect(window.startsPerS(nowMs)).toBe(Infinity);
+    expect(window.delayMs()).toBe(0);
+  });
 });
--- a/packages/core/src/batch/endpoints/order-window.ts
+++ b/packages/core/src/batch/endpoints/order-window.ts
@@ -27,6 +27,14 @@
 /** Number of consecutive late responses before the window shrinks: a single one may be due to a slow endpoint. */
 const LATE_RESPONSES_TO_SHRINK = 3;
 
+/** The weight of a new response in the moving average of the response times. */
+const DELAY_SAMPLE_WEIGHT = 0.05;
+/** Over how long responses are counted for their rate. */
+const RATE_TIME_CONSTANT_MS = 500;
+/** A rate below this is not a measurement: it would take a whole burst of responses to correct it. */
+const MIN_STARTS_PER_S = 20;
+const MS_PER_S = 1000;
+
 /** A limit on the number of start orders in flight. */
 export type OrderWindow = {
   /** How many more orders may be sent now. */
@@ -45,6 +53,10 @@
    */
   readonly cancel: () => void;
   readonly size: () => number;
+  /** The mean response time while orders queue up; 0 while none is in flight, which shows no queue. */
+  readonly delayMs: () => number;
+  /** How many orders a second get a response at present if they queue up; Infinity while they do not. */
+  readonly startsPerS: (nowMs: number) => number;
   readonly inFlight: () => number;
 };
 
@@ -58,6 +70,8 @@
   let size = initialSize;
   let inFlight = 0;
   let consecutiveLate = 0;
+  let meanDelayMs = 0;
+  const responses = { perS: 0, decayedAtMs: -Infinity };
   let lastShrink = { size: initialSize, shrunkAtMs: -Infinity };
 
   const grow = (tookMs: number): void => {
@@ -68,6 +82,11 @@
     size = Math.min(MAX_SIZE, size + (isIdleLink ? 1 : 1 / size));
   };
 
+  const decayResponses = (nowMs: number): void => {
+    responses.perS *= Math.exp((responses.decayedAtMs - nowMs) / RATE_TIME_CONSTANT_MS);
+    responses.decayedAtMs = nowMs;
+  };
+
   /** Late responses to orders that were sent before the window shrank refer to the size that it had then. */
   const shrink = (tookMs: number, nowMs: number): void => {
     consecutiveLate += 1;
@@ -83,6 +102,9 @@
       inFlight += 1;
     },
     end: (tookMs, nowMs) => {
+      meanDelayMs += DELAY_SAMPLE_WEIGHT * (tookMs - meanDelayMs);
+      decayResponses(nowMs);
+      responses.perS += MS_PER_S / RATE_TIME_CONSTANT_MS;
       if (tookMs <= TARGET_DELAY_MS) grow(tookMs);
       else shrink(tookMs, nowMs);
       inFlight -= 1;
@@ -91,6 +113,12 @@
       inFlight -= 1;
     },
     size: () => Math.floor(size),
+    delayMs: () => (inFlight === 0 ? 0 : meanDelayMs),
+    startsPerS: (nowMs) => {
+      if (inFlight === 0 || meanDelayMs <= TARGET_DELAY_MS * IDLE_DELAY_SHARE) return Infinity;
+      decayResponses(nowMs);
+      return Math.max(MIN_STARTS_PER_S, responses.perS);
+    },
     inFlight: () => inFlight,
   };
 };
--- a/packages/core/src/batch/jobs/admission-control.test.ts
+++ b/packages/core/src/batch/jobs/admission-control.test.ts
@@ -15,7 +15,11 @@
   addEndpoint,
   submitJob,
 } from '../testing/batch-state.fixtures.js';
-import { createAdmissionControl, type JobSubmission } from './admission-control.js';
+import {
+  createAdmissionControl,
+  type ControlLoad,
+  type JobSubmission,
+} from './admission-control.js';
 import { recordFirstAttempts } from './first-attempts.js';
 
 const ACCOUNT = brand<AccountName>('declared');
@@ -175,3 +179,41 @@
     expect(refusalIn(state, jobOf())).toBeDefined();
   });
 });
+
+describe('a holder that cannot start what it has accepted', () => {
+  /** A pool with room for all its tasks; the holder waits for 300 answers, of which 100 come a second. */
+  const BUSY: ControlLoad = { delayMs: () => 200, inFlight: () => 300, startsPerS: () => 100 };
+  const IDLE: ControlLoad = { delayMs: () => 0, inFlight: () => 0, startsPerS: () => Infinity };
+
+  const refusalBy = (control: ControlLoad) =>
+    createAdmissionControl({
+      state: stateWithBacklog(0),
+      random: () => 0.5,
+      control,
+    }).evaluate(jobOf(), NOW_MS);
+
+  it('refuses a job beyond its objective and names control as the bottleneck', () => {
+    const refusal = refusalBy(BUSY);
+    expect(refusal).toMatchObject({ limitMs: 2600, forecast: { bottleneck: 'control' } });
+    // The answers take 3 s, the job itself 1 s, and its start and its end wait for 0.2 s each.
+    expect(refusal?.forecast.doneMs).toBeCloseTo(4400);
+    expect(refusalBy(IDLE)).toBeUndefined();
+  });
+
+  it('accepts a job whose start is delayed, but not beyond its objective', () => {
+    expect(refusalBy({ ...BUSY, inFlight: () => 100 })).toBeUndefined();
+  });
+
+  it('lets refused jobs return one after the other, while they are of use', () => {
+    const control = { ...BUSY, startsPerS: () => 10, inFlight: () => 30 };
+    const state = stateWithBacklog(0);
+    const admission = createAdmissionControl({ state, random: () => 0.5, control });
+    const retries = Array.from({ length: 60 }, (_, index) => {
+      const submitted = jobOf({}, { jobId: jobIdOf(1000 + index) });
+      return admission.evaluate(submitted, NOW_MS)?.retryAfterMs ?? 0;
+    });
+    expect(retries[0]).toBeGreaterThanOrEqual(3000);
+    expect((retries[10] ?? 0) - (retries[0] ?? 0)).toBeCloseTo(1000);
+    expect(Math.max(...retries)).toBeLessThan(7800);
+  });
+});
--- a/packages/core/src/batch/jobs/admission-control.ts
+++ b/packages/core/src/batch/jobs/admission-control.ts
@@ -1,11 +1,16 @@
 /**
  * Admission control: refuses jobs that are forecast to complete too late to be useful. Applies only to jobs of client
- * accounts that have a weight or a maximum, and only while the pool has a backlog.
+ * accounts that have a weight or a maximum, and only while the pool or the control holder has a backlog.
+ *
+ * Work that waits for hosts is started in the order of its rank, so a late job takes nothing from the others. Messages
+ * that wait for the holder are handled in the order of their arrival: there a job that would be late makes others late,
+ * and is refused.
  */
 import type { AccountName, JobId, PoolName } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import { limitsOf } from '../accounts/quota.js';
 import { previewShare } from '../accounts/shares.js';
+import type { OrderWindow } from '../endpoints/order-window.js';
 import { RESOURCES } from '../model/capacity.js';
 import type { BatchJob, QueueName, QueuePolicy, StepSpec } from '../model/job.js';
 import type { JobShare } from '../model/share.js';
@@ -41,6 +46,8 @@
 const REFUSALS_PER_SAMPLE = 4;
 const MAX_SAMPLES = 500;
 const MAX_KEPT_REFUSALS = 4000;
+/** A step waits for the holder when its tasks are started and when they have ended. */
+const ANSWERS_PER_STEP = 2;
 const MILLIS = 1000;
 
 /** The rank of a job that is retried too late to meet its objective: it takes no capacity from jobs that still can. */
@@ -61,7 +68,10 @@
   readonly forecast: Forecast;
   /** Work in core-milliseconds that the pool would have completed before the job starts. */
   readonly workAheadCoreMs: number;
-  /** The latest useful completion of the job, in milliseconds after `atMs`. */
+  /**
+   * The latest completion with which the job would have been accepted, in milliseconds after `atMs`: the end of its
+   * objective if the holder is the bottleneck, otherwise of its use as a late success.
+   */
   readonly limitMs: number;
   readonly retryAfterMs: number;
 };
@@ -108,11 +118,16 @@
 /** The estimated work of a job: in total, the duration of its critical path, and that path's work time. */
 type JobWork = {
   readonly coreMs: number;
+  readonly taskCount: number;
   readonly criticalPathMs: number;
   readonly criticalWorkMs: number;
+  /** The number of steps of the longest chain of dependent steps. */
+  readonly criticalSteps: number;
 };
 
-/** The longest chain of dependent steps if each step takes the given time, in milliseconds. */
+const sum = (values: readonly number[]): number => values.reduce((total, one) => total + one, 0);
+
+/** The longest chain of dependent steps if each step takes the given time. */
 const longestChainMs = (steps: readonly StepSpec[], timeOf: (spec: StepSpec) => number): number => {
   const ends: number[] = [];
   steps.forEach((spec) => {
@@ -129,9 +144,11 @@
     estimateWorkTime(state.runTimes, taskKindOf(queue, spec), spec.estimateMs);
   const stepWorks = steps.map((spec) => (spec.taskCount * spec.cpuMillis * timeOf(spec)) / MILLIS);
   return {
-    coreMs: stepWorks.reduce((sum, one) => sum + one, 0),
+    coreMs: sum(stepWorks),
+    taskCount: sum(steps.map(({ taskCount }) => taskCount)),
     criticalPathMs: longestChainMs(steps, timeOf),
     criticalWorkMs: longestChainMs(steps, workTimeOf),
+    criticalSteps: longestChainMs(steps, () => 1),
   };
 };
 
@@ -150,7 +167,7 @@
 const usableCores = (capacityCpu: number, taskCpu: number): number =>
   (taskCpu > 0 ? Math.floor(capacityCpu / taskCpu) * taskCpu : capacityCpu) / MILLIS;
 
-const sum = (values: readonly number[]): number => values.reduce((total, one) => total + one, 0);
+const tasksOf = ({ taskCount }: QueuedWork): number => taskCount;
 
 const hasLimits = (state: BatchState, account: AccountName | undefined): boolean => {
   const limits = account === undefined ? undefined : limitsOf(state, account);
@@ -171,9 +188,20 @@
   wronglyRefused: 0,
 });
 
+/** The load of the control holder itself, see `OrderWindow`. */
+export type ControlLoad = Pick<OrderWindow, 'delayMs' | 'inFlight' | 'startsPerS'>;
+
+const NO_CONTROL_LOAD: ControlLoad = {
+  delayMs: () => 0,
+  inFlight: () => 0,
+  startsPerS: () => Infinity,
+};
+
 export type AdmissionControlOptions = {
   readonly state: BatchState;
   readonly random?: () => number;
+  /** What the holder can carry at present, whatever the hosts could run; unlimited by default. */
+  readonly control?: ControlLoad;
 };
 
 /**
@@ -185,6 +213,7 @@
 export const createAdmissionControl = ({
   state,
   random = Math.random,
+  control = NO_CONTROL_LOAD,
 }: AdmissionControlOptions): AdmissionControl => {
   const pending = new Map<JobId, { readonly pool: PoolName; readonly work: QueuedWork }>();
   const refusals = new Map<JobId, ForecastRefusal>();
@@ -194,6 +223,7 @@
   let refused = 0;
   let loads: ReadonlyMap<PoolName, PoolLoad> = new Map();
   let measuredAtMs = -Infinity;
+  let lastReturnAtMs = -Infinity;
 
   const loadOf = (pool: PoolName, nowMs: number): PoolLoad | undefined => {
     const intervalMs = Math.max(MEASURE_INTERVAL_MS, MEASURE_INTERVAL_MS_PER_JOB * state.jobs.size);
@@ -205,6 +235,14 @@
     return loads.get(pool);
   };
 
+  /** The holder starts tasks of the pools by turns: of each other pool at most as many as of the job's own. */
+  const tasksAheadInAllPools = (pool: PoolName, tasksAhead: number): number =>
+    sum(
+      Array.from(loads, ([name, { queuedWork }]) =>
+        name === pool ? tasksAhead : Math.min(tasksAhead, sum(queuedWork.map(tasksOf))),
+      ),
+    );
+
   const forecastInputOf = (
     { job, policy }: JobSubmission,
     share: JobShare,
@@ -219,12 +257,12 @@
     // The usable share of a host like those of the pool; a pool without hosts is assumed to use all cores that it gets.
     const usable = hostCpu > 0 ? usableCores(hostCpu, taskCpu) / (hostCpu / MILLIS) : 1;
     const coresOf = (cpuMillis: number): number => (cpuMillis * usable) / MILLIS;
+    const workAhead = load.queuedWork.filter((work) => runsBefore(work, share, policy));
     return {
-      queuedAheadCoreMs: sum(
-        load.queuedWork
-          .filter((work) => runsBefore(work, share, policy))
-          .map(({ coreMs }) => coreMs),
-      ),
+      queuedAheadCoreMs: sum(workAhead.map(({ coreMs }) => coreMs)),
+      queuedAheadTasks:
+        tasksAheadInAllPools(job.pool, sum(workAhead.map(tasksOf))) + control.inFlight(),
+      startsPerS: control.startsPerS(nowMs),
       usableCores: sum(
         load.endpointsCpuMillis.map((capacityCpu) => usableCores(capacityCpu, taskCpu)),
       ),
@@ -238,7 +276,11 @@
       ],
       overtakingCores: share.isWithinShare ? 0 : demand.withinShareRates(nowMs).slowCores,
       jobCoreMs: jobWork.coreMs,
-      criticalPathMs: jobWork.criticalPathMs,
+      jobTasks: jobWork.taskCount,
+      criticalPathMs: Math.max(
+        jobWork.criticalPathMs,
+        jobWork.criticalWorkMs + ANSWERS_PER_STEP * jobWork.criticalSteps * control.delayMs(),
+      ),
     };
   };
 
@@ -266,9 +308,24 @@
     !state.jobs.has(job.jobId) &&
     !pending.has(job.jobId);
 
-  const retryAfterMsOf = ({ backlogMs }: Forecast): number => {
+  /**
+   * When a refused job is to come back: the holder can start only so many, so refused jobs return one after the other as
+   * soon as the backlog is gone, but each while it can still be of use.
+   */
+  const returnAfterMs = (
+    { jobTasks, startsPerS, criticalPathMs }: ForecastInput,
+    { backlogMs }: Forecast,
+    limitMs: number,
+    nowMs: number,
+  ): number => {
+    lastReturnAtMs = Math.max(lastReturnAtMs, nowMs + backlogMs) + (jobTasks * MILLIS) / startsPerS;
+    const latestUsefulMs = (limitMs - criticalPathMs) / (1 + RETRY_JITTER);
+    return Math.max(backlogMs, Math.min(lastReturnAtMs - nowMs, latestUsefulMs));
+  };
+
+  const withJitter = (delayMs: number): number => {
     const jitter = 1 + RETRY_JITTER * (2 * random() - 1);
-    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, backlogMs * jitter));
+    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, delayMs * jitter));
   };
 
   const evaluate: AdmissionControl['evaluate'] = (submitted, nowMs) => {
@@ -288,8 +345,11 @@
     if (onTimeForecast.backlogMs < MIN_BACKLOG_MS || onTimeForecast.doneMs <= timeToObjectiveMs)
       return undefined;
     const lateForecastInput = lateForecastInputOf(forecastInput, job.pool, share, nowMs);
-    const forecast = forecastJob(lateForecastInput);
-    if (forecast.doneMs <= limitMs) return undefined;
+    const isControlLimited = onTimeForecast.bottleneck === 'control';
+    const decisiveInput = isControlLimited ? forecastInput : lateForecastInput;
+    const forecast = forecastJob(decisiveInput);
+    const usefulMs = isControlLimited ? timeToObjectiveMs : limitMs;
+    if (forecast.doneMs <= usefulMs) return undefined;
     return {
       jobId: job.jobId,
       queue: job.queue,
@@ -297,9 +357,13 @@
       isOwed: share.isWithinShare,
       atMs: nowMs,
       forecast,
-      workAheadCoreMs: workBeforeOf(lateForecastInput, forecast),
-      limitMs,
-      retryAfterMs: retryAfterMsOf(onTimeForecast),
+      workAheadCoreMs: workBeforeOf(decisiveInput, forecast),
+      limitMs: usefulMs,
+      retryAfterMs: withJitter(
+        isControlLimited
+          ? returnAfterMs(forecastInput, onTimeForecast, limitMs, nowMs)
+          : onTimeForecast.backlogMs,
+      ),
     };
   };
 
@@ -314,7 +378,9 @@
     [ofQueue, ofAccount].forEach((counts) => change(counts, { [field]: counts[field] + 1 }));
   };
 
+  /** Completed work shows whether hosts could have run a job, and nothing about what the holder could handle. */
   const trackRefusal = (refusal: ForecastRefusal, pool: PoolName): void => {
+    if (refusal.forecast.bottleneck === 'control') return;
     refused += 1;
     if (refused % REFUSALS_PER_SAMPLE !== 0 || trackedRefusals.length >= MAX_SAMPLES) return;
     const { forecast, workAheadCoreMs, limitMs, atMs } = refusal;
@@ -332,13 +398,14 @@
     addPending: ({ job, policy }, nowMs) => {
       if (pending.has(job.jobId)) return;
       const { isWithinShare, virtualStart } = previewShare(state, job.owner?.account, nowMs);
-      const { coreMs } = jobWorkOf(state, job);
+      const { coreMs, taskCount } = jobWorkOf(state, job);
       const work = {
         isWithinShare,
         isTooLate: false,
         priority: policy.priority,
         virtualStart,
         coreMs,
+        taskCount,
       };
       pending.set(job.jobId, { pool: job.pool, work });
       loads.get(job.pool)?.queuedWork.push(work);
--- a/packages/core/src/batch/jobs/burst.test.ts
+++ b/packages/core/src/batch/jobs/burst.test.ts
@@ -10,6 +10,7 @@
   type SimulatedJob,
   type SimulatedPool,
 } from '../testing/fleet-simulation.fixtures.js';
+import { LATE_SUCCESS_FACTOR } from '../placement/job-rank.js';
 
 const POOL: SimulatedPool = { name: brand<PoolName>('a'), hosts: 24, taskCpu: 6200, runMs: 800 };
 /** Each of the 24 hosts runs ten tasks at once; a job has sixteen tasks of 0.8 s. */
@@ -116,6 +117,94 @@
   });
 });
 
+// The holder handles 33 messages for a job of sixteen tasks. It can complete 0.5 and 0.2 of the jobs.
+describe.each([
+  { factor: 2, inTime: 0.42, inTimeWithout: 0.25 },
+  { factor: 5, inTime: 0.11, inTimeWithout: 0.05 },
+])(
+  'a burst of $factor times what the holder can handle, on hosts with room for all of it',
+  ({ factor, inTime, inTimeWithout }) => {
+    const burstOf = (isAdmissionOn: boolean): readonly SimulatedJob[] =>
+      jobsOfBurst(
+        simulateFleet({
+          pools: [{ ...POOL, hosts: 4 * POOL.hosts }],
+          spareHosts: 0,
+          clients: clientsOf(factor, 1),
+          submitForMs: BURST_FROM_MS + BURST_FOR_MS + 4000,
+          isAdmissionOn,
+          messagesPerS: 33 * CAPACITY_JOBS_PER_S,
+        }),
+      );
+    /** The share of jobs that were accepted and are not done while they are still of use. */
+    const shareFailed = (jobs: readonly SimulatedJob[]): number =>
+      jobs.filter(
+        ({ isAccepted, atMs, doneAtMs, objectiveMs }) =>
+          isAccepted && doneAtMs - atMs > LATE_SUCCESS_FACTOR * objectiveMs,
+      ).length / jobs.length;
+    const withAdmission = burstOf(true);
+    const withoutAdmission = burstOf(false);
+
+    it('completes most of what the holder can handle in time, unlike without refusals', () => {
+      expect(shareWithinObjective(withAdmission)).toBeGreaterThan(inTime);
+      expect(shareWithinObjective(withoutAdmission)).toBeLessThan(inTimeWithout);
+    });
+
+    it('accepts few jobs that are not done while they are of use', () => {
+      expect(shareFailed(withAdmission)).toBeLessThan(0.06);
+      expect(shareFailed(withoutAdmission)).toBeGreaterThan(0.4);
+    });
+
+    it('has at least 95 % of jobs accepted at first attempt done while they are of use', () => {
+      const first = withAdmission.filter((job) => job.isAccepted && job.refusals === 0);
+      expect(shareWithinObjective(first, LATE_SUCCESS_FACTOR)).toBeGreaterThanOrEqual(0.95);
+    });
+  },
+);
+
+describe('one account that sends six times its weight to a holder that cannot handle it', () => {
+  const HEAVY_INDEX = 0;
+  const lightJobsOf = (isAdmissionOn: boolean): readonly SimulatedJob[] => {
+    const accountJobsPerS = CAPACITY_JOBS_PER_S / ACCOUNTS;
+    const clients = clientsOf(0, accountJobsPerS).map((client, index): SimulatedClient => {
+      const factor = index === HEAVY_INDEX ? 6 : 0.9;
+      return {
+        ...client,
+        jobsPerS: (nowMs) => (isInBurst(nowMs) ? factor : BASE_LOAD) * accountJobsPerS,
+      };
+    });
+    const simulated = simulateFleet({
+      pools: [{ ...POOL, hosts: 4 * POOL.hosts }],
+      spareHosts: 0,
+      clients,
+      submitForMs: BURST_FROM_MS + BURST_FOR_MS + 4000,
+      isAdmissionOn,
+      messagesPerS: 33 * CAPACITY_JOBS_PER_S,
+    });
+    return jobsOfBurst(simulated).filter(
+      ({ client }) => client.name !== clients[HEAVY_INDEX]?.name,
+    );
+  };
+
+  it('leaves the accounts within their weight in time', () => {
+    expect(shareWithinObjective(lightJobsOf(true))).toBeGreaterThan(0.8);
+    expect(shareWithinObjective(lightJobsOf(false))).toBeLessThan(0.55);
+  });
+});
+
+describe('a load of 0.8 of what the holder can handle', () => {
+  it('is served in time, and no job is refused', () => {
+    const simulated = simulateFleet({
+      pools: [{ ...POOL, hosts: 4 * POOL.hosts }],
+      spareHosts: 0,
+      clients: clientsOf(0.8, 1),
+      submitForMs: BURST_FROM_MS + BURST_FOR_MS,
+      messagesPerS: 33 * CAPACITY_JOBS_PER_S,
+    });
+    expect(refusalsIn(simulated)).toBe(0);
+    expect(shareWithinObjective(simulated.jobs)).toBeGreaterThan(0.95);
+  });
+});
+
 describe('a burst of clients without accounts', () => {
   it('is served as without admission control, and no job is refused', () => {
     const simulated = simulate(5, true, 0);
--- a/packages/core/src/batch/jobs/forecast.test.ts
+++ b/packages/core/src/batch/jobs/forecast.test.ts
@@ -8,18 +8,21 @@
   usableCores: 100,
   arrivingCapacity: [],
   overtakingCores: 0,
+  queuedAheadTasks: 0,
+  startsPerS: Infinity,
   jobCoreMs: 8000,
+  jobTasks: 10,
   criticalPathMs: 1600,
 };
 
 describe('the forecast of a job', () => {
   it('is the duration of its longest chain in an empty pool', () => {
-    expect(forecastJob(EMPTY)).toEqual({ backlogMs: 0, doneMs: 1600 });
+    expect(forecastJob(EMPTY)).toEqual({ backlogMs: 0, doneMs: 1600, bottleneck: 'hosts' });
   });
 
   it('is delayed by the work queued before it', () => {
     const forecast = forecastJob({ ...EMPTY, queuedAheadCoreMs: 100_000 });
-    expect(forecast).toEqual({ backlogMs: 1000, doneMs: 2600 });
+    expect(forecast).toEqual({ backlogMs: 1000, doneMs: 2600, bottleneck: 'hosts' });
   });
 
   it('counts arriving capacity only from its arrival on', () => {
@@ -38,6 +41,30 @@
     expect(forecastJob({ ...waiting, overtakingCores: 500 }).backlogMs).toBeCloseTo(10_000);
   });
 
+  it('is delayed by the tasks that the holder starts before it, even if hosts have room for all of them', () => {
+    const forecast = forecastJob({ ...EMPTY, queuedAheadTasks: 600, startsPerS: 200 });
+    expect(forecast).toEqual({ backlogMs: 3000, doneMs: 4600, bottleneck: 'control' });
+  });
+
+  it('is delayed by whichever takes longer: the cores of the hosts or the starts of the holder', () => {
+    const input = { ...EMPTY, queuedAheadCoreMs: 400_000, queuedAheadTasks: 600 };
+    expect(forecastJob({ ...input, startsPerS: 300 })).toMatchObject({
+      backlogMs: 4000,
+      bottleneck: 'hosts',
+    });
+    expect(forecastJob({ ...input, startsPerS: 100 })).toMatchObject({
+      backlogMs: 6000,
+      bottleneck: 'control',
+    });
+  });
+
+  it('is delayed by the starts of tasks that overtake it, but stays finite', () => {
+    const waiting = { ...EMPTY, queuedAheadCoreMs: 72_000, queuedAheadTasks: 90, startsPerS: 100 };
+    // A task takes 800 core-milliseconds, so 40 cores are kept busy by 50 starts a second.
+    expect(forecastJob({ ...waiting, overtakingCores: 40 }).backlogMs).toBeCloseTo(1800);
+    expect(forecastJob({ ...waiting, overtakingCores: 4000 }).backlogMs).toBeCloseTo(9000);
+  });
+
   it('is infinite if the pool has no capacity and none arrives', () => {
     expect(forecastJob({ ...EMPTY, usableCores: 0 }).doneMs).toBe(Infinity);
   });
--- a/packages/core/src/batch/jobs/pool-load.ts
+++ b/packages/core/src/batch/jobs/pool-load.ts
@@ -18,6 +18,8 @@
   readonly virtualStart: number;
   /** Expected work of the queued tasks, in core-milliseconds. */
   readonly coreMs: number;
+  /** Queued tasks, each of which the holder has to start. */
+  readonly taskCount: number;
 };
 
 /** The queued work and the capacity of one pool. */
@@ -27,14 +29,19 @@
   readonly endpointsCpuMillis: readonly number[];
 };
 
-const queuedCoreMs = (state: BatchState, job: JobState): number => {
+const queuedTasksOf = (
+  state: BatchState,
+  job: JobState,
+): Pick<QueuedWork, 'coreMs' | 'taskCount'> => {
   let coreMs = 0;
+  let taskCount = 0;
   job.occurrences.forEach(({ steps }) =>
     steps.forEach((step) => {
       coreMs += (estimateStepWork(state, step) * step.waiting.length) / step.spec.taskCount;
+      if (!step.spec.isLasting) taskCount += step.waiting.length;
     }),
   );
-  return coreMs;
+  return { coreMs, taskCount };
 };
 
 const availableCpuOf = ({ capacity, runs }: EndpointState): number => {
@@ -61,7 +68,7 @@
   };
   state.jobs.forEach((job) => {
     if (isFinal(job.phase)) return;
-    const coreMs = queuedCoreMs(state, job);
+    const { coreMs, taskCount } = queuedTasksOf(state, job);
     if (coreMs === 0) return;
     queuedWorkOf(job.job.pool).push({
       isWithinShare: isRankedWithinShare(job, nowMs),
@@ -69,6 +76,7 @@
       priority: job.policy.priority,
       virtualStart: job.share.virtualStart,
       coreMs,
+      taskCount,
     });
   });
   const healthyEndpoints = new Map<PoolName, EndpointState[]>();
--- a/packages/core/src/batch/testing/fleet-simulation.fixtures.ts
+++ b/packages/core/src/batch/testing/fleet-simulation.fixtures.ts
@@ -12,6 +12,7 @@
 import { setAccounts } from '../accounts/quota.js';
 import { upsertEndpoint } from '../endpoints/endpoints.js';
 import { removeEndpoint } from '../endpoints/gone-endpoints.js';
+import { createOrderWindow } from '../endpoints/order-window.js';
 import { applyStartOutcome } from '../endpoints/order-responses.js';
 import { applyReport, type EndedRunReport } from '../endpoints/reports.js';
 import { createAdmissionControl, type AdmissionControl } from '../jobs/admission-control.js';
@@ -77,6 +78,11 @@
   readonly isAdmissionOn?: boolean;
   /** How long after its end a run is reported to the holder, in ms; 0 by default. */
   readonly reportDelayMs?: number;
+  /**
+   * How many messages the holder can handle a second, in the order in which they arrive: submissions, answers to start
+   * orders and ends of runs; unlimited by default.
+   */
+  readonly messagesPerS?: number;
   /** Maximum number of attempts per job, including the first one; 3 by default. */
   readonly maxAttempts?: number;
 };
@@ -195,11 +201,16 @@
  */
 export const simulateFleet = (play: FleetSimulationOptions): FleetSimulationResult => {
   const { pools, clients, submitForMs, isAdmissionOn = true, maxAttempts = 3 } = play;
-  const { reportDelayMs = 0 } = play;
+  const { reportDelayMs = 0, messagesPerS = Infinity } = play;
   const state = createBatchState(2);
   change(state, { takenOverAtMs: -Infinity });
   const random = createRandom();
-  const admission = createAdmissionControl({ state, random: createRandom() });
+  const orderWindow = createOrderWindow();
+  const admission = createAdmissionControl({
+    state,
+    random: createRandom(),
+    control: orderWindow,
+  });
   const declared = clients.filter(({ weight }) => weight > 0);
   setAccounts(
     state,
@@ -211,6 +222,8 @@
   const retries: { readonly job: SimulatedJob; readonly atMs: number }[] = [];
   const workedCoreMs = new Map<PoolName, number>();
   const ends = new Map<EndpointId, { readonly atMs: number; readonly end: EndedRunReport }[]>();
+  const inbox: (() => void)[] = [];
+  let handledCredit = 0;
   let ended = 0;
 
   const submitAttempt = (job: SimulatedJob, nowMs: number): void => {
@@ -262,7 +275,7 @@
     };
     const job: SimulatedJob = { jobId, client, atMs: nowMs, objectiveMs, ...initialOutcome };
     played.set(jobId, job);
-    submitAttempt(job, nowMs);
+    inbox.push(() => submitAttempt(job, state.clockMs));
   };
 
   const startRun = (endpoint: EndpointState, task: TaskKey, run: number, nowMs: number): void => {
@@ -270,7 +283,12 @@
     const { endpointId, pool } = endpoint;
     ended += 1;
     const end = { number: ended, task, run, kind: 'done' as const, checkpoint: '' };
-    applyStartOutcome(state, endpointId, { task, run, outcome: 'started', clockMs: nowMs, nowMs });
+    orderWindow.begin();
+    inbox.push(() => {
+      orderWindow.end(state.clockMs - nowMs, state.clockMs);
+      const started = { task, run, outcome: 'started', clockMs: nowMs } as const;
+      applyStartOutcome(state, endpointId, { ...started, nowMs: state.clockMs });
+    });
     const list = ends.get(endpointId) ?? [];
     ends.set(endpointId, list);
     list.push({ atMs: nowMs + Math.ceil(runMs / TIME_STEP_MS) * TIME_STEP_MS, end });
@@ -283,13 +301,29 @@
     const list = ends.get(endpointId) ?? [];
     const clockMs = nowMs - reportDelayMs;
     const over = list.filter(({ atMs }) => atMs <= clockMs);
-    if (over.length > 0)
-      ends.set(
-        endpointId,
-        list.filter(({ atMs }) => atMs > clockMs),
-      );
-    const rest = { running: [], hasMoreEnds: false, clockMs, requestedAtMs: 0, nowMs };
-    applyReport(state, endpointId, { ...rest, ended: over.map(({ end }) => end) });
+    const rest = { running: [], hasMoreEnds: false, requestedAtMs: 0 };
+    if (over.length === 0) {
+      applyReport(state, endpointId, { ...rest, ended: [], clockMs, nowMs });
+      return;
+    }
+    ends.set(
+      endpointId,
+      list.filter(({ atMs }) => atMs > clockMs),
+    );
+    over.forEach(({ end }) =>
+      inbox.push(() => {
+        if (!state.endpoints.has(endpointId)) return;
+        applyReport(state, endpointId, { ...rest, ended: [end], clockMs, nowMs: state.clockMs });
+      }),
+    );
+  };
+
+  /** Handles as many of the messages as the holder can in one time step, the oldest first. */
+  const handleMessages = (): void => {
+    handledCredit = Math.min(inbox.length, handledCredit + (messagesPerS * TIME_STEP_MS) / 1000);
+    const handled = inbox.splice(0, Math.floor(handledCredit));
+    handledCredit -= handled.length;
+    handled.forEach((handle) => handle());
   };
 
   const recordDoneJobs = (nowMs: number): void =>
@@ -302,9 +336,11 @@
   const runTimeStep = (nowMs: number, step: number): void => {
     fleet.finishMoves(nowMs);
     Array.from(state.endpoints.keys()).forEach((endpointId) => report(endpointId, nowMs));
+    handleMessages();
     recordDoneJobs(nowMs);
     admission.checkTrackedRefusals(nowMs);
     if (step % TIME_STEPS_PER_MOVE_PASS === 0) fleet.planAndStartMoves(nowMs);
+    change(state, { startsLeft: orderWindow.available() });
     pools.forEach(({ name }) => schedulePool(state, name, nowMs));
     removeEffects(state).forEach((effect) => {
       const endpoint = effect.kind === 'start' && state.endpoints.get(effect.endpointId);
@@ -319,9 +355,10 @@
       const isArrival = random() < (client.jobsPerS(nowMs) * TIME_STEP_MS) / 1000;
       if (isArrival && nowMs < submitForMs) submit(client, nowMs);
     });
-    retries
-      .splice(0)
-      .forEach((one) => (one.atMs <= nowMs ? submitAttempt(one.job, nowMs) : retries.push(one)));
+    retries.splice(0).forEach((one) => {
+      if (one.atMs > nowMs) retries.push(one);
+      else inbox.push(() => submitAttempt(one.job, state.clockMs));
+    });
     runTimeStep(nowMs, step);
   }
   return { jobs: Array.from(played.values()), state, workedCoreMs, admission };
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -289,7 +289,7 @@
     wallClockMs,
   });
 
-  const admission = createAdmissionControl({ state });
+  const admission = createAdmissionControl({ state, control: orderWindow });
   const admitJob = createJobAdmission({
     admission,
     write: saver.accept,
--- a/packages/daemon/src/batch/jobs/job-admission.test.ts
+++ b/packages/daemon/src/batch/jobs/job-admission.test.ts
@@ -8,7 +8,7 @@
 import { batchKey } from '../keys.js';
 import type { BatchTable } from '../ports.js';
 import type { LiveRow } from './accept-queue.js';
-import { createJobAdmission } from './job-admission.js';
+import { createJobAdmission, explainRefusal } from './job-admission.js';
 import { createJobRowLookup } from './job-row-lookup.js';
 
 const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
@@ -20,7 +20,7 @@
   queue: 'q',
   account: 'a',
   isOwed: false,
-  forecast: { backlogMs: 8000, doneMs: 9000 },
+  forecast: { backlogMs: 8000, doneMs: 9000, bottleneck: 'hosts' },
   limitMs: 3000,
   retryAfterMs: 8400,
 } as unknown as ForecastRefusal;
@@ -61,7 +61,7 @@
     expect(await accept(row)).toEqual({
       kind: 'refused',
       detail:
-        'the job, beyond the weight of its account is forecast to be done in 9.0 s, and has 3.0 s',
+        'the job, beyond the weight of its account is forecast to be done in 9.0 s, and has 3.0 s: the work before it waits for cores of hosts',
       retryAfterS: 9,
     });
     expect(events).toEqual(['refused']);
@@ -93,6 +93,16 @@
   });
 });
 
+describe('the explanation of a refusal', () => {
+  it.each([
+    ['hosts', 'the work before it waits for cores of hosts'],
+    ['control', 'the work before it waits for the control holder to start it'],
+  ] as const)('names the bottleneck: %s', (bottleneck, words) => {
+    const forecast = { ...refusal.forecast, bottleneck };
+    expect(explainRefusal({ ...refusal, forecast })).toContain(words);
+  });
+});
+
 describe('row lookups for jobs that are refused at the same time', () => {
   const idOf = (number: number): JobId => brand<JobId>(number.toString(16).padStart(16, '0'));
 
--- a/packages/daemon/src/batch/jobs/job-admission.ts
+++ b/packages/daemon/src/batch/jobs/job-admission.ts
@@ -2,7 +2,12 @@
  * The holder's decision on a submitted job: it is either refused before anything is written, or written. Only a job
  * without a row is refused, because another entry may have written a row that this holder has not read yet.
  */
-import type { AdmissionControl, AdmissionCounts, ForecastRefusal } from '@valvelatch/core/batch';
+import type {
+  AdmissionControl,
+  AdmissionCounts,
+  Bottleneck,
+  ForecastRefusal,
+} from '@valvelatch/core/batch';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
 import type { Log } from '../../observe/log.js';
@@ -32,11 +37,20 @@
   'wronglyRefused',
 ];
 
+/** What the work before a refused job waits for, in the words of the explanation. */
+const WAITS_FOR: Readonly<Record<Bottleneck, string>> = {
+  hosts: 'cores of hosts',
+  control: 'the control holder to start it',
+};
+
 /** The explanation that clients and operators read. */
 const formatDetail = ({ forecast, limitMs, isOwed }: ForecastRefusal): string => {
   const seconds = (ms: number): string => (ms === Infinity ? 'never' : (ms / MS_PER_S).toFixed(1));
   const work = isOwed ? '' : ', beyond the weight of its account';
-  return `the job${work} is forecast to be done in ${seconds(forecast.doneMs)} s, and has ${seconds(Math.max(0, limitMs))} s`;
+  const doneS = seconds(forecast.doneMs);
+  const limitS = seconds(Math.max(0, limitMs));
+  const cause = `the work before it waits for ${WAITS_FOR[forecast.bottleneck]}`;
+  return `the job${work} is forecast to be done in ${doneS} s, and has ${limitS} s: ${cause}`;
 };
 
 /**
@@ -91,11 +105,13 @@
   const refuse = (refusal: ForecastRefusal, { job }: LiveRow): AcceptOutcome => {
     admission.recordRefusal(refusal, job.pool);
     metrics.count('jobs_refused_by_forecast');
+    metrics.count(`jobs_refused_for_${refusal.forecast.bottleneck}`);
     log.info('job-refused', {
       job: job.jobId,
       queue: job.queue,
       account: refusal.account,
       isOwed: refusal.isOwed,
+      bottleneck: refusal.forecast.bottleneck,
       doneMs: Math.round(refusal.forecast.doneMs),
       limitMs: Math.round(refusal.limitMs),
       retryAfterMs: Math.round(refusal.retryAfterMs),
