The forecast of a job counts how long submissions and ends wait to be written

Callers saw: jobs accepted and late although no task waits.

Change: a delay meter (mean, at least the age of the oldest wait) for each of the two; both, and the two waits of each step, are the delay of control, which comes on top of the work time. Run times measured from the order to the report contain that delay already and are counted with the backlog of the hosts instead, so nothing is counted twice.

Evidence: admission-control.test.ts (submissions or ends that have waited for 1.9 s: not refused before), forecast.test.ts. Jobs that could be of use when accepted and are not done for it: under 0.03 (burst.test.ts; that bound replaces one of 0.06 that also counted jobs accepted, without a backlog, when they were of no use any more).

--- a/packages/core/src/batch/jobs/admission-control.test.ts
+++ b/packages/core/src/batch/jobs/admission-control.test.ts
@@ -204,6 +204,21 @@
     expect(refusalBy({ ...BUSY, inFlight: () => 100 })).toBeUndefined();
   });
 
+  it.each(['submissions', 'ends'] as const)(
+    'refuses a job that would be late because %s wait to be written',
+    (what) => {
+      const state = stateWithBacklog(1);
+      const admission = createAdmissionControl({ state });
+      const jobId = what === 'submissions' ? jobIdOf(1) : jobIdOf(0);
+      if (what === 'submissions') admission.addPending(jobOf({}, { jobId }), NOW_MS - 1900);
+      else admission.beginSaving(jobId, NOW_MS - 1900);
+      expect(admission.evaluate(jobOf(), NOW_MS)?.forecast.bottleneck).toBe('control');
+      if (what === 'submissions') admission.removePending(jobId, NOW_MS);
+      else admission.endSaving(jobId, NOW_MS);
+      expect(admission.evaluate(jobOf(), NOW_MS)).toBeUndefined();
+    },
+  );
+
   it('lets refused jobs return one after the other, while they are of use', () => {
     const control = { ...BUSY, startsPerS: () => 10, inFlight: () => 30 };
     const state = stateWithBacklog(0);
@@ -216,4 +231,10 @@
     expect((retries[10] ?? 0) - (retries[0] ?? 0)).toBeCloseTo(1000);
     expect(Math.max(...retries)).toBeLessThan(7800);
   });
+
+  it('does not wait for the end of a job that is no longer there', () => {
+    const admission = createAdmissionControl({ state: stateWithBacklog(0) });
+    admission.beginSaving(jobIdOf(1), NOW_MS - 60_000);
+    expect(admission.evaluate(jobOf(), NOW_MS)).toBeUndefined();
+  });
 });
--- a/packages/core/src/batch/jobs/admission-control.ts
+++ b/packages/core/src/batch/jobs/admission-control.ts
@@ -16,6 +16,7 @@
 import type { JobShare } from '../model/share.js';
 import { poolOf, type BatchState } from '../model/state.js';
 import { LATE_SUCCESS_FACTOR } from '../placement/job-rank.js';
+import { createDelayMeter } from './delay-meter.js';
 import { forecastJob, type Forecast, type ForecastInput } from './forecast.js';
 import { measureLoads, type PoolLoad, type QueuedWork } from './pool-load.js';
 import { estimateRunTime, estimateWorkTime } from './run-times.js';
@@ -102,7 +103,10 @@
   /** Counts an admitted job as queued work until `removePending` is called for it. */
   readonly addPending: (submitted: JobSubmission, nowMs: number) => void;
   /** Stops counting an admitted job: it was added to the state, or is known not to be. */
-  readonly removePending: (jobId: JobId) => void;
+  readonly removePending: (jobId: JobId, nowMs: number) => void;
+  /** Records that a job has ended, and, with `endSaving`, that its end was written; only then clients learn of it. */
+  readonly beginSaving: (jobId: JobId, nowMs: number) => void;
+  readonly endSaving: (jobId: JobId, nowMs: number) => void;
   /** Records a refusal that was reported to the client. */
   readonly recordRefusal: (refusal: ForecastRefusal, pool: PoolName) => void;
   /** Records that an accepted job completed, and whether it did so within its objective. */
@@ -219,6 +223,8 @@
   const refusals = new Map<JobId, ForecastRefusal>();
   const countsByQueue = new Map<QueueName, AdmissionCounts>();
   const countsByAccount = new Map<AccountName, AdmissionCounts>();
+  const writing = createDelayMeter<JobId>();
+  const saving = createDelayMeter<JobId>();
   let trackedRefusals: readonly TrackedRefusal[] = [];
   let refused = 0;
   let loads: ReadonlyMap<PoolName, PoolLoad> = new Map();
@@ -229,6 +235,7 @@
     const intervalMs = Math.max(MEASURE_INTERVAL_MS, MEASURE_INTERVAL_MS_PER_JOB * state.jobs.size);
     if (nowMs - measuredAtMs >= intervalMs) {
       loads = measureLoads(state, nowMs);
+      saving.retain((jobId) => state.jobs.has(jobId));
       measuredAtMs = nowMs;
       pending.forEach(({ pool: name, work }) => loads.get(name)?.queuedWork.push(work));
     }
@@ -277,10 +284,12 @@
       overtakingCores: share.isWithinShare ? 0 : demand.withinShareRates(nowMs).slowCores,
       jobCoreMs: jobWork.coreMs,
       jobTasks: jobWork.taskCount,
-      criticalPathMs: Math.max(
-        jobWork.criticalPathMs,
-        jobWork.criticalWorkMs + ANSWERS_PER_STEP * jobWork.criticalSteps * control.delayMs(),
-      ),
+      criticalPathMs: jobWork.criticalPathMs,
+      criticalWorkMs: jobWork.criticalWorkMs,
+      controlDelayMs:
+        ANSWERS_PER_STEP * jobWork.criticalSteps * control.delayMs() +
+        writing.delayMs(nowMs) +
+        saving.delayMs(nowMs),
     };
   };
 
@@ -408,11 +417,15 @@
         taskCount,
       };
       pending.set(job.jobId, { pool: job.pool, work });
+      writing.begin(job.jobId, nowMs);
       loads.get(job.pool)?.queuedWork.push(work);
     },
-    removePending: (jobId) => {
+    removePending: (jobId, nowMs) => {
       pending.delete(jobId);
+      writing.end(jobId, nowMs);
     },
+    beginSaving: saving.begin,
+    endSaving: saving.end,
     recordRefusal: (refusal, pool) => {
       refusals.delete(refusal.jobId);
       refusals.set(refusal.jobId, refusal);
--- a/packages/core/src/batch/jobs/burst.test.ts
+++ b/packages/core/src/batch/jobs/burst.test.ts
@@ -135,12 +135,12 @@
           messagesPerS: 33 * CAPACITY_JOBS_PER_S,
         }),
       );
-    /** The share of jobs that were accepted and are not done while they are still of use. */
+    /** The share of jobs that were accepted in time to be of use, and are not done while they are. */
     const shareFailed = (jobs: readonly SimulatedJob[]): number =>
-      jobs.filter(
-        ({ isAccepted, atMs, doneAtMs, objectiveMs }) =>
-          isAccepted && doneAtMs - atMs > LATE_SUCCESS_FACTOR * objectiveMs,
-      ).length / jobs.length;
+      jobs.filter(({ acceptedAtMs, atMs, doneAtMs, objectiveMs }) => {
+        const usefulUntilMs = atMs + LATE_SUCCESS_FACTOR * objectiveMs;
+        return acceptedAtMs + 2 * POOL.runMs <= usefulUntilMs && doneAtMs > usefulUntilMs;
+      }).length / jobs.length;
     const withAdmission = burstOf(true);
     const withoutAdmission = burstOf(false);
 
@@ -149,8 +149,8 @@
       expect(shareWithinObjective(withoutAdmission)).toBeLessThan(inTimeWithout);
     });
 
-    it('accepts few jobs that are not done while they are of use', () => {
-      expect(shareFailed(withAdmission)).toBeLessThan(0.06);
+    it('accepts few jobs that could be of use and are not done in time for it', () => {
+      expect(shareFailed(withAdmission)).toBeLessThan(0.03);
       expect(shareFailed(withoutAdmission)).toBeGreaterThan(0.4);
     });
 
--- a/packages/core/src/batch/jobs/forecast.test.ts
+++ b/packages/core/src/batch/jobs/forecast.test.ts
@@ -10,9 +10,11 @@
   overtakingCores: 0,
   queuedAheadTasks: 0,
   startsPerS: Infinity,
+  controlDelayMs: 0,
   jobCoreMs: 8000,
   jobTasks: 10,
   criticalPathMs: 1600,
+  criticalWorkMs: 1600,
 };
 
 describe('the forecast of a job', () => {
@@ -46,6 +48,11 @@
     expect(forecast).toEqual({ backlogMs: 3000, doneMs: 4600, bottleneck: 'control' });
   });
 
+  it('counts the delay of the holder on top of the work time, since run times contain it already', () => {
+    const forecast = forecastJob({ ...EMPTY, controlDelayMs: 900, criticalWorkMs: 1400 });
+    expect(forecast).toEqual({ backlogMs: 900, doneMs: 2300, bottleneck: 'control' });
+  });
+
   it('is delayed by whichever takes longer: the cores of the hosts or the starts of the holder', () => {
     const input = { ...EMPTY, queuedAheadCoreMs: 400_000, queuedAheadTasks: 600 };
     expect(forecastJob({ ...input, startsPerS: 300 })).toMatchObject({
--- a/packages/core/src/batch/jobs/forecast.ts
+++ b/packages/core/src/batch/jobs/forecast.ts
@@ -23,11 +23,15 @@
   readonly queuedAheadTasks: number;
   /** How many tasks a second the holder can start; Infinity if nothing limits it. */
   readonly startsPerS: number;
+  /** How long the job waits for the holder otherwise: to be written, for answers and reports, and for its end to be written. */
+  readonly controlDelayMs: number;
   /** The work of the job itself. */
   readonly jobCoreMs: number;
   readonly jobTasks: number;
-  /** The duration of the job's critical path, its longest chain of dependent steps. */
+  /** The duration of the job's critical path, its longest chain of dependent steps, with the usual delay of reports. */
   readonly criticalPathMs: number;
+  /** The work time of that path: its duration without any delay of the holder. */
+  readonly criticalWorkMs: number;
 };
 
 /** When a job would start and complete, in milliseconds from now; Infinity if its pool has no capacity for it. */
@@ -93,14 +97,19 @@
  * @returns The times from now, in milliseconds.
  */
 export const forecastJob = (input: ForecastInput): Forecast => {
-  const { queuedAheadCoreMs, queuedAheadTasks, jobCoreMs, jobTasks, criticalPathMs } = input;
+  const { queuedAheadCoreMs, queuedAheadTasks, jobCoreMs, jobTasks } = input;
+  const { criticalPathMs, criticalWorkMs, controlDelayMs } = input;
   const hostsMs = processingTimeMs(queuedAheadCoreMs, input);
-  const controlMs = startingTimeMs(queuedAheadTasks, input);
-  const backlogMs = Math.max(hostsMs, controlMs);
+  const controlMs = startingTimeMs(queuedAheadTasks, input) + controlDelayMs;
   const doneMs = Math.max(
     processingTimeMs(queuedAheadCoreMs + jobCoreMs, input),
+    hostsMs + criticalPathMs,
     startingTimeMs(queuedAheadTasks + jobTasks, input),
-    backlogMs + criticalPathMs,
+    controlMs + criticalWorkMs,
   );
-  return { backlogMs, doneMs, bottleneck: controlMs > hostsMs ? 'control' : 'hosts' };
+  return {
+    backlogMs: Math.max(hostsMs, controlMs),
+    doneMs,
+    bottleneck: controlMs > hostsMs ? 'control' : 'hosts',
+  };
 };
--- a/packages/core/src/batch/testing/fleet-simulation.fixtures.ts
+++ b/packages/core/src/batch/testing/fleet-simulation.fixtures.ts
@@ -252,7 +252,7 @@
     const refusal = isAdmissionOn ? admission.evaluate(asked, nowMs) : undefined;
     if (!refusal) {
       admission.addPending(asked, nowMs);
-      admission.removePending(jobId);
+      admission.removePending(jobId, nowMs);
       change(job, { isAccepted: true, acceptedAtMs: nowMs });
       addJob(state, { job: submitted, policy: POLICY, nowMs, wallClockMs: nowMs });
       return;
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -267,6 +267,7 @@
     },
     onSaved: ({ job, phase, reason }: JobState) => {
       endedJobs.add(job.jobId, { phase, reason, ...accountOf(job) }, wallClockMs());
+      admission.endSaving(job.jobId, nowMs());
       state.jobs.delete(job.jobId);
       saver.versions.delete(job.jobId);
     },
@@ -338,6 +339,7 @@
       const job = state.jobs.get(jobId);
       if (job && isUrgent) {
         log.info('job-ended', { job: jobId, phase: job.phase, reason: job.reason });
+        admission.beginSaving(jobId, nowMs());
         if (job.phase === 'completed')
           admission.recordCompletion(job.job, isWithinObjective(state, job, nowMs()));
       }
--- a/packages/daemon/src/batch/jobs/job-admission.ts
+++ b/packages/daemon/src/batch/jobs/job-admission.ts
@@ -98,7 +98,7 @@
     try {
       return await write(row);
     } finally {
-      admission.removePending(row.job.jobId);
+      admission.removePending(row.job.jobId, nowMs());
     }
   };
 
