A job refused for want of control is told to come back while it is of use

Cause: the backlog assumes that all later work within the weights overtakes the job for as long as the backlog lasts, and Retry-After was at least that backlog.

Change: where the holder is the bottleneck, a job returns in its turn, but while it can still be of use if that is possible.

Test: admission-control.test.ts, 30,000 ms before, 6,800 after.

--- a/packages/core/src/batch/jobs/admission-control.test.ts
+++ b/packages/core/src/batch/jobs/admission-control.test.ts
@@ -232,6 +232,18 @@
     expect(Math.max(...retries)).toBeLessThan(7800);
   });
 
+  it('lets a job return while it is of use, even if the present demand would keep the holder busy for longer', () => {
+    const admission = createAdmissionControl({
+      state: stateWithBacklog(0),
+      random: () => 1,
+      control: { ...BUSY, inFlight: () => 3000 },
+    });
+    const refusal = admission.evaluate(jobOf(), NOW_MS);
+    expect(refusal?.forecast.backlogMs).toBeGreaterThan(30_000);
+    // The job is of use for 7.8 s and takes 1 s.
+    expect(refusal?.retryAfterMs).toBeCloseTo(6800);
+  });
+
   it('does not wait for the end of a job that is no longer there', () => {
     const admission = createAdmissionControl({ state: stateWithBacklog(0) });
     admission.beginSaving(jobIdOf(1), NOW_MS - 60_000);
--- a/packages/core/src/batch/jobs/admission-control.ts
+++ b/packages/core/src/batch/jobs/admission-control.ts
@@ -319,7 +319,8 @@
 
   /**
    * When a refused job is to come back: the holder can start only so many, so refused jobs return one after the other as
-   * soon as the backlog is gone, but each while it can still be of use.
+   * soon as the backlog is gone. The backlog assumes that demand stays as it is, so each job returns while it can still be
+   * of use.
    */
   const returnAfterMs = (
     { jobTasks, startsPerS, criticalPathMs }: ForecastInput,
@@ -329,7 +330,8 @@
   ): number => {
     lastReturnAtMs = Math.max(lastReturnAtMs, nowMs + backlogMs) + (jobTasks * MILLIS) / startsPerS;
     const latestUsefulMs = (limitMs - criticalPathMs) / (1 + RETRY_JITTER);
-    return Math.max(backlogMs, Math.min(lastReturnAtMs - nowMs, latestUsefulMs));
+    const returnInMs = lastReturnAtMs - nowMs;
+    return latestUsefulMs > MIN_RETRY_MS ? Math.min(returnInMs, latestUsefulMs) : returnInMs;
   };
 
   const withJitter = (delayMs: number): number => {
