The forecast counts how late ends are reported while the holder is behind

Callers saw: jobs accepted beyond what the holder gets to.

Change: while answers are late, the delay of a job's steps is at least what the run times of its kind exceed the work times by. Recorded run times stay as they are while no job is accepted, so they count only then, and a refused queue is accepted again.

Test: admission-control.test.ts, accepted before.

--- a/packages/core/src/batch/jobs/admission-control.test.ts
+++ b/packages/core/src/batch/jobs/admission-control.test.ts
@@ -21,6 +21,8 @@
   type JobSubmission,
 } from './admission-control.js';
 import { recordFirstAttempts } from './first-attempts.js';
+import { recordRunTime } from './run-times.js';
+import { taskKindOf } from './step-times.js';
 
 const ACCOUNT = brand<AccountName>('declared');
 const HEAVY = brand<AccountName>('heavy');
@@ -244,6 +246,17 @@
     expect(refusal?.retryAfterMs).toBeCloseTo(6800);
   });
 
+  it('refuses a job that would be late because ends are reported late, but only while answers are late too', () => {
+    const state = stateWithBacklog(0);
+    const kind = taskKindOf(jobOf().job.queue, { ...DEFAULT_STEP, estimateMs: 1000 });
+    for (let run = 0; run < 10; run += 1) recordRunTime(state.runTimes, kind, 3000, 1000);
+    const evaluateWith = (control: ControlLoad) =>
+      createAdmissionControl({ state, control }).evaluate(jobOf(), NOW_MS);
+    const late = { ...BUSY, inFlight: () => 1 };
+    expect(evaluateWith(late)?.forecast).toMatchObject({ bottleneck: 'control' });
+    expect(evaluateWith(IDLE)).toBeUndefined();
+  });
+
   it('does not wait for the end of a job that is no longer there', () => {
     const admission = createAdmissionControl({ state: stateWithBacklog(0) });
     admission.beginSaving(jobIdOf(1), NOW_MS - 60_000);
--- a/packages/core/src/batch/jobs/admission-control.ts
+++ b/packages/core/src/batch/jobs/admission-control.ts
@@ -250,6 +250,20 @@
       ),
     );
 
+  /**
+   * How long the steps of a job wait for the holder: for the answers to their orders, or, as measured with the last runs, for
+   * their orders and reports. Recorded run times stay as they are while no job is accepted, so they count only while
+   * answers are late at present.
+   */
+  const stepsDelayMs = (
+    { criticalSteps, criticalPathMs, criticalWorkMs }: JobWork,
+    nowMs: number,
+  ): number => {
+    const answersMs = ANSWERS_PER_STEP * criticalSteps * control.delayMs();
+    const isLate = control.startsPerS(nowMs) < Infinity;
+    return isLate ? Math.max(answersMs, criticalPathMs - criticalWorkMs) : answersMs;
+  };
+
   const forecastInputOf = (
     { job, policy }: JobSubmission,
     share: JobShare,
@@ -286,10 +300,7 @@
       jobTasks: jobWork.taskCount,
       criticalPathMs: jobWork.criticalPathMs,
       criticalWorkMs: jobWork.criticalWorkMs,
-      controlDelayMs:
-        ANSWERS_PER_STEP * jobWork.criticalSteps * control.delayMs() +
-        writing.delayMs(nowMs) +
-        saving.delayMs(nowMs),
+      controlDelayMs: stepsDelayMs(jobWork, nowMs) + writing.delayMs(nowMs) + saving.delayMs(nowMs),
     };
   };
 
