The delay of the last burst does not limit the first jobs after a pause

Callers saw: nothing on record. By a review's test, a holder idle for a minute counts 20 starts a second and 400 ms a start as of its last burst, and its first jobs can be refused.

Cause: the mean response time in the order window had no decay by time, the rate decayed to its floor.

Change: the mean fades with the time constant of the rate (500 ms). The existing calls of `delayMs` in the test get the time.

--- a/packages/core/src/batch/endpoints/order-window.test.ts
+++ b/packages/core/src/batch/endpoints/order-window.test.ts
@@ -67,9 +67,34 @@
     window.begin();
     expect(window.startsPerS(nowMs)).toBeGreaterThan(70);
     expect(window.startsPerS(nowMs)).toBeLessThan(130);
-    expect(window.delayMs()).toBeGreaterThan(100);
+    expect(window.delayMs(nowMs)).toBeGreaterThan(100);
     window.cancel();
     expect(window.startsPerS(nowMs)).toBe(Infinity);
-    expect(window.delayMs()).toBe(0);
+    expect(window.delayMs(nowMs)).toBe(0);
+  });
+
+  describe('a pause after a burst that was answered late', () => {
+    const burstAndPause = () => {
+      const window = createOrderWindow();
+      let nowMs = 0;
+      for (let round = 0; round < 20; round += 1) nowMs = simulateRound(window, 0.1, nowMs);
+      return { window, nowMs: nowMs + 60_000 };
+    };
+
+    it('leaves no delay and no limit for the first orders after it', () => {
+      const { window, nowMs } = burstAndPause();
+      window.begin();
+      expect(window.delayMs(nowMs)).toBeLessThan(1);
+      expect(window.startsPerS(nowMs)).toBe(Infinity);
+    });
+
+    it('leaves no delay once the first order after it is answered fast', () => {
+      const { window, nowMs } = burstAndPause();
+      window.begin();
+      window.begin();
+      window.end(3, nowMs);
+      expect(window.delayMs(nowMs)).toBeCloseTo(3);
+      expect(window.startsPerS(nowMs)).toBe(Infinity);
+    });
   });
 });
--- a/packages/core/src/batch/endpoints/order-window.ts
+++ b/packages/core/src/batch/endpoints/order-window.ts
@@ -29,7 +29,7 @@
 
 /** The weight of a new response in the moving average of the response times. */
 const DELAY_SAMPLE_WEIGHT = 0.05;
-/** Over how long responses are counted for their rate. */
+/** Over how long responses count for their rate and their mean delay. */
 const RATE_TIME_CONSTANT_MS = 500;
 /** A rate below this is not a measurement: it would take a whole burst of responses to correct it. */
 const MIN_STARTS_PER_S = 20;
@@ -53,8 +53,8 @@
    */
   readonly cancel: () => void;
   readonly size: () => number;
-  /** The mean response time while orders queue up; 0 while none is in flight, which shows no queue. */
-  readonly delayMs: () => number;
+  /** The mean of the last response times, which fades with time; 0 while none is in flight, which shows no queue. */
+  readonly delayMs: (nowMs: number) => number;
   /** How many orders a second get a response at present if they queue up; Infinity while they do not. */
   readonly startsPerS: (nowMs: number) => number;
   readonly inFlight: () => number;
@@ -70,8 +70,7 @@
   let size = initialSize;
   let inFlight = 0;
   let consecutiveLate = 0;
-  let meanDelayMs = 0;
-  const responses = { perS: 0, decayedAtMs: -Infinity };
+  const responses = { perS: 0, meanDelayMs: 0, respondedAtMs: -Infinity };
   let lastShrink = { size: initialSize, shrunkAtMs: -Infinity };
 
   const grow = (tookMs: number): void => {
@@ -82,11 +81,21 @@
     size = Math.min(MAX_SIZE, size + (isIdleLink ? 1 : 1 / size));
   };
 
-  const decayResponses = (nowMs: number): void => {
-    responses.perS *= Math.exp((responses.decayedAtMs - nowMs) / RATE_TIME_CONSTANT_MS);
-    responses.decayedAtMs = nowMs;
+  /** The share of the last measurement that still counts. */
+  const remainingShare = (nowMs: number): number =>
+    Math.exp((responses.respondedAtMs - nowMs) / RATE_TIME_CONSTANT_MS);
+
+  const addResponse = (tookMs: number, nowMs: number): void => {
+    const earlierShare = remainingShare(nowMs);
+    const earlierWeight = (1 - DELAY_SAMPLE_WEIGHT) * earlierShare;
+    responses.meanDelayMs = tookMs + earlierWeight * (responses.meanDelayMs - tookMs);
+    responses.perS = responses.perS * earlierShare + MS_PER_S / RATE_TIME_CONSTANT_MS;
+    responses.respondedAtMs = nowMs;
   };
 
+  const delayMs = (nowMs: number): number =>
+    inFlight === 0 ? 0 : responses.meanDelayMs * remainingShare(nowMs);
+
   /** Late responses to orders that were sent before the window shrank refer to the size that it had then. */
   const shrink = (tookMs: number, nowMs: number): void => {
     consecutiveLate += 1;
@@ -102,9 +111,7 @@
       inFlight += 1;
     },
     end: (tookMs, nowMs) => {
-      meanDelayMs += DELAY_SAMPLE_WEIGHT * (tookMs - meanDelayMs);
-      decayResponses(nowMs);
-      responses.perS += MS_PER_S / RATE_TIME_CONSTANT_MS;
+      addResponse(tookMs, nowMs);
       if (tookMs <= TARGET_DELAY_MS) grow(tookMs);
       else shrink(tookMs, nowMs);
       inFlight -= 1;
@@ -113,11 +120,10 @@
       inFlight -= 1;
     },
     size: () => Math.floor(size),
-    delayMs: () => (inFlight === 0 ? 0 : meanDelayMs),
+    delayMs,
     startsPerS: (nowMs) => {
-      if (inFlight === 0 || meanDelayMs <= TARGET_DELAY_MS * IDLE_DELAY_SHARE) return Infinity;
-      decayResponses(nowMs);
-      return Math.max(MIN_STARTS_PER_S, responses.perS);
+      if (delayMs(nowMs) <= TARGET_DELAY_MS * IDLE_DELAY_SHARE) return Infinity;
+      return Math.max(MIN_STARTS_PER_S, responses.perS * remainingShare(nowMs));
     },
     inFlight: () => inFlight,
   };
--- a/packages/core/src/batch/jobs/admission-control.ts
+++ b/packages/core/src/batch/jobs/admission-control.ts
@@ -279,7 +279,7 @@
       jobTasks: jobWork.taskCount,
       criticalPathMs: Math.max(
         jobWork.criticalPathMs,
-        jobWork.criticalWorkMs + ANSWERS_PER_STEP * jobWork.criticalSteps * control.delayMs(),
+        jobWork.criticalWorkMs + ANSWERS_PER_STEP * jobWork.criticalSteps * control.delayMs(nowMs),
       ),
     };
   };
--- a/packages/core/src/batch/jobs/forecast.test.ts
+++ b/packages/core/src/batch/jobs/forecast.test.ts
@@ -1,6 +1,7 @@
 /** Forecast completion times of a job for different loads of its pool. */
 import { describe, expect, it } from 'vitest';
 
+import { createOrderWindow } from '../endpoints/order-window.js';
 import { forecastJob, type ForecastInput } from './forecast.js';
 
 const EMPTY: ForecastInput = {
@@ -65,6 +66,21 @@
     expect(forecastJob({ ...waiting, overtakingCores: 4000 }).backlogMs).toBeCloseTo(9000);
   });
 
+  it('is not delayed by the delay of a burst whose last response came a minute ago', () => {
+    const window = createOrderWindow();
+    for (let order = 0; order < 400; order += 1) {
+      window.begin();
+      window.end(400, 5 * order);
+    }
+    for (let order = 0; order < 16; order += 1) window.begin();
+    const startsPerS = window.startsPerS(62_000);
+    expect(forecastJob({ ...EMPTY, queuedAheadTasks: window.inFlight(), startsPerS })).toEqual({
+      backlogMs: 0,
+      doneMs: 1600,
+      bottleneck: 'hosts',
+    });
+  });
+
   it('is infinite if the pool has no capacity and none arrives', () => {
     expect(forecastJob({ ...EMPTY, usableCores: 0 }).doneMs).toBe(Infinity);
   });
