The rate of starts is a measure only while orders queue up at the holder

Callers saw: nothing on record. By a review's test, thirty starts a second that slow endpoints answer in 70 ms, beside 255 free places of the window, count as "31 a second": what arrives was taken for what can be started.

Cause: a mean delay over 62 ms was the only evidence of a queue; slow endpoints give that too.

Evidence: order-window.test.ts fails before (`expected 31.01... to be Infinity`; with a third of the answers in 3 ms and the others in 200 ms `expected 100.75... to be Infinity`).

Change: orders queue up if the mean is over 62 ms and either the window was full within 500 ms, or even the shortest response of the last 100 to 200 ms took 10 ms longer than the shortest of the last 30 to 60 s. A queue at the holder delays all answers, a slow endpoint only its own (CoDel, RFC 8289).

Limit: endpoints that all become slower at once, after 30 to 60 s in which some were fast, look like a queue until then.

--- a/packages/core/src/batch/endpoints/order-window.test.ts
+++ b/packages/core/src/batch/endpoints/order-window.test.ts
@@ -97,4 +97,49 @@
       expect(window.startsPerS(nowMs)).toBe(Infinity);
     });
   });
+
+  describe('responses that are slow without a queue', () => {
+    /** Thirty orders a second that each take `tookMs`, beside 255 free places. */
+    const respondSlowly = (window: ReturnType<typeof createOrderWindow>, tookMs: number) => {
+      let nowMs = 0;
+      for (let order = 0; order < 300; order += 1) {
+        nowMs += 1000 / 30;
+        window.begin();
+        window.end(tookMs, nowMs);
+      }
+      window.begin();
+      return nowMs;
+    };
+
+    it('does not take the rate of what arrives for the most that can be started', () => {
+      const window = createOrderWindow();
+      expect(window.startsPerS(respondSlowly(window, 70))).toBe(Infinity);
+    });
+
+    it('does not take the delay of some slow endpoints for a queue that delays all orders', () => {
+      const window = createOrderWindow();
+      let nowMs = 0;
+      for (let order = 0; order < 300; order += 1) {
+        nowMs += 10;
+        window.begin();
+        window.end(order % 3 === 0 ? 3 : 200, nowMs);
+      }
+      window.begin();
+      expect(window.delayMs(nowMs)).toBeGreaterThan(100);
+      expect(window.startsPerS(nowMs)).toBe(Infinity);
+    });
+
+    it('still tells the rate once even the shortest response is delayed beside free places', () => {
+      const window = createOrderWindow();
+      let nowMs = respondSlowly(window, 5);
+      for (let order = 0; order < 100; order += 1) {
+        nowMs += 10;
+        window.begin();
+        window.end(150 + (order % 20), nowMs);
+      }
+      expect(window.available()).toBeGreaterThan(200);
+      expect(window.startsPerS(nowMs)).toBeGreaterThan(70);
+      expect(window.startsPerS(nowMs)).toBeLessThan(130);
+    });
+  });
 });
--- a/packages/core/src/batch/endpoints/order-window.ts
+++ b/packages/core/src/batch/endpoints/order-window.ts
@@ -24,6 +24,7 @@
 const MIN_SHRINK_SHARE = 0.5;
 /** Responses faster than this share of the target show an idle link; the window then doubles in each round. */
 const IDLE_DELAY_SHARE = 0.25;
+const IDLE_DELAY_MS = TARGET_DELAY_MS * IDLE_DELAY_SHARE;
 /** Number of consecutive late responses before the window shrinks: a single one may be due to a slow endpoint. */
 const LATE_RESPONSES_TO_SHRINK = 3;
 
@@ -31,10 +32,39 @@
 const DELAY_SAMPLE_WEIGHT = 0.05;
 /** Over how long responses count for their rate and their mean delay. */
 const RATE_TIME_CONSTANT_MS = 500;
+/** How long a full window shows that orders wait for it. */
+const FULL_WINDOW_MS = 500;
+/** A queue delays each of the responses of this period; a slow endpoint delays only its own. */
+const QUEUE_PERIOD_MS = 100;
+/** A queue that never gets shorter than this keeps the holder busy, as in CoDel (RFC 8289). */
+const STANDING_QUEUE_MS = 10;
+/** Over how long the shortest response time counts as the one without a queue. */
+const UNQUEUED_PERIOD_MS = 30_000;
 /** A rate below this is not a measurement: it would take a whole burst of responses to correct it. */
 const MIN_STARTS_PER_S = 20;
 const MS_PER_S = 1000;
 
+/** The shortest of the last response times, which are kept for one to two periods; Infinity without any. */
+const createShortestTime = (periodMs: number) => {
+  let current = { period: -Infinity, tookMs: Infinity };
+  let previous = current;
+  return {
+    add: (tookMs: number, nowMs: number): void => {
+      const period = Math.floor(nowMs / periodMs);
+      if (period !== current.period) {
+        previous = current;
+        current = { period, tookMs: Infinity };
+      }
+      current.tookMs = Math.min(current.tookMs, tookMs);
+    },
+    get: (nowMs: number): number => {
+      const oldestPeriod = Math.floor(nowMs / periodMs) - 1;
+      const kept = [current, previous].filter(({ period }) => period >= oldestPeriod);
+      return Math.min(...kept.map(({ tookMs }) => tookMs));
+    },
+  };
+};
+
 /** A limit on the number of start orders in flight. */
 export type OrderWindow = {
   /** How many more orders may be sent now. */
@@ -55,7 +85,10 @@
   readonly size: () => number;
   /** The mean of the last response times, which fades with time; 0 while none is in flight, which shows no queue. */
   readonly delayMs: (nowMs: number) => number;
-  /** How many orders a second get a response at present if they queue up; Infinity while they do not. */
+  /**
+   * How many orders a second get a response at present if they queue up; Infinity while they do not. Orders queue up if
+   * the window is full, or if even the shortest response takes longer than without a queue.
+   */
   readonly startsPerS: (nowMs: number) => number;
   readonly inFlight: () => number;
 };
@@ -70,14 +103,19 @@
   let size = initialSize;
   let inFlight = 0;
   let consecutiveLate = 0;
+  let fullAtMs = -Infinity;
+  const shortestNow = createShortestTime(QUEUE_PERIOD_MS);
+  const shortestUnqueued = createShortestTime(UNQUEUED_PERIOD_MS);
   const responses = { perS: 0, meanDelayMs: 0, respondedAtMs: -Infinity };
   let lastShrink = { size: initialSize, shrunkAtMs: -Infinity };
 
+  const available = (): number => Math.max(0, Math.floor(size) - inFlight);
+
   const grow = (tookMs: number): void => {
     consecutiveLate = 0;
     // Only a window that is in use shows whether the link could carry a larger one.
     if (inFlight < size / 2) return;
-    const isIdleLink = tookMs < TARGET_DELAY_MS * IDLE_DELAY_SHARE;
+    const isIdleLink = tookMs < IDLE_DELAY_MS;
     size = Math.min(MAX_SIZE, size + (isIdleLink ? 1 : 1 / size));
   };
 
@@ -91,11 +129,20 @@
     responses.meanDelayMs = tookMs + earlierWeight * (responses.meanDelayMs - tookMs);
     responses.perS = responses.perS * earlierShare + MS_PER_S / RATE_TIME_CONSTANT_MS;
     responses.respondedAtMs = nowMs;
+    shortestNow.add(tookMs, nowMs);
+    shortestUnqueued.add(tookMs, nowMs);
   };
 
   const delayMs = (nowMs: number): number =>
     inFlight === 0 ? 0 : responses.meanDelayMs * remainingShare(nowMs);
 
+  const isQueueing = (nowMs: number): boolean => {
+    if (delayMs(nowMs) <= IDLE_DELAY_MS) return false;
+    if (available() === 0 || nowMs - fullAtMs <= FULL_WINDOW_MS) return true;
+    const queueMs = shortestNow.get(nowMs) - shortestUnqueued.get(nowMs);
+    return Number.isFinite(queueMs) && queueMs > STANDING_QUEUE_MS;
+  };
+
   /** Late responses to orders that were sent before the window shrank refer to the size that it had then. */
   const shrink = (tookMs: number, nowMs: number): void => {
     consecutiveLate += 1;
@@ -106,11 +153,12 @@
   };
 
   return {
-    available: () => Math.max(0, Math.floor(size) - inFlight),
+    available,
     begin: () => {
       inFlight += 1;
     },
     end: (tookMs, nowMs) => {
+      if (available() === 0) fullAtMs = nowMs;
       addResponse(tookMs, nowMs);
       if (tookMs <= TARGET_DELAY_MS) grow(tookMs);
       else shrink(tookMs, nowMs);
@@ -121,10 +169,10 @@
     },
     size: () => Math.floor(size),
     delayMs,
-    startsPerS: (nowMs) => {
-      if (delayMs(nowMs) <= TARGET_DELAY_MS * IDLE_DELAY_SHARE) return Infinity;
-      return Math.max(MIN_STARTS_PER_S, responses.perS * remainingShare(nowMs));
-    },
+    startsPerS: (nowMs) =>
+      isQueueing(nowMs)
+        ? Math.max(MIN_STARTS_PER_S, responses.perS * remainingShare(nowMs))
+        : Infinity,
     inFlight: () => inFlight,
   };
 };
