Retry-After counts only refusals that are sent, of the same pool and share

Callers saw: nothing on record. By a review: one chain of return times for all pools and accounts was moved on by each evaluation, also of a refusal that isn't sent; a heavy account's refusals delayed the return of the others'.

Change: the chain moves on in recordRefusal, one for each pool and for jobs within or beyond the share of their account. So jobs within the share don't wait for a heavy account's refusals; accounts beyond it share one chain.

--- a/packages/core/src/batch/jobs/admission-control.test.ts
+++ b/packages/core/src/batch/jobs/admission-control.test.ts
@@ -1,7 +1,7 @@
 /** Which jobs admission control refuses because of their forecast, and which it never refuses. */
 import { describe, expect, it } from 'vitest';
 
-import { brand, type AccountName, type JobId } from '../../shared/ids.js';
+import { brand, type AccountName, type JobId, type PoolName } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import { setAccounts } from '../accounts/quota.js';
 import { NO_LIMIT } from '../model/capacity.js';
@@ -210,10 +210,35 @@
     const admission = createAdmissionControl({ state, random: () => 0.5, control });
     const retries = Array.from({ length: 60 }, (_, index) => {
       const submitted = jobOf({}, { jobId: jobIdOf(1000 + index) });
-      return admission.evaluate(submitted, NOW_MS)?.retryAfterMs ?? 0;
+      const refusal = admission.evaluate(submitted, NOW_MS);
+      if (refusal) admission.recordRefusal(refusal, submitted.job.pool);
+      return refusal?.retryAfterMs ?? 0;
     });
     expect(retries[0]).toBeGreaterThanOrEqual(3000);
     expect((retries[10] ?? 0) - (retries[0] ?? 0)).toBeCloseTo(1000);
     expect(Math.max(...retries)).toBeLessThan(7800);
   });
+
+  describe('the Retry-After of refused jobs', () => {
+    const SLOW = { ...BUSY, startsPerS: () => 10, inFlight: () => 30 };
+
+    it('is not moved on by a refusal that is not sent', () => {
+      const state = stateWithBacklog(0);
+      const admission = createAdmissionControl({ state, random: () => 0.5, control: SLOW });
+      const first = admission.evaluate(jobOf(), NOW_MS)?.retryAfterMs;
+      expect(first).toBeGreaterThanOrEqual(3000);
+      expect(admission.evaluate(jobOf(), NOW_MS)?.retryAfterMs).toBe(first);
+    });
+
+    it('is not moved on by refusals of another pool or beyond the share of another account', () => {
+      const state = stateWithBacklog(0);
+      const admission = createAdmissionControl({ state, random: () => 0.5, control: SLOW });
+      const first = admission.evaluate(jobOf(), NOW_MS);
+      if (!first) throw new Error('the job is not refused');
+      const otherShare = { ...first, isOwed: !first.isOwed, returnAtMs: NOW_MS + 60_000 };
+      admission.recordRefusal(otherShare, POOL);
+      admission.recordRefusal({ ...otherShare, isOwed: first.isOwed }, brand<PoolName>('other'));
+      expect(admission.evaluate(jobOf(), NOW_MS)?.retryAfterMs).toBe(first.retryAfterMs);
+    });
+  });
 });
--- a/packages/core/src/batch/jobs/admission-control.ts
+++ b/packages/core/src/batch/jobs/admission-control.ts
@@ -74,6 +74,8 @@
    */
   readonly limitMs: number;
   readonly retryAfterMs: number;
+  /** When the holder can start the job after those refused before it; only if control is the bottleneck. */
+  readonly returnAtMs?: number;
 };
 
 /** Counts of the admission outcomes of a queue or of an account. */
@@ -181,6 +183,10 @@
   { backlogMs }: Forecast,
 ): number => queuedAheadCoreMs + overtakingCores * backlogMs;
 
+/** Refused jobs of a pool return in two orders: those within the share of their account, and those beyond it. */
+const returnOrderOf = (pool: PoolName, isWithinShare: boolean): string =>
+  `${pool} ${isWithinShare ? 'within' : 'beyond'}`;
+
 const createCounts = (): AdmissionCounts => ({
   refused: 0,
   late: 0,
@@ -223,7 +229,7 @@
   let refused = 0;
   let loads: ReadonlyMap<PoolName, PoolLoad> = new Map();
   let measuredAtMs = -Infinity;
-  let lastReturnAtMs = -Infinity;
+  const lastReturnsAtMs = new Map<string, number>();
 
   const loadOf = (pool: PoolName, nowMs: number): PoolLoad | undefined => {
     const intervalMs = Math.max(MEASURE_INTERVAL_MS, MEASURE_INTERVAL_MS_PER_JOB * state.jobs.size);
@@ -309,18 +315,28 @@
     !pending.has(job.jobId);
 
   /**
-   * When a refused job is to come back: the holder can start only so many, so refused jobs return one after the other as
-   * soon as the backlog is gone, but each while it can still be of use.
+   * When a refused job is to come back: the holder can start only so many, so refused jobs of a pool return one after
+   * the other as soon as the backlog is gone. Jobs within the share of their account do not wait for others.
    */
+  const returnAtMsOf = (
+    { job }: JobSubmission,
+    { isWithinShare }: JobShare,
+    { jobTasks, startsPerS }: ForecastInput,
+    earliestAtMs: number,
+  ): number => {
+    const lastReturnAtMs = lastReturnsAtMs.get(returnOrderOf(job.pool, isWithinShare)) ?? -Infinity;
+    return Math.max(lastReturnAtMs, earliestAtMs) + (jobTasks * MILLIS) / startsPerS;
+  };
+
+  /** The time until a refused job returns, but each returns while it can still be of use. */
   const returnAfterMs = (
-    { jobTasks, startsPerS, criticalPathMs }: ForecastInput,
+    waitMs: number,
+    { criticalPathMs }: ForecastInput,
     { backlogMs }: Forecast,
     limitMs: number,
-    nowMs: number,
   ): number => {
-    lastReturnAtMs = Math.max(lastReturnAtMs, nowMs + backlogMs) + (jobTasks * MILLIS) / startsPerS;
     const latestUsefulMs = (limitMs - criticalPathMs) / (1 + RETRY_JITTER);
-    return Math.max(backlogMs, Math.min(lastReturnAtMs - nowMs, latestUsefulMs));
+    return Math.max(backlogMs, Math.min(waitMs, latestUsefulMs));
   };
 
   const withJitter = (delayMs: number): number => {
@@ -350,6 +366,8 @@
     const forecast = forecastJob(decisiveInput);
     const usefulMs = isControlLimited ? timeToObjectiveMs : limitMs;
     if (forecast.doneMs <= usefulMs) return undefined;
+    const { backlogMs } = onTimeForecast;
+    const returnAtMs = returnAtMsOf(submitted, share, forecastInput, nowMs + backlogMs);
     return {
       jobId: job.jobId,
       queue: job.queue,
@@ -361,9 +379,10 @@
       limitMs: usefulMs,
       retryAfterMs: withJitter(
         isControlLimited
-          ? returnAfterMs(forecastInput, onTimeForecast, limitMs, nowMs)
-          : onTimeForecast.backlogMs,
+          ? returnAfterMs(returnAtMs - nowMs, forecastInput, onTimeForecast, limitMs)
+          : backlogMs,
       ),
+      ...(isControlLimited ? { returnAtMs } : {}),
     };
   };
 
@@ -419,6 +438,8 @@
       const [oldest] = refusals.keys();
       if (refusals.size > MAX_KEPT_REFUSALS && oldest !== undefined) refusals.delete(oldest);
       count(refusal, 'refused');
+      const { returnAtMs, isOwed } = refusal;
+      if (returnAtMs !== undefined) lastReturnsAtMs.set(returnOrderOf(pool, isOwed), returnAtMs);
       trackRefusal(refusal, pool);
     },
     recordCompletion: ({ queue, owner }, isInTime) => {
