Relayed orders expire on the relay's clock, and orders alone decide whether they are relayed

Cause: a link of the mesh keeps what it could not deliver. After a cut, or a pause of the relay, a start was forwarded seconds after the holder had given it up; an order sent directly dies with its connection at its timeout. And the decision looked at all bytes of the link, so that reading all rows in a recovery switched relays on.

Change: an order names the incarnation of the relay's process and a time on its monotonic clock; the relay answers that it did not send what comes later, or what was meant for an earlier process. The holder estimates that clock from each answer, as it does for endpoints (`RemoteClock`, which keeps the reading that took least: a busy event loop does not shorten deadlines). An entry whose clock is not known, as of an earlier build, is no relay.

The simulated mesh delivers what a cut held up now, where it lost it before, so that all properties over relays play this.

Related paths that were read: table calls through neighbours carry versions and may come late; the configuration and status questions change nothing; direct orders reset their connection at their timeout (http-client.ts).

--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -20,6 +20,7 @@
 export * from './endpoints/unanswered-starts.js';
 export * from './endpoints/order-responses.js';
 export * from './endpoints/order-window.js';
+export * from './endpoints/relay-decision.js';
 export * from './endpoints/relay-selection.js';
 export * from './endpoints/reports.js';
 export * from './endpoints/run-end.js';
--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -16,9 +16,10 @@
 
 import { sleep } from '../../shared/sleep.js';
 import { createAcknowledgementTracker } from './acknowledgement.js';
-import { createEndpointClockEstimate } from './endpoint-clock.js';
+
 import type { LinkContext } from './link-context.js';
 import type { OrderTarget } from '../ports.js';
+import { createRemoteClock } from '../remote-clock.js';
 import { createStartOrderSender } from './start-orders.js';
 import { createStopOrderSender } from './stop-orders.js';
 
@@ -97,7 +98,7 @@
 export const createEndpointLink = (target: OrderTarget, context: LinkContext): EndpointLink => {
   const { state, orders, endpointLeaseMs, log, metrics, nowMs } = context;
   const { endpointId } = target;
-  const clock = createEndpointClockEstimate(nowMs);
+  const clock = createRemoteClock(nowMs);
   /** The endpoint's clock in the response that was applied last, in milliseconds. */
   let reportClockMs = 0;
   /** False while the last report could not be applied, so that what runs there is not known. */
--- a/packages/daemon/src/batch/entry/batch-entry.ts
+++ b/packages/daemon/src/batch/entry/batch-entry.ts
@@ -33,6 +33,7 @@
   type OperatorQuery,
 } from '../operators/operator-queries.js';
 import { createRelayOrderHandler } from '../relays/relay-order-handler.js';
+import { RELAY_CLOCK_METHOD } from '../relays/relay-roster.js';
 import {
   createRelayedOrders,
   RELAY_ORDER_METHOD,
@@ -75,7 +76,7 @@
   readonly cores: number;
   /** The capacity of its network link in each direction. */
   readonly linkBytesPerS: number;
-  /** True if a holder whose link is busy may send its orders through other entries. */
+  /** True if a holder with many orders may send them through other entries. */
   readonly mayRelayOrders: boolean;
   /** How endpoints are chosen for tasks of short steps. */
   readonly placementPolicy: PlacementPolicy;
@@ -166,11 +167,16 @@
     orders: platform.orders,
     peers: () => peers,
     readLinkUsage: platform.readLinkUsage,
+    cores,
     mayRelay: mayRelayOrders,
     log,
     metrics,
   });
-  const orderAgent = createRelayOrderHandler(platform.orders, metrics, startGate);
+  const relayHandler = createRelayOrderHandler({
+    orders: platform.orders,
+    metrics,
+    gate: startGate,
+  });
 
   const control = createControl({
     self,
@@ -218,7 +224,8 @@
     log,
     onFrame: platform.recordMeshFrame,
     answer: async (method, payload) => {
-      if (method === RELAY_ORDER_METHOD) return orderAgent.answer(payload);
+      if (method === RELAY_ORDER_METHOD) return relayHandler.answer(payload);
+      if (method === RELAY_CLOCK_METHOD) return relayHandler.answerClock();
       if (method === TABLE_CALL_METHOD) return table.callForNeighbour(payload as TableCall);
       if (method === CONFIGURATION_METHOD) {
         return configuration.answerNeighbour(payload as NeighbourQuestion | number);
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -13,9 +13,9 @@
   FeedScope,
   HostOrderOutcome,
   ListedHost,
-  LinkUsage,
   ListOrder,
   OrderError,
+  OrderTraffic,
   PaceOrder,
   StartOrder,
   StopOrder,
@@ -191,6 +191,9 @@
   readonly evacuateMs?: number;
 };
 
+/** The bytes of calls to endpoints on the entry's link so far, and its capacity. */
+export type LinkUsage = Pick<OrderTraffic, 'sentBytes' | 'receivedBytes' | 'bytesPerS'>;
+
 /** All ports of a platform. */
 export type BatchPlatform = {
   readonly table: BatchTable;
@@ -199,7 +202,7 @@
   readonly orders: EndpointOrders;
   readonly hosts: HostPort;
   readonly advice: AdvicePort;
-  /** The traffic that this entry's calls have caused on its network link. */
+  /** The traffic that this entry's calls to endpoints have caused on its network link, and the link's capacity. */
   readonly readLinkUsage: () => LinkUsage;
   /** Records the traffic that the mesh between entries causes on the same link. */
   readonly recordMeshFrame: (direction: 'sent' | 'received', bytes: number) => void;
--- a/packages/daemon/src/batch/relays/order-message.ts
+++ b/packages/daemon/src/batch/relays/order-message.ts
@@ -21,8 +21,23 @@
 /** A start order. `spec` is the job's spec, or null if the relay has received it with an earlier start of the job. */
 export type RelayedStart = Omit<StartOrder, 'spec'> & { readonly spec: string | null };
 
+/** The clock of a relay, which tells the lives of its process apart. */
+export type RelayClockReading = {
+  /** A random number that each process draws at its start. */
+  readonly incarnation: number;
+  /** The relay's monotonic clock, in milliseconds. */
+  readonly clockMs: number;
+};
+
+/** Until when a relay may send an order: a time on its own clock, in one life of its process. */
+export type OrderDeadline = { readonly incarnation: number; readonly untilMs: number };
+
 /** An order that another entry is to send to its endpoint. */
-export type RelayedOrder = { readonly target: OrderTarget; readonly timeoutMs: number } & (
+export type RelayedOrder = {
+  readonly target: OrderTarget;
+  readonly timeoutMs: number;
+  readonly deadline: OrderDeadline;
+} & (
   | { readonly kind: 'list'; readonly order: ListOrder }
   | { readonly kind: 'start'; readonly order: RelayedStart }
   | { readonly kind: 'stop'; readonly order: StopOrder }
@@ -64,7 +79,7 @@
  * @returns The message.
  */
 export const encodeOrder = (carried: RelayedOrder): Row => {
-  const { kind, target, timeoutMs, order } = carried;
+  const { kind, target, timeoutMs, deadline, order } = carried;
   const { endpointId, address, dataCentre } = target;
   const encodeFields = orderEncoders[kind] as (one: RelayedOrder['order']) => Row;
   return [
@@ -73,6 +88,8 @@
     address,
     dataCentre,
     Math.round(timeoutMs),
+    deadline.incarnation,
+    deadline.untilMs,
     ...encodeFields(order),
   ];
 };
@@ -113,7 +130,8 @@
  */
 export const decodeOrder = (payload: unknown): RelayedOrder | undefined => {
   if (!Array.isArray(payload)) return undefined;
-  const [kindCode, endpointId, address, dataCentre, timeoutMs, ...row] = payload as Row;
+  const [kindCode, endpointId, address, dataCentre, timeoutMs, incarnation, untilMs, ...row] =
+    payload as Row;
   const decodeFields = decoders[String(kindCode)];
   if (!decodeFields) return undefined;
   const target = {
@@ -121,7 +139,57 @@
     address: String(address),
     dataCentre: String(dataCentre),
   } as OrderTarget;
-  return { target, timeoutMs: Number(timeoutMs), ...decodeFields(row) } as RelayedOrder;
+  const deadline = { incarnation: Number(incarnation), untilMs: Number(untilMs) };
+  return { target, timeoutMs: Number(timeoutMs), deadline, ...decodeFields(row) } as RelayedOrder;
+};
+
+/**
+ * Encodes a relay's clock.
+ *
+ * @param reading - The clock.
+ * @returns The message; also the beginning of each answer to an order.
+ */
+export const encodeRelayClock = ({ incarnation, clockMs }: RelayClockReading): Row => [
+  incarnation,
+  clockMs,
+];
+
+/**
+ * Decodes a relay's clock.
+ *
+ * @param payload - The received message.
+ * @returns The clock; undefined if the message holds none, as from a build that does not relay orders with deadlines.
+ */
+export const decodeRelayClock = (payload: unknown): RelayClockReading | undefined => {
+  if (!Array.isArray(payload)) return undefined;
+  const [incarnation, clockMs] = payload as Row;
+  if (!Number.isSafeInteger(incarnation) || !Number.isFinite(clockMs)) return undefined;
+  return { incarnation: incarnation as number, clockMs: clockMs as number };
+};
+
+/** A relay's answer to an order: its clock, and the encoded answer or `SPEC_MISSING`. */
+export type RelayReply = { readonly clock: RelayClockReading; readonly answer: unknown };
+
+/**
+ * Encodes a relay's answer to an order.
+ *
+ * @param reply - The clock and the answer.
+ * @returns The message.
+ */
+export const encodeReply = ({ clock, answer }: RelayReply): Row => [
+  ...encodeRelayClock(clock),
+  answer,
+];
+
+/**
+ * Decodes a relay's answer to an order.
+ *
+ * @param payload - The received message.
+ * @returns The clock and the answer; undefined if the message is none.
+ */
+export const decodeReply = (payload: unknown): RelayReply | undefined => {
+  const clock = decodeRelayClock(payload);
+  return clock && { clock, answer: (payload as Row)[2] };
 };
 
 /** The answer to a start without a spec if the relay does not have the job's spec. */
--- a/packages/daemon/src/batch/relays/relayed-orders.test.ts
+++ b/packages/daemon/src/batch/relays/relayed-orders.test.ts
@@ -18,6 +18,8 @@
 const SUBMIT_INTERVAL_MS = 200;
 /** Capacity of the holder's link. The load of `runJobs` puts 100 bytes per millisecond on it. */
 const LINK_BYTES_PER_MS = 150;
+/** Two attempts at a start, each with the longest timeout and the round trip to a relay, lie within this time. */
+const MAX_RESEND_MS = 2500;
 const RELAYING_OPTIONS = { hostsPerPool: 6, mayRelayOrders: true };
 
 describe('orders of a holder whose link is busy', () => {
@@ -90,6 +92,23 @@
     });
   });
 
+  it('are thrown away by a relay that hears them late, as a cut held them up', async () => {
+    const fleet = await runJobs((one, turn) => {
+      const [relay] = otherEntriesOf(one);
+      if (turn === 10) Object.assign(relay ?? {}, { isSilent: true });
+      if (turn === 30) Object.assign(relay ?? {}, { isSilent: false });
+    });
+    const sentAtMs = new Map<string, number[]>();
+    fleet.startsSent.forEach(({ task, run, atMs }) => {
+      const key = `${task}/${run}`;
+      sentAtMs.set(key, [...(sentAtMs.get(key) ?? []), atMs]);
+    });
+    const late = Array.from(sentAtMs).filter(
+      ([, times]) => Math.max(...times) - Math.min(...times) > MAX_RESEND_MS,
+    );
+    expect(late).toEqual([]);
+  });
+
   it('go directly to an endpoint that its relay cannot reach, so that it keeps its lease', async () => {
     const fleet = await runJobs((one, turn) => {
       if (turn !== 15) return;
--- a/packages/daemon/src/batch/relays/relayed-orders.ts
+++ b/packages/daemon/src/batch/relays/relayed-orders.ts
@@ -1,18 +1,10 @@
 /**
- * Sends the holder's orders to endpoints through other entries (relays) while the holder's own link is
- * busy. An order that a relay does not answer is handled like one that the endpoint did not answer, and
- * the next order does not use that relay. No further safeguard is needed, since orders are safe when an
- * endpoint's answer is lost.
+ * Sends the holder's orders to endpoints through other entries (relays) while they are more than the holder's own
+ * processor or link should carry. An order that a relay does not answer is handled like one that the endpoint did not
+ * answer, and the next order does not use that relay. Each order names the time until which its relay may send it, on the
+ * relay's own clock, since a link of the mesh delivers late what a cut held up.
  */
-import {
-  createRelayAssignment,
-  createRelayDecision,
-  parseTaskKey,
-  selectRelays,
-  type LinkUsage,
-  type OrderError,
-  type RelayCandidate,
-} from '@valvelatch/core/batch';
+import { createRelayDecision, parseTaskKey, type OrderError } from '@valvelatch/core/batch';
 import type { EndpointId, EntryId } from '@valvelatch/core/shared/ids';
 import { Err, type Result } from 'ts-results-es';
 
@@ -20,28 +12,21 @@
 import type { Metrics } from '../../observe/metrics.js';
 import {
   decodeAnswer,
+  decodeReply,
   encodeOrder,
   SPEC_MISSING,
-  type RelayedOrder,
   type ListAnswer,
+  type OrderDeadline,
+  type RelayedOrder,
 } from './order-message.js';
-import type { Peers } from '../entry/peers.js';
-import type { EndpointOrders, OrderTarget } from '../ports.js';
+import { createRelayRoster, RELAY_COOLDOWN_MS, type RelayPeers } from './relay-roster.js';
+import type { EndpointOrders, LinkUsage, OrderTarget } from '../ports.js';
 
 /** The mesh method that asks another entry to relay an order. */
-export const RELAY_ORDER_METHOD = 'order';
+export const RELAY_ORDER_METHOD = 'relay-order';
 
-/** A relay that has sent nothing for this long gets no orders. Entries send each other a message every 0.5 s. */
-const MAX_RELAY_SILENCE_MS = 1200;
-/**
- * How long a relay that did not answer gets no orders, and how long an endpoint that its relay could not reach gets its
- * orders directly.
- */
-const FAILURE_COOLDOWN_MS = 3000;
 /** Time allowed for the round trip to a relay, in addition to the time-out of the relay's own call to the endpoint. */
 const RELAY_ROUND_TRIP_MS = 150;
-/** Links are kept open to more entries than serve as relays, so that replacing a lost relay needs no new link. */
-const LINKS_PER_DATA_CENTRE = 5;
 /** How often the relays are selected again. */
 export const RELAY_REFRESH_INTERVAL_MS = 400;
 /**
@@ -54,10 +39,12 @@
 export type RelayedOrdersOptions = {
   readonly orders: EndpointOrders;
   /** Returns the other entries; undefined while they are not known yet. */
-  readonly peers: () => Pick<Peers, 'ask' | 'ensureLink' | 'members' | 'silentForMs'> | undefined;
-  /** Returns how many bytes this entry's link has transferred so far, and its capacity. */
+  readonly peers: () => RelayPeers | undefined;
+  /** Returns the bytes of this entry's own calls to endpoints, and the capacity of its link. */
   readonly readLinkUsage: () => LinkUsage;
-  /** False if all orders are to be sent directly, however busy the link is. */
+  /** How many cores this entry may use. */
+  readonly cores: number;
+  /** False if all orders are to be sent directly, however many there are. */
   readonly mayRelay: boolean;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -66,93 +53,111 @@
 
 export type RelayedOrders = EndpointOrders & {
   /**
-   * Decides from the load of the link whether to relay orders, and selects the relays. The holder must call this every
+   * Decides from the traffic of orders whether to relay them, and selects the relays. The holder must call this every
    * `RELAY_REFRESH_INTERVAL_MS`.
    */
   readonly refresh: () => void;
 };
 
+/** The content of an order without the time that it has. */
+type UntimedOrder = Pick<RelayedOrder, 'kind' | 'target' | 'order'>;
+
+/** Remembers which relays have the spec of which job. */
+const createSentSpecs = () => {
+  const jobsByRelay = new Map<EntryId, Set<string>>();
+  return {
+    /** Records that a relay is sent the spec of a job; returns true if it did not have it, so that it must be sent. */
+    record: (relay: EntryId, jobId: string): boolean => {
+      const known = jobsByRelay.get(relay) ?? new Set<string>();
+      const isNew = !known.has(jobId);
+      known.add(jobId);
+      const [oldest] = known;
+      if (known.size > MAX_TRACKED_SPECS && oldest !== undefined) known.delete(oldest);
+      jobsByRelay.set(relay, known);
+      return isNew;
+    },
+    forget: (relay: EntryId): void => {
+      jobsByRelay.delete(relay);
+    },
+  };
+};
+
 /**
  * Creates the sender of orders, which sends them directly or through relays.
  *
- * @param options - The direct route, the other entries, and the load of this entry's link.
+ * @param options - The direct route, the other entries, and the traffic of this entry's link.
  * @returns The sender.
  */
 export const createRelayedOrders = ({
   orders,
   peers,
   readLinkUsage,
+  cores,
   mayRelay,
   log,
   metrics,
   nowMs = () => performance.now(),
 }: RelayedOrdersOptions): RelayedOrders => {
   const isRelayingNeeded = createRelayDecision();
-  const assignment = createRelayAssignment();
-  const failedUntilMs = new Map<EntryId, number>();
+  const roster = createRelayRoster({ peers, log, nowMs });
   const directUntilMs = new Map<EndpointId, number>();
-  const sentSpecs = new Map<EntryId, Set<string>>();
-  let relays: ReadonlyMap<string, readonly RelayCandidate[]> = new Map();
+  const sentSpecs = createSentSpecs();
+  let orderCount = 0;
   let isRelaying = false;
 
-  const listCandidates = (): readonly RelayCandidate[] => {
-    const known = peers();
-    return (known?.members() ?? []).map(({ entryId, dataCentre, strength }) => ({
-      entryId,
-      dataCentre,
-      relativeCapacity: strength,
-      isUsable:
-        (known?.silentForMs(entryId) ?? Infinity) < MAX_RELAY_SILENCE_MS &&
-        nowMs() >= (failedUntilMs.get(entryId) ?? 0),
-    }));
-  };
-
   const refresh = (): void => {
+    if (!mayRelay) return;
     const wasRelaying = isRelaying;
-    isRelaying = mayRelay && isRelayingNeeded(readLinkUsage(), nowMs());
-    if (!isRelaying) return;
-    if (!wasRelaying) log.info('orders-relayed', { reason: 'the link of the holder is busy' });
-    const all = listCandidates();
-    const linkable = all.map((one) => ({
-      ...one,
-      isUsable: nowMs() >= (failedUntilMs.get(one.entryId) ?? 0),
-    }));
-    selectRelays(linkable, LINKS_PER_DATA_CENTRE).forEach((chosen) =>
-      chosen.forEach(({ entryId }) => peers()?.ensureLink(entryId)),
-    );
-    relays = selectRelays(all);
+    isRelaying = isRelayingNeeded({ ...readLinkUsage(), orders: orderCount, cores }, nowMs());
+    if (isRelaying !== wasRelaying) log.info('orders-relayed', { isRelaying, orders: orderCount });
+    roster.refresh();
   };
 
-  const relayFor = ({ endpointId, dataCentre }: OrderTarget): EntryId | undefined => {
-    if (!isRelaying || nowMs() < (directUntilMs.get(endpointId) ?? 0)) return undefined;
-    const relay = assignment.relayOf(endpointId, relays.get(dataCentre) ?? []);
-    return relay !== undefined && nowMs() >= (failedUntilMs.get(relay) ?? 0) ? relay : undefined;
+  /** Chooses the relay of an order; undefined if it is sent directly. */
+  const relayFor = (target: OrderTarget): EntryId | undefined => {
+    orderCount += 1;
+    const isDirect = !isRelaying || nowMs() < (directUntilMs.get(target.endpointId) ?? 0);
+    return isDirect ? undefined : roster.relayOf(target);
   };
 
   const recordFailure = (relay: EntryId, detail: string): OrderError => {
-    failedUntilMs.set(relay, nowMs() + FAILURE_COOLDOWN_MS);
-    sentSpecs.delete(relay);
+    roster.recordFailure(relay);
+    sentSpecs.forget(relay);
     metrics.count('relay_unanswered');
     log.info('relay-unanswered', { relay, detail });
     return { verdict: 'mayHaveRun', reason: 'no-answer', detail: `relay ${relay}: ${detail}` };
   };
 
+  const deadlineOf = (relay: EntryId, ms: number): OrderDeadline => {
+    const deadline = roster.deadlineAfter(relay, ms);
+    if (!deadline) throw new Error('the clock of the relay is not known');
+    return deadline;
+  };
+
+  /** Sends an order to a relay; rejects if it does not answer. */
   const sendToRelay = async (
     relay: EntryId,
-    carried: RelayedOrder,
-    waitMs: number,
+    content: UntimedOrder,
+    { timeoutMs, waitMs = 0 }: { readonly timeoutMs: number; readonly waitMs?: number },
   ): Promise<unknown> => {
-    metrics.count(`relayed_${carried.kind}`);
-    return peers()?.ask(
+    metrics.count(`relayed_${content.kind}`);
+    const deadline = deadlineOf(relay, timeoutMs);
+    const carried = { ...content, timeoutMs, deadline } as RelayedOrder;
+    const answerWithinMs = timeoutMs + waitMs + RELAY_ROUND_TRIP_MS;
+    const payload = await peers()?.ask(
       relay,
       RELAY_ORDER_METHOD,
       encodeOrder(carried),
-      waitMs + RELAY_ROUND_TRIP_MS,
+      answerWithinMs,
     );
+    const reply = decodeReply(payload);
+    if (!reply) throw new Error('the answer of the relay cannot be read');
+    roster.recordClock(relay, reply.clock);
+    return reply.answer;
   };
 
   /**
-   * Decodes an answer. An endpoint that the relay could not reach gets its orders directly for `FAILURE_COOLDOWN_MS`.
+   * Decodes an answer. An endpoint that the relay could not reach gets its orders directly for `RELAY_COOLDOWN_MS`.
    */
   const handleAnswer = (
     { endpointId }: OrderTarget,
@@ -160,50 +165,36 @@
   ): Result<ListAnswer, OrderError> => {
     const answer = decodeAnswer(payload);
     const isLost = answer.isErr() && ['no-answer', 'unreachable'].includes(answer.error.reason);
-    if (isLost) directUntilMs.set(endpointId, nowMs() + FAILURE_COOLDOWN_MS);
+    if (isLost) directUntilMs.set(endpointId, nowMs() + RELAY_COOLDOWN_MS);
     return answer;
   };
 
   const send = async (
     relay: EntryId,
-    carried: RelayedOrder,
-    waitMs: number,
+    content: UntimedOrder,
+    times: { readonly timeoutMs: number; readonly waitMs?: number },
   ): Promise<Result<ListAnswer, OrderError>> => {
     try {
-      return handleAnswer(carried.target, await sendToRelay(relay, carried, waitMs));
+      return handleAnswer(content.target, await sendToRelay(relay, content, times));
     } catch (error) {
       return Err(recordFailure(relay, String(error)));
     }
   };
 
-  /**
-   * Records that a relay is sent the spec of a job. Returns true if it was not recorded before, so that the spec must
-   * be sent.
-   */
-  const recordSentSpec = (relay: EntryId, jobId: string): boolean => {
-    const known = sentSpecs.get(relay) ?? new Set<string>();
-    const isNew = !known.has(jobId);
-    known.add(jobId);
-    const [oldest] = known;
-    if (known.size > MAX_TRACKED_SPECS && oldest !== undefined) known.delete(oldest);
-    sentSpecs.set(relay, known);
-    return isNew;
-  };
-
   const start: EndpointOrders['start'] = async (target, order, timeoutMs) => {
     const relay = relayFor(target);
     if (relay === undefined) return orders.start(target, order, timeoutMs);
-    const isNew = recordSentSpec(relay, parseTaskKey(order.task)?.jobId ?? '');
-    const withSpec = (spec: string | null): RelayedOrder => ({
+    const isNew = sentSpecs.record(relay, parseTaskKey(order.task)?.jobId ?? '');
+    const withSpec = (spec: string | null): UntimedOrder => ({
       kind: 'start',
       target,
-      timeoutMs,
       order: { ...order, spec },
     });
+    const sendWith = (spec: string | null): Promise<unknown> =>
+      sendToRelay(relay, withSpec(spec), { timeoutMs });
     try {
-      const first = await sendToRelay(relay, withSpec(isNew ? order.spec : null), timeoutMs);
-      const answer =
-        first === SPEC_MISSING ? await sendToRelay(relay, withSpec(order.spec), timeoutMs) : first;
+      const first = await sendWith(isNew ? order.spec : null);
+      const answer = first === SPEC_MISSING ? await sendWith(order.spec) : first;
       return handleAnswer(target, answer);
     } catch (error) {
       return Err(recordFailure(relay, String(error)));
@@ -216,16 +207,16 @@
     list: (target, order, timeoutMs) => {
       const relay = relayFor(target);
       if (relay === undefined) return orders.list(target, order, timeoutMs);
-      return send(relay, { kind: 'list', target, timeoutMs, order }, timeoutMs + order.waitMs);
+      return send(relay, { kind: 'list', target, order }, { timeoutMs, waitMs: order.waitMs });
     },
     stop: (target, order, timeoutMs) => {
       const relay = relayFor(target);
       if (relay === undefined) return orders.stop(target, order, timeoutMs);
-      return send(relay, { kind: 'stop', target, timeoutMs, order }, timeoutMs);
+      return send(relay, { kind: 'stop', target, order }, { timeoutMs });
     },
     setPace: orders.setPace,
     release: (target) => {
-      assignment.unassign(target.endpointId);
+      roster.unassign(target.endpointId);
       directUntilMs.delete(target.endpointId);
       orders.release(target);
     },
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -71,6 +71,11 @@
 /** Entries apply a new configuration within this time. */
 const APPLIED_WITHIN_MS = 3000;
 
+/** By how much the clocks of two entries differ that were added one after the other. */
+const CLOCK_OFFSET_STEP_MS = 7919;
+/** How often a message that a cut holds up is tried again. */
+const HELD_MESSAGE_RETRY_MS = 20;
+
 const ownerOf = (owner: ClientAccount | undefined): Pick<BatchJob, 'owner'> =>
   owner ? { owner: { account: owner.name, maximum: owner.maximum } } : {};
 
@@ -345,30 +350,45 @@
       configuration: operatorRows,
       isTableUnavailable: () => relayed.unansweredForMs() >= TABLE_UNAVAILABLE_MS,
     });
-    const agent = createRelayOrderHandler(platform.orders, metrics, startGate);
+    const clockOffsetMs = CLOCK_OFFSET_STEP_MS * entries.length;
+    const relayHandler = createRelayOrderHandler({
+      orders: platform.orders,
+      metrics,
+      gate: startGate,
+      nowMs: () => performance.now() + clockOffsetMs,
+    });
     entry.relayOrder = async (payload) => {
       await waitUntilRunning();
       await transferMessage('in', payload);
-      const answer = await agent.answer(payload);
+      const answer =
+        payload === null ? relayHandler.answerClock() : await relayHandler.answer(payload);
       await waitUntilRunning();
       await transferMessage('out', answer);
       return answer;
     };
+    const isLinkCut = (other: SimEntry | undefined): boolean =>
+      (other?.isSilent ?? false) || entry.isSilent;
+    /** Resolves once a message on the link between two entries can be delivered: a cut only holds it up. */
+    const waitWhileCut = async (other: SimEntry): Promise<void> => {
+      while (isLinkCut(other)) await sleep(HELD_MESSAGE_RETRY_MS);
+    };
     /**
-     * Sends an order to another entry to be relayed. The order or its answer is lost if either entry is cut from the
-     * mesh, and late if either process is paused.
+     * Sends an order to another entry to be relayed. The order or its answer is late if either entry is cut from the mesh
+     * or its process is paused.
      */
     const askEntry = async (entryId: EntryId, payload: unknown): Promise<unknown> => {
       await waitUntilRunning();
       await transferMessage('out', payload);
       await sleep(1);
       const other = entries.find((one) => one.entryId === entryId);
-      if (!other || other.isSilent || entry.isSilent) return neverSettle();
+      if (!other) return neverSettle();
+      await waitWhileCut(other);
       const answer = await other.relayOrder(payload);
       await sleep(1);
+      await waitWhileCut(other);
       await transferMessage('in', answer);
       await waitUntilRunning();
-      return other.isSilent || entry.isSilent ? neverSettle() : answer;
+      return answer;
     };
     const silentForMs = (entryId: EntryId): number => {
       const other = entries.find((one) => one.entryId === entryId);
@@ -395,6 +415,7 @@
         silentForMs,
       }),
       readLinkUsage: platform.readLinkUsage,
+      cores,
       mayRelay: mayRelayOrders,
       log,
       metrics,
