Saver: up to three full transactions in flight; ends do not wait for submissions

What callers saw: at a peak a job that was done in time was told late.

Cause: one transaction of 98 entries at a time, whose answer is read by an event loop that is 100 to 170 ms late: 6 to 9 transactions a second where the table allows 150 to one part.

Change: a further transaction is sent while others are in flight if it would be full and the last one took so little time that all in flight are answered within 0.45 s; a slow table gets one at a time as before, and a calm holder sends no more of them. Ended jobs have half of a transaction before submissions. A job or submission in flight is in no other transaction, as the version of its row is not known. A job that is marked again keeps its first mark, so that a round is finished only after all that it began with is written.

A property with late, lost and refused answers in any order: no row in two transactions at once, all ends and submissions written.

Ruled out: more entries a transaction (the platform's limit is 100).

Related paths that were read: group commit of entries without a holder (its own rows, expected version 0); the demand history and wave rows (one writer, one row); deletion of expired rows (own transactions under the guard, of jobs that have left the state).

--- a/packages/daemon/src/batch/control/load-log.ts
+++ b/packages/daemon/src/batch/control/load-log.ts
@@ -39,7 +39,7 @@
   log,
 }: LoadLogOptions): void => {
   const { cpuMs, loopDelayMs } = measureProcessLoad();
-  const { changedJobs, waitingSubmissions, roundAgeMs } = saverLoad();
+  const { changedJobs, waitingSubmissions, roundAgeMs, transactionsInFlight } = saverLoad();
   const pools = Array.from(state.pools.values());
   const steps = pools.flatMap(({ openSteps }) => Array.from(openSteps));
   const waitingTasks = steps.reduce((sum, { waiting }) => sum + waiting.length, 0);
@@ -54,6 +54,7 @@
     changedJobs,
     waitingSubmissions,
     saveRoundMs: Math.round(roundAgeMs),
+    saves: transactionsInFlight,
     cpuMs: Math.round(cpuMs),
     loopDelayMs: Math.round(loopDelayMs),
     notReported: pools.reduce((sum, { unreportedInstances }) => sum + unreportedInstances.size, 0),
--- a/packages/daemon/src/batch/jobs/accept-queue.ts
+++ b/packages/daemon/src/batch/jobs/accept-queue.ts
@@ -51,11 +51,16 @@
   readonly accept: (row: LiveRow) => Promise<AcceptOutcome>;
   readonly isEmpty: () => boolean;
   readonly count: () => number;
-  /** Selects the submissions that `fits` admits to the next transaction; they stay in the queue. */
+  /** The number of submissions that no transaction in flight contains. */
+  readonly countUnsent: () => number;
+  /**
+   * Selects the submissions that `fits` admits to the next transaction, up to the first that it refuses, without those that
+   * are in flight; they stay in the queue.
+   */
   readonly selectFitting: (
     fits: (part: TableTransaction) => boolean,
   ) => readonly QueuedSubmission[];
-  /** Records that a transaction with these submissions is being sent. */
+  /** Records that a transaction with these submissions is being sent; the list identifies the transaction. */
   readonly recordSent: (sent: readonly QueuedSubmission[]) => void;
   /** Records that the transaction has ended; after `unknown` it may have been committed. */
   readonly recordOutcome: (
@@ -83,19 +88,21 @@
 
 /** Detects from the holder's own transactions whether the table is unavailable. */
 const createTableMonitor = () => {
-  let sentAtMs = Infinity;
+  /** When each unanswered transaction was sent, the oldest first. */
+  const sentAtMs = new Map<object, number>();
   let failingSinceMs = Infinity;
   return {
-    recordSent: (): void => {
-      sentAtMs = performance.now();
+    recordSent: (transaction: object): void => {
+      sentAtMs.set(transaction, performance.now());
     },
-    recordOutcome: (isAnswered: boolean): void => {
-      sentAtMs = Infinity;
+    recordOutcome: (transaction: object, isAnswered: boolean): void => {
+      sentAtMs.delete(transaction);
       failingSinceMs = isAnswered ? Infinity : Math.min(failingSinceMs, performance.now());
     },
     isUnavailable: (): boolean => {
       const nowMs = performance.now();
-      return nowMs - failingSinceMs > OUTAGE_AFTER_MS || nowMs - sentAtMs > OUTAGE_AFTER_MS;
+      const [oldestSentAtMs = Infinity] = sentAtMs.values();
+      return nowMs - failingSinceMs > OUTAGE_AFTER_MS || nowMs - oldestSentAtMs > OUTAGE_AFTER_MS;
     },
   };
 };
@@ -164,14 +171,19 @@
       }),
     isEmpty: () => waiting.length === 0,
     count: () => waiting.length,
-    selectFitting: (fits) => waiting.filter((submission) => fits(toTransaction(submission))),
+    countUnsent: () => waiting.length - inFlight.size,
+    selectFitting: (fits) => {
+      const unsent = waiting.filter((submission) => !inFlight.has(submission));
+      const firstLeftOut = unsent.findIndex((submission) => !fits(toTransaction(submission)));
+      return firstLeftOut < 0 ? unsent : unsent.slice(0, firstLeftOut);
+    },
     recordSent: (sent) => {
-      tableMonitor.recordSent();
+      tableMonitor.recordSent(sent);
       sent.forEach((submission) => inFlight.add(submission));
     },
     recordOutcome: (sent, outcome) => {
-      tableMonitor.recordOutcome(outcome === 'answered');
-      inFlight.clear();
+      tableMonitor.recordOutcome(sent, outcome === 'answered');
+      sent.forEach((submission) => inFlight.delete(submission));
       if (outcome === 'unknown') {
         sent.forEach((submission) => change(submission, { mayBeWritten: true }));
       }
--- a/packages/daemon/src/batch/jobs/changed-jobs.ts
+++ b/packages/daemon/src/batch/jobs/changed-jobs.ts
@@ -33,14 +33,16 @@
   readonly lastMark: () => number;
   /** Whether all marks up to this number were written, or their jobs no longer exist. */
   readonly isWrittenUpTo: (mark: number) => boolean;
-  /** Removes all marks, for when none of the marked jobs exists any more. */
-  readonly clear: () => void;
   /**
    * Removes and returns the jobs that the next transaction has space for; ended jobs come first. Rows are built up to the
-   * first one that `fits` refuses.
+   * first one that `fits` refuses. A job is left out while another transaction with it is in flight, since the version of
+   * its row is not known then.
    */
-  readonly takeFitting: (fits: (part: TableTransaction) => boolean) => readonly SentJob[];
-  /** Marks jobs as changed again because their transaction was not committed. */
+  readonly takeFitting: (
+    fits: (part: TableTransaction) => boolean,
+    options?: { readonly onlyEnded: boolean },
+  ) => readonly SentJob[];
+  /** Restores the marks of jobs whose transaction was not committed. */
   readonly markUnsaved: (sent: readonly SentJob[]) => void;
   /** Records that these jobs were committed with this version. */
   readonly recordCommitted: (sent: readonly SentJob[], version: number) => void;
@@ -93,8 +95,10 @@
   wallClockMs,
 }: ChangedJobsOptions): ChangedJobs => {
   const versions = new Map<JobId, JobRowVersions>();
-  /** Each changed job with its oldest unwritten mark, oldest first. */
+  /** The oldest unwritten mark of each changed job. */
   const changed = new Map<JobId, number>();
+  /** The oldest mark of each job that a transaction in flight writes. */
+  const inFlight = new Map<JobId, number>();
   let lastMark = 0;
 
   const mark = (jobId: JobId): void => {
@@ -102,12 +106,20 @@
     if (!changed.has(jobId)) changed.set(jobId, lastMark);
   };
 
-  /** The oldest unwritten mark of a job that still exists; Infinity if there is none. */
-  const oldestMark = (): number => {
-    const oldest = Array.from(changed).find(([jobId]) => state.jobs.has(jobId));
-    return oldest?.[1] ?? Infinity;
+  const oldestMarkOf = (marks: ReadonlyMap<JobId, number>): number => {
+    let oldest = Infinity;
+    marks.forEach((one, jobId) => {
+      if (one < oldest && state.jobs.has(jobId)) oldest = one;
+    });
+    return oldest;
   };
 
+  /** Removes the marks of jobs that no longer exist, of which nothing is left to write. */
+  const removeMarksOfGoneJobs = (): void =>
+    changed.forEach((_, jobId) => {
+      if (!state.jobs.has(jobId)) changed.delete(jobId);
+    });
+
   const getOrCreateVersions = (jobId: JobId): JobRowVersions => {
     const known = versions.get(jobId);
     if (known) return known;
@@ -123,12 +135,17 @@
       : buildProgressWrite(job, known);
   };
 
-  const listEndedFirst = (): readonly JobState[] => {
-    const jobs = Array.from(changed.keys()).flatMap((jobId) => state.jobs.get(jobId) ?? []);
-    return [
-      ...jobs.filter(({ phase }) => isFinal(phase)),
-      ...jobs.filter(({ phase }) => !isFinal(phase)),
-    ];
+  const listCandidates = (onlyEnded: boolean): readonly JobState[] => {
+    const jobs = Array.from(changed.keys()).flatMap((jobId) =>
+      inFlight.has(jobId) ? [] : (state.jobs.get(jobId) ?? []),
+    );
+    const ended = jobs.filter(({ phase }) => isFinal(phase));
+    return onlyEnded ? ended : [...ended, ...jobs.filter(({ phase }) => !isFinal(phase))];
+  };
+
+  const moveToInFlight = ({ job: { jobId } }: JobState): void => {
+    inFlight.set(jobId, changed.get(jobId) ?? lastMark);
+    changed.delete(jobId);
   };
 
   return {
@@ -137,23 +154,32 @@
     isEmpty: () => changed.size === 0,
     count: () => changed.size,
     lastMark: () => lastMark,
-    isWrittenUpTo: (number) => oldestMark() > number,
-    clear: () => changed.clear(),
-    takeFitting: (fits) => {
-      const candidates = listEndedFirst();
+    isWrittenUpTo: (number) => Math.min(oldestMarkOf(changed), oldestMarkOf(inFlight)) > number,
+    takeFitting: (fits, { onlyEnded } = { onlyEnded: false }) => {
+      removeMarksOfGoneJobs();
+      const candidates = listCandidates(onlyEnded);
       const firstLeftOut = candidates.findIndex((job) => !fits(buildWrite(job)));
       const jobs = firstLeftOut < 0 ? candidates : candidates.slice(0, firstLeftOut);
-      jobs.forEach(({ job }) => changed.delete(job.jobId));
+      jobs.forEach(moveToInFlight);
       return jobs.map((job) => ({
         job,
         wasFinal: isFinal(job.phase),
         crashRecordRevision: job.crashRecordRevision,
       }));
     },
-    markUnsaved: (sent) => sent.forEach(({ job }) => mark(job.job.jobId)),
+    markUnsaved: (sent) =>
+      sent.forEach(({ job: { job } }) => {
+        const oldest = Math.min(
+          inFlight.get(job.jobId) ?? Infinity,
+          changed.get(job.jobId) ?? Infinity,
+        );
+        inFlight.delete(job.jobId);
+        changed.set(job.jobId, oldest);
+      }),
     recordCommitted: (sent, version) =>
       sent.forEach(({ job, wasFinal, crashRecordRevision }) => {
         const known = getOrCreateVersions(job.job.jobId);
+        inFlight.delete(job.job.jobId);
         if (crashRecordRevision > job.writtenCrashRecordRevision) {
           change(job, { writtenCrashRecordRevision: crashRecordRevision });
           onCrashRecordsSaved();
--- a/packages/daemon/src/batch/jobs/job-saver.ts
+++ b/packages/daemon/src/batch/jobs/job-saver.ts
@@ -1,8 +1,9 @@
 /**
- * Writes accepted jobs and changes of jobs, many in one transaction, under the holder's fence. Only one
- * transaction is in flight at a time: the table executes the transactions of one group of row kinds (see
- * `batchKey`) one after the other, so a slow table achieves more with few large ones. A run's end that an
- * endpoint listed is acknowledged only after the transaction that contains it was committed.
+ * Writes accepted jobs and changes of jobs, many in one transaction, under the holder's fence. The table executes the
+ * transactions of one group of row kinds (see `batchKey`) one after the other, so a slow table achieves more with few
+ * large ones. A further transaction is sent while others are in flight only if it is full and the table answers fast:
+ * otherwise a holder whose event loop is late would write as many transactions as its loop has turns. A run's end that
+ * an endpoint listed is acknowledged only after the transaction that contains it was committed.
  */
 import type { BatchState, JobState } from '@valvelatch/core/batch';
 import type { RowCheck, TableRow } from '@valvelatch/core/rows/transaction';
@@ -25,6 +26,16 @@
 
 /** The platform accepts at most 100 entries per transaction, of which one is the fence. */
 const MAX_ENTRIES_PER_TRANSACTION = 98;
+/** Of which ended jobs are given this many before submissions, so that neither holds up the other. */
+const MAX_ENTRIES_OF_ENDED_JOBS = 49;
+/** The fewest entries that a job or a submission takes: a check and a write. */
+const MIN_ENTRIES_PER_ROW = 2;
+const MAX_IN_FLIGHT = 3;
+/**
+ * All transactions in flight together should be answered within this time, if each takes as long as the last one. A table
+ * that becomes slow answers them within their timeout then.
+ */
+const IN_FLIGHT_BUDGET_MS = 450;
 /** Submissions that arrive within this time share a transaction. */
 const ACCEPT_WINDOW_MS = 3;
 /** Pause between two transactions, so that ends reported meanwhile share the next one. */
@@ -40,6 +51,7 @@
   readonly waitingSubmissions: number;
   /** For how long the save round has run, in milliseconds; 0 between rounds. */
   readonly roundAgeMs: number;
+  readonly transactionsInFlight: number;
 };
 
 export type JobSaver = {
@@ -90,20 +102,31 @@
   readonly jobs: readonly SentJob[];
 };
 
+/** The time in which everything that has changed by its beginning is written. */
+type SaveRound = {
+  readonly begunAtMs: number;
+  /** Marks the ends of runs that had been applied at its beginning as stored. */
+  readonly finish: () => void;
+  /** The number of the last change at its beginning. */
+  readonly lastMark: number;
+};
+
 /** Collects parts up to the size limit of a transaction. */
 const createTransactionBuilder = () => {
   const parts: TableTransaction[] = [];
   let entries = 0;
   return {
     parts,
-    /** Adds a part if it still fits; returns whether it was added. */
-    fits: (part: TableTransaction): boolean => {
-      const size = part.checks.length + part.writes.length;
-      if (entries + size > MAX_ENTRIES_PER_TRANSACTION) return false;
-      entries += size;
-      parts.push(part);
-      return true;
-    },
+    /** Returns a function that adds a part if there are no more than `maxEntries` with it, and tells whether it did. */
+    fitsWithin:
+      (maxEntries: number) =>
+      (part: TableTransaction): boolean => {
+        const size = part.checks.length + part.writes.length;
+        if (entries + size > maxEntries) return false;
+        entries += size;
+        parts.push(part);
+        return true;
+      },
   };
 };
 
@@ -135,8 +158,11 @@
   wallClockMs,
 }: JobSaverOptions): JobSaver => {
   let isRoundRequested = false;
-  let isRunning = false;
-  let roundBegunAtMs = 0;
+  let inFlightCount = 0;
+  /** True from a failed transaction until those in flight beside it have ended. */
+  let hasFailed = false;
+  let lastTookMs = 0;
+  let round: SaveRound | undefined;
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
   let scheduledAtMs = 0;
@@ -148,11 +174,13 @@
   });
   const changed = createChangedJobs({ state, onSaved, onCrashRecordsSaved, wallClockMs });
 
-  /** Fills a batch with submissions first, then ended jobs, then progress. */
+  /** Fills a batch with ended jobs up to a half, then submissions, then further ended jobs, then progress. */
   const takeBatch = (): Batch => {
-    const { parts, fits } = createTransactionBuilder();
+    const { parts, fitsWithin } = createTransactionBuilder();
+    const fits = fitsWithin(MAX_ENTRIES_PER_TRANSACTION);
+    const ended = changed.takeFitting(fitsWithin(MAX_ENTRIES_OF_ENDED_JOBS), { onlyEnded: true });
     const submissions = queue.selectFitting(fits);
-    const jobs = changed.takeFitting(fits);
+    const jobs = [...ended, ...changed.takeFitting(fits)];
     return { parts, submissions, jobs };
   };
 
@@ -190,65 +218,81 @@
     return true;
   };
 
-  const saveBatch = async (): Promise<boolean> => {
-    const batch = takeBatch();
+  const startRound = (): SaveRound => {
+    const begunAtMs = performance.now();
+    const finish = beginRound();
+    return { begunAtMs, finish, lastMark: changed.lastMark() };
+  };
+
+  /** Ends the round once all that had changed at its beginning is written, and begins the next one. */
+  const finishRound = (): void => {
+    if (!round || !changed.isWrittenUpTo(round.lastMark)) return;
+    round.finish();
+    round = startRound();
+  };
+
+  const maySendNext = (): boolean => {
+    if (inFlightCount === 0) return true;
+    const maxInFlight = Math.min(MAX_IN_FLIGHT, Math.floor(IN_FLIGHT_BUDGET_MS / lastTookMs));
+    const waitingEntries = (changed.count() + queue.countUnsent()) * MIN_ENTRIES_PER_ROW;
+    return inFlightCount < maxInFlight && waitingEntries >= MAX_ENTRIES_PER_TRANSACTION;
+  };
+
+  const sendBatch = async (batch: Batch): Promise<void> => {
     const { parts, submissions } = batch;
-    if (parts.length === 0) {
-      // All jobs that are still marked have been removed from the state.
-      changed.clear();
-      return true;
-    }
+    const sentAtMs = performance.now();
+    inFlightCount += 1;
     queue.recordSent(submissions);
     const outcome = await table.transact({
       checks: [fence(), ...parts.flatMap(({ checks }) => checks)],
       writes: parts.flatMap(({ writes }) => writes),
     });
+    inFlightCount -= 1;
+    lastTookMs = performance.now() - sentAtMs;
     metrics.count('job_saves');
     // These two calls must stay adjacent: a call between them could refuse a submission that was committed.
     queue.recordOutcome(submissions, classifyAnswer(outcome));
-    return applyAnswer(batch, outcome);
+    if (!applyAnswer(batch, outcome)) hasFailed = true;
+    continueRun();
   };
 
-  const startRound = () => {
-    roundBegunAtMs = performance.now();
-    const finish = beginRound();
-    return { finish, lastMark: changed.lastMark() };
+  const endRun = (): void => {
+    const isComplete = !hasFailed;
+    hasFailed = false;
+    round = undefined;
+    if (!isComplete) schedule(RETRY_MS);
+    else if (!queue.isEmpty()) schedule(ACCEPT_WINDOW_MS);
+    else if (!changed.isEmpty() || isRoundRequested) schedule(SAVE_INTERVAL_MS);
   };
 
   /** Saves until nothing is left. Under load that may never be, so what was there at the beginning ends a round. */
-  const saveRounds = async (): Promise<boolean> => {
-    let round = startRound();
-    do {
-      if (isStopped || !(await saveBatch())) return false;
-      if (changed.isWrittenUpTo(round.lastMark)) {
-        round.finish();
-        round = startRound();
-      }
-    } while (!changed.isEmpty() || !queue.isEmpty());
-    return true;
+  const continueRun = (): void => {
+    if (isStopped) return;
+    finishRound();
+    while (!hasFailed && maySendNext()) {
+      const batch = takeBatch();
+      if (batch.parts.length === 0) break;
+      void sendBatch(batch);
+    }
+    if (inFlightCount === 0) endRun();
   };
 
-  const run = async (): Promise<void> => {
-    if (isRunning || isStopped) return;
-    isRunning = true;
+  const run = (): void => {
+    if (inFlightCount > 0 || isStopped) return;
     isRoundRequested = false;
-    const isComplete = await saveRounds();
-    isRunning = false;
-    if (isStopped) return;
-    if (!isComplete) schedule(RETRY_MS);
-    else if (!queue.isEmpty()) schedule(ACCEPT_WINDOW_MS);
-    else if (!changed.isEmpty() || isRoundRequested) schedule(SAVE_INTERVAL_MS);
+    round = startRound();
+    continueRun();
   };
 
   const schedule = (afterMs: number): void => {
     isRoundRequested = true;
     const atMs = performance.now() + afterMs;
-    if (isRunning || isStopped || (timer && scheduledAtMs <= atMs)) return;
+    if (inFlightCount > 0 || isStopped || (timer && scheduledAtMs <= atMs)) return;
     clearTimeout(timer);
     scheduledAtMs = atMs;
     timer = setTimeout(() => {
       timer = undefined;
-      void run();
+      run();
     }, afterMs);
   };
 
@@ -264,7 +308,8 @@
     load: () => ({
       changedJobs: changed.count(),
       waitingSubmissions: queue.count(),
-      roundAgeMs: isRunning ? performance.now() - roundBegunAtMs : 0,
+      roundAgeMs: round ? performance.now() - round.begunAtMs : 0,
+      transactionsInFlight: inFlightCount,
     }),
     stop: () => {
       isStopped = true;
