Mesh: the frames of one turn of the event loop share a system call; a relay may send an order until the holder gives it up

Cause: with relays, 25 % of what the holder's process uses goes into writing frames, most of it in one system call for each (writeBuffer and writev 604 of 3,260 ms; real entries, 248 endpoints, 450 runs a second, profile of 0.4 ms, load 7). And a relay's deadline was the timeout of the call to the endpoint (43 to 85 ms there) without the round trip that the holder waits in addition: a holder whose loop is late could have had orders expire that it still waited for.

Change: a link collects what is sent in one turn (`WriteBatch`), so the later the loop, the more frames a call carries; the frames are as before, so builds can be mixed. The deadline is the time at which the holder gives the order up.

--- a/packages/daemon/src/batch/relays/relayed-orders.ts
+++ b/packages/daemon/src/batch/relays/relayed-orders.ts
@@ -25,7 +25,10 @@
 /** The mesh method that asks another entry to relay an order. */
 export const RELAY_ORDER_METHOD = 'relay-order';
 
-/** Time allowed for the round trip to a relay, in addition to the time-out of the relay's own call to the endpoint. */
+/**
+ * Time allowed for the round trip to a relay, in addition to the timeout of the relay's own call to the endpoint. A relay
+ * may send an order until the holder gives it up; the wait of a list request begins only then.
+ */
 const RELAY_ROUND_TRIP_MS = 150;
 /** How often the relays are selected again. */
 export const RELAY_REFRESH_INTERVAL_MS = 400;
@@ -141,7 +144,7 @@
     { timeoutMs, waitMs = 0 }: { readonly timeoutMs: number; readonly waitMs?: number },
   ): Promise<unknown> => {
     metrics.count(`relayed_${content.kind}`);
-    const deadline = deadlineOf(relay, timeoutMs);
+    const deadline = deadlineOf(relay, timeoutMs + RELAY_ROUND_TRIP_MS);
     const carried = { ...content, timeoutMs, deadline } as RelayedOrder;
     const answerWithinMs = timeoutMs + waitMs + RELAY_ROUND_TRIP_MS;
     const payload = await peers()?.ask(
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -6,17 +6,20 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 import { once } from 'node:events';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 import type { EntryId, Member, MeshMessage } from '@valvelatch/core';
 import { change } from '@valvelatch/core/shared/change';
 import { WebSocket, WebSocketServer } from 'ws';
 
 import { decodeFrame, encodeFrame } from './frame.js';
+import { createWriteBatch, type WriteBatch } from './write-batch.js';
 
 /** One WebSocket connection to a peer. */
 type Link = {
   readonly socket: WebSocket;
+  /** Collects the frames of one turn of the event loop; null until the connection is open. */
+  batch: WriteBatch | null;
   /** The entry on the other side; null until its `hello` message has arrived. */
   peer: EntryId | null;
   /** When the last frame arrived, or when the link was created or opened, by `nowMs`. */
@@ -123,6 +126,7 @@
     if (link.socket.readyState !== WebSocket.OPEN) return;
     const frame = encodeFrame(message);
     handlers.onFrame?.('sent', frame.length);
+    link.batch?.begin();
     link.socket.send(frame);
   };
 
@@ -165,10 +169,17 @@
     link.pendingAskIds.forEach((askId) => completeAsk(askId, false, 'the link was closed'));
   };
 
-  const createLink = (socket: WebSocket): Link => {
-    const link: Link = { socket, peer: null, lastReceivedAtMs: nowMs(), pendingAskIds: new Set() };
+  const createLink = (socket: WebSocket, connection: Socket | null = null): Link => {
+    const link: Link = {
+      socket,
+      batch: connection && createWriteBatch(connection),
+      peer: null,
+      lastReceivedAtMs: nowMs(),
+      pendingAskIds: new Set(),
+    };
     links.add(link);
     socket.on('message', (data: Buffer) => receive(link, data));
+    socket.on('upgrade', (response) => change(link, { batch: createWriteBatch(response.socket) }));
     socket.on('error', () => socket.terminate());
     socket.on('close', () => removeLink(link));
     return link;
@@ -181,8 +192,8 @@
     verifyClient: ({ req }: { req: IncomingMessage }) => hasKey(req, key),
   });
   await once(server, 'listening');
-  server.on('connection', (socket) => {
-    sendOn(createLink(socket), { type: 'hello', member: self() });
+  server.on('connection', (socket, request) => {
+    sendOn(createLink(socket, request.socket), { type: 'hello', member: self() });
   });
 
   const openSocket = (url: string): WebSocket =>
--- /dev/null
+++ b/packages/mesh/src/write-batch.ts
@@ -0,0 +1,32 @@
+/**
+ * Writes what is sent over a connection within one turn of the event loop with one system call. A system call for each
+ * frame took a fifth of the processor time of an entry that sends 1,800 frames a second.
+ */
+import type { Socket } from 'node:net';
+
+/** The batch of writes of one connection. */
+export type WriteBatch = {
+  /** Holds back what is written from now on until the end of this turn of the event loop. */
+  readonly begin: () => void;
+};
+
+/**
+ * Creates the batch of a connection.
+ *
+ * @param connection - The connection.
+ * @returns The batch, which holds nothing back yet.
+ */
+export const createWriteBatch = (connection: Pick<Socket, 'cork' | 'uncork'>): WriteBatch => {
+  let isOpen = false;
+  return {
+    begin: () => {
+      if (isOpen) return;
+      isOpen = true;
+      connection.cork();
+      setImmediate(() => {
+        isOpen = false;
+        connection.uncork();
+      });
+    },
+  };
+};
