--- a/packages/daemon/src/batch/batch-faults.test.ts
+++ b/packages/daemon/src/batch/batch-faults.test.ts
@@ -36,6 +36,7 @@
         'kill',
         'freeze',
         'cutTable',
+        'cutMesh',
         'cutEndpoint',
         'cutEndpointFromOne',
         'crash',
@@ -73,6 +74,11 @@
           entry.isCutFromTable = true;
           setTimeout(() => Object.assign(entry, { isCutFromTable: false }), forMs);
         },
+        cutMesh: () => {
+          if (!entry) return;
+          entry.isSilent = true;
+          setTimeout(() => Object.assign(entry, { isSilent: false }), forMs);
+        },
         cutEndpoint: () => {
           if (!endpoint) return;
           Array.from(fleet.entries).forEach(({ unreachableEndpoints }) => {
