A holder that recovers is sent no rows of submissions by other entries

Cause (link-use of the holder, to 5fda... with relays, a link of 250 KB/s): in the first 5 s it received 437 KB over the mesh and 74 KB of the rows that it has to read. Each entry sent it each returning job in full every 150 ms, up to seven times, was answered that it cannot, wrote the row itself and sent it once more as an announcement; the holder finds such rows in the table in any case.

Change: an entry whose holder answered that it cannot write asks it a question without a row every 250 ms until it is ready, sends no rows meanwhile and writes them itself as before. A build that does not know the question is asked as before.

Related paths that were read: status questions to a recovering holder are an id each, and go on; refused jobs are reported by id; cancels are written to the table first and are then a few bytes.

--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -427,6 +427,7 @@
   const handlers: Readonly<Record<string, (payload: unknown) => unknown>> = {
     [CONTROL_METHOD.phase]: (payload) => term?.statusOf(brand<JobId>(String(payload))) ?? null,
     [CONTROL_METHOD.willing]: () => isWilling(),
+    [CONTROL_METHOD.ready]: () => term?.isReady() ?? false,
     [CONTROL_METHOD.waiting]: () => countWaitingHere() ?? null,
     [CONTROL_METHOD.taken]: (payload) => admitWrittenHere(payload as WrittenJob),
     [CONTROL_METHOD.accept]: (payload) => acceptHere(payload as BatchJobRow),
@@ -476,7 +477,7 @@
     },
     notifyAccepted: (row, version) => {
       if (term) admitWrittenHere({ row, version });
-      else void holderClient.ask(CONTROL_METHOD.taken, { row, version });
+      else holderClient.notifyWritten({ row, version });
     },
     holderSilentMs: () => {
       if (lastHolder === null || lastHolder === self || holderClient.isTableUnavailableToHolder())
--- a/packages/daemon/src/batch/control/holder-client.ts
+++ b/packages/daemon/src/batch/control/holder-client.ts
@@ -25,11 +25,18 @@
  */
 const TABLE_UNAVAILABLE_FOR_MS = 3000;
 
+/**
+ * Pause between two questions whether a holder that recovers is ready. Each entry asks, so that shorter pauses would cost a
+ * weak holder a tenth of its processor.
+ */
+const READY_CHECK_INTERVAL_MS = 250;
+
 /** Mesh methods through which entries call each other about control. */
 export const CONTROL_METHOD = {
   phase: 'phase',
   waiting: 'waiting',
   accept: 'accept',
+  ready: 'ready',
   taken: 'taken',
   cancelled: 'cancelled',
   willing: 'willing',
@@ -51,8 +58,13 @@
 export type HolderClient = {
   /** Calls the holder; resolves to undefined if it is unknown or does not answer within `ms`. */
   readonly ask: (method: string, payload: unknown, ms?: number) => Promise<unknown>;
-  /** Has the holder write a job; null if this entry must write it itself. */
+  /**
+   * Has the holder write a job; null if it cannot, as while it recovers. Nothing is sent to a holder that is known to
+   * recover: rows that return to it after an outage would take the link and the processor that it recovers with.
+   */
   readonly accept: (row: BatchJobRow) => Promise<AcceptOutcome | null>;
+  /** Tells the holder about a job that this entry wrote. A holder that recovers reads its row anyway. */
+  readonly notifyWritten: (writtenJob: unknown) => void;
   /** True for a few seconds after the holder reported that the table does not answer it. */
   readonly isTableUnavailableToHolder: () => boolean;
 };
@@ -73,6 +85,8 @@
 }: HolderClientOptions): HolderClient => {
   let holderSkippedUntilMs = 0;
   let tableUnavailableUntilMs = 0;
+  /** The holder that is known to recover, until it is ready or another entry holds control. */
+  let recoveringHolder: EntryId | undefined;
 
   /** The holder, if it is another entry that the mesh knows. */
   const findReachableHolder = (): EntryId | undefined => {
@@ -108,17 +122,38 @@
     return undefined;
   };
 
+  const isHolderRecovering = (): boolean =>
+    recoveringHolder !== undefined && recoveringHolder === holder();
+
+  /** Asks the holder until it is ready. One that does not answer is treated as ready, so that it is asked as usual. */
+  const waitUntilReady = async (entryId: EntryId): Promise<void> => {
+    if (recoveringHolder === entryId) return;
+    recoveringHolder = entryId;
+    let isReady = false;
+    while (!isReady && isHolderRecovering()) {
+      await sleep(READY_CHECK_INTERVAL_MS);
+      isReady = (await ask(CONTROL_METHOD.ready, null)) !== false;
+    }
+    if (recoveringHolder === entryId) recoveringHolder = undefined;
+  };
+
   return {
     ask,
+    notifyWritten: (writtenJob) => {
+      if (!isHolderRecovering()) void ask(CONTROL_METHOD.taken, writtenJob);
+    },
     isTableUnavailableToHolder: () => nowMs() < tableUnavailableUntilMs,
     accept: async (row) => {
-      if (nowMs() < holderSkippedUntilMs || findReachableHolder() === undefined) return null;
+      const entryId = findReachableHolder();
+      if (nowMs() < holderSkippedUntilMs || entryId === undefined || isHolderRecovering())
+        return null;
       const answer = await Promise.race([
         ask(CONTROL_METHOD.accept, row, ACCEPT_TIMEOUT_MS),
         waitForHolderSilence(),
       ]);
       if (answer !== undefined) {
         const outcome = answer as AcceptOutcome | null;
+        if (outcome === null) void waitUntilReady(entryId);
         if (outcome?.kind === 'away') tableUnavailableUntilMs = nowMs() + TABLE_UNAVAILABLE_FOR_MS;
         return outcome;
       }
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -131,6 +131,8 @@
   readonly start: () => Promise<void>;
   /** Ends all work of the term. */
   readonly stop: () => Promise<void>;
+  /** True once it has recovered, while it can answer as the holder. */
+  readonly isReady: () => boolean;
   /** The status of a job; undefined if the job is unknown or this entry cannot answer as the holder. */
   readonly statusOf: (jobId: JobId) => JobStatus | undefined;
   /** The number of waiting jobs by queue; undefined if this entry cannot answer as the holder. */
@@ -535,6 +537,7 @@
     admission,
     start,
     stop,
+    isReady: isHolder,
     statusOf: (jobId) =>
       !isHolder()
         ? undefined
