--- a/packages/daemon/src/batch/relays/relayed-orders.test.ts
+++ b/packages/daemon/src/batch/relays/relayed-orders.test.ts
@@ -32,7 +32,7 @@
   });
 
   const otherEntriesOf = (fleet: SimFleet): readonly SimEntry[] =>
-    fleet.entries.filter((entry) => entry !== requireHolder(fleet));
+    fleet.entries.filter((entry) => entry !== fleet.findHolder());
 
   /**
    * Submits the jobs one after the other, calls `injectFault` after each, and checks that all complete without a
@@ -92,6 +92,36 @@
     });
   });
 
+  it.each([
+    ['killed', (fleet: SimFleet) => otherEntriesOf(fleet).forEach(fleet.kill)],
+    [
+      'frozen for good',
+      (fleet: SimFleet) =>
+        otherEntriesOf(fleet).forEach((relay) => Object.assign(relay, { isFrozen: true })),
+    ],
+    [
+      'without a route to the endpoints',
+      (fleet: SimFleet) =>
+        otherEntriesOf(fleet).forEach(({ unreachableEndpoints }) =>
+          fleet.endpoints.forEach((_, instanceId) => unreachableEndpoints.add(instanceId)),
+        ),
+    ],
+  ])('go directly when all relays are %s at once', async (_, strike) => {
+    await runJobs((fleet, turn) => {
+      if (turn === 20) strike(fleet);
+    });
+  });
+
+  it('of a former holder, which its relays send late, are safe beside those of the next one', async () => {
+    await runJobs((fleet, turn) => {
+      const others = otherEntriesOf(fleet);
+      const [relay] = others;
+      if (turn === 18) Object.assign(relay ?? {}, { isFrozen: true });
+      if (turn === 19) fleet.kill(requireHolder(fleet));
+      if (turn === 24) fleet.entries.forEach((one) => Object.assign(one, { isFrozen: false }));
+    });
+  });
+
   it('are thrown away by a relay that hears them late, as a cut held them up', async () => {
     const fleet = await runJobs((one, turn) => {
       const [relay] = otherEntriesOf(one);
