Endpoints that list their runs and answer no start order get no new work for a time

Cause: such a start counts as unanswered, is stopped, and its task is placed on the fullest endpoint again, which is that one; failed tasks count against an endpoint, and lists that are not answered, but not starts.

Change: start orders of three distinct jobs without an answer, with none answered between, withhold the endpoint as three failed jobs do (2.5 to 10 s). Nothing is counted while this entry's own link or processor is the cause of missing answers.

Related paths that were read: hung tasks (stalled-runs.ts) withhold alike; endpoints that answer lists with what is no answer are found by their misses.

--- a/packages/core/src/batch/endpoints/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -72,7 +72,7 @@
     seenAtMs: nowMs,
     reportedAtMs: 0,
     unansweredSinceMs: Infinity,
-    health: { failedJobs: new Set(), withholdCount: 0 },
+    health: { failedJobs: new Set(), unansweredJobs: new Set(), withholdCount: 0 },
   };
   state.endpoints.set(endpoint.endpointId, endpoint);
   addToDomains(state, endpoint);
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -148,6 +148,8 @@
 export type EndpointHealth = {
   /** The jobs of which tasks have failed here since a task was last completed here. */
   readonly failedJobs: Set<JobId>;
+  /** The jobs of tasks whose start orders got no answer, since the last one that did. */
+  readonly unansweredJobs: Set<JobId>;
   /** How often in a row the endpoint was withheld from new work. */
   withholdCount: number;
 };
--- a/packages/daemon/src/batch/endpoints/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -1,7 +1,10 @@
 /** Sends start orders to one endpoint, repeats unanswered ones and applies their outcome. */
 import {
   applyStartOutcome,
+  parseTaskKey,
+  recordAnsweredStart,
   recordStartsAnswered,
+  recordUnansweredStart,
   removeTicket,
   isSoleHolder,
   isSuspected,
@@ -11,6 +14,7 @@
   type OrderError,
   type StartOrder,
   type StartOutcome,
+  type TaskKey,
 } from '@valvelatch/core/batch';
 import type { Result } from 'ts-results-es';
 
@@ -144,6 +148,14 @@
     }
   };
 
+  /** An order without an answer says nothing about the endpoint if this entry's own link or processor is the cause. */
+  const recordHealth = (outcome: StartOutcome, task: TaskKey): void => {
+    const jobId = parseTaskKey(task)?.jobId;
+    if (outcome !== 'unknown') recordAnsweredStart(state, endpointId);
+    else if (jobId !== undefined && !context.sharedDelayEstimator.isLocalFault())
+      recordUnansweredStart(state, endpointId, jobId, nowMs());
+  };
+
   return async (effect) => {
     const { task, run, spec, checkpoint, ticket } = effect;
     await refreshClock();
@@ -166,6 +178,7 @@
     if (error?.reason === 'ticket') removeTicket(state, task, endpointId);
     const reason = error?.reason;
     applyStartOutcome(state, endpointId, { task, run, outcome, reason, clockMs, nowMs: nowMs() });
+    recordHealth(outcome, task);
     if (!hasUnansweredOrder) recordStartsAnswered(state, endpointId, order);
     if (outcome !== 'started') {
       context.requestScheduling();
