Relays: a lost order sends one order directly, not all to that endpoint for 3 s; a relay that was heard is not passed over

Change: after an order that was lost over the relay the next one goes directly, so that a repeated start has another route; a second one in a row over the relay sends all directly for 3 s, as does a relay that says it cannot reach the endpoint. A relay that was heard since the order was sent has not failed.

--- a/packages/daemon/src/batch/relays/relay-roster.ts
+++ b/packages/daemon/src/batch/relays/relay-roster.ts
@@ -17,7 +17,7 @@
 /** A relay that has sent nothing for this long gets no orders. Entries send each other a message every 0.5 s. */
 const MAX_RELAY_SILENCE_MS = 1200;
 /** How long a relay that did not answer gets no orders. */
-export const RELAY_COOLDOWN_MS = 3000;
+const RELAY_COOLDOWN_MS = 3000;
 /** Links are kept open to more entries than serve as relays, so that replacing a lost relay needs no new link. */
 const LINKS_PER_DATA_CENTRE = 5;
 /**
--- a/packages/daemon/src/batch/relays/relayed-orders.ts
+++ b/packages/daemon/src/batch/relays/relayed-orders.ts
@@ -19,7 +19,8 @@
   type OrderDeadline,
   type RelayedOrder,
 } from './order-message.js';
-import { createRelayRoster, RELAY_COOLDOWN_MS, type RelayPeers } from './relay-roster.js';
+import { createDirectRoutes } from './direct-routes.js';
+import { createRelayRoster, type RelayPeers } from './relay-roster.js';
 import type { EndpointOrders, LinkUsage, OrderTarget } from '../ports.js';
 
 /** The mesh method that asks another entry to relay an order. */
@@ -62,6 +63,13 @@
   readonly refresh: () => void;
 };
 
+/** An order on its way to a relay. */
+type SentOrder = {
+  readonly relay: EntryId;
+  readonly endpointId: EndpointId;
+  readonly sentAtMs: number;
+};
+
 /** The content of an order without the time that it has. */
 type UntimedOrder = Pick<RelayedOrder, 'kind' | 'target' | 'order'>;
 
@@ -103,7 +111,7 @@
 }: RelayedOrdersOptions): RelayedOrders => {
   const isRelayingNeeded = createRelayDecision();
   const roster = createRelayRoster({ peers, log, nowMs });
-  const directUntilMs = new Map<EndpointId, number>();
+  const directRoutes = createDirectRoutes(nowMs);
   const sentSpecs = createSentSpecs();
   let orderCount = 0;
   let isRelaying = false;
@@ -119,15 +127,26 @@
   /** Chooses the relay of an order; undefined if it is sent directly. */
   const relayFor = (target: OrderTarget): EntryId | undefined => {
     orderCount += 1;
-    const isDirect = !isRelaying || nowMs() < (directUntilMs.get(target.endpointId) ?? 0);
+    const isDirect = !isRelaying || directRoutes.takeNext(target.endpointId);
     return isDirect ? undefined : roster.relayOf(target);
   };
 
-  const recordFailure = (relay: EntryId, detail: string): OrderError => {
-    roster.recordFailure(relay);
-    sentSpecs.forget(relay);
+  /**
+   * Records that an order got no answer from its relay. A relay that was heard since the order was sent has not failed:
+   * the answer is late, here or at the endpoint.
+   */
+  const recordFailure = (
+    { relay, endpointId, sentAtMs }: SentOrder,
+    detail: string,
+  ): OrderError => {
+    const isHeard = (peers()?.silentForMs(relay) ?? Infinity) < nowMs() - sentAtMs;
     metrics.count('relay_unanswered');
-    log.info('relay-unanswered', { relay, detail });
+    log.info('relay-unanswered', { relay, detail, isHeard });
+    if (isHeard) directRoutes.recordLoss(endpointId);
+    else {
+      roster.recordFailure(relay);
+      sentSpecs.forget(relay);
+    }
     return { verdict: 'mayHaveRun', reason: 'no-answer', detail: `relay ${relay}: ${detail}` };
   };
 
@@ -159,16 +178,16 @@
     return reply.answer;
   };
 
-  /**
-   * Decodes an answer. An endpoint that the relay could not reach gets its orders directly for `RELAY_COOLDOWN_MS`.
-   */
+  /** Decodes an answer, and records what it shows of the route over the relay. */
   const handleAnswer = (
-    { endpointId }: OrderTarget,
+    endpointId: EndpointId,
     payload: unknown,
   ): Result<ListAnswer, OrderError> => {
     const answer = decodeAnswer(payload);
-    const isLost = answer.isErr() && ['no-answer', 'unreachable'].includes(answer.error.reason);
-    if (isLost) directUntilMs.set(endpointId, nowMs() + RELAY_COOLDOWN_MS);
+    const reason = answer.isErr() ? answer.error.reason : undefined;
+    if (reason === 'no-answer') directRoutes.recordLoss(endpointId);
+    else if (reason === 'unreachable') directRoutes.recordUnreachable(endpointId);
+    else directRoutes.recordAnswer(endpointId);
     return answer;
   };
 
@@ -177,16 +196,20 @@
     content: UntimedOrder,
     times: { readonly timeoutMs: number; readonly waitMs?: number },
   ): Promise<Result<ListAnswer, OrderError>> => {
+    const { endpointId } = content.target;
+    const sent = { relay, endpointId, sentAtMs: nowMs() };
     try {
-      return handleAnswer(content.target, await sendToRelay(relay, content, times));
+      return handleAnswer(endpointId, await sendToRelay(relay, content, times));
     } catch (error) {
-      return Err(recordFailure(relay, String(error)));
+      return Err(recordFailure(sent, String(error)));
     }
   };
 
   const start: EndpointOrders['start'] = async (target, order, timeoutMs) => {
     const relay = relayFor(target);
     if (relay === undefined) return orders.start(target, order, timeoutMs);
+    const { endpointId } = target;
+    const sent = { relay, endpointId, sentAtMs: nowMs() };
     const isNew = sentSpecs.record(relay, parseTaskKey(order.task)?.jobId ?? '');
     const withSpec = (spec: string | null): UntimedOrder => ({
       kind: 'start',
@@ -198,9 +221,9 @@
     try {
       const first = await sendWith(isNew ? order.spec : null);
       const answer = first === SPEC_MISSING ? await sendWith(order.spec) : first;
-      return handleAnswer(target, answer);
+      return handleAnswer(endpointId, answer);
     } catch (error) {
-      return Err(recordFailure(relay, String(error)));
+      return Err(recordFailure(sent, String(error)));
     }
   };
 
@@ -220,7 +243,7 @@
     setPace: orders.setPace,
     release: (target) => {
       roster.unassign(target.endpointId);
-      directUntilMs.delete(target.endpointId);
+      directRoutes.forget(target.endpointId);
       orders.release(target);
     },
   };
