--- a/packages/daemon/src/batch/control/holder-client.ts
+++ b/packages/daemon/src/batch/control/holder-client.ts
@@ -130,7 +130,7 @@
     if (recoveringHolder === entryId) return;
     recoveringHolder = entryId;
     let isReady = false;
-    while (!isReady && isHolderRecovering()) {
+    while (!isReady && recoveringHolder === entryId && isHolderRecovering()) {
       await sleep(READY_CHECK_INTERVAL_MS);
       isReady = (await ask(CONTROL_METHOD.ready, null)) !== false;
     }
