Mesh: what was sent in the turn in which an entry closes its links is written first

Change: closing flushes what is held back. Related paths that were read: a link that is silent is terminated, and what waits for it is meant to be lost; the link of a single question is closed after its answer. Evidence: the test above; `are not lost if the connection is closed in the same turn`.

--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -272,7 +272,10 @@
   };
 
   const close = async (): Promise<void> => {
-    links.forEach(({ socket }) => socket.terminate());
+    links.forEach(({ batch, socket }) => {
+      batch?.flush();
+      socket.terminate();
+    });
     await new Promise<void>((resolve) => {
       server.close(() => resolve());
     });
--- a/packages/mesh/src/write-batch.test.ts
+++ b/packages/mesh/src/write-batch.test.ts
@@ -51,4 +51,14 @@
     const [chunk] = (await once(accepted, 'data')) as [Buffer];
     expect(chunk.toString()).toBe('second');
   });
+
+  it('are not lost if the connection is closed in the same turn', async () => {
+    const batch = createWriteBatch(connection);
+    batch.begin();
+    connection.write('last');
+    batch.flush();
+    connection.destroy();
+    const [chunk] = (await once(accepted, 'data')) as [Buffer];
+    expect(chunk.toString()).toBe('last');
+  });
 });
--- a/packages/mesh/src/write-batch.ts
+++ b/packages/mesh/src/write-batch.ts
@@ -8,6 +8,8 @@
 export type WriteBatch = {
   /** Holds back what is written from now on until the end of this turn of the event loop. */
   readonly begin: () => void;
+  /** Writes what is held back at once, as before the connection is closed. */
+  readonly flush: () => void;
 };
 
 /**
@@ -18,15 +20,20 @@
  */
 export const createWriteBatch = (connection: Pick<Socket, 'cork' | 'uncork'>): WriteBatch => {
   let isOpen = false;
+
+  const flush = (): void => {
+    if (!isOpen) return;
+    isOpen = false;
+    connection.uncork();
+  };
+
   return {
     begin: () => {
       if (isOpen) return;
       isOpen = true;
       connection.cork();
-      setImmediate(() => {
-        isOpen = false;
-        connection.uncork();
-      });
+      setImmediate(flush);
     },
+    flush,
   };
 };
