--- a/packages/mesh/src/write-batch.test.ts
+++ b/packages/mesh/src/write-batch.test.ts
@@ -17,7 +17,8 @@
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     connection = connect((server.address() as AddressInfo).port, '127.0.0.1');
-    [accepted] = (await once(server, 'connection')) as [Socket];
+    const [[socket]] = await Promise.all([once(server, 'connection'), once(connection, 'connect')]);
+    accepted = socket as Socket;
   });
 
   afterEach(async () => {
