--- a/packages/daemon/src/batch/relays/direct-routes.ts
+++ b/packages/daemon/src/batch/relays/direct-routes.ts
@@ -1,8 +1,7 @@
 /**
- * Decides which endpoints get their orders directly although orders are relayed. An endpoint may fail to answer one
- * order in thirty by itself. Only an order that was lost again over the relay, after one that was sent directly, shows
- * that the relay cannot reach the endpoint: if each loss sent all orders directly for a time, the holder would send most
- * of them itself at a peak of demand.
+ * Decides which endpoints get their orders directly although orders are relayed. An endpoint may leave an order
+ * unanswered by itself. Only a second order that is lost over the relay, after one that was sent directly, shows that the
+ * relay cannot reach the endpoint.
  */
 import type { EndpointId } from '@valvelatch/core/shared/ids';
 
--- a/packages/mesh/src/write-batch.ts
+++ b/packages/mesh/src/write-batch.ts
@@ -1,7 +1,4 @@
-/**
- * Writes what is sent over a connection within one turn of the event loop with one system call. A system call for each
- * frame took a fifth of the processor time of an entry that sends 1,800 frames a second.
- */
+/** Writes what is sent over a connection within one turn of the event loop with one system call in place of many. */
 import type { Socket } from 'node:net';
 
 /** The batch of writes of one connection. */
