Logs: what an entry answers to a cancellation, and when and from where the holder applies it

job-cancel: a line for each answer, with what was found and whether the holder has applied it. job-cancel-applied: the holder's line, with source (notice, feed, recovery), age of the row and the job's phase, 'unknown' for a job that it doesn't know. No decision is changed.

Evidence: vitest run packages/daemon/src/batch/jobs packages/daemon/src/batch/control: 222 passed.

--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -486,8 +486,10 @@
     },
     accept: async (row) => (await (term ? acceptHere(row) : holderClient.accept(row))) ?? undefined,
     notifyCancelled: async (jobId, caller) => {
-      if (term) term.cancel(jobId, caller);
-      else await holderClient.ask(CONTROL_METHOD.cancelled, { jobId, caller });
+      const phase = term
+        ? term.cancel(jobId, caller)
+        : await holderClient.ask(CONTROL_METHOD.cancelled, { jobId, caller });
+      return typeof phase === 'string';
     },
   };
 };
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -4,7 +4,6 @@
  */
 import {
   startDueOccurrences,
-  cancelJob,
   countWaitingJobs,
   createAdmissionControl,
   createBatchState,
@@ -40,6 +39,7 @@
 import { startLoops, type RunningLoops } from '../../shared/loops.js';
 import { OPEN_GATE, type StartGate } from '../configuration/start-gate.js';
 import { createAdvisor } from '../endpoints/advisor.js';
+import { createCancellations } from '../jobs/cancellations.js';
 import { createEndedJobs } from '../jobs/ended-jobs.js';
 import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
 import { createFleetCycle, type FleetCycle } from '../hosts/fleet-cycle.js';
@@ -279,11 +279,14 @@
     onFenceLost: () => endAsLost('another holder changed the guard row'),
   });
 
+  const cancellations = createCancellations({ state, ended: endedJobs, log, wallClockMs });
+
   const jobRows = createJobRowReader({
     state,
     table: platform.table,
     versions: saver.versions,
     ended: endedJobs,
+    cancellations,
     configuration,
     isSoleHolder,
     isStopped: () => isStopped,
@@ -559,7 +562,7 @@
       ),
     cancel: (jobId, caller) => {
       if (!isHolder()) return undefined;
-      const phase = endedJobs.findStatus(jobId)?.phase ?? cancelJob(state, jobId, caller);
+      const phase = cancellations.apply({ jobId, caller, source: 'notice' });
       perform();
       return phase;
     },
--- a/packages/daemon/src/batch/jobs/control-client.ts
+++ b/packages/daemon/src/batch/jobs/control-client.ts
@@ -23,6 +23,6 @@
    * after its next successful read.
    */
   readonly notifyAccepted: (row: BatchJobRow, version: number) => void;
-  /** Notifies the holder of a cancellation; resolves when it has answered or the call has timed out. */
-  readonly notifyCancelled: (jobId: JobId, caller: Caller) => Promise<void>;
+  /** Notifies the holder of a cancellation; resolves to true if the holder knows the job and has applied it. */
+  readonly notifyCancelled: (jobId: JobId, caller: Caller) => Promise<boolean>;
 };
--- a/packages/daemon/src/batch/jobs/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -257,27 +257,46 @@
     return found === 'unknown-job' ? refuseUnknownJob(jobId) : { kind: 'status', status: found };
   };
 
-  const cancel: Intake['cancel'] = async (jobId, caller, deadlineMs = DEFAULT_DEADLINE_MS) => {
-    const startedAtMs = nowMs();
-    const found = await findVisibleStatus(jobId, caller);
-    if (found === 'unknown-job') return refuseUnknownJob(jobId);
-    if (found && isFinal(found.phase)) return { kind: 'cancelled' };
-    const written = await submission.writeWithRetries(
+  const writeCancellation = (
+    jobId: JobId,
+    caller: Caller,
+    untilMs: number,
+  ): Promise<RowWriteOutcome> =>
+    submission.writeWithRetries(
       {
         checks: [],
         writes: [{ key: batchKey.cancel(jobId, caller), value: { atMs: Date.now() } }],
       },
-      startedAtMs + deadlineMs * RETRY_SHARE,
+      untilMs,
     );
-    log.info('job-cancel', {
-      job: jobId,
-      account: caller ?? undefined,
-      outcome: written.kind,
-      tookMs: Math.round(nowMs() - startedAtMs),
-    });
+
+  const cancel: Intake['cancel'] = async (jobId, caller, deadlineMs = DEFAULT_DEADLINE_MS) => {
+    const startedAtMs = nowMs();
+    const found = await findVisibleStatus(jobId, caller);
+    const logCancel = (outcome: string, isHolderNotified: boolean): void =>
+      log.info('job-cancel', {
+        job: jobId,
+        account: caller ?? undefined,
+        found: typeof found === 'object' ? found.phase : (found ?? 'unavailable'),
+        outcome,
+        isHolderNotified,
+        tookMs: Math.round(nowMs() - startedAtMs),
+      });
+    if (found === 'unknown-job') {
+      logCancel('unknown-job', false);
+      return refuseUnknownJob(jobId);
+    }
+    if (found && isFinal(found.phase)) {
+      logCancel('ended', false);
+      return { kind: 'cancelled' };
+    }
+    const written = await writeCancellation(jobId, caller, startedAtMs + deadlineMs * RETRY_SHARE);
     const refusal = toRefusal(written);
-    if (refusal) return refusal;
-    await control.notifyCancelled(jobId, caller);
+    if (refusal) {
+      logCancel(written.kind, false);
+      return refusal;
+    }
+    logCancel(written.kind, await control.notifyCancelled(jobId, caller));
     return { kind: 'cancelled' };
   };
 
--- a/packages/daemon/src/batch/jobs/job-owners.test.ts
+++ b/packages/daemon/src/batch/jobs/job-owners.test.ts
@@ -65,7 +65,7 @@
     accept: async () => outcome,
     holderSilentMs: () => 0,
     notifyAccepted: () => undefined,
-    notifyCancelled: async () => undefined,
+    notifyCancelled: async () => true,
     findStatus: async () => byHolder,
   } as Partial<ControlClient> as ControlClient;
   const intake = createIntake({
--- a/packages/daemon/src/batch/jobs/job-row-reader.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.ts
@@ -1,6 +1,5 @@
 /** Reads the rows of jobs: completely at recovery, and their changes afterwards. */
 import {
-  cancelJob,
   restoreJob,
   addJob,
   recordOwnerLimits,
@@ -17,6 +16,7 @@
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
 import type { LiveRow } from './accept-queue.js';
+import type { Cancellations, CancellationSource } from './cancellations.js';
 import type { EndedJobs } from './ended-jobs.js';
 import type { JobSaver } from './job-saver.js';
 import { parseJobKey } from '../keys.js';
@@ -27,6 +27,7 @@
   readonly table: Pick<BatchTable, 'feed'>;
   readonly versions: JobSaver['versions'];
   readonly ended: EndedJobs;
+  readonly cancellations: Cancellations;
   /** The queues of the configuration in force; undefined before one is known. */
   readonly configuration: () => QueueIndex | undefined;
   /** True while no other entry can have become the control holder: see `TermOptions`. */
@@ -89,6 +90,10 @@
     (steps) => isObject(steps) && Object.values(steps).every((step) => isObject(step)),
   );
 
+/** When a cancellation row was written, in wall clock milliseconds; undefined if it does not say so. */
+const findWriteTime = (value: unknown): number | undefined =>
+  isObject(value) && typeof value.atMs === 'number' ? value.atMs : undefined;
+
 /** Of several versions of a row keeps the one read last; deleted rows are left out. */
 const findLatestRows = (rows: readonly TableRow[]): readonly TableRow[] =>
   Array.from(new Map(rows.map((row) => [row.key, row])).values()).filter(
@@ -109,6 +114,7 @@
   table,
   versions,
   ended,
+  cancellations,
   configuration,
   isSoleHolder,
   isStopped,
@@ -180,6 +186,7 @@
   /** Records ended jobs, passes live ones to `applyLiveRow`, and applies cancellations after both. */
   const applyRows = (
     rows: readonly TableRow[],
+    source: CancellationSource,
     applyLiveRow: (row: LiveRow, version: number) => void,
   ): void => {
     rows.forEach(({ key, value, version }) => {
@@ -195,8 +202,10 @@
     });
     rows.forEach(({ key, value }) => {
       const parsed = parseJobKey(key);
-      if (parsed.isCancel && value !== null)
-        cancelJob(state, parsed.jobId as JobId, parsed.cancelledBy);
+      if (!parsed.isCancel || value === null) return;
+      const jobId = parsed.jobId as JobId;
+      const writtenAtMs = findWriteTime(value);
+      cancellations.apply({ jobId, caller: parsed.cancelledBy, source, writtenAtMs });
     });
   };
 
@@ -218,7 +227,9 @@
         progressRows.map((row) => [row.key.slice(PROGRESS_PREFIX.length), row]),
       );
       const rows = findLatestRows(readings.flatMap(({ jobs }) => jobs));
-      applyRows(rows, (row, version) => restoreRow(row, version, progressByJob.get(row.job.jobId)));
+      applyRows(rows, 'recovery', (row, version) =>
+        restoreRow(row, version, progressByJob.get(row.job.jobId)),
+      );
     },
     addAcceptedJob,
     applyChanges: async () => {
@@ -232,7 +243,7 @@
       unapplied = [...unapplied, ...rows.value];
       // A late answer may contain a job that the next holder has accepted and started.
       if (unapplied.length === 0 || !isSoleHolder()) return;
-      applyRows(unapplied, addAcceptedJob);
+      applyRows(unapplied, 'feed', addAcceptedJob);
       unapplied = [];
       requestScheduling();
     },
