Known red: cancellations that were acknowledged and whose tasks start

The simulated fleet's submit and cancel committed rows themselves, so the entries' intake, its 410 and its notices were in no test of the whole. Entries have their intake now (sim-fleet.fixtures), calls between entries can be lost by method, and the tests cancel and submit through it.

Green: both rows in one read, and a cancellation that the holder reads from its feed.

--- /dev/null
+++ b/packages/daemon/src/batch/jobs/acknowledged-cancellations.test.ts
@@ -0,0 +1,187 @@
+/** Cancellations that an entry has acknowledged: in whichever order their rows and notices arrive, no task starts later. */
+import type { JobId } from '@valvelatch/core/shared/ids';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+import type { SimEntry, SimFleet } from '../testing/sim-fleet.fixtures.js';
+import {
+  advanceTime,
+  createStartedFleet,
+  FAKED_TIMERS,
+  phaseOf,
+  requireHolder,
+} from '../testing/virtual-time.fixtures.js';
+import { CONTROL_METHOD } from '../control/holder-client.js';
+import { batchKey } from '../keys.js';
+
+/** The last task of a job may start this long after its cancellation was acknowledged. */
+const CANCEL_MS = 3000;
+const RUN_MS = 300;
+
+const createFleet = () => createStartedFleet({ accounts: [] });
+
+const listStartsAfter = (fleet: SimFleet, jobId: JobId, atMs: number): readonly string[] =>
+  fleet.startsSent
+    .filter((start) => start.task.startsWith(jobId) && start.atMs > atMs)
+    .map(({ task, atMs: sentAtMs }) => `${task} ${Math.round(sentAtMs - atMs)} ms`);
+
+/** Returns an entry that does not hold control. */
+const requireOther = (fleet: SimFleet): SimEntry => {
+  const other = fleet.entries.find(({ control }) => control.term() === undefined);
+  if (!other) throw new Error('all entries hold control');
+  return other;
+};
+
+const settle = async <Value>(pending: Promise<Value>): Promise<Value> => {
+  await advanceTime(50);
+  return pending;
+};
+
+describe('an acknowledged cancellation', () => {
+  beforeEach(() => {
+    vi.useFakeTimers({ toFake: [...FAKED_TIMERS] });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  describe('of a job that nobody knows yet', () => {
+    it('keeps a submission that arrives later from starting a task', async () => {
+      const fleet = await createFleet();
+      const { job, queue } = fleet.prepareJob({
+        pool: 'alpha',
+        steps: [{ taskCount: 2 }],
+        runMs: RUN_MS,
+      });
+      const cancelled = await settle(requireOther(fleet).intake.cancel(job.jobId, null));
+      expect(cancelled).toMatchObject({ kind: 'refused', status: 410 });
+      const acknowledgedAtMs = performance.now();
+      await settle(requireHolder(fleet).intake.submit(queue, job));
+      await advanceTime(CANCEL_MS * 2);
+      expect(listStartsAfter(fleet, job.jobId, acknowledgedAtMs)).toEqual([]);
+    });
+
+    it('keeps a write from starting a task that the table carries out seconds later', async () => {
+      const fleet = await createFleet();
+      const entry = requireOther(fleet);
+      const { job, queue } = fleet.prepareJob({
+        pool: 'alpha',
+        steps: [{ taskCount: 2 }],
+        runMs: RUN_MS,
+      });
+      const row = { kind: 'live' as const, job, policy: queue.policy };
+      setTimeout(() => {
+        const key = batchKey.job(job.jobId);
+        fleet.commit({ checks: [{ key, version: 0 }], writes: [{ key, value: row }] });
+      }, CANCEL_MS + 1000);
+      await settle(entry.intake.cancel(job.jobId, null));
+      const acknowledgedAtMs = performance.now();
+      await advanceTime(CANCEL_MS * 3);
+      expect(listStartsAfter(fleet, job.jobId, acknowledgedAtMs)).toEqual([]);
+    });
+  });
+
+  describe('whose row is older than the row of its job', () => {
+    it.each([0, 100, 600, 2000])('is obeyed if it is %i ms older', async (olderMs) => {
+      const fleet = await createFleet();
+      const { job, queue } = fleet.prepareJob({
+        pool: 'alpha',
+        steps: [{ taskCount: 2 }],
+        runMs: RUN_MS,
+      });
+      const row = { kind: 'live' as const, job, policy: queue.policy };
+      fleet.cancel(job.jobId);
+      await advanceTime(olderMs);
+      fleet.commit({ checks: [], writes: [{ key: batchKey.job(job.jobId), value: row }] });
+      await advanceTime(CANCEL_MS);
+      expect(listStartsAfter(fleet, job.jobId, 0)).toEqual([]);
+      expect(phaseOf(fleet, job.jobId)).toBe('cancelled');
+    });
+
+    it('is obeyed if the holder hears of it by a notice', async () => {
+      const fleet = await createFleet();
+      const { job, queue } = fleet.prepareJob({
+        pool: 'alpha',
+        steps: [{ taskCount: 2 }],
+        runMs: RUN_MS,
+      });
+      const row = { kind: 'live' as const, job, policy: queue.policy };
+      await settle(requireOther(fleet).control.notifyCancelled(job.jobId, null));
+      fleet.commit({ checks: [], writes: [{ key: batchKey.job(job.jobId), value: row }] });
+      await advanceTime(CANCEL_MS);
+      expect(listStartsAfter(fleet, job.jobId, 0)).toEqual([]);
+      expect(phaseOf(fleet, job.jobId)).toBe('cancelled');
+    });
+  });
+
+  describe('of a job with an order that its endpoint has not answered', () => {
+    it('keeps the order from being sent again', async () => {
+      const fleet = await createFleet();
+      const jobId = fleet.submit({ pool: 'alpha', steps: [{ taskCount: 6 }], runMs: 30_000 });
+      fleet.faults.lateOrders = 1;
+      while (listStartsAfter(fleet, jobId, 0).length < 6) await advanceTime(5);
+      requireHolder(fleet).control.term()?.cancel(jobId, null);
+      const cancelledAtMs = performance.now();
+      await advanceTime(CANCEL_MS);
+      expect(listStartsAfter(fleet, jobId, cancelledAtMs)).toEqual([]);
+    });
+  });
+
+  describe('that the holder was not told', () => {
+    /** Submits a job that waits, as its pool is full for longer than the bound, and cancels it without a notice. */
+    const cancelUnnoticed = async () => {
+      const fleet = await createFleet();
+      fleet.submit({
+        pool: 'alpha',
+        steps: [{ taskCount: 3, cpuMillis: 8000 }],
+        runMs: CANCEL_MS * 2,
+      });
+      await advanceTime(800);
+      const entry = requireOther(fleet);
+      const { job, queue } = fleet.prepareJob({
+        pool: 'alpha',
+        steps: [{ taskCount: 2, cpuMillis: 8000 }],
+        runMs: RUN_MS,
+      });
+      expect(await settle(entry.intake.submit(queue, job))).toEqual({ kind: 'accepted' });
+      fleet.faults.lostMeshCalls.add(CONTROL_METHOD.cancelled);
+      const pending = entry.intake.cancel(job.jobId, null);
+      await advanceTime(700);
+      expect(await pending).toEqual({ kind: 'cancelled' });
+      return { fleet, entry, jobId: job.jobId };
+    };
+
+    it('is obeyed by the holder through its feed', async () => {
+      const { fleet, jobId } = await cancelUnnoticed();
+      await advanceTime(CANCEL_MS * 4);
+      expect(listStartsAfter(fleet, jobId, 0)).toEqual([]);
+      expect(phaseOf(fleet, jobId)).toBe('cancelled');
+    });
+
+    it('is repeated until the holder has heard it, whose feed gives nothing', async () => {
+      const fleet = await createFleet();
+      fleet.submit({
+        pool: 'alpha',
+        steps: [{ taskCount: 3, cpuMillis: 8000 }],
+        runMs: CANCEL_MS * 2,
+      });
+      await advanceTime(800);
+      const entry = requireOther(fleet);
+      const { job, queue } = fleet.prepareJob({
+        pool: 'alpha',
+        steps: [{ taskCount: 2, cpuMillis: 8000 }],
+        runMs: RUN_MS,
+      });
+      expect(await settle(entry.intake.submit(queue, job))).toEqual({ kind: 'accepted' });
+      Object.assign(requireHolder(fleet), { feedMs: CANCEL_MS * 4 });
+      fleet.faults.lostMeshCalls.add(CONTROL_METHOD.cancelled);
+      const pending = entry.intake.cancel(job.jobId, null);
+      await advanceTime(700);
+      expect(await pending).toEqual({ kind: 'cancelled' });
+      const acknowledgedAtMs = performance.now();
+      fleet.faults.lostMeshCalls.delete(CONTROL_METHOD.cancelled);
+      await advanceTime(CANCEL_MS * 4);
+      expect(listStartsAfter(fleet, job.jobId, acknowledgedAtMs + CANCEL_MS)).toEqual([]);
+    });
+  });
+});
--- a/packages/daemon/src/batch/testing/sim-environment.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-environment.fixtures.ts
@@ -115,6 +115,8 @@
   isTableDown: boolean;
   /** The share of calls to the platform's services whose answer is lost; half of them are also carried out late. */
   lostWrites: number;
+  /** The methods of calls between entries that never arrive. */
+  readonly lostMeshCalls: Set<string>;
   /** How long a host is down after its endpoint has crashed. */
   crashMs: number;
   /** How long an order to a host is in flight. */
@@ -203,6 +205,7 @@
       isTableDown = isDown;
     },
     lostWrites: 0,
+    lostMeshCalls: new Set(),
     crashMs: CRASH_MS,
     hostOrderMs: 0,
     answerMs: 0,
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -11,6 +11,7 @@
   type BatchJobRow,
   type Capacity,
   type ClientAccount,
+  type DeclaredQueue,
   type SimulatedEndpoint,
   type ListedHost,
   type PlacementPolicy,
@@ -30,6 +31,8 @@
   type JobId,
   type PoolName,
 } from '@valvelatch/core/shared/ids';
+import type { TableTransaction } from '@valvelatch/platform';
+import { createGroupCommit } from '@valvelatch/platform/group-commit';
 
 import type { Log } from '../../observe/log.js';
 import { createMetrics } from '../../observe/metrics.js';
@@ -42,6 +45,7 @@
 import { createEvacuationTracker } from '../configuration/evacuation-tracker.js';
 import { createStartGate } from '../configuration/start-gate.js';
 import { createControl, type Control } from '../control/control.js';
+import { createIntake, type Intake } from '../jobs/intake.js';
 import { batchKey } from '../keys.js';
 import type { Peers } from '../entry/peers.js';
 import { createRelayedTable, type TableCall, type RelayedTable } from '../relays/relayed-table.js';
@@ -88,6 +92,8 @@
   configuration: QueueIndex;
   readonly entryId: EntryId;
   readonly control: Control;
+  /** Handles the requests of clients that reach this entry. */
+  readonly intake: Intake;
   readonly table: RelayedTable;
   /** Follows the operator's rows for evacuations only; the configuration comes from the fleet. */
   readonly operatorRows: ConfigurationSync;
@@ -144,6 +150,27 @@
 const maximaOf = (accounts: readonly ClientAccount[]): ReadonlyMap<AccountName, Capacity> =>
   new Map(accounts.map(({ name, maximum }) => [name, maximum]));
 
+/** What a simulated job consists of, and how its tasks behave. */
+export type SimJobOptions = {
+  readonly pool: string;
+  readonly steps: readonly Partial<StepSpec>[];
+  readonly runMs?: number;
+  /** How long a long-running task takes to become ready. */
+  readonly startMs?: number;
+  readonly fails?: boolean;
+  /** The first task of the first step crashes each endpoint that starts it, this long after the start. */
+  readonly crashesAfterMs?: number;
+  /** True if only endpoints with an even number may run it, and only with a ticket of the advice service. */
+  readonly needsAdvice?: boolean;
+  /** The length of the job's spec, which is sent with each start. */
+  readonly specBytes?: number;
+  /** The account that owns the job; the accounts take turns if left out. */
+  readonly account?: AccountName;
+};
+
+/** A job that a client can submit at an entry, and the queue for it. */
+export type SimJob = { readonly job: BatchJob; readonly queue: DeclaredQueue };
+
 export type SimFleet = {
   readonly entries: SimEntry[];
   readonly endpoints: Map<InstanceId, SimulatedEndpoint>;
@@ -153,22 +180,13 @@
   readonly loggedEvents: { readonly event: string; readonly fields: object }[];
   readonly addEntry: (name: string, cores?: number) => SimEntry;
   readonly kill: (entry: SimEntry) => void;
-  readonly submit: (options: {
-    readonly pool: string;
-    readonly steps: readonly Partial<StepSpec>[];
-    readonly runMs?: number;
-    /** How long a long-running task takes to become ready. */
-    readonly startMs?: number;
-    readonly fails?: boolean;
-    /** The first task of the first step crashes each endpoint that starts it, this long after the start. */
-    readonly crashesAfterMs?: number;
-    /** True if only endpoints with an even number may run it, and only with a ticket of the advice service. */
-    readonly needsAdvice?: boolean;
-    /** The length of the job's spec, which is sent with each start. */
-    readonly specBytes?: number;
-    /** The account that owns the job; the accounts take turns if left out. */
-    readonly account?: AccountName;
-  }) => JobId;
+  /** Creates a job that no client has submitted yet, and the queue for it. */
+  readonly prepareJob: (options: SimJobOptions) => SimJob;
+  /** Commits a transaction, past the entries. */
+  readonly commit: (transaction: TableTransaction) => void;
+  /** Commits the row of a job, past the entries. */
+  readonly submit: (options: SimJobOptions) => JobId;
+  /** Commits the cancellation row of a job, past the entries. */
   readonly cancel: (jobId: JobId) => void;
   /** Replaces the configuration's accounts; each entry applies the change within `APPLIED_WITHIN_MS`. */
   readonly declareAccounts: (accounts: readonly ClientAccount[]) => void;
@@ -288,7 +306,7 @@
       await awake();
       await sleep(1);
       const other = entries.find((one) => one.entryId === entryId);
-      if (!other || isCut(other)) return neverSettle();
+      if (!other || isCut(other) || faults.lostMeshCalls.has(method)) return neverSettle();
       const answer = await other.control.handleCall(method, payload);
       await sleep(1);
       await awake();
@@ -302,6 +320,10 @@
         ]),
       has: (entryId) => entries.some((other) => other.entryId === entryId),
       ensureLink: () => undefined,
+      silentForMs: (entryId) => {
+        const other = entries.find((one) => one.entryId === entryId);
+        return !other || other.isFrozen || other.isSilent || entry.isSilent ? Infinity : 0;
+      },
     } as Partial<Peers> as Peers;
   };
 
@@ -459,6 +481,14 @@
     registeredStrengths.set(entry.entryId, cores);
     startedAtMs.set(entry, performance.now());
     entry.control = control;
+    entry.intake = createIntake({
+      table: relayed,
+      groupCommit: createGroupCommit({ table: relayed }),
+      control,
+      log,
+      metrics,
+      random,
+    });
     const runControl = async (): Promise<void> => {
       while (!entry.isDead) {
         await control.tick();
@@ -490,6 +520,42 @@
   /** The strength that each entry registered; entries that were killed stay registered. */
   const registeredStrengths = new Map<EntryId, number>();
 
+  const prepareJob = ({
+    pool,
+    steps,
+    runMs = 300,
+    startMs = LONG_RUNNING_START_MS,
+    fails = false,
+    needsAdvice = false,
+    specBytes = 0,
+    crashesAfterMs,
+    account,
+  }: SimJobOptions): SimJob => {
+    jobCount += 1;
+    const declared = newestConfiguration.configuration.accounts;
+    const owner =
+      account === undefined
+        ? declared[jobCount % Math.max(1, declared.length)]
+        : declared.find(({ name }) => name === account);
+    const jobId = brand<JobId>(jobCount.toString(16).padStart(16, '0'));
+    const job: BatchJob = {
+      jobId,
+      queue: brand(queueNameOf(pool, needsAdvice)),
+      pool: brand(pool),
+      spec: 'x'.repeat(specBytes),
+      steps: steps.map((step) => ({ ...DEFAULT_STEP, ...step })),
+      repeats: 0,
+      firstDueAtMs: 0,
+      intervalMs: 0,
+      acceptedAtMs: Date.now(),
+      ...ownerOf(owner),
+    };
+    jobs.set(jobId, { job, runMs, startMs, fails, needsAdvice, crashesAfterMs });
+    const queue = newestConfiguration.byName.get(job.queue);
+    if (!queue) throw new Error(`no queue is named ${job.queue}`);
+    return { job, queue };
+  };
+
   return {
     entries,
     endpoints,
@@ -507,40 +573,13 @@
       void entry.control.term()?.stop();
       entries.splice(entries.indexOf(entry), 1);
     },
-    submit: ({
-      pool,
-      steps,
-      runMs = 300,
-      startMs = LONG_RUNNING_START_MS,
-      fails = false,
-      needsAdvice = false,
-      specBytes = 0,
-      crashesAfterMs,
-      account,
-    }) => {
-      jobCount += 1;
-      const declared = newestConfiguration.configuration.accounts;
-      const owner =
-        account === undefined
-          ? declared[jobCount % Math.max(1, declared.length)]
-          : declared.find(({ name }) => name === account);
-      const jobId = brand<JobId>(jobCount.toString(16).padStart(16, '0'));
-      const job: BatchJob = {
-        jobId,
-        queue: brand(queueNameOf(pool, needsAdvice)),
-        pool: brand(pool),
-        spec: 'x'.repeat(specBytes),
-        steps: steps.map((step) => ({ ...DEFAULT_STEP, ...step })),
-        repeats: 0,
-        firstDueAtMs: 0,
-        intervalMs: 0,
-        acceptedAtMs: Date.now(),
-        ...ownerOf(owner),
-      };
-      jobs.set(jobId, { job, runMs, startMs, fails, needsAdvice, crashesAfterMs });
+    prepareJob,
+    commit,
+    submit: (options) => {
+      const { job } = prepareJob(options);
       const row: BatchJobRow = { kind: 'live', job, policy: SIM_QUEUE_POLICY };
-      commit({ checks: [], writes: [{ key: batchKey.job(jobId), value: row }] });
-      return jobId;
+      commit({ checks: [], writes: [{ key: batchKey.job(job.jobId), value: row }] });
+      return job.jobId;
     },
     cancel: (jobId) => {
       const by = jobs.get(jobId)?.job.owner?.account ?? null;
