A cancellation of a job that nobody knows bars its submissions

What callers saw: DELETE was answered 410 while the job's own submission was still under way: in the holder's queue, in a group commit, in the client's next attempt, or in a write that the table carries out seconds later.

And if neither the holder nor the table answered the look-up, a cancellation row was written without knowing whether it would be older than its job's row.

Change: a cancellation of a job without a row writes the job's own row as ended (isUnsubmitted), on the condition that there is no row. Every submission has that condition too, so the table decides which of the two comes first, whatever is read late; submissions cost no further check. If the job's row is there already, the cancellation row is written as before, and is newer than the job's row. The 410 is given once the row is committed; without that, 503 or 504. A submission that meets the row is refused with 410 job-cancelled, notRun; a query gets 410. A submission whose id exists and whose status can't be read is now answered 504 mayHaveRun with and without an account, since it may be barred.

--- a/packages/core/src/verdict/verdict.ts
+++ b/packages/core/src/verdict/verdict.ts
@@ -36,6 +36,7 @@
   | 'unknown-key'
   | 'configuration-doubtful'
   | 'job-id-taken'
+  | 'job-cancelled'
   | 'beyond-quota'
   | 'store-unavailable'
   | 'outcome-unknown';
@@ -77,6 +78,7 @@
   'unknown-key': 401,
   'configuration-doubtful': 503,
   'job-id-taken': 400,
+  'job-cancelled': 410,
   'beyond-quota': 429,
   'store-unavailable': 503,
   'outcome-unknown': 504,
--- a/packages/daemon/src/batch/jobs/acknowledged-cancellations.test.ts
+++ b/packages/daemon/src/batch/jobs/acknowledged-cancellations.test.ts
@@ -61,6 +61,37 @@
       expect(listStartsAfter(fleet, job.jobId, acknowledgedAtMs)).toEqual([]);
     });
 
+    it('is told to whoever asks, submits or cancels afterwards, without another row', async () => {
+      const fleet = await createFleet();
+      const { intake } = requireOther(fleet);
+      const { job, queue } = fleet.prepareJob({ pool: 'alpha', steps: [{ taskCount: 2 }] });
+      await settle(intake.cancel(job.jobId, null));
+      const row = fleet.findJobRow(job.jobId);
+      expect(await settle(intake.submit(queue, job))).toMatchObject({
+        reason: 'job-cancelled',
+        verdict: 'notRun',
+        status: 410,
+      });
+      expect(await settle(intake.status(job.jobId, null))).toMatchObject({ status: 410 });
+      expect(await settle(intake.cancel(job.jobId, null))).toMatchObject({ status: 410 });
+      expect(fleet.findJobRow(job.jobId)).toBe(row);
+    });
+
+    it('is not acknowledged while it cannot be written', async () => {
+      const fleet = await createFleet();
+      const { job, queue } = fleet.prepareJob({ pool: 'alpha', steps: [{ taskCount: 2 }] });
+      fleet.faults.isTableDown = true;
+      await advanceTime(3000);
+      const pending = requireOther(fleet).intake.cancel(job.jobId, null);
+      await advanceTime(CANCEL_MS);
+      expect(await pending).toMatchObject({ reason: 'outcome-unknown', verdict: 'mayHaveRun' });
+      fleet.faults.isTableDown = false;
+      await advanceTime(CANCEL_MS);
+      const submission = requireOther(fleet).intake.submit(queue, job);
+      await advanceTime(CANCEL_MS);
+      expect(await submission).toEqual({ kind: 'accepted' });
+    });
+
     it('keeps a write from starting a task that the table carries out seconds later', async () => {
       const fleet = await createFleet();
       const entry = requireOther(fleet);
--- a/packages/daemon/src/batch/jobs/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -4,6 +4,7 @@
  * job was not run only if no attempt to write it can still take effect.
  */
 import {
+  buildUnsubmittedRow,
   CANCELLED_REASON,
   chooseRetryAfterS,
   validateJob,
@@ -116,6 +117,19 @@
   retryAfterS,
 });
 
+/** A client's request to cancel a job, and what was found of the job. */
+type CancelRequest = {
+  readonly jobId: JobId;
+  readonly caller: Caller;
+  /** Undefined if neither the holder nor the table answered. */
+  readonly found: JobStatus | 'unknown-job' | undefined;
+  /** Until when writes without an answer are retried, on the monotonic clock, in milliseconds. */
+  readonly untilMs: number;
+};
+
+const refuseCancelledJob = (jobId: JobId): IntakeAnswer =>
+  createRefusal('notRun', 'job-cancelled', `the job ${jobId} was cancelled before its submission`);
+
 const refuseUnknownJob = (jobId: JobId): IntakeAnswer =>
   createRefusal('notRun', 'unknown-job', `no job named ${jobId} was accepted`);
 
@@ -198,7 +212,8 @@
     // The row of a job that cannot be read says that the job is known, and nothing about it.
     if (row.kind !== 'ended' && row.kind !== 'live') return undefined;
     if (row.kind === 'ended') {
-      return { phase: row.phase, reason: row.reason, account: row.account };
+      const { phase, reason, account, isUnsubmitted } = row;
+      return { phase, reason, account, isUnsubmitted };
     }
     const account = row.job.owner?.account;
     const isCancelled = valueOf(batchKey.cancel(jobId, caller)) !== null;
@@ -215,7 +230,8 @@
     const known = statusCache.get(jobId);
     if (known) return known;
     const found = (await control.findStatus(jobId)) ?? (await readStatus(jobId, caller));
-    if (found && found !== 'unknown-job' && isFinal(found.phase)) {
+    // An unsubmitted job is not cached: its id may be submitted again once the row has been deleted.
+    if (found && found !== 'unknown-job' && isFinal(found.phase) && !found.isUnsubmitted) {
       statusCache.set(jobId, found);
       const [oldest] = statusCache.keys();
       if (statusCache.size > MAX_CACHED && oldest !== undefined) statusCache.delete(oldest);
@@ -223,24 +239,21 @@
     return found;
   };
 
-  /** Finds the status that a caller may see: a job of another account is reported as unknown. */
-  const findVisibleStatus: typeof findStatus = async (jobId, caller) => {
-    const found = await findStatus(jobId, caller);
-    const isHidden = found && found !== 'unknown-job' && !maySee(found.account, caller);
-    return isHidden ? 'unknown-job' : found;
-  };
+  const isHiddenFrom = (found: JobStatus | 'unknown-job' | undefined, caller: Caller): boolean =>
+    found !== undefined && found !== 'unknown-job' && !maySee(found.account, caller);
 
   /** Answers a submission whose job id already exists: it is the same job, unless the job belongs to another account. */
   const answerExistingJob = async ({ jobId, owner }: BatchJob): Promise<IntakeAnswer> => {
     const caller = owner?.account ?? null;
     const found = await findStatus(jobId, caller);
-    if (found === undefined && owner) {
-      const detail = 'a job of this id is there, and whose it is cannot be read now';
+    if (found === undefined) {
+      const detail = 'a job of this id exists, and its status cannot be read now';
       return createRefusal('mayHaveRun', 'outcome-unknown', detail, retryAfterS());
     }
-    const belongsToOther = found && found !== 'unknown-job' && !maySee(found.account, caller);
-    if (!belongsToOther) return { kind: 'accepted' };
-    return createRefusal('notRun', 'job-id-taken', 'this id cannot be used for a job');
+    if (isHiddenFrom(found, caller))
+      return createRefusal('notRun', 'job-id-taken', 'this id cannot be used for a job');
+    if (found !== 'unknown-job' && found.isUnsubmitted) return refuseCancelledJob(jobId);
+    return { kind: 'accepted' };
   };
 
   const refuseUnavailable = (): IntakeAnswer =>
@@ -252,9 +265,11 @@
     );
 
   const status: Intake['status'] = async (jobId, caller) => {
-    const found = await findVisibleStatus(jobId, caller);
+    const found = await findStatus(jobId, caller);
     if (found === undefined) return refuseUnavailable();
-    return found === 'unknown-job' ? refuseUnknownJob(jobId) : { kind: 'status', status: found };
+    const isUnknown = found === 'unknown-job' || found.isUnsubmitted;
+    if (isUnknown || isHiddenFrom(found, caller)) return refuseUnknownJob(jobId);
+    return { kind: 'status', status: found };
   };
 
   const writeCancellation = (
@@ -270,36 +285,68 @@
       untilMs,
     );
 
-  const cancel: Intake['cancel'] = async (jobId, caller, deadlineMs = DEFAULT_DEADLINE_MS) => {
-    const startedAtMs = nowMs();
-    const found = await findVisibleStatus(jobId, caller);
-    const logCancel = (outcome: string, isHolderNotified: boolean): void =>
-      log.info('job-cancel', {
-        job: jobId,
-        account: caller ?? undefined,
-        found: typeof found === 'object' ? found.phase : (found ?? 'unavailable'),
-        outcome,
-        isHolderNotified,
-        tookMs: Math.round(nowMs() - startedAtMs),
-      });
-    if (found === 'unknown-job') {
-      logCancel('unknown-job', false);
+  /** Cancels a job that has no row: none of its submissions, also of those under way, takes effect any more. */
+  const writeUnsubmitted = (
+    jobId: JobId,
+    caller: Caller,
+    untilMs: number,
+  ): Promise<RowWriteOutcome> => {
+    const key = batchKey.job(jobId);
+    return submission.writeWithRetries(
+      {
+        checks: [{ key, version: 0 }],
+        writes: [{ key, value: buildUnsubmittedRow(caller, Date.now()) }],
+      },
+      untilMs,
+    );
+  };
+
+  /** Answers a cancellation once it can no longer be overtaken by a submission. */
+  const cancelFound = async (
+    { jobId, caller, found, untilMs }: CancelRequest,
+    logCancel: (outcome: string, isHolderNotified?: boolean) => void,
+  ): Promise<IntakeAnswer> => {
+    if (isHiddenFrom(found, caller)) {
+      logCancel('unknown-job');
       return refuseUnknownJob(jobId);
     }
-    if (found && isFinal(found.phase)) {
-      logCancel('ended', false);
-      return { kind: 'cancelled' };
+    if (found !== undefined && found !== 'unknown-job' && isFinal(found.phase)) {
+      logCancel('ended');
+      return found.isUnsubmitted ? refuseUnknownJob(jobId) : { kind: 'cancelled' };
     }
-    const written = await writeCancellation(jobId, caller, startedAtMs + deadlineMs * RETRY_SHARE);
+    if (found === undefined || found === 'unknown-job') {
+      const barred = await writeUnsubmitted(jobId, caller, untilMs);
+      if (barred.kind !== 'conflict') {
+        logCancel(barred.kind === 'committed' ? 'unknown-job' : barred.kind);
+        return toRefusal(barred) ?? refuseUnknownJob(jobId);
+      }
+    }
+    const written = await writeCancellation(jobId, caller, untilMs);
     const refusal = toRefusal(written);
     if (refusal) {
-      logCancel(written.kind, false);
+      logCancel(written.kind);
       return refusal;
     }
     logCancel(written.kind, await control.notifyCancelled(jobId, caller));
     return { kind: 'cancelled' };
   };
 
+  const cancel: Intake['cancel'] = async (jobId, caller, deadlineMs = DEFAULT_DEADLINE_MS) => {
+    const startedAtMs = nowMs();
+    const found = await findStatus(jobId, caller);
+    const request = { jobId, caller, found, untilMs: startedAtMs + deadlineMs * RETRY_SHARE };
+    return cancelFound(request, (outcome, isHolderNotified = false) =>
+      log.info('job-cancel', {
+        job: jobId,
+        account: caller ?? undefined,
+        found: typeof found === 'object' ? found.phase : (found ?? 'unavailable'),
+        outcome,
+        isHolderNotified,
+        tookMs: Math.round(nowMs() - startedAtMs),
+      }),
+    );
+  };
+
   const waiting: Intake['waiting'] = async (queue) => {
     const count = await control.countWaiting(queue.name);
     return count === undefined ? refuseUnavailable() : { kind: 'waiting', count };
