A holder keeps a cancellation that comes before its job

What callers saw: a cancellation was stored and acknowledged, and the job ran to its end all the same.

The same rows were obeyed or not by the order in which they were heard: a new holder, which reads all of them, obeyed; the one that read them one by one did not. A notice could also come before the late answer to the job's own commit.

Evidence, npx vitest run acknowledged-cancellations before: with the cancellation's row 100, 600 or 2,000 ms older than the job's, and with a notice before the job, both tasks start and the job completes. Now: no start, phase cancelled. With both rows in one read it held before.

Change: cancellations without a job are kept (20,000 at most) and applied as the job is added. After 1.5 times the time for which ended jobs can be queried they are forgotten and their rows deleted, which were left in the table for ever until now.

Related paths read: restore (rows of cancellations after those of jobs, unchanged), addAcceptedJob from the feed, from a notice and from the holder's own commit (all three pass the same function), ended jobs (their cancellations are not kept), another account's cancellation (kept without effect, swept).

--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -279,7 +279,21 @@
     onFenceLost: () => endAsLost('another holder changed the guard row'),
   });
 
-  const cancellations = createCancellations({ state, ended: endedJobs, log, wallClockMs });
+  const cancellations = createCancellations({
+    state,
+    ended: endedJobs,
+    table: platform.table,
+    guard: () => guard,
+    log,
+    answerableMs: () => platform.bounds().answerableMs,
+    nowMs,
+    wallClockMs,
+  });
+
+  const deleteExpiredRows = async (): Promise<void> => {
+    await endedJobs.deleteExpiredRows();
+    await cancellations.deleteExpiredRows();
+  };
 
   const jobRows = createJobRowReader({
     state,
@@ -509,7 +523,7 @@
         { name: 'jobs', pauseMs: JOB_FEED_MS, run: jobRows.applyChanges },
         { name: 'fleet', pauseMs: fleet.intervalMs, run: fleet.run },
         { name: 'waves', pauseMs: fleet.intervalMs, run: fleet.syncWaves },
-        { name: 'sweep', pauseMs: SWEEP_INTERVAL_MS, run: endedJobs.deleteExpiredRows },
+        { name: 'sweep', pauseMs: SWEEP_INTERVAL_MS, run: deleteExpiredRows },
         { name: 'load', pauseMs: LOAD_LOG_INTERVAL_MS, run: async () => reportLoad() },
         { name: 'domains', pauseMs: LOAD_LOG_INTERVAL_MS, run: async () => domainGauges.update() },
         { name: 'learned', pauseMs: DEMAND_HISTORY_SAVE_INTERVAL_MS, run: demandHistory.save },
--- a/packages/daemon/src/batch/jobs/job-row-reader.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.ts
@@ -27,7 +27,7 @@
   readonly table: Pick<BatchTable, 'feed'>;
   readonly versions: JobSaver['versions'];
   readonly ended: EndedJobs;
-  readonly cancellations: Cancellations;
+  readonly cancellations: Pick<Cancellations, 'apply' | 'applyEarlier'>;
   /** The queues of the configuration in force; undefined before one is known. */
   readonly configuration: () => QueueIndex | undefined;
   /** True while no other entry can have become the control holder: see `TermOptions`. */
@@ -141,6 +141,7 @@
       nowMs: nowMs(),
       wallClockMs: wallClockMs(),
     });
+    cancellations.applyEarlier(job.jobId);
     requestScheduling();
   };
 
