An order to start is sent, and repeated, only while its run is wanted

Cause: sendStart repeated an unanswered order after asking whether this entry may start tasks (lease, evacuation, last response), not whether this run is still to be started. Before the first order it asked whether the run had been given up, but not whether it was being stopped meanwhile. A stop between the two doesn't help: an endpoint rejects a stop of a run that isn't there.

Change: a run that is gone, replaced or being stopped gets no order, neither the first nor the repeat; what is unanswered then counts as an unanswered start, which is barred as before.

Related paths read: applyStartOutcome and recordLateStart (unchanged: an unanswered order stays one that may arrive late), relays (each order has its deadline on the relay's clock), stop orders (repeated).

--- a/packages/daemon/src/batch/endpoints/start-orders.test.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.test.ts
@@ -9,7 +9,9 @@
   removeEffects,
   addJob,
   applyReport,
+  cancelJob,
   type BatchEffect,
+  type BatchState,
   type StartOrder,
 } from '@valvelatch/core/batch';
 import {
@@ -28,13 +30,15 @@
 const POOL = brand<PoolName>('alpha');
 const ENDPOINT = brand<EndpointId>('i-1');
 const DATA_CENTRE = brand<DataCentreId>('north');
+const JOB = brand<JobId>('00000000000000aa');
 const SOLE_HOLDER_UNTIL_MS = 2400;
 
 type SendOptions = {
   readonly mayStartIn?: (dataCentre: DataCentreId) => boolean;
   /** True if no order gets a response. */
   readonly isUnanswered?: boolean;
-  readonly onSent?: () => void;
+  readonly onSent?: (state: BatchState) => void;
+  readonly onClockRead?: (state: BatchState) => void;
 };
 
 /**
@@ -48,6 +52,7 @@
     mayStartIn: isStartAllowedIn = () => true,
     isUnanswered = false,
     onSent = () => undefined,
+    onClockRead = () => undefined,
   }: SendOptions = {},
 ): Promise<readonly StartOrder[]> => {
   const state = createBatchState(2);
@@ -63,7 +68,7 @@
   upsertEndpoint(state, { ...description, labels: [], capacity, isDraining: false }, 0);
   addJob(state, {
     job: {
-      jobId: brand<JobId>('00000000000000aa'),
+      jobId: JOB,
       queue: brand('q'),
       pool: POOL,
       spec: '',
@@ -90,7 +95,7 @@
       orders: {
         start: async (_: unknown, order: StartOrder) => {
           sent.push(order);
-          onSent();
+          onSent(state);
           return isUnanswered
             ? Err({ verdict: 'mayHaveRun', reason: 'no-answer', detail: '' })
             : Ok({ clockMs: 1 });
@@ -110,7 +115,7 @@
       onReplaced: () => undefined,
       onRestarted: () => undefined,
     },
-    refreshClock: async () => undefined,
+    refreshClock: async () => onClockRead(state),
     computeLeaseEnd: () => 9000,
     recordClockReading: () => undefined,
     send: (order) => order(500),
@@ -134,6 +139,21 @@
     expect(await sendStartAt(5200, 2300)).toEqual([]);
   });
 
+  describe('of a job that is cancelled', () => {
+    const cancel = (state: BatchState): void => {
+      cancelJob(state, JOB, null);
+    };
+
+    it('is not sent after the job was cancelled while the clock was read', async () => {
+      expect(await sendStartAt(2300, 2300, { onClockRead: cancel })).toEqual([]);
+    });
+
+    it('is not repeated after the job was cancelled while the order was unanswered', async () => {
+      const sent = await sendStartAt(2300, 2300, { isUnanswered: true, onSent: cancel });
+      expect(sent).toHaveLength(1);
+    });
+  });
+
   describe('to a data centre that is evacuated after the task was placed there', () => {
     it('is not sent', async () => {
       const checkedDataCentres: DataCentreId[] = [];
--- a/packages/daemon/src/batch/endpoints/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -95,6 +95,15 @@
     return isSoleHolder(state, nowMs()) || nowMs() - heardAtMs < MAX_RESPONSE_GAP_MS;
   };
 
+  /**
+   * Tells whether a run is still to be started. While its order waits or is unanswered, its job may be cancelled or the run
+   * given up.
+   */
+  const isWanted = ({ task, run }: Pick<StartOrder, 'task' | 'run'>): boolean => {
+    const known = state.endpoints.get(endpointId)?.runs.get(task);
+    return known?.run === run && known.phase !== 'stopping';
+  };
+
   /** The endpoint's rack or data centre may have come under suspicion since the start was decided. */
   const isDomainSuspected = (): boolean => {
     const endpoint = state.endpoints.get(endpointId);
@@ -141,7 +150,7 @@
           error,
           hasUnansweredOrder: isFirstUnanswered,
         };
-      if (attempt === MAX_START_ATTEMPTS || !mayStart()) {
+      if (attempt === MAX_START_ATTEMPTS || !mayStart() || !isWanted(order)) {
         return { outcome: 'unknown', error, hasUnansweredOrder: true };
       }
       isFirstUnanswered = true;
@@ -159,8 +168,7 @@
   return async (effect) => {
     const { task, run, spec, checkpoint, ticket } = effect;
     await refreshClock();
-    // The run may have been given up while the clock was read, and must not start after that.
-    if (state.endpoints.get(endpointId)?.runs.get(task)?.run !== run) return;
+    if (!isWanted(effect)) return;
     const keepUntilMs = computeLeaseEnd();
     if (keepUntilMs === undefined || !mayStart() || isDomainSuspected()) {
       const reason = 'not-sent';
