Notices of cancellations are repeated until a holder has confirmed them

What callers saw: a cancellation was acknowledged, and a task of its job started more than cancel_ms (3 s) later, where the holder's feed gave nothing meanwhile.

A cancellation that an entry found in its row, after the entry that wrote it had gone, was acknowledged without any notice.

Evidence, npx vitest run acknowledged-cancellations before: with the first notice lost and a feed that gives nothing for 12 s, two tasks start 4.5 s after the acknowledgement; without the notice of the entry that finds the row, two start 4.7 s after it (this commit without that line). Now: none after 3 s.

Change: an entry repeats a notice each 250 ms, to whoever holds control, until the holder says that it has applied or kept it (15 s at most, 2,000 notices, 100 a round). The holder answers 'unknown' for a job that it doesn't know and whose cancellation it keeps; while it recovers it answers nothing, and is asked again.

Related paths read: notices of accepted jobs (the feed finds those that are lost; a late one starts a job late, which breaks no promise), reports of refused jobs (repeated already), resignations (repeated already).

--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -147,10 +147,10 @@
   /** Records jobs that were refused and that their clients will submit again. */
   readonly recordRefusedJobs: (jobs: readonly RefusedJob[]) => void;
   /**
-   * Cancels a job and returns its phase afterwards; undefined if the job is unknown or belongs to another account, or
-   * if this entry cannot answer as the holder.
+   * Cancels a job and returns its phase afterwards; `unknown` if the job is not known yet or belongs to another account,
+   * undefined if this entry cannot answer as the holder.
    */
-  readonly cancel: (jobId: JobId, caller: Caller) => BatchPhase | undefined;
+  readonly cancel: (jobId: JobId, caller: Caller) => BatchPhase | 'unknown' | undefined;
 };
 
 /**
@@ -578,7 +578,7 @@
       if (!isHolder()) return undefined;
       const phase = cancellations.apply({ jobId, caller, source: 'notice' });
       perform();
-      return phase;
+      return phase ?? 'unknown';
     },
   };
 };
--- a/packages/daemon/src/batch/entry/batch-entry.ts
+++ b/packages/daemon/src/batch/entry/batch-entry.ts
@@ -25,6 +25,7 @@
 import { createAccess, type Access } from './access.js';
 import { createControl, type Control } from '../control/control.js';
 import { CONTROL_METHOD } from '../control/holder-client.js';
+import { NOTICE_REPEAT_INTERVAL_MS } from '../jobs/cancellation-notices.js';
 import { createIntake, type Intake } from '../jobs/intake.js';
 import { HEARTBEAT_INTERVAL_MS, createPeers, type AskPeer, type Peers } from './peers.js';
 import {
@@ -280,6 +281,7 @@
       { name: 'lease', pauseMs: LEASE_TICK_INTERVAL_MS, run: keepControl },
       { name: 'relays', pauseMs: RELAY_REFRESH_INTERVAL_MS, run: refreshRelays },
       { name: 'refused', pauseMs: REPORT_REFUSED_INTERVAL_MS, run: refusedJobs.report },
+      { name: 'cancellations', pauseMs: NOTICE_REPEAT_INTERVAL_MS, run: intake.repeatNotices },
       { name: 'peers', pauseMs: PEERS_REFRESH_INTERVAL_MS, run: refreshPeers },
       { name: 'beat', pauseMs: HEARTBEAT_INTERVAL_MS, run: async () => openPeers.sendHeartbeats() },
       { name: 'probe', pauseMs: PROBE_INTERVAL_MS, run: async () => table.probe() },
--- a/packages/daemon/src/batch/jobs/acknowledged-cancellations.test.ts
+++ b/packages/daemon/src/batch/jobs/acknowledged-cancellations.test.ts
@@ -173,14 +173,11 @@
   });
 
   describe('that the holder was not told', () => {
-    /** Submits a job that waits, as its pool is full for longer than the bound, and cancels it without a notice. */
-    const cancelUnnoticed = async () => {
+    /** Submits a job that waits for longer than the bound, as its pool is full. */
+    const submitWaitingJob = async () => {
       const fleet = await createFleet();
-      fleet.submit({
-        pool: 'alpha',
-        steps: [{ taskCount: 3, cpuMillis: 8000 }],
-        runMs: CANCEL_MS * 2,
-      });
+      const fillers = [{ taskCount: 3, cpuMillis: 8000 }];
+      fleet.submit({ pool: 'alpha', steps: fillers, runMs: CANCEL_MS * 2 });
       await advanceTime(800);
       const entry = requireOther(fleet);
       const { job, queue } = fleet.prepareJob({
@@ -189,40 +186,42 @@
         runMs: RUN_MS,
       });
       expect(await settle(entry.intake.submit(queue, job))).toEqual({ kind: 'accepted' });
-      fleet.faults.lostMeshCalls.add(CONTROL_METHOD.cancelled);
-      expect(await settle(entry.intake.cancel(job.jobId, null))).toEqual({ kind: 'cancelled' });
       return { fleet, entry, jobId: job.jobId };
     };
 
+    const stopFeedOfHolder = (fleet: SimFleet): void => {
+      Object.assign(requireHolder(fleet), { feedMs: CANCEL_MS * 4 });
+    };
+
     it('is obeyed by the holder through its feed', async () => {
-      const { fleet, jobId } = await cancelUnnoticed();
+      const { fleet, entry, jobId } = await submitWaitingJob();
+      fleet.faults.lostMeshCalls.add(CONTROL_METHOD.cancelled);
+      expect(await settle(entry.intake.cancel(jobId, null))).toEqual({ kind: 'cancelled' });
       await advanceTime(CANCEL_MS * 4);
       expect(listStartsAfter(fleet, jobId, 0)).toEqual([]);
       expect(phaseOf(fleet, jobId)).toBe('cancelled');
     });
 
     it('is repeated until the holder has heard it, whose feed gives nothing', async () => {
-      const fleet = await createFleet();
-      fleet.submit({
-        pool: 'alpha',
-        steps: [{ taskCount: 3, cpuMillis: 8000 }],
-        runMs: CANCEL_MS * 2,
-      });
-      await advanceTime(800);
-      const entry = requireOther(fleet);
-      const { job, queue } = fleet.prepareJob({
-        pool: 'alpha',
-        steps: [{ taskCount: 2, cpuMillis: 8000 }],
-        runMs: RUN_MS,
-      });
-      expect(await settle(entry.intake.submit(queue, job))).toEqual({ kind: 'accepted' });
-      Object.assign(requireHolder(fleet), { feedMs: CANCEL_MS * 4 });
+      const { fleet, entry, jobId } = await submitWaitingJob();
+      stopFeedOfHolder(fleet);
       fleet.faults.lostMeshCalls.add(CONTROL_METHOD.cancelled);
-      expect(await settle(entry.intake.cancel(job.jobId, null))).toEqual({ kind: 'cancelled' });
+      expect(await settle(entry.intake.cancel(jobId, null))).toEqual({ kind: 'cancelled' });
       const acknowledgedAtMs = performance.now();
       fleet.faults.lostMeshCalls.delete(CONTROL_METHOD.cancelled);
       await advanceTime(CANCEL_MS * 4);
-      expect(listStartsAfter(fleet, job.jobId, acknowledgedAtMs + CANCEL_MS)).toEqual([]);
+      expect(listStartsAfter(fleet, jobId, acknowledgedAtMs + CANCEL_MS)).toEqual([]);
+    });
+
+    it('is noticed by an entry that finds it in its row, whose writer has gone', async () => {
+      const { fleet, entry, jobId } = await submitWaitingJob();
+      stopFeedOfHolder(fleet);
+      fleet.cancel(jobId);
+      fleet.faults.lostMeshCalls.add(CONTROL_METHOD.phase);
+      expect(await settle(entry.intake.cancel(jobId, null))).toEqual({ kind: 'cancelled' });
+      const acknowledgedAtMs = performance.now();
+      await advanceTime(CANCEL_MS * 4);
+      expect(listStartsAfter(fleet, jobId, acknowledgedAtMs + CANCEL_MS)).toEqual([]);
     });
   });
 });
--- a/packages/daemon/src/batch/jobs/control-client.ts
+++ b/packages/daemon/src/batch/jobs/control-client.ts
@@ -23,6 +23,6 @@
    * after its next successful read.
    */
   readonly notifyAccepted: (row: BatchJobRow, version: number) => void;
-  /** Notifies the holder of a cancellation; resolves to true if the holder knows the job and has applied it. */
+  /** Notifies the holder of a cancellation; resolves to true if the holder has applied it, or keeps it for a job that it does not know yet. */
   readonly notifyCancelled: (jobId: JobId, caller: Caller) => Promise<boolean>;
 };
--- a/packages/daemon/src/batch/jobs/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -31,6 +31,7 @@
 import type { Metrics } from '../../observe/metrics.js';
 import type { RowWriteOutcome } from './attempt.js';
 import type { LiveRow } from './accept-queue.js';
+import { createCancellationNotices } from './cancellation-notices.js';
 import { batchKey } from '../keys.js';
 import type { RelayedTable } from '../relays/relayed-table.js';
 import type { ControlClient } from './control-client.js';
@@ -92,6 +93,8 @@
   readonly waiting: (queue: DeclaredQueue) => Promise<IntakeAnswer>;
   /** True while the table or the holder answers, so that a submission can be written. */
   readonly canSubmit: () => boolean;
+  /** Repeats the notices of cancellations that no holder has confirmed; to be called periodically. */
+  readonly repeatNotices: () => Promise<void>;
 };
 
 /**
@@ -151,6 +154,7 @@
 }: IntakeOptions): Intake => {
   const statusCache = new Map<JobId, JobStatus>();
   const submission = createSubmissionWriter({ table, groupCommit, control, nowMs });
+  const notices = createCancellationNotices({ control, nowMs });
 
   const retryAfterS = (): number => chooseRetryAfterS(table.unansweredForMs(), random());
 
@@ -311,8 +315,14 @@
       return refuseUnknownJob(jobId);
     }
     if (found !== undefined && found !== 'unknown-job' && isFinal(found.phase)) {
-      logCancel('ended');
-      return found.isUnsubmitted ? refuseUnknownJob(jobId) : { kind: 'cancelled' };
+      if (found.isUnsubmitted) {
+        logCancel('unknown-job');
+        return refuseUnknownJob(jobId);
+      }
+      // The cancellation may have been found in its row, by an entry whose notice was lost.
+      const isNoticed = found.phase === 'cancelled' && (await notices.send(jobId, caller));
+      logCancel('ended', isNoticed);
+      return { kind: 'cancelled' };
     }
     if (found === undefined || found === 'unknown-job') {
       const barred = await writeUnsubmitted(jobId, caller, untilMs);
@@ -327,7 +337,7 @@
       logCancel(written.kind);
       return refusal;
     }
-    logCancel(written.kind, await control.notifyCancelled(jobId, caller));
+    logCancel(written.kind, await notices.send(jobId, caller));
     return { kind: 'cancelled' };
   };
 
@@ -352,5 +362,12 @@
     return count === undefined ? refuseUnavailable() : { kind: 'waiting', count };
   };
 
-  return { submit, status, cancel, waiting, canSubmit: submission.canSubmit };
+  return {
+    submit,
+    status,
+    cancel,
+    waiting,
+    canSubmit: submission.canSubmit,
+    repeatNotices: notices.repeat,
+  };
 };
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -45,6 +45,7 @@
 import { createEvacuationTracker } from '../configuration/evacuation-tracker.js';
 import { createStartGate } from '../configuration/start-gate.js';
 import { createControl, type Control } from '../control/control.js';
+import { NOTICE_REPEAT_INTERVAL_MS } from '../jobs/cancellation-notices.js';
 import { createIntake, type Intake } from '../jobs/intake.js';
 import { batchKey } from '../keys.js';
 import type { Peers } from '../entry/peers.js';
@@ -506,6 +507,7 @@
     };
     void runControl();
     void repeat(operatorRows.pollFeed, OPERATOR_RETRY_MS);
+    void repeat(entry.intake.repeatNotices, NOTICE_REPEAT_INTERVAL_MS);
     void repeat(operatorRows.askNeighbours, NEIGHBOUR_POLL_INTERVAL_MS);
     entries.push(entry);
     return entry;
