A cancellation is acknowledged once the holder has confirmed it, or the client's time is nearly over

After that the stored cancellation is acknowledged all the same: no holder could be reached, and the next one reads it as it recovers.

What remains: a holder whose feed gives nothing for more than 2.5 s while no entry reaches it, but the table and the endpoints do.

--- a/packages/daemon/src/batch/jobs/acknowledged-cancellations.test.ts
+++ b/packages/daemon/src/batch/jobs/acknowledged-cancellations.test.ts
@@ -16,6 +16,8 @@
 /** The last task of a job may start this long after its cancellation was acknowledged. */
 const CANCEL_MS = 3000;
 const RUN_MS = 300;
+/** For how long notices are lost; shorter than a client waits for its answer. */
+const LOST_NOTICES_MS = 1500;
 
 const createFleet = () => createStartedFleet({ accounts: [] });
 
@@ -213,6 +215,26 @@
       expect(listStartsAfter(fleet, jobId, acknowledgedAtMs + CANCEL_MS)).toEqual([]);
     });
 
+    it('is not acknowledged before the holder has heard it, by an entry that ends just after it', async () => {
+      const { fleet, entry, jobId } = await submitWaitingJob();
+      stopFeedOfHolder(fleet);
+      fleet.faults.lostMeshCalls.add(CONTROL_METHOD.cancelled);
+      setTimeout(() => fleet.faults.lostMeshCalls.clear(), LOST_NOTICES_MS);
+      expect(await settle(entry.intake.cancel(jobId, null))).toEqual({ kind: 'cancelled' });
+      fleet.kill(entry);
+      const acknowledgedAtMs = performance.now();
+      await advanceTime(CANCEL_MS * 4);
+      expect(listStartsAfter(fleet, jobId, acknowledgedAtMs + CANCEL_MS)).toEqual([]);
+    });
+
+    it('is acknowledged without the holder once the time of the client is nearly over', async () => {
+      const { fleet, entry, jobId } = await submitWaitingJob();
+      fleet.faults.lostMeshCalls.add(CONTROL_METHOD.cancelled);
+      const sentAtMs = performance.now();
+      expect(await settle(entry.intake.cancel(jobId, null, 1000))).toEqual({ kind: 'cancelled' });
+      expect(performance.now() - sentAtMs).toBeLessThan(1000);
+    });
+
     it('is noticed by an entry that finds it in its row, whose writer has gone', async () => {
       const { fleet, entry, jobId } = await submitWaitingJob();
       stopFeedOfHolder(fleet);
--- a/packages/daemon/src/batch/jobs/cancellation-notices.ts
+++ b/packages/daemon/src/batch/jobs/cancellation-notices.ts
@@ -3,8 +3,10 @@
  * confirmed it: the holder may be recovering or unreachable, may change, and may read the table's changes late.
  */
 import type { Caller } from '@valvelatch/core/batch';
+import { change } from '@valvelatch/core/shared/change';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
+import { sleep } from '../../shared/sleep.js';
 import { batchKey } from '../keys.js';
 import type { ControlClient } from './control-client.js';
 
@@ -17,7 +19,15 @@
 /** At most this many notices are repeated in one round. */
 const MAX_NOTICES_PER_ROUND = 100;
 
-type Notice = { readonly jobId: JobId; readonly caller: Caller; readonly sinceMs: number };
+/** Pause between two checks whether a notice has been confirmed. */
+const CONFIRMATION_CHECK_MS = 50;
+
+type Notice = {
+  readonly jobId: JobId;
+  readonly caller: Caller;
+  readonly sinceMs: number;
+  readonly isConfirmed: boolean;
+};
 
 export type CancellationNoticesOptions = {
   readonly control: Pick<ControlClient, 'notifyCancelled'>;
@@ -26,8 +36,11 @@
 };
 
 export type CancellationNotices = {
-  /** Sends a notice, which is repeated if it is not confirmed; resolves to true if the holder has confirmed it. */
-  readonly send: (jobId: JobId, caller: Caller) => Promise<boolean>;
+  /**
+   * Sends a notice, which is repeated until it is confirmed. Resolves to true once the holder has confirmed it, or to false
+   * at `untilMs` on the monotonic clock, in milliseconds.
+   */
+  readonly send: (jobId: JobId, caller: Caller, untilMs: number) => Promise<boolean>;
   /** Repeats the notices that no holder has confirmed. */
   readonly repeat: () => Promise<void>;
 };
@@ -44,10 +57,16 @@
 }: CancellationNoticesOptions): CancellationNotices => {
   const unconfirmed = new Map<string, Notice>();
 
-  const attempt = async (key: string, { jobId, caller }: Notice): Promise<boolean> => {
-    const isConfirmed = await control.notifyCancelled(jobId, caller);
-    if (isConfirmed) unconfirmed.delete(key);
-    return isConfirmed;
+  const attempt = async (key: string, notice: Notice): Promise<void> => {
+    const isConfirmed = await control.notifyCancelled(notice.jobId, notice.caller);
+    if (!isConfirmed) return;
+    change(notice, { isConfirmed });
+    unconfirmed.delete(key);
+  };
+
+  const waitForConfirmation = async (notice: Notice, untilMs: number): Promise<boolean> => {
+    while (!notice.isConfirmed && nowMs() < untilMs) await sleep(CONFIRMATION_CHECK_MS);
+    return notice.isConfirmed;
   };
 
   const removeExpired = (): void =>
@@ -56,13 +75,15 @@
     });
 
   return {
-    send: (jobId, caller) => {
+    send: async (jobId, caller, untilMs) => {
       const key = batchKey.cancel(jobId, caller);
-      const notice = unconfirmed.get(key) ?? { jobId, caller, sinceMs: nowMs() };
+      const created = { jobId, caller, sinceMs: nowMs(), isConfirmed: false };
+      const notice = unconfirmed.get(key) ?? created;
       unconfirmed.set(key, notice);
       const [oldestKey] = unconfirmed.keys();
       if (unconfirmed.size > MAX_NOTICES && oldestKey !== undefined) unconfirmed.delete(oldestKey);
-      return attempt(key, notice);
+      await attempt(key, notice);
+      return waitForConfirmation(notice, untilMs);
     },
     repeat: async () => {
       removeExpired();
--- a/packages/daemon/src/batch/jobs/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -305,7 +305,10 @@
     );
   };
 
-  /** Answers a cancellation once it can no longer be overtaken by a submission. */
+  /**
+   * Answers a cancellation once no submission can overtake it, and the holder has confirmed it. If no holder does so in the
+   * client's time, the stored cancellation is acknowledged all the same: the next holder reads it.
+   */
   const cancelFound = async (
     { jobId, caller, found, untilMs }: CancelRequest,
     logCancel: (outcome: string, isHolderNotified?: boolean) => void,
@@ -320,7 +323,7 @@
         return refuseUnknownJob(jobId);
       }
       // The cancellation may have been found in its row, by an entry whose notice was lost.
-      const isNoticed = found.phase === 'cancelled' && (await notices.send(jobId, caller));
+      const isNoticed = found.phase === 'cancelled' && (await notices.send(jobId, caller, untilMs));
       logCancel('ended', isNoticed);
       return { kind: 'cancelled' };
     }
@@ -337,7 +340,7 @@
       logCancel(written.kind);
       return refusal;
     }
-    logCancel(written.kind, await notices.send(jobId, caller));
+    logCancel(written.kind, await notices.send(jobId, caller, untilMs));
     return { kind: 'cancelled' };
   };
 
