--- a/packages/daemon/src/batch/jobs/related-news.test.ts
+++ b/packages/daemon/src/batch/jobs/related-news.test.ts
@@ -1,9 +1,21 @@
 /** News that forbids a start, and that reaches the holder between the decision to start a task and the order. */
-import { instanceIdOf, type EndpointState } from '@valvelatch/core/batch';
+import {
+  createBatchState,
+  instanceIdOf,
+  type BatchJobRow,
+  type EndpointState,
+  type ProgressRow,
+} from '@valvelatch/core/batch';
 import type { JobId, InstanceId } from '@valvelatch/core/shared/ids';
+import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import type { SimEntry, SimFleet } from '../testing/sim-fleet.fixtures.js';
+import { createMetrics } from '../../observe/metrics.js';
+import { batchKey } from '../keys.js';
+import { createEndedJobs } from './ended-jobs.js';
+import { createJobRowReader, type JobRowChanges } from './job-row-reader.js';
+import { SIM_QUEUE_POLICY } from '../testing/sim-environment.fixtures.js';
+import type { SimEntry, SimFleet, SimJob } from '../testing/sim-fleet.fixtures.js';
 import {
   advanceTime,
   createStartedFleet,
@@ -173,4 +185,124 @@
       expect(phaseOf(fleet, job.jobId)).toBe('cancelled');
     });
   });
+
+  describe('in rows that a holder reads', () => {
+    const log = {
+      debug: () => undefined,
+      info: () => undefined,
+      warn: () => undefined,
+      error: () => undefined,
+    };
+
+    /** Restores a state from two readings of the rows. */
+    const restore = (readings: readonly JobRowChanges[]) => {
+      const state = createBatchState(1);
+      const ended = createEndedJobs({
+        table: { transact: async () => Ok({ kind: 'committed', version: 1 }) },
+        guard: () => ({ key: batchKey.guard, version: 1 }),
+        log,
+        answerableMs: () => ROWS_KEPT_MS,
+        wallClockMs: () => 0,
+      });
+      const reader = createJobRowReader({
+        state,
+        table: { feed: () => ({ next: async () => Ok([]) }) },
+        versions: new Map(),
+        ended,
+        cancellations: { apply: () => undefined },
+        configuration: () => undefined,
+        isSoleHolder: () => true,
+        isStopped: () => false,
+        requestScheduling: () => undefined,
+        log,
+        metrics: createMetrics(),
+        nowMs: () => 0,
+        wallClockMs: () => 0,
+      });
+      reader.restore(readings);
+      return state;
+    };
+
+    const liveRow = ({ job }: SimJob): BatchJobRow => ({
+      kind: 'live',
+      job,
+      policy: SIM_QUEUE_POLICY,
+    });
+    const ENDED: BatchJobRow = {
+      kind: 'ended',
+      phase: 'completed',
+      reason: 'all tasks are done',
+      endedAtMs: 0,
+      queue: 'q-alpha',
+    };
+
+    const prepareJob = async () => {
+      const fleet = await createFleet();
+      const prepared = fleet.prepareJob({ pool: 'alpha', steps: [{ taskCount: 2 }] });
+      return { fleet, prepared, key: batchKey.job(prepared.job.jobId) };
+    };
+
+    it('does not restore an ended job whose second reading is older than the first', async () => {
+      const { prepared, key } = await prepareJob();
+      const state = restore([
+        { jobs: [{ key, value: ENDED, version: 9 }], progress: [] },
+        { jobs: [{ key, value: liveRow(prepared), version: 5 }], progress: [] },
+      ]);
+      expect(state.jobs.has(prepared.job.jobId)).toBe(false);
+    });
+
+    it('does not start a done task again whose second reading is older than the first', async () => {
+      const { prepared, key } = await prepareJob();
+      const { jobId } = prepared.job;
+      const progressKey = batchKey.progress(jobId);
+      const progressOf = (done: string): ProgressRow => ({ 0: { 0: { done } } });
+      const live = { key, value: liveRow(prepared), version: 5 };
+      const state = restore([
+        { jobs: [live], progress: [{ key: progressKey, value: progressOf('1'), version: 9 }] },
+        { jobs: [live], progress: [{ key: progressKey, value: progressOf('0'), version: 7 }] },
+      ]);
+      expect(state.jobs.get(jobId)?.occurrences.get(0)?.steps[0]?.doneCount).toBe(1);
+    });
+
+    it('ends a waiting job whose end by a former holder is read after the recovery', async () => {
+      const { fleet, prepared, key } = await prepareJob();
+      fleet.submit({ pool: 'alpha', steps: [{ taskCount: 3, cpuMillis: 8000 }], runMs: 3000 });
+      await advanceTime(600);
+      fleet.commit({ checks: [], writes: [{ key, value: liveRow(prepared) }] });
+      await advanceTime(1000);
+      fleet.commit({ checks: [], writes: [{ key, value: { ...ENDED, phase: 'cancelled' } }] });
+      await advanceTime(ORDER_MS);
+      expect(listStarts(fleet, prepared.job.jobId)).toEqual([]);
+    });
+  });
+
+  describe('to a holder that is replaced', () => {
+    /** Cancels a waiting job at another entry, so long after its holder was killed, and returns the starts after the bound. */
+    const cancelAfterKill = async (afterMs: number) => {
+      const fleet = await createFleet();
+      fleet.submit({ pool: 'alpha', steps: [{ taskCount: 3, cpuMillis: 8000 }], runMs: 9000 });
+      await advanceTime(600);
+      const { job, queue } = fleet.prepareJob({
+        pool: 'alpha',
+        steps: [{ taskCount: 2, cpuMillis: 8000 }],
+      });
+      const entry = requireOther(fleet);
+      const accepted = await answerWithin(100, entry.intake.submit(queue, job));
+      expect(accepted).toEqual({ kind: 'accepted' });
+      fleet.kill(requireHolder(fleet));
+      await advanceTime(afterMs);
+      const cancelled = await answerWithin(2400, entry.intake.cancel(job.jobId, null));
+      expect(cancelled).toEqual({ kind: 'cancelled' });
+      await advanceTime(ORDER_MS * 2);
+      expect(phaseOf(fleet, job.jobId)).toBe('cancelled');
+      return listStarts(fleet, job.jobId);
+    };
+
+    it.each(Array.from({ length: 25 }, (_, index) => index * 200))(
+      'is obeyed by the next one if it is a cancellation %i ms later',
+      async (afterMs) => {
+        expect(await cancelAfterKill(afterMs)).toEqual([]);
+      },
+    );
+  });
 });
