--- a/packages/daemon/src/batch/jobs/related-news.test.ts
+++ b/packages/daemon/src/batch/jobs/related-news.test.ts
@@ -6,7 +6,7 @@
   type EndpointState,
   type ProgressRow,
 } from '@valvelatch/core/batch';
-import type { JobId, InstanceId } from '@valvelatch/core/shared/ids';
+import type { DataCentreId, InstanceId, JobId } from '@valvelatch/core/shared/ids';
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
@@ -15,7 +15,12 @@
 import { createEndedJobs } from './ended-jobs.js';
 import { createJobRowReader, type JobRowChanges } from './job-row-reader.js';
 import { SIM_QUEUE_POLICY } from '../testing/sim-environment.fixtures.js';
-import type { SimEntry, SimFleet, SimJob } from '../testing/sim-fleet.fixtures.js';
+import {
+  createSimAccount,
+  type SimEntry,
+  type SimFleet,
+  type SimJob,
+} from '../testing/sim-fleet.fixtures.js';
 import {
   advanceTime,
   createStartedFleet,
@@ -28,13 +33,18 @@
 const CLOCK_READING_OLD_MS = 31_000;
 /** How much longer than usual endpoints take to answer, while a clock is read. */
 const SLOW_ANSWER_MS = 400;
+/** So slow that the holder waits for each answer as long as it ever does. */
+const SLOWEST_ANSWER_MS = 1500;
 const STEP_MS = 5;
 /** For longer than this no order waits for its endpoint's clock, nor for its answer. */
 const ORDER_MS = 6000;
 /** For longer than this the rows of an ended job are kept. */
 const ROWS_KEPT_MS = 200_000;
 
-const createFleet = () => createStartedFleet({ accounts: [] });
+/** How long after an evacuation the last task may start there. */
+const EVACUATE_MS = 5000;
+
+const createFleet = () => createStartedFleet({ accounts: [], evacuateMs: EVACUATE_MS });
 
 const listStarts = (fleet: SimFleet, jobId: JobId): SimFleet['startsSent'] =>
   fleet.startsSent.filter(({ task }) => task.startsWith(jobId));
@@ -103,6 +113,17 @@
       expect(listStarts(fleet, jobId)).toEqual([]);
     });
 
+    it('keeps the order from being sent if its data centre is evacuated', async () => {
+      const { fleet, jobId } = await placeJob();
+      const [instanceId] = listPlaces(fleet, jobId) as [InstanceId];
+      const { dataCentre } = requireEndpoint(fleet, instanceId);
+      fleet.evacuate(dataCentre);
+      await waitUntil(() => requireState(fleet).evacuatedDataCentres.has(dataCentre));
+      await advanceTime(ORDER_MS);
+      const starts = listStarts(fleet, jobId);
+      expect(starts.filter((start) => start.instanceId === instanceId)).toEqual([]);
+    });
+
     it('keeps the order from being sent if its endpoint leaves the list', async () => {
       const { fleet, jobId } = await placeJob();
       const [instanceId] = listPlaces(fleet, jobId) as [InstanceId];
@@ -152,6 +173,16 @@
       expect(listSilentStarts()).toHaveLength(1);
     });
 
+    it('keeps the order from being sent again if its data centre is evacuated', async () => {
+      const { fleet, silent, listSilentStarts } = await placeJob({ runMs: 30_000 });
+      const dataCentre = fleet.hosts.get(silent.hostId)?.dataCentre as DataCentreId;
+      fleet.evacuate(dataCentre);
+      await waitUntil(() => requireState(fleet).evacuatedDataCentres.has(dataCentre));
+      expect(listSilentStarts()).toHaveLength(1);
+      await advanceTime(ORDER_MS);
+      expect(listSilentStarts()).toHaveLength(1);
+    });
+
     it('keeps the order from being sent again if its host is cordoned for maintenance', async () => {
       const { fleet, silent, listSilentStarts } = await placeJob({ runMs: 30_000 });
       const { hostId, instanceId } = silent;
@@ -163,6 +194,32 @@
     });
   });
 
+  describe('while no endpoint answers for seconds', () => {
+    /** Entries apply a lower quota within this time. */
+    const APPLIED_WITHIN_MS = 3000;
+    const MAXIMUM_CPU_MILLIS = 2000;
+
+    it('keeps tasks above a quota that fell meanwhile from starting', async () => {
+      const account = createSimAccount('client-a', 0);
+      const fleet = await createStartedFleet({ accounts: [account] });
+      fleet.faults.answerMs = SLOWEST_ANSWER_MS;
+      fleet.submit({ pool: 'alpha', steps: [{ taskCount: 3, mostPerEndpoint: 1 }], runMs: 1000 });
+      await advanceTime(CLOCK_READING_OLD_MS * 2);
+      fleet.faults.answerMs = 0;
+      const instanceIds = Array.from(fleet.endpoints.keys());
+      const { unreachableEndpoints } = requireHolder(fleet);
+      instanceIds.forEach((instanceId) => unreachableEndpoints.add(instanceId));
+      const steps = [{ taskCount: 3, mostPerEndpoint: 1, cpuMillis: 4000 }];
+      const jobId = fleet.submit({ pool: 'alpha', steps, runMs: 30_000 });
+      await waitUntil(() => listPlaces(fleet, jobId).length === 3);
+      fleet.declareAccounts([createSimAccount('client-a', MAXIMUM_CPU_MILLIS)]);
+      await advanceTime(APPLIED_WITHIN_MS);
+      unreachableEndpoints.clear();
+      await advanceTime(ORDER_MS);
+      expect(fleet.violations).toEqual([]);
+    });
+  });
+
   describe('that an entry remembers of a job whose rows are gone', () => {
     it('does not make it acknowledge a cancellation of the job that its client submits again', async () => {
       const fleet = await createFleet();
@@ -209,7 +266,7 @@
         table: { feed: () => ({ next: async () => Ok([]) }) },
         versions: new Map(),
         ended,
-        cancellations: { apply: () => undefined },
+        cancellations: { apply: () => undefined, applyEarlier: () => undefined },
         configuration: () => undefined,
         isSoleHolder: () => true,
         isStopped: () => false,
