An order to start goes to no endpoint that began to drain or was cordoned meanwhile

What callers saw: nothing; an endpoint whose entry was gone or draining, or whose host was cordoned, was sent the order all the same, and work there is lost.

A suspected domain was asked for before the first order only.

--- a/packages/daemon/src/batch/endpoints/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -104,10 +104,18 @@
     return known?.run === run && known.phase !== 'stopping';
   };
 
-  /** The endpoint's rack or data centre may have come under suspicion since the start was decided. */
-  const isDomainSuspected = (): boolean => {
+  /**
+   * Tells whether the endpoint still takes new work. Since the start was decided, it may have begun to drain, its host may
+   * have been cordoned, or its rack or data centre may have come under suspicion.
+   */
+  const takesNewWork = (): boolean => {
     const endpoint = state.endpoints.get(endpointId);
-    return endpoint !== undefined && isSuspected(state, endpoint);
+    return (
+      endpoint !== undefined &&
+      !endpoint.isDraining &&
+      !endpoint.isCordoned &&
+      !isSuspected(state, endpoint)
+    );
   };
 
   /** Sends a start order, and counts it as in flight in the order window. */
@@ -150,7 +158,7 @@
           error,
           hasUnansweredOrder: isFirstUnanswered,
         };
-      if (attempt === MAX_START_ATTEMPTS || !mayStart() || !isWanted(order)) {
+      if (attempt === MAX_START_ATTEMPTS || !mayStart() || !isWanted(order) || !takesNewWork()) {
         return { outcome: 'unknown', error, hasUnansweredOrder: true };
       }
       isFirstUnanswered = true;
@@ -170,7 +178,7 @@
     await refreshClock();
     if (!isWanted(effect)) return;
     const keepUntilMs = computeLeaseEnd();
-    if (keepUntilMs === undefined || !mayStart() || isDomainSuspected()) {
+    if (keepUntilMs === undefined || !mayStart() || !takesNewWork()) {
       const reason = 'not-sent';
       applyStartOutcome(state, endpointId, {
         task,
