Both messages of a relayed start carry one deadline

What callers saw: nothing; a start whose spec its relay lacks could leave the relay 4,050 ms after the holder had checked whether the task may start (cancellation, evacuation, lease), with a timeout of 2,000 ms.

--- a/packages/daemon/src/batch/relays/relayed-orders.ts
+++ b/packages/daemon/src/batch/relays/relayed-orders.ts
@@ -93,6 +93,16 @@
   };
 };
 
+/** The times of an order that is sent to a relay. */
+type OrderTimes = {
+  /** How long the relay waits for the endpoint, in milliseconds. */
+  readonly timeoutMs: number;
+  /** For how long the endpoint may hold its answer back, in milliseconds. */
+  readonly waitMs?: number;
+  /** After it the relay does not send the order; by default the time that an answer may take. */
+  readonly deadline?: OrderDeadline;
+};
+
 /**
  * Creates the sender of orders, which sends them directly or through relays.
  *
@@ -160,10 +170,13 @@
   const sendToRelay = async (
     relay: EntryId,
     content: UntimedOrder,
-    { timeoutMs, waitMs = 0 }: { readonly timeoutMs: number; readonly waitMs?: number },
+    {
+      timeoutMs,
+      waitMs = 0,
+      deadline = deadlineOf(relay, timeoutMs + RELAY_ROUND_TRIP_MS),
+    }: OrderTimes,
   ): Promise<unknown> => {
     metrics.count(`relayed_${content.kind}`);
-    const deadline = deadlineOf(relay, timeoutMs + RELAY_ROUND_TRIP_MS);
     const carried = { ...content, timeoutMs, deadline } as RelayedOrder;
     const answerWithinMs = timeoutMs + waitMs + RELAY_ROUND_TRIP_MS;
     const payload = await peers()?.ask(
@@ -194,7 +207,7 @@
   const send = async (
     relay: EntryId,
     content: UntimedOrder,
-    times: { readonly timeoutMs: number; readonly waitMs?: number },
+    times: OrderTimes,
   ): Promise<Result<ListAnswer, OrderError>> => {
     const { endpointId } = content.target;
     const sent = { relay, endpointId, sentAtMs: nowMs() };
@@ -216,9 +229,11 @@
       target,
       order: { ...order, spec },
     });
-    const sendWith = (spec: string | null): Promise<unknown> =>
-      sendToRelay(relay, withSpec(spec), { timeoutMs });
     try {
+      // Both messages carry one deadline: whether the task may start was checked before the first.
+      const deadline = deadlineOf(relay, timeoutMs + RELAY_ROUND_TRIP_MS);
+      const sendWith = (spec: string | null): Promise<unknown> =>
+        sendToRelay(relay, withSpec(spec), { timeoutMs, deadline });
       const first = await sendWith(isNew ? order.spec : null);
       const answer = first === SPEC_MISSING ? await sendWith(order.spec) : first;
       return handleAnswer(endpointId, answer);
