Of two readings of a row at a recovery the newer version counts

What callers saw: nothing; a recovering holder would restore an ended job as live, or a done task as waiting, if its second reading of the rows was behind the first, as a store may answer that has forgotten its history.

Progress rows had no rule but the order.

Evidence, npx vitest run related-news before: an ended job (version 9) is restored as live from version 5; a task that is done in version 9 is waiting by version 7. Now: neither.

--- a/packages/daemon/src/batch/jobs/job-row-reader.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.ts
@@ -94,11 +94,14 @@
 const findWriteTime = (value: unknown): number | undefined =>
   isObject(value) && typeof value.atMs === 'number' ? value.atMs : undefined;
 
-/** Of several versions of a row keeps the one read last; deleted rows are left out. */
-const findLatestRows = (rows: readonly TableRow[]): readonly TableRow[] =>
-  Array.from(new Map(rows.map((row) => [row.key, row])).values()).filter(
-    ({ value }) => value !== null,
-  );
+/** Of several readings of a row keeps the newest version, since a later reading may be older; deleted rows are left out. */
+const findLatestRows = (rows: readonly TableRow[]): readonly TableRow[] => {
+  const latest = new Map<string, TableRow>();
+  rows.forEach((row) => {
+    if (row.version >= (latest.get(row.key)?.version ?? 0)) latest.set(row.key, row);
+  });
+  return Array.from(latest.values()).filter(({ value }) => value !== null);
+};
 
 const readFeed = async (feed: TableFeed): Promise<readonly TableRow[] | undefined> =>
   (await feed.next(0)).unwrapOr(undefined);
@@ -223,7 +226,7 @@
       return jobs && progress && { jobs, progress };
     },
     restore: (readings) => {
-      const progressRows = readings.flatMap(({ progress }) => progress);
+      const progressRows = findLatestRows(readings.flatMap(({ progress }) => progress));
       const progressByJob = new Map(
         progressRows.map((row) => [row.key.slice(PROGRESS_PREFIX.length), row]),
       );
