A cancellation is not answered from the cache of ended jobs

What callers saw: an id that is submitted again after the rows of its first job are gone (180 s) could be cancelled at an entry that remembers the first job: 200, nothing written, and the job completes.

--- a/packages/daemon/src/batch/jobs/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -226,13 +226,11 @@
     return { phase: hasStarted ? 'running' : 'pending', reason: '', account };
   };
 
-  /** Finds the status of a job, whoever asks; undefined if neither the holder nor the table answers. */
-  const findStatus = async (
+  /** Asks the holder, then the rows, for the status of a job; undefined if neither answers. */
+  const findCurrentStatus = async (
     jobId: JobId,
     caller: Caller,
   ): Promise<JobStatus | 'unknown-job' | undefined> => {
-    const known = statusCache.get(jobId);
-    if (known) return known;
     const found = (await control.findStatus(jobId)) ?? (await readStatus(jobId, caller));
     // An unsubmitted job is not cached: its id may be submitted again once the row has been deleted.
     if (found && found !== 'unknown-job' && isFinal(found.phase) && !found.isUnsubmitted) {
@@ -243,6 +241,10 @@
     return found;
   };
 
+  /** Finds the status of a job, from the cache if it has ended; undefined if neither the holder nor the table answers. */
+  const findStatus: typeof findCurrentStatus = async (jobId, caller) =>
+    statusCache.get(jobId) ?? findCurrentStatus(jobId, caller);
+
   const isHiddenFrom = (found: JobStatus | 'unknown-job' | undefined, caller: Caller): boolean =>
     found !== undefined && found !== 'unknown-job' && !maySee(found.account, caller);
 
@@ -346,7 +348,8 @@
 
   const cancel: Intake['cancel'] = async (jobId, caller, deadlineMs = DEFAULT_DEADLINE_MS) => {
     const startedAtMs = nowMs();
-    const found = await findStatus(jobId, caller);
+    // Not from the cache: the rows of an ended job are deleted after a time, and its id may be submitted again.
+    const found = await findCurrentStatus(jobId, caller);
     const request = { jobId, caller, found, untilMs: startedAtMs + deadlineMs * RETRY_SHARE };
     return cancelFound(request, (outcome, isHolderNotified = false) =>
       log.info('job-cancel', {
