Scheduling pass: suspects and the placement of one step in modules of their own

Moved: place-tasks.ts (each task by itself, or a gang together), place-suspects.ts (isolated tasks, formerly placeSuspects, placeIsolated and liveSuspects, now listSuspectSteps), pool-pass.ts (the context of a pass). The choice between gang and single tasks, and the question whether the quota leaves enough for the next start, stood twice each; they are placeTasks and hasQuotaForNextStart now. Exports of schedule.ts and behaviour are unchanged.

--- /dev/null
+++ b/packages/core/src/batch/placement/place-tasks.ts
@@ -0,0 +1,84 @@
+/**
+ * Places the tasks of one step: each task by itself, or all tasks of a gang together. Which endpoints are offered, and which
+ * starts must be announced, is decided by the caller.
+ */
+import { change } from '../../shared/change.js';
+import { isWithinQuota } from '../accounts/quota.js';
+import { nextRunNumber } from '../endpoints/runs.js';
+import type { BatchState, EndpointState, StepRun, Task } from '../model/state.js';
+import { createCandidates } from './candidates.js';
+import { findGangPlaces } from './gang-places.js';
+import { scoresFor } from './scores.js';
+import { announceStarts, startRun, type Start, type StartContext } from './starts.js';
+
+/** The step that is being placed, and which of its starts must be announced. */
+export type PlacingStep = StartContext & { readonly mustAnnounce: (task: Task) => boolean };
+
+/**
+ * Tells whether the maximum of the step's account leaves enough for its next start: of one task, or of a whole gang.
+ *
+ * @param state - The batch state.
+ * @param step - The step.
+ * @returns False while the step has to wait for its account's quota.
+ */
+export const hasQuotaForNextStart = (state: BatchState, step: StepRun): boolean =>
+  isWithinQuota(state, step, step.spec.isGang ? step.spec.taskCount : 1);
+
+/** Places tasks one by one; false if one of them found no endpoint or exceeds its account's quota. */
+const placeEach = (
+  placing: PlacingStep,
+  endpoints: readonly EndpointState[],
+  tasks: readonly Task[],
+): boolean => {
+  const { state, step } = placing;
+  const table = scoresFor(state, endpoints, step);
+  const candidates = createCandidates(endpoints, placing, table);
+  return tasks.every((task) => {
+    if (state.startsLeft <= 0) return true;
+    if (!isWithinQuota(state, step)) return false;
+    const endpoint = candidates.choose(task);
+    if (!endpoint) return false;
+    const run = nextRunNumber(state.fence, task.lastRun);
+    const start: Start = { task, endpoint, run, reason: table.name };
+    if (placing.mustAnnounce(task)) announceStarts(placing, [start]);
+    else startRun(placing, start);
+    candidates.recordPlacement(endpoint);
+    return true;
+  });
+};
+
+/** Places all tasks of a gang or none; false if they do not fit or exceed their account's quota. */
+const placeGang = (placing: PlacingStep, endpoints: readonly EndpointState[]): boolean => {
+  const { state, step } = placing;
+  // When one task of a gang is lost, the others are stopped as well: wait until all of them have ended.
+  if (step.waiting.length < step.spec.taskCount) return true;
+  if (!isWithinQuota(state, step, step.spec.taskCount)) return false;
+  const places = findGangPlaces(step, endpoints);
+  if (!places) return false;
+  const lastRun = Math.max(...step.tasks.map((task) => task.lastRun));
+  const run = nextRunNumber(state.fence, lastRun);
+  const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
+  step.tasks.forEach((task) => change(task, { checkpoint }));
+  const starts = step.tasks.map((task, index): Start => {
+    const endpoint = places[index] as EndpointState;
+    return { task, endpoint, run, reason: 'all of its gang' };
+  });
+  if (step.tasks.some(placing.mustAnnounce)) announceStarts(placing, starts);
+  else starts.forEach((start) => startRun(placing, start));
+  return true;
+};
+
+/**
+ * Places tasks of a step. Of a gang, either all tasks are placed or none, whichever tasks are passed.
+ *
+ * @param placing - The step, and which of its starts must be announced.
+ * @param endpoints - The endpoints on which its tasks may start.
+ * @param tasks - The tasks to place.
+ * @returns True if no task is left over for lack of capacity or quota.
+ */
+export const placeTasks = (
+  placing: PlacingStep,
+  endpoints: readonly EndpointState[],
+  tasks: readonly Task[],
+): boolean =>
+  placing.step.spec.isGang ? placeGang(placing, endpoints) : placeEach(placing, endpoints, tasks);
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -1,51 +1,32 @@
 /**
- * Places waiting tasks on endpoints. Unless a placement policy says otherwise, a task goes to the fullest endpoint that
- * fits, so that other endpoints stay empty.
+ * One scheduling pass over a pool: places waiting tasks on endpoints. Unless a placement policy says otherwise, a task goes
+ * to the fullest endpoint that fits, so that other endpoints stay empty.
  */
 import type { EndpointId, PoolName } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import { lazy } from '../../shared/lazy.js';
-import { admittedEndpoints, requestAdvice } from './advice.js';
-import { failJobIfCrashing } from '../jobs/crashing-jobs.js';
-import { sortByRank, listRankedSteps } from './ranking.js';
+import { isRankedWithinShare } from '../accounts/shares.js';
+import { NO_ISOLATED_ENDPOINTS, waitingSuspects } from '../crashes/isolation.js';
 import {
   isFirstStartOfInheritedTask,
   mayHaveLostEndpoints,
 } from '../crashes/losses-before-takeover.js';
-import { areCrashRecordsWritten, countLostTrials } from '../crashes/trials.js';
-import { awaitsReports, startableTasks } from './inherited-tasks.js';
-import {
-  announceStarts,
-  orderAnnouncedStarts,
-  startRun,
-  type Start,
-  type StartContext,
-} from './starts.js';
-import { isRankedWithinShare } from '../accounts/shares.js';
-import { isWithinQuota } from '../accounts/quota.js';
-import { findGangPlaces } from './gang-places.js';
-import { createCandidates } from './candidates.js';
-import { scoresFor } from './scores.js';
+import { areCrashRecordsWritten } from '../crashes/trials.js';
 import { canHoldTask, schedulableEndpoints } from '../endpoints/schedulable-endpoints.js';
-import { nextRunNumber } from '../endpoints/runs.js';
-import {
-  countStartable,
-  NO_ISOLATED_ENDPOINTS,
-  planIsolation,
-  findIsolatedEndpoints,
-  waitingSuspects,
-  type IsolationRequest,
-  type IsolatedEndpoints,
-} from '../crashes/isolation.js';
 import {
-  isFinal,
   poolOf,
   type BatchState,
   type EndpointState,
-  type PoolState,
   type StepRun,
   type Task,
 } from '../model/state.js';
+import { admittedEndpoints, requestAdvice } from './advice.js';
+import { awaitsReports, startableTasks } from './inherited-tasks.js';
+import { listSuspectSteps, placeIsolated } from './place-suspects.js';
+import { hasQuotaForNextStart, placeTasks } from './place-tasks.js';
+import type { PoolPass } from './pool-pass.js';
+import { listRankedSteps } from './ranking.js';
+import { orderAnnouncedStarts, type StartContext } from './starts.js';
 
 /** Bounds the work of a scheduling pass: this many steps may be tried that cannot be placed completely. */
 const MAX_UNPLACED_STEPS_PER_PASS = 40;
@@ -55,53 +36,6 @@
  */
 const RETRY_MS = 25;
 
-/** The step that is being placed, and which of its starts must be announced. */
-type PlacingStep = StartContext & { readonly mustAnnounce: (task: Task) => boolean };
-
-/** Places tasks one by one; false if one of them found no endpoint or exceeds its account's quota. */
-const placeEach = (
-  placing: PlacingStep,
-  endpoints: readonly EndpointState[],
-  tasks: readonly Task[],
-): boolean => {
-  const { state, step } = placing;
-  const table = scoresFor(state, endpoints, step);
-  const candidates = createCandidates(endpoints, placing, table);
-  return tasks.every((task) => {
-    if (state.startsLeft <= 0) return true;
-    if (!isWithinQuota(state, step)) return false;
-    const endpoint = candidates.choose(task);
-    if (!endpoint) return false;
-    const run = nextRunNumber(state.fence, task.lastRun);
-    const start: Start = { task, endpoint, run, reason: table.name };
-    if (placing.mustAnnounce(task)) announceStarts(placing, [start]);
-    else startRun(placing, start);
-    candidates.recordPlacement(endpoint);
-    return true;
-  });
-};
-
-/** Places all tasks of a gang or none; false if they do not fit or exceed their account's quota. */
-const placeGang = (placing: PlacingStep, endpoints: readonly EndpointState[]): boolean => {
-  const { state, step } = placing;
-  // When one task of a gang is lost, the others are stopped as well: wait until all of them have ended.
-  if (step.waiting.length < step.spec.taskCount) return true;
-  if (!isWithinQuota(state, step, step.spec.taskCount)) return false;
-  const places = findGangPlaces(step, endpoints);
-  if (!places) return false;
-  const lastRun = Math.max(...step.tasks.map((task) => task.lastRun));
-  const run = nextRunNumber(state.fence, lastRun);
-  const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
-  step.tasks.forEach((task) => change(task, { checkpoint }));
-  const starts = step.tasks.map((task, index): Start => {
-    const endpoint = places[index] as EndpointState;
-    return { task, endpoint, run, reason: 'all of its gang' };
-  });
-  if (step.tasks.some(placing.mustAnnounce)) announceStarts(placing, starts);
-  else starts.forEach((start) => startRun(placing, start));
-  return true;
-};
-
 /** Requests advice on the endpoints that have capacity for a task of a step. */
 const requestAdviceWithCapacity = (
   { state, step, nowMs }: StartContext,
@@ -133,77 +67,8 @@
     (task) => !suspects.includes(task),
   );
   const tasks = mayAnnounce ? waiting : waiting.filter((task) => !mustAnnounce(task));
-  const placing: PlacingStep = { ...context, mustAnnounce };
-  if (isGang) return tasks.length < waiting.length || placeGang(placing, endpoints);
-  return placeEach(placing, endpoints, tasks);
-};
-
-/**
- * Places the tasks of a step that must run isolated, because endpoints have crashed under them. Their starts are
- * announced. Returns true if no task is left over for lack of capacity or quota.
- */
-const placeSuspects = (
-  context: StartContext,
-  endpoints: readonly EndpointState[],
-  suspects: readonly Task[],
-): boolean => {
-  if (endpoints.length === 0) return false;
-  const placing: PlacingStep = { ...context, mustAnnounce: () => true };
-  return context.step.spec.isGang
-    ? placeGang(placing, endpoints)
-    : placeEach(placing, endpoints, suspects);
-};
-
-/**
- * Requests advice for tasks that must run isolated. It is requested on every endpoint that could have capacity once
- * other runs have ended, because the endpoint is emptied for them.
- */
-const requestAdviceForSuspects = (
-  { state, step, nowMs }: StartContext,
-  endpoints: readonly EndpointState[],
-): void => {
-  if (step.advice === null) return;
-  const couldHold = endpoints.filter((endpoint) => countStartable(endpoint, step) > 0);
-  requestAdvice(state, step, couldHold, nowMs);
-};
-
-/** The context of one scheduling pass over a pool. */
-type PoolPass = {
-  readonly state: BatchState;
-  /** The schedulable endpoints of the pool; for tasks that may share an endpoint, without the isolated ones. */
-  readonly endpoints: readonly EndpointState[];
-  /** Tells whether an endpoint of the pool may have crashed shortly before this holder took over. */
-  readonly mayHaveCrashed: () => boolean;
-  readonly nowMs: number;
-};
-
-/**
- * Places the tasks that must run isolated, before all others, because an endpoint that is isolated for such a task is
- * idle until the task starts. Returns the isolated endpoints. They stay isolated whether or not their step is tried in
- * this pass; otherwise other tasks would fill them between two tries.
- */
-const placeIsolated = (
-  { state, endpoints, nowMs }: PoolPass,
-  steps: readonly StepRun[],
-): IsolatedEndpoints => {
-  const requests = steps
-    .filter((step) => waitingSuspects(state, step).length > 0)
-    // A step that waits for its account's quota must not keep isolated endpoints from others.
-    .filter((step) => isWithinQuota(state, step, step.spec.isGang ? step.spec.taskCount : 1))
-    .map((step): IsolationRequest => ({
-      step,
-      eligible: admittedEndpoints(step, endpoints, nowMs),
-    }));
-  const isolated = planIsolation(state, requests, endpoints, nowMs);
-  requests.forEach((request) => {
-    if (state.startsLeft <= 0) return;
-    const { step } = request;
-    const context: StartContext = { state, step, nowMs };
-    const places = findIsolatedEndpoints(isolated, request, nowMs);
-    const isPlaced = placeSuspects(context, places, waitingSuspects(state, step));
-    if (!isPlaced) requestAdviceForSuspects(context, endpoints);
-  });
-  return isolated;
+  const isGangIncomplete = isGang && tasks.length < waiting.length;
+  return isGangIncomplete || placeTasks({ ...context, mustAnnounce }, endpoints, tasks);
 };
 
 /**
@@ -243,7 +108,7 @@
   const places = endpointsToTry(step, pass, newestRevision);
   if (places.length === 0) return 'not-tried';
   // A step that waits for its account's quota must not count as one that could not be placed.
-  if (!isWithinQuota(state, step, step.spec.isGang ? step.spec.taskCount : 1)) return 'not-tried';
+  if (!hasQuotaForNextStart(state, step)) return 'not-tried';
   const context: StartContext = { state, step, nowMs };
   const admitted = withoutReclaimed(step, pass, admittedEndpoints(step, places, nowMs));
   const isPlaced = placeUnsuspected(
@@ -286,26 +151,6 @@
   placeInOrder([...others].sort((left, right) => left.retryAtMs - right.retryAtMs));
 };
 
-/**
- * Lists the steps of jobs suspected of crashing endpoints, in order. Before that, each start that an earlier holder
- * announced and no endpoint has reported is counted as a crash of its task, which may end the job.
- */
-const liveSuspects = (
-  { state, nowMs }: PoolPass,
-  pool: PoolState,
-  steps: readonly StepRun[],
-): readonly StepRun[] => {
-  const suspects = steps.filter(({ job }) => state.suspectJobs.has(job));
-  suspects
-    .filter((step) => !awaitsReports(state, pool, step, nowMs))
-    .forEach((step) => {
-      countLostTrials(state, step, nowMs);
-      step.tasks.forEach((task) => failJobIfCrashing(state, { task, step }));
-    });
-  const live = suspects.filter(({ job }) => !isFinal(job.phase));
-  return sortByRank(state, live, nowMs);
-};
-
 /**
  * Orders the announced starts of one pool that have been written, and places its waiting tasks.
  *
@@ -329,7 +174,7 @@
   const mayBegin = (step: StepRun): boolean =>
     !awaitsReports(state, pool, step, nowMs) || startableTasks(state, pool, step, nowMs).length > 0;
   const isolated = hasSuspects
-    ? placeIsolated(pass, liveSuspects(pass, pool, Array.from(pool.openSteps).filter(mayBegin)))
+    ? placeIsolated(pass, listSuspectSteps(pass, pool, Array.from(pool.openSteps).filter(mayBegin)))
     : NO_ISOLATED_ENDPOINTS;
   const shared =
     isolated.size === 0
