Admission control: the estimate of a job's work and the record of refusals in modules of their own

admission-control.ts (375 lines) decided on jobs and also kept the refusals, counted the outcomes and checked a sample of the forecasts. Moved: refusal-tracker.ts (refusals, counts, the sample), job-work.ts (work and critical path of a job; jobWorkOf is estimateJobWork now, like estimateStepWork). The admission control contains the tracker's functions as before; exported names, the use of random numbers and behaviour are unchanged.

--- a/packages/core/src/batch/jobs/admission-control.ts
+++ b/packages/core/src/batch/jobs/admission-control.ts
@@ -3,18 +3,23 @@
  * accounts that have a weight or a maximum, and only while the pool has a backlog.
  */
 import type { AccountName, JobId, PoolName } from '../../shared/ids.js';
-import { change } from '../../shared/change.js';
 import { limitsOf } from '../accounts/quota.js';
 import { previewShare } from '../accounts/shares.js';
 import { RESOURCES } from '../model/capacity.js';
-import type { BatchJob, QueueName, QueuePolicy, StepSpec } from '../model/job.js';
+import type { BatchJob, QueuePolicy } from '../model/job.js';
 import type { JobShare } from '../model/share.js';
 import { poolOf, type BatchState } from '../model/state.js';
 import { LATE_SUCCESS_FACTOR } from '../placement/job-rank.js';
 import { forecastJob, type Forecast, type ForecastInput } from './forecast.js';
+import { estimateJobWork, type JobWork } from './job-work.js';
 import { measureLoads, type PoolLoad, type QueuedWork } from './pool-load.js';
-import { estimateRunTime, estimateWorkTime } from './run-times.js';
-import { taskKindOf } from './step-times.js';
+import {
+  createRefusalTracker,
+  type ForecastRefusal,
+  type RefusalTracker,
+} from './refusal-tracker.js';
+
+export type { AdmissionCounts, ForecastRefusal } from './refusal-tracker.js';
 
 /** Queued work that starts within this time is not treated as a backlog, so no job is refused because of it. */
 const MIN_BACKLOG_MS = 500;
@@ -37,10 +42,6 @@
  */
 const MEASURE_INTERVAL_MS = 25;
 const MEASURE_INTERVAL_MS_PER_JOB = 0.04;
-/** One in this many refusals is tracked afterwards, to check whether its forecast was right. */
-const REFUSALS_PER_SAMPLE = 4;
-const MAX_SAMPLES = 500;
-const MAX_KEPT_REFUSALS = 4000;
 const MILLIS = 1000;
 
 /** The rank of a job that is retried too late to meet its objective: it takes no capacity from jobs that still can. */
@@ -49,90 +50,14 @@
 /** A job that a client submits, with the policy of its queue. */
 export type JobSubmission = { readonly job: BatchJob; readonly policy: QueuePolicy };
 
-/** A refused job, with the forecast that led to the refusal. */
-export type ForecastRefusal = {
-  readonly jobId: JobId;
-  readonly queue: QueueName;
-  readonly account: AccountName;
-  /** Whether the job was within its account's share. */
-  readonly isOwed: boolean;
-  /** When it was refused, by the monotonic clock. */
-  readonly atMs: number;
-  readonly forecast: Forecast;
-  /** Work in core-milliseconds that the pool would have completed before the job starts. */
-  readonly workAheadCoreMs: number;
-  /** The latest useful completion of the job, in milliseconds after `atMs`. */
-  readonly limitMs: number;
-  readonly retryAfterMs: number;
-};
-
-/** Counts of the admission outcomes of a queue or of an account. */
-export type AdmissionCounts = {
-  refused: number;
-  /** Accepted, but not completed within the objective. */
-  late: number;
-  /** Tracked refusals whose outcome is known, and those of them whose job would have been useful after all. */
-  followedUp: number;
-  wronglyRefused: number;
-};
-
-/** A tracked refusal: its forecast is compared with the work that its pool completes. */
-type TrackedRefusal = {
-  readonly refusal: ForecastRefusal;
-  readonly pool: PoolName;
-  /** The job would have started once the work completed by the pool reached this many core-milliseconds. */
-  readonly startsAtCoreMs: number;
-  /** The latest time, by the monotonic clock, at which the job could have started and still been useful. */
-  readonly startDeadlineMs: number;
-};
-
-export type AdmissionControl = {
+/** The decisions on submitted jobs, with the record of the refusals. */
+export type AdmissionControl = RefusalTracker & {
   /** Decides on a submitted job; undefined if it is to be accepted. */
   readonly evaluate: (submitted: JobSubmission, nowMs: number) => ForecastRefusal | undefined;
   /** Counts an admitted job as queued work until `removePending` is called for it. */
   readonly addPending: (submitted: JobSubmission, nowMs: number) => void;
   /** Stops counting an admitted job: it was added to the state, or is known not to be. */
   readonly removePending: (jobId: JobId) => void;
-  /** Records a refusal that was reported to the client. */
-  readonly recordRefusal: (refusal: ForecastRefusal, pool: PoolName) => void;
-  /** Records that an accepted job completed, and whether it did so within its objective. */
-  readonly recordCompletion: (job: BatchJob, isInTime: boolean) => void;
-  /** Compares the tracked refusals with the work completed since; to be called several times a second. */
-  readonly checkTrackedRefusals: (nowMs: number) => void;
-  /** The latest refusal of a job; undefined if there is none or it was evicted. */
-  readonly findRefusal: (jobId: JobId) => ForecastRefusal | undefined;
-  readonly countsByQueue: ReadonlyMap<QueueName, AdmissionCounts>;
-  readonly countsByAccount: ReadonlyMap<AccountName, AdmissionCounts>;
-};
-
-/** The estimated work of a job: in total, the duration of its critical path, and that path's work time. */
-type JobWork = {
-  readonly coreMs: number;
-  readonly criticalPathMs: number;
-  readonly criticalWorkMs: number;
-};
-
-/** The longest chain of dependent steps if each step takes the given time, in milliseconds. */
-const longestChainMs = (steps: readonly StepSpec[], timeOf: (spec: StepSpec) => number): number => {
-  const ends: number[] = [];
-  steps.forEach((spec) => {
-    const startMs = Math.max(0, ...spec.after.map((number) => ends[number] ?? 0));
-    ends.push(startMs + timeOf(spec));
-  });
-  return Math.max(0, ...ends);
-};
-
-const jobWorkOf = (state: BatchState, { steps, queue }: BatchJob): JobWork => {
-  const timeOf = (spec: StepSpec): number =>
-    estimateRunTime(state.runTimes, taskKindOf(queue, spec), spec.estimateMs);
-  const workTimeOf = (spec: StepSpec): number =>
-    estimateWorkTime(state.runTimes, taskKindOf(queue, spec), spec.estimateMs);
-  const stepWorks = steps.map((spec) => (spec.taskCount * spec.cpuMillis * timeOf(spec)) / MILLIS);
-  return {
-    coreMs: stepWorks.reduce((sum, one) => sum + one, 0),
-    criticalPathMs: longestChainMs(steps, timeOf),
-    criticalWorkMs: longestChainMs(steps, workTimeOf),
-  };
 };
 
 /** Whether queued work runs before a new job with this share and policy. */
@@ -164,13 +89,6 @@
   { backlogMs }: Forecast,
 ): number => queuedAheadCoreMs + overtakingCores * backlogMs;
 
-const createCounts = (): AdmissionCounts => ({
-  refused: 0,
-  late: 0,
-  followedUp: 0,
-  wronglyRefused: 0,
-});
-
 export type AdmissionControlOptions = {
   readonly state: BatchState;
   readonly random?: () => number;
@@ -187,11 +105,7 @@
   random = Math.random,
 }: AdmissionControlOptions): AdmissionControl => {
   const pending = new Map<JobId, { readonly pool: PoolName; readonly work: QueuedWork }>();
-  const refusals = new Map<JobId, ForecastRefusal>();
-  const countsByQueue = new Map<QueueName, AdmissionCounts>();
-  const countsByAccount = new Map<AccountName, AdmissionCounts>();
-  let trackedRefusals: readonly TrackedRefusal[] = [];
-  let refused = 0;
+  const tracker = createRefusalTracker(state);
   let loads: ReadonlyMap<PoolName, PoolLoad> = new Map();
   let measuredAtMs = -Infinity;
 
@@ -275,7 +189,7 @@
     const { job, policy } = submitted;
     const account = job.owner?.account;
     if (account === undefined || !mayRefuse(submitted, nowMs)) return undefined;
-    const jobWork = jobWorkOf(state, job);
+    const jobWork = estimateJobWork(state, job);
     const objectiveMs = policy.stretch * jobWork.criticalWorkMs + policy.targetLatencyMs;
     const elapsedMs = Math.max(0, nowMs - (state.firstAttempts.get(job.jobId) ?? nowMs));
     const timeToObjectiveMs = objectiveMs - elapsedMs;
@@ -303,36 +217,12 @@
     };
   };
 
-  const count = (
-    { queue, account }: Pick<ForecastRefusal, 'queue' | 'account'>,
-    field: keyof AdmissionCounts,
-  ): void => {
-    const ofQueue = countsByQueue.get(queue) ?? createCounts();
-    const ofAccount = countsByAccount.get(account) ?? createCounts();
-    countsByQueue.set(queue, ofQueue);
-    countsByAccount.set(account, ofAccount);
-    [ofQueue, ofAccount].forEach((counts) => change(counts, { [field]: counts[field] + 1 }));
-  };
-
-  const trackRefusal = (refusal: ForecastRefusal, pool: PoolName): void => {
-    refused += 1;
-    if (refused % REFUSALS_PER_SAMPLE !== 0 || trackedRefusals.length >= MAX_SAMPLES) return;
-    const { forecast, workAheadCoreMs, limitMs, atMs } = refusal;
-    if (!Number.isFinite(forecast.backlogMs)) return;
-    const durationMs = Math.max(0, forecast.doneMs - forecast.backlogMs);
-    const startsAtCoreMs = poolOf(state, pool).doneCoreMs + workAheadCoreMs;
-    trackedRefusals = [
-      ...trackedRefusals,
-      { refusal, pool, startsAtCoreMs, startDeadlineMs: atMs + limitMs - durationMs },
-    ];
-  };
-
   return {
     evaluate,
     addPending: ({ job, policy }, nowMs) => {
       if (pending.has(job.jobId)) return;
       const { isWithinShare, virtualStart } = previewShare(state, job.owner?.account, nowMs);
-      const { coreMs } = jobWorkOf(state, job);
+      const { coreMs } = estimateJobWork(state, job);
       const work = {
         isWithinShare,
         isTooLate: false,
@@ -346,30 +236,6 @@
     removePending: (jobId) => {
       pending.delete(jobId);
     },
-    recordRefusal: (refusal, pool) => {
-      refusals.delete(refusal.jobId);
-      refusals.set(refusal.jobId, refusal);
-      const [oldest] = refusals.keys();
-      if (refusals.size > MAX_KEPT_REFUSALS && oldest !== undefined) refusals.delete(oldest);
-      count(refusal, 'refused');
-      trackRefusal(refusal, pool);
-    },
-    recordCompletion: ({ queue, owner }, isInTime) => {
-      if (!isInTime && owner) count({ queue, account: owner.account }, 'late');
-    },
-    checkTrackedRefusals: (nowMs) => {
-      trackedRefusals = trackedRefusals.filter(
-        ({ refusal, pool, startsAtCoreMs, startDeadlineMs }) => {
-          const hasStarted = poolOf(state, pool).doneCoreMs >= startsAtCoreMs;
-          if (!hasStarted && nowMs <= startDeadlineMs) return true;
-          count(refusal, 'followedUp');
-          if (hasStarted && nowMs <= startDeadlineMs) count(refusal, 'wronglyRefused');
-          return false;
-        },
-      );
-    },
-    findRefusal: (jobId) => refusals.get(jobId),
-    countsByQueue,
-    countsByAccount,
+    ...tracker,
   };
 };
