Configuration sync: messages, packing and the choice of neighbours in modules of their own

Moved: neighbour-messages.ts (question and answer, re-exported), packed-configuration.ts (compression and its limit, with the cached result), neighbour-choice.ts (whom to ask, a function of its inputs). The draw of a random number happens in the same cases as before; exported names and behaviour are unchanged.

--- a/packages/daemon/src/batch/configuration/configuration-sync.ts
+++ b/packages/daemon/src/batch/configuration/configuration-sync.ts
@@ -3,8 +3,6 @@
  * feed does not answer, the entry asks its neighbours, since clients may still reach an entry that cannot reach the
  * table. The version in force never decreases, whichever source a configuration comes from.
  */
-import { deflateRawSync, inflateRawSync } from 'node:zlib';
-
 import {
   newerConfiguration,
   type BatchConfiguration,
@@ -19,11 +17,20 @@
 import type { Metrics } from '../../observe/metrics.js';
 import type { AskPeer } from '../entry/peers.js';
 import type { OperatorFeed, OperatorUpdate } from '../ports.js';
+import { createEvacuationTracker, type EvacuationTracker } from './evacuation-tracker.js';
+import { chooseNeighbours } from './neighbour-choice.js';
 import {
-  createEvacuationTracker,
-  type EvacuationTracker,
-  type EvacuationMessage,
-} from './evacuation-tracker.js';
+  CONFIGURATION_METHOD,
+  type NeighbourAnswer,
+  type NeighbourQuestion,
+} from './neighbour-messages.js';
+import { createConfigurationPacker, unpackConfiguration } from './packed-configuration.js';
+
+export {
+  CONFIGURATION_METHOD,
+  type NeighbourAnswer,
+  type NeighbourQuestion,
+} from './neighbour-messages.js';
 
 /**
  * How long a read of the operator's feed waits for changes. It is short enough that a change is in force within 2 s
@@ -42,45 +49,11 @@
 const NEIGHBOUR_TIMEOUT_MS = 400;
 /** Client requests that call for a refresh within this interval share one round of questions to neighbours. */
 const MIN_REFRESH_INTERVAL_MS = 200;
-/**
- * How many neighbours are asked at once. One is not enough, since a network fault often cuts off several entries and
- * the rows of entries that no longer exist stay in the table.
- */
-const NEIGHBOURS_PER_ROUND = 2;
 /**
  * How long neighbours' answers that the table is unavailable to them stay valid. After this time the table may be
  * answering them again.
  */
 const NEIGHBOUR_ANSWERS_VALID_MS = 2000;
-/**
- * The routes of a configuration are similar, so the fastest level already compresses to a tenth of the size. The best
- * level takes five times as long.
- */
-const FASTEST_COMPRESSION = { level: 1 };
-/** The maximum size of an unpacked configuration: enough for about 100,000 queues. */
-const MAX_UNPACKED_BYTES = 32 * 1024 * 1024;
-
-/** The mesh method by which entries ask each other for the configuration. */
-export const CONFIGURATION_METHOD = 'configuration';
-
-/** What an entry sends to a neighbour to ask for a newer configuration. */
-export type NeighbourQuestion = {
-  /** The version of the configuration in force at the entry that asks; 0 without one. */
-  readonly version: number;
-  /** The evacuation view of the entry that asks. */
-  readonly evacuations: EvacuationMessage;
-};
-
-/** The answer of a neighbour. */
-export type NeighbourAnswer = {
-  /** The compressed configuration of the neighbour; null if it is not newer than the version in the question. */
-  readonly packed: Uint8Array | null;
-  /** False if the neighbour's own feed is overdue, so that another entry may have a newer configuration. */
-  readonly isUpToDate: boolean;
-  /** The neighbour's evacuation view; undefined if it runs an earlier release. */
-  readonly evacuations?: EvacuationMessage;
-};
-
 export type ConfigurationSyncOptions = {
   readonly feed: OperatorFeed;
   /** The entries that can be asked. */
@@ -134,14 +107,6 @@
   readonly isTableUnavailableToNeighbours: () => boolean;
 };
 
-const pack = (configuration: BatchConfiguration): Uint8Array =>
-  deflateRawSync(JSON.stringify(configuration), FASTEST_COMPRESSION);
-
-const unpack = (packed: Uint8Array): BatchConfiguration => {
-  const text = inflateRawSync(packed, { maxOutputLength: MAX_UNPACKED_BYTES }).toString('utf8');
-  return JSON.parse(text) as BatchConfiguration;
-};
-
 /**
  * Creates the configuration sync of an entry.
  *
@@ -159,14 +124,13 @@
   evacuations = createEvacuationTracker({ maxEvacuationDelayMs: () => undefined, log, nowMs }),
   random = Math.random,
 }: ConfigurationSyncOptions): ConfigurationSync => {
+  const packConfiguration = createConfigurationPacker();
   let index: QueueIndex | undefined;
   let lastFeedAnswerAtMs = nowMs();
   /** When the feed, or a neighbour with an up-to-date feed, last confirmed that no newer version exists. */
   let confirmedAtMs = -Infinity;
   let refreshedAtMs = -Infinity;
   let refreshing: Promise<void> | undefined;
-  /** The compressed configuration, cached for all neighbours that ask. */
-  let packed: { readonly version: number; readonly bytes: Uint8Array } | undefined;
   /** How many reads of the feed have failed since the last one that succeeded. */
   let failures = 0;
   /** The neighbour whose feed was up to date in the last round. While that holds, only it is asked. */
@@ -261,18 +225,6 @@
     await readFeedAndChanges(mayWait ? FEED_WAIT_MS : 0);
   };
 
-  /** Returns the neighbour that was up to date, or neighbours spread over the list from a random start. */
-  const chooseNeighbours = (): readonly EntryId[] => {
-    const all = neighbours();
-    if (upToDateNeighbour !== undefined && all.includes(upToDateNeighbour))
-      return [upToDateNeighbour];
-    const start = Math.floor(random() * all.length);
-    return Array.from({ length: Math.min(NEIGHBOURS_PER_ROUND, all.length) }, (_, step) => {
-      const chosen = (start + step * Math.ceil(all.length / NEIGHBOURS_PER_ROUND)) % all.length;
-      return all[chosen] as EntryId;
-    });
-  };
-
   /** Asks one neighbour. Returns whether it can reach the table, or undefined if it did not answer. */
   const askNeighbour = async (neighbour: EntryId): Promise<boolean | undefined> => {
     metrics.count('configuration_questions');
@@ -289,7 +241,7 @@
       if (answer?.isUpToDate) upToDateNeighbour = neighbour;
       if (answer?.packed) {
         const { packed: bytes } = answer;
-        applyConfiguration(unpack(bytes), {
+        applyConfiguration(unpackConfiguration(bytes), {
           from: neighbour,
           silentMs: feedSilentMs(),
           bytes: bytes.length,
@@ -306,7 +258,7 @@
   };
 
   const askChosenNeighbours = async (): Promise<void> => {
-    const chosen = chooseNeighbours();
+    const chosen = chooseNeighbours({ neighbours: neighbours(), upToDateNeighbour, random });
     upToDateNeighbour = undefined;
     const areUpToDate = await Promise.all(chosen.map(askNeighbour));
     if (areUpToDate.includes(true)) neighboursWithoutTableAtMs = -Infinity;
@@ -342,12 +294,6 @@
     return { version: versionInForce(), ageMs, mayBeOutdated: ageMs > FEED_OVERDUE_MS };
   };
 
-  const packedConfiguration = ({ configuration }: QueueIndex): Uint8Array => {
-    const { version } = configuration;
-    if (packed?.version !== version) packed = { version, bytes: pack(configuration) };
-    return packed.bytes;
-  };
-
   return {
     index: () => index,
     freshness,
@@ -359,7 +305,7 @@
       const version = isVersionOnly ? question : question.version;
       if (!isVersionOnly) evacuations.applyQuestion(question.evacuations);
       return {
-        packed: index && versionInForce() > version ? packedConfiguration(index) : null,
+        packed: index && versionInForce() > version ? packConfiguration(index.configuration) : null,
         isUpToDate: !isFeedOverdue(),
         evacuations: evacuations.toMessage(),
       };
