Holder simulation: the orders, the invariants and the endpoints of the fixture in modules of their own

Moved without change: planned-orders.fixtures.ts (outcomes of orders, sending; re-exported), run-invariants.fixtures.ts (what is checked at the endpoints), sim-endpoint.fixtures.ts (an endpoint and the computation of its lease). The silent log and the errors of orders stood in leased-endpoint.fixtures.ts as well; both use silent-log.fixtures.ts and order-errors.fixtures.ts now, and the pause of sim-platform.fixtures.ts. What is checked, the order of timers and the texts of violations are unchanged: sorted lines of old and new files differ in imports, types and the mentioned names only.

Tests: vitest on the four files that use the fixtures (endpoint-leases, repeated-stops, response-order, acknowledgement), 54 tests passed; prettier, eslint, tsc without findings.

--- a/packages/daemon/src/batch/testing/holder-simulation.fixtures.ts
+++ b/packages/daemon/src/batch/testing/holder-simulation.fixtures.ts
@@ -1,6 +1,6 @@
 /**
- * One holder and one or two endpoints in virtual time. The outcome of each order is given: when it is carried out and when its
- * answer arrives, or that either is lost. Invariants are checked at the endpoints.
+ * One holder and one or two endpoints in virtual time. The outcome of each order is given, and invariants are checked at the
+ * endpoints.
  */
 import {
   startDueOccurrences,
@@ -9,7 +9,6 @@
   createSharedDelayEstimator,
   createOrderWindow,
   instanceIdOf,
-  findTask,
   isFinal,
   parseTaskKey,
   createScheduleCycle,
@@ -20,14 +19,10 @@
   DEFAULT_STEP,
   type BatchJob,
   type BatchState,
-  type RunEndKind,
-  type EndedRunReport,
   type SimulatedEndpoint,
   type EndpointDescription,
   type JobState,
-  type OrderError,
   type StepSpec,
-  type TaskKey,
 } from '@valvelatch/core/batch';
 import { change } from '@valvelatch/core/shared/change';
 import {
@@ -37,64 +32,36 @@
   type PoolName,
   brand,
 } from '@valvelatch/core/shared/ids';
-import { Err, type Result } from 'ts-results-es';
 
-import type { Log } from '../../observe/log.js';
 import { createMetrics } from '../../observe/metrics.js';
 import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
-import type { EndpointOrders } from '../ports.js';
-
-/** The outcome of one order. */
-export type OrderOutcome = {
-  /** How long until the endpoint carries the order out; null if it never does. */
-  readonly requestMs: number | null;
-  /** How long the answer is in flight; null if it is lost. */
-  readonly answerMs: number | null;
-  /** How long until the connection breaks, which ends the call before its timeout; null if it does not break. */
-  readonly resetAfterMs?: number | null;
-  /** If set, the holder gets the answer that the order was not carried out, with this reason. */
-  readonly refusal?: 'unreachable' | 'unhealthy';
-};
-
-export type OrderKind = 'start' | 'stop' | 'list';
-
-/**
- * The outcomes of the orders of each kind, in the order in which they are sent; later orders are carried out and
- * answered without delay.
- */
-export type OrderOutcomes = Readonly<Record<OrderKind, readonly OrderOutcome[]>>;
-
-/** The outcome of an order that is carried out and answered without delay. */
-export const PROMPT_OUTCOME: OrderOutcome = { requestMs: 1, answerMs: 1 };
+import {
+  createPlannedOrders,
+  type OrderKind,
+  type OrderOutcome,
+  type OrderOutcomes,
+} from './planned-orders.fixtures.js';
+import { createRunInvariants } from './run-invariants.fixtures.js';
+import { SILENT_LOG } from './silent-log.fixtures.js';
+import { createLeaseMirror, type SimEndpoint } from './sim-endpoint.fixtures.js';
+
+export {
+  PROMPT_OUTCOME,
+  type OrderKind,
+  type OrderOutcome,
+  type OrderOutcomes,
+} from './planned-orders.fixtures.js';
 
 const POOL = brand<PoolName>('alpha');
 const FENCE = 2;
 const ENDPOINT_LEASE_MS = 6000;
 const INHERITED_LEASES_MS = 100;
 const TICK_MS = 100;
-/** How many violations are recorded: later ones tend to follow from the first ones. */
-const MAX_VIOLATIONS = 3;
 const SAVE_AFTER_MS = 20;
 /** The pause between two list requests of another holder. */
 const SUCCESSOR_LIST_INTERVAL_MS = 100;
 const POLICY = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
 
-const NO_ANSWER: OrderError = { verdict: 'mayHaveRun', reason: 'no-answer', detail: 'no answer' };
-
-const REPLACED: OrderError = { verdict: 'notRun', reason: 'other-endpoint', detail: '421' };
-
-const SILENT_LOG: Log = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
-const sleep = (ms: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
 export type HolderSimulationOptions = {
   /** How many tasks each endpoint can run at a time. */
   readonly taskCapacities: readonly number[];
@@ -118,50 +85,6 @@
   readonly hasSuccessor?: boolean;
 };
 
-/** The end of a run as done, and the run of the same task that started after it, if any. */
-type DoneEnd = {
-  readonly endpointId: EndpointId;
-  readonly task: TaskKey;
-  readonly run: number;
-  readonly atMs: number;
-  followedBy: number | undefined;
-  isAcknowledged: boolean;
-};
-
-/** Computes an endpoint's lease from the orders that it carries out, independently of the endpoint. */
-const createLeaseMirror = (clockRate: number) => {
-  const startedAtMs = performance.now();
-  let untilMs = 0;
-  let lapsedAtMs = -Infinity;
-  const readClockMs = (): number => 1000 + (performance.now() - startedAtMs) * clockRate;
-  return {
-    /** Applies an order to the lease; to be called just before the order is carried out. */
-    apply: (keepUntilMs: number | undefined): void => {
-      const clockMs = readClockMs();
-      if (clockMs > untilMs) lapsedAtMs = performance.now() - (clockMs - untilMs) / clockRate;
-      untilMs = Math.max(untilMs, keepUntilMs ?? 0);
-    },
-    /** Returns when a lease last ended before the next was granted; -Infinity before the first order. */
-    lapsedAtMs: () => lapsedAtMs,
-    isOver: (): boolean => readClockMs() > untilMs,
-  };
-};
-
-const endNumberOf = ({ number }: EndedRunReport): number => number;
-
-type SimEndpoint = {
-  readonly model: SimulatedEndpoint;
-  readonly lease: ReturnType<typeof createLeaseMirror>;
-  /** The numbers of the run ends that were reported to the holder. */
-  readonly reportedEnds: Set<number>;
-  /** True once another incarnation at its address answers the orders that are meant for it. */
-  isReplaced: boolean;
-  /** Before this time no order reaches it, and none of its answers arrives. */
-  cutUntilMs: number;
-  /** True if orders that are sent during the cut are delivered at its end; they are lost otherwise. */
-  deliversAfterCut: boolean;
-};
-
 /**
  * Creates a holder with its endpoints, none of which has answered yet.
  *
@@ -183,14 +106,6 @@
 }: HolderSimulationOptions) => {
   const state: BatchState = createBatchState(FENCE);
   const endpoints = new Map<EndpointId, SimEndpoint>();
-  const doneEnds: DoneEnd[] = [];
-  const violations: string[] = [];
-  const starts: { readonly task: TaskKey; readonly run: number; readonly on: EndpointId }[] = [];
-  const plannedOutcomes: Record<OrderKind, OrderOutcome[]> = {
-    start: [...(outcomes.start ?? [])],
-    stop: [...(outcomes.stop ?? [])],
-    list: [...(outcomes.list ?? [])],
-  };
   const startedAtMs = performance.now();
   let isStopped = false;
   let isClosed = false;
@@ -198,87 +113,16 @@
   let isSavePlanned = false;
   let endpointCount = 0;
   const nowMs = (): number => performance.now();
-  const recordViolation = (text: string): void => {
-    if (violations.length < MAX_VIOLATIONS) violations.push(`${Math.round(nowMs())} ms: ${text}`);
-  };
-
+  const { violations, starts, recordViolation, observeStart, observeEnd, observeAcknowledged } =
+    createRunInvariants({ state, endpoints, hasSuccessor });
+  const { orders, plannedOutcomes } = createPlannedOrders({
+    endpoints,
+    outcomes,
+    maxReportedEnds,
+    isStopped: () => isStopped,
+  });
   const jobs: JobState[] = [];
 
-  const taskOf = (key: TaskKey) => {
-    const name = parseTaskKey(key);
-    return name && findTask(state, name);
-  };
-
-  /**
-   * Tells whether a holder that asks now can learn of a run's end: the endpoint must be up, and its lease must not have
-   * ended since the run's end.
-   */
-  const canBeReported = ({ endpointId, atMs }: DoneEnd): boolean => {
-    const endpoint = endpoints.get(endpointId);
-    if (!endpoint?.model.isUp()) return false;
-    return !endpoint.lease.isOver() && endpoint.lease.lapsedAtMs() <= atMs;
-  };
-
-  const observeStart = (on: EndpointId, task: TaskKey, run: number): void => {
-    starts.push({ task, run, on });
-    endpoints.forEach(({ model }, other) => {
-      if (other !== on && model.isUp() && model.runs.has(task))
-        recordViolation(
-          `${task} run ${run} started on ${on} while another run of it is on ${other}`,
-        );
-    });
-    doneEnds
-      .filter((end) => end.task === task)
-      .forEach((end) => {
-        const earlier = `${task} run ${end.run} had ended as done on ${end.endpointId}`;
-        if (end.isAcknowledged)
-          recordViolation(`run ${run} started on ${on} after ${earlier}, acknowledged`);
-        else if (canBeReported(end))
-          recordViolation(`run ${run} started on ${on} after ${earlier}, still listed`);
-        Object.assign(end, { followedBy: run });
-      });
-  };
-
-  const observeEnd = (
-    on: EndpointId,
-    task: TaskKey,
-    run: number,
-    kind: RunEndKind | 'died',
-  ): void => {
-    if (kind !== 'done') return;
-    const atMs = nowMs();
-    const followedBy = undefined;
-    doneEnds.push({ endpointId: on, task, run, atMs, followedBy, isAcknowledged: false });
-  };
-
-  const isApplied = ({ task, run, kind }: EndedRunReport): boolean => {
-    const found = taskOf(task);
-    if (!found) return false;
-    if (isFinal(found.step.job.phase)) return true;
-    if (kind === 'done') return found.task.phase === 'done';
-    return kind === 'failed' ? found.task.failedRuns.includes(run) : true;
-  };
-
-  const observeAcknowledged = (on: EndpointId, end: EndedRunReport): void => {
-    const { number, task, run, kind } = end;
-    const endpoint = endpoints.get(on);
-    if (!endpoint) return;
-    const description = `the end ${number} of ${task} run ${run} as ${kind} on ${on}`;
-    // Another holder acknowledges the ends that were reported to itself, which are not recorded here.
-    if (!hasSuccessor) {
-      if (!endpoint.reportedEnds.has(number))
-        recordViolation(`${description} was acknowledged but never reported`);
-      else if (!isApplied(end)) recordViolation(`${description} was acknowledged but not applied`);
-    }
-    const ended = doneEnds.find(
-      (one) => one.endpointId === on && one.task === task && one.run === run,
-    );
-    if (!ended || endpoint.lease.lapsedAtMs() > ended.atMs) return;
-    ended.isAcknowledged = true;
-    if (ended.followedBy !== undefined)
-      recordViolation(`run ${ended.followedBy} had started after ${description}`);
-  };
-
   const addEndpoint = (taskCapacity: number): EndpointDescription => {
     const endpointId = brand<EndpointId>(`i-${endpointCount}`);
     const index = endpointCount;
@@ -326,83 +170,6 @@
     };
   };
 
-  type Answer<Value> = Result<Value, OrderError>;
-
-  /** Sends an order, which meets the next planned outcome of its kind. */
-  const send = <Value>(
-    kind: OrderKind,
-    endpointId: EndpointId,
-    timeoutMs: number,
-    carryOut: (endpoint: SimEndpoint) => Promise<Answer<Value>> | Answer<Value>,
-    onAnswer: (endpoint: SimEndpoint, answer: Answer<Value>) => void = () => undefined,
-  ): Promise<Answer<Value>> =>
-    new Promise((resolve) => {
-      const {
-        requestMs,
-        answerMs,
-        resetAfterMs = null,
-        refusal,
-      } = plannedOutcomes[kind].shift() ?? PROMPT_OUTCOME;
-      const endpoint = endpoints.get(endpointId);
-      if (!endpoint || isStopped) return;
-      let isFinished = false;
-      const finish = (answer: Answer<Value>): void => {
-        if (isFinished) return;
-        isFinished = true;
-        onAnswer(endpoint, answer);
-        resolve(answer);
-      };
-      const deliver = async (): Promise<void> => {
-        const cutForMs = endpoint.cutUntilMs - nowMs();
-        if (cutForMs > 0 && !endpoint.deliversAfterCut) return;
-        if (cutForMs > 0) await sleep(cutForMs);
-        if (isStopped || (!endpoint.model.isUp() && !endpoint.isReplaced)) return;
-        const answer = endpoint.model.isUp() ? await carryOut(endpoint) : Err(REPLACED);
-        if (answerMs === null) return;
-        await sleep(answerMs);
-        if (nowMs() >= endpoint.cutUntilMs) finish(answer);
-      };
-      setTimeout(() => finish(Err(NO_ANSWER)), timeoutMs);
-      if (refusal !== undefined) {
-        const refused: OrderError = { verdict: 'notRun', reason: refusal, detail: 'refused' };
-        setTimeout(() => finish(Err(refused)), answerMs ?? 1);
-      }
-      if (resetAfterMs !== null) setTimeout(() => finish(Err(NO_ANSWER)), resetAfterMs);
-      if (requestMs === null) return;
-      setTimeout(() => {
-        void deliver();
-      }, requestMs);
-    });
-
-  const orders: EndpointOrders = {
-    list: ({ endpointId }, order, timeoutMs) =>
-      send(
-        'list',
-        endpointId,
-        order.waitMs + timeoutMs,
-        async ({ model, lease }) => {
-          lease.apply(order.keepUntilMs);
-          const answer = await model.list(order);
-          return answer.map((reported) => ({
-            ...reported,
-            ended: reported.ended.slice(0, maxReportedEnds),
-          }));
-        },
-        ({ reportedEnds }, answer) => {
-          if (answer.isOk()) answer.value.ended.forEach(({ number }) => reportedEnds.add(number));
-        },
-      ),
-    start: ({ endpointId }, order, timeoutMs) =>
-      send('start', endpointId, timeoutMs, ({ model, lease }) => {
-        lease.apply(order.keepUntilMs);
-        return model.start(order);
-      }),
-    stop: ({ endpointId }, order, timeoutMs) =>
-      send('stop', endpointId, timeoutMs, ({ model }) => model.stop(order)),
-    setPace: async () => Err(NO_ANSWER),
-    release: () => undefined,
-  };
-
   const schedulePools = createScheduleCycle(state);
 
   const cycle = (): void => {
@@ -501,10 +268,14 @@
     cycle();
   };
 
+  const pickLiveEndpoint = (pick: number): SimEndpoint | undefined => {
+    const liveEndpoints = Array.from(endpoints.values()).filter(({ model }) => model.isUp());
+    return liveEndpoints[pick % Math.max(1, liveEndpoints.length)];
+  };
+
   /** Crashes an endpoint with all its runs; another incarnation starts at its address after backAfterMs. */
   const crash = (pick: number, backAfterMs: number): void => {
-    const liveEndpoints = Array.from(endpoints.values()).filter(({ model }) => model.isUp());
-    const target = liveEndpoints[pick % Math.max(1, liveEndpoints.length)];
+    const target = pickLiveEndpoint(pick);
     if (!target) return;
     target.model.crash();
     setTimeout(() => {
@@ -519,8 +290,7 @@
 
   /** Cuts an endpoint off from the holder. */
   const cut = (pick: number, forMs: number, deliversAfterCut: boolean): void => {
-    const liveEndpoints = Array.from(endpoints.values()).filter(({ model }) => model.isUp());
-    const target = liveEndpoints[pick % Math.max(1, liveEndpoints.length)];
+    const target = pickLiveEndpoint(pick);
     if (target) Object.assign(target, { cutUntilMs: nowMs() + forMs, deliversAfterCut });
   };
 
@@ -540,7 +310,7 @@
         const order = { fence: FENCE + 1, acknowledged, keepUntilMs, waitMs: 0 };
         const answer = await model.list(order);
         if (answer.isOk())
-          acknowledged = Math.max(acknowledged, ...answer.value.ended.map(endNumberOf));
+          acknowledged = Math.max(acknowledged, ...answer.value.ended.map(({ number }) => number));
         setTimeout(() => {
           void listRuns();
         }, SUCCESSOR_LIST_INTERVAL_MS);
--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -27,13 +27,14 @@
 import { type DataCentreId, type EndpointId, type JobId, brand } from '@valvelatch/core/shared/ids';
 import { Err, Ok, type Result } from 'ts-results-es';
 
-import type { Log } from '../../observe/log.js';
 import { createMetrics } from '../../observe/metrics.js';
 import { ENDPOINT_LEASE_MS } from '../endpoints/endpoint-link.js';
 import { createEndpointRoster, type EndpointRoster } from '../endpoints/endpoint-roster.js';
 import type { EndpointFeed, EndpointOrders } from '../ports.js';
-import { neverSettle, sleep } from './sim-platform.fixtures.js';
+import { NO_ANSWER, refusedOrder } from './order-errors.fixtures.js';
+import { SILENT_LOG } from './silent-log.fixtures.js';
 import { SIM_QUEUE_POLICY } from './sim-environment.fixtures.js';
+import { neverSettle, sleep } from './sim-platform.fixtures.js';
 
 /** How long the control lease lasts after a renewal. */
 const CONTROL_LEASE_MS = 8000;
@@ -154,16 +155,6 @@
   isLasting,
 });
 
-const SILENT_LOG: Log = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
-const NO_ANSWER: OrderError = { verdict: 'mayHaveRun', reason: 'no-answer', detail: 'no answer' };
-const REFUSED: OrderError = { verdict: 'notRun', reason: 'unreachable', detail: 'refused' };
-
 /**
  * Creates a holder with one endpoint and starts the holder's term.
  *
@@ -327,7 +318,7 @@
     const deliver = async (): Promise<Result<Answer, OrderError>> => {
       // At least 1 ms: if refusals took no time, each would lead to the next start at once, in an endless loop.
       await sleep(Math.max(1, requestMs));
-      if (hasFault('refuse')) return Err(REFUSED);
+      if (hasFault('refuse')) return Err(refusedOrder('unreachable'));
       if (kind === 'request-lost' || hasFault('cut')) return neverSettle();
       if (kind === 'carried-late') {
         setTimeout(act, executionDelayMs);
