Leased endpoint: the calls of the holder and the expected lease of the fixture in modules of their own

Moved: faulty-calls.fixtures.ts (outcomes of calls, faults, sending; re-exported), expected-lease.fixtures.ts (the lease by the orders carried out, and its check against the holder's estimate). Their variables are named after outcomes and faults, like the options. What is checked, the order of timers and the texts of violations are unchanged.

--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -19,22 +19,35 @@
   type SimulatedEndpoint,
   type EndedRunReport,
   type ListOrder,
-  type OrderError,
   type StartOrder,
   type StepSpec,
   type TaskKey,
 } from '@valvelatch/core/batch';
 import { type DataCentreId, type EndpointId, type JobId, brand } from '@valvelatch/core/shared/ids';
-import { Err, Ok, type Result } from 'ts-results-es';
+import { Ok } from 'ts-results-es';
 
 import { createMetrics } from '../../observe/metrics.js';
 import { ENDPOINT_LEASE_MS } from '../endpoints/endpoint-link.js';
 import { createEndpointRoster, type EndpointRoster } from '../endpoints/endpoint-roster.js';
 import type { EndpointFeed, EndpointOrders } from '../ports.js';
-import { NO_ANSWER, refusedOrder } from './order-errors.fixtures.js';
+import { createExpectedLease } from './expected-lease.fixtures.js';
+import {
+  createFaultyCalls,
+  PROMPT_OUTCOME,
+  type CallOutcome,
+  type FaultPeriod,
+  type SentOrder,
+} from './faulty-calls.fixtures.js';
 import { SILENT_LOG } from './silent-log.fixtures.js';
 import { SIM_QUEUE_POLICY } from './sim-environment.fixtures.js';
-import { neverSettle, sleep } from './sim-platform.fixtures.js';
+import { sleep } from './sim-platform.fixtures.js';
+
+export {
+  PROMPT_OUTCOME,
+  type CallOutcome,
+  type FaultPeriod,
+  type SentOrder,
+} from './faulty-calls.fixtures.js';
 
 /** How long the control lease lasts after a renewal. */
 const CONTROL_LEASE_MS = 8000;
@@ -55,41 +68,6 @@
 const FENCE = 2;
 const ENDPOINT = brand<EndpointId>('i-1');
 const POOL = 'alpha';
-/** What the endpoint's clock shows when the endpoint starts. */
-const CLOCK_START_MS = 1000;
-
-/** The outcome of one call: what is lost or delayed. */
-export type CallOutcome = {
-  readonly kind: 'carried' | 'request-lost' | 'answer-lost' | 'carried-late';
-  /** How long the request is in flight. */
-  readonly requestMs: number;
-  /** How long the answer is in flight. */
-  readonly answerMs: number;
-  /** How long after its arrival a 'carried-late' request is carried out. */
-  readonly executionDelayMs: number;
-};
-
-/** The outcome of a call that is carried out and answered without delay. */
-export const PROMPT_OUTCOME: CallOutcome = {
-  kind: 'carried',
-  requestMs: 1,
-  answerMs: 1,
-  executionDelayMs: 0,
-};
-
-/** A period in which one fault is present. */
-export type FaultPeriod = {
-  /**
-   * `freeze`: the holder's process is paused, sends nothing and handles nothing that it receives. `cut`: calls to the
-   * endpoint are not answered. `refuse`: connections to the endpoint are refused. `table`: the control lease is not
-   * renewed.
-   */
-  readonly kind: 'freeze' | 'cut' | 'refuse' | 'table';
-  /** When it begins, in ms after the creation of the holder. */
-  readonly atMs: number;
-  readonly durationMs: number;
-};
-
 /** Another entry that takes over the control lease as soon as it may, and renews the endpoint's lease. */
 export type Successor = {
   /** How long it waits after the time from which it may take the control lease. */
@@ -115,16 +93,6 @@
   readonly inheritedLeasesMs?: number;
 };
 
-/** An order as it was sent to the endpoint. */
-export type SentOrder = {
-  readonly kind: 'list' | 'start' | 'stop';
-  readonly sentAtMs: number;
-  /** The end of the endpoint's lease that the order asks for, on the endpoint's clock; undefined if it asks for none. */
-  readonly keepUntilMs: number | undefined;
-  /** The number of the last run end that the order acknowledges; 0 for none. */
-  readonly acknowledged: number;
-};
-
 export type LeasedEndpoint = {
   readonly state: BatchState;
   readonly model: SimulatedEndpoint;
@@ -162,8 +130,8 @@
  * @returns The holder and the endpoint, which run on the virtual clock.
  */
 export const createLeasedEndpoint = ({
-  outcomes: firstFates = [PROMPT_OUTCOME],
-  faults: plannedTroubles = [],
+  outcomes = [PROMPT_OUTCOME],
+  faults = [],
   clockRate = 0.98,
   successor,
   taskCount = 1,
@@ -174,54 +142,33 @@
   const nowMs = (): number => performance.now();
   const startedAtMs = nowMs();
   const violations: string[] = [];
-  const sent: SentOrder[] = [];
   const gaveUpAtMs: number[] = [];
   const givenUp = new Set<string>();
-  /** The ends of leases that had ended before the next one was granted. */
-  const pastLeaseEndsAtMs: number[] = [];
   const doneAtMs = new Map<string, number>();
-  const troubles: FaultPeriod[] = plannedTroubles.map((one) => ({
-    ...one,
-    atMs: startedAtMs + one.atMs,
-  }));
   const runMsOf = new Map<JobId, number>();
-  let fates = firstFates;
-  let playsOnce = false;
-  let callCount = 0;
   let isClosed = false;
   let isListed = true;
   let isReplaced = false;
   let isTermOver = false;
   let renewedAtMs = startedAtMs;
-  let highestFence = 0;
-  /** The end of the endpoint's lease, on the endpoint's clock; 0 before the first lease. */
-  let leaseUntilMs = 0;
-  /** The end of the last lease that was granted by this holder and not by its successor, on the endpoint's clock. */
-  let ownLeaseUntilMs = 0;
-  /** The value of ownLeaseUntilMs for which checkEstimate has already reported a violation. */
-  let reportedUntilMs = 0;
   let jobCount = 0;
 
   const recordViolation = (text: string): void => {
     violations.push(`${Math.round(nowMs() - startedAtMs)} ms: ${text}`);
   };
 
-  const hasFault = (kind: FaultPeriod['kind']): boolean =>
-    troubles.some(
-      (one) => one.kind === kind && nowMs() >= one.atMs && nowMs() < one.atMs + one.durationMs,
-    );
-
-  /** Resolves once the holder's process runs: a paused one sends and handles nothing. Never resolves after `close`. */
-  const awake = async (): Promise<void> => {
-    while (hasFault('freeze')) await sleep(7);
-    if (isClosed) await neverSettle();
-  };
-
-  /** Converts a time on the endpoint's clock to the virtual clock. */
-  const toVirtualTime = (keepUntilMs: number): number =>
-    startedAtMs + (keepUntilMs - CLOCK_START_MS) / clockRate;
-  const leaseEndsAtMs = (): number => (leaseUntilMs === 0 ? 0 : toVirtualTime(leaseUntilMs));
+  const { sent, hasFault, awake, call, setNextOutcomes, addFault } = createFaultyCalls({
+    outcomes,
+    faults,
+    isClosed: () => isClosed,
+  });
   const estimatedLeaseEndsAtMs = (): number => state.endpoints.get(ENDPOINT)?.leaseEndsAtMs ?? 0;
+  const lease = createExpectedLease({
+    clockRate,
+    ownFence: FENCE,
+    estimatedEndsAtMs: () => state.endpoints.get(ENDPOINT)?.leaseEndsAtMs,
+    recordViolation,
+  });
 
   const formatRun = (task: TaskKey, run: number): string => `${task}/${run}`;
 
@@ -246,7 +193,7 @@
         if (kind === 'done') doneAtMs.set(name, nowMs());
         if (kind === 'done' && givenUp.has(name))
           recordViolation(`${name} was done after it was given up`);
-        const lateMs = nowMs() - leaseEndsAtMs();
+        const lateMs = nowMs() - lease.endsAtMs();
         if (kind === 'lapsed' && Math.abs(lateMs) > ROUNDING_MS) {
           recordViolation(`the lease ended ${lateMs} ms after the end that the test computed`);
         }
@@ -254,85 +201,24 @@
       onAcknowledged: ({ task, run, kind }: EndedRunReport) => {
         const name = formatRun(task, run);
         const endedAtMs = doneAtMs.get(name) ?? 0;
-        const hasLapsed = [...pastLeaseEndsAtMs, leaseEndsAtMs()].some(
-          (one) => one >= endedAtMs && one <= nowMs(),
-        );
-        if (kind === 'done' && givenUp.has(name) && !hasLapsed) {
+        if (kind === 'done' && givenUp.has(name) && !lease.hasEndedSince(endedAtMs)) {
           recordViolation(`${name} was given up and acknowledged as done within one lease`);
         }
       },
     },
   });
 
-  /** Computes the lease as the endpoint does; called just before the endpoint carries the order out. */
-  const recordLease = (fence: number, keepUntilMs: number | undefined, isStart: boolean): void => {
-    if (fence < highestFence) return;
-    highestFence = fence;
-    const clockMs = CLOCK_START_MS + (nowMs() - startedAtMs) * clockRate;
-    if (keepUntilMs === undefined || keepUntilMs <= leaseUntilMs) return;
-    if (isStart && keepUntilMs <= clockMs) return;
-    if (leaseUntilMs !== 0 && leaseEndsAtMs() <= nowMs()) pastLeaseEndsAtMs.push(leaseEndsAtMs());
-    leaseUntilMs = keepUntilMs;
-    if (fence === FENCE) ownLeaseUntilMs = keepUntilMs;
-    checkEstimate();
-  };
-
-  /**
-   * Checks that no lease which this holder granted ends after the end that the holder estimates. A violation is
-   * reported once for each granted lease.
-   */
-  const checkEstimate = (): void => {
-    const isKnown = state.endpoints.has(ENDPOINT);
-    if (!isKnown || ownLeaseUntilMs === 0 || ownLeaseUntilMs === reportedUntilMs) return;
-    const beyondMs = toVirtualTime(ownLeaseUntilMs) - estimatedLeaseEndsAtMs();
-    if (beyondMs <= 0) return;
-    reportedUntilMs = ownLeaseUntilMs;
-    recordViolation(`a granted lease ends ${Math.round(beyondMs)} ms after the holder's estimate`);
-  };
-
   const endpointOrders = {
     list: (order: ListOrder) => {
-      recordLease(order.fence, order.keepUntilMs, false);
+      lease.record(order.fence, order.keepUntilMs, false);
       return model.list(order);
     },
     start: (order: StartOrder) => {
-      recordLease(order.fence, order.keepUntilMs, true);
+      lease.record(order.fence, order.keepUntilMs, true);
       return model.start(order);
     },
   };
 
-  const nextOutcome = (): CallOutcome => {
-    const outcome = fates[playsOnce ? callCount : callCount % fates.length] ?? PROMPT_OUTCOME;
-    callCount += 1;
-    return outcome;
-  };
-
-  const call = async <Answer>(
-    order: Omit<SentOrder, 'sentAtMs'>,
-    act: () => Promise<Result<Answer, OrderError>> | Result<Answer, OrderError>,
-    timeoutMs: number,
-  ): Promise<Result<Answer, OrderError>> => {
-    sent.push({ ...order, sentAtMs: nowMs() });
-    await awake();
-    const { kind, requestMs, answerMs, executionDelayMs } = nextOutcome();
-    const deliver = async (): Promise<Result<Answer, OrderError>> => {
-      // At least 1 ms: if refusals took no time, each would lead to the next start at once, in an endless loop.
-      await sleep(Math.max(1, requestMs));
-      if (hasFault('refuse')) return Err(refusedOrder('unreachable'));
-      if (kind === 'request-lost' || hasFault('cut')) return neverSettle();
-      if (kind === 'carried-late') {
-        setTimeout(act, executionDelayMs);
-        return neverSettle();
-      }
-      const answer = await act();
-      await sleep(answerMs);
-      return kind === 'answer-lost' || hasFault('cut') ? neverSettle() : answer;
-    };
-    const answer = await Promise.race([deliver(), sleep(timeoutMs).then(() => Err(NO_ANSWER))]);
-    await awake();
-    return answer;
-  };
-
   const orders: EndpointOrders = {
     list: (_, order, timeoutMs) =>
       call(
@@ -448,7 +334,7 @@
     if (handleStalledAndLapsedRuns(state, nowMs()).length === 0) return;
     gaveUpAtMs.push(nowMs());
     names.forEach((name) => givenUp.add(name));
-    const leftMs = leaseEndsAtMs() - nowMs();
+    const leftMs = lease.endsAtMs() - nowMs();
     if (leftMs > 0)
       recordViolation(`${names.join()} given up ${Math.round(leftMs)} ms before the lease ends`);
     const running = Array.from(model.runs, ([task, { run }]) => formatRun(task, run));
@@ -459,7 +345,7 @@
 
   const tick = (): void => {
     if (hasFault('freeze') || isTermOver) return;
-    checkEstimate();
+    lease.checkEstimate();
     state.soleHolderUntilMs = renewedAtMs + SOLE_HOLDER_MS;
     giveUpRuns();
     cycle();
@@ -472,8 +358,7 @@
     isReplaced = true;
     const endsAtMs = nowMs() + renewsForMs;
     while (!isClosed && nowMs() < endsAtMs) {
-      const clockMs = CLOCK_START_MS + (nowMs() - startedAtMs) * clockRate;
-      const keepUntilMs = Math.floor(clockMs) + ENDPOINT_LEASE_MS;
+      const keepUntilMs = Math.floor(lease.readClockMs()) + ENDPOINT_LEASE_MS;
       void endpointOrders.list({ fence: FENCE + 1, acknowledged: 0, waitMs: 0, keepUntilMs });
       await sleep(SUCCESSOR_LISTS_EVERY_MS);
     }
@@ -519,19 +404,13 @@
     violations,
     sent,
     gaveUpAtMs,
-    leaseEndsAtMs,
+    leaseEndsAtMs: lease.endsAtMs,
     estimatedLeaseEndsAtMs,
     setListed: (isNowListed) => {
       isListed = isNowListed;
     },
-    setNextOutcomes: (next) => {
-      fates = next;
-      callCount = 0;
-      playsOnce = true;
-    },
-    addFault: (kind, durationMs) => {
-      troubles.push({ kind, atMs: nowMs(), durationMs });
-    },
+    setNextOutcomes,
+    addFault,
     submit,
     close: () => {
       isClosed = true;
