--- a/packages/core/src/batch/maintenance/candidate-order.ts
+++ b/packages/core/src/batch/maintenance/candidate-order.ts
@@ -62,7 +62,7 @@
  * Sorts the hosts of a wave by the order in which they should go down.
  *
  * @param candidates - The hosts.
- * @param round - The planning pass, with the wave's plan.
+ * @param pass - The planning pass, with the wave's plan.
  * @param startedByRack - Number of hosts per rack that have started.
  * @returns Hosts of evacuated data centres first, then draining hosts, then hosts whose long-running steps make them
  *   urgent, then by the number of started hosts in their rack (most first) and by the cost of losing them (lowest first).
--- a/packages/core/src/batch/maintenance/early-moves.ts
+++ b/packages/core/src/batch/maintenance/early-moves.ts
@@ -37,14 +37,14 @@
 const tryMoveTask = (
   candidate: Candidate,
   endpoint: EndpointState,
-  round: PlanningPass,
+  pass: PlanningPass,
   step: StepRun,
 ): boolean => {
-  const { world, wave, plan, reservedTasks, nowMs } = round;
-  const { state } = world;
+  const { context, wave, plan, reservedTasks, nowMs } = pass;
+  const { state } = context;
   if (!isWorthMoving(endpoint, step, plan)) return false;
   const unavailable = countUnavailable(state, step, endpoint) + (reservedTasks.get(step) ?? 0);
-  if (unavailable > maxOthersUnavailable(candidate, round, step)) return false;
+  if (unavailable > maxOthersUnavailable(candidate, pass, step)) return false;
   const moved = moveOneTask(state, endpoint, {
     step,
     unavailable,
@@ -64,10 +64,10 @@
  * allow it. Does nothing while a rack or data centre is suspected lost.
  *
  * @param candidate - The host, which has not been ordered down yet.
- * @param round - The planning pass; its wave's set of moved tasks is changed in place.
+ * @param pass - The planning pass; its wave's set of moved tasks is changed in place.
  */
-export const moveTasksEarly = (candidate: Candidate, round: PlanningPass): void => {
+export const moveTasksEarly = (candidate: Candidate, pass: PlanningPass): void => {
   const { endpoint, longRunningSteps } = candidate;
-  if (!endpoint || round.world.state.suspectedDomains.size > 0) return;
-  longRunningSteps.forEach((step) => tryMoveTask(candidate, endpoint, round, step));
+  if (!endpoint || pass.context.state.suspectedDomains.size > 0) return;
+  longRunningSteps.forEach((step) => tryMoveTask(candidate, endpoint, pass, step));
 };
--- a/packages/core/src/batch/maintenance/host-rules.ts
+++ b/packages/core/src/batch/maintenance/host-rules.ts
@@ -35,7 +35,7 @@
 
 /** One planning pass over the candidates of a wave, with the results of the decisions made so far. */
 export type PlanningPass = {
-  readonly world: MaintenanceContext;
+  readonly context: MaintenanceContext;
   readonly wave: MaintenanceWave;
   readonly nowMs: number;
   /** The latest times until which hosts may wait to become empty by themselves. */
@@ -67,7 +67,7 @@
     }
   | { readonly kind: 'order-down'; readonly reason: '' };
 
-type Rule = (candidate: Candidate, round: PlanningPass) => HostDecision | undefined;
+type Rule = (candidate: Candidate, pass: PlanningPass) => HostDecision | undefined;
 
 /** Number of hosts beyond the maximum that drain in advance, so that the next host is ready as soon as one is back. */
 const DRAIN_AHEAD = 2;
@@ -77,10 +77,10 @@
 const drain = (reason: string): HostDecision => ({ kind: 'drain', reason });
 
 /** Before a host's latest start time, keeps it in use while it is busy or a pool lacks capacity. */
-const deferWhileTimeRemains: Rule = (candidate, { world, plan, nowMs }) => {
+const deferWhileTimeRemains: Rule = (candidate, { context, plan, nowMs }) => {
   const { endpoint, isEvacuated } = candidate;
   if (nowMs >= latestStartOf(plan, candidate)) return undefined;
-  if (world.isCapacityShort && !isEvacuated)
+  if (context.isCapacityShort && !isEvacuated)
     return keepOpen('capacity is short, and there is time left');
   const isAtWork = endpoint !== undefined && !runsOnlyLongRunningTasks(endpoint);
   return isAtWork ? keepOpen('it is running tasks, and there is time left') : undefined;
@@ -90,8 +90,8 @@
  * The full extent of a suspected outage is not known yet, so none of any step's disruption budget is spent on
  * maintenance.
  */
-const waitForSuspectedDomains: Rule = ({ longRunningSteps }, { world }) => {
-  if (longRunningSteps.size === 0 || world.state.suspectedDomains.size === 0) return undefined;
+const waitForSuspectedDomains: Rule = ({ longRunningSteps }, { context }) => {
+  if (longRunningSteps.size === 0 || context.state.suspectedDomains.size === 0) return undefined;
   return keepOpen('a rack or a data centre is suspected lost');
 };
 
@@ -125,9 +125,9 @@
   return staying.length > step.spec.mayMiss;
 };
 
-const keepWithinBudgets: Rule = ({ endpoint }, { world }) => {
+const keepWithinBudgets: Rule = ({ endpoint }, { context }) => {
   if (!endpoint) return undefined;
-  const obstacle = findBudgetViolation(world.state, endpoint);
+  const obstacle = findBudgetViolation(context.state, endpoint);
   if (!obstacle) return undefined;
   const { reason } = obstacle;
   if (!exceedsBudgetAlone(endpoint, obstacle)) return keepOpen(reason);
@@ -135,8 +135,8 @@
 };
 
 /** Hosts that each stay within a step's disruption budget could exceed it together. */
-const keepWithinCombinedBudgets: Rule = ({ endpoint }, { world, reservedTasks }) => {
-  const obstacle = endpoint && findBudgetViolation(world.state, endpoint, reservedTasks);
+const keepWithinCombinedBudgets: Rule = ({ endpoint }, { context, reservedTasks }) => {
+  const obstacle = endpoint && findBudgetViolation(context.state, endpoint, reservedTasks);
   return obstacle && keepOpen(`job ${obstacle.step.job.job.jobId} has another host draining first`);
 };
 
@@ -145,8 +145,8 @@
   return drain(`${wave.request.maximum} hosts are down, which is the maximum`);
 };
 
-const waitForFirstAnswer: Rule = ({ hostId, endpoint }, { world }) => {
-  const instanceId = world.inventory.hosts.get(hostId)?.instanceId ?? null;
+const waitForFirstAnswer: Rule = ({ hostId, endpoint }, { context }) => {
+  const instanceId = context.inventory.hosts.get(hostId)?.instanceId ?? null;
   // It is not known what an endpoint runs until it has answered this control holder.
   const isUnknown = instanceId !== null && !endpoint?.hasReported;
   return isUnknown ? drain('its endpoint has not answered yet') : undefined;
@@ -176,12 +176,12 @@
  * Decides what to do with a host, without changing any state.
  *
  * @param candidate - The host.
- * @param round - The planning pass so far.
+ * @param pass - The planning pass so far.
  * @returns The decision with its reason.
  */
-export const decideHostAction = (candidate: Candidate, round: PlanningPass): HostDecision => {
+export const decideHostAction = (candidate: Candidate, pass: PlanningPass): HostDecision => {
   const decision = rules.reduce<HostDecision | undefined>(
-    (decided, rule) => decided ?? rule(candidate, round),
+    (decided, rule) => decided ?? rule(candidate, pass),
     undefined,
   );
   return decision ?? { kind: 'order-down', reason: '' };
