Pool moves: policy, shortfall and peaks of pools in modules of their own, `input` and `workScope` for `world` and `rank`

Moved: pool-policy.ts (the policy and its default), pool-shortfall.ts (missing capacity, surplus hosts, order of claims), pool-peaks.ts (observePeaks); isHostMovable is local to movable-hosts.ts, its only user, and no longer exported. The parameters `world` (of type PoolPlanInput) and `rank` (of type WorkScope; a rank is something else in the scheduler) are named after their types. The index exports the new modules, so importers of the package are unaffected. Behaviour is unchanged.

--- a/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
+++ b/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
@@ -21,7 +21,8 @@
 import { createHostInventory, applyHostList } from '../pools/host-inventory.js';
 import type { ListedHost } from '../pools/listed-hosts.js';
 import { planMoves } from '../pools/pool-moves.js';
-import { DEFAULT_POOL_POLICY, computePoolNeeds, type PoolPlanInput } from '../pools/pool-needs.js';
+import { computePoolNeeds, type PoolPlanInput } from '../pools/pool-needs.js';
+import { DEFAULT_POOL_POLICY } from '../pools/pool-policy.js';
 import {
   applyAnswer,
   FIRST,
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -67,3 +67,6 @@
 export * from './pools/pool-moves.js';
 export * from './pools/pool-reclaims.js';
 export * from './pools/pool-needs.js';
+export * from './pools/pool-peaks.js';
+export * from './pools/pool-policy.js';
+export * from './pools/pool-shortfall.js';
--- a/packages/core/src/batch/pools/host-allocation.ts
+++ b/packages/core/src/batch/pools/host-allocation.ts
@@ -9,14 +9,9 @@
   countHostsByDomain,
   type DomainCounts,
 } from './pool-domains.js';
-import {
-  compareByShortfall,
-  shortfallCpuOf,
-  type PoolMovePolicy,
-  type PoolNeed,
-  type PoolPlanInput,
-  type WorkScope,
-} from './pool-needs.js';
+import type { PoolNeed, PoolPlanInput } from './pool-needs.js';
+import type { PoolMovePolicy } from './pool-policy.js';
+import { compareByShortfall, shortfallCpuOf, type WorkScope } from './pool-shortfall.js';
 
 /** A planned move of a host to another pool. */
 export type PoolMove = {
@@ -60,7 +55,7 @@
   free: Set<ListedHost>,
   claim: HostClaim,
   { minShortfallShare }: PoolMovePolicy,
-  rank: WorkScope,
+  workScope: WorkScope,
 ): PoolMove | undefined => {
   const { name } = claim.need;
   const host = chooseHostToJoin(hostsOfFirstPool(free, name), claim.counts);
@@ -73,7 +68,7 @@
     hostId: host.hostId,
     fromPool: host.pool,
     toPool: name,
-    reason: `pool=${name} is short of ${shortfallCores} cores, ${MOVE_REASONS[rank]}`,
+    reason: `pool=${name} is short of ${shortfallCores} cores, ${MOVE_REASONS[workScope]}`,
   };
 };
 
@@ -90,9 +85,9 @@
 };
 
 /**
- * How the claims of each rank are met. Claims for work within the accounts' shares are met completely, one after the
- * other, the most urgent first. For the remaining work, pools get one host each in turn: if the largest claim were met
- * first, all hosts would go to the client account that submits most.
+ * How the claims for each scope of work are met. Claims for work within the accounts' shares are met completely, one
+ * after the other, the most urgent first. For the remaining work, pools get one host each in turn: if the largest claim
+ * were met first, all hosts would go to the client account that submits most.
  */
 const ALLOCATION_STRATEGIES: Readonly<Record<WorkScope, AllocationStrategy>> = {
   'within-share': (claims, allocate) =>
@@ -109,41 +104,41 @@
 
 /** Which work counts as the need, and the moves planned for the work that goes before it. */
 export type AllocationScope = {
-  readonly rank: WorkScope;
+  readonly workScope: WorkScope;
   readonly earlierMoves: readonly PoolMove[];
 };
 
 /**
- * Allocates hosts to the claims of one rank, in addition to the moves planned for an earlier rank.
+ * Allocates hosts to the claims for one scope of work, in addition to the moves planned for an earlier one.
  *
- * @param world - The pools, hosts and batch state.
+ * @param input - The pools, hosts and batch state.
  * @param needs - The needs of the pools.
  * @param policy - The policy for pool moves.
- * @param scope - The rank, and the earlier moves.
+ * @param scope - The scope of work, and the earlier moves.
  * @returns The moves, and the capacity that is still missing.
  */
 export const allocateHosts = (
-  world: PoolPlanInput,
+  input: PoolPlanInput,
   needs: readonly PoolNeed[],
   policy: PoolMovePolicy,
-  { rank, earlierMoves }: AllocationScope,
+  { workScope, earlierMoves }: AllocationScope,
 ): Allocation => {
   const alreadyMoved = new Set(earlierMoves.map(({ hostId }) => hostId));
   const free = new Set(
     [
-      ...spareHosts(world),
-      ...needs.flatMap((need) => releasableHosts(world, need, policy, rank)),
+      ...spareHosts(input),
+      ...needs.flatMap((need) => releasableHosts(input, need, policy, workScope)),
     ].filter(({ hostId }) => !alreadyMoved.has(hostId)),
   );
   const cpuOfEarlierMoves = (pool: PoolName): number =>
     earlierMoves
       .filter(({ toPool }) => toPool === pool)
-      .reduce((sum, { hostId }) => sum + (world.hosts.get(hostId)?.capacity.cpuMillis ?? 0), 0);
+      .reduce((sum, { hostId }) => sum + (input.hosts.get(hostId)?.capacity.cpuMillis ?? 0), 0);
   const claims = needs
-    .filter((need) => shortfallCpuOf(need, rank) > 0)
-    .sort(compareByShortfall(rank))
+    .filter((need) => shortfallCpuOf(need, workScope) > 0)
+    .sort(compareByShortfall(workScope))
     .map((need): HostClaim => {
-      const shortfallCpu = shortfallCpuOf(need, rank) - cpuOfEarlierMoves(need.name);
+      const shortfallCpu = shortfallCpuOf(need, workScope) - cpuOfEarlierMoves(need.name);
       return {
         need,
         shortfallCpu,
@@ -151,8 +146,8 @@
         counts: countHostsByDomain(need.hosts),
       };
     });
-  const moves = ALLOCATION_STRATEGIES[rank](claims, (claim) =>
-    allocateHost(free, claim, policy, rank),
+  const moves = ALLOCATION_STRATEGIES[workScope](claims, (claim) =>
+    allocateHost(free, claim, policy, workScope),
   );
   const missing = claims.map(({ missingCpu }) => Math.max(0, missingCpu));
   return { moves, missingCpu: missing.reduce((sum, one) => sum + one, 0) };
--- a/packages/core/src/batch/pools/movable-hosts.ts
+++ b/packages/core/src/batch/pools/movable-hosts.ts
@@ -2,45 +2,44 @@
 import type { EndpointState } from '../model/state.js';
 import type { ListedHost } from './listed-hosts.js';
 import { chooseHostsToLeave, countHostsByDomain } from './pool-domains.js';
-import {
-  countSurplusHosts,
-  isHostMovable,
-  type PoolMovePolicy,
-  type PoolNeed,
-  type PoolPlanInput,
-  type WorkScope,
-} from './pool-needs.js';
+import type { PoolNeed, PoolPlanInput } from './pool-needs.js';
+import type { PoolMovePolicy } from './pool-policy.js';
+import { countSurplusHosts, type WorkScope } from './pool-shortfall.js';
+
+/** Tells whether a host may be moved now: it is up, and neither has an order already nor is about to go down. */
+const isHostMovable = ({ busyHosts }: PoolPlanInput, host: ListedHost): boolean =>
+  host.state === 'up' && !busyHosts.has(host.hostId);
 
 /**
  * Lists the movable hosts of endpoints.
  *
- * @param world - The pools, hosts and batch state.
+ * @param input - The pools, hosts and batch state.
  * @param endpoints - The endpoints.
  * @returns The hosts; an endpoint whose host is not listed is left out.
  */
 export const freeHostsOn = (
-  world: PoolPlanInput,
+  input: PoolPlanInput,
   endpoints: readonly EndpointState[],
 ): readonly ListedHost[] =>
   endpoints
-    .flatMap(({ hostId }) => (hostId && world.hosts.get(hostId)) ?? [])
-    .filter((host) => isHostMovable(world, host));
+    .flatMap(({ hostId }) => (hostId && input.hosts.get(hostId)) ?? [])
+    .filter((host) => isHostMovable(input, host));
 
 /**
  * Lists the movable hosts of the spare pools, except those in evacuated data centres.
  *
- * @param world - The pools, hosts and batch state.
+ * @param input - The pools, hosts and batch state.
  * @returns The hosts.
  */
-export const spareHosts = (world: PoolPlanInput): readonly ListedHost[] =>
-  world.pools
+export const spareHosts = (input: PoolPlanInput): readonly ListedHost[] =>
+  input.pools
     .filter(({ isSpare }) => isSpare)
     .flatMap(({ name }) =>
-      Array.from(world.hosts.values()).filter(
+      Array.from(input.hosts.values()).filter(
         (host) =>
           host.pool === name &&
-          isHostMovable(world, host) &&
-          !world.state.evacuatedDataCentres.has(host.dataCentre),
+          isHostMovable(input, host) &&
+          !input.state.evacuatedDataCentres.has(host.dataCentre),
       ),
     );
 
@@ -50,37 +49,41 @@
  * @param need - The need of the pool.
  * @param hosts - The hosts to choose from.
  * @param policy - The policy for pool moves.
- * @param rank - Which work counts as the need.
+ * @param workScope - Which work counts as the need.
  * @returns The chosen hosts.
  */
 export const chooseSurplusHosts = (
   need: PoolNeed,
   hosts: readonly ListedHost[],
   policy: PoolMovePolicy,
-  rank: WorkScope = 'all',
+  workScope: WorkScope = 'all',
 ): readonly ListedHost[] =>
-  chooseHostsToLeave(hosts, countSurplusHosts(need, policy, rank), countHostsByDomain(need.hosts));
+  chooseHostsToLeave(
+    hosts,
+    countSurplusHosts(need, policy, workScope),
+    countHostsByDomain(need.hosts),
+  );
 
 /**
  * Empty hosts that a pool can release to other pools. A reclaimed host is released without waiting for
  * `releaseAfterMs`, because it was emptied for another pool.
  *
- * @param world - The pools, hosts and batch state.
+ * @param input - The pools, hosts and batch state.
  * @param need - The need of the pool.
  * @param policy - The policy for pool moves.
- * @param rank - Which work counts as the need.
+ * @param workScope - Which work counts as the need.
  * @returns The hosts.
  */
 export const releasableHosts = (
-  world: PoolPlanInput,
+  input: PoolPlanInput,
   need: PoolNeed,
   policy: PoolMovePolicy,
-  rank: WorkScope,
+  workScope: WorkScope,
 ): readonly ListedHost[] => {
   const idle = need.emptyEndpoints.filter(
     ({ endpointId, idleSinceMs }) =>
-      world.state.reclaimedEndpoints.has(endpointId) ||
-      world.nowMs - idleSinceMs >= policy.releaseAfterMs,
+      input.state.reclaimedEndpoints.has(endpointId) ||
+      input.nowMs - idleSinceMs >= policy.releaseAfterMs,
   );
-  return chooseSurplusHosts(need, freeHostsOn(world, idle), policy, rank);
+  return chooseSurplusHosts(need, freeHostsOn(input, idle), policy, workScope);
 };
--- a/packages/core/src/batch/pools/pool-domains.test.ts
+++ b/packages/core/src/batch/pools/pool-domains.test.ts
@@ -10,7 +10,8 @@
 import type { ListedHost } from './listed-hosts.js';
 import { chooseHostsToLeave, countHostsByDomain } from './pool-domains.js';
 import { planMoves } from './pool-moves.js';
-import { DEFAULT_POOL_POLICY, type PoolPlanInput } from './pool-needs.js';
+import type { PoolPlanInput } from './pool-needs.js';
+import { DEFAULT_POOL_POLICY } from './pool-policy.js';
 
 const SPARE = brand<PoolName>('spare');
 const CAPACITY = { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 };
--- a/packages/core/src/batch/pools/pool-moves.ts
+++ b/packages/core/src/batch/pools/pool-moves.ts
@@ -6,40 +6,35 @@
 import { poolOf } from '../model/state.js';
 import { allocateHosts, type PoolMove } from './host-allocation.js';
 import { releasableHosts, spareHosts } from './movable-hosts.js';
-import {
-  computePoolNeeds,
-  DEFAULT_POOL_POLICY,
-  type PoolMovePolicy,
-  type PoolNeed,
-  type PoolPlanInput,
-} from './pool-needs.js';
+import { computePoolNeeds, type PoolNeed, type PoolPlanInput } from './pool-needs.js';
+import { DEFAULT_POOL_POLICY, type PoolMovePolicy } from './pool-policy.js';
 import { planEvacuatedParkings, planParkings } from './pool-parking.js';
 
 /**
  * Plans which hosts change their pool now. Work within the accounts' shares gets hosts before work beyond them.
  *
- * @param world - The pools, hosts and batch state.
+ * @param input - The pools, hosts and batch state.
  * @param policy - The policy for pool moves.
  * @param needs - The needs of the pools; computed if omitted.
  * @returns The moves.
  */
 export const planMoves = (
-  world: PoolPlanInput,
+  input: PoolPlanInput,
   policy: PoolMovePolicy = DEFAULT_POOL_POLICY,
-  needs: readonly PoolNeed[] = computePoolNeeds(world, policy),
+  needs: readonly PoolNeed[] = computePoolNeeds(input, policy),
 ): readonly PoolMove[] => {
-  const withinShareMoves = allocateHosts(world, needs, policy, {
-    rank: 'within-share',
+  const withinShareMoves = allocateHosts(input, needs, policy, {
+    workScope: 'within-share',
     earlierMoves: [],
   }).moves;
-  const otherMoves = allocateHosts(world, needs, policy, {
-    rank: 'all',
+  const otherMoves = allocateHosts(input, needs, policy, {
+    workScope: 'all',
     earlierMoves: withinShareMoves,
   }).moves;
   const demandMoves = [...withinShareMoves, ...otherMoves];
   return [
-    ...(demandMoves.length > 0 ? demandMoves : planParkings(world, needs, policy)),
-    ...planEvacuatedParkings(world, needs, policy),
+    ...(demandMoves.length > 0 ? demandMoves : planParkings(input, needs, policy)),
+    ...planEvacuatedParkings(input, needs, policy),
   ];
 };
 
@@ -47,19 +42,19 @@
  * Records for each pool what capacity it could get, which the completion forecast of jobs uses. A free host counts for
  * every other pool, because it is decided only later which pool gets it.
  *
- * @param world - The pools, hosts and batch state; the pools' forecasts are changed in place.
+ * @param input - The pools, hosts and batch state; the pools' forecasts are changed in place.
  * @param policy - The policy for pool moves.
  * @param needs - The needs of the pools; computed if omitted.
  */
 export const updatePoolForecasts = (
-  world: PoolPlanInput,
+  input: PoolPlanInput,
   policy: PoolMovePolicy = DEFAULT_POOL_POLICY,
-  needs: readonly PoolNeed[] = computePoolNeeds(world, policy),
+  needs: readonly PoolNeed[] = computePoolNeeds(input, policy),
 ): void => {
-  const { state } = world;
+  const { state } = input;
   const free = [
-    ...spareHosts(world),
-    ...needs.flatMap((need) => releasableHosts(world, need, policy, 'all')),
+    ...spareHosts(input),
+    ...needs.flatMap((need) => releasableHosts(input, need, policy, 'all')),
   ];
   needs.forEach(({ name, joiningCpu }) => {
     const freeCpu = free
--- a/packages/core/src/batch/pools/pool-needs.ts
+++ b/packages/core/src/batch/pools/pool-needs.ts
@@ -2,8 +2,9 @@
 import type { HostId, PoolName } from '../../shared/ids.js';
 import { isRankedWithinShare } from '../accounts/shares.js';
 import { forecastCores, type DemandRates } from './demand.js';
-import { predictPeakCores, observeDemand } from './demand-peaks.js';
+import { predictPeakCores } from './demand-peaks.js';
 import type { ListedHost, DeclaredPool } from './listed-hosts.js';
+import { DEFAULT_POOL_POLICY, type PoolMovePolicy } from './pool-policy.js';
 import { reservedCpu } from '../endpoints/runs.js';
 import { isSchedulable } from '../endpoints/schedulable-endpoints.js';
 import { poolOf, type BatchState, type EndpointState, type StepRun } from '../model/state.js';
@@ -18,35 +19,6 @@
   readonly nowMs: number;
 };
 
-/** The policy for pool moves. */
-export type PoolMovePolicy = {
-  /** The minimum number of hosts that a pool keeps, for the first jobs of a demand peak. */
-  readonly minHosts: number;
-  /** How long a host must have been empty before it is released to another pool. */
-  readonly releaseAfterMs: number;
-  /** How long a host that is not expected to be needed must have been empty before it is parked (switched off). */
-  readonly parkAfterMs: number;
-  /** The factor by which forecast demand is multiplied to get the capacity that is held for it. */
-  readonly headroom: number;
-  /** A pool gets another host only if it lacks more than this share of that host's capacity. */
-  readonly minShortfallShare: number;
-  /** Whether capacity is held for the next peak when peaks follow each other at regular intervals. */
-  readonly predictsPeaks: boolean;
-};
-
-/**
- * A host in a pool costs 0.078 per second, and work completed in time earns about 1.2 per host and second. Capacity is
- * therefore held generously where work arrives, and not held where none arrives.
- */
-export const DEFAULT_POOL_POLICY: PoolMovePolicy = {
-  minHosts: 3,
-  releaseAfterMs: 300,
-  parkAfterMs: 2500,
-  headroom: 1.4,
-  minShortfallShare: 0.3,
-  predictsPeaks: true,
-};
-
 /** What a pool has and needs. Fields whose names end in `Cpu` are in thousandths of a core. */
 export type PoolNeed = {
   readonly name: PoolName;
@@ -132,26 +104,37 @@
     Infinity,
   );
 
-const needOf = (
-  { state, hosts, nowMs }: PoolPlanInput,
-  { name }: DeclaredPool,
-  { headroom }: PoolMovePolicy,
-  peakCores: number,
-): PoolNeed => {
-  const poolHosts = Array.from(hosts.values()).filter(
+/** The hosts of a pool that are not down and not in an evacuated data centre. */
+const availableHostsOf = ({ state, hosts }: PoolPlanInput, name: PoolName): readonly ListedHost[] =>
+  Array.from(hosts.values()).filter(
     (host) =>
       host.pool === name &&
       host.state !== 'down' &&
       !state.evacuatedDataCentres.has(host.dataCentre),
   );
-  const emptyEvacuatedEndpoints = Array.from(state.endpoints.values()).filter(
-    ({ pool: endpointPool, dataCentre, runs, hasReported, isCordoned }) =>
-      endpointPool === name &&
-      state.evacuatedDataCentres.has(dataCentre) &&
+
+/** The endpoints of a pool that are in evacuated data centres and run nothing. */
+const emptyEvacuatedEndpointsOf = (
+  { endpoints, evacuatedDataCentres }: BatchState,
+  name: PoolName,
+): readonly EndpointState[] =>
+  Array.from(endpoints.values()).filter(
+    ({ pool, dataCentre, runs, hasReported, isCordoned }) =>
+      pool === name &&
+      evacuatedDataCentres.has(dataCentre) &&
       hasReported &&
       !isCordoned &&
       runs.size === 0,
   );
+
+const needOf = (
+  input: PoolPlanInput,
+  { name }: DeclaredPool,
+  { headroom }: PoolMovePolicy,
+  peakCores: number,
+): PoolNeed => {
+  const { state, nowMs } = input;
+  const poolHosts = availableHostsOf(input, name);
   const endpoints = Array.from(state.endpoints.values()).filter(
     (endpoint) => endpoint.pool === name && isSchedulable(state, endpoint, nowMs),
   );
@@ -187,7 +170,7 @@
     hostCpu: poolHosts[0]?.capacity.cpuMillis ?? 1,
     endpoints,
     emptyEndpoints: endpoints.filter(({ runs, hostId }) => runs.size === 0 && hostId !== null),
-    emptyEvacuatedEndpoints,
+    emptyEvacuatedEndpoints: emptyEvacuatedEndpointsOf(state, name),
     capacityCpu,
     joiningCpu,
     usedCpu,
@@ -203,112 +186,33 @@
 /**
  * Computes what each pool other than a spare pool has and needs.
  *
- * @param world - The pools, hosts and batch state.
+ * @param input - The pools, hosts and batch state.
  * @param policy - The policy for pool moves.
  * @returns The needs.
  */
 export const computePoolNeeds = (
-  world: PoolPlanInput,
+  input: PoolPlanInput,
   policy: PoolMovePolicy = DEFAULT_POOL_POLICY,
 ): readonly PoolNeed[] => {
-  const inUse = world.pools.filter(({ isSpare }) => !isSpare);
+  const inUse = input.pools.filter(({ isSpare }) => !isSpare);
   const names = inUse.map(({ name }) => name);
   const expected = policy.predictsPeaks
-    ? predictPeakCores(world.state.peaks, names, world.nowMs)
+    ? predictPeakCores(input.state.peaks, names, input.nowMs)
     : new Map<PoolName, number>();
-  return inUse.map((pool) => needOf(world, pool, policy, expected.get(pool.name) ?? 0));
-};
-
-/**
- * Records the demand of all pools in the peak history, to detect when peaks begin. Only demand that needs more than a
- * pool's minimum number of hosts counts as a peak.
- *
- * @param world - The pools, hosts and batch state; the state's peak history is changed in place.
- * @param policy - The policy for pool moves.
- * @returns The pools whose peak has just begun.
- */
-export const observePeaks = (
-  { state, pools, hosts, nowMs }: PoolPlanInput,
-  { minHosts, headroom }: PoolMovePolicy = DEFAULT_POOL_POLICY,
-): readonly PoolName[] => {
-  const inUse = pools.filter(({ isSpare }) => !isSpare);
-  const sizes = Array.from(hosts.values(), ({ capacity }) => capacity.cpuMillis);
-  const hostCores = sum(sizes) / Math.max(1, sizes.length) / 1000;
-  const minPeakCores = (minHosts * hostCores) / headroom;
-  return inUse
-    .map(({ name }) => name)
-    .filter((name) => {
-      const { slowCores } = poolOf(state, name).demand.withinShareRates(nowMs);
-      return observeDemand(state.peaks, name, { cores: slowCores, minPeakCores }, nowMs);
-    });
+  return inUse.map((pool) => needOf(input, pool, policy, expected.get(pool.name) ?? 0));
 };
 
 /**
  * Tells whether any pool lacks capacity for the running, waiting and forecast work within the accounts' shares.
  *
- * @param world - The pools, hosts and batch state.
+ * @param input - The pools, hosts and batch state.
  * @param policy - The policy for pool moves.
  * @returns True if at least one pool does.
  */
 export const isAnyPoolShort = (
-  world: PoolPlanInput,
+  input: PoolPlanInput,
   policy: PoolMovePolicy = DEFAULT_POOL_POLICY,
 ): boolean =>
-  computePoolNeeds(world, policy).some(
+  computePoolNeeds(input, policy).some(
     ({ withinShareShortfallCpu }) => withinShareShortfallCpu > 0,
   );
-
-/**
- * Tells whether a host may be moved now.
- *
- * @param world - The input of the plan; only its `busyHosts` are read.
- * @param host - The host.
- * @returns True if the host is up and is not busy.
- */
-export const isHostMovable = ({ busyHosts }: PoolPlanInput, host: ListedHost): boolean =>
-  host.state === 'up' && !busyHosts.has(host.hostId);
-
-/** What a claim on hosts is for: `within-share` for work within the accounts' shares, `all` for all work. */
-export type WorkScope = 'within-share' | 'all';
-
-/**
- * Gives the capacity that a pool is missing.
- *
- * @param need - What the pool has and needs.
- * @param rank - Which work is counted.
- * @returns The shortfall in thousandths of a core; negative for a surplus.
- */
-export const shortfallCpuOf = (
-  { shortfallCpu, withinShareShortfallCpu }: PoolNeed,
-  rank: WorkScope,
-): number => (rank === 'within-share' ? withinShareShortfallCpu : shortfallCpu);
-
-/**
- * Counts how many hosts a pool does not need. It always keeps its minimum number of hosts.
- *
- * @param need - What the pool has and needs.
- * @param policy - The policy for pool moves.
- * @param rank - Which work of the pool is counted.
- * @returns The number of hosts.
- */
-export const countSurplusHosts = (
-  need: PoolNeed,
-  { minHosts }: PoolMovePolicy,
-  rank: WorkScope = 'all',
-): number => {
-  const { hosts, hostCpu } = need;
-  const surplus = Math.floor(-shortfallCpuOf(need, rank) / hostCpu);
-  return Math.max(0, Math.min(hosts.length - minHosts, surplus));
-};
-
-/**
- * Builds a comparison that orders pools lacking capacity: the more urgent priority first, then the larger shortfall.
- *
- * @param rank - Which work is counted.
- * @returns The comparison, below 0 if the left pool comes first.
- */
-export const compareByShortfall =
-  (rank: WorkScope) =>
-  (left: PoolNeed, right: PoolNeed): number =>
-    (left.priority === right.priority ? 0 : left.priority - right.priority) ||
-    shortfallCpuOf(right, rank) - shortfallCpuOf(left, rank);
--- a/packages/core/src/batch/pools/pool-parking.ts
+++ b/packages/core/src/batch/pools/pool-parking.ts
@@ -2,7 +2,8 @@
 import { forecastCores } from './demand.js';
 import type { PoolMove } from './host-allocation.js';
 import { chooseSurplusHosts, freeHostsOn } from './movable-hosts.js';
-import type { PoolMovePolicy, PoolNeed, PoolPlanInput } from './pool-needs.js';
+import type { PoolNeed, PoolPlanInput } from './pool-needs.js';
+import type { PoolMovePolicy } from './pool-policy.js';
 
 /** Demand is rising if the fast rate exceeds the slow one by more than this factor. */
 const RISING_RATIO = 1.1;
@@ -22,25 +23,25 @@
 /**
  * Plans the parking of surplus hosts.
  *
- * @param world - The pools, hosts and batch state.
+ * @param input - The pools, hosts and batch state.
  * @param needs - The needs of the pools.
  * @param policy - The policy for pool moves.
  * @returns The moves; none while demand rises.
  */
 export const planParkings = (
-  world: PoolPlanInput,
+  input: PoolPlanInput,
   needs: readonly PoolNeed[],
   policy: PoolMovePolicy,
 ): readonly PoolMove[] => {
-  const spare = world.pools.find(({ isSpare }) => isSpare);
-  if (!spare || !isDemandSteady(world)) return [];
+  const spare = input.pools.find(({ isSpare }) => isSpare);
+  if (!spare || !isDemandSteady(input)) return [];
   return needs
     .filter(({ shortfallCpu }) => shortfallCpu < 0)
     .flatMap((need) => {
       const idle = need.emptyEndpoints.filter(
-        ({ idleSinceMs }) => world.nowMs - idleSinceMs >= policy.parkAfterMs,
+        ({ idleSinceMs }) => input.nowMs - idleSinceMs >= policy.parkAfterMs,
       );
-      return chooseSurplusHosts(need, freeHostsOn(world, idle), policy).map(({ hostId }) => ({
+      return chooseSurplusHosts(need, freeHostsOn(input, idle), policy).map(({ hostId }) => ({
         hostId,
         fromPool: need.name,
         toPool: spare.name,
@@ -52,23 +53,23 @@
 /**
  * Plans the parking of empty hosts in evacuated data centres. No task can start there, so demand does not matter.
  *
- * @param world - The pools, hosts and batch state.
+ * @param input - The pools, hosts and batch state.
  * @param needs - The needs of the pools.
  * @param policy - The policy for pool moves.
  * @returns The moves.
  */
 export const planEvacuatedParkings = (
-  world: PoolPlanInput,
+  input: PoolPlanInput,
   needs: readonly PoolNeed[],
   { parkAfterMs }: PoolMovePolicy,
 ): readonly PoolMove[] => {
-  const spare = world.pools.find(({ isSpare }) => isSpare);
+  const spare = input.pools.find(({ isSpare }) => isSpare);
   if (!spare) return [];
   return needs.flatMap(({ name, emptyEvacuatedEndpoints }) => {
     const idle = emptyEvacuatedEndpoints.filter(
-      ({ idleSinceMs }) => world.nowMs - idleSinceMs >= parkAfterMs,
+      ({ idleSinceMs }) => input.nowMs - idleSinceMs >= parkAfterMs,
     );
-    return freeHostsOn(world, idle).map(({ hostId, dataCentre }) => ({
+    return freeHostsOn(input, idle).map(({ hostId, dataCentre }) => ({
       hostId,
       fromPool: name,
       toPool: spare.name,
--- a/packages/core/src/batch/pools/pool-peaks.test.ts
+++ b/packages/core/src/batch/pools/pool-peaks.test.ts
@@ -13,7 +13,9 @@
 import { removeEndpoint } from '../endpoints/gone-endpoints.js';
 import type { ListedHost } from './listed-hosts.js';
 import { planMoves } from './pool-moves.js';
-import { DEFAULT_POOL_POLICY, observePeaks, type PoolPlanInput } from './pool-needs.js';
+import type { PoolPlanInput } from './pool-needs.js';
+import { observePeaks } from './pool-peaks.js';
+import { DEFAULT_POOL_POLICY } from './pool-policy.js';
 import { createBatchState, poolOf } from '../model/state.js';
 
 const POOLS = ['a', 'b', 'c', 'd'].map((name) => brand<PoolName>(name));
--- a/packages/core/src/batch/pools/pool-reclaims.ts
+++ b/packages/core/src/batch/pools/pool-reclaims.ts
@@ -6,14 +6,9 @@
 import { isRankedWithinShare } from '../accounts/shares.js';
 import type { EndpointState } from '../model/state.js';
 import { allocateHosts } from './host-allocation.js';
-import {
-  computePoolNeeds,
-  countSurplusHosts,
-  DEFAULT_POOL_POLICY,
-  type PoolMovePolicy,
-  type PoolNeed,
-  type PoolPlanInput,
-} from './pool-needs.js';
+import { computePoolNeeds, type PoolNeed, type PoolPlanInput } from './pool-needs.js';
+import { DEFAULT_POOL_POLICY, type PoolMovePolicy } from './pool-policy.js';
+import { countSurplusHosts } from './pool-shortfall.js';
 
 /** Tells whether an endpoint runs no long-running task and no work within an account's share. */
 const runsOnlyReclaimableWork = ({ runs }: EndpointState, nowMs: number): boolean =>
@@ -43,15 +38,15 @@
  * become free. As many are reclaimed as other pools lack for work within the accounts' shares. Running tasks are not
  * stopped.
  *
- * @param world - The pools, hosts and batch state.
+ * @param input - The pools, hosts and batch state.
  * @param policy - The policy for pool moves.
  * @param needs - The needs of the pools; computed if omitted.
  * @returns The endpoints; empty if no account has a weight.
  */
 export const planReclaims = (
-  world: PoolPlanInput,
+  input: PoolPlanInput,
   policy: PoolMovePolicy = DEFAULT_POOL_POLICY,
-  needs: readonly PoolNeed[] = computePoolNeeds(world, policy),
+  needs: readonly PoolNeed[] = computePoolNeeds(input, policy),
 ): ReadonlySet<EndpointId> => {
   if (
     needs.every(
@@ -59,12 +54,12 @@
     )
   )
     return new Set();
-  let { missingCpu: missing } = allocateHosts(world, needs, policy, {
-    rank: 'within-share',
+  let { missingCpu: missing } = allocateHosts(input, needs, policy, {
+    workScope: 'within-share',
     earlierMoves: [],
   });
   const reclaimed = needs
-    .flatMap((need) => reclaimableEndpoints(world, need, policy))
+    .flatMap((need) => reclaimableEndpoints(input, need, policy))
     .filter(({ capacity }) => {
       if (missing <= policy.minShortfallShare * capacity.cpuMillis) return false;
       missing -= capacity.cpuMillis;
--- a/packages/core/src/batch/testing/fleet-simulation.fixtures.ts
+++ b/packages/core/src/batch/testing/fleet-simulation.fixtures.ts
@@ -31,7 +31,7 @@
 import type { ListedHost, DeclaredPool } from '../pools/listed-hosts.js';
 import { updatePoolForecasts, planMoves } from '../pools/pool-moves.js';
 import { planReclaims } from '../pools/pool-reclaims.js';
-import { observePeaks } from '../pools/pool-needs.js';
+import { observePeaks } from '../pools/pool-peaks.js';
 
 const TIME_STEP_MS = 20;
 const TIME_STEPS_PER_MOVE_PASS = 12;
