Account shares: the weight of a job's account stood twice

previewShare and chargeShare looked it up in the same words; both use weightOf now. Behaviour is unchanged.

--- a/packages/core/src/batch/accounts/shares.ts
+++ b/packages/core/src/batch/accounts/shares.ts
@@ -17,6 +17,10 @@
 const BURST_ALLOWANCE_S = 1;
 const MS_PER_S = 1000;
 
+/** The weight of a job's account; 0 for a job without an account. */
+const weightOf = (state: BatchState, account: AccountName | undefined): number =>
+  account === undefined ? 0 : (limitsOf(state, account)?.weight ?? 0);
+
 const createShare = (weight: number): AccountShare => ({
   jobsLeft: weight * BURST_ALLOWANCE_S,
   updatedAtMs: -Infinity,
@@ -65,7 +69,7 @@
   account: AccountName | undefined,
   nowMs: number,
 ): JobShare => {
-  const weight = account === undefined ? 0 : (limitsOf(state, account)?.weight ?? 0);
+  const weight = weightOf(state, account);
   if (account === undefined || weight === 0) return WITHIN_SHARE;
   return nextShare(state.shares.get(account) ?? createShare(weight), weight, nowMs).job;
 };
@@ -84,7 +88,7 @@
   account: AccountName | undefined,
   nowMs: number,
 ): JobShare => {
-  const weight = account === undefined ? 0 : (limitsOf(state, account)?.weight ?? 0);
+  const weight = weightOf(state, account);
   if (account === undefined || weight === 0) return WITHIN_SHARE;
   const share = shareOf(state, account, weight);
   const { job, after } = nextShare(share, weight, nowMs);
