Endpoint crashes: the observation period and correlated crashes in modules of their own

Moved: observation-period.ts (how long an endpoint has been alive with a run, and whether that is enough), correlated-crashes.ts (what counts as a crash, recent crashes, crashes at about the same time; the function isCorrelated had the name of the field that it sets and is hasCorrelatedCrashes now). The index exports the same names as before; behaviour is unchanged.

--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -4,28 +4,23 @@
  * so that the two cases can be told apart.
  */
 import { change } from '../../shared/change.js';
-import { instanceIdOf } from '../model/endpoint-incarnation.js';
-import { rackOf } from '../endpoints/endpoints.js';
 import type { LogFields } from '../endpoints/run-end.js';
 import type {
   BatchState,
   EndpointCrash,
   EndpointState,
-  GoneCause,
   GoneEndpoint,
-  JobState,
-  RecentCrash,
   RunState,
   Task,
 } from '../model/state.js';
+import { hasCorrelatedCrashes, isCrash } from './correlated-crashes.js';
+import {
+  hasSurvivedObservation,
+  lastReportedRuns,
+  livedMs,
+  MAX_OBSERVATION_MS,
+} from './observation-period.js';
 
-/**
- * Once an endpoint has been observed alive with a run for this long, the run is no longer a primary suspect for a crash.
- * A busy endpoint reports many times in this period; a quiet one is polled every 400 ms.
- */
-const MIN_OBSERVATION_MS = 250;
-/** Upper bound of the observation period, which is extended for a task that crashes its endpoints late. */
-const MAX_OBSERVATION_MS = 2000;
 /** A long-running task with which an endpoint has been alive for this long is cleared of having caused a crash. */
 const LONG_RUNNING_CLEARED_MS = 5000;
 /**
@@ -44,59 +39,6 @@
  * The host list is read at least every second, up to a quarter of a second late, and an endpoint is polled every 0.6 s.
  */
 const MAX_UNRESPONSIVE_MS = 1900;
-/** Crashes within this time are treated as one event, because the host list is read only every 0.4 to 1 s. */
-const CORRELATION_WINDOW_MS = 1000;
-/** If this many other endpoints crash unexplained at about the same time, tasks are not the cause. */
-const MIN_CORRELATED_ENDPOINTS = 2;
-
-/**
- * Causes that show a crash: the endpoint is gone from its host, or another one has its host, address or id, without
- * an order or announcement.
- */
-const CRASH_CAUSES: ReadonlySet<GoneCause> = new Set([
-  'host-list',
-  'host-taken',
-  'replaced',
-  'restarted',
-  'succeeded',
-]);
-
-/**
- * Tells whether an endpoint crashed, as opposed to being shut down.
- *
- * @param gone - The endpoint, with the evidence that it is gone.
- * @returns False if the endpoint announced its end, was cordoned because of an order to its host, or may only be
- *   unresponsive.
- */
-export const isCrash = ({ endpoint, detail }: Pick<GoneEndpoint, 'endpoint' | 'detail'>): boolean =>
-  CRASH_CAUSES.has(detail) && !endpoint.hasAnnouncedEnd && !endpoint.isCordoned;
-
-/**
- * Returns for how long an endpoint is known to have been alive with a run, in ms: until the poll that it last
- * answered.
- */
-const livedMs = ({ reportedAtMs }: EndpointState, { startedByMs }: RunState): number =>
-  Math.max(0, Math.round(reportedAtMs - startedByMs));
-
-/**
- * Returns the observation period of a task: twice the longest time that an endpoint was alive with it before
- * crashing, within bounds.
- */
-const observationMs = ({ crashes }: Task): number => {
-  const longestMs = Math.max(0, ...crashes.map((crash) => crash.livedMs));
-  return Math.min(MAX_OBSERVATION_MS, Math.max(MIN_OBSERVATION_MS, 2 * longestMs));
-};
-
-/**
- * Tells whether an endpoint has been alive with a run for the whole observation period, so that other runs are
- * suspected first if it crashes.
- *
- * @param endpoint - The endpoint, as of its last report.
- * @param run - The run.
- * @returns True once the observation period has passed.
- */
-export const hasSurvivedObservation = (endpoint: EndpointState, run: RunState): boolean =>
-  livedMs(endpoint, run) >= observationMs(run.task);
 
 /**
  * Tells whether a task is a suspect. A suspect is started only in isolation, where it cannot harm other tasks and where
@@ -140,74 +82,6 @@
   return `${crashes.length} endpoints crashed under task ${key}, ${explained} of them while nothing else there could be the cause`;
 };
 
-/**
- * Lists the runs that an endpoint was ordered to start, as of its last report.
- *
- * @param endpoint - The endpoint.
- * @returns Its runs, including those that have been given up since.
- */
-export const lastReportedRuns = ({ runs, expiredRuns }: EndpointState): readonly RunState[] => [
-  ...Array.from(runs.values()).filter(({ phase }) => phase !== 'announced'),
-  ...expiredRuns,
-];
-
-/** Returns the jobs with runs that the endpoint has not yet been alive with for the whole observation period. */
-const jobsUnderObservation = (endpoint: EndpointState): ReadonlySet<JobState> =>
-  new Set(
-    lastReportedRuns(endpoint)
-      .filter((run) => !hasSurvivedObservation(endpoint, run))
-      .map(({ step }) => step.job),
-  );
-
-/**
- * Tells whether a task explains a crash: only one job has runs that have not survived the observation period, and
- * endpoints crashed before under the task of one of these runs.
- */
-const isExplained = (endpoint: EndpointState): boolean =>
-  jobsUnderObservation(endpoint).size === 1 &&
-  lastReportedRuns(endpoint).some(
-    (run) => !hasSurvivedObservation(endpoint, run) && run.task.crashes.length > 0,
-  );
-
-/**
- * Records that endpoints crashed. Must be called for all of them before the crashes are attributed to their runs,
- * because a whole rack may be lost at once.
- *
- * @param state - The batch state, changed in place.
- * @param gone - The endpoints that are gone; those that did not crash are ignored.
- * @param nowMs - The current time.
- */
-export const addRecentCrashes = (
-  state: BatchState,
-  gone: readonly GoneEndpoint[],
-  nowMs: number,
-): void => {
-  const fresh = gone.filter(isCrash).map(({ endpoint, atMs }): RecentCrash => {
-    const { endpointId } = endpoint;
-    return { endpointId, rack: rackOf(endpoint), atMs, isExplained: isExplained(endpoint) };
-  });
-  const recent = state.recentCrashes.filter(({ atMs }) => nowMs - atMs < 2 * CORRELATION_WINDOW_MS);
-  change(state, { recentCrashes: [...recent, ...fresh] });
-};
-
-/**
- * Tells whether an endpoint crashed at about the same time as another one in its rack, or as at least
- * MIN_CORRELATED_ENDPOINTS others anywhere. Crashes that a task explains are ignored, and several incarnations of one
- * endpoint count once.
- */
-const isCorrelated = ({ recentCrashes }: BatchState, { endpoint, atMs }: GoneEndpoint): boolean => {
-  const others = recentCrashes.filter(
-    (other) =>
-      instanceIdOf(other.endpointId) !== instanceIdOf(endpoint.endpointId) &&
-      !other.isExplained &&
-      Math.abs(other.atMs - atMs) < CORRELATION_WINDOW_MS,
-  );
-  const rack = rackOf(endpoint);
-  const isRack = rack !== '' && others.some((other) => other.rack === rack);
-  const endpoints = new Set(others.map(({ endpointId }) => instanceIdOf(endpointId)));
-  return isRack || endpoints.size >= MIN_CORRELATED_ENDPOINTS;
-};
-
 /** Tells whether the run is known to have been on the endpoint shortly before the crash was detected. */
 const wasPresentAtCrash = ({ endpoint, atMs }: GoneEndpoint, { startedByMs }: RunState): boolean =>
   startedByMs < Infinity &&
@@ -245,7 +119,7 @@
     isSoleSuspect: lastReportedRuns(endpoint).every((other) =>
       isUnlikelyCause(endpoint, run, other),
     ),
-    isCorrelated: isCorrelated(state, gone),
+    isCorrelated: hasCorrelatedCrashes(state, gone),
     fence: state.fence,
     countedAtMs: Math.round(nowMs + state.wallClockOffsetMs),
   };
--- a/packages/core/src/batch/crashes/isolation.ts
+++ b/packages/core/src/batch/crashes/isolation.ts
@@ -4,7 +4,8 @@
  * the crash is conclusive. If it does not, little is lost: other tasks are placed elsewhere for a quarter of a second.
  */
 import type { EndpointId, PoolName } from '../../shared/ids.js';
-import { hasSurvivedObservation, isSuspect } from './endpoint-crashes.js';
+import { isSuspect } from './endpoint-crashes.js';
+import { hasSurvivedObservation } from './observation-period.js';
 import { areCrashRecordsWritten } from './trials.js';
 import type { StepSpec } from '../model/job.js';
 import { reservedCpu } from '../endpoints/runs.js';
--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -8,7 +8,7 @@
 import { change } from '../../shared/change.js';
 import type { EndpointId } from '../../shared/ids.js';
 import { findOpenTrial, withdrawTrial } from './announced-start-record.js';
-import { hasSurvivedObservation } from './endpoint-crashes.js';
+import { hasSurvivedObservation } from './observation-period.js';
 import type { TaskKey } from '../model/job.js';
 import type {
   BatchState,
--- a/packages/core/src/batch/endpoints/gone-endpoints.ts
+++ b/packages/core/src/batch/endpoints/gone-endpoints.ts
@@ -5,13 +5,9 @@
  */
 import type { EndpointId } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
-import {
-  crashLogFields,
-  assessCrash,
-  lastReportedRuns,
-  addRecentCrashes,
-  recordCrash,
-} from '../crashes/endpoint-crashes.js';
+import { addRecentCrashes } from '../crashes/correlated-crashes.js';
+import { crashLogFields, assessCrash, recordCrash } from '../crashes/endpoint-crashes.js';
+import { lastReportedRuns } from '../crashes/observation-period.js';
 import { removeFromDomains } from '../domains/domains.js';
 import { stopAwaitingGone } from '../domains/suspected-domains.js';
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -5,6 +5,8 @@
 export * from './accounts/quota.js';
 export * from './accounts/shares.js';
 export * from './crashes/endpoint-crashes.js';
+export { isCrash, addRecentCrashes } from './crashes/correlated-crashes.js';
+export { hasSurvivedObservation, lastReportedRuns } from './crashes/observation-period.js';
 export * from './crashes/losses-before-takeover.js';
 export * from './crashes/isolation.js';
 export * from './domains/domains.js';
