--- a/packages/core/src/batch/endpoints/incarnation-runs.ts
+++ b/packages/core/src/batch/endpoints/incarnation-runs.ts
@@ -19,7 +19,7 @@
   type RunState,
 } from '../model/state.js';
 
-/** Causes that rule out a later incarnation: another endpoint has taken over the host or the address. */
+/** Causes that rule out a later incarnation: another endpoint has the host or the address. */
 const CAUSES_WITHOUT_LATER_INCARNATION: ReadonlySet<GoneCause> = new Set([
   'host-taken',
   'replaced',
--- a/packages/core/src/batch/endpoints/order-window.ts
+++ b/packages/core/src/batch/endpoints/order-window.ts
@@ -1,7 +1,7 @@
 /**
  * Limits how many start orders may be in flight at once. A link or processor that is too small for its load responds
- * later and later. Orders beyond its capacity wait in its queue, where they can be neither reordered by rank nor taken
- * back, until they time out and are sent again. The window therefore follows the response delay, as in delay-based
+ * later and later. Orders beyond its capacity wait in its queue, where they can be neither reordered by rank nor
+ * withdrawn, until they time out and are sent again. The window therefore follows the response delay, as in delay-based
  * congestion control (TCP Vegas; LEDBAT, RFC 6817): it grows by one for each window of timely responses and shrinks at
  * once when responses are late. Loss-based control was rejected because a loss is detected only after a timeout of at
  * least 0.25 s, and until then the orders keep filling the queue in which lease renewals wait.
--- a/packages/core/src/batch/endpoints/relay-decision.ts
+++ b/packages/core/src/batch/endpoints/relay-decision.ts
@@ -1,6 +1,6 @@
 /** Decides whether the holder's orders to endpoints are sent by other entries. */
 
-/** What the holder's orders to endpoints have taken so far, and what the holder has for them. */
+/** What the holder's orders to endpoints have cost so far, and the capacity that the holder has for them. */
 export type OrderTraffic = {
   /** Orders sent, directly and through relays. */
   readonly orders: number;
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -269,8 +269,8 @@
 };
 
 /**
- * Orders an endpoint to stop a run. The capacity of the run stays taken until the endpoint lists its end. A
- * run that was not ordered yet is withdrawn instead.
+ * Orders an endpoint to stop a run. The capacity of the run stays reserved until the endpoint lists its end.
+ * A run that was not ordered yet is withdrawn instead.
  *
  * @param state - The holder's batch state, modified in place.
  * @param endpoint - The endpoint.
--- a/packages/core/src/batch/jobs/refusal-tracker.ts
+++ b/packages/core/src/batch/jobs/refusal-tracker.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps the refusals of admission control, counts its outcomes, and checks a sample of the refusals: the forecast of each is
- * compared with the work that the pool has completed since.
+ * Keeps the refusals of admission control, counts its outcomes, and checks a sample of the refusals: the forecast of
+ * each is compared with the work that the pool has completed since.
  */
 import type { AccountName, JobId, PoolName } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -91,7 +91,7 @@
   /** Until this time the endpoint gets no new work; `withheldReason` tells why. */
   withheldUntilMs: number;
   withheldReason: string;
-  /** Until this time the endpoint is slow, because its data centre was taken back into service. */
+  /** Until this time the endpoint is slow, because its data centre was returned to service. */
   coldUntilMs: number;
   /** The endpoint gets no new work, so that its host can be maintained or moved to another pool. */
   isCordoned: boolean;
--- a/packages/core/src/batch/placement/inherited-tasks.test.ts
+++ b/packages/core/src/batch/placement/inherited-tasks.test.ts
@@ -38,7 +38,7 @@
  * Builds the state of a new holder. One of its three endpoints stays silent; that one has no label and a quarter of the
  * capacity.
  */
-const takenOver = (step: Partial<StepSpec> = {}): BatchState => {
+const createInheritedState = (step: Partial<StepSpec> = {}): BatchState => {
   const state = createBatchState(2);
   Object.assign(state, {
     inheritedLeasesEndAtMs: LEASES_END_MS,
@@ -101,7 +101,7 @@
 
 describe('an endpoint that has not reported', () => {
   const reportedAndScheduled = (step: Partial<StepSpec>): BatchState => {
-    const state = takenOver(step);
+    const state = createInheritedState(step);
     [FIRST, SECOND].forEach((endpointId) => report(state, endpointId, 10));
     scheduleAfterWrites(state, 20);
     return state;
@@ -124,7 +124,7 @@
   });
 
   it('blocks all inherited tasks while it is in no endpoint list', () => {
-    const state = takenOver({ requiredLabel: 'fast' });
+    const state = createInheritedState({ requiredLabel: 'fast' });
     addPendingReports(state, [{ instanceId: instanceIdOf(brand('i-0000000009')), pool: POOL }]);
     [FIRST, SECOND].forEach((endpointId) => report(state, endpointId, 10));
     scheduleAfterWrites(state, 20);
@@ -134,7 +134,7 @@
 
 describe('an inherited task that an endpoint reported as running', () => {
   it('starts elsewhere despite a silent endpoint if no earlier holder could send orders at the time of the report', () => {
-    const state = takenOver();
+    const state = createInheritedState();
     report(state, SECOND, FORMER_ORDERS_END_MS);
     report(state, FIRST, FORMER_ORDERS_END_MS, [0]);
     lose(state, FIRST, 200);
@@ -143,7 +143,7 @@
   });
 
   it('waits if an earlier holder could still send orders then, since it may have started the task there afterwards', () => {
-    const state = takenOver();
+    const state = createInheritedState();
     report(state, SECOND, FORMER_ORDERS_END_MS);
     report(state, FIRST, FORMER_ORDERS_END_MS - 1, [0]);
     lose(state, FIRST, 200);
@@ -154,7 +154,7 @@
   });
 
   it('does not let other tasks of its step start that were not reported', () => {
-    const state = takenOver({ taskCount: 2 });
+    const state = createInheritedState({ taskCount: 2 });
     report(state, SECOND, FORMER_ORDERS_END_MS);
     report(state, FIRST, FORMER_ORDERS_END_MS, [0]);
     lose(state, FIRST, 200);
@@ -163,7 +163,7 @@
   });
 
   it('waits until all tasks of its gang were reported', () => {
-    const state = takenOver({ taskCount: 2, isGang: true });
+    const state = createInheritedState({ taskCount: 2, isGang: true });
     report(state, SECOND, FORMER_ORDERS_END_MS);
     report(state, FIRST, FORMER_ORDERS_END_MS, [0]);
     lose(state, FIRST, 200);
@@ -184,7 +184,7 @@
     instanceId: InstanceId | null,
     { soleUntilMs = Infinity, isSeen = false } = {},
   ): boolean => {
-    const state = takenOver();
+    const state = createInheritedState();
     addPendingReports(state, [{ instanceId: UNSEEN, pool: POOL }]);
     if (isSeen) addEndpoint(state, brand(UNSEEN));
     Object.assign(state, { soleHolderUntilMs: soleUntilMs });
--- a/packages/core/src/batch/placement/place-tasks.ts
+++ b/packages/core/src/batch/placement/place-tasks.ts
@@ -1,6 +1,6 @@
 /**
- * Places the tasks of one step: each task by itself, or all tasks of a gang together. Which endpoints are offered, and which
- * starts must be announced, is decided by the caller.
+ * Places the tasks of one step: each task by itself, or all tasks of a gang together. The caller decides which endpoints
+ * are offered and which starts must be announced.
  */
 import { change } from '../../shared/change.js';
 import { isWithinQuota } from '../accounts/quota.js';
--- a/packages/core/src/batch/placement/scores.ts
+++ b/packages/core/src/batch/placement/scores.ts
@@ -48,7 +48,7 @@
   perDomain.get(dataCentreCountKey(domains)) ?? 0;
 
 /**
- * An endpoint is cold, and therefore slow, for a time after its data centre was taken back into service. A warm
+ * An endpoint is cold, and therefore slow, for a time after its data centre was returned to service. A warm
  * endpoint with free capacity is preferred.
  */
 const coldness: PlacementScore['compute'] = ({ coldUntilMs }, { nowMs }) =>
--- a/packages/core/src/batch/placement/starts.test.ts
+++ b/packages/core/src/batch/placement/starts.test.ts
@@ -40,8 +40,8 @@
   return step;
 };
 
-/** The endpoints with capacity that the job's tasks take. */
-const takenEndpoints = (state: BatchState): readonly EndpointId[] =>
+/** The endpoints with capacity that is reserved for the job's tasks. */
+const reservedEndpoints = (state: BatchState): readonly EndpointId[] =>
   ENDPOINTS.filter((endpointId) => (state.endpoints.get(endpointId)?.runs.size ?? 0) > 0);
 
 /** Announces the starts of all tasks of an inherited job, in a pool that lost an endpoint before the takeover. */
@@ -71,7 +71,7 @@
   });
 
   it('takes the capacity of its endpoint, and is ordered there once the row names it', () => {
-    const [endpointId] = takenEndpoints(state);
+    const [endpointId] = reservedEndpoints(state);
     expect(orderedEndpoints(state)).toEqual([]);
     expect(buildProgressRow(jobOf(state))).toMatchObject({
       0: { 0: { trials: [[0, 2001, endpointId]] } },
@@ -89,13 +89,13 @@
   });
 
   it('is announced for another endpoint if its own one may not take the task any more', () => {
-    const [endpointId] = takenEndpoints(state);
+    const [endpointId] = reservedEndpoints(state);
     state.endpoints.forEach((one) => {
       if (one.endpointId === endpointId) change(one, { isCordoned: true });
     });
     expect(scheduleWritten(state, 20)).toEqual([]);
     const other = ENDPOINTS.filter((one) => one !== endpointId);
-    expect(takenEndpoints(state)).toEqual(other);
+    expect(reservedEndpoints(state)).toEqual(other);
     expect(scheduleWritten(state, 30)).toEqual(other);
   });
 
@@ -109,9 +109,9 @@
   it('gives the capacity back after 2 s without the write, and is announced again only once the row is written', () => {
     // Guards against a job whose row the table refuses and that keeps its endpoints from all other jobs.
     schedulePool(state, POOL, 2009);
-    expect(takenEndpoints(state)).toHaveLength(1);
+    expect(reservedEndpoints(state)).toHaveLength(1);
     [2010, 2100, 5000].forEach((nowMs) => schedulePool(state, POOL, nowMs));
-    expect(takenEndpoints(state)).toEqual([]);
+    expect(reservedEndpoints(state)).toEqual([]);
     expect(scheduleWritten(state, 5100)).toEqual([]);
     expect(scheduleWritten(state, 5200)).toHaveLength(1);
   });
@@ -119,13 +119,13 @@
   it('is withdrawn without an order to stop if its job is cancelled', () => {
     cancelJob(state, INHERITED, null);
     expect(removeEffects(state).map(({ kind }) => kind)).not.toContain('stop');
-    expect(takenEndpoints(state)).toEqual([]);
+    expect(reservedEndpoints(state)).toEqual([]);
     expect(scheduleWritten(state, 20)).toEqual([]);
   });
 
   it('counts as no crash if its endpoint is gone before the order', () => {
     // Guards against jobs that are failed although none of their tasks was ever started.
-    const [endpointId] = takenEndpoints(state) as [EndpointId];
+    const [endpointId] = reservedEndpoints(state) as [EndpointId];
     removeEndpoint(state, endpointId, { detail: 'host-list', atMs: 15, nowMs: 20 });
     giveUpRunsOfGoneEndpoints(state, 20);
     expect(stepOf(state).tasks[0]).toMatchObject({ phase: 'waiting', crashes: [], trial: null });
@@ -138,11 +138,11 @@
 describe('the announced starts of a gang', () => {
   it('are ordered all together or not at all', () => {
     const state = announce({ isGang: true, taskCount: TASKS_PER_ENDPOINT + 1 });
-    expect(takenEndpoints(state)).toEqual(ENDPOINTS);
+    expect(reservedEndpoints(state)).toEqual(ENDPOINTS);
     removeEndpoint(state, FIRST, { detail: 'host-list', atMs: 15, nowMs: 20 });
     giveUpRunsOfGoneEndpoints(state, 20);
     expect(scheduleWritten(state, 30)).toEqual([]);
-    expect(takenEndpoints(state)).toEqual([]);
+    expect(reservedEndpoints(state)).toEqual([]);
     addEndpoint(state, FIRST, 40);
     applyAnswer(state, { endpointId: FIRST, requestedAtMs: 41, nowMs: 42 });
     expect(scheduleWritten(state, 1050)).toEqual([]);
--- a/packages/core/src/batch/pools/listed-hosts.ts
+++ b/packages/core/src/batch/pools/listed-hosts.ts
@@ -64,8 +64,8 @@
     const host = hostId === null ? undefined : hosts.get(hostId);
     if (!host || seenAtMs >= requestedAtMs) return [];
     if (host.instanceId === instanceIdOf(endpointId)) return [];
-    // The cause is taken from the host's listed state and pool and not from the orders of this holder, because the host
-    // may be carrying out an order of a previous holder.
+    // The host's listed state and pool determine the cause, not the orders of this holder, because the host may be
+    // carrying out an order of a previous holder.
     const isHostOrdered = ORDERED_STATES.has(host.state) || host.pool !== pool;
     if (isHostOrdered) return [{ endpointId, cause: 'host-ordered' }];
     return [{ endpointId, cause: host.instanceId === null ? 'host-list' : 'host-taken' }];
--- a/packages/core/src/batch/pools/pool-domains.ts
+++ b/packages/core/src/batch/pools/pool-domains.ts
@@ -84,7 +84,7 @@
 type RackGroup = {
   readonly keys: readonly DomainId[];
   readonly hosts: ListedHost[];
-  /** The positions of the hosts in the list that they were taken from. */
+  /** The positions of the hosts in the list from which the groups were formed. */
   readonly positions: number[];
   /** How many of the hosts have been chosen, in the order of the list. */
   chosen: number;
--- a/packages/daemon/src/batch/testing/holder-simulation.fixtures.ts
+++ b/packages/daemon/src/batch/testing/holder-simulation.fixtures.ts
@@ -1,6 +1,6 @@
 /**
- * One holder and one or two endpoints in virtual time. The outcome of each order is given, and invariants are checked at the
- * endpoints.
+ * One holder and one or two endpoints in virtual time. The outcome of each order is given, and invariants are checked at
+ * the endpoints.
  */
 import {
   startDueOccurrences,
--- a/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
+++ b/packages/daemon/src/batch/testing/leased-endpoint.fixtures.ts
@@ -51,7 +51,7 @@
 
 /** How long the control lease lasts after a renewal. */
 const CONTROL_LEASE_MS = 8000;
-/** For how long after a renewal no other entry can have taken the control lease. */
+/** Time after a renewal during which no other entry can acquire the control lease. */
 const SOLE_HOLDER_MS = 2400;
 /** How often the holder renews the control lease. */
 const RENEW_EVERY_MS = 1300;
