Stand-in platform: the observer of tasks in a module of its own

users-platform.ts (320 lines) also held the checks of the tasks' invariants; they are in task-observer.ts now, whose function takes options by name. What is checked, and the texts of violations, are unchanged.

--- a/packages/stand-ins/src/users-platform/users-platform.ts
+++ b/packages/stand-ins/src/users-platform/users-platform.ts
@@ -2,18 +2,13 @@
  * A stand-in for the users' platform: the row store, the machine list and the executors on the
  * machines. Invariants are checked at the executors and at the row store as events happen.
  */
-import {
-  parseTaskKey,
-  type EndpointObserver,
-  type EndedRunReport,
-  type SimulatedTask,
-  type TaskKey,
-} from '@valvelatch/core/batch';
+import type { EndpointObserver, SimulatedTask } from '@valvelatch/core/batch';
 import type { InstanceId, HostId, PoolName } from '@valvelatch/core/shared/ids';
 import fastify from 'fastify';
 
 import { startExecutor, type StandInExecutor } from './executor-service.js';
 import { createRowsService, type RowLocation, type RowsService } from './rows-service.js';
+import { createTaskObserver } from './task-observer.js';
 
 /** Each executor writes its row in the table `servers` at this interval. */
 const SERVER_ROW_INTERVAL_MS = 500;
@@ -82,34 +77,6 @@
 
 const CAPACITY = { cpuMillis: 8000, memoryMb: 16_000, accelerators: 0 };
 
-/** Creates an observer that checks the invariants of tasks and collects the started jobs. */
-const createTaskObserver = (
-  executors: () => readonly StandInExecutor[],
-  violations: string[],
-  startedJobs: Set<string>,
-  needs: SimulatedTask,
-): EndpointObserver => {
-  const acknowledgedTasks = new Set<TaskKey>();
-  return {
-    taskOf: () => needs,
-    onStart: (endpoint, task, run) => {
-      const others = executors().filter(
-        ({ model }) => model !== endpoint && model.isUp() && model.runs.has(task),
-      );
-      if (others.length > 0) violations.push(`${task} run ${run} is on two executors`);
-      if (acknowledgedTasks.has(task))
-        violations.push(`${task} run ${run} started after its end was acknowledged`);
-      const name = parseTaskKey(task);
-      if (name) startedJobs.add(name.jobId);
-      else violations.push(`${task} is not a valid task key`);
-    },
-    onEnd: () => undefined,
-    onAcknowledged: ({ task, kind }: EndedRunReport) => {
-      if (kind === 'done') acknowledgedTasks.add(task);
-    },
-  };
-};
-
 /**
  * Starts a platform on the loopback address.
  *
@@ -151,7 +118,7 @@
   };
 
   const taskStarts: { readonly zone: string; readonly atMs: number }[] = [];
-  const taskObserver = createTaskObserver(executors, violations, startedJobs, needs);
+  const taskObserver = createTaskObserver({ executors, needs, violations, startedJobs });
   const observer: EndpointObserver = {
     ...taskObserver,
     onStart: (endpoint, task, run) => {
