Configuration sync: the log of feed outages in a module of its own

feed-outage.ts counts failed reads of the operator's feed and logs the first failure and the recovery. Log events, their keys and the metrics are unchanged.

--- a/packages/daemon/src/batch/configuration/configuration-sync.ts
+++ b/packages/daemon/src/batch/configuration/configuration-sync.ts
@@ -11,13 +11,12 @@
 } from '@valvelatch/core/batch';
 import type { EntryId } from '@valvelatch/core/shared/ids';
 
-import type { PlatformError } from '@valvelatch/platform';
-
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
 import type { AskPeer } from '../entry/peers.js';
 import type { OperatorFeed, OperatorUpdate } from '../ports.js';
 import { createEvacuationTracker, type EvacuationTracker } from './evacuation-tracker.js';
+import { createFeedOutage } from './feed-outage.js';
 import { chooseNeighbours } from './neighbour-choice.js';
 import {
   CONFIGURATION_METHOD,
@@ -131,8 +130,6 @@
   let confirmedAtMs = -Infinity;
   let refreshedAtMs = -Infinity;
   let refreshing: Promise<void> | undefined;
-  /** How many reads of the feed have failed since the last one that succeeded. */
-  let failures = 0;
   /** The neighbour whose feed was up to date in the last round. While that holds, only it is asked. */
   let upToDateNeighbour: EntryId | undefined;
   /** When neighbours last answered that they cannot reach the table; -Infinity if one of them can. */
@@ -145,6 +142,8 @@
 
   const feedSilentMs = (): number => Math.round(nowMs() - lastFeedAnswerAtMs);
 
+  const feedOutage = createFeedOutage({ log, metrics, versionInForce, feedSilentMs });
+
   const isFeedOverdue = (): boolean => feedSilentMs() > FEED_OVERDUE_MS;
 
   const applyConfiguration = (
@@ -162,33 +161,15 @@
     });
   };
 
-  /** A table that rejects an entry does so nine times a second. Only the first failure and the recovery are logged. */
-  const recordFeedFailure = (error: PlatformError): void => {
-    metrics.count('operator_feed_failed');
-    failures += 1;
-    if (failures > 1) return;
-    log.warn('operator-feed-lost', {
-      ...error,
-      version: versionInForce(),
-      silentMs: feedSilentMs(),
-    });
-  };
-
-  const recordFeedAnswer = (): void => {
-    if (failures === 0) return;
-    log.info('operator-feed-regained', { failures, silentMs: feedSilentMs() });
-    failures = 0;
-  };
-
   /** Reads the feed once; returns undefined if it does not answer. */
   const readFeed = async (waitMs: number): Promise<OperatorUpdate | undefined> => {
     const askedAtMs = nowMs();
     const news = await feed.next(waitMs);
     if (news.isErr()) {
-      recordFeedFailure(news.error);
+      feedOutage.recordFailure(news.error);
       return undefined;
     }
-    recordFeedAnswer();
+    feedOutage.recordAnswer();
     const { configuration, faults = [], waves, readStats } = news.value;
     metrics.count('operator_feed_bytes', readStats.bytes);
     metrics.time('operator_feed_arriving', readStats.transferMs * 1000);
