--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -5,6 +5,8 @@
 export * from './accounts/quota.js';
 export * from './accounts/shares.js';
 export * from './crashes/endpoint-crashes.js';
+export { isCrash, addRecentCrashes } from './crashes/correlated-crashes.js';
+export { hasSurvivedObservation, lastReportedRuns } from './crashes/observation-period.js';
 export * from './crashes/losses-before-takeover.js';
 export * from './crashes/isolation.js';
 export * from './domains/domains.js';
@@ -67,3 +69,6 @@
 export * from './pools/pool-moves.js';
 export * from './pools/pool-reclaims.js';
 export * from './pools/pool-needs.js';
+export * from './pools/pool-peaks.js';
+export * from './pools/pool-policy.js';
+export * from './pools/pool-shortfall.js';
