Submissions check that their owner has not cancelled them; a cancellation is always a row of its own

Cause: the bar was the job's own row, written on the condition that there is none. It had two writes with two outcomes, a conflict for each job that exists, and no owner.

Change: a cancellation is one unconditional write again, of the caller's own row, whether or not the job is known. A submission's transaction has one check more, that the owner's cancellation row is not there, so the table decides which of the two comes first, also for a write that it carries out late or that is repeated. It is refused as job-cancelled then.

--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -8,7 +8,6 @@
 import { startDueOccurrences, endJob, completeTask } from './job-lifecycle.js';
 import { giveUpReason } from '../crashes/endpoint-crashes.js';
 import { restoreTrial, findOpenTrial } from '../crashes/announced-start-record.js';
-import type { Caller } from '../model/accounts.js';
 import type { BatchJob, FinalPhase, QueuePolicy } from '../model/job.js';
 import {
   isFinal,
@@ -30,8 +29,6 @@
       readonly endedAtMs: number;
       readonly queue: string;
       readonly account?: AccountName | undefined;
-      /** See `JobStatus`. */
-      readonly isUnsubmitted?: boolean | undefined;
     };
 
 /** The progress of one step. */
@@ -155,27 +152,6 @@
       }
     : { kind: 'live', job, policy };
 
-/** The reason that is stored for a job that was cancelled before its submission. */
-const UNSUBMITTED_REASON = 'cancelled before it was submitted';
-
-/**
- * Builds the row of a job that is cancelled before its submission. As each submission requires that the job has no row, no
- * later one can take effect.
- *
- * @param caller - Who cancels the job.
- * @param wallClockMs - The current time by the wall clock, in milliseconds since 1970.
- * @returns The row.
- */
-export const buildUnsubmittedRow = (caller: Caller, wallClockMs: number): BatchJobRow => ({
-  kind: 'ended',
-  phase: 'cancelled',
-  reason: UNSUBMITTED_REASON,
-  endedAtMs: wallClockMs,
-  queue: '',
-  isUnsubmitted: true,
-  ...(caller === null ? {} : { account: caller }),
-});
-
 /**
  * Restores crashes recorded by earlier control holders. They are in the stored row, so no write is pending for them.
  */
--- a/packages/daemon/src/batch/jobs/accept-queue.ts
+++ b/packages/daemon/src/batch/jobs/accept-queue.ts
@@ -9,6 +9,7 @@
 import type { TableTransaction } from '@valvelatch/platform';
 
 import { batchKey } from '../keys.js';
+import { buildSubmission, cancelKeyOf } from './submission-transaction.js';
 
 /**
  * The table counts as unavailable once a transaction has been in flight, or transactions have kept
@@ -29,6 +30,8 @@
   | { readonly kind: 'committed'; readonly version: number }
   /** The job already has a row: it was accepted before. */
   | { readonly kind: 'conflict' }
+  /** Its owner has cancelled the job before; it was not written. */
+  | { readonly kind: 'cancelled' }
   /** Too many submissions are waiting; the job was not written. */
   | { readonly kind: 'full' }
   /** The forecast says that the job cannot be done in time; it was not written. */
@@ -69,7 +72,10 @@
   ) => void;
   /** Resolves submissions whose rows were committed with this version. */
   readonly resolveCommitted: (sent: readonly QueuedSubmission[], version: number) => void;
-  /** Resolves submissions whose row already exists as `conflict`: they were accepted before. */
+  /**
+   * Resolves submissions whose row already exists as `conflict`: they were accepted before. Those whose owner has cancelled
+   * them before are resolved as `cancelled`.
+   */
   readonly resolveConflicts: (rows: readonly TableRow[]) => void;
   /** If the table is unavailable, refuses the submissions that certainly were not written. */
   readonly refuseIfTableUnavailable: () => void;
@@ -107,11 +113,6 @@
   };
 };
 
-const toTransaction = ({ row }: QueuedSubmission): TableTransaction => {
-  const key = batchKey.job(row.job.jobId);
-  return { checks: [{ key, version: 0 }], writes: [{ key, value: row }] };
-};
-
 /**
  * Creates the accept queue of a holder.
  *
@@ -174,7 +175,7 @@
     countUnsent: () => waiting.length - inFlight.size,
     selectFitting: (fits) => {
       const unsent = waiting.filter((submission) => !inFlight.has(submission));
-      const firstLeftOut = unsent.findIndex((submission) => !fits(toTransaction(submission)));
+      const firstLeftOut = unsent.findIndex((submission) => !fits(buildSubmission(submission.row)));
       return firstLeftOut < 0 ? unsent : unsent.slice(0, firstLeftOut);
     },
     recordSent: (sent) => {
@@ -199,9 +200,11 @@
     resolveConflicts: (rows) => {
       const existingKeys = new Set(rows.filter(({ version }) => version > 0).map(({ key }) => key));
       waiting = waiting.filter(({ row, resolve }) => {
-        const exists = existingKeys.has(batchKey.job(row.job.jobId));
-        if (exists) resolve({ kind: 'conflict' });
-        return !exists;
+        const isWritten = existingKeys.has(batchKey.job(row.job.jobId));
+        const isCancelled = existingKeys.has(cancelKeyOf(row));
+        if (isWritten) resolve({ kind: 'conflict' });
+        else if (isCancelled) resolve({ kind: 'cancelled' });
+        return !isWritten && !isCancelled;
       });
     },
     refuseIfTableUnavailable,
--- a/packages/daemon/src/batch/jobs/attempt.ts
+++ b/packages/daemon/src/batch/jobs/attempt.ts
@@ -9,7 +9,9 @@
 export type RowWriteOutcome =
   | { readonly kind: 'committed'; readonly version: number }
   /** A row that had to be absent or unchanged was not: it was written before. */
-  | { readonly kind: 'conflict' }
+  | { readonly kind: 'conflict'; readonly key?: string }
+  /** The owner of the job has cancelled it before; not written. */
+  | { readonly kind: 'cancelled' }
   /** Too many submissions are waiting at the holder; not written. */
   | { readonly kind: 'full' }
   /** The holder refused it before anything was written. */
@@ -19,7 +21,7 @@
 
 /** How the calls of an attempt ended. Whether a failed call may have had an effect is decided by the attempt. */
 export type AttemptEnd =
-  | Extract<RowWriteOutcome, { kind: 'committed' | 'conflict' | 'full' | 'refused' }>
+  | Extract<RowWriteOutcome, { kind: 'committed' | 'conflict' | 'cancelled' | 'full' | 'refused' }>
   | { readonly kind: 'failed'; readonly detail: string };
 
 /**
@@ -56,7 +58,8 @@
   const mayBeWritten = (): boolean => hasUnknownOutcome || inFlightCount > 0;
 
   const toOutcome = (ending: AttemptEnd): RowWriteOutcome => {
-    if (ending.kind === 'committed' || ending.kind === 'conflict') return ending;
+    if (ending.kind === 'committed' || ending.kind === 'conflict' || ending.kind === 'cancelled')
+      return ending;
     const detail = ending.kind === 'full' ? 'too many wait to be written' : ending.detail;
     if (mayBeWritten()) return { kind: 'unknown', detail };
     return ending.kind === 'failed' ? { kind: 'unreachable', detail } : ending;
--- a/packages/daemon/src/batch/jobs/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -4,7 +4,6 @@
  * job was not run only if no attempt to write it can still take effect.
  */
 import {
-  buildUnsubmittedRow,
   CANCELLED_REASON,
   chooseRetryAfterS,
   validateJob,
@@ -196,6 +195,7 @@
       return createRefusal('notRun', 'overloaded', written.detail, written.retryAfterS);
     }
     if (written.kind === 'conflict') return answerExistingJob(job);
+    if (written.kind === 'cancelled') return refuseCancelledJob(job.jobId);
     return toRefusal(written) ?? { kind: 'accepted' };
   };
 
@@ -216,8 +216,8 @@
     // The row of a job that cannot be read says that the job is known, and nothing about it.
     if (row.kind !== 'ended' && row.kind !== 'live') return undefined;
     if (row.kind === 'ended') {
-      const { phase, reason, account, isUnsubmitted } = row;
-      return { phase, reason, account, isUnsubmitted };
+      const { phase, reason, account } = row;
+      return { phase, reason, account };
     }
     const account = row.job.owner?.account;
     const isCancelled = valueOf(batchKey.cancel(jobId, caller)) !== null;
@@ -232,8 +232,7 @@
     caller: Caller,
   ): Promise<JobStatus | 'unknown-job' | undefined> => {
     const found = (await control.findStatus(jobId)) ?? (await readStatus(jobId, caller));
-    // An unsubmitted job is not cached: its id may be submitted again once the row has been deleted.
-    if (found && found !== 'unknown-job' && isFinal(found.phase) && !found.isUnsubmitted) {
+    if (found && found !== 'unknown-job' && isFinal(found.phase)) {
       statusCache.set(jobId, found);
       const [oldest] = statusCache.keys();
       if (statusCache.size > MAX_CACHED && oldest !== undefined) statusCache.delete(oldest);
@@ -252,14 +251,12 @@
   const answerExistingJob = async ({ jobId, owner }: BatchJob): Promise<IntakeAnswer> => {
     const caller = owner?.account ?? null;
     const found = await findStatus(jobId, caller);
-    if (found === undefined) {
-      const detail = 'a job of this id exists, and its status cannot be read now';
+    if (found === undefined && owner) {
+      const detail = 'a job of this id exists, and its owner cannot be read now';
       return createRefusal('mayHaveRun', 'outcome-unknown', detail, retryAfterS());
     }
-    if (isHiddenFrom(found, caller))
-      return createRefusal('notRun', 'job-id-taken', 'this id cannot be used for a job');
-    if (found !== 'unknown-job' && found.isUnsubmitted) return refuseCancelledJob(jobId);
-    return { kind: 'accepted' };
+    if (!isHiddenFrom(found, caller)) return { kind: 'accepted' };
+    return createRefusal('notRun', 'job-id-taken', 'this id cannot be used for a job');
   };
 
   const refuseUnavailable = (): IntakeAnswer =>
@@ -273,8 +270,7 @@
   const status: Intake['status'] = async (jobId, caller) => {
     const found = await findStatus(jobId, caller);
     if (found === undefined) return refuseUnavailable();
-    const isUnknown = found === 'unknown-job' || found.isUnsubmitted;
-    if (isUnknown || isHiddenFrom(found, caller)) return refuseUnknownJob(jobId);
+    if (found === 'unknown-job' || isHiddenFrom(found, caller)) return refuseUnknownJob(jobId);
     return { kind: 'status', status: found };
   };
 
@@ -291,25 +287,9 @@
       untilMs,
     );
 
-  /** Cancels a job that has no row: none of its submissions, also of those under way, takes effect any more. */
-  const writeUnsubmitted = (
-    jobId: JobId,
-    caller: Caller,
-    untilMs: number,
-  ): Promise<RowWriteOutcome> => {
-    const key = batchKey.job(jobId);
-    return submission.writeWithRetries(
-      {
-        checks: [{ key, version: 0 }],
-        writes: [{ key, value: buildUnsubmittedRow(caller, Date.now()) }],
-      },
-      untilMs,
-    );
-  };
-
   /**
-   * Answers a cancellation once no submission can overtake it, and the holder has confirmed it. If no holder does so in the
-   * client's time, the stored cancellation is acknowledged all the same: the next holder reads it.
+   * Answers a cancellation once it is stored, so that no submission overtakes it, and the holder has confirmed it. If no
+   * holder does so in the client's time, it is acknowledged all the same: the next holder reads it.
    */
   const cancelFound = async (
     { jobId, caller, found, untilMs }: CancelRequest,
@@ -320,22 +300,11 @@
       return refuseUnknownJob(jobId);
     }
     if (found !== undefined && found !== 'unknown-job' && isFinal(found.phase)) {
-      if (found.isUnsubmitted) {
-        logCancel('unknown-job');
-        return refuseUnknownJob(jobId);
-      }
       // The cancellation may have been found in its row, by an entry whose notice was lost.
       const isNoticed = found.phase === 'cancelled' && (await notices.send(jobId, caller, untilMs));
       logCancel('ended', isNoticed);
       return { kind: 'cancelled' };
     }
-    if (found === undefined || found === 'unknown-job') {
-      const barred = await writeUnsubmitted(jobId, caller, untilMs);
-      if (barred.kind !== 'conflict') {
-        logCancel(barred.kind === 'committed' ? 'unknown-job' : barred.kind);
-        return toRefusal(barred) ?? refuseUnknownJob(jobId);
-      }
-    }
     const written = await writeCancellation(jobId, caller, untilMs);
     const refusal = toRefusal(written);
     if (refusal) {
@@ -343,7 +312,7 @@
       return refusal;
     }
     logCancel(written.kind, await notices.send(jobId, caller, untilMs));
-    return { kind: 'cancelled' };
+    return found === 'unknown-job' ? refuseUnknownJob(jobId) : { kind: 'cancelled' };
   };
 
   const cancel: Intake['cancel'] = async (jobId, caller, deadlineMs = DEFAULT_DEADLINE_MS) => {
--- a/packages/daemon/src/batch/jobs/submission-writer.ts
+++ b/packages/daemon/src/batch/jobs/submission-writer.ts
@@ -10,8 +10,8 @@
 import { openAttempt, type Attempt, type AttemptEnd, type RowWriteOutcome } from './attempt.js';
 import type { ControlClient } from './control-client.js';
 import type { AcceptOutcome, LiveRow } from './accept-queue.js';
-import { batchKey } from '../keys.js';
 import type { RelayedTable } from '../relays/relayed-table.js';
+import { buildSubmission, cancelKeyOf } from './submission-transaction.js';
 
 /** Shortest pause before a failed write is retried; a random pause of up to the same length is added. */
 const WRITE_RETRY_MS = 200;
@@ -120,9 +120,8 @@
     if (outcome?.kind === 'unheard' && nowMs() + MIN_WRITE_MS > untilMs) {
       return { kind: 'failed', detail: 'the holder of control did not answer' };
     }
-    const key = batchKey.job(row.job.jobId);
-    const transaction = { checks: [{ key, version: 0 }], writes: [{ key, value: row }] };
-    const ending = await write(transaction, attempt, untilMs);
+    const ending = await write(buildSubmission(row), attempt, untilMs);
+    if (ending.kind === 'conflict' && ending.key === cancelKeyOf(row)) return { kind: 'cancelled' };
     if (ending.kind === 'committed') control.notifyAccepted(row, ending.version);
     return ending;
   };
