An ended row ends the job that a holder restored from an older reading

What callers saw: nothing; a job whose end a former holder had written could go on if the new holder had restored it from a reading that was behind, and overwrite its end.

Evidence, npx vitest run related-news before: two tasks start 3 s after the row says cancelled; now none.

vitest run packages/daemon/src/batch/jobs and control/{unreadable-rows,replaced-holder}: passed.

--- a/packages/daemon/src/batch/jobs/job-row-reader.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.ts
@@ -2,6 +2,7 @@
 import {
   restoreJob,
   addJob,
+  endJob,
   recordOwnerLimits,
   type BatchJob,
   type BatchJobRow,
@@ -187,6 +188,13 @@
     });
   };
 
+  /** Records the end of a job; one that was restored from an older reading ends too. */
+  const recordEnd = (jobId: JobId, row: Extract<BatchJobRow, { kind: 'ended' }>): void => {
+    ended.add(jobId, row, row.endedAtMs);
+    const job = state.jobs.get(jobId);
+    if (job) endJob(state, job, row.phase, row.reason);
+  };
+
   /** Records ended jobs, passes live ones to `applyLiveRow`, and applies cancellations after both. */
   const applyRows = (
     rows: readonly TableRow[],
@@ -200,7 +208,7 @@
         raiseAlarm(key);
         return;
       }
-      if (value.kind === 'ended') ended.add(jobId as JobId, value, value.endedAtMs);
+      if (value.kind === 'ended') recordEnd(jobId as JobId, value);
       else if (!ended.has(jobId as JobId))
         applySafely(key, jobId as JobId, () => applyLiveRow(value, version));
     });
