--- a/packages/daemon/src/batch/endpoints/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -165,11 +165,14 @@
     }
   };
 
-  /** An order without an answer says nothing about the endpoint if this entry's own link or processor is the cause. */
-  const recordHealth = (outcome: StartOutcome, task: TaskKey): void => {
+  /**
+   * An order without an answer says nothing about the endpoint if this entry's own link or processor is the cause, or if the
+   * run ended or was stopped before the order was repeated.
+   */
+  const recordHealth = (outcome: StartOutcome, task: TaskKey, wasWanted: boolean): void => {
     const jobId = parseTaskKey(task)?.jobId;
     if (outcome !== 'unknown') recordAnsweredStart(state, endpointId);
-    else if (jobId !== undefined && !context.sharedDelayEstimator.isLocalFault())
+    else if (jobId !== undefined && wasWanted && !context.sharedDelayEstimator.isLocalFault())
       recordUnansweredStart(state, endpointId, jobId, nowMs());
   };
 
@@ -193,8 +196,9 @@
     const { outcome, error, clockMs, hasUnansweredOrder } = await sendStart(order);
     if (error?.reason === 'ticket') removeTicket(state, task, endpointId);
     const reason = error?.reason;
+    const wasWanted = isWanted(order);
     applyStartOutcome(state, endpointId, { task, run, outcome, reason, clockMs, nowMs: nowMs() });
-    recordHealth(outcome, task);
+    recordHealth(outcome, task, wasWanted);
     if (!hasUnansweredOrder) recordStartsAnswered(state, endpointId, order);
     if (outcome !== 'started') {
       context.requestScheduling();
