The row of a cancellation is kept while its job has a row

What callers saw: nothing; the cancellation of a job whose row could not be read for 180 s was deleted, and the job started once its row had been repaired (found in review).

Change: it depends on the job having no row; those that have one begin their time again.

Evidence: cancellation-review before: the job starts after the repair; now it does not. vitest run packages/daemon/src/batch/jobs: 155 passed, 2 known red.

--- a/packages/daemon/src/batch/jobs/cancellations.ts
+++ b/packages/daemon/src/batch/jobs/cancellations.ts
@@ -11,6 +11,7 @@
 } from '@valvelatch/core/batch';
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
 import type { JobId } from '@valvelatch/core/shared/ids';
+import type { TransactionOutcome } from '@valvelatch/platform';
 
 import type { Log } from '../../observe/log.js';
 import { batchKey } from '../keys.js';
@@ -64,6 +65,11 @@
 
 type Unmatched = { readonly cancellation: Cancellation; readonly learnedAtMs: number };
 
+/** Tells whether a row existed when a transaction conflicted. */
+const hasRow = (outcome: TransactionOutcome, key: string): boolean =>
+  outcome.kind === 'conflict' &&
+  (outcome.rows?.some((row) => row.key === key && row.version > 0) ?? outcome.key === key);
+
 /**
  * Creates the record of cancellations for one term of a holder.
  *
@@ -125,6 +131,13 @@
     return phase;
   };
 
+  /** Lets the time of some cancellations begin again. */
+  const keepLonger = (cancellations: readonly (readonly [string, Unmatched])[]): void =>
+    cancellations.forEach(([key, { cancellation }]) => {
+      unmatched.delete(key);
+      unmatched.set(key, { cancellation, learnedAtMs: nowMs() });
+    });
+
   const findExpired = (): readonly (readonly [string, Unmatched])[] => {
     const beforeMs = nowMs() - answerableMs() * RETENTION_FACTOR;
     return Array.from(unmatched)
@@ -144,13 +157,20 @@
     deleteExpiredRows: async () => {
       const expired = findExpired();
       if (expired.length === 0) return;
+      // The row of a job that cannot be read may be repaired, and its cancellation must hold then.
+      const jobKeyOf = ({ cancellation }: Unmatched): string => batchKey.job(cancellation.jobId);
+      const jobKeys = new Set(expired.map(([, one]) => jobKeyOf(one)));
       const outcome = await table.transact({
-        checks: [guard()],
+        checks: [guard(), ...Array.from(jobKeys, (key) => ({ key, version: 0 }))],
         writes: expired.map(([key]) => ({ key, value: null })),
       });
-      const isSwept = outcome.isOk() && outcome.value.kind === 'committed';
-      log.info('rows-swept', { cancellations: expired.length, isSwept });
-      if (isSwept) expired.forEach((one) => forget(...one));
+      if (outcome.isErr()) return;
+      if (outcome.value.kind === 'committed') expired.forEach((one) => forget(...one));
+      else keepLonger(expired.filter(([, one]) => hasRow(outcome.value, jobKeyOf(one))));
+      log.info('rows-swept', {
+        cancellations: expired.length,
+        isSwept: outcome.value.kind === 'committed',
+      });
     },
   };
 };
