A holder that recovers is sent no notices of cancellations

Change: as with accepted jobs, an entry whose notice was not answered by the holder asks each 250 ms whether it is ready, and sends notices again then.

--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -488,7 +488,7 @@
     notifyCancelled: async (jobId, caller) => {
       const phase = term
         ? term.cancel(jobId, caller)
-        : await holderClient.ask(CONTROL_METHOD.cancelled, { jobId, caller });
+        : await holderClient.notifyCancelled({ jobId, caller });
       return typeof phase === 'string';
     },
   };
--- a/packages/daemon/src/batch/control/holder-client.test.ts
+++ b/packages/daemon/src/batch/control/holder-client.test.ts
@@ -65,6 +65,18 @@
     expect(countSent(CONTROL_METHOD.taken)).toBe(0);
   });
 
+  it('is sent one notice of a cancellation by an entry with many', async () => {
+    const { client, countSent } = createEntry({
+      [CONTROL_METHOD.cancelled]: null,
+      [CONTROL_METHOD.ready]: false,
+    });
+    for (let turn = 0; turn < SUBMISSIONS; turn += 1) {
+      await client.notifyCancelled({ jobId: '00000000000000aa', caller: null });
+      await vi.advanceTimersByTimeAsync(RETRY_MS);
+    }
+    expect(countSent(CONTROL_METHOD.cancelled)).toBe(1);
+  });
+
   it('is sent rows again soon after it is ready', async () => {
     const answers: Record<string, unknown> = {
       [CONTROL_METHOD.accept]: null,
--- a/packages/daemon/src/batch/control/holder-client.ts
+++ b/packages/daemon/src/batch/control/holder-client.ts
@@ -65,6 +65,11 @@
   readonly accept: (row: BatchJobRow) => Promise<AcceptOutcome | null>;
   /** Tells the holder about a job that this entry wrote. A holder that recovers reads its row anyway. */
   readonly notifyWritten: (writtenJob: unknown) => void;
+  /**
+   * Tells the holder about a cancellation; resolves to the phase of the job, or to `unknown`. A holder that is known to
+   * recover reads the cancellation's row anyway, and is sent nothing.
+   */
+  readonly notifyCancelled: (cancellation: unknown) => Promise<unknown>;
   /** True for a few seconds after the holder reported that the table does not answer it. */
   readonly isTableUnavailableToHolder: () => boolean;
 };
@@ -142,6 +147,13 @@
     notifyWritten: (writtenJob) => {
       if (!isHolderRecovering()) void ask(CONTROL_METHOD.taken, writtenJob);
     },
+    notifyCancelled: async (cancellation) => {
+      const entryId = findReachableHolder();
+      if (entryId === undefined || isHolderRecovering()) return undefined;
+      const answer = await ask(CONTROL_METHOD.cancelled, cancellation);
+      if (answer === null) void waitUntilReady(entryId);
+      return answer;
+    },
     isTableUnavailableToHolder: () => nowMs() < tableUnavailableUntilMs,
     accept: async (row) => {
       const entryId = findReachableHolder();
