A confirmed notice of a cancellation is sent again to the next holder

What callers saw: nothing; a holder that takes over soon after another one confirmed a cancellation learns of it from the table alone, and starts the job if its readings are behind (found in review).

Change: notices are kept for 15 s, and sent again whenever another entry holds control.

vitest run packages/daemon/src/batch/jobs packages/daemon/src/batch/control: 296 passed, 8 failed in job-owners, whose stand-in of the control client had no holder(); with it all pass.

--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -137,8 +137,6 @@
   readonly handleCall: (method: string, payload: unknown) => unknown;
   /** The running term; undefined while this entry does not hold control. */
   readonly term: () => Term | undefined;
-  /** The control holder at the last tick; null if there was none. */
-  readonly holder: () => EntryId | null;
   /** Reports refused jobs to the holder, which may be this entry; false if it was not reached. */
   readonly reportRefusedJobs: (jobs: readonly RefusedJob[]) => Promise<boolean>;
   /** Gives up control, for a planned stop. */
--- a/packages/daemon/src/batch/jobs/cancellation-notices.ts
+++ b/packages/daemon/src/batch/jobs/cancellation-notices.ts
@@ -1,10 +1,10 @@
 /**
- * Notices to the control holder of cancellations that this entry has written. A notice is repeated until a holder has
- * confirmed it: the holder may be recovering or unreachable, may change, and may read the table's changes late.
+ * Notices to the control holder of cancellations that this entry has written. A notice is repeated until the holder has
+ * confirmed it, and sent again to the next one: a holder may be recovering or unreachable, and may read the table late.
  */
 import type { Caller } from '@valvelatch/core/batch';
 import { change } from '@valvelatch/core/shared/change';
-import type { JobId } from '@valvelatch/core/shared/ids';
+import type { EntryId, JobId } from '@valvelatch/core/shared/ids';
 
 import { sleep } from '../../shared/sleep.js';
 import { batchKey } from '../keys.js';
@@ -12,9 +12,9 @@
 
 /** Pause between two rounds of notices, in milliseconds. */
 export const NOTICE_REPEAT_INTERVAL_MS = 250;
-/** A notice is given up after this time: by then every holder has read the cancellation in the table. */
+/** A notice is given up after this time. It is longer than the table's readings may be behind. */
 const MAX_NOTICE_AGE_MS = 15_000;
-/** At most this many notices wait to be confirmed; then the oldest is given up. */
+/** At most this many notices are kept; then the oldest is given up. */
 const MAX_NOTICES = 2000;
 /** At most this many notices are repeated in one round. */
 const MAX_NOTICES_PER_ROUND = 100;
@@ -26,11 +26,12 @@
   readonly jobId: JobId;
   readonly caller: Caller;
   readonly sinceMs: number;
-  readonly isConfirmed: boolean;
+  /** The holder that has confirmed it last; undefined if none has. */
+  readonly confirmedBy: EntryId | null | undefined;
 };
 
 export type CancellationNoticesOptions = {
-  readonly control: Pick<ControlClient, 'notifyCancelled'>;
+  readonly control: Pick<ControlClient, 'holder' | 'notifyCancelled'>;
   /** Monotonic clock, in milliseconds. */
   readonly nowMs: () => number;
 };
@@ -41,7 +42,7 @@
    * at `untilMs` on the monotonic clock, in milliseconds.
    */
   readonly send: (jobId: JobId, caller: Caller, untilMs: number) => Promise<boolean>;
-  /** Repeats the notices that no holder has confirmed. */
+  /** Repeats the notices that the present holder has not confirmed. */
   readonly repeat: () => Promise<void>;
 };
 
@@ -55,40 +56,43 @@
   control,
   nowMs,
 }: CancellationNoticesOptions): CancellationNotices => {
-  const unconfirmed = new Map<string, Notice>();
+  const notices = new Map<string, Notice>();
 
-  const attempt = async (key: string, notice: Notice): Promise<void> => {
+  const attempt = async (notice: Notice): Promise<void> => {
+    const confirmedBy = control.holder();
     const isConfirmed = await control.notifyCancelled(notice.jobId, notice.caller);
-    if (!isConfirmed) return;
-    change(notice, { isConfirmed });
-    unconfirmed.delete(key);
+    if (isConfirmed) change(notice, { confirmedBy });
   };
 
   const waitForConfirmation = async (notice: Notice, untilMs: number): Promise<boolean> => {
-    while (!notice.isConfirmed && nowMs() < untilMs) await sleep(CONFIRMATION_CHECK_MS);
-    return notice.isConfirmed;
+    while (notice.confirmedBy === undefined && nowMs() < untilMs)
+      await sleep(CONFIRMATION_CHECK_MS);
+    return notice.confirmedBy !== undefined;
   };
 
+  const isOpen = ({ confirmedBy }: Notice): boolean =>
+    confirmedBy === undefined || confirmedBy !== control.holder();
+
   const removeExpired = (): void =>
-    unconfirmed.forEach(({ sinceMs }, key) => {
-      if (nowMs() - sinceMs > MAX_NOTICE_AGE_MS) unconfirmed.delete(key);
+    notices.forEach(({ sinceMs }, key) => {
+      if (nowMs() - sinceMs > MAX_NOTICE_AGE_MS) notices.delete(key);
     });
 
   return {
     send: async (jobId, caller, untilMs) => {
       const key = batchKey.cancel(jobId, caller);
-      const created = { jobId, caller, sinceMs: nowMs(), isConfirmed: false };
-      const notice = unconfirmed.get(key) ?? created;
-      unconfirmed.set(key, notice);
-      const [oldestKey] = unconfirmed.keys();
-      if (unconfirmed.size > MAX_NOTICES && oldestKey !== undefined) unconfirmed.delete(oldestKey);
-      await attempt(key, notice);
+      const created = { jobId, caller, sinceMs: nowMs(), confirmedBy: undefined };
+      const notice = notices.get(key) ?? created;
+      notices.set(key, notice);
+      const [oldestKey] = notices.keys();
+      if (notices.size > MAX_NOTICES && oldestKey !== undefined) notices.delete(oldestKey);
+      await attempt(notice);
       return waitForConfirmation(notice, untilMs);
     },
     repeat: async () => {
       removeExpired();
-      const round = Array.from(unconfirmed).slice(0, MAX_NOTICES_PER_ROUND);
-      await Promise.all(round.map((one) => attempt(...one)));
+      const open = Array.from(notices.values()).filter(isOpen);
+      await Promise.all(open.slice(0, MAX_NOTICES_PER_ROUND).map(attempt));
     },
   };
 };
--- a/packages/daemon/src/batch/jobs/control-client.ts
+++ b/packages/daemon/src/batch/jobs/control-client.ts
@@ -1,11 +1,13 @@
 /** The calls to the control holder that job intake needs, whether this entry or another one is the holder. */
 import type { BatchJobRow, Caller, JobStatus } from '@valvelatch/core/batch';
-import type { JobId } from '@valvelatch/core/shared/ids';
+import type { EntryId, JobId } from '@valvelatch/core/shared/ids';
 
 import type { AcceptOutcome } from './accept-queue.js';
 
 /** A client of the control holder, which may be this entry or another one. */
 export type ControlClient = {
+  /** The control holder as this entry knows it; null if there is none. */
+  readonly holder: () => EntryId | null;
   /** Returns the status of a job; undefined if the holder cannot be asked. */
   readonly findStatus: (jobId: JobId) => Promise<JobStatus | undefined>;
   /** Counts the jobs of a queue of which no task has started yet; undefined if the holder cannot be asked. */
@@ -23,6 +25,9 @@
    * after its next successful read.
    */
   readonly notifyAccepted: (row: BatchJobRow, version: number) => void;
-  /** Notifies the holder of a cancellation; resolves to true if the holder has applied it, or keeps it for a job that it does not know yet. */
+  /**
+   * Notifies the holder of a cancellation; resolves to true if the holder has applied it, or keeps it for a job that it does
+   * not know yet.
+   */
   readonly notifyCancelled: (jobId: JobId, caller: Caller) => Promise<boolean>;
 };
--- a/packages/daemon/src/batch/jobs/job-owners.test.ts
+++ b/packages/daemon/src/batch/jobs/job-owners.test.ts
@@ -62,6 +62,7 @@
 ) => {
   const cancelled: string[] = [];
   const control = {
+    holder: () => null,
     accept: async () => outcome,
     holderSilentMs: () => 0,
     notifyAccepted: () => undefined,
