--- a/packages/daemon/src/batch/jobs/intake.ts
+++ b/packages/daemon/src/batch/jobs/intake.ts
@@ -18,11 +18,6 @@
   type DeclaredQueue,
   type ProgressRow,
 } from '@valvelatch/core/batch';
-import {
-  httpStatusOfRefusal,
-  type RefusalReason,
-  type Verdict,
-} from '@valvelatch/core/verdict/verdict';
 import type { JobId } from '@valvelatch/core/shared/ids';
 import type { GroupCommit } from '@valvelatch/platform';
 
@@ -34,14 +29,22 @@
 import { batchKey } from '../keys.js';
 import type { RelayedTable } from '../relays/relayed-table.js';
 import type { ControlClient } from './control-client.js';
+import { createCancelHandler } from './cancel-handler.js';
+import {
+  createRefusal,
+  DEFAULT_DEADLINE_MS,
+  isHiddenFrom,
+  refuseUnknownJob,
+  RETRY_SHARE,
+  type FoundStatus,
+  type IntakeAnswer,
+} from './intake-answer.js';
 import { createSubmissionWriter } from './submission-writer.js';
 
-/** The share of the client's deadline during which a write without an answer is retried. */
-const RETRY_SHARE = 0.8;
-/** Retry-After, in seconds, for refusals whose cause is not an outage. */
-const RETRY_AFTER_S = 2;
-const DEFAULT_DEADLINE_MS = 3000;
+export { createRefusal, type IntakeAnswer } from './intake-answer.js';
+
 const CANCELLED: JobStatus = { phase: 'cancelled', reason: CANCELLED_REASON };
+
 /** How many final statuses an entry caches, so that repeated queries need no message to the holder. */
 const MAX_CACHED = 20_000;
 
@@ -52,21 +55,6 @@
   'unreachable',
 ]);
 
-/** The answer to a client's request. */
-export type IntakeAnswer =
-  | { readonly kind: 'accepted' }
-  | { readonly kind: 'status'; readonly status: JobStatus }
-  | { readonly kind: 'cancelled' }
-  | { readonly kind: 'waiting'; readonly count: number }
-  | {
-      readonly kind: 'refused';
-      readonly status: number;
-      readonly verdict: Verdict;
-      readonly reason: RefusalReason;
-      readonly detail: string;
-      readonly retryAfterS: number;
-    };
-
 export type IntakeOptions = {
   readonly table: RelayedTable;
   readonly groupCommit: GroupCommit;
@@ -96,45 +84,9 @@
   readonly repeatNotices: () => Promise<void>;
 };
 
-/**
- * Builds a refusal.
- *
- * @param verdict - Whether the request may have had an effect.
- * @param reason - The reason, from which the HTTP status follows.
- * @param detail - One human-readable sentence.
- * @param retryAfterS - After how many whole seconds the client is to retry.
- * @returns The answer.
- */
-export const createRefusal = (
-  verdict: Verdict,
-  reason: RefusalReason,
-  detail: string,
-  retryAfterS: number = RETRY_AFTER_S,
-): IntakeAnswer => ({
-  kind: 'refused',
-  status: httpStatusOfRefusal(reason),
-  verdict,
-  reason,
-  detail,
-  retryAfterS,
-});
-
-/** A client's request to cancel a job, and what was found of the job. */
-type CancelRequest = {
-  readonly jobId: JobId;
-  readonly caller: Caller;
-  /** Undefined if neither the holder nor the table answered. */
-  readonly found: JobStatus | 'unknown-job' | undefined;
-  /** Until when writes without an answer are retried, on the monotonic clock, in milliseconds. */
-  readonly untilMs: number;
-};
-
 const refuseCancelledJob = (jobId: JobId): IntakeAnswer =>
   createRefusal('notRun', 'job-cancelled', `the job ${jobId} was cancelled before its submission`);
 
-const refuseUnknownJob = (jobId: JobId): IntakeAnswer =>
-  createRefusal('notRun', 'unknown-job', `no job named ${jobId} was accepted`);
-
 /**
  * Creates the job intake of an entry.
  *
@@ -200,10 +152,7 @@
   };
 
   /** Reads the status from the rows of a job, for when the holder does not know it or cannot be asked. */
-  const readStatus = async (
-    jobId: JobId,
-    caller: Caller,
-  ): Promise<JobStatus | 'unknown-job' | undefined> => {
+  const readStatus = async (jobId: JobId, caller: Caller): Promise<FoundStatus> => {
     const rows = await table.read([
       batchKey.job(jobId),
       batchKey.progress(jobId),
@@ -227,10 +176,7 @@
   };
 
   /** Asks the holder, then the rows, for the status of a job; undefined if neither answers. */
-  const findCurrentStatus = async (
-    jobId: JobId,
-    caller: Caller,
-  ): Promise<JobStatus | 'unknown-job' | undefined> => {
+  const findCurrentStatus = async (jobId: JobId, caller: Caller): Promise<FoundStatus> => {
     const found = (await control.findStatus(jobId)) ?? (await readStatus(jobId, caller));
     if (found && found !== 'unknown-job' && isFinal(found.phase)) {
       statusCache.set(jobId, found);
@@ -244,9 +190,6 @@
   const findStatus: typeof findCurrentStatus = async (jobId, caller) =>
     statusCache.get(jobId) ?? findCurrentStatus(jobId, caller);
 
-  const isHiddenFrom = (found: JobStatus | 'unknown-job' | undefined, caller: Caller): boolean =>
-    found !== undefined && found !== 'unknown-job' && !maySee(found.account, caller);
-
   /** Answers a submission whose job id already exists: it is the same job, unless the job belongs to another account. */
   const answerExistingJob = async ({ jobId, owner }: BatchJob): Promise<IntakeAnswer> => {
     const caller = owner?.account ?? null;
@@ -274,63 +217,14 @@
     return { kind: 'status', status: found };
   };
 
-  const writeCancellation = (
-    jobId: JobId,
-    caller: Caller,
-    untilMs: number,
-  ): Promise<RowWriteOutcome> =>
-    submission.writeWithRetries(
-      {
-        checks: [],
-        writes: [{ key: batchKey.cancel(jobId, caller), value: { atMs: Date.now() } }],
-      },
-      untilMs,
-    );
-
-  /**
-   * Answers a cancellation once it is stored, so that no submission overtakes it, and the holder has confirmed it. If no
-   * holder does so in the client's time, it is acknowledged all the same: the next holder reads it.
-   */
-  const cancelFound = async (
-    { jobId, caller, found, untilMs }: CancelRequest,
-    logCancel: (outcome: string, isHolderNotified?: boolean) => void,
-  ): Promise<IntakeAnswer> => {
-    if (isHiddenFrom(found, caller)) {
-      logCancel('unknown-job');
-      return refuseUnknownJob(jobId);
-    }
-    if (found !== undefined && found !== 'unknown-job' && isFinal(found.phase)) {
-      // The cancellation may have been found in its row, by an entry whose notice was lost.
-      const isNoticed = found.phase === 'cancelled' && (await notices.send(jobId, caller, untilMs));
-      logCancel('ended', isNoticed);
-      return { kind: 'cancelled' };
-    }
-    const written = await writeCancellation(jobId, caller, untilMs);
-    const refusal = toRefusal(written);
-    if (refusal) {
-      logCancel(written.kind);
-      return refusal;
-    }
-    logCancel(written.kind, await notices.send(jobId, caller, untilMs));
-    return found === 'unknown-job' ? refuseUnknownJob(jobId) : { kind: 'cancelled' };
-  };
-
-  const cancel: Intake['cancel'] = async (jobId, caller, deadlineMs = DEFAULT_DEADLINE_MS) => {
-    const startedAtMs = nowMs();
-    // Not from the cache: the rows of an ended job are deleted after a time, and its id may be submitted again.
-    const found = await findCurrentStatus(jobId, caller);
-    const request = { jobId, caller, found, untilMs: startedAtMs + deadlineMs * RETRY_SHARE };
-    return cancelFound(request, (outcome, isHolderNotified = false) =>
-      log.info('job-cancel', {
-        job: jobId,
-        account: caller ?? undefined,
-        found: typeof found === 'object' ? found.phase : (found ?? 'unavailable'),
-        outcome,
-        isHolderNotified,
-        tookMs: Math.round(nowMs() - startedAtMs),
-      }),
-    );
-  };
+  const cancel = createCancelHandler({
+    submission,
+    notices,
+    findCurrentStatus,
+    toRefusal,
+    log,
+    nowMs,
+  });
 
   const waiting: Intake['waiting'] = async (queue) => {
     const count = await control.countWaiting(queue.name);
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -79,3 +79,27 @@
     pool: 'alpha',
     steps: [{ taskCount, isLasting: true, mostPerEndpoint: 1, cpuMillis: 4000 }],
   });
+
+/** Returns an entry that does not hold control; throws if all do. */
+export const requireOther = (fleet: SimFleet): SimEntry => {
+  const other = fleet.entries.find(({ control }) => control.term() === undefined);
+  if (!other) throw new Error('all entries hold control');
+  return other;
+};
+
+/** The longest time that a test waits for the answer of an entry. */
+const MAX_ANSWER_MS = 20_000;
+const ANSWER_POLL_MS = 10;
+
+/** Lets time pass until an entry has answered, and returns its answer. */
+export const settle = async <Value>(pending: Promise<Value>): Promise<Value> => {
+  let isSettled = false;
+  void pending.finally(() => {
+    isSettled = true;
+  });
+  for (let waitedMs = 0; !isSettled; waitedMs += ANSWER_POLL_MS) {
+    if (waitedMs > MAX_ANSWER_MS) throw new Error('the entry did not answer');
+    await advanceTime(ANSWER_POLL_MS);
+  }
+  return pending;
+};
