Rows of cancellations in a conflict leave nothing in the holder's memory

What callers saw: nothing; the holder would have kept an entry of versions for the cancellation row of every submission in a transaction with a conflict, for ever.

Cause: since submissions check their owner's cancellation row, the rows of a conflict name these rows, and the saver records versions for all of them (found in the read-through).

--- a/packages/daemon/src/batch/jobs/job-saver.test.ts
+++ b/packages/daemon/src/batch/jobs/job-saver.test.ts
@@ -7,6 +7,7 @@
 import { createMetrics } from '../../observe/metrics.js';
 import { createJobSaver, type AcceptOutcome, type JobSaver, type LiveRow } from './job-saver.js';
 import type { BatchTable } from '../ports.js';
+import { cancelKeyOf } from './submission-transaction.js';
 
 const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
 const policy = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
@@ -141,6 +142,27 @@
     expect(['waits', 'away']).toContain(late.kind);
   });
 
+  it('beside one that its owner has cancelled are accepted, and leave no row of a cancellation in memory', async () => {
+    const cancelled = rowOf('a');
+    const cancelKey = cancelKeyOf(cancelled);
+    const saver = createSaver(async ({ checks }) => {
+      const rows = checks.map(({ key, version }) => ({
+        key,
+        value: null,
+        version: key === cancelKey ? 3 : version,
+      }));
+      return checks.some(({ key }) => key === cancelKey)
+        ? Ok({ kind: 'conflict', key: cancelKey, rows })
+        : Ok({ kind: 'committed', version: 5 });
+    });
+    const outcomes = [cancelled, rowOf('b')].map((row) => trackOutcome(saver.accept(row)));
+    await vi.advanceTimersByTimeAsync(2000);
+    expect(outcomes.map(({ kind }) => kind)).toEqual(['cancelled', 'committed']);
+    expect(Array.from(saver.versions.keys()).filter((jobId) => jobId.includes('cancel'))).toEqual(
+      [],
+    );
+  });
+
   it('that may have been written are never reported as not accepted', async () => {
     const saver = createSaver(async () => Err({ kind: 'unknown', detail: 'no answer' }));
     const sent = trackOutcome(saver.accept(rowOf('a')));
--- a/packages/daemon/src/batch/jobs/job-saver.ts
+++ b/packages/daemon/src/batch/jobs/job-saver.ts
@@ -13,6 +13,7 @@
 
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
+import { isCancelKey } from '../keys.js';
 import {
   createAcceptQueue,
   type AcceptOutcome,
@@ -191,7 +192,7 @@
   const applyConflict = (rows: readonly TableRow[]): void => {
     const { key: fenceKey, version: fenceVersion } = fence();
     queue.resolveConflicts(rows);
-    changed.recordVersions(rows.filter(({ key }) => key !== fenceKey));
+    changed.recordVersions(rows.filter(({ key }) => key !== fenceKey && !isCancelKey(key)));
     if (rows.every(({ key, version }) => key !== fenceKey || version === fenceVersion)) return;
     isStopped = true;
     onFenceLost();
--- a/packages/daemon/src/batch/keys.ts
+++ b/packages/daemon/src/batch/keys.ts
@@ -46,6 +46,15 @@
   return { jobId: rowName.slice(0, suffixStart), isCancel: true, cancelledBy };
 };
 
+/**
+ * Tells whether a key is that of a cancellation.
+ *
+ * @param key - The key of a row of any kind.
+ * @returns True if it is.
+ */
+export const isCancelKey = (key: string): boolean =>
+  key.startsWith('job/') && parseJobKey(key).isCancel;
+
 /** The name of the control lease. A fleet that is divided into cells would have one per cell. */
 export const CONTROL_LEASE = 'control';
 /** Key prefix of the lease rows, on which holding control depends. */
