An unanswered order is repeated into a suspected domain, as before

Change: the first order asks for suspicion, as it did; the repeat asks for draining and cordons only.

--- a/packages/daemon/src/batch/endpoints/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -104,18 +104,16 @@
     return known?.run === run && known.phase !== 'stopping';
   };
 
-  /**
-   * Tells whether the endpoint still takes new work. Since the start was decided, it may have begun to drain, its host may
-   * have been cordoned, or its rack or data centre may have come under suspicion.
-   */
+  /** The endpoint may have begun to drain, or its host may have been cordoned, since the start was decided. */
   const takesNewWork = (): boolean => {
     const endpoint = state.endpoints.get(endpointId);
-    return (
-      endpoint !== undefined &&
-      !endpoint.isDraining &&
-      !endpoint.isCordoned &&
-      !isSuspected(state, endpoint)
-    );
+    return endpoint !== undefined && !endpoint.isDraining && !endpoint.isCordoned;
+  };
+
+  /** The endpoint's rack or data centre may have come under suspicion since the start was decided. */
+  const isDomainSuspected = (): boolean => {
+    const endpoint = state.endpoints.get(endpointId);
+    return endpoint !== undefined && isSuspected(state, endpoint);
   };
 
   /** Sends a start order, and counts it as in flight in the order window. */
@@ -181,7 +179,7 @@
     await refreshClock();
     if (!isWanted(effect)) return;
     const keepUntilMs = computeLeaseEnd();
-    if (keepUntilMs === undefined || !mayStart() || !takesNewWork()) {
+    if (keepUntilMs === undefined || !mayStart() || !takesNewWork() || isDomainSuspected()) {
       const reason = 'not-sent';
       applyStartOutcome(state, endpointId, {
         task,
