Logs of counted crashes say on what each count rests

An incident of jobs shown as failed could not be read from the logs: a crash that was seen, an order without an answer and an announced start that nobody may have ordered all showed as one more in crashes=, and a holder that read counts from a row was silent.

run-ended of a counted crash has basis= (witnessed, silent, unanswered) and seenBy=; announced-start-lost has announcedBy=, isEndpointListed=, countedBy= and known=; crashes-restored tells what a new holder read. The type of a crash tells known from supposed ones. No decision changes. run-end.test.ts expects the two new fields.

--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -10,7 +10,9 @@
   EndpointCrash,
   EndpointState,
   GoneEndpoint,
+  KnownCrash,
   RunState,
+  SupposedCrash,
   Task,
 } from '../model/state.js';
 import { hasCorrelatedCrashes, isCrash } from './correlated-crashes.js';
@@ -83,9 +85,16 @@
 };
 
 /** Tells whether the run is known to have been on the endpoint shortly before the crash was detected. */
-const wasPresentAtCrash = ({ endpoint, atMs }: GoneEndpoint, { startedByMs }: RunState): boolean =>
-  startedByMs < Infinity &&
-  atMs - Math.max(startedByMs, endpoint.reportedAtMs) < MAX_UNRESPONSIVE_MS;
+const crashBasis = (
+  { endpoint, atMs }: GoneEndpoint,
+  { startedByMs }: RunState,
+): Pick<KnownCrash, 'isConfirmed' | 'basis'> | Pick<SupposedCrash, 'isConfirmed' | 'basis'> => {
+  if (startedByMs === Infinity) return { isConfirmed: false, basis: 'unanswered' };
+  const silentMs = atMs - Math.max(startedByMs, endpoint.reportedAtMs);
+  return silentMs < MAX_UNRESPONSIVE_MS
+    ? { isConfirmed: true, basis: 'witnessed' }
+    : { isConfirmed: false, basis: 'silent' };
+};
 
 /**
  * Tells whether another run is unlikely to have caused a crash. This requires a longer time than
@@ -114,7 +123,7 @@
   return {
     run: run.run,
     livedMs: livedMs(endpoint, run),
-    isConfirmed: wasPresentAtCrash(gone, run),
+    ...crashBasis(gone, run),
     isSuspected: !hasSurvivedObservation(endpoint, run),
     isSoleSuspect: lastReportedRuns(endpoint).every((other) =>
       isUnlikelyCause(endpoint, run, other),
@@ -147,20 +156,27 @@
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
 };
 
+/** By which answer a run was last seen on its endpoint. */
+const seenBy = ({ isListed, startedByMs }: RunState): 'list' | 'start-answer' | 'none' => {
+  if (isListed) return 'list';
+  return startedByMs < Infinity ? 'start-answer' : 'none';
+};
+
 /**
  * Returns the log fields that describe the crashes under a task.
  *
- * @param task - The task, with the last crash recorded.
+ * @param run - The run that the endpoint crashed with; the crash is the last one recorded for its task.
  * @param endpoint - The endpoint that crashed last.
  * @param wallClockMs - The wall-clock time, in ms.
  * @returns The number of crashes, the fencing tokens of the holders that recorded them, the age of the first one, and
  *   the details of the last; no fields if there was no crash.
  */
 export const crashLogFields = (
-  { crashes }: Pick<Task, 'crashes'>,
+  run: RunState,
   endpoint: EndpointState,
   wallClockMs: number,
 ): LogFields => {
+  const { crashes } = run.task;
   const last = crashes.at(-1);
   if (!last) return {};
   return {
@@ -169,6 +185,8 @@
     firstAgoMs: Math.round(wallClockMs - (crashes[0]?.countedAtMs ?? wallClockMs)),
     livedMs: last.livedMs,
     isConfirmed: last.isConfirmed,
+    basis: last.basis,
+    seenBy: seenBy(run),
     isSuspected: last.isSuspected,
     isSoleSuspect: last.isSoleSuspect,
     isCorrelated: last.isCorrelated,
--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -9,6 +9,7 @@
 import type { EndpointId } from '../../shared/ids.js';
 import { findOpenTrial, withdrawTrial } from './announced-start-record.js';
 import { hasSurvivedObservation } from './observation-period.js';
+import { fenceOf } from '../endpoints/run-numbers.js';
 import type { TaskKey } from '../model/job.js';
 import type {
   BatchState,
@@ -72,6 +73,7 @@
   run,
   livedMs: 0,
   isConfirmed: false,
+  basis: 'announced',
   isSuspected: true,
   isSoleSuspect: true,
   isCorrelated: false,
@@ -105,8 +107,12 @@
       fields: {
         task: task.key,
         run,
+        announcedBy: fenceOf(run),
         endpoint: endpointId ?? undefined,
+        isEndpointListed: endpointId !== null && state.endpoints.has(endpointId),
         crashes: task.crashes.length,
+        countedBy: task.crashes.map(({ fence }) => fence).join(','),
+        known: task.crashes.filter(({ isConfirmed }) => isConfirmed).length,
       },
     });
   });
--- a/packages/core/src/batch/endpoints/gone-endpoints.ts
+++ b/packages/core/src/batch/endpoints/gone-endpoints.ts
@@ -86,7 +86,7 @@
   });
   assessed.forEach(({ run, crash }) => recordCrash(state, run, crash));
   const wallClockMs = nowMs + state.wallClockOffsetMs;
-  return new Map(assessed.map(({ run }) => [run, crashLogFields(run.task, endpoint, wallClockMs)]));
+  return new Map(assessed.map(({ run }) => [run, crashLogFields(run, endpoint, wallClockMs)]));
 };
 
 /** Logs the end of the endpoint also for a run that was given up earlier, when the endpoint's lease ended. */
--- a/packages/core/src/batch/endpoints/run-end.test.ts
+++ b/packages/core/src/batch/endpoints/run-end.test.ts
@@ -229,6 +229,8 @@
         firstAgoMs: 0,
         livedMs: 0,
         isConfirmed: false,
+        basis: 'silent',
+        seenBy: 'start-answer',
         isSuspected: true,
         isSoleSuspect: true,
         isCorrelated: false,
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -26,6 +26,7 @@
 export * from './endpoints/relay-selection.js';
 export * from './endpoints/reports.js';
 export * from './endpoints/run-end.js';
+export * from './endpoints/run-numbers.js';
 export * from './endpoints/runs.js';
 export * from './endpoints/runs-to-stop-again.js';
 export * from './endpoints/schedulable-endpoints.js';
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -190,6 +190,20 @@
   });
 };
 
+/** Logs the crashes that the row of a job names: how many are known and how many are supposed, and who counted them. */
+const logRestoredCrashes = (
+  state: BatchState,
+  { job: { jobId } }: JobState,
+  steps: readonly StepRun[],
+): void => {
+  const crashes = steps.flatMap(({ tasks }) => tasks).flatMap((task) => task.crashes);
+  if (crashes.length === 0) return;
+  const known = crashes.filter(({ isConfirmed }) => isConfirmed).length;
+  const countedBy = Array.from(new Set(crashes.map(({ fence }) => fence))).join(',');
+  const fields = { job: jobId, known, supposed: crashes.length - known, countedBy };
+  state.effects.push({ kind: 'note', event: 'crashes-restored', fields });
+};
+
 /** What a job is restored from. */
 export type RestoreOptions = {
   readonly job: BatchJob;
@@ -229,6 +243,7 @@
   if (hasStartedTasks(progress)) restored.hasStarted = true;
   if (restored.hasStarted && restored.phase === 'pending') restored.phase = 'running';
   const steps = Array.from(restored.occurrences.values()).flatMap((one) => one.steps);
+  logRestoredCrashes(state, restored, steps);
   const exhausted = steps
     .filter(({ spec }) => !spec.isLasting)
     .flatMap(({ tasks }) => tasks)
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -48,13 +48,11 @@
   readonly isInherited: boolean;
 };
 
-/** A crash of an endpoint while it held a run of a task; an end that was ordered or announced is no crash. */
-export type EndpointCrash = {
+/** What is recorded of any crash of an endpoint that held, or may have held, a run of a task. */
+type CrashRecord = {
   readonly run: number;
   /** For how long the endpoint is known to have been alive with the run, in milliseconds. */
   readonly livedMs: number;
-  /** The endpoint is known to have started the run, and to have been responsive until shortly before it crashed. */
-  readonly isConfirmed: boolean;
   /** The run had started so shortly before the crash that it may have caused it. */
   readonly isSuspected: boolean;
   /** All runs of other jobs had been on the endpoint for so long that they are unlikely to be the cause. */
@@ -70,6 +68,27 @@
   readonly countedAtMs: number;
 };
 
+/** The crash of an endpoint under a run that was seen there. */
+export type KnownCrash = CrashRecord & {
+  readonly isConfirmed: true;
+  /** `witnessed`: the holder saw the run there, and the endpoint answered until shortly before it crashed. */
+  readonly basis?: 'witnessed' | undefined;
+};
+
+/** A crash that may have happened under a run. */
+export type SupposedCrash = CrashRecord & {
+  readonly isConfirmed: false;
+  /**
+   * `silent`: the run was seen on the endpoint, which did not answer for so long before it crashed that the run may have
+   * ended. `unanswered`: the run was ordered, and no answer showed whether it started. `announced`: an earlier holder
+   * announced the run, and may not have ordered it. Left out in rows of earlier builds.
+   */
+  readonly basis?: 'silent' | 'unanswered' | 'announced' | undefined;
+};
+
+/** A crash of an endpoint that is counted against a task; an end that was ordered or announced is no crash. */
+export type EndpointCrash = KnownCrash | SupposedCrash;
+
 /** What the advice service has answered about a step: which endpoints may run it. */
 export type StepAdvice = {
   /** The endpoints that may run the step, with their tickets. */
--- a/packages/core/src/batch/placement/place-tasks.ts
+++ b/packages/core/src/batch/placement/place-tasks.ts
@@ -4,7 +4,7 @@
  */
 import { change } from '../../shared/change.js';
 import { isWithinQuota } from '../accounts/quota.js';
-import { nextRunNumber } from '../endpoints/runs.js';
+import { nextRunNumber } from '../endpoints/run-numbers.js';
 import type { BatchState, EndpointState, StepRun, Task } from '../model/state.js';
 import { createCandidates } from './candidates.js';
 import { findGangPlaces } from './gang-places.js';
