Test: the bound of crashes under one task holds if each holder is lost after a crash

Three more cases lose each holder 60, 150 and 300 ms after a crash; they pass on this code, and guard the bound while what counts as a crash changes.

--- a/packages/daemon/src/batch/endpoints/endpoint-crashes.test.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-crashes.test.ts
@@ -139,6 +139,34 @@
     expect(fleet.violations).toEqual([]);
     expect(phaseOf(fleet, crashing)).toBe('failed');
   });
+
+  it.each([
+    { holderLivesMs: 60, endpoints: 4 },
+    { holderLivesMs: 150, endpoints: 4 },
+    { holderLivesMs: 300, endpoints: 8 },
+  ])(
+    'is given up in time if each holder is lost $holderLivesMs ms after a crash, of $endpoints endpoints',
+    async ({ holderLivesMs, endpoints }) => {
+      const fleet = await createStartedFleet({ hostsPerPool: endpoints });
+      const crashing = submitCrashing(fleet);
+      const total = (): number =>
+        Array.from(fleet.crashes.values()).reduce((sum, count) => sum + count, 0);
+      let counted = total();
+      for (let ms = 0; ms < 4 * SIMULATION_MS; ms += 10) {
+        await advanceTime(10);
+        if (total() > counted) {
+          counted = total();
+          await advanceTime(holderLivesMs);
+          const holder = fleet.findHolder();
+          if (holder) fleet.kill(holder);
+          await advanceTime(500);
+          if (holder) fleet.addEntry(holder.entryId);
+        }
+      }
+      expect(fleet.violations).toEqual([]);
+      expect(phaseOf(fleet, crashing)).toBe('failed');
+    },
+  );
 });
 
 describe('endpoints that crash, with and without a task as the cause', () => {
