The row of an announced start tells whether its run was seen on its endpoint

A holder that took over could not tell an announced start that began and crashed its endpoint from one that was never ordered, so both had to count alike. The answer to the start order, or a list, now marks the announced start, and the job's row is written again. The next holder counts a marked one whose endpoint is known to be gone as 'sighted'; an unmarked one, or one whose endpoint may only be unreachable (leases over, still listed on its host), as 'announced'.

--- a/packages/core/src/batch/crashes/announced-start-record.ts
+++ b/packages/core/src/batch/crashes/announced-start-record.ts
@@ -3,8 +3,14 @@
  * of the run.
  */
 import { change } from '../../shared/change.js';
-import type { EndpointId } from '../../shared/ids.js';
-import { isFinal, type BatchState, type StepRun, type Task } from '../model/state.js';
+import {
+  isFinal,
+  type BatchState,
+  type RunState,
+  type StepRun,
+  type Task,
+  type Trial,
+} from '../model/state.js';
 
 /** Tells whether the end of a run, or of a later run of the task, is known. */
 const hasKnownEnd = (
@@ -25,7 +31,7 @@
   trial && !hasKnownEnd(task, trial.run) ? trial : undefined;
 
 /** A start that an earlier holder announced, as the job's row names it. */
-export type StoredTrial = { readonly run: number; readonly endpointId: EndpointId | null };
+export type StoredTrial = Pick<Trial, 'run' | 'endpointId' | 'isSeen'>;
 
 /**
  * Restores a start that an earlier holder announced.
@@ -33,16 +39,16 @@
  * @param state - The batch state, changed in place.
  * @param step - The step of the task.
  * @param task - The task, changed in place.
- * @param stored - The run, and the endpoint that was to start it.
+ * @param stored - The run, the endpoint that was to start it, and whether it was seen there.
  */
 export const restoreTrial = (
   state: BatchState,
   step: StepRun,
   task: Task,
-  { run, endpointId }: StoredTrial,
+  { run, endpointId, isSeen }: StoredTrial,
 ): void => {
   change(task, {
-    trial: { run, endpointId, isInherited: true },
+    trial: { run, endpointId, isInherited: true, isSeen },
     lastRun: Math.max(task.lastRun, run),
   });
   state.suspectJobs.add(step.job);
@@ -72,3 +78,17 @@
   if (isFinal(job.phase)) return;
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
 };
+
+/**
+ * Records that an answer of the endpoint showed the run of an announced start. The job's row is written again, so that
+ * a later holder can tell the start from one that no endpoint is known to have begun.
+ *
+ * @param state - The batch state, changed in place.
+ * @param run - The run; nothing is done unless its start was announced.
+ */
+export const recordTrialSeen = (state: BatchState, { task, step, run }: RunState): void => {
+  const { trial } = task;
+  if (!trial || trial.run !== run || trial.isSeen) return;
+  change(task, { trial: { ...trial, isSeen: true } });
+  state.effects.push({ kind: 'save', jobId: step.job.job.jobId, isUrgent: false });
+};
--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -9,6 +9,7 @@
 import type { EndpointId } from '../../shared/ids.js';
 import { findOpenTrial, withdrawTrial } from './announced-start-record.js';
 import { hasSurvivedObservation } from './observation-period.js';
+import { instanceIdOf } from '../model/endpoint-incarnation.js';
 import { fenceOf } from '../endpoints/run-numbers.js';
 import type { TaskKey } from '../model/job.js';
 import type {
@@ -16,9 +17,11 @@
   EndpointCrash,
   EndpointState,
   JobState,
+  PoolState,
   RunState,
   StepRun,
   Task,
+  Trial,
 } from '../model/state.js';
 
 /**
@@ -57,7 +60,7 @@
   const revision = job.crashRecordRevision + 1;
   change(job, { crashRecordRevision: revision });
   starts.forEach(({ task, run, endpointId }) => {
-    change(task, { trial: { run, endpointId, isInherited: false } });
+    change(task, { trial: { run, endpointId, isInherited: false, isSeen: false } });
     state.effects.push({
       kind: 'note',
       event: 'start-announced',
@@ -68,23 +71,68 @@
   return revision;
 };
 
-/** The crash that is recorded for an announced start whose endpoint is gone. */
-const crashOfLostTrial = (state: BatchState, run: number, nowMs: number): EndpointCrash => ({
-  run,
-  livedMs: 0,
-  isConfirmed: false,
-  basis: 'announced',
-  isSuspected: true,
-  isSoleSuspect: true,
-  isCorrelated: false,
-  fence: state.fence,
-  countedAtMs: Math.round(nowMs + state.wallClockOffsetMs),
-});
+/**
+ * Tells whether an endpoint is known to be gone: another incarnation has its id, or no host is listed with it. One whose
+ * leases have ended without either may only be unreachable.
+ */
+const isKnownGone = (state: BatchState, endpointId: EndpointId): boolean => {
+  if (state.endpoints.has(endpointId)) return false;
+  const instanceId = instanceIdOf(endpointId);
+  const isAwaited = (pool: PoolState): boolean => pool.unreportedInstances.has(instanceId);
+  return (
+    state.currentIncarnations.has(instanceId) || !Array.from(state.pools.values()).some(isAwaited)
+  );
+};
+
+/** An inherited announced start without a report. */
+type LostTrial = { readonly task: Task; readonly trial: Trial };
+
+/** The crash that is recorded for an announced start whose endpoint does not answer. */
+const crashOfLostTrial = (
+  state: BatchState,
+  { run, endpointId, isSeen }: Trial,
+  nowMs: number,
+): EndpointCrash => {
+  const isSighted = isSeen && endpointId !== null && isKnownGone(state, endpointId);
+  return {
+    run,
+    livedMs: 0,
+    ...(isSighted
+      ? { isConfirmed: true, basis: 'sighted' }
+      : { isConfirmed: false, basis: 'announced' }),
+    isSuspected: true,
+    isSoleSuspect: !isSighted,
+    isCorrelated: false,
+    fence: state.fence,
+    countedAtMs: Math.round(nowMs + state.wallClockOffsetMs),
+  };
+};
+
+/** Logs that an inherited announced start counts as a crash of its task. */
+const noteLostTrial = (
+  state: BatchState,
+  { task, trial: { run, endpointId } }: LostTrial,
+): void => {
+  state.effects.push({
+    kind: 'note',
+    event: 'announced-start-lost',
+    fields: {
+      task: task.key,
+      run,
+      announcedBy: fenceOf(run),
+      endpoint: endpointId ?? undefined,
+      isEndpointListed: endpointId !== null && state.endpoints.has(endpointId),
+      basis: task.crashes.at(-1)?.basis,
+      crashes: task.crashes.length,
+      countedBy: task.crashes.map(({ fence }) => fence).join(','),
+      known: task.crashes.filter(({ isConfirmed }) => isConfirmed).length,
+    },
+  });
+};
 
 /**
  * Counts as crashes those inherited announced starts of a step that no endpoint reports and whose endpoint has not
- * answered this holder, because it must be gone. To be called only after all endpoints that may run the step have
- * answered.
+ * answered this holder. To be called only after all endpoints that may run the step have answered.
  *
  * @param state - The batch state, changed in place.
  * @param step - The step.
@@ -94,27 +142,14 @@
   const { job, tasks } = step;
   const hasAnswered = (endpointId: EndpointId | null): boolean =>
     endpointId !== null && state.endpoints.get(endpointId)?.hasReported === true;
-  const lost = tasks.flatMap((task) => {
+  const lost = tasks.flatMap((task): readonly LostTrial[] => {
     const trial = task.phase === 'waiting' ? findOpenTrial(task) : undefined;
     return trial?.isInherited && !hasAnswered(trial.endpointId) ? [{ task, trial }] : [];
   });
   if (lost.length === 0) return;
-  lost.forEach(({ task, trial: { run, endpointId } }) => {
-    change(task, { crashes: [...task.crashes, crashOfLostTrial(state, run, nowMs)] });
-    state.effects.push({
-      kind: 'note',
-      event: 'announced-start-lost',
-      fields: {
-        task: task.key,
-        run,
-        announcedBy: fenceOf(run),
-        endpoint: endpointId ?? undefined,
-        isEndpointListed: endpointId !== null && state.endpoints.has(endpointId),
-        crashes: task.crashes.length,
-        countedBy: task.crashes.map(({ fence }) => fence).join(','),
-        known: task.crashes.filter(({ isConfirmed }) => isConfirmed).length,
-      },
-    });
+  lost.forEach(({ task, trial }) => {
+    change(task, { crashes: [...task.crashes, crashOfLostTrial(state, trial, nowMs)] });
+    noteLostTrial(state, { task, trial });
   });
   change(job, { crashRecordRevision: job.crashRecordRevision + 1 });
   state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
--- a/packages/core/src/batch/endpoints/order-responses.ts
+++ b/packages/core/src/batch/endpoints/order-responses.ts
@@ -1,6 +1,7 @@
 /** Applies the responses to start and stop orders. */
 import { change } from '../../shared/change.js';
 import type { EndpointId } from '../../shared/ids.js';
+import { recordTrialSeen } from '../crashes/announced-start-record.js';
 import type { TaskKey } from '../model/job.js';
 import type { RunEvidence } from './run-end.js';
 import { dropRun, requeue, stopRun } from './runs.js';
@@ -58,6 +59,7 @@
     known.startClockMs = clockMs;
     known.confirmedAtMs = nowMs;
     known.startedByMs = Math.min(known.startedByMs, nowMs);
+    recordTrialSeen(state, known);
   }
   if (outcome === 'rejected') {
     const evidence: RunEvidence = { cause: 'start-refused', atMs: nowMs, detail: reason };
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -21,6 +21,7 @@
   type Task,
 } from '../model/state.js';
 import { recordTaskSuccess, recordTaskFailure } from './endpoint-health.js';
+import { recordTrialSeen } from '../crashes/announced-start-record.js';
 import { closeTrial, withdrawUnknownTrials } from '../crashes/trials.js';
 
 /** How a run ended, as reported by the endpoint. */
@@ -173,7 +174,7 @@
 };
 
 const updateRun = (
-  { formerOrdersEndAtMs }: BatchState,
+  state: BatchState,
   run: RunState,
   report: RunningReport,
   { requestedAtMs, nowMs }: ReportTimes,
@@ -189,7 +190,8 @@
     percent: report.percent,
     loadFigure: report.figure,
   });
-  if (requestedAtMs >= formerOrdersEndAtMs) task.isLocated = true;
+  recordTrialSeen(state, run);
+  if (requestedAtMs >= state.formerOrdersEndAtMs) task.isLocated = true;
   if (report.checkpoint !== '') task.checkpoint = report.checkpoint;
   if (step.spec.isLasting && report.percent >= 100) task.unavailableSinceMs = 0;
 };
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -17,6 +17,7 @@
   type OccurrenceState,
   type StepRun,
   type Task,
+  type Trial,
 } from '../model/state.js';
 
 /** The row of a job: the full job while it is live, only the outcome once it has ended. */
@@ -40,10 +41,19 @@
   /** Pairs of a task index and the crashes of endpoints that ran the task. */
   readonly crashes?: readonly (readonly [number, readonly EndpointCrash[]])[];
   /**
-   * The index of each task with an announced start, the run, which may have started, and the endpoint that was to start
-   * it, which rows of earlier builds do not name.
+   * The index of each task with an announced start, the run, which may have started, the endpoint that was to start it,
+   * which rows of earlier builds do not name, and `SEEN` if an answer of the endpoint has shown the run.
    */
-  readonly trials?: readonly (readonly [number, number, EndpointId?])[];
+  readonly trials?: readonly TrialRow[];
+};
+
+/** Stands in the row of an announced start whose run was seen on its endpoint. */
+const SEEN = 1;
+type TrialRow = readonly [number, number, EndpointId?, typeof SEEN?];
+
+const trialRow = (index: number, { run, endpointId, isSeen }: Trial): TrialRow => {
+  if (endpointId === null) return [index, run];
+  return isSeen ? [index, run, endpointId, SEEN] : [index, run, endpointId];
 };
 
 /** The progress row: step progress by occurrence number and step number. Steps without progress are left out. */
@@ -73,11 +83,7 @@
     .map((task) => [task.index, task.crashes] as const);
   const trials = step.tasks.flatMap((task) => {
     const trial = findOpenTrial(task);
-    if (!trial) return [];
-    const { run, endpointId } = trial;
-    return [
-      endpointId === null ? ([task.index, run] as const) : ([task.index, run, endpointId] as const),
-    ];
+    return trial ? [trialRow(task.index, trial)] : [];
   });
   const isEmpty = [failed, crashes, trials].every(({ length }) => length === 0);
   if (step.doneCount === 0 && isEmpty) return undefined;
@@ -181,9 +187,9 @@
     const task = step.tasks[index];
     if (task) restoreCrashes(state, step, task, crashesOfTask);
   });
-  trials.forEach(([index, run, endpointId = null]) => {
+  trials.forEach(([index, run, endpointId = null, seen]) => {
     const task = step.tasks[index];
-    if (task) restoreTrial(state, step, task, { run, endpointId });
+    if (task) restoreTrial(state, step, task, { run, endpointId, isSeen: seen === SEEN });
   });
   step.tasks.forEach((task) => {
     if (isBitSet(done, task.index)) completeTask(state, step, task);
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -46,6 +46,8 @@
   readonly endpointId: EndpointId | null;
   /** An earlier holder announced the start, so the run may have started. */
   readonly isInherited: boolean;
+  /** An answer of the endpoint has shown that the run had started. */
+  readonly isSeen: boolean;
 };
 
 /** What is recorded of any crash of an endpoint that held, or may have held, a run of a task. */
@@ -71,8 +73,12 @@
 /** The crash of an endpoint under a run that was seen there. */
 export type KnownCrash = CrashRecord & {
   readonly isConfirmed: true;
-  /** `witnessed`: the holder saw the run there, and the endpoint answered until shortly before it crashed. */
-  readonly basis?: 'witnessed' | undefined;
+  /**
+   * `witnessed`: the holder saw the run there, and the endpoint answered until shortly before it crashed. `sighted`: an
+   * earlier holder saw the run there, and the endpoint was gone before it had been alive with the run for the observation
+   * period, as far as any holder knows. Left out in rows of earlier builds.
+   */
+  readonly basis?: 'witnessed' | 'sighted' | undefined;
 };
 
 /** A crash that may have happened under a run. */
