A job is failed for known crashes only; supposed ones isolate and delay its task

Callers saw accepted jobs shown as failed although no task had failed so often. Cause: four counted crashes of any kind gave a job up, and three kinds of count rest on no run that anyone saw: an announced start whose endpoint the next holder cannot reach, an order without an answer whose endpoint crashed, and a run whose endpoint had been silent for so long that it may have ended before. In a storm of crashes, cuts and lost holders each adds one.

Change: the type of a counted crash says whether it is known. giveUpReason counts known ones only, one for each run: two that only the task explains, or four. What is supposed isolates the task, as before, and from the second on (or the third crash, if one is supposed) the task waits until its pool has been calm for 5 s, 15 s at most; its next run is conclusive. Three known crashes, one of them explained and under a conclusive run, give the job up, so that the bound of crashes under one task stays. A long silence counts as known only if no other endpoint of the pool lived on unheard meanwhile. Rows: isKnown and isConclusive in an entry of crashes; a row of an earlier build counts what it had confirmed.

Tried and dropped on the way, each by a test that failed: counting only confirmed crashes (the bound broke with the list of hosts away, 21 starts after three crashes); counting every seen announced start (jobs failed whose runs had ended unheard); a calm of 3 s (a storm each 3 s looked calm).

--- a/packages/core/src/batch/crashes/announced-start-record.ts
+++ b/packages/core/src/batch/crashes/announced-start-record.ts
@@ -31,7 +31,7 @@
   trial && !hasKnownEnd(task, trial.run) ? trial : undefined;
 
 /** A start that an earlier holder announced, as the job's row names it. */
-export type StoredTrial = Pick<Trial, 'run' | 'endpointId' | 'isSeen'>;
+export type StoredTrial = Pick<Trial, 'run' | 'endpointId' | 'isConclusive'>;
 
 /**
  * Restores a start that an earlier holder announced.
@@ -39,16 +39,16 @@
  * @param state - The batch state, changed in place.
  * @param step - The step of the task.
  * @param task - The task, changed in place.
- * @param stored - The run, the endpoint that was to start it, and whether it was seen there.
+ * @param stored - The run, the endpoint that was to start it, and whether its loss is conclusive.
  */
 export const restoreTrial = (
   state: BatchState,
   step: StepRun,
   task: Task,
-  { run, endpointId, isSeen }: StoredTrial,
+  { run, endpointId, isConclusive }: StoredTrial,
 ): void => {
   change(task, {
-    trial: { run, endpointId, isInherited: true, isSeen },
+    trial: { run, endpointId, isInherited: true, isConclusive },
     lastRun: Math.max(task.lastRun, run),
   });
   state.suspectJobs.add(step.job);
@@ -80,15 +80,18 @@
 };
 
 /**
- * Records that an answer of the endpoint showed the run of an announced start. The job's row is written again, so that
- * a later holder can tell the start from one that no endpoint is known to have begun.
+ * Records that an answer of the endpoint showed a conclusive run. The job's row is written
+ * again, so that a later holder can tell the start from one that no endpoint is known to have begun.
  *
  * @param state - The batch state, changed in place.
- * @param run - The run; nothing is done unless its start was announced.
+ * @param run - The run; nothing is done unless it is conclusive.
  */
-export const recordTrialSeen = (state: BatchState, { task, step, run }: RunState): void => {
+export const recordTrialSeen = (
+  state: BatchState,
+  { task, step, run, isConclusive }: RunState,
+): void => {
   const { trial } = task;
-  if (!trial || trial.run !== run || trial.isSeen) return;
-  change(task, { trial: { ...trial, isSeen: true } });
-  state.effects.push({ kind: 'save', jobId: step.job.job.jobId, isUrgent: false });
+  if (!isConclusive || trial?.run !== run || trial.isConclusive) return;
+  change(task, { trial: { ...trial, isConclusive: true } });
+  state.effects.push({ kind: 'save', jobId: step.job.job.jobId, isUrgent: true });
 };
--- a/packages/core/src/batch/crashes/correlated-crashes.ts
+++ b/packages/core/src/batch/crashes/correlated-crashes.ts
@@ -14,6 +14,7 @@
   RecentCrash,
 } from '../model/state.js';
 import { hasSurvivedObservation, lastReportedRuns } from './observation-period.js';
+import { RECENT_CRASH_MS } from './pool-calm.js';
 
 /** Crashes within this time are treated as one event, because the host list is read only every 0.4 to 1 s. */
 const CORRELATION_WINDOW_MS = 1000;
@@ -74,10 +75,10 @@
   nowMs: number,
 ): void => {
   const fresh = gone.filter(isCrash).map(({ endpoint, atMs }): RecentCrash => {
-    const { endpointId } = endpoint;
-    return { endpointId, rack: rackOf(endpoint), atMs, isExplained: isExplained(endpoint) };
+    const { endpointId, pool } = endpoint;
+    return { endpointId, pool, rack: rackOf(endpoint), atMs, isExplained: isExplained(endpoint) };
   });
-  const recent = state.recentCrashes.filter(({ atMs }) => nowMs - atMs < 2 * CORRELATION_WINDOW_MS);
+  const recent = state.recentCrashes.filter(({ atMs }) => nowMs - atMs < RECENT_CRASH_MS);
   change(state, { recentCrashes: [...recent, ...fresh] });
 };
 
--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -16,6 +16,7 @@
   Task,
 } from '../model/state.js';
 import { hasCorrelatedCrashes, isCrash } from './correlated-crashes.js';
+import { hadUnheardEndpoints } from './pool-calm.js';
 import {
   hasSurvivedObservation,
   lastReportedRuns,
@@ -31,11 +32,13 @@
  */
 const EXPLAINED_CRASH_LIMIT = 2;
 /**
- * A job is also given up after this many crashes of any kind under one of its tasks. A task may crash at most five
+ * A job is also given up after this many known crashes of any kind under one of its tasks. A task may crash at most five
  * endpoints in total; the limit is one less, because one crash may go uncounted if the control holder is lost before
  * writing it.
  */
-const CRASH_LIMIT = 4;
+const KNOWN_CRASH_LIMIT = 4;
+/** The same limit if only the task explains a crash under a conclusive run. */
+const CONCLUSIVE_CRASH_LIMIT = 3;
 /**
  * If an endpoint was unresponsive for this long before its crash was detected, its runs may have ended before the crash.
  * The host list is read at least every second, up to a quarter of a second late, and an endpoint is polled every 0.6 s.
@@ -52,25 +55,31 @@
 export const isSuspect = ({ crashes }: Pick<Task, 'crashes'>): boolean =>
   crashes.length > 1 || crashes.some(({ isSuspected }) => isSuspected);
 
+const isKnown = (crash: EndpointCrash): crash is KnownCrash => crash.isKnown;
+
+/** Lists the known crashes, one for each run: a run ends with the first endpoint that crashes under it. */
+const listKnownCrashes = (crashes: readonly EndpointCrash[]): readonly KnownCrash[] =>
+  Array.from(new Map(crashes.filter(isKnown).map((crash) => [crash.run, crash])).values());
+
 /** Tells whether only the task can explain a crash. */
 const isExplainedOnlyByTask = ({
   isSuspected,
   isSoleSuspect,
   isConfirmed,
   isCorrelated,
-}: EndpointCrash): boolean => isSuspected && isSoleSuspect && isConfirmed && !isCorrelated;
+}: KnownCrash): boolean => isSuspected && isSoleSuspect && isConfirmed && !isCorrelated;
 
 /**
- * Counts the crashes that only the task explains, since an endpoint last survived the observation period with it:
+ * Counts the known crashes that only the task explains, since an endpoint last survived the observation period with it:
  * that clears the task of earlier crashes.
  */
 const countExplained = (crashes: readonly EndpointCrash[]): number => {
   const lastSurvived = crashes.findLastIndex(({ isSuspected }) => !isSuspected);
-  return crashes.slice(lastSurvived + 1).filter(isExplainedOnlyByTask).length;
+  return listKnownCrashes(crashes.slice(lastSurvived + 1)).filter(isExplainedOnlyByTask).length;
 };
 
 /**
- * Returns why a task must not be started again.
+ * Returns why a task must not be started again. Supposed crashes don't count: none of them may have happened.
  *
  * @param task - The task.
  * @returns The reason, for its client and for operators; undefined while the task may be started.
@@ -79,21 +88,29 @@
   key,
   crashes,
 }: Pick<Task, 'key' | 'crashes'>): string | undefined => {
+  const known = listKnownCrashes(crashes);
   const explained = countExplained(crashes);
-  if (explained < EXPLAINED_CRASH_LIMIT && crashes.length < CRASH_LIMIT) return undefined;
-  return `${crashes.length} endpoints crashed under task ${key}, ${explained} of them while nothing else there could be the cause`;
+  const isConclusive = known.some((crash) => crash.isConclusive && isExplainedOnlyByTask(crash));
+  const limit = isConclusive ? CONCLUSIVE_CRASH_LIMIT : KNOWN_CRASH_LIMIT;
+  if (explained < EXPLAINED_CRASH_LIMIT && known.length < limit) return undefined;
+  return `${known.length} endpoints crashed under task ${key}, ${explained} of them while nothing else there could be the cause`;
 };
 
-/** Tells whether the run is known to have been on the endpoint shortly before the crash was detected. */
-const crashBasis = (
+/** Whether a crash is known to have happened under a run. */
+export type CrashCertainty =
+  Pick<KnownCrash, 'isKnown' | 'isConfirmed'> | Pick<SupposedCrash, 'isKnown' | 'isConfirmed'>;
+
+/** Determines whether an endpoint is known to have crashed under a run. */
+const certaintyOf = (
+  state: BatchState,
   { endpoint, atMs }: GoneEndpoint,
   { startedByMs }: RunState,
-): Pick<KnownCrash, 'isConfirmed' | 'basis'> | Pick<SupposedCrash, 'isConfirmed' | 'basis'> => {
-  if (startedByMs === Infinity) return { isConfirmed: false, basis: 'unanswered' };
-  const silentMs = atMs - Math.max(startedByMs, endpoint.reportedAtMs);
-  return silentMs < MAX_UNRESPONSIVE_MS
-    ? { isConfirmed: true, basis: 'witnessed' }
-    : { isConfirmed: false, basis: 'silent' };
+): CrashCertainty => {
+  if (startedByMs === Infinity) return { isKnown: false, isConfirmed: false };
+  const lastSeenAtMs = Math.max(startedByMs, endpoint.reportedAtMs);
+  if (atMs - lastSeenAtMs < MAX_UNRESPONSIVE_MS) return { isKnown: true, isConfirmed: true };
+  // In a pool whose endpoints live on unheard, this one may have lived on for a while, too, and the run may have ended.
+  return { isKnown: !hadUnheardEndpoints(state, endpoint.pool, lastSeenAtMs), isConfirmed: false };
 };
 
 /**
@@ -123,12 +140,13 @@
   return {
     run: run.run,
     livedMs: livedMs(endpoint, run),
-    ...crashBasis(gone, run),
+    ...certaintyOf(state, gone, run),
     isSuspected: !hasSurvivedObservation(endpoint, run),
     isSoleSuspect: lastReportedRuns(endpoint).every((other) =>
       isUnlikelyCause(endpoint, run, other),
     ),
     isCorrelated: hasCorrelatedCrashes(state, gone),
+    ...(run.isConclusive ? { isConclusive: true } : {}),
     fence: state.fence,
     countedAtMs: Math.round(nowMs + state.wallClockOffsetMs),
   };
@@ -185,8 +203,8 @@
     firstAgoMs: Math.round(wallClockMs - (crashes[0]?.countedAtMs ?? wallClockMs)),
     livedMs: last.livedMs,
     isConfirmed: last.isConfirmed,
-    basis: last.basis,
     seenBy: seenBy(run),
+    known: crashes.filter(isKnown).length,
     isSuspected: last.isSuspected,
     isSoleSuspect: last.isSoleSuspect,
     isCorrelated: last.isCorrelated,
--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -60,7 +60,7 @@
   const revision = job.crashRecordRevision + 1;
   change(job, { crashRecordRevision: revision });
   starts.forEach(({ task, run, endpointId }) => {
-    change(task, { trial: { run, endpointId, isInherited: false, isSeen: false } });
+    change(task, { trial: { run, endpointId, isInherited: false, isConclusive: false } });
     state.effects.push({
       kind: 'note',
       event: 'start-announced',
@@ -90,23 +90,20 @@
 /** The crash that is recorded for an announced start whose endpoint does not answer. */
 const crashOfLostTrial = (
   state: BatchState,
-  { run, endpointId, isSeen }: Trial,
+  { run, endpointId, isConclusive }: Trial,
   nowMs: number,
-): EndpointCrash => {
-  const isSighted = isSeen && endpointId !== null && isKnownGone(state, endpointId);
-  return {
-    run,
-    livedMs: 0,
-    ...(isSighted
-      ? { isConfirmed: true, basis: 'sighted' }
-      : { isConfirmed: false, basis: 'announced' }),
-    isSuspected: true,
-    isSoleSuspect: !isSighted,
-    isCorrelated: false,
-    fence: state.fence,
-    countedAtMs: Math.round(nowMs + state.wallClockOffsetMs),
-  };
-};
+): EndpointCrash => ({
+  run,
+  livedMs: 0,
+  ...(isConclusive && endpointId !== null && isKnownGone(state, endpointId)
+    ? { isKnown: true, isConfirmed: true, isConclusive: true }
+    : { isKnown: false, isConfirmed: false }),
+  isSuspected: true,
+  isSoleSuspect: true,
+  isCorrelated: false,
+  fence: state.fence,
+  countedAtMs: Math.round(nowMs + state.wallClockOffsetMs),
+});
 
 /** Logs that an inherited announced start counts as a crash of its task. */
 const noteLostTrial = (
@@ -122,10 +119,10 @@
       announcedBy: fenceOf(run),
       endpoint: endpointId ?? undefined,
       isEndpointListed: endpointId !== null && state.endpoints.has(endpointId),
-      basis: task.crashes.at(-1)?.basis,
+      isKnown: task.crashes.at(-1)?.isKnown,
       crashes: task.crashes.length,
       countedBy: task.crashes.map(({ fence }) => fence).join(','),
-      known: task.crashes.filter(({ isConfirmed }) => isConfirmed).length,
+      known: task.crashes.filter(({ isKnown }) => isKnown).length,
     },
   });
 };
--- a/packages/core/src/batch/domains/suspected-domains.ts
+++ b/packages/core/src/batch/domains/suspected-domains.ts
@@ -6,7 +6,13 @@
 import { change } from '../../shared/change.js';
 import type { EndpointId } from '../../shared/ids.js';
 import { domainName, namedDomains } from './domains.js';
-import type { BatchState, Domain, EndpointState, SuspectedDomain } from '../model/state.js';
+import {
+  poolOf,
+  type BatchState,
+  type Domain,
+  type EndpointState,
+  type SuspectedDomain,
+} from '../model/state.js';
 
 /**
  * Unanswered requests count together if they fall into this time. Endpoints are polled every 0.4 to 1 s, so endpoints
@@ -157,7 +163,10 @@
  * @param nowMs - The time in milliseconds.
  */
 export const recordAnswered = (state: BatchState, endpoint: EndpointState, nowMs: number): void => {
-  change(endpoint, { unansweredSinceMs: Infinity });
+  if (endpoint.unansweredSinceMs < Infinity) {
+    change(poolOf(state, endpoint.pool), { lastSilenceEndedAtMs: nowMs });
+    change(endpoint, { unansweredSinceMs: Infinity });
+  }
   if (state.suspectedDomains.size > 0) stopAwaiting(state, endpoint, 'answered', nowMs);
 };
 
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -105,6 +105,7 @@
     startClockMs: undefined,
     confirmedAtMs: phase === 'running' ? nowMs : Infinity,
     startedByMs: phase === 'running' ? nowMs : Infinity,
+    isConclusive: false,
     isListed: false,
     stopAnsweredAtMs: Infinity,
     percent: 0,
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -32,6 +32,14 @@
       readonly account?: AccountName | undefined;
     };
 
+/** A counted crash as a row contains it. Rows of earlier builds do not tell whether it is known. */
+type StoredCrash = Omit<EndpointCrash, 'isKnown'> & { readonly isKnown?: boolean };
+
+const restoreCrash = ({ isKnown, ...stored }: StoredCrash): EndpointCrash =>
+  (isKnown ?? stored.isConfirmed)
+    ? { ...stored, isKnown: true }
+    : { ...stored, isKnown: false, isConfirmed: false };
+
 /** The progress of one step. */
 type StepProgress = {
   /** Bit set of the completed tasks as hexadecimal digits: the lowest bit of the first digit is task 0. */
@@ -39,21 +47,21 @@
   /** Pairs of a task index and the numbers of its failed runs. */
   readonly failed?: readonly (readonly [number, readonly number[]])[];
   /** Pairs of a task index and the crashes of endpoints that ran the task. */
-  readonly crashes?: readonly (readonly [number, readonly EndpointCrash[]])[];
+  readonly crashes?: readonly (readonly [number, readonly StoredCrash[]])[];
   /**
    * The index of each task with an announced start, the run, which may have started, the endpoint that was to start it,
-   * which rows of earlier builds do not name, and `SEEN` if an answer of the endpoint has shown the run.
+   * which rows of earlier builds do not name, and `CONCLUSIVE` if the run is conclusive and was seen there.
    */
   readonly trials?: readonly TrialRow[];
 };
 
-/** Stands in the row of an announced start whose run was seen on its endpoint. */
-const SEEN = 1;
-type TrialRow = readonly [number, number, EndpointId?, typeof SEEN?];
+/** Marks an announced start whose run is conclusive and was seen on its endpoint. */
+const CONCLUSIVE = 1;
+type TrialRow = readonly [number, number, EndpointId?, typeof CONCLUSIVE?];
 
-const trialRow = (index: number, { run, endpointId, isSeen }: Trial): TrialRow => {
+const trialRow = (index: number, { run, endpointId, isConclusive }: Trial): TrialRow => {
   if (endpointId === null) return [index, run];
-  return isSeen ? [index, run, endpointId, SEEN] : [index, run, endpointId];
+  return isConclusive ? [index, run, endpointId, CONCLUSIVE] : [index, run, endpointId];
 };
 
 /** The progress row: step progress by occurrence number and step number. Steps without progress are left out. */
@@ -107,7 +115,7 @@
   /[^0]/.test(done) ||
   failed.length > 0 ||
   crashes.some(([, ofTask]) =>
-    ofTask.some(({ isConfirmed, livedMs }) => isConfirmed || livedMs > 0),
+    ofTask.some((crash) => crash.livedMs > 0 || restoreCrash(crash).isKnown),
   );
 
 /**
@@ -165,8 +173,9 @@
   state: BatchState,
   { job }: StepRun,
   task: Task,
-  crashes: readonly EndpointCrash[],
+  stored: readonly StoredCrash[],
 ): void => {
+  const crashes = stored.map(restoreCrash);
   const lastRun = Math.max(task.lastRun, ...crashes.map(({ run }) => run));
   change(task, { crashes, lastRun });
   const crashRecordRevision = job.crashRecordRevision + crashes.length;
@@ -187,9 +196,10 @@
     const task = step.tasks[index];
     if (task) restoreCrashes(state, step, task, crashesOfTask);
   });
-  trials.forEach(([index, run, endpointId = null, seen]) => {
+  trials.forEach(([index, run, endpointId = null, mark]) => {
     const task = step.tasks[index];
-    if (task) restoreTrial(state, step, task, { run, endpointId, isSeen: seen === SEEN });
+    if (task)
+      restoreTrial(state, step, task, { run, endpointId, isConclusive: mark === CONCLUSIVE });
   });
   step.tasks.forEach((task) => {
     if (isBitSet(done, task.index)) completeTask(state, step, task);
@@ -204,7 +214,7 @@
 ): void => {
   const crashes = steps.flatMap(({ tasks }) => tasks).flatMap((task) => task.crashes);
   if (crashes.length === 0) return;
-  const known = crashes.filter(({ isConfirmed }) => isConfirmed).length;
+  const known = crashes.filter(({ isKnown }) => isKnown).length;
   const countedBy = Array.from(new Set(crashes.map(({ fence }) => fence))).join(',');
   const fields = { job: jobId, known, supposed: crashes.length - known, countedBy };
   state.effects.push({ kind: 'note', event: 'crashes-restored', fields });
--- a/packages/core/src/batch/jobs/waiting-jobs.test.ts
+++ b/packages/core/src/batch/jobs/waiting-jobs.test.ts
@@ -76,6 +76,7 @@
   const crashOf = (livedMs: number): EndpointCrash => ({
     run: FIRST_RUN,
     livedMs,
+    isKnown: false,
     isConfirmed: false,
     isSuspected: true,
     isSoleSuspect: true,
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -29,6 +29,8 @@
   confirmedAtMs: number;
   /** The time by which the run had certainly started; infinite while that is not known. */
   startedByMs: number;
+  /** A crash of the endpoint under the run is conclusive; see `crashes/pool-calm.ts`. */
+  isConclusive: boolean;
   /** This incarnation of the endpoint has listed the run, so the run did not start in a later incarnation. */
   isListed: boolean;
   /** When an order to stop the run was answered; infinite before that. */
@@ -138,6 +140,7 @@
 /** A recent crash of an endpoint; an end that was ordered or announced is no crash. */
 export type RecentCrash = {
   readonly endpointId: EndpointId;
+  readonly pool: PoolName;
   readonly rack: string;
   readonly atMs: number;
   /** Only one job had started tasks there, and endpoints had crashed under that job before. */
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -46,8 +46,8 @@
   readonly endpointId: EndpointId | null;
   /** An earlier holder announced the start, so the run may have started. */
   readonly isInherited: boolean;
-  /** An answer of the endpoint has shown that the run had started. */
-  readonly isSeen: boolean;
+  /** The run is conclusive, and an answer of the endpoint has shown it: see `crashes/pool-calm.ts`. */
+  readonly isConclusive: boolean;
 };
 
 /** What is recorded of any crash of an endpoint that held, or may have held, a run of a task. */
@@ -64,6 +64,8 @@
    * feed failed.
    */
   readonly isCorrelated: boolean;
+  /** The run was conclusive: see `crashes/pool-calm.ts`. */
+  readonly isConclusive?: boolean | undefined;
   /** The fencing token of the holder that counted the crash. */
   readonly fence: number;
   /** The wall-clock time at which the crash was counted, in milliseconds since 1970. */
@@ -72,24 +74,21 @@
 
 /** The crash of an endpoint under a run that was seen there. */
 export type KnownCrash = CrashRecord & {
-  readonly isConfirmed: true;
+  readonly isKnown: true;
   /**
-   * `witnessed`: the holder saw the run there, and the endpoint answered until shortly before it crashed. `sighted`: an
-   * earlier holder saw the run there, and the endpoint was gone before it had been alive with the run for the observation
-   * period, as far as any holder knows. Left out in rows of earlier builds.
+   * The endpoint answered until shortly before it crashed, or the run was conclusive, so the run was there
+   * at the time. Otherwise the endpoint had been silent for longer, and no other endpoint of its pool lived on unheard.
    */
-  readonly basis?: 'witnessed' | 'sighted' | undefined;
+  readonly isConfirmed: boolean;
 };
 
-/** A crash that may have happened under a run. */
+/**
+ * A crash that may have happened under a run: no answer has shown that the run had started, or the run may have ended
+ * before the endpoint crashed.
+ */
 export type SupposedCrash = CrashRecord & {
+  readonly isKnown: false;
   readonly isConfirmed: false;
-  /**
-   * `silent`: the run was seen on the endpoint, which did not answer for so long before it crashed that the run may have
-   * ended. `unanswered`: the run was ordered, and no answer showed whether it started. `announced`: an earlier holder
-   * announced the run, and may not have ordered it. Left out in rows of earlier builds.
-   */
-  readonly basis?: 'silent' | 'unanswered' | 'announced' | undefined;
 };
 
 /** A crash of an endpoint that is counted against a task; an end that was ordered or announced is no crash. */
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -77,6 +77,8 @@
   doneCoreMs: number;
   /** The endpoints that may run inherited tasks and of which no incarnation has answered yet. */
   readonly unreportedInstances: Set<InstanceId>;
+  /** When an endpoint of the pool last answered after it had left questions unanswered; -Infinity if none has. */
+  lastSilenceEndedAtMs: number;
   /** A host of the pool was down when this holder first read the host list: see `losses-before-takeover.ts`. */
   hadHostDownAtTakeover: boolean;
 };
@@ -281,6 +283,7 @@
     forecast: { joiningCpu: 0, freeCpu: 0, reclaimedCpu: 0 },
     doneCoreMs: 0,
     unreportedInstances: new Set(),
+    lastSilenceEndedAtMs: -Infinity,
     hadHostDownAtTakeover: false,
   };
   state.pools.set(name, created);
--- a/packages/core/src/batch/placement/place-suspects.ts
+++ b/packages/core/src/batch/placement/place-suspects.ts
@@ -11,6 +11,7 @@
   type IsolatedEndpoints,
   type IsolationRequest,
 } from '../crashes/isolation.js';
+import { mayStartSuspect } from '../crashes/pool-calm.js';
 import { countLostTrials } from '../crashes/trials.js';
 import {
   isFinal,
@@ -51,6 +52,14 @@
   requestAdvice(state, step, couldHold, nowMs);
 };
 
+/** Lists the suspects of a step that may start now: all of a gang, or none. */
+const startableSuspects = ({ state, step, nowMs }: StartContext): readonly Task[] => {
+  const waiting = waitingSuspects(state, step);
+  const { pool } = step.job.job;
+  const startable = waiting.filter((task) => mayStartSuspect(state, pool, task, nowMs));
+  return step.spec.isGang && startable.length < waiting.length ? [] : startable;
+};
+
 /**
  * Places the tasks that must run isolated, before all others, because an endpoint that is isolated for such a task is
  * idle until the task starts.
@@ -65,7 +74,7 @@
   steps: readonly StepRun[],
 ): IsolatedEndpoints => {
   const requests = steps
-    .filter((step) => waitingSuspects(state, step).length > 0)
+    .filter((step) => startableSuspects({ state, step, nowMs }).length > 0)
     // A step that waits for its account's quota must not keep isolated endpoints from others.
     .filter((step) => hasQuotaForNextStart(state, step))
     .map((step): IsolationRequest => ({
@@ -78,7 +87,7 @@
     const { step } = request;
     const context: StartContext = { state, step, nowMs };
     const places = findIsolatedEndpoints(isolated, request, nowMs);
-    const isPlaced = placeSuspects(context, places, waitingSuspects(state, step));
+    const isPlaced = placeSuspects(context, places, startableSuspects(context));
     if (!isPlaced) requestAdviceForSuspects(context, endpoints);
   });
   return isolated;
--- a/packages/core/src/batch/placement/starts.ts
+++ b/packages/core/src/batch/placement/starts.ts
@@ -3,6 +3,7 @@
  * announced takes its endpoint's capacity at once and is ordered when the job's row names it.
  */
 import { change } from '../../shared/change.js';
+import { isConclusiveRun } from '../crashes/pool-calm.js';
 import { announceTrials } from '../crashes/trials.js';
 import { addRun, withdrawRun } from '../endpoints/runs.js';
 import { logTaskRestart } from '../endpoints/run-end.js';
@@ -87,6 +88,7 @@
   const runs = starts.map(({ task, endpoint, run, reason }) => {
     logTaskRestart(state, { endpoint, task, run, nowMs });
     const added = addRun(state, { endpoint, step, task, run, phase: 'announced', nowMs });
+    change(added, { isConclusive: isConclusiveRun(state, endpoint.pool, task, nowMs) });
     return { endpoint, run: added, reason };
   });
   const announced = starts.map(({ task, endpoint: { endpointId }, run }) => ({
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -12,6 +12,7 @@
   createScheduleCycle,
   addPendingReports,
   instanceIdOf,
+  isFinal,
   isWithinObjective,
   recordFirstAttempts,
   paceGapFillers,
@@ -358,7 +359,7 @@
     advise: advisor.ask,
     save: ({ jobId, isUrgent }) => {
       const job = state.jobs.get(jobId);
-      if (job && isUrgent) {
+      if (job && isUrgent && isFinal(job.phase)) {
         log.info('job-ended', { job: jobId, phase: job.phase, reason: job.reason });
         if (job.phase === 'completed')
           admission.recordCompletion(job.job, isWithinObjective(state, job, nowMs()));
--- a/packages/daemon/src/batch/testing/holder-simulation.fixtures.ts
+++ b/packages/daemon/src/batch/testing/holder-simulation.fixtures.ts
@@ -107,6 +107,7 @@
   const state: BatchState = createBatchState(FENCE);
   const endpoints = new Map<EndpointId, SimEndpoint>();
   const startedAtMs = performance.now();
+  change(state, { takenOverAtMs: startedAtMs });
   let isStopped = false;
   let isClosed = false;
   let isCyclePending = false;
