Two known crashes give a job up if one is explained and under a conclusive run

Cause: a gang whose first task crashes its endpoints, two losses of all processes and two outages of the list of hosts: three of its crashes were only supposed and one known one had another suspect, so that it took two further runs after the calm to give it up, and the task was started three times after three crashes.

A conclusive run is isolated in a pool that has been calm for 5 s; a crash there that only the task explains, with one more known crash, is two endpoints that crashed under it.

--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -37,8 +37,8 @@
  * writing it.
  */
 const KNOWN_CRASH_LIMIT = 4;
-/** The same limit if only the task explains a crash under a conclusive run. */
-const CONCLUSIVE_CRASH_LIMIT = 3;
+/** The same limit if only the task explains one of these crashes, and the run was conclusive. */
+const CONCLUSIVE_CRASH_LIMIT = 2;
 /**
  * If an endpoint was unresponsive for this long before its crash was detected, its runs may have ended before the crash.
  * The host list is read at least every second, up to a quarter of a second late, and an endpoint is polled every 0.6 s.
