Rows keep supposed crashes apart from known ones

A holder of the build before counts each entry of crashes, so it would fail a job for four supposed crashes that this build had written. They stand in supposed now, which that build does not read; what it writes is read as before, its confirmed entries as known ones. The two lists have a module of their own.

--- a/packages/core/src/batch/crashes/crash-evidence.test.ts
+++ b/packages/core/src/batch/crashes/crash-evidence.test.ts
@@ -196,9 +196,57 @@
     expect(reasonFor([crashOf(0, facts), crashOf(0, { ...facts, fence: 2 })])).toBeUndefined();
   });
 
+  it('is failed for two known crashes, one of them explained and under a conclusive run', () => {
+    const known = { isKnown: true, isConfirmed: true } as const;
+    const other = crashOf(0, { ...known, isSoleSuspect: false });
+    expect(reasonFor([other, crashOf(1, known)])).toBeUndefined();
+    expect(reasonFor([other, crashOf(1, { ...known, isConclusive: true })])).toBeDefined();
+    const isCorrelated = { ...known, isConclusive: true, isCorrelated: true };
+    expect(reasonFor([other, crashOf(1, isCorrelated)])).toBeUndefined();
+  });
+
   it('is failed for two known crashes that only the task explains', () => {
     const known = [0, 1].map((index) => crashOf(index, { isKnown: true, isConfirmed: true }));
     expect(reasonFor(known)).toContain('2 endpoints crashed');
     expect(phaseRestoredFrom(known)).toBe('failed');
   });
+
+  describe('in the row that another holder reads', () => {
+    const known = crashOf(5, { isKnown: true, isConfirmed: true });
+    /** The progress of the step of a job under whose task endpoints crashed. */
+    const buildProgress = (crashes: readonly EndpointCrash[]) => {
+      const state = createBatchState(1);
+      submitJob(state, SUSPECT, {});
+      change(taskOf(state), { crashes });
+      const { job, policy } = jobOf(state);
+      return { job, policy, progress: buildProgressRow(jobOf(state)) };
+    };
+
+    it('has supposed crashes apart from those that earlier builds count', () => {
+      const { progress } = buildProgress([...supposed(4), known]);
+      expect(progress[0]?.[0]?.crashes).toEqual([[0, [known]]]);
+      expect(progress[0]?.[0]?.supposed).toEqual([[0, supposed(4)]]);
+    });
+
+    it('has all of them read again in their order', () => {
+      const crashes = [...supposed(2), known, crashOf(6)];
+      const state = createBatchState(2);
+      restoreJob(state, { ...buildProgress(crashes), nowMs: 0, wallClockMs: 0 });
+      expect(taskOf(state).crashes).toEqual(crashes);
+    });
+
+    it('has a crash of an earlier build count as known only if that build had confirmed it', () => {
+      const { isKnown: isMarked, ...stored } = SUPPOSED_CRASH;
+      const crashes = [
+        { ...stored, run: 1001, isConfirmed: true },
+        { ...stored, run: 1002 },
+      ];
+      const { job, policy } = buildProgress([]);
+      const progress = { 0: { 0: { done: '0', crashes: [[0, crashes] as const] } } };
+      const state = createBatchState(2);
+      restoreJob(state, { job, policy, progress, nowMs: 0, wallClockMs: 0 });
+      expect(isMarked).toBe(false);
+      expect(taskOf(state).crashes.map(({ isKnown }) => isKnown)).toEqual([true, false]);
+    });
+  });
 });
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -7,6 +7,12 @@
 import { addOccurrence, createJobState } from './job-factory.js';
 import { startDueOccurrences, endJob, completeTask } from './job-lifecycle.js';
 import { giveUpReason } from '../crashes/endpoint-crashes.js';
+import {
+  buildCrashLists,
+  haveCrashedAfterStart,
+  readCrashLists,
+  type CrashLists,
+} from '../crashes/crash-rows.js';
 import { restoreTrial, findOpenTrial } from '../crashes/announced-start-record.js';
 import type { BatchJob, FinalPhase, QueuePolicy } from '../model/job.js';
 import {
@@ -32,22 +38,12 @@
       readonly account?: AccountName | undefined;
     };
 
-/** A counted crash as a row contains it. Rows of earlier builds do not tell whether it is known. */
-type StoredCrash = Omit<EndpointCrash, 'isKnown'> & { readonly isKnown?: boolean };
-
-const restoreCrash = ({ isKnown, ...stored }: StoredCrash): EndpointCrash =>
-  (isKnown ?? stored.isConfirmed)
-    ? { ...stored, isKnown: true }
-    : { ...stored, isKnown: false, isConfirmed: false };
-
 /** The progress of one step. */
-type StepProgress = {
+type StepProgress = CrashLists & {
   /** Bit set of the completed tasks as hexadecimal digits: the lowest bit of the first digit is task 0. */
   readonly done: string;
   /** Pairs of a task index and the numbers of its failed runs. */
   readonly failed?: readonly (readonly [number, readonly number[]])[];
-  /** Pairs of a task index and the crashes of endpoints that ran the task. */
-  readonly crashes?: readonly (readonly [number, readonly StoredCrash[]])[];
   /**
    * The index of each task with an announced start, the run, which may have started, the endpoint that was to start it,
    * which rows of earlier builds do not name, and `CONCLUSIVE` if the run is conclusive and was seen there.
@@ -86,19 +82,17 @@
   const failed = step.tasks
     .filter(({ failedRuns }) => failedRuns.length > 0)
     .map(({ index, failedRuns }) => [index, failedRuns] as const);
-  const crashes = step.tasks
-    .filter((task) => task.crashes.length > 0)
-    .map((task) => [task.index, task.crashes] as const);
+  const crashLists = buildCrashLists(step.tasks);
   const trials = step.tasks.flatMap((task) => {
     const trial = findOpenTrial(task);
     return trial ? [trialRow(task.index, trial)] : [];
   });
-  const isEmpty = [failed, crashes, trials].every(({ length }) => length === 0);
-  if (step.doneCount === 0 && isEmpty) return undefined;
+  const lists = [failed, trials, Object.keys(crashLists)];
+  if (step.doneCount === 0 && lists.every(({ length }) => length === 0)) return undefined;
   return {
     done: doneBitsOf(step),
     ...(failed.length > 0 ? { failed } : {}),
-    ...(crashes.length > 0 ? { crashes } : {}),
+    ...crashLists,
     ...(trials.length > 0 ? { trials } : {}),
   };
 };
@@ -111,12 +105,8 @@
     }),
   );
 
-const hasStartedIn = ({ done, failed = [], crashes = [] }: StepProgress): boolean =>
-  /[^0]/.test(done) ||
-  failed.length > 0 ||
-  crashes.some(([, ofTask]) =>
-    ofTask.some((crash) => crash.livedMs > 0 || restoreCrash(crash).isKnown),
-  );
+const hasStartedIn = ({ done, failed = [], ...lists }: StepProgress): boolean =>
+  /[^0]/.test(done) || failed.length > 0 || haveCrashedAfterStart(lists);
 
 /**
  * Tells whether a progress row shows that a task of the job has started. An announced start does not: it may never have
@@ -173,9 +163,8 @@
   state: BatchState,
   { job }: StepRun,
   task: Task,
-  stored: readonly StoredCrash[],
+  crashes: readonly EndpointCrash[],
 ): void => {
-  const crashes = stored.map(restoreCrash);
   const lastRun = Math.max(task.lastRun, ...crashes.map(({ run }) => run));
   change(task, { crashes, lastRun });
   const crashRecordRevision = job.crashRecordRevision + crashes.length;
@@ -186,15 +175,15 @@
 const restoreStep = (
   state: BatchState,
   step: StepRun,
-  { done, failed = [], crashes = [], trials = [] }: StepProgress,
+  { done, failed = [], trials = [], ...lists }: StepProgress,
 ): void => {
   failed.forEach(([index, failedRuns]) => {
     const task = step.tasks[index];
     if (task) Object.assign(task, { failedRuns, lastRun: Math.max(...failedRuns) });
   });
-  crashes.forEach(([index, crashesOfTask]) => {
+  readCrashLists(lists).forEach((crashes, index) => {
     const task = step.tasks[index];
-    if (task) restoreCrashes(state, step, task, crashesOfTask);
+    if (task) restoreCrashes(state, step, task, crashes);
   });
   trials.forEach(([index, run, endpointId = null, mark]) => {
     const task = step.tasks[index];
