An end of an unknown kind in a relayed answer is no failure

What callers saw: nothing on record. A holder whose orders go through a relay of another build, or that reads a damaged message, would count an end whose kind it does not know as an attempt, and show the job as failed after `maxAttempts` of them.

A code that names a property of a list ('length', 'map') became a kind that no handler has; the exception ended the watch of the endpoint after the run had been dropped, and its task was never started again.

Change: a kind `unknown` by which the task runs again and nothing is counted. In messages it travels as `stopped`, because a holder of the build before reads any code of its own as `failed`; that costs the word in the log of a relayed end.

Ruled out: that a build on record sends another code. All codes since the relays came are the six of today.

--- a/packages/core/src/batch/endpoints/reports.test.ts
+++ b/packages/core/src/batch/endpoints/reports.test.ts
@@ -63,6 +63,32 @@
     expect(state.jobs.get(JOB)?.phase).not.toBe('failed');
   });
 
+  describe('of runs that ended in a way that is not known', () => {
+    const unknown = (number: number, run: number): EndedRunReport => ({
+      ...failed(number, run),
+      kind: 'unknown',
+    });
+
+    it('count no failure, and put the task back into the queue each time', () => {
+      const state = stateWith(FIRST);
+      [1001, 1002, 1003, 1004].forEach((run, index) => {
+        const atMs = 10 * run;
+        applyAnswer(state, { running: [running(run)], requestedAtMs: atMs, nowMs: atMs + 1 });
+        expect(taskOf(state).phase).toBe('placed');
+        const ended = [unknown(index + 1, run)];
+        applyAnswer(state, { ended, requestedAtMs: atMs + 2, nowMs: atMs + 3 });
+        expect(taskOf(state)).toMatchObject({ phase: 'waiting', failedRuns: [] });
+      });
+      expect(state.jobs.get(JOB)?.phase).not.toBe('failed');
+    });
+
+    it('start the task again from the checkpoint that they name', () => {
+      const state = stateWith(FIRST);
+      report(state, FIRST, [{ ...unknown(1, 1001), checkpoint: 'saved' }]);
+      expect(taskOf(state).checkpoint).toBe('saved');
+    });
+  });
+
   describe('of a run with a lower number than one that was announced or has crashed its endpoint', () => {
     it.each(['stopped', 'lapsed', 'failed'] as const)(
       'put the task back into the queue once the run has ended as %s',
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -23,8 +23,11 @@
 import { recordTaskSuccess, recordTaskFailure } from './endpoint-health.js';
 import { closeTrial, withdrawUnknownTrials } from '../crashes/trials.js';
 
-/** How a run ended, as reported by the endpoint. */
-export type RunEndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
+/**
+ * How a run ended, as reported by the endpoint. `unknown`: it has ended, in a way that this build cannot read; the task
+ * runs again, and nothing is counted against it.
+ */
+export type RunEndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'unknown';
 
 /** An active run as listed by an endpoint. */
 export type RunningReport = {
@@ -125,6 +128,7 @@
   lapsed: returnToQueue,
   broken: returnToQueue,
   alone: returnToQueue,
+  unknown: returnToQueue,
 };
 
 type ReportTimes = Pick<EndpointReport, 'requestedAtMs' | 'nowMs' | 'clockMs'>;
--- a/packages/daemon/src/batch/relays/order-message.ts
+++ b/packages/daemon/src/batch/relays/order-message.ts
@@ -195,16 +195,16 @@
 /** The answer to a start without a spec if the relay does not have the job's spec. */
 export const SPEC_MISSING = 'spec-missing';
 
-/** The number that stands for each kind of end in a message; also its index in `END_KINDS`. */
-const END_KIND_CODE: Readonly<Record<RunEndKind, number>> = {
-  done: 0,
-  failed: 1,
-  stopped: 2,
-  lapsed: 3,
-  broken: 4,
-  alone: 5,
-};
-const END_KINDS = Object.keys(END_KIND_CODE) as readonly RunEndKind[];
+/** The kinds of ends in a message; each is encoded as its index. */
+const END_KINDS = ['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'] as const;
+/** Holders of earlier builds read a code that they do not know as `failed`, so `unknown` has none of its own. */
+const UNKNOWN_END_CODE = END_KINDS.indexOf('stopped');
+
+const toEndCode = (kind: RunEndKind): number =>
+  kind === 'unknown' ? UNKNOWN_END_CODE : END_KINDS.indexOf(kind);
+
+const toEndKind = (code: unknown): RunEndKind =>
+  (typeof code === 'number' ? END_KINDS[code] : undefined) ?? 'unknown';
 
 /**
  * Encodes an answer.
@@ -234,7 +234,7 @@
       number,
       task,
       run,
-      END_KIND_CODE[kind],
+      toEndCode(kind),
       checkpoint,
     ]),
     hasMoreEnds,
@@ -242,7 +242,7 @@
 };
 
 type RunRow = readonly [TaskKey, number, string, number, number];
-type EndRow = readonly [number, TaskKey, number, number, string];
+type EndRow = readonly [number, TaskKey, number, unknown, string];
 
 /**
  * Decodes an answer.
@@ -271,11 +271,11 @@
       percent,
       figure,
     })),
-    ended: ended.map(([number, task, run, kind, checkpoint]) => ({
+    ended: ended.map(([number, task, run, code, checkpoint]) => ({
       number,
       task,
       run,
-      kind: END_KINDS[kind] ?? 'failed',
+      kind: toEndKind(code),
       checkpoint,
     })),
     hasMoreEnds,
