Only distinct run numbers count as failed runs of a task

What callers saw: nothing on record. A progress row that names one failed run three times, or holds a text or `null` in place of run numbers, has the next holder fail its job though no task failed as often.

Cause: both doors to `failed` by attempts counted the entries of the list.

Evidence, npx vitest run jobs/attempts before: [1001,1001,1001], [null,null,null], "abc" and four more lists each gave "expected 'failed' not to be 'failed'", and so did the next end at a holder that had read [1001,1001]. After: 10 of 10.

Change: one count for both doors (attempts.ts), of distinct whole numbers.

Not changed: what else is read from such a list. Its largest entry becomes the task's last run number, which is NaN for "abc".

--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -5,6 +5,7 @@
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
 import { applyFirstReport } from './incarnation-runs.js';
 import { parseTaskKey, type TaskKey } from '../model/job.js';
+import { countFailedRuns, hasNoAttemptLeft } from '../jobs/attempts.js';
 import { endJob, findReportedTask, completeTask } from '../jobs/job-lifecycle.js';
 import { chargeUnexpectedRuns } from '../accounts/quota.js';
 import { recordRunTime } from '../jobs/run-times.js';
@@ -100,8 +101,8 @@
   }
   change(task, { failedRuns: [...task.failedRuns, end.run] });
   const { job } = step;
-  const failures = task.failedRuns.length;
-  if (failures >= job.policy.maxAttempts) {
+  if (hasNoAttemptLeft(task, job.policy)) {
+    const failures = countFailedRuns(task);
     endJob(state, job, 'failed', `task ${task.key} failed ${failures} times, which is maxAttempts`);
     return;
   }
--- /dev/null
+++ b/packages/core/src/batch/jobs/attempts.test.ts
@@ -0,0 +1,88 @@
+/** Guards against jobs that are failed for attempts that no task is known to have had. */
+import { describe, expect, it } from 'vitest';
+
+import {
+  addEndpoint,
+  applyAnswer,
+  createStateWithJob,
+  FIRST,
+  JOB,
+  SECOND,
+  TASK,
+  taskOf,
+} from '../testing/batch-state.fixtures.js';
+import { change } from '../../shared/change.js';
+import type { EndedRunReport } from '../endpoints/reports.js';
+import { DEFAULT_STEP } from '../model/default-step.js';
+import type { StepSpec } from '../model/job.js';
+import { createBatchState, type BatchState, type JobState } from '../model/state.js';
+import { restoreJob, type ProgressRow } from './progress.js';
+
+type Restored = {
+  readonly failed?: unknown;
+  readonly done?: string;
+  readonly steps?: readonly Partial<StepSpec>[];
+};
+
+/** Restores the default job from rows in which its first task has the given failed runs. */
+const restore = ({ failed, done = '0', steps = [{}] }: Restored): JobState | undefined => {
+  const { job, policy } = createStateWithJob().jobs.get(JOB) ?? {};
+  if (!job || !policy) throw new Error('the state does not contain the default job');
+  const rows = failed === undefined ? {} : { failed: [[0, failed]] };
+  const state = createBatchState(3);
+  restoreJob(state, {
+    job: { ...job, steps: steps.map((step) => ({ ...DEFAULT_STEP, ...step })) },
+    policy,
+    progress: { 0: { 0: { done, ...rows } } } as unknown as ProgressRow,
+    nowMs: 0,
+    wallClockMs: 0,
+  });
+  return state.jobs.get(JOB);
+};
+
+const failedEnd = (number: number, run: number): EndedRunReport => ({
+  number,
+  task: TASK,
+  run,
+  kind: 'failed',
+  checkpoint: '',
+});
+
+const stateWithEndpoints = (): BatchState => {
+  const state = createStateWithJob({ isInherited: true });
+  [FIRST, SECOND].forEach((endpointId) => addEndpoint(state, endpointId));
+  return state;
+};
+
+describe('a job with a task that failed', () => {
+  describe('as its rows tell the next holder', () => {
+    it('is failed with as many distinct failed runs as it has attempts', () => {
+      expect(restore({ failed: [1001, 1002, 2001] })?.phase).toBe('failed');
+    });
+
+    it('is not failed with fewer', () => {
+      expect(restore({ failed: [1001, 1002] })?.phase).toBe('running');
+    });
+
+    it.each([
+      [[1001, 1001, 1001]],
+      [[1001, 1002, 1002, 1001]],
+      [[null, null, null]],
+      [[1001, null, null]],
+      [['1', 1001, 1002]],
+      [[1001, 1002, 1.5]],
+      ['abc'],
+    ])('is not failed by the runs %j, of which fewer are distinct and numbers', (failed) => {
+      expect(restore({ failed })?.phase).not.toBe('failed');
+    });
+  });
+
+  describe('as its endpoints report', () => {
+    it('is not failed by ends that a damaged row counted more than once', () => {
+      const state = stateWithEndpoints();
+      change(taskOf(state), { failedRuns: [1001, 1001] });
+      applyAnswer(state, { ended: [failedEnd(1, 1002)], requestedAtMs: 1, nowMs: 2 });
+      expect(state.jobs.get(JOB)?.phase).not.toBe('failed');
+    });
+  });
+});
--- /dev/null
+++ b/packages/core/src/batch/jobs/attempts.ts
@@ -0,0 +1,24 @@
+/** The attempts of tasks: which failed runs count, and whether a task has any attempt left. */
+import type { QueuePolicy } from '../model/job.js';
+import type { Task } from '../model/state.js';
+
+/**
+ * Counts the failed runs of a task. A row that another writer left may name a run twice, or hold what is no run number.
+ *
+ * @param task - The task.
+ * @returns The number of distinct runs that are known to have ended as failed.
+ */
+export const countFailedRuns = ({ failedRuns }: Pick<Task, 'failedRuns'>): number =>
+  new Set(Array.from(failedRuns).filter(Number.isSafeInteger)).size;
+
+/**
+ * Tells whether a task has failed as often as its queue allows.
+ *
+ * @param task - The task.
+ * @param policy - The policy of its job's queue.
+ * @returns True if it may not be started again.
+ */
+export const hasNoAttemptLeft = (
+  task: Pick<Task, 'failedRuns'>,
+  { maxAttempts }: Pick<QueuePolicy, 'maxAttempts'>,
+): boolean => countFailedRuns(task) >= maxAttempts;
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -4,6 +4,7 @@
  */
 import { change } from '../../shared/change.js';
 import type { AccountName, EndpointId } from '../../shared/ids.js';
+import { hasNoAttemptLeft } from './attempts.js';
 import { addOccurrence, createJobState } from './job-factory.js';
 import { startDueOccurrences, endJob, completeTask } from './job-lifecycle.js';
 import { giveUpReason } from '../crashes/endpoint-crashes.js';
@@ -232,7 +233,7 @@
   const exhausted = steps
     .filter(({ spec }) => !spec.isLasting)
     .flatMap(({ tasks }) => tasks)
-    .find(({ failedRuns }) => failedRuns.length >= policy.maxAttempts);
+    .find((task) => hasNoAttemptLeft(task, policy));
   if (exhausted)
     endJob(state, restored, 'failed', `task ${exhausted.key} failed maxAttempts times`);
   const [reason] = steps.flatMap(({ tasks }) => tasks).flatMap((task) => giveUpReason(task) ?? []);
