A limit of attempts that cannot be read is not taken for reached

What callers saw: nothing on record. A job whose row has `null`, 0 or a text as `maxAttempts`, and whose queue is in no configuration, is failed when the next holder restores it, with `null` and 0 even if no task has failed, and else with its first failure.

Cause: `failures >= maxAttempts` converts what is no number: 0 >= null is true.

Evidence, npx vitest run jobs/attempts before: 16 of 30 failed, "expected 'failed' not to be 'failed'", for null, 0, -1, "1", "", true, [] and [1] at either door; undefined and {} passed. After: 30 of 30.

Change: only a number of 1 or more is a limit. Where there is none, failed tasks run again, as was so for a limit that is left out.

Ruled out for the record: a limit that is left out of the configuration and so counts as 1.

--- a/packages/core/src/batch/jobs/attempts.test.ts
+++ b/packages/core/src/batch/jobs/attempts.test.ts
@@ -18,21 +18,30 @@
 import { createBatchState, type BatchState, type JobState } from '../model/state.js';
 import { restoreJob, type ProgressRow } from './progress.js';
 
+/** Values of `maxAttempts` in a row that was damaged or that another build has written; none tells a limit. */
+const ODD_LIMITS: readonly unknown[] = [null, undefined, 0, -1, '1', '', true, [], [1], {}];
+
 type Restored = {
   readonly failed?: unknown;
   readonly done?: string;
+  readonly maxAttempts?: unknown;
   readonly steps?: readonly Partial<StepSpec>[];
 };
 
 /** Restores the default job from rows in which its first task has the given failed runs. */
-const restore = ({ failed, done = '0', steps = [{}] }: Restored): JobState | undefined => {
+const restore = ({
+  failed,
+  done = '0',
+  maxAttempts = 3,
+  steps = [{}],
+}: Restored): JobState | undefined => {
   const { job, policy } = createStateWithJob().jobs.get(JOB) ?? {};
   if (!job || !policy) throw new Error('the state does not contain the default job');
   const rows = failed === undefined ? {} : { failed: [[0, failed]] };
   const state = createBatchState(3);
   restoreJob(state, {
     job: { ...job, steps: steps.map((step) => ({ ...DEFAULT_STEP, ...step })) },
-    policy,
+    policy: { ...policy, maxAttempts: maxAttempts as number },
     progress: { 0: { 0: { done, ...rows } } } as unknown as ProgressRow,
     nowMs: 0,
     wallClockMs: 0,
@@ -48,8 +57,8 @@
   checkpoint: '',
 });
 
-const stateWithEndpoints = (): BatchState => {
-  const state = createStateWithJob({ isInherited: true });
+const stateWithEndpoints = (maxAttempts: unknown = 3): BatchState => {
+  const state = createStateWithJob({ isInherited: true, maxAttempts: maxAttempts as number });
   [FIRST, SECOND].forEach((endpointId) => addEndpoint(state, endpointId));
   return state;
 };
@@ -75,9 +84,21 @@
     ])('is not failed by the runs %j, of which fewer are distinct and numbers', (failed) => {
       expect(restore({ failed })?.phase).not.toBe('failed');
     });
+
+    it.each(ODD_LIMITS)('is not failed while its limit is %j', (maxAttempts) => {
+      expect(restore({ maxAttempts })?.phase).not.toBe('failed');
+      expect(restore({ maxAttempts, failed: [1001, 1002] })?.phase).not.toBe('failed');
+    });
   });
 
   describe('as its endpoints report', () => {
+    it.each(ODD_LIMITS)('is not failed while its limit is %j', (maxAttempts) => {
+      const state = stateWithEndpoints(maxAttempts);
+      applyAnswer(state, { ended: [failedEnd(1, 1001)], requestedAtMs: 1, nowMs: 2 });
+      expect(state.jobs.get(JOB)?.phase).not.toBe('failed');
+      expect(taskOf(state)).toMatchObject({ phase: 'waiting', failedRuns: [1001] });
+    });
+
     it('is not failed by ends that a damaged row counted more than once', () => {
       const state = stateWithEndpoints();
       change(taskOf(state), { failedRuns: [1001, 1001] });
--- a/packages/core/src/batch/jobs/attempts.ts
+++ b/packages/core/src/batch/jobs/attempts.ts
@@ -11,14 +11,18 @@
 export const countFailedRuns = ({ failedRuns }: Pick<Task, 'failedRuns'>): number =>
   new Set(Array.from(failedRuns).filter(Number.isSafeInteger)).size;
 
+/** True for a number of attempts that a queue can have; anything else in a row tells no limit. */
+const isLimit = (maxAttempts: unknown): boolean =>
+  typeof maxAttempts === 'number' && maxAttempts >= 1;
+
 /**
  * Tells whether a task has failed as often as its queue allows.
  *
  * @param task - The task.
  * @param policy - The policy of its job's queue.
- * @returns True if it may not be started again.
+ * @returns True if it may not be started again; false while the limit cannot be read.
  */
 export const hasNoAttemptLeft = (
   task: Pick<Task, 'failedRuns'>,
   { maxAttempts }: Pick<QueuePolicy, 'maxAttempts'>,
-): boolean => countFailedRuns(task) >= maxAttempts;
+): boolean => isLimit(maxAttempts) && countFailedRuns(task) >= maxAttempts;
