A report counts for a task only under the task's exact name

What callers saw: nothing on record. An end `failed` under a name that was cut or damaged on the way counts for another task: "JOB.0.0." for task 0, as does "JOB.0.0. 0" or "JOB.0.0.0x0". `maxAttempts` of them fail the job; one end `done` completes the task.

Cause: the parts of a name are read by `Number`, which reads an empty text as 0.

Change: what an endpoint lists, running or ended, is looked up by a name that is exactly that of a task. A run that is listed under another one is ordered to stop like that of an unknown job.

--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -4,12 +4,12 @@
 import { recordAnswered } from '../domains/suspected-domains.js';
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
 import { applyFirstReport } from './incarnation-runs.js';
-import { parseTaskKey, type TaskKey } from '../model/job.js';
+import { parseTaskKey, taskKey, type TaskKey } from '../model/job.js';
 import { countFailedRuns, hasNoAttemptLeft } from '../jobs/attempts.js';
 import { endJob, findReportedTask, completeTask } from '../jobs/job-lifecycle.js';
 import { chargeUnexpectedRuns } from '../accounts/quota.js';
 import { recordRunTime } from '../jobs/run-times.js';
-import { recordRunEnd, type RunEvidence } from './run-end.js';
+import { recordRunEnd, type RunEvidence, type TaskWithStep } from './run-end.js';
 import { endRunWithoutReport } from './unreported-runs.js';
 import { addRun, dropRun, isHeldByRun, requeue } from './runs.js';
 import {
@@ -140,6 +140,14 @@
     ? ranMs
     : Math.min(ranMs, Math.max(0, clockMs - startClockMs));
 
+/** Finds the task that an endpoint names; none if the name only resembles that of a task, as a damaged one may. */
+const findNamedTask = (state: BatchState, key: TaskKey): TaskWithStep | undefined => {
+  const name = parseTaskKey(key);
+  if (!name || taskKey(name.jobId, name.occurrence, name.step, name.index) !== key)
+    return undefined;
+  return findReportedTask(state, name);
+};
+
 const applyEnd = (
   state: BatchState,
   endpoint: EndpointState,
@@ -148,8 +156,7 @@
 ): void => {
   const { task, run, kind } = end;
   const known = endpoint.runs.get(task);
-  const name = parseTaskKey(task);
-  const taskWithStep = name && findReportedTask(state, name);
+  const taskWithStep = findNamedTask(state, task);
   const evidence: RunEvidence = { cause: 'reported', atMs: requestedAtMs, detail: kind };
   if (taskWithStep) change(taskWithStep.step.job, { hasStarted: true });
   const applyEndWithRunTime = (ranMs: number, workedMs: number): void => {
@@ -214,8 +221,7 @@
   times: ReportTimes,
 ): StepRun | undefined => {
   const { nowMs } = times;
-  const name = parseTaskKey(report.task);
-  const found = name && findReportedTask(state, name);
+  const found = findNamedTask(state, report.task);
   if (found && mayAdopt(found)) {
     const run = addRun(state, { endpoint, ...found, run: report.run, phase: 'running', nowMs });
     // The start order was sent before this holder took over, and the endpoint has been running the task since then.
--- a/packages/core/src/batch/jobs/attempts.test.ts
+++ b/packages/core/src/batch/jobs/attempts.test.ts
@@ -14,7 +14,7 @@
 import { change } from '../../shared/change.js';
 import type { EndedRunReport } from '../endpoints/reports.js';
 import { DEFAULT_STEP } from '../model/default-step.js';
-import type { StepSpec } from '../model/job.js';
+import type { StepSpec, TaskKey } from '../model/job.js';
 import { createBatchState, type BatchState, type JobState } from '../model/state.js';
 import { restoreJob, type ProgressRow } from './progress.js';
 
@@ -99,6 +99,20 @@
       expect(taskOf(state)).toMatchObject({ phase: 'waiting', failedRuns: [1001] });
     });
 
+    it.each(['0.0.', '0.0.00', '0.0.0x0', '0.0. 0', '0.0.-0', '.0.0', '0.0.0e3', '00.0.0'])(
+      'is not failed by ends of %j, which is not the name of the task',
+      (name) => {
+        const state = stateWithEndpoints();
+        const ended = [1, 2, 3].map((number) => ({
+          ...failedEnd(number, 1000 + number),
+          task: `${JOB}.${name}` as TaskKey,
+        }));
+        applyAnswer(state, { ended, requestedAtMs: 1, nowMs: 2 });
+        expect(state.jobs.get(JOB)?.phase).toBe('pending');
+        expect(taskOf(state)).toMatchObject({ phase: 'waiting', failedRuns: [] });
+      },
+    );
+
     it('is not failed by ends that a damaged row counted more than once', () => {
       const state = stateWithEndpoints();
       change(taskOf(state), { failedRuns: [1001, 1001] });
