A task that is done fails no job by ends that are heard after that

What callers saw: nothing on record. A job of several tasks is failed though the task that "failed maxAttempts times" is done, where the ends of its earlier runs are heard after that of the last: the endpoints that had them did not answer meanwhile. It could be done, and its client is told `failed`.

Cause: neither door to `failed` asked whether the task still needs an attempt.

Evidence, npx vitest run jobs/attempts before, at each door: "expected 'failed' to be 'running'" (a row with the done bit and three failed runs) and "expected 'failed' not to be 'failed'" (done under run 1004, then the ends of runs 1001 to 1003).

--- a/packages/core/src/batch/jobs/attempts.test.ts
+++ b/packages/core/src/batch/jobs/attempts.test.ts
@@ -8,19 +8,23 @@
   FIRST,
   JOB,
   SECOND,
+  submitJob,
   TASK,
   taskOf,
 } from '../testing/batch-state.fixtures.js';
 import { change } from '../../shared/change.js';
+import { brand, type JobId } from '../../shared/ids.js';
 import type { EndedRunReport } from '../endpoints/reports.js';
 import { DEFAULT_STEP } from '../model/default-step.js';
-import type { StepSpec, TaskKey } from '../model/job.js';
+import { taskKey, type StepSpec, type TaskKey } from '../model/job.js';
 import { createBatchState, type BatchState, type JobState } from '../model/state.js';
 import { restoreJob, type ProgressRow } from './progress.js';
 
 /** Values of `maxAttempts` in a row that was damaged or that another build has written; none tells a limit. */
 const ODD_LIMITS: readonly unknown[] = [null, undefined, 0, -1, '1', '', true, [], [1], {}];
 
+const OTHER_JOB = brand<JobId>('00000000000000bb');
+
 type Restored = {
   readonly failed?: unknown;
   readonly done?: string;
@@ -85,6 +89,12 @@
       expect(restore({ failed })?.phase).not.toBe('failed');
     });
 
+    it('is not failed by a task that is done, whatever its other runs were', () => {
+      const steps = [{ taskCount: 2 }];
+      expect(restore({ failed: [1001, 1002, 1003], done: '1', steps })?.phase).toBe('running');
+      expect(restore({ failed: [1001, 1002, 1003], done: '2', steps })?.phase).toBe('failed');
+    });
+
     it.each(ODD_LIMITS)('is not failed while its limit is %j', (maxAttempts) => {
       expect(restore({ maxAttempts })?.phase).not.toBe('failed');
       expect(restore({ maxAttempts, failed: [1001, 1002] })?.phase).not.toBe('failed');
@@ -113,6 +123,17 @@
       },
     );
 
+    it('is not failed by a task that is done when the ends of its other runs are heard', () => {
+      const state = stateWithEndpoints();
+      submitJob(state, OTHER_JOB, { step: { taskCount: 2 } });
+      const task = taskKey(OTHER_JOB, 0, 0, 0);
+      const done: EndedRunReport = { ...failedEnd(1, 1004), task, kind: 'done' };
+      applyAnswer(state, { ended: [done], requestedAtMs: 1, nowMs: 2 });
+      const ended = [1, 2, 3].map((number) => ({ ...failedEnd(number, 1000 + number), task }));
+      applyAnswer(state, { endpointId: SECOND, ended, requestedAtMs: 3, nowMs: 4 });
+      expect(state.jobs.get(OTHER_JOB)?.phase).not.toBe('failed');
+    });
+
     it('is not failed by ends that a damaged row counted more than once', () => {
       const state = stateWithEndpoints();
       change(taskOf(state), { failedRuns: [1001, 1001] });
--- a/packages/core/src/batch/jobs/attempts.ts
+++ b/packages/core/src/batch/jobs/attempts.ts
@@ -16,13 +16,14 @@
   typeof maxAttempts === 'number' && maxAttempts >= 1;
 
 /**
- * Tells whether a task has failed as often as its queue allows.
+ * Tells whether a task has failed as often as its queue allows. A task that is done needs no attempt: ends of its other
+ * runs may be heard after that.
  *
  * @param task - The task.
  * @param policy - The policy of its job's queue.
- * @returns True if it may not be started again; false while the limit cannot be read.
+ * @returns True if it is not done and may not be started again; false while the limit cannot be read.
  */
 export const hasNoAttemptLeft = (
-  task: Pick<Task, 'failedRuns'>,
+  task: Pick<Task, 'failedRuns' | 'phase'>,
   { maxAttempts }: Pick<QueuePolicy, 'maxAttempts'>,
-): boolean => isLimit(maxAttempts) && countFailedRuns(task) >= maxAttempts;
+): boolean => task.phase !== 'done' && isLimit(maxAttempts) && countFailedRuns(task) >= maxAttempts;
