--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -4,11 +4,12 @@
 import { recordAnswered } from '../domains/suspected-domains.js';
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
 import { applyFirstReport } from './incarnation-runs.js';
-import { parseTaskKey, type TaskKey } from '../model/job.js';
+import { parseTaskKey, taskKey, type TaskKey } from '../model/job.js';
+import { countFailedRuns, hasNoAttemptLeft } from '../jobs/attempts.js';
 import { endJob, findReportedTask, completeTask } from '../jobs/job-lifecycle.js';
 import { chargeUnexpectedRuns } from '../accounts/quota.js';
 import { recordRunTime } from '../jobs/run-times.js';
-import { recordRunEnd, type RunEvidence } from './run-end.js';
+import { recordRunEnd, type RunEvidence, type TaskWithStep } from './run-end.js';
 import { endRunWithoutReport } from './unreported-runs.js';
 import { addRun, dropRun, isHeldByRun, requeue } from './runs.js';
 import {
@@ -24,8 +25,11 @@
 import { recordTrialSeen } from '../crashes/announced-start-record.js';
 import { closeTrial, withdrawUnknownTrials } from '../crashes/trials.js';
 
-/** How a run ended, as reported by the endpoint. */
-export type RunEndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
+/**
+ * How a run ended, as reported by the endpoint. `unknown`: it has ended, in a way that this build cannot read; the task
+ * runs again, and nothing is counted against it.
+ */
+export type RunEndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'unknown';
 
 /** An active run as listed by an endpoint. */
 export type RunningReport = {
@@ -84,22 +88,30 @@
   requeueUnlessHeld(state, step, task);
 };
 
+/**
+ * Tells whether the last failure of a task was on another endpoint. A long-running task has no limit of attempts, so that
+ * one that fails anywhere would be held against every endpoint again and again.
+ */
+const hasFailedElsewhere = ({ avoidedEndpoint }: Task, { endpointId }: EndpointState): boolean =>
+  avoidedEndpoint !== null && avoidedEndpoint !== endpointId;
+
 const handleFailure: EndHandler = (state, context) => {
   const { step, task, end, endpoint } = context;
   if (task.failedRuns.includes(end.run)) {
     returnToQueue(state, context);
     return;
   }
+  if (!step.spec.isLasting || !hasFailedElsewhere(task, endpoint))
+    recordTaskFailure(state, endpoint, step.job.job.jobId);
   change(task, { avoidedEndpoint: endpoint.endpointId });
-  recordTaskFailure(state, endpoint, step.job.job.jobId);
   if (step.spec.isLasting) {
     returnToQueue(state, context);
     return;
   }
   change(task, { failedRuns: [...task.failedRuns, end.run] });
   const { job } = step;
-  const failures = task.failedRuns.length;
-  if (failures >= job.policy.maxAttempts) {
+  if (hasNoAttemptLeft(task, job.policy)) {
+    const failures = countFailedRuns(task);
     endJob(state, job, 'failed', `task ${task.key} failed ${failures} times, which is maxAttempts`);
     return;
   }
@@ -126,6 +138,7 @@
   lapsed: returnToQueue,
   broken: returnToQueue,
   alone: returnToQueue,
+  unknown: returnToQueue,
 };
 
 type ReportTimes = Pick<EndpointReport, 'requestedAtMs' | 'nowMs' | 'clockMs'>;
@@ -136,6 +149,14 @@
     ? ranMs
     : Math.min(ranMs, Math.max(0, clockMs - startClockMs));
 
+/** Finds the task that an endpoint names; none if the name only resembles that of a task, as a damaged one may. */
+const findNamedTask = (state: BatchState, key: TaskKey): TaskWithStep | undefined => {
+  const name = parseTaskKey(key);
+  if (!name || taskKey(name.jobId, name.occurrence, name.step, name.index) !== key)
+    return undefined;
+  return findReportedTask(state, name);
+};
+
 const applyEnd = (
   state: BatchState,
   endpoint: EndpointState,
@@ -144,8 +165,7 @@
 ): void => {
   const { task, run, kind } = end;
   const known = endpoint.runs.get(task);
-  const name = parseTaskKey(task);
-  const taskWithStep = name && findReportedTask(state, name);
+  const taskWithStep = findNamedTask(state, task);
   const evidence: RunEvidence = { cause: 'reported', atMs: requestedAtMs, detail: kind };
   if (taskWithStep) change(taskWithStep.step.job, { hasStarted: true });
   const applyEndWithRunTime = (ranMs: number, workedMs: number): void => {
@@ -211,8 +231,7 @@
   times: ReportTimes,
 ): StepRun | undefined => {
   const { nowMs } = times;
-  const name = parseTaskKey(report.task);
-  const found = name && findReportedTask(state, name);
+  const found = findNamedTask(state, report.task);
   if (found && mayAdopt(found)) {
     const run = addRun(state, { endpoint, ...found, run: report.run, phase: 'running', nowMs });
     // The start order was sent before this holder took over, and the endpoint has been running the task since then.
