Term: its interface, and the status of a job without a stored end, are modules

term-types.ts has what a term needs and offers, so that those who only use a term don't import the one that builds it; reported-status.ts has how a job is reported whose end is not written. Code is moved only.

--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -34,7 +34,8 @@
   HANDOVER_CHECK_INTERVAL_MS,
   type HolderPreference,
 } from './holder-preference.js';
-import { createTerm, type Term } from './term.js';
+import type { Term } from './term-types.js';
+import { createTerm } from './term.js';
 import type { KnownWave } from '../hosts/wave-tracker.js';
 
 /**
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -19,50 +19,34 @@
   setAccounts,
   removeEffects,
   handleStalledAndLapsedRuns,
-  type AdmissionControl,
   type BatchEffect,
-  type BatchJob,
-  type BatchPhase,
-  type BatchState,
-  type Caller,
   type JobState,
-  type JobStatus,
   type LapsedEndpoint,
-  type PlacementPolicy,
-  type QueueIndex,
 } from '@valvelatch/core/batch';
 import type { RowCheck } from '@valvelatch/core/rows/transaction';
-import type { EntryId, JobId } from '@valvelatch/core/shared/ids';
 
-import type { Log } from '../../observe/log.js';
-import type { Metrics } from '../../observe/metrics.js';
 import { startLoops, type RunningLoops } from '../../shared/loops.js';
-import { OPEN_GATE, type StartGate } from '../configuration/start-gate.js';
+import { OPEN_GATE } from '../configuration/start-gate.js';
 import { createAdvisor } from '../endpoints/advisor.js';
 import { createCancellations } from '../jobs/cancellations.js';
 import { createEndedJobs } from '../jobs/ended-jobs.js';
 import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
-import { createFleetCycle, type FleetCycle } from '../hosts/fleet-cycle.js';
-import { createEvacuationWatch, type EvacuationWatch } from './evacuation-watch.js';
+import { createFleetCycle } from '../hosts/fleet-cycle.js';
+import { createEvacuationWatch } from './evacuation-watch.js';
 import { createDomainGauges } from './domain-gauges.js';
 import { createHeldTaskLog } from './held-task-log.js';
 import { acquireGuard } from './guard.js';
 import { createJobAdmission, publishAdmissionCounts } from '../jobs/job-admission.js';
 import { createJobRowLookup } from '../jobs/job-row-lookup.js';
 import { createJobRowReader, type RetryUntilTermEnds } from '../jobs/job-row-reader.js';
-import {
-  createJobSaver,
-  type AcceptOutcome,
-  type JobSaver,
-  type LiveRow,
-} from '../jobs/job-saver.js';
+import { createJobSaver, type JobSaver } from '../jobs/job-saver.js';
 import { batchKey } from '../keys.js';
 import { createDemandHistoryStore } from './demand-history-store.js';
 import { logLoad, type LoadLogOptions } from './load-log.js';
 import { createRowAlarm } from './row-alarm.js';
 import { createProcessLoadMeter } from './process-load.js';
-import type { BatchPlatform } from '../ports.js';
-import type { RefusedJob } from '../jobs/refused-jobs.js';
+import { accountOf, reportedStatus } from '../jobs/reported-status.js';
+import type { Term, TermOptions } from './term-types.js';
 
 const TICK_MS = 100;
 /** New jobs are announced over the mesh; the feed of rows finds those whose announcement was lost. */
@@ -83,76 +67,6 @@
 const DEMAND_HISTORY_SAVE_INTERVAL_MS = 2000;
 const LOAD_LOG_INTERVAL_MS = 1000;
 
-export type TermOptions = {
-  readonly self: EntryId;
-  readonly fence: number;
-  /** The key and version of the fence row, which each new holder changes; writes of wave rows depend on it. */
-  readonly fenceCheck: RowCheck;
-  readonly platform: BatchPlatform;
-  readonly log: Log;
-  readonly metrics: Metrics;
-  /** True while the lease is certainly held. */
-  readonly holdsLease: () => boolean;
-  /** True while orders to hosts may be sent. */
-  readonly mayOrderHosts: () => boolean;
-  /** How long after its start the term may order hosts for the first time, in milliseconds. */
-  readonly hostOrderDelayMs: number;
-  /** For how long after the start of the term earlier holders may still order endpoints, in milliseconds. */
-  readonly formerOrdersRemainingMs: number;
-  /** How long an endpoint keeps its runs without contact with the holder, in milliseconds. */
-  readonly endpointLeaseMs: number;
-  /** How endpoints are chosen for tasks of short steps; `fullest` if left out. */
-  readonly placementPolicy?: PlacementPolicy;
-  /** True once the table has answered nothing for long enough to count as unavailable. */
-  readonly isTableUnavailable: () => boolean;
-  /**
-   * Until this time no other entry can have become the holder, so that what was not reported to this holder was not
-   * reported to another one either.
-   */
-  readonly soleHolderUntilMs: () => number;
-  /** The operator's queues; undefined until they were read once. */
-  readonly configuration: () => QueueIndex | undefined;
-  /** Decides whether this entry may send start orders; if left out, it always may. */
-  readonly startGate?: StartGate;
-  /** Called once if the term finds that another holder has replaced it. */
-  readonly onLost: (reason: string) => void;
-  readonly nowMs?: () => number;
-  readonly wallClockMs?: () => number;
-};
-
-/** A term as other parts of the entry use it. */
-export type Term = {
-  readonly self: EntryId;
-  readonly state: BatchState;
-  readonly fleet: FleetCycle;
-  readonly evacuations: Omit<EvacuationWatch, 'update' | 'close'>;
-  readonly admission: AdmissionControl;
-  /** Recovers the state from rows and from the list of endpoints, then starts the loops. */
-  readonly start: () => Promise<void>;
-  /** Ends all work of the term. */
-  readonly stop: () => Promise<void>;
-  /** True once it has recovered, while it can answer as the holder. */
-  readonly isReady: () => boolean;
-  /** The status of a job; undefined if the job is unknown or this entry cannot answer as the holder. */
-  readonly statusOf: (jobId: JobId) => JobStatus | undefined;
-  /** The number of waiting jobs by queue; undefined if this entry cannot answer as the holder. */
-  readonly countWaitingJobs: () => ReadonlyMap<string, number> | undefined;
-  /** Writes and admits a job; undefined if this entry cannot act as the holder. */
-  readonly accept: (row: LiveRow) => Promise<AcceptOutcome | undefined>;
-  /**
-   * Admits a job whose row another entry wrote. Ignored before the recovery, and while another entry may have become the
-   * holder.
-   */
-  readonly addAcceptedJob: (row: LiveRow, version: number) => void;
-  /** Records jobs that were refused and that their clients will submit again. */
-  readonly recordRefusedJobs: (jobs: readonly RefusedJob[]) => void;
-  /**
-   * Cancels a job and returns its phase afterwards; `unknown` if the job is not known yet or belongs to another account,
-   * undefined if this entry cannot answer as the holder.
-   */
-  readonly cancel: (jobId: JobId, caller: Caller) => BatchPhase | 'unknown' | undefined;
-};
-
 /**
  * Builds a term.
  *
@@ -582,16 +496,3 @@
     },
   };
 };
-
-const accountOf = ({ owner }: BatchJob): Pick<JobStatus, 'account'> =>
-  owner ? { account: owner.account } : {};
-
-/**
- * The status of a job whose row is not yet saved as ended. A completed or failed job is reported as running until its
- * end is written, so that any entry can find a reported end in the row.
- */
-const reportedStatus = (job: JobState | undefined): JobStatus | undefined => {
-  if (!job) return undefined;
-  const isReportable = job.phase !== 'completed' && job.phase !== 'failed';
-  return { phase: isReportable ? job.phase : 'running', reason: '', ...accountOf(job.job) };
-};
--- a/packages/daemon/src/batch/operators/data-centre-views.ts
+++ b/packages/daemon/src/batch/operators/data-centre-views.ts
@@ -11,7 +11,7 @@
 } from '@valvelatch/core/batch';
 import type { DataCentreId } from '@valvelatch/core/shared/ids';
 
-import type { Term } from '../control/term.js';
+import type { Term } from '../control/term-types.js';
 
 const MILLIS_PER_CORE = 1000;
 /** Maximum number of reasons in an explanation, which is read by people. */
--- a/packages/daemon/src/batch/operators/operator-queries.ts
+++ b/packages/daemon/src/batch/operators/operator-queries.ts
@@ -21,7 +21,7 @@
 import { explainRefusal } from '../jobs/job-admission.js';
 import { listDomainRows, explainDomain, type DomainViewSource } from './domain-views.js';
 import type { Control } from '../control/control.js';
-import type { Term } from '../control/term.js';
+import type { Term } from '../control/term-types.js';
 
 type Body = { readonly kind?: string; readonly name?: string };
 /** Builds the rows of one kind of list. */
