--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -12,14 +12,11 @@
   createScheduleCycle,
   addPendingReports,
   instanceIdOf,
-  isWithinObjective,
   recordFirstAttempts,
   paceGapFillers,
   remainingSoleHolderMs,
   setAccounts,
-  removeEffects,
   handleStalledAndLapsedRuns,
-  type BatchEffect,
   type JobState,
   type LapsedEndpoint,
 } from '@valvelatch/core/batch';
@@ -43,6 +40,7 @@
 import { batchKey } from '../keys.js';
 import { createDemandHistoryStore } from './demand-history-store.js';
 import { logLoad, type LoadLogOptions } from './load-log.js';
+import { createEffectPerformer } from './effect-performer.js';
 import { createRowAlarm } from './row-alarm.js';
 import { createProcessLoadMeter } from './process-load.js';
 import { accountOf, reportedStatus } from '../jobs/reported-status.js';
@@ -262,32 +260,15 @@
     wallClockMs,
   });
 
-  const effectHandlers: {
-    readonly [Kind in BatchEffect['kind']]: (effect: Extract<BatchEffect, { kind: Kind }>) => void;
-  } = {
-    start: roster.perform,
-    stop: roster.perform,
-    pace: roster.perform,
-    ask: roster.perform,
-    advise: advisor.ask,
-    save: ({ jobId, isUrgent }) => {
-      const job = state.jobs.get(jobId);
-      if (job && isUrgent) {
-        log.info('job-ended', { job: jobId, phase: job.phase, reason: job.reason });
-        if (job.phase === 'completed')
-          admission.recordCompletion(job.job, isWithinObjective(state, job, nowMs()));
-      }
-      saver.requestSave(jobId, isUrgent);
-    },
-    note: ({ event, fields }) => log.info(event, fields),
-  };
-
-  const perform = (): void => {
-    removeEffects(state).forEach((effect) => {
-      const handle = effectHandlers[effect.kind] as (one: BatchEffect) => void;
-      handle(effect);
-    });
-  };
+  const perform = createEffectPerformer({
+    state,
+    performAtEndpoint: roster.perform,
+    askForAdvice: advisor.ask,
+    admission,
+    requestSave: saver.requestSave,
+    log,
+    nowMs,
+  });
 
   const cycle = (): void => {
     state.evacuatedDataCentres = startGate.evacuated();
