--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -10,8 +10,6 @@
   createSharedDelayEstimator,
   createOrderWindow,
   createScheduleCycle,
-  addPendingReports,
-  instanceIdOf,
   recordFirstAttempts,
   paceGapFillers,
   remainingSoleHolderMs,
@@ -20,7 +18,6 @@
   type JobState,
   type LapsedEndpoint,
 } from '@valvelatch/core/batch';
-import type { RowCheck } from '@valvelatch/core/rows/transaction';
 
 import { startLoops, type RunningLoops } from '../../shared/loops.js';
 import { OPEN_GATE } from '../configuration/start-gate.js';
@@ -32,10 +29,9 @@
 import { createEvacuationWatch } from './evacuation-watch.js';
 import { createDomainGauges } from './domain-gauges.js';
 import { createHeldTaskLog } from './held-task-log.js';
-import { acquireGuard } from './guard.js';
 import { createJobAdmission, publishAdmissionCounts } from '../jobs/job-admission.js';
 import { createJobRowLookup } from '../jobs/job-row-lookup.js';
-import { createJobRowReader, type RetryUntilTermEnds } from '../jobs/job-row-reader.js';
+import { createJobRowReader } from '../jobs/job-row-reader.js';
 import { createJobSaver, type JobSaver } from '../jobs/job-saver.js';
 import { batchKey } from '../keys.js';
 import { createDemandHistoryStore } from './demand-history-store.js';
@@ -44,6 +40,8 @@
 import { createRowAlarm } from './row-alarm.js';
 import { createProcessLoadMeter } from './process-load.js';
 import { accountOf, reportedStatus } from '../jobs/reported-status.js';
+import { createTermGuard } from './term-guard.js';
+import { createTermRecovery } from './term-recovery.js';
 import type { Term, TermOptions } from './term-types.js';
 
 const TICK_MS = 100;
@@ -58,7 +56,6 @@
 const LEASE_CLOCK_FACTOR = 1.05;
 /** An endpoint's lease may last longer by this time in addition, because of a late answer. */
 const LEASE_MARGIN_MS = 500;
-const FEED_RETRY_MS = 300;
 /** A sweep removes up to 40 jobs, so 57 a second: more than the 50 a second that a fleet of 250 endpoints admits. */
 const SWEEP_INTERVAL_MS = 700;
 /** A change of holder loses up to this much of the demand history; each save is one call to the table. */
@@ -100,7 +97,6 @@
     endpointLeaseMs * LEASE_CLOCK_FACTOR + LEASE_MARGIN_MS + formerOrdersRemainingMs;
   const orderWindow = createOrderWindow();
   const sharedDelayEstimator = createSharedDelayEstimator();
-  let guard: RowCheck = { key: batchKey.guard, version: -1 };
   let isStopped = false;
   let isReady = false;
   let isCycleRequested = false;
@@ -138,6 +134,13 @@
     });
   };
 
+  const guard = createTermGuard({
+    table: platform.table,
+    fence,
+    onUnreadableRow: createRowAlarm({ key: batchKey.guard, log, metrics }),
+    onSuperseded: () => endAsLost('a later holder has written the guard row'),
+  });
+
   const roster = createEndpointRoster({
     state,
     feed: platform.endpoints(),
@@ -162,7 +165,7 @@
 
   const endedJobs = createEndedJobs({
     table: platform.table,
-    guard: () => guard,
+    guard: guard.check,
     log,
     answerableMs: () => platform.bounds().answerableMs,
     wallClockMs,
@@ -171,7 +174,7 @@
   const saver: JobSaver = createJobSaver({
     table: platform.table,
     state,
-    fence: () => guard,
+    fence: guard.check,
     log,
     metrics,
     wallClockMs,
@@ -195,7 +198,7 @@
     state,
     ended: endedJobs,
     table: platform.table,
-    guard: () => guard,
+    guard: guard.check,
     log,
     answerableMs: () => platform.bounds().answerableMs,
     nowMs,
@@ -327,67 +330,6 @@
     cycle();
   };
 
-  const retryUntilDefined: RetryUntilTermEnds = async (attempt) => {
-    while (!isStopped) {
-      const value = await attempt();
-      if (value !== undefined) return value;
-      await new Promise((resolve) => {
-        setTimeout(resolve, FEED_RETRY_MS);
-      });
-    }
-    return undefined;
-  };
-
-  const raiseGuardAlarm = createRowAlarm({ key: batchKey.guard, log, metrics });
-
-  const takeGuardForTerm = async (): Promise<true | undefined> => {
-    const outcome = await acquireGuard(platform.table, fence);
-    if (outcome.kind === 'unreadable') raiseGuardAlarm();
-    if (outcome.kind === 'superseded') endAsLost('a later holder has written the guard row');
-    if (outcome.kind !== 'taken') return undefined;
-    guard = outcome.check;
-    return true;
-  };
-
-  const recover = async (): Promise<void> => {
-    const startedAtMs = nowMs();
-    state.takenOverAtMs = startedAtMs;
-    state.longestLeaseMs = platform.bounds().longestLeaseMs;
-    state.inheritedLeasesEndAtMs = startedAtMs + inheritedLeasesMs;
-    state.formerOrdersEndAtMs = startedAtMs + formerOrdersRemainingMs;
-    state.isHostListAwaited = true;
-    // Only inherited tasks wait for the list of hosts.
-    void fleet.refreshHosts();
-    // The second read finds what an earlier holder wrote after the first read and before the guard row changed.
-    const [, firstRead, endpoints] = await Promise.all([
-      retryUntilDefined(takeGuardForTerm),
-      jobRows.read(retryUntilDefined),
-      retryUntilDefined(roster.readList),
-      demandHistory.restore(),
-    ]);
-    const secondRead = await jobRows.read(retryUntilDefined);
-    if (isStopped || !firstRead || !secondRead || !endpoints) return;
-    state.clockMs = nowMs();
-    jobRows.restore([firstRead, secondRead]);
-    addPendingReports(
-      state,
-      endpoints.changed.map(({ endpointId, pool }) => ({
-        instanceId: instanceIdOf(endpointId),
-        pool,
-      })),
-    );
-    roster.applyListChanges(endpoints);
-    isReady = true;
-    log.info('term-recovered', {
-      fence,
-      jobs: state.jobs.size,
-      ended: endedJobs.count(),
-      endpoints: endpoints.changed.length,
-      tookMs: Math.round(nowMs() - startedAtMs),
-    });
-    perform();
-  };
-
   const fleet = createFleetCycle({
     self,
     fence,
@@ -404,6 +346,34 @@
     dropEndpoint: roster.removeGoneEndpoint,
   });
 
+  /** Begins to act as the holder. */
+  const becomeReady = (endpointCount: number): void => {
+    isReady = true;
+    log.info('term-recovered', {
+      fence,
+      jobs: state.jobs.size,
+      ended: endedJobs.count(),
+      endpoints: endpointCount,
+      tookMs: Math.round(nowMs() - state.takenOverAtMs),
+    });
+    perform();
+  };
+
+  const recover = createTermRecovery({
+    state,
+    guard,
+    jobRows,
+    roster,
+    demandHistory,
+    refreshHosts: fleet.refreshHosts,
+    longestLeaseMs: () => platform.bounds().longestLeaseMs,
+    formerOrdersRemainingMs,
+    inheritedLeasesMs,
+    isStopped: () => isStopped,
+    onRecovered: becomeReady,
+    nowMs,
+  });
+
   const start = async (): Promise<void> => {
     log.info('term-started', { fence });
     // Runs in parallel with the recovery, which takes several calls.
