--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -19,7 +19,7 @@
   type LapsedEndpoint,
 } from '@valvelatch/core/batch';
 
-import { startLoops, type RunningLoops } from '../../shared/loops.js';
+import type { RunningLoops } from '../../shared/loops.js';
 import { OPEN_GATE } from '../configuration/start-gate.js';
 import { createAdvisor } from '../endpoints/advisor.js';
 import { createCancellations } from '../jobs/cancellations.js';
@@ -41,26 +41,14 @@
 import { createProcessLoadMeter } from './process-load.js';
 import { accountOf, reportedStatus } from '../jobs/reported-status.js';
 import { createTermGuard } from './term-guard.js';
+import { startTermLoops, TICK_MS } from './term-loops.js';
 import { createTermRecovery } from './term-recovery.js';
 import type { Term, TermOptions } from './term-types.js';
 
-const TICK_MS = 100;
-/** New jobs are announced over the mesh; the feed of rows finds those whose announcement was lost. */
-const JOB_FEED_MS = 500;
-/**
- * The list of endpoints is polled. Each endpoint writes its entry every 1.5 s, so a blocking read would return
- * almost at once each time.
- */
-const ENDPOINT_FEED_MS = 400;
 /** An endpoint's lease may last longer than its duration by this factor, because of a slow clock at the endpoint. */
 const LEASE_CLOCK_FACTOR = 1.05;
 /** An endpoint's lease may last longer by this time in addition, because of a late answer. */
 const LEASE_MARGIN_MS = 500;
-/** A sweep removes up to 40 jobs, so 57 a second: more than the 50 a second that a fleet of 250 endpoints admits. */
-const SWEEP_INTERVAL_MS = 700;
-/** A change of holder loses up to this much of the demand history; each save is one call to the table. */
-const DEMAND_HISTORY_SAVE_INTERVAL_MS = 2000;
-const LOAD_LOG_INTERVAL_MS = 1000;
 
 /**
  * Builds a term.
@@ -380,23 +368,19 @@
     void confirmEvacuations();
     await recover();
     if (isStopped) return;
-    loops = startLoops(
-      [
-        { name: 'tick', pauseMs: TICK_MS, run: tick },
-        { name: 'evacuations', pauseMs: TICK_MS, run: confirmEvacuations },
-        { name: 'endpoints', pauseMs: ENDPOINT_FEED_MS, run: roster.refresh },
-        { name: 'jobs', pauseMs: JOB_FEED_MS, run: jobRows.applyChanges },
-        { name: 'fleet', pauseMs: fleet.intervalMs, run: fleet.run },
-        { name: 'waves', pauseMs: fleet.intervalMs, run: fleet.syncWaves },
-        { name: 'sweep', pauseMs: SWEEP_INTERVAL_MS, run: deleteExpiredRows },
-        { name: 'load', pauseMs: LOAD_LOG_INTERVAL_MS, run: async () => reportLoad() },
-        { name: 'domains', pauseMs: LOAD_LOG_INTERVAL_MS, run: async () => domainGauges.update() },
-        { name: 'learned', pauseMs: DEMAND_HISTORY_SAVE_INTERVAL_MS, run: demandHistory.save },
-      ],
-      (name, error) => {
-        const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
-        log.error('term-loop-failed', { name, detail });
+    loops = startTermLoops(
+      {
+        tick,
+        confirmEvacuations,
+        refreshEndpoints: roster.refresh,
+        readJobRows: jobRows.applyChanges,
+        fleet,
+        deleteExpiredRows,
+        reportLoad,
+        updateDomainGauges: domainGauges.update,
+        saveDemandHistory: demandHistory.save,
       },
+      log,
     );
     requestCycle();
   };
