--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -5,7 +5,6 @@
 import {
   startDueOccurrences,
   countWaitingJobs,
-  createAdmissionControl,
   createBatchState,
   createSharedDelayEstimator,
   createOrderWindow,
@@ -15,32 +14,26 @@
   remainingSoleHolderMs,
   setAccounts,
   handleStalledAndLapsedRuns,
-  type JobState,
   type LapsedEndpoint,
 } from '@valvelatch/core/batch';
 
 import type { RunningLoops } from '../../shared/loops.js';
 import { OPEN_GATE } from '../configuration/start-gate.js';
 import { createAdvisor } from '../endpoints/advisor.js';
-import { createCancellations } from '../jobs/cancellations.js';
-import { createEndedJobs } from '../jobs/ended-jobs.js';
 import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
 import { createFleetCycle } from '../hosts/fleet-cycle.js';
 import { createEvacuationWatch } from './evacuation-watch.js';
 import { createDomainGauges } from './domain-gauges.js';
 import { createHeldTaskLog } from './held-task-log.js';
-import { createJobAdmission, publishAdmissionCounts } from '../jobs/job-admission.js';
-import { createJobRowLookup } from '../jobs/job-row-lookup.js';
-import { createJobRowReader } from '../jobs/job-row-reader.js';
-import { createJobSaver, type JobSaver } from '../jobs/job-saver.js';
+import { publishAdmissionCounts } from '../jobs/job-admission.js';
 import { batchKey } from '../keys.js';
 import { createDemandHistoryStore } from './demand-history-store.js';
 import { logLoad, type LoadLogOptions } from './load-log.js';
 import { createEffectPerformer } from './effect-performer.js';
 import { createRowAlarm } from './row-alarm.js';
 import { createProcessLoadMeter } from './process-load.js';
-import { accountOf, reportedStatus } from '../jobs/reported-status.js';
 import { createTermGuard } from './term-guard.js';
+import { createTermJobs } from './term-jobs.js';
 import { startTermLoops, TICK_MS } from './term-loops.js';
 import { createTermRecovery } from './term-recovery.js';
 import type { Term, TermOptions } from './term-types.js';
@@ -151,79 +144,29 @@
     isStopped: () => isStopped,
   });
 
-  const endedJobs = createEndedJobs({
+  const jobs = createTermJobs({
+    state,
     table: platform.table,
-    guard: guard.check,
-    log,
+    guard,
     answerableMs: () => platform.bounds().answerableMs,
-    wallClockMs,
-  });
-
-  const saver: JobSaver = createJobSaver({
-    table: platform.table,
-    state,
-    fence: guard.check,
-    log,
-    metrics,
-    wallClockMs,
+    configuration,
     isTableUnavailable,
-    beginRound: () => {
+    isSoleHolder,
+    isHolder,
+    isStopped: () => isStopped,
+    beginSaveRound: () => {
       // An applied end counts as stored only if its job is marked as changed before the round.
       perform();
       return roster.snapshotAppliedEnds();
     },
-    onSaved: ({ job, phase, reason }: JobState) => {
-      endedJobs.add(job.jobId, { phase, reason, ...accountOf(job) }, wallClockMs());
-      state.jobs.delete(job.jobId);
-      saver.versions.delete(job.jobId);
-    },
-    onCrashRecordsSaved: requestCycle,
-    onAccepted: (row, version) => jobRows.addAcceptedJob(row, version),
-    onFenceLost: () => endAsLost('another holder changed the guard row'),
-  });
-
-  const cancellations = createCancellations({
-    state,
-    ended: endedJobs,
-    table: platform.table,
-    guard: guard.check,
-    log,
-    answerableMs: () => platform.bounds().answerableMs,
-    nowMs,
-    wallClockMs,
-  });
-
-  const deleteExpiredRows = async (): Promise<void> => {
-    await endedJobs.deleteExpiredRows();
-    await cancellations.deleteExpiredRows();
-  };
-
-  const jobRows = createJobRowReader({
-    state,
-    table: platform.table,
-    versions: saver.versions,
-    ended: endedJobs,
-    cancellations,
-    configuration,
-    isSoleHolder,
-    isStopped: () => isStopped,
     requestScheduling: requestCycle,
+    endAsLost,
     log,
     metrics,
     nowMs,
     wallClockMs,
   });
-
-  const admission = createAdmissionControl({ state });
-  const admitJob = createJobAdmission({
-    admission,
-    write: saver.accept,
-    hasRow: createJobRowLookup(platform.table),
-    isHolder,
-    log,
-    metrics,
-    nowMs,
-  });
+  const { saver, admission } = jobs;
 
   const demandHistory = createDemandHistoryStore({
     table: platform.table,
@@ -340,7 +283,7 @@
     log.info('term-recovered', {
       fence,
       jobs: state.jobs.size,
-      ended: endedJobs.count(),
+      ended: jobs.countEnded(),
       endpoints: endpointCount,
       tookMs: Math.round(nowMs() - state.takenOverAtMs),
     });
@@ -350,7 +293,7 @@
   const recover = createTermRecovery({
     state,
     guard,
-    jobRows,
+    jobRows: jobs.rows,
     roster,
     demandHistory,
     refreshHosts: fleet.refreshHosts,
@@ -373,9 +316,9 @@
         tick,
         confirmEvacuations,
         refreshEndpoints: roster.refresh,
-        readJobRows: jobRows.applyChanges,
+        readJobRows: jobs.rows.applyChanges,
         fleet,
-        deleteExpiredRows,
+        deleteExpiredRows: jobs.deleteExpiredRows,
         reportLoad,
         updateDomainGauges: domainGauges.update,
         saveDemandHistory: demandHistory.save,
@@ -404,28 +347,20 @@
     start,
     stop,
     isReady: isHolder,
-    statusOf: (jobId) =>
-      !isHolder()
-        ? undefined
-        : (endedJobs.findStatus(jobId) ?? reportedStatus(state.jobs.get(jobId))),
+    statusOf: (jobId) => (isHolder() ? jobs.findStatus(jobId) : undefined),
     countWaitingJobs: () => (isHolder() ? countWaitingJobs(state) : undefined),
-    accept: async (row) => {
-      if (!isHolder()) return undefined;
-      const { jobId } = row.job;
-      if (state.jobs.has(jobId) || endedJobs.has(jobId)) return { kind: 'conflict' };
-      return admitJob(row);
-    },
+    accept: async (row) => (isHolder() ? jobs.accept(row) : undefined),
     addAcceptedJob: (row, version) => {
-      if (isReady && !isStopped && isSoleHolder()) jobRows.addAcceptedJob(row, version);
+      if (isReady && !isStopped && isSoleHolder()) jobs.rows.addAcceptedJob(row, version);
     },
-    recordRefusedJobs: (jobs) =>
+    recordRefusedJobs: (refused) =>
       recordFirstAttempts(
         state,
-        jobs.map(([jobId, agoMs]) => ({ jobId, atMs: nowMs() - agoMs })),
+        refused.map(([jobId, agoMs]) => ({ jobId, atMs: nowMs() - agoMs })),
       ),
     cancel: (jobId, caller) => {
       if (!isHolder()) return undefined;
-      const phase = cancellations.apply({ jobId, caller, source: 'notice' });
+      const phase = jobs.cancel(jobId, caller);
       perform();
       return phase ?? 'unknown';
     },
