Control: the limits of a holder and the timing of its lease are modules

control-lease-timing.ts has the times that depend on each other, with what breaks without their relation; holder-limits.ts has what a holder may still do by the age of its renewal. Code is moved only.

--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -21,6 +21,14 @@
 import type { AcceptOutcome } from '../jobs/job-saver.js';
 import { ENDPOINT_LEASE_MS } from '../endpoints/endpoint-link.js';
 import { CONTROL_METHOD, createHolderClient, HOLDER_SILENCE_LIMIT_MS } from './holder-client.js';
+import {
+  CONTROL_LEASE_MARGIN_MS,
+  CONTROL_LEASE_MS,
+  EARLY_TAKEOVER_MS,
+  RENEW_AFTER_MS,
+  SOLE_HOLDER_MS,
+} from './control-lease-timing.js';
+import { createHolderLimits } from './holder-limits.js';
 import { createResignations } from './resignations.js';
 import { createRowAlarm } from './row-alarm.js';
 import { CONTROL_LEASE } from '../keys.js';
@@ -38,36 +46,6 @@
 import { createTerm } from './term.js';
 import type { KnownWave } from '../hosts/wave-tracker.js';
 
-/**
- * Duration of the control lease. A holder without the table continues to order endpoints for this long after its
- * last renewal, so that accepted work continues through an outage of 6 s. A holder that has failed is silent on
- * the mesh too and is replaced sooner (`EARLY_TAKEOVER_MS`).
- */
-const CONTROL_LEASE_MS = 8000;
-/**
- * Renewals come every 1.2 to 1.7 s with this value. The rules below that depend on the age of the last renewal need
- * them that often.
- */
-const RENEW_AFTER_MS = 1300;
-/**
- * Safety margin of the lease between its holder and the entries that may take it. Their clocks may differ by 2 % over
- * the lease; the rest is for late timers.
- */
-const CONTROL_LEASE_MARGIN_MS = 500;
-/**
- * The lease of a holder that is also silent on the mesh is taken after this time without a renewal; a working
- * holder renews every 1.3 to 1.8 s. The silent holder may still act as if it held control, which is safe:
- * endpoints and rows are fenced, and hosts are ordered and jobs of other entries admitted only shortly after a
- * renewal (`MAX_RENEWAL_AGE_FOR_HOST_ORDERS_MS`, `SOLE_HOLDER_MS`).
- */
-const EARLY_TAKEOVER_MS = 2600;
-/**
- * For this long after a renewal no other entry can have taken the lease. Only in this time does the holder admit
- * jobs that other entries wrote, since later ones may have been accepted by a next holder, which starts them; and
- * only in this time does it treat an endpoint's lease as ended, since a next holder may have extended it. Must be
- * less than `EARLY_TAKEOVER_MS` by more than clocks can differ over that time.
- */
-const SOLE_HOLDER_MS = 2400;
 /**
  * How long an entry caches the holder's counts of waiting jobs. The counts may be up to 2 s old, and clients ask
  * all entries for them.
@@ -77,32 +55,11 @@
 /** How long a planned stop tries to give up control, in case the platform is unavailable at first. */
 const RESIGN_TIMEOUT_MS = 4200;
 const RESIGN_RETRY_MS = 250;
-/**
- * Hosts are ordered only within this time after a renewal, so that an entry that takes over a lapsed lease knows
- * a minimum for the time since the last order.
- */
-const MAX_RENEWAL_AGE_FOR_HOST_ORDERS_MS = 1800;
-/** Added to the minimum time between the host orders of two holders. */
-const HOLDER_TURN_MARGIN_MS = 300;
-
-/**
- * A holder gives up control when its own route to the table has been lost for this long while the table serves its
- * neighbours. With a shorter time a single lost connection would change the holder, which costs 0.5 s; with a
- * longer one accepted jobs wait for the change.
- */
-const TABLE_ROUTE_LOST_MS = 1200;
-
 /**
  * How long one tick waits for the lease to be read or renewed. Without the limit a renewal that hangs for several
  * seconds would keep a holder from noticing that the table serves other entries.
  */
 const LEASE_TICK_TIMEOUT_MS = 600;
-/**
- * A holder cannot renew if the table has not answered it for this long, either on its direct route or on any route.
- * A slow table takes up to 610 ms.
- */
-const TABLE_SILENCE_LIMIT_MS = 1000;
-
 export type ControlOptions = {
   readonly self: EntryId;
   readonly platform: BatchPlatform;
@@ -178,6 +135,12 @@
     onUnreadableRow: createRowAlarm({ key: rowKey.lease(CONTROL_LEASE), log, metrics }),
     nowMs,
   });
+  const limits = createHolderLimits({
+    lease: keeper,
+    table,
+    holderTurnMs: () => platform.bounds().holderTurnMs,
+    nowMs,
+  });
   const knownWaves = new Map<number, KnownWave>();
   let term: Term | undefined;
   let isResigned = false;
@@ -236,28 +199,6 @@
     await endingTerm.stop();
   };
 
-  /**
-   * The delay before this holder's first host order. Two holders that both reach the platform must not order
-   * hosts within `holderTurnMs` of each other. A holder whose lease was taken did not renew it, so it does not reach
-   * the platform; one that gave up its lease recorded for how long it had ordered no host.
-   */
-  const hostOrdersAfterMs = (): number => {
-    if (keeper.previousHolder() !== null) return 0;
-    const distanceMs = platform.bounds().holderTurnMs + HOLDER_TURN_MARGIN_MS;
-    return Math.max(
-      0,
-      distanceMs - keeper.previousHolderIdleMs() - keeper.unchangedBeforeAcquisitionMs(),
-    );
-  };
-
-  /** For how long earlier holders may still order endpoints, by their own clocks. */
-  const formerOrdersRemainingMs = (): number =>
-    Math.max(0, keeper.earlierHoldersUntilMs() - nowMs());
-
-  const mayOrderHosts = (): boolean =>
-    table.isDirectRouteUp() &&
-    keeper.heldUntilMs() - nowMs() > CONTROL_LEASE_MS - MAX_RENEWAL_AGE_FOR_HOST_ORDERS_MS;
-
   const beginTerm = (fence: number): void => {
     const { key, version } = keeper.fence();
     const newTerm = createTerm({
@@ -269,13 +210,13 @@
       metrics,
       nowMs,
       holdsLease: keeper.holds,
-      mayOrderHosts,
-      hostOrderDelayMs: hostOrdersAfterMs(),
-      formerOrdersRemainingMs: formerOrdersRemainingMs(),
+      mayOrderHosts: limits.mayOrderHosts,
+      hostOrderDelayMs: limits.hostOrdersAfterMs(),
+      formerOrdersRemainingMs: limits.formerOrdersRemainingMs(),
       endpointLeaseMs,
       placementPolicy,
       isTableUnavailable: () => table.unansweredForMs() >= TABLE_UNAVAILABLE_MS,
-      soleHolderUntilMs: () => keeper.heldUntilMs() - CONTROL_LEASE_MS + SOLE_HOLDER_MS,
+      soleHolderUntilMs: limits.soleHolderUntilMs,
       configuration,
       startGate,
       onLost: (reason) => {
@@ -292,15 +233,9 @@
     });
   };
 
-  /** True if the table serves other entries and not this one: then one of them must hold control. */
-  const isTableServingOthersOnly = (): boolean =>
-    nowMs() - table.directRouteLostSinceMs() > TABLE_ROUTE_LOST_MS &&
-    table.lastAnsweredAtMs() - table.directRouteLostSinceMs() > TABLE_ROUTE_LOST_MS / 2 &&
-    nowMs() - table.lastAnsweredAtMs() < TABLE_ROUTE_LOST_MS;
-
   /** The reason why control should go to another entry now; undefined if it should not. */
   const findHandoverReason = async (): Promise<string | undefined> => {
-    if (isTableServingOthersOnly()) return 'the table serves other entries and not this one';
+    if (limits.isTableServingOthersOnly()) return 'the table serves other entries and not this one';
     if (
       holderPreference.isPreferred() ||
       nowMs() - checkedForStrongerAtMs < HANDOVER_CHECK_INTERVAL_MS
@@ -324,16 +259,6 @@
   const isTakenOver = ({ state: { fence } }: Term): boolean =>
     keeper.lastRow()?.holder !== self || keeper.epoch() !== fence;
 
-  /** True if the last renewal is so old that another entry may take the lease, and the table does not answer. */
-  const cannotRenew = (): boolean => {
-    const renewedAtMs = keeper.heldUntilMs() - CONTROL_LEASE_MS;
-    const unansweredMs = Math.max(
-      table.unansweredForMs(),
-      nowMs() - table.directRouteLostSinceMs(),
-    );
-    return nowMs() - renewedAtMs >= SOLE_HOLDER_MS && unansweredMs >= TABLE_SILENCE_LIMIT_MS;
-  };
-
   /**
    * Answers an entry that the table serves and that sees no renewal under a fence. If this entry cannot renew, the
    * term under that fence ends. After a true answer this entry sends no orders under that fence or an earlier one.
@@ -342,7 +267,7 @@
     if (fence <= resignedFence) return true;
     const isHeld = keeper.holds() && keeper.epoch() === fence;
     const isActive = isHeld || term?.state.fence === fence;
-    if ((isActive && !cannotRenew()) || keeper.epoch() > fence) return false;
+    if ((isActive && !limits.cannotRenew()) || keeper.epoch() > fence) return false;
     resignedFence = fence;
     keeper.abandon();
     void endTerm('the table serves other entries and does not answer this one');
