--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -20,11 +20,10 @@
 import type { ControlClient } from '../jobs/control-client.js';
 import type { AcceptOutcome } from '../jobs/job-saver.js';
 import { ENDPOINT_LEASE_MS } from '../endpoints/endpoint-link.js';
-import { CONTROL_METHOD, createHolderClient, HOLDER_SILENCE_LIMIT_MS } from './holder-client.js';
+import { CONTROL_METHOD, createHolderClient } from './holder-client.js';
 import {
   CONTROL_LEASE_MARGIN_MS,
   CONTROL_LEASE_MS,
-  EARLY_TAKEOVER_MS,
   RENEW_AFTER_MS,
   SOLE_HOLDER_MS,
 } from './control-lease-timing.js';
@@ -37,11 +36,11 @@
 import type { RefusedJob } from '../jobs/refused-jobs.js';
 import type { RelayedTable } from '../relays/relayed-table.js';
 import {
-  createYieldTimer,
   EQUAL_PREFERENCE,
   HANDOVER_CHECK_INTERVAL_MS,
   type HolderPreference,
 } from './holder-preference.js';
+import { createTakeoverRules } from './takeover-rules.js';
 import type { Term } from './term-types.js';
 import { createTerm } from './term.js';
 import type { KnownWave } from '../hosts/wave-tracker.js';
@@ -129,9 +128,9 @@
     durationMs: CONTROL_LEASE_MS,
     marginMs: CONTROL_LEASE_MARGIN_MS,
     renewAfterMs: RENEW_AFTER_MS,
-    mayAcquire: () => isWilling() && (mayTakeAtOnce() || mayTakeAfterYielding()),
+    mayAcquire: () => isWilling() && takeover.mayAcquire(),
     mayReacquire: () => isWilling(),
-    freeAfterMs: () => (isHolderSuspect() ? EARLY_TAKEOVER_MS : undefined),
+    freeAfterMs: () => takeover.freeAfterMs(),
     onUnreadableRow: createRowAlarm({ key: rowKey.lease(CONTROL_LEASE), log, metrics }),
     nowMs,
   });
@@ -141,10 +140,17 @@
     holderTurnMs: () => platform.bounds().holderTurnMs,
     nowMs,
   });
+  const takeover = createTakeoverRules({
+    self,
+    lease: keeper,
+    holderPreference,
+    peerSilentForMs,
+    hasResigned: (fence) => resignations.hasResigned(fence),
+    nowMs,
+  });
   const knownWaves = new Map<number, KnownWave>();
   let term: Term | undefined;
   let isResigned = false;
-  const recordLeaseObservation = createYieldTimer();
   let checkedForStrongerAtMs = 0;
   let lostFence = -1;
   /** Other entries were told that this entry sends no more orders under this fence or an earlier one. */
@@ -160,37 +166,6 @@
   const isWilling = (): boolean =>
     !isResigned && configuration() !== undefined && table.isDirectRouteUp();
 
-  /** True if another entry holds the lease and is silent or has resigned: it may be taken after `EARLY_TAKEOVER_MS`. */
-  const isHolderSuspect = (): boolean => {
-    const holder = keeper.lastRow()?.holder ?? null;
-    if (holder === null || holder === self) return false;
-    return (
-      peerSilentForMs(holder) > HOLDER_SILENCE_LIMIT_MS || resignations.hasResigned(keeper.epoch())
-    );
-  };
-
-  /**
-   * A preferred entry need not leave the lease to others if nobody holds it, or if its holder is this entry or is
-   * suspect. A holder that is heard on the mesh has priority: after an outage of the table it renews its lapsed lease,
-   * and its state of tasks, run times and demand is not lost.
-   */
-  const mayTakeAtOnce = (): boolean => {
-    const holder = keeper.lastRow()?.holder ?? null;
-    return (
-      holderPreference.isPreferred() && (holder === null || holder === self || isHolderSuspect())
-    );
-  };
-
-  /** True if the lease has been free for long enough that every entry with priority could have taken it. */
-  const mayTakeAfterYielding = (): boolean => {
-    const isHeld = (keeper.lastRow()?.holder ?? null) !== null;
-    const takeoverMs = isHolderSuspect()
-      ? EARLY_TAKEOVER_MS
-      : CONTROL_LEASE_MS + CONTROL_LEASE_MARGIN_MS;
-    const freeAfterMs = isHeld ? takeoverMs : 0;
-    return recordLeaseObservation(keeper.unchangedForMs() >= freeAfterMs, nowMs());
-  };
-
   const endTerm = async (reason: string): Promise<void> => {
     const endingTerm = term;
     term = undefined;
