--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -42,15 +42,10 @@
 } from './holder-preference.js';
 import { createTakeoverRules } from './takeover-rules.js';
 import type { Term } from './term-types.js';
+import { createWaitingCounts, type WaitingCounts } from './waiting-counts.js';
 import { createTerm } from './term.js';
 import type { KnownWave } from '../hosts/wave-tracker.js';
 
-/**
- * How long an entry caches the holder's counts of waiting jobs. The counts may be up to 2 s old, and clients ask
- * all entries for them.
- */
-const MAX_WAITING_CACHE_AGE_MS = 700;
-
 /** How long a planned stop tries to give up control, in case the platform is unavailable at first. */
 const RESIGN_TIMEOUT_MS = 4200;
 const RESIGN_RETRY_MS = 250;
@@ -156,8 +151,6 @@
   /** Other entries were told that this entry sends no more orders under this fence or an earlier one. */
   let resignedFence = -1;
   let lastHolder: EntryId | null = null;
-  let waitingCache:
-    { readonly atMs: number; readonly counts: ReadonlyMap<string, number> } | undefined;
 
   /**
    * An entry without its own route to the table does not take control: feeds are read over that route only, so
@@ -292,23 +285,17 @@
     nowMs,
   });
 
-  const countWaitingHere = (): Record<string, number> | undefined => {
+  const countWaitingHere = (): WaitingCounts | undefined => {
     const counts = term?.countWaitingJobs();
     return counts && Object.fromEntries(counts);
   };
 
-  const readWaitingCounts = async (): Promise<ReadonlyMap<string, number> | undefined> => {
-    if (waitingCache && nowMs() - waitingCache.atMs < MAX_WAITING_CACHE_AGE_MS)
-      return waitingCache.counts;
-    const atMs = nowMs();
-    const counts =
-      countWaitingHere() ??
-      ((await holderClient.ask(CONTROL_METHOD.waiting, null)) as
-        Record<string, number> | undefined);
-    if (!counts) return undefined;
-    waitingCache = { atMs, counts: new Map(Object.entries(counts)) };
-    return waitingCache.counts;
-  };
+  const readWaitingCounts = createWaitingCounts({
+    countHere: countWaitingHere,
+    askHolder: async () =>
+      (await holderClient.ask(CONTROL_METHOD.waiting, null)) as WaitingCounts | undefined,
+    nowMs,
+  });
 
   const admitWrittenHere = ({ row, version }: WrittenJob): boolean => {
     if (row.kind === 'live') term?.addAcceptedJob(row, version);
