--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -19,6 +19,7 @@
 
 import type { LinkContext } from './link-context.js';
 import type { OrderTarget } from '../ports.js';
+import { createOrderErrorRecorder, UNHEALTHY_WITHHOLD_MS, withholdWork } from './order-errors.js';
 import { createRemoteClock } from '../remote-clock.js';
 import { createStartOrderSender } from './start-orders.js';
 import { createStopOrderSender } from './stop-orders.js';
@@ -62,11 +63,6 @@
  * acknowledging them.
  */
 const SAVE_WAIT_MS = 80;
-/** An endpoint that rejected a task for lack of capacity gets no new work for this time. */
-const FULL_WITHHOLD_MS = 150;
-/** An endpoint that is unhealthy or does not respond gets no new work for this time. */
-const UNHEALTHY_WITHHOLD_MS = 1000;
-
 /** The effects that are carried out over the link of one endpoint. */
 export type LinkEffect = Extract<BatchEffect, { kind: 'start' | 'stop' | 'pace' | 'ask' }>;
 
@@ -152,28 +148,7 @@
     return untilMs;
   };
 
-  /**
-   * Counts and logs a failed order. Reports a lost fence and a replaced or restarted endpoint to the term, and
-   * withholds new work from an endpoint that is full or unhealthy.
-   */
-  const recordOrderError = (
-    order: string,
-    error: OrderError,
-    fields: Record<string, string | number>,
-  ): void => {
-    metrics.count(`order_${order}_${error.reason.replace('-', '_')}`);
-    log.info('order-failed', { order, endpoint: endpointId, ...fields, ...error });
-    if (error.reason === 'fence') context.onFenceLost();
-    if (error.reason === 'other-endpoint') context.onReplaced(endpointId);
-    if (error.reason === 'other-life') context.onRestarted(endpointId);
-    const endpoint = findEndpoint();
-    const withholdMs = { room: FULL_WITHHOLD_MS, unhealthy: UNHEALTHY_WITHHOLD_MS }[
-      error.reason as string
-    ];
-    if (!endpoint || withholdMs === undefined) return;
-    endpoint.withheldUntilMs = Math.max(endpoint.withheldUntilMs, nowMs() + withholdMs);
-    endpoint.withheldReason = error.reason;
-  };
+  const recordOrderError = createOrderErrorRecorder(endpointId, context);
 
   /**
    * Sends an order and records the delay of its response. A rejection is a response as well, so it does not count as
@@ -272,11 +247,7 @@
     if (misses === MISSES_TO_WITHHOLD) {
       log.warn('endpoint-silent', { endpoint: endpointId, runs: endpoint?.runs.size });
     }
-    if (endpoint)
-      endpoint.withheldUntilMs = Math.max(
-        endpoint.withheldUntilMs,
-        nowMs() + UNHEALTHY_WITHHOLD_MS,
-      );
+    if (endpoint) withholdWork(endpoint, nowMs() + UNHEALTHY_WITHHOLD_MS);
   };
 
   /**
