--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -11,6 +11,7 @@
   type BatchEffect,
   type EndpointState,
   type OrderError,
+  type RunState,
 } from '@valvelatch/core/batch';
 import type { Result } from 'ts-results-es';
 
@@ -18,6 +19,14 @@
 import { createAcknowledgementTracker } from './acknowledgement.js';
 
 import type { LinkContext } from './link-context.js';
+import {
+  computeListPauseMs,
+  computeReportWaitMs,
+  isStopping,
+  MIN_LIST_PAUSE_MS,
+  SAVE_WAIT_MS,
+  STOPPING_LIST_PAUSE_MS,
+} from './list-timing.js';
 import type { OrderTarget } from '../ports.js';
 import { createOrderErrorRecorder, UNHEALTHY_WITHHOLD_MS, withholdWork } from './order-errors.js';
 import { createRemoteClock } from '../remote-clock.js';
@@ -36,33 +45,9 @@
  */
 const LEASE_CLOCK_FACTOR = 1.05;
 const LEASE_MARGIN_MS = 200;
-/** For how long an endpoint may hold back the response to a list request until a run ends. */
-const LIST_WAIT_MS = 400;
-/** The wait while gap-filling tasks run on the endpoint: next to them, load figures must be more recent. */
-const GAP_FILLING_LIST_WAIT_MS = 500;
-/** The wait while a long-running task there is not ready yet. */
-const STARTING_LIST_WAIT_MS = 200;
-/** The shortest pause between two list requests. Runs that end within it are reported in one response. */
-const MIN_LIST_PAUSE_MS = 20;
-/**
- * The longest pause between two list requests. The pause grows with the delay of responses, so that each response
- * reports more ended runs. With a longer pause, a lease of 6 s would depend on one or two list requests.
- */
-const MAX_LIST_PAUSE_MS = 1000;
-
-/** Computes the pause between two list requests from the mean response delay. */
-const computeListPauseMs = (delayMs: number): number =>
-  Math.min(MAX_LIST_PAUSE_MS, Math.max(MIN_LIST_PAUSE_MS, delayMs));
 const RETRY_MS = 250;
 /** The number of consecutive unanswered list requests that show that an endpoint is not merely slow once. */
 const MISSES_TO_WITHHOLD = 2;
-/** The pause between two list requests while a run is being stopped, which takes up to `stopMs` (900). */
-const STOPPING_LIST_PAUSE_MS = 100;
-/**
- * For how long the next list request waits at least for ended runs to be stored, before it is sent without
- * acknowledging them.
- */
-const SAVE_WAIT_MS = 80;
 /** The effects that are carried out over the link of one endpoint. */
 export type LinkEffect = Extract<BatchEffect, { kind: 'start' | 'stop' | 'pace' | 'ask' }>;
 
@@ -114,6 +99,8 @@
 
   const findEndpoint = (): EndpointState | undefined => state.endpoints.get(endpointId);
 
+  const listRuns = (): readonly RunState[] => Array.from(findEndpoint()?.runs.values() ?? []);
+
   const isDomainSuspected = (): boolean => {
     const endpoint = findEndpoint();
     return endpoint !== undefined && isSuspected(state, endpoint);
@@ -226,12 +213,7 @@
       !findEndpoint()?.hasReported
     )
       return 0;
-    const runs = Array.from(findEndpoint()?.runs.values() ?? []);
-    if (runs.length === 0 || runs.some(({ phase }) => phase === 'stopping')) return 0;
-    // Until a long-running task is seen to be ready, no other task of its step may be made unavailable.
-    if (runs.some(({ step, percent }) => step.spec.isLasting && percent < 100))
-      return STARTING_LIST_WAIT_MS;
-    return runs.some(({ step }) => step.spec.fillsGaps) ? GAP_FILLING_LIST_WAIT_MS : LIST_WAIT_MS;
+    return computeReportWaitMs(listRuns());
   };
 
   /**
@@ -329,11 +311,8 @@
       if (!isResponsive()) await sleep(RETRY_MS);
       return;
     }
-    const isStopping = Array.from(findEndpoint()?.runs.values() ?? []).some(
-      ({ phase }) => phase === 'stopping',
-    );
     const pauseMs = computeListPauseMs(context.sharedDelayEstimator.meanMs());
-    await sleep(isStopping ? Math.max(STOPPING_LIST_PAUSE_MS, pauseMs) : pauseMs);
+    await sleep(listRuns().some(isStopping) ? Math.max(STOPPING_LIST_PAUSE_MS, pauseMs) : pauseMs);
     const untilMs = nowMs() + Math.max(SAVE_WAIT_MS, pauseMs);
     while (acknowledgement.storedNumber() < lastAppliedNumber && nowMs() < untilMs)
       await sleep(MIN_LIST_PAUSE_MS);
