--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -11,22 +11,14 @@
   type BatchEffect,
   type EndpointState,
   type OrderError,
-  type RunState,
 } from '@valvelatch/core/batch';
 import type { Result } from 'ts-results-es';
 
-import { sleep } from '../../shared/sleep.js';
 import { createAcknowledgementTracker } from './acknowledgement.js';
 
 import type { LinkContext } from './link-context.js';
-import {
-  computeListPauseMs,
-  computeReportWaitMs,
-  isStopping,
-  MIN_LIST_PAUSE_MS,
-  SAVE_WAIT_MS,
-  STOPPING_LIST_PAUSE_MS,
-} from './list-timing.js';
+import { createEndpointPolling } from './endpoint-polling.js';
+import { computeListPauseMs } from './list-timing.js';
 import type { OrderTarget } from '../ports.js';
 import { createOrderErrorRecorder, UNHEALTHY_WITHHOLD_MS, withholdWork } from './order-errors.js';
 import { createRemoteClock } from '../remote-clock.js';
@@ -45,9 +37,9 @@
  */
 const LEASE_CLOCK_FACTOR = 1.05;
 const LEASE_MARGIN_MS = 200;
-const RETRY_MS = 250;
 /** The number of consecutive unanswered list requests that show that an endpoint is not merely slow once. */
 const MISSES_TO_WITHHOLD = 2;
+
 /** The effects that are carried out over the link of one endpoint. */
 export type LinkEffect = Extract<BatchEffect, { kind: 'start' | 'stop' | 'pace' | 'ask' }>;
 
@@ -87,7 +79,6 @@
   /** The number of the last ended run that was applied. */
   let lastAppliedNumber = 0;
   const acknowledgement = createAcknowledgementTracker(context.nowMs);
-  let isWatching = false;
   let isClosed = false;
   /** The number of unanswered list requests since the last response. */
   let misses = 0;
@@ -99,8 +90,6 @@
 
   const findEndpoint = (): EndpointState | undefined => state.endpoints.get(endpointId);
 
-  const listRuns = (): readonly RunState[] => Array.from(findEndpoint()?.runs.values() ?? []);
-
   const isDomainSuspected = (): boolean => {
     const endpoint = findEndpoint();
     return endpoint !== undefined && isSuspected(state, endpoint);
@@ -188,7 +177,7 @@
     // The list request in flight may be waiting for a run to end, and until then does not show that this run is gone.
     onStopped: async ({ task, run }) => {
       if (findEndpoint()?.runs.get(task)?.run === run) await sendListRequest(0);
-      startPolling();
+      polling.start();
     },
     isClosed: () => isClosed,
   });
@@ -205,17 +194,6 @@
     if (response.isErr()) recordOrderError('pace', response.error, { task, run });
   };
 
-  /** Computes for how long the endpoint may hold back the response to the next list request. */
-  const computeListWaitMs = (): number => {
-    if (
-      isDomainSuspected() ||
-      acknowledgement.storedNumber() < lastAppliedNumber ||
-      !findEndpoint()?.hasReported
-    )
-      return 0;
-    return computeReportWaitMs(listRuns());
-  };
-
   /**
    * Records an unanswered list request. A single one only costs another request; after two in a row the endpoint gets
    * no new work for a time.
@@ -294,58 +272,17 @@
     return true;
   };
 
-  const needsWatch = (): boolean => {
-    const endpoint = findEndpoint();
-    return (
-      endpoint !== undefined &&
-      (endpoint.runs.size > 0 ||
-        !endpoint.hasReported ||
-        isDomainSuspected() ||
-        acknowledgement.storedNumber() < lastAppliedNumber ||
-        acknowledgement.isUnconfirmed())
-    );
-  };
-
-  const pauseAfterRequest = async (hasResponded: boolean): Promise<void> => {
-    if (!hasResponded) {
-      if (!isResponsive()) await sleep(RETRY_MS);
-      return;
-    }
-    const pauseMs = computeListPauseMs(context.sharedDelayEstimator.meanMs());
-    await sleep(listRuns().some(isStopping) ? Math.max(STOPPING_LIST_PAUSE_MS, pauseMs) : pauseMs);
-    const untilMs = nowMs() + Math.max(SAVE_WAIT_MS, pauseMs);
-    while (acknowledgement.storedNumber() < lastAppliedNumber && nowMs() < untilMs)
-      await sleep(MIN_LIST_PAUSE_MS);
-  };
-
-  const watchOnce = async (): Promise<void> => {
-    if (!context.isCertainlyHolder()) await sleep(RETRY_MS);
-    else await pauseAfterRequest(await sendListRequest(computeListWaitMs()));
-  };
-
-  const recordBrokenWatch = async (error: unknown): Promise<void> => {
-    log.error('endpoint-watch-failed', { endpoint: endpointId, detail: String(error) });
-    await sleep(RETRY_MS);
-  };
-
-  /** A request that throws must not end the loop, because the runs there would not be followed any more. */
-  const runListLoop = async (): Promise<void> => {
-    while (!isClosed && needsWatch()) await watchOnce().catch(recordBrokenWatch);
-  };
-
-  const startPolling = (): void => {
-    if (isWatching || isClosed) return;
-    isWatching = true;
-    void runListLoop().finally(() => {
-      isWatching = false;
-    });
-  };
-
-  /** Sends a list request that does not wait, next to the one in flight, which may be waiting for a run to end. */
-  const requestReportNow = (): void => {
-    if (isWatching && context.isCertainlyHolder() && !isClosed) void sendListRequest(0);
-    startPolling();
-  };
+  const polling = createEndpointPolling({
+    endpointId,
+    context,
+    findEndpoint,
+    isDomainSuspected,
+    isResponsive,
+    acknowledgement,
+    lastAppliedNumber: () => lastAppliedNumber,
+    sendListRequest,
+    isClosed: () => isClosed,
+  });
 
   return {
     target,
@@ -353,12 +290,12 @@
     recordStored: acknowledgement.recordStored,
     lateArrivalUntilMs: acknowledgement.lateArrivalUntilMs,
     perform: (effect) => {
-      if (effect.kind === 'start') void start(effect).then(startPolling);
+      if (effect.kind === 'start') void start(effect).then(polling.start);
       if (effect.kind === 'stop') void stopOrders.stop(effect);
       if (effect.kind === 'pace') void pace(effect);
-      if (effect.kind === 'ask') requestReportNow();
+      if (effect.kind === 'ask') polling.requestReportNow();
     },
-    startPolling,
+    startPolling: polling.start,
     close: () => {
       isClosed = true;
       delayEstimator.close();
