Endpoint link: the list requests and the use of their responses are a module

Code is moved; sending, recording and applying a response are functions of their own, in the same order as before.

--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -4,7 +4,6 @@
  */
 import {
   createEndpointDelayEstimator,
-  applyReport,
   isSuspected,
   recordAnswered,
   recordUnanswered,
@@ -18,9 +17,9 @@
 
 import type { LinkContext } from './link-context.js';
 import { createEndpointPolling } from './endpoint-polling.js';
-import { computeListPauseMs } from './list-timing.js';
+import { createListRequestSender } from './list-requests.js';
 import type { OrderTarget } from '../ports.js';
-import { createOrderErrorRecorder, UNHEALTHY_WITHHOLD_MS, withholdWork } from './order-errors.js';
+import { createOrderErrorRecorder } from './order-errors.js';
 import { createRemoteClock } from '../remote-clock.js';
 import { createStartOrderSender } from './start-orders.js';
 import { createStopOrderSender } from './stop-orders.js';
@@ -37,8 +36,6 @@
  */
 const LEASE_CLOCK_FACTOR = 1.05;
 const LEASE_MARGIN_MS = 200;
-/** The number of consecutive unanswered list requests that show that an endpoint is not merely slow once. */
-const MISSES_TO_WITHHOLD = 2;
 
 /** The effects that are carried out over the link of one endpoint. */
 export type LinkEffect = Extract<BatchEffect, { kind: 'start' | 'stop' | 'pace' | 'ask' }>;
@@ -69,25 +66,15 @@
  * @returns The link, which has sent nothing yet.
  */
 export const createEndpointLink = (target: OrderTarget, context: LinkContext): EndpointLink => {
-  const { state, orders, endpointLeaseMs, log, metrics, nowMs } = context;
+  const { state, orders, endpointLeaseMs, log, nowMs } = context;
   const { endpointId } = target;
   const clock = createRemoteClock(nowMs);
-  /** The endpoint's clock in the response that was applied last, in milliseconds. */
-  let reportClockMs = 0;
-  /** False while the last report could not be applied, so that what runs there is not known. */
-  let isLastReportApplied = true;
-  /** The number of the last ended run that was applied. */
-  let lastAppliedNumber = 0;
   const acknowledgement = createAcknowledgementTracker(context.nowMs);
   let isClosed = false;
-  /** The number of unanswered list requests since the last response. */
-  let misses = 0;
   /** The list request in flight from whose response the clock is read; undefined if there is none. */
   let pendingClockRequest: Promise<boolean> | undefined;
   const delayEstimator = createEndpointDelayEstimator(context.sharedDelayEstimator);
 
-  const isResponsive = (): boolean => misses < MISSES_TO_WITHHOLD;
-
   const findEndpoint = (): EndpointState | undefined => state.endpoints.get(endpointId);
 
   const isDomainSuspected = (): boolean => {
@@ -152,7 +139,7 @@
    */
   const refreshClock = async (): Promise<void> => {
     if (!clock.isReadingTooOld()) return;
-    pendingClockRequest ??= sendListRequest(0).finally(() => {
+    pendingClockRequest ??= listRequests.send(0).finally(() => {
       pendingClockRequest = undefined;
     });
     await pendingClockRequest;
@@ -162,7 +149,7 @@
     target,
     context,
     refreshClock,
-    computeLeaseEnd: () => keepUntil(),
+    computeLeaseEnd: keepUntil,
     recordClockReading: clock.recordReading,
     send: sendTimed,
     recordError: (error, fields) => recordOrderError('start', error, fields),
@@ -176,7 +163,7 @@
     recordError: (error, fields) => recordOrderError('stop', error, fields),
     // The list request in flight may be waiting for a run to end, and until then does not show that this run is gone.
     onStopped: async ({ task, run }) => {
-      if (findEndpoint()?.runs.get(task)?.run === run) await sendListRequest(0);
+      if (findEndpoint()?.runs.get(task)?.run === run) await listRequests.send(0);
       polling.start();
     },
     isClosed: () => isClosed,
@@ -194,99 +181,35 @@
     if (response.isErr()) recordOrderError('pace', response.error, { task, run });
   };
 
-  /**
-   * Records an unanswered list request. A single one only costs another request; after two in a row the endpoint gets
-   * no new work for a time.
-   */
-  const recordMiss = (error: OrderError, acknowledged: number): void => {
-    misses += 1;
-    acknowledgement.recordMiss(acknowledged);
-    recordOrderError('list', error, { misses });
-    if (isResponsive()) return;
-    const endpoint = findEndpoint();
-    if (misses === MISSES_TO_WITHHOLD) {
-      log.warn('endpoint-silent', { endpoint: endpointId, runs: endpoint?.runs.size });
-    }
-    if (endpoint) withholdWork(endpoint, nowMs() + UNHEALTHY_WITHHOLD_MS);
-  };
-
-  /**
-   * Sends one list request and applies the response. If the endpoint does not respond, its last report could not be
-   * applied or its domain is suspected, the request does not extend the lease of its runs.
-   *
-   * @returns True if the endpoint responded while the link was open.
-   */
-  const sendListRequest = async (maxWaitMs: number): Promise<boolean> => {
-    const requestedAtMs = nowMs();
-    const mayExtendLease = isResponsive() && isLastReportApplied && !isDomainSuspected();
-    const keepUntilMs = mayExtendLease ? keepUntil() : undefined;
-    const acknowledged = acknowledgement.computeNumberToSend(
-      computeListPauseMs(context.sharedDelayEstimator.meanMs()),
-    );
-    const order = {
-      fence: state.fence,
-      acknowledged,
-      waitMs: misses === 0 ? maxWaitMs : 0,
-      ...(keepUntilMs === undefined ? {} : { keepUntilMs }),
-    };
-    const timeoutMs = delayEstimator.timeoutMs();
-    const response = await orders.list(target, order, timeoutMs);
-    metrics.count('endpoint_looks');
-    if (isClosed) return false;
-    const delayMs = nowMs() - requestedAtMs - order.waitMs;
-    if (response.isErr()) {
-      if (response.error.reason === 'no-answer') {
-        delayEstimator.recordMiss(Math.max(0, delayMs));
-        recordNoResponse();
-      }
-      recordMiss(response.error, acknowledged);
-      return false;
-    }
-    // A response before the end of the wait was held back for an unknown time, so its delay on the network is
-    // unknown.
-    if (delayMs >= 0) delayEstimator.recordResponse(delayMs);
-    if (!isResponsive()) log.info('endpoint-answers', { endpoint: endpointId });
-    misses = 0;
-    acknowledgement.recordResponse(acknowledged);
-    clock.recordReading(response.value);
-    // List requests on different connections may overtake each other, and so may their responses.
-    if (
-      requestedAtMs < (findEndpoint()?.reportedAtMs ?? 0) ||
-      response.value.clockMs < reportClockMs
-    ) {
-      return true;
-    }
-    reportClockMs = response.value.clockMs;
-    const { running, ended, hasMoreEnds, clockMs } = response.value;
-    const newEnds = ended.filter(({ number }) => number > lastAppliedNumber);
-    state.clockMs = nowMs();
-    const report = { running, ended: newEnds, hasMoreEnds, clockMs, requestedAtMs, nowMs: nowMs() };
-    isLastReportApplied = false;
-    applyReport(state, endpointId, report);
-    isLastReportApplied = true;
-    // Only ended runs that were applied may be acknowledged.
-    lastAppliedNumber = Math.max(lastAppliedNumber, ...newEnds.map(({ number }) => number));
-    if (lastAppliedNumber > acknowledgement.storedNumber()) context.requestSave();
-    stopOrders.repeatUnanswered();
-    context.requestScheduling();
-    return true;
-  };
+  const listRequests = createListRequestSender({
+    target,
+    context,
+    clock,
+    acknowledgement,
+    delayEstimator,
+    isDomainSuspected,
+    computeLeaseEnd: keepUntil,
+    recordNoResponse,
+    recordError: recordOrderError,
+    onReportApplied: stopOrders.repeatUnanswered,
+    isClosed: () => isClosed,
+  });
 
   const polling = createEndpointPolling({
     endpointId,
     context,
     findEndpoint,
     isDomainSuspected,
-    isResponsive,
+    isResponsive: listRequests.isResponsive,
     acknowledgement,
-    lastAppliedNumber: () => lastAppliedNumber,
-    sendListRequest,
+    lastAppliedNumber: listRequests.lastAppliedNumber,
+    sendListRequest: listRequests.send,
     isClosed: () => isClosed,
   });
 
   return {
     target,
-    lastAppliedEnd: () => lastAppliedNumber,
+    lastAppliedEnd: listRequests.lastAppliedNumber,
     recordStored: acknowledgement.recordStored,
     lateArrivalUntilMs: acknowledgement.lateArrivalUntilMs,
     perform: (effect) => {
