--- a/packages/daemon/src/batch/control/term-recovery.ts
+++ b/packages/daemon/src/batch/control/term-recovery.ts
@@ -1,6 +1,7 @@
 /** Recovers the state of a term from the stored rows and from the list of endpoints. */
 import { addPendingReports, instanceIdOf, type BatchState } from '@valvelatch/core/batch';
 
+import { sleep } from '../../shared/sleep.js';
 import type { EndpointRoster } from '../endpoints/endpoint-roster.js';
 import type { JobRowReader, RetryUntilTermEnds } from '../jobs/job-row-reader.js';
 import type { EndpointChanges } from '../ports.js';
@@ -36,9 +37,7 @@
     while (!isStopped()) {
       const value = await attempt();
       if (value !== undefined) return value;
-      await new Promise((resolve) => {
-        setTimeout(resolve, RETRY_MS);
-      });
+      await sleep(RETRY_MS);
     }
     return undefined;
   };
