--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -16,6 +16,7 @@
 import type { StartGate } from '../configuration/start-gate.js';
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
+import { describeError } from '../../shared/error-detail.js';
 import { sleep } from '../../shared/sleep.js';
 import type { ControlClient } from '../jobs/control-client.js';
 import type { AcceptOutcome } from '../jobs/job-saver.js';
@@ -195,8 +196,7 @@
     term = newTerm;
     newTerm.fleet.addWaves(Array.from(knownWaves.values()));
     void newTerm.start().catch((error: unknown) => {
-      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
-      log.error('term-failed', { fence, detail });
+      log.error('term-failed', { fence, detail: describeError(error) });
       void endTerm('the term could not be started');
     });
   };
--- a/packages/daemon/src/batch/control/term-loops.ts
+++ b/packages/daemon/src/batch/control/term-loops.ts
@@ -1,5 +1,6 @@
 /** The work that a term repeats for as long as it runs, and how often. */
 import type { Log } from '../../observe/log.js';
+import { describeError } from '../../shared/error-detail.js';
 import { startLoops, type RunningLoops } from '../../shared/loops.js';
 import type { FleetCycle } from '../hosts/fleet-cycle.js';
 
@@ -62,8 +63,5 @@
       },
       { name: 'learned', pauseMs: DEMAND_HISTORY_SAVE_INTERVAL_MS, run: work.saveDemandHistory },
     ],
-    (name, error) => {
-      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
-      log.error('term-loop-failed', { name, detail });
-    },
+    (name, error) => log.error('term-loop-failed', { name, detail: describeError(error) }),
   );
--- a/packages/daemon/src/batch/entry/batch-entry.ts
+++ b/packages/daemon/src/batch/entry/batch-entry.ts
@@ -13,6 +13,7 @@
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
 import type { OperatorResult } from '../../operators/operator-result.js';
+import { describeError } from '../../shared/error-detail.js';
 import { startLoops, type RunningLoops } from '../../shared/loops.js';
 import {
   NEIGHBOUR_POLL_INTERVAL_MS,
@@ -286,10 +287,7 @@
       { name: 'beat', pauseMs: HEARTBEAT_INTERVAL_MS, run: async () => openPeers.sendHeartbeats() },
       { name: 'probe', pauseMs: PROBE_INTERVAL_MS, run: async () => table.probe() },
     ],
-    (name, error) => {
-      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
-      log.error('loop-failed', { name, detail });
-    },
+    (name, error) => log.error('loop-failed', { name, detail: describeError(error) }),
   );
 
   return {
