--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -1,14 +1,12 @@
 /** Manages the control lease at one entry: takes and renews it, runs a term while it is held, and finds its holder. */
 import {
   TABLE_UNAVAILABLE_MS,
-  type BatchJobRow,
-  type Caller,
   type JobStatus,
   type PlacementPolicy,
   type QueueIndex,
   type MaintenanceRequest,
 } from '@valvelatch/core/batch';
-import { brand, type EntryId, type JobId } from '@valvelatch/core/shared/ids';
+import type { EntryId } from '@valvelatch/core/shared/ids';
 import { rowKey } from '@valvelatch/core/rows/rows';
 import type { TableClient } from '@valvelatch/platform';
 
@@ -19,7 +17,6 @@
 import { describeError } from '../../shared/error-detail.js';
 import { sleep } from '../../shared/sleep.js';
 import type { ControlClient } from '../jobs/control-client.js';
-import type { AcceptOutcome } from '../jobs/job-saver.js';
 import { ENDPOINT_LEASE_MS } from '../endpoints/endpoint-link.js';
 import { CONTROL_METHOD, createHolderClient } from './holder-client.js';
 import {
@@ -42,6 +39,7 @@
   type HolderPreference,
 } from './holder-preference.js';
 import { createTakeoverRules } from './takeover-rules.js';
+import { createTermCalls, type CallHandlers } from './term-calls.js';
 import type { Term } from './term-types.js';
 import { createWaitingCounts, type WaitingCounts } from './waiting-counts.js';
 import { createTerm } from './term.js';
@@ -78,9 +76,6 @@
   readonly nowMs?: () => number;
 };
 
-type CancelRequest = { readonly jobId: JobId; readonly caller: Caller };
-type WrittenJob = { readonly row: BatchJobRow; readonly version: number };
-
 export type Control = ControlClient & {
   /** Takes, renews or hands over the lease, and starts and ends terms; to be called several times within a lease. */
   readonly tick: () => Promise<void>;
@@ -285,51 +280,26 @@
     nowMs,
   });
 
-  const countWaitingHere = (): WaitingCounts | undefined => {
-    const counts = term?.countWaitingJobs();
-    return counts && Object.fromEntries(counts);
-  };
+  const termCalls = createTermCalls(() => term);
 
   const readWaitingCounts = createWaitingCounts({
-    countHere: countWaitingHere,
+    countHere: termCalls.countWaiting,
     askHolder: async () =>
       (await holderClient.ask(CONTROL_METHOD.waiting, null)) as WaitingCounts | undefined,
     nowMs,
   });
 
-  const admitWrittenHere = ({ row, version }: WrittenJob): boolean => {
-    if (row.kind === 'live') term?.addAcceptedJob(row, version);
-    return term !== undefined;
-  };
-
-  const acceptHere = async (row: BatchJobRow): Promise<AcceptOutcome | null> =>
-    (row.kind === 'live' ? await term?.accept(row) : undefined) ?? null;
-
-  const recordRefusedHere = (jobs: readonly RefusedJob[]): boolean => {
-    term?.recordRefusedJobs(jobs);
-    return term !== undefined;
-  };
-
-  const handlers: Readonly<Record<string, (payload: unknown) => unknown>> = {
-    [CONTROL_METHOD.phase]: (payload) => term?.statusOf(brand<JobId>(String(payload))) ?? null,
+  const handlers: CallHandlers = {
+    ...termCalls.handlers,
     [CONTROL_METHOD.willing]: () => isWilling(),
-    [CONTROL_METHOD.ready]: () => term?.isReady() ?? false,
-    [CONTROL_METHOD.waiting]: () => countWaitingHere() ?? null,
-    [CONTROL_METHOD.taken]: (payload) => admitWrittenHere(payload as WrittenJob),
-    [CONTROL_METHOD.accept]: (payload) => acceptHere(payload as BatchJobRow),
-    [CONTROL_METHOD.refused]: (payload) => recordRefusedHere(payload as readonly RefusedJob[]),
     [CONTROL_METHOD.resigned]: (payload) => resignFence(Number(payload)),
-    [CONTROL_METHOD.cancelled]: (payload) => {
-      const { jobId, caller } = payload as CancelRequest;
-      return term?.cancel(jobId, caller) ?? null;
-    },
   };
 
   return {
     tick,
     reportRefusedJobs: async (jobs) =>
       term
-        ? recordRefusedHere(jobs)
+        ? termCalls.recordRefused(jobs)
         : (await holderClient.ask(CONTROL_METHOD.refused, jobs)) === true,
     addWaves: (waves) => {
       waves
@@ -362,7 +332,7 @@
       return counts && (counts.get(queue) ?? 0);
     },
     notifyAccepted: (row, version) => {
-      if (term) admitWrittenHere({ row, version });
+      if (term) termCalls.admitWritten({ row, version });
       else holderClient.notifyWritten({ row, version });
     },
     holderSilentMs: () => {
@@ -370,7 +340,8 @@
         return Infinity;
       return peerSilentForMs(lastHolder);
     },
-    accept: async (row) => (await (term ? acceptHere(row) : holderClient.accept(row))) ?? undefined,
+    accept: async (row) =>
+      (await (term ? termCalls.accept(row) : holderClient.accept(row))) ?? undefined,
     notifyCancelled: async (jobId, caller) => {
       const phase = term
         ? term.cancel(jobId, caller)
