--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -1,14 +1,12 @@
 /** Manages the control lease at one entry: takes and renews it, runs a term while it is held, and finds its holder. */
 import {
   TABLE_UNAVAILABLE_MS,
-  type BatchJobRow,
-  type Caller,
   type JobStatus,
   type PlacementPolicy,
   type QueueIndex,
   type MaintenanceRequest,
 } from '@valvelatch/core/batch';
-import { brand, type EntryId, type JobId } from '@valvelatch/core/shared/ids';
+import type { EntryId } from '@valvelatch/core/shared/ids';
 import { rowKey } from '@valvelatch/core/rows/rows';
 import type { TableClient } from '@valvelatch/platform';
 
@@ -16,11 +14,18 @@
 import type { StartGate } from '../configuration/start-gate.js';
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
+import { describeError } from '../../shared/error-detail.js';
 import { sleep } from '../../shared/sleep.js';
 import type { ControlClient } from '../jobs/control-client.js';
-import type { AcceptOutcome } from '../jobs/job-saver.js';
 import { ENDPOINT_LEASE_MS } from '../endpoints/endpoint-link.js';
-import { CONTROL_METHOD, createHolderClient, HOLDER_SILENCE_LIMIT_MS } from './holder-client.js';
+import { CONTROL_METHOD, createHolderClient } from './holder-client.js';
+import {
+  CONTROL_LEASE_MARGIN_MS,
+  CONTROL_LEASE_MS,
+  RENEW_AFTER_MS,
+  SOLE_HOLDER_MS,
+} from './control-lease-timing.js';
+import { createHolderLimits } from './holder-limits.js';
 import { createResignations } from './resignations.js';
 import { createRowAlarm } from './row-alarm.js';
 import { CONTROL_LEASE } from '../keys.js';
@@ -29,79 +34,25 @@
 import type { RefusedJob } from '../jobs/refused-jobs.js';
 import type { RelayedTable } from '../relays/relayed-table.js';
 import {
-  createYieldTimer,
   EQUAL_PREFERENCE,
   HANDOVER_CHECK_INTERVAL_MS,
   type HolderPreference,
 } from './holder-preference.js';
-import { createTerm, type Term } from './term.js';
+import { createTakeoverRules } from './takeover-rules.js';
+import { createTermCalls, type CallHandlers } from './term-calls.js';
+import type { Term } from './term-types.js';
+import { createWaitingCounts, type WaitingCounts } from './waiting-counts.js';
+import { createTerm } from './term.js';
 import type { KnownWave } from '../hosts/wave-tracker.js';
 
-/**
- * Duration of the control lease. A holder without the table continues to order endpoints for this long after its
- * last renewal, so that accepted work continues through an outage of 6 s. A holder that has failed is silent on
- * the mesh too and is replaced sooner (`EARLY_TAKEOVER_MS`).
- */
-const CONTROL_LEASE_MS = 8000;
-/**
- * Renewals come every 1.2 to 1.7 s with this value. The rules below that depend on the age of the last renewal need
- * them that often.
- */
-const RENEW_AFTER_MS = 1300;
-/**
- * Safety margin of the lease between its holder and the entries that may take it. Their clocks may differ by 2 % over
- * the lease; the rest is for late timers.
- */
-const CONTROL_LEASE_MARGIN_MS = 500;
-/**
- * The lease of a holder that is also silent on the mesh is taken after this time without a renewal; a working
- * holder renews every 1.3 to 1.8 s. The silent holder may still act as if it held control, which is safe:
- * endpoints and rows are fenced, and hosts are ordered and jobs of other entries admitted only shortly after a
- * renewal (`MAX_RENEWAL_AGE_FOR_HOST_ORDERS_MS`, `SOLE_HOLDER_MS`).
- */
-const EARLY_TAKEOVER_MS = 2600;
-/**
- * For this long after a renewal no other entry can have taken the lease. Only in this time does the holder admit
- * jobs that other entries wrote, since later ones may have been accepted by a next holder, which starts them; and
- * only in this time does it treat an endpoint's lease as ended, since a next holder may have extended it. Must be
- * less than `EARLY_TAKEOVER_MS` by more than clocks can differ over that time.
- */
-const SOLE_HOLDER_MS = 2400;
-/**
- * How long an entry caches the holder's counts of waiting jobs. The counts may be up to 2 s old, and clients ask
- * all entries for them.
- */
-const MAX_WAITING_CACHE_AGE_MS = 700;
-
 /** How long a planned stop tries to give up control, in case the platform is unavailable at first. */
 const RESIGN_TIMEOUT_MS = 4200;
 const RESIGN_RETRY_MS = 250;
-/**
- * Hosts are ordered only within this time after a renewal, so that an entry that takes over a lapsed lease knows
- * a minimum for the time since the last order.
- */
-const MAX_RENEWAL_AGE_FOR_HOST_ORDERS_MS = 1800;
-/** Added to the minimum time between the host orders of two holders. */
-const HOLDER_TURN_MARGIN_MS = 300;
-
-/**
- * A holder gives up control when its own route to the table has been lost for this long while the table serves its
- * neighbours. With a shorter time a single lost connection would change the holder, which costs 0.5 s; with a
- * longer one accepted jobs wait for the change.
- */
-const TABLE_ROUTE_LOST_MS = 1200;
-
 /**
  * How long one tick waits for the lease to be read or renewed. Without the limit a renewal that hangs for several
  * seconds would keep a holder from noticing that the table serves other entries.
  */
 const LEASE_TICK_TIMEOUT_MS = 600;
-/**
- * A holder cannot renew if the table has not answered it for this long, either on its direct route or on any route.
- * A slow table takes up to 610 ms.
- */
-const TABLE_SILENCE_LIMIT_MS = 1000;
-
 export type ControlOptions = {
   readonly self: EntryId;
   readonly platform: BatchPlatform;
@@ -125,9 +76,6 @@
   readonly nowMs?: () => number;
 };
 
-type CancelRequest = { readonly jobId: JobId; readonly caller: Caller };
-type WrittenJob = { readonly row: BatchJobRow; readonly version: number };
-
 export type Control = ControlClient & {
   /** Takes, renews or hands over the lease, and starts and ends terms; to be called several times within a lease. */
   readonly tick: () => Promise<void>;
@@ -171,23 +119,34 @@
     durationMs: CONTROL_LEASE_MS,
     marginMs: CONTROL_LEASE_MARGIN_MS,
     renewAfterMs: RENEW_AFTER_MS,
-    mayAcquire: () => isWilling() && (mayTakeAtOnce() || mayTakeAfterYielding()),
+    mayAcquire: () => isWilling() && takeover.mayAcquire(),
     mayReacquire: () => isWilling(),
-    freeAfterMs: () => (isHolderSuspect() ? EARLY_TAKEOVER_MS : undefined),
+    freeAfterMs: () => takeover.freeAfterMs(),
     onUnreadableRow: createRowAlarm({ key: rowKey.lease(CONTROL_LEASE), log, metrics }),
     nowMs,
   });
+  const limits = createHolderLimits({
+    lease: keeper,
+    table,
+    holderTurnMs: () => platform.bounds().holderTurnMs,
+    nowMs,
+  });
+  const takeover = createTakeoverRules({
+    self,
+    lease: keeper,
+    holderPreference,
+    peerSilentForMs,
+    hasResigned: (fence) => resignations.hasResigned(fence),
+    nowMs,
+  });
   const knownWaves = new Map<number, KnownWave>();
   let term: Term | undefined;
   let isResigned = false;
-  const recordLeaseObservation = createYieldTimer();
   let checkedForStrongerAtMs = 0;
   let lostFence = -1;
   /** Other entries were told that this entry sends no more orders under this fence or an earlier one. */
   let resignedFence = -1;
   let lastHolder: EntryId | null = null;
-  let waitingCache:
-    { readonly atMs: number; readonly counts: ReadonlyMap<string, number> } | undefined;
 
   /**
    * An entry without its own route to the table does not take control: feeds are read over that route only, so
@@ -196,37 +155,6 @@
   const isWilling = (): boolean =>
     !isResigned && configuration() !== undefined && table.isDirectRouteUp();
 
-  /** True if another entry holds the lease and is silent or has resigned: it may be taken after `EARLY_TAKEOVER_MS`. */
-  const isHolderSuspect = (): boolean => {
-    const holder = keeper.lastRow()?.holder ?? null;
-    if (holder === null || holder === self) return false;
-    return (
-      peerSilentForMs(holder) > HOLDER_SILENCE_LIMIT_MS || resignations.hasResigned(keeper.epoch())
-    );
-  };
-
-  /**
-   * A preferred entry need not leave the lease to others if nobody holds it, or if its holder is this entry or is
-   * suspect. A holder that is heard on the mesh has priority: after an outage of the table it renews its lapsed lease,
-   * and its state of tasks, run times and demand is not lost.
-   */
-  const mayTakeAtOnce = (): boolean => {
-    const holder = keeper.lastRow()?.holder ?? null;
-    return (
-      holderPreference.isPreferred() && (holder === null || holder === self || isHolderSuspect())
-    );
-  };
-
-  /** True if the lease has been free for long enough that every entry with priority could have taken it. */
-  const mayTakeAfterYielding = (): boolean => {
-    const isHeld = (keeper.lastRow()?.holder ?? null) !== null;
-    const takeoverMs = isHolderSuspect()
-      ? EARLY_TAKEOVER_MS
-      : CONTROL_LEASE_MS + CONTROL_LEASE_MARGIN_MS;
-    const freeAfterMs = isHeld ? takeoverMs : 0;
-    return recordLeaseObservation(keeper.unchangedForMs() >= freeAfterMs, nowMs());
-  };
-
   const endTerm = async (reason: string): Promise<void> => {
     const endingTerm = term;
     term = undefined;
@@ -235,28 +163,6 @@
     await endingTerm.stop();
   };
 
-  /**
-   * The delay before this holder's first host order. Two holders that both reach the platform must not order
-   * hosts within `holderTurnMs` of each other. A holder whose lease was taken did not renew it, so it does not reach
-   * the platform; one that gave up its lease recorded for how long it had ordered no host.
-   */
-  const hostOrdersAfterMs = (): number => {
-    if (keeper.previousHolder() !== null) return 0;
-    const distanceMs = platform.bounds().holderTurnMs + HOLDER_TURN_MARGIN_MS;
-    return Math.max(
-      0,
-      distanceMs - keeper.previousHolderIdleMs() - keeper.unchangedBeforeAcquisitionMs(),
-    );
-  };
-
-  /** For how long earlier holders may still order endpoints, by their own clocks. */
-  const formerOrdersRemainingMs = (): number =>
-    Math.max(0, keeper.earlierHoldersUntilMs() - nowMs());
-
-  const mayOrderHosts = (): boolean =>
-    table.isDirectRouteUp() &&
-    keeper.heldUntilMs() - nowMs() > CONTROL_LEASE_MS - MAX_RENEWAL_AGE_FOR_HOST_ORDERS_MS;
-
   const beginTerm = (fence: number): void => {
     const { key, version } = keeper.fence();
     const newTerm = createTerm({
@@ -268,13 +174,13 @@
       metrics,
       nowMs,
       holdsLease: keeper.holds,
-      mayOrderHosts,
-      hostOrderDelayMs: hostOrdersAfterMs(),
-      formerOrdersRemainingMs: formerOrdersRemainingMs(),
+      mayOrderHosts: limits.mayOrderHosts,
+      hostOrderDelayMs: limits.hostOrdersAfterMs(),
+      formerOrdersRemainingMs: limits.formerOrdersRemainingMs(),
       endpointLeaseMs,
       placementPolicy,
       isTableUnavailable: () => table.unansweredForMs() >= TABLE_UNAVAILABLE_MS,
-      soleHolderUntilMs: () => keeper.heldUntilMs() - CONTROL_LEASE_MS + SOLE_HOLDER_MS,
+      soleHolderUntilMs: limits.soleHolderUntilMs,
       configuration,
       startGate,
       onLost: (reason) => {
@@ -285,21 +191,14 @@
     term = newTerm;
     newTerm.fleet.addWaves(Array.from(knownWaves.values()));
     void newTerm.start().catch((error: unknown) => {
-      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
-      log.error('term-failed', { fence, detail });
+      log.error('term-failed', { fence, detail: describeError(error) });
       void endTerm('the term could not be started');
     });
   };
 
-  /** True if the table serves other entries and not this one: then one of them must hold control. */
-  const isTableServingOthersOnly = (): boolean =>
-    nowMs() - table.directRouteLostSinceMs() > TABLE_ROUTE_LOST_MS &&
-    table.lastAnsweredAtMs() - table.directRouteLostSinceMs() > TABLE_ROUTE_LOST_MS / 2 &&
-    nowMs() - table.lastAnsweredAtMs() < TABLE_ROUTE_LOST_MS;
-
   /** The reason why control should go to another entry now; undefined if it should not. */
   const findHandoverReason = async (): Promise<string | undefined> => {
-    if (isTableServingOthersOnly()) return 'the table serves other entries and not this one';
+    if (limits.isTableServingOthersOnly()) return 'the table serves other entries and not this one';
     if (
       holderPreference.isPreferred() ||
       nowMs() - checkedForStrongerAtMs < HANDOVER_CHECK_INTERVAL_MS
@@ -323,16 +222,6 @@
   const isTakenOver = ({ state: { fence } }: Term): boolean =>
     keeper.lastRow()?.holder !== self || keeper.epoch() !== fence;
 
-  /** True if the last renewal is so old that another entry may take the lease, and the table does not answer. */
-  const cannotRenew = (): boolean => {
-    const renewedAtMs = keeper.heldUntilMs() - CONTROL_LEASE_MS;
-    const unansweredMs = Math.max(
-      table.unansweredForMs(),
-      nowMs() - table.directRouteLostSinceMs(),
-    );
-    return nowMs() - renewedAtMs >= SOLE_HOLDER_MS && unansweredMs >= TABLE_SILENCE_LIMIT_MS;
-  };
-
   /**
    * Answers an entry that the table serves and that sees no renewal under a fence. If this entry cannot renew, the
    * term under that fence ends. After a true answer this entry sends no orders under that fence or an earlier one.
@@ -341,7 +230,7 @@
     if (fence <= resignedFence) return true;
     const isHeld = keeper.holds() && keeper.epoch() === fence;
     const isActive = isHeld || term?.state.fence === fence;
-    if ((isActive && !cannotRenew()) || keeper.epoch() > fence) return false;
+    if ((isActive && !limits.cannotRenew()) || keeper.epoch() > fence) return false;
     resignedFence = fence;
     keeper.abandon();
     void endTerm('the table serves other entries and does not answer this one');
@@ -391,57 +280,26 @@
     nowMs,
   });
 
-  const countWaitingHere = (): Record<string, number> | undefined => {
-    const counts = term?.countWaitingJobs();
-    return counts && Object.fromEntries(counts);
-  };
-
-  const readWaitingCounts = async (): Promise<ReadonlyMap<string, number> | undefined> => {
-    if (waitingCache && nowMs() - waitingCache.atMs < MAX_WAITING_CACHE_AGE_MS)
-      return waitingCache.counts;
-    const atMs = nowMs();
-    const counts =
-      countWaitingHere() ??
-      ((await holderClient.ask(CONTROL_METHOD.waiting, null)) as
-        Record<string, number> | undefined);
-    if (!counts) return undefined;
-    waitingCache = { atMs, counts: new Map(Object.entries(counts)) };
-    return waitingCache.counts;
-  };
-
-  const admitWrittenHere = ({ row, version }: WrittenJob): boolean => {
-    if (row.kind === 'live') term?.addAcceptedJob(row, version);
-    return term !== undefined;
-  };
-
-  const acceptHere = async (row: BatchJobRow): Promise<AcceptOutcome | null> =>
-    (row.kind === 'live' ? await term?.accept(row) : undefined) ?? null;
+  const termCalls = createTermCalls(() => term);
 
-  const recordRefusedHere = (jobs: readonly RefusedJob[]): boolean => {
-    term?.recordRefusedJobs(jobs);
-    return term !== undefined;
-  };
+  const readWaitingCounts = createWaitingCounts({
+    countHere: termCalls.countWaiting,
+    askHolder: async () =>
+      (await holderClient.ask(CONTROL_METHOD.waiting, null)) as WaitingCounts | undefined,
+    nowMs,
+  });
 
-  const handlers: Readonly<Record<string, (payload: unknown) => unknown>> = {
-    [CONTROL_METHOD.phase]: (payload) => term?.statusOf(brand<JobId>(String(payload))) ?? null,
+  const handlers: CallHandlers = {
+    ...termCalls.handlers,
     [CONTROL_METHOD.willing]: () => isWilling(),
-    [CONTROL_METHOD.ready]: () => term?.isReady() ?? false,
-    [CONTROL_METHOD.waiting]: () => countWaitingHere() ?? null,
-    [CONTROL_METHOD.taken]: (payload) => admitWrittenHere(payload as WrittenJob),
-    [CONTROL_METHOD.accept]: (payload) => acceptHere(payload as BatchJobRow),
-    [CONTROL_METHOD.refused]: (payload) => recordRefusedHere(payload as readonly RefusedJob[]),
     [CONTROL_METHOD.resigned]: (payload) => resignFence(Number(payload)),
-    [CONTROL_METHOD.cancelled]: (payload) => {
-      const { jobId, caller } = payload as CancelRequest;
-      return term?.cancel(jobId, caller) ?? null;
-    },
   };
 
   return {
     tick,
     reportRefusedJobs: async (jobs) =>
       term
-        ? recordRefusedHere(jobs)
+        ? termCalls.recordRefused(jobs)
         : (await holderClient.ask(CONTROL_METHOD.refused, jobs)) === true,
     addWaves: (waves) => {
       waves
@@ -474,7 +332,7 @@
       return counts && (counts.get(queue) ?? 0);
     },
     notifyAccepted: (row, version) => {
-      if (term) admitWrittenHere({ row, version });
+      if (term) termCalls.admitWritten({ row, version });
       else holderClient.notifyWritten({ row, version });
     },
     holderSilentMs: () => {
@@ -482,7 +340,8 @@
         return Infinity;
       return peerSilentForMs(lastHolder);
     },
-    accept: async (row) => (await (term ? acceptHere(row) : holderClient.accept(row))) ?? undefined,
+    accept: async (row) =>
+      (await (term ? termCalls.accept(row) : holderClient.accept(row))) ?? undefined,
     notifyCancelled: async (jobId, caller) => {
       const phase = term
         ? term.cancel(jobId, caller)
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -5,154 +5,43 @@
 import {
   startDueOccurrences,
   countWaitingJobs,
-  createAdmissionControl,
   createBatchState,
   createSharedDelayEstimator,
   createOrderWindow,
   createScheduleCycle,
-  addPendingReports,
-  instanceIdOf,
-  isFinal,
-  isWithinObjective,
   recordFirstAttempts,
   paceGapFillers,
   remainingSoleHolderMs,
   setAccounts,
-  removeEffects,
   handleStalledAndLapsedRuns,
-  type AdmissionControl,
-  type BatchEffect,
-  type BatchJob,
-  type BatchPhase,
-  type BatchState,
-  type Caller,
-  type JobState,
-  type JobStatus,
   type LapsedEndpoint,
-  type PlacementPolicy,
-  type QueueIndex,
 } from '@valvelatch/core/batch';
-import type { RowCheck } from '@valvelatch/core/rows/transaction';
-import type { EntryId, JobId } from '@valvelatch/core/shared/ids';
 
-import type { Log } from '../../observe/log.js';
-import type { Metrics } from '../../observe/metrics.js';
-import { startLoops, type RunningLoops } from '../../shared/loops.js';
-import { OPEN_GATE, type StartGate } from '../configuration/start-gate.js';
+import type { RunningLoops } from '../../shared/loops.js';
+import { OPEN_GATE } from '../configuration/start-gate.js';
 import { createAdvisor } from '../endpoints/advisor.js';
-import { createCancellations } from '../jobs/cancellations.js';
-import { createEndedJobs } from '../jobs/ended-jobs.js';
 import { createEndpointRoster } from '../endpoints/endpoint-roster.js';
-import { createFleetCycle, type FleetCycle } from '../hosts/fleet-cycle.js';
-import { createEvacuationWatch, type EvacuationWatch } from './evacuation-watch.js';
+import { createFleetCycle } from '../hosts/fleet-cycle.js';
+import { createEvacuationWatch } from './evacuation-watch.js';
 import { createDomainGauges } from './domain-gauges.js';
 import { createHeldTaskLog } from './held-task-log.js';
-import { acquireGuard } from './guard.js';
-import { createJobAdmission, publishAdmissionCounts } from '../jobs/job-admission.js';
-import { createJobRowLookup } from '../jobs/job-row-lookup.js';
-import { createJobRowReader, type RetryUntilTermEnds } from '../jobs/job-row-reader.js';
-import {
-  createJobSaver,
-  type AcceptOutcome,
-  type JobSaver,
-  type LiveRow,
-} from '../jobs/job-saver.js';
+import { publishAdmissionCounts } from '../jobs/job-admission.js';
 import { batchKey } from '../keys.js';
 import { createDemandHistoryStore } from './demand-history-store.js';
 import { logLoad, type LoadLogOptions } from './load-log.js';
+import { createEffectPerformer } from './effect-performer.js';
 import { createRowAlarm } from './row-alarm.js';
 import { createProcessLoadMeter } from './process-load.js';
-import type { BatchPlatform } from '../ports.js';
-import type { RefusedJob } from '../jobs/refused-jobs.js';
+import { createTermGuard } from './term-guard.js';
+import { createTermJobs } from './term-jobs.js';
+import { startTermLoops, TICK_MS } from './term-loops.js';
+import { createTermRecovery } from './term-recovery.js';
+import type { Term, TermOptions } from './term-types.js';
 
-const TICK_MS = 100;
-/** New jobs are announced over the mesh; the feed of rows finds those whose announcement was lost. */
-const JOB_FEED_MS = 500;
-/**
- * The list of endpoints is polled. Each endpoint writes its entry every 1.5 s, so a blocking read would return
- * almost at once each time.
- */
-const ENDPOINT_FEED_MS = 400;
 /** An endpoint's lease may last longer than its duration by this factor, because of a slow clock at the endpoint. */
 const LEASE_CLOCK_FACTOR = 1.05;
 /** An endpoint's lease may last longer by this time in addition, because of a late answer. */
 const LEASE_MARGIN_MS = 500;
-const FEED_RETRY_MS = 300;
-/** A sweep removes up to 40 jobs, so 57 a second: more than the 50 a second that a fleet of 250 endpoints admits. */
-const SWEEP_INTERVAL_MS = 700;
-/** A change of holder loses up to this much of the demand history; each save is one call to the table. */
-const DEMAND_HISTORY_SAVE_INTERVAL_MS = 2000;
-const LOAD_LOG_INTERVAL_MS = 1000;
-
-export type TermOptions = {
-  readonly self: EntryId;
-  readonly fence: number;
-  /** The key and version of the fence row, which each new holder changes; writes of wave rows depend on it. */
-  readonly fenceCheck: RowCheck;
-  readonly platform: BatchPlatform;
-  readonly log: Log;
-  readonly metrics: Metrics;
-  /** True while the lease is certainly held. */
-  readonly holdsLease: () => boolean;
-  /** True while orders to hosts may be sent. */
-  readonly mayOrderHosts: () => boolean;
-  /** How long after its start the term may order hosts for the first time, in milliseconds. */
-  readonly hostOrderDelayMs: number;
-  /** For how long after the start of the term earlier holders may still order endpoints, in milliseconds. */
-  readonly formerOrdersRemainingMs: number;
-  /** How long an endpoint keeps its runs without contact with the holder, in milliseconds. */
-  readonly endpointLeaseMs: number;
-  /** How endpoints are chosen for tasks of short steps; `fullest` if left out. */
-  readonly placementPolicy?: PlacementPolicy;
-  /** True once the table has answered nothing for long enough to count as unavailable. */
-  readonly isTableUnavailable: () => boolean;
-  /**
-   * Until this time no other entry can have become the holder, so that what was not reported to this holder was not
-   * reported to another one either.
-   */
-  readonly soleHolderUntilMs: () => number;
-  /** The operator's queues; undefined until they were read once. */
-  readonly configuration: () => QueueIndex | undefined;
-  /** Decides whether this entry may send start orders; if left out, it always may. */
-  readonly startGate?: StartGate;
-  /** Called once if the term finds that another holder has replaced it. */
-  readonly onLost: (reason: string) => void;
-  readonly nowMs?: () => number;
-  readonly wallClockMs?: () => number;
-};
-
-/** A term as other parts of the entry use it. */
-export type Term = {
-  readonly self: EntryId;
-  readonly state: BatchState;
-  readonly fleet: FleetCycle;
-  readonly evacuations: Omit<EvacuationWatch, 'update' | 'close'>;
-  readonly admission: AdmissionControl;
-  /** Recovers the state from rows and from the list of endpoints, then starts the loops. */
-  readonly start: () => Promise<void>;
-  /** Ends all work of the term. */
-  readonly stop: () => Promise<void>;
-  /** True once it has recovered, while it can answer as the holder. */
-  readonly isReady: () => boolean;
-  /** The status of a job; undefined if the job is unknown or this entry cannot answer as the holder. */
-  readonly statusOf: (jobId: JobId) => JobStatus | undefined;
-  /** The number of waiting jobs by queue; undefined if this entry cannot answer as the holder. */
-  readonly countWaitingJobs: () => ReadonlyMap<string, number> | undefined;
-  /** Writes and admits a job; undefined if this entry cannot act as the holder. */
-  readonly accept: (row: LiveRow) => Promise<AcceptOutcome | undefined>;
-  /**
-   * Admits a job whose row another entry wrote. Ignored before the recovery, and while another entry may have become the
-   * holder.
-   */
-  readonly addAcceptedJob: (row: LiveRow, version: number) => void;
-  /** Records jobs that were refused and that their clients will submit again. */
-  readonly recordRefusedJobs: (jobs: readonly RefusedJob[]) => void;
-  /**
-   * Cancels a job and returns its phase afterwards; `unknown` if the job is not known yet or belongs to another account,
-   * undefined if this entry cannot answer as the holder.
-   */
-  readonly cancel: (jobId: JobId, caller: Caller) => BatchPhase | 'unknown' | undefined;
-};
 
 /**
  * Builds a term.
@@ -189,7 +78,6 @@
     endpointLeaseMs * LEASE_CLOCK_FACTOR + LEASE_MARGIN_MS + formerOrdersRemainingMs;
   const orderWindow = createOrderWindow();
   const sharedDelayEstimator = createSharedDelayEstimator();
-  let guard: RowCheck = { key: batchKey.guard, version: -1 };
   let isStopped = false;
   let isReady = false;
   let isCycleRequested = false;
@@ -227,6 +115,13 @@
     });
   };
 
+  const guard = createTermGuard({
+    table: platform.table,
+    fence,
+    onUnreadableRow: createRowAlarm({ key: batchKey.guard, log, metrics }),
+    onSuperseded: () => endAsLost('a later holder has written the guard row'),
+  });
+
   const roster = createEndpointRoster({
     state,
     feed: platform.endpoints(),
@@ -249,79 +144,29 @@
     isStopped: () => isStopped,
   });
 
-  const endedJobs = createEndedJobs({
+  const jobs = createTermJobs({
+    state,
     table: platform.table,
-    guard: () => guard,
-    log,
+    guard,
     answerableMs: () => platform.bounds().answerableMs,
-    wallClockMs,
-  });
-
-  const saver: JobSaver = createJobSaver({
-    table: platform.table,
-    state,
-    fence: () => guard,
-    log,
-    metrics,
-    wallClockMs,
+    configuration,
     isTableUnavailable,
-    beginRound: () => {
+    isSoleHolder,
+    isHolder,
+    isStopped: () => isStopped,
+    beginSaveRound: () => {
       // An applied end counts as stored only if its job is marked as changed before the round.
       perform();
       return roster.snapshotAppliedEnds();
     },
-    onSaved: ({ job, phase, reason }: JobState) => {
-      endedJobs.add(job.jobId, { phase, reason, ...accountOf(job) }, wallClockMs());
-      state.jobs.delete(job.jobId);
-      saver.versions.delete(job.jobId);
-    },
-    onCrashRecordsSaved: requestCycle,
-    onAccepted: (row, version) => jobRows.addAcceptedJob(row, version),
-    onFenceLost: () => endAsLost('another holder changed the guard row'),
-  });
-
-  const cancellations = createCancellations({
-    state,
-    ended: endedJobs,
-    table: platform.table,
-    guard: () => guard,
-    log,
-    answerableMs: () => platform.bounds().answerableMs,
-    nowMs,
-    wallClockMs,
-  });
-
-  const deleteExpiredRows = async (): Promise<void> => {
-    await endedJobs.deleteExpiredRows();
-    await cancellations.deleteExpiredRows();
-  };
-
-  const jobRows = createJobRowReader({
-    state,
-    table: platform.table,
-    versions: saver.versions,
-    ended: endedJobs,
-    cancellations,
-    configuration,
-    isSoleHolder,
-    isStopped: () => isStopped,
     requestScheduling: requestCycle,
+    endAsLost,
     log,
     metrics,
     nowMs,
     wallClockMs,
   });
-
-  const admission = createAdmissionControl({ state });
-  const admitJob = createJobAdmission({
-    admission,
-    write: saver.accept,
-    hasRow: createJobRowLookup(platform.table),
-    isHolder,
-    log,
-    metrics,
-    nowMs,
-  });
+  const { saver, admission } = jobs;
 
   const demandHistory = createDemandHistoryStore({
     table: platform.table,
@@ -349,32 +194,15 @@
     wallClockMs,
   });
 
-  const effectHandlers: {
-    readonly [Kind in BatchEffect['kind']]: (effect: Extract<BatchEffect, { kind: Kind }>) => void;
-  } = {
-    start: roster.perform,
-    stop: roster.perform,
-    pace: roster.perform,
-    ask: roster.perform,
-    advise: advisor.ask,
-    save: ({ jobId, isUrgent }) => {
-      const job = state.jobs.get(jobId);
-      if (job && isUrgent && isFinal(job.phase)) {
-        log.info('job-ended', { job: jobId, phase: job.phase, reason: job.reason });
-        if (job.phase === 'completed')
-          admission.recordCompletion(job.job, isWithinObjective(state, job, nowMs()));
-      }
-      saver.requestSave(jobId, isUrgent);
-    },
-    note: ({ event, fields }) => log.info(event, fields),
-  };
-
-  const perform = (): void => {
-    removeEffects(state).forEach((effect) => {
-      const handle = effectHandlers[effect.kind] as (one: BatchEffect) => void;
-      handle(effect);
-    });
-  };
+  const perform = createEffectPerformer({
+    state,
+    performAtEndpoint: roster.perform,
+    askForAdvice: advisor.ask,
+    admission,
+    requestSave: saver.requestSave,
+    log,
+    nowMs,
+  });
 
   const cycle = (): void => {
     state.evacuatedDataCentres = startGate.evacuated();
@@ -433,67 +261,6 @@
     cycle();
   };
 
-  const retryUntilDefined: RetryUntilTermEnds = async (attempt) => {
-    while (!isStopped) {
-      const value = await attempt();
-      if (value !== undefined) return value;
-      await new Promise((resolve) => {
-        setTimeout(resolve, FEED_RETRY_MS);
-      });
-    }
-    return undefined;
-  };
-
-  const raiseGuardAlarm = createRowAlarm({ key: batchKey.guard, log, metrics });
-
-  const takeGuardForTerm = async (): Promise<true | undefined> => {
-    const outcome = await acquireGuard(platform.table, fence);
-    if (outcome.kind === 'unreadable') raiseGuardAlarm();
-    if (outcome.kind === 'superseded') endAsLost('a later holder has written the guard row');
-    if (outcome.kind !== 'taken') return undefined;
-    guard = outcome.check;
-    return true;
-  };
-
-  const recover = async (): Promise<void> => {
-    const startedAtMs = nowMs();
-    state.takenOverAtMs = startedAtMs;
-    state.longestLeaseMs = platform.bounds().longestLeaseMs;
-    state.inheritedLeasesEndAtMs = startedAtMs + inheritedLeasesMs;
-    state.formerOrdersEndAtMs = startedAtMs + formerOrdersRemainingMs;
-    state.isHostListAwaited = true;
-    // Only inherited tasks wait for the list of hosts.
-    void fleet.refreshHosts();
-    // The second read finds what an earlier holder wrote after the first read and before the guard row changed.
-    const [, firstRead, endpoints] = await Promise.all([
-      retryUntilDefined(takeGuardForTerm),
-      jobRows.read(retryUntilDefined),
-      retryUntilDefined(roster.readList),
-      demandHistory.restore(),
-    ]);
-    const secondRead = await jobRows.read(retryUntilDefined);
-    if (isStopped || !firstRead || !secondRead || !endpoints) return;
-    state.clockMs = nowMs();
-    jobRows.restore([firstRead, secondRead]);
-    addPendingReports(
-      state,
-      endpoints.changed.map(({ endpointId, pool }) => ({
-        instanceId: instanceIdOf(endpointId),
-        pool,
-      })),
-    );
-    roster.applyListChanges(endpoints);
-    isReady = true;
-    log.info('term-recovered', {
-      fence,
-      jobs: state.jobs.size,
-      ended: endedJobs.count(),
-      endpoints: endpoints.changed.length,
-      tookMs: Math.round(nowMs() - startedAtMs),
-    });
-    perform();
-  };
-
   const fleet = createFleetCycle({
     self,
     fence,
@@ -510,29 +277,53 @@
     dropEndpoint: roster.removeGoneEndpoint,
   });
 
+  /** Begins to act as the holder. */
+  const becomeReady = (endpointCount: number): void => {
+    isReady = true;
+    log.info('term-recovered', {
+      fence,
+      jobs: state.jobs.size,
+      ended: jobs.countEnded(),
+      endpoints: endpointCount,
+      tookMs: Math.round(nowMs() - state.takenOverAtMs),
+    });
+    perform();
+  };
+
+  const recover = createTermRecovery({
+    state,
+    guard,
+    jobRows: jobs.rows,
+    roster,
+    demandHistory,
+    refreshHosts: fleet.refreshHosts,
+    longestLeaseMs: () => platform.bounds().longestLeaseMs,
+    formerOrdersRemainingMs,
+    inheritedLeasesMs,
+    isStopped: () => isStopped,
+    onRecovered: becomeReady,
+    nowMs,
+  });
+
   const start = async (): Promise<void> => {
     log.info('term-started', { fence });
     // Runs in parallel with the recovery, which takes several calls.
     void confirmEvacuations();
     await recover();
     if (isStopped) return;
-    loops = startLoops(
-      [
-        { name: 'tick', pauseMs: TICK_MS, run: tick },
-        { name: 'evacuations', pauseMs: TICK_MS, run: confirmEvacuations },
-        { name: 'endpoints', pauseMs: ENDPOINT_FEED_MS, run: roster.refresh },
-        { name: 'jobs', pauseMs: JOB_FEED_MS, run: jobRows.applyChanges },
-        { name: 'fleet', pauseMs: fleet.intervalMs, run: fleet.run },
-        { name: 'waves', pauseMs: fleet.intervalMs, run: fleet.syncWaves },
-        { name: 'sweep', pauseMs: SWEEP_INTERVAL_MS, run: deleteExpiredRows },
-        { name: 'load', pauseMs: LOAD_LOG_INTERVAL_MS, run: async () => reportLoad() },
-        { name: 'domains', pauseMs: LOAD_LOG_INTERVAL_MS, run: async () => domainGauges.update() },
-        { name: 'learned', pauseMs: DEMAND_HISTORY_SAVE_INTERVAL_MS, run: demandHistory.save },
-      ],
-      (name, error) => {
-        const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
-        log.error('term-loop-failed', { name, detail });
+    loops = startTermLoops(
+      {
+        tick,
+        confirmEvacuations,
+        refreshEndpoints: roster.refresh,
+        readJobRows: jobs.rows.applyChanges,
+        fleet,
+        deleteExpiredRows: jobs.deleteExpiredRows,
+        reportLoad,
+        updateDomainGauges: domainGauges.update,
+        saveDemandHistory: demandHistory.save,
       },
+      log,
     );
     requestCycle();
   };
@@ -556,43 +347,22 @@
     start,
     stop,
     isReady: isHolder,
-    statusOf: (jobId) =>
-      !isHolder()
-        ? undefined
-        : (endedJobs.findStatus(jobId) ?? reportedStatus(state.jobs.get(jobId))),
+    statusOf: (jobId) => (isHolder() ? jobs.findStatus(jobId) : undefined),
     countWaitingJobs: () => (isHolder() ? countWaitingJobs(state) : undefined),
-    accept: async (row) => {
-      if (!isHolder()) return undefined;
-      const { jobId } = row.job;
-      if (state.jobs.has(jobId) || endedJobs.has(jobId)) return { kind: 'conflict' };
-      return admitJob(row);
-    },
+    accept: async (row) => (isHolder() ? jobs.accept(row) : undefined),
     addAcceptedJob: (row, version) => {
-      if (isReady && !isStopped && isSoleHolder()) jobRows.addAcceptedJob(row, version);
+      if (isReady && !isStopped && isSoleHolder()) jobs.rows.addAcceptedJob(row, version);
     },
-    recordRefusedJobs: (jobs) =>
+    recordRefusedJobs: (refused) =>
       recordFirstAttempts(
         state,
-        jobs.map(([jobId, agoMs]) => ({ jobId, atMs: nowMs() - agoMs })),
+        refused.map(([jobId, agoMs]) => ({ jobId, atMs: nowMs() - agoMs })),
       ),
     cancel: (jobId, caller) => {
       if (!isHolder()) return undefined;
-      const phase = cancellations.apply({ jobId, caller, source: 'notice' });
+      const phase = jobs.cancel(jobId, caller);
       perform();
       return phase ?? 'unknown';
     },
   };
 };
-
-const accountOf = ({ owner }: BatchJob): Pick<JobStatus, 'account'> =>
-  owner ? { account: owner.account } : {};
-
-/**
- * The status of a job whose row is not yet saved as ended. A completed or failed job is reported as running until its
- * end is written, so that any entry can find a reported end in the row.
- */
-const reportedStatus = (job: JobState | undefined): JobStatus | undefined => {
-  if (!job) return undefined;
-  const isReportable = job.phase !== 'completed' && job.phase !== 'failed';
-  return { phase: isReportable ? job.phase : 'running', reason: '', ...accountOf(job.job) };
-};
--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -4,7 +4,6 @@
  */
 import {
   createEndpointDelayEstimator,
-  applyReport,
   isSuspected,
   recordAnswered,
   recordUnanswered,
@@ -14,11 +13,13 @@
 } from '@valvelatch/core/batch';
 import type { Result } from 'ts-results-es';
 
-import { sleep } from '../../shared/sleep.js';
 import { createAcknowledgementTracker } from './acknowledgement.js';
 
 import type { LinkContext } from './link-context.js';
+import { createEndpointPolling } from './endpoint-polling.js';
+import { createListRequestSender } from './list-requests.js';
 import type { OrderTarget } from '../ports.js';
+import { createOrderErrorRecorder } from './order-errors.js';
 import { createRemoteClock } from '../remote-clock.js';
 import { createStartOrderSender } from './start-orders.js';
 import { createStopOrderSender } from './stop-orders.js';
@@ -35,37 +36,6 @@
  */
 const LEASE_CLOCK_FACTOR = 1.05;
 const LEASE_MARGIN_MS = 200;
-/** For how long an endpoint may hold back the response to a list request until a run ends. */
-const LIST_WAIT_MS = 400;
-/** The wait while gap-filling tasks run on the endpoint: next to them, load figures must be more recent. */
-const GAP_FILLING_LIST_WAIT_MS = 500;
-/** The wait while a long-running task there is not ready yet. */
-const STARTING_LIST_WAIT_MS = 200;
-/** The shortest pause between two list requests. Runs that end within it are reported in one response. */
-const MIN_LIST_PAUSE_MS = 20;
-/**
- * The longest pause between two list requests. The pause grows with the delay of responses, so that each response
- * reports more ended runs. With a longer pause, a lease of 6 s would depend on one or two list requests.
- */
-const MAX_LIST_PAUSE_MS = 1000;
-
-/** Computes the pause between two list requests from the mean response delay. */
-const computeListPauseMs = (delayMs: number): number =>
-  Math.min(MAX_LIST_PAUSE_MS, Math.max(MIN_LIST_PAUSE_MS, delayMs));
-const RETRY_MS = 250;
-/** The number of consecutive unanswered list requests that show that an endpoint is not merely slow once. */
-const MISSES_TO_WITHHOLD = 2;
-/** The pause between two list requests while a run is being stopped, which takes up to `stopMs` (900). */
-const STOPPING_LIST_PAUSE_MS = 100;
-/**
- * For how long the next list request waits at least for ended runs to be stored, before it is sent without
- * acknowledging them.
- */
-const SAVE_WAIT_MS = 80;
-/** An endpoint that rejected a task for lack of capacity gets no new work for this time. */
-const FULL_WITHHOLD_MS = 150;
-/** An endpoint that is unhealthy or does not respond gets no new work for this time. */
-const UNHEALTHY_WITHHOLD_MS = 1000;
 
 /** The effects that are carried out over the link of one endpoint. */
 export type LinkEffect = Extract<BatchEffect, { kind: 'start' | 'stop' | 'pace' | 'ask' }>;
@@ -96,26 +66,15 @@
  * @returns The link, which has sent nothing yet.
  */
 export const createEndpointLink = (target: OrderTarget, context: LinkContext): EndpointLink => {
-  const { state, orders, endpointLeaseMs, log, metrics, nowMs } = context;
+  const { state, orders, endpointLeaseMs, log, nowMs } = context;
   const { endpointId } = target;
   const clock = createRemoteClock(nowMs);
-  /** The endpoint's clock in the response that was applied last, in milliseconds. */
-  let reportClockMs = 0;
-  /** False while the last report could not be applied, so that what runs there is not known. */
-  let isLastReportApplied = true;
-  /** The number of the last ended run that was applied. */
-  let lastAppliedNumber = 0;
   const acknowledgement = createAcknowledgementTracker(context.nowMs);
-  let isWatching = false;
   let isClosed = false;
-  /** The number of unanswered list requests since the last response. */
-  let misses = 0;
   /** The list request in flight from whose response the clock is read; undefined if there is none. */
   let pendingClockRequest: Promise<boolean> | undefined;
   const delayEstimator = createEndpointDelayEstimator(context.sharedDelayEstimator);
 
-  const isResponsive = (): boolean => misses < MISSES_TO_WITHHOLD;
-
   const findEndpoint = (): EndpointState | undefined => state.endpoints.get(endpointId);
 
   const isDomainSuspected = (): boolean => {
@@ -152,28 +111,7 @@
     return untilMs;
   };
 
-  /**
-   * Counts and logs a failed order. Reports a lost fence and a replaced or restarted endpoint to the term, and
-   * withholds new work from an endpoint that is full or unhealthy.
-   */
-  const recordOrderError = (
-    order: string,
-    error: OrderError,
-    fields: Record<string, string | number>,
-  ): void => {
-    metrics.count(`order_${order}_${error.reason.replace('-', '_')}`);
-    log.info('order-failed', { order, endpoint: endpointId, ...fields, ...error });
-    if (error.reason === 'fence') context.onFenceLost();
-    if (error.reason === 'other-endpoint') context.onReplaced(endpointId);
-    if (error.reason === 'other-life') context.onRestarted(endpointId);
-    const endpoint = findEndpoint();
-    const withholdMs = { room: FULL_WITHHOLD_MS, unhealthy: UNHEALTHY_WITHHOLD_MS }[
-      error.reason as string
-    ];
-    if (!endpoint || withholdMs === undefined) return;
-    endpoint.withheldUntilMs = Math.max(endpoint.withheldUntilMs, nowMs() + withholdMs);
-    endpoint.withheldReason = error.reason;
-  };
+  const recordOrderError = createOrderErrorRecorder(endpointId, context);
 
   /**
    * Sends an order and records the delay of its response. A rejection is a response as well, so it does not count as
@@ -201,7 +139,7 @@
    */
   const refreshClock = async (): Promise<void> => {
     if (!clock.isReadingTooOld()) return;
-    pendingClockRequest ??= sendListRequest(0).finally(() => {
+    pendingClockRequest ??= listRequests.send(0).finally(() => {
       pendingClockRequest = undefined;
     });
     await pendingClockRequest;
@@ -211,7 +149,7 @@
     target,
     context,
     refreshClock,
-    computeLeaseEnd: () => keepUntil(),
+    computeLeaseEnd: keepUntil,
     recordClockReading: clock.recordReading,
     send: sendTimed,
     recordError: (error, fields) => recordOrderError('start', error, fields),
@@ -225,8 +163,8 @@
     recordError: (error, fields) => recordOrderError('stop', error, fields),
     // The list request in flight may be waiting for a run to end, and until then does not show that this run is gone.
     onStopped: async ({ task, run }) => {
-      if (findEndpoint()?.runs.get(task)?.run === run) await sendListRequest(0);
-      startPolling();
+      if (findEndpoint()?.runs.get(task)?.run === run) await listRequests.send(0);
+      polling.start();
     },
     isClosed: () => isClosed,
   });
@@ -243,172 +181,44 @@
     if (response.isErr()) recordOrderError('pace', response.error, { task, run });
   };
 
-  /** Computes for how long the endpoint may hold back the response to the next list request. */
-  const computeListWaitMs = (): number => {
-    if (
-      isDomainSuspected() ||
-      acknowledgement.storedNumber() < lastAppliedNumber ||
-      !findEndpoint()?.hasReported
-    )
-      return 0;
-    const runs = Array.from(findEndpoint()?.runs.values() ?? []);
-    if (runs.length === 0 || runs.some(({ phase }) => phase === 'stopping')) return 0;
-    // Until a long-running task is seen to be ready, no other task of its step may be made unavailable.
-    if (runs.some(({ step, percent }) => step.spec.isLasting && percent < 100))
-      return STARTING_LIST_WAIT_MS;
-    return runs.some(({ step }) => step.spec.fillsGaps) ? GAP_FILLING_LIST_WAIT_MS : LIST_WAIT_MS;
-  };
-
-  /**
-   * Records an unanswered list request. A single one only costs another request; after two in a row the endpoint gets
-   * no new work for a time.
-   */
-  const recordMiss = (error: OrderError, acknowledged: number): void => {
-    misses += 1;
-    acknowledgement.recordMiss(acknowledged);
-    recordOrderError('list', error, { misses });
-    if (isResponsive()) return;
-    const endpoint = findEndpoint();
-    if (misses === MISSES_TO_WITHHOLD) {
-      log.warn('endpoint-silent', { endpoint: endpointId, runs: endpoint?.runs.size });
-    }
-    if (endpoint)
-      endpoint.withheldUntilMs = Math.max(
-        endpoint.withheldUntilMs,
-        nowMs() + UNHEALTHY_WITHHOLD_MS,
-      );
-  };
-
-  /**
-   * Sends one list request and applies the response. If the endpoint does not respond, its last report could not be
-   * applied or its domain is suspected, the request does not extend the lease of its runs.
-   *
-   * @returns True if the endpoint responded while the link was open.
-   */
-  const sendListRequest = async (maxWaitMs: number): Promise<boolean> => {
-    const requestedAtMs = nowMs();
-    const mayExtendLease = isResponsive() && isLastReportApplied && !isDomainSuspected();
-    const keepUntilMs = mayExtendLease ? keepUntil() : undefined;
-    const acknowledged = acknowledgement.computeNumberToSend(
-      computeListPauseMs(context.sharedDelayEstimator.meanMs()),
-    );
-    const order = {
-      fence: state.fence,
-      acknowledged,
-      waitMs: misses === 0 ? maxWaitMs : 0,
-      ...(keepUntilMs === undefined ? {} : { keepUntilMs }),
-    };
-    const timeoutMs = delayEstimator.timeoutMs();
-    const response = await orders.list(target, order, timeoutMs);
-    metrics.count('endpoint_looks');
-    if (isClosed) return false;
-    const delayMs = nowMs() - requestedAtMs - order.waitMs;
-    if (response.isErr()) {
-      if (response.error.reason === 'no-answer') {
-        delayEstimator.recordMiss(Math.max(0, delayMs));
-        recordNoResponse();
-      }
-      recordMiss(response.error, acknowledged);
-      return false;
-    }
-    // A response before the end of the wait was held back for an unknown time, so its delay on the network is
-    // unknown.
-    if (delayMs >= 0) delayEstimator.recordResponse(delayMs);
-    if (!isResponsive()) log.info('endpoint-answers', { endpoint: endpointId });
-    misses = 0;
-    acknowledgement.recordResponse(acknowledged);
-    clock.recordReading(response.value);
-    // List requests on different connections may overtake each other, and so may their responses.
-    if (
-      requestedAtMs < (findEndpoint()?.reportedAtMs ?? 0) ||
-      response.value.clockMs < reportClockMs
-    ) {
-      return true;
-    }
-    reportClockMs = response.value.clockMs;
-    const { running, ended, hasMoreEnds, clockMs } = response.value;
-    const newEnds = ended.filter(({ number }) => number > lastAppliedNumber);
-    state.clockMs = nowMs();
-    const report = { running, ended: newEnds, hasMoreEnds, clockMs, requestedAtMs, nowMs: nowMs() };
-    isLastReportApplied = false;
-    applyReport(state, endpointId, report);
-    isLastReportApplied = true;
-    // Only ended runs that were applied may be acknowledged.
-    lastAppliedNumber = Math.max(lastAppliedNumber, ...newEnds.map(({ number }) => number));
-    if (lastAppliedNumber > acknowledgement.storedNumber()) context.requestSave();
-    stopOrders.repeatUnanswered();
-    context.requestScheduling();
-    return true;
-  };
-
-  const needsWatch = (): boolean => {
-    const endpoint = findEndpoint();
-    return (
-      endpoint !== undefined &&
-      (endpoint.runs.size > 0 ||
-        !endpoint.hasReported ||
-        isDomainSuspected() ||
-        acknowledgement.storedNumber() < lastAppliedNumber ||
-        acknowledgement.isUnconfirmed())
-    );
-  };
-
-  const pauseAfterRequest = async (hasResponded: boolean): Promise<void> => {
-    if (!hasResponded) {
-      if (!isResponsive()) await sleep(RETRY_MS);
-      return;
-    }
-    const isStopping = Array.from(findEndpoint()?.runs.values() ?? []).some(
-      ({ phase }) => phase === 'stopping',
-    );
-    const pauseMs = computeListPauseMs(context.sharedDelayEstimator.meanMs());
-    await sleep(isStopping ? Math.max(STOPPING_LIST_PAUSE_MS, pauseMs) : pauseMs);
-    const untilMs = nowMs() + Math.max(SAVE_WAIT_MS, pauseMs);
-    while (acknowledgement.storedNumber() < lastAppliedNumber && nowMs() < untilMs)
-      await sleep(MIN_LIST_PAUSE_MS);
-  };
-
-  const watchOnce = async (): Promise<void> => {
-    if (!context.isCertainlyHolder()) await sleep(RETRY_MS);
-    else await pauseAfterRequest(await sendListRequest(computeListWaitMs()));
-  };
-
-  const recordBrokenWatch = async (error: unknown): Promise<void> => {
-    log.error('endpoint-watch-failed', { endpoint: endpointId, detail: String(error) });
-    await sleep(RETRY_MS);
-  };
-
-  /** A request that throws must not end the loop, because the runs there would not be followed any more. */
-  const runListLoop = async (): Promise<void> => {
-    while (!isClosed && needsWatch()) await watchOnce().catch(recordBrokenWatch);
-  };
-
-  const startPolling = (): void => {
-    if (isWatching || isClosed) return;
-    isWatching = true;
-    void runListLoop().finally(() => {
-      isWatching = false;
-    });
-  };
+  const listRequests = createListRequestSender({
+    target,
+    context,
+    clock,
+    acknowledgement,
+    delayEstimator,
+    isDomainSuspected,
+    computeLeaseEnd: keepUntil,
+    recordNoResponse,
+    recordError: recordOrderError,
+    onReportApplied: stopOrders.repeatUnanswered,
+    isClosed: () => isClosed,
+  });
 
-  /** Sends a list request that does not wait, next to the one in flight, which may be waiting for a run to end. */
-  const requestReportNow = (): void => {
-    if (isWatching && context.isCertainlyHolder() && !isClosed) void sendListRequest(0);
-    startPolling();
-  };
+  const polling = createEndpointPolling({
+    endpointId,
+    context,
+    findEndpoint,
+    isDomainSuspected,
+    isResponsive: listRequests.isResponsive,
+    acknowledgement,
+    lastAppliedNumber: listRequests.lastAppliedNumber,
+    sendListRequest: listRequests.send,
+    isClosed: () => isClosed,
+  });
 
   return {
     target,
-    lastAppliedEnd: () => lastAppliedNumber,
+    lastAppliedEnd: listRequests.lastAppliedNumber,
     recordStored: acknowledgement.recordStored,
     lateArrivalUntilMs: acknowledgement.lateArrivalUntilMs,
     perform: (effect) => {
-      if (effect.kind === 'start') void start(effect).then(startPolling);
+      if (effect.kind === 'start') void start(effect).then(polling.start);
       if (effect.kind === 'stop') void stopOrders.stop(effect);
       if (effect.kind === 'pace') void pace(effect);
-      if (effect.kind === 'ask') requestReportNow();
+      if (effect.kind === 'ask') polling.requestReportNow();
     },
-    startPolling,
+    startPolling: polling.start,
     close: () => {
       isClosed = true;
       delayEstimator.close();
