Suspects of many jobs start within seconds once a storm of crashes is over

Cause: each suspect's job had an endpoint of its own for an observation period, on a quarter to a half of the pool's endpoints. The pool starts two or three suspect jobs a second, so the wait of the last one grows with their number; and as suspects that wait take little room, other pools take the hosts meanwhile, which leaves fewer endpoints to isolate.

Change: once no endpoint has crashed for 3 s, suspects each of whose crashes was correlated, two at most, run beside suspects of other jobs on the isolated endpoints. Gangs, tasks that may explain a crash, and those with three crashes have an endpoint of their own as before. A crash there is no longer calm and not correlated, so each of them has its own endpoint then.

Ruled out: crash records that stay unwritten and announced starts (`tasks-held` names neither), tickets of advice (the site has none).

--- a/packages/core/src/batch/crashes/isolation.test.ts
+++ b/packages/core/src/batch/crashes/isolation.test.ts
@@ -407,10 +407,14 @@
     countedAtMs: 0,
   };
 
-  const suspectAllTasks = (state: BatchState, jobId: JobId): void => {
+  const suspectAllTasks = (
+    state: BatchState,
+    jobId: JobId,
+    crashes: readonly EndpointCrash[] = [CRASH],
+  ): void => {
     const job = state.jobs.get(jobId);
     if (job) state.suspectJobs.add(job);
-    tasksOf(state, jobId).forEach((task) => change(task, { crashes: [CRASH] }));
+    tasksOf(state, jobId).forEach((task) => change(task, { crashes }));
   };
 
   const describeEndpoint = (endpointId: EndpointId) => ({
@@ -488,4 +492,45 @@
     schedulePool(state, elsewhere, 70);
     expect(placesOf(state, OTHER)).toEqual([SECOND]);
   });
+
+  describe('beside a suspect of another job on the only endpoint', () => {
+    const CORRELATED: EndpointCrash = { ...CRASH, isSoleSuspect: false, isCorrelated: true };
+
+    /** Tells whether the tasks of both jobs are started; the last endpoint crashed at 2 s. */
+    const areBothStarted = (
+      crashes: readonly EndpointCrash[],
+      { step = {}, nowMs = 5000 }: { step?: Partial<StepSpec>; nowMs?: number } = {},
+    ): boolean => {
+      const state = createBatchState(2);
+      addEndpoints(state, FIRST, SECOND);
+      crash(state, SECOND, 2000);
+      submit(state, OTHER, {}, 20);
+      suspectAllTasks(state, OTHER, [CORRELATED]);
+      submit(state, SUSPECT, step, 30);
+      suspectAllTasks(state, SUSPECT, crashes);
+      scheduleAfterWrites(state, nowMs);
+      scheduleAfterWrites(state, nowMs + 10);
+      return [OTHER, SUSPECT].every((jobId) => placesOf(state, jobId).length > 0);
+    };
+
+    it('is started there if each of its crashes came together with others', () => {
+      expect(areBothStarted([CORRELATED])).toBe(true);
+      expect(areBothStarted([CORRELATED, CORRELATED])).toBe(true);
+    });
+
+    it('waits if it may explain one of its crashes, or one more might have it given up', () => {
+      expect(areBothStarted([CRASH])).toBe(false);
+      expect(areBothStarted([CORRELATED, CRASH])).toBe(false);
+      expect(areBothStarted([CORRELATED, CORRELATED, CORRELATED])).toBe(false);
+    });
+
+    it('waits if it belongs to a gang', () => {
+      expect(areBothStarted([CORRELATED], { step: { isGang: true, taskCount: 2 } })).toBe(false);
+    });
+
+    it('waits until no endpoint has crashed for 3 s', () => {
+      expect(areBothStarted([CORRELATED], { nowMs: 4900 })).toBe(false);
+      expect(areBothStarted([CORRELATED], { nowMs: 5100 })).toBe(true);
+    });
+  });
 });
--- a/packages/core/src/batch/crashes/isolation.ts
+++ b/packages/core/src/batch/crashes/isolation.ts
@@ -2,6 +2,10 @@
  * Isolates suspects, the tasks under which endpoints crashed. Each runs on an endpoint of its own until the endpoint has
  * been alive with it for the observation period. If the task does crash its endpoint, no work of other jobs is lost and
  * the crash is conclusive. If it does not, little is lost: other tasks are placed elsewhere for a quarter of a second.
+ *
+ * After many endpoints crashed together, hundreds of tasks are suspects, and most are harmless. Once no endpoint crashes
+ * any more, those that nothing else speaks against run beside each other, also on isolated endpoints. If one of them
+ * crashes its endpoint, each of the others loses that run, and has an endpoint of its own from then on.
  */
 import type { EndpointId, PoolName } from '../../shared/ids.js';
 import { isSuspect } from './endpoint-crashes.js';
@@ -36,8 +40,27 @@
  */
 const MAX_WAIT_MS = 2000;
 
-/** Reserved endpoints, each with the only job whose tasks may start on it. */
-export type IsolatedEndpoints = ReadonlyMap<EndpointId, JobState>;
+/**
+ * Suspects of different jobs may run beside each other once no endpoint has crashed for this long. Each observation
+ * period then proves many of them, and the number of suspects does not determine how long the last one waits.
+ */
+const CALM_MS = 3000;
+/**
+ * A suspect with more crashes than this shares no endpoint, because another crash, under a task beside it, could have it
+ * given up.
+ */
+const MAX_SHARED_CRASHES = 2;
+
+/** What an endpoint is reserved for. */
+export type Isolation = {
+  /** The jobs that it was reserved for. Only their tasks may start on it, unless it is shared. */
+  readonly jobs: ReadonlySet<JobState>;
+  /** Whether all suspects may start on it that may run beside suspects of other jobs. */
+  readonly isShared: boolean;
+};
+
+/** The reserved endpoints. */
+export type IsolatedEndpoints = ReadonlyMap<EndpointId, Isolation>;
 
 /** No endpoint is isolated. */
 export const NO_ISOLATED_ENDPOINTS: IsolatedEndpoints = new Map();
@@ -60,6 +83,23 @@
 const isUnproven = (endpoint: EndpointState, run: RunState): boolean =>
   isSuspect(run.task) && !hasSurvivedObservation(endpoint, run);
 
+/**
+ * Tells whether a suspect may run beside suspects of other jobs: other endpoints crashed together with each of those that
+ * crashed under it, so nothing but the time of a crash speaks against the task.
+ */
+const isSharable = ({ crashes }: Task): boolean =>
+  crashes.length <= MAX_SHARED_CRASHES && crashes.every(({ isCorrelated }) => isCorrelated);
+
+/** Tells whether no endpoint has crashed for some time, as far as this holder knows. */
+const isCalm = ({ recentCrashes }: BatchState, nowMs: number): boolean =>
+  recentCrashes.every(({ atMs }) => nowMs - atMs >= CALM_MS);
+
+/** Tells whether the suspects of a step may run beside suspects of other jobs now. */
+const mayShareIsolation = (state: BatchState, step: StepRun, nowMs: number): boolean =>
+  isCalm(state, nowMs) &&
+  !step.spec.isGang &&
+  waitingSuspects(state, step).every((task) => isSharable(task));
+
 /** Lists the endpoints that have tasks of a job. */
 const endpointsWith = (state: BatchState, { occurrences }: JobState): readonly EndpointState[] => {
   const steps = Array.from(occurrences.values()).flatMap((one) => one.steps);
@@ -67,21 +107,23 @@
   return Array.from(ids).flatMap((endpointId) => state.endpoints.get(endpointId) ?? []);
 };
 
-/** Finds the endpoints of a pool with a run of a suspect that has not yet survived the observation period. */
+/** Finds the endpoints of a pool with runs of suspects that have not yet survived the observation period. */
 const endpointsWithUnprovenRuns = (
   state: BatchState,
   pool: PoolName | undefined,
-): Map<EndpointId, JobState> => {
-  const found = new Map<EndpointId, JobState>();
-  state.suspectJobs.forEach((job) => {
-    if (job.job.pool !== pool) return;
-    endpointsWith(state, job)
-      .filter((endpoint) =>
-        Array.from(endpoint.runs.values()).some(
-          (run) => run.step.job === job && isUnproven(endpoint, run),
-        ),
-      )
-      .forEach(({ endpointId }) => found.set(endpointId, job));
+): Map<EndpointId, Isolation> => {
+  const jobs = Array.from(state.suspectJobs).filter(({ job }) => job.pool === pool);
+  const endpoints = new Set(jobs.flatMap((job) => endpointsWith(state, job)));
+  const found = new Map<EndpointId, Isolation>();
+  endpoints.forEach((endpoint) => {
+    const unproven = Array.from(endpoint.runs.values()).filter(
+      (run) => state.suspectJobs.has(run.step.job) && isUnproven(endpoint, run),
+    );
+    if (unproven.length === 0) return;
+    found.set(endpoint.endpointId, {
+      jobs: new Set(unproven.map(({ step }) => step.job)),
+      isShared: unproven.every(({ task, step }) => !step.spec.isGang && isSharable(task)),
+    });
   });
   return found;
 };
@@ -193,7 +235,8 @@
     const { job } = step;
     const { length: waiting } = waitingSuspects(state, step);
     if (!areCrashRecordsWritten(job)) return;
-    const chosen = eligible.filter(({ endpointId }) => isolated.get(endpointId) === job);
+    const isShared = mayShareIsolation(state, step, nowMs);
+    const chosen = eligible.filter(({ endpointId }) => isolated.get(endpointId)?.jobs.has(job));
     const free = eligible
       .filter((one) => !isolated.has(one.endpointId) && countStartable(one, step) > 0)
       .sort(bySuitability(step, nowMs));
@@ -206,7 +249,7 @@
     ) {
       const next = free.shift() as EndpointState;
       chosen.push(next);
-      isolated.set(next.endpointId, job);
+      isolated.set(next.endpointId, { jobs: new Set([job]), isShared });
     }
   });
   return isolated;
@@ -215,26 +258,36 @@
 /**
  * Lists the endpoints on which the waiting suspects of a step may be started now.
  *
+ * @param state - The batch state.
  * @param isolated - The isolated endpoints.
  * @param request - The step, and the endpoints that may run it.
  * @param nowMs - The current time.
  * @returns The endpoints isolated for the step's job that run only tasks of the job and long-running tasks of others,
  *   or, after a waiting time, tasks of others of any kind. The runs of others must have survived the observation
- *   period.
+ *   period. If the suspects may run beside those of other jobs, also the shared endpoints, whose runs of suspects need
+ *   not have survived it.
  */
 export const findIsolatedEndpoints = (
+  state: BatchState,
   isolated: IsolatedEndpoints,
   { step, eligible }: IsolationRequest,
   nowMs: number,
 ): readonly EndpointState[] => {
   const { job } = step;
   if (!areCrashRecordsWritten(job)) return [];
-  const mayShare = hasWaitedLong(step, nowMs);
-  const mayShareWith = (endpoint: EndpointState, run: RunState): boolean =>
-    hasSurvivedObservation(endpoint, run) && (run.step.spec.isLasting || mayShare);
+  const hasWaited = hasWaitedLong(step, nowMs);
+  const isShared = mayShareIsolation(state, step, nowMs);
+  const mayRunBeside = (endpoint: EndpointState, run: RunState): boolean =>
+    hasSurvivedObservation(endpoint, run)
+      ? run.step.spec.isLasting || hasWaited
+      : isShared && isSuspect(run.task) && isSharable(run.task);
+  const isReserved = ({ endpointId }: EndpointState): boolean => {
+    const isolation = isolated.get(endpointId);
+    return isolation !== undefined && (isolation.jobs.has(job) || (isShared && isolation.isShared));
+  };
   return eligible.filter(
     (endpoint) =>
-      isolated.get(endpoint.endpointId) === job &&
-      runsOfOtherJobs(endpoint, job).every((run) => mayShareWith(endpoint, run)),
+      isReserved(endpoint) &&
+      runsOfOtherJobs(endpoint, job).every((run) => mayRunBeside(endpoint, run)),
   );
 };
--- a/packages/core/src/batch/placement/place-suspects.ts
+++ b/packages/core/src/batch/placement/place-suspects.ts
@@ -77,7 +77,7 @@
     if (state.startsLeft <= 0) return;
     const { step } = request;
     const context: StartContext = { state, step, nowMs };
-    const places = findIsolatedEndpoints(isolated, request, nowMs);
+    const places = findIsolatedEndpoints(state, isolated, request, nowMs);
     const isPlaced = placeSuspects(context, places, waitingSuspects(state, step));
     if (!isPlaced) requestAdviceForSuspects(context, endpoints);
   });
