Suspects with correlated crashes may isolate half of a pool that is calm and mostly free

What callers saw: after a storm, tasks with three crashes still wait.

Cause: such tasks have an endpoint of their own for up to 2 s each, and their pool has 3 endpoints then: a quarter of it, or its empty endpoints up to half, is one. So they run one after another, although the pool does little else.

Change: in calm (no crash for 3 s), a suspect whose crashes were all correlated may isolate as many endpoints as the pool's capacity that is free amounts to, up to half of them. Others, and all while endpoints crash, are limited as before.

--- a/packages/core/src/batch/crashes/isolation.test.ts
+++ b/packages/core/src/batch/crashes/isolation.test.ts
@@ -407,6 +407,8 @@
     countedAtMs: 0,
   };
 
+  const CORRELATED: EndpointCrash = { ...CRASH, isSoleSuspect: false, isCorrelated: true };
+
   const suspectAllTasks = (
     state: BatchState,
     jobId: JobId,
@@ -457,6 +459,43 @@
     expect(placesOf(state, SUSPECT)).toEqual([SECOND]);
   });
 
+  describe('in a pool that is mostly free, with a small run on each endpoint', () => {
+    /** Counts how many of three jobs are started, each on an endpoint of its own; one elsewhere crashed at 0.4 s. */
+    const countStarted = (nowMs: number, crashOfTask: EndpointCrash): number => {
+      const state = createBatchState(2);
+      const endpointIds = [FIRST, SECOND, THIRD, FOURTH];
+      addEndpoints(state, ...endpointIds);
+      const elsewhere = brand<PoolName>('beta');
+      const crashed = brand<EndpointId>('i-0000000005');
+      upsertEndpoint(state, { ...describeEndpoint(crashed), pool: elsewhere }, 0);
+      submit(state, OTHER, { taskCount: 4, mostPerEndpoint: 1, isLasting: true }, 20);
+      schedulePool(state, POOL, 20);
+      const suspects = [1, 2, 3].map((last) => brand<JobId>(`00000000000000e${last}`));
+      suspects.forEach((jobId) => {
+        submit(state, jobId, {}, 30);
+        suspectAllTasks(state, jobId, [crashOfTask, crashOfTask, crashOfTask]);
+      });
+      crash(state, crashed, 400);
+      [400, nowMs - 10].forEach((atMs) =>
+        endpointIds.forEach((one) => reportRunning(state, one, atMs)),
+      );
+      [nowMs, nowMs + 10].forEach((atMs) => scheduleAfterWrites(state, atMs));
+      return suspects.filter((jobId) => placesOf(state, jobId).length > 0).length;
+    };
+
+    it('shares a quarter of the endpoints with other suspects while endpoints crash', () => {
+      expect(countStarted(1000, CORRELATED)).toBe(1);
+    });
+
+    it('shares half of them once none has crashed for 3 s, if its own crashed with others', () => {
+      expect(countStarted(3500, CORRELATED)).toBe(2);
+    });
+
+    it('shares a quarter of them at any time if it may explain its crashes', () => {
+      expect(countStarted(3500, { ...CRASH, isSoleSuspect: false })).toBe(1);
+    });
+  });
+
   it('is not kept from it by another one whose account has reached its maximum', () => {
     const state = createBatchState(2);
     addEndpoints(state, FIRST, SECOND);
@@ -494,8 +533,6 @@
   });
 
   describe('beside a suspect of another job on the only endpoint', () => {
-    const CORRELATED: EndpointCrash = { ...CRASH, isSoleSuspect: false, isCorrelated: true };
-
     /** Tells whether the tasks of both jobs are started; the last endpoint crashed at 2 s. */
     const areBothStarted = (
       crashes: readonly EndpointCrash[],
--- a/packages/core/src/batch/crashes/isolation.ts
+++ b/packages/core/src/batch/crashes/isolation.ts
@@ -30,10 +30,11 @@
  */
 const MAX_ISOLATED_SHARE = 0.25;
 /**
- * Up to this share of the pool may be isolated if the endpoints are empty. Otherwise suspects that caused no crash
- * would wait for a long time in a pool with little load.
+ * Up to this share of the pool may be isolated if that many endpoints are empty, or, for suspects that nothing but the
+ * time of crashes speaks against, if as much capacity is free once no endpoint crashes any more. Otherwise suspects that
+ * caused no crash would wait for a long time in a pool with little load.
  */
-const MAX_EMPTY_SHARE = 0.5;
+const MAX_FREE_SHARE = 0.5;
 /**
  * From this time after the last end of a run of its step, a suspect waits no longer for those short runs of other jobs
  * that have survived the observation period, because some take minutes.
@@ -84,11 +85,15 @@
   isSuspect(run.task) && !hasSurvivedObservation(endpoint, run);
 
 /**
- * Tells whether a suspect may run beside suspects of other jobs: other endpoints crashed together with each of those that
- * crashed under it, so nothing but the time of a crash speaks against the task.
+ * Tells whether nothing but the time of crashes speaks against a task: other endpoints crashed together with each of those
+ * that crashed under it.
  */
-const isSharable = ({ crashes }: Task): boolean =>
-  crashes.length <= MAX_SHARED_CRASHES && crashes.every(({ isCorrelated }) => isCorrelated);
+const hasOnlyCorrelatedCrashes = ({ crashes }: Task): boolean =>
+  crashes.every(({ isCorrelated }) => isCorrelated);
+
+/** Tells whether a suspect may run beside suspects of other jobs. */
+const isSharable = (task: Task): boolean =>
+  task.crashes.length <= MAX_SHARED_CRASHES && hasOnlyCorrelatedCrashes(task);
 
 /** Tells whether no endpoint has crashed for some time, as far as this holder knows. */
 const isCalm = ({ recentCrashes }: BatchState, nowMs: number): boolean =>
@@ -204,15 +209,39 @@
   readonly eligible: readonly EndpointState[];
 };
 
+/** Returns the share of a pool's capacity that no run reserves, of CPU or of memory, whichever is less. */
+const freeShare = (endpoints: readonly EndpointState[]): number => {
+  const freeShareOf = (resource: 'cpuMillis' | 'memoryMb'): number => {
+    const total = endpoints.reduce((sum, { capacity }) => sum + capacity[resource], 0);
+    const used = endpoints.reduce((sum, one) => sum + one.used[resource], 0);
+    return total === 0 ? 1 : 1 - used / total;
+  };
+  return Math.min(freeShareOf('cpuMillis'), freeShareOf('memoryMb'));
+};
+
 /** Returns how many endpoints of a pool may be isolated at once. */
 const maxIsolatedEndpoints = (endpoints: readonly EndpointState[]): number => {
   const empty = endpoints.filter(({ runs }) => runs.size === 0).length;
   return Math.max(
     Math.ceil(endpoints.length * MAX_ISOLATED_SHARE),
-    Math.min(empty, Math.floor(endpoints.length * MAX_EMPTY_SHARE)),
+    Math.min(empty, Math.floor(endpoints.length * MAX_FREE_SHARE)),
   );
 };
 
+/**
+ * Returns how many endpoints of a pool may be isolated at once for suspects with correlated crashes only. While endpoints
+ * crash, the tasks that are lost with them need the capacity of the others, so this is no exception then.
+ */
+const maxIsolatedInCalm = (
+  state: BatchState,
+  endpoints: readonly EndpointState[],
+  nowMs: number,
+): number => {
+  if (!isCalm(state, nowMs)) return 0;
+  const { length } = endpoints;
+  return Math.min(Math.floor(length * freeShare(endpoints)), Math.ceil(length * MAX_FREE_SHARE));
+};
+
 /**
  * Decides which endpoints of a pool are isolated for suspects. Only endpoints of this pool count towards its share.
  *
@@ -231,21 +260,23 @@
 ): IsolatedEndpoints => {
   const isolated = endpointsWithUnprovenRuns(state, endpoints[0]?.pool);
   const maxEndpoints = maxIsolatedEndpoints(endpoints);
+  const maxInCalm = Math.max(maxEndpoints, maxIsolatedInCalm(state, endpoints, nowMs));
   requests.forEach(({ step, eligible }) => {
     const { job } = step;
-    const { length: waiting } = waitingSuspects(state, step);
+    const suspects = waitingSuspects(state, step);
     if (!areCrashRecordsWritten(job)) return;
     const isShared = mayShareIsolation(state, step, nowMs);
     const chosen = eligible.filter(({ endpointId }) => isolated.get(endpointId)?.jobs.has(job));
     const free = eligible
       .filter((one) => !isolated.has(one.endpointId) && countStartable(one, step) > 0)
       .sort(bySuitability(step, nowMs));
+    const max = suspects.every(hasOnlyCorrelatedCrashes) ? maxInCalm : maxEndpoints;
     // A gang must get all the endpoints that it needs at once. If nothing else is isolated, it may exceed the share.
     const mayExceed = step.spec.isGang && isolated.size === 0;
     while (
-      !haveCapacity(chosen, step, waiting) &&
+      !haveCapacity(chosen, step, suspects.length) &&
       free.length > 0 &&
-      (mayExceed || isolated.size < maxEndpoints)
+      (mayExceed || isolated.size < max)
     ) {
       const next = free.shift() as EndpointState;
       chosen.push(next);
