--- a/packages/core/src/batch/crashes/isolation.test.ts
+++ b/packages/core/src/batch/crashes/isolation.test.ts
@@ -409,10 +409,16 @@
     countedAtMs: 0,
   };
 
-  const suspectAllTasks = (state: BatchState, jobId: JobId): void => {
+  const CORRELATED: EndpointCrash = { ...CRASH, isSoleSuspect: false, isCorrelated: true };
+
+  const suspectAllTasks = (
+    state: BatchState,
+    jobId: JobId,
+    crashes: readonly EndpointCrash[] = [CRASH],
+  ): void => {
     const job = state.jobs.get(jobId);
     if (job) state.suspectJobs.add(job);
-    tasksOf(state, jobId).forEach((task) => change(task, { crashes: [CRASH] }));
+    tasksOf(state, jobId).forEach((task) => change(task, { crashes }));
   };
 
   const describeEndpoint = (endpointId: EndpointId) => ({
@@ -455,6 +461,43 @@
     expect(placesOf(state, SUSPECT)).toEqual([SECOND]);
   });
 
+  describe('in a pool that is mostly free, with a small run on each endpoint', () => {
+    /** Counts how many of three jobs are started, each on an endpoint of its own; one elsewhere crashed at 0.4 s. */
+    const countStarted = (nowMs: number, crashOfTask: EndpointCrash): number => {
+      const state = createBatchState(2);
+      const endpointIds = [FIRST, SECOND, THIRD, FOURTH];
+      addEndpoints(state, ...endpointIds);
+      const elsewhere = brand<PoolName>('beta');
+      const crashed = brand<EndpointId>('i-0000000005');
+      upsertEndpoint(state, { ...describeEndpoint(crashed), pool: elsewhere }, 0);
+      submit(state, OTHER, { taskCount: 4, mostPerEndpoint: 1, isLasting: true }, 20);
+      schedulePool(state, POOL, 20);
+      const suspects = [1, 2, 3].map((last) => brand<JobId>(`00000000000000e${last}`));
+      suspects.forEach((jobId) => {
+        submit(state, jobId, {}, 30);
+        suspectAllTasks(state, jobId, [crashOfTask, crashOfTask, crashOfTask]);
+      });
+      crash(state, crashed, 400);
+      [400, nowMs - 10].forEach((atMs) =>
+        endpointIds.forEach((one) => reportRunning(state, one, atMs)),
+      );
+      [nowMs, nowMs + 10].forEach((atMs) => scheduleAfterWrites(state, atMs));
+      return suspects.filter((jobId) => placesOf(state, jobId).length > 0).length;
+    };
+
+    it('shares a quarter of the endpoints with other suspects while endpoints crash', () => {
+      expect(countStarted(1000, CORRELATED)).toBe(1);
+    });
+
+    it('shares half of them once none has crashed for 3 s, if its own crashed with others', () => {
+      expect(countStarted(3500, CORRELATED)).toBe(2);
+    });
+
+    it('shares a quarter of them at any time if it may explain its crashes', () => {
+      expect(countStarted(3500, { ...CRASH, isSoleSuspect: false })).toBe(1);
+    });
+  });
+
   it('is not kept from it by another one whose account has reached its maximum', () => {
     const state = createBatchState(2);
     addEndpoints(state, FIRST, SECOND);
@@ -490,4 +533,43 @@
     schedulePool(state, elsewhere, 70);
     expect(placesOf(state, OTHER)).toEqual([SECOND]);
   });
+
+  describe('beside a suspect of another job on the only endpoint', () => {
+    /** Tells whether the tasks of both jobs are started; the last endpoint crashed at 2 s. */
+    const areBothStarted = (
+      crashes: readonly EndpointCrash[],
+      { step = {}, nowMs = 5000 }: { step?: Partial<StepSpec>; nowMs?: number } = {},
+    ): boolean => {
+      const state = createBatchState(2);
+      addEndpoints(state, FIRST, SECOND);
+      crash(state, SECOND, 2000);
+      submit(state, OTHER, {}, 20);
+      suspectAllTasks(state, OTHER, [CORRELATED]);
+      submit(state, SUSPECT, step, 30);
+      suspectAllTasks(state, SUSPECT, crashes);
+      scheduleAfterWrites(state, nowMs);
+      scheduleAfterWrites(state, nowMs + 10);
+      return [OTHER, SUSPECT].every((jobId) => placesOf(state, jobId).length > 0);
+    };
+
+    it('is started there if each of its crashes came together with others', () => {
+      expect(areBothStarted([CORRELATED])).toBe(true);
+      expect(areBothStarted([CORRELATED, CORRELATED])).toBe(true);
+    });
+
+    it('waits if it may explain one of its crashes, or one more might have it given up', () => {
+      expect(areBothStarted([CRASH])).toBe(false);
+      expect(areBothStarted([CORRELATED, CRASH])).toBe(false);
+      expect(areBothStarted([CORRELATED, CORRELATED, CORRELATED])).toBe(false);
+    });
+
+    it('waits if it belongs to a gang', () => {
+      expect(areBothStarted([CORRELATED], { step: { isGang: true, taskCount: 2 } })).toBe(false);
+    });
+
+    it('waits until no endpoint has crashed for 3 s', () => {
+      expect(areBothStarted([CORRELATED], { nowMs: 4900 })).toBe(false);
+      expect(areBothStarted([CORRELATED], { nowMs: 5100 })).toBe(true);
+    });
+  });
 });
