--- a/packages/core/src/batch/crashes/isolation.ts
+++ b/packages/core/src/batch/crashes/isolation.ts
@@ -10,6 +10,7 @@
 import type { EndpointId, PoolName } from '../../shared/ids.js';
 import { isSuspect } from './endpoint-crashes.js';
 import { hasSurvivedObservation } from './observation-period.js';
+import { hasRecentCrash } from './pool-calm.js';
 import { areCrashRecordsWritten } from './trials.js';
 import type { StepSpec } from '../model/job.js';
 import { reservedCpu } from '../endpoints/runs.js';
@@ -45,7 +46,7 @@
  * Suspects of different jobs may run beside each other once no endpoint has crashed for this long. Each observation
  * period then proves many of them, and the number of suspects does not determine how long the last one waits.
  */
-const CALM_MS = 3000;
+const QUIET_MS = 3000;
 /**
  * A suspect with more crashes than this shares no endpoint, because another crash, under a task beside it, could have it
  * given up.
@@ -95,13 +96,9 @@
 const isSharable = (task: Task): boolean =>
   task.crashes.length <= MAX_SHARED_CRASHES && hasOnlyCorrelatedCrashes(task);
 
-/** Tells whether no endpoint has crashed for some time, as far as this holder knows. */
-const isCalm = ({ recentCrashes }: BatchState, nowMs: number): boolean =>
-  recentCrashes.every(({ atMs }) => nowMs - atMs >= CALM_MS);
-
 /** Tells whether the suspects of a step may run beside suspects of other jobs now. */
 const mayShareIsolation = (state: BatchState, step: StepRun, nowMs: number): boolean =>
-  isCalm(state, nowMs) &&
+  !hasRecentCrash(state, QUIET_MS, nowMs) &&
   !step.spec.isGang &&
   waitingSuspects(state, step).every((task) => isSharable(task));
 
@@ -237,7 +234,7 @@
   endpoints: readonly EndpointState[],
   nowMs: number,
 ): number => {
-  if (!isCalm(state, nowMs)) return 0;
+  if (hasRecentCrash(state, QUIET_MS, nowMs)) return 0;
   const { length } = endpoints;
   return Math.min(Math.floor(length * freeShare(endpoints)), Math.ceil(length * MAX_FREE_SHARE));
 };
--- a/packages/core/src/batch/crashes/pool-calm.ts
+++ b/packages/core/src/batch/crashes/pool-calm.ts
@@ -4,7 +4,13 @@
  * If the endpoint of its next run is lost, it crashed under that run.
  */
 import type { PoolName } from '../../shared/ids.js';
-import { poolOf, type BatchState, type EndpointCrash, type Task } from '../model/state.js';
+import {
+  poolOf,
+  type BatchState,
+  type EndpointCrash,
+  type RecentCrash,
+  type Task,
+} from '../model/state.js';
 
 /** A pool is calm after this time without unexplained crashes under one holder. */
 const CALM_MS = 5000;
@@ -15,6 +21,22 @@
 /** A task waits no longer than this for a calm pool: in a large one, hosts fail all the time. */
 const MAX_WAIT_FOR_CALM_MS = 15_000;
 
+/**
+ * Tells whether an endpoint crashed recently, as far as this holder knows.
+ *
+ * @param state - The batch state.
+ * @param withinMs - How recently, in milliseconds; at most `RECENT_CRASH_MS`.
+ * @param nowMs - The current time on the holder's monotonic clock, in milliseconds.
+ * @param isCounted - Which crashes count; all by default.
+ * @returns True if there was such a crash.
+ */
+export const hasRecentCrash = (
+  { recentCrashes }: BatchState,
+  withinMs: number,
+  nowMs: number,
+  isCounted: (crash: RecentCrash) => boolean = () => true,
+): boolean => recentCrashes.some((crash) => nowMs - crash.atMs < withinMs && isCounted(crash));
+
 /**
  * Tells whether a pool is calm.
  *
@@ -23,15 +45,9 @@
  * @param nowMs - The current time on the holder's monotonic clock, in milliseconds.
  * @returns True if this entry has been the holder for long enough and no unexplained crash is recent.
  */
-export const isPoolCalm = (
-  { takenOverAtMs, recentCrashes }: BatchState,
-  pool: PoolName,
-  nowMs: number,
-): boolean =>
-  nowMs - takenOverAtMs >= CALM_MS &&
-  !recentCrashes.some(
-    (crash) => crash.pool === pool && !crash.isExplained && nowMs - crash.atMs < CALM_MS,
-  );
+export const isPoolCalm = (state: BatchState, pool: PoolName, nowMs: number): boolean =>
+  nowMs - state.takenOverAtMs >= CALM_MS &&
+  !hasRecentCrash(state, CALM_MS, nowMs, (one) => one.pool === pool && !one.isExplained);
 
 /** Tells whether so little is known of the crashes under a task that its next run has to be conclusive. */
 const needsConclusiveRun = (crashes: readonly EndpointCrash[]): boolean => {
