A start order is sent under the quota that its account has now, not the one it had at placement

The quota was asked at placement only.

Change: before the first order and before a repeat the sender asks whether the account's other runs leave room, as it asks whether the run is wanted. A run that may have been ordered counts as used, whoever asks. Of runs that certainly were not ordered only those count that were placed earlier, so that two never refuse each other. A first order that is refused withdraws the run and its task waits; nothing is counted against the task or the endpoint. A repeat that is refused ends as `unknown`, and its endpoint is not blamed.

Two orders that were both sent and not answered do refuse each other's repeat: each may have started.

Ruled out: comparing with the maximum at placement only. A task that was placed under "less than half, one more" and leaves first makes an earlier one exceed the maximum without any change of it.

--- a/packages/core/src/batch/accounts/quota.ts
+++ b/packages/core/src/batch/accounts/quota.ts
@@ -6,7 +6,7 @@
 import type { AccountName } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import type { AccountLimits, JobOwner } from '../model/accounts.js';
-import { createZeroUsage, RESOURCES, type Usage } from '../model/capacity.js';
+import { createZeroUsage, RESOURCES, type Capacity, type Usage } from '../model/capacity.js';
 import type { EndpointState } from '../model/endpoint-state.js';
 import type { StepSpec } from '../model/job.js';
 import type { BatchState, JobState, StepRun } from '../model/state.js';
@@ -92,6 +92,8 @@
   change(endpoint, { unexpectedSteps });
 };
 
+const NOTHING: Capacity = createZeroUsage();
+
 const fitsMaximum = (used: number, need: number, maximum: number, count: number): boolean =>
   maximum === 0 ||
   used + count * need <= maximum ||
@@ -107,16 +109,22 @@
  * @param state - The state.
  * @param step - The step.
  * @param count - How many tasks start together.
+ * @param leftOut - The part of the account's usage that does not count.
  * @returns False while the known and the possible runs of the account leave too little of its maximum.
  */
-export const isWithinQuota = (state: BatchState, step: StepRun, count = 1): boolean => {
+export const isWithinQuota = (
+  state: BatchState,
+  step: StepRun,
+  count = 1,
+  leftOut: Capacity = NOTHING,
+): boolean => {
   const account = accountOf(step);
   const maximum = account === undefined ? undefined : limitsOf(state, account)?.maximum;
   if (account === undefined || !maximum) return true;
   const usage = state.usage.get(account);
   const unreported = state.unreportedUsage.get(account);
   return RESOURCES.every((resource) => {
-    const used = (usage?.[resource] ?? 0) + (unreported?.[resource] ?? 0);
+    const used = (usage?.[resource] ?? 0) + (unreported?.[resource] ?? 0) - leftOut[resource];
     return fitsMaximum(used, step.spec[resource], maximum[resource], count);
   });
 };
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -250,7 +250,7 @@
 };
 
 /**
- * Removes an announced run that was not ordered, and puts its task back into the queue.
+ * Removes a run that certainly was not ordered, and puts its task back into the queue.
  *
  * @param state - The holder's batch state, modified in place.
  * @param endpoint - The endpoint that was to start it.
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -58,6 +58,7 @@
 export * from './placement/job-rank.js';
 export * from './placement/schedule-cycle.js';
 export * from './placement/schedule.js';
+export * from './placement/start-quota.js';
 export * from './placement/gap-filler-pacing.js';
 export * from './placement/held-tasks.js';
 export * from './pools/demand-peaks.js';
--- a/packages/daemon/src/batch/endpoints/start-orders.test.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.test.ts
@@ -10,12 +10,18 @@
   addJob,
   applyReport,
   cancelJob,
+  NO_LIMIT,
+  recordStartSent,
+  setAccounts,
+  taskKey,
+  type JobOwner,
   type BatchEffect,
   type BatchState,
   type StartOrder,
 } from '@valvelatch/core/batch';
 import {
   brand,
+  type AccountName,
   type DataCentreId,
   type EndpointId,
   type JobId,
@@ -31,6 +37,9 @@
 const ENDPOINT = brand<EndpointId>('i-1');
 const DATA_CENTRE = brand<DataCentreId>('north');
 const JOB = brand<JobId>('00000000000000aa');
+const ACCOUNT = brand<AccountName>('north');
+/** The run of each task that a holder with fence 2 starts first. */
+const FIRST_RUN = 2001;
 const SOLE_HOLDER_UNTIL_MS = 2400;
 
 type SendOptions = {
@@ -39,6 +48,8 @@
   readonly isUnanswered?: boolean;
   readonly onSent?: (state: BatchState) => void;
   readonly onClockRead?: (state: BatchState) => void;
+  readonly owner?: JobOwner;
+  readonly taskCount?: number;
 };
 
 /**
@@ -53,6 +64,8 @@
     isUnanswered = false,
     onSent = () => undefined,
     onClockRead = () => undefined,
+    owner,
+    taskCount = 1,
   }: SendOptions = {},
 ): Promise<readonly StartOrder[]> => {
   const state = createBatchState(2);
@@ -72,11 +85,12 @@
       queue: brand('q'),
       pool: POOL,
       spec: '',
-      steps: [DEFAULT_STEP],
+      steps: [{ ...DEFAULT_STEP, taskCount }],
       repeats: 0,
       firstDueAtMs: 0,
       intervalMs: 0,
       acceptedAtMs: 0,
+      ...(owner ? { owner } : {}),
     },
     policy: { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 },
     nowMs: 0,
@@ -154,6 +168,73 @@
     });
   });
 
+  describe('of an account whose quota falls below what it has placed', () => {
+    const lowerQuota = (state: BatchState): void => {
+      setAccounts(
+        state,
+        new Map([[ACCOUNT, { maximum: { ...NO_LIMIT, cpuMillis: 1 }, weight: 1 }]]),
+      );
+    };
+    /** The other task of the job may have started. */
+    const lowerQuotaBesideSentTask = (state: BatchState): void => {
+      recordStartSent(state, ENDPOINT, { task: taskKey(JOB, 0, 0, 1), run: FIRST_RUN }, 2300);
+      lowerQuota(state);
+    };
+    const owner = { account: ACCOUNT, maximum: NO_LIMIT };
+    const options: SendOptions = { owner, taskCount: 2 };
+
+    it('is not sent after the quota fell while the clock was read, if another task was sent', async () => {
+      const sent = await sendStartAt(2300, 2300, {
+        ...options,
+        onClockRead: lowerQuotaBesideSentTask,
+      });
+      expect(sent).toEqual([]);
+    });
+
+    it('is withdrawn, so that its task waits again and its endpoint is not blamed', async () => {
+      const states: BatchState[] = [];
+      await sendStartAt(2300, 2300, {
+        ...options,
+        onClockRead: (state) => {
+          lowerQuotaBesideSentTask(state);
+          states.push(state);
+        },
+      });
+      const [state] = states;
+      const task = state?.jobs.get(JOB)?.occurrences.get(0)?.steps[0]?.tasks[0];
+      expect(task?.phase).toBe('waiting');
+      expect(state?.usage.get(ACCOUNT)?.cpuMillis).toBe(DEFAULT_STEP.cpuMillis);
+      expect(state?.endpoints.get(ENDPOINT)?.unansweredSinceMs).toBe(Infinity);
+    });
+
+    it('is sent if it was placed before the others that wait', async () => {
+      expect(await sendStartAt(2300, 2300, { ...options, onClockRead: lowerQuota })).toHaveLength(
+        1,
+      );
+    });
+
+    it('is not repeated after the quota fell while the order was unanswered', async () => {
+      const sent = await sendStartAt(2300, 2300, {
+        ...options,
+        isUnanswered: true,
+        onSent: lowerQuotaBesideSentTask,
+      });
+      expect(sent).toHaveLength(1);
+    });
+
+    it('is repeated if the quota was raised again before that', async () => {
+      const sent = await sendStartAt(2300, 2300, {
+        ...options,
+        isUnanswered: true,
+        onSent: (state) => {
+          lowerQuotaBesideSentTask(state);
+          setAccounts(state, new Map([[ACCOUNT, { maximum: NO_LIMIT, weight: 1 }]]));
+        },
+      });
+      expect(sent).toHaveLength(2);
+    });
+  });
+
   describe('to a data centre that is evacuated after the task was placed there', () => {
     it('is not sent', async () => {
       const checkedDataCentres: DataCentreId[] = [];
--- a/packages/daemon/src/batch/endpoints/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -7,8 +7,10 @@
   recordUnansweredStart,
   removeTicket,
   isSoleHolder,
+  isStartWithinQuota,
   isSuspected,
   recordStartSent,
+  withdrawStart,
   type BatchEffect,
   type EndpointClock,
   type OrderError,
@@ -104,6 +106,10 @@
     return known?.run === run && known.phase !== 'stopping';
   };
 
+  /** Tells whether a run is still to be started, under the quota that its account has now. */
+  const isDue = (run: Pick<StartOrder, 'task' | 'run'>): boolean =>
+    isWanted(run) && isStartWithinQuota(state, endpointId, run, nowMs());
+
   /** The endpoint may have begun to drain, or its host may have been cordoned, since the start was decided. */
   const takesNewWork = (): boolean => {
     const endpoint = state.endpoints.get(endpointId);
@@ -156,7 +162,7 @@
           error,
           hasUnansweredOrder: isFirstUnanswered,
         };
-      if (attempt === MAX_START_ATTEMPTS || !mayStart() || !isWanted(order) || !takesNewWork()) {
+      if (attempt === MAX_START_ATTEMPTS || !mayStart() || !isDue(order) || !takesNewWork()) {
         return { outcome: 'unknown', error, hasUnansweredOrder: true };
       }
       isFirstUnanswered = true;
@@ -165,12 +171,12 @@
 
   /**
    * An order without an answer says nothing about the endpoint if this entry's own link or processor is the cause, or if the
-   * run ended or was stopped before the order was repeated.
+   * run ended, was stopped or came to exceed its account's quota before the order was repeated.
    */
-  const recordHealth = (outcome: StartOutcome, task: TaskKey, wasWanted: boolean): void => {
+  const recordHealth = (outcome: StartOutcome, task: TaskKey, wasDue: boolean): void => {
     const jobId = parseTaskKey(task)?.jobId;
     if (outcome !== 'unknown') recordAnsweredStart(state, endpointId);
-    else if (jobId !== undefined && wasWanted && !context.sharedDelayEstimator.isLocalFault())
+    else if (jobId !== undefined && wasDue && !context.sharedDelayEstimator.isLocalFault())
       recordUnansweredStart(state, endpointId, jobId, nowMs());
   };
 
@@ -178,6 +184,10 @@
     const { task, run, spec, checkpoint, ticket } = effect;
     await refreshClock();
     if (!isWanted(effect)) return;
+    if (!isDue(effect)) {
+      withdrawStart(state, endpointId, effect, nowMs());
+      return;
+    }
     const keepUntilMs = computeLeaseEnd();
     if (keepUntilMs === undefined || !mayStart() || !takesNewWork() || isDomainSuspected()) {
       const reason = 'not-sent';
@@ -194,9 +204,9 @@
     const { outcome, error, clockMs, hasUnansweredOrder } = await sendStart(order);
     if (error?.reason === 'ticket') removeTicket(state, task, endpointId);
     const reason = error?.reason;
-    const wasWanted = isWanted(order);
+    const wasDue = isDue(order);
     applyStartOutcome(state, endpointId, { task, run, outcome, reason, clockMs, nowMs: nowMs() });
-    recordHealth(outcome, task, wasWanted);
+    recordHealth(outcome, task, wasDue);
     if (!hasUnansweredOrder) recordStartsAnswered(state, endpointId, order);
     if (outcome !== 'started') {
       context.requestScheduling();
