An announced start is ordered under the quota that its account has by then

An announced start waits up to 2 s for the job's row to name it, and what is asked before it is ordered (`mayStillStart`: the endpoint, its advice, awaited reports) left out the quota.

Evidence: two announced tasks of an account whose maximum fell to one task were both ordered, and both tasks of an announced gang; now one is ordered and one waits until the maximum rises, and the gang is withdrawn whole.

Change: `mayStillStart` asks the quota. Among starts that were not sent, those that are announced come after those that are ordered: else the second of two announced starts counted the first, just ordered, as younger, and left.

A job with an owner is not cancelled by a caller without an account.

--- a/packages/core/src/batch/placement/start-quota.ts
+++ b/packages/core/src/batch/placement/start-quota.ts
@@ -42,11 +42,18 @@
   return run.phase === 'starting' && !isStartInTransit(state, endpoint.endpointId, key, nowMs);
 };
 
-/** Tells whether a run was placed after another one; of two that were placed at the same time, the task decides. */
-const isYounger = ({ run }: PlacedRun, { run: other }: PlacedRun): boolean =>
-  run.startedAtMs === other.startedAtMs
-    ? run.task.key > other.task.key
-    : run.startedAtMs > other.startedAtMs;
+/** When the order to start a run was decided; infinite while the start is only announced. */
+const decidedAtMs = ({ run: { phase, startedAtMs } }: PlacedRun): number =>
+  phase === 'announced' ? Infinity : startedAtMs;
+
+/**
+ * Tells whether the start of a run was decided after that of another one. Of two that were decided at the same time, the
+ * task decides.
+ */
+const isYounger = (one: PlacedRun, other: PlacedRun): boolean =>
+  decidedAtMs(one) === decidedAtMs(other)
+    ? one.run.task.key > other.run.task.key
+    : decidedAtMs(one) > decidedAtMs(other);
 
 const sumNeeds = (placed: readonly PlacedRun[]): Capacity => {
   const sum = createZeroUsage();
@@ -58,7 +65,7 @@
   return sum;
 };
 
-/** Lists the account's other runs that were placed later and of which nothing was ordered yet. */
+/** Lists the account's other runs whose start was decided later and certainly was not ordered. */
 const listYoungerUnsent = (
   state: BatchState,
   placed: PlacedRun,
@@ -73,8 +80,9 @@
 
 /**
  * Tells whether the quota of its account allows an order to start a run, the first one or a repeat. What may have been
- * ordered counts as used. Of runs that were not ordered yet, only those count that were placed earlier, so that two never
- * keep each other from starting. A gang of which one task was ordered goes on, since its tasks run together or not at all.
+ * ordered counts as used. Of runs that were not ordered yet, only those count whose start was decided earlier, so that two
+ * never keep each other from starting. A gang of which one task was ordered goes on, since its tasks run together or not
+ * at all.
  *
  * @param state - The batch state.
  * @param endpointId - The endpoint that is to start the run.
--- a/packages/core/src/batch/placement/starts.test.ts
+++ b/packages/core/src/batch/placement/starts.test.ts
@@ -2,10 +2,13 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 
 import { change } from '../../shared/change.js';
-import { brand, type EndpointId, type JobId } from '../../shared/ids.js';
+import { brand, type AccountName, type EndpointId, type JobId } from '../../shared/ids.js';
+import { setAccounts } from '../accounts/quota.js';
 import { cancelJob } from '../jobs/job-lifecycle.js';
 import { buildProgressRow } from '../jobs/progress.js';
 import { removeEndpoint, giveUpRunsOfGoneEndpoints } from '../endpoints/gone-endpoints.js';
+import type { JobOwner } from '../model/accounts.js';
+import { NO_LIMIT } from '../model/capacity.js';
 import type { StepSpec } from '../model/job.js';
 import { createBatchState, poolOf, removeEffects, type BatchState } from '../model/state.js';
 import {
@@ -44,15 +47,22 @@
 const reservedEndpoints = (state: BatchState): readonly EndpointId[] =>
   ENDPOINTS.filter((endpointId) => (state.endpoints.get(endpointId)?.runs.size ?? 0) > 0);
 
+const OWNER: JobOwner = { account: brand<AccountName>('north'), maximum: NO_LIMIT };
+
+const setMaximum = (state: BatchState, cpuMillis: number): void => {
+  const maximum = { ...NO_LIMIT, cpuMillis };
+  setAccounts(state, new Map([[OWNER.account, { maximum, weight: 1 }]]));
+};
+
 /** Announces the starts of all tasks of an inherited job, in a pool that lost an endpoint before the takeover. */
-const announce = (step: Partial<StepSpec> = {}): BatchState => {
+const announce = (step: Partial<StepSpec> = {}, owner?: JobOwner): BatchState => {
   const state = createBatchState(2);
   ENDPOINTS.forEach((endpointId) => {
     addEndpoint(state, endpointId);
     applyAnswer(state, { endpointId, requestedAtMs: 5, nowMs: 6 });
   });
   poolOf(state, POOL).hadHostDownAtTakeover = true;
-  submitJob(state, INHERITED, { step, isInherited: true });
+  submitJob(state, INHERITED, { step, isInherited: true, owner });
   schedulePool(state, POOL, 10);
   return state;
 };
@@ -123,6 +133,16 @@
     expect(scheduleWritten(state, 20)).toEqual([]);
   });
 
+  it('is ordered only if the quota of its account allows it by then', () => {
+    state = announce({ taskCount: 2 }, OWNER);
+    setMaximum(state, 1000);
+    expect(scheduleWritten(state, 20)).toHaveLength(1);
+    expect(stepOf(state).tasks.map(({ phase }) => phase)).toEqual(['placed', 'waiting']);
+    setMaximum(state, 2000);
+    expect(scheduleWritten(state, 30)).toEqual([]);
+    expect(scheduleWritten(state, 40)).toHaveLength(1);
+  });
+
   it('counts as no crash if its endpoint is gone before the order', () => {
     // Guards against jobs that are failed although none of their tasks was ever started.
     const [endpointId] = reservedEndpoints(state) as [EndpointId];
@@ -136,6 +156,13 @@
 });
 
 describe('the announced starts of a gang', () => {
+  it('are withdrawn together if the quota of their account fell meanwhile', () => {
+    const state = announce({ isGang: true, taskCount: 2 }, OWNER);
+    setMaximum(state, 1000);
+    expect(scheduleWritten(state, 20)).toEqual([]);
+    expect(reservedEndpoints(state)).toEqual([]);
+  });
+
   it('are ordered all together or not at all', () => {
     const state = announce({ isGang: true, taskCount: TASKS_PER_ENDPOINT + 1 });
     expect(reservedEndpoints(state)).toEqual(ENDPOINTS);
--- a/packages/core/src/batch/placement/starts.ts
+++ b/packages/core/src/batch/placement/starts.ts
@@ -19,6 +19,7 @@
 } from '../model/state.js';
 import { admittedEndpoints, ticketOf } from './advice.js';
 import { awaitsReports } from './inherited-tasks.js';
+import { isStartWithinQuota } from './start-quota.js';
 
 /**
  * Announced starts that the row does not name after this time are withdrawn. Otherwise a job whose row cannot be written
@@ -117,6 +118,7 @@
   { endpoint, run }: AnnouncedRun,
 ): boolean =>
   isSchedulable(state, endpoint, nowMs) &&
+  isStartWithinQuota(state, endpoint.endpointId, { task: run.task.key, run: run.run }, nowMs) &&
   admittedEndpoints(step, [endpoint], nowMs).length > 0 &&
   (run.task.isLocated || !awaitsReports(state, poolOf(state, endpoint.pool), step, nowMs));
 
