A relayed start is sent in full only if its run may still start by then

The order ends as refused with the reason `not-sent`: the relay sent nothing, so the task waits again at once.

Change: the sender of start orders passes what it asks before a repeat on to the route, which asks it before the second message. The first case of `late-specs` also requires now that the second message is sent at all.

Ruled out: asking at the relay. A relay knows the maximum but not the usage. An order that it holds may still leave up to its deadline.

--- a/packages/core/src/batch/model/orders.ts
+++ b/packages/core/src/batch/model/orders.ts
@@ -14,6 +14,8 @@
   | 'malformed'
   /** The data centre of the endpoint is evacuated; an entry refused the order, not the endpoint. */
   | 'evacuated'
+  /** The holder learned that the run must not start before all of the order was sent. */
+  | 'not-sent'
   | 'unreachable';
 
 /** The failure of an order: it was not carried out, or it is not known whether it was. */
--- a/packages/daemon/src/batch/endpoints/start-orders.test.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.test.ts
@@ -46,7 +46,7 @@
   readonly mayStartIn?: (dataCentre: DataCentreId) => boolean;
   /** True if no order gets a response. */
   readonly isUnanswered?: boolean;
-  readonly onSent?: (state: BatchState) => void;
+  readonly onSent?: (state: BatchState, mayStillSend: () => boolean) => void;
   readonly onClockRead?: (state: BatchState) => void;
   readonly owner?: JobOwner;
   readonly taskCount?: number;
@@ -107,9 +107,9 @@
     context: {
       state,
       orders: {
-        start: async (_: unknown, order: StartOrder) => {
+        start: async (_: unknown, order: StartOrder, __: number, mayStillSend: () => boolean) => {
           sent.push(order);
-          onSent(state);
+          onSent(state, mayStillSend);
           return isUnanswered
             ? Err({ verdict: 'mayHaveRun', reason: 'no-answer', detail: '' })
             : Ok({ clockMs: 1 });
@@ -222,6 +222,19 @@
       expect(sent).toHaveLength(1);
     });
 
+    it('must not be sent in full after the quota fell while a relay asked for the spec', async () => {
+      const answers: boolean[] = [];
+      await sendStartAt(2300, 2300, {
+        ...options,
+        onSent: (state, mayStillSend) => {
+          answers.push(mayStillSend());
+          lowerQuotaBesideSentTask(state);
+          answers.push(mayStillSend());
+        },
+      });
+      expect(answers).toEqual([true, false]);
+    });
+
     it('is repeated if the quota was raised again before that', async () => {
       const sent = await sendStartAt(2300, 2300, {
         ...options,
--- a/packages/daemon/src/batch/endpoints/start-orders.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.ts
@@ -122,11 +122,16 @@
     return endpoint !== undefined && isSuspected(state, endpoint);
   };
 
+  /** Tells whether the order of a run may be sent again, or the rest of it. */
+  const mayStillSend = (order: StartOrder): boolean => mayStart() && isDue(order) && takesNewWork();
+
   /** Sends a start order, and counts it as in flight in the order window. */
   const sendInWindow = async (order: StartOrder): ReturnType<EndpointOrders['start']> => {
     const sentAtMs = nowMs();
     context.orderWindow.begin();
-    const response = await send((timeoutMs) => orders.start(target, order, timeoutMs));
+    const response = await send((timeoutMs) =>
+      orders.start(target, order, timeoutMs, () => mayStillSend(order)),
+    );
     const durationMs = nowMs() - sentAtMs;
     const isUnanswered = response.isErr() && response.error.reason === 'no-answer';
     if (isUnanswered && !context.sharedDelayEstimator.isLocalFault()) context.orderWindow.cancel();
@@ -162,7 +167,7 @@
           error,
           hasUnansweredOrder: isFirstUnanswered,
         };
-      if (attempt === MAX_START_ATTEMPTS || !mayStart() || !isDue(order) || !takesNewWork()) {
+      if (attempt === MAX_START_ATTEMPTS || !mayStillSend(order)) {
         return { outcome: 'unknown', error, hasUnansweredOrder: true };
       }
       isFirstUnanswered = true;
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -121,10 +121,12 @@
   ) => Promise<
     Result<EndpointClock & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>, OrderError>
   >;
+  /** `mayStillSend` is asked before each further message, if the first one was not enough to carry the order. */
   readonly start: (
     target: OrderTarget,
     order: StartOrder,
     timeoutMs: number,
+    mayStillSend?: () => boolean,
   ) => Promise<Result<EndpointClock, OrderError>>;
   readonly stop: (
     target: OrderTarget,
--- a/packages/daemon/src/batch/relays/late-specs.test.ts
+++ b/packages/daemon/src/batch/relays/late-specs.test.ts
@@ -54,8 +54,11 @@
 
   const readClock = () => ({ incarnation: INCARNATION, clockMs: performance.now() });
 
-  /** Starts a task over a relay that lacks the spec, and returns until when the relay may send each of the orders. */
-  const listDeadlines = async (): Promise<readonly number[]> => {
+  /**
+   * Starts a task over a relay that lacks the spec. Returns until when the relay may send each of the orders, and the
+   * answer.
+   */
+  const startOverRelay = async (mayStillSend = () => true) => {
     const untilMs: number[] = [];
     const answerStart = async (payload: unknown): Promise<unknown> => {
       const order = decodeOrder(payload);
@@ -92,15 +95,22 @@
       await relayed.list(TARGET, list, TIMEOUT_MS);
     await vi.advanceTimersByTimeAsync(400);
     relayed.refresh();
-    const answered = relayed.start(TARGET, START, TIMEOUT_MS);
+    const answered = relayed.start(TARGET, START, TIMEOUT_MS, mayStillSend);
     await vi.advanceTimersByTimeAsync(TIMEOUT_MS);
-    await answered;
-    return untilMs;
+    return { untilMs, answer: await answered };
   };
 
   it('is sent by the deadline that it had when the holder checked whether the task may start', async () => {
-    const [first = 0, second = 0] = await listDeadlines();
+    const { untilMs } = await startOverRelay();
+    const [first = 0, second = 0] = untilMs;
     expect(first).toBeGreaterThan(0);
+    expect(second).toBeGreaterThan(0);
     expect(second).toBeLessThanOrEqual(first);
   });
+
+  it('is not sent with the spec if the run must not start any more by then', async () => {
+    const { untilMs, answer } = await startOverRelay(() => false);
+    expect(untilMs).toHaveLength(1);
+    expect(answer.unwrapErr()).toMatchObject({ verdict: 'notRun', reason: 'not-sent' });
+  });
 });
--- a/packages/daemon/src/batch/relays/relayed-orders.ts
+++ b/packages/daemon/src/batch/relays/relayed-orders.ts
@@ -63,6 +63,12 @@
   readonly refresh: () => void;
 };
 
+const NOT_SENT: OrderError = {
+  verdict: 'notRun',
+  reason: 'not-sent',
+  detail: 'the relay lacked the spec, and the run must not start any more',
+};
+
 /** An order on its way to a relay. */
 type SentOrder = {
   readonly relay: EntryId;
@@ -218,7 +224,12 @@
     }
   };
 
-  const start: EndpointOrders['start'] = async (target, order, timeoutMs) => {
+  const start: EndpointOrders['start'] = async (
+    target,
+    order,
+    timeoutMs,
+    mayStillSend = () => true,
+  ) => {
     const relay = relayFor(target);
     if (relay === undefined) return orders.start(target, order, timeoutMs);
     const { endpointId } = target;
@@ -235,8 +246,8 @@
       const sendWith = (spec: string | null): Promise<unknown> =>
         sendToRelay(relay, withSpec(spec), { timeoutMs, deadline });
       const first = await sendWith(isNew ? order.spec : null);
-      const answer = first === SPEC_MISSING ? await sendWith(order.spec) : first;
-      return handleAnswer(endpointId, answer);
+      if (first !== SPEC_MISSING) return handleAnswer(endpointId, first);
+      return mayStillSend() ? handleAnswer(endpointId, await sendWith(order.spec)) : Err(NOT_SENT);
     } catch (error) {
       return Err(recordFailure(sent, String(error)));
     }
