Tests of a holder that reads cancellations late: cut from the table it is in time, in two other ways it is not

Evidence, in virtual time, a job whose tasks start all the time:

Kept as a test with six times. It renews its lease before the 0.6 s after which an answer shows that the table serves others, and resigns 2.4 s after the renewal. - the feed alone gives nothing, the lease is renewed directly: until the job has no task left.

By the rule neither the cut holder nor one whose neighbours come and go is in touch.

--- a/packages/daemon/src/batch/jobs/acknowledged-cancellations.test.ts
+++ b/packages/daemon/src/batch/jobs/acknowledged-cancellations.test.ts
@@ -21,6 +21,10 @@
 /** For how long notices are lost; shorter than a client waits for its answer. */
 const LOST_NOTICES_MS = 1500;
 
+/** When neighbours make table calls for a holder again that is cut from the table, and for how long. */
+const RELAYS_BACK_AFTER_MS = 900;
+const RELAYS_BACK_FOR_MS = 200;
+
 const createFleet = () => createStartedFleet({ accounts: [] });
 
 const listStartsAfter = (fleet: SimFleet, jobId: JobId, atMs: number): readonly string[] =>
@@ -222,5 +226,58 @@
       await advanceTime(CANCEL_MS * 4);
       expect(listStartsAfter(fleet, jobId, acknowledgedAtMs + CANCEL_MS)).toEqual([]);
     });
+
+    describe('and whose tasks start all the time', () => {
+      /** Has a job start tasks for longer than the bound, at a holder that hears no notice of its cancellation. */
+      const startJob = async () => {
+        const fleet = await createFleet();
+        const steps = [{ taskCount: 1500, cpuMillis: 2000 }];
+        const jobId = fleet.submit({ pool: 'alpha', steps, runMs: RUN_MS / 2 });
+        await advanceTime(CANCEL_MS);
+        fleet.faults.lostMeshCalls.add(CONTROL_METHOD.cancelled);
+        return { fleet, jobId };
+      };
+
+      const listLateStarts = async (fleet: SimFleet, jobId: JobId) => {
+        const acknowledgedAtMs = performance.now();
+        await advanceTime(CANCEL_MS * 2);
+        return listStartsAfter(fleet, jobId, acknowledgedAtMs + CANCEL_MS);
+      };
+
+      it.each([0, 100, 200, 300, 400, 500])(
+        'is obeyed in time by a holder that is cut from the table %i ms later and keeps its lease through neighbours',
+        async (laterMs) => {
+          const { fleet, jobId } = await startJob();
+          fleet.cancel(jobId);
+          setTimeout(
+            (holder) => Object.assign(holder, { isCutFromTable: true }),
+            laterMs,
+            requireHolder(fleet),
+          );
+          expect(await listLateStarts(fleet, jobId)).toEqual([]);
+          expect(phaseOf(fleet, jobId)).toBe('cancelled');
+        },
+      );
+
+      it('is obeyed in time by a holder that is cut from the table and renews its lease once through neighbours', async () => {
+        const { fleet, jobId } = await startJob();
+        const holder = requireHolder(fleet);
+        fleet.cancel(jobId);
+        Object.assign(holder, { isCutFromTable: true, isCutFromRelays: true });
+        setTimeout(() => Object.assign(holder, { isCutFromRelays: false }), RELAYS_BACK_AFTER_MS);
+        setTimeout(
+          () => Object.assign(holder, { isCutFromRelays: true }),
+          RELAYS_BACK_AFTER_MS + RELAYS_BACK_FOR_MS,
+        );
+        expect(await listLateStarts(fleet, jobId)).toEqual([]);
+      });
+
+      it('is obeyed in time by a holder whose feed alone gives nothing', async () => {
+        const { fleet, jobId } = await startJob();
+        stopFeedOfHolder(fleet);
+        fleet.cancel(jobId);
+        expect(await listLateStarts(fleet, jobId)).toEqual([]);
+      });
+    });
   });
 });
