A damaged list of failed runs leaves the next run a number

A row whose list of failed runs holds no run numbers made lastRun NaN or -Infinity, and the start was ordered with run=null. Only run numbers are read from it. attempts.test.ts: four of five new cases failed before ('is started with a run number if its row has "abc"').

--- a/packages/core/src/batch/jobs/attempts.test.ts
+++ b/packages/core/src/batch/jobs/attempts.test.ts
@@ -89,6 +89,14 @@
       expect(restore({ failed })?.phase).not.toBe('failed');
     });
 
+    it.each([['abc'], [[null, 1001]], [[]], [{}], [null]])(
+      'is started with a run number if its row has %j for failed runs',
+      (failed) => {
+        const task = restore({ failed })?.occurrences.get(0)?.steps[0]?.tasks[0];
+        expect(Number.isSafeInteger(task?.lastRun)).toBe(true);
+      },
+    );
+
     it('is not failed by a task that is done, whatever its other runs were', () => {
       const steps = [{ taskCount: 2 }];
       expect(restore({ failed: [1001, 1002, 1003], done: '1', steps })?.phase).toBe('running');
--- a/packages/core/src/batch/jobs/attempts.ts
+++ b/packages/core/src/batch/jobs/attempts.ts
@@ -2,6 +2,15 @@
 import type { QueuePolicy } from '../model/job.js';
 import type { Task } from '../model/state.js';
 
+/**
+ * Reads the numbers of failed runs from a row. One that another writer left may hold what is no run number.
+ *
+ * @param stored - What the row holds.
+ * @returns The run numbers in it.
+ */
+export const readFailedRuns = (stored: unknown): readonly number[] =>
+  Array.isArray(stored) ? stored.filter((run): run is number => Number.isSafeInteger(run)) : [];
+
 /**
  * Counts the failed runs of a task. A row that another writer left may name a run twice, or hold what is no run number.
  *
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -4,7 +4,7 @@
  */
 import { change } from '../../shared/change.js';
 import type { AccountName, EndpointId } from '../../shared/ids.js';
-import { hasNoAttemptLeft } from './attempts.js';
+import { hasNoAttemptLeft, readFailedRuns } from './attempts.js';
 import { addOccurrence, createJobState } from './job-factory.js';
 import { startDueOccurrences, endJob, completeTask } from './job-lifecycle.js';
 import { giveUpReason } from '../crashes/endpoint-crashes.js';
@@ -178,9 +178,10 @@
   step: StepRun,
   { done, failed = [], trials = [], ...lists }: StepProgress,
 ): void => {
-  failed.forEach(([index, failedRuns]) => {
+  failed.forEach(([index, stored]) => {
     const task = step.tasks[index];
-    if (task) Object.assign(task, { failedRuns, lastRun: Math.max(...failedRuns) });
+    const failedRuns = readFailedRuns(stored);
+    if (task) change(task, { failedRuns, lastRun: Math.max(task.lastRun, ...failedRuns) });
   });
   readCrashLists(lists).forEach((crashes, index) => {
     const task = step.tasks[index];
