Rows that name no crash count as none, and only what says so by true is known

A row of crashes that another writer left could make a holder fail its job for entries without a run, or with any value in place of true, or fail to restore it. crash-evidence.test.ts: five cases, all failed before.

--- a/packages/core/src/batch/crashes/crash-evidence.test.ts
+++ b/packages/core/src/batch/crashes/crash-evidence.test.ts
@@ -244,6 +244,27 @@
       expect(taskOf(state).crashes).toEqual(crashes);
     });
 
+    it.each([
+      ['abc'],
+      [[null, 7, 'abc', {}]],
+      [
+        [
+          { ...known, run: null },
+          { ...known, run: 'x' },
+        ],
+      ],
+      [[1, 2, 3, 4].map((run) => ({ ...known, run, isKnown: 'no' }))],
+      [[1, 2, 3, 4].map((run) => ({ ...known, run, isKnown: undefined, isConfirmed: 1 }))],
+    ])('is not failed by %j, which names no known crash', (stored) => {
+      const { job, policy } = buildProgress([]);
+      const rows = { 0: { 0: { done: '0', crashes: [[0, stored]] } } };
+      const progress = rows as unknown as ReturnType<typeof buildProgressRow>;
+      const state = createBatchState(2);
+      restoreJob(state, { job, policy, progress, nowMs: 0, wallClockMs: 0 });
+      expect(jobOf(state).phase).not.toBe('failed');
+      expect(Number.isSafeInteger(taskOf(state).lastRun)).toBe(true);
+    });
+
     it('has a crash of an earlier build count as known only if that build had confirmed it', () => {
       const { isKnown: isMarked, ...stored } = SUPPOSED_CRASH;
       const crashes = [
--- a/packages/core/src/batch/crashes/crash-rows.ts
+++ b/packages/core/src/batch/crashes/crash-rows.ts
@@ -17,11 +17,20 @@
   readonly supposed?: CrashRows;
 };
 
+const isTrue = (value: unknown): boolean => value === true;
+
 const restoreCrash = ({ isKnown, ...stored }: StoredCrash): EndpointCrash =>
-  (isKnown ?? stored.isConfirmed)
-    ? { ...stored, isKnown: true }
+  isTrue(isKnown ?? stored.isConfirmed)
+    ? { ...stored, isKnown: true, isConfirmed: isTrue(stored.isConfirmed) }
     : { ...stored, isKnown: false, isConfirmed: false };
 
+const isStoredCrash = (value: unknown): value is StoredCrash =>
+  typeof value === 'object' && value !== null && Number.isSafeInteger((value as StoredCrash).run);
+
+/** Reads the crashes of one task. A row that another writer left may hold what is no crash. */
+const restoreCrashesOfTask = (stored: unknown): readonly EndpointCrash[] =>
+  Array.isArray(stored) ? stored.filter(isStoredCrash).map(restoreCrash) : [];
+
 /** Lists the crashes of each task that a condition holds for, without tasks that have none. */
 const crashRowsOf = (tasks: readonly Task[], isWanted: (crash: EndpointCrash) => boolean) =>
   tasks.flatMap(({ index, crashes }) => {
@@ -56,7 +65,7 @@
 }: CrashLists): ReadonlyMap<number, readonly EndpointCrash[]> => {
   const byTask = new Map<number, readonly EndpointCrash[]>();
   [...crashes, ...supposed].forEach(([index, stored]) => {
-    const both = [...(byTask.get(index) ?? []), ...stored.map(restoreCrash)];
+    const both = [...(byTask.get(index) ?? []), ...restoreCrashesOfTask(stored)];
     byTask.set(
       index,
       both.toSorted((left, right) => left.run - right.run),
