A long silence of an endpoint does not lower the limit of known crashes

Cause: three known crashes, one explained, gave a job up as soon as any crash was unconfirmed, also where that one was known and had counted already.

Only supposed crashes lower the limit.

--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -37,8 +37,8 @@
  * writing it.
  */
 const KNOWN_CRASH_LIMIT = 4;
-/** The same limit if only the task explains one of these crashes, while others under the task are not confirmed. */
-const LIMIT_WITH_UNCONFIRMED = 3;
+/** The same limit if only the task explains one of these crashes, and further ones are supposed. */
+const LIMIT_WITH_SUPPOSED = 3;
 /** The same limit if only the task explains one of these crashes, and the run was conclusive. */
 const CONCLUSIVE_CRASH_LIMIT = 2;
 /**
@@ -85,8 +85,7 @@
   const explained = listKnownCrashes(crashes).filter(isExplainedOnlyByTask);
   if (explained.length === 0) return KNOWN_CRASH_LIMIT;
   if (explained.some(({ isConclusive }) => isConclusive)) return CONCLUSIVE_CRASH_LIMIT;
-  const isAllConfirmed = crashes.every(({ isConfirmed }) => isConfirmed);
-  return isAllConfirmed ? KNOWN_CRASH_LIMIT : LIMIT_WITH_UNCONFIRMED;
+  return crashes.every(isKnown) ? KNOWN_CRASH_LIMIT : LIMIT_WITH_SUPPOSED;
 };
 
 /**
