Three known crashes give a job up if one is explained and others are not confirmed

The verdict rests on the three; the unconfirmed one only shows that the count may lack some, as the limit of four assumes.

--- a/packages/core/src/batch/crashes/crash-evidence.test.ts
+++ b/packages/core/src/batch/crashes/crash-evidence.test.ts
@@ -205,6 +205,15 @@
     expect(reasonFor([other, crashOf(1, isCorrelated)])).toBeUndefined();
   });
 
+  it('is failed for three known crashes, one of them explained, beside one that is not confirmed', () => {
+    const known = { isKnown: true, isConfirmed: true } as const;
+    const others = [0, 1].map((index) => crashOf(index, { ...known, isSoleSuspect: false }));
+    const three = [...others, crashOf(2, known)];
+    expect(reasonFor(three)).toBeUndefined();
+    expect(reasonFor([...three, crashOf(3)])).toContain('3 endpoints crashed');
+    expect(reasonFor([...others, crashOf(3), crashOf(4)])).toBeUndefined();
+  });
+
   it('is failed for two known crashes that only the task explains', () => {
     const known = [0, 1].map((index) => crashOf(index, { isKnown: true, isConfirmed: true }));
     expect(reasonFor(known)).toContain('2 endpoints crashed');
--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -37,6 +37,8 @@
  * writing it.
  */
 const KNOWN_CRASH_LIMIT = 4;
+/** The same limit if only the task explains one of these crashes, while others under the task are not confirmed. */
+const LIMIT_WITH_UNCONFIRMED = 3;
 /** The same limit if only the task explains one of these crashes, and the run was conclusive. */
 const CONCLUSIVE_CRASH_LIMIT = 2;
 /**
@@ -78,6 +80,15 @@
   return listKnownCrashes(crashes.slice(lastSurvived + 1)).filter(isExplainedOnlyByTask).length;
 };
 
+/** Returns how many known crashes give a job up. */
+const knownCrashLimit = (crashes: readonly EndpointCrash[]): number => {
+  const explained = listKnownCrashes(crashes).filter(isExplainedOnlyByTask);
+  if (explained.length === 0) return KNOWN_CRASH_LIMIT;
+  if (explained.some(({ isConclusive }) => isConclusive)) return CONCLUSIVE_CRASH_LIMIT;
+  const isAllConfirmed = crashes.every(({ isConfirmed }) => isConfirmed);
+  return isAllConfirmed ? KNOWN_CRASH_LIMIT : LIMIT_WITH_UNCONFIRMED;
+};
+
 /**
  * Returns why a task must not be started again. Supposed crashes don't count: none of them may have happened.
  *
@@ -90,9 +101,8 @@
 }: Pick<Task, 'key' | 'crashes'>): string | undefined => {
   const known = listKnownCrashes(crashes);
   const explained = countExplained(crashes);
-  const isConclusive = known.some((crash) => crash.isConclusive && isExplainedOnlyByTask(crash));
-  const limit = isConclusive ? CONCLUSIVE_CRASH_LIMIT : KNOWN_CRASH_LIMIT;
-  if (explained < EXPLAINED_CRASH_LIMIT && known.length < limit) return undefined;
+  if (explained < EXPLAINED_CRASH_LIMIT && known.length < knownCrashLimit(crashes))
+    return undefined;
   return `${known.length} endpoints crashed under task ${key}, ${explained} of them while nothing else there could be the cause`;
 };
 
