Tests (red): a conclusive start on an endpoint that ended on purpose counts as a known crash at the next holder

npx vitest run crash-evidence, three red: a run that was seen under a conclusive start ends with an endpoint that was cordoned for an order to its host, or had announced its end. No crash is counted, rightly, and no save is asked for (run-end.ts withdraws the announced start for reported, not-listed and start-refused only), so the row names it further. The next holder finds the endpoint gone and counts {isKnown, isConfirmed, isConclusive, isSoleSuspect, not correlated}. isKnownGone tells that an endpoint is gone, not that it crashed.

--- a/packages/core/src/batch/crashes/crash-evidence.test.ts
+++ b/packages/core/src/batch/crashes/crash-evidence.test.ts
@@ -24,6 +24,7 @@
   createBatchState,
   type BatchState,
   type EndpointCrash,
+  type EndpointState,
   type JobState,
   type Task,
 } from '../model/state.js';
@@ -156,6 +157,41 @@
     scheduleAfterWrites(state, 2020);
     expect(taskOf(state).crashes.at(-1)).toMatchObject({ isKnown: false, isConfirmed: false });
   });
+
+  describe('whose endpoint went down on purpose', () => {
+    /** What the row says once its holder has seen the endpoint end on purpose and has written what it asked to be saved. */
+    const endOnPurpose = (
+      endState: (endpoint: EndpointState) => void,
+    ): { readonly saves: number; readonly crashes: number } => {
+      const { state, endpointId } = orderAnnouncedStart();
+      confirmStart(state, endpointId);
+      reportRunning(state, endpointId, CALM_AT_MS + 6);
+      endState(state.endpoints.get(endpointId) as EndpointState);
+      state.effects.splice(0);
+      crash(state, endpointId, CALM_AT_MS + 100);
+      const saves = state.effects.filter(({ kind }) => kind === 'save').length;
+      return { saves, crashes: taskOf(state).crashes.length };
+    };
+
+    it.each([
+      { name: 'was cordoned for an order to its host', facts: { isCordoned: true } },
+      { name: 'had announced its end', facts: { hasAnnouncedEnd: true } },
+    ])('is taken from the row if the endpoint $name', ({ facts }) => {
+      const { saves, crashes } = endOnPurpose((endpoint) => change(endpoint, facts));
+      expect(crashes).toBe(3);
+      expect(saves).toBeGreaterThan(0);
+    });
+
+    it('fails no job at the next holder, which finds another incarnation on the host', () => {
+      const { state: before, endpointId } = orderAnnouncedStart();
+      confirmStart(before, endpointId);
+      change(before.endpoints.get(endpointId) as EndpointState, { isCordoned: true });
+      const state = takeOver(before, endpointId);
+      scheduleAfterWrites(state, 2020);
+      expect(jobOf(state).phase).not.toBe('failed');
+      expect(taskOf(state).crashes.at(-1)).toMatchObject({ isKnown: false });
+    });
+  });
 });
 
 describe('a job with crashes of endpoints under a task', () => {
