Tests (red): a planned handover of control delays a task with two supposed crashes by 5 s

npx vitest run calm-wait -t planned: idle endpoints, no crash in 10 s, the holder resigns and its process ends 0.1 s later. The task starts 5.08 s after that with two supposed crashes in its row, within 3 s with none or one: isPoolCalm counts the 5 s from takenOverAtMs however calm the time before was.

--- a/packages/daemon/src/batch/endpoints/calm-wait.test.ts
+++ b/packages/daemon/src/batch/endpoints/calm-wait.test.ts
@@ -94,6 +94,20 @@
     },
   );
 
+  it.each([0, 1, 2])(
+    'with %i of them starts within 3 s of a handover of control that was planned',
+    async (supposed) => {
+      const fleet = await createStartedFleet({ hostsPerPool: 4 });
+      await advanceTime(10_000);
+      const holder = requireHolder(fleet);
+      void holder.control.resign();
+      const jobId = submitWithCrashes(fleet, supposed);
+      await advanceTime(100);
+      fleet.kill(holder);
+      expect(await waitForStart(fleet, jobId)).toBeLessThan(3000);
+    },
+  );
+
   it.each([0, 1, 2])(
     'with %i of them starts within 7 s although tasks of other jobs crash endpoints',
     async (supposed) => {
