A supposed crash under a task does not explain the crash of its endpoint

Three endpoints that crashed at once were taken for three crashes by their tasks, if each task had a supposed crash before. correlated-suspects.test.ts, red before, passes.

--- a/packages/core/src/batch/crashes/correlated-crashes.ts
+++ b/packages/core/src/batch/crashes/correlated-crashes.ts
@@ -58,7 +58,8 @@
 const isExplained = (endpoint: EndpointState): boolean =>
   jobsUnderObservation(endpoint).size === 1 &&
   lastReportedRuns(endpoint).some(
-    (run) => !hasSurvivedObservation(endpoint, run) && run.task.crashes.length > 0,
+    (run) =>
+      !hasSurvivedObservation(endpoint, run) && run.task.crashes.some(({ isKnown }) => isKnown),
   );
 
 /**
