--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -37,8 +37,6 @@
  * writing it.
  */
 const KNOWN_CRASH_LIMIT = 4;
-/** The same limit if only the task explains one of these crashes, and further ones are supposed. */
-const LIMIT_WITH_SUPPOSED = 3;
 /** The same limit if only the task explains one of these crashes, and the run was conclusive. */
 const CONCLUSIVE_CRASH_LIMIT = 2;
 /**
@@ -72,20 +70,12 @@
 }: KnownCrash): boolean => isSuspected && isSoleSuspect && isConfirmed && !isCorrelated;
 
 /**
- * Counts the known crashes that only the task explains, since an endpoint last survived the observation period with it:
+ * Lists the known crashes that only the task explains, since an endpoint last survived the observation period with it:
  * that clears the task of earlier crashes.
  */
-const countExplained = (crashes: readonly EndpointCrash[]): number => {
+const listExplained = (crashes: readonly EndpointCrash[]): readonly KnownCrash[] => {
   const lastSurvived = crashes.findLastIndex(({ isSuspected }) => !isSuspected);
-  return listKnownCrashes(crashes.slice(lastSurvived + 1)).filter(isExplainedOnlyByTask).length;
-};
-
-/** Returns how many known crashes give a job up. */
-const knownCrashLimit = (crashes: readonly EndpointCrash[]): number => {
-  const explained = listKnownCrashes(crashes).filter(isExplainedOnlyByTask);
-  if (explained.length === 0) return KNOWN_CRASH_LIMIT;
-  if (explained.some(({ isConclusive }) => isConclusive)) return CONCLUSIVE_CRASH_LIMIT;
-  return crashes.every(isKnown) ? KNOWN_CRASH_LIMIT : LIMIT_WITH_SUPPOSED;
+  return listKnownCrashes(crashes.slice(lastSurvived + 1)).filter(isExplainedOnlyByTask);
 };
 
 /**
@@ -99,10 +89,12 @@
   crashes,
 }: Pick<Task, 'key' | 'crashes'>): string | undefined => {
   const known = listKnownCrashes(crashes);
-  const explained = countExplained(crashes);
-  if (explained < EXPLAINED_CRASH_LIMIT && known.length < knownCrashLimit(crashes))
-    return undefined;
-  return `${known.length} endpoints crashed under task ${key}, ${explained} of them while nothing else there could be the cause`;
+  const explained = listExplained(crashes);
+  const limit = explained.some(({ isConclusive }) => isConclusive)
+    ? CONCLUSIVE_CRASH_LIMIT
+    : KNOWN_CRASH_LIMIT;
+  if (explained.length < EXPLAINED_CRASH_LIMIT && known.length < limit) return undefined;
+  return `${known.length} endpoints crashed under task ${key}, ${explained.length} of them while nothing else there could be the cause`;
 };
 
 /** Whether a crash is known to have happened under a run. */
