An announced start leaves the row when its endpoint ends as planned

After the end of an endpoint that was cordoned or had announced its end no crash is counted, but the start stayed in the job's row, and a next holder took the endpoint for crashed under it. crash-evidence.test.ts: two cases of the review, red before, pass.

--- a/packages/core/src/batch/endpoints/gone-endpoints.ts
+++ b/packages/core/src/batch/endpoints/gone-endpoints.ts
@@ -5,7 +5,8 @@
  */
 import type { EndpointId } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
-import { addRecentCrashes } from '../crashes/correlated-crashes.js';
+import { withdrawTrial } from '../crashes/announced-start-record.js';
+import { addRecentCrashes, isCrash } from '../crashes/correlated-crashes.js';
 import { crashLogFields, assessCrash, recordCrash } from '../crashes/endpoint-crashes.js';
 import { lastReportedRuns } from '../crashes/observation-period.js';
 import { removeFromDomains } from '../domains/domains.js';
@@ -131,6 +132,7 @@
   const fieldsOf = countCrashes(state, gone, [...endedRuns, ...lapsed], nowMs);
   endedRuns.forEach((run) => {
     const fields = fieldsOf.get(run);
+    if (!isCrash(gone)) withdrawTrial(state, run.step, run.task, run.run);
     const onRequeued = (): void => failJobIfCrashing(state, run);
     endRunWithoutReport(state, { endpoint, run, evidence, nowMs, fields, onRequeued });
   });
