One conclusive run whose holder was lost does not give a job up

A conclusive run that is done unheard, a holder that is lost, and an endpoint that crashes empty after that: with one known crash before, the job was failed ("failed although no task of it failed too often or crashed endpoints").

--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -39,6 +39,8 @@
 const KNOWN_CRASH_LIMIT = 4;
 /** The same limit if only the task explains one of these crashes, and the run was conclusive. */
 const CONCLUSIVE_CRASH_LIMIT = 2;
+/** A job is also given up after this many conclusive runs that were seen on endpoints that are gone, as far as is known. */
+const UNCONFIRMED_CONCLUSIVE_LIMIT = 2;
 /**
  * If an endpoint was unresponsive for this long before its crash was detected, its runs may have ended before the crash.
  * The host list is read at least every second, up to a quarter of a second late, and an endpoint is polled every 0.6 s.
@@ -93,7 +95,12 @@
   const limit = explained.some(({ isConclusive }) => isConclusive)
     ? CONCLUSIVE_CRASH_LIMIT
     : KNOWN_CRASH_LIMIT;
-  if (explained.length < EXPLAINED_CRASH_LIMIT && known.length < limit) return undefined;
+  const unconfirmed = known.filter(({ isConclusive, isConfirmed }) => isConclusive && !isConfirmed);
+  const isGivenUp =
+    explained.length >= EXPLAINED_CRASH_LIMIT ||
+    unconfirmed.length >= UNCONFIRMED_CONCLUSIVE_LIMIT ||
+    known.length >= limit;
+  if (!isGivenUp) return undefined;
   return `${known.length} endpoints crashed under task ${key}, ${explained.length} of them while nothing else there could be the cause`;
 };
 
--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -96,7 +96,7 @@
   run,
   livedMs: 0,
   ...(isConclusive && endpointId !== null && isKnownGone(state, endpointId)
-    ? { isKnown: true, isConfirmed: true, isConclusive: true }
+    ? { isKnown: true, isConfirmed: false, isConclusive: true }
     : { isKnown: false, isConfirmed: false }),
   isSuspected: true,
   isSoleSuspect: true,
