An endpoint that has long been silent does not make crashes of others supposed

Beside one endpoint that stays silent for good, no crash that was found late counted as known, and a task that crashes what starts it was started 10 times after three crashes in 240 s, with the list of hosts away (review; gives it up). Only a silence that began or ended since the run was last seen tells of endpoints that live on unheard. silent-endpoints.test.ts: that case, red before, passes.

--- a/packages/core/src/batch/crashes/pool-calm.ts
+++ b/packages/core/src/batch/crashes/pool-calm.ts
@@ -101,12 +101,16 @@
  * @param state - The batch state.
  * @param pool - The pool.
  * @param sinceMs - From when on.
- * @returns True if one has answered since then after a silence, or is listed and silent now.
+ * @returns True if one has answered since then after a silence, or has fallen silent since then and is listed. One that has
+ *   been silent for longer tells nothing of that time.
  */
 export const hadUnheardEndpoints = (state: BatchState, pool: PoolName, sinceMs: number): boolean =>
   poolOf(state, pool).lastSilenceEndedAtMs >= sinceMs ||
   Array.from(state.endpoints.values()).some(
-    (endpoint) => endpoint.pool === pool && endpoint.unansweredSinceMs < Infinity,
+    (endpoint) =>
+      endpoint.pool === pool &&
+      endpoint.unansweredSinceMs >= sinceMs &&
+      endpoint.unansweredSinceMs < Infinity,
   );
 
 /** The time for which recent crashes are kept. */
