--- a/packages/core/src/batch/crashes/pool-calm.ts
+++ b/packages/core/src/batch/crashes/pool-calm.ts
@@ -13,7 +13,7 @@
 } from '../model/state.js';
 
 /** A pool is calm after this time without unexplained crashes under one holder. */
-const CALM_MS = 5000;
+const CALM_MS = 4000;
 /** From this many crashes on that are not confirmed, a task starts only in a calm pool. */
 const MIN_UNCONFIRMED_CRASHES = 2;
 /** From this many crashes of any kind on, one that is not confirmed is enough for that. */
