--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -112,13 +112,17 @@
 const certaintyOf = (
   state: BatchState,
   { endpoint, atMs }: GoneEndpoint,
-  { startedByMs }: RunState,
+  run: RunState,
 ): CrashCertainty => {
+  const { startedByMs } = run;
   if (startedByMs === Infinity) return { isKnown: false, isConfirmed: false };
   const lastSeenAtMs = Math.max(startedByMs, endpoint.reportedAtMs);
-  if (atMs - lastSeenAtMs < MAX_UNRESPONSIVE_MS) return { isKnown: true, isConfirmed: true };
+  const silentMs = atMs - lastSeenAtMs;
+  if (silentMs < MAX_UNRESPONSIVE_MS) return { isKnown: true, isConfirmed: true };
+  const hasLapsed = endpoint.expiredRuns.includes(run) || silentMs >= state.longestLeaseMs;
   // In a pool whose endpoints live on unheard, this one may have lived on for a while, too, and the run may have ended.
-  return { isKnown: !hadUnheardEndpoints(state, endpoint.pool, lastSeenAtMs), isConfirmed: false };
+  const mayHaveEnded = hasLapsed || hadUnheardEndpoints(state, endpoint.pool, lastSeenAtMs);
+  return { isKnown: !mayHaveEnded, isConfirmed: false };
 };
 
 /**
