--- a/packages/core/src/batch/crashes/announced-start-record.ts
+++ b/packages/core/src/batch/crashes/announced-start-record.ts
@@ -80,8 +80,8 @@
 };
 
 /**
- * Records that an answer of the endpoint showed a conclusive run. The job's row is written
- * again, so that a later holder can tell the start from one that no endpoint is known to have begun.
+ * Records that an answer of the endpoint showed a conclusive run. The job's row is written again, so that
+ * a later holder can tell the start from one that no endpoint is known to have begun.
  *
  * @param state - The batch state, changed in place.
  * @param run - The run; nothing is done unless it is conclusive.
--- a/packages/core/src/batch/crashes/endpoint-crashes.ts
+++ b/packages/core/src/batch/crashes/endpoint-crashes.ts
@@ -81,7 +81,7 @@
 };
 
 /**
- * Returns why a task must not be started again. Supposed crashes don't count: none of them may have happened.
+ * Returns why a task must not be started again. Supposed crashes don't count, as none of them need have happened.
  *
  * @param task - The task.
  * @returns The reason, for its client and for operators; undefined while the task may be started.
--- a/packages/core/src/batch/crashes/pool-calm.ts
+++ b/packages/core/src/batch/crashes/pool-calm.ts
@@ -14,6 +14,8 @@
 
 /** A pool is calm after this time without unexplained crashes under one holder. */
 const CALM_MS = 4000;
+/** The time for which recent crashes are kept. */
+export const RECENT_CRASH_MS = CALM_MS;
 /** From this many crashes on that are not confirmed, a task starts only in a calm pool. */
 const MIN_UNCONFIRMED_CRASHES = 2;
 /** From this many crashes of any kind on, one that is not confirmed is enough for that. */
@@ -112,6 +114,3 @@
       endpoint.unansweredSinceMs >= sinceMs &&
       endpoint.unansweredSinceMs < Infinity,
   );
-
-/** The time for which recent crashes are kept. */
-export const RECENT_CRASH_MS = CALM_MS;
