--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,7 +1,7 @@
 /* eslint-disable */
 /**
- * The two racks of a service crash in turn, two times each, under a job that no worker fails. TROUBLE=0 leaves the crashes
- * out.
+ * The holder of control is killed while its client cancels a job. The workers don't guard their capacity. TROUBLE=0 leaves
+ * the kill out.
  */
 import { appendFileSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
@@ -21,14 +21,15 @@
 const HOST = 'pule25.example';
 const PREFIX = '/puxa400/';
 const CAPACITY = { cpu: 32_000, memMb: 131_072 };
-/** The job: one step of as many tasks as the mean of the site's plans, which take long. */
-const TASKS = 8;
-const TASK = { ms: 12_000, cpu: 3800, memMb: 7800 };
-const CRASHES = 4;
-/** For how long the workers of a rack are down (`srv_crash`, `for_s`). */
-const DOWN_MS = 4500;
-const BETWEEN_MS = 8000;
-const END_MS = 90_000;
+const WORKERS = 4;
+/** Both jobs: one step whose tasks take all the room of the workers. */
+const TASKS = 32;
+const FIRST = { ms: 80_000, cpu: 4000, memMb: 8000 };
+const SECOND = { ms: 2000, cpu: 4000, memMb: 8000 };
+/** How long a stop takes; at most `stopMs`, 900 ms. */
+const STOP_MS = 700;
+const RESTARTED_AFTER_MS = 3500;
+const END_MS = 60_000;
 
 const startedAtMs = performance.now();
 const nowMs = () => Math.round(performance.now() - startedAtMs);
@@ -49,11 +50,11 @@
       pathPrefix: PREFIX,
       kind: 'non_idempotent',
       timeoutMs: 3000,
-      targetLatencyMs: 600,
+      targetLatencyMs: 60_000,
       priority: 1,
       service: 'saltyard',
       maxAttempts: 3,
-      stretch: 1.6,
+      stretch: 50,
     },
   ],
   services: [
@@ -63,7 +64,7 @@
       maxConns: 64,
       protocol: 'h1',
       tls: false,
-      admissionCheck: true,
+      admissionCheck: false,
       spare: false,
     },
   ],
@@ -71,7 +72,7 @@
 };
 
 const run = async () => {
-  const ends = { done: 0, failed: 0, stopped: 0, lapsed: 0 };
+  const over = [];
   let store;
   let fleet;
   let entries;
@@ -86,10 +87,12 @@
       store,
       zones: ZONES,
       capacity: CAPACITY,
-      pools: { saltyard: { count: 8, perRack: 4 } },
+      guards: false,
+      stopMs: STOP_MS,
+      pools: { saltyard: { count: WORKERS, perRack: 4 } },
       record: (event, fields) => {
         record(event, fields);
-        if (event === 'end') ends[fields.how] += 1;
+        if (event === 'start' && fields.isOver) over.push({ atMs: nowMs(), ...fields });
       },
     });
     store.put('op', 'config', configuration);
@@ -101,62 +104,72 @@
     }
     await sleep(4000);
 
-    const jobId = '5c0e7a21d94b36f8';
-    const ask = async (method, body) => {
-      const { front } = entries.entries[nowMs() % entries.entries.length];
+    const holderName = () => store.read('lease', 'control', 'control')?.holder;
+    const others = () =>
+      entries.entries.filter(({ name, isRunning }) => isRunning && name !== holderName());
+    const ask = async (method, jobId, body) => {
+      const [entry] = others();
       const answer = await call({
-        port: front,
+        port: entry.front,
         method,
         host: HOST,
         path: `${PREFIX}${jobId}`,
         body,
       });
-      record(method, { jobId, ...answer });
+      record(method, { entry: entry.name, jobId, ...answer });
       return answer;
     };
-    const { status } = await ask('POST', {
-      spec: JSON.stringify(TASK),
-      steps: [{ count: TASKS, cpu: TASK.cpu, memMb: TASK.memMb, estMs: TASK.ms }],
-    });
-    if (status !== 200) {
-      say(`the job was not accepted: ${status}`);
+    const submit = (jobId, { ms, cpu, memMb }) =>
+      ask('POST', jobId, {
+        spec: JSON.stringify({ ms, cpu, memMb }),
+        steps: [{ count: TASKS, cpu, memMb, estMs: ms }],
+      });
+    const firstId = 'aaaaaaaaaaaaaaa1';
+    const secondId = 'bbbbbbbbbbbbbbb2';
+    const countRuns = (jobId) =>
+      Array.from(fleet.machines.values()).reduce(
+        (sum, { life }) =>
+          sum + Array.from(life.runs.keys()).filter((task) => task.startsWith(jobId)).length,
+        0,
+      );
+    if ((await submit(firstId, FIRST)).status !== 200) {
+      say('the first job was not accepted');
+      return { verdict: COULD_NOT_RUN, close };
+    }
+    for (let waitedMs = 0; waitedMs < 8000 && countRuns(firstId) < TASKS; waitedMs += 50)
+      await sleep(50);
+    say(`the first job has ${countRuns(firstId)} of ${TASKS} tasks at work`);
+    if ((await submit(secondId, SECOND)).status !== 200) {
+      say('the second job was not accepted');
       return { verdict: COULD_NOT_RUN, close };
     }
-    say('the job is accepted');
+    await sleep(3000);
 
-    const countOn = (rack) => rack.reduce((sum, { life }) => sum + (life ? life.runs.size : 0), 0);
-    const findRacks = () => {
-      const racks = new Map();
-      fleet.machines.forEach((one) => racks.set(one.rack, [...(racks.get(one.rack) ?? []), one]));
-      return Array.from(racks.values()).sort((left, right) => countOn(right) - countOn(left));
-    };
-    const crashRacks = async () => {
-      for (let crash = 1; crash <= CRASHES; crash += 1) {
-        await sleep(BETWEEN_MS);
-        const [rack] = findRacks();
-        say(`crash ${crash}: rack ${rack[0].rack}, with ${countOn(rack)} tasks at work`);
-        rack.forEach(({ machine }) => fleet.crash(machine, DOWN_MS));
-      }
-    };
-    if (HAS_TROUBLE) crashRacks().catch((error) => say(`the crashes: ${error}`));
+    if (HAS_TROUBLE) {
+      const holder = entries.entries.find(({ name }) => name === holderName());
+      say(`the holder ${holder.name} is killed`);
+      holder.child.kill('SIGKILL');
+      setTimeout(() => entries.restart(holder), RESTARTED_AFTER_MS);
+      await sleep(300);
+    }
+    const { status } = await ask('DELETE', firstId);
+    say(`the cancelling of the first job was answered ${status}`);
 
     let state = '';
-    let reason = '';
-    while (nowMs() < END_MS && state !== 'failed' && state !== 'completed') {
-      const { body } = await ask('GET');
-      state = body?.state ?? state;
-      reason = body?.reason ?? '';
-      await sleep(500);
+    while (nowMs() < END_MS && state !== 'completed') {
+      state = (await ask('GET', secondId)).body?.state ?? state;
+      await sleep(300);
     }
-    say(`the job is shown as ${state} ${reason}`);
-    say(`ends that workers listed: ${JSON.stringify(ends)}`);
+    say(`the second job is shown as ${state}`);
+    say(`starts over the capacity of a worker: ${over.length}`);
+    if (over.length > 0) say(`the first: ${JSON.stringify(over[0])}`);
     entries.entries
       .flatMap(({ lives }) => lives.flat())
-      .filter((line) => /event=(run-ended|job-ended|endpoint-gone|task-started-again)/.test(line))
+      .filter((line) => /event=(task-stop|control-holder|term-recovered|job-cancel)/.test(line))
       .forEach((line) => record('log', { line }));
-    const isBroken = state === 'failed' && ends.failed === 0;
-    if (!isBroken && state !== 'completed') say('the job has not ended in time');
-    say(isBroken ? 'LOST is broken' : 'LOST holds');
+    if (state !== 'completed') return { verdict: COULD_NOT_RUN, close };
+    const isBroken = over.length > 0;
+    say(isBroken ? 'LIMIT is broken' : 'LIMIT holds');
     return { verdict: isBroken ? BROKEN : HELD, close };
   } catch (error) {
     say(`could not run: ${error?.stack ?? error}`);
