Endpoints: what an endpoint has listed is a status, and it is logged

One flag, hasReported, said that an endpoint had answered and was read as if it had listed all that runs there. The type ListingStatus tells the two apart: none, ends-missing, rows-unreadable, complete. Each place asks by hasAnswered, so that nothing decides differently yet. The decoder and the relays' messages say whether a list is incomplete because ends did not fit, or because rows cannot be read; a relay of the build before leaves that out, and an incomplete list of it without any end counts as unreadable. A holder of the build before ignores the further field.

The line endpoint-listing says that the list of an endpoint is incomplete, why, and when it became complete.

--- a/packages/bench/src/placement/placement.ts
+++ b/packages/bench/src/placement/placement.ts
@@ -51,7 +51,7 @@
       },
       0,
     );
-    change(endpoint, { hasReported: true });
+    change(endpoint, { listing: 'complete' });
     change(endpoint.used, { cpuMillis: (index * 7919) % CORES_MILLIS });
   });
   return state;
--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -10,6 +10,7 @@
 import { findOpenTrial, withdrawTrial } from './announced-start-record.js';
 import { hasSurvivedObservation } from './observation-period.js';
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
+import { hasAnswered } from '../endpoints/listing-status.js';
 import { fenceOf } from '../endpoints/run-numbers.js';
 import type { TaskKey } from '../model/job.js';
 import type {
@@ -137,11 +138,13 @@
  */
 export const countLostTrials = (state: BatchState, step: StepRun, nowMs: number): void => {
   const { job, tasks } = step;
-  const hasAnswered = (endpointId: EndpointId | null): boolean =>
-    endpointId !== null && state.endpoints.get(endpointId)?.hasReported === true;
+  const isAnswering = (endpointId: EndpointId | null): boolean => {
+    const endpoint = endpointId === null ? undefined : state.endpoints.get(endpointId);
+    return endpoint !== undefined && hasAnswered(endpoint);
+  };
   const lost = tasks.flatMap((task): readonly LostTrial[] => {
     const trial = task.phase === 'waiting' ? findOpenTrial(task) : undefined;
-    return trial?.isInherited && !hasAnswered(trial.endpointId) ? [{ task, trial }] : [];
+    return trial?.isInherited && !isAnswering(trial.endpointId) ? [{ task, trial }] : [];
   });
   if (lost.length === 0) return;
   lost.forEach(({ task, trial }) => {
--- a/packages/core/src/batch/endpoints/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -9,6 +9,7 @@
   type Capacity,
   type EndpointState,
 } from '../model/state.js';
+import { hasAnswered } from './listing-status.js';
 
 /** An endpoint as it describes itself. */
 export type EndpointDescription = {
@@ -58,7 +59,7 @@
     runs: new Map(),
     expiredRuns: [],
     unexpectedSteps: [],
-    hasReported: false,
+    listing: 'none',
     isDraining: sighting.isDraining,
     hasAnnouncedEnd: sighting.isDraining,
     withheldUntilMs: 0,
@@ -101,8 +102,8 @@
 ): void => {
   endpoints.forEach(({ instanceId, pool }) => {
     const known = poolOf(state, pool);
-    if (!state.currentIncarnations.get(instanceId)?.hasReported)
-      known.unreportedInstances.add(instanceId);
+    const incarnation = state.currentIncarnations.get(instanceId);
+    if (!incarnation || !hasAnswered(incarnation)) known.unreportedInstances.add(instanceId);
   });
 };
 
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -10,6 +10,7 @@
 import { chargeUnexpectedRuns } from '../accounts/quota.js';
 import { recordRunTime } from '../jobs/run-times.js';
 import { recordRunEnd, type RunEvidence, type TaskWithStep } from './run-end.js';
+import { hasAnswered, listingAfter } from './listing-status.js';
 import { endRunWithoutReport } from './unreported-runs.js';
 import { addRun, dropRun, isHeldByRun, requeue } from './runs.js';
 import {
@@ -56,8 +57,13 @@
 export type EndpointReport = {
   readonly running: readonly RunningReport[];
   readonly ended: readonly EndedRunReport[];
-  /** True if not all ended runs fit into the response: a run that is missing from it may have ended. */
+  /**
+   * True if the response is incomplete: a run that is missing from it may have ended. Not all ended runs fit into it, or
+   * rows of it cannot be read.
+   */
   readonly hasMoreEnds: boolean;
+  /** True if only unreadable rows are missing; left out if there is none. */
+  readonly hasUnreadableRows?: boolean;
   /** The endpoint's clock when it responded; left out if it is not known. */
   readonly clockMs?: number;
   /** When the list request was sent. Runs that were started later may be missing from the response. */
@@ -65,6 +71,12 @@
   readonly nowMs: number;
 };
 
+/** What a list response says of the runs there. */
+export type EndpointLists = Pick<
+  EndpointReport,
+  'running' | 'ended' | 'hasMoreEnds' | 'hasUnreadableRows'
+>;
+
 type EndHandler = (
   state: BatchState,
   context: {
@@ -270,6 +282,31 @@
     endRunWithoutReport(state, { endpoint, run, evidence, nowMs });
   });
 
+/** Updates what the endpoint has listed, and logs it each time that this changes to or from an incomplete list. */
+const updateListing = (
+  state: BatchState,
+  endpoint: EndpointState,
+  { running, ended, ...response }: EndpointReport,
+): void => {
+  const before = endpoint.listing;
+  const listing = listingAfter(before, response);
+  if (listing === before) return;
+  change(endpoint, { listing });
+  if (before === 'none' && listing === 'complete') return;
+  state.effects.push({
+    kind: 'note',
+    event: 'endpoint-listing',
+    fields: {
+      endpoint: endpoint.endpointId,
+      listing,
+      before,
+      running: running.length,
+      ended: ended.length,
+      runs: endpoint.runs.size,
+    },
+  });
+};
+
 /**
  * Applies a list response of an endpoint. Ended runs are applied first, because a run that has ended is not running.
  * The endpoint lists ended runs again until they are acknowledged; the caller leaves out those that were applied before.
@@ -281,8 +318,9 @@
 export const applyReport = (
   state: BatchState,
   endpointId: EndpointId,
-  { running, ended, hasMoreEnds, requestedAtMs, nowMs, clockMs }: EndpointReport,
+  report: EndpointReport,
 ): void => {
+  const { running, ended, hasMoreEnds, requestedAtMs, nowMs, clockMs } = report;
   const endpoint = state.endpoints.get(endpointId);
   if (!endpoint) return;
   const times: ReportTimes = {
@@ -290,18 +328,18 @@
     nowMs,
     ...(clockMs === undefined ? {} : { clockMs }),
   };
-  if (!endpoint.hasReported && !hasMoreEnds) {
+  if (!hasAnswered(endpoint) && !hasMoreEnds) {
     applyFirstReport(state, endpoint, { listed: [...running, ...ended], nowMs });
   }
   ended.forEach((end) => applyEnd(state, endpoint, end, times));
   const listed = new Set<TaskKey>();
-  const unexpectedRuns = running.flatMap((report) => {
-    listed.add(report.task);
-    const run = endpoint.runs.get(report.task);
-    if (!run) return applyUnknownRun(state, endpoint, report, times) ?? [];
-    if (run.run === report.run) {
+  const unexpectedRuns = running.flatMap((active) => {
+    listed.add(active.task);
+    const run = endpoint.runs.get(active.task);
+    if (!run) return applyUnknownRun(state, endpoint, active, times) ?? [];
+    if (run.run === active.run) {
       closeTrial(state, endpoint, run);
-      updateRun(state, run, report, times);
+      updateRun(state, run, active, times);
     }
     return [];
   });
@@ -311,6 +349,7 @@
     withdrawUnknownTrials(state, endpointId, listed);
   }
   recordAnswered(state, endpoint, nowMs);
-  change(endpoint, { hasReported: true, reportedAtMs: requestedAtMs, expiredRuns: [] });
+  updateListing(state, endpoint, report);
+  change(endpoint, { reportedAtMs: requestedAtMs, expiredRuns: [] });
   poolOf(state, endpoint.pool).unreportedInstances.delete(instanceIdOf(endpointId));
 };
--- a/packages/core/src/batch/endpoints/run-end.ts
+++ b/packages/core/src/batch/endpoints/run-end.ts
@@ -5,6 +5,7 @@
 import { change } from '../../shared/change.js';
 import { withdrawTrial } from '../crashes/announced-start-record.js';
 import type { TaskKey } from '../model/job.js';
+import { hasAnswered } from './listing-status.js';
 import {
   isFinal,
   type BatchState,
@@ -46,8 +47,8 @@
 ): number | undefined =>
   soleHolderUntilMs === Infinity ? undefined : Math.round(soleHolderUntilMs - nowMs);
 
-const silentMs = ({ hasReported, reportedAtMs }: EndpointState, nowMs: number): number | string =>
-  hasReported ? Math.round(nowMs - reportedAtMs) : 'never';
+const silentMs = (endpoint: EndpointState, nowMs: number): number | string =>
+  hasAnswered(endpoint) ? Math.round(nowMs - endpoint.reportedAtMs) : 'never';
 
 /** A task with its step. */
 export type TaskWithStep = { readonly step: StepRun; readonly task: Task };
--- a/packages/core/src/batch/endpoints/schedulable-endpoints.ts
+++ b/packages/core/src/batch/endpoints/schedulable-endpoints.ts
@@ -6,6 +6,7 @@
 import { isSuspected } from '../domains/suspected-domains.js';
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
 import type { StepSpec } from '../model/job.js';
+import { hasAnswered } from './listing-status.js';
 import { fitsIn } from './runs.js';
 import type { BatchState, EndpointState, StepRun } from '../model/state.js';
 
@@ -29,7 +30,7 @@
  * @returns True if its capacity counts as available to the pool.
  */
 export const isSchedulable = (state: BatchState, endpoint: EndpointState, nowMs: number): boolean =>
-  endpoint.hasReported &&
+  hasAnswered(endpoint) &&
   isKnownToSuccessor(endpoint, state) &&
   !endpoint.isDraining &&
   !endpoint.isCordoned &&
--- a/packages/core/src/batch/endpoints/simulated-endpoint.ts
+++ b/packages/core/src/batch/endpoints/simulated-endpoint.ts
@@ -14,7 +14,7 @@
   StartOrder,
   StopOrder,
 } from '../model/orders.js';
-import type { RunEndKind, EndpointReport, EndedRunReport, RunningReport } from './reports.js';
+import type { RunEndKind, EndpointLists, EndedRunReport, RunningReport } from './reports.js';
 import type { Capacity } from '../model/state.js';
 
 /** Properties of a task in the simulation. */
@@ -67,11 +67,7 @@
   readonly endpointId: EndpointId;
   readonly isUp: () => boolean;
   readonly runs: ReadonlyMap<TaskKey, Readonly<Omit<SimulatedRun, 'timer'>>>;
-  readonly list: (
-    order: ListOrder,
-  ) => Promise<
-    Result<EndpointClock & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>, OrderError>
-  >;
+  readonly list: (order: ListOrder) => Promise<Result<EndpointClock & EndpointLists, OrderError>>;
   readonly start: (order: StartOrder) => Result<EndpointClock, OrderError>;
   readonly stop: (order: StopOrder) => Result<EndpointClock, OrderError>;
   /** Kills all runs; nothing is reported afterwards. */
--- a/packages/core/src/batch/endpoints/stalled-runs.ts
+++ b/packages/core/src/batch/endpoints/stalled-runs.ts
@@ -3,6 +3,7 @@
 import type { EndpointId } from '../../shared/ids.js';
 import { mayRunInUnreportedIncarnation } from './incarnation-runs.js';
 import { withholdEndpoint } from './endpoint-health.js';
+import { hasAnswered } from './listing-status.js';
 import { endRunWithoutReport } from './unreported-runs.js';
 import type { RunEvidence } from './run-end.js';
 import { stopRun } from './runs.js';
@@ -95,7 +96,7 @@
     (other) =>
       other.hostId === hostId &&
       other.endpointId !== endpointId &&
-      other.hasReported &&
+      hasAnswered(other) &&
       other.seenAtMs > reportedAtMs,
   );
 
--- a/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
+++ b/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
@@ -76,7 +76,7 @@
   const used = [...hostsIn(NORTH, POOL, inNorth), ...hostsIn(SOUTH, POOL, inSouth)];
   used.forEach(({ hostId, dataCentre, instanceId }) => {
     const endpoint = upsertEndpoint(state, sightingOn(String(instanceId), dataCentre, hostId), 0);
-    endpoint.hasReported = true;
+    endpoint.listing = 'complete';
   });
   const spare = [...hostsIn(NORTH, SPARE, spareNorth), ...hostsIn(SOUTH, SPARE, spareSouth)];
   const world: PoolPlanInput = {
@@ -130,7 +130,7 @@
     const [need] = computePoolNeeds(world);
     expect(need).toMatchObject({ capacityCpu: 3 * CAPACITY.cpuMillis, joiningCpu: 0 });
     expect(need?.hosts.map(({ dataCentre }) => dataCentre)).toEqual([SOUTH, SOUTH, SOUTH]);
-    state.endpoints.forEach((endpoint) => Object.assign(endpoint, { hasReported: false }));
+    state.endpoints.forEach((endpoint) => Object.assign(endpoint, { listing: 'none' }));
     expect(computePoolNeeds(world)[0]).toMatchObject({ joiningCpu: 3 * CAPACITY.cpuMillis });
   });
 
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -18,6 +18,7 @@
 export * from './endpoints/feed-scope.js';
 export * from './endpoints/incarnation-runs.js';
 export * from './endpoints/gone-endpoints.js';
+export * from './endpoints/listing-status.js';
 export * from './endpoints/endpoint-health.js';
 export * from './endpoints/unanswered-starts.js';
 export * from './endpoints/order-responses.js';
--- a/packages/core/src/batch/maintenance/host-rules.test.ts
+++ b/packages/core/src/batch/maintenance/host-rules.test.ts
@@ -62,7 +62,7 @@
 
   it('waits until its endpoint has reported its tasks to this holder', () => {
     const { plan, hosts, endpoints } = createTestWave(1, 1, NO_TIME_LEFT_MS);
-    Object.assign(endpoints[0] as EndpointState, { hasReported: false });
+    Object.assign(endpoints[0] as EndpointState, { listing: 'none' });
     expect(plan(0)).toEqual([]);
     expect(hosts()[0]?.reason).toBe('its endpoint has not answered yet');
   });
--- a/packages/core/src/batch/maintenance/host-rules.ts
+++ b/packages/core/src/batch/maintenance/host-rules.ts
@@ -8,6 +8,7 @@
   runsOnlyLongRunningTasks,
   type BudgetViolation,
 } from '../pools/listed-hosts.js';
+import { hasAnswered } from '../endpoints/listing-status.js';
 import type { BatchState, EndpointState, StepRun } from '../model/state.js';
 import type { KnownHosts, MaintenanceHost, MaintenanceWave } from './wave-progress.js';
 import { MAX_DRAIN_MS, latestStartOf, type WavePlan } from './wave-plan.js';
@@ -148,7 +149,7 @@
 const waitForFirstAnswer: Rule = ({ hostId, endpoint }, { context }) => {
   const instanceId = context.inventory.hosts.get(hostId)?.instanceId ?? null;
   // It is not known what an endpoint runs until it has answered this control holder.
-  const isUnknown = instanceId !== null && !endpoint?.hasReported;
+  const isUnknown = instanceId !== null && !(endpoint && hasAnswered(endpoint));
   return isUnknown ? drain('its endpoint has not answered yet') : undefined;
 };
 
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -67,6 +67,17 @@
   readonly dataCentre: DomainId | null;
 };
 
+/**
+ * What an endpoint has listed to this holder. A run of an earlier holder that it has not listed may be there, or may have
+ * ended there, until it has listed everything once.
+ * - `none`: it has not answered.
+ * - `ends-missing`: it has answered, but with more ended runs than one response holds. It lists the others once these are
+ *   acknowledged. Its active runs are all listed.
+ * - `rows-unreadable`: it has answered, but rows of its response cannot be read. Another request may not change that.
+ * - `complete`: it has listed everything. The endpoint rejects orders of earlier holders, so this does not change again.
+ */
+export type ListingStatus = 'none' | 'ends-missing' | 'rows-unreadable' | 'complete';
+
 /** One incarnation of an endpoint of a pool. */
 export type EndpointState = {
   readonly endpointId: EndpointId;
@@ -85,8 +96,8 @@
   expiredRuns: readonly RunState[];
   /** The steps of further runs that the endpoint listed last. It was ordered to stop these runs. */
   unexpectedSteps: readonly StepRun[];
-  /** The endpoint has answered under this holder's fencing token, so all of its runs are known. */
-  hasReported: boolean;
+  /** What the endpoint has listed since this holder took over. */
+  listing: ListingStatus;
   isDraining: boolean;
   /** The endpoint has announced that it will shut down, so its end is not a failure. */
   hasAnnouncedEnd: boolean;
--- a/packages/core/src/batch/pools/pool-domains.test.ts
+++ b/packages/core/src/batch/pools/pool-domains.test.ts
@@ -37,7 +37,7 @@
     const { hostId, capacity, labels } = host;
     const seen = { endpointId, hostId, capacity, labels, address: '', isDraining: false };
     const at = { pool: host.pool, dataCentre: host.dataCentre };
-    upsertEndpoint(state, { ...seen, ...at }, 0).hasReported = true;
+    upsertEndpoint(state, { ...seen, ...at }, 0).listing = 'complete';
   });
   const pools = [
     { name: POOL, isSpare: false },
--- a/packages/core/src/batch/pools/pool-needs.ts
+++ b/packages/core/src/batch/pools/pool-needs.ts
@@ -5,6 +5,7 @@
 import { predictPeakCores } from './demand-peaks.js';
 import type { ListedHost, DeclaredPool } from './listed-hosts.js';
 import { DEFAULT_POOL_POLICY, type PoolMovePolicy } from './pool-policy.js';
+import { hasAnswered } from '../endpoints/listing-status.js';
 import { reservedCpu } from '../endpoints/runs.js';
 import { isSchedulable } from '../endpoints/schedulable-endpoints.js';
 import { poolOf, type BatchState, type EndpointState, type StepRun } from '../model/state.js';
@@ -119,12 +120,12 @@
   name: PoolName,
 ): readonly EndpointState[] =>
   Array.from(endpoints.values()).filter(
-    ({ pool, dataCentre, runs, hasReported, isCordoned }) =>
-      pool === name &&
-      evacuatedDataCentres.has(dataCentre) &&
-      hasReported &&
-      !isCordoned &&
-      runs.size === 0,
+    (endpoint) =>
+      endpoint.pool === name &&
+      evacuatedDataCentres.has(endpoint.dataCentre) &&
+      hasAnswered(endpoint) &&
+      !endpoint.isCordoned &&
+      endpoint.runs.size === 0,
   );
 
 const needOf = (
@@ -138,9 +139,10 @@
   const endpoints = Array.from(state.endpoints.values()).filter(
     (endpoint) => endpoint.pool === name && isSchedulable(state, endpoint, nowMs),
   );
-  const joiningHosts = poolHosts.filter(
-    ({ instanceId }) => !instanceId || !state.currentIncarnations.get(instanceId)?.hasReported,
-  );
+  const joiningHosts = poolHosts.filter(({ instanceId }) => {
+    const endpoint = instanceId ? state.currentIncarnations.get(instanceId) : undefined;
+    return !endpoint || !hasAnswered(endpoint);
+  });
   const pool = poolOf(state, name);
   const waiting = Array.from(pool.openSteps);
   const running = endpoints.flatMap(({ runs }) => Array.from(runs.values(), ({ step }) => step));
--- a/packages/core/src/batch/pools/pool-peaks.test.ts
+++ b/packages/core/src/batch/pools/pool-peaks.test.ts
@@ -50,7 +50,7 @@
       labels: [],
       capacity,
     };
-    upsertEndpoint(state, { ...seen, isDraining: false }, nowMs).hasReported = true;
+    upsertEndpoint(state, { ...seen, isDraining: false }, nowMs).listing = 'complete';
     hosts.set(hostId, { ...host, state: 'up', instanceId: instanceIdOf(endpointId) });
   };
 
--- a/packages/core/src/batch/testing/maintenance-wave.fixtures.ts
+++ b/packages/core/src/batch/testing/maintenance-wave.fixtures.ts
@@ -61,7 +61,7 @@
       labels: [],
     };
     const endpoint = upsertEndpoint(state, { ...sighting, ...place, isDraining: false }, 0);
-    endpoint.hasReported = true;
+    endpoint.listing = 'complete';
     return endpoint;
   });
   const views = endpoints.map(({ endpointId, hostId }, index) => ({
--- a/packages/daemon/src/batch/endpoints/endpoint-polling.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-polling.ts
@@ -1,5 +1,5 @@
 /** Repeats list requests to one endpoint for as long as its reports are needed. */
-import type { EndpointState, RunState } from '@valvelatch/core/batch';
+import { hasAnswered, type EndpointState, type RunState } from '@valvelatch/core/batch';
 import type { EndpointId } from '@valvelatch/core/shared/ids';
 
 import { sleep } from '../../shared/sleep.js';
@@ -79,7 +79,7 @@
     return (
       endpoint !== undefined &&
       (endpoint.runs.size > 0 ||
-        !endpoint.hasReported ||
+        !hasAnswered(endpoint) ||
         isDomainSuspected() ||
         hasUnstoredEnds() ||
         acknowledgement.isUnconfirmed())
@@ -88,7 +88,9 @@
 
   /** Computes for how long the endpoint may hold back the response to the next list request. */
   const computeListWaitMs = (): number => {
-    if (isDomainSuspected() || hasUnstoredEnds() || !findEndpoint()?.hasReported) return 0;
+    const endpoint = findEndpoint();
+    const isUnheard = endpoint === undefined || !hasAnswered(endpoint);
+    if (isDomainSuspected() || hasUnstoredEnds() || isUnheard) return 0;
     return computeReportWaitMs(listRuns());
   };
 
--- a/packages/daemon/src/batch/endpoints/endpoint-roster.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-roster.ts
@@ -2,6 +2,7 @@
 import {
   blockUnansweredStarts,
   findEndpointsWithSuccessor,
+  hasAnswered,
   instanceIdOf,
   isCrash,
   removeEndpoint,
@@ -148,7 +149,7 @@
       reason: REASONS[cause],
       toldBy,
       knownForMs: Math.round(nowMs() - endpoint.seenAtMs),
-      heardAgoMs: endpoint.hasReported ? Math.round(nowMs() - endpoint.reportedAtMs) : 'never',
+      heardAgoMs: hasAnswered(endpoint) ? Math.round(nowMs() - endpoint.reportedAtMs) : 'never',
       lastEnd: links.get(endpointId)?.lastAppliedEnd(),
       isCrash: isCrash({ endpoint, detail: cause }),
       ageMs: Math.round(nowMs() - atMs),
--- a/packages/daemon/src/batch/endpoints/endpoint-watch.test.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-watch.test.ts
@@ -85,7 +85,7 @@
       if (requests === 1) throw new Error('broken');
       return Ok({ clockMs: 1000, running: [], ended: [], hasMoreEnds: false });
     }, 2000);
-    expect(endpoint?.hasReported).toBe(true);
+    expect(endpoint?.listing).toBe('complete');
   });
 
   it('does not keep the lease of its runs while no report of it can be applied', async () => {
--- a/packages/daemon/src/batch/endpoints/list-requests.ts
+++ b/packages/daemon/src/batch/endpoints/list-requests.ts
@@ -6,7 +6,7 @@
   applyReport,
   type EndpointClock,
   type EndpointDelayEstimator,
-  type EndpointReport,
+  type EndpointLists,
   type ListOrder,
   type OrderError,
 } from '@valvelatch/core/batch';
@@ -21,7 +21,7 @@
 /** The number of consecutive unanswered list requests that show that an endpoint is not merely slow once. */
 const MISSES_TO_WITHHOLD = 2;
 
-type ListResponse = EndpointClock & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>;
+type ListResponse = EndpointClock & EndpointLists;
 
 export type ListRequestSenderOptions = {
   readonly target: OrderTarget;
@@ -146,11 +146,11 @@
     requestedAtMs < (state.endpoints.get(endpointId)?.reportedAtMs ?? 0) || clockMs < reportClockMs;
 
   const applyResponse = (response: ListResponse, requestedAtMs: number): void => {
-    const { running, ended, hasMoreEnds, clockMs } = response;
+    const { ended, clockMs } = response;
     reportClockMs = clockMs;
     const newEnds = ended.filter(({ number }) => number > lastAppliedNumber);
     state.clockMs = nowMs();
-    const report = { running, ended: newEnds, hasMoreEnds, clockMs, requestedAtMs, nowMs: nowMs() };
+    const report = { ...response, ended: newEnds, requestedAtMs, nowMs: nowMs() };
     isLastReportApplied = false;
     applyReport(state, endpointId, report);
     isLastReportApplied = true;
--- a/packages/daemon/src/batch/operators/operator-queries.ts
+++ b/packages/daemon/src/batch/operators/operator-queries.ts
@@ -5,6 +5,7 @@
 import {
   describeSpread,
   evacuationsBlocking,
+  hasAnswered,
   isFinal,
   isSuspected,
   rackOf,
@@ -55,7 +56,7 @@
   }
   const endpoint = findEndpointOn(term, hostId);
   if (!endpoint) return 'no endpoint runs on it';
-  if (!endpoint.hasReported) return 'its endpoint has not answered this holder yet';
+  if (!hasAnswered(endpoint)) return 'its endpoint has not answered this holder yet';
   if (term.state.evacuatedDataCentres.has(endpoint.dataCentre)) {
     return `data centre ${endpoint.dataCentre} is evacuated, ${endpoint.runs.size} tasks run on it`;
   }
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -7,7 +7,7 @@
   AdviceQuestion,
   BatchConfiguration,
   EndpointClock,
-  EndpointReport,
+  EndpointLists,
   EndpointDescription,
   EvacuationUpdate,
   FeedScope,
@@ -118,9 +118,7 @@
     target: OrderTarget,
     order: ListOrder,
     timeoutMs: number,
-  ) => Promise<
-    Result<EndpointClock & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>, OrderError>
-  >;
+  ) => Promise<Result<EndpointClock & EndpointLists, OrderError>>;
   /** `mayStillSend` is asked before each further message, if the first one was not enough to carry the order. */
   readonly start: (
     target: OrderTarget,
--- a/packages/daemon/src/batch/relays/order-message.test.ts
+++ b/packages/daemon/src/batch/relays/order-message.test.ts
@@ -3,7 +3,7 @@
 import { Ok } from 'ts-results-es';
 import { describe, expect, it } from 'vitest';
 
-import { decodeAnswer, encodeAnswer } from './order-message.js';
+import { decodeAnswer, encodeAnswer, type ListAnswer } from './order-message.js';
 
 const TASK = '5c0e7a21d94b36f8.0.1.17' as TaskKey;
 /** The kinds of ends that the build before this one reads from its codes; it reads any other code as `failed`. */
@@ -29,6 +29,25 @@
   false,
 ];
 
+describe('an incomplete list in the answer of a relay', () => {
+  const decoded = (answer: Partial<ListAnswer>): ListAnswer =>
+    decodeAnswer(
+      encodeAnswer(Ok({ clockMs: 5, running: [], ended: [], hasMoreEnds: false, ...answer })),
+    ).unwrap();
+
+  it('tells unreadable rows from ends that did not fit', () => {
+    const ended = [endOf('done')];
+    const truncated = { ended, hasMoreEnds: true };
+    expect(decoded(truncated).hasUnreadableRows).toBeUndefined();
+    expect(decoded({ ...truncated, hasUnreadableRows: true }).hasUnreadableRows).toBe(true);
+  });
+
+  it('has unreadable rows if a relay of the build before sends it without any end', () => {
+    expect(decodeAnswer([1, 5, [], [], true]).unwrap().hasUnreadableRows).toBe(true);
+    expect(decodeAnswer([1, 5, [], [], false]).unwrap().hasUnreadableRows).toBeUndefined();
+  });
+});
+
 describe('the ends in the answer of a relay', () => {
   it.each(['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'] as const)(
     'keep how they ended: %s',
--- a/packages/daemon/src/batch/relays/order-message.ts
+++ b/packages/daemon/src/batch/relays/order-message.ts
@@ -5,7 +5,7 @@
 import type {
   RunEndKind,
   EndpointClock,
-  EndpointReport,
+  EndpointLists,
   ListOrder,
   OrderError,
   OrderRefusal,
@@ -44,7 +44,7 @@
 );
 
 /** An endpoint's answer to a list order. */
-export type ListAnswer = EndpointClock & Pick<EndpointReport, 'running' | 'ended' | 'hasMoreEnds'>;
+export type ListAnswer = EndpointClock & EndpointLists;
 
 /** The letter that stands for each kind of order in a message. */
 const KIND_CODE = { list: 'l', start: 's', stop: 'x' } as const;
@@ -219,7 +219,7 @@
   }
   const { clockMs } = result.value;
   if (!('running' in result.value)) return [1, clockMs];
-  const { running, ended, hasMoreEnds } = result.value;
+  const { running, ended, hasMoreEnds, hasUnreadableRows = false } = result.value;
   return [
     1,
     clockMs,
@@ -238,6 +238,7 @@
       checkpoint,
     ]),
     hasMoreEnds,
+    ...(hasUnreadableRows ? [hasUnreadableRows] : []),
   ];
 };
 
@@ -256,12 +257,16 @@
     const [isNotRun, reason, detail] = row as unknown as readonly [boolean, OrderRefusal, string];
     return Err({ verdict: isNotRun ? 'notRun' : 'mayHaveRun', reason, detail });
   }
-  const [clockMs, running = [], ended = [], hasMoreEnds = false] = row as unknown as readonly [
-    number,
-    (readonly RunRow[])?,
-    (readonly EndRow[])?,
-    boolean?,
-  ];
+  const [clockMs, running = [], ended = [], hasMoreEnds = false, isUnreadable] =
+    row as unknown as readonly [
+      number,
+      (readonly RunRow[])?,
+      (readonly EndRow[])?,
+      boolean?,
+      boolean?,
+    ];
+  // Relays of earlier builds do not tell why a list is incomplete. One without ended runs has room for all of them.
+  const hasUnreadableRows = isUnreadable ?? (hasMoreEnds && ended.length === 0);
   return Ok({
     clockMs,
     running: running.map(([task, run, checkpoint, percent, figure]) => ({
@@ -279,5 +284,6 @@
       checkpoint,
     })),
     hasMoreEnds,
+    ...(hasUnreadableRows ? { hasUnreadableRows } : {}),
   });
 };
