Takeover: a list that leaves out ended runs is not taken for all that an endpoint ran

Cause: an endpoint lists 500 ended runs at once and the others once these are acknowledged. The first answer, whole or not, ended the wait of inherited tasks, so that tasks in neither list counted as tasks that nobody runs.

Change: an endpoint is awaited until it has listed everything. While ends are missing, the wait ends with the endpoint's own lease, which its lists extend, not with the leases of earlier holders; so a store that takes no ends doesn't end it. Rows that cannot be read hold tasks back only as long as a silent endpoint does. The endpoint itself is in use from its first answer on. The same on related paths: runs that may be in a next incarnation, quota, waves, moves of empty hosts, tasks that failed elsewhere (BUDGET).

--- a/packages/core/src/batch/accounts/quota.test.ts
+++ b/packages/core/src/batch/accounts/quota.test.ts
@@ -220,6 +220,21 @@
     expect(state.unreportedUsage.size).toBe(0);
   });
 
+  it('no longer count once an endpoint has nothing but ended runs left to list', () => {
+    const state = stateAfterTakeover({ taskCount: 4 });
+    applyAnswer(state, { endpointId: THIRD, hasMoreEnds: true, requestedAtMs: 30, nowMs: 40 });
+    estimateUnreportedUsage(state, 50);
+    expect(state.unreportedUsage.size).toBe(0);
+  });
+
+  it('still count while rows of the list of an endpoint cannot be read', () => {
+    const state = stateAfterTakeover({ taskCount: 4 });
+    const gaps = { hasMoreEnds: true, hasUnreadableRows: true };
+    applyAnswer(state, { endpointId: THIRD, ...gaps, requestedAtMs: 30, nowMs: 40 });
+    estimateUnreportedUsage(state, 150);
+    expect(state.unreportedUsage.size).toBe(1);
+  });
+
   it('count while an endpoint reports them although their job has ended', () => {
     const state = stateWithTwoEndpoints();
     submit(state, JOBS[0], { owner: ownerOf(NORTH, 1000) });
--- a/packages/core/src/batch/accounts/quota.ts
+++ b/packages/core/src/batch/accounts/quota.ts
@@ -3,7 +3,7 @@
  * updated with each run, so that checking a start needs no search. Runs that an earlier control holder may have started
  * and that no endpoint has reported yet are counted on top.
  */
-import type { AccountName } from '../../shared/ids.js';
+import type { AccountName, InstanceId } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import type { AccountLimits, JobOwner } from '../model/accounts.js';
 import { createZeroUsage, RESOURCES, type Capacity, type Usage } from '../model/capacity.js';
@@ -183,6 +183,17 @@
   return work;
 };
 
+/**
+ * The endpoints that may run tasks which no report shows. One that has only ended runs left to list does not count.
+ */
+const endpointsWithUnreportedRuns = ({
+  pools,
+  currentIncarnations,
+}: BatchState): readonly InstanceId[] =>
+  Array.from(pools.values())
+    .flatMap(({ unreportedInstances }) => Array.from(unreportedInstances))
+    .filter((instanceId) => currentIncarnations.get(instanceId)?.listing !== 'ends-missing');
+
 /**
  * The total capacity of the endpoints that have not reported yet. An endpoint of unknown capacity counts with the
  * largest known amount of each resource.
@@ -195,25 +206,22 @@
       largest[resource] = Math.max(largest[resource], capacity[resource]);
     }),
   );
-  state.pools.forEach(({ unreportedInstances }) =>
-    unreportedInstances.forEach((instanceId) => {
-      const capacity = state.currentIncarnations.get(instanceId)?.capacity ?? largest;
-      RESOURCES.forEach((resource) => {
-        total[resource] += capacity[resource];
-      });
-    }),
-  );
+  endpointsWithUnreportedRuns(state).forEach((instanceId) => {
+    const capacity = state.currentIncarnations.get(instanceId)?.capacity ?? largest;
+    RESOURCES.forEach((resource) => {
+      total[resource] += capacity[resource];
+    });
+  });
   return total;
 };
 
 const isAnyReportAwaited = (state: BatchState): boolean =>
-  state.isHostListAwaited ||
-  Array.from(state.pools.values()).some(({ unreportedInstances }) => unreportedInstances.size > 0);
+  state.isHostListAwaited || endpointsWithUnreportedRuns(state).length > 0;
 
 /** Whether runs started by an earlier control holder may still exist that no endpoint has reported. */
 const mayRunUnreported = (state: BatchState, nowMs: number): boolean =>
-  isAnyReportAwaited(state) &&
-  (nowMs < state.inheritedLeasesEndAtMs || nowMs >= state.soleHolderUntilMs);
+  (nowMs < state.inheritedLeasesEndAtMs || nowMs >= state.soleHolderUntilMs) &&
+  isAnyReportAwaited(state);
 
 /** Interval between two estimates of the unreported usage. It only shrinks in between, so an old estimate is safe. */
 const ESTIMATE_INTERVAL_MS = 100;
--- a/packages/core/src/batch/endpoints/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -9,7 +9,6 @@
   type Capacity,
   type EndpointState,
 } from '../model/state.js';
-import { hasAnswered } from './listing-status.js';
 
 /** An endpoint as it describes itself. */
 export type EndpointDescription = {
@@ -102,8 +101,8 @@
 ): void => {
   endpoints.forEach(({ instanceId, pool }) => {
     const known = poolOf(state, pool);
-    const incarnation = state.currentIncarnations.get(instanceId);
-    if (!incarnation || !hasAnswered(incarnation)) known.unreportedInstances.add(instanceId);
+    const listing = state.currentIncarnations.get(instanceId)?.listing;
+    if (listing !== 'complete') known.unreportedInstances.add(instanceId);
   });
 };
 
--- a/packages/core/src/batch/endpoints/incarnation-runs.test.ts
+++ b/packages/core/src/batch/endpoints/incarnation-runs.test.ts
@@ -112,6 +112,23 @@
       expect(state.jobs.get(JOB)?.phase).toBe('completed');
     });
 
+    it('moves also if the list of the next incarnation leaves out ended runs', () => {
+      const lists = { running: [runningReport], hasMoreEnds: true };
+      respond(NEXT_INCARNATION, RESPONSE_AT_MS, lists);
+      runCycle(RESPONSE_AT_MS);
+      expect(endpointsOf(state, taskOf(state))).toEqual([NEXT_INCARNATION]);
+      expect(stopOrdersAt(NEXT_INCARNATION)).toEqual([]);
+    });
+
+    it('is replaced only once the next incarnation has listed everything without it', () => {
+      respond(NEXT_INCARNATION, RESPONSE_AT_MS, { hasMoreEnds: true });
+      runCycle(RESPONSE_AT_MS);
+      expect(endpointsOf(state, taskOf(state))).toEqual([]);
+      respond(NEXT_INCARNATION, RESPONSE_AT_MS + 20);
+      runCycle(RESPONSE_AT_MS + 20);
+      expect(taskOf(state).lastRun).toBe(FIRST_RUN + 1);
+    });
+
     it('is replaced by a new run, and a crash is counted, once the next incarnation does not list it', () => {
       respond(NEXT_INCARNATION, RESPONSE_AT_MS);
       runCycle(RESPONSE_AT_MS);
@@ -196,6 +213,18 @@
       expect(taskOf(state).crashes).toHaveLength(1);
     });
 
+    it('is blocked in the next incarnation also if the first list of that left out ended runs', () => {
+      loseEndpoint('restarted');
+      registerNextIncarnation();
+      respond(NEXT_INCARNATION, RESPONSE_AT_MS, { hasMoreEnds: true });
+      runCycle(RESPONSE_AT_MS);
+      expect(stopOrdersAt(NEXT_INCARNATION)).toEqual([]);
+      respond(NEXT_INCARNATION, RESPONSE_AT_MS + 20);
+      runCycle(RESPONSE_AT_MS + 20);
+      expect(stopOrdersAt(NEXT_INCARNATION)).toMatchObject([ORDERED_RUN]);
+      expect(endpointsOf(state, taskOf(state))).toEqual([NEXT_INCARNATION]);
+    });
+
     it('is blocked in the next incarnation also if its task has been started again before', () => {
       applyStartOutcome(state, FIRST_INCARNATION, {
         ...ORDERED_RUN,
--- a/packages/core/src/batch/endpoints/incarnation-runs.ts
+++ b/packages/core/src/batch/endpoints/incarnation-runs.ts
@@ -94,11 +94,14 @@
   return !isKnownToBeOver && mayRunInUnreportedIncarnation(state, endpoint, run, nowMs);
 };
 
-/** The runs that an endpoint listed in its first answer. */
-type FirstReport = {
-  readonly listed: readonly RunKey[];
-  readonly nowMs: number;
-};
+/** The incarnations of an endpoint that are gone and whose runs are not given up yet. */
+const formerIncarnationsOf = (
+  state: BatchState,
+  { endpointId }: EndpointState,
+): readonly GoneEndpoint[] =>
+  Array.from(state.goneEndpoints.values()).filter(
+    ({ endpoint }) => instanceIdOf(endpoint.endpointId) === instanceIdOf(endpointId),
+  );
 
 const logRunFollowed = (
   state: BatchState,
@@ -158,34 +161,40 @@
 };
 
 /**
- * Applies the first list of an incarnation to the runs of the earlier ones. A run in the list is running or has ended
- * in the new incarnation. A run that is missing is blocked if an order to start it may still be in transit; otherwise
- * it ended with its own incarnation.
+ * Moves the runs of earlier incarnations that an incarnation lists: they are running there, or have ended there.
  *
  * @param state - The holder's batch state, modified in place.
  * @param next - The incarnation that answered.
- * @param report - All runs that it lists, running or ended.
+ * @param listed - The runs that it lists, running or ended. The list may be incomplete.
  */
-export const applyFirstReport = (
+export const moveListedRuns = (
   state: BatchState,
   next: EndpointState,
-  { listed, nowMs }: FirstReport,
-): void => {
-  const isInReport = ({ task, run }: RunState): boolean =>
-    listed.some((one) => one.task === task.key && one.run === run);
-  state.goneEndpoints.forEach((gone) => {
-    const { endpoint: previous } = gone;
-    if (instanceIdOf(previous.endpointId) !== instanceIdOf(next.endpointId)) return;
-    change(gone, { hasSuccessorAnswered: true });
+  listed: readonly RunKey[],
+): void =>
+  formerIncarnationsOf(state, next).forEach(({ endpoint: previous }) =>
     previous.runs.forEach((run) => {
-      if (isInReport(run)) {
-        moveToNextIncarnation(state, previous, next, run);
-      } else if (isStartUnanswered(state, previous, run, nowMs)) {
+      const isListed = listed.some((one) => one.task === run.task.key && one.run === run.run);
+      if (isListed) moveToNextIncarnation(state, previous, next, run);
+    }),
+  );
+
+/**
+ * Handles the runs of earlier incarnations that an incarnation has not listed, once it has listed everything: a run is
+ * blocked if an order to start it may still be in transit; otherwise it ended with its own incarnation.
+ *
+ * @param state - The holder's batch state, modified in place.
+ * @param next - The incarnation that has listed everything.
+ * @param nowMs - The current time.
+ */
+export const blockUnlistedRuns = (state: BatchState, next: EndpointState, nowMs: number): void =>
+  formerIncarnationsOf(state, next).forEach((gone) => {
+    change(gone, { hasSuccessorAnswered: true });
+    gone.endpoint.runs.forEach((run) => {
+      if (isStartUnanswered(state, gone.endpoint, run, nowMs))
         blockRun(state, gone, next, run, nowMs);
-      }
     });
   });
-};
 
 /**
  * Has a new incarnation block runs that orders to earlier ones may still start, although their tasks are no longer
@@ -202,9 +211,7 @@
 ): void => {
   const instanceId = instanceIdOf(next.endpointId);
   const heldTasks = new Set(
-    Array.from(state.goneEndpoints.values())
-      .filter(({ endpoint }) => instanceIdOf(endpoint.endpointId) === instanceId)
-      .flatMap(({ endpoint }) => Array.from(endpoint.runs.keys())),
+    formerIncarnationsOf(state, next).flatMap(({ endpoint }) => Array.from(endpoint.runs.keys())),
   );
   unansweredStartsAt(state, instanceId, nowMs)
     .filter(({ task }) => !heldTasks.has(task))
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -3,14 +3,14 @@
 import { change } from '../../shared/change.js';
 import { recordAnswered } from '../domains/suspected-domains.js';
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
-import { applyFirstReport } from './incarnation-runs.js';
+import { blockUnlistedRuns, moveListedRuns } from './incarnation-runs.js';
 import { parseTaskKey, taskKey, type TaskKey } from '../model/job.js';
 import { countFailedRuns, hasNoAttemptLeft } from '../jobs/attempts.js';
 import { endJob, findReportedTask, completeTask } from '../jobs/job-lifecycle.js';
 import { chargeUnexpectedRuns } from '../accounts/quota.js';
 import { recordRunTime } from '../jobs/run-times.js';
 import { recordRunEnd, type RunEvidence, type TaskWithStep } from './run-end.js';
-import { hasAnswered, listingAfter } from './listing-status.js';
+import { listingAfter } from './listing-status.js';
 import { endRunWithoutReport } from './unreported-runs.js';
 import { addRun, dropRun, isHeldByRun, requeue } from './runs.js';
 import {
@@ -307,6 +307,16 @@
   });
 };
 
+/** Waits for further lists of an endpoint that can list more, and no longer for one that has listed everything. */
+const updateAwaitedReports = (
+  state: BatchState,
+  { endpointId, pool, listing }: EndpointState,
+): void => {
+  const { unreportedInstances } = poolOf(state, pool);
+  if (listing === 'complete') unreportedInstances.delete(instanceIdOf(endpointId));
+  if (listing === 'ends-missing') unreportedInstances.add(instanceIdOf(endpointId));
+};
+
 /**
  * Applies a list response of an endpoint. Ended runs are applied first, because a run that has ended is not running.
  * The endpoint lists ended runs again until they are acknowledged; the caller leaves out those that were applied before.
@@ -328,8 +338,9 @@
     nowMs,
     ...(clockMs === undefined ? {} : { clockMs }),
   };
-  if (!hasAnswered(endpoint) && !hasMoreEnds) {
-    applyFirstReport(state, endpoint, { listed: [...running, ...ended], nowMs });
+  if (endpoint.listing !== 'complete') {
+    moveListedRuns(state, endpoint, [...running, ...ended]);
+    if (!hasMoreEnds) blockUnlistedRuns(state, endpoint, nowMs);
   }
   ended.forEach((end) => applyEnd(state, endpoint, end, times));
   const listed = new Set<TaskKey>();
@@ -351,5 +362,5 @@
   recordAnswered(state, endpoint, nowMs);
   updateListing(state, endpoint, report);
   change(endpoint, { reportedAtMs: requestedAtMs, expiredRuns: [] });
-  poolOf(state, endpoint.pool).unreportedInstances.delete(instanceIdOf(endpointId));
+  updateAwaitedReports(state, endpoint);
 };
--- a/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
+++ b/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
@@ -134,6 +134,17 @@
     expect(computePoolNeeds(world)[0]).toMatchObject({ joiningCpu: 3 * CAPACITY.cpuMillis });
   });
 
+  it('count as empty only once their endpoints have listed all ended runs, like those elsewhere', () => {
+    const { world, state } = createWorld();
+    const countEmpty = (): number => {
+      const [need] = computePoolNeeds(world);
+      return (need?.emptyEndpoints.length ?? 0) + (need?.emptyEvacuatedEndpoints.length ?? 0);
+    };
+    expect(countEmpty()).toBe(state.endpoints.size);
+    state.endpoints.forEach((endpoint) => Object.assign(endpoint, { listing: 'ends-missing' }));
+    expect(countEmpty()).toBe(0);
+  });
+
   it('are not moved from the spare pool, while hosts elsewhere are moved in the same pass', () => {
     const { world, state } = createWorld({ spareNorth: 9, spareSouth: 3 });
     const hostsMovedForShortage = (cores: number): readonly HostId[] => {
--- a/packages/core/src/batch/maintenance/host-rules.test.ts
+++ b/packages/core/src/batch/maintenance/host-rules.test.ts
@@ -67,6 +67,19 @@
     expect(hosts()[0]?.reason).toBe('its endpoint has not answered yet');
   });
 
+  it('waits until its endpoint has listed all ended runs to this holder', () => {
+    const { plan, hosts, endpoints } = createTestWave(1, 1, NO_TIME_LEFT_MS);
+    Object.assign(endpoints[0] as EndpointState, { listing: 'ends-missing' });
+    expect(plan(0)).toEqual([]);
+    expect(hosts()[0]?.reason).toBe('its endpoint has ended runs to list');
+  });
+
+  it('does not wait for rows of a list that cannot be read', () => {
+    const { plan, endpoints } = createTestWave(1, 1, NO_TIME_LEFT_MS);
+    Object.assign(endpoints[0] as EndpointState, { listing: 'rows-unreadable' });
+    expect(plan(0)).toEqual(['h-0']);
+  });
+
   it('stays while another draining host will go down with a task of the same step', () => {
     const { runOn, plan, hosts } = createTestWave(2, 2, NO_TIME_LEFT_MS);
     runOn('served', LONG_RUNNING, [0, 1]);
--- a/packages/core/src/batch/maintenance/host-rules.ts
+++ b/packages/core/src/batch/maintenance/host-rules.ts
@@ -8,7 +8,7 @@
   runsOnlyLongRunningTasks,
   type BudgetViolation,
 } from '../pools/listed-hosts.js';
-import { hasAnswered } from '../endpoints/listing-status.js';
+import { hasAnswered, hasUnlistedEnds } from '../endpoints/listing-status.js';
 import type { BatchState, EndpointState, StepRun } from '../model/state.js';
 import type { KnownHosts, MaintenanceHost, MaintenanceWave } from './wave-progress.js';
 import { MAX_DRAIN_MS, latestStartOf, type WavePlan } from './wave-plan.js';
@@ -146,11 +146,13 @@
   return drain(`${wave.request.maximum} hosts are down, which is the maximum`);
 };
 
-const waitForFirstAnswer: Rule = ({ hostId, endpoint }, { context }) => {
+const waitForListedRuns: Rule = ({ hostId, endpoint }, { context }) => {
   const instanceId = context.inventory.hosts.get(hostId)?.instanceId ?? null;
+  if (instanceId === null) return undefined;
   // It is not known what an endpoint runs until it has answered this control holder.
-  const isUnknown = instanceId !== null && !(endpoint && hasAnswered(endpoint));
-  return isUnknown ? drain('its endpoint has not answered yet') : undefined;
+  if (!endpoint || !hasAnswered(endpoint)) return drain('its endpoint has not answered yet');
+  // Ends that it has not listed would be lost with it.
+  return hasUnlistedEnds(endpoint) ? drain('its endpoint has ended runs to list') : undefined;
 };
 
 const waitForShortTasks: Rule = ({ host, endpoint }, { nowMs }) => {
@@ -169,7 +171,7 @@
   keepWithinBudgets,
   keepWithinCombinedBudgets,
   keepWithinMaximum,
-  waitForFirstAnswer,
+  waitForListedRuns,
   waitForShortTasks,
 ];
 
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -75,7 +75,7 @@
   forecast: PoolForecast;
   /** The work of the tasks completed so far, in core-milliseconds. */
   doneCoreMs: number;
-  /** The endpoints that may run inherited tasks and of which no incarnation has answered yet. */
+  /** The endpoints that may run inherited tasks and of which no incarnation has listed everything yet. */
   readonly unreportedInstances: Set<InstanceId>;
   /** When an endpoint of the pool last answered after it had left questions unanswered; -Infinity if none has. */
   lastSilenceEndedAtMs: number;
--- a/packages/core/src/batch/placement/inherited-tasks.test.ts
+++ b/packages/core/src/batch/placement/inherited-tasks.test.ts
@@ -1,6 +1,7 @@
 /** Which endpoints that have not reported to a new holder block inherited tasks, and which do not. */
 import { describe, expect, it } from 'vitest';
 
+import { change } from '../../shared/change.js';
 import {
   brand,
   type EndpointId,
@@ -14,6 +15,8 @@
   upsertEndpoint,
 } from '../endpoints/endpoints.js';
 import { removeEndpoint, giveUpRunsOfGoneEndpoints } from '../endpoints/gone-endpoints.js';
+import type { EndpointReport } from '../endpoints/reports.js';
+import { isSchedulable } from '../endpoints/schedulable-endpoints.js';
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
 import { taskKey, type StepSpec } from '../model/job.js';
 import { createBatchState, type BatchState } from '../model/state.js';
@@ -132,6 +135,92 @@
   });
 });
 
+describe('an endpoint whose list leaves out ended runs', () => {
+  /** All endpoints have answered, one of them with an incomplete list; its lease goes on until 20 s. */
+  const stateWithIncompleteList = (
+    gaps: Pick<EndpointReport, 'hasMoreEnds' | 'hasUnreadableRows'>,
+    step: Partial<StepSpec> = {},
+  ): BatchState => {
+    const state = createInheritedState(step);
+    [FIRST, SECOND].forEach((endpointId) => report(state, endpointId, 10));
+    applyAnswer(state, { endpointId: SILENT, ...gaps, requestedAtMs: 10, nowMs: 11 });
+    const endpoint = state.endpoints.get(SILENT);
+    if (endpoint) change(endpoint, { leaseEndsAtMs: 20_000 });
+    return state;
+  };
+
+  const isStartedAt = (state: BatchState, nowMs: number): boolean => {
+    scheduleAfterWrites(state, nowMs);
+    return [FIRST, SECOND, SILENT].some((endpointId) => runningOn(state, endpointId).length > 0);
+  };
+
+  it('blocks inherited tasks that may have ended there until it has listed all ends', () => {
+    const state = stateWithIncompleteList({ hasMoreEnds: true });
+    expect(isStartedAt(state, 20)).toBe(false);
+    report(state, SILENT, 30);
+    expect(isStartedAt(state, 40)).toBe(true);
+  });
+
+  it('blocks them while its lease goes on, although leases of earlier holders are over', () => {
+    // Guards against a store that takes no ends for so long that the endpoint cannot go on with its list.
+    const state = stateWithIncompleteList({ hasMoreEnds: true });
+    expect(isStartedAt(state, LEASES_END_MS + 1)).toBe(false);
+    expect(isStartedAt(state, 19_999)).toBe(false);
+    expect(isStartedAt(state, 20_000)).toBe(true);
+  });
+
+  it('blocks them although it was in no list when this holder took over', () => {
+    const state = stateWithIncompleteList({ hasMoreEnds: false });
+    const late = brand<EndpointId>('i-0000000008');
+    addEndpoint(state, late);
+    applyAnswer(state, { endpointId: late, hasMoreEnds: true, requestedAtMs: 12, nowMs: 13 });
+    const endpoint = state.endpoints.get(late);
+    if (endpoint) change(endpoint, { leaseEndsAtMs: 20_000 });
+    expect(isStartedAt(state, 20)).toBe(false);
+  });
+
+  it('blocks no inherited task that it cannot have run, and no task of a new job', () => {
+    const state = stateWithIncompleteList({ hasMoreEnds: true }, { requiredLabel: 'fast' });
+    submitJob(state, brand<JobId>('00000000000000cc'), {});
+    expect(isStartedAt(state, 20)).toBe(true);
+    expect(state.jobs.get(INHERITED)?.phase).toBe('running');
+    expect(state.jobs.get(brand<JobId>('00000000000000cc'))?.phase).toBe('running');
+  });
+
+  it('blocks a task that failed elsewhere, since further failures may be among these ends', () => {
+    const state = stateWithIncompleteList({ hasMoreEnds: true });
+    report(state, FIRST, FORMER_ORDERS_END_MS, [0]);
+    const end = {
+      number: 1,
+      task: keyOf(0),
+      run: FORMER_RUN,
+      kind: 'failed' as const,
+      checkpoint: '',
+    };
+    const ended = [end];
+    applyAnswer(state, { endpointId: FIRST, ended, requestedAtMs: 200, nowMs: 201 });
+    expect(isStartedAt(state, 210)).toBe(false);
+    report(state, SILENT, 220);
+    expect(isStartedAt(state, 230)).toBe(true);
+  });
+
+  it('stays in use itself', () => {
+    const state = stateWithIncompleteList({ hasMoreEnds: true });
+    const endpoint = state.endpoints.get(SILENT);
+    expect(endpoint && isSchedulable(state, endpoint, 20)).toBe(true);
+  });
+
+  it('blocks inherited tasks only as long as a silent one if it is never readable, and stays in use', () => {
+    const gaps = { hasMoreEnds: true, hasUnreadableRows: true };
+    const state = stateWithIncompleteList(gaps);
+    expect(isStartedAt(state, LEASES_END_MS - 1)).toBe(false);
+    applyAnswer(state, { endpointId: SILENT, ...gaps, requestedAtMs: 8000, nowMs: 8001 });
+    expect(isStartedAt(state, LEASES_END_MS)).toBe(true);
+    const endpoint = state.endpoints.get(SILENT);
+    expect(endpoint && isSchedulable(state, endpoint, LEASES_END_MS)).toBe(true);
+  });
+});
+
 describe('an inherited task that an endpoint reported as running', () => {
   it('starts elsewhere despite a silent endpoint if no earlier holder could send orders at the time of the report', () => {
     const state = createInheritedState();
--- a/packages/core/src/batch/placement/starts.ts
+++ b/packages/core/src/batch/placement/starts.ts
@@ -19,7 +19,7 @@
   type Task,
 } from '../model/state.js';
 import { admittedEndpoints, ticketOf } from './advice.js';
-import { awaitsReports } from './inherited-tasks.js';
+import { mayStartTask } from './inherited-tasks.js';
 import { isStartWithinQuota } from './start-quota.js';
 
 /**
@@ -122,7 +122,7 @@
   isSchedulable(state, endpoint, nowMs) &&
   isStartWithinQuota(state, endpoint.endpointId, { task: run.task.key, run: run.run }, nowMs) &&
   admittedEndpoints(step, [endpoint], nowMs).length > 0 &&
-  (run.task.isLocated || !awaitsReports(state, poolOf(state, endpoint.pool), step, nowMs));
+  mayStartTask(state, poolOf(state, endpoint.pool), step, run.task, nowMs);
 
 /** Withdraws all announced runs of a group; their tasks wait again. */
 const withdraw = (state: BatchState, runs: readonly AnnouncedRun[], nowMs: number): void =>
--- a/packages/core/src/batch/testing/batch-state.fixtures.ts
+++ b/packages/core/src/batch/testing/batch-state.fixtures.ts
@@ -167,7 +167,16 @@
     running = [],
     ended = [],
     hasMoreEnds = false,
+    hasUnreadableRows = false,
     requestedAtMs,
     nowMs,
   }: Answer,
-): void => applyReport(state, endpointId, { running, ended, hasMoreEnds, requestedAtMs, nowMs });
+): void =>
+  applyReport(state, endpointId, {
+    running,
+    ended,
+    hasMoreEnds,
+    ...(hasUnreadableRows ? { hasUnreadableRows } : {}),
+    requestedAtMs,
+    nowMs,
+  });
--- a/packages/daemon/src/batch/endpoints/endpoint-link.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-link.ts
@@ -51,7 +51,7 @@
   /** Sends the order of an effect. */
   readonly perform: (effect: LinkEffect) => void;
   /**
-   * Sends list requests until the endpoint has reported, and for as long as it has runs, its domain is suspected or
+   * Sends list requests until the endpoint has listed all its runs, and for as long as it has runs, its domain is suspected or
    * ended runs of it are not stored and acknowledged yet.
    */
   readonly startPolling: () => void;
--- a/packages/daemon/src/batch/endpoints/endpoint-polling.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-polling.ts
@@ -1,5 +1,5 @@
 /** Repeats list requests to one endpoint for as long as its reports are needed. */
-import { hasAnswered, type EndpointState, type RunState } from '@valvelatch/core/batch';
+import { hasListedRuns, type EndpointState, type RunState } from '@valvelatch/core/batch';
 import type { EndpointId } from '@valvelatch/core/shared/ids';
 
 import { sleep } from '../../shared/sleep.js';
@@ -12,6 +12,7 @@
   MIN_LIST_PAUSE_MS,
   SAVE_WAIT_MS,
   STOPPING_LIST_PAUSE_MS,
+  UNREADABLE_LIST_WAIT_MS,
 } from './list-timing.js';
 
 const RETRY_MS = 250;
@@ -42,7 +43,7 @@
 
 export type EndpointPolling = {
   /**
-   * Sends list requests until the endpoint has reported, and for as long as it has runs, its domain is suspected or
+   * Sends list requests until the endpoint has listed all its runs, and for as long as it has runs, its domain is suspected or
    * ended runs of it are not stored and acknowledged yet.
    */
   readonly start: () => void;
@@ -79,7 +80,7 @@
     return (
       endpoint !== undefined &&
       (endpoint.runs.size > 0 ||
-        !hasAnswered(endpoint) ||
+        endpoint.listing !== 'complete' ||
         isDomainSuspected() ||
         hasUnstoredEnds() ||
         acknowledgement.isUnconfirmed())
@@ -89,8 +90,8 @@
   /** Computes for how long the endpoint may hold back the response to the next list request. */
   const computeListWaitMs = (): number => {
     const endpoint = findEndpoint();
-    const isUnheard = endpoint === undefined || !hasAnswered(endpoint);
-    if (isDomainSuspected() || hasUnstoredEnds() || isUnheard) return 0;
+    if (!endpoint || isDomainSuspected() || hasUnstoredEnds() || !hasListedRuns(endpoint)) return 0;
+    if (endpoint.listing === 'rows-unreadable') return UNREADABLE_LIST_WAIT_MS;
     return computeReportWaitMs(listRuns());
   };
 
--- a/packages/daemon/src/batch/endpoints/list-timing.ts
+++ b/packages/daemon/src/batch/endpoints/list-timing.ts
@@ -7,6 +7,8 @@
 const GAP_FILLING_LIST_WAIT_MS = 500;
 /** The wait while a long-running task there is not ready yet. */
 const STARTING_LIST_WAIT_MS = 200;
+/** The wait while rows of the endpoint's list cannot be read, as they may never be. */
+export const UNREADABLE_LIST_WAIT_MS = 200;
 /** The shortest pause between two list requests. Runs that end within it are reported in one response. */
 export const MIN_LIST_PAUSE_MS = 20;
 /**
--- a/packages/daemon/src/batch/operators/operator-queries.ts
+++ b/packages/daemon/src/batch/operators/operator-queries.ts
@@ -6,6 +6,7 @@
   describeSpread,
   evacuationsBlocking,
   hasAnswered,
+  hasUnlistedEnds,
   isFinal,
   isSuspected,
   rackOf,
@@ -57,6 +58,7 @@
   const endpoint = findEndpointOn(term, hostId);
   if (!endpoint) return 'no endpoint runs on it';
   if (!hasAnswered(endpoint)) return 'its endpoint has not answered this holder yet';
+  if (hasUnlistedEnds(endpoint)) return 'its endpoint has not listed all its ended runs yet';
   if (term.state.evacuatedDataCentres.has(endpoint.dataCentre)) {
     return `data centre ${endpoint.dataCentre} is evacuated, ${endpoint.runs.size} tasks run on it`;
   }
