Endpoints: runs that are being stopped keep their capacity, whoever started them

The holder is killed and the first job cancelled. The next holder starts the 32 tasks of the second job beside the 32 of the first, which take 0.7 s to stop. Endpoints that guard their capacity refuse each of these starts.

Cause: a run that is listed and that no task waits for, since its job is over or not known or its task runs elsewhere, was ordered to stop and kept nothing but a charge to the quota. Placement, spread, waves and moves didn't see it, and the list requests ended.

Ruled out: capacity that is taken and freed by the answer to the stop; right after the list that names the run none is taken.

Change: such a run is an orphan run of its endpoint. One pair of functions reserves and releases what a run takes: capacity, quota, its place in the spread; the quota's own way is gone. It counts until its end is listed, the lease is over or the endpoint is gone. If its job is not known, the endpoint gets no new work meanwhile, for 10 s at most. Its stop is ordered again only without an answer, or without an end 3 s after it. Waves and moves count it; operators see it. The simulated fleet checks that the capacity in use is the sum of the runs.

--- a/packages/core/src/batch/accounts/quota.ts
+++ b/packages/core/src/batch/accounts/quota.ts
@@ -7,7 +7,6 @@
 import { change } from '../../shared/change.js';
 import type { AccountLimits, JobOwner } from '../model/accounts.js';
 import { createZeroUsage, RESOURCES, type Capacity, type Usage } from '../model/capacity.js';
-import type { EndpointState } from '../model/endpoint-state.js';
 import type { StepSpec } from '../model/job.js';
 import type { BatchState, JobState, StepRun } from '../model/state.js';
 
@@ -74,24 +73,6 @@
   });
 };
 
-/**
- * Counts runs that an endpoint reports although they are not known there, and which it was ordered to stop. They count
- * until the endpoint is gone or reports again.
- *
- * @param state - The state, changed in place.
- * @param endpoint - The endpoint.
- * @param unexpectedSteps - The steps of these runs; they replace those of the previous report.
- */
-export const chargeUnexpectedRuns = (
-  state: BatchState,
-  endpoint: EndpointState,
-  unexpectedSteps: readonly StepRun[],
-): void => {
-  endpoint.unexpectedSteps.forEach((step) => chargeRun(state, step, -1));
-  unexpectedSteps.forEach((step) => chargeRun(state, step, 1));
-  change(endpoint, { unexpectedSteps });
-};
-
 const NOTHING: Capacity = createZeroUsage();
 
 const fitsMaximum = (used: number, need: number, maximum: number, count: number): boolean =>
--- a/packages/core/src/batch/endpoints/endpoints.ts
+++ b/packages/core/src/batch/endpoints/endpoints.ts
@@ -57,7 +57,7 @@
     used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
     runs: new Map(),
     expiredRuns: [],
-    unexpectedSteps: [],
+    orphanRuns: new Map(),
     listing: 'none',
     isDraining: sighting.isDraining,
     hasAnnouncedEnd: sighting.isDraining,
--- a/packages/core/src/batch/endpoints/gone-endpoints.ts
+++ b/packages/core/src/batch/endpoints/gone-endpoints.ts
@@ -15,7 +15,7 @@
 import { mayRunInNextIncarnation } from './incarnation-runs.js';
 import { failJobIfCrashing } from '../jobs/crashing-jobs.js';
 import { endRunWithoutReport } from './unreported-runs.js';
-import { chargeUnexpectedRuns } from '../accounts/quota.js';
+import { replaceOrphanRuns } from './orphan-runs.js';
 import { withdrawRun } from './runs.js';
 import { recordRunEnd, type LogFields, type RunEvidence } from './run-end.js';
 import {
@@ -49,7 +49,7 @@
   state.endpoints.delete(endpointId);
   removeFromDomains(state, endpoint);
   stopAwaitingGone(state, endpoint, nowMs);
-  chargeUnexpectedRuns(state, endpoint, []);
+  replaceOrphanRuns(state, endpoint, new Map());
   const instanceId = instanceIdOf(endpointId);
   if (state.currentIncarnations.get(instanceId) === endpoint)
     state.currentIncarnations.delete(instanceId);
--- a/packages/core/src/batch/endpoints/order-responses.ts
+++ b/packages/core/src/batch/endpoints/order-responses.ts
@@ -90,6 +90,8 @@
   run: number,
   nowMs: number,
 ): void => {
-  const known = state.endpoints.get(endpointId)?.runs.get(task);
-  if (known && known.run === run) known.stopAnsweredAtMs = nowMs;
+  const endpoint = state.endpoints.get(endpointId);
+  [endpoint?.runs.get(task), endpoint?.orphanRuns.get(task)].forEach((known) => {
+    if (known?.run === run) change(known, { stopAnsweredAtMs: nowMs });
+  });
 };
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -7,9 +7,9 @@
 import { parseTaskKey, taskKey, type TaskKey } from '../model/job.js';
 import { countFailedRuns, hasNoAttemptLeft } from '../jobs/attempts.js';
 import { endJob, findReportedTask, completeTask } from '../jobs/job-lifecycle.js';
-import { chargeUnexpectedRuns } from '../accounts/quota.js';
 import { recordRunTime } from '../jobs/run-times.js';
 import { recordRunEnd, type RunEvidence, type TaskWithStep } from './run-end.js';
+import { mustBeStopped, replaceOrphanRuns } from './orphan-runs.js';
 import { listingAfter } from './listing-status.js';
 import { endRunWithoutReport } from './unreported-runs.js';
 import { addRun, dropRun, isHeldByRun, requeue } from './runs.js';
@@ -18,6 +18,7 @@
   poolOf,
   type BatchState,
   type EndpointState,
+  type OrphanRun,
   type RunState,
   type StepRun,
   type Task,
@@ -234,15 +235,15 @@
 /**
  * Handles a listed run that this holder does not know. An earlier holder started it; it is adopted or stopped.
  *
- * @returns The step of the run if it is stopped; undefined if it is adopted or its task is not known.
+ * @returns The run if it is to be stopped; undefined if it is adopted.
  */
 const applyUnknownRun = (
   state: BatchState,
   endpoint: EndpointState,
   report: RunningReport,
   times: ReportTimes,
-): StepRun | undefined => {
-  const { nowMs } = times;
+): OrphanRun | undefined => {
+  const { requestedAtMs, nowMs } = times;
   const found = findNamedTask(state, report.task);
   if (found && mayAdopt(found)) {
     const run = addRun(state, { endpoint, ...found, run: report.run, phase: 'running', nowMs });
@@ -251,16 +252,32 @@
     updateRun(state, run, report, times);
     return undefined;
   }
-  state.effects.push({
-    kind: 'stop',
-    endpointId: endpoint.endpointId,
-    task: report.task,
-    run: report.run,
-    reason: found
-      ? `job is ${found.step.job.phase} or the task runs elsewhere`
-      : 'job is not known',
-  });
-  return found?.step;
+  const { task, run } = report;
+  const known = endpoint.orphanRuns.get(task);
+  const orphan: OrphanRun =
+    known?.run === run
+      ? known
+      : { task, run, step: found?.step, firstListedAtMs: nowMs, stopAnsweredAtMs: Infinity };
+  const reason = found
+    ? `job is ${found.step.job.phase} or the task runs elsewhere`
+    : 'job is not known';
+  if (mustBeStopped(orphan, requestedAtMs))
+    state.effects.push({ kind: 'stop', endpointId: endpoint.endpointId, task, run, reason });
+  return orphan;
+};
+
+/** The orphan runs after a report. One that is missing from a list with unreadable rows may still be there. */
+const orphanRunsAfter = (
+  { orphanRuns, runs }: EndpointState,
+  listed: readonly OrphanRun[],
+  { ended, hasUnreadableRows = false }: EndpointReport,
+): ReadonlyMap<TaskKey, OrphanRun> => {
+  const hasEnded = ({ task, run }: OrphanRun): boolean =>
+    runs.has(task) || ended.some((end) => end.task === task && end.run === run);
+  const kept = hasUnreadableRows
+    ? Array.from(orphanRuns.values()).filter((one) => !hasEnded(one))
+    : [];
+  return new Map([...kept, ...listed].map((one) => [one.task, one]));
 };
 
 /**
@@ -344,7 +361,7 @@
   }
   ended.forEach((end) => applyEnd(state, endpoint, end, times));
   const listed = new Set<TaskKey>();
-  const unexpectedRuns = running.flatMap((active) => {
+  const orphans = running.flatMap((active) => {
     listed.add(active.task);
     const run = endpoint.runs.get(active.task);
     if (!run) return applyUnknownRun(state, endpoint, active, times) ?? [];
@@ -354,7 +371,7 @@
     }
     return [];
   });
-  chargeUnexpectedRuns(state, endpoint, unexpectedRuns);
+  replaceOrphanRuns(state, endpoint, orphanRunsAfter(endpoint, orphans, report));
   if (!hasMoreEnds) {
     endUnlistedRuns(state, endpoint, listed, times);
     withdrawUnknownTrials(state, endpointId, listed);
--- a/packages/core/src/batch/endpoints/runs-to-stop-again.ts
+++ b/packages/core/src/batch/endpoints/runs-to-stop-again.ts
@@ -1,9 +1,7 @@
 /** Runs whose order to stop must be sent again, because it was not answered or had no effect. */
 import { budgetedLongRunningSteps, countUnavailable } from '../pools/listed-hosts.js';
 import type { BatchState, EndpointState, RunState } from '../model/state.js';
-
-/** A run ends well within this time after its endpoint has answered the order to stop it (`stopMs`, 0.9 s). */
-const STOP_COMPLETED_WITHIN_MS = 3000;
+import { STOP_COMPLETED_WITHIN_MS } from './runs.js';
 
 const isStopOverdue = (
   { reportedAtMs }: EndpointState,
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -14,6 +14,9 @@
   type Task,
 } from '../model/state.js';
 
+/** A run ends well within this time after its endpoint has answered the order to stop it (`stopMs`, 0.9 s). */
+export const STOP_COMPLETED_WITHIN_MS = 3000;
+
 /**
  * Returns the CPU capacity that a task reserves on an endpoint.
  *
@@ -65,6 +68,32 @@
   changeCount(perDomain, dataCentreCountKey(domains), by);
 };
 
+/**
+ * Reserves the capacity of a run on an endpoint, and counts the run in its account's usage and in the spread of its step.
+ *
+ * @param state - The holder's batch state, modified in place.
+ * @param endpoint - The endpoint.
+ * @param step - The step of the run's task.
+ */
+export const reserveForRun = (state: BatchState, endpoint: EndpointState, step: StepRun): void => {
+  changeUsed(endpoint, step.spec, 1);
+  chargeRun(state, step, 1);
+  changeTaskCounts(step, endpoint, 1);
+};
+
+/**
+ * Takes back what `reserveForRun` has reserved.
+ *
+ * @param state - The holder's batch state, modified in place.
+ * @param endpoint - The endpoint.
+ * @param step - The step of the run's task.
+ */
+export const releaseRun = (state: BatchState, endpoint: EndpointState, step: StepRun): void => {
+  freeCapacity(state, endpoint, step.spec);
+  chargeRun(state, step, -1);
+  changeTaskCounts(step, endpoint, -1);
+};
+
 /**
  * Removes a task from the waiting tasks of its step.
  *
@@ -116,9 +145,7 @@
   };
   if (task.phase === 'waiting') removeFromWaiting(step, task);
   change(task, { phase: 'placed', lastRun: Math.max(task.lastRun, run) });
-  changeUsed(endpoint, step.spec, 1);
-  chargeRun(state, step, 1);
-  changeTaskCounts(step, endpoint, 1);
+  reserveForRun(state, endpoint, step);
   endpoint.runs.set(task.key, newRun);
   if (step.waiting.length === 0) poolOf(state, job.job.pool).openSteps.delete(step);
   if (phase === 'running') job.hasStarted = true;
@@ -143,9 +170,7 @@
 export const moveRun = (state: BatchState, { from, to, run, phase }: MoveRunOptions): RunState => {
   const { task, step, startedAtMs } = run;
   from.runs.delete(task.key);
-  freeCapacity(state, from, step.spec);
-  chargeRun(state, step, -1);
-  changeTaskCounts(step, from, -1);
+  releaseRun(state, from, step);
   return addRun(state, { endpoint: to, step, task, run: run.run, phase, nowMs: startedAtMs });
 };
 
@@ -174,9 +199,7 @@
 ): void => {
   const { task, step, startedAtMs } = run;
   if (!endpoint.runs.delete(task.key)) return;
-  freeCapacity(state, endpoint, step.spec);
-  chargeRun(state, step, -1);
-  changeTaskCounts(step, endpoint, -1);
+  releaseRun(state, endpoint, step);
   if (endpoint.runs.size === 0) change(endpoint, { idleSinceMs: nowMs });
   recordRunEnd(state, {
     endpoint,
--- a/packages/core/src/batch/endpoints/schedulable-endpoints.ts
+++ b/packages/core/src/batch/endpoints/schedulable-endpoints.ts
@@ -7,6 +7,7 @@
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
 import type { StepSpec } from '../model/job.js';
 import { hasAnswered } from './listing-status.js';
+import { hasRunOfUnknownSize } from './orphan-runs.js';
 import { fitsIn } from './runs.js';
 import type { BatchState, EndpointState, StepRun } from '../model/state.js';
 
@@ -22,7 +23,7 @@
 
 /**
  * Tells whether an endpoint is schedulable: it has responded, is neither draining nor cordoned, neither evacuated nor
- * suspected lost, and is not withheld.
+ * suspected lost, is not withheld, and has free capacity that is known.
  *
  * @param state - The holder's batch state.
  * @param endpoint - The endpoint.
@@ -36,6 +37,7 @@
   !endpoint.isCordoned &&
   !state.evacuatedDataCentres.has(endpoint.dataCentre) &&
   !isSuspected(state, endpoint) &&
+  !hasRunOfUnknownSize(endpoint, nowMs) &&
   endpoint.withheldUntilMs <= nowMs;
 
 /**
--- a/packages/core/src/batch/endpoints/stalled-runs.ts
+++ b/packages/core/src/batch/endpoints/stalled-runs.ts
@@ -4,6 +4,7 @@
 import { mayRunInUnreportedIncarnation } from './incarnation-runs.js';
 import { withholdEndpoint } from './endpoint-health.js';
 import { hasAnswered } from './listing-status.js';
+import { replaceOrphanRuns } from './orphan-runs.js';
 import { endRunWithoutReport } from './unreported-runs.js';
 import type { RunEvidence } from './run-end.js';
 import { stopRun } from './runs.js';
@@ -66,9 +67,10 @@
 ): readonly LapsedEndpoint[] => {
   const lapsed: LapsedEndpoint[] = [];
   state.endpoints.forEach((endpoint) => {
-    if (endpoint.runs.size === 0) return;
+    if (endpoint.runs.size + endpoint.orphanRuns.size === 0) return;
     stopStalledRuns(state, endpoint, nowMs);
     if (nowMs < endpoint.leaseEndsAtMs || !isSoleHolder(state, nowMs)) return;
+    replaceOrphanRuns(state, endpoint, new Map());
     const runs = Array.from(endpoint.runs.values()).filter(
       (run) =>
         run.phase !== 'announced' && !mayRunInUnreportedIncarnation(state, endpoint, run, nowMs),
--- a/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
+++ b/packages/core/src/batch/evacuation/evacuated-hosts.test.ts
@@ -16,6 +16,7 @@
 import { planMaintenance } from '../maintenance/plan-maintenance.js';
 import { createMaintenanceWave } from '../maintenance/wave-progress.js';
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
+import { taskKey } from '../model/job.js';
 import { createBatchState, poolOf, type EndpointState } from '../model/state.js';
 import { schedulePool } from '../placement/schedule.js';
 import { createHostInventory, applyHostList } from '../pools/host-inventory.js';
@@ -145,6 +146,19 @@
     expect(countEmpty()).toBe(0);
   });
 
+  it('do not count as empty while a run that nobody waits for is being stopped there', () => {
+    const { world, state } = createWorld();
+    const orphan = {
+      task: taskKey(brand('00000000000000cc'), 0, 0, 0),
+      run: 1001,
+      step: undefined,
+    };
+    const orphanRuns = new Map([[orphan.task, orphan]]);
+    state.endpoints.forEach((endpoint) => Object.assign(endpoint, { orphanRuns }));
+    const [need] = computePoolNeeds(world);
+    expect(need).toMatchObject({ emptyEndpoints: [], emptyEvacuatedEndpoints: [] });
+  });
+
   it('are not moved from the spare pool, while hosts elsewhere are moved in the same pass', () => {
     const { world, state } = createWorld({ spareNorth: 9, spareSouth: 3 });
     const hostsMovedForShortage = (cores: number): readonly HostId[] => {
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -21,6 +21,7 @@
 export * from './endpoints/listing-status.js';
 export * from './endpoints/endpoint-health.js';
 export * from './endpoints/unanswered-starts.js';
+export * from './endpoints/orphan-runs.js';
 export * from './endpoints/order-responses.js';
 export * from './endpoints/order-window.js';
 export * from './endpoints/relay-decision.js';
--- a/packages/core/src/batch/maintenance/host-rules.test.ts
+++ b/packages/core/src/batch/maintenance/host-rules.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { type HostId, brand } from '../../shared/ids.js';
+import { taskKey } from '../model/job.js';
 import type { EndpointState } from '../model/state.js';
 import {
   PLENTY_OF_TIME_MS,
@@ -74,6 +75,20 @@
     expect(hosts()[0]?.reason).toBe('its endpoint has ended runs to list');
   });
 
+  it('waits three seconds for a run that is being stopped although nobody waits for it', () => {
+    const { plan, hosts, endpoints } = createTestWave(1, 1, NO_TIME_LEFT_MS);
+    const orphan = {
+      task: taskKey(brand('00000000000000cc'), 0, 0, 0),
+      run: 1001,
+      step: undefined,
+    };
+    const orphanRuns = new Map([[orphan.task, orphan]]);
+    Object.assign(endpoints[0] as EndpointState, { orphanRuns });
+    expect([plan(0), plan(3000)]).toEqual([[], []]);
+    expect(hosts()[0]?.reason).toBe('1 tasks must end first');
+    expect(plan(3001)).toEqual(['h-0']);
+  });
+
   it('does not wait for rows of a list that cannot be read', () => {
     const { plan, endpoints } = createTestWave(1, 1, NO_TIME_LEFT_MS);
     Object.assign(endpoints[0] as EndpointState, { listing: 'rows-unreadable' });
--- a/packages/core/src/batch/maintenance/host-rules.ts
+++ b/packages/core/src/batch/maintenance/host-rules.ts
@@ -156,10 +156,12 @@
 };
 
 const waitForShortTasks: Rule = ({ host, endpoint }, { nowMs }) => {
-  if (!endpoint || runsOnlyLongRunningTasks(endpoint)) return undefined;
+  if (!endpoint) return undefined;
+  const { runs, orphanRuns } = endpoint;
+  if (orphanRuns.size === 0 && runsOnlyLongRunningTasks(endpoint)) return undefined;
   const drainingSinceMs = host.phase === 'waiting' ? nowMs : host.phaseSinceMs;
   if (nowMs - drainingSinceMs > MAX_DRAIN_MS) return undefined;
-  return drain(`${endpoint.runs.size} tasks must end first`);
+  return drain(`${runs.size + orphanRuns.size} tasks must end first`);
 };
 
 /** The rules in the order of evaluation: budgets come before rules that only delay a host. */
--- a/packages/core/src/batch/model/endpoint-state.ts
+++ b/packages/core/src/batch/model/endpoint-state.ts
@@ -47,6 +47,20 @@
   progressAtMs: number;
 };
 
+/**
+ * A run that an endpoint lists and that this holder wants nowhere: its job is over or not known, or its task runs elsewhere.
+ * The endpoint was ordered to stop it. It takes capacity there until its end is listed.
+ */
+export type OrphanRun = {
+  readonly task: TaskKey;
+  readonly run: number;
+  /** The step of its task; undefined if that is not known, and with it the capacity that the run takes. */
+  readonly step: StepRun | undefined;
+  readonly firstListedAtMs: number;
+  /** When the order to stop it was answered; infinite before that. */
+  stopAnsweredAtMs: number;
+};
+
 /** Starts of tasks of one step that were announced together, and are ordered together once the job's row names them. */
 export type AnnouncedStarts = {
   readonly step: StepRun;
@@ -94,8 +108,7 @@
    * gone; in the latter case the endpoint had crashed while it ran them.
    */
   expiredRuns: readonly RunState[];
-  /** The steps of further runs that the endpoint listed last. It was ordered to stop these runs. */
-  unexpectedSteps: readonly StepRun[];
+  orphanRuns: ReadonlyMap<TaskKey, OrphanRun>;
   /** What the endpoint has listed since this holder took over. */
   listing: ListingStatus;
   isDraining: boolean;
--- a/packages/core/src/batch/pools/pool-needs.ts
+++ b/packages/core/src/batch/pools/pool-needs.ts
@@ -5,7 +5,8 @@
 import { predictPeakCores } from './demand-peaks.js';
 import type { ListedHost, DeclaredPool } from './listed-hosts.js';
 import { DEFAULT_POOL_POLICY, type PoolMovePolicy } from './pool-policy.js';
-import { hasAnswered, hasListedRuns } from '../endpoints/listing-status.js';
+import { hasAnswered } from '../endpoints/listing-status.js';
+import { isEmpty } from '../endpoints/orphan-runs.js';
 import { reservedCpu } from '../endpoints/runs.js';
 import { isSchedulable } from '../endpoints/schedulable-endpoints.js';
 import { poolOf, type BatchState, type EndpointState, type StepRun } from '../model/state.js';
@@ -123,9 +124,8 @@
     (endpoint) =>
       endpoint.pool === name &&
       evacuatedDataCentres.has(endpoint.dataCentre) &&
-      hasListedRuns(endpoint) &&
       !endpoint.isCordoned &&
-      endpoint.runs.size === 0,
+      isEmpty(endpoint),
   );
 
 const needOf = (
@@ -171,9 +171,7 @@
     hosts: poolHosts,
     hostCpu: poolHosts[0]?.capacity.cpuMillis ?? 1,
     endpoints,
-    emptyEndpoints: endpoints.filter(
-      (endpoint) => endpoint.runs.size === 0 && endpoint.hostId !== null && hasListedRuns(endpoint),
-    ),
+    emptyEndpoints: endpoints.filter((endpoint) => endpoint.hostId !== null && isEmpty(endpoint)),
     emptyEvacuatedEndpoints: emptyEvacuatedEndpointsOf(state, name),
     capacityCpu,
     joiningCpu,
--- a/packages/daemon/src/batch/control/load-log.ts
+++ b/packages/daemon/src/batch/control/load-log.ts
@@ -51,6 +51,7 @@
     waitingTasks,
     oldestMs: Math.round(Math.max(0, ...steps.map(({ job }) => nowMs() - job.submittedAtMs))),
     runs: endpoints.reduce((sum, { runs }) => sum + runs.size, 0),
+    orphanRuns: endpoints.reduce((sum, { orphanRuns }) => sum + orphanRuns.size, 0),
     changedJobs,
     waitingSubmissions,
     saveRoundMs: Math.round(roundAgeMs),
--- a/packages/daemon/src/batch/endpoints/endpoint-polling.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-polling.ts
@@ -79,7 +79,7 @@
     const endpoint = findEndpoint();
     return (
       endpoint !== undefined &&
-      (endpoint.runs.size > 0 ||
+      (endpoint.runs.size + endpoint.orphanRuns.size > 0 ||
         endpoint.listing !== 'complete' ||
         isDomainSuspected() ||
         hasUnstoredEnds() ||
@@ -91,6 +91,7 @@
   const computeListWaitMs = (): number => {
     const endpoint = findEndpoint();
     if (!endpoint || isDomainSuspected() || hasUnstoredEnds() || !hasListedRuns(endpoint)) return 0;
+    if (endpoint.orphanRuns.size > 0) return 0;
     if (endpoint.listing === 'rows-unreadable') return UNREADABLE_LIST_WAIT_MS;
     return computeReportWaitMs(listRuns());
   };
@@ -103,7 +104,8 @@
 
   const pauseAfterResponse = async (): Promise<void> => {
     const pauseMs = computeListPauseMs(context.sharedDelayEstimator.meanMs());
-    await sleep(listRuns().some(isStopping) ? Math.max(STOPPING_LIST_PAUSE_MS, pauseMs) : pauseMs);
+    const isAnyStopping = listRuns().some(isStopping) || (findEndpoint()?.orphanRuns.size ?? 0) > 0;
+    await sleep(isAnyStopping ? Math.max(STOPPING_LIST_PAUSE_MS, pauseMs) : pauseMs);
     await waitForSave(Math.max(SAVE_WAIT_MS, pauseMs));
   };
 
--- a/packages/daemon/src/batch/endpoints/endpoint-roster.ts
+++ b/packages/daemon/src/batch/endpoints/endpoint-roster.ts
@@ -234,12 +234,13 @@
   const dropUnlisted = (askedAtMs: number): void => {
     Array.from(state.endpoints.values())
       .filter((endpoint) => !isAwaitingHostEvidence(endpoint))
-      .filter(({ endpointId, pool, runs }) => {
+      .filter(({ endpointId, pool, runs, orphanRuns }) => {
         // An endpoint that never reported may still run tasks of an earlier holder, so it is kept until its lease
         // ends.
         const hasNotReported =
           state.pools.get(pool)?.unreportedInstances.has(instanceIdOf(endpointId)) ?? false;
-        return !listed.has(endpointId) && runs.size === 0 && !hasNotReported;
+        const hasRuns = runs.size + orphanRuns.size > 0;
+        return !listed.has(endpointId) && !hasRuns && !hasNotReported;
       })
       .forEach(({ endpointId }) => {
         removeGoneEndpoint(endpointId, { cause: 'unlisted', atMs: askedAtMs });
--- a/packages/daemon/src/batch/operators/operator-queries.ts
+++ b/packages/daemon/src/batch/operators/operator-queries.ts
@@ -66,7 +66,9 @@
   if (isSuspected(term.state, endpoint))
     return 'its rack or its data centre is suspected to be lost';
   if (endpoint.withheldUntilMs > performance.now()) return `withheld: ${endpoint.withheldReason}`;
-  return `${endpoint.runs.size} tasks run on it`;
+  const stopping = endpoint.orphanRuns.size;
+  const stopped = stopping > 0 ? `, ${stopping} runs of earlier holders are being stopped` : '';
+  return `${endpoint.runs.size} tasks run on it${stopped}`;
 };
 
 const describeJob = (job: JobState): string =>
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -5,12 +5,14 @@
 import {
   indexQueues,
   NO_LIMIT,
+  reservedCpu,
   DEFAULT_STEP,
   TABLE_UNAVAILABLE_MS,
   type BatchJob,
   type BatchJobRow,
   type Capacity,
   type ClientAccount,
+  type EndpointState,
   type DeclaredQueue,
   type SimulatedEndpoint,
   type ListedHost,
@@ -273,6 +275,16 @@
     },
   };
 
+  /** Checks that the processors that a holder counts as used on each endpoint equal the sum of the runs there. */
+  const checkUsedCapacity = (known: readonly EndpointState[]): void =>
+    known.forEach(({ endpointId, used, runs, orphanRuns }) => {
+      const sum = [...runs.values(), ...orphanRuns.values()]
+        .map(({ step }) => (step ? reservedCpu(step.spec) : 0))
+        .reduce((total, cpuMillis) => total + cpuMillis, 0);
+      if (used.cpuMillis === sum) return;
+      recordViolation(`the holder counts ${used.cpuMillis} used on ${endpointId}, not ${sum}`);
+    });
+
   /** Checks that a holder's usage of each account equals the sum of the runs that it knows of. */
   const checkUsage = (control: Control): void => {
     const state = control.term()?.state;
@@ -281,12 +293,11 @@
       ...state.endpoints.values(),
       ...Array.from(state.goneEndpoints.values(), ({ endpoint }) => endpoint),
     ];
+    checkUsedCapacity(endpointsKnown);
     const sums = new Map<AccountName, number>();
     endpointsKnown
-      .flatMap(({ runs, unexpectedSteps }) => [
-        ...Array.from(runs.values(), ({ step }) => step),
-        ...unexpectedSteps,
-      ])
+      .flatMap(({ runs, orphanRuns }) => [...runs.values(), ...orphanRuns.values()])
+      .flatMap(({ step }) => step ?? [])
       .forEach((step) => {
         const account = step.job.job.owner?.account;
         if (account) sums.set(account, (sums.get(account) ?? 0) + step.spec.cpuMillis);
