Reports: what a report says and what an end means for a task stand in modules of their own

reports.ts had grown to 383 lines with three jobs: the types of a list response, what the end of a run does to its task, and the application of a response to an endpoint. The first two are moved unchanged; nothing decides differently.

--- a/packages/core/src/batch/accounts/share-simulation.fixtures.ts
+++ b/packages/core/src/batch/accounts/share-simulation.fixtures.ts
@@ -9,7 +9,7 @@
 import type { QueueOrder } from '../model/queue-order.js';
 import { DEFAULT_STEP } from '../model/default-step.js';
 import { setAccounts } from './quota.js';
-import type { EndedRunReport } from '../endpoints/reports.js';
+import type { EndedRunReport } from '../endpoints/endpoint-report.js';
 import { schedulePool } from '../placement/schedule.js';
 import { createBatchState, removeEffects } from '../model/state.js';
 
--- a/packages/core/src/batch/endpoints/incarnation-runs.test.ts
+++ b/packages/core/src/batch/endpoints/incarnation-runs.test.ts
@@ -19,7 +19,7 @@
 import { cancelJob } from '../jobs/job-lifecycle.js';
 import { recordStartsAnswered, MAX_ORDER_DELAY_MS, recordStartSent } from './unanswered-starts.js';
 import { applyStartOutcome, applyStopResponse } from './order-responses.js';
-import type { RunEndKind } from './reports.js';
+import type { RunEndKind } from './endpoint-report.js';
 import { endpointsOf } from '../placement/schedule.js';
 import {
   removeEffects,
--- a/packages/core/src/batch/endpoints/orphan-runs.test.ts
+++ b/packages/core/src/batch/endpoints/orphan-runs.test.ts
@@ -22,7 +22,7 @@
 import { removeEffects, type BatchState } from '../model/state.js';
 import { removeEndpoint } from './gone-endpoints.js';
 import { applyStopResponse } from './order-responses.js';
-import type { RunningReport } from './reports.js';
+import type { RunningReport } from './endpoint-report.js';
 import { isSchedulable } from './schedulable-endpoints.js';
 import { handleStalledAndLapsedRuns } from './stalled-runs.js';
 
--- a/packages/core/src/batch/endpoints/reports.test.ts
+++ b/packages/core/src/batch/endpoints/reports.test.ts
@@ -15,7 +15,7 @@
 import { change } from '../../shared/change.js';
 import { brand, type EndpointId, type JobId } from '../../shared/ids.js';
 import { taskKey } from '../model/job.js';
-import type { EndedRunReport, RunningReport } from './reports.js';
+import type { EndedRunReport, RunningReport } from './endpoint-report.js';
 import { createBatchState, type BatchState } from '../model/state.js';
 
 const stateWith = (...endpointIds: EndpointId[]): BatchState => {
--- a/packages/core/src/batch/endpoints/reports.ts
+++ b/packages/core/src/batch/endpoints/reports.ts
@@ -5,14 +5,12 @@
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
 import { blockUnlistedRuns, moveListedRuns } from './incarnation-runs.js';
 import { parseTaskKey, taskKey, type TaskKey } from '../model/job.js';
-import { countFailedRuns, hasNoAttemptLeft } from '../jobs/attempts.js';
-import { endJob, findReportedTask, completeTask } from '../jobs/job-lifecycle.js';
-import { recordRunTime } from '../jobs/run-times.js';
+import { findReportedTask } from '../jobs/job-lifecycle.js';
 import { recordRunEnd, type RunEvidence, type TaskWithStep } from './run-end.js';
 import { mustBeStopped, replaceOrphanRuns } from './orphan-runs.js';
 import { listingAfter } from './listing-status.js';
 import { endRunWithoutReport } from './unreported-runs.js';
-import { addRun, dropRun, isHeldByRun, requeue } from './runs.js';
+import { addRun, dropRun } from './runs.js';
 import {
   isFinal,
   poolOf,
@@ -23,137 +21,11 @@
   type StepRun,
   type Task,
 } from '../model/state.js';
-import { recordTaskSuccess, recordTaskFailure } from './endpoint-health.js';
+import type { EndedRunReport, EndpointReport, RunningReport } from './endpoint-report.js';
+import { endHandlers } from './run-end-handlers.js';
 import { recordTrialSeen } from '../crashes/announced-start-record.js';
 import { closeTrial, withdrawUnknownTrials } from '../crashes/trials.js';
 
-/**
- * How a run ended, as reported by the endpoint. `unknown`: it has ended, in a way that this build cannot read; the task
- * runs again, and nothing is counted against it.
- */
-export type RunEndKind = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone' | 'unknown';
-
-/** An active run as listed by an endpoint. */
-export type RunningReport = {
-  readonly task: TaskKey;
-  readonly run: number;
-  readonly checkpoint: string;
-  /** Progress of the work; a long-running task is ready at 100. */
-  readonly percent: number;
-  /** For a task that serves requests: tail response time in milliseconds. For others: number of processors in use. */
-  readonly figure: number;
-};
-
-/** An ended run as listed by an endpoint. It is listed in each response until it is acknowledged. */
-export type EndedRunReport = {
-  /** Sequence number, which increases by one with each ended run of an incarnation. */
-  readonly number: number;
-  readonly task: TaskKey;
-  readonly run: number;
-  readonly kind: RunEndKind;
-  readonly checkpoint: string;
-};
-
-/** A list response of an endpoint. */
-export type EndpointReport = {
-  readonly running: readonly RunningReport[];
-  readonly ended: readonly EndedRunReport[];
-  /**
-   * True if the response is incomplete: a run that is missing from it may have ended. Not all ended runs fit into it, or
-   * rows of it cannot be read.
-   */
-  readonly hasMoreEnds: boolean;
-  /** True if only unreadable rows are missing; left out if there is none. */
-  readonly hasUnreadableRows?: boolean;
-  /** The endpoint's clock when it responded; left out if it is not known. */
-  readonly clockMs?: number;
-  /** When the list request was sent. Runs that were started later may be missing from the response. */
-  readonly requestedAtMs: number;
-  readonly nowMs: number;
-};
-
-/** What a list response says of the runs there. */
-export type EndpointLists = Pick<
-  EndpointReport,
-  'running' | 'ended' | 'hasMoreEnds' | 'hasUnreadableRows'
->;
-
-type EndHandler = (
-  state: BatchState,
-  context: {
-    readonly step: StepRun;
-    readonly task: Task;
-    readonly end: EndedRunReport;
-    readonly endpoint: EndpointState;
-    readonly ranMs: number;
-    /** How long the run took by the endpoint's clock; `ranMs` if that is not known. */
-    readonly workedMs: number;
-  },
-) => void;
-
-/** Puts a task back into the queue after the end of one of its runs, unless an endpoint has another run of it. */
-const requeueUnlessHeld = (state: BatchState, step: StepRun, task: Task): void => {
-  if (!isHeldByRun(state, step, task)) requeue(state, step, task);
-};
-
-const returnToQueue: EndHandler = (state, { step, task, end }) => {
-  if (end.checkpoint !== '') change(task, { checkpoint: end.checkpoint });
-  requeueUnlessHeld(state, step, task);
-};
-
-/**
- * Tells whether the last failure of a task was on another endpoint. A long-running task has no limit of attempts, so that
- * one that fails anywhere would be held against every endpoint again and again.
- */
-const hasFailedElsewhere = ({ avoidedEndpoint }: Task, { endpointId }: EndpointState): boolean =>
-  avoidedEndpoint !== null && avoidedEndpoint !== endpointId;
-
-const handleFailure: EndHandler = (state, context) => {
-  const { step, task, end, endpoint } = context;
-  if (task.failedRuns.includes(end.run)) {
-    returnToQueue(state, context);
-    return;
-  }
-  if (!step.spec.isLasting || !hasFailedElsewhere(task, endpoint))
-    recordTaskFailure(state, endpoint, step.job.job.jobId);
-  change(task, { avoidedEndpoint: endpoint.endpointId });
-  if (step.spec.isLasting) {
-    returnToQueue(state, context);
-    return;
-  }
-  change(task, { failedRuns: [...task.failedRuns, end.run] });
-  const { job } = step;
-  if (hasNoAttemptLeft(task, job.policy)) {
-    const failures = countFailedRuns(task);
-    endJob(state, job, 'failed', `task ${task.key} failed ${failures} times, which is maxAttempts`);
-    return;
-  }
-  state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
-  returnToQueue(state, context);
-};
-
-const handleDone: EndHandler = (state, { step, task, endpoint, ranMs, workedMs }) => {
-  recordTaskSuccess(endpoint);
-  if (step.spec.isLasting) {
-    requeueUnlessHeld(state, step, task);
-    return;
-  }
-  if (ranMs > 0 && task.checkpoint === '')
-    recordRunTime(state.runTimes, step.kind, ranMs, workedMs);
-  if (step.spec.isGang) step.tasks.forEach((member) => completeTask(state, step, member));
-  else completeTask(state, step, task);
-};
-
-const endHandlers: Readonly<Record<RunEndKind, EndHandler>> = {
-  done: handleDone,
-  failed: handleFailure,
-  stopped: returnToQueue,
-  lapsed: returnToQueue,
-  broken: returnToQueue,
-  alone: returnToQueue,
-  unknown: returnToQueue,
-};
-
 type ReportTimes = Pick<EndpointReport, 'requestedAtMs' | 'nowMs' | 'clockMs'>;
 
 /** How long a run took by its endpoint's clock, which no delay of orders and reports adds to, at most `ranMs`. */
--- a/packages/core/src/batch/endpoints/run-end.test.ts
+++ b/packages/core/src/batch/endpoints/run-end.test.ts
@@ -15,7 +15,7 @@
 import { removeEndpoint, giveUpRunsOfGoneEndpoints } from './gone-endpoints.js';
 import { cancelJob } from '../jobs/job-lifecycle.js';
 import { applyStartOutcome, applyStopResponse, type StartResponse } from './order-responses.js';
-import { type RunEndKind, type EndedRunReport } from './reports.js';
+import type { RunEndKind, EndedRunReport } from './endpoint-report.js';
 import { schedulePool } from '../placement/schedule.js';
 import { createBatchState, removeEffects, type BatchState } from '../model/state.js';
 import { handleStalledAndLapsedRuns } from './stalled-runs.js';
--- a/packages/core/src/batch/endpoints/simulated-endpoint.ts
+++ b/packages/core/src/batch/endpoints/simulated-endpoint.ts
@@ -14,7 +14,12 @@
   StartOrder,
   StopOrder,
 } from '../model/orders.js';
-import type { RunEndKind, EndpointLists, EndedRunReport, RunningReport } from './reports.js';
+import type {
+  RunEndKind,
+  EndpointLists,
+  EndedRunReport,
+  RunningReport,
+} from './endpoint-report.js';
 import type { Capacity } from '../model/state.js';
 
 /** Properties of a task in the simulation. */
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -14,6 +14,7 @@
 export * from './domains/spread.js';
 export * from './endpoints/delay-estimators.js';
 export * from './endpoints/simulated-endpoint.js';
+export * from './endpoints/endpoint-report.js';
 export * from './endpoints/endpoints.js';
 export * from './endpoints/feed-scope.js';
 export * from './endpoints/incarnation-runs.js';
--- a/packages/core/src/batch/jobs/attempts.test.ts
+++ b/packages/core/src/batch/jobs/attempts.test.ts
@@ -14,7 +14,7 @@
 } from '../testing/batch-state.fixtures.js';
 import { change } from '../../shared/change.js';
 import { brand, type JobId } from '../../shared/ids.js';
-import type { EndedRunReport } from '../endpoints/reports.js';
+import type { EndedRunReport } from '../endpoints/endpoint-report.js';
 import { DEFAULT_STEP } from '../model/default-step.js';
 import { taskKey, type StepSpec, type TaskKey } from '../model/job.js';
 import { createBatchState, type BatchState, type JobState } from '../model/state.js';
--- a/packages/core/src/batch/placement/inherited-tasks.test.ts
+++ b/packages/core/src/batch/placement/inherited-tasks.test.ts
@@ -15,7 +15,7 @@
   upsertEndpoint,
 } from '../endpoints/endpoints.js';
 import { removeEndpoint, giveUpRunsOfGoneEndpoints } from '../endpoints/gone-endpoints.js';
-import type { EndpointReport } from '../endpoints/reports.js';
+import type { EndpointReport } from '../endpoints/endpoint-report.js';
 import { isSchedulable } from '../endpoints/schedulable-endpoints.js';
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
 import { taskKey, type StepSpec } from '../model/job.js';
--- a/packages/core/src/batch/testing/batch-state.fixtures.ts
+++ b/packages/core/src/batch/testing/batch-state.fixtures.ts
@@ -13,7 +13,8 @@
 import { taskKey, type BatchJob, type QueuePolicy, type StepSpec } from '../model/job.js';
 import { addJob } from '../jobs/job-lifecycle.js';
 import { DEFAULT_STEP } from '../model/default-step.js';
-import { applyReport, type EndpointReport } from '../endpoints/reports.js';
+import type { EndpointReport } from '../endpoints/endpoint-report.js';
+import { applyReport } from '../endpoints/reports.js';
 import { createBatchState, type BatchState, type Task } from '../model/state.js';
 
 /** The id of the default job. */
