--- a/review/stand-ins-3/entries.mjs
+++ b/review/stand-ins-3/entries.mjs
@@ -11,6 +11,7 @@
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
 const HOST = '127.0.0.1';
+const MAX_MS = 118_000;
 const DEPLOY = readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
 const RUN = /^run = "([^"]+)"/m.exec(DEPLOY)[1].split(' ');
 const ENVIRONMENT = Object.fromEntries(
@@ -215,6 +216,19 @@
     launch(entry);
   }
 
+  /** The script must end with all that it started, also if it is ended itself or takes too long. */
+  const endAtOnce = (why) => {
+    isClosing = true;
+    record('script-ended', { why });
+    entries.forEach(({ child }) => child.kill('SIGKILL'));
+    rmSync(folder, { recursive: true, force: true });
+    process.exit(2);
+  };
+  ['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) =>
+    process.once(signal, () => endAtOnce(signal)),
+  );
+  setTimeout(() => endAtOnce('it took 118 s'), MAX_MS).unref();
+
   const isReady = async ({ readiness }) =>
     (await call(readiness, 'GET', '/-/readiness', { timeoutMs: 900 })).status === 200;
 
