Waiting tasks take no memory of their own

Cause of the size: a step made a record of 13 fields for each of its tasks when its job was accepted, and kept it until the job ended, although waiting tasks are all alike and done ones have nothing left but that they are done.

Change: `TaskList` makes the record of a task when it is first looked up, that is when it is placed, reported or restored with a history, and takes it back when the task is done without failures, crashes or an open announced start. Placement gets the indices of the tasks that may start in place of their records, and takes a placed task out of the waiting ones without copying the list. What a row says is unchanged.

Tests that looked at `step.tasks` as a list ask `at()` and `all()` now, and check what they checked.

--- a/packages/bench/src/placement/placement.ts
+++ b/packages/bench/src/placement/placement.ts
@@ -84,7 +84,7 @@
   const beganAtMs = performance.now();
   const table = scoresFor(state, endpoints, step);
   const candidates = createCandidates(endpoints, { state, step, nowMs: 1 }, table);
-  step.tasks.forEach((task) => {
+  step.tasks.all().forEach((task) => {
     const endpoint = candidates.choose(task);
     if (!endpoint) return;
     addRun(state, { endpoint, step, task, run: 1, phase: 'running', nowMs: 1 });
--- a/packages/core/src/batch/crashes/correlated-suspects.test.ts
+++ b/packages/core/src/batch/crashes/correlated-suspects.test.ts
@@ -29,7 +29,7 @@
 };
 
 const taskOf = (state: BatchState, jobId: JobId) => {
-  const task = state.jobs.get(jobId)?.occurrences.get(0)?.steps[0]?.tasks[0];
+  const task = state.jobs.get(jobId)?.occurrences.get(0)?.steps[0]?.tasks.at(0);
   if (!task) throw new Error('no such task');
   return task;
 };
--- a/packages/core/src/batch/crashes/crash-evidence.test.ts
+++ b/packages/core/src/batch/crashes/crash-evidence.test.ts
@@ -35,7 +35,7 @@
 
 const jobOf = (state: BatchState): JobState => state.jobs.get(SUSPECT) as JobState;
 const taskOf = (state: BatchState): Task =>
-  jobOf(state).occurrences.get(0)?.steps[0]?.tasks[0] as Task;
+  jobOf(state).occurrences.get(0)?.steps[0]?.tasks.at(0) as Task;
 
 /** Has an endpoint answer that it runs what it was ordered to. */
 const reportRunning = (state: BatchState, endpointId: EndpointId, nowMs: number): void => {
--- a/packages/core/src/batch/crashes/isolation.test.ts
+++ b/packages/core/src/batch/crashes/isolation.test.ts
@@ -49,7 +49,7 @@
   submitJob(state, jobId, { step, nowMs });
 
 const tasksOf = (state: BatchState, jobId: JobId): readonly Task[] =>
-  state.jobs.get(jobId)?.occurrences.get(0)?.steps[0]?.tasks ?? [];
+  state.jobs.get(jobId)?.occurrences.get(0)?.steps[0]?.tasks.all() ?? [];
 
 const placesOf = (state: BatchState, jobId: JobId): readonly EndpointId[] =>
   tasksOf(state, jobId).flatMap((task) => endpointsOf(state, task));
--- a/packages/core/src/batch/crashes/isolation.ts
+++ b/packages/core/src/batch/crashes/isolation.ts
@@ -76,9 +76,11 @@
  */
 export const waitingSuspects = (state: BatchState, step: StepRun): readonly Task[] => {
   if (!state.suspectJobs.has(step.job)) return [];
-  const waiting = step.waiting.flatMap((index) => step.tasks[index] ?? []);
-  if (step.spec.isGang) return waiting.some(isSuspect) ? waiting : [];
-  return waiting.filter(isSuspect);
+  const suspects = step.waiting
+    .flatMap((index) => step.tasks.recordAt(index) ?? [])
+    .filter(isSuspect);
+  if (!step.spec.isGang || suspects.length === 0) return suspects;
+  return step.waiting.flatMap((index) => step.tasks.at(index) ?? []);
 };
 
 /** Tells whether a run of a suspect has not yet survived the observation period. */
@@ -136,7 +138,10 @@
 
 /** Tells whether the suspects of a step have waited for so long that they may run beside short runs of other jobs. */
 const hasWaitedLong = ({ tasks }: StepRun, nowMs: number): boolean => {
-  const endedAtMs = Math.max(0, ...tasks.map(({ lastEnd }) => lastEnd?.countedAtMs ?? 0));
+  const endedAtMs = Math.max(
+    0,
+    ...tasks.recorded().map(({ lastEnd }) => lastEnd?.countedAtMs ?? 0),
+  );
   return nowMs - endedAtMs >= MAX_WAIT_MS;
 };
 
--- a/packages/core/src/batch/crashes/losses-before-takeover.ts
+++ b/packages/core/src/batch/crashes/losses-before-takeover.ts
@@ -67,9 +67,9 @@
  * task before.
  *
  * @param step - The task's step.
- * @param task - The task.
+ * @param task - The task; undefined if it has no record, so that this holder has not ordered it.
  * @returns True if the start must be announced first, provided that the pool may have lost an endpoint before the
  *   takeover.
  */
-export const isFirstStartOfInheritedTask = ({ job }: StepRun, { isOrdered }: Task): boolean =>
-  job.isInherited && !isOrdered;
+export const isFirstStartOfInheritedTask = ({ job }: StepRun, task: Task | undefined): boolean =>
+  job.isInherited && !task?.isOrdered;
--- a/packages/core/src/batch/crashes/trials.ts
+++ b/packages/core/src/batch/crashes/trials.ts
@@ -142,7 +142,7 @@
     const endpoint = endpointId === null ? undefined : state.endpoints.get(endpointId);
     return endpoint !== undefined && hasAnswered(endpoint);
   };
-  const lost = tasks.flatMap((task): readonly LostTrial[] => {
+  const lost = tasks.recorded().flatMap((task): readonly LostTrial[] => {
     const trial = task.phase === 'waiting' ? findOpenTrial(task) : undefined;
     return trial?.isInherited && !isAnswering(trial.endpointId) ? [{ task, trial }] : [];
   });
--- a/packages/core/src/batch/domains/spread.test.ts
+++ b/packages/core/src/batch/domains/spread.test.ts
@@ -80,9 +80,9 @@
     const state = createBatchState(2);
     const [first] = addFleet(state, { racks: 2, hostsPerRack: 1 });
     submitJob(state, JOB_ID, { step: { ...LONG_RUNNING, taskCount: 2 } });
-    stepOf(state).tasks.forEach((task) =>
-      change(task, { avoidedEndpoint: first?.endpointId ?? null }),
-    );
+    stepOf(state)
+      .tasks.all()
+      .forEach((task) => change(task, { avoidedEndpoint: first?.endpointId ?? null }));
     schedulePool(state, POOL, 20);
     expect(countBy(state, 'rack')).toEqual([0, 2]);
   });
--- a/packages/core/src/batch/endpoints/run-end-handlers.ts
+++ b/packages/core/src/batch/endpoints/run-end-handlers.ts
@@ -70,7 +70,7 @@
   }
   if (ranMs > 0 && task.checkpoint === '')
     recordRunTime(state.runTimes, step.kind, ranMs, workedMs);
-  if (step.spec.isGang) step.tasks.forEach((member) => completeTask(state, step, member));
+  if (step.spec.isGang) step.tasks.all().forEach((member) => completeTask(state, step, member));
   else completeTask(state, step, task);
 };
 
--- a/packages/core/src/batch/endpoints/runs.ts
+++ b/packages/core/src/batch/endpoints/runs.ts
@@ -100,8 +100,10 @@
  * @param step - The step, modified in place.
  * @param task - The task.
  */
-export const removeFromWaiting = (step: StepRun, task: Task): void =>
-  change(step, { waiting: step.waiting.filter((index) => index !== task.index) });
+export const removeFromWaiting = ({ waiting }: StepRun, { index }: Task): void => {
+  const position = waiting.indexOf(index);
+  if (position >= 0) waiting.splice(position, 1);
+};
 
 /** Options for a run that is started, or that an endpoint lists. */
 export type AddRunOptions = {
--- a/packages/core/src/batch/jobs/attempts.test.ts
+++ b/packages/core/src/batch/jobs/attempts.test.ts
@@ -92,7 +92,7 @@
     it.each([['abc'], [[null, 1001]], [[]], [{}], [null]])(
       'is started with a run number if its row has %j for failed runs',
       (failed) => {
-        const task = restore({ failed })?.occurrences.get(0)?.steps[0]?.tasks[0];
+        const task = restore({ failed })?.occurrences.get(0)?.steps[0]?.tasks.at(0);
         expect(Number.isSafeInteger(task?.lastRun)).toBe(true);
       },
     );
--- a/packages/core/src/batch/jobs/job-factory.ts
+++ b/packages/core/src/batch/jobs/job-factory.ts
@@ -1,11 +1,5 @@
 /** Creates the initial state of jobs, occurrences, steps and tasks, before any task has started. */
-import {
-  taskKey,
-  type BatchJob,
-  type QueuePolicy,
-  type StepSpec,
-  type TaskKey,
-} from '../model/job.js';
+import type { BatchJob, QueuePolicy, StepSpec } from '../model/job.js';
 import { taskKindOf } from './step-times.js';
 import { WITHIN_SHARE, type JobShare } from '../model/share.js';
 import {
@@ -13,24 +7,8 @@
   type JobState,
   type OccurrenceState,
   type StepRun,
-  type Task,
 } from '../model/state.js';
-
-const createTask = (key: TaskKey, index: number): Task => ({
-  key,
-  index,
-  phase: 'waiting',
-  failedRuns: [],
-  lastRun: 0,
-  isOrdered: false,
-  isLocated: false,
-  lastEnd: null,
-  checkpoint: '',
-  avoidedEndpoint: null,
-  unavailableSinceMs: 0,
-  crashes: [],
-  trial: null,
-});
+import { TaskList } from '../model/task-list.js';
 
 const createStep = (
   job: JobState,
@@ -43,9 +21,12 @@
   number,
   spec,
   kind: taskKindOf(job.job.queue, spec),
-  tasks: Array.from({ length: spec.taskCount }, (_, index) =>
-    createTask(taskKey(job.job.jobId, occurrence.number, number, index), index),
-  ),
+  tasks: new TaskList({
+    jobId: job.job.jobId,
+    occurrence: occurrence.number,
+    step: number,
+    length: spec.taskCount,
+  }),
   waiting: Array.from({ length: spec.taskCount }, (_, index) => index),
   isOpen: false,
   doneCount: 0,
--- a/packages/core/src/batch/jobs/job-lifecycle.ts
+++ b/packages/core/src/batch/jobs/job-lifecycle.ts
@@ -15,6 +15,7 @@
 } from '../model/state.js';
 import { addOccurrence, createJobState, type AddJobOptions } from './job-factory.js';
 import { removeFirstAttempt } from './first-attempts.js';
+import { findOpenTrial } from '../crashes/announced-start-record.js';
 import { chargeShare } from '../accounts/shares.js';
 import { stopRun, removeFromWaiting } from '../endpoints/runs.js';
 import { estimateStepWork } from './step-times.js';
@@ -104,7 +105,7 @@
   { jobId, occurrence, step, index }: TaskKeyParts,
 ): { readonly step: StepRun; readonly task: Task } | undefined => {
   const found = state.jobs.get(jobId)?.occurrences.get(occurrence)?.steps[step];
-  const task = found?.tasks[index];
+  const task = found?.tasks.at(index);
   return found && task ? { step: found, task } : undefined;
 };
 
@@ -182,6 +183,10 @@
 
 const isOccurrenceDone = ({ steps }: OccurrenceState): boolean => steps.every(isStepDone);
 
+/** Tells whether the job's row has to name anything of a completed task but its completion. */
+const hasHistory = (task: Task): boolean =>
+  task.failedRuns.length > 0 || task.crashes.length > 0 || findOpenTrial(task) !== undefined;
+
 /**
  * Marks a task as done. Opens the steps that depended on it, or completes the job if it was the last task.
  *
@@ -193,6 +198,7 @@
   if (task.phase === 'done') return;
   if (task.phase === 'waiting') removeFromWaiting(step, task);
   change(task, { phase: 'done', checkpoint: '' });
+  if (!hasHistory(task)) step.tasks.releaseCompleted(task);
   change(step, { doneCount: step.doneCount + 1 });
   const { job, occurrence } = step;
   const pool = poolOf(state, job.job.pool);
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -26,6 +26,7 @@
   type Task,
   type Trial,
 } from '../model/state.js';
+import type { TaskList } from '../model/task-list.js';
 
 /** The row of a job: the full job while it is live, only the outcome once it has ended. */
 export type BatchJobRow =
@@ -66,12 +67,17 @@
 
 const BITS_PER_DIGIT = 4;
 
+const doneDigitOf = (tasks: TaskList, digit: number): string => {
+  let value = 0;
+  for (let bit = 0; bit < BITS_PER_DIGIT; bit += 1) {
+    if (tasks.isDone(digit * BITS_PER_DIGIT + bit)) value += 2 ** bit;
+  }
+  return value.toString(16);
+};
+
 const doneBitsOf = ({ tasks }: StepRun): string =>
   Array.from({ length: Math.ceil(tasks.length / BITS_PER_DIGIT) }, (_, digit) =>
-    tasks
-      .slice(digit * BITS_PER_DIGIT, (digit + 1) * BITS_PER_DIGIT)
-      .reduce((sum, { phase }, bit) => sum + (phase === 'done' ? 2 ** bit : 0), 0)
-      .toString(16),
+    doneDigitOf(tasks, digit),
   ).join('');
 
 const isBitSet = (digits: string, index: number): boolean => {
@@ -80,11 +86,12 @@
 };
 
 const stepProgress = (step: StepRun): StepProgress | undefined => {
-  const failed = step.tasks
+  const recorded = step.tasks.recorded();
+  const failed = recorded
     .filter(({ failedRuns }) => failedRuns.length > 0)
     .map(({ index, failedRuns }) => [index, failedRuns] as const);
-  const crashLists = buildCrashLists(step.tasks);
-  const trials = step.tasks.flatMap((task) => {
+  const crashLists = buildCrashLists(recorded);
+  const trials = recorded.flatMap((task) => {
     const trial = findOpenTrial(task);
     return trial ? [trialRow(task.index, trial)] : [];
   });
@@ -179,22 +186,23 @@
   { done, failed = [], trials = [], ...lists }: StepProgress,
 ): void => {
   failed.forEach(([index, stored]) => {
-    const task = step.tasks[index];
+    const task = step.tasks.at(index);
     const failedRuns = readFailedRuns(stored);
     if (task) change(task, { failedRuns, lastRun: Math.max(task.lastRun, ...failedRuns) });
   });
   readCrashLists(lists).forEach((crashes, index) => {
-    const task = step.tasks[index];
+    const task = step.tasks.at(index);
     if (task) restoreCrashes(state, step, task, crashes);
   });
   trials.forEach(([index, run, endpointId = null, mark]) => {
-    const task = step.tasks[index];
+    const task = step.tasks.at(index);
     if (task)
       restoreTrial(state, step, task, { run, endpointId, isConclusive: mark === CONCLUSIVE });
   });
-  step.tasks.forEach((task) => {
-    if (isBitSet(done, task.index)) completeTask(state, step, task);
-  });
+  for (let index = 0; index < step.tasks.length; index += 1) {
+    const task = isBitSet(done, index) ? step.tasks.at(index) : undefined;
+    if (task) completeTask(state, step, task);
+  }
 };
 
 /** Logs the crashes that the row of a job names: how many are known and how many are supposed, and who counted them. */
@@ -203,7 +211,7 @@
   { job: { jobId } }: JobState,
   steps: readonly StepRun[],
 ): void => {
-  const crashes = steps.flatMap(({ tasks }) => tasks).flatMap((task) => task.crashes);
+  const crashes = steps.flatMap(({ tasks }) => tasks.recorded()).flatMap((task) => task.crashes);
   if (crashes.length === 0) return;
   const known = crashes.filter(({ isKnown }) => isKnown).length;
   const countedBy = Array.from(new Set(crashes.map(({ fence }) => fence))).join(',');
@@ -253,11 +261,13 @@
   logRestoredCrashes(state, restored, steps);
   const exhausted = steps
     .filter(({ spec }) => !spec.isLasting)
-    .flatMap(({ tasks }) => tasks)
+    .flatMap(({ tasks }) => tasks.recorded())
     .find((task) => hasNoAttemptLeft(task, policy));
   if (exhausted)
     endJob(state, restored, 'failed', `task ${exhausted.key} failed maxAttempts times`);
-  const [reason] = steps.flatMap(({ tasks }) => tasks).flatMap((task) => giveUpReason(task) ?? []);
+  const [reason] = steps
+    .flatMap(({ tasks }) => tasks.recorded())
+    .flatMap((task) => giveUpReason(task) ?? []);
   if (reason !== undefined) endJob(state, restored, 'failed', reason);
   return restored;
 };
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -2,6 +2,7 @@
 import type { DomainId, EndpointId } from '../../shared/ids.js';
 import type { JobShare } from './share.js';
 import type { BatchJob, BatchPhase, QueuePolicy, StepSpec, TaskKey } from './job.js';
+import type { TaskList } from './task-list.js';
 
 /** The state of one task. */
 export type Task = {
@@ -129,9 +130,9 @@
    * times.
    */
   readonly kind: string;
-  readonly tasks: readonly Task[];
+  readonly tasks: TaskList;
   /** The indices of the tasks that wait to be placed; meaningful only once the step is open. */
-  waiting: number[];
+  readonly waiting: number[];
   /** All steps that the step depends on are done, so its tasks may start. */
   isOpen: boolean;
   doneCount: number;
--- a/packages/core/src/batch/placement/candidates.test.ts
+++ b/packages/core/src/batch/placement/candidates.test.ts
@@ -53,7 +53,7 @@
       const view = { state, step, nowMs: 20 };
       const table = scoresFor(state, endpoints, step);
       const candidates = createCandidates(endpoints, view, table);
-      step.tasks.forEach((task, index) => {
+      step.tasks.all().forEach((task, index) => {
         const failedEndpoint = endpoints[failedAt[index] ?? -1];
         change(task, { avoidedEndpoint: failedEndpoint?.endpointId ?? null });
         const expected = chooseBestEndpoint(endpoints, { ...view, task }, table.scores);
--- a/packages/core/src/batch/placement/candidates.ts
+++ b/packages/core/src/batch/placement/candidates.ts
@@ -58,7 +58,7 @@
   const { step } = view;
   /** Scores that depend on the task are left out, because they are 0 for a task without an endpoint to avoid. */
   const sharedScores = scores.filter(({ dependsOnTask }) => !dependsOnTask);
-  const anyTask = step.tasks[0] as Task;
+  const anyTask = step.tasks.at(0) as Task;
   const sharedView: PlacementView = { ...view, task: anyTask };
 
   const computeScore = (endpoint: EndpointState): number => {
--- a/packages/core/src/batch/placement/held-tasks.ts
+++ b/packages/core/src/batch/placement/held-tasks.ts
@@ -116,7 +116,7 @@
       Array.from(occurrences.values())
         .flatMap(({ steps }) => steps)
         .filter(({ isOpen, doneCount, spec }) => isOpen && doneCount < spec.taskCount)
-        .flatMap(({ tasks }) => tasks)
+        .flatMap(({ tasks }) => tasks.recorded())
         .filter(({ phase, key }) => phase === 'placed' && !runs.has(key))
         .map(({ key }): HeldTask => ({ task: key, pool: job.pool, reason: 'no-run' })),
     );
@@ -145,7 +145,7 @@
       .slice(0, MAX_EXAMINED)
       .flatMap((step): readonly HeldTask[] => {
         const fitting = endpoints.filter((endpoint) => canHoldTask(endpoint, step));
-        const task = step.tasks[step.waiting[0] ?? -1];
+        const task = step.tasks.at(step.waiting[0] ?? -1);
         if (fitting.length === 0 || !task) return [];
         const reason = reasonOfStep(state, pool, step, fitting, nowMs);
         return [{ task: task.key, pool: pool.name, reason }];
--- a/packages/core/src/batch/placement/inherited-tasks.ts
+++ b/packages/core/src/batch/placement/inherited-tasks.ts
@@ -91,25 +91,28 @@
   (task.isLocated && mayStartLocatedTasks(state, pool, step, nowMs));
 
 /**
- * Lists the waiting tasks of a step that may start. The tasks of a gang are placed together, and so are the tasks of a step
+ * Lists the indices of the waiting tasks of a step that may start. The tasks of a gang are placed together, and so are the tasks of a step
  * that are suspected of crashing endpoints: if any of these may not start yet, no task of the step may.
  *
  * @param state - The batch state.
  * @param pool - The step's pool.
  * @param step - The step.
  * @param nowMs - The current time on the holder's monotonic clock, in milliseconds.
- * @returns The tasks.
+ * @returns The indices.
  */
 export const startableTasks = (
   state: BatchState,
   pool: PoolState,
   step: StepRun,
   nowMs: number,
-): readonly Task[] => {
-  const waiting = step.waiting.flatMap((index) => step.tasks[index] ?? []);
+): readonly number[] => {
+  const { waiting, tasks, spec } = step;
   if (!awaitsReports(state, pool, step, nowMs)) return waiting;
   if (!mayStartLocatedTasks(state, pool, step, nowMs)) return [];
-  const startedTogether = step.spec.isGang ? waiting : waitingSuspects(state, step);
-  if (!startedTogether.every(({ isLocated }) => isLocated)) return [];
-  return waiting.filter(({ isLocated }) => isLocated);
+  const isLocated = (index: number): boolean => tasks.recordAt(index)?.isLocated === true;
+  const startedTogether = spec.isGang
+    ? waiting
+    : waitingSuspects(state, step).map(({ index }) => index);
+  if (!startedTogether.every(isLocated)) return [];
+  return waiting.filter(isLocated);
 };
--- a/packages/core/src/batch/placement/place-suspects.ts
+++ b/packages/core/src/batch/placement/place-suspects.ts
@@ -36,7 +36,8 @@
   suspects: readonly Task[],
 ): boolean => {
   if (endpoints.length === 0) return false;
-  return placeTasks({ ...context, mustAnnounce: () => true }, endpoints, suspects);
+  const indices = suspects.map(({ index }) => index);
+  return placeTasks({ ...context, mustAnnounce: () => true }, endpoints, indices);
 };
 
 /**
@@ -112,7 +113,7 @@
     .filter((step) => !awaitsReports(state, pool, step, nowMs))
     .forEach((step) => {
       countLostTrials(state, step, nowMs);
-      step.tasks.forEach((task) => failJobIfCrashing(state, { task, step }));
+      step.tasks.recorded().forEach((task) => failJobIfCrashing(state, { task, step }));
     });
   const live = suspects.filter(({ job }) => !isFinal(job.phase));
   return sortByRank(state, live, nowMs);
--- a/packages/core/src/batch/placement/place-tasks.ts
+++ b/packages/core/src/batch/placement/place-tasks.ts
@@ -28,15 +28,18 @@
 const placeEach = (
   placing: PlacingStep,
   endpoints: readonly EndpointState[],
-  tasks: readonly Task[],
+  indices: readonly number[],
 ): boolean => {
   const { state, step } = placing;
   const table = scoresFor(state, endpoints, step);
   const candidates = createCandidates(endpoints, placing, table);
-  return tasks.every((task) => {
+  // The waiting tasks of the step change with each placement.
+  const tried = indices.slice(0, Math.max(0, state.startsLeft));
+  return tried.every((index) => {
     if (state.startsLeft <= 0) return true;
     if (!isWithinQuota(state, step)) return false;
-    const endpoint = candidates.choose(task);
+    const task = step.tasks.at(index);
+    const endpoint = task && candidates.choose(task);
     if (!endpoint) return false;
     const run = nextRunNumber(state.fence, task.lastRun);
     const start: Start = { task, endpoint, run, reason: table.name };
@@ -55,15 +58,16 @@
   if (!isWithinQuota(state, step, step.spec.taskCount)) return false;
   const places = findGangPlaces(step, endpoints);
   if (!places) return false;
-  const lastRun = Math.max(...step.tasks.map((task) => task.lastRun));
+  const members = step.tasks.all();
+  const lastRun = Math.max(...members.map((task) => task.lastRun));
   const run = nextRunNumber(state.fence, lastRun);
-  const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
-  step.tasks.forEach((task) => change(task, { checkpoint }));
-  const starts = step.tasks.map((task, index): Start => {
+  const checkpoint = members.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
+  members.forEach((task) => change(task, { checkpoint }));
+  const starts = members.map((task, index): Start => {
     const endpoint = places[index] as EndpointState;
     return { task, endpoint, run, reason: 'all of its gang' };
   });
-  if (step.tasks.some(placing.mustAnnounce)) announceStarts(placing, starts);
+  if (members.some(placing.mustAnnounce)) announceStarts(placing, starts);
   else starts.forEach((start) => startRun(placing, start));
   return true;
 };
@@ -73,12 +77,12 @@
  *
  * @param placing - The step, and which of its starts must be announced.
  * @param endpoints - The endpoints on which its tasks may start.
- * @param tasks - The tasks to place.
+ * @param indices - The indices of the tasks to place.
  * @returns True if no task is left over for lack of capacity or quota.
  */
 export const placeTasks = (
   placing: PlacingStep,
   endpoints: readonly EndpointState[],
-  tasks: readonly Task[],
+  indices: readonly number[],
 ): boolean =>
-  placing.step.spec.isGang ? placeGang(placing, endpoints) : placeEach(placing, endpoints, tasks);
+  placing.step.spec.isGang ? placeGang(placing, endpoints) : placeEach(placing, endpoints, indices);
--- a/packages/core/src/batch/placement/schedule.ts
+++ b/packages/core/src/batch/placement/schedule.ts
@@ -60,13 +60,16 @@
   const { isGang } = step.spec;
   if (isGang && suspects.length > 0) return true;
   const pool = poolOf(state, step.job.job.pool);
-  const mustAnnounce = (task: Task): boolean =>
+  const mustAnnounce = (task: Task | undefined): boolean =>
     isFirstStartOfInheritedTask(step, task) && mayHaveCrashed();
   const mayAnnounce = areCrashRecordsWritten(step.job);
-  const waiting = startableTasks(state, pool, step, nowMs).filter(
-    (task) => !suspects.includes(task),
-  );
-  const tasks = mayAnnounce ? waiting : waiting.filter((task) => !mustAnnounce(task));
+  const suspected = new Set(suspects.map(({ index }) => index));
+  const startable = startableTasks(state, pool, step, nowMs);
+  const waiting =
+    suspected.size === 0 ? startable : startable.filter((index) => !suspected.has(index));
+  const tasks = mayAnnounce
+    ? waiting
+    : waiting.filter((index) => !mustAnnounce(step.tasks.recordAt(index)));
   const isGangIncomplete = isGang && tasks.length < waiting.length;
   return isGangIncomplete || placeTasks({ ...context, mustAnnounce }, endpoints, tasks);
 };
--- a/packages/core/src/batch/placement/scores.test.ts
+++ b/packages/core/src/batch/placement/scores.test.ts
@@ -66,9 +66,8 @@
       state.jobs
         .get(jobIdOf(1))
         ?.occurrences.get(0)
-        ?.steps[0]?.tasks.forEach((task) =>
-          change(task, { avoidedEndpoint: endpoints[0]?.endpointId ?? null }),
-        );
+        ?.steps[0]?.tasks.all()
+        .forEach((task) => change(task, { avoidedEndpoint: endpoints[0]?.endpointId ?? null }));
       schedulePool(state, POOL, 20);
       expect(endpoints.map(({ runs }) => runs.size)).toEqual([0, 2]);
     });
--- a/packages/core/src/batch/placement/start-quota.test.ts
+++ b/packages/core/src/batch/placement/start-quota.test.ts
@@ -54,7 +54,8 @@
   state.jobs
     .get(jobId)
     ?.occurrences.get(0)
-    ?.steps[0]?.tasks.map(({ phase }) => phase);
+    ?.steps[0]?.tasks.all()
+    .map(({ phase }) => phase);
 
 describe('start orders of an account whose quota falls below what it has placed', () => {
   it('are refused to the one that was placed last, not to both', () => {
--- a/packages/core/src/batch/placement/starts.test.ts
+++ b/packages/core/src/batch/placement/starts.test.ts
@@ -137,7 +137,11 @@
     state = announce({ taskCount: 2 }, OWNER);
     setMaximum(state, 1000);
     expect(scheduleWritten(state, 20)).toHaveLength(1);
-    expect(stepOf(state).tasks.map(({ phase }) => phase)).toEqual(['placed', 'waiting']);
+    expect(
+      stepOf(state)
+        .tasks.all()
+        .map(({ phase }) => phase),
+    ).toEqual(['placed', 'waiting']);
     setMaximum(state, 2000);
     expect(scheduleWritten(state, 30)).toEqual([]);
     expect(scheduleWritten(state, 40)).toHaveLength(1);
@@ -148,7 +152,7 @@
     const [endpointId] = reservedEndpoints(state) as [EndpointId];
     removeEndpoint(state, endpointId, { detail: 'host-list', atMs: 15, nowMs: 20 });
     giveUpRunsOfGoneEndpoints(state, 20);
-    expect(stepOf(state).tasks[0]).toMatchObject({ phase: 'waiting', crashes: [], trial: null });
+    expect(stepOf(state).tasks.at(0)).toMatchObject({ phase: 'waiting', crashes: [], trial: null });
     const other = ENDPOINTS.filter((one) => one !== endpointId);
     expect(scheduleWritten(state, 30)).toEqual([]);
     expect(scheduleWritten(state, 40)).toEqual(other);
--- a/packages/core/src/batch/testing/batch-state.fixtures.ts
+++ b/packages/core/src/batch/testing/batch-state.fixtures.ts
@@ -100,7 +100,7 @@
  * @returns The task; throws if the state does not contain it.
  */
 export const taskOf = (state: BatchState): Task => {
-  const task = state.jobs.get(JOB)?.occurrences.get(0)?.steps[0]?.tasks[0];
+  const task = state.jobs.get(JOB)?.occurrences.get(0)?.steps[0]?.tasks.at(0);
   if (!task) throw new Error('the state does not contain the task of the default job');
   return task;
 };
--- a/packages/core/src/batch/testing/maintenance-wave.fixtures.ts
+++ b/packages/core/src/batch/testing/maintenance-wave.fixtures.ts
@@ -90,7 +90,7 @@
     const step = state.jobs.get(jobId)?.occurrences.get(0)?.steps[0] as StepRun;
     places.forEach((place, index) => {
       const endpoint = endpoints[place] as EndpointState;
-      const task = step.tasks[index] as Task;
+      const task = step.tasks.at(index) as Task;
       addRun(state, { endpoint, step, task, run: 1, phase: 'running', nowMs: 0 }).percent = 100;
     });
     return step;
--- a/packages/daemon/src/batch/endpoints/start-orders.test.ts
+++ b/packages/daemon/src/batch/endpoints/start-orders.test.ts
@@ -201,7 +201,7 @@
         },
       });
       const [state] = states;
-      const task = state?.jobs.get(JOB)?.occurrences.get(0)?.steps[0]?.tasks[0];
+      const task = state?.jobs.get(JOB)?.occurrences.get(0)?.steps[0]?.tasks.at(0);
       expect(task?.phase).toBe('waiting');
       expect(state?.usage.get(ACCOUNT)?.cpuMillis).toBe(DEFAULT_STEP.cpuMillis);
       expect(state?.endpoints.get(ENDPOINT)?.unansweredSinceMs).toBe(Infinity);
--- a/packages/daemon/src/batch/jobs/failed-jobs.property.test.ts
+++ b/packages/daemon/src/batch/jobs/failed-jobs.property.test.ts
@@ -145,7 +145,7 @@
     .flatMap(({ control }) => Array.from(control.term()?.state.jobs.values() ?? []))
     .flatMap(({ occurrences }) => Array.from(occurrences.values()))
     .flatMap(({ steps }) => steps)
-    .flatMap(({ tasks }) => tasks)
+    .flatMap(({ tasks }) => tasks.all())
     .filter(({ key, failedRuns }) => failedRuns.length > (failures.get(key)?.size ?? 0))
     .map(({ key, failedRuns }) => `${key} counts ${failedRuns.join()}`);
 
