Accepted jobs take no more memory than the holder has

Cause: a job was bounded, all jobs together were not, neither when they were accepted nor when a holder read their rows. 40 such jobs took 328 MB of a heap of 180.

Ruled out: growth by starts or reports (nothing had begun), large rows (300 bytes).

Change: the holder adds up what its jobs take against a quarter of the heap. A scope (account, or queue without one) may hold as much as is left free, so one alone gets half and others always find space. A job beyond that is refused before it is written, with a Retry-After from the pool's backlog. What a holder finds in the table beyond the bound stays in its row until there is memory, or until an endpoint lists a run of it: such a list is not applied before. `explain`, `job-memory`, `job-deferred` and three gauges name the bound.

Why this works: every way in (clients, notices, feed, takeover) goes through the same sum, and what waits takes 250 bytes.

Open: rows are all held at once while a takeover reads them.

--- a/packages/core/src/batch/jobs/job-lifecycle.ts
+++ b/packages/core/src/batch/jobs/job-lifecycle.ts
@@ -14,6 +14,7 @@
   type Task,
 } from '../model/state.js';
 import { addOccurrence, createJobState, type AddJobOptions } from './job-factory.js';
+import { requestDeferredJob } from './deferred-jobs.js';
 import { removeFirstAttempt } from './first-attempts.js';
 import { findOpenTrial } from '../crashes/announced-start-record.js';
 import { chargeShare } from '../accounts/shares.js';
@@ -176,6 +177,7 @@
   caller: Caller,
 ): BatchPhase | undefined => {
   const job = state.jobs.get(jobId);
+  if (!job) requestDeferredJob(state, jobId);
   if (!job || !maySee(job.job.owner?.account, caller)) return undefined;
   endJob(state, job, 'cancelled', CANCELLED_REASON);
   return job.phase;
--- /dev/null
+++ b/packages/core/src/batch/jobs/job-memory.ts
@@ -0,0 +1,250 @@
+/**
+ * The memory that jobs take at the control holder, and its bound. A scope, which is a client account or the queue of jobs
+ * without one, may hold as much as is left free (a dynamic threshold): one scope alone gets half of the bound, two get a
+ * third each, and a small job of another scope always finds space.
+ */
+import type { AccountName, Branded, JobId } from '../../shared/ids.js';
+import { change } from '../../shared/change.js';
+import type { BatchJob, QueueName } from '../model/job.js';
+import type { BatchState, DeferredJob, JobState } from '../model/state.js';
+import { measureLoads } from './pool-load.js';
+
+/** Who the memory of a job is counted for. */
+export type MemoryScope = Branded<'MemoryScope'>;
+
+/** Measured sizes of the records of a job in bytes, without what grows with its tasks. */
+const JOB_BYTES = 1100;
+const STEP_BYTES = 1150;
+/** A number in the list of the steps that a step depends on. */
+const DEPENDENCY_BYTES = 8;
+/** The place of a task in the lists of its step. */
+const TASK_BYTES = 16;
+/** The record of a task that has a run or a history. */
+const TASK_RECORD_BYTES = 420;
+const DEFERRED_JOB_BYTES = 250;
+
+/** A measurement is used for this long, and for longer with many jobs: it takes about 0.2 µs for each step. */
+const MEASURE_INTERVAL_MS = 100;
+const MEASURE_INTERVAL_MS_PER_JOB = 0.02;
+const MIN_RETRY_MS = 1000;
+const MAX_RETRY_MS = 30_000;
+/** Relative jitter of Retry-After in both directions, so that clients refused together do not retry together. */
+const RETRY_JITTER = 0.25;
+const MAX_KEPT_SHORTAGES = 4000;
+const MAX_LISTED = 3;
+const MILLIS_PER_CORE = 1000;
+
+/** A job for which there is not enough memory. */
+export type MemoryShortage = {
+  readonly jobId: JobId;
+  readonly queue: QueueName;
+  readonly scope: MemoryScope;
+  readonly neededBytes: number;
+  /** What the jobs of the scope take. */
+  readonly scopeBytes: number;
+  /** What all jobs take. */
+  readonly heldBytes: number;
+  readonly boundBytes: number;
+  /** How many accepted jobs of the scope wait for memory themselves. */
+  readonly deferredJobs: number;
+  readonly retryAfterMs: number;
+};
+
+/** What the jobs of a holder take, the largest scopes and jobs first. */
+export type MemoryUsage = {
+  readonly heldBytes: number;
+  readonly boundBytes: number;
+  readonly deferredJobs: number;
+  readonly largestScopes: readonly (readonly [MemoryScope, number])[];
+  readonly largestJobs: readonly (readonly [JobId, number])[];
+};
+
+/** The account of the memory that jobs take. */
+export type JobMemory = {
+  /** Finds out that there is not enough memory for a job; undefined if it may be accepted. */
+  readonly findShortage: (job: BatchJob, nowMs: number) => MemoryShortage | undefined;
+  /** Tells whether a job that waits for memory may be added to the state now. */
+  readonly hasSpaceFor: (deferred: DeferredJob, nowMs: number) => boolean;
+  /** Counts a job that is being written, until `removePending` is called for it. */
+  readonly addPending: (job: BatchJob) => void;
+  readonly removePending: (jobId: JobId) => void;
+  /** Keeps a shortage for which a job was refused, so that operators find it. */
+  readonly recordRefusal: (shortage: MemoryShortage) => void;
+  /** The latest recorded shortage of a job; undefined if there is none or it was evicted. */
+  readonly findRefusal: (jobId: JobId) => MemoryShortage | undefined;
+  readonly measure: (nowMs: number) => MemoryUsage;
+};
+
+/**
+ * Returns the scope that the memory of a job is counted for.
+ *
+ * @param job - The account that owns the job, if any, and its queue.
+ * @returns The scope.
+ */
+export const memoryScopeOf = ({
+  account,
+  queue,
+}: {
+  readonly account?: AccountName | undefined;
+  readonly queue: QueueName;
+}): MemoryScope => (account === undefined ? `queue=${queue}` : `account=${account}`) as MemoryScope;
+
+const scopeOfJob = ({ owner, queue }: BatchJob): MemoryScope =>
+  memoryScopeOf({ account: owner?.account, queue });
+
+const stepBytes = ({ taskCount, after }: BatchJob['steps'][number]): number =>
+  STEP_BYTES + DEPENDENCY_BYTES * after.length + TASK_BYTES * taskCount;
+
+/**
+ * Estimates what a job takes when it is added to the state.
+ *
+ * @param job - The job.
+ * @returns The size in bytes, with one occurrence.
+ */
+export const estimateJobBytes = ({ spec, steps }: BatchJob): number =>
+  steps.reduce((sum, step) => sum + stepBytes(step), JOB_BYTES + spec.length);
+
+const heldBytesOf = ({ job, occurrences }: JobState): number => {
+  let bytes = JOB_BYTES + job.spec.length;
+  occurrences.forEach(({ steps }) =>
+    steps.forEach(({ spec, tasks }) => {
+      bytes += stepBytes(spec) + TASK_RECORD_BYTES * tasks.countRecorded();
+    }),
+  );
+  return bytes;
+};
+
+const listLargest = <Key>(sizes: Iterable<readonly [Key, number]>) =>
+  Array.from(sizes)
+    .sort(([, left], [, right]) => right - left)
+    .slice(0, MAX_LISTED);
+
+export type JobMemoryOptions = {
+  readonly state: BatchState;
+  /** The most that the jobs may take, in bytes. */
+  readonly boundBytes: number;
+  readonly random?: () => number;
+};
+
+/**
+ * Creates the account of the memory that jobs take at a control holder.
+ *
+ * @param options - The state of the control holder, and the bound.
+ * @returns The account.
+ */
+export const createJobMemory = ({
+  state,
+  boundBytes,
+  random = Math.random,
+}: JobMemoryOptions): JobMemory => {
+  const pending = new Map<JobId, { readonly job: BatchJob; isSettled: boolean }>();
+  const refusals = new Map<JobId, MemoryShortage>();
+  let bytesByScope = new Map<MemoryScope, number>();
+  let deferredByScope = new Map<MemoryScope, number>();
+  let heldBytes = 0;
+  let measuredAtMs = -Infinity;
+  let countedDeferred = 0;
+
+  const add = (scope: MemoryScope, bytes: number): void => {
+    bytesByScope.set(scope, (bytesByScope.get(scope) ?? 0) + bytes);
+    heldBytes += bytes;
+  };
+
+  const addDeferred = (deferred: DeferredJob): void => {
+    const scope = memoryScopeOf(deferred);
+    deferredByScope.set(scope, (deferredByScope.get(scope) ?? 0) + 1);
+    add(scope, DEFERRED_JOB_BYTES);
+  };
+
+  const measureAll = (): void => {
+    bytesByScope = new Map();
+    deferredByScope = new Map();
+    heldBytes = 0;
+    state.jobs.forEach((job) => add(scopeOfJob(job.job), heldBytesOf(job)));
+    state.deferredJobs.forEach(addDeferred);
+    countedDeferred = state.deferredJobs.size;
+    pending.forEach(({ job, isSettled }, jobId) => {
+      if (isSettled) pending.delete(jobId);
+      else if (!state.jobs.has(jobId)) add(scopeOfJob(job), estimateJobBytes(job));
+    });
+  };
+
+  /** Measures again if the last measurement is old, or if jobs began or ceased to wait for memory since. */
+  const update = (nowMs: number): void => {
+    const intervalMs = Math.max(MEASURE_INTERVAL_MS, MEASURE_INTERVAL_MS_PER_JOB * state.jobs.size);
+    if (nowMs - measuredAtMs < intervalMs && countedDeferred === state.deferredJobs.size) return;
+    measureAll();
+    measuredAtMs = nowMs;
+  };
+
+  const missingBytes = (scope: MemoryScope, neededBytes: number): number =>
+    (bytesByScope.get(scope) ?? 0) + neededBytes - (boundBytes - heldBytes);
+
+  /** The time in which the pool does as much of its queued work as the scope has to give up of its memory. */
+  const retryAfterMsOf = ({ pool }: BatchJob, scope: MemoryScope, neededBytes: number): number => {
+    const load = measureLoads(state, state.clockMs).get(pool);
+    const coreMs = load?.queuedWork.reduce((sum, work) => sum + work.coreMs, 0) ?? 0;
+    const cpuMillis = load?.endpointsCpuMillis.reduce((sum, one) => sum + one, 0) ?? 0;
+    const backlogMs = cpuMillis > 0 ? coreMs / (cpuMillis / MILLIS_PER_CORE) : Infinity;
+    // What the scope gives up lowers its own use and raises what is free.
+    const share = missingBytes(scope, neededBytes) / 2 / (bytesByScope.get(scope) || Infinity);
+    const jitter = 1 + RETRY_JITTER * (2 * random() - 1);
+    const waitMs = backlogMs * Math.min(1, Math.max(0, share)) * jitter;
+    return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, Number.isNaN(waitMs) ? 0 : waitMs));
+  };
+
+  return {
+    findShortage: (job, nowMs) => {
+      if (pending.has(job.jobId) || state.jobs.has(job.jobId)) return undefined;
+      update(nowMs);
+      const scope = scopeOfJob(job);
+      const neededBytes = estimateJobBytes(job);
+      const deferredJobs = deferredByScope.get(scope) ?? 0;
+      if (deferredJobs === 0 && missingBytes(scope, neededBytes) <= 0) return undefined;
+      return {
+        jobId: job.jobId,
+        queue: job.queue,
+        scope,
+        neededBytes,
+        scopeBytes: bytesByScope.get(scope) ?? 0,
+        heldBytes,
+        boundBytes,
+        deferredJobs,
+        retryAfterMs: retryAfterMsOf(job, scope, neededBytes),
+      };
+    },
+    hasSpaceFor: (deferred, nowMs) => {
+      update(nowMs);
+      return missingBytes(memoryScopeOf(deferred), deferred.neededBytes) <= 0;
+    },
+    addPending: (job) => {
+      if (pending.has(job.jobId)) return;
+      pending.set(job.jobId, { job, isSettled: false });
+      add(scopeOfJob(job), estimateJobBytes(job));
+    },
+    removePending: (jobId) => {
+      const known = pending.get(jobId);
+      // Its bytes stay counted until the next measurement finds the job in the state or does not.
+      if (known) change(known, { isSettled: true });
+    },
+    recordRefusal: (shortage) => {
+      refusals.delete(shortage.jobId);
+      refusals.set(shortage.jobId, shortage);
+      const [oldest] = refusals.keys();
+      if (refusals.size > MAX_KEPT_SHORTAGES && oldest !== undefined) refusals.delete(oldest);
+    },
+    findRefusal: (jobId) => refusals.get(jobId),
+    measure: (nowMs) => {
+      update(nowMs);
+      return {
+        heldBytes,
+        boundBytes,
+        deferredJobs: state.deferredJobs.size,
+        largestScopes: listLargest(bytesByScope),
+        largestJobs: listLargest(
+          Array.from(state.jobs.values(), (job) => [job.job.jobId, heldBytesOf(job)] as const),
+        ),
+      };
+    },
+  };
+};
--- a/packages/core/src/batch/jobs/waiting-jobs.ts
+++ b/packages/core/src/batch/jobs/waiting-jobs.ts
@@ -13,5 +13,8 @@
     if (hasStarted || isFinal(phase)) return;
     counts.set(job.queue, (counts.get(job.queue) ?? 0) + 1);
   });
+  state.deferredJobs.forEach(({ queue, hasStarted }) => {
+    if (!hasStarted) counts.set(queue, (counts.get(queue) ?? 0) + 1);
+  });
   return counts;
 };
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -1,7 +1,7 @@
 /** The state of jobs, their steps and tasks. Records are changed in place. */
-import type { DomainId, EndpointId } from '../../shared/ids.js';
+import type { AccountName, DomainId, EndpointId, JobId } from '../../shared/ids.js';
 import type { JobShare } from './share.js';
-import type { BatchJob, BatchPhase, QueuePolicy, StepSpec, TaskKey } from './job.js';
+import type { BatchJob, BatchPhase, QueueName, QueuePolicy, StepSpec, TaskKey } from './job.js';
 import type { TaskList } from './task-list.js';
 
 /** The state of one task. */
@@ -180,3 +180,18 @@
   /** The `crashRecordRevision` that the job's row was last written with. */
   writtenCrashRecordRevision: number;
 };
+
+/** An accepted job that stays in its row until the holder has memory for it. */
+export type DeferredJob = {
+  readonly jobId: JobId;
+  readonly queue: QueueName;
+  readonly account: AccountName | undefined;
+  /** What the job takes when it is added to the state. */
+  readonly neededBytes: number;
+  /** The version of its row, which tells the order in which jobs were accepted. */
+  readonly version: number;
+  /** Its progress row shows that a task has started. */
+  readonly hasStarted: boolean;
+  /** Something else depends on the job, so it is added whether or not there is memory for it. */
+  isRequested: boolean;
+};
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -22,7 +22,7 @@
   RecentCrash,
 } from './endpoint-state.js';
 import type { BatchPhase, TaskKey } from './job.js';
-import type { JobState, StepRun, Task } from './job-state.js';
+import type { DeferredJob, JobState, StepRun, Task } from './job-state.js';
 import { createDemand, type Demand } from '../pools/demand.js';
 import { createDemandPeakHistory, type DemandPeakHistory } from '../pools/demand-peaks.js';
 import type { AccountLimits } from './accounts.js';
@@ -151,6 +151,8 @@
   /** The data centres that an operator has ordered to be evacuated. Their endpoints get no new work. */
   evacuatedDataCentres: ReadonlySet<DataCentreId>;
   readonly jobs: Map<JobId, JobState>;
+  /** The accepted jobs that wait for memory; none of them is in `jobs`. See `jobs/job-memory.ts`. */
+  readonly deferredJobs: Map<JobId, DeferredJob>;
   readonly pools: Map<PoolName, PoolState>;
   readonly endpoints: Map<EndpointId, EndpointState>;
   /** The racks and data centres with the endpoints in them; none of them is empty. */
@@ -224,6 +226,7 @@
   isHostListAwaited: false,
   evacuatedDataCentres: new Set(),
   jobs: new Map(),
+  deferredJobs: new Map(),
   pools: new Map(),
   endpoints: new Map(),
   domains: new Map(),
--- a/packages/daemon/src/batch/control/control.ts
+++ b/packages/daemon/src/batch/control/control.ts
@@ -71,6 +71,8 @@
   readonly endpointLeaseMs?: number;
   /** How endpoints are chosen for tasks of short steps; `fullest` if left out. */
   readonly placementPolicy?: PlacementPolicy;
+  /** The most memory that jobs may take at this entry, in bytes; a share of the heap if left out. */
+  readonly jobMemoryBytes?: number;
   /** For how long another entry has been silent on the mesh, in milliseconds; Infinity without a link to it. */
   readonly peerSilentForMs?: (entryId: EntryId) => number;
   readonly nowMs?: () => number;
@@ -109,6 +111,7 @@
   holderPreference = EQUAL_PREFERENCE,
   endpointLeaseMs = ENDPOINT_LEASE_MS,
   placementPolicy = 'fullest',
+  jobMemoryBytes,
   peerSilentForMs = (entryId) => peers()?.silentForMs(entryId) ?? 0,
   nowMs = () => performance.now(),
 }: ControlOptions): Control => {
@@ -179,6 +182,7 @@
       formerOrdersRemainingMs: limits.formerOrdersRemainingMs(),
       endpointLeaseMs,
       placementPolicy,
+      ...(jobMemoryBytes === undefined ? {} : { jobMemoryBytes }),
       isTableUnavailable: () => table.unansweredForMs() >= TABLE_UNAVAILABLE_MS,
       soleHolderUntilMs: limits.soleHolderUntilMs,
       configuration,
--- a/packages/daemon/src/batch/control/term-jobs.ts
+++ b/packages/daemon/src/batch/control/term-jobs.ts
@@ -3,11 +3,14 @@
  * long as clients may ask for them.
  */
 import {
+  CANCELLED_REASON,
   createAdmissionControl,
+  createJobMemory,
   type AdmissionControl,
   type BatchPhase,
   type BatchState,
   type Caller,
+  type JobMemory,
   type JobState,
   type JobStatus,
   type QueueIndex,
@@ -17,6 +20,7 @@
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
 import { createCancellations } from '../jobs/cancellations.js';
+import { createDeferredJobReader } from '../jobs/deferred-job-reader.js';
 import { createEndedJobs } from '../jobs/ended-jobs.js';
 import { createJobAdmission } from '../jobs/job-admission.js';
 import { createJobRowLookup } from '../jobs/job-row-lookup.js';
@@ -54,6 +58,8 @@
   readonly requestScheduling: () => void;
   /** Ends the term, because another holder has replaced it. */
   readonly endAsLost: (reason: string) => void;
+  /** The most memory that jobs may take, in bytes. */
+  readonly jobMemoryBytes: number;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly nowMs: () => number;
@@ -64,6 +70,10 @@
   readonly rows: JobRowReader;
   readonly saver: JobSaver;
   readonly admission: AdmissionControl;
+  /** The memory that the jobs take. */
+  readonly memory: JobMemory;
+  /** Adds jobs that waited for memory. */
+  readonly addDeferredJobs: () => Promise<void>;
   /** The status of a job; undefined if the job is unknown. */
   readonly findStatus: (jobId: JobId) => JobStatus | undefined;
   /** Writes and admits a job. */
@@ -95,6 +105,7 @@
   beginSaveRound,
   requestScheduling,
   endAsLost,
+  jobMemoryBytes,
   log,
   metrics,
   nowMs,
@@ -141,9 +152,12 @@
     wallClockMs,
   });
 
+  const memory = createJobMemory({ state, boundBytes: jobMemoryBytes });
+
   const rows = createJobRowReader({
     state,
     table,
+    memory,
     versions: saver.versions,
     ended: endedJobs,
     cancellations,
@@ -160,6 +174,7 @@
   const admission = createAdmissionControl({ state });
   const admitJob = createJobAdmission({
     admission,
+    memory,
     write: saver.accept,
     hasRow: createJobRowLookup(table),
     isHolder,
@@ -168,14 +183,40 @@
     nowMs,
   });
 
+  const addDeferredJobs = createDeferredJobReader({
+    state,
+    table,
+    memory,
+    addDeferredJob: rows.addDeferredJob,
+    isSoleHolder,
+    isStopped,
+    log,
+    nowMs,
+  });
+
+  const findDeferredStatus = (jobId: JobId): JobStatus | undefined => {
+    const deferred = state.deferredJobs.get(jobId);
+    if (!deferred) return undefined;
+    const { account, hasStarted } = deferred;
+    if (cancellations.isKept(jobId, account ?? null))
+      return { phase: 'cancelled', reason: CANCELLED_REASON, account };
+    return { phase: hasStarted ? 'running' : 'pending', reason: '', account };
+  };
+
   return {
     rows,
     saver,
     admission,
-    findStatus: (jobId) => endedJobs.findStatus(jobId) ?? reportedStatus(state.jobs.get(jobId)),
+    memory,
+    addDeferredJobs,
+    findStatus: (jobId) =>
+      endedJobs.findStatus(jobId) ??
+      reportedStatus(state.jobs.get(jobId)) ??
+      findDeferredStatus(jobId),
     accept: async (row) => {
       const { jobId } = row.job;
-      if (state.jobs.has(jobId) || endedJobs.has(jobId)) return { kind: 'conflict' };
+      const isKnown = state.jobs.has(jobId) || state.deferredJobs.has(jobId);
+      if (isKnown || endedJobs.has(jobId)) return { kind: 'conflict' };
       return admitJob(row);
     },
     cancel: (jobId, caller) => cancellations.apply({ jobId, caller, source: 'notice' }),
--- a/packages/daemon/src/batch/control/term-loops.ts
+++ b/packages/daemon/src/batch/control/term-loops.ts
@@ -29,6 +29,8 @@
   readonly refreshEndpoints: () => Promise<void>;
   /** Reads the rows of jobs that other entries have written. */
   readonly readJobRows: () => Promise<void>;
+  /** Adds jobs that waited in their rows for memory. */
+  readonly addDeferredJobs: () => Promise<void>;
   /** The cycle over hosts and waves. */
   readonly fleet: Pick<FleetCycle, 'intervalMs' | 'run' | 'syncWaves'>;
   /** Deletes the rows of ended jobs and of cancellations that are no longer asked for. */
@@ -52,6 +54,7 @@
       { name: 'evacuations', pauseMs: TICK_MS, run: work.confirmEvacuations },
       { name: 'endpoints', pauseMs: ENDPOINT_FEED_MS, run: work.refreshEndpoints },
       { name: 'jobs', pauseMs: JOB_FEED_MS, run: work.readJobRows },
+      { name: 'deferred', pauseMs: TICK_MS, run: work.addDeferredJobs },
       { name: 'fleet', pauseMs: work.fleet.intervalMs, run: work.fleet.run },
       { name: 'waves', pauseMs: work.fleet.intervalMs, run: work.fleet.syncWaves },
       { name: 'sweep', pauseMs: SWEEP_INTERVAL_MS, run: work.deleteExpiredRows },
--- a/packages/daemon/src/batch/control/term-types.ts
+++ b/packages/daemon/src/batch/control/term-types.ts
@@ -4,6 +4,7 @@
   BatchPhase,
   BatchState,
   Caller,
+  JobMemory,
   JobStatus,
   PlacementPolicy,
   QueueIndex,
@@ -52,6 +53,8 @@
   readonly configuration: () => QueueIndex | undefined;
   /** Decides whether this entry may send start orders; if left out, it always may. */
   readonly startGate?: StartGate;
+  /** The most memory that jobs may take, in bytes; a share of the heap if left out. */
+  readonly jobMemoryBytes?: number;
   /** Called once if the term finds that another holder has replaced it. */
   readonly onLost: (reason: string) => void;
   readonly nowMs?: () => number;
@@ -65,6 +68,8 @@
   readonly fleet: FleetCycle;
   readonly evacuations: Omit<EvacuationWatch, 'update' | 'close'>;
   readonly admission: AdmissionControl;
+  /** The memory that the jobs take. */
+  readonly memory: JobMemory;
   /** Recovers the state from rows and from the list of endpoints, then starts the loops. */
   readonly start: () => Promise<void>;
   /** Ends all work of the term. */
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -32,6 +32,7 @@
 import { createEffectPerformer } from './effect-performer.js';
 import { createRowAlarm } from './row-alarm.js';
 import { createProcessLoadMeter } from './process-load.js';
+import { createMemoryReport, defaultJobMemoryBytes } from './memory-report.js';
 import { createTermGuard } from './term-guard.js';
 import { createTermJobs } from './term-jobs.js';
 import { startTermLoops, TICK_MS } from './term-loops.js';
@@ -66,6 +67,7 @@
   soleHolderUntilMs,
   configuration,
   startGate = OPEN_GATE,
+  jobMemoryBytes = defaultJobMemoryBytes(),
   onLost,
   nowMs = () => performance.now(),
   wallClockMs = () => Date.now(),
@@ -161,6 +163,7 @@
     },
     requestScheduling: requestCycle,
     endAsLost,
+    jobMemoryBytes,
     log,
     metrics,
     nowMs,
@@ -235,10 +238,13 @@
 
   const logHeldTasks = createHeldTaskLog({ state, log, nowMs });
 
+  const reportMemory = createMemoryReport({ memory: jobs.memory, log, metrics, nowMs });
+
   const reportLoad = (): void => {
     logLoad(loadLogOptions);
     logHeldTasks();
     publishAdmissionCounts(admission, metrics);
+    reportMemory();
   };
 
   const logLapsedLease = ({ endpointId, endedAtMs }: LapsedEndpoint): void =>
@@ -283,6 +289,7 @@
     log.info('term-recovered', {
       fence,
       jobs: state.jobs.size,
+      deferred: state.deferredJobs.size,
       ended: jobs.countEnded(),
       endpoints: endpointCount,
       tookMs: Math.round(nowMs() - state.takenOverAtMs),
@@ -317,6 +324,7 @@
         confirmEvacuations,
         refreshEndpoints: roster.refresh,
         readJobRows: jobs.rows.applyChanges,
+        addDeferredJobs: jobs.addDeferredJobs,
         fleet,
         deleteExpiredRows: jobs.deleteExpiredRows,
         reportLoad,
@@ -344,6 +352,7 @@
     fleet,
     evacuations,
     admission,
+    memory: jobs.memory,
     start,
     stop,
     isReady: isHolder,
--- a/packages/daemon/src/batch/control/unreadable-rows.test.ts
+++ b/packages/daemon/src/batch/control/unreadable-rows.test.ts
@@ -1,5 +1,10 @@
 /** Guards against rows of the product that cannot be read and that free what they guard, or keep a term from starting. */
-import { createBatchState, createHostInventory, type BatchJob } from '@valvelatch/core/batch';
+import {
+  createBatchState,
+  createHostInventory,
+  createJobMemory,
+  type BatchJob,
+} from '@valvelatch/core/batch';
 import { brand, type EntryId, type HostId, type JobId } from '@valvelatch/core/shared/ids';
 import type { TableClient } from '@valvelatch/platform';
 import { Ok } from 'ts-results-es';
@@ -135,6 +140,7 @@
         add: (jobId: string) => ended.push(jobId),
       } as unknown as EndedJobs,
       cancellations: { apply: () => undefined, applyEarlier: () => undefined },
+      memory: createJobMemory({ state, boundBytes: Infinity }),
       configuration: () => undefined,
       isSoleHolder: () => true,
       isStopped: () => false,
--- a/packages/daemon/src/batch/endpoints/list-requests.ts
+++ b/packages/daemon/src/batch/endpoints/list-requests.ts
@@ -4,6 +4,7 @@
  */
 import {
   applyReport,
+  requestDeferredJobsOf,
   type EndpointClock,
   type EndpointDelayEstimator,
   type EndpointLists,
@@ -152,6 +153,15 @@
     state.clockMs = nowMs();
     const report = { ...response, ended: newEnds, requestedAtMs, nowMs: nowMs() };
     isLastReportApplied = false;
+    if (
+      requestDeferredJobsOf(
+        state,
+        [...newEnds, ...response.running].map(({ task }) => task),
+      )
+    ) {
+      metrics.count('reports_awaiting_deferred_jobs');
+      return;
+    }
     applyReport(state, endpointId, report);
     isLastReportApplied = true;
     // Only ended runs that were applied may be acknowledged.
--- a/packages/daemon/src/batch/jobs/cancellations.ts
+++ b/packages/daemon/src/batch/jobs/cancellations.ts
@@ -57,6 +57,8 @@
    * account.
    */
   readonly apply: (cancellation: Cancellation) => BatchPhase | undefined;
+  /** Tells whether a cancellation by the owner of a job that is not in the state is kept. */
+  readonly isKept: (jobId: JobId, caller: Caller) => boolean;
   /** Cancels a job that was just added if one of the cancellations that came before it is its own. */
   readonly applyEarlier: (jobId: JobId) => void;
   /** Forgets cancellations whose jobs have not come for long, and deletes their rows. */
@@ -147,6 +149,7 @@
 
   return {
     apply,
+    isKept: (jobId, caller) => unmatched.has(batchKey.cancel(jobId, caller)),
     applyEarlier: (jobId) => {
       const keys = Array.from(unmatchedKeysByJob.get(jobId) ?? []);
       keys.forEach((key) => {
--- a/packages/daemon/src/batch/jobs/job-admission.test.ts
+++ b/packages/daemon/src/batch/jobs/job-admission.test.ts
@@ -42,6 +42,12 @@
   } as unknown as AdmissionControl;
   const accept = createJobAdmission({
     admission,
+    memory: {
+      findShortage: () => undefined,
+      addPending: () => {},
+      removePending: () => {},
+      recordRefusal: () => {},
+    },
     write: async () => {
       events.push('written');
       return { kind: 'committed', version: 3 };
--- a/packages/daemon/src/batch/jobs/job-admission.ts
+++ b/packages/daemon/src/batch/jobs/job-admission.ts
@@ -2,7 +2,13 @@
  * The holder's decision on a submitted job: it is either refused before anything is written, or written. Only a job
  * without a row is refused, because another entry may have written a row that this holder has not read yet.
  */
-import type { AdmissionControl, AdmissionCounts, ForecastRefusal } from '@valvelatch/core/batch';
+import type {
+  AdmissionControl,
+  AdmissionCounts,
+  ForecastRefusal,
+  JobMemory,
+  MemoryShortage,
+} from '@valvelatch/core/batch';
 import type { JobId } from '@valvelatch/core/shared/ids';
 
 import type { Log } from '../../observe/log.js';
@@ -13,6 +19,10 @@
 
 export type JobAdmissionOptions = {
   readonly admission: AdmissionControl;
+  readonly memory: Pick<
+    JobMemory,
+    'findShortage' | 'addPending' | 'removePending' | 'recordRefusal'
+  >;
   /** Writes the row of an admitted job. */
   readonly write: (row: LiveRow) => Promise<AcceptOutcome>;
   /** Tells whether a job has a row; undefined if the table does not answer. */
@@ -48,6 +58,35 @@
 export const explainRefusal = (refusal: ForecastRefusal): string =>
   `queue=${refusal.queue} account=${refusal.account}: ${formatDetail(refusal)}; Retry-After ${Math.ceil(refusal.retryAfterMs / MS_PER_S)} s`;
 
+const BYTES_PER_MB = 1_000_000;
+
+const formatMb = (bytes: number): string => `${(bytes / BYTES_PER_MB).toFixed(1)} MB`;
+
+/** The explanation that clients and operators read. */
+const formatShortage = ({
+  scope,
+  neededBytes,
+  scopeBytes,
+  heldBytes,
+  boundBytes,
+  deferredJobs,
+}: MemoryShortage): string => {
+  const waiting = deferredJobs > 0 ? `, and ${deferredJobs} accepted ones wait for memory` : '';
+  return (
+    `the job takes ${formatMb(neededBytes)} of memory; the accepted jobs of ${scope} take ` +
+    `${formatMb(scopeBytes)} and those of all ${formatMb(heldBytes)} of ${formatMb(boundBytes)}${waiting}`
+  );
+};
+
+/**
+ * Explains to operators that a job was refused for lack of memory.
+ *
+ * @param shortage - The shortage.
+ * @returns One sentence.
+ */
+export const explainShortage = (shortage: MemoryShortage): string =>
+  `queue=${shortage.queue}: ${formatShortage(shortage)}; Retry-After ${Math.ceil(shortage.retryAfterMs / MS_PER_S)} s`;
+
 /**
  * Publishes the counts of refused and late jobs, per queue.
  *
@@ -72,6 +111,7 @@
  */
 export const createJobAdmission = ({
   admission,
+  memory,
   write,
   hasRow,
   isHolder,
@@ -81,14 +121,29 @@
 }: JobAdmissionOptions): ((row: LiveRow) => Promise<AcceptOutcome | undefined>) => {
   const admit = async (row: LiveRow): Promise<AcceptOutcome> => {
     admission.addPending(row, nowMs());
+    memory.addPending(row.job);
     try {
       return await write(row);
     } finally {
       admission.removePending(row.job.jobId);
+      memory.removePending(row.job.jobId);
     }
   };
 
-  const refuse = (refusal: ForecastRefusal, { job }: LiveRow): AcceptOutcome => {
+  const refuseForMemory = (shortage: MemoryShortage): AcceptOutcome => {
+    memory.recordRefusal(shortage);
+    metrics.count('jobs_refused_for_memory');
+    const { jobId, retryAfterMs, ...fields } = shortage;
+    log.info('job-refused-for-memory', {
+      job: jobId,
+      ...fields,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+    const retryAfterS = Math.ceil(retryAfterMs / MS_PER_S);
+    return { kind: 'refused', detail: formatShortage(shortage), retryAfterS };
+  };
+
+  const refuseByForecast = (refusal: ForecastRefusal, { job }: LiveRow): AcceptOutcome => {
     admission.recordRefusal(refusal, job.pool);
     metrics.count('jobs_refused_by_forecast');
     log.info('job-refused', {
@@ -104,13 +159,21 @@
     return { kind: 'refused', detail: formatDetail(refusal), retryAfterS };
   };
 
+  /** Decides on a job; the returned function refuses it, undefined means that it may be accepted. */
+  const findRefusal = (row: LiveRow): (() => AcceptOutcome) | undefined => {
+    const shortage = memory.findShortage(row.job, nowMs());
+    if (shortage) return () => refuseForMemory(shortage);
+    const refusal = admission.evaluate(row, nowMs());
+    return refusal && (() => refuseByForecast(refusal, row));
+  };
+
   return async (row) => {
-    if (!admission.evaluate(row, nowMs())) return admit(row);
+    if (!findRefusal(row)) return admit(row);
     const hasJobRow = await hasRow(row.job.jobId);
     if (!isHolder()) return undefined;
     if (hasJobRow === true) return { kind: 'conflict' };
     // During the lookup, another attempt may have admitted the same job, or capacity may have become free.
-    const refusal = admission.evaluate(row, nowMs());
-    return refusal && hasJobRow === false ? refuse(refusal, row) : admit(row);
+    const refuse = findRefusal(row);
+    return refuse && hasJobRow === false ? refuse() : admit(row);
   };
 };
--- a/packages/daemon/src/batch/jobs/job-row-reader.test.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.test.ts
@@ -1,5 +1,5 @@
 /** Rows of jobs whose read is answered late, when the holder that asked has been replaced. */
-import { createBatchState, type BatchJob } from '@valvelatch/core/batch';
+import { createBatchState, createJobMemory, type BatchJob } from '@valvelatch/core/batch';
 import { brand, type JobId } from '@valvelatch/core/shared/ids';
 import { Ok } from 'ts-results-es';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
@@ -58,6 +58,7 @@
       versions: new Map(),
       ended: { has: () => false, add: () => undefined } as unknown as EndedJobs,
       cancellations: { apply: () => undefined, applyEarlier: () => undefined },
+      memory: createJobMemory({ state, boundBytes: Infinity }),
       configuration: () => undefined,
       isSoleHolder: () => term.isSoleHolder,
       isStopped: () => false,
--- a/packages/daemon/src/batch/jobs/job-row-reader.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.ts
@@ -1,5 +1,7 @@
 /** Reads the rows of jobs: completely at recovery, and their changes afterwards. */
 import {
+  estimateJobBytes,
+  hasStartedTasks,
   restoreJob,
   addJob,
   endJob,
@@ -7,6 +9,7 @@
   type BatchJob,
   type BatchJobRow,
   type BatchState,
+  type JobMemory,
   type ProgressRow,
   type QueueIndex,
   type QueuePolicy,
@@ -29,6 +32,8 @@
   readonly versions: JobSaver['versions'];
   readonly ended: EndedJobs;
   readonly cancellations: Pick<Cancellations, 'apply' | 'applyEarlier'>;
+  /** Bounds the memory that jobs take; a job that does not fit stays in its row. */
+  readonly memory: Pick<JobMemory, 'findShortage' | 'addPending' | 'removePending'>;
   /** The queues of the configuration in force; undefined before one is known. */
   readonly configuration: () => QueueIndex | undefined;
   /** True while no other entry can have become the control holder: see `TermOptions`. */
@@ -62,10 +67,18 @@
   readonly restore: (readings: readonly JobRowChanges[]) => void;
   /** Adds an accepted job to the state, unless it is known already. */
   readonly addAcceptedJob: (row: LiveRow, version: number) => void;
+  /** Adds a job that waited for memory, as its rows are now. */
+  readonly addDeferredJob: (rows: JobAndProgressRows) => void;
   /** Reads and applies the rows that other entries have written. */
   readonly applyChanges: () => Promise<void>;
 };
 
+/** The current rows of one job; a value of null means that there is no such row. */
+export type JobAndProgressRows = {
+  readonly job: TableRow;
+  readonly progress: TableRow;
+};
+
 const PROGRESS_PREFIX = 'progress/';
 /** Unreadable rows of further jobs are counted, but not logged. */
 const MAX_LOGGED_KEYS = 50;
@@ -119,6 +132,7 @@
   versions,
   ended,
   cancellations,
+  memory,
   configuration,
   isSoleHolder,
   isStopped,
@@ -135,8 +149,50 @@
   const findPolicy = (queue: string, fallback: QueuePolicy): QueuePolicy =>
     configuration()?.byName.get(queue as BatchJob['queue'])?.policy ?? fallback;
 
+  const isKnown = (jobId: JobId): boolean => state.jobs.has(jobId) || state.deferredJobs.has(jobId);
+
+  /** Leaves a job in its row if there is not enough memory for it; returns true if it does. */
+  const deferWithoutMemory = (job: BatchJob, version: number, hasStarted: boolean): boolean => {
+    const { jobId, queue, owner } = job;
+    const shortage = memory.findShortage(job, nowMs());
+    if (!shortage) {
+      countMemory(job);
+      return false;
+    }
+    const neededBytes = estimateJobBytes(job);
+    const account = owner?.account;
+    state.deferredJobs.set(jobId, {
+      jobId,
+      queue,
+      account,
+      neededBytes,
+      version,
+      hasStarted,
+      isRequested: false,
+    });
+    metrics.count('jobs_deferred_for_memory');
+    const { scope, scopeBytes, heldBytes, boundBytes } = shortage;
+    log.warn('job-deferred', {
+      job: jobId,
+      queue,
+      scope,
+      neededBytes,
+      scopeBytes,
+      heldBytes,
+      boundBytes,
+    });
+    return true;
+  };
+
+  /** Counts a job that is added to the state until it is measured there. */
+  const countMemory = (job: BatchJob): void => {
+    memory.addPending(job);
+    memory.removePending(job.jobId);
+  };
+
   const addAcceptedJob = ({ job, policy }: LiveRow, version: number): void => {
-    if (ended.has(job.jobId) || state.jobs.has(job.jobId)) return;
+    if (ended.has(job.jobId) || isKnown(job.jobId)) return;
+    if (deferWithoutMemory(job, version, false)) return;
     versions.set(job.jobId, { job: version, progress: 0 });
     if (job.owner) recordOwnerLimits(state, job.owner);
     addJob(state, {
@@ -188,9 +244,22 @@
     });
   };
 
+  /** Restores a job from its rows, or leaves it there if there is not enough memory for it. */
+  const restoreOrDefer = (
+    row: LiveRow,
+    version: number,
+    progressRow: TableRow | undefined,
+  ): void => {
+    if (isKnown(row.job.jobId)) return;
+    const progress = progressRow?.value ?? {};
+    const hasStarted = isProgressValue(progress) && hasStartedTasks(progress);
+    if (!deferWithoutMemory(row.job, version, hasStarted)) restoreRow(row, version, progressRow);
+  };
+
   /** Records the end of a job; one that was restored from an older reading ends too. */
   const recordEnd = (jobId: JobId, row: Extract<BatchJobRow, { kind: 'ended' }>): void => {
     ended.add(jobId, row, row.endedAtMs);
+    state.deferredJobs.delete(jobId);
     const job = state.jobs.get(jobId);
     if (job) endJob(state, job, row.phase, row.reason);
   };
@@ -239,11 +308,27 @@
         progressRows.map((row) => [row.key.slice(PROGRESS_PREFIX.length), row]),
       );
       const rows = findLatestRows(readings.flatMap(({ jobs }) => jobs));
-      applyRows(rows, 'recovery', (row, version) =>
-        restoreRow(row, version, progressByJob.get(row.job.jobId)),
+      const hasProgress = ({ key }: TableRow): boolean => progressByJob.has(parseJobKey(key).jobId);
+      // If there is not enough memory for all jobs, those that were begun come first, then those accepted first.
+      const inOrder = rows.toSorted(
+        (left, right) =>
+          Number(hasProgress(right)) - Number(hasProgress(left)) || left.version - right.version,
+      );
+      applyRows(inOrder, 'recovery', (row, version) =>
+        restoreOrDefer(row, version, progressByJob.get(row.job.jobId)),
       );
     },
     addAcceptedJob,
+    addDeferredJob: ({ job, progress }) => {
+      const { jobId } = parseJobKey(job.key);
+      state.deferredJobs.delete(jobId as JobId);
+      applyRows([job], 'recovery', (row, version) => {
+        countMemory(row.job);
+        restoreRow(row, version, progress.value === null ? undefined : progress);
+        cancellations.applyEarlier(row.job.jobId);
+      });
+      requestScheduling();
+    },
     applyChanges: async () => {
       if (!isSoleHolder()) return;
       const rows = await jobFeed.next(0);
--- a/packages/daemon/src/batch/jobs/related-news.test.ts
+++ b/packages/daemon/src/batch/jobs/related-news.test.ts
@@ -1,6 +1,7 @@
 /** News that forbids a start, and that reaches the holder between the decision to start a task and the order. */
 import {
   createBatchState,
+  createJobMemory,
   instanceIdOf,
   type BatchJobRow,
   type EndpointState,
@@ -257,6 +258,7 @@
         versions: new Map(),
         ended,
         cancellations: { apply: () => undefined, applyEarlier: () => undefined },
+        memory: createJobMemory({ state, boundBytes: Infinity }),
         configuration: () => undefined,
         isSoleHolder: () => true,
         isStopped: () => false,
--- a/packages/daemon/src/batch/operators/operator-queries.ts
+++ b/packages/daemon/src/batch/operators/operator-queries.ts
@@ -20,7 +20,7 @@
 import type { OperatorResult } from '../../operators/operator-result.js';
 import { listAccountRows, describeWaitCause } from './account-views.js';
 import { listDataCentreRows, explainDataCentre } from './data-centre-views.js';
-import { explainRefusal } from '../jobs/job-admission.js';
+import { explainRefusal, explainShortage } from '../jobs/job-admission.js';
 import { listDomainRows, explainDomain, type DomainViewSource } from './domain-views.js';
 import type { Control } from '../control/control.js';
 import type { Term } from '../control/term-types.js';
@@ -188,6 +188,18 @@
     if (!job && !status && refusal) {
       return { outcome: 'refused', reason: explainRefusal(refusal) };
     }
+    const shortage = term.memory.findRefusal(name as JobId);
+    if (!job && !status && shortage) {
+      return { outcome: 'refused', reason: explainShortage(shortage) };
+    }
+    const deferred = term.state.deferredJobs.get(name as JobId);
+    if (deferred) {
+      const { neededBytes, queue } = deferred;
+      return {
+        outcome: status?.phase ?? 'pending',
+        reason: `queue=${queue}: waits until the holder of control has ${neededBytes} bytes of memory for it`,
+      };
+    }
     if (!job) return status && { outcome: status.phase, reason: status.reason };
     const steps = Array.from(job.occurrences.values()).flatMap((occurrence) => occurrence.steps);
     return {
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -118,6 +118,8 @@
   readonly mayRelayOrders?: boolean;
   /** How endpoints are chosen for tasks of short steps; the entries' default if left out. */
   readonly placementPolicy?: PlacementPolicy;
+  /** The most memory that jobs may take at a holder, in bytes; the entries' default if left out. */
+  readonly jobMemoryBytes?: number;
   /** The pause between two ticks of an entry's control, which checks the control lease. */
   readonly tickMs?: number;
   /** How long after an evacuation the last task may start there; entries know of no bound if left out. */
@@ -231,6 +233,7 @@
   linkBytesPerMs,
   mayRelayOrders = false,
   placementPolicy,
+  jobMemoryBytes,
   tickMs = TICK_MS,
   evacuateMs,
   accounts = createDefaultAccounts(hostsPerPool * pools.length),
@@ -480,6 +483,7 @@
       metrics,
       ...(endpointLeaseMs === undefined ? {} : { endpointLeaseMs }),
       ...(placementPolicy === undefined ? {} : { placementPolicy }),
+      ...(jobMemoryBytes === undefined ? {} : { jobMemoryBytes }),
       peerSilentForMs: (entryId) => {
         const other = entries.find((one) => one.entryId === entryId);
         return !other || other.isFrozen || other.isSilent ? Infinity : 0;
--- a/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
+++ b/packages/daemon/src/batch/testing/virtual-time.fixtures.ts
@@ -47,6 +47,7 @@
     linkBytesPerMs?: number;
     mayRelayOrders?: boolean;
     placementPolicy?: PlacementPolicy;
+    jobMemoryBytes?: number;
     tickMs?: number;
     evacuateMs?: number;
     accounts?: readonly ClientAccount[];
