Questions to the advice service are waited for as long as their queue declares

Cause: each question was given up after 4 s whatever its queue declares, and two were in flight at a service that answers one at a time, so that the second one's time began while the service worked on the first. Given up, it was asked again behind the next one, which was given up in turn.

Ruled out: more questions than the service can answer (six take 13 to 16 s, the jobs stood 45 s longer), answers that are not applied (the service skipped calls whose caller was gone).

Change: one question in flight; its timeout is twice the declared time and a second, doubles with each question that was not answered and falls with answers; the queues share the service's time fairly, and a question that has become needless is dropped before it is asked. A call that fails at once is followed by a pause for all questions.

Why this works: the time of a question begins when the service can begin with it, and a slower service is waited for longer instead of being asked more.

--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -61,6 +61,8 @@
 export * from './model/share.js';
 export * from './model/state.js';
 export * from './placement/advice.js';
+export * from './placement/advice-queue.js';
+export * from './placement/advice-timeout.js';
 export * from './placement/job-rank.js';
 export * from './placement/schedule-cycle.js';
 export * from './placement/schedule.js';
--- a/packages/core/src/batch/model/job.ts
+++ b/packages/core/src/batch/model/job.ts
@@ -50,6 +50,8 @@
   readonly targetLatencyMs: number;
   /** Only endpoints with a ticket may run the queue's steps: see `advice.ts`. */
   readonly needsAdvice?: boolean;
+  /** How long the advice service takes for a question: `decideMs`, and `eachMs` for each endpoint that it names. */
+  readonly adviceTimes?: { readonly decideMs: number; readonly eachMs: number };
 };
 
 /** A job as a client submitted it. */
--- a/packages/core/src/batch/placement/advice.ts
+++ b/packages/core/src/batch/placement/advice.ts
@@ -6,7 +6,7 @@
 import type { EndpointId } from '../../shared/ids.js';
 import { parseTaskKey, type TaskKey } from '../model/job.js';
 import { findTask } from '../jobs/job-lifecycle.js';
-import type { BatchState, EndpointState, StepRun } from '../model/state.js';
+import { isFinal, type BatchState, type EndpointState, type StepRun } from '../model/state.js';
 
 /** The largest number of endpoints in one question. A job's objective allows for one question of this size for each step. */
 const MAX_ASKED = 30;
@@ -96,6 +96,18 @@
   });
 };
 
+/**
+ * Finds the step that a question is about.
+ *
+ * @param state - The batch state.
+ * @param question - The question.
+ * @returns The step; undefined if its job is not known any more.
+ */
+export const findAskingStep = (
+  { jobs }: BatchState,
+  { jobId, occurrence, step }: AdviceQuestion,
+): StepRun | undefined => jobs.get(jobId)?.occurrences.get(occurrence)?.steps[step];
+
 /** An answer of the advice service. */
 export type AdviceAnswer = {
   /** The endpoints that may run the step, each with its ticket. */
@@ -107,6 +119,26 @@
 /** A question to the advice service: a step and the endpoints asked about. */
 export type AdviceQuestion = Extract<BatchState['effects'][number], { kind: 'advise' }>;
 
+/**
+ * Leaves out what has changed since a question was requested and before it is asked.
+ *
+ * @param state - The batch state, changed in place: advice that is not needed any more counts as not requested.
+ * @param question - The question.
+ * @returns The question about the endpoints that still exist; undefined if there is nothing to ask.
+ */
+export const updateQuestion = (
+  state: BatchState,
+  question: AdviceQuestion,
+): AdviceQuestion | undefined => {
+  const step = findAskingStep(state, question);
+  if (!step?.advice) return undefined;
+  const endpoints = question.endpoints.filter((endpointId) => state.endpoints.has(endpointId));
+  const isNeeded = !isFinal(step.job.phase) && step.waiting.length > 0 && endpoints.length > 0;
+  if (isNeeded) return { ...question, endpoints };
+  step.advice.isQuestionOpen = false;
+  return undefined;
+};
+
 /**
  * Applies an answer of the advice service.
  *
@@ -117,13 +149,14 @@
  */
 export const applyAdvice = (
   state: BatchState,
-  { jobId, occurrence, step: number, endpoints }: AdviceQuestion,
+  question: AdviceQuestion,
   answer: AdviceAnswer | undefined,
   nowMs: number,
 ): void => {
-  const step = state.jobs.get(jobId)?.occurrences.get(occurrence)?.steps[number];
+  const step = findAskingStep(state, question);
   if (!step?.advice) return;
   const { advice } = step;
+  const { endpoints } = question;
   advice.isQuestionOpen = false;
   step.retryAtMs = 0;
   if (!answer) {
--- a/packages/daemon/src/batch/endpoints/advisor.ts
+++ b/packages/daemon/src/batch/endpoints/advisor.ts
@@ -1,19 +1,24 @@
 /**
- * Sends the holder's advice questions to the advice service in the order in which they were asked, a few at a time.
+ * Asks the advice service, one question at a time: it answers one at a time itself, so a second question in flight would
+ * only wait there instead of here, where it can still be overtaken or become needless.
  */
-import { applyAdvice, type AdviceQuestion, type BatchState } from '@valvelatch/core/batch';
+import {
+  applyAdvice,
+  createAdviceQueue,
+  createAdviceTimeout,
+  expectedAdviceMs,
+  findAskingStep,
+  updateQuestion,
+  type AdviceQuestion,
+  type BatchState,
+  type QueuedQuestion,
+} from '@valvelatch/core/batch';
 
 import type { Log } from '../../observe/log.js';
 import type { Metrics } from '../../observe/metrics.js';
+import { sleep } from '../../shared/sleep.js';
 import type { AdvicePort } from '../ports.js';
 
-/**
- * The service answers one question per entry at a time and rejects questions while 32 are waiting. With two in
- * flight, the second already waits at the service when the first is answered, which saves a round trip. More in
- * flight would only risk that they arrive out of order.
- */
-const MAX_IN_FLIGHT = 2;
-
 export type AdvisorOptions = {
   readonly state: BatchState;
   readonly port: AdvicePort;
@@ -44,52 +49,79 @@
   nowMs,
   requestScheduling,
 }: AdvisorOptions): Advisor => {
-  const queue: AdviceQuestion[] = [];
-  let inFlight = 0;
+  const queue = createAdviceQueue();
+  const timeout = createAdviceTimeout();
+  let isAsking = false;
 
-  const isJobKnown = ({ jobId }: AdviceQuestion): boolean => state.jobs.has(jobId);
-
-  const sendQuestion = async (question: AdviceQuestion): Promise<void> => {
+  /** Asks the service, and records what its answer or silence tells about it. Returns the pause before the next one. */
+  const sendQuestion = async ({ question, queue: queueName }: QueuedQuestion): Promise<number> => {
+    const { jobId, step: number, endpoints } = question;
+    const policy = findAskingStep(state, question)?.job.policy ?? {};
+    const expectedMs = expectedAdviceMs(policy, endpoints.length);
+    const timeoutMs = Math.ceil(timeout.timeoutMs(expectedMs));
     const askedAtMs = nowMs();
-    const answer = await port.ask(question);
+    const answer = await port.ask(question, timeoutMs);
+    const tookMs = nowMs() - askedAtMs;
+    const fields = {
+      job: jobId,
+      step: number,
+      queue: queueName,
+      asked: endpoints.length,
+      waiting: queue.count(),
+      tookMs: Math.round(tookMs),
+      expectedMs: Math.round(expectedMs),
+    };
     metrics.count('advice_questions');
-    metrics.time('advice', (nowMs() - askedAtMs) * 1000);
-    const { jobId, step, endpoints } = question;
-    if (answer.isErr()) {
-      log.warn('advice-failed', { job: jobId, step, asked: endpoints.length, ...answer.error });
-    } else {
-      const good = answer.value.good.length;
-      log.info('advice', { job: jobId, step, asked: endpoints.length, good });
-    }
+    metrics.time('advice', tookMs * 1000);
     applyAdvice(state, question, answer.isOk() ? answer.value : undefined, nowMs());
     requestScheduling();
+    if (answer.isOk()) {
+      timeout.recordAnswer(expectedMs, tookMs);
+      log.info('advice', { ...fields, good: answer.value.good.length });
+      return 0;
+    }
+    log.warn('advice-failed', { ...fields, timeoutMs, ...answer.error });
+    if (tookMs < timeoutMs) return timeout.recordFailure();
+    timeout.recordNoAnswer();
+    return 0;
+  };
+
+  const sendSafely = async (queued: QueuedQuestion): Promise<number> => {
+    try {
+      return await sendQuestion(queued);
+    } catch (error) {
+      log.error('advice-broken', { job: queued.question.jobId, detail: String(error) });
+      applyAdvice(state, queued.question, undefined, nowMs());
+      return timeout.recordFailure();
+    }
+  };
+
+  /** Removes questions up to the first one that is still to be asked. */
+  const removeNext = (): QueuedQuestion | undefined => {
+    for (let queued = queue.removeNext(); queued; queued = queue.removeNext()) {
+      const question = updateQuestion(state, queued.question);
+      if (question) return { ...queued, question };
+    }
+    return undefined;
   };
 
-  /** Sends the next question of the queue; questions about jobs that are gone are dropped. */
-  const sendNext = (): void => {
-    if (inFlight >= MAX_IN_FLIGHT) return;
-    const question = queue.shift();
-    if (!question) return;
-    if (!isJobKnown(question)) {
-      sendNext();
-      return;
+  const askAll = async (): Promise<void> => {
+    if (isAsking) return;
+    isAsking = true;
+    for (let next = removeNext(); next; next = removeNext()) {
+      const pauseMs = await sendSafely(next);
+      if (pauseMs > 0) await sleep(pauseMs);
     }
-    inFlight += 1;
-    void sendQuestion(question)
-      .catch((error: unknown) => {
-        log.error('advice-broken', { job: question.jobId, detail: String(error) });
-        applyAdvice(state, question, undefined, nowMs());
-      })
-      .finally(() => {
-        inFlight -= 1;
-        sendNext();
-      });
+    isAsking = false;
   };
 
   return {
     ask: (question) => {
-      queue.push(question);
-      sendNext();
+      const job = state.jobs.get(question.jobId);
+      if (!job) return;
+      const expectedMs = expectedAdviceMs(job.policy, question.endpoints.length);
+      queue.add({ question, queue: job.job.queue, expectedMs });
+      void askAll();
     },
   };
 };
--- a/packages/daemon/src/batch/ports.ts
+++ b/packages/daemon/src/batch/ports.ts
@@ -145,9 +145,13 @@
    * Asks which endpoints may run a step.
    *
    * @param question - The step and at most 100 endpoints.
+   * @param timeoutMs - How long to wait until the answer begins, in milliseconds.
    * @returns The endpoints that may run the step; the error `unreachable` if the service was too busy.
    */
-  readonly ask: (question: AdviceQuestion) => Promise<Result<AdviceAnswer, PlatformError>>;
+  readonly ask: (
+    question: AdviceQuestion,
+    timeoutMs: number,
+  ) => Promise<Result<AdviceAnswer, PlatformError>>;
 };
 
 /** The control holder that sends an order to a host, with its fence. */
