Due times of a job cost what is in progress, not their number

Cause: each holder made the state of all occurrences that were due at once, and kept each, and its place in the progress row, until the job ended.

Change: an occurrence has a state while it is in progress, and of the done ones a number is kept, in the row as well (`doneBelow`, `doneAhead`). Due ones are started in order while the job has few open steps and waiting tasks and there is memory. They count as arrived work when they are due.

Why this works: state, row and cycle are bounded by what is in progress, each time is begun in order, and a holder restores which are done.

Open: the long-running tasks of a recurring job beyond its 400th step.

--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -42,6 +42,7 @@
 export * from './jobs/deferred-jobs.js';
 export * from './jobs/first-attempts.js';
 export * from './jobs/job-lifecycle.js';
+export * from './jobs/job-bytes.js';
 export * from './jobs/job-memory.js';
 export * from './jobs/queue-index.js';
 export * from './jobs/progress.js';
--- a/packages/core/src/batch/jobs/job-factory.ts
+++ b/packages/core/src/batch/jobs/job-factory.ts
@@ -1,4 +1,5 @@
 /** Creates the initial state of jobs, occurrences, steps and tasks, before any task has started. */
+import { change } from '../../shared/change.js';
 import type { BatchJob, QueuePolicy, StepSpec } from '../model/job.js';
 import { taskKindOf } from './step-times.js';
 import { WITHIN_SHARE, type JobShare } from '../model/share.js';
@@ -37,6 +38,14 @@
   advice: job.policy.needsAdvice ? createStepAdvice() : null,
 });
 
+const createOccurrence = (job: JobState, number: number, dueAtMs: number): OccurrenceState => {
+  const occurrence: OccurrenceState = { number, dueAtMs, steps: [], criticalWork: undefined };
+  job.job.steps.forEach((spec, index) => {
+    occurrence.steps.push(createStep(job, occurrence, index, spec));
+  });
+  return occurrence;
+};
+
 /**
  * Adds an occurrence to a job that does not have it yet.
  *
@@ -46,14 +55,28 @@
  * @returns The new occurrence.
  */
 export const addOccurrence = (job: JobState, number: number, dueAtMs: number): OccurrenceState => {
-  const occurrence: OccurrenceState = { number, dueAtMs, steps: [], criticalWork: undefined };
-  job.job.steps.forEach((spec, index) => {
-    occurrence.steps.push(createStep(job, occurrence, index, spec));
-  });
+  const occurrence = createOccurrence(job, number, dueAtMs);
   job.occurrences.set(number, occurrence);
   return occurrence;
 };
 
+/**
+ * Creates an occurrence whose tasks are all done, for what endpoints report of one that has no state any more.
+ *
+ * @param job - The job, which does not get the occurrence.
+ * @param number - The number of the occurrence.
+ * @returns The occurrence.
+ */
+export const createDoneOccurrence = (job: JobState, number: number): OccurrenceState => {
+  const occurrence = createOccurrence(job, number, 0);
+  occurrence.steps.forEach((step) => {
+    step.tasks.completeAll();
+    step.waiting.splice(0);
+    change(step, { doneCount: step.spec.taskCount });
+  });
+  return occurrence;
+};
+
 /** What the state of a job is created from. */
 export type AddJobOptions = {
   readonly job: BatchJob;
@@ -91,6 +114,9 @@
   reason: `queue=${job.queue} pool=${job.pool}: waits for room`,
   occurrences: new Map(),
   nextOccurrence: 0,
+  doneBelow: 0,
+  doneAhead: new Set(),
+  arrivedOccurrences: 0,
   submittedAtMs: Math.min(
     firstAttemptAtMs,
     nowMs - Math.max(0, Math.min(wallClockMs - job.acceptedAtMs, MAX_TRUSTED_AGE_MS)),
--- a/packages/core/src/batch/jobs/job-lifecycle.ts
+++ b/packages/core/src/batch/jobs/job-lifecycle.ts
@@ -2,7 +2,7 @@
 import type { JobId } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import { maySee, type Caller } from '../model/accounts.js';
-import type { BatchJob, BatchPhase, TaskKeyParts } from '../model/job.js';
+import type { BatchPhase, TaskKeyParts } from '../model/job.js';
 import {
   addOpenStep,
   isFinal,
@@ -13,13 +13,29 @@
   type StepRun,
   type Task,
 } from '../model/state.js';
-import { addOccurrence, createJobState, type AddJobOptions } from './job-factory.js';
+import {
+  addOccurrence,
+  createDoneOccurrence,
+  createJobState,
+  type AddJobOptions,
+} from './job-factory.js';
+import {
+  countDue,
+  dueAtMsOf,
+  isOccurrenceOver,
+  mayOpenNext,
+  occurrenceCount,
+  recordOccurrenceDone,
+  type ClockReading,
+} from './occurrences.js';
 import { requestDeferredJob } from './deferred-jobs.js';
 import { removeFirstAttempt } from './first-attempts.js';
 import { findOpenTrial } from '../crashes/announced-start-record.js';
 import { chargeShare } from '../accounts/shares.js';
 import { stopRun, removeFromWaiting } from '../endpoints/runs.js';
-import { estimateStepWork } from './step-times.js';
+import { estimateStepWork, taskKindOf } from './step-times.js';
+
+const COMPLETED_REASON = 'all tasks are done';
 
 const isStepDone = (step: StepRun | undefined): boolean =>
   step !== undefined && step.doneCount === step.spec.taskCount;
@@ -39,13 +55,34 @@
   });
 };
 
-const occurrenceCount = ({ repeats }: BatchJob): number => Math.max(1, repeats);
+/** Records the work of occurrences when they become due, whether or not there is space to start them. */
+const recordArrivals = (
+  state: BatchState,
+  job: JobState,
+  { nowMs, wallClockMs }: ClockReading,
+): void => {
+  const { steps, queue, pool } = job.job;
+  const due = countDue(job.job, wallClockMs);
+  const arrived = due - job.arrivedOccurrences;
+  if (arrived <= 0) return;
+  change(job, { arrivedOccurrences: due });
+  if (job.isInherited) return;
+  const coreMs = steps.reduce(
+    (sum, spec) => sum + estimateStepWork(state, { spec, kind: taskKindOf(queue, spec) }),
+    0,
+  );
+  const { demand } = poolOf(state, pool);
+  demand.recordArrival(coreMs * arrived, nowMs, job.share.isWithinShare);
+};
 
-/** The wall clock jumps on some hosts, so an occurrence starts this long after its due time, never before it. */
-const DUE_MARGIN_MS = 20;
+/** Ends a recurring job of which nothing is left to do. */
+const completeIfDone = (state: BatchState, job: JobState): void => {
+  const isOver = job.nextOccurrence >= occurrenceCount(job.job) && job.occurrences.size === 0;
+  if (job.job.repeats > 0 && isOver) endJob(state, job, 'completed', COMPLETED_REASON);
+};
 
 /**
- * Starts the occurrences of a job that are due.
+ * Starts the occurrences of a job that are due, as far as there is space for them.
  *
  * @param state - The state, changed in place.
  * @param job - The job.
@@ -58,21 +95,22 @@
   nowMs: number,
   wallClockMs: number,
 ): void => {
-  const { firstDueAtMs, intervalMs, repeats, pool } = job.job;
-  while (job.nextOccurrence < occurrenceCount(job.job)) {
+  const clocks: ClockReading = { nowMs, wallClockMs };
+  recordArrivals(state, job, clocks);
+  const due = countDue(job.job, wallClockMs);
+  while (job.nextOccurrence < due) {
     const number = job.nextOccurrence;
-    const dueAtMs = repeats > 0 ? firstDueAtMs + number * intervalMs : wallClockMs;
-    if (repeats > 0 && wallClockMs < dueAtMs + DUE_MARGIN_MS) break;
+    const isOver = isOccurrenceOver(job, number);
+    if (!isOver && !mayOpenNext(state, job)) break;
     change(job, { nextOccurrence: number + 1 });
-    const occurrence =
-      job.occurrences.get(number) ?? addOccurrence(job, number, nowMs - (wallClockMs - dueAtMs));
-    const coreMs = occurrence.steps.reduce((sum, step) => sum + estimateStepWork(state, step), 0);
-    const { demand } = poolOf(state, pool);
-    if (!job.isInherited) demand.recordArrival(coreMs, nowMs, job.share.isWithinShare);
-    openReadySteps(state, occurrence);
+    if (!isOver) {
+      const dueAtMs = dueAtMsOf(job.job, number, clocks);
+      openReadySteps(state, job.occurrences.get(number) ?? addOccurrence(job, number, dueAtMs));
+    }
   }
   if (job.nextOccurrence >= occurrenceCount(job.job)) state.recurringJobs.delete(job);
   else state.recurringJobs.add(job);
+  completeIfDone(state, job);
 };
 
 /**
@@ -94,6 +132,15 @@
   return job;
 };
 
+const findTaskOf = (
+  occurrence: OccurrenceState | undefined,
+  { step: number, index }: TaskKeyParts,
+): { readonly step: StepRun; readonly task: Task } | undefined => {
+  const step = occurrence?.steps[number];
+  const task = step?.tasks.at(index);
+  return step && task ? { step, task } : undefined;
+};
+
 /**
  * Finds a task by the parts of its key.
  *
@@ -103,12 +150,9 @@
  */
 export const findTask = (
   state: BatchState,
-  { jobId, occurrence, step, index }: TaskKeyParts,
-): { readonly step: StepRun; readonly task: Task } | undefined => {
-  const found = state.jobs.get(jobId)?.occurrences.get(occurrence)?.steps[step];
-  const task = found?.tasks.at(index);
-  return found && task ? { step: found, task } : undefined;
-};
+  name: TaskKeyParts,
+): { readonly step: StepRun; readonly task: Task } | undefined =>
+  findTaskOf(state.jobs.get(name.jobId)?.occurrences.get(name.occurrence), name);
 
 /**
  * Finds a task that an endpoint reports. Its occurrence may not be due yet by the clock of this control holder, because
@@ -124,6 +168,8 @@
   name: TaskKeyParts,
 ): { readonly step: StepRun; readonly task: Task } | undefined => {
   const job = state.jobs.get(name.jobId);
+  if (job && isOccurrenceOver(job, name.occurrence))
+    return findTaskOf(createDoneOccurrence(job, name.occurrence), name);
   const isOccurrenceMissing = job !== undefined && !job.occurrences.has(name.occurrence);
   if (isOccurrenceMissing && name.occurrence < occurrenceCount(job.job)) {
     addOccurrence(job, name.occurrence, state.clockMs);
@@ -206,12 +252,14 @@
   const pool = poolOf(state, job.job.pool);
   const taskCoreMs = estimateStepWork(state, step) / step.spec.taskCount;
   change(pool, { doneCoreMs: pool.doneCoreMs + taskCoreMs });
+  if (job.job.repeats > 0 && isOccurrenceDone(occurrence))
+    recordOccurrenceDone(job, occurrence.number);
   const isJobDone =
     isOccurrenceDone(occurrence) &&
     job.nextOccurrence >= occurrenceCount(job.job) &&
     Array.from(job.occurrences.values()).every(isOccurrenceDone);
   if (step.waiting.length === 0) pool.openSteps.delete(step);
-  if (isJobDone) endJob(state, job, 'completed', 'all tasks are done');
+  if (isJobDone) endJob(state, job, 'completed', COMPLETED_REASON);
   else {
     state.effects.push({ kind: 'save', jobId: job.job.jobId, isUrgent: false });
     // An occurrence that an earlier control holder started early, because its clock was ahead, continues only when it
--- a/packages/core/src/batch/jobs/job-memory.test.ts
+++ b/packages/core/src/batch/jobs/job-memory.test.ts
@@ -7,7 +7,8 @@
 import { createBatchState, type BatchState } from '../model/state.js';
 import { requestDeferredJob, selectDeferredJobs } from './deferred-jobs.js';
 import { addJob } from './job-lifecycle.js';
-import { createJobMemory, estimateJobBytes, type JobMemory } from './job-memory.js';
+import { estimateJobBytes } from './job-bytes.js';
+import { createJobMemory, type JobMemory } from './job-memory.js';
 
 const BOUND_BYTES = 1_000_000;
 const POLICY = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
--- a/packages/core/src/batch/jobs/job-memory.ts
+++ b/packages/core/src/batch/jobs/job-memory.ts
@@ -6,21 +6,16 @@
 import type { AccountName, Branded, JobId } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import type { BatchJob, QueueName } from '../model/job.js';
-import type { BatchState, DeferredJob, JobState } from '../model/state.js';
+import type { BatchState, DeferredJob } from '../model/state.js';
+import { estimateJobBytes, heldBytesOf } from './job-bytes.js';
 import { measureLoads } from './pool-load.js';
 
 /** Who the memory of a job is counted for. */
 export type MemoryScope = Branded<'MemoryScope'>;
 
-/** Measured sizes of the records of a job in bytes, without what grows with its tasks. */
-const JOB_BYTES = 1100;
-const STEP_BYTES = 1150;
-/** A number in the list of the steps that a step depends on. */
-const DEPENDENCY_BYTES = 8;
-/** The place of a task in the lists of its step. */
-const TASK_BYTES = 16;
-/** The record of a task that has a run or a history. */
-const TASK_RECORD_BYTES = 420;
+/** The share of the free memory that further occurrences of recurring jobs may take; the rest is left to new jobs. */
+const OCCURRENCES_SHARE = 0.5;
+/** What is kept of a job that stays in its row. */
 const DEFERRED_JOB_BYTES = 250;
 
 /** A measurement is used for this long, and for longer with many jobs: it takes about 0.2 µs for each step. */
@@ -73,6 +68,8 @@
   /** The latest recorded shortage of a job; undefined if there is none or it was evicted. */
   readonly findRefusal: (jobId: JobId) => MemoryShortage | undefined;
   readonly measure: (nowMs: number) => MemoryUsage;
+  /** What recurring jobs may take for further occurrences, in bytes. */
+  readonly bytesForOccurrences: (nowMs: number) => number;
 };
 
 /**
@@ -92,28 +89,6 @@
 const scopeOfJob = ({ owner, queue }: BatchJob): MemoryScope =>
   memoryScopeOf({ account: owner?.account, queue });
 
-const stepBytes = ({ taskCount, after }: BatchJob['steps'][number]): number =>
-  STEP_BYTES + DEPENDENCY_BYTES * after.length + TASK_BYTES * taskCount;
-
-/**
- * Estimates what a job takes when it is added to the state.
- *
- * @param job - The job.
- * @returns The size in bytes, with one occurrence.
- */
-export const estimateJobBytes = ({ spec, steps }: BatchJob): number =>
-  steps.reduce((sum, step) => sum + stepBytes(step), JOB_BYTES + spec.length);
-
-const heldBytesOf = ({ job, occurrences }: JobState): number => {
-  let bytes = JOB_BYTES + job.spec.length;
-  occurrences.forEach(({ steps }) =>
-    steps.forEach(({ spec, tasks }) => {
-      bytes += stepBytes(spec) + TASK_RECORD_BYTES * tasks.countRecorded();
-    }),
-  );
-  return bytes;
-};
-
 const listLargest = <Key>(sizes: Iterable<readonly [Key, number]>) =>
   Array.from(sizes)
     .sort(([, left], [, right]) => right - left)
@@ -234,6 +209,10 @@
       if (refusals.size > MAX_KEPT_SHORTAGES && oldest !== undefined) refusals.delete(oldest);
     },
     findRefusal: (jobId) => refusals.get(jobId),
+    bytesForOccurrences: (nowMs) => {
+      update(nowMs);
+      return Math.max(0, (boundBytes - heldBytes) * OCCURRENCES_SHARE);
+    },
     measure: (nowMs) => {
       update(nowMs);
       return {
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -7,6 +7,12 @@
 import { hasNoAttemptLeft, readFailedRuns } from './attempts.js';
 import { addOccurrence, createJobState } from './job-factory.js';
 import { startDueOccurrences, endJob, completeTask } from './job-lifecycle.js';
+import {
+  dueAtMsOf,
+  isOccurrenceOver,
+  occurrenceCount,
+  recordOccurrenceDone,
+} from './occurrences.js';
 import { giveUpReason } from '../crashes/endpoint-crashes.js';
 import {
   buildCrashLists,
@@ -62,8 +68,22 @@
   return isConclusive ? [index, run, endpointId, CONCLUSIVE] : [index, run, endpointId];
 };
 
-/** The progress row: step progress by occurrence number and step number. Steps without progress are left out. */
-export type ProgressRow = Readonly<Record<string, Readonly<Record<string, StepProgress>>>>;
+/** The progress of one occurrence by step number. Steps without progress are left out. */
+type OccurrenceProgress = Readonly<Record<string, StepProgress>>;
+
+/**
+ * The progress row: the progress of occurrences by their numbers. The row of a job with few occurrences lists those that
+ * are done as well. That of a job with many names them by `doneBelow`, below which all are done, and `doneAhead`, the other
+ * done ones. A build that does not know these two takes such a row for unreadable and leaves the job alone.
+ */
+export type ProgressRow = Readonly<Record<number, OccurrenceProgress>> & {
+  readonly doneBelow?: number;
+  readonly doneAhead?: readonly number[];
+};
+
+/** A job lists its done occurrences if all of them have at most this many steps and tasks; its row stays small then. */
+const MAX_LISTED_STEPS = 400;
+const MAX_LISTED_TASKS = 40_000;
 
 const BITS_PER_DIGIT = 4;
 
@@ -105,7 +125,7 @@
   };
 };
 
-const occurrenceProgress = ({ steps }: OccurrenceState): Record<string, StepProgress> =>
+const occurrenceProgress = ({ steps }: OccurrenceState): OccurrenceProgress =>
   Object.fromEntries(
     steps.flatMap((step) => {
       const progress = stepProgress(step);
@@ -116,6 +136,31 @@
 const hasStartedIn = ({ done, failed = [], ...lists }: StepProgress): boolean =>
   /[^0]/.test(done) || failed.length > 0 || haveCrashedAfterStart(lists);
 
+const isObject = (value: unknown): value is Readonly<Record<string, unknown>> =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
+
+const isNumberOfOccurrence = (value: unknown): boolean =>
+  Number.isSafeInteger(value) && Number(value) >= 0;
+
+/**
+ * Tells whether the value of a row is progress.
+ *
+ * @param value - The value.
+ * @returns True if it can be read: objects by occurrence and step, and the numbers of done occurrences.
+ */
+export const isProgressRow = (value: unknown): value is ProgressRow => {
+  if (!isObject(value)) return false;
+  const { doneBelow = 0, doneAhead = [], ...occurrences } = value;
+  return (
+    isNumberOfOccurrence(doneBelow) &&
+    Array.isArray(doneAhead) &&
+    doneAhead.every(isNumberOfOccurrence) &&
+    Object.values(occurrences).every(
+      (steps) => isObject(steps) && Object.values(steps).every(isObject),
+    )
+  );
+};
+
 /**
  * Tells whether a progress row shows that a task of the job has started. An announced start does not: it may never have
  * been ordered.
@@ -123,24 +168,59 @@
  * @param progress - The row.
  * @returns True if a task is done, has failed, or is known to have run on an endpoint that crashed.
  */
-export const hasStartedTasks = (progress: ProgressRow): boolean =>
-  Object.values(progress)
+export const hasStartedTasks = ({
+  doneBelow = 0,
+  doneAhead = [],
+  ...occurrences
+}: ProgressRow): boolean =>
+  doneBelow > 0 ||
+  doneAhead.length > 0 ||
+  Object.values(occurrences)
     .flatMap((steps) => Object.values(steps))
     .some(hasStartedIn);
 
+/** Whether the row of a job lists its done occurrences. It never changes, so that all builds read the row alike. */
+const listsDoneOccurrences = ({ steps, repeats }: BatchJob): boolean => {
+  const taskCount = steps.reduce((sum, spec) => sum + spec.taskCount, 0);
+  return steps.length * repeats <= MAX_LISTED_STEPS && taskCount * repeats <= MAX_LISTED_TASKS;
+};
+
+const allBitsOf = (taskCount: number): string => {
+  const rest = taskCount % BITS_PER_DIGIT;
+  const lastDigit = rest > 0 ? (2 ** rest - 1).toString(16) : '';
+  return 'f'.repeat(Math.floor(taskCount / BITS_PER_DIGIT)) + lastDigit;
+};
+
+/** Lists the done occurrences of a recurring job as if they had a state. */
+const listDoneOccurrences = ({ job, doneBelow, doneAhead }: JobState): ProgressRow => {
+  const steps: OccurrenceProgress = Object.fromEntries(
+    job.steps.map(({ taskCount }, number) => [number, { done: allBitsOf(taskCount) }]),
+  );
+  const numbers = [...Array.from({ length: doneBelow }, (_, number) => number), ...doneAhead];
+  return Object.fromEntries(numbers.map((number) => [number, steps]));
+};
+
+const buildDoneOccurrences = (job: JobState): ProgressRow => {
+  if (job.job.repeats === 0 || job.doneBelow + job.doneAhead.size === 0) return {};
+  if (listsDoneOccurrences(job.job)) return listDoneOccurrences(job);
+  return { doneBelow: job.doneBelow, doneAhead: Array.from(job.doneAhead) };
+};
+
 /**
  * Builds the progress row of a job.
  *
  * @param job - The job.
  * @returns The row.
  */
-export const buildProgressRow = (job: JobState): ProgressRow =>
-  Object.fromEntries(
+export const buildProgressRow = (job: JobState): ProgressRow => ({
+  ...buildDoneOccurrences(job),
+  ...Object.fromEntries(
     Array.from(job.occurrences.values(), (occurrence) => [
       occurrence.number,
       occurrenceProgress(occurrence),
     ]),
-  );
+  ),
+});
 
 /**
  * Builds the row of a job: the full job while it is live, only the outcome once it has ended.
@@ -219,6 +299,28 @@
   state.effects.push({ kind: 'note', event: 'crashes-restored', fields });
 };
 
+/** Tells whether a row shows that all tasks of an occurrence are done. */
+const isWhollyDone = ({ steps }: BatchJob, progress: OccurrenceProgress): boolean =>
+  steps.every(({ taskCount }, number) => progress[number]?.done === allBitsOf(taskCount));
+
+/** Restores the occurrences of a recurring job that are done. */
+const restoreDoneOccurrences = (
+  job: JobState,
+  { doneBelow = 0, doneAhead = [], ...occurrences }: ProgressRow,
+): void => {
+  const count = occurrenceCount(job.job);
+  change(job, {
+    doneBelow: Math.min(doneBelow, count),
+    nextOccurrence: Math.min(doneBelow, count),
+  });
+  const listed = Object.entries(occurrences)
+    .filter(([, steps]) => isWhollyDone(job.job, steps))
+    .map(([number]) => Number(number));
+  [...doneAhead, ...listed]
+    .filter((number) => isNumberOfOccurrence(number) && number < count)
+    .forEach((number) => recordOccurrenceDone(job, number));
+};
+
 /** What a job is restored from. */
 export type RestoreOptions = {
   readonly job: BatchJob;
@@ -242,14 +344,18 @@
   state: BatchState,
   { job, policy, progress = {}, nowMs, wallClockMs }: RestoreOptions,
 ): JobState => {
+  const { doneBelow, doneAhead, ...occurrences } = progress;
   const existing = state.jobs.get(job.jobId);
   if (existing) return existing;
   const restored = createJobState({ job, policy, nowMs, wallClockMs, isInherited: true });
   state.jobs.set(job.jobId, restored);
+  if (job.repeats > 0) restoreDoneOccurrences(restored, progress);
   startDueOccurrences(state, restored, nowMs, wallClockMs);
-  Object.entries(progress).forEach(([number, steps]) => {
-    const occurrence =
-      restored.occurrences.get(Number(number)) ?? addOccurrence(restored, Number(number), nowMs);
+  Object.entries(occurrences).forEach(([key, steps]) => {
+    const number = Number(key);
+    if (job.repeats > 0 && isOccurrenceOver(restored, number)) return;
+    const dueAtMs = Math.min(nowMs, dueAtMsOf(job, number, { nowMs, wallClockMs }));
+    const occurrence = restored.occurrences.get(number) ?? addOccurrence(restored, number, dueAtMs);
     Object.entries(steps).forEach(([stepNumber, progressOfStep]) => {
       const step = occurrence.steps[Number(stepNumber)];
       if (step && !isFinal(restored.phase)) restoreStep(state, step, progressOfStep);
--- a/packages/core/src/batch/jobs/step-times.ts
+++ b/packages/core/src/batch/jobs/step-times.ts
@@ -21,7 +21,7 @@
  */
 export const estimateStepTime = (
   { runTimes }: Pick<BatchState, 'runTimes'>,
-  step: StepRun,
+  step: Pick<StepRun, 'kind' | 'spec'>,
 ): number => estimateRunTime(runTimes, step.kind, step.spec.estimateMs);
 
 /**
@@ -43,7 +43,10 @@
  * @param step - The step.
  * @returns The work in core-milliseconds; 0 for a step of long-running tasks.
  */
-export const estimateStepWork = (state: Pick<BatchState, 'runTimes'>, step: StepRun): number => {
+export const estimateStepWork = (
+  state: Pick<BatchState, 'runTimes'>,
+  step: Pick<StepRun, 'kind' | 'spec'>,
+): number => {
   const { isLasting, taskCount, cpuMillis } = step.spec;
   return isLasting ? 0 : (taskCount * cpuMillis * estimateStepTime(state, step)) / 1000;
 };
--- a/packages/core/src/batch/model/job-state.ts
+++ b/packages/core/src/batch/model/job-state.ts
@@ -165,8 +165,16 @@
   phase: BatchPhase;
   /** Why the job is in its phase, in terms that operators know, such as the names of its queue and pool. */
   reason: string;
+  /** The occurrences that have a state: those in progress, and the only one of a job that does not recur. */
   readonly occurrences: Map<number, OccurrenceState>;
+  /** The first occurrence that was not started yet. */
   nextOccurrence: number;
+  /** The occurrences of a recurring job below this number are all done. */
+  doneBelow: number;
+  /** The done occurrences of a recurring job that are not below `doneBelow`. */
+  readonly doneAhead: Set<number>;
+  /** How many due occurrences were recorded as arrived work. */
+  arrivedOccurrences: number;
   /** The first known time at which the client tried to submit the job, on the monotonic clock. */
   readonly submittedAtMs: number;
   /** The position of the job among the jobs of all accounts. */
--- a/packages/core/src/batch/model/state.ts
+++ b/packages/core/src/batch/model/state.ts
@@ -178,6 +178,8 @@
   readonly peaks: DemandPeakHistory;
   /** The jobs with occurrences that are still to come. */
   readonly recurringJobs: Set<JobState>;
+  /** What recurring jobs may take for further occurrences, in bytes; each job may always have one. */
+  occurrenceBytesLeft: number;
   /** The tasks whose starts an earlier holder announced for an endpoint that has not listed its runs to this holder. */
   readonly inheritedTrials: Map<EndpointId, { readonly step: StepRun; readonly task: Task }[]>;
   /** The jobs that have not ended and have tasks under which endpoints crashed or may have crashed. */
@@ -242,6 +244,7 @@
   runTimes: createRunTimes(),
   peaks: createDemandPeakHistory(),
   recurringJobs: new Set(),
+  occurrenceBytesLeft: Infinity,
   inheritedTrials: new Map(),
   suspectJobs: new Set(),
   accounts: new Map(),
--- a/packages/core/src/batch/model/task-list.ts
+++ b/packages/core/src/batch/model/task-list.ts
@@ -137,6 +137,15 @@
     this.recordCount -= 1;
   }
 
+  /** Marks all tasks as completed, and drops their records. */
+  completeAll(): void {
+    this.completedBits = new Uint8Array(Math.ceil(this.length / BITS_PER_BYTE)).fill(
+      2 ** BITS_PER_BYTE - 1,
+    );
+    this.records.splice(0);
+    this.recordCount = 0;
+  }
+
   /**
    * Counts the tasks that have a record.
    *
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -75,6 +75,8 @@
   const state = createBatchState(fence);
   const createdAtMs = nowMs();
   state.placementPolicy = placementPolicy;
+  // Until the memory that the restored jobs take is known, each recurring job has one occurrence.
+  state.occurrenceBytesLeft = 0;
   const schedulePools = createScheduleCycle(state);
   const inheritedLeasesMs =
     endpointLeaseMs * LEASE_CLOCK_FACTOR + LEASE_MARGIN_MS + formerOrdersRemainingMs;
@@ -260,6 +262,7 @@
     state.soleHolderUntilMs = soleHolderUntilMs();
     saver.refuseIfTableUnavailable();
     evacuations.update();
+    state.occurrenceBytesLeft = jobs.memory.bytesForOccurrences(nowMs());
     state.recurringJobs.forEach((job) => startDueOccurrences(state, job, nowMs(), wallClockMs()));
     handleStalledAndLapsedRuns(state, nowMs()).forEach(logLapsedLease);
     paceGapFillers(state, nowMs());
--- a/packages/daemon/src/batch/jobs/job-row-reader.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.ts
@@ -2,6 +2,7 @@
 import {
   estimateJobBytes,
   hasStartedTasks,
+  isProgressRow,
   restoreJob,
   addJob,
   endJob,
@@ -97,13 +98,6 @@
   return value.kind === 'live' && isObject(value.policy) && isLiveJob(value.job, jobId);
 };
 
-/** True for the value of the row with a job's progress: objects by occurrence and step. */
-const isProgressValue = (value: unknown): value is ProgressRow =>
-  isObject(value) &&
-  Object.values(value).every(
-    (steps) => isObject(steps) && Object.values(steps).every((step) => isObject(step)),
-  );
-
 /** When a cancellation row was written, in wall clock milliseconds; undefined if it does not say so. */
 const findWriteTime = (value: unknown): number | undefined =>
   isObject(value) && typeof value.atMs === 'number' ? value.atMs : undefined;
@@ -226,7 +220,7 @@
   };
 
   const restoreRow = (row: LiveRow, version: number, progressRow: TableRow | undefined): void => {
-    if (!isProgressValue(progressRow?.value ?? {})) {
+    if (!isProgressRow(progressRow?.value ?? {})) {
       // Without its progress the job would run again what is done.
       raiseAlarm(progressRow?.key ?? '');
       return;
@@ -252,7 +246,7 @@
   ): void => {
     if (isKnown(row.job.jobId)) return;
     const progress = progressRow?.value ?? {};
-    const hasStarted = isProgressValue(progress) && hasStartedTasks(progress);
+    const hasStarted = isProgressRow(progress) && hasStartedTasks(progress);
     if (!deferWithoutMemory(row.job, version, hasStarted)) restoreRow(row, version, progressRow);
   };
 
--- a/packages/daemon/src/batch/operators/operator-queries.ts
+++ b/packages/daemon/src/batch/operators/operator-queries.ts
@@ -164,6 +164,12 @@
   ].join(', ');
 };
 
+/** Describes how far a recurring job is; '' for another one. */
+const describeOccurrences = ({ job, doneBelow, doneAhead, occurrences }: JobState): string =>
+  job.repeats === 0
+    ? ''
+    : `; ${doneBelow + doneAhead.size} of ${job.repeats} occurrences done, ${occurrences.size} in progress`;
+
 /** Describes how many hosts of a wave are forecast to be late and why; '' if none is. */
 const describeLateHosts = ({ lateHosts, reason }: WaveForecast): string =>
   lateHosts === 0 ? '' : `, ${lateHosts} of them expected late: ${reason}`;
@@ -204,7 +210,7 @@
     const steps = Array.from(job.occurrences.values()).flatMap((occurrence) => occurrence.steps);
     return {
       outcome: job.phase,
-      reason: describeJob(job),
+      reason: describeJob(job) + describeOccurrences(job),
       reasons: isFinal(job.phase)
         ? []
         : steps.map((step) => ({
--- a/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
+++ b/packages/daemon/src/batch/testing/sim-fleet.fixtures.ts
@@ -211,6 +211,7 @@
   /** Removes an endpoint from the list of endpoints; it keeps running. */
   readonly unlist: (instanceId: InstanceId) => void;
   readonly findJobRow: (jobId: JobId) => BatchJobRow | undefined;
+  readonly findProgressRow: (jobId: JobId) => unknown;
   readonly findHolder: () => SimEntry | undefined;
   readonly faults: SimFaults;
   readonly waveStatus: Map<number, string>;
@@ -634,6 +635,7 @@
     unlist: (instanceId) => unlisted.add(instanceId),
     findJobRow: (jobId) =>
       (table.read(batchKey.job(jobId)).value ?? undefined) as BatchJobRow | undefined,
+    findProgressRow: (jobId) => table.read(batchKey.progress(jobId)).value,
     findHolder: () => entries.find(({ control }) => control.term() !== undefined),
   };
 };
