Refusals for memory and deferred rows cost no measurement each

Cause: the account of the memory was measured again whenever the number of deferred jobs had changed, so once for each row, and each refusal measured the load of all pools twice for its Retry-After.

Change: a deferred job is added to the last measurement, loads are measured as rarely as memory is (0.2 s, or 0.04 ms for each job), and memory isn't measured for recurring jobs if there are none.

--- a/packages/core/src/batch/jobs/job-memory.ts
+++ b/packages/core/src/batch/jobs/job-memory.ts
@@ -3,12 +3,12 @@
  * without one, may hold as much as is left free (a dynamic threshold): one scope alone gets half of the bound, two get a
  * third each, and a small job of another scope always finds space.
  */
-import type { AccountName, Branded, JobId } from '../../shared/ids.js';
+import type { AccountName, Branded, JobId, PoolName } from '../../shared/ids.js';
 import { change } from '../../shared/change.js';
 import type { BatchJob, QueueName } from '../model/job.js';
 import type { BatchState, DeferredJob } from '../model/state.js';
 import { estimateJobBytes, heldBytesOf } from './job-bytes.js';
-import { measureLoads } from './pool-load.js';
+import { measureLoads, type PoolLoad } from './pool-load.js';
 
 /** Who the memory of a job is counted for. */
 export type MemoryScope = Branded<'MemoryScope'>;
@@ -18,9 +18,9 @@
 /** What is kept of a job that stays in its row. */
 const DEFERRED_JOB_BYTES = 250;
 
-/** A measurement is used for this long, and for longer with many jobs: it takes about 0.2 µs for each step. */
-const MEASURE_INTERVAL_MS = 100;
-const MEASURE_INTERVAL_MS_PER_JOB = 0.02;
+/** A measurement is used for this long, and for longer with many jobs, since each of them is looked at. */
+const MEASURE_INTERVAL_MS = 200;
+const MEASURE_INTERVAL_MS_PER_JOB = 0.04;
 const MIN_RETRY_MS = 1000;
 const MAX_RETRY_MS = 30_000;
 /** Relative jitter of Retry-After in both directions, so that clients refused together do not retry together. */
@@ -60,6 +60,8 @@
   readonly findShortage: (job: BatchJob, nowMs: number) => MemoryShortage | undefined;
   /** Tells whether a job that waits for memory may be added to the state now. */
   readonly hasSpaceFor: (deferred: DeferredJob, nowMs: number) => boolean;
+  /** Counts a job that was left in its row. */
+  readonly addDeferred: (deferred: DeferredJob) => void;
   /** Counts a job that is being written, until `removePending` is called for it. */
   readonly addPending: (job: BatchJob) => void;
   readonly removePending: (jobId: JobId) => void;
@@ -118,7 +120,8 @@
   let deferredByScope = new Map<MemoryScope, number>();
   let heldBytes = 0;
   let measuredAtMs = -Infinity;
-  let countedDeferred = 0;
+  let loads: ReadonlyMap<PoolName, PoolLoad> = new Map();
+  let loadsMeasuredAtMs = -Infinity;
 
   const add = (scope: MemoryScope, bytes: number): void => {
     bytesByScope.set(scope, (bytesByScope.get(scope) ?? 0) + bytes);
@@ -137,27 +140,40 @@
     heldBytes = 0;
     state.jobs.forEach((job) => add(scopeOfJob(job.job), heldBytesOf(job)));
     state.deferredJobs.forEach(addDeferred);
-    countedDeferred = state.deferredJobs.size;
     pending.forEach(({ job, isSettled }, jobId) => {
       if (isSettled) pending.delete(jobId);
       else if (!state.jobs.has(jobId)) add(scopeOfJob(job), estimateJobBytes(job));
     });
   };
 
-  /** Measures again if the last measurement is old, or if jobs began or ceased to wait for memory since. */
+  const isOld = (atMs: number, nowMs: number): boolean =>
+    nowMs - atMs >= Math.max(MEASURE_INTERVAL_MS, MEASURE_INTERVAL_MS_PER_JOB * state.jobs.size);
+
   const update = (nowMs: number): void => {
-    const intervalMs = Math.max(MEASURE_INTERVAL_MS, MEASURE_INTERVAL_MS_PER_JOB * state.jobs.size);
-    if (nowMs - measuredAtMs < intervalMs && countedDeferred === state.deferredJobs.size) return;
+    if (!isOld(measuredAtMs, nowMs)) return;
     measureAll();
     measuredAtMs = nowMs;
   };
 
+  const loadOf = (pool: PoolName, nowMs: number): PoolLoad | undefined => {
+    if (isOld(loadsMeasuredAtMs, nowMs)) {
+      loads = measureLoads(state, nowMs);
+      loadsMeasuredAtMs = nowMs;
+    }
+    return loads.get(pool);
+  };
+
   const missingBytes = (scope: MemoryScope, neededBytes: number): number =>
     (bytesByScope.get(scope) ?? 0) + neededBytes - (boundBytes - heldBytes);
 
   /** The time in which the pool does as much of its queued work as the scope has to give up of its memory. */
-  const retryAfterMsOf = ({ pool }: BatchJob, scope: MemoryScope, neededBytes: number): number => {
-    const load = measureLoads(state, state.clockMs).get(pool);
+  const retryAfterMsOf = (
+    { pool }: BatchJob,
+    scope: MemoryScope,
+    neededBytes: number,
+    nowMs: number,
+  ): number => {
+    const load = loadOf(pool, nowMs);
     const coreMs = load?.queuedWork.reduce((sum, work) => sum + work.coreMs, 0) ?? 0;
     const cpuMillis = load?.endpointsCpuMillis.reduce((sum, one) => sum + one, 0) ?? 0;
     const backlogMs = cpuMillis > 0 ? coreMs / (cpuMillis / MILLIS_PER_CORE) : Infinity;
@@ -185,13 +201,14 @@
         heldBytes,
         boundBytes,
         deferredJobs,
-        retryAfterMs: retryAfterMsOf(job, scope, neededBytes),
+        retryAfterMs: retryAfterMsOf(job, scope, neededBytes, nowMs),
       };
     },
     hasSpaceFor: (deferred, nowMs) => {
       update(nowMs);
       return missingBytes(memoryScopeOf(deferred), deferred.neededBytes) <= 0;
     },
+    addDeferred,
     addPending: (job) => {
       if (pending.has(job.jobId)) return;
       pending.set(job.jobId, { job, isSettled: false });
--- a/packages/daemon/src/batch/control/term.ts
+++ b/packages/daemon/src/batch/control/term.ts
@@ -262,7 +262,8 @@
     state.soleHolderUntilMs = soleHolderUntilMs();
     saver.refuseIfTableUnavailable();
     evacuations.update();
-    state.occurrenceBytesLeft = jobs.memory.bytesForOccurrences(nowMs());
+    if (state.recurringJobs.size > 0)
+      state.occurrenceBytesLeft = jobs.memory.bytesForOccurrences(nowMs());
     state.recurringJobs.forEach((job) => startDueOccurrences(state, job, nowMs(), wallClockMs()));
     handleStalledAndLapsedRuns(state, nowMs()).forEach(logLapsedLease);
     paceGapFillers(state, nowMs());
--- a/packages/daemon/src/batch/jobs/job-row-reader.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.ts
@@ -10,6 +10,7 @@
   type BatchJob,
   type BatchJobRow,
   type BatchState,
+  type DeferredJob,
   type JobMemory,
   type ProgressRow,
   type QueueIndex,
@@ -34,7 +35,7 @@
   readonly ended: EndedJobs;
   readonly cancellations: Pick<Cancellations, 'apply' | 'applyEarlier'>;
   /** Bounds the memory that jobs take; a job that does not fit stays in its row. */
-  readonly memory: Pick<JobMemory, 'findShortage' | 'addPending' | 'removePending'>;
+  readonly memory: Pick<JobMemory, 'findShortage' | 'addDeferred' | 'addPending' | 'removePending'>;
   /** The queues of the configuration in force; undefined before one is known. */
   readonly configuration: () => QueueIndex | undefined;
   /** True while no other entry can have become the control holder: see `TermOptions`. */
@@ -155,7 +156,7 @@
     }
     const neededBytes = estimateJobBytes(job);
     const account = owner?.account;
-    state.deferredJobs.set(jobId, {
+    const deferred: DeferredJob = {
       jobId,
       queue,
       account,
@@ -163,7 +164,9 @@
       version,
       hasStarted,
       isRequested: false,
-    });
+    };
+    state.deferredJobs.set(jobId, deferred);
+    memory.addDeferred(deferred);
     metrics.count('jobs_deferred_for_memory');
     const { scope, scopeBytes, heldBytes, boundBytes } = shortage;
     log.warn('job-deferred', {
