Jobs are restored, and left in their rows, in modules of their own

progress.ts had grown to 379 lines with two jobs: what a row says, and how a job is restored from it (restore-job.ts now). The decision to leave a job in its row goes from the reader of rows to job-deferral.ts. No logic changes; the tests of both run unchanged but for their imports.

--- a/packages/core/src/batch/crashes/crash-evidence.test.ts
+++ b/packages/core/src/batch/crashes/crash-evidence.test.ts
@@ -18,7 +18,8 @@
 import { applyStartOutcome } from '../endpoints/order-responses.js';
 import { instanceIdOf } from '../model/endpoint-incarnation.js';
 import { taskKey } from '../model/job.js';
-import { buildProgressRow, restoreJob } from '../jobs/progress.js';
+import { buildProgressRow } from '../jobs/progress.js';
+import { restoreJob } from '../jobs/restore-job.js';
 import { schedulePool } from '../placement/schedule.js';
 import {
   createBatchState,
--- a/packages/core/src/batch/crashes/isolation.test.ts
+++ b/packages/core/src/batch/crashes/isolation.test.ts
@@ -29,7 +29,8 @@
 import { removeEndpoint, giveUpRunsOfGoneEndpoints } from '../endpoints/gone-endpoints.js';
 import { taskKey, type StepSpec } from '../model/job.js';
 import { addJob, cancelJob } from '../jobs/job-lifecycle.js';
-import { buildProgressRow, restoreJob } from '../jobs/progress.js';
+import { buildProgressRow } from '../jobs/progress.js';
+import { restoreJob } from '../jobs/restore-job.js';
 import { endpointsOf, schedulePool } from '../placement/schedule.js';
 import {
   createBatchState,
--- a/packages/core/src/batch/index.ts
+++ b/packages/core/src/batch/index.ts
@@ -46,6 +46,7 @@
 export * from './jobs/job-memory.js';
 export * from './jobs/queue-index.js';
 export * from './jobs/progress.js';
+export * from './jobs/restore-job.js';
 export * from './jobs/run-times.js';
 export * from './jobs/step-times.js';
 export * from './jobs/waiting-jobs.js';
--- a/packages/core/src/batch/jobs/attempts.test.ts
+++ b/packages/core/src/batch/jobs/attempts.test.ts
@@ -18,7 +18,8 @@
 import { DEFAULT_STEP } from '../model/default-step.js';
 import { taskKey, type StepSpec, type TaskKey } from '../model/job.js';
 import { createBatchState, type BatchState, type JobState } from '../model/state.js';
-import { restoreJob, type ProgressRow } from './progress.js';
+import type { ProgressRow } from './progress.js';
+import { restoreJob } from './restore-job.js';
 
 /** Values of `maxAttempts` in a row that was damaged or that another build has written; none tells a limit. */
 const ODD_LIMITS: readonly unknown[] = [null, undefined, 0, -1, '1', '', true, [], [1], {}];
--- a/packages/core/src/batch/jobs/occurrences.test.ts
+++ b/packages/core/src/batch/jobs/occurrences.test.ts
@@ -13,7 +13,8 @@
   findTask,
   startDueOccurrences,
 } from './job-lifecycle.js';
-import { buildProgressRow, hasStartedTasks, isProgressRow, restoreJob } from './progress.js';
+import { buildProgressRow, hasStartedTasks, isProgressRow } from './progress.js';
+import { restoreJob } from './restore-job.js';
 
 const ROW_BYTES = 65_536;
 const POLICY = { priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 600 };
--- a/packages/core/src/batch/jobs/progress.ts
+++ b/packages/core/src/batch/jobs/progress.ts
@@ -1,35 +1,16 @@
 /**
  * The stored rows of a job: the job as accepted, its progress, and how it ended. The next control holder restores the
- * job from them. Starts of tasks are not stored, since endpoints report what they run.
+ * job from them: see `restore-job.ts`. Starts of tasks are not stored, since endpoints report what they run.
  */
-import { change } from '../../shared/change.js';
 import type { AccountName, EndpointId } from '../../shared/ids.js';
-import { hasNoAttemptLeft, readFailedRuns } from './attempts.js';
-import { addOccurrence, createJobState } from './job-factory.js';
-import { startDueOccurrences, endJob, completeTask } from './job-lifecycle.js';
-import {
-  dueAtMsOf,
-  isOccurrenceOver,
-  occurrenceCount,
-  recordOccurrenceDone,
-} from './occurrences.js';
-import { giveUpReason } from '../crashes/endpoint-crashes.js';
-import {
-  buildCrashLists,
-  haveCrashedAfterStart,
-  readCrashLists,
-  type CrashLists,
-} from '../crashes/crash-rows.js';
-import { restoreTrial, findOpenTrial } from '../crashes/announced-start-record.js';
+import { findOpenTrial } from '../crashes/announced-start-record.js';
+import { buildCrashLists, haveCrashedAfterStart, type CrashLists } from '../crashes/crash-rows.js';
 import type { BatchJob, FinalPhase, QueuePolicy } from '../model/job.js';
 import {
   isFinal,
-  type BatchState,
-  type EndpointCrash,
   type JobState,
   type OccurrenceState,
   type StepRun,
-  type Task,
   type Trial,
 } from '../model/state.js';
 import type { TaskList } from '../model/task-list.js';
@@ -47,7 +28,7 @@
     };
 
 /** The progress of one step. */
-type StepProgress = CrashLists & {
+export type StepProgress = CrashLists & {
   /** Bit set of the completed tasks as hexadecimal digits: the lowest bit of the first digit is task 0. */
   readonly done: string;
   /** Pairs of a task index and the numbers of its failed runs. */
@@ -60,7 +41,7 @@
 };
 
 /** Marks an announced start whose run is conclusive and was seen on its endpoint. */
-const CONCLUSIVE = 1;
+export const CONCLUSIVE = 1;
 type TrialRow = readonly [number, number, EndpointId?, typeof CONCLUSIVE?];
 
 const trialRow = (index: number, { run, endpointId, isConclusive }: Trial): TrialRow => {
@@ -69,7 +50,7 @@
 };
 
 /** The progress of one occurrence by step number. Steps without progress are left out. */
-type OccurrenceProgress = Readonly<Record<string, StepProgress>>;
+export type OccurrenceProgress = Readonly<Record<string, StepProgress>>;
 
 /**
  * The progress row: the progress of occurrences by their numbers. The row of a job with few occurrences lists those that
@@ -100,7 +81,14 @@
     doneDigitOf(tasks, digit),
   ).join('');
 
-const isBitSet = (digits: string, index: number): boolean => {
+/**
+ * Tells whether a bit set of completed tasks contains a task.
+ *
+ * @param digits - The bit set: see `StepProgress`.
+ * @param index - The index of the task.
+ * @returns True if it does.
+ */
+export const isBitSet = (digits: string, index: number): boolean => {
   const digit = parseInt(digits[Math.floor(index / BITS_PER_DIGIT)] ?? '0', 16);
   return Math.floor(digit / 2 ** (index % BITS_PER_DIGIT)) % 2 === 1;
 };
@@ -139,7 +127,13 @@
 const isObject = (value: unknown): value is Readonly<Record<string, unknown>> =>
   typeof value === 'object' && value !== null && !Array.isArray(value);
 
-const isNumberOfOccurrence = (value: unknown): boolean =>
+/**
+ * Tells whether a value can be the number of an occurrence.
+ *
+ * @param value - The value.
+ * @returns True for a whole number from 0.
+ */
+export const isNumberOfOccurrence = (value: unknown): boolean =>
   Number.isSafeInteger(value) && Number(value) >= 0;
 
 /**
@@ -185,7 +179,13 @@
   return steps.length * repeats <= MAX_LISTED_STEPS && taskCount * repeats <= MAX_LISTED_TASKS;
 };
 
-const allBitsOf = (taskCount: number): string => {
+/**
+ * Builds the bit set of a step whose tasks are all completed.
+ *
+ * @param taskCount - How many tasks the step has.
+ * @returns The bit set: see `StepProgress`.
+ */
+export const allBitsOf = (taskCount: number): string => {
   const rest = taskCount % BITS_PER_DIGIT;
   const lastDigit = rest > 0 ? (2 ** rest - 1).toString(16) : '';
   return 'f'.repeat(Math.floor(taskCount / BITS_PER_DIGIT)) + lastDigit;
@@ -243,137 +243,3 @@
         ...(job.owner ? { account: job.owner.account } : {}),
       }
     : { kind: 'live', job, policy };
-
-/**
- * Restores crashes recorded by earlier control holders. They are in the stored row, so no write is pending for them.
- */
-const restoreCrashes = (
-  state: BatchState,
-  { job }: StepRun,
-  task: Task,
-  crashes: readonly EndpointCrash[],
-): void => {
-  const lastRun = Math.max(task.lastRun, ...crashes.map(({ run }) => run));
-  change(task, { crashes, lastRun });
-  const crashRecordRevision = job.crashRecordRevision + crashes.length;
-  change(job, { crashRecordRevision, writtenCrashRecordRevision: crashRecordRevision });
-  state.suspectJobs.add(job);
-};
-
-const restoreStep = (
-  state: BatchState,
-  step: StepRun,
-  { done, failed = [], trials = [], ...lists }: StepProgress,
-): void => {
-  failed.forEach(([index, stored]) => {
-    const task = step.tasks.at(index);
-    const failedRuns = readFailedRuns(stored);
-    if (task) change(task, { failedRuns, lastRun: Math.max(task.lastRun, ...failedRuns) });
-  });
-  readCrashLists(lists).forEach((crashes, index) => {
-    const task = step.tasks.at(index);
-    if (task) restoreCrashes(state, step, task, crashes);
-  });
-  trials.forEach(([index, run, endpointId = null, mark]) => {
-    const task = step.tasks.at(index);
-    if (task)
-      restoreTrial(state, step, task, { run, endpointId, isConclusive: mark === CONCLUSIVE });
-  });
-  for (let index = 0; index < step.tasks.length; index += 1) {
-    const task = isBitSet(done, index) ? step.tasks.at(index) : undefined;
-    if (task) completeTask(state, step, task);
-  }
-};
-
-/** Logs the crashes that the row of a job names: how many are known and how many are supposed, and who counted them. */
-const logRestoredCrashes = (
-  state: BatchState,
-  { job: { jobId } }: JobState,
-  steps: readonly StepRun[],
-): void => {
-  const crashes = steps.flatMap(({ tasks }) => tasks.recorded()).flatMap((task) => task.crashes);
-  if (crashes.length === 0) return;
-  const known = crashes.filter(({ isKnown }) => isKnown).length;
-  const countedBy = Array.from(new Set(crashes.map(({ fence }) => fence))).join(',');
-  const fields = { job: jobId, known, supposed: crashes.length - known, countedBy };
-  state.effects.push({ kind: 'note', event: 'crashes-restored', fields });
-};
-
-/** Tells whether a row shows that all tasks of an occurrence are done. */
-const isWhollyDone = ({ steps }: BatchJob, progress: OccurrenceProgress): boolean =>
-  steps.every(({ taskCount }, number) => progress[number]?.done === allBitsOf(taskCount));
-
-/** Restores the occurrences of a recurring job that are done. */
-const restoreDoneOccurrences = (
-  job: JobState,
-  { doneBelow = 0, doneAhead = [], ...occurrences }: ProgressRow,
-): void => {
-  const count = occurrenceCount(job.job);
-  change(job, {
-    doneBelow: Math.min(doneBelow, count),
-    nextOccurrence: Math.min(doneBelow, count),
-  });
-  const listed = Object.entries(occurrences)
-    .filter(([, steps]) => isWhollyDone(job.job, steps))
-    .map(([number]) => Number(number));
-  [...doneAhead, ...listed]
-    .filter((number) => isNumberOfOccurrence(number) && number < count)
-    .forEach((number) => recordOccurrenceDone(job, number));
-};
-
-/** What a job is restored from. */
-export type RestoreOptions = {
-  readonly job: BatchJob;
-  readonly policy: QueuePolicy;
-  /** Undefined if no progress row was stored. */
-  readonly progress: ProgressRow | undefined;
-  /** The current time by the monotonic clock. */
-  readonly nowMs: number;
-  /** The current time by the wall clock, in milliseconds since 1970. */
-  readonly wallClockMs: number;
-};
-
-/**
- * Restores a job that was accepted under an earlier control holder. A job that is in the state already stays unchanged.
- *
- * @param state - The state, changed in place.
- * @param options - The rows of the job and the times.
- * @returns The state of the job.
- */
-export const restoreJob = (
-  state: BatchState,
-  { job, policy, progress = {}, nowMs, wallClockMs }: RestoreOptions,
-): JobState => {
-  const { doneBelow, doneAhead, ...occurrences } = progress;
-  const existing = state.jobs.get(job.jobId);
-  if (existing) return existing;
-  const restored = createJobState({ job, policy, nowMs, wallClockMs, isInherited: true });
-  state.jobs.set(job.jobId, restored);
-  if (job.repeats > 0) restoreDoneOccurrences(restored, progress);
-  startDueOccurrences(state, restored, nowMs, wallClockMs);
-  Object.entries(occurrences).forEach(([key, steps]) => {
-    const number = Number(key);
-    if (job.repeats > 0 && isOccurrenceOver(restored, number)) return;
-    const dueAtMs = Math.min(nowMs, dueAtMsOf(job, number, { nowMs, wallClockMs }));
-    const occurrence = restored.occurrences.get(number) ?? addOccurrence(restored, number, dueAtMs);
-    Object.entries(steps).forEach(([stepNumber, progressOfStep]) => {
-      const step = occurrence.steps[Number(stepNumber)];
-      if (step && !isFinal(restored.phase)) restoreStep(state, step, progressOfStep);
-    });
-  });
-  if (hasStartedTasks(progress)) restored.hasStarted = true;
-  if (restored.hasStarted && restored.phase === 'pending') restored.phase = 'running';
-  const steps = Array.from(restored.occurrences.values()).flatMap((one) => one.steps);
-  logRestoredCrashes(state, restored, steps);
-  const exhausted = steps
-    .filter(({ spec }) => !spec.isLasting)
-    .flatMap(({ tasks }) => tasks.recorded())
-    .find((task) => hasNoAttemptLeft(task, policy));
-  if (exhausted)
-    endJob(state, restored, 'failed', `task ${exhausted.key} failed maxAttempts times`);
-  const [reason] = steps
-    .flatMap(({ tasks }) => tasks.recorded())
-    .flatMap((task) => giveUpReason(task) ?? []);
-  if (reason !== undefined) endJob(state, restored, 'failed', reason);
-  return restored;
-};
--- a/packages/core/src/batch/jobs/waiting-jobs.test.ts
+++ b/packages/core/src/batch/jobs/waiting-jobs.test.ts
@@ -15,7 +15,8 @@
 import { applyStartOutcome } from '../endpoints/order-responses.js';
 import { schedulePool } from '../placement/schedule.js';
 import { createBatchState, poolOf, type BatchState, type EndpointCrash } from '../model/state.js';
-import { buildProgressRow, hasStartedTasks, restoreJob, type ProgressRow } from './progress.js';
+import { buildProgressRow, hasStartedTasks, type ProgressRow } from './progress.js';
+import { restoreJob } from './restore-job.js';
 import { countWaitingJobs } from './waiting-jobs.js';
 
 const START = { task: TASK, run: FIRST_RUN };
--- a/packages/daemon/src/batch/jobs/job-row-reader.ts
+++ b/packages/daemon/src/batch/jobs/job-row-reader.ts
@@ -1,6 +1,5 @@
 /** Reads the rows of jobs: completely at recovery, and their changes afterwards. */
 import {
-  estimateJobBytes,
   hasStartedTasks,
   isProgressRow,
   restoreJob,
@@ -10,8 +9,6 @@
   type BatchJob,
   type BatchJobRow,
   type BatchState,
-  type DeferredJob,
-  type JobMemory,
   type ProgressRow,
   type QueueIndex,
   type QueuePolicy,
@@ -24,6 +21,7 @@
 import type { LiveRow } from './accept-queue.js';
 import type { Cancellations, CancellationSource } from './cancellations.js';
 import type { EndedJobs } from './ended-jobs.js';
+import { createJobDeferral, type JobDeferralOptions } from './job-deferral.js';
 import type { JobSaver } from './job-saver.js';
 import { parseJobKey } from '../keys.js';
 import type { BatchTable, TableFeed } from '../ports.js';
@@ -35,7 +33,7 @@
   readonly ended: EndedJobs;
   readonly cancellations: Pick<Cancellations, 'apply' | 'applyEarlier'>;
   /** Bounds the memory that jobs take; a job that does not fit stays in its row. */
-  readonly memory: Pick<JobMemory, 'findShortage' | 'addDeferred' | 'addPending' | 'removePending'>;
+  readonly memory: JobDeferralOptions['memory'];
   /** The queues of the configuration in force; undefined before one is known. */
   readonly configuration: () => QueueIndex | undefined;
   /** True while no other entry can have become the control holder: see `TermOptions`. */
@@ -144,48 +142,15 @@
   const findPolicy = (queue: string, fallback: QueuePolicy): QueuePolicy =>
     configuration()?.byName.get(queue as BatchJob['queue'])?.policy ?? fallback;
 
-  const isKnown = (jobId: JobId): boolean => state.jobs.has(jobId) || state.deferredJobs.has(jobId);
-
-  /** Leaves a job in its row if there is not enough memory for it; returns true if it does. */
-  const deferWithoutMemory = (job: BatchJob, version: number, hasStarted: boolean): boolean => {
-    const { jobId, queue, owner } = job;
-    const shortage = memory.findShortage(job, nowMs());
-    if (!shortage) {
-      countMemory(job);
-      return false;
-    }
-    const neededBytes = estimateJobBytes(job);
-    const account = owner?.account;
-    const deferred: DeferredJob = {
-      jobId,
-      queue,
-      account,
-      neededBytes,
-      version,
-      hasStarted,
-      isRequested: false,
-    };
-    state.deferredJobs.set(jobId, deferred);
-    memory.addDeferred(deferred);
-    metrics.count('jobs_deferred_for_memory');
-    const { scope, scopeBytes, heldBytes, boundBytes } = shortage;
-    log.warn('job-deferred', {
-      job: jobId,
-      queue,
-      scope,
-      neededBytes,
-      scopeBytes,
-      heldBytes,
-      boundBytes,
-    });
-    return true;
-  };
+  const { deferWithoutMemory, countMemory } = createJobDeferral({
+    state,
+    memory,
+    log,
+    metrics,
+    nowMs,
+  });
 
-  /** Counts a job that is added to the state until it is measured there. */
-  const countMemory = (job: BatchJob): void => {
-    memory.addPending(job);
-    memory.removePending(job.jobId);
-  };
+  const isKnown = (jobId: JobId): boolean => state.jobs.has(jobId) || state.deferredJobs.has(jobId);
 
   const addAcceptedJob = ({ job, policy }: LiveRow, version: number): void => {
     if (ended.has(job.jobId) || isKnown(job.jobId)) return;
