Times of a recurring job overlap also while later steps wait for earlier ones

Test, failing first by its reckoning (60 waiting, 50 allowed): occurrences.test "starts the next ones while later steps of earlier ones wait for their turn".

--- a/packages/core/src/batch/jobs/occurrences.test.ts
+++ b/packages/core/src/batch/jobs/occurrences.test.ts
@@ -115,6 +115,16 @@
     expect(listWaiting(state).length).toBeLessThan(100);
   });
 
+  it('starts the next ones while later steps of earlier ones wait for their turn', () => {
+    const { state, job } = start(createJob(10, 30, 3));
+    for (let round = 0; round < 10; round += 1) {
+      // All tasks whose turn has come are placed, and none has ended.
+      poolOf(state, POOL).openSteps.forEach((step) => step.waiting.splice(0));
+      tick(state);
+    }
+    expect(job.nextOccurrence).toBe(10);
+  });
+
   it('has one of them at a time while there is no memory for more', () => {
     const { state, job } = start(createJob(100));
     listWaiting(state).forEach((name) => complete(state, name));
--- a/packages/core/src/batch/jobs/occurrences.ts
+++ b/packages/core/src/batch/jobs/occurrences.ts
@@ -8,7 +8,7 @@
 import { estimateOccurrenceBytes } from './job-bytes.js';
 
 /** Open steps of one job are ranked in each scheduling pass and listed in its progress row. */
-const MAX_OPEN_STEPS = 400;
+const MAX_OPEN_STEPS = 800;
 /**
  * No further occurrence is opened while this many tasks of the job wait. Catching up with past times then takes at most
  * this many starts in each tick of the holder, which has other jobs to serve.
@@ -86,8 +86,9 @@
   change(job, { doneBelow, nextOccurrence: Math.max(job.nextOccurrence, doneBelow) });
 };
 
+/** Counts the tasks that wait for capacity; those of later steps wait for earlier ones. */
 const countWaiting = ({ steps }: OccurrenceState): number =>
-  steps.reduce((sum, { waiting }) => sum + waiting.length, 0);
+  steps.reduce((sum, { isOpen, waiting }) => sum + (isOpen ? waiting.length : 0), 0);
 
 /**
  * Tells whether the next occurrence of a job may get a state. At least one always may.
