A task of a done occurrence is found as done

Cause: the end had been applied, and its occurrence, the only one of its job, dropped; `findTask`, which the check asks, knew nothing of done occurrences, only `findReportedTask` did.

Change: `findTask` finds the task of a done occurrence, as done. The test is unchanged; it failed before and passes.

--- a/packages/core/src/batch/jobs/job-lifecycle.ts
+++ b/packages/core/src/batch/jobs/job-lifecycle.ts
@@ -146,13 +146,17 @@
  *
  * @param state - The state.
  * @param name - The parts of the key.
- * @returns The task and its step; undefined if there is no such task.
+ * @returns The task and its step; undefined if there is no such task. That of a done occurrence is not in the state.
  */
 export const findTask = (
   state: BatchState,
   name: TaskKeyParts,
-): { readonly step: StepRun; readonly task: Task } | undefined =>
-  findTaskOf(state.jobs.get(name.jobId)?.occurrences.get(name.occurrence), name);
+): { readonly step: StepRun; readonly task: Task } | undefined => {
+  const job = state.jobs.get(name.jobId);
+  if (job && isOccurrenceOver(job, name.occurrence))
+    return findTaskOf(createDoneOccurrence(job, name.occurrence), name);
+  return findTaskOf(job?.occurrences.get(name.occurrence), name);
+};
 
 /**
  * Finds a task that an endpoint reports. Its occurrence may not be due yet by the clock of this control holder, because
@@ -168,9 +172,10 @@
   name: TaskKeyParts,
 ): { readonly step: StepRun; readonly task: Task } | undefined => {
   const job = state.jobs.get(name.jobId);
-  if (job && isOccurrenceOver(job, name.occurrence))
-    return findTaskOf(createDoneOccurrence(job, name.occurrence), name);
-  const isOccurrenceMissing = job !== undefined && !job.occurrences.has(name.occurrence);
+  const isOccurrenceMissing =
+    job !== undefined &&
+    !job.occurrences.has(name.occurrence) &&
+    !isOccurrenceOver(job, name.occurrence);
   if (isOccurrenceMissing && name.occurrence < occurrenceCount(job.job)) {
     addOccurrence(job, name.occurrence, state.clockMs);
   }
